Add the design page, shared types, wire codec and peer sessions

Cause: every part needs the same identifiers, attempt events and session semantics before work on them can go on in parallel. Change: docs/design.md; internal/state with identifiers, bundle document and invariants; internal/protocol with the CBOR codec; internal/transport/peer with QUIC sessions that are fenced by number; a test of the import direction. Conclusion: the contracts compile and the codec round-trips; the daemon is still empty.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# Run "make help" for the list of targets.
+
+GO ?= go
+BIN := bin
+
+.PHONY: help build lint test fmt
+
+help: ## list the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/^([a-z-]+):[^#]*## /\1\t/' | expand -t 12
+
+build: ## build the programs into bin/
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+fmt: ## format the code
+	gofmt -w cmd internal
+
+lint: ## formatter, vet and staticcheck
+	@test -z "$$(gofmt -l cmd internal | tee /dev/stderr)"
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test: lint ## lint and run the tests
+	$(GO) test -timeout 10m ./...
--- /dev/null
+++ b/internal/layers/layers_test.go
@@ -0,0 +1,49 @@
+// Package layers checks the import direction between the layers.
+package layers
+
+import (
+	"go/build"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const module = "github.com/cassiaramp/cassiaramp/internal/"
+
+// rank orders the layers; a package may import only packages of a lower or the
+// same rank. Packages that are not listed wire the layers together.
+var rank = map[string]int{"state": 0, "coordination": 1, "protocol": 2, "transport": 3}
+
+// Guards against a decision package that depends on the wire or on sockets.
+func TestImportDirection(t *testing.T) {
+	checked := 0
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || !d.IsDir() {
+			return err
+		}
+		name, _ := filepath.Rel("..", path)
+		from, ok := rank[strings.Split(filepath.ToSlash(name), "/")[0]]
+		if !ok {
+			return nil
+		}
+		pkg, err := build.ImportDir(path, 0)
+		if err != nil {
+			return nil // no Go files
+		}
+		checked++
+		for _, imp := range pkg.Imports {
+			to, ok := rank[strings.Split(strings.TrimPrefix(imp, module), "/")[0]]
+			if strings.HasPrefix(imp, module) && (!ok || to > from) {
+				t.Errorf("%s imports %s, which is not below it", name, imp)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if checked < len(rank) {
+		t.Fatalf("checked %d packages, want at least %d", checked, len(rank))
+	}
+}
--- /dev/null
+++ b/internal/protocol/doc.go
@@ -0,0 +1,7 @@
+// Package protocol defines the typed messages that cassiaramp's own processes
+// exchange, their CBOR encoding and their framing.
+//
+// A session between an entry and a side process has one control stream and one
+// stream per attempt. The first frame on a control stream is Hello; the first
+// frame on an attempt stream is Dispatch, Attach or Void.
+package protocol
--- /dev/null
+++ b/internal/state/bundle.go
@@ -0,0 +1,312 @@
+package state
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration that is written as text, for example "1.5s".
+type Duration time.Duration
+
+// MarshalJSON writes the form of time.Duration.String.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+
+// UnmarshalJSON accepts the text form of time.ParseDuration only.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return fmt.Errorf("duration %s: want text with a unit such as \"1.5s\"", b)
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return err
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Bundle is the versioned document of policy and configuration that operators
+// sign off and roll out. The field comments are the operators' reference.
+type Bundle struct {
+	// Version counts up by one from the bundle named in Base.
+	Version uint64 `json:"version"`
+	// Base is the identifier of the bundle that this one replaces; empty for
+	// the first bundle and for an anchor.
+	Base BundleID `json:"base"`
+	// Note says what changed and why.
+	Note string `json:"note,omitempty"`
+	// Signers lists the operators and how many of them must sign the next bundle.
+	Signers Signers `json:"signers"`
+	// Tiers lists the tiers from the highest to the lowest, 1 to 8 of them.
+	Tiers []TierPolicy `json:"tiers"`
+	// Customers lists who may send requests.
+	Customers []CustomerPolicy `json:"customers"`
+	// Services lists groups of interchangeable targets.
+	Services []ServicePolicy `json:"services"`
+	// Policies maps a policy name to its filters, scorers and picker.
+	Policies map[string]PlacementPolicy `json:"policies"`
+	// Split shares requests between policies by hash of the request id. Shares
+	// are relative and must be positive.
+	Split []PolicyShare `json:"split"`
+	// Queue bounds the queue and window of each side process.
+	Queue QueuePolicy `json:"queue"`
+	// Retry bounds retries at each entry.
+	Retry RetryPolicy `json:"retry"`
+	// Placement says which models each engine holds and in which role.
+	Placement []TargetPlacement `json:"placement,omitempty"`
+	// WeightStore limits how fast targets load model weights.
+	WeightStore WeightStorePolicy `json:"weight_store"`
+}
+
+// Signers lists operators' public keys.
+type Signers struct {
+	// Required is the number of distinct operators that must sign.
+	Required int `json:"required"`
+	// Keys maps an operator's name to the base64 Ed25519 public key.
+	Keys map[string]string `json:"keys"`
+}
+
+// TierPolicy describes one tier.
+type TierPolicy struct {
+	// Name is the value of the Cassiaramp-Tier header.
+	Name string `json:"name"`
+	// Timeout is the time a request of this tier has when it names none.
+	Timeout Duration `json:"timeout"`
+	// Reserve is the number of window slots that this tier leaves to higher tiers.
+	Reserve int `json:"reserve"`
+	// LimitReserve is the share (0 to 1) of a customer's burst that this tier
+	// leaves to the customer's higher tiers.
+	LimitReserve float64 `json:"limit_reserve"`
+}
+
+// CustomerPolicy describes one customer.
+type CustomerPolicy struct {
+	Name Customer `json:"name"`
+	// KeySHA256 lists the lower-case hexadecimal SHA-256 of each bearer key.
+	KeySHA256 []string `json:"key_sha256"`
+	// RequestsPerSecond and Burst limit the customer at each entry.
+	RequestsPerSecond float64 `json:"requests_per_second"`
+	Burst             int     `json:"burst"`
+	// Weight is the share of service relative to other customers, above 0.
+	Weight float64 `json:"weight"`
+	// HighestTier names the highest tier that the customer may ask for.
+	HighestTier string `json:"highest_tier"`
+}
+
+// ServicePolicy describes one service.
+type ServicePolicy struct {
+	Name Service `json:"name"`
+	// Kind is "engine" or "plain".
+	Kind string `json:"kind"`
+	// Models lists the models that the service serves; engines only.
+	Models []string `json:"models,omitempty"`
+	// DefaultTier names the tier of requests without a Cassiaramp-Tier header.
+	DefaultTier string `json:"default_tier"`
+	// NonIdempotent makes requests without a Cassiaramp-Idempotent header
+	// non-idempotent.
+	NonIdempotent bool `json:"non_idempotent,omitempty"`
+	// MaxTokens is the expected output when a request names none.
+	MaxTokens int `json:"max_tokens,omitempty"`
+}
+
+// The kinds of service.
+const (
+	EngineService = "engine"
+	PlainService  = "plain"
+)
+
+// PlacementPolicy names the plugins of one policy.
+type PlacementPolicy struct {
+	Filters []string         `json:"filters"`
+	Scorers []WeightedScorer `json:"scorers"`
+	Picker  string           `json:"picker"`
+}
+
+// WeightedScorer is a scorer and its weight in the sum.
+type WeightedScorer struct {
+	Name   string  `json:"name"`
+	Weight float64 `json:"weight"`
+}
+
+// PolicyShare is one policy's share of the traffic.
+type PolicyShare struct {
+	Policy string  `json:"policy"`
+	Share  float64 `json:"share"`
+}
+
+// QueuePolicy bounds the queue and the window of a side process.
+type QueuePolicy struct {
+	MaxCount  int      `json:"max_count"`  // queued attempts
+	MaxTokens int      `json:"max_tokens"` // queued prompt tokens
+	MaxWindow int      `json:"max_window"` // attempts that run at once
+	TokenGap  Duration `json:"token_gap"`  // 95th percentile of the gap between tokens that the window aims at
+}
+
+// RetryPolicy bounds retries of work that may have run.
+type RetryPolicy struct {
+	BudgetRatio float64  `json:"budget_ratio"` // retries earned by each first attempt
+	BudgetMax   float64  `json:"budget_max"`   // retries saved at most
+	BackoffBase Duration `json:"backoff_base"`
+	BackoffMax  Duration `json:"backoff_max"`
+	Placements  int      `json:"placements"` // placements of one request at most
+}
+
+// TargetPlacement says what one engine should hold.
+type TargetPlacement struct {
+	Target   TargetID    `json:"target"`
+	Models   []ModelSpec `json:"models"`
+	Adapters []string    `json:"adapters,omitempty"`
+	// Role is "mixed", "prefill" or "decode".
+	Role string `json:"role,omitempty"`
+}
+
+// ModelSpec names a model and its version.
+type ModelSpec struct {
+	Name    string `json:"name"`
+	Version string `json:"version"`
+}
+
+// WeightStorePolicy limits loads over all targets.
+type WeightStorePolicy struct {
+	LoadsPerMinute float64 `json:"loads_per_minute"`
+}
+
+// TierByName returns the tier named name.
+func (b *Bundle) TierByName(name string) (Tier, bool) {
+	for i, t := range b.Tiers {
+		if t.Name == name {
+			return Tier(i), true
+		}
+	}
+	return NoTier, false
+}
+
+// ServiceByName returns the service named name.
+func (b *Bundle) ServiceByName(name Service) (*ServicePolicy, bool) {
+	for i := range b.Services {
+		if b.Services[i].Name == name {
+			return &b.Services[i], true
+		}
+	}
+	return nil, false
+}
+
+// ServiceForModel returns the engine service that serves model.
+func (b *Bundle) ServiceForModel(model string) (*ServicePolicy, bool) {
+	for i := range b.Services {
+		for _, m := range b.Services[i].Models {
+			if m == model {
+				return &b.Services[i], true
+			}
+		}
+	}
+	return nil, false
+}
+
+// Validate reports every reason for which the bundle cannot be put in force,
+// joined into one error, or nil.
+func (b *Bundle) Validate() error {
+	v := &bundleValidator{bundle: b}
+	v.signers()
+	v.tiers()
+	v.customers()
+	v.services()
+	v.policies()
+	v.bounds()
+	return errors.Join(v.errs...)
+}
+
+type bundleValidator struct {
+	bundle *Bundle
+	errs   []error
+}
+
+func (v *bundleValidator) check(ok bool, format string, args ...any) {
+	if !ok {
+		v.errs = append(v.errs, fmt.Errorf(format, args...))
+	}
+}
+
+func (v *bundleValidator) signers() {
+	s := v.bundle.Signers
+	v.check(s.Required >= 1, "signers.required: %d, want at least 1", s.Required)
+	v.check(s.Required <= len(s.Keys), "signers.required: %d, but only %d keys are listed", s.Required, len(s.Keys))
+}
+
+func (v *bundleValidator) tiers() {
+	n := len(v.bundle.Tiers)
+	v.check(n >= 1 && n <= MaxTiers, "tiers: %d entries, want 1 to %d", n, MaxTiers)
+	seen := map[string]bool{}
+	for i, t := range v.bundle.Tiers {
+		v.check(t.Name != "" && !seen[t.Name], "tiers[%d].name: %q is empty or used twice", i, t.Name)
+		seen[t.Name] = true
+		v.check(t.Timeout > 0, "tiers[%d].timeout: want more than 0", i)
+		v.check(t.Reserve >= 0 && t.Reserve < v.bundle.Queue.MaxWindow, "tiers[%d].reserve: %d, want 0 to queue.max_window-1", i, t.Reserve)
+		v.check(t.LimitReserve >= 0 && t.LimitReserve < 1, "tiers[%d].limit_reserve: %g, want 0 up to but not including 1", i, t.LimitReserve)
+		if i > 0 {
+			prev := v.bundle.Tiers[i-1]
+			v.check(t.Reserve >= prev.Reserve, "tiers[%d].reserve: lower than that of the tier above", i)
+			v.check(t.LimitReserve >= prev.LimitReserve, "tiers[%d].limit_reserve: lower than that of the tier above", i)
+		} else {
+			v.check(t.Reserve == 0 && t.LimitReserve == 0, "tiers[0]: the highest tier leaves no reserve")
+		}
+	}
+}
+
+func (v *bundleValidator) customers() {
+	seen := map[Customer]bool{}
+	keys := map[string]bool{}
+	for i, c := range v.bundle.Customers {
+		v.check(c.Name != "" && !seen[c.Name], "customers[%d].name: %q is empty or used twice", i, c.Name)
+		seen[c.Name] = true
+		for _, k := range c.KeySHA256 {
+			v.check(len(k) == 64 && !keys[k], "customers[%d].key_sha256: %q is no SHA-256 in hexadecimal or used twice", i, k)
+			keys[k] = true
+		}
+		v.check(c.RequestsPerSecond > 0 && c.Burst >= 1, "customers[%d]: requests_per_second and burst must be positive", i)
+		v.check(c.Weight > 0, "customers[%d].weight: %g, want more than 0", i, c.Weight)
+		_, ok := v.bundle.TierByName(c.HighestTier)
+		v.check(ok, "customers[%d].highest_tier: %q is not a tier", i, c.HighestTier)
+	}
+}
+
+func (v *bundleValidator) services() {
+	seen := map[Service]bool{}
+	models := map[string]bool{}
+	for i, s := range v.bundle.Services {
+		v.check(s.Name != "" && !seen[s.Name], "services[%d].name: %q is empty or used twice", i, s.Name)
+		seen[s.Name] = true
+		v.check(s.Kind == EngineService || s.Kind == PlainService, "services[%d].kind: %q, want %q or %q", i, s.Kind, EngineService, PlainService)
+		v.check((s.Kind == EngineService) == (len(s.Models) > 0), "services[%d].models: engines list at least one model, plain services none", i)
+		_, ok := v.bundle.TierByName(s.DefaultTier)
+		v.check(ok, "services[%d].default_tier: %q is not a tier", i, s.DefaultTier)
+		for _, m := range s.Models {
+			v.check(!models[m], "services[%d].models: %q is served by two services", i, m)
+			models[m] = true
+		}
+	}
+}
+
+func (v *bundleValidator) policies() {
+	v.check(len(v.bundle.Split) > 0, "split: want at least one policy")
+	for i, s := range v.bundle.Split {
+		_, ok := v.bundle.Policies[s.Policy]
+		v.check(ok, "split[%d].policy: %q is not in policies", i, s.Policy)
+		v.check(s.Share > 0, "split[%d].share: %g, want more than 0", i, s.Share)
+	}
+}
+
+func (v *bundleValidator) bounds() {
+	b := v.bundle
+	v.check(b.Queue.MaxCount >= 1 && b.Queue.MaxTokens >= 1 && b.Queue.MaxWindow >= 1, "queue: max_count, max_tokens and max_window must be positive")
+	v.check(b.Queue.TokenGap > 0, "queue.token_gap: want more than 0")
+	v.check(b.Retry.BudgetRatio >= 0 && b.Retry.BudgetRatio <= 1, "retry.budget_ratio: %g, want 0 to 1", b.Retry.BudgetRatio)
+	v.check(b.Retry.Placements >= 1, "retry.placements: want at least 1")
+	v.check(b.Retry.BackoffBase > 0 && b.Retry.BackoffMax >= b.Retry.BackoffBase, "retry: want 0 < backoff_base <= backoff_max")
+	v.check(b.WeightStore.LoadsPerMinute >= 0, "weight_store.loads_per_minute: want 0 or more")
+}
--- /dev/null
+++ b/internal/transport/peer/session.go
@@ -0,0 +1,272 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/entry"
+	"github.com/cassiaramp/cassiaramp/internal/protocol"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// Application error codes that close a QUIC connection.
+const (
+	codeClosed  quic.ApplicationErrorCode = 0
+	codeRefused quic.ApplicationErrorCode = 1
+	codeFenced  quic.ApplicationErrorCode = 2
+	codeSilent  quic.ApplicationErrorCode = 3
+)
+
+// errSilent is the cause of a session that was given up for silence.
+var errSilent = errors.New("no message within the silence timeout")
+
+// session is one session of an entry to a side process.
+type session struct {
+	cfg         ClientConfig
+	link        *link
+	number      uint64
+	incarnation state.Incarnation // of the side process
+	socket      *net.UDPConn
+	transport   *quic.Transport
+	conn        *quic.Conn
+	control     sender
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	once   sync.Once
+
+	seq     atomic.Uint64
+	streams atomic.Int64 // open attempt streams
+
+	mu    sync.Mutex
+	heard time.Time // last message of any kind
+	used  time.Time // last change between idle and active
+}
+
+// dial opens a session from a new UDP port.
+func dial(ctx context.Context, cfg ClientConfig, l *link, a Address, number uint64) (*session, error) {
+	remote, err := net.ResolveUDPAddr("udp", a.UDP)
+	if err != nil {
+		return nil, err
+	}
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: cfg.LocalIP})
+	if err != nil {
+		return nil, err
+	}
+	transport := &quic.Transport{Conn: socket}
+	conn, err := transport.Dial(ctx, remote, cfg.Credentials.client(a.Instance), quicConfig())
+	if err != nil {
+		transport.Close()
+		socket.Close()
+		return nil, err
+	}
+	s := &session{cfg: cfg, link: l, number: number, socket: socket, transport: transport, conn: conn}
+	s.ctx, s.cancel = context.WithCancelCause(context.Background())
+	if err := s.greet(ctx); err != nil {
+		s.close(codeRefused, err)
+		return nil, err
+	}
+	return s, nil
+}
+
+// greet exchanges Hello and Welcome and starts the session's goroutines.
+func (s *session) greet(ctx context.Context) error {
+	stream, err := s.conn.OpenStreamSync(ctx)
+	if err != nil {
+		return err
+	}
+	s.control.stream = stream
+	hello := &protocol.Hello{
+		Version: protocol.Version, Instance: s.cfg.Instance, Incarnation: s.cfg.Incarnation,
+		Session: s.number, Accepted: s.cfg.Bundles.Accepted(),
+	}
+	if err := s.control.send(hello); err != nil {
+		return err
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		stream.SetReadDeadline(deadline)
+	}
+	m, err := protocol.Read(stream)
+	if err != nil {
+		return err
+	}
+	stream.SetReadDeadline(time.Time{})
+	welcome, ok := m.(*protocol.Welcome)
+	if !ok {
+		return fmt.Errorf("handshake: unexpected %T", m)
+	}
+	if welcome.Target != s.link.target {
+		return fmt.Errorf("handshake: side process serves target %s", welcome.Target)
+	}
+	s.incarnation = welcome.Incarnation
+	s.touch()
+	s.markUsed()
+	s.link.set(s)
+	s.cfg.Observer.SessionOpened(s.link.target, welcome)
+	fetchWhenBehind(s.cfg.Bundles, welcome.Status.Accepted, s.control.send)
+	go s.readControl(stream)
+	go s.watch()
+	return nil
+}
+
+func (s *session) reserve() state.Reservation {
+	return state.Reservation{
+		Target:      s.link.target,
+		Incarnation: s.incarnation,
+		Attempt: state.AttemptID{
+			Entry: s.cfg.Instance, Incarnation: s.cfg.Incarnation,
+			Session: s.number, Seq: s.seq.Add(1),
+		},
+	}
+}
+
+// open opens an attempt stream with first as its first message.
+func (s *session) open(ctx context.Context, first protocol.Message) (*attemptStream, error) {
+	frame, err := protocol.Encode(first)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", entry.ErrNotSent, err)
+	}
+	stream, err := s.conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("open attempt stream to %s: %w: %w", s.link.target, entry.ErrNotSent, err)
+	}
+	if s.streams.Add(1) == 1 {
+		s.markUsed()
+	}
+	a := &attemptStream{session: s, stream: stream, out: sender{stream: stream}, events: make(chan state.AttemptEvent, eventBuffer), done: make(chan struct{})}
+	go a.read()
+	stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := stream.Write(frame); err != nil {
+		// Part of the frame may have been delivered, so the fate of the attempt
+		// is open: the reader reports ErrSessionLost and the caller attaches.
+		s.fail(err)
+	}
+	return a, nil
+}
+
+// readControl handles the side process's messages until the session ends.
+func (s *session) readControl(r io.Reader) {
+	for {
+		m, err := protocol.Read(r)
+		if err != nil {
+			s.fail(err)
+			return
+		}
+		s.touch()
+		s.handle(m)
+	}
+}
+
+func (s *session) handle(m protocol.Message) {
+	switch m := m.(type) {
+	case *state.Status:
+		s.cfg.Observer.StatusReceived(s.link.target, m)
+		fetchWhenBehind(s.cfg.Bundles, m.Accepted, s.control.send)
+	case *protocol.Heartbeat:
+		fetchWhenBehind(s.cfg.Bundles, m.Accepted, s.control.send)
+	case *protocol.Leaving:
+		s.cfg.Observer.TargetLeaving(s.link.target)
+	default:
+		exchangeBundle(s.cfg.Bundles, m, s.control.send)
+	}
+}
+
+// watch sends heartbeats and gives the session up when it is silent.
+func (s *session) watch() {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	beat := clock()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := clock()
+		if s.silent(now) {
+			s.fail(errSilent)
+			return
+		}
+		if s.idle(now) {
+			s.close(codeClosed, errors.New("session idle"))
+			return
+		}
+		if now.Sub(beat) >= HeartbeatInterval {
+			beat = now
+			// A failed write shows up as silence.
+			s.control.send(&protocol.Heartbeat{Accepted: s.cfg.Bundles.Accepted()})
+		}
+	}
+}
+
+// silent reports whether the silence timeout has passed.
+func (s *session) silent(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.heard) > IdleSilence {
+		return true
+	}
+	if s.streams.Load() == 0 {
+		return false
+	}
+	since := s.heard
+	if s.used.After(since) {
+		// The side process reports often only from here on.
+		since = s.used
+	}
+	return now.Sub(since) > ActiveSilence
+}
+
+func (s *session) idle(now time.Time) bool {
+	if s.link.kept() || s.streams.Load() > 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.used) > IdleClose
+}
+
+func (s *session) touch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard = clock()
+}
+
+// markUsed records a change between idle and active.
+func (s *session) markUsed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.used = clock()
+}
+
+// fail ends the session and tells the observer.
+func (s *session) fail(err error) {
+	s.once.Do(func() {
+		s.shut(codeSilent, err)
+		s.cfg.Observer.SessionLost(s.link.target, err)
+	})
+}
+
+// close ends the session without a report.
+func (s *session) close(code quic.ApplicationErrorCode, err error) {
+	s.once.Do(func() { s.shut(code, err) })
+}
+
+func (s *session) shut(code quic.ApplicationErrorCode, err error) {
+	s.cancel(err)
+	s.conn.CloseWithError(code, "")
+	// Closing the transport waits for its goroutines, one of which may be the
+	// caller's peer, so it happens in the background.
+	go func() {
+		s.transport.Close()
+		s.socket.Close()
+	}()
+}
