--- a/internal/coordination/entry/ports.go
+++ b/internal/coordination/entry/ports.go
@@ -43,3 +43,17 @@
 	// Close releases the stream. It does not cancel the attempt.
 	Close()
 }
+
+// ErrClaimUnavailable tells that the fate of a claim could not be determined
+// because the log is unavailable or its horizon is not folded yet. The claimed
+// attempt must not be dispatched.
+var ErrClaimUnavailable = errors.New("claim unavailable")
+
+// Claims reserves callers' keys in the log.
+type Claims interface {
+	// Claim appends c and returns who holds the key once c's place in the log is
+	// known. Its error wraps ErrClaimUnavailable.
+	Claim(ctx context.Context, c state.Claim) (state.ClaimResult, error)
+	// Lookup returns the claim in effect for key within the horizon.
+	Lookup(key string) (state.Claim, bool)
+}
--- /dev/null
+++ b/internal/state/member.go
@@ -0,0 +1,23 @@
+package state
+
+// Role is what a process does.
+type Role string
+
+// The roles.
+const (
+	EntryRole Role = "entry"
+	SideRole  Role = "side"
+)
+
+// Member is one row of the platform's instance list.
+type Member struct {
+	Instance InstanceID    `json:"instance"`
+	Role     Role          `json:"role"`
+	Domain   FailureDomain `json:"failure_domain"`
+	// Address is the IP address and UDP port for sessions; side processes only.
+	Address string `json:"address,omitempty"`
+	// Target and Service name the target beside a side process.
+	Target  TargetID `json:"target,omitempty"`
+	Service Service  `json:"service,omitempty"`
+	Leaving bool     `json:"leaving,omitempty"`
+}
