--- /dev/null
+++ b/internal/coordination/side/speed.go
@@ -0,0 +1,104 @@
+package side
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// speedMemory is the time constant of the decode rate. After a sudden
+	// slowdown the rate has followed by 92% within 500 ms.
+	speedMemory = 200 * time.Millisecond
+	// prefillWeight, durationWeight and outputWeight are the weights of a new
+	// sample in the averages that are updated once for each attempt.
+	prefillWeight  = 0.4
+	durationWeight = 0.3
+	outputWeight   = 0.1
+	// minPrefill is the number of computed prompt tokens from which a time to
+	// first token says something about the prefill rate.
+	minPrefill = 64
+)
+
+// speed measures the target. All rates are 0 before the first measurement.
+type speed struct {
+	decode   float64 // generated tokens per second over all running attempts
+	prefill  float64 // prompt tokens per second
+	duration float64 // seconds that a call of a plain service takes
+	output   float64 // generated tokens divided by expected tokens
+	tokens   int     // generated since the last sample
+	sampled  time.Time
+}
+
+func newSpeed() *speed { return &speed{output: 1} }
+
+// sample updates the decode rate. decoding is the number of running attempts
+// past their first token.
+func (s *speed) sample(now time.Time, decoding int) {
+	dt := now.Sub(s.sampled)
+	tokens := s.tokens
+	s.sampled, s.tokens = now, 0
+	if decoding == 0 || dt <= 0 {
+		return
+	}
+	rate := float64(tokens) / dt.Seconds()
+	if s.decode == 0 {
+		s.decode = rate
+		return
+	}
+	keep := math.Exp(-float64(dt) / float64(speedMemory))
+	s.decode = keep*s.decode + (1-keep)*rate
+}
+
+// firstToken takes the time to the first token of a finished attempt. tokens
+// is what the target computed in that time.
+func (s *speed) firstToken(tokens int, d time.Duration) {
+	if tokens < minPrefill || d <= 0 {
+		return
+	}
+	rate := float64(tokens) / d.Seconds()
+	if s.prefill == 0 {
+		s.prefill = rate
+		return
+	}
+	s.prefill = average(s.prefill, rate, prefillWeight)
+}
+
+// waiting takes an attempt that has waited for its first token for d. The
+// target cannot be faster than tokens/d, however much it found in its cache.
+func (s *speed) waiting(tokens int, d time.Duration) {
+	if tokens < minPrefill || d <= 0 {
+		return
+	}
+	s.prefill = min(s.prefill, float64(tokens)/d.Seconds())
+}
+
+func (s *speed) finishedPlain(d time.Duration) {
+	if s.duration == 0 {
+		s.duration = d.Seconds()
+		return
+	}
+	s.duration = average(s.duration, d.Seconds(), durationWeight)
+}
+
+func (s *speed) finishedOutput(generated, expected int) {
+	if expected <= 0 {
+		return
+	}
+	ratio := min(1, float64(generated)/float64(expected))
+	s.output = average(s.output, ratio, outputWeight)
+}
+
+func average(old, sample, weight float64) float64 { return (1-weight)*old + weight*sample }
+
+// seconds returns how long the target takes for w when it runs at the measured
+// rates; 0 when they are unknown.
+func (s *speed) seconds(w work) float64 {
+	t := 0.0
+	if s.prefill > 0 {
+		t += float64(w.prompt) / s.prefill
+	}
+	if s.decode > 0 {
+		t += float64(w.output) / s.decode
+	}
+	return t
+}
--- a/internal/state/attempt.go
+++ b/internal/state/attempt.go
@@ -141,6 +141,8 @@
 	ReasonNotLoaded        Reason = "model_not_loaded"
 	ReasonDuplicate        Reason = "duplicate_attempt"
 	ReasonNoBundle         Reason = "no_bundle_in_effect"
+	ReasonUnreachable      Reason = "target_unreachable"
+	ReasonNotAdmitted      Reason = "target_not_admitting"
 )
 
 // The reasons for Failed.
@@ -151,6 +153,9 @@
 	ReasonCancelled     Reason = "cancelled"
 	ReasonSideRestarted Reason = "side_process_restarted"
 	ReasonTimeout       Reason = "deadline_exceeded"
+	// ReasonResponseTooLarge says that the response exceeded the bound of one
+	// response at the side process.
+	ReasonResponseTooLarge Reason = "response_too_large"
 )
 
 // Status is the load report that a side process sends on each session.
