--- a/internal/coordination/side/lifecycle.go
+++ b/internal/coordination/side/lifecycle.go
@@ -302,7 +302,10 @@
 		return
 	}
 	var denied *NotAdmittedError
+	var unknown *UnknownError
 	switch {
+	case errors.As(o.err, &unknown):
+		s.failed(a, o)
 	case errors.Is(o.err, ErrNotSent):
 		a.mayHaveRun = false
 		s.notRun(a, state.ReasonUnreachable)
