--- a/internal/coordination/side/side_test.go
+++ b/internal/coordination/side/side_test.go
@@ -80,13 +80,15 @@
 		runner.cancelled = make(chan state.AttemptID, 1000)
 		s := New(Config{Instance: "s1", Incarnation: self, Target: "t1", Service: "llm", Log: zap.NewNop()}, runner)
 		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error)
+		done := make(chan error, 1)
 		go func() { done <- s.Run(ctx) }()
 		if b != nil {
 			s.SetBundle(b)
 		}
+		synctest.Wait() // until the runner has listed its live streams
 		r := &rig{t: t, Service: s, runner: runner}
 		r.session = r.open("e1", 1)
+		defer cancel() // also when f ends the test
 		f(r)
 		cancel()
 		if err := <-done; err != nil {
--- /dev/null
+++ b/internal/coordination/side/window_test.go
@@ -0,0 +1,138 @@
+package side
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// slowable is an engine whose gap between tokens can change under load.
+type slowable struct{ gap atomic.Int64 }
+
+func (e *slowable) run(ctx context.Context, _ state.AttemptID, emit func(state.AttemptEvent)) (state.Usage, error) {
+	for i := range uint64(2000) {
+		select {
+		case <-time.After(time.Duration(e.gap.Load())):
+		case <-ctx.Done():
+			return state.Usage{}, ctx.Err()
+		}
+		emit(&state.Chunk{Offset: i, Data: []byte("t")})
+	}
+	return state.Usage{GeneratedTokens: 2000}, nil
+}
+
+// Guards against a window or a decode rate that follows a slowdown too late:
+// figures must show it within 500 ms.
+func TestSlowdownShows(t *testing.T) {
+	engine := &slowable{}
+	engine.gap.Store(int64(10 * time.Millisecond))
+	withRig(t, &scriptedRunner{run: engine.run}, bundle(16, 40), func(r *rig) {
+		for range 30 {
+			d := r.job(0)
+			d.Request.MaxTokens = 2000
+			r.session.Dispatch(d)
+		}
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		before := r.Figures()
+		if before.Window != 16 || before.RunningCount != 16 {
+			r.t.Errorf("window %d with %d running, want it to have grown to 16", before.Window, before.RunningCount)
+		}
+		if before.DecodeRate < 1400 || before.DecodeRate > 1700 {
+			r.t.Errorf("decode rate %.0f tokens/s, want about 1600", before.DecodeRate)
+		}
+		engine.gap.Store(int64(100 * time.Millisecond))
+		time.Sleep(500 * time.Millisecond)
+		after := r.Figures()
+		if after.DecodeRate > before.DecodeRate/4 {
+			r.t.Errorf("decode rate %.0f tokens/s 500 ms after a slowdown from %.0f by 10", after.DecodeRate, before.DecodeRate)
+		}
+		if after.Window >= before.Window {
+			r.t.Errorf("window %d did not shrink", after.Window)
+		}
+		time.Sleep(5 * time.Second)
+		if w := r.Figures().Window; w != 1 {
+			r.t.Errorf("window %d after a lasting slowdown, want 1", w)
+		}
+
+		r.session.Close() // cancels the streams
+		time.Sleep(2 * SessionGrace)
+	})
+}
+
+// Guards against a silent engine or a long prefill that leaves the figures as
+// they were.
+func TestStallShows(t *testing.T) {
+	hang := func(ctx context.Context, id state.AttemptID, emit func(state.AttemptEvent)) (state.Usage, error) {
+		if id.Seq == 1 {
+			time.Sleep(100 * time.Millisecond)
+			emit(&state.Chunk{Data: []byte("t")})
+			return state.Usage{PromptTokens: 1000, GeneratedTokens: 1}, nil
+		}
+		<-ctx.Done()
+		return state.Usage{}, ctx.Err()
+	}
+	withRig(t, &scriptedRunner{run: hang}, bundle(4, 10), func(r *rig) {
+		first := r.job(0)
+		first.Request.PromptTokens = 1000
+		last[*state.Done](r, r.session.Dispatch(first))
+		if f := r.Figures(); f.PrefillRate < 9000 || f.PrefillRate > 11000 {
+			r.t.Errorf("prefill rate %.0f tokens/s, want about 10000", f.PrefillRate)
+		}
+		second := r.job(0)
+		second.Request.PromptTokens = 1000
+		stalled := r.session.Dispatch(second)
+		time.Sleep(500 * time.Millisecond)
+		if f := r.Figures(); f.PrefillRate > 2500 {
+			r.t.Errorf("prefill rate %.0f tokens/s although 1000 tokens have taken 500 ms", f.PrefillRate)
+		}
+		stalled.Cancel()
+		last[*state.Failed](r, stalled)
+	})
+}
+
+// Guards against a window that never recovers because the lowest tier cannot
+// start, and against growth without measurements.
+func TestWindowBounds(t *testing.T) {
+	w := newWindow()
+	w.configure(bundle(8, 10, 0, 0, 1, 2))
+	w.tokens = true
+	now := time.Unix(0, 0)
+	for range 20 {
+		now = now.Add(time.Second)
+		w.gap(time.Second)
+		w.adapt(now)
+	}
+	if w.size != 3 || w.limit(3) != 1 {
+		t.Errorf("window %d, limit of the lowest tier %d, want 3 and 1", w.size, w.limit(3))
+	}
+	w.full = true
+	w.adapt(now)
+	if w.size != 3 {
+		t.Errorf("window grew to %d without a measured gap", w.size)
+	}
+	for range 20 {
+		w.full = true
+		w.gap(10 * time.Millisecond)
+		w.adapt(now)
+	}
+	if w.size != 8 {
+		t.Errorf("window %d, want its maximum", w.size)
+	}
+	w.gap(10 * time.Millisecond)
+	w.gap(35 * time.Millisecond)
+	w.full = true
+	w.size = 5
+	w.adapt(now)
+	if w.size != 5 {
+		t.Errorf("window %d, want 5 unchanged for a gap between 80%% and 100%% of its target", w.size)
+	}
+	w.turnedAway(1)
+	if w.size != 3 {
+		t.Errorf("window %d, want its floor", w.size)
+	}
+}
