Bound what ended attempts hold and learn the length of responses

Cause: ended attempts kept the request body for the horizon, and the predicted wait took max_tokens as the length of every response, which refuses queued work that would start in time.

Change: the request is dropped when an attempt ends; expected output starts from the mean of the first responses and no wait is predicted before; a stream adopted before its first token gets the first-byte limit; table bounds and the graceful stop are asserted.

Conclusion: none beyond the change.

--- a/internal/coordination/side/attempt.go
+++ b/internal/coordination/side/attempt.go
@@ -11,7 +11,9 @@
 type attempt struct {
 	id       state.AttemptID
 	entry    entryKey
-	req      *state.Request // nil for an adopted attempt
+	req      *state.Request // nil for an adopted attempt and once it has ended
+	request  state.RequestID
+	kind     state.Kind
 	phase    state.Phase
 	record   *record
 	tier     state.Tier
@@ -44,7 +46,7 @@
 	acked     bool
 }
 
-func (a *attempt) plain() bool { return a.req != nil && a.req.Kind == state.PlainCall }
+func (a *attempt) plain() bool { return a.kind == state.PlainCall }
 
 func (a *attempt) tokens() int { return a.prompt + a.output }
 
@@ -53,9 +55,11 @@
 
 // remaining returns the work that the target still has to do for a running
 // attempt. At least one token of output is left.
-func (a *attempt) remaining() work {
+func (s *Service) remaining(a *attempt) work {
 	chunks, _ := a.record.size()
-	w := work{count: 1, output: max(1, a.output-int(chunks))}
+	// The expectation may have been corrected since the attempt arrived.
+	output := min(a.output, s.expected(a.limit))
+	w := work{count: 1, output: max(1, output-int(chunks))}
 	if a.first.IsZero() {
 		w.prompt = a.prompt
 	}
@@ -67,6 +71,7 @@
 	req := &d.Request
 	a := &attempt{
 		id: d.Attempt, entry: keyOf(d.Attempt), req: req, record: newRecord(), phase: state.AttemptQueued,
+		request: req.ID, kind: req.Kind,
 		tier: min(req.Tier, state.Tier(len(s.bundle.Tiers)-1)), customer: req.Customer,
 		weight: req.Weight, deadline: req.Deadline, keyed: req.Key != "",
 		prompt: req.PromptTokens, limit: s.outputLimit(req),
@@ -74,10 +79,13 @@
 	if a.weight <= 0 {
 		a.weight = 1
 	}
-	a.output = max(1, int(float64(a.limit)*s.speed.output))
+	a.output = s.expected(a.limit)
 	return a
 }
 
+// expected returns how many tokens a request generates that may generate limit.
+func (s *Service) expected(limit int) int { return max(1, int(float64(limit)*s.speed.output)) }
+
 // outputLimit returns the most tokens that the request may generate, or what is
 // expected when it names no maximum.
 func (s *Service) outputLimit(req *state.Request) int {
@@ -100,6 +108,6 @@
 	return &attempt{
 		id: l.Attempt, entry: keyOf(l.Attempt), record: newRecord(), phase: state.AttemptRunning,
 		weight: 1, keyed: true, adopted: true, mayHaveRun: true, output: defaultOutput,
-		chunksAtTarget: l.Chunks,
+		kind: state.Completion, limit: defaultOutput, chunksAtTarget: l.Chunks,
 	}
 }
--- a/internal/coordination/side/lifecycle.go
+++ b/internal/coordination/side/lifecycle.go
@@ -124,7 +124,7 @@
 	default:
 		s.remember(d.Attempt, phase)
 	}
-	s.logRefusal(d.Attempt, &d.Request, reason)
+	s.logRefusal(d.Attempt, d.Request.ID, d.Request.Tier, reason)
 	stream.bind(nil, 0, true, s.refused(reason))
 }
 
@@ -141,9 +141,9 @@
 	return r
 }
 
-func (s *Service) logRefusal(id state.AttemptID, req *state.Request, reason state.Reason) {
+func (s *Service) logRefusal(id state.AttemptID, request state.RequestID, tier state.Tier, reason state.Reason) {
 	s.cfg.Log.Info("attempt refused", zap.Stringer("attempt", id), zap.String("reason", string(reason)),
-		zap.String("request", string(req.ID)), zap.Uint8("tier", uint8(req.Tier)),
+		zap.String("request", string(request)), zap.Uint8("tier", uint8(tier)),
 		zap.Int("queued", s.queue.count), zap.Int("running", len(s.running)), zap.Int("window", s.window.size))
 }
 
@@ -162,7 +162,7 @@
 	}
 	delete(s.attempts, a.id)
 	s.remember(a.id, a.phase)
-	s.logRefusal(a.id, a.req, reason)
+	s.logRefusal(a.id, a.request, a.tier, reason)
 	a.record.setEnd(s.refused(reason))
 }
 
@@ -198,8 +198,9 @@
 	s.occupy(a)
 	a.record.setStage(&state.Started{})
 	s.cfg.Log.Debug("attempt started", zap.Stringer("attempt", a.id), zap.Int("running", len(s.running)))
+	req := a.req
 	s.work(a, func(ctx context.Context, emit func(state.AttemptEvent)) (state.Usage, error) {
-		return s.runner.Run(ctx, a.id, a.req, emit)
+		return s.runner.Run(ctx, a.id, req, emit)
 	})
 }
 
--- a/internal/coordination/side/retention.go
+++ b/internal/coordination/side/retention.go
@@ -80,6 +80,7 @@
 	}
 	r.drop(a) // an adopted response is listed before it is read
 	a.ended = time.Now()
+	a.req = nil // its body is not needed any more
 	_, a.held = a.record.size()
 	r.list = append(r.list, a)
 	r.bytes += a.held
--- a/internal/coordination/side/service.go
+++ b/internal/coordination/side/service.go
@@ -103,6 +103,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			state.Assert(!s.leaving || len(s.running) == 0, state.GracefulStop, "stopped before the running attempts ended")
 			return nil
 		case f := <-s.commands:
 			f()
@@ -201,7 +202,7 @@
 		f.QueueLimit = s.bundle.Queue.MaxCount
 	}
 	for a := range s.running {
-		w := a.remaining()
+		w := s.remaining(a)
 		f.RunningTokens += w.prompt + w.output
 	}
 	f.Models = slices.Sorted(maps.Keys(s.models))
@@ -217,6 +218,8 @@
 	s.forget(now)
 	s.schedule()
 	s.checkDrained(now)
+	state.Assert(len(s.voided) <= MaxVoided && s.retained.bytes <= MaxRetained && len(s.outcomes.order) <= maxOutcomes,
+		state.BoundedState, "side process tables")
 }
 
 // measure samples speeds and adapts the window.
@@ -258,7 +261,8 @@
 }
 
 // checkQueued refuses queued attempts that cannot start before their deadline
-// and tells the others their place.
+// and tells the others their place. Such a refusal sheds no load in the sense of
+// P4: the prediction counts no work of lower tiers that is still queued.
 func (s *Service) checkQueued(now time.Time) {
 	if s.queue.count == 0 {
 		return
@@ -291,6 +295,9 @@
 		turns := float64(before.count+1) / float64(max(1, s.window.limit(a.tier)))
 		return seconds(turns * s.speed.duration)
 	}
+	if s.speed.finished == 0 {
+		return 0 // the length of responses is unknown
+	}
 	return seconds(s.firstFree() + s.speed.seconds(before))
 }
 
@@ -299,7 +306,7 @@
 func (s *Service) firstFree() float64 {
 	least := -1.0
 	for a := range s.running {
-		w := a.remaining()
+		w := s.remaining(a)
 		w.output *= len(s.running)
 		if t := s.speed.seconds(w); least < 0 || t < least {
 			least = t
--- a/internal/coordination/side/speed.go
+++ b/internal/coordination/side/speed.go
@@ -24,7 +24,8 @@
 	decode   float64 // generated tokens per second over all running attempts
 	prefill  float64 // prompt tokens per second
 	duration float64 // seconds that a call of a plain service takes
-	output   float64 // generated tokens divided by expected tokens
+	output   float64 // generated tokens divided by the most that were allowed; 1 before the first measurement
+	finished int     // responses that output is based on
 	tokens   int     // generated since the last sample
 	sampled  time.Time
 }
@@ -84,8 +85,10 @@
 	if expected <= 0 {
 		return
 	}
+	s.finished++
 	ratio := min(1, float64(generated)/float64(expected))
-	s.output = average(s.output, ratio, outputWeight)
+	// The first responses count equally, or the start value would linger.
+	s.output = average(s.output, ratio, max(outputWeight, 1/float64(s.finished)))
 }
 
 func average(old, sample, weight float64) float64 { return (1-weight)*old + weight*sample }
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -86,7 +86,7 @@
 
 // Resume implements side.Runner.
 func (c *Client) Resume(ctx context.Context, id state.AttemptID, from uint64, emit func(state.AttemptEvent)) (state.Usage, error) {
-	s := &stream{client: c, id: id, emit: emit, next: from}
+	s := &stream{client: c, id: id, emit: emit, next: from, patient: true}
 	return s.complete(ctx, errInterrupted)
 }
 
--- a/internal/transport/engine/stream.go
+++ b/internal/transport/engine/stream.go
@@ -28,6 +28,10 @@
 	emit   func(state.AttemptEvent)
 	next   uint64 // offset of the next chunk
 	usage  state.Usage
+	// patient grants a stream that has not begun the time before the first byte.
+	// It is set for a stream that another process opened, because the engine may
+	// still compute the prompt.
+	patient bool
 }
 
 // complete resumes the stream, which was interrupted by err, until it is whole
@@ -92,7 +96,11 @@
 // resume continues the stream on a new connection.
 func (s *stream) resume(ctx context.Context) error {
 	path := fmt.Sprintf("%s/events?from=%d", requestPath(s.id), s.next)
-	k, err := s.client.do(ctx, s.client.cfg.StreamSilence, func(r *fasthttp.Request) {
+	silence := s.client.cfg.StreamSilence
+	if s.patient && s.next == 0 {
+		silence = s.client.cfg.FirstByteSilence
+	}
+	k, err := s.client.do(ctx, silence, func(r *fasthttp.Request) {
 		s.client.address(r, fasthttp.MethodGet, path)
 	})
 	if errors.Is(err, side.ErrNotSent) {
