Align the port to the placer with the placement package

Cause: internal/coordination/placement was started with slightly other types. Change: Outcome.Complete, Candidate.Wait and a third result of Alternative. Conclusion: the types are now structurally equal.

--- a/internal/coordination/entry/follow.go
+++ b/internal/coordination/entry/follow.go
@@ -107,11 +107,11 @@
 	if a.phase != phaseQueued || r.placements >= r.bundle.Retry.Placements {
 		return
 	}
-	alternative, current := r.service.cfg.Placer.Alternative(a.target, r.query())
-	if current/withdrawFactor <= alternative || current-alternative <= withdrawMargin {
+	best, current, ok := r.service.cfg.Placer.Alternative(a.target, r.query())
+	if !ok || current <= withdrawFactor*best || current <= best+withdrawMargin {
 		return
 	}
-	r.log.Info("withdrawal", zap.String("target", string(a.target)), zap.Duration("predicted_wait", current), zap.Duration("alternative", alternative))
+	r.log.Info("withdrawal", zap.String("target", string(a.target)), zap.Duration("predicted_wait", current), zap.Duration("alternative", best))
 	r.withdraw(a, state.ReasonWithdrawn)
 }
 
@@ -301,10 +301,8 @@
 		}
 		left := r.patience() - time.Since(a.lostAt)
 		if left <= 0 {
-			end := unknown(ReasonTargetUnreachable, stepError("attach", a.target, cause))
-			end.unreachable = true
 			r.started(a) // it may have run
-			return end, false
+			return unknown(ReasonTargetUnreachable, stepError("attach", a.target, cause)), false
 		}
 		stream, err := r.attachOnce(ctx, a, left)
 		if err == nil {
--- a/internal/coordination/entry/placer.go
+++ b/internal/coordination/entry/placer.go
@@ -1,16 +1,11 @@
 package entry
 
 import (
-	"math"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
-// NoAlternative is the predicted wait elsewhere when no other target can take
-// the request.
-const NoAlternative time.Duration = math.MaxInt64
-
 // Placer chooses targets and learns from what happens to attempts. It is safe
 // for concurrent use and its methods do not block.
 type Placer interface {
@@ -18,19 +13,18 @@
 	Place(q Query) (Decision, bool)
 	// Sent tells that the attempt was dispatched.
 	Sent(target state.TargetID, attempt state.AttemptID, req *state.Request, blocks []uint64)
-	// Ended tells how an attempt ended. Every Sent is followed by one Ended. An
-	// attempt that could not be dispatched ends without Sent and with the zero
-	// AttemptID when it was not even reserved.
+	// Ended tells how an attempt ended. Every Sent is followed by one Ended.
 	Ended(target state.TargetID, attempt state.AttemptID, o Outcome)
 	// Figures hands over load figures that came with a refusal or a completion.
 	Figures(target state.TargetID, f *state.Figures)
-	// Alternative returns the best predicted wait at targets that q has not
-	// tried, NoAlternative when there is none, and the predicted wait of a
-	// request that is queued at target.
-	Alternative(target state.TargetID, q Query) (elsewhere, current time.Duration)
-	// LowerTierQueued returns the candidates for q whose latest figures, at most
-	// 2 s old, show a free slot or a queued request of a tier lower than tier.
-	// The entry may not refuse the request for load before it has asked them.
+	// Alternative returns the best predicted wait at other targets and the
+	// predicted wait of a request that is queued at target. It returns false
+	// when there is no other target or nothing is known.
+	Alternative(target state.TargetID, q Query) (best, current time.Duration, ok bool)
+	// LowerTierQueued returns the candidates for q that q has not tried and that
+	// may have room for a request of the tier: their latest figures, at most 2 s
+	// old, show it, or there are none. The entry may not refuse the request for
+	// load before it has asked them.
 	LowerTierQueued(q Query, tier state.Tier) []state.TargetID
 }
 
@@ -47,27 +41,25 @@
 type Decision struct {
 	Target     state.TargetID
 	Policy     string
-	Reason     string      // why Target was picked, for the log
-	Candidates []Candidate // the targets weighed
-	Wait       time.Duration
+	Reason     string        // why Target was picked, for the log
+	Candidates []Candidate   // the targets weighed
+	Wait       time.Duration // predicted time to the first token at Target
 }
 
-// Candidate is one target weighed and its score from 0 to 1.
+// Candidate is one target weighed.
 type Candidate struct {
 	Target state.TargetID
-	Score  float64
+	Score  float64       // 0 to 1
+	Wait   time.Duration // predicted time to the first token
 }
 
-// Outcome tells how an attempt ended. At most one of Completed, NotRun and
+// Outcome tells how an attempt ended. At most one of Complete, NotRun and
 // Unknown is set; none means that the target reported a failure or that the
 // attempt was cancelled.
 type Outcome struct {
-	Completed bool
-	NotRun    bool
-	Unknown   bool
-	// Unreachable is set when the session failed: nothing was sent, or the
-	// attempt's fate could not be asked for.
-	Unreachable bool
-	Reason      state.Reason
-	Usage       state.Usage // zero when the target reported none
+	Usage    state.Usage // zero when the target reported none
+	Complete bool        // the response arrived whole
+	NotRun   bool        // refused or withdrawn
+	Unknown  bool        // may have run
+	Reason   state.Reason
 }
--- a/internal/coordination/entry/result.go
+++ b/internal/coordination/entry/result.go
@@ -105,9 +105,8 @@
 	body       string
 	// receipt is the target's own statement that the attempt was not run; 0 for
 	// none.
-	receipt     state.Phase
-	unreachable bool // the target's session failed
-	err         error
+	receipt state.Phase
+	err     error
 }
 
 func elsewhere(reason state.Reason, err error) ending {
--- a/internal/coordination/entry/run.go
+++ b/internal/coordination/entry/run.go
@@ -119,9 +119,7 @@
 // notSent ends an attempt of which nothing was sent.
 func (r *run) notSent(ctx context.Context, a *attempt, err error) ending {
 	end := elsewhere(ReasonTargetUnreachable, err)
-	end.unreachable = true
 	r.tried[a.target] = end.reason
-	r.service.cfg.Placer.Ended(a.target, a.id, Outcome{NotRun: true, Unreachable: true, Reason: end.reason})
 	if a.own {
 		return r.withReceipt(ctx, a, end)
 	}
@@ -130,10 +128,10 @@
 
 // ended tells the placer and the counters about an attempt that was sent.
 func (r *run) ended(a *attempt, end ending) {
-	o := Outcome{Reason: end.reason, Usage: end.usage, Unreachable: end.unreachable}
+	o := Outcome{Reason: end.reason, Usage: end.usage}
 	switch end.verdict {
 	case verdictComplete:
-		o.Completed = true
+		o.Complete = true
 	case verdictElsewhere, verdictRefused:
 		o.NotRun = true
 	case verdictUnknown:
@@ -141,7 +139,7 @@
 	}
 	r.service.cfg.Placer.Ended(a.target, a.id, o)
 	if a.ran() && !o.NotRun {
-		countAttempt(r.key(), r.req, end.usage, a.known, o.Completed)
+		countAttempt(r.key(), r.req, end.usage, a.known, o.Complete)
 		r.service.computed.add(r.blocks)
 	}
 }
