Add the front and test the request lifecycle

Cause: callers need an HTTP interface, and each failure of the lifecycle needs a test that asserts it. Change: internal/transport/front with chat completions, completions, models and plain services; table of lifecycle scenarios under synctest with fakes.

--- a/internal/coordination/entry/result.go
+++ b/internal/coordination/entry/result.go
@@ -49,12 +49,12 @@
 	ReasonCallerGone        state.Reason = "caller_disconnected"
 )
 
-// Errors of this package have the type errRequest and the properties step and
-// peer.
+// Errors of this package have the type errRequest, the step as message and the
+// properties step and peer.
 var (
 	errorNamespace = errorx.NewNamespace("entry")
 	errRequest     = errorNamespace.NewType("request").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
-	propertyStep   = errorx.RegisterPrintableProperty("step")
+	propertyStep   = errorx.RegisterProperty("step")
 	propertyPeer   = errorx.RegisterPrintableProperty("peer")
 )
 
@@ -63,7 +63,7 @@
 	if cause == nil {
 		return nil
 	}
-	return errRequest.Wrap(cause, "%s at %s", step, peer).WithProperty(propertyStep, step).WithProperty(propertyPeer, string(peer))
+	return errRequest.Wrap(cause, "%s", step).WithProperty(propertyStep, step).WithProperty(propertyPeer, string(peer))
 }
 
 // isLoad reports whether a refusal was for load, which P4 restricts.
--- /dev/null
+++ b/internal/transport/front/conn.go
@@ -0,0 +1,134 @@
+package front
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// listener wraps accepted connections in conn.
+type listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
+
+// conn closes on writes that make no progress and, while a request is served,
+// notices that the caller has closed it.
+type conn struct {
+	net.Conn
+
+	mu       sync.Mutex
+	deadline time.Time // read deadline set by the server
+	watch    *watch    // nil when no request is served
+	ahead    []byte    // read by a watch, at most one byte
+	readErr  error     // found by a watch
+}
+
+// watch reads ahead in the background.
+type watch struct{ done chan struct{} }
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+writePiece)]
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(piece)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// watchClose calls gone when the caller closes the connection before the server
+// reads from it again.
+func (c *conn) watchClose(gone func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watch != nil || len(c.ahead) > 0 || c.readErr != nil {
+		return
+	}
+	w := &watch{done: make(chan struct{})}
+	c.watch = w
+	c.Conn.SetReadDeadline(time.Time{})
+	go c.readAhead(w, gone)
+}
+
+func (c *conn) readAhead(w *watch, gone func()) {
+	defer close(w.done)
+	var b [1]byte
+	n, err := c.Conn.Read(b[:])
+	c.mu.Lock()
+	c.ahead = append(c.ahead, b[:n]...)
+	aborted := c.watch != w
+	if err != nil && !aborted {
+		c.readErr = err
+	}
+	c.mu.Unlock()
+	if err != nil && !aborted {
+		gone()
+	}
+}
+
+// Read implements net.Conn. It ends a watch first.
+func (c *conn) Read(p []byte) (int, error) {
+	c.endWatch()
+	c.mu.Lock()
+	if len(c.ahead) > 0 {
+		n := copy(p, c.ahead)
+		c.ahead = c.ahead[n:]
+		c.mu.Unlock()
+		return n, nil
+	}
+	err := c.readErr
+	c.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// endWatch waits until no watch reads from the connection.
+func (c *conn) endWatch() {
+	c.mu.Lock()
+	w := c.watch
+	c.watch = nil
+	if w != nil {
+		// A deadline in the past ends the read in progress.
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	c.mu.Unlock()
+	if w == nil {
+		return
+	}
+	<-w.done
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Conn.SetReadDeadline(c.deadline)
+}
+
+// SetReadDeadline implements net.Conn. It takes effect when a watch has ended.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.watch != nil {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn. Write deadlines are set by Write.
+func (c *conn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+// SetWriteDeadline implements net.Conn. Write deadlines are set by Write.
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
