--- a/internal/coordination/entry/claim.go
+++ b/internal/coordination/entry/claim.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -54,7 +53,7 @@
 	defer cancel()
 	for first := true; ; first = false {
 		a := &attempt{target: holder.Target, id: holder.Attempt, incarnation: holder.Incarnation}
-		end := r.followHolder(ctx, a)
+		end := r.follow(ctx, a, nil)
 		if end.verdict != verdictElsewhere {
 			return end
 		}
@@ -83,15 +82,6 @@
 	}
 }
 
-// followHolder follows another entry's attempt.
-func (r *run) followHolder(ctx context.Context, a *attempt) ending {
-	a.lostAt = time.Now()
-	if end, ok := r.reattach(ctx, a, nil); !ok {
-		return end
-	}
-	return r.follow(ctx, a)
-}
-
 // abandonedHolder ends a request whose attempt belongs to another entry.
 func (r *run) abandonedHolder(ctx context.Context) ending {
 	if r.caller.Err() != nil {
--- a/internal/coordination/entry/follow.go
+++ b/internal/coordination/entry/follow.go
@@ -52,11 +52,20 @@
 	}
 }
 
-// follow passes the attempt's events on until it ends. a.stream is open.
-func (r *run) follow(ctx context.Context, a *attempt) ending {
+// follow passes the attempt's events on until it ends. When a.stream is nil it
+// attaches first; cause is the error that ended the stream, if any.
+func (r *run) follow(ctx context.Context, a *attempt, cause error) ending {
 	defer a.close()
 	for {
+		if a.stream == nil {
+			if end, ok := r.reattach(ctx, a, cause); !ok {
+				return end
+			}
+		}
 		event, err := r.next(ctx, a)
+		if err != nil && ctx.Err() != nil {
+			return r.abandon(ctx, a)
+		}
 		if err == nil {
 			end, action := r.apply(a, event)
 			if action == proceed {
@@ -70,12 +79,9 @@
 			if a.gaps > maxGaps {
 				return unknown(state.ReasonStreamBroken, stepError("follow", a.target, err))
 			}
-		} else if ctx.Err() != nil {
-			return r.abandon(ctx, a)
-		}
-		if end, ok := r.reattach(ctx, a, err); !ok {
-			return end
 		}
+		a.close()
+		cause = err
 	}
 }
 
@@ -241,6 +247,7 @@
 func (r *run) applyRefused(a *attempt, e *state.Refused) (ending, action) {
 	r.figures(a, &e.Figures)
 	err := stepError("dispatch", a.target, fmt.Errorf("refused: %s", e.Reason))
+	r.log.Info("attempt refused", zap.String("attempt", a.id.String()), zap.String("target", string(a.target)), zap.String("reason", string(e.Reason)), zap.Duration("retry_after", e.RetryAfter))
 	if e.Reason == state.ReasonDuplicate {
 		// The refusal is about a second dispatch and says nothing about the first.
 		state.Violated(state.DispatchOnce, fmt.Sprintf("attempt %s reached %s twice", a.id, a.target))
@@ -280,7 +287,6 @@
 // reattach opens a new stream for the attempt that starts at the next chunk
 // wanted. It returns false and the ending when the fate stays open for too long.
 func (r *run) reattach(ctx context.Context, a *attempt, cause error) (ending, bool) {
-	a.close()
 	if a.phase == phaseOver && errors.Is(cause, io.EOF) {
 		return unknown(state.ReasonStreamBroken, stepError("attach", a.target, errors.New("attempt failed without a reason"))), false
 	}
--- a/internal/coordination/entry/run.go
+++ b/internal/coordination/entry/run.go
@@ -106,8 +106,11 @@
 		return r.notSent(ctx, a, stepError("dispatch", d.Target, err))
 	}
 	s.cfg.Placer.Sent(d.Target, a.id, r.req, r.blocks)
-	a.stream = stream
-	end := r.follow(ctx, a)
+	if err == nil {
+		a.stream = stream
+	}
+	// After any other error the fate is open, as after a lost session.
+	end := r.follow(ctx, a, err)
 	r.tried[d.Target] = end.reason
 	r.ended(a, end)
 	if end.verdict == verdictElsewhere {
--- a/internal/coordination/entry/service_test.go
+++ b/internal/coordination/entry/service_test.go
@@ -65,6 +65,21 @@
 		attach1(h, "a", in(state.AttemptRunning), chunk(1), chunk(2), lost)
 		attach1(h, "a", in(state.AttemptDone), chunk(3), done(4))
 	}, kind: Complete, calls: "dispatch a,attach a 2,attach a 3,ack a", got: "c0 c1 c2 c3"},
+	{guards: "a dispatch with an open fate that is repeated", setup: func(h *harness) {
+		h.req.Idempotent = false
+		h.peers.dispatch["a"] = []script{{open: errors.New("write failed")}}
+		attach1(h, "a", in(state.AttemptRunning), chunk(0), done(1))
+	}, kind: Complete, calls: "dispatch a,attach a 0,ack a", got: "c0"},
+	{guards: "a claim that is not voided when its dispatch was not sent", setup: func(h *harness) {
+		h.keyed()
+		h.peers.dispatch["a"] = []script{{open: ErrNotSent}}
+		h.peers.void["a"] = state.AttemptNotRun
+		script1(h, "b", started, done(0))
+	}, kind: Complete, calls: "dispatch a,void a,dispatch b,ack b"},
+	{guards: "a target that cannot be reached", setup: func(h *harness) {
+		h.peers.reserve["a"] = errors.New("refused")
+		script1(h, "b", started, done(0))
+	}, kind: Complete, calls: "dispatch b,ack b"},
 	{guards: "an unseen attempt that is given up or placed twice", setup: func(h *harness) {
 		script1(h, "a", lost)
 		attach1(h, "a", in(state.AttemptUnseen))
--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -1,8 +1,10 @@
 package front
 
 import (
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +30,21 @@
 	watch    *watch    // nil when no request is served
 	ahead    []byte    // read by a watch, at most one byte
 	readErr  error     // found by a watch
+
+	linger atomic.Bool // a rejected request may still be arriving
+}
+
+// Close implements net.Conn. Closing while data is unread resets a connection,
+// so that the caller may lose the response. After a rejected request the rest is
+// therefore read and dropped for a while.
+func (c *conn) Close() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if ok && c.linger.Load() && half.CloseWrite() == nil {
+		c.endWatch()
+		c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	return c.Conn.Close()
 }
 
 // watch reads ahead in the background.
--- a/internal/transport/front/doc.go
+++ b/internal/transport/front/doc.go
@@ -37,6 +37,13 @@
 	// writePiece is the largest piece of a write that must make progress within
 	// writeTimeout, in bytes.
 	writePiece = 16 << 10
+	// maxDrained is how much of a rejected body is read so that the connection
+	// can be kept, in bytes. The HTTP library gives up at the same size.
+	maxDrained = 256 << 10
+	// lingerTime and lingerBytes bound what is read of a rejected request after
+	// its response.
+	lingerTime  = time.Second
+	lingerBytes = 4 * maxBody
 	// keepAliveInterval is the time after which a waiting stream gets a comment,
 	// so that a caller that is gone is noticed.
 	keepAliveInterval = 5 * time.Second
--- a/internal/transport/front/plain.go
+++ b/internal/transport/front/plain.go
@@ -41,8 +41,8 @@
 	return err
 }
 
-// Restart implements entry.Sink.
-func (s *plainSink) Restart() bool { return s.restart() }
+// Restart implements entry.Sink. The handler may send the head at any time.
+func (s *plainSink) Restart() bool { return false }
 
 // finish ends the body.
 func (s *plainSink) finish(r entry.Result) {
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -111,6 +111,11 @@
 	if f := s.serve(ctx, state.RequestID(id)); f != nil {
 		s.cfg.Log.Info("request rejected", zap.String("request", id), zap.String("reason", string(f.code)), zap.Int("status", f.status), zap.String("detail", f.message))
 		f.write(ctx)
+		length := ctx.Request.Header.ContentLength()
+		if c, ok := ctx.Conn().(*conn); ok && (length < 0 || length > maxDrained) {
+			c.linger.Store(true)
+			ctx.SetConnectionClose()
+		}
 	}
 }
 
