Test the factor that a withdrawal needs

Cause: a trial without the factor passed all tests. Change: a scenario between the factor and the margin.

--- a/internal/coordination/entry/service_test.go
+++ b/internal/coordination/entry/service_test.go
@@ -270,6 +270,10 @@
 		script1(h, "a", queued, step{after: time.Second, event: started}, done(0))
 		h.placer.waits = [2]time.Duration{200 * time.Millisecond, 400 * time.Millisecond}
 	}, kind: Complete, calls: "dispatch a,ack a"},
+	{guards: "a withdrawal from a wait that is less than twice the alternative", setup: func(h *harness) {
+		script1(h, "a", queued, step{after: time.Second, event: started}, done(0))
+		h.placer.waits = [2]time.Duration{300 * time.Millisecond, 550 * time.Millisecond}
+	}, kind: Complete, calls: "dispatch a,ack a"},
 	{guards: "work for a caller that is gone", setup: func(h *harness) {
 		h.sink.failing = errors.New("closed")
 		script1(h, "a", started, chunk(0), never)
