--- a/internal/coordination/entry/follow.go
+++ b/internal/coordination/entry/follow.go
@@ -270,7 +270,8 @@
 	switch {
 	case e.Reason == state.ReasonTimeout && r.req.Idempotent:
 		end.verdict = verdictTimedOut
-	case e.Unknown || e.Reason == state.ReasonTimeout:
+	case e.Unknown || e.Reason == state.ReasonTimeout || e.Reason == state.ReasonCancelled:
+		// A cancelled attempt was dispatched, so part of it may have taken effect.
 		end.verdict = verdictUnknown
 	}
 	return end, finish
--- a/internal/coordination/entry/service_test.go
+++ b/internal/coordination/entry/service_test.go
@@ -189,6 +189,10 @@
 		h.service.budget.Earn(5, 5)
 		script1(h, "a", started, broken)
 	}, kind: Unknown, reason: state.ReasonTargetSilent, calls: "dispatch a,ack a"},
+	{guards: "partly run work that is reported as a plain failure", setup: func(h *harness) {
+		h.req.Idempotent = false
+		script1(h, "a", started, &state.Failed{Reason: state.ReasonCancelled})
+	}, kind: Unknown, reason: state.ReasonCancelled, calls: "dispatch a,ack a"},
 	{guards: "an attempt whose fate the restarted side process cannot tell", setup: func(h *harness) {
 		h.req.Idempotent = false
 		script1(h, "a", lost)
