Answer connections above the bound with a refusal

Cause: the HTTP library answers them in plain text without a retry-after time. Change: the listener keeps the bound and sends the usual refusal; tests of the bounds on connections and bodies.

--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -1,29 +1,72 @@
 package front
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/admission"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/entry"
 )
 
-// listener wraps accepted connections in conn.
-type listener struct{ net.Listener }
+// listener wraps accepted connections in conn and turns those away that exceed
+// the limit.
+type listener struct {
+	net.Listener
+	open      *semaphore.Weighted
+	rejecting *semaphore.Weighted
+}
+
+func newListener(l net.Listener, maxOpen int) *listener {
+	return &listener{Listener: l, open: semaphore.NewWeighted(int64(maxOpen)), rejecting: semaphore.NewWeighted(maxRejecting)}
+}
 
 // Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.TryAcquire(1) {
+			return &conn{Conn: c, release: sync.OnceFunc(func() { l.open.Release(1) })}, nil
+		}
+		if !l.rejecting.TryAcquire(1) {
+			c.Close()
+			continue
+		}
+		go func() {
+			defer l.rejecting.Release(1)
+			reject(c)
+		}()
+	}
+}
+
+// reject tells a caller that the connection cannot be served.
+func reject(c net.Conn) {
+	var ctx fasthttp.RequestCtx
+	failureOf(entry.Result{Kind: entry.Refused, Reason: admission.ReasonOverloaded}).write(&ctx)
+	ctx.SetConnectionClose()
+	w := &conn{Conn: c}
+	w.linger.Store(true)
+	defer w.Close()
+	out := bufio.NewWriter(w)
+	if ctx.Response.Write(out) == nil {
+		out.Flush()
 	}
-	return &conn{Conn: c}, nil
 }
 
 // conn closes on writes that make no progress and, while a request is served,
 // notices that the caller has closed it.
 type conn struct {
 	net.Conn
+	release func() // frees the connection's place; nil when it has none
 
 	mu       sync.Mutex
 	deadline time.Time // read deadline set by the server
@@ -38,6 +81,9 @@
 // so that the caller may lose the response. After a rejected request the rest is
 // therefore read and dropped for a while.
 func (c *conn) Close() error {
+	if c.release != nil {
+		defer c.release()
+	}
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if ok && c.linger.Load() && half.CloseWrite() == nil {
 		c.endWatch()
--- a/internal/transport/front/doc.go
+++ b/internal/transport/front/doc.go
@@ -23,6 +23,9 @@
 	// maxHeld is how much of a plain service's response is held back while its
 	// status can still change, in bytes.
 	maxHeld = 64 << 10
+	// maxRejecting bounds the connections above the limit that are told so at
+	// the same time. Others are closed at once.
+	maxRejecting = 64
 	// maxKey bounds an Idempotency-Key, in bytes.
 	maxKey = 255
 	// maxTimeout bounds Cassiaramp-Timeout.
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -46,6 +46,8 @@
 	}
 }
 
+const maxTestConnections = 16
+
 func testBundle() *state.Bundle {
 	sum := sha256.Sum256([]byte("secret"))
 	return &state.Bundle{
@@ -70,7 +72,7 @@
 		t.Fatal(err)
 	}
 	b := testBundle()
-	s := New(Config{Service: service, Bundle: func() *state.Bundle { return b }, MaxConnections: 16, MaxBodyBytes: 64 << 20, Log: zap.NewNop()})
+	s := New(Config{Service: service, Bundle: func() *state.Bundle { return b }, MaxConnections: maxTestConnections, MaxBodyBytes: 64 << 20, Log: zap.NewNop()})
 	go s.Serve(l)
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -342,6 +344,47 @@
 	}
 }
 
+// Guards against a caller above the bound of connections that gets no final
+// response.
+func TestConnectionsAreBounded(t *testing.T) {
+	addr := serve(t, send(complete))
+	for range maxTestConnections {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	resp, err := http.Get("http://" + addr + "/v1/models")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != 429 || resp.Header.Get("Retry-After") != "1" || resp.Header.Get(headerOutcome) != outcomeNotRun || !strings.Contains(string(body), "entry_overloaded") {
+		t.Errorf("status %d, headers %v, body %s", resp.StatusCode, resp.Header, body)
+	}
+}
+
+// Guards against bodies that together take more memory than allowed.
+func TestBodiesAreBounded(t *testing.T) {
+	s := New(Config{MaxBodyBytes: 10})
+	var ctx fasthttp.RequestCtx
+	ctx.Request.SetBodyString("12345678")
+	ctx.Request.Header.SetContentLength(8)
+	data, release, f := s.readBody(&ctx)
+	if f != nil || string(data) != "12345678" {
+		t.Fatalf("got %q, %+v", data, f)
+	}
+	if _, _, f := s.readBody(&ctx); f == nil || f.status != 429 || f.retryAfter <= 0 {
+		t.Fatalf("a second body of 8 bytes within 10: %+v", f)
+	}
+	release()
+	if _, _, f := s.readBody(&ctx); f != nil {
+		t.Fatalf("refused after the release: %+v", f)
+	}
+}
+
 // Guards against a model list without the bundle's models.
 func TestModels(t *testing.T) {
 	_, body, _ := exchangeWith(t, send(complete), "GET", "/v1/models", "")
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -59,7 +59,7 @@
 	s.http = &fasthttp.Server{
 		Handler:                       s.handle,
 		ErrorHandler:                  writeProtocolError,
-		Concurrency:                   cfg.MaxConnections,
+		Concurrency:                   cfg.MaxConnections + 1, // the listener keeps the limit
 		ReadBufferSize:                maxHeader,
 		ReadTimeout:                   readTimeout,
 		IdleTimeout:                   idleTimeout,
@@ -76,7 +76,9 @@
 }
 
 // Serve accepts connections from l until Shutdown.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(listener{l}) }
+func (s *Server) Serve(l net.Listener) error {
+	return s.http.Serve(newListener(l, s.cfg.MaxConnections))
+}
 
 // Shutdown stops accepting connections and waits until those with a request in
 // progress are done or ctx ends.
