--- /dev/null
+++ b/internal/coordination/logstream/logtest/logtest.go
@@ -0,0 +1,154 @@
+// Package logtest provides an in-memory log service with faults for tests.
+package logtest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/logstream"
+)
+
+// ErrLost is returned by an append whose acknowledgement was lost.
+var ErrLost = errors.New("acknowledgement lost")
+
+var errDown = errors.New("log service unreachable")
+
+// Log is an in-memory log service. The zero value is ready to use.
+type Log struct {
+	mu       sync.Mutex
+	streams  map[string]*stream
+	down     bool
+	delay    time.Duration
+	loseAcks int
+	drops    int
+	appends  int
+}
+
+type stream struct {
+	first   uint64
+	records []logstream.Record
+	grown   chan struct{} // closed by the next append
+}
+
+// SetDown makes every call fail without effect.
+func (l *Log) SetDown(down bool) { l.set(func() { l.down = down }) }
+
+// SetDelay delays every call by d before it takes effect.
+func (l *Log) SetDelay(d time.Duration) { l.set(func() { l.delay = d }) }
+
+// LoseAcks makes the next n appends take effect and report ErrLost.
+func (l *Log) LoseAcks(n int) { l.set(func() { l.loseAcks = n }) }
+
+// DropAppends makes the next n appends have no effect and report ErrLost.
+func (l *Log) DropAppends(n int) { l.set(func() { l.drops = n }) }
+
+// Appends returns the number of append calls that took effect.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Forget drops the records of stream before offset first.
+func (l *Log) Forget(name string, first uint64) {
+	l.set(func() {
+		s := l.stream(name)
+		s.records = s.records[first-s.first:]
+		s.first = first
+	})
+}
+
+func (l *Log) set(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+func (l *Log) stream(name string) *stream {
+	if l.streams == nil {
+		l.streams = make(map[string]*stream)
+	}
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{grown: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+// Append implements logstream.Log.
+func (l *Log) Append(ctx context.Context, name string, e logstream.Entry) (uint64, error) {
+	if err := l.call(ctx); err != nil {
+		return 0, fmt.Errorf("%w: %w", logstream.ErrNotAppended, err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.drops > 0 {
+		l.drops--
+		return 0, ErrLost
+	}
+	s := l.stream(name)
+	off := s.first + uint64(len(s.records))
+	s.records = append(s.records, logstream.Record{Offset: off, ID: e.ID, Time: time.Now(), Data: e.Data})
+	close(s.grown)
+	s.grown = make(chan struct{})
+	l.appends++
+	if l.loseAcks > 0 {
+		l.loseAcks--
+		return 0, ErrLost
+	}
+	return off, nil
+}
+
+// Read implements logstream.Log.
+func (l *Log) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (logstream.Page, error) {
+	if err := l.call(ctx); err != nil {
+		return logstream.Page{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, grown := l.page(name, from, limit)
+		if len(page.Records) > 0 || wait <= 0 {
+			return page, nil
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			wait = 0
+		case <-ctx.Done():
+			return logstream.Page{}, ctx.Err()
+		}
+	}
+}
+
+func (l *Log) page(name string, from uint64, limit int) (logstream.Page, chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	end := s.first + uint64(len(s.records))
+	from = min(max(from, s.first), end)
+	records := s.records[from-s.first:]
+	records = records[:min(limit, len(records))]
+	return logstream.Page{First: s.first, Next: from + uint64(len(records)), End: end, Records: records}, s.grown
+}
+
+func (l *Log) call(ctx context.Context) error {
+	l.mu.Lock()
+	down, delay := l.down, l.delay
+	l.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if down {
+		return errDown
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/transport/platform/instances.go
@@ -0,0 +1,54 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/member"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// Instances is a client of the instance list. It implements member.List.
+type Instances struct{ endpoint *endpoint }
+
+var _ member.List = (*Instances)(nil)
+
+// NewInstances returns a client of the instance list at base.
+func NewInstances(base string) (*Instances, error) {
+	e, err := newEndpoint(base)
+	if err != nil {
+		return nil, err
+	}
+	return &Instances{endpoint: e}, nil
+}
+
+// Instances implements member.List.
+func (i *Instances) Instances(ctx context.Context, etag string) (members []state.Member, newETag string, unchanged bool, err error) {
+	var header [][2]string
+	if etag != "" {
+		header = append(header, [2]string{"If-None-Match", etag})
+	}
+	resp, err := i.endpoint.call(ctx, CallTimeout, http.MethodGet, "/instances", header, nil)
+	if err != nil {
+		return nil, "", false, err
+	}
+	switch resp.status {
+	case http.StatusNotModified:
+		return nil, etag, true, nil
+	case http.StatusOK:
+	default:
+		return nil, "", false, fmt.Errorf("read instance list: %w", statusError(resp))
+	}
+	var list struct {
+		Instances *[]state.Member `json:"instances"`
+	}
+	if err := json.Unmarshal(resp.body, &list); err != nil {
+		return nil, "", false, fmt.Errorf("read instance list: %w", err)
+	}
+	if list.Instances == nil {
+		return nil, "", false, fmt.Errorf("read instance list: instances is missing")
+	}
+	return *list.Instances, resp.etag, false, nil
+}
--- /dev/null
+++ b/internal/transport/platform/log.go
@@ -0,0 +1,131 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/logstream"
+)
+
+// Log is a client of the log service. It implements logstream.Log.
+type Log struct{ endpoint *endpoint }
+
+var _ logstream.Log = (*Log)(nil)
+
+// NewLog returns a client of the log service at base.
+func NewLog(base string) (*Log, error) {
+	e, err := newEndpoint(base)
+	if err != nil {
+		return nil, err
+	}
+	return &Log{endpoint: e}, nil
+}
+
+type appendBody struct {
+	Records []appendRecord `json:"records"`
+}
+
+type appendRecord struct {
+	ID   string `json:"id"`
+	Data []byte `json:"data"`
+}
+
+// Append implements logstream.Log. A call that sent nothing and a status 4xx
+// certainly had no effect; everything else leaves the fate open.
+func (l *Log) Append(ctx context.Context, stream string, e logstream.Entry) (uint64, error) {
+	body, err := json.Marshal(appendBody{Records: []appendRecord{{ID: e.ID, Data: e.Data}}})
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", logstream.ErrNotAppended, err)
+	}
+	resp, err := l.endpoint.call(ctx, CallTimeout, http.MethodPost, recordsPath(stream), nil, body)
+	if errors.Is(err, ErrUnreachable) {
+		return 0, fmt.Errorf("%w: %w", logstream.ErrNotAppended, err)
+	}
+	if err != nil {
+		return 0, err
+	}
+	if resp.status != http.StatusOK {
+		err := error(statusError(resp))
+		if resp.status >= 400 && resp.status < 500 && resp.status != http.StatusRequestTimeout {
+			err = fmt.Errorf("%w: %w", logstream.ErrNotAppended, err)
+		}
+		return 0, err
+	}
+	var result struct {
+		Offsets []uint64 `json:"offsets"`
+	}
+	if err := json.Unmarshal(resp.body, &result); err != nil {
+		return 0, fmt.Errorf("append response: %w", err)
+	}
+	if len(result.Offsets) != 1 {
+		return 0, fmt.Errorf("append response: %d offsets, want 1", len(result.Offsets))
+	}
+	return result.Offsets[0], nil
+}
+
+type readBody struct {
+	First   *uint64      `json:"first"`
+	Next    *uint64      `json:"next"`
+	End     *uint64      `json:"end"`
+	Records []readRecord `json:"records"`
+}
+
+type readRecord struct {
+	Offset uint64    `json:"offset"`
+	ID     string    `json:"id"`
+	Time   time.Time `json:"time"`
+	Data   []byte    `json:"data"`
+}
+
+// Read implements logstream.Log.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (logstream.Page, error) {
+	query := url.Values{"from": {strconv.FormatUint(from, 10)}, "limit": {strconv.Itoa(limit)}}
+	if wait > 0 {
+		query.Set("wait", wait.String())
+	}
+	resp, err := l.endpoint.call(ctx, wait+CallTimeout, http.MethodGet, recordsPath(stream)+"?"+query.Encode(), nil, nil)
+	if err != nil {
+		return logstream.Page{}, err
+	}
+	if resp.status != http.StatusOK {
+		return logstream.Page{}, fmt.Errorf("read stream %s: %w", stream, statusError(resp))
+	}
+	page, err := decodePage(resp.body, from)
+	if err != nil {
+		return logstream.Page{}, fmt.Errorf("read stream %s: %w", stream, err)
+	}
+	return page, nil
+}
+
+// decodePage checks that the records are in order and within the bounds, since
+// a fold over anything else would differ between processes.
+func decodePage(body []byte, from uint64) (logstream.Page, error) {
+	var b readBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return logstream.Page{}, err
+	}
+	if b.First == nil || b.Next == nil || b.End == nil {
+		return logstream.Page{}, errors.New("first, next or end is missing")
+	}
+	page := logstream.Page{First: *b.First, Next: *b.Next, End: *b.End, Records: make([]logstream.Record, len(b.Records))}
+	expect := max(from, page.First)
+	for i, r := range b.Records {
+		if r.Offset < expect || r.Offset >= page.Next {
+			return logstream.Page{}, fmt.Errorf("record at offset %d is out of order", r.Offset)
+		}
+		expect = r.Offset + 1
+		page.Records[i] = logstream.Record(r)
+	}
+	if page.Next > page.End {
+		return logstream.Page{}, fmt.Errorf("next %d is after end %d", page.Next, page.End)
+	}
+	return page, nil
+}
+
+func recordsPath(stream string) string { return "/streams/" + url.PathEscape(stream) + "/records" }
