Add orders and the operators' bundle and key commands

Cause: targets must follow the placement in the bundle under a fencing number, and operators need to create, sign and publish bundles.

--- a/internal/coordination/bundle/document.go
+++ b/internal/coordination/bundle/document.go
@@ -12,6 +12,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -58,12 +60,31 @@
 	if b.Version == 0 {
 		return nil, fmt.Errorf("%w: version: want at least 1", ErrDocument)
 	}
-	if err := b.Validate(); err != nil {
+	if err := errors.Join(b.Validate(), checkKeys(b.Signers)); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrDocument, err)
 	}
 	return b, nil
 }
 
+// checkKeys refuses signers that could never sign the next bundle: keys that do
+// not parse, and one key under two names.
+func checkKeys(s state.Signers) error {
+	var errs []error
+	seen := make(map[string]string)
+	for _, operator := range slices.Sorted(maps.Keys(s.Keys)) {
+		key, err := ParsePublicKey(s.Keys[operator])
+		if err != nil {
+			errs = append(errs, fmt.Errorf("signers.keys.%s: %w", operator, err))
+			continue
+		}
+		if other, twice := seen[string(key)]; twice {
+			errs = append(errs, fmt.Errorf("signers.keys.%s: the same key as that of %s", operator, other))
+		}
+		seen[string(key)] = operator
+	}
+	return errors.Join(errs...)
+}
+
 // ID returns the identifier of a document.
 func ID(document []byte) state.BundleID {
 	sum := sha256.Sum256(document)
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -3,6 +3,7 @@
 package member
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -21,6 +22,10 @@
 	// RefusedHold is how long a refused connection marks a target as leaving. It
 	// covers the lag of the list, which then says whether the instance is gone.
 	RefusedHold = 3 * time.Second
+	// LeavingHold is how long a Leaving message counts after the session that it
+	// arrived on has ended. A restarted process may use the same name, and without
+	// new work no session would ever show that it is back.
+	LeavingHold = 30 * time.Second
 	// staleLogInterval is how often an unavailable list is logged.
 	staleLogInterval = 30 * time.Second
 )
@@ -51,11 +56,20 @@
 	live    bool // a session is open
 	member  state.Member
 	leaving bool
-	// incarnation is that of the side process that said it leaves.
+	// incarnation is that of the side process of the last session.
 	incarnation  state.Incarnation
+	lostAt       time.Time // when the last session ended, or Leaving came without one
 	refusedUntil time.Time
 }
 
+// saysLeaving reports whether the evidence speaks against new work at now.
+func (e *evidence) saysLeaving(now time.Time) bool {
+	if now.Before(e.refusedUntil) {
+		return true
+	}
+	return e.leaving && (e.live || now.Before(e.lostAt.Add(LeavingHold)))
+}
+
 // NewTracker returns a tracker without members.
 func NewTracker(list List, logger *zap.Logger) *Tracker {
 	t := &Tracker{list: list, logger: logger, evidence: make(map[state.TargetID]evidence)}
@@ -133,12 +147,12 @@
 
 // SessionLost records that no session to target is open.
 func (t *Tracker) SessionLost(target state.TargetID) {
-	t.observe(target, func(e *evidence) { e.live = false })
+	t.observe(target, func(e *evidence) { e.live, e.lostAt = false, time.Now() })
 }
 
 // Leaving records that the side process beside target said that it leaves.
 func (t *Tracker) Leaving(target state.TargetID) {
-	t.observe(target, func(e *evidence) { e.leaving = true })
+	t.observe(target, func(e *evidence) { e.leaving, e.lostAt = true, time.Now() })
 }
 
 // Refused records that the side process beside target refused a connection.
@@ -186,7 +200,7 @@
 		}
 		e.member = *m
 		t.evidence[m.Target] = e
-		m.Leaving = m.Leaving || e.leaving || now.Before(e.refusedUntil)
+		m.Leaving = m.Leaving || e.saysLeaving(now)
 	}
 	maps.DeleteFunc(t.evidence, func(target state.TargetID, e evidence) bool {
 		if listed[target] {
@@ -196,20 +210,12 @@
 			// The list lags or is incomplete: an open session shows that the
 			// instance lives.
 			m := e.member
-			m.Leaving = m.Leaving || e.leaving
+			m.Leaving = m.Leaving || e.saysLeaving(now)
 			merged = append(merged, m)
 			return false
 		}
 		return !e.live
 	})
-	slices.SortFunc(merged, func(a, b state.Member) int {
-		if a.Instance < b.Instance {
-			return -1
-		}
-		if a.Instance > b.Instance {
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(merged, func(a, b state.Member) int { return cmp.Compare(a.Instance, b.Instance) })
 	return merged
 }
--- /dev/null
+++ b/internal/ctl/bundlecmd/edit.go
@@ -0,0 +1,168 @@
+package bundlecmd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/bundle"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// New writes the next version of the bundle.
+type New struct {
+	Out      string `arg:"positional,required" placeholder:"FILE" help:"file to write; must not exist"`
+	Template string `arg:"--template" placeholder:"FILE" help:"take the content from this file instead of the bundle in effect"`
+	Note     string `arg:"--note" help:"what changes and why"`
+	Anchor   bool   `arg:"--anchor" help:"write a bundle without base, for the first publication or after the log forgot everything; needs --template"`
+	Version  uint64 `arg:"--version" default:"1" help:"version of an anchor; higher than any version ever in effect"`
+	Log      string `arg:"--log,env:CASSIARAMP_LOG" placeholder:"URL" help:"log service; not needed for an anchor"`
+	Signers  string `arg:"--signers,env:CASSIARAMP_SIGNERS" placeholder:"FILE" help:"initial signers; not needed for an anchor"`
+	output
+}
+
+type bundleResult struct {
+	File    string         `json:"file,omitempty"`
+	Version uint64         `json:"version"`
+	Bundle  state.BundleID `json:"bundle,omitempty"`
+	Base    state.BundleID `json:"base"`
+	Error   string         `json:"error,omitempty"`
+}
+
+// Run writes the file.
+func (c *New) Run(ctx context.Context, out io.Writer) error {
+	b, err := c.content(ctx)
+	if err != nil {
+		return err
+	}
+	if c.Note != "" || c.Template == "" {
+		b.Note = c.Note
+	}
+	text, err := json.MarshalIndent(b, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := writeNew(c.Out, append(text, '\n'), 0o644); err != nil {
+		return err
+	}
+	result := bundleResult{File: c.Out, Version: b.Version, Base: b.Base}
+	return c.write(out, result, func(w io.Writer) {
+		fmt.Fprintf(w, "wrote %s: version %d, base %s\n", c.Out, b.Version, orNone(b.Base))
+	})
+}
+
+// content returns the bundle to write.
+func (c *New) content(ctx context.Context) (*state.Bundle, error) {
+	b := new(state.Bundle)
+	if c.Template != "" {
+		if err := readStrict(c.Template, b); err != nil {
+			return nil, err
+		}
+	}
+	if c.Anchor {
+		if c.Template == "" || c.Version < 1 {
+			return nil, &ExitError{Code: ExitUsage, Err: errors.New("--anchor needs --template and a --version of at least 1")}
+		}
+		b.Version, b.Base = c.Version, ""
+		return b, nil
+	}
+	if c.Log == "" || c.Signers == "" {
+		return nil, &ExitError{Code: ExitUsage, Err: errors.New("--log and --signers are needed unless --anchor is given")}
+	}
+	view, err := logFlags{Log: c.Log, Signers: c.Signers, Timeout: defaultTimeout}.view(ctx)
+	if err != nil {
+		return nil, err
+	}
+	head := view.Fold.Head()
+	if head == nil {
+		return nil, noBundle()
+	}
+	if c.Template == "" {
+		*b = *head.Bundle
+	}
+	b.Version, b.Base = head.Version+1, head.ID
+	return b, nil
+}
+
+// Check validates a bundle file.
+type Check struct {
+	File string `arg:"positional,required" help:"bundle file: JSON with comments"`
+	output
+}
+
+// Run prints the identifier, or every reason for which the file is not valid.
+func (c *Check) Run(_ context.Context, out io.Writer) error {
+	document, b, err := readDocument(c.File)
+	result := bundleResult{File: c.File}
+	if err != nil {
+		result.Error = err.Error()
+		return errors.Join(err, c.write(out, result, func(io.Writer) {}))
+	}
+	result.Version, result.Base, result.Bundle = b.Version, b.Base, bundle.ID(document)
+	return c.write(out, result, func(w io.Writer) {
+		fmt.Fprintf(w, "%s is valid: version %d, bundle %s, base %s\n", c.File, b.Version, result.Bundle, orNone(b.Base))
+	})
+}
+
+// Sign signs off a bundle file.
+type Sign struct {
+	File     string `arg:"positional,required" help:"bundle file: JSON with comments"`
+	Operator string `arg:"--operator,required" help:"name as listed in the signers"`
+	Key      string `arg:"--key,required" placeholder:"FILE" help:"private key from keys new"`
+	Out      string `arg:"--out" placeholder:"FILE" help:"signature file to write; default FILE.OPERATOR.sig"`
+	output
+}
+
+// signatureFile is the content of a signature file.
+type signatureFile struct {
+	Bundle state.BundleID `json:"bundle"`
+	state.Signature
+}
+
+// Run writes the signature file.
+func (c *Sign) Run(_ context.Context, out io.Writer) error {
+	document, _, err := readDocument(c.File)
+	if err != nil {
+		return err
+	}
+	key, err := readPrivateKey(c.Key)
+	if err != nil {
+		return err
+	}
+	sig, err := bundle.Sign(document, c.Operator, key)
+	if err != nil {
+		return err
+	}
+	path := c.Out
+	if path == "" {
+		path = c.File + "." + c.Operator + ".sig"
+	}
+	content := signatureFile{Bundle: bundle.ID(document), Signature: sig}
+	text, err := json.MarshalIndent(content, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := writeNew(path, append(text, '\n'), 0o644); err != nil {
+		return err
+	}
+	result := struct {
+		File string `json:"file"`
+		signatureFile
+	}{path, content}
+	return c.write(out, result, func(w io.Writer) {
+		fmt.Fprintf(w, "wrote %s: bundle %s signed by %s\n", path, content.Bundle, c.Operator)
+	})
+}
+
+func orNone(id state.BundleID) string {
+	if id == "" {
+		return "none"
+	}
+	return string(id)
+}
+
+func noBundle() error {
+	return &ExitError{Code: ExitNoBundle, Err: errors.New("the log has no bundle in effect; publish a first bundle or an anchor")}
+}
--- /dev/null
+++ b/internal/transport/platform/orders.go
@@ -0,0 +1,83 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/order"
+)
+
+// Orders is a client of a target's orders. It implements order.Orders.
+type Orders struct{ endpoint *endpoint }
+
+var _ order.Orders = (*Orders)(nil)
+
+// NewOrders returns a client of the target at base.
+func NewOrders(base string) (*Orders, error) {
+	e, err := newEndpoint(base)
+	if err != nil {
+		return nil, err
+	}
+	return &Orders{endpoint: e}, nil
+}
+
+type orderBody struct {
+	Fence    uint64      `json:"fence"`
+	Load     []modelBody `json:"load"`
+	Unload   []string    `json:"unload"`
+	Adapters []string    `json:"adapters"`
+	Role     string      `json:"role,omitempty"`
+}
+
+type modelBody struct {
+	Name    string `json:"name"`
+	Version string `json:"version"`
+}
+
+// defaultRetryAfter is the wait after a 429 without a usable Retry-After.
+const defaultRetryAfter = 5 * time.Second
+
+// SendOrder implements order.Orders.
+func (o *Orders) SendOrder(ctx context.Context, ord order.Order) error {
+	b := orderBody{Fence: ord.Fence, Load: []modelBody{}, Unload: append([]string{}, ord.Unload...),
+		Adapters: append([]string{}, ord.Adapters...), Role: ord.Role}
+	for _, m := range ord.Load {
+		b.Load = append(b.Load, modelBody(m))
+	}
+	body, err := json.Marshal(b)
+	if err != nil {
+		return fmt.Errorf("encode order: %w", err)
+	}
+	resp, err := o.endpoint.call(ctx, order.RequestTimeout, http.MethodPost, "/orders", nil, body)
+	if err != nil {
+		return fmt.Errorf("%w: %w", order.ErrUnreachable, err)
+	}
+	switch resp.status {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return fmt.Errorf("%w: %w", order.ErrOldFence, statusError(resp))
+	case http.StatusTooManyRequests:
+		return &order.RateLimitedError{After: parseRetryAfter(resp.retryAfter, time.Now())}
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return fmt.Errorf("%w: %w", order.ErrUnreachable, statusError(resp))
+	default:
+		return errors.Join(errors.New("order refused"), statusError(resp))
+	}
+}
+
+// parseRetryAfter parses seconds or an HTTP date.
+func parseRetryAfter(text string, now time.Time) time.Duration {
+	if seconds, err := strconv.Atoi(text); err == nil && seconds >= 0 {
+		return time.Duration(seconds) * time.Second
+	}
+	if at, err := http.ParseTime(text); err == nil {
+		return max(0, at.Sub(now))
+	}
+	return defaultRetryAfter
+}
