--- /dev/null
+++ b/internal/coordination/bundle/bundle_test.go
@@ -0,0 +1,450 @@
+package bundle
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"math/rand"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/logstream"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/logstream/logtest"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+const retention = time.Hour
+
+func TestMain(m *testing.M) {
+	state.OnViolation(func(inv state.Invariant, detail string) { panic(fmt.Sprintf("%s: %s", inv, detail)) })
+	os.Exit(m.Run())
+}
+
+// keys holds the key pairs of three operators, from a fixed seed.
+var keys = func() map[string]ed25519.PrivateKey {
+	r := rand.New(rand.NewSource(1))
+	m := make(map[string]ed25519.PrivateKey)
+	for _, name := range []string{"anna", "ben", "cora"} {
+		seed := make([]byte, ed25519.SeedSize)
+		r.Read(seed)
+		m[name] = ed25519.NewKeyFromSeed(seed)
+	}
+	return m
+}()
+
+func signers(required int, names ...string) state.Signers {
+	s := state.Signers{Required: required, Keys: map[string]string{}}
+	for _, n := range names {
+		s.Keys[n] = base64.StdEncoding.EncodeToString(keys[n].Public().(ed25519.PublicKey))
+	}
+	return s
+}
+
+// initial requires two of the three operators.
+var initial = signers(2, "anna", "ben", "cora")
+
+// document returns a valid document; note makes it unique.
+func document(t testing.TB, version uint64, base state.BundleID, note string) []byte {
+	t.Helper()
+	doc, err := Encode(&state.Bundle{
+		Version: version, Base: base, Note: note, Signers: initial,
+		Tiers:    []state.TierPolicy{{Name: "urgent", Timeout: state.Duration(time.Second)}},
+		Policies: map[string]state.PlacementPolicy{"cost": {Picker: "best"}},
+		Split:    []state.PolicyShare{{Policy: "cost", Share: 1}},
+		Queue:    state.QueuePolicy{MaxCount: 1, MaxTokens: 1, MaxWindow: 1, TokenGap: state.Duration(time.Millisecond)},
+		Retry:    state.RetryPolicy{Placements: 1, BackoffBase: 1, BackoffMax: 1},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return doc
+}
+
+func sign(t testing.TB, doc []byte, names ...string) []state.Signature {
+	t.Helper()
+	var list []state.Signature
+	for _, n := range names {
+		s, err := Sign(doc, n, keys[n])
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// publish publishes doc signed by anna and ben, within 10 s.
+func publish(t testing.TB, log logstream.Log, doc []byte) Published {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	return Publish(ctx, log, initial, doc, sign(t, doc, "anna", "ben"))
+}
+
+func mustPublish(t testing.TB, log logstream.Log, version uint64, base state.BundleID, note string) state.BundleID {
+	t.Helper()
+	p := publish(t, log, document(t, version, base, note))
+	if p.Outcome != OutcomeAccepted {
+		t.Fatalf("version %d is %s: %v", version, p.Outcome, p.Err)
+	}
+	return p.ID
+}
+
+// appendRecord appends a record of the bundle stream as another process would.
+func appendRecord(t testing.TB, log logstream.Log, rec Record) uint64 {
+	t.Helper()
+	data, err := rec.Marshal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	off, err := log.Append(t.Context(), Stream, logstream.Entry{ID: logstream.NewID(), Data: data})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return off
+}
+
+func propose(t testing.TB, log logstream.Log, doc []byte) uint64 {
+	t.Helper()
+	return appendRecord(t, log, Record{Kind: Proposal, Document: doc, Signatures: sign(t, doc, "anna", "ben")})
+}
+
+// start runs a store until the returned function is called.
+func start(t testing.TB, log logstream.Log) (*Store, func()) {
+	t.Helper()
+	s := NewStore(Config{Log: log, Signers: initial, Retention: retention, Logger: zap.NewNop()})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.Run(ctx)
+	}()
+	synctest.Wait()
+	return s, func() { cancel(); <-done }
+}
+
+func wantVersion(t testing.TB, s *Store, version uint64, id state.BundleID) {
+	t.Helper()
+	synctest.Wait()
+	if got := s.Bundle(); got.Version != version || id != "" && ID(got.Document) != id {
+		t.Fatalf("in effect: version %d, want %d (%.12s)", got.Version, version, id)
+	}
+}
+
+// Guards against two operators who start from one base both being told that
+// their bundle is in effect.
+func TestRacingOperators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(logtest.Log)
+		first := mustPublish(t, log, 1, "", "")
+		s, stop := start(t, log)
+		defer stop()
+		log.SetDelay(20 * time.Millisecond) // both read the base before either appends
+		results := make([]Published, 2)
+		var wg sync.WaitGroup
+		for i := range results {
+			wg.Go(func() { results[i] = publish(t, log, document(t, 2, first, fmt.Sprint(i))) })
+		}
+		wg.Wait()
+		if results[0].Outcome != OutcomeAccepted {
+			results[0], results[1] = results[1], results[0]
+		}
+		if results[0].Outcome != OutcomeAccepted || results[1].Outcome != OutcomeSuperseded || !errors.Is(results[1].Err, ErrSuperseded) {
+			t.Fatalf("outcomes %s and %s (%v), want accepted and superseded", results[0].Outcome, results[1].Outcome, results[1].Err)
+		}
+		time.Sleep(time.Second)
+		wantVersion(t, s, 2, results[0].ID)
+	})
+}
+
+// Guards against a publish that is reported wrongly, or made twice, when the
+// acknowledgement of its append is lost.
+func TestPublishLostAcknowledgement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(logtest.Log)
+		log.LoseAcks(1)
+		first := mustPublish(t, log, 1, "", "")
+		if n := log.Appends(); n != 1 {
+			t.Errorf("%d appends after a lost acknowledgement, want 1", n)
+		}
+		log.DropAppends(1) // no effect and no acknowledgement: the append is repeated
+		mustPublish(t, log, 2, first, "")
+		log.SetDown(true)
+		if p := publish(t, log, document(t, 3, first, "")); p.Outcome != OutcomeNotAppended {
+			t.Errorf("publish while the log is down is %s, want %s", p.Outcome, OutcomeNotAppended)
+		}
+	})
+}
+
+// unreadable fails every read after an append.
+type unreadable struct {
+	*logtest.Log
+	appended bool
+}
+
+func (l *unreadable) Append(ctx context.Context, stream string, e logstream.Entry) (uint64, error) {
+	l.appended = true
+	l.Log.Append(ctx, stream, e)
+	return 0, logtest.ErrLost
+}
+
+func (l *unreadable) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (logstream.Page, error) {
+	if l.appended {
+		return logstream.Page{}, errors.New("unreadable")
+	}
+	return l.Log.Read(ctx, stream, from, limit, wait)
+}
+
+// Guards against reporting a definite outcome when the log goes away between
+// the append and its acknowledgement, and against harm by a repeat.
+func TestPublishUndetermined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(logtest.Log)
+		doc := document(t, 1, "", "")
+		if p := publish(t, &unreadable{Log: log}, doc); p.Outcome != OutcomeUndetermined {
+			t.Fatalf("outcome %s, want %s", p.Outcome, OutcomeUndetermined)
+		}
+		if p := publish(t, log, doc); p.Outcome != OutcomeAccepted {
+			t.Fatalf("repeated publish is %s: %v", p.Outcome, p.Err)
+		}
+	})
+}
+
+// Guards against a restarted process that stays without a bundle while the log
+// is down although a peer has one, and against a later fold that reverts it.
+func TestOfferWhileLogIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(logtest.Log)
+		first := mustPublish(t, log, 1, "", "")
+		second := mustPublish(t, log, 2, first, "")
+		old, stopOld := start(t, log)
+		defer stopOld()
+		wantVersion(t, old, 2, second)
+		log.SetDown(true)
+		s, stop := start(t, log)
+		defer stop()
+		changes, cancel := s.Subscribe()
+		defer cancel()
+		wantVersion(t, s, 0, "")
+		s.Offer(old.Bundle())
+		wantVersion(t, s, 2, second)
+		if b := <-changes; b.Version != 2 {
+			t.Errorf("subscriber got version %d, want 2", b.Version)
+		}
+		log.SetDown(false)
+		time.Sleep(5 * time.Second)
+		third := mustPublish(t, log, 3, second, "")
+		wantVersion(t, s, 3, third)
+		s.Offer(state.AcceptedBundle{Version: 2, Document: document(t, 2, first, "")})
+		wantVersion(t, s, 3, third)
+	})
+}
+
+// Guards against putting a bundle into effect before the end of the stream has
+// been read.
+func TestNotBeforeEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(logtest.Log)
+		base := mustPublish(t, log, 1, "", "")
+		for v := uint64(2); v < logstream.PageLimit+10; v++ {
+			doc := document(t, v, base, "")
+			propose(t, log, doc)
+			base = ID(doc)
+		}
+		log.SetDelay(time.Second)
+		s, stop := start(t, log)
+		defer stop()
+		time.Sleep(1500 * time.Millisecond) // the first page is folded
+		wantVersion(t, s, 0, "")
+		time.Sleep(time.Second)
+		wantVersion(t, s, logstream.PageLimit+9, base)
+	})
+}
+
+// Guards against losing the bundle when retention passes its record, and
+// against a checkpoint by every process.
+func TestCheckpointsOutliveRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(logtest.Log)
+		first := mustPublish(t, log, 1, "", "")
+		for range 5 {
+			_, stop := start(t, log)
+			defer stop()
+		}
+		time.Sleep(retention)
+		if n := log.Appends(); n < 4 || n > 10 {
+			t.Errorf("%d records after one retention time, want 1 bundle and about 4 checkpoints", n)
+		}
+		log.Forget(Stream, uint64(log.Appends()-1))
+		s, stop := start(t, log)
+		defer stop()
+		wantVersion(t, s, 1, first)
+		mustPublish(t, log, 2, first, "")
+		wantVersion(t, s, 2, "")
+	})
+}
+
+// Guards against a process that decides alone what to run when every record was
+// forgotten; an operator's anchor ends the state.
+func TestAnchorAfterEverythingWasForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(logtest.Log)
+		first := mustPublish(t, log, 1, "", "")
+		log.Forget(Stream, 1)
+		s, stop := start(t, log)
+		defer stop()
+		propose(t, log, document(t, 2, first, ""))
+		wantVersion(t, s, 0, "")
+		if p := publish(t, log, document(t, 3, first, "")); p.Outcome != OutcomeSuperseded {
+			t.Errorf("publish without a known base is %s, want %s", p.Outcome, OutcomeSuperseded)
+		}
+		anchor := mustPublish(t, log, 7, "", "anchor")
+		wantVersion(t, s, 7, anchor)
+		if p := publish(t, log, document(t, 9, "", "second anchor")); p.Outcome != OutcomeSuperseded {
+			t.Errorf("anchor while a bundle is in effect is %s, want %s", p.Outcome, OutcomeSuperseded)
+		}
+	})
+}
+
+// Guards against a paused process that appends its old version as a checkpoint,
+// and against a bundle that lost a race being accepted on top of it by a reader
+// that starts there.
+func TestStaleCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(logtest.Log)
+		first := mustPublish(t, log, 1, "", "")
+		current, stop := start(t, log)
+		defer stop()
+		second := mustPublish(t, log, 2, first, "winner")
+		old := document(t, 1, "", "")
+		stale := appendRecord(t, log, Record{Kind: Checkpoint, Document: old, Accepted: 0, Through: 1})
+		propose(t, log, document(t, 2, first, "loser"))
+		wantVersion(t, current, 2, second)
+		log.Forget(Stream, stale)
+		late, stopLate := start(t, log)
+		defer stopLate()
+		wantVersion(t, late, 0, "") // the stale checkpoint does not say what is in effect here
+		time.Sleep(retention / 2)   // a process that lives repeats its checkpoint
+		wantVersion(t, late, 2, second)
+		wantVersion(t, current, 2, second)
+	})
+}
+
+// Guards against a process that was paused for longer than the retention time
+// and accepts a bundle whose base was superseded meanwhile.
+func TestGapWhilePaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(logtest.Log)
+		first := mustPublish(t, log, 1, "", "")
+		paused, stop := start(t, log)
+		defer stop()
+		live, stopLive := start(t, log)
+		defer stopLive()
+		log.SetDown(true)
+		time.Sleep(10 * time.Second) // the next read of either takes up to 2 s
+		log.SetDown(false)
+		second := document(t, 2, first, "winner")
+		off := propose(t, log, second)
+		live.Offer(state.AcceptedBundle{Version: 2, Offset: off, Document: second, Signatures: sign(t, second, "anna", "ben")})
+		loser := propose(t, log, document(t, 2, first, "loser"))
+		log.Forget(Stream, loser)
+		time.Sleep(5 * time.Second)
+		wantVersion(t, paused, 1, first)
+		third := document(t, 3, ID(second), "")
+		offThird := propose(t, log, third)
+		paused.Offer(state.AcceptedBundle{Version: 2, Offset: off, Document: second})
+		// The proposal read before the offer is judged again on top of it.
+		wantVersion(t, paused, 3, ID(third))
+		if got := paused.Bundle().Offset; got != offThird {
+			t.Errorf("accepted at offset %d, want %d", got, offThird)
+		}
+		wantVersion(t, live, 3, ID(third))
+	})
+}
+
+// Guards against readers that keep different bundles of one version.
+func TestSameVersionLowerOffsetWins(t *testing.T) {
+	x := &Accepted{AcceptedBundle: state.AcceptedBundle{Version: 5, Offset: 100}, ID: "x"}
+	y := &Accepted{AcceptedBundle: state.AcceptedBundle{Version: 5, Offset: 102}, ID: "y"}
+	for _, order := range [][]*Accepted{{x, y}, {y, x}} {
+		f := NewFold(initial)
+		for _, a := range order {
+			f.Adopt(a, a.Offset+1)
+		}
+		if f.Head() != x {
+			t.Errorf("head %s, want x", f.Head().ID)
+		}
+	}
+}
+
+// Guards against sign-off by too few, unknown, repeated or forged operators.
+func TestVerify(t *testing.T) {
+	doc := document(t, 1, "", "")
+	both := sign(t, doc, "anna", "ben")
+	forged := sign(t, doc, "anna", "ben")
+	forged[1].Signature = forged[0].Signature
+	plain := sign(t, doc, "anna", "ben")
+	plain[1].Signature = ed25519.Sign(keys["ben"], doc) // without the context
+	renamed := signers(2, "anna", "ben")
+	renamed.Keys["anna2"] = renamed.Keys["anna"]
+	alias := sign(t, doc, "anna", "anna")
+	alias[1].Operator = "anna2"
+	tests := []struct {
+		name    string
+		doc     []byte
+		sigs    []state.Signature
+		signers state.Signers
+		ok      bool
+	}{
+		{"two of three", doc, both, initial, true},
+		{"with one that is not listed", doc, sign(t, doc, "anna", "cora", "ben"), signers(2, "anna", "ben"), true},
+		{"none", doc, nil, initial, false},
+		{"too few", doc, both[:1], initial, false},
+		{"duplicate", doc, []state.Signature{both[0], both[0]}, initial, false},
+		{"one key under two names", doc, alias, renamed, false},
+		{"not listed", doc, sign(t, doc, "anna", "cora"), signers(2, "anna", "ben"), false},
+		{"forged", doc, forged, initial, false},
+		{"other use of the key", doc, plain, initial, false},
+		{"other document", append(doc[:len(doc):len(doc)], ' '), both, initial, false},
+		{"no signers required", doc, both, state.Signers{}, false},
+	}
+	for _, tt := range tests {
+		err := Verify(tt.doc, tt.sigs, tt.signers)
+		if (err == nil) != tt.ok || err != nil && !errors.Is(err, ErrSignature) {
+			t.Errorf("%s: error %v, want ok=%t", tt.name, err, tt.ok)
+		}
+	}
+}
+
+// Guards against acceptance of a bundle that breaks a rule of the fold.
+func TestPublishRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(logtest.Log)
+		first := mustPublish(t, log, 1, "", "")
+		s, stop := start(t, log)
+		defer stop()
+		skip := document(t, 3, first, "")
+		unsigned := document(t, 2, first, "")
+		for name, p := range map[string]Published{
+			"version skipped": publish(t, log, skip),
+			"not signed":      Publish(t.Context(), log, initial, unsigned, sign(t, unsigned, "anna")),
+			"not valid":       publish(t, log, []byte(`{"version":2}`)),
+		} {
+			if p.Outcome != OutcomeRefused {
+				t.Errorf("%s: outcome %s, want %s", name, p.Outcome, OutcomeRefused)
+			}
+		}
+		// The fold itself refuses them too, whoever appends them.
+		propose(t, log, skip)
+		appendRecord(t, log, Record{Kind: Proposal, Document: unsigned, Signatures: sign(t, unsigned, "anna")})
+		log.Append(t.Context(), Stream, logstream.Entry{ID: "x", Data: []byte("no record")})
+		wantVersion(t, s, 1, first)
+	})
+}
--- a/internal/coordination/bundle/store.go
+++ b/internal/coordination/bundle/store.go
@@ -130,10 +130,10 @@
 	s.installHead()
 }
 
-func (s *Store) gap(_, first uint64) {
+func (s *Store) gap(_ uint64, page logstream.Page) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fold.Gap(first)
+	s.fold.Gap(page.First)
 	s.atEnd = false
 }
 
--- a/internal/coordination/claim/fold.go
+++ b/internal/coordination/claim/fold.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 	"unique"
 
@@ -26,23 +27,29 @@
 	Claims []state.Claim `cbor:"1,keyasint"`
 }
 
-// Fold folds one claim stream. It is used by one goroutine. The winner of a key
-// depends only on the records within the horizon before the claim.
+// Fold folds one claim stream. It is used by one goroutine.
+//
+// Who holds a key depends on the claims within the horizon before, and their
+// validity in turn on those before them. A reader that starts late therefore
+// cannot tell which of the claims it reads first are valid. Their keys are in
+// doubt: no claim for them is decided until a horizon has passed without one.
 type Fold struct {
 	limit  int
 	held   map[string]held
 	order  []expiry // by offset; the oldest first
 	newest time.Time
-	// completeFrom is the record time from which on every claim that can still
-	// hold a key has been folded.
+	// A claim for a key that is not in held can be decided when its record has at
+	// least the time completeFrom or the offset completeAt.
 	completeFrom time.Time
-	first        bool // the first record after an incomplete start is still to come
+	completeAt   uint64
+	first        bool // completeFrom is set by the next record
 }
 
 // held is the claim in effect for a key and its record time.
 type held struct {
 	claim state.Claim
 	time  time.Time
+	doubt bool // a claim at time may hold the key; claim is not set
 }
 
 type expiry struct {
@@ -50,26 +57,37 @@
 	time time.Time
 }
 
-// NewFold returns a fold that holds at most limit keys. complete tells that no
-// record within the horizon precedes the first one that will be applied.
-func NewFold(limit int, complete bool) *Fold {
-	return &Fold{limit: limit, held: make(map[string]held), first: !complete}
+// never is an offset that no record reaches.
+const never = math.MaxUint64
+
+// NewFold returns a fold for a reader that starts with the first record of the
+// stream. It holds at most limit keys.
+func NewFold(limit int) *Fold {
+	return &Fold{limit: limit, held: make(map[string]held), completeAt: never}
 }
 
-// Gap tells that records within the horizon may have been lost unread.
-func (f *Fold) Gap() { f.first = true }
+// StartLate tells that all unread records are older than bound.
+func (f *Fold) StartLate(bound time.Time) { f.completeFrom = bound.Add(Horizon + horizonSlack) }
+
+// Gap tells that records may have been lost unread and, unless completeAt is
+// never, that they cannot matter to claims from offset completeAt on.
+func (f *Fold) Gap(completeAt uint64) {
+	clear(f.held)
+	f.order = nil
+	f.first, f.completeAt = true, completeAt
+}
 
-// Len returns the number of keys held.
+// Len returns the number of keys held or in doubt.
 func (f *Fold) Len() int { return len(f.held) }
 
 // Full reports whether another key would exceed the limit.
 func (f *Fold) Full() bool { return len(f.held) >= f.limit }
 
-// Result is the result of one claim at its place in the log. Complete is false
+// Result is the result of one claim at its place in the log. Decided is false
 // when the fold cannot tell who holds the key.
 type Result struct {
 	state.ClaimResult
-	Complete bool
+	Decided bool
 }
 
 // Apply folds one record and returns a result for each claim in it.
@@ -88,26 +106,29 @@
 	}
 	results := make([]Result, len(b.Claims))
 	for i := range b.Claims {
-		results[i] = f.claim(&b.Claims[i], r.Time)
+		results[i] = f.claim(&b.Claims[i], r)
 	}
 	return results, nil
 }
 
-// claim applies c at record time at.
-func (f *Fold) claim(c *state.Claim, at time.Time) Result {
+// claim applies c, which is part of r.
+func (f *Fold) claim(c *state.Claim, r logstream.Record) Result {
 	h, ok := f.held[c.Key]
-	if ok && at.Sub(h.time) > Horizon {
-		h, ok = held{}, false
+	ok = ok && r.Time.Sub(h.time) <= Horizon
+	complete := r.Offset >= f.completeAt || !r.Time.Before(f.completeFrom)
+	if ok && h.doubt || !ok && !complete {
+		f.put(c.Key, held{time: r.Time, doubt: true})
+		return Result{}
 	}
 	if valid(c, h, ok) {
-		f.hold(c, at)
-		h = f.held[c.Key]
+		f.hold(c, h, ok, r.Time)
+		return Result{ClaimResult: state.ClaimResult{Won: true, Holder: *c}, Decided: true}
 	}
-	won := h.claim.Key == c.Key && h.claim.Placement == c.Placement && h.claim.Attempt == c.Attempt
-	// A claim without a holder and not valid itself is a later placement whose
-	// predecessor is not known.
-	known := !at.Before(f.completeFrom) && h.claim.Key == c.Key
-	return Result{ClaimResult: state.ClaimResult{Won: won, Holder: h.claim}, Complete: known}
+	if !ok {
+		return Result{} // a later placement whose first one has passed the horizon
+	}
+	repeated := h.claim.Placement == c.Placement && h.claim.Attempt == c.Attempt
+	return Result{ClaimResult: state.ClaimResult{Won: repeated, Holder: h.claim}, Decided: true}
 }
 
 // valid reports whether c takes the key from the holder h, if there is one. A
@@ -121,45 +142,55 @@
 		(c.Receipt == state.AttemptVoided || c.Receipt == state.AttemptNotRun)
 }
 
-// hold makes c the claim in effect for its key.
-func (f *Fold) hold(c *state.Claim, at time.Time) {
-	old, ok := f.held[c.Key]
-	live := ok && at.Sub(old.time) <= Horizon
-	state.Assert(!live || c.Placement > old.claim.Placement && c.Receipt != 0, state.KeyedOnce,
-		fmt.Sprintf("placement %d of a key replaces placement %d", c.Placement, old.claim.Placement))
+// hold makes c the claim in effect for its key in place of h.
+func (f *Fold) hold(c *state.Claim, h held, holding bool, at time.Time) {
+	state.Assert(!holding || c.Placement > h.claim.Placement && c.Receipt != 0, state.KeyedOnce,
+		fmt.Sprintf("placement %d of a key replaces placement %d", c.Placement, h.claim.Placement))
 	// The few distinct names are shared between the claims that are held.
 	c.Target = unique.Make(c.Target).Value()
 	c.Attempt.Entry = unique.Make(c.Attempt.Entry).Value()
-	f.held[c.Key] = held{claim: *c, time: at}
-	f.order = append(f.order, expiry{key: c.Key, time: at})
+	f.put(c.Key, held{claim: *c, time: at})
+}
+
+func (f *Fold) put(key string, h held) {
+	f.held[key] = h
+	f.order = append(f.order, expiry{key: key, time: h.time})
 	for len(f.held) > f.limit {
 		f.evict()
 	}
 	state.Assert(len(f.held) <= f.limit, state.BoundedState, "claim table exceeds its limit")
 }
 
-// evict drops the oldest claim before its time. Claims that it could still
-// defeat are not decided by this fold.
+// evict drops the oldest claim before its time. Keys that it may still hold are
+// in doubt from then on.
 func (f *Fold) evict() {
 	e := f.pop()
-	if h, ok := f.held[e.key]; ok && h.time.Equal(e.time) {
-		delete(f.held, e.key)
-		if t := e.time.Add(Horizon + horizonSlack); t.After(f.completeFrom) {
-			f.completeFrom = t
-		}
+	if !f.drop(e) {
+		return
+	}
+	f.completeAt = never
+	if t := e.time.Add(Horizon + horizonSlack); t.After(f.completeFrom) {
+		f.completeFrom = t
 	}
 }
 
 // expire drops claims that no later record can meet within the horizon.
 func (f *Fold) expire() {
 	for len(f.order) > 0 && f.newest.Sub(f.order[0].time) > Horizon+horizonSlack {
-		e := f.pop()
-		if h, ok := f.held[e.key]; ok && h.time.Equal(e.time) {
-			delete(f.held, e.key)
-		}
+		f.drop(f.pop())
 	}
 }
 
+// drop removes the key of e unless it was claimed again later.
+func (f *Fold) drop(e expiry) bool {
+	h, ok := f.held[e.key]
+	if !ok || !h.time.Equal(e.time) {
+		return false
+	}
+	delete(f.held, e.key)
+	return true
+}
+
 func (f *Fold) pop() expiry {
 	e := f.order[0]
 	f.order[0] = expiry{}
@@ -167,14 +198,12 @@
 	return e
 }
 
-// Complete reports whether claims appended from now on can be decided.
-func (f *Fold) Complete() bool { return !f.first && !f.newest.Before(f.completeFrom) }
-
-// Lookup returns the claim in effect for key at now.
-func (f *Fold) Lookup(key string, now time.Time) (state.Claim, bool) {
+// Lookup returns the claim in effect for key at now. doubt tells that the fold
+// cannot tell who holds the key.
+func (f *Fold) Lookup(key string, now time.Time) (c state.Claim, ok, doubt bool) {
 	h, ok := f.held[key]
 	if !ok || now.Sub(h.time) > Horizon {
-		return state.Claim{}, false
+		return state.Claim{}, false, false
 	}
-	return h.claim, true
+	return h.claim, !h.doubt, h.doubt
 }
--- a/internal/coordination/claim/partition.go
+++ b/internal/coordination/claim/partition.go
@@ -69,7 +69,8 @@
 	if p.fold == nil {
 		return state.Claim{}, false
 	}
-	return p.fold.Lookup(key, time.Now())
+	c, ok, _ := p.fold.Lookup(key, time.Now())
+	return c, ok
 }
 
 // claim queues c and waits for its place in the log.
@@ -93,8 +94,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.fold != nil {
-		holder, ok := p.fold.Lookup(w.claim.Key, time.Now())
-		if ok && p.fold.Complete() && !valid(&w.claim, held{claim: holder}, true) {
+		holder, ok, doubt := p.fold.Lookup(w.claim.Key, time.Now())
+		if doubt {
+			return state.ClaimResult{}, false, unavailable(p.stream, "the claims before are not all known")
+		}
+		if ok && !valid(&w.claim, held{claim: holder}, true) {
 			return state.ClaimResult{Won: holder.Attempt == w.claim.Attempt && holder.Placement == w.claim.Placement, Holder: holder}, true, nil
 		}
 		if !ok && p.fold.Full() {
@@ -143,11 +147,8 @@
 			continue
 		}
 		sending.Go(func() {
-			appended := p.send(ctx, id, waiters, from)
+			p.send(ctx, id, waiters, from)
 			<-slots
-			if appended {
-				p.awaitFold(id, waiters)
-			}
 		})
 		pause.Reset(batchInterval)
 		select {
@@ -187,11 +188,19 @@
 	return id, waiters, p.next
 }
 
-// send appends one batch and reports whether it is in the log. The results come
-// from the fold; a batch whose append failed or is undetermined is given up.
-func (p *partition) send(ctx context.Context, id string, waiters []*pending, from uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, Limit)
+// send appends one batch. The results come from the fold; a batch whose append
+// failed or is undetermined is given up. The append ends when nobody waits for
+// it any more.
+func (p *partition) send(ctx context.Context, id string, waiters []*pending, from uint64) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go func() {
+		for _, w := range waiters {
+			<-w.ctx.Done() // at the latest after Limit
+		}
+		cancel()
+		p.giveUp(id, unavailable(p.stream, "the appended record was not read in time"))
+	}()
 	b := batch{Claims: make([]state.Claim, len(waiters))}
 	for i, w := range waiters {
 		b.Claims[i] = w.claim
@@ -199,34 +208,28 @@
 	data, err := cbor.Marshal(&b)
 	if err != nil {
 		p.giveUp(id, unavailable(p.stream, "encode: %v", err))
-		return false
+		return
 	}
 	res := logstream.Append(ctx, p.cfg.Log, p.stream, from, logstream.Entry{ID: id, Data: data})
-	if res.Fate != logstream.Appended {
+	if res.Fate == logstream.Appended {
+		return
+	}
+	if p.giveUp(id, unavailable(p.stream, "append is %s: %v", res.Fate, res.Err)) {
 		p.cfg.Logger.Warn("claims not decided", zap.String("stream", p.stream), zap.Int("claims", len(waiters)),
 			zap.Stringer("append", res.Fate), zap.Error(res.Err))
-		p.giveUp(id, unavailable(p.stream, "append is %s: %v", res.Fate, res.Err))
-		return false
-	}
-	return true
-}
-
-// awaitFold forgets the batch when nobody waits for its results any more.
-func (p *partition) awaitFold(id string, waiters []*pending) {
-	for _, w := range waiters {
-		<-w.ctx.Done() // ends when the caller has its result, at the latest after Limit
 	}
-	p.giveUp(id, unavailable(p.stream, "the appended record was not read in time"))
 }
 
-// giveUp ends the wait for a batch that is still open.
-func (p *partition) giveUp(id string, err error) {
+// giveUp ends the wait for a batch. It reports whether the batch was open.
+func (p *partition) giveUp(id string, err error) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, w := range p.batches[id] {
+	waiters, open := p.batches[id]
+	for _, w := range waiters {
 		w.done <- outcome{err: err}
 	}
 	delete(p.batches, id)
+	return open
 }
 
 // tail folds the stream until ctx ends.
@@ -238,44 +241,63 @@
 	return t.Run(ctx)
 }
 
-// start finds the offset from which the whole horizon is read.
+// start finds the offset from which two horizons are read: the claims of the
+// last one are decided by those of the one before.
 func (p *partition) start(ctx context.Context) (uint64, error) {
 	page, err := p.cfg.Log.Read(ctx, p.stream, 0, 1, 0)
 	if err != nil {
 		return 0, err
 	}
-	start := page.First
-	if page.End > page.First {
-		last, err := p.cfg.Log.Read(ctx, p.stream, page.End-1, 1, 0)
-		if err != nil {
-			return 0, err
-		}
-		if len(last.Records) > 0 {
-			horizon := last.Records[0].Time.Add(-Horizon - horizonSlack)
-			start, err = logstream.SeekTime(ctx, p.cfg.Log, p.stream, page.First, page.End, horizon)
-			if err != nil {
-				return 0, err
-			}
-		}
+	start, bound, err := p.seek(ctx, page)
+	if err != nil {
+		return 0, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fold = NewFold(p.limit, start == 0 || start > page.First || p.retained())
+	p.fold = NewFold(p.limit)
 	p.next = start
+	switch {
+	case start > page.First:
+		p.fold.StartLate(bound)
+	case start > 0:
+		p.fold.Gap(p.completeAt(page.End))
+	}
 	return start, nil
 }
 
-// retained reports whether records that the log service has dropped are older
-// than the horizon of every claim appended later.
-func (p *partition) retained() bool { return p.cfg.Retention >= Horizon+horizonSlack }
+// seek returns the first offset to read. All records before it that are still
+// retained are older than bound.
+func (p *partition) seek(ctx context.Context, page logstream.Page) (start uint64, bound time.Time, err error) {
+	if page.End == page.First {
+		return page.First, bound, nil
+	}
+	last, err := p.cfg.Log.Read(ctx, p.stream, page.End-1, 1, 0)
+	if err != nil {
+		return 0, bound, err
+	}
+	if len(last.Records) == 0 {
+		return page.First, bound, nil
+	}
+	bound = last.Records[0].Time.Add(-2 * (Horizon + horizonSlack))
+	start, err = logstream.SeekTime(ctx, p.cfg.Log, p.stream, page.First, page.End, bound)
+	return start, bound, err
+}
+
+// completeAt returns the offset from which on forgotten records do not matter.
+// end is the end of the stream: what is appended later is younger than what was
+// forgotten by more than the retention time.
+func (p *partition) completeAt(end uint64) uint64 {
+	if p.cfg.Retention < Horizon+horizonSlack {
+		return never
+	}
+	return end
+}
 
-func (p *partition) gap(_, first uint64) {
+func (p *partition) gap(_ uint64, page logstream.Page) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.next = first
-	if !p.retained() {
-		p.fold.Gap()
-	}
+	p.next = page.First
+	p.fold.Gap(p.completeAt(page.End))
 }
 
 func (p *partition) apply(r logstream.Record) {
@@ -295,8 +317,8 @@
 }
 
 func (p *partition) outcome(r Result) outcome {
-	if !r.Complete {
-		return outcome{err: unavailable(p.stream, "the horizon before the claim is not known whole")}
+	if !r.Decided {
+		return outcome{err: unavailable(p.stream, "the claims before are not all known")}
 	}
 	return outcome{result: r.ClaimResult}
 }
--- a/internal/coordination/logstream/tailer.go
+++ b/internal/coordination/logstream/tailer.go
@@ -32,9 +32,9 @@
 	// Fold receives each record.
 	Fold func(Record)
 	// Gap is called before the next Fold when records from offset from up to but
-	// not including first were never read and are no longer retained. A reader
-	// without Start is not told about records lost before its first read.
-	Gap func(from, first uint64)
+	// not including page.First were never read and are no longer retained. A
+	// reader without Start is not told about records lost before its first read.
+	Gap func(from uint64, page Page)
 	// Progress is called after each successful read.
 	Progress func(Position)
 	Logger   *zap.Logger
@@ -72,7 +72,7 @@
 		}
 		if page.First > next && started && t.Gap != nil {
 			t.Logger.Warn("log stream gap: records are no longer retained", zap.String("stream", t.Stream), zap.Uint64("from", next), zap.Uint64("first", page.First))
-			t.Gap(next, page.First)
+			t.Gap(next, page)
 		}
 		started = true
 		for _, r := range page.Records {
