--- a/internal/coordination/bundle/bundle_test.go
+++ b/internal/coordination/bundle/bundle_test.go
@@ -5,6 +5,7 @@
 	"crypto/ed25519"
 	"encoding/base64"
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand"
 	"os"
@@ -24,6 +25,8 @@
 
 func TestMain(m *testing.M) {
 	state.OnViolation(func(inv state.Invariant, detail string) { panic(fmt.Sprintf("%s: %s", inv, detail)) })
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
@@ -359,6 +362,7 @@
 		wantVersion(t, paused, 1, first)
 		third := document(t, 3, ID(second), "")
 		offThird := propose(t, log, third)
+		wantVersion(t, paused, 1, first)
 		paused.Offer(state.AcceptedBundle{Version: 2, Offset: off, Document: second})
 		// The proposal read before the offer is judged again on top of it.
 		wantVersion(t, paused, 3, ID(third))
@@ -384,6 +388,64 @@
 	}
 }
 
+// Guards against accepting a proposal that precedes its own base in the log, by
+// a reader that learned the base from a peer before it read so far.
+func TestProposalBeforeItsBase(t *testing.T) {
+	first := document(t, 1, "", "")
+	second := document(t, 2, ID(first), "")
+	early := document(t, 3, ID(second), "")
+	var records []logstream.Record
+	for i, doc := range [][]byte{first, early, second} {
+		rec := Record{Kind: Proposal, Document: doc, Signatures: sign(t, doc, "anna", "ben")}
+		data, err := rec.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		records = append(records, logstream.Record{Offset: uint64(i), Data: data})
+	}
+	offered, err := newAccepted(state.AcceptedBundle{Document: second, Offset: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct{ from, offeredAt int }{{0, 0}, {0, 3}, {1, 1}, {1, 2}, {2, 2}} {
+		f := NewFold(initial)
+		for i := tt.from; i < len(records); i++ {
+			if i == tt.offeredAt {
+				f.Adopt(offered, 3)
+			}
+			f.Apply(records[i])
+		}
+		if f.Head() == nil || f.Head().ID != offered.ID {
+			t.Errorf("reader from offset %d, offer at %d: head %+v, want version 2", tt.from, tt.offeredAt, f.Head())
+		}
+	}
+}
+
+// Guards against judging proposals by a reader that has dropped some of those
+// since the bundle that it adopts.
+func TestTooManyProposalsToKeep(t *testing.T) {
+	f := NewFold(initial)
+	for i := range maxRecent + 5 {
+		doc := document(t, 2, "unknown", fmt.Sprint(i))
+		rec := Record{Kind: Proposal, Document: doc}
+		data, err := rec.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Apply(logstream.Record{Offset: uint64(10 + i), Data: data})
+	}
+	a, err := newAccepted(state.AcceptedBundle{Document: document(t, 1, "", ""), Offset: 11})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Adopt(a, 12); f.Connected() {
+		t.Error("connected although proposals after the bundle were dropped")
+	}
+	if f.Adopt(a, 10+maxRecent); !f.Connected() {
+		t.Error("not connected by a bundle after which every proposal is kept")
+	}
+}
+
 // Guards against sign-off by too few, unknown, repeated or forged operators.
 func TestVerify(t *testing.T) {
 	doc := document(t, 1, "", "")
--- a/internal/coordination/claim/claim_test.go
+++ b/internal/coordination/claim/claim_test.go
@@ -267,6 +267,35 @@
 	})
 }
 
+// Guards against a win for a key whose claim was dropped before its horizon.
+func TestEvictedKeyIsInDoubt(t *testing.T) {
+	f := NewFold(2)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	apply := func(c state.Claim) Result {
+		data, err := cbor.Marshal(&batch{Claims: []state.Claim{c}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		results, err := f.Apply(logstream.Record{Time: now, Data: data})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return results[0]
+	}
+	for _, key := range []string{"a", "b", "c"} {
+		if r := apply(claimOf(key, "e1", 1)); !r.Won || !r.Decided {
+			t.Fatalf("first claim of %s: %+v", key, r)
+		}
+	}
+	if r := apply(claimOf("a", "e2", 1)); r.Won || r.Decided {
+		t.Errorf("claim of the dropped key: %+v, want it not decided", r)
+	}
+	now = now.Add(Horizon + 2*horizonSlack)
+	if r := apply(claimOf("a", "e3", 1)); !r.Won || !r.Decided {
+		t.Errorf("claim after the horizon: %+v, want it won", r)
+	}
+}
+
 // Guards against one append for each claim: the log handles several hundred
 // appends a second.
 func TestGroupAppend(t *testing.T) {
--- a/internal/coordination/order/order_test.go
+++ b/internal/coordination/order/order_test.go
@@ -39,6 +39,7 @@
 	got     []Order
 	times   []time.Time
 	fail    error // returned by the next order
+	lag     bool  // orders do not change what is reported
 }
 
 func (g *target) SendOrder(ctx context.Context, o Order) error {
@@ -57,6 +58,9 @@
 	g.fence = max(g.fence, o.Fence)
 	g.got = append(g.got, o)
 	g.times = append(g.times, time.Now())
+	if g.lag {
+		return nil
+	}
 	g.holding.Models = slices.DeleteFunc(g.holding.Models, func(m state.ModelSpec) bool {
 		return slices.Contains(o.Unload, m.Name) || slices.ContainsFunc(o.Load, func(l state.ModelSpec) bool { return l.Name == m.Name })
 	})
@@ -138,6 +142,24 @@
 	})
 }
 
+// Guards against an order repeated each second while a load takes its time, and
+// against giving up when it never shows.
+func TestLoadTakesTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &target{lag: true}
+		bundles := start(t, new(logtest.Log), "t0", "s", g)
+		bundles <- placement(1, 1, model("m", "1"))
+		elapse(settleTime - checkInterval)
+		if n := len(g.orders()); n != 1 {
+			t.Errorf("%d orders within the settle time, want 1", n)
+		}
+		elapse(settleTime)
+		if n := len(g.orders()); n != 2 {
+			t.Errorf("%d orders within two settle times, want 2", n)
+		}
+	})
+}
+
 // Guards against ignoring the weight store's 429 or losing the order after it.
 func TestRateLimited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -53,7 +53,7 @@
 	}
 	return &endpoint{base: u, client: &fasthttp.HostClient{
 		Addr:                      u.Host,
-		Dial:                      dial,
+		DialTimeout:               dial,
 		MaxConns:                  maxConns,
 		MaxIdleConnDuration:       maxIdle,
 		MaxResponseBodySize:       maxBodyBytes,
@@ -63,8 +63,11 @@
 	}}, nil
 }
 
-func dial(addr string) (net.Conn, error) {
-	conn, err := fasthttp.DialTimeout(addr, CallTimeout)
+func dial(addr string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 || timeout > CallTimeout {
+		timeout = CallTimeout
+	}
+	conn, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
@@ -92,6 +95,10 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			<-done // do has the same deadline
+			break
+		}
 		return nil, fmt.Errorf("%s %s%s: %w", method, e.base.Host, path, ctx.Err())
 	}
 	if err != nil {
@@ -133,7 +140,7 @@
 
 func isTimeout(err error) bool {
 	var n net.Error
-	return errors.Is(err, fasthttp.ErrTimeout) || errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &n) && n.Timeout()
+	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &n) && n.Timeout()
 }
 
 // StatusError is an unexpected HTTP status.
--- a/internal/transport/platform/platform_test.go
+++ b/internal/transport/platform/platform_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -133,13 +134,18 @@
 		_, err := l.Read(ctx, "s", 0, 1, 0)
 		return err
 	}
+	// Two long polls at once leave two idle connections.
+	var polls sync.WaitGroup
 	for range 2 {
-		if err := read(CallTimeout); err != nil {
-			t.Fatal(err)
-		}
+		polls.Go(func() {
+			if _, err := l.Read(t.Context(), "s", 0, 1, 200*time.Millisecond); err != nil {
+				t.Error(err)
+			}
+		})
 	}
-	if n := conns.Load(); n != 1 {
-		t.Fatalf("%d connections for two calls, want 1", n)
+	polls.Wait()
+	if err := read(CallTimeout); err != nil || conns.Load() != 2 {
+		t.Fatalf("%d connections, error %v; want 2 that are used again", conns.Load(), err)
 	}
 	silent.Store(true)
 	if err := read(50 * time.Millisecond); err == nil {
@@ -149,7 +155,7 @@
 	if err := read(CallTimeout); err != nil {
 		t.Fatalf("call after the silence: %v", err)
 	}
-	if n := conns.Load(); n != 2 {
+	if n := conns.Load(); n != 3 {
 		t.Errorf("%d connections, want a new one after the timeout", n)
 	}
 }
