Add stand-ins for the platform and for targets

Cause: the daemons and the load generator need a log service, an instance list, a weight store, engines and plain services to run against.

--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,415 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+func testConfig() *Config {
+	free := "127.0.0.1:0"
+	llama := []state.ModelSpec{{Name: "m", Version: "1"}}
+	return &Config{
+		Seed: 1, Admin: free,
+		Log:       &LogConfig{Address: free},
+		Instances: &InstancesConfig{Address: free},
+		Weights:   &WeightsConfig{Address: free, FetchesPerMinute: 0.001, Burst: 1},
+		Engines: []EngineConfig{
+			{Name: "engine-1", Address: free, PrefillRate: 1e6, DecodeRate: 1e5, RequestRate: 2000, CacheTokens: 4096, Models: llama, ChecksFence: true},
+			{Name: "engine-2", Address: free, PrefillRate: 1e6, DecodeRate: 1e5, RequestRate: 1e-3, CacheTokens: 4096, Models: llama},
+		},
+		Services: []ServiceConfig{{Name: "quay-1", Service: "quay-app", Address: free}},
+	}
+}
+
+func start(t *testing.T) *Platform {
+	t.Helper()
+	p, err := Start(testConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// call sends a request on a connection of its own.
+func call(t *testing.T, method, url, body string, headers ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+func mustCall(t *testing.T, status int, method, url, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	resp, got, err := call(t, method, url, body, headers...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != status {
+		t.Fatalf("%s %s: status %d, want %d: %s", method, url, resp.StatusCode, status, got)
+	}
+	return resp, got
+}
+
+// streamText checks the event numbers from from on, the usage and the final
+// [DONE]. It returns the concatenated text and the usage.
+func streamText(t *testing.T, body string, from int) (string, *usage) {
+	t.Helper()
+	var text strings.Builder
+	var last completion
+	events := strings.Split(strings.TrimSuffix(body, "\n\n"), "\n\n")
+	for i, ev := range events {
+		data, ok := strings.CutPrefix(ev, fmt.Sprintf("id: %d\ndata: ", from+i))
+		if !ok || (data == "[DONE]") != (i == len(events)-1) {
+			t.Fatalf("event %d of %d is %q", from+i, len(events), ev)
+		}
+		if data == "[DONE]" {
+			break
+		}
+		last = completion{}
+		if err := json.Unmarshal([]byte(data), &last); err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range last.Choices {
+			text.WriteString(c.Delta.Content)
+		}
+	}
+	return text.String(), last.Usage
+}
+
+const chatBody = `{"model":"m","messages":[{"role":"user","content":"%s"}],"max_tokens":%d,"stream":true,"stream_options":{"include_usage":true},"user":"%s"}`
+
+func chatPrompt(content string) []byte {
+	return state.ChatPrompt([]state.Message{{Role: "user", Content: content}})
+}
+
+// Guards against a run that ends with its connection, and against a resumed
+// stream that repeats or drops an event.
+func TestStreamSurvivesBrokenConnection(t *testing.T) {
+	p := start(t)
+	conn, err := net.Dial("tcp", p.Addr("engine-1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	body := fmt.Sprintf(chatBody, "berth 4", 200, "u1")
+	fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-Id: r1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	lines := bufio.NewReader(conn)
+	for {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasPrefix(line, "id: 3") {
+			break
+		}
+	}
+	conn.Close()
+	_, rest := mustCall(t, 200, "GET", p.URL("engine-1")+"/v1/requests/r1/events?from=4", "")
+	text, u := streamText(t, rest, 4)
+	want := strings.TrimPrefix(ExpectedText(chatPrompt("berth 4"), 200), ExpectedText(chatPrompt("berth 4"), 4))
+	if text != want {
+		t.Errorf("resumed text differs:\n%s", cmp.Diff(want, text))
+	}
+	if u == nil || u.CompletionTokens != 200 || u.PromptTokens != len(chatPrompt("berth 4"))/4+1 {
+		t.Errorf("usage %+v", u)
+	}
+	l := p.Ledger()
+	if l.Targets[0].Runs["r1"] != 1 || l.Users()["u1"].Finished != 1 {
+		t.Errorf("ledger %+v", l.Targets[0])
+	}
+	mustCall(t, 404, "GET", p.URL("engine-1")+"/v1/requests/other/events", "")
+}
+
+// Guards against a cancelled run that counts as finished or keeps its id, and
+// against prefill that is thrown away unseen.
+func TestCancelCountsWaste(t *testing.T) {
+	p := start(t)
+	url := p.URL("engine-2")
+	done := make(chan string, 1)
+	content := strings.Repeat("x", 1000)
+	go func() {
+		_, body, _ := call(t, "POST", url+"/v1/chat/completions", fmt.Sprintf(chatBody, content, 5, "u2"), RequestIDHeader, "r2")
+		done <- body
+	}()
+	for p.Ledger().Users()["u2"].Started == 0 || !strings.Contains(loadOf(t, url), `"running":1`) {
+		time.Sleep(tick)
+	}
+	mustCall(t, 200, "DELETE", url+"/v1/requests/r2", "")
+	if body := <-done; strings.Contains(body, "[DONE]") || !strings.Contains(body, "cancelled") {
+		t.Errorf("stream of the cancelled request: %s", body)
+	}
+	mustCall(t, 404, "DELETE", url+"/v1/requests/r2", "")
+	tokens := len(chatPrompt(content))/4 + 1
+	want := Counts{Started: 1, Cancelled: 1, ComputedTokens: tokens, ThrownAwayTokens: tokens}
+	if diff := cmp.Diff(want, p.Ledger().Users()["u2"]); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func loadOf(t *testing.T, url string) string {
+	t.Helper()
+	_, body := mustCall(t, 200, "GET", url+"/load", "")
+	return body
+}
+
+// Guards against a cache that ignores its bound, evicts the wrong block, or
+// hides the gap that a lost event leaves.
+func TestPrefixCache(t *testing.T) {
+	lost := false
+	c := newPrefixCache(4*blockTokens, func() bool { return lost })
+	now := time.Unix(0, 0)
+	c.store([]uint64{1, 2}, now)
+	c.store([]uint64{1, 3, 4}, now.Add(time.Second))
+	if got := c.match([]uint64{1, 2, 9}); got != 2 {
+		t.Errorf("matched %d blocks, want 2", got)
+	}
+	lost = true
+	c.store([]uint64{5}, now.Add(2*time.Second)) // evicts 4, the least recently used
+	lost = false
+	c.store([]uint64{6}, now.Add(3*time.Second)) // evicts 3
+	if c.match([]uint64{3}) != 0 || c.match([]uint64{1, 2}) != 2 {
+		t.Error("the wrong block was evicted")
+	}
+	events, next := c.visible(1, now.Add(2*time.Second))
+	if next != 2 || len(events) != 1 || events[0].Seq != 1 {
+		t.Errorf("late events %+v, next %d", events, next)
+	}
+	events, next = c.visible(next, now.Add(3*time.Second))
+	want := []CacheEvent{{Seq: 4, Type: "stored", Blocks: []string{"6"}}, {Seq: 5, Type: "evicted", Blocks: []string{"3"}}}
+	if diff := cmp.Diff(want, events, cmp.FilterPath(func(p cmp.Path) bool { return p.String() == "at" }, cmp.Ignore())); diff != "" || next != 6 {
+		t.Errorf("next %d, events %s", next, diff)
+	}
+}
+
+// Guards against an engine whose speed does not follow its rates, its slowness
+// or its cache.
+func TestEngineSpeed(t *testing.T) {
+	srv := &server{faults: newFaults(1, "e")}
+	e := newEngine(EngineConfig{Name: "e", PrefillRate: 1000, DecodeRate: 100, RequestRate: 60, CacheTokens: 1 << 20}, srv, "")
+	prompt := make([]byte, 1024*state.BytesPerToken)
+	add := func(id string) *generation {
+		g := newGeneration(id, prompt)
+		g.maxTokens = 1000
+		e.admit(g)
+		return g
+	}
+	a := add("a")
+	now := time.Now()
+	e.last = now
+	steps := func(n int) {
+		for range n {
+			now = now.Add(10 * time.Millisecond)
+			e.step(now)
+		}
+	}
+	steps(100)
+	if a.prefilled || int(a.computed+0.5) != 1000 {
+		t.Fatalf("after 1 s: %+v", a)
+	}
+	steps(103)
+	if !a.prefilled || a.generated < 59 || a.generated > 61 {
+		t.Fatalf("after 1 s of decoding: %g tokens, want 60", a.generated)
+	}
+	b := add("b")
+	steps(1)
+	if !b.prefilled || b.cached != 1024 || b.computed != 0 {
+		t.Fatalf("an equal prompt was not found in the cache: %+v", b)
+	}
+	before := a.generated
+	slow := 5.0
+	srv.faults.set(&Fault{Slow: &slow})
+	steps(100)
+	if got := a.generated - before; got < 9.9 || got > 10.1 || b.generated < 9.9 {
+		t.Errorf("two requests on a slowed engine: %g tokens in 1 s, want 10", got)
+	}
+}
+
+// Guards against records that outlive retention, offsets that are reused, and
+// a read that hides the loss.
+func TestLogRetention(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := newLogService(&LogConfig{Retention: state.Duration(time.Minute)}, &server{})
+	l.now = func() time.Time { return now }
+	var body appendBody
+	if err := json.Unmarshal([]byte(`{"records":[{"id":"a","data":"YQ=="},{"id":"b","data":""}]}`), &body); err != nil {
+		t.Fatal(err)
+	}
+	l.append("s", body)
+	now = now.Add(2 * time.Minute)
+	if diff := cmp.Diff([]uint64{2, 3}, l.append("s", body)); diff != "" {
+		t.Error(diff)
+	}
+	page, _ := l.read("s", 1, 1)
+	if page.First != 2 || page.Next != 3 || page.End != 4 || len(page.Records) != 1 || page.Records[0].Offset != 2 || string(page.Records[0].Data) != "a" {
+		t.Errorf("page %+v", page)
+	}
+}
+
+// Guards against a long poll that returns without the record it waited for,
+// and against an append without bound.
+func TestLogOverHTTP(t *testing.T) {
+	p := start(t)
+	url := p.URL(LogName) + "/streams/bundles/records"
+	got := make(chan string, 1)
+	go func() {
+		_, body, _ := call(t, "GET", url+"?from=0&wait=15s", "")
+		got <- body
+	}()
+	_, reply := mustCall(t, 200, "POST", url, `{"records":[{"id":"a","data":"YQ=="}]}`)
+	if reply != `{"offsets":[0]}` {
+		t.Errorf("append: %s", reply)
+	}
+	if body := <-got; !strings.Contains(body, `"first":0,"next":1,"end":1,"records":[{"offset":0,"id":"a"`) {
+		t.Errorf("long poll: %s", body)
+	}
+	mustCall(t, 400, "POST", url, `{"records":[]}`)
+}
+
+// Guards against a lost acknowledgement that also loses the effect.
+func TestLostAcknowledgement(t *testing.T) {
+	p := start(t)
+	mustCall(t, 200, "POST", p.URL(AdminName)+"/admin/faults", `{"name":"log","lose_ack":1}`)
+	mustCall(t, 200, "POST", p.URL(AdminName)+"/admin/faults", `{"name":"quay-1","lose_ack":1}`)
+	mustCall(t, 200, "POST", p.URL(AdminName)+"/admin/faults", `{"name":"engine-1","lose_ack":1}`)
+	url := p.URL(LogName) + "/streams/s/records"
+	if _, body, err := call(t, "POST", url, `{"records":[{"id":"a"}]}`); err == nil {
+		t.Errorf("append was acknowledged: %s", body)
+	}
+	if _, body := mustCall(t, 200, "GET", url, ""); !strings.Contains(body, `"end":1`) {
+		t.Errorf("the record is missing: %s", body)
+	}
+	if _, body, err := call(t, "POST", p.URL("quay-1")+"/ping", "", LoadIDHeader, "l1"); err == nil {
+		t.Errorf("call was acknowledged: %s", body)
+	}
+	if _, body, err := call(t, "POST", p.URL("engine-1")+"/v1/chat/completions", fmt.Sprintf(chatBody, "x", 3, "u3"), RequestIDHeader, "r3"); err == nil {
+		t.Errorf("completion was acknowledged: %s", body)
+	}
+	if l := p.Ledger(); l.Users()["l1"].Finished != 1 || l.Targets[0].Runs["r3"] != 1 {
+		t.Errorf("ledger %+v", l)
+	}
+	mustCall(t, 400, "POST", p.URL(AdminName)+"/admin/faults", `{"name":"nobody","lose_ack":1}`)
+}
+
+// Guards against a silent fault that closes connections or affects new ones,
+// and against a part that cannot come back after it was down.
+func TestSilentAndDown(t *testing.T) {
+	p := start(t)
+	addr := p.Addr("quay-1")
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	ask := func() {
+		fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	}
+	ask()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	if err := p.SetFault(Fault{Name: "quay-1", Silent: true}); err != nil {
+		t.Fatal(err)
+	}
+	ask()
+	mustCall(t, 200, "GET", p.URL("quay-1")+"/new", "")
+	conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := r.ReadByte(); err == nil || err == io.EOF {
+		t.Errorf("the silent connection returned %v, want a timeout", err)
+	}
+	down, up := true, false
+	if err := p.SetFault(Fault{Name: "quay-1", Down: &down}); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := net.Dial("tcp", addr); err == nil {
+		c.Close()
+		t.Error("a part that is down accepts connections")
+	}
+	if err := p.SetFault(Fault{Name: "quay-1", Down: &up}); err != nil {
+		t.Fatal(err)
+	}
+	mustCall(t, 200, "GET", p.URL("quay-1")+"/again", "")
+}
+
+// Guards against a change that is visible before the lag, and against a list
+// that is sent again when unchanged.
+func TestInstanceListLag(t *testing.T) {
+	p := start(t)
+	now := time.Unix(1000, 0)
+	p.instances.now = func() time.Time { return now }
+	lag := state.Duration(time.Second)
+	if err := p.SetFault(Fault{Name: InstancesName, Lag: &lag}); err != nil {
+		t.Fatal(err)
+	}
+	url := p.URL(InstancesName)
+	mustCall(t, 200, "PUT", p.URL(AdminName)+"/admin/instances/side-1", `{"role":"side","failure_domain":"tema-a","leaving":true}`)
+	resp, body := mustCall(t, 200, "GET", url+"/instances", "")
+	if body != `{"instances":[]}` {
+		t.Errorf("before the lag: %s", body)
+	}
+	now = now.Add(2 * time.Second)
+	resp, body = mustCall(t, 200, "GET", url+"/instances", "", "If-None-Match", resp.Header.Get("ETag"))
+	if body != `{"instances":[{"instance":"side-1","role":"side","failure_domain":"tema-a","leaving":true}]}` {
+		t.Errorf("after the lag: %s", body)
+	}
+	mustCall(t, 304, "GET", url+"/instances", "", "If-None-Match", resp.Header.Get("ETag"))
+	mustCall(t, 400, "PUT", url+"/admin/instances/a", `{"instance":"b"}`)
+}
+
+// Guards against an engine that carries out an order with an old number, or
+// that hides the weight store's limit.
+func TestOrders(t *testing.T) {
+	p := start(t)
+	url := p.URL("engine-1") + "/orders"
+	_, body := mustCall(t, 200, "POST", url, `{"fence":7,"load":[{"name":"n","version":"2"}],"unload":[{"name":"m","version":"1"}],"role":"decode"}`)
+	if body != `{"fence":7,"models":[{"name":"n","version":"2"}],"adapters":null,"role":"decode"}` {
+		t.Errorf("order: %s", body)
+	}
+	mustCall(t, 409, "POST", url, `{"fence":6,"role":"mixed"}`)
+	resp, _ := mustCall(t, 429, "POST", url, `{"fence":7,"load":[{"name":"o","version":"1"}]}`)
+	if resp.Header.Get("Retry-After") == "" {
+		t.Error("429 without Retry-After")
+	}
+	mustCall(t, 404, "POST", p.URL("engine-1")+"/v1/chat/completions", fmt.Sprintf(chatBody, "x", 1, "u"))
+	other := p.URL("engine-2") + "/orders" // does not check
+	mustCall(t, 200, "POST", other, `{"fence":7}`)
+	mustCall(t, 200, "POST", other, `{"fence":6,"role":"decode"}`)
+}
+
+// Guards against generated text that changes between versions, which would
+// make every checker report a wrong response.
+func TestTokenIsStable(t *testing.T) {
+	prompt := []byte("berth 4")
+	want := ""
+	for i := range 4 {
+		want += Token(prompt, i)
+	}
+	if got := ExpectedText(prompt, 4); got != want || got != "sumiri lebari zojire huzasu " {
+		t.Errorf("text %q", got)
+	}
+}
