Add Promela specifications of the core protocol

Change: four specifications in model/ and a script that checks each one and each variant without one guard.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: help build lint test fmt
+.PHONY: help build lint model test fmt
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/^([a-z-]+):[^#]*## /\1\t/' | expand -t 12
@@ -19,5 +19,8 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
-test: lint ## lint and run the tests
+model: ## check the protocol specifications and their variants with spin
+	./model/check.sh
+
+test: lint model ## lint, model checking and the tests
 	$(GO) test -timeout 10m ./...
