Add placement of requests on targets

Cause: entries need to choose a target for each request. Change: internal/coordination/placement with the owner of target state, atomic corrections for what was sent, plugins, policies built from the bundle, prefix index, subsets and ejection. Conclusion: round-robin and cost place requests; the rest compiles and is not tested yet.

--- /dev/null
+++ b/internal/coordination/placement/delay.go
@@ -0,0 +1,102 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// rates are speeds in tokens per second.
+type rates struct {
+	prefill float64
+	decode  float64
+}
+
+// Speeds assumed before any target of the service has measured its own.
+const (
+	assumedPrefillRate = 2000.0
+	assumedDecodeRate  = 400.0
+)
+
+// maxBatchGain bounds by how much the decode speed of a partly filled window is
+// extrapolated. Engines batch, so a target that runs one request measures a
+// low total speed although it could take more; without the bound an almost idle
+// target would be credited with more speed than batching yields.
+const maxBatchGain = 4.0
+
+// maxDelay bounds predictions, so that sums stay within time.Duration.
+const maxDelay = time.Hour
+
+// ratesOf returns the speeds of t at a full window.
+func (v *serviceView) ratesOf(t *target) rates {
+	r := v.typical
+	if t.figures == nil {
+		return r
+	}
+	if t.figures.PrefillRate > 0 {
+		r.prefill = t.figures.PrefillRate
+	}
+	if t.figures.DecodeRate > 0 {
+		r.decode = t.figures.DecodeRate * batchGain(t.figures)
+	}
+	return r
+}
+
+func batchGain(f *state.Figures) float64 {
+	running := max(1, f.RunningCount)
+	if f.Window <= running {
+		return 1
+	}
+	return min(maxBatchGain, float64(f.Window)/float64(running))
+}
+
+// predict fills in the speeds, the delay and the wait of c.
+func (s *scene) predict(c *candidate) {
+	req := s.query.Request
+	c.rates = s.service.ratesOf(c.target)
+	prefill := float64(workOf(req, c.cached).prompt) / c.rates.prefill
+	queued, running, sent := s.backlog(c.target, c.rates)
+	c.delay = seconds(queued + running + sent*s.service.senders + prefill)
+	c.wait = seconds(s.startWait(c.target, queued+sent, running) + prefill)
+}
+
+// backlog returns the seconds of work queued at the same or a higher tier,
+// running, and sent since the figures.
+func (s *scene) backlog(t *target, r rates) (queued, running, sent float64) {
+	tier := s.query.Request.Tier
+	prompt, output := t.live.ahead(tier)
+	sent = float64(prompt)/r.prefill + float64(output)/r.decode
+	if t.figures == nil {
+		return 0, 0, sent
+	}
+	tokens := 0
+	for i := 0; i <= min(int(tier), state.MaxTiers-1); i++ {
+		tokens += t.figures.QueuedTokens[i]
+	}
+	share := s.service.promptShare
+	perToken := share/r.prefill + (1-share)/r.decode
+	return float64(tokens) * perToken, float64(t.figures.RunningTokens) / r.decode, sent
+}
+
+// startWait returns the seconds until the target would start the request. A
+// slot of a full window becomes free after about the running work divided by
+// the window.
+func (s *scene) startWait(t *target, ahead, running float64) float64 {
+	if t.figures == nil || s.freeSlot(t) {
+		return 0
+	}
+	return ahead + running/float64(max(1, t.figures.Window))
+}
+
+// freeSlot reports whether the window of t has a slot for the request's tier
+// after everything that is ahead of it.
+func (s *scene) freeSlot(t *target) bool {
+	tier := s.query.Request.Tier
+	taken := t.figures.RunningCount + t.queuedCount(tier) + int(t.live.count.Load())
+	return taken < t.figures.Window-s.set.reserve(tier)
+}
+
+// seconds converts to a duration of at most maxDelay.
+func seconds(v float64) time.Duration {
+	return time.Duration(min(v, maxDelay.Seconds()) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/coordination/placement/feedback.go
@@ -0,0 +1,135 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// eventBuffer is the number of events that wait for the owner. The owner never
+// waits for anything but events, so a full buffer delays a sender only briefly.
+const eventBuffer = 1024
+
+// Outcome says how an attempt ended. At most one of Complete, NotRun and
+// Unknown is set; none means that the target reported a failure.
+type Outcome struct {
+	Usage    state.Usage
+	Complete bool // the response arrived whole
+	NotRun   bool // refused, withdrawn or never sent
+	Unknown  bool // may have run
+	Reason   state.Reason
+}
+
+// event is a message to the owner.
+type event interface{ apply(o *owner) }
+
+type (
+	membersEvent struct{ members []state.Member }
+	openedEvent  struct {
+		target      state.TargetID
+		incarnation state.Incarnation
+		status      *state.Status // nil when unknown
+		at          time.Time
+	}
+	statusEvent struct {
+		target state.TargetID
+		status *state.Status
+		at     time.Time
+	}
+	figuresEvent struct {
+		target  state.TargetID
+		figures *state.Figures
+		at      time.Time
+	}
+	leavingEvent struct {
+		target state.TargetID
+		at     time.Time
+	}
+	lostEvent struct {
+		target state.TargetID
+		err    error
+		at     time.Time
+	}
+	wantEvent struct{ target state.TargetID }
+	sentEvent struct {
+		attempt state.AttemptID
+		open    *openAttempt
+	}
+	endedEvent struct {
+		target  state.TargetID
+		attempt state.AttemptID
+		outcome Outcome
+		at      time.Time
+	}
+)
+
+func (p *Placer) send(e event) {
+	select {
+	case p.events <- e:
+	case <-p.done:
+	}
+}
+
+// SetMembers replaces the instance list. Entries in it are counted to estimate
+// how many others send to the same targets.
+func (p *Placer) SetMembers(members []state.Member) { p.send(membersEvent{members: members}) }
+
+// SessionOpened tells that a session to target is live. status may be nil.
+func (p *Placer) SessionOpened(target state.TargetID, incarnation state.Incarnation, status *state.Status) {
+	p.send(openedEvent{target: target, incarnation: incarnation, status: status, at: time.Now()})
+}
+
+// Status records a load report of target.
+func (p *Placer) Status(target state.TargetID, status *state.Status) {
+	p.send(statusEvent{target: target, status: status, at: time.Now()})
+}
+
+// Figures records load figures that came with the end of an attempt.
+func (p *Placer) Figures(target state.TargetID, figures *state.Figures) {
+	p.send(figuresEvent{target: target, figures: figures, at: time.Now()})
+}
+
+// Leaving tells that target accepts no new work. It takes effect before the
+// call returns.
+func (p *Placer) Leaving(target state.TargetID) {
+	now := time.Now()
+	if t := p.snapshot.Load().targets[target]; t != nil {
+		t.live.leave(now)
+	}
+	p.send(leavingEvent{target: target, at: now})
+}
+
+// SessionLost tells that the session to target failed or could not be opened.
+func (p *Placer) SessionLost(target state.TargetID, err error) {
+	p.send(lostEvent{target: target, err: err, at: time.Now()})
+}
+
+// Sent tells that an attempt is being dispatched. The next Place takes it into
+// account. Every Sent is followed by one Ended.
+func (p *Placer) Sent(target state.TargetID, attempt state.AttemptID, req *state.Request, blocks []uint64) {
+	t := p.snapshot.Load().targets[target]
+	if t == nil {
+		return
+	}
+	now := time.Now()
+	state.Assert(!t.live.leftFor(now, leavingLimit), state.LeavingIdle,
+		fmt.Sprintf("attempt %s of request %s sent to leaving target %s", attempt, req.ID, target))
+	found := min(p.prefixes.lookup(blocks)[target], len(blocks))
+	open := &openAttempt{
+		target: target, live: t.live, work: workOf(req, t.trusted(found)),
+		sent: now, probe: t.live.sendProbe(), cached: found, blocks: blocks,
+	}
+	t.live.add(open.work, 1)
+	p.prefixes.add(target, blocks)
+	p.send(sentEvent{attempt: attempt, open: open})
+}
+
+// Ended tells how an attempt ended.
+func (p *Placer) Ended(target state.TargetID, attempt state.AttemptID, outcome Outcome) {
+	now := time.Now()
+	if outcome.Reason == state.ReasonLeaving {
+		p.Leaving(target)
+	}
+	p.send(endedEvent{target: target, attempt: attempt, outcome: outcome, at: now})
+}
