--- /dev/null
+++ b/internal/coordination/placement/filter_serves_model_test.go
@@ -0,0 +1,33 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// Guards against requests for a model that the target is known not to hold.
+func TestServesModel(t *testing.T) {
+	loaded := &state.Figures{Models: []string{"m1"}}
+	for _, tc := range []struct {
+		name, model string
+		figures     *state.Figures
+		placed      []string
+		want        bool
+	}{
+		{"no model asked for", "", loaded, nil, true},
+		{"loaded", "m1", loaded, []string{"m2"}, true},
+		{"not loaded", "m2", loaded, []string{"m2"}, false},
+		{"unknown but placed", "m2", nil, []string{"m2"}, true},
+		{"unknown and not placed", "m2", nil, []string{"m1"}, false},
+		{"nothing known", "m2", nil, nil, true},
+	} {
+		s := testScene(state.Request{Model: tc.model})
+		if tc.placed != nil {
+			s.set.models = map[state.TargetID][]string{"e": tc.placed}
+		}
+		if got := servesModel(s, &target{id: "e", figures: tc.figures}); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/placement/scorer_failure_domain_test.go
@@ -0,0 +1,17 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// Guards against a preference for other failure domains.
+func TestFailureDomain(t *testing.T) {
+	s := testScene(state.Request{}, &target{id: "a", domain: "tema-a"}, &target{id: "b", domain: "tema-b"}, &target{id: "c"})
+	for i, want := range []float64{1, 0, 0} {
+		if got := failureDomain(s, s.candidates[i]); got != want {
+			t.Errorf("%s: %g, want %g", s.candidates[i].target.id, got, want)
+		}
+	}
+}
