--- /dev/null
+++ b/internal/ctl/comparecmd/command.go
@@ -0,0 +1,161 @@
+// Package comparecmd implements "cassiarampctl compare": two policies side by
+// side from the traffic that the split gave to each.
+package comparecmd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/ctl/vars"
+)
+
+// ErrNoTraffic tells that a policy received no requests.
+var ErrNoTraffic = errors.New("no traffic to compare")
+
+// Command holds the arguments of "cassiarampctl compare".
+type Command struct {
+	Policies []string      `arg:"positional,required" placeholder:"POLICY" help:"the two policies"`
+	Admin    []string      `arg:"--admin,separate,required" help:"admin URL of an entry; repeatable"`
+	Duration time.Duration `arg:"--duration" default:"0s" help:"compare the traffic of this time; 0 for all since the entries started"`
+	JSON     bool          `arg:"--json" help:"print one JSON document"`
+}
+
+// Description is shown by --help.
+func (*Command) Description() string {
+	return "Compare goodput by tier and wasted prefill of two policies that share the traffic."
+}
+
+// Epilogue is shown by --help.
+func (*Command) Epilogue() string {
+	return "Example: cassiarampctl compare cost prefix-affinity --admin http://127.0.0.1:9090 --duration 1m"
+}
+
+// Comparison holds both policies.
+type Comparison struct {
+	Policies [2]string `json:"policies"`
+	Rows     []Row     `json:"rows"`
+	Prompt   [2]int64  `json:"prompt_tokens"`
+	Wasted   [2]int64  `json:"wasted_prefill_tokens"`
+}
+
+// Row compares one tier; All sums the tiers. Goodput is the share (0 to 1) of
+// requests that ended in time.
+type Row struct {
+	Tier     string     `json:"tier"`
+	Requests [2]int64   `json:"requests"`
+	Goodput  [2]float64 `json:"goodput"`
+}
+
+// All is the tier name of the sum over all tiers.
+const All = "all"
+
+// Run prints the comparison. Its error wraps ErrNoTraffic when one of the
+// policies has received no requests.
+func (c *Command) Run(ctx context.Context, out io.Writer) error {
+	if len(c.Policies) != 2 || c.Policies[0] == c.Policies[1] {
+		return errors.New("want two different policies")
+	}
+	if len(c.Admin) == 0 {
+		return errors.New("--admin: want at least one")
+	}
+	growth, err := c.growth(ctx)
+	if err != nil {
+		return err
+	}
+	comparison := compare([2]string(c.Policies), growth)
+	for i, n := range comparison.Rows[len(comparison.Rows)-1].Requests {
+		if n == 0 {
+			return fmt.Errorf("%w: policy %s received no requests", ErrNoTraffic, c.Policies[i])
+		}
+	}
+	return c.print(out, comparison)
+}
+
+// growth reads the counters, over Duration when it is set. Every entry must
+// answer, because a missing one would bias the comparison.
+func (c *Command) growth(ctx context.Context) (vars.Traffic, error) {
+	var earlier []vars.Reading
+	if c.Duration > 0 {
+		earlier = vars.Fetch(ctx, c.Admin)
+		if err := firstError(earlier); err != nil {
+			return vars.Traffic{}, err
+		}
+		select {
+		case <-time.After(c.Duration):
+		case <-ctx.Done():
+			return vars.Traffic{}, ctx.Err()
+		}
+	}
+	now := vars.Fetch(ctx, c.Admin)
+	return vars.Growth(now, earlier), firstError(now)
+}
+
+func firstError(readings []vars.Reading) error {
+	for _, r := range readings {
+		if r.Error != "" {
+			return errors.New(r.Error)
+		}
+	}
+	return nil
+}
+
+func compare(policies [2]string, t vars.Traffic) *Comparison {
+	c := &Comparison{Policies: policies}
+	requests, goodput := [2]vars.Counter{}, [2]vars.Counter{}
+	byPolicy := t.By(vars.Policy)
+	for i, policy := range policies {
+		requests[i], goodput[i] = tiers(t.Requests, policy), tiers(t.Goodput, policy)
+		c.Prompt[i], c.Wasted[i] = byPolicy.PromptTokens[policy], byPolicy.Wasted[policy]
+	}
+	for _, tier := range vars.Keys(requests[0], requests[1]) {
+		c.Rows = append(c.Rows, row(tier, requests[0][tier], requests[1][tier], goodput[0][tier], goodput[1][tier]))
+	}
+	all := row(All, requests[0].Total(), requests[1].Total(), goodput[0].Total(), goodput[1].Total())
+	c.Rows = append(c.Rows, all)
+	return c
+}
+
+// tiers returns the counts of one policy by tier.
+func tiers(c vars.Counter, policy string) vars.Counter {
+	out := make(vars.Counter)
+	for k, n := range c {
+		if p, tier := vars.SplitKey(k); p == policy {
+			out[tier] += n
+		}
+	}
+	return out
+}
+
+func row(tier string, requestsA, requestsB, goodputA, goodputB int64) Row {
+	return Row{
+		Tier: tier, Requests: [2]int64{requestsA, requestsB},
+		Goodput: [2]float64{share(goodputA, requestsA), share(goodputB, requestsB)},
+	}
+}
+
+func share(part, whole int64) float64 {
+	return float64(part) / float64(max(1, whole))
+}
+
+func (c *Command) print(out io.Writer, v *Comparison) error {
+	if c.JSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(v)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(w, "\t%s\t%s\tdifference\t\n", v.Policies[0], v.Policies[1])
+	for _, r := range v.Rows {
+		fmt.Fprintf(w, "requests, tier %s\t%d\t%d\t\t\n", r.Tier, r.Requests[0], r.Requests[1])
+		fmt.Fprintf(w, "goodput, tier %s\t%.1f%%\t%.1f%%\t%+.1f\t\n", r.Tier, 100*r.Goodput[0], 100*r.Goodput[1], 100*(r.Goodput[1]-r.Goodput[0]))
+	}
+	wasted := [2]float64{share(v.Wasted[0], v.Prompt[0]), share(v.Wasted[1], v.Prompt[1])}
+	fmt.Fprintf(w, "prompt tokens\t%d\t%d\t\t\n", v.Prompt[0], v.Prompt[1])
+	fmt.Fprintf(w, "wasted prefill\t%.1f%%\t%.1f%%\t%+.1f\t\n", 100*wasted[0], 100*wasted[1], 100*(wasted[1]-wasted[0]))
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/ctl/loadcmd/send.go
@@ -0,0 +1,236 @@
+package loadcmd
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// idleConnection is how long an unused connection is kept. It is short, so
+	// that a request is not written to a connection that the entry just closed.
+	idleConnection = 2 * time.Second
+	// retries is how often a keyed request is sent again after a broken
+	// connection, and retryPause the time before.
+	retries    = 2
+	retryPause = 200 * time.Millisecond
+	// maxPlainBody bounds the response of a plain call.
+	maxPlainBody = 8 << 20
+)
+
+// outcome is how one response ended.
+type outcome string
+
+// The outcomes. Only broken leaves open whether the request ran without the
+// entry having said so.
+const (
+	whole   outcome = "complete"
+	refused outcome = "refused" // reported as not run
+	unknown outcome = "unknown" // reported as unknown
+	failed  outcome = "failed"  // any other explicit error
+	broken  outcome = "broken"  // the connection broke or timed out
+	cut     outcome = "cut"     // the response ended in order, but is not whole
+)
+
+// reply is what was received for one sending of a request.
+type reply struct {
+	outcome outcome
+	detail  string // for outcomes other than whole
+	code    string // error code, if any
+	status  int
+	notSent bool // the connection was refused
+	expired bool // no end within timeout and grace
+	policy  string
+	took    time.Duration
+	first   time.Duration   // time to the first token
+	gaps    []time.Duration // between tokens
+	content []byte          // generated text or body
+}
+
+// exchange is one request with all its replies.
+type exchange struct {
+	spec    *spec
+	replies []*reply
+}
+
+// allNotRun reports whether every reply says that the request has not run.
+func (e *exchange) allNotRun() bool {
+	for _, r := range e.replies {
+		if r.outcome != refused {
+			return false
+		}
+	}
+	return len(e.replies) > 0
+}
+
+// best returns the reply that counts: the fastest whole one, else the last.
+func (e *exchange) best() *reply {
+	out := e.replies[len(e.replies)-1]
+	for _, r := range e.replies {
+		if r.outcome == whole && (out.outcome != whole || r.took < out.took) {
+			out = r
+		}
+	}
+	return out
+}
+
+// sender sends requests over HTTP without retries of its own.
+type sender struct {
+	cmd    *Command
+	client *fasthttp.Client
+}
+
+func newSender(c *Command) *sender {
+	return &sender{cmd: c, client: &fasthttp.Client{
+		Name:                      "cassiarampctl",
+		StreamResponseBody:        true,
+		MaxConnsPerHost:           c.MaxOpen * (retries + 2),
+		MaxIdleConnDuration:       idleConnection,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		DisablePathNormalizing:    true,
+	}}
+}
+
+// exchange sends the request, a second time through another entry when the spec
+// says so, and again when nothing was sent or a keyed request's connection
+// broke.
+func (s *sender) exchange(sp *spec) *exchange {
+	e := &exchange{spec: sp}
+	if sp.second == 0 {
+		e.replies = s.persist(sp, sp.entry)
+		return e
+	}
+	var second []*reply
+	var group sync.WaitGroup
+	group.Go(func() {
+		time.Sleep(sp.second)
+		second = s.persist(sp, sp.entry+1)
+	})
+	e.replies = s.persist(sp, sp.entry)
+	group.Wait()
+	e.replies = append(e.replies, second...)
+	return e
+}
+
+func (s *sender) persist(sp *spec, entry int) []*reply {
+	var out []*reply
+	for try := range retries + 1 {
+		if try > 0 {
+			time.Sleep(retryPause)
+		}
+		r := s.send(sp, s.cmd.Entry[(entry+try)%len(s.cmd.Entry)])
+		out = append(out, r)
+		if r.outcome != broken || r.expired || !(sp.keyed || r.notSent) {
+			break
+		}
+	}
+	return out
+}
+
+// send sends the request once and reads the response to its end.
+func (s *sender) send(sp *spec, entry string) *reply {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	r := &reply{}
+	if err := s.fill(req, sp, entry); err != nil {
+		r.outcome, r.detail = broken, err.Error()
+		return r
+	}
+	started := time.Now()
+	err := s.client.DoTimeout(req, resp, s.cmd.Timeout+grace)
+	if err == nil {
+		defer resp.CloseBodyStream()
+		r.read(sp, resp, started)
+	} else {
+		r.fail(err)
+	}
+	r.took = time.Since(started)
+	r.expired = r.outcome == broken && r.took >= s.cmd.Timeout+grace
+	return r
+}
+
+func (s *sender) fill(req *fasthttp.Request, sp *spec, entry string) error {
+	method, path, content, err := sp.request(s.cmd)
+	if err != nil {
+		return err
+	}
+	req.SetRequestURI(entry + path)
+	req.Header.SetMethod(method)
+	req.Header.SetContentType("application/json")
+	req.Header.Set("Cassiaramp-Timeout", s.cmd.Timeout.String())
+	req.Header.Set("Cassiaramp-Idempotent", fmt.Sprint(sp.idempotent))
+	req.Header.Set("X-Load-Id", sp.id)
+	if sp.tier != "" {
+		req.Header.Set("Cassiaramp-Tier", sp.tier)
+	}
+	if sp.keyed {
+		req.Header.Set("Idempotency-Key", sp.id)
+	}
+	if sp.customer >= 0 {
+		req.Header.Set("Authorization", "Bearer "+s.cmd.CustomerKey[sp.customer])
+	}
+	req.SetBody(content)
+	return nil
+}
+
+// fail records that no response head was received.
+func (r *reply) fail(err error) {
+	r.outcome, r.detail = broken, err.Error()
+	var op *net.OpError
+	r.notSent = (errors.As(err, &op) && op.Op == "dial") || errors.Is(err, fasthttp.ErrDialTimeout)
+}
+
+// read reads and verifies the response.
+func (r *reply) read(sp *spec, resp *fasthttp.Response, started time.Time) {
+	r.status = resp.StatusCode()
+	r.policy = string(resp.Header.Peek("Cassiaramp-Policy"))
+	stream := resp.BodyStream()
+	if stream == nil {
+		stream = bytes.NewReader(resp.Body())
+	}
+	switch {
+	case resp.Header.Peek("Cassiaramp-Outcome") != nil || r.status >= 400:
+		r.readError(resp, stream)
+	case sp.form == plain:
+		r.readPlain(stream)
+	case sp.streamed:
+		r.readStream(stream, started)
+	default:
+		r.readWhole(stream)
+	}
+}
+
+func (r *reply) readError(resp *fasthttp.Response, stream io.Reader) {
+	content, err := io.ReadAll(io.LimitReader(stream, maxPlainBody))
+	if err != nil {
+		r.outcome, r.detail = broken, err.Error()
+		return
+	}
+	r.code = errorCode(content)
+	r.detail = fmt.Sprintf("status %d, code %q", r.status, r.code)
+	switch string(resp.Header.Peek("Cassiaramp-Outcome")) {
+	case "not-run":
+		r.outcome = refused
+	case "unknown":
+		r.outcome = unknown
+	default:
+		r.outcome = failed
+	}
+}
+
+func (r *reply) readPlain(stream io.Reader) {
+	content, err := io.ReadAll(io.LimitReader(stream, maxPlainBody))
+	if err != nil {
+		r.outcome, r.detail = broken, err.Error()
+		return
+	}
+	r.outcome, r.content = whole, content
+}
--- /dev/null
+++ b/internal/ctl/loadcmd/tally.go
@@ -0,0 +1,293 @@
+package loadcmd
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cassiaramp/cassiaramp/internal/ctl/vars"
+)
+
+// Bounds of the histograms, in microseconds.
+const (
+	shortestTime = 1
+	longestTime  = int64(time.Hour / time.Microsecond)
+	digits       = 3
+)
+
+// The kinds of violation.
+const (
+	lost        = "lost"          // no response
+	doubled     = "doubled"       // ran more than once, or two different responses
+	cutShort    = "cut"           // a response that is not whole and does not say so
+	falseNotRun = "false_not_run" // reported as not run, but ran
+)
+
+// maxListed bounds the violations that are printed.
+const maxListed = 20
+
+// Violation is one broken guarantee.
+type Violation struct {
+	Kind   string `json:"kind"`
+	ID     string `json:"id"`
+	Detail string `json:"detail"`
+}
+
+// Row counts the requests of one tier and policy.
+type Row struct {
+	Tier    string `json:"tier"`
+	Policy  string `json:"policy"`
+	InTime  int    `json:"in_time"`
+	Late    int    `json:"late"`
+	Refused int    `json:"refused"`
+	Unknown int    `json:"unknown"`
+	Failed  int    `json:"failed"` // explicit errors with a known outcome
+	Broken  int    `json:"broken"`
+}
+
+// Percentiles are times in milliseconds.
+type Percentiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Waste is the wasted prefill of one policy as the entries count it.
+type Waste struct {
+	PromptTokens int64 `json:"prompt_tokens"`
+	Wasted       int64 `json:"wasted_prefill_tokens"`
+}
+
+// Report is the result of a load.
+type Report struct {
+	Elapsed       float64                `json:"elapsed_s"`
+	Sent          int                    `json:"sent"`
+	Skipped       int                    `json:"skipped"` // arrivals above the bound on open requests
+	Rows          []Row                  `json:"rows"`
+	FirstToken    map[string]Percentiles `json:"first_token"` // by tier
+	Gap           map[string]Percentiles `json:"gap"`         // by tier
+	Refusals      map[string]int         `json:"refusals"`    // by error code
+	Waste         map[string]Waste       `json:"waste"`       // by policy
+	LedgerChecked bool                   `json:"ledger_checked"`
+	Violations    []Violation            `json:"violations"`
+}
+
+func (r *Report) violate(kind, id, format string, args ...any) {
+	r.Violations = append(r.Violations, Violation{Kind: kind, ID: id, Detail: fmt.Sprintf(format, args...)})
+}
+
+// addTraffic takes wasted prefill from the entries' counters.
+func (r *Report) addTraffic(t vars.Traffic) {
+	by := t.By(vars.Policy)
+	r.Waste = make(map[string]Waste)
+	for _, policy := range vars.Keys(by.PromptTokens, by.Wasted) {
+		r.Waste[policy] = Waste{PromptTokens: by.PromptTokens[policy], Wasted: by.Wasted[policy]}
+	}
+}
+
+// tally counts results. It is safe for concurrent use.
+type tally struct {
+	mu       sync.Mutex
+	sent     int
+	skipped  int
+	rows     map[[2]string]*Row
+	first    map[string]*hdrhistogram.Histogram
+	gap      map[string]*hdrhistogram.Histogram
+	refusals map[string]int
+	broken   Report // violations so far
+}
+
+func newTally() *tally {
+	return &tally{
+		rows:     make(map[[2]string]*Row),
+		first:    make(map[string]*hdrhistogram.Histogram),
+		gap:      make(map[string]*hdrhistogram.Histogram),
+		refusals: make(map[string]int),
+	}
+}
+
+func (t *tally) skip() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.skipped++
+}
+
+// add counts one exchange.
+func (t *tally) add(e *exchange, entryFailures bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent++
+	r := e.best()
+	tier := e.spec.tier
+	if tier == "" {
+		tier = "default"
+	}
+	t.row(tier, r.policy).count(r, e.spec)
+	if r.code != "" {
+		t.refusals[r.code]++
+	}
+	t.times(tier, r)
+	t.violations(e, entryFailures)
+}
+
+func (t *tally) row(tier, policy string) *Row {
+	if policy == "" {
+		policy = "-"
+	}
+	key := [2]string{tier, policy}
+	if t.rows[key] == nil {
+		t.rows[key] = &Row{Tier: tier, Policy: policy}
+	}
+	return t.rows[key]
+}
+
+// count files one reply.
+func (row *Row) count(r *reply, s *spec) {
+	switch r.outcome {
+	case whole:
+		if r.took <= s.timeout {
+			row.InTime++
+		} else {
+			row.Late++
+		}
+	case refused:
+		row.Refused++
+	case unknown:
+		row.Unknown++
+	case failed:
+		row.Failed++
+	case broken, cut:
+		row.Broken++
+	}
+}
+
+func (t *tally) times(tier string, r *reply) {
+	if r.first > 0 {
+		record(t.first, tier, r.first)
+	}
+	for _, gap := range r.gaps {
+		record(t.gap, tier, gap)
+	}
+}
+
+func record(to map[string]*hdrhistogram.Histogram, tier string, d time.Duration) {
+	if to[tier] == nil {
+		to[tier] = hdrhistogram.New(shortestTime, longestTime, digits)
+	}
+	// Within bounds, recording cannot fail.
+	_ = to[tier].RecordValue(min(max(d.Microseconds(), shortestTime), longestTime))
+}
+
+// violations checks what the replies alone show.
+func (t *tally) violations(e *exchange, entryFailures bool) {
+	var first *reply
+	for _, r := range e.replies {
+		switch {
+		case r.outcome == cut:
+			t.broken.violate(cutShort, e.spec.id, "%s", r.detail)
+		case r.expired:
+			t.broken.violate(lost, e.spec.id, "no end within the timeout and %s: %s", grace, r.detail)
+		case r.outcome == whole && first == nil:
+			first = r
+		case r.outcome == whole && !bytes.Equal(first.content, r.content):
+			t.broken.violate(doubled, e.spec.id, "two different responses for one key")
+		}
+	}
+	if r := e.best(); r.outcome == broken && !r.expired && !entryFailures {
+		t.broken.violate(lost, e.spec.id, "connection broken: %s", r.detail)
+	}
+}
+
+// progress prints one line.
+func (t *tally) progress(out io.Writer, elapsed time.Duration, open int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var sum Row
+	for _, row := range t.rows {
+		sum.InTime += row.InTime
+		sum.Late += row.Late
+		sum.Refused += row.Refused
+		sum.Unknown += row.Unknown
+		sum.Failed += row.Failed
+		sum.Broken += row.Broken
+	}
+	fmt.Fprintf(out, "%5.1fs ended=%d open=%d in_time=%d late=%d refused=%d unknown=%d failed=%d broken=%d skipped=%d\n",
+		elapsed.Seconds(), t.sent, open, sum.InTime, sum.Late, sum.Refused, sum.Unknown, sum.Failed, sum.Broken, t.skipped)
+}
+
+func (t *tally) report(elapsed time.Duration) *Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := &Report{
+		Elapsed: elapsed.Seconds(), Sent: t.sent, Skipped: t.skipped, Refusals: t.refusals,
+		FirstToken: percentiles(t.first), Gap: percentiles(t.gap), Violations: t.broken.Violations,
+	}
+	for _, row := range t.rows {
+		r.Rows = append(r.Rows, *row)
+	}
+	slices.SortFunc(r.Rows, func(a, b Row) int {
+		return slices.Compare([]string{a.Tier, a.Policy}, []string{b.Tier, b.Policy})
+	})
+	return r
+}
+
+func percentiles(from map[string]*hdrhistogram.Histogram) map[string]Percentiles {
+	out := make(map[string]Percentiles, len(from))
+	for tier, h := range from {
+		ms := func(v int64) float64 { return float64(v) / 1000 }
+		out[tier] = Percentiles{
+			Count: h.TotalCount(), P50: ms(h.ValueAtQuantile(50)), P95: ms(h.ValueAtQuantile(95)),
+			P99: ms(h.ValueAtQuantile(99)), Max: ms(h.Max()),
+		}
+	}
+	return out
+}
+
+// print writes the report as tables.
+func (r *Report) print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(w, "\ntier\tpolicy\tin time\tlate\trefused\tunknown\tfailed\tbroken\t\n")
+	for _, row := range r.Rows {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", row.Tier, row.Policy, row.InTime, row.Late, row.Refused, row.Unknown, row.Failed, row.Broken)
+	}
+	r.printTimes(w, "first token", r.FirstToken)
+	r.printTimes(w, "gap", r.Gap)
+	fmt.Fprintf(w, "\npolicy\tprompt tokens\twasted\t\n")
+	for _, policy := range slices.Sorted(maps.Keys(r.Waste)) {
+		fmt.Fprintf(w, "%s\t%d\t%d\t\n", policy, r.Waste[policy].PromptTokens, r.Waste[policy].Wasted)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	return r.printViolations(out)
+}
+
+func (r *Report) printTimes(w io.Writer, name string, times map[string]Percentiles) {
+	fmt.Fprintf(w, "\n%s, ms\tcount\tp50\tp95\tp99\tmax\t\n", name)
+	for _, tier := range slices.Sorted(maps.Keys(times)) {
+		p := times[tier]
+		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t\n", tier, p.Count, p.P50, p.P95, p.P99, p.Max)
+	}
+}
+
+func (r *Report) printViolations(out io.Writer) error {
+	count := make(map[string]int)
+	for _, v := range r.Violations {
+		count[v.Kind]++
+	}
+	_, err := fmt.Fprintf(out, "\nsent %d, skipped %d, lost %d, doubled %d, cut %d, false not-run %d; ledger checked: %t\n",
+		r.Sent, r.Skipped, count[lost], count[doubled], count[cutShort], count[falseNotRun], r.LedgerChecked)
+	for _, v := range r.Violations[:min(len(r.Violations), maxListed)] {
+		fmt.Fprintf(out, "%s %s: %s\n", v.Kind, v.ID, v.Detail)
+	}
+	return err
+}
