Test the subcommands and align placement and load with their neighbours

Cause: the entry's port to the placer and the stand-in's ledger are known now. Change: placement uses the types of the entry's port; Placer.Summaries for the expvar "targets"; load reads the stand-in's ledger, compares generated text when the text function is known and shows the entries' counters by policy; tests of load, status, watch and compare against stubs on loopback.

--- a/internal/coordination/placement/feedback.go
+++ b/internal/coordination/placement/feedback.go
@@ -11,16 +11,6 @@
 // waits for anything but events, so a full buffer delays a sender only briefly.
 const eventBuffer = 1024
 
-// Outcome says how an attempt ended. At most one of Complete, NotRun and
-// Unknown is set; none means that the target reported a failure.
-type Outcome struct {
-	Usage    state.Usage
-	Complete bool // the response arrived whole
-	NotRun   bool // refused, withdrawn or never sent
-	Unknown  bool // may have run
-	Reason   state.Reason
-}
-
 // event is a message to the owner.
 type event interface{ apply(o *owner) }
 
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/entry"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -50,30 +51,20 @@
 	owner    *owner
 }
 
-// Query asks for the placement of one request.
-type Query struct {
-	Request *state.Request
-	Blocks  []uint64 // hashes of the prompt's blocks, see state.PromptBlocks
-	// Tried lists the targets that refused or failed this request.
-	Tried map[state.TargetID]state.Reason
-	Now   time.Time
-}
-
-// Decision is the result of Place.
-type Decision struct {
-	Target     state.TargetID
-	Policy     string
-	Reason     string        // why Target, or why none
-	Candidates []Candidate   // targets that passed the filters, best score first
-	Wait       time.Duration // predicted time to the first token at Target
-}
+// The types of the entry's port, which Placer implements.
+type (
+	// Query asks for the placement of one request.
+	Query = entry.Query
+	// Decision is the result of Place. Candidates are the targets that passed the
+	// filters, best score first.
+	Decision = entry.Decision
+	// Candidate is a target that passed the filters of the policy.
+	Candidate = entry.Candidate
+	// Outcome says how an attempt ended.
+	Outcome = entry.Outcome
+)
 
-// Candidate is a target that passed the filters of the policy.
-type Candidate struct {
-	Target state.TargetID
-	Score  float64       // 0 to 1
-	Wait   time.Duration // predicted time to the first token
-}
+var _ entry.Placer = (*Placer)(nil)
 
 // New returns a Placer without targets and with the policy "cost".
 func New(cfg Config) *Placer {
--- /dev/null
+++ b/internal/coordination/placement/summary.go
@@ -0,0 +1,35 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// Summary is this entry's view of one target, for the expvar "targets".
+type Summary struct {
+	Service     state.Service `json:"service"`
+	Subset      bool          `json:"subset"` // the entry keeps a session to it
+	Connected   bool          `json:"connected"`
+	Leaving     bool          `json:"leaving"`
+	Ejected     bool          `json:"ejected"`
+	Outstanding int           `json:"outstanding"`   // requests queued, running and sent since the figures
+	FiguresAge  float64       `json:"figures_age_s"` // -1 when there are none
+}
+
+// Summaries returns the state of all targets, for expvar.Func.
+func (p *Placer) Summaries() map[state.TargetID]Summary {
+	now := time.Now()
+	out := make(map[state.TargetID]Summary)
+	for id, t := range p.snapshot.Load().targets {
+		s := Summary{
+			Service: t.service, Subset: t.subset, Connected: t.connected, Leaving: t.live.leaving(),
+			Ejected: t.ejected, Outstanding: t.outstanding(), FiguresAge: -1,
+		}
+		if t.figures != nil {
+			s.FiguresAge = now.Sub(t.received).Seconds()
+		}
+		out[id] = s
+	}
+	return out
+}
--- a/internal/ctl/comparecmd/command.go
+++ b/internal/ctl/comparecmd/command.go
@@ -152,6 +152,9 @@
 	fmt.Fprintf(w, "\t%s\t%s\tdifference\t\n", v.Policies[0], v.Policies[1])
 	for _, r := range v.Rows {
 		fmt.Fprintf(w, "requests, tier %s\t%d\t%d\t\t\n", r.Tier, r.Requests[0], r.Requests[1])
+		if r.Requests[0] == 0 || r.Requests[1] == 0 {
+			continue // nothing to compare
+		}
 		fmt.Fprintf(w, "goodput, tier %s\t%.1f%%\t%.1f%%\t%+.1f\t\n", r.Tier, 100*r.Goodput[0], 100*r.Goodput[1], 100*(r.Goodput[1]-r.Goodput[0]))
 	}
 	wasted := [2]float64{share(v.Wasted[0], v.Prompt[0]), share(v.Wasted[1], v.Prompt[1])}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,156 @@
+// Package ctl tests the subcommands that read metrics against stub processes.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiaramp/cassiaramp/internal/ctl/comparecmd"
+	"github.com/cassiaramp/cassiaramp/internal/ctl/statuscmd"
+	"github.com/cassiaramp/cassiaramp/internal/ctl/vars"
+	"github.com/cassiaramp/cassiaramp/internal/ctl/watchcmd"
+)
+
+// serve answers the n-th read of /debug/vars with the n-th document, and later
+// ones with the last.
+func serve(t *testing.T, documents ...vars.Vars) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var reads atomic.Int64
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		n := min(int(reads.Add(1)), len(documents)) - 1
+		json.NewEncoder(ctx).Encode(documents[n])
+	}}
+	go server.Serve(ln)
+	t.Cleanup(func() { server.Shutdown() })
+	return "http://" + ln.Addr().String()
+}
+
+type command interface {
+	Run(ctx context.Context, out io.Writer) error
+}
+
+// run returns the JSON document that a command prints.
+func run[T any](t *testing.T, c command) (T, error) {
+	t.Helper()
+	var out strings.Builder
+	err := c.Run(context.Background(), &out)
+	var v T
+	if jsonErr := json.Unmarshal([]byte(out.String()), &v); jsonErr != nil {
+		t.Fatalf("%v in %q, error %v", jsonErr, out.String(), err)
+	}
+	return v, err
+}
+
+// Guards against a status that hides an unreachable process, a different bundle
+// version or a violated invariant.
+func TestStatus(t *testing.T) {
+	entry := vars.Vars{Instance: "entry-0", Role: "entry", BundleVersion: 4, Targets: map[string]vars.Target{"e1": {Service: "s", Connected: true}, "e2": {Service: "s", Leaving: true}}}
+	side := vars.Vars{Instance: "side-1", Role: "side", BundleVersion: 4, Queue: vars.Counter{"0": 1, "2": 5}}
+	old := vars.Vars{Instance: "side-2", Role: "side", BundleVersion: 3, Queue: vars.Counter{"2": 1}}
+	violated := vars.Vars{BundleVersion: 4, InvariantViolations: vars.Counter{"tier_order": 1}}
+
+	s, err := run[statuscmd.Status](t, &statuscmd.Command{Admin: []string{serve(t, entry), serve(t, side)}, JSON: true})
+	if err != nil || s.BundleVersion != 4 {
+		t.Errorf("bundle version %d, error %v", s.BundleVersion, err)
+	}
+	want := map[string]statuscmd.Target{"e1": {Service: "s", Connected: 1}, "e2": {Service: "s", Leaving: true}}
+	if diff := cmp.Diff(want, s.Targets); diff != "" {
+		t.Errorf("targets (-want +got):\n%s", diff)
+	}
+	for name, urls := range map[string][]string{
+		"other version": {serve(t, side), serve(t, old)},
+		"unreachable":   {serve(t, side), "http://127.0.0.1:1"},
+		"violation":     {serve(t, violated)},
+	} {
+		s, err := run[statuscmd.Status](t, &statuscmd.Command{Admin: urls, JSON: true})
+		if !errors.Is(err, statuscmd.ErrUnhealthy) || len(s.Problems) != 1 {
+			t.Errorf("%s: error %v, problems %q", name, err, s.Problems)
+		}
+	}
+}
+
+// traffic returns counters that have the same value for two policies and tiers.
+func traffic(requests, goodputA, goodputB, wastedA, wastedB int64) vars.Vars {
+	return vars.Vars{
+		Requests:            vars.Counter{"a/0": requests, "a/1": requests, "b/0": requests, "b/1": requests},
+		Goodput:             vars.Counter{"a/0": goodputA, "a/1": requests, "b/0": goodputB, "b/1": requests},
+		PromptTokens:        vars.Counter{"a/0": 1000, "b/0": 1000},
+		WastedPrefillTokens: vars.Counter{"a/0": wastedA, "b/0": wastedB},
+	}
+}
+
+// Guards against totals shown as growth, and against counters of a restarted
+// process shown as negative.
+func TestWatch(t *testing.T) {
+	first, second := traffic(100, 90, 80, 10, 20), traffic(110, 98, 84, 10, 25)
+	restarted := traffic(7, 5, 5, 0, 0)
+	c := &watchcmd.Command{Admin: []string{serve(t, first, second), serve(t, first, restarted)}, Count: 1, Interval: time.Millisecond, JSON: true}
+	r, err := run[watchcmd.Refresh](t, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(vars.Counter{"0": 20 + 14, "1": 20 + 14}, r.ByTier.Requests); diff != "" {
+		t.Errorf("requests by tier (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(vars.Counter{"a": 0, "b": 5}, r.ByPolicy.Wasted); diff != "" {
+		t.Errorf("wasted by policy (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a comparison that mixes policies up, includes traffic from
+// before, or passes without traffic.
+func TestCompare(t *testing.T) {
+	url := serve(t, traffic(100, 90, 80, 10, 20), traffic(200, 140, 180, 10, 520))
+	c := &comparecmd.Command{Policies: []string{"a", "b"}, Admin: []string{url}, Duration: time.Millisecond, JSON: true}
+	got, err := run[comparecmd.Comparison](t, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []comparecmd.Row{
+		{Tier: "0", Requests: [2]int64{100, 100}, Goodput: [2]float64{0.5, 1}},
+		{Tier: "1", Requests: [2]int64{100, 100}, Goodput: [2]float64{1, 1}},
+		{Tier: comparecmd.All, Requests: [2]int64{200, 200}, Goodput: [2]float64{0.75, 1}},
+	}
+	if diff := cmp.Diff(want, got.Rows); diff != "" || got.Wasted != [2]int64{0, 500} {
+		t.Errorf("wasted %v, rows (-want +got):\n%s", got.Wasted, diff)
+	}
+	c.Policies[1] = "missing"
+	if err := c.Run(context.Background(), io.Discard); !errors.Is(err, comparecmd.ErrNoTraffic) {
+		t.Errorf("error %v, want %v", err, comparecmd.ErrNoTraffic)
+	}
+}
+
+// Guards against argument tags that go-arg rejects.
+func TestArguments(t *testing.T) {
+	for name, tc := range map[string]struct {
+		dest any
+		args []string
+	}{
+		"watch":   {&watchcmd.Command{}, []string{"--admin", "http://a", "--admin", "http://b", "--count", "2"}},
+		"status":  {&statuscmd.Command{}, []string{"--admin", "http://a", "--json"}},
+		"compare": {&comparecmd.Command{}, []string{"cost", "round-robin", "--admin", "http://a"}},
+	} {
+		p, err := arg.NewParser(arg.Config{}, tc.dest)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Parse(tc.args); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ctl/loadcmd/load_test.go
@@ -0,0 +1,255 @@
+package loadcmd
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp"
+)
+
+// serve runs a stub on loopback and returns its URL.
+func serve(t *testing.T, handle fasthttp.RequestHandler) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: handle, Logger: silent{}}
+	go server.Serve(ln)
+	t.Cleanup(func() { server.Shutdown() })
+	return "http://" + ln.Addr().String()
+}
+
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
+
+func command(entries ...string) *Command {
+	return &Command{
+		Entry: entries, Duration: 300 * time.Millisecond, Rate: 200, Seed: 3, Model: "m", Service: "s", CustomerKey: []string{"a", "b"},
+		Tier: []string{"high", "low"}, Timeout: 5 * time.Second, PromptTokens: 20, OutputTokens: 3, MaxOpen: 100,
+	}
+}
+
+func event(token, finish string) string {
+	return fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":%q},\"finish_reason\":%q}]}\n\n", token, finish)
+}
+
+const usage2 = "data: {\"choices\":[],\"usage\":{\"completion_tokens\":2}}\n\n"
+
+// Guards against a check that passes a response that is cut, reordered or
+// miscounted, and against one that reports an honest error as a violation.
+func TestReplyOutcomes(t *testing.T) {
+	good := event("t0 ", "") + event("t1 ", "") + event("", "stop") + usage2 + "data: [DONE]\n\n"
+	whole2 := `{"choices":[{"message":{"content":"t0 t1"},"finish_reason":"stop"}],"usage":{"completion_tokens":2}}`
+	for _, tc := range []struct {
+		name     string
+		streamed bool
+		status   int
+		header   string
+		body     string
+		broken   bool // the connection ends before the last chunk
+		want     outcome
+	}{
+		{"stream", true, 200, "", good, false, whole},
+		{"no [DONE]", true, 200, "", strings.Replace(good, "data: [DONE]", "", 1), false, cut},
+		{"no finish_reason", true, 200, "", strings.Replace(good, "stop", "", 1), false, cut},
+		{"token missing", true, 200, "", event("t0 ", "") + event("t2 ", "stop") + usage2 + "data: [DONE]\n\n", false, cut},
+		{"token repeated", true, 200, "", event("t0 ", "") + event("t0 ", "stop") + usage2 + "data: [DONE]\n\n", false, cut},
+		{"usage differs", true, 200, "", strings.Replace(good, "tokens\":2", "tokens\":3", 1), false, cut},
+		{"data after [DONE]", true, 200, "", good + event("t2 ", ""), false, cut},
+		{"connection broken", true, 200, "", event("t0 ", ""), true, broken},
+		{"error event after a gap", true, 200, "", event("t1 ", "") + "data: {\"error\":{\"code\":\"stream_broken\"}}\n\n", false, cut},
+		{"error event", true, 200, "", event("t0 ", "") + "data: {\"error\":{\"code\":\"stream_broken\"}}\n\n", false, failed},
+		{"unknown in the stream", true, 200, "", "data: {\"error\":{\"code\":\"outcome_unknown\"}}\n\n", false, unknown},
+		{"whole", false, 200, "", whole2, false, whole},
+		{"whole with too few tokens", false, 200, "", strings.Replace(whole2, " t1", "", 1), false, cut},
+		{"not run", false, 503, "not-run", `{"error":{"code":"queue_full"}}`, false, refused},
+		{"unknown", false, 504, "unknown", `{"error":{"code":"outcome_unknown"}}`, false, unknown},
+		{"error of the target", false, 500, "", `{"error":{"code":"target_error"}}`, false, failed},
+	} {
+		url := serve(t, func(ctx *fasthttp.RequestCtx) {
+			ctx.SetStatusCode(tc.status)
+			if tc.header != "" {
+				ctx.Response.Header.Set("Cassiaramp-Outcome", tc.header)
+			}
+			ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+				io.WriteString(w, tc.body)
+				w.Flush()
+				if tc.broken {
+					ctx.Conn().Close()
+				}
+			})
+		})
+		sender := newSender(command(url))
+		sender.generated = func(_ []byte, n int) string { return strings.Join([]string{"t0", "t1", "t2"}[:n], " ") }
+		r := sender.send(&spec{id: "x", customer: -1, streamed: tc.streamed, promptLen: 4, outputLen: 2}, url)
+		if r.outcome != tc.want {
+			t.Errorf("%s: %s (%s), want %s", tc.name, r.outcome, r.detail, tc.want)
+		}
+	}
+}
+
+// standin answers every request and counts the runs of each id.
+type standin struct {
+	mu    sync.Mutex
+	Runs  map[string]int                                             `json:"runs"`
+	fault func(id string, keyed bool, ctx *fasthttp.RequestCtx) bool // true when it answered
+}
+
+func (s *standin) handle(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if string(ctx.Path()) == "/admin/ledger" {
+		type counts struct {
+			Started int `json:"started"`
+		}
+		users := map[string]counts{}
+		for id, n := range s.Runs {
+			users[id] = counts{n}
+		}
+		json.NewEncoder(ctx).Encode(map[string]any{"targets": []any{map[string]any{"users": users}}})
+		return
+	}
+	id := string(ctx.Request.Header.Peek("X-Load-Id"))
+	keyed := len(ctx.Request.Header.Peek("Idempotency-Key")) > 0
+	if !keyed || s.Runs[id] == 0 {
+		s.Runs[id]++
+	}
+	if s.fault != nil && s.fault(id, keyed, ctx) {
+		return
+	}
+	var b body
+	if json.Unmarshal(ctx.PostBody(), &b) != nil || b.Model == "" {
+		ctx.SetBodyString("ok " + id)
+		return
+	}
+	if b.User != id {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	if b.Stream {
+		ctx.SetBodyString(event("t0 ", "") + event("t1 ", "stop") + usage2 + "data: [DONE]\n\n")
+		return
+	}
+	ctx.SetBodyString(`{"choices":[{"text":"t0 t1","finish_reason":"stop"}],"usage":{"completion_tokens":2}}`)
+}
+
+// Guards against a run that misses a broken guarantee or finds one that was
+// kept.
+func TestRunFindsViolations(t *testing.T) {
+	refuse := func(ctx *fasthttp.RequestCtx) bool {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set("Cassiaramp-Outcome", "not-run")
+		return true
+	}
+	for _, tc := range []struct {
+		name  string
+		fault func(s *standin) func(id string, keyed bool, ctx *fasthttp.RequestCtx) bool
+		want  string
+	}{
+		{"kept", nil, ""},
+		{"ran after not-run", func(*standin) func(string, bool, *fasthttp.RequestCtx) bool {
+			return func(_ string, _ bool, ctx *fasthttp.RequestCtx) bool { return refuse(ctx) }
+		}, falseNotRun},
+		{"keyed request ran twice", func(s *standin) func(string, bool, *fasthttp.RequestCtx) bool {
+			return func(id string, keyed bool, _ *fasthttp.RequestCtx) bool {
+				if keyed {
+					s.Runs[id]++
+				}
+				return false
+			}
+		}, doubled},
+		{"cut", func(*standin) func(string, bool, *fasthttp.RequestCtx) bool {
+			return func(_ string, _ bool, ctx *fasthttp.RequestCtx) bool {
+				ctx.SetBodyString(event("t0 ", ""))
+				return true
+			}
+		}, cutShort},
+	} {
+		s := &standin{Runs: map[string]int{}}
+		if tc.fault != nil {
+			s.fault = tc.fault(s)
+		}
+		url := serve(t, s.handle)
+		c := command(url, url)
+		c.Ledger, c.JSON = url, true
+		var out strings.Builder
+		err := c.Run(context.Background(), &out)
+		var report Report
+		if jsonErr := json.Unmarshal([]byte(out.String()), &report); jsonErr != nil {
+			t.Fatalf("%s: %v in %s", tc.name, jsonErr, out.String())
+		}
+		if !report.LedgerChecked || report.Sent < 10 {
+			t.Errorf("%s: sent %d, ledger checked %v", tc.name, report.Sent, report.LedgerChecked)
+		}
+		kinds := map[string]bool{}
+		for _, v := range report.Violations {
+			kinds[v.Kind] = true
+		}
+		if errors.Is(err, ErrGuaranteeBroken) != (tc.want != "") || (tc.want != "" && !kinds[tc.want]) || (tc.want == "" && len(kinds) > 0) {
+			t.Errorf("%s: error %v, violations %v, want %q", tc.name, err, report.Violations, tc.want)
+		}
+	}
+}
+
+// Guards against a run that cannot be repeated, a rate that differs from the
+// one asked for, and a load without long requests, prefixes or repeats.
+func TestPlan(t *testing.T) {
+	c := command("a", "b")
+	c.Rate = 100
+	p, again := newPlan(c), newPlan(c)
+	var long, prefixed, twice, plainCalls int
+	const n = 20000
+	var last *spec
+	for range n {
+		last = p.next()
+		if diff := cmp.Diff(last, again.next(), cmp.AllowUnexported(spec{})); diff != "" {
+			t.Fatalf("equal seeds differ:\n%s", diff)
+		}
+		if last.promptLen > 50*c.PromptTokens {
+			long++
+		}
+		if last.prefixLen > 0 {
+			prefixed++
+		}
+		if last.second > 0 {
+			twice++
+		}
+		if last.form == plain {
+			plainCalls++
+		}
+	}
+	if rate := n / last.at.Seconds(); rate < 90 || rate > 110 {
+		t.Errorf("rate %.1f, want 100", rate)
+	}
+	if long < n/1000 || prefixed < n/4 || twice < n/100 || plainCalls < n/5 {
+		t.Errorf("of %d: %d long, %d with a prefix, %d sent twice, %d plain", n, long, prefixed, twice, plainCalls)
+	}
+}
+
+// Guards against argument tags that go-arg rejects.
+func TestArguments(t *testing.T) {
+	var c Command
+	p, err := arg.NewParser(arg.Config{}, &c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Parse([]string{"--entry", "http://a", "--entry", "http://b", "--model", "m"}); err != nil {
+		t.Fatal(err)
+	}
+	if len(c.Entry) != 2 || c.check() != nil {
+		t.Errorf("%+v: %v", c, c.check())
+	}
+}
--- a/internal/ctl/loadcmd/plan.go
+++ b/internal/ctl/loadcmd/plan.go
@@ -6,6 +6,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
 // Shape of the load.
@@ -182,6 +184,32 @@
 	Content string `json:"content"`
 }
 
+// messages returns the chat: the shared prefix, if any, and the rest.
+func (s *spec) messages() []message {
+	var out []message
+	if s.prefixLen > 0 {
+		out = append(out, message{Role: "system", Content: text(s.prefix, s.prefixLen)})
+	}
+	return append(out, message{Role: "user", Content: text(s.content, s.promptLen)})
+}
+
+// completionPrompt returns the prompt of a completion.
+func (s *spec) completionPrompt() string {
+	return text(s.prefix, s.prefixLen) + text(s.content, s.promptLen)
+}
+
+// prompt returns the prompt as the engine sees it.
+func (s *spec) prompt() []byte {
+	if s.form == completion {
+		return []byte(s.completionPrompt())
+	}
+	var chat []state.Message
+	for _, m := range s.messages() {
+		chat = append(chat, state.Message{Role: m.Role, Content: m.Content})
+	}
+	return state.ChatPrompt(chat)
+}
+
 // body is the request body of a chat or completion.
 type body struct {
 	Model         string         `json:"model"`
@@ -210,19 +238,12 @@
 	if s.streamed {
 		b.StreamOptions = &streamOptions{IncludeUsage: true}
 	}
-	prefix, rest := "", text(s.content, s.promptLen)
-	if s.prefixLen > 0 {
-		prefix = text(s.prefix, s.prefixLen)
-	}
 	path = "/v1/completions"
 	if s.form == chat {
 		path = "/v1/chat/completions"
-		if prefix != "" {
-			b.Messages = append(b.Messages, message{Role: "system", Content: prefix})
-		}
-		b.Messages = append(b.Messages, message{Role: "user", Content: rest})
+		b.Messages = s.messages()
 	} else {
-		b.Prompt = prefix + rest
+		b.Prompt = s.completionPrompt()
 	}
 	content, err = json.Marshal(b)
 	return "POST", path, content, err
--- a/internal/ctl/loadcmd/send.go
+++ b/internal/ctl/loadcmd/send.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -51,6 +52,9 @@
 	first   time.Duration   // time to the first token
 	gaps    []time.Duration // between tokens
 	content []byte          // generated text or body
+	standin bool            // the target is a stand-in
+	// expected returns the first n tokens of the response; nil when not known.
+	expected func(n int) string
 }
 
 // exchange is one request with all its replies.
@@ -84,8 +88,12 @@
 type sender struct {
 	cmd    *Command
 	client *fasthttp.Client
+	// generated returns the first n tokens that targets generate for a prompt;
+	// nil unless the targets are stand-ins.
+	generated func(prompt []byte, n int) string
 }
 
+// newSender returns a sender for the entries of c.
 func newSender(c *Command) *sender {
 	return &sender{cmd: c, client: &fasthttp.Client{
 		Name:                      "cassiarampctl",
@@ -139,7 +147,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	r := &reply{}
+	r := &reply{standin: s.generated != nil, expected: s.expected(sp)}
 	if err := s.fill(req, sp, entry); err != nil {
 		r.outcome, r.detail = broken, err.Error()
 		return r
@@ -157,12 +165,21 @@
 	return r
 }
 
+// expected returns the response that a stand-in gives to the request.
+func (s *sender) expected(sp *spec) func(n int) string {
+	if s.generated == nil || sp.form == plain {
+		return nil
+	}
+	prompt := sp.prompt()
+	return func(n int) string { return s.generated(prompt, n) }
+}
+
 func (s *sender) fill(req *fasthttp.Request, sp *spec, entry string) error {
 	method, path, content, err := sp.request(s.cmd)
 	if err != nil {
 		return err
 	}
-	req.SetRequestURI(entry + path)
+	req.SetRequestURI(strings.TrimRight(entry, "/") + path)
 	req.Header.SetMethod(method)
 	req.Header.SetContentType("application/json")
 	req.Header.Set("Cassiaramp-Timeout", s.cmd.Timeout.String())
@@ -200,7 +217,7 @@
 	case resp.Header.Peek("Cassiaramp-Outcome") != nil || r.status >= 400:
 		r.readError(resp, stream)
 	case sp.form == plain:
-		r.readPlain(stream)
+		r.readPlain(stream, sp)
 	case sp.streamed:
 		r.readStream(stream, started)
 	default:
@@ -226,11 +243,16 @@
 	}
 }
 
-func (r *reply) readPlain(stream io.Reader) {
+// readPlain reads the response of a plain call. A stand-in's response contains
+// the id of the request.
+func (r *reply) readPlain(stream io.Reader, sp *spec) {
 	content, err := io.ReadAll(io.LimitReader(stream, maxPlainBody))
-	if err != nil {
+	switch {
+	case err != nil:
 		r.outcome, r.detail = broken, err.Error()
-		return
+	case r.standin && !bytes.Contains(content, []byte(sp.id)):
+		r.outcome, r.detail = cut, "the response is not the one to this request"
+	default:
+		r.outcome, r.content = whole, content
 	}
-	r.outcome, r.content = whole, content
 }
--- a/internal/ctl/loadcmd/tally.go
+++ b/internal/ctl/loadcmd/tally.go
@@ -76,6 +76,7 @@
 	FirstToken    map[string]Percentiles `json:"first_token"` // by tier
 	Gap           map[string]Percentiles `json:"gap"`         // by tier
 	Refusals      map[string]int         `json:"refusals"`    // by error code
+	Entries       []Row                  `json:"entries"`     // as the entries count, by tier and policy
 	Waste         map[string]Waste       `json:"waste"`       // by policy
 	LedgerChecked bool                   `json:"ledger_checked"`
 	Violations    []Violation            `json:"violations"`
@@ -85,8 +86,18 @@
 	r.Violations = append(r.Violations, Violation{Kind: kind, ID: id, Detail: fmt.Sprintf(format, args...)})
 }
 
-// addTraffic takes wasted prefill from the entries' counters.
+// addTraffic takes goodput by policy and wasted prefill from the entries'
+// counters. Callers are not told the policy of their requests.
 func (r *Report) addTraffic(t vars.Traffic) {
+	for _, key := range vars.Keys(t.Requests) {
+		policy, tier := vars.SplitKey(key)
+		row := Row{
+			Tier: tier, Policy: policy, InTime: int(t.Goodput[key]), Late: int(t.Late[key]),
+			Refused: int(t.Refused[key]), Unknown: int(t.Unknown[key]),
+		}
+		row.Failed = int(t.Requests[key]) - row.InTime - row.Late - row.Refused - row.Unknown
+		r.Entries = append(r.Entries, row)
+	}
 	by := t.By(vars.Policy)
 	r.Waste = make(map[string]Waste)
 	for _, policy := range vars.Keys(by.PromptTokens, by.Wasted) {
@@ -255,9 +266,9 @@
 // print writes the report as tables.
 func (r *Report) print(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(w, "\ntier\tpolicy\tin time\tlate\trefused\tunknown\tfailed\tbroken\t\n")
-	for _, row := range r.Rows {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", row.Tier, row.Policy, row.InTime, row.Late, row.Refused, row.Unknown, row.Failed, row.Broken)
+	printRows(w, "tier, as callers see it", r.Rows)
+	if len(r.Entries) > 0 {
+		printRows(w, "tier, as entries count", r.Entries)
 	}
 	r.printTimes(w, "first token", r.FirstToken)
 	r.printTimes(w, "gap", r.Gap)
@@ -271,6 +282,13 @@
 	return r.printViolations(out)
 }
 
+func printRows(w io.Writer, name string, rows []Row) {
+	fmt.Fprintf(w, "\n%s\tpolicy\tin time\tlate\trefused\tunknown\tfailed\tbroken\t\n", name)
+	for _, row := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", row.Tier, row.Policy, row.InTime, row.Late, row.Refused, row.Unknown, row.Failed, row.Broken)
+	}
+}
+
 func (r *Report) printTimes(w io.Writer, name string, times map[string]Percentiles) {
 	fmt.Fprintf(w, "\n%s, ms\tcount\tp50\tp95\tp99\tmax\t\n", name)
 	for _, tier := range slices.Sorted(maps.Keys(times)) {
