--- a/Makefile
+++ b/Makefile
@@ -12,10 +12,10 @@
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 fmt: ## format the code
-	gofmt -w cmd internal
+	gofmt -w cmd internal examples
 
 lint: ## formatter, vet and staticcheck
-	@test -z "$$(gofmt -l cmd internal | tee /dev/stderr)"
+	@test -z "$$(gofmt -l cmd internal examples | tee /dev/stderr)"
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
