--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: help build lint model test fmt
+.PHONY: help build lint model test fmt demo trial
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/^([a-z-]+):[^#]*## /\1\t/' | expand -t 12
@@ -24,3 +24,9 @@
 
 test: lint model ## lint, model checking and the tests
 	$(GO) test -timeout 10m ./...
+
+demo: ## run a small deployment, send a mixed load and check every response
+	./scripts/deploy.sh demo
+
+trial: ## run a small deployment on 127.0.0.1:8080 until Ctrl-C
+	./scripts/deploy.sh trial
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -38,7 +38,9 @@
 	if err != nil || args.Check {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	// SIGINT keeps its default, so that a Ctrl-C in the trial, which reaches all
+	// processes, does not stop the targets before the daemons.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	platform, err := standin.Start(config)
 	if err != nil {
