Expire old figures and let reports never block in placement

Cause: an idle session brings no figures, so a target that was busy when its last attempt ended looked busy for ever; a Connector that reports the sessions it closes could block the owner on its own full channel. Change: figures describe the load for 5 s and the speed for 30 s; a mailbox replaces the channel; ejected targets are not offered by LowerTierQueued, since that would bypass the single probe; prefix-affinity picks near the best.

--- a/internal/coordination/placement/alternative.go
+++ b/internal/coordination/placement/alternative.go
@@ -40,7 +40,7 @@
 	return max(prefill, c.wait-seconds(extra))
 }
 
-// LowerTierQueued returns the targets, other than those tried, that may have
+// LowerTierQueued returns the targets, other than those tried or ejected, that may have
 // room for a request of the given tier: those whose figures of at most 2 s age
 // show a queued request of a lower tier or a free place, followed by those
 // without such figures, since nothing shows that they are full. An entry may
@@ -51,7 +51,7 @@
 	var shown, unknown []state.TargetID
 	for _, c := range s.candidates {
 		t := c.target
-		if _, tried := q.Tried[t.id]; tried {
+		if _, tried := q.Tried[t.id]; tried || c.probing {
 			continue
 		}
 		switch {
--- a/internal/coordination/placement/delay.go
+++ b/internal/coordination/placement/delay.go
@@ -28,9 +28,9 @@
 const maxDelay = time.Hour
 
 // ratesOf returns the speeds of t at a full window.
-func (v *serviceView) ratesOf(t *target) rates {
+func (v *serviceView) ratesOf(t *target, now time.Time) rates {
 	r := v.typical
-	if t.figures == nil {
+	if t.figures == nil || now.Sub(t.received) > speedLifetime {
 		return r
 	}
 	if t.figures.PrefillRate > 0 {
@@ -53,7 +53,7 @@
 // predict fills in the speeds, the delay and the wait of c.
 func (s *scene) predict(c *candidate) {
 	req := s.query.Request
-	c.rates = s.service.ratesOf(c.target)
+	c.rates = s.service.ratesOf(c.target, s.query.Now)
 	prefill := float64(workOf(req, c.cached).prompt) / c.rates.prefill
 	queued, running, sent := s.backlog(c.target, c.rates)
 	c.delay = seconds(queued + running + sent*s.service.senders + prefill)
@@ -66,7 +66,7 @@
 	tier := s.query.Request.Tier
 	prompt, output := t.live.ahead(tier)
 	sent = float64(prompt)/r.prefill + float64(output)/r.decode
-	if t.figures == nil {
+	if t.load(s.query.Now) == nil {
 		return 0, 0, sent
 	}
 	tokens := 0
@@ -82,7 +82,7 @@
 // slot of a full window becomes free after about the running work divided by
 // the window.
 func (s *scene) startWait(t *target, ahead, running float64) float64 {
-	if t.figures == nil || s.freeSlot(t) {
+	if t.load(s.query.Now) == nil || s.freeSlot(t) {
 		return 0
 	}
 	return ahead + running/float64(max(1, t.figures.Window))
--- a/internal/coordination/placement/feedback.go
+++ b/internal/coordination/placement/feedback.go
@@ -7,10 +7,6 @@
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
-// eventBuffer is the number of events that wait for the owner. The owner never
-// waits for anything but events, so a full buffer delays a sender only briefly.
-const eventBuffer = 1024
-
 // event is a message to the owner.
 type event interface{ apply(o *owner) }
 
@@ -54,30 +50,25 @@
 	}
 )
 
-func (p *Placer) send(e event) {
-	select {
-	case p.events <- e:
-	case <-p.done:
-	}
-}
-
 // SetMembers replaces the instance list. Entries in it are counted to estimate
 // how many others send to the same targets.
-func (p *Placer) SetMembers(members []state.Member) { p.send(membersEvent{members: members}) }
+func (p *Placer) SetMembers(members []state.Member) {
+	p.mailbox.put(membersEvent{members: members}, false)
+}
 
 // SessionOpened tells that a session to target is live. status may be nil.
 func (p *Placer) SessionOpened(target state.TargetID, incarnation state.Incarnation, status *state.Status) {
-	p.send(openedEvent{target: target, incarnation: incarnation, status: status, at: time.Now()})
+	p.mailbox.put(openedEvent{target: target, incarnation: incarnation, status: status, at: time.Now()}, false)
 }
 
 // Status records a load report of target.
 func (p *Placer) Status(target state.TargetID, status *state.Status) {
-	p.send(statusEvent{target: target, status: status, at: time.Now()})
+	p.mailbox.put(statusEvent{target: target, status: status, at: time.Now()}, true)
 }
 
 // Figures records load figures that came with the end of an attempt.
 func (p *Placer) Figures(target state.TargetID, figures *state.Figures) {
-	p.send(figuresEvent{target: target, figures: figures, at: time.Now()})
+	p.mailbox.put(figuresEvent{target: target, figures: figures, at: time.Now()}, true)
 }
 
 // Leaving tells that target accepts no new work. It takes effect before the
@@ -87,12 +78,12 @@
 	if t := p.snapshot.Load().targets[target]; t != nil {
 		t.live.leave(now)
 	}
-	p.send(leavingEvent{target: target, at: now})
+	p.mailbox.put(leavingEvent{target: target, at: now}, false)
 }
 
 // SessionLost tells that the session to target failed or could not be opened.
 func (p *Placer) SessionLost(target state.TargetID, err error) {
-	p.send(lostEvent{target: target, err: err, at: time.Now()})
+	p.mailbox.put(lostEvent{target: target, err: err, at: time.Now()}, false)
 }
 
 // Sent tells that an attempt is being dispatched. The next Place takes it into
@@ -112,7 +103,7 @@
 	}
 	t.live.add(open.work, 1)
 	p.prefixes.add(target, blocks)
-	p.send(sentEvent{attempt: attempt, open: open})
+	p.mailbox.put(sentEvent{attempt: attempt, open: open}, false)
 }
 
 // Ended tells how an attempt ended.
@@ -121,5 +112,5 @@
 	if outcome.Reason == state.ReasonLeaving {
 		p.Leaving(target)
 	}
-	p.send(endedEvent{target: target, attempt: attempt, outcome: outcome, at: now})
+	p.mailbox.put(endedEvent{target: target, attempt: attempt, outcome: outcome, at: now}, false)
 }
--- a/internal/coordination/placement/owner.go
+++ b/internal/coordination/placement/owner.go
@@ -86,29 +86,23 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case e := <-o.placer.events:
-			e.apply(o)
-			o.drain()
+		case <-o.placer.mailbox.wake:
+			o.apply(o.placer.mailbox.take()...)
 		case now := <-ticker.C:
 			o.reconnect(now)
 		}
-		if o.changed {
-			o.publish()
-		}
-		o.settle()
 	}
 }
 
-// drain applies the events that wait already, so that a burst is published once.
-func (o *owner) drain() {
-	for range eventBuffer {
-		select {
-		case e := <-o.placer.events:
-			e.apply(o)
-		default:
-			return
-		}
+// apply applies events and publishes what has changed.
+func (o *owner) apply(events ...event) {
+	for _, e := range events {
+		e.apply(o)
+	}
+	if o.changed {
+		o.publish()
 	}
+	o.settle()
 }
 
 // settle subtracts the attempts that the published figures include. It runs
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -42,8 +42,7 @@
 type Placer struct {
 	cfg      Config
 	salt     uint64 // hash of the entry name, so that entries with equal seeds draw differently
-	events   chan event
-	done     chan struct{} // closed when Run returns
+	mailbox  *mailbox
 	snapshot atomic.Pointer[snapshot]
 	policies atomic.Pointer[policySet]
 	setting  sync.Mutex // serialises SetBundle
@@ -74,8 +73,7 @@
 	p := &Placer{
 		cfg:      cfg,
 		salt:     xxhash.Sum64String(string(cfg.Entry)),
-		events:   make(chan event, eventBuffer),
-		done:     make(chan struct{}),
+		mailbox:  newMailbox(),
 		prefixes: newPrefixIndex(maxIndexedBlocks),
 	}
 	p.owner = newOwner(p)
@@ -86,7 +84,7 @@
 
 // Run owns the tracked state until ctx ends. It is called once.
 func (p *Placer) Run(ctx context.Context) error {
-	defer close(p.done)
+	defer p.mailbox.close()
 	return p.owner.run(ctx)
 }
 
@@ -150,10 +148,7 @@
 		if t.subset || t.connected {
 			continue
 		}
-		select {
-		case p.events <- wantEvent{target: t.id}:
-		default: // the next prompt with these blocks asks again
-		}
+		p.mailbox.put(wantEvent{target: t.id}, true)
 	}
 }
 
@@ -220,7 +215,7 @@
 func (s *scene) add(t *target, affinity bool) {
 	c := &candidate{target: t, affinity: affinity, probing: t.ejected}
 	c.cached = t.trusted(min(s.cached[t.id], len(s.query.Blocks)))
-	c.outstanding = t.outstanding()
+	c.outstanding = t.outstanding(s.query.Now)
 	s.predict(c)
 	if len(s.candidates) == 0 || c.outstanding < s.fewest {
 		s.fewest = c.outstanding
--- a/internal/coordination/placement/plugin_test.go
+++ b/internal/coordination/placement/plugin_test.go
@@ -26,6 +26,7 @@
 		if t.live == nil {
 			t.live = new(live)
 		}
+		t.received = s.query.Now
 		s.add(t, false)
 	}
 	return s
--- a/internal/coordination/placement/policy.go
+++ b/internal/coordination/placement/policy.go
@@ -30,7 +30,7 @@
 			Scorers: []state.WeightedScorer{{Name: "outstanding-requests", Weight: 1}},
 		},
 		PrefixAffinity: {
-			Filters: filters, Picker: "best",
+			Filters: filters, Picker: "weighted-near-best",
 			Scorers: []state.WeightedScorer{{Name: "cached-prefix", Weight: 3}, {Name: "outstanding-requests", Weight: 1}},
 		},
 		Cost: {
--- a/internal/coordination/placement/scenario_test.go
+++ b/internal/coordination/placement/scenario_test.go
@@ -296,6 +296,37 @@
 	})
 }
 
+// Guards against a target that is avoided for ever because its last figures,
+// which an idle session does not replace, showed load or a low speed.
+func TestOldFiguresExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := start(t, "entry-0", engines(2, 1), nil)
+		f := idleFigures(10)
+		f.RunningCount, f.RunningTokens = f.Window, 10000
+		r.Figures(engine(0), f)
+		r.Figures(engine(1), idleFigures(1000))
+		received := func() (n int) {
+			synctest.Wait()
+			for range 20 {
+				target, attempt := r.send(r.query())
+				r.Ended(target, attempt, Outcome{Complete: true})
+				synctest.Wait()
+				if target == engine(0) {
+					n++
+				}
+			}
+			return n
+		}
+		if n := received(); n != 0 {
+			t.Errorf("the loaded target received %d of 20 requests", n)
+		}
+		time.Sleep(speedLifetime + time.Second)
+		if n := received(); n == 0 {
+			t.Errorf("the target received nothing after its figures had expired")
+		}
+	})
+}
+
 // Guards against queued work that stays behind on a slowed engine.
 func TestAlternative(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/placement/structure_test.go
+++ b/internal/coordination/placement/structure_test.go
@@ -13,14 +13,22 @@
 )
 
 // recorder is a Connector that records the sessions asked for.
-type recorder struct{ connected, forgotten map[state.TargetID]int }
+type recorder struct {
+	connected, forgotten map[state.TargetID]int
+	onForget             func(target state.TargetID)
+}
 
 func newRecorder() *recorder {
 	return &recorder{connected: map[state.TargetID]int{}, forgotten: map[state.TargetID]int{}}
 }
 func (c *recorder) SetAddress(state.Member, bool) {}
 func (c *recorder) Connect(target state.TargetID) { c.connected[target]++ }
-func (c *recorder) Forget(target state.TargetID)  { c.forgotten[target]++ }
+func (c *recorder) Forget(target state.TargetID) {
+	c.forgotten[target]++
+	if c.onForget != nil {
+		c.onForget(target)
+	}
+}
 
 // Guards against sessions to every target, against a subset that prefers other
 // failure domains, and against a lost session that is never opened again.
@@ -58,6 +66,64 @@
 	})
 }
 
+// Guards against a deadlock of the owner with a connector that reports the
+// sessions it closes, and against reports that are kept without bound.
+func TestMailboxNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRecorder()
+		r := start(t, "entry-0", engines(2*mailboxLimit, 1), c)
+		c.onForget = func(target state.TargetID) { r.SessionLost(target, errors.New("forgotten")) }
+		r.SetMembers(engines(1, 1))
+		synctest.Wait()
+		if target, _ := r.send(r.query()); target != engine(0) {
+			t.Errorf("placed on %s", target)
+		}
+	})
+	m := newMailbox()
+	for range 2 * mailboxLimit {
+		m.put(statusEvent{}, true)
+	}
+	m.put(endedEvent{}, false)
+	if n := len(m.take()); n != mailboxLimit+1 {
+		t.Errorf("%d events kept, want %d", n, mailboxLimit+1)
+	}
+}
+
+// Guards against prompts whose targets by hash are never connected.
+func TestAffinityTargetsConnectedOnDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRecorder()
+		r := start(t, "entry-0", engines(300, 1), c)
+		r.usePolicy(PrefixAffinity)
+		r.Place(r.query(1, 2, 3))
+		for prefix := range uint64(5) {
+			blocks := make([]uint64, affinityBlocks)
+			blocks[affinityBlocks-1] = prefix
+			r.Place(r.query(blocks...))
+		}
+		synctest.Wait()
+		if n := len(c.connected); n <= subsetSize || n > subsetSize+5*affinityCount {
+			t.Errorf("%d sessions asked for, want %d and up to %d for the prompts", n, subsetSize, 5*affinityCount)
+		}
+	})
+}
+
+// BenchmarkPlace measures one placement of a prompt of 16,000 tokens among 600
+// targets.
+func BenchmarkPlace(b *testing.B) {
+	p := New(Config{Entry: "entry-0", Seed: 1})
+	p.owner.apply(membersEvent{members: engines(600, 380)})
+	blocks := make([]uint64, 250)
+	for i := range blocks {
+		blocks[i] = uint64(i)
+	}
+	p.prefixes.add(engine(1), blocks)
+	q := Query{Request: &state.Request{ID: "r", Service: testService, PromptTokens: 16000}, Blocks: blocks, Now: time.Now()}
+	for b.Loop() {
+		p.Place(q)
+	}
+}
+
 // Guards against an invalid policy that takes the place of a valid one.
 func TestInvalidPolicyKeepsEarlier(t *testing.T) {
 	p := New(Config{Entry: "entry-0"})
--- a/internal/coordination/placement/summary.go
+++ b/internal/coordination/placement/summary.go
@@ -24,7 +24,7 @@
 	for id, t := range p.snapshot.Load().targets {
 		s := Summary{
 			Service: t.service, Subset: t.subset, Connected: t.connected, Leaving: t.live.leaving(),
-			Ejected: t.ejected, Outstanding: t.outstanding(), FiguresAge: -1,
+			Ejected: t.ejected, Outstanding: t.outstanding(now), FiguresAge: -1,
 		}
 		if t.figures != nil {
 			s.FiguresAge = now.Sub(t.received).Seconds()
--- a/internal/coordination/placement/target.go
+++ b/internal/coordination/placement/target.go
@@ -145,10 +145,27 @@
 	return w
 }
 
+const (
+	// loadLifetime is the age up to which figures describe the load. An idle
+	// session brings none, so without this limit a target that was busy when its
+	// last attempt ended would look busy for ever.
+	loadLifetime = 5 * time.Second
+	// speedLifetime is the same for the measured speeds, which change less.
+	speedLifetime = 30 * time.Second
+)
+
+// load returns the figures as far as they still describe the load, or nil.
+func (t *target) load(now time.Time) *state.Figures {
+	if t.figures == nil || now.Sub(t.received) > loadLifetime {
+		return nil
+	}
+	return t.figures
+}
+
 // outstanding returns the number of requests queued, running and sent since.
-func (t *target) outstanding() int {
+func (t *target) outstanding(now time.Time) int {
 	n := int(t.live.count.Load())
-	if t.figures == nil {
+	if t.load(now) == nil {
 		return n
 	}
 	return n + t.figures.RunningCount + t.queuedCount(state.MaxTiers-1)
