--- a/internal/coordination/placement/delay.go
+++ b/internal/coordination/placement/delay.go
@@ -61,7 +61,8 @@
 }
 
 // backlog returns the seconds of work queued at the same or a higher tier,
-// running, and sent since the figures.
+// running, and sent since the figures. Plain calls have no tokens and are
+// counted instead.
 func (s *scene) backlog(t *target, r rates) (queued, running, sent float64) {
 	tier := s.query.Request.Tier
 	prompt, output := t.live.ahead(tier)
@@ -69,6 +70,10 @@
 	if t.load(s.query.Now) == nil {
 		return 0, 0, sent
 	}
+	if s.query.Request.Kind == state.PlainCall {
+		queued = float64(t.queuedCount(tier)*plainCallTokens) / r.decode
+		return queued, float64(t.figures.RunningCount*plainCallTokens) / r.decode, sent
+	}
 	tokens := 0
 	for i := 0; i <= min(int(tier), state.MaxTiers-1); i++ {
 		tokens += t.figures.QueuedTokens[i]
--- a/internal/coordination/placement/scorer_predicted_delay_test.go
+++ b/internal/coordination/placement/scorer_predicted_delay_test.go
@@ -34,14 +34,19 @@
 		{"others send alike", with(func(*state.Figures) {}), 10, work{tier: 1, prompt: 500, output: 50}, 3, 3 * time.Second, time.Second},
 		{"free slot", with(func(f *state.Figures) { f.Window, f.RunningTokens = 2, 200 }), 10, work{}, 1, time.Second, 0},
 		{"slowed five times", with(func(f *state.Figures) { f.DecodeRate, f.RunningTokens = 20, 200 }), 10, work{}, 1, 10 * time.Second, 10 * time.Second},
+		{"plain calls", with(func(f *state.Figures) { f.RunningCount, f.Window, f.QueuedCount[0] = 4, 4, 1 }), -1, work{}, 1, 800 * time.Millisecond, 320 * time.Millisecond},
 	} {
 		e := &target{id: "e", figures: tc.figures, cacheTrust: 1, live: new(live)}
 		if tc.sent != (work{}) {
 			e.live.add(tc.sent, 1)
 		}
-		s := testScene(state.Request{Tier: 1, PromptTokens: 640}, e)
+		req := state.Request{Tier: 1, PromptTokens: 640}
+		if tc.cached < 0 {
+			req = state.Request{Tier: 1, Kind: state.PlainCall}
+		}
+		s := testScene(req, e)
 		s.service.senders = tc.senders
-		c := &candidate{target: e, cached: tc.cached}
+		c := &candidate{target: e, cached: max(0, tc.cached)}
 		s.predict(c)
 		if c.delay.Round(time.Millisecond) != tc.delay || c.wait.Round(time.Millisecond) != tc.wait {
 			t.Errorf("%s: delay %v wait %v, want %v and %v", tc.name, c.delay, c.wait, tc.delay, tc.wait)
--- a/internal/ctl/loadcmd/command.go
+++ b/internal/ctl/loadcmd/command.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/ctl/vars"
+	"github.com/cassiaramp/cassiaramp/internal/standin"
 )
 
 // ErrGuaranteeBroken tells that responses or the ledger contradict a guarantee.
@@ -47,7 +48,7 @@
 	PromptTokens  int           `arg:"--prompt-tokens" default:"200" help:"median prompt length; the longest is 100 times that"`
 	OutputTokens  int           `arg:"--output-tokens" default:"48" help:"median output length; the longest is 100 times that"`
 	MaxOpen       int           `arg:"--max-open" default:"1000" help:"open requests at most; further arrivals are skipped"`
-	Ledger        string        `arg:"--ledger" help:"base URL of the stand-in whose ledger is checked"`
+	Ledger        string        `arg:"--ledger" help:"admin URL of the stand-in that runs the targets: check its ledger and the generated text"`
 	Admin         []string      `arg:"--admin,separate" help:"admin URL of an entry, for wasted prefill; repeatable"`
 	EntryFailures bool          `arg:"--entry-failures" help:"entries are being stopped: do not count broken connections as lost or cut responses"`
 	JSON          bool          `arg:"--json" help:"print one JSON document at the end"`
@@ -190,43 +191,22 @@
 	}
 }
 
-// ledger is the stand-in's record of what its targets ran, by the request's id:
-// the body field "user" or the header X-Load-Id.
-type ledger struct {
-	Targets []struct {
-		Users map[string]struct {
-			Started int `json:"started"`
-		} `json:"users"`
-	} `json:"targets"`
-}
-
-// runs sums the runs of each id over all targets.
-func (l *ledger) runs() map[string]int {
-	out := make(map[string]int)
-	for _, t := range l.Targets {
-		for id, counts := range t.Users {
-			out[id] += counts.Started
-		}
-	}
-	return out
-}
-
 // checkLedger compares what callers were told with what ran.
 func (g *generator) checkLedger(r *Report) error {
 	body, err := vars.Get(strings.TrimRight(g.cmd.Ledger, "/")+"/admin/ledger", ledgerTimeout)
 	if err != nil {
 		return fmt.Errorf("read ledger at %s: %w", g.cmd.Ledger, err)
 	}
-	var l ledger
+	var l standin.Ledger
 	if err := json.Unmarshal(body, &l); err != nil {
 		return fmt.Errorf("read ledger at %s: %w", g.cmd.Ledger, err)
 	}
 	if l.Targets == nil {
 		return fmt.Errorf("read ledger at %s: no \"targets\" in it", g.cmd.Ledger)
 	}
-	runs := l.runs()
+	users := l.Users() // the id of a request is its "user" or its X-Load-Id
 	for _, e := range g.final {
-		e.compare(runs[e.spec.id], r)
+		e.compare(users[e.spec.id].Started, r)
 	}
 	r.LedgerChecked = true
 	return nil
--- a/internal/ctl/loadcmd/load_test.go
+++ b/internal/ctl/loadcmd/load_test.go
@@ -16,6 +16,9 @@
 	"github.com/alexflint/go-arg"
 	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
+
+	"github.com/cassiaramp/cassiaramp/internal/standin"
+	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
 // serve runs a stub on loopback and returns its URL.
@@ -101,25 +104,22 @@
 	}
 }
 
-// standin answers every request and counts the runs of each id.
-type standin struct {
+// stub answers every request and counts the runs of each id.
+type stub struct {
 	mu    sync.Mutex
 	Runs  map[string]int                                             `json:"runs"`
 	fault func(id string, keyed bool, ctx *fasthttp.RequestCtx) bool // true when it answered
 }
 
-func (s *standin) handle(ctx *fasthttp.RequestCtx) {
+func (s *stub) handle(ctx *fasthttp.RequestCtx) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if string(ctx.Path()) == "/admin/ledger" {
-		type counts struct {
-			Started int `json:"started"`
-		}
-		users := map[string]counts{}
+		users := map[string]standin.Counts{}
 		for id, n := range s.Runs {
-			users[id] = counts{n}
+			users[id] = standin.Counts{Started: n}
 		}
-		json.NewEncoder(ctx).Encode(map[string]any{"targets": []any{map[string]any{"users": users}}})
+		json.NewEncoder(ctx).Encode(standin.Ledger{Targets: []standin.TargetLedger{{Users: users}}})
 		return
 	}
 	id := string(ctx.Request.Header.Peek("X-Load-Id"))
@@ -139,11 +139,46 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
+	text := standin.ExpectedText(b.prompt(), 2)
 	if b.Stream {
-		ctx.SetBodyString(event("t0 ", "") + event("t1 ", "stop") + usage2 + "data: [DONE]\n\n")
+		half := len(text) / 2
+		ctx.SetBodyString(event(text[:half], "") + event(text[half:], "stop") + usage2 + "data: [DONE]\n\n")
 		return
 	}
-	ctx.SetBodyString(`{"choices":[{"text":"t0 t1","finish_reason":"stop"}],"usage":{"completion_tokens":2}}`)
+	fmt.Fprintf(ctx, `{"choices":[{"text":%q,"finish_reason":"stop"}],"usage":{"completion_tokens":2}}`, text)
+}
+
+// prompt returns the prompt as an engine sees it.
+func (b *body) prompt() []byte {
+	out := []byte(b.Prompt)
+	for _, m := range b.Messages {
+		out = append(out, m.Role+"\n"+m.Content+"\n"...)
+	}
+	return out
+}
+
+// Guards against a load that stand-in engines do not understand, and against a
+// ledger that is read wrongly: an engine that knows no keys runs a repeated
+// request twice.
+func TestRunAgainstStandin(t *testing.T) {
+	free := "127.0.0.1:0"
+	p, err := standin.Start(&standin.Config{Seed: 1, Admin: free, Engines: []standin.EngineConfig{{
+		Name: "e", Address: free, PrefillRate: 1e6, DecodeRate: 1e5, RequestRate: 2000, CacheTokens: 4096,
+		Models: []state.ModelSpec{{Name: "m", Version: "1"}},
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	c := command(p.URL("e"))
+	c.Service, c.Ledger = "", p.URL(standin.AdminName)
+	if err := c.Run(t.Context(), io.Discard); err != nil {
+		t.Errorf("one entry: %v", err)
+	}
+	c.Entry = []string{p.URL("e"), p.URL("e")}
+	if err := c.Run(t.Context(), io.Discard); !errors.Is(err, ErrGuaranteeBroken) {
+		t.Errorf("repeats that run twice: error %v, want %v", err, ErrGuaranteeBroken)
+	}
 }
 
 // Guards against a run that misses a broken guarantee or finds one that was
@@ -156,14 +191,14 @@
 	}
 	for _, tc := range []struct {
 		name  string
-		fault func(s *standin) func(id string, keyed bool, ctx *fasthttp.RequestCtx) bool
+		fault func(s *stub) func(id string, keyed bool, ctx *fasthttp.RequestCtx) bool
 		want  string
 	}{
 		{"kept", nil, ""},
-		{"ran after not-run", func(*standin) func(string, bool, *fasthttp.RequestCtx) bool {
+		{"ran after not-run", func(*stub) func(string, bool, *fasthttp.RequestCtx) bool {
 			return func(_ string, _ bool, ctx *fasthttp.RequestCtx) bool { return refuse(ctx) }
 		}, falseNotRun},
-		{"keyed request ran twice", func(s *standin) func(string, bool, *fasthttp.RequestCtx) bool {
+		{"keyed request ran twice", func(s *stub) func(string, bool, *fasthttp.RequestCtx) bool {
 			return func(id string, keyed bool, _ *fasthttp.RequestCtx) bool {
 				if keyed {
 					s.Runs[id]++
@@ -171,14 +206,14 @@
 				return false
 			}
 		}, doubled},
-		{"cut", func(*standin) func(string, bool, *fasthttp.RequestCtx) bool {
+		{"cut", func(*stub) func(string, bool, *fasthttp.RequestCtx) bool {
 			return func(_ string, _ bool, ctx *fasthttp.RequestCtx) bool {
 				ctx.SetBodyString(event("t0 ", ""))
 				return true
 			}
 		}, cutShort},
 	} {
-		s := &standin{Runs: map[string]int{}}
+		s := &stub{Runs: map[string]int{}}
 		if tc.fault != nil {
 			s.fault = tc.fault(s)
 		}
--- a/internal/ctl/loadcmd/send.go
+++ b/internal/ctl/loadcmd/send.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/cassiaramp/cassiaramp/internal/standin"
 )
 
 const (
@@ -95,7 +97,7 @@
 
 // newSender returns a sender for the entries of c.
 func newSender(c *Command) *sender {
-	return &sender{cmd: c, client: &fasthttp.Client{
+	s := &sender{cmd: c, client: &fasthttp.Client{
 		Name:                      "cassiarampctl",
 		StreamResponseBody:        true,
 		MaxConnsPerHost:           c.MaxOpen * (retries + 2),
@@ -104,6 +106,10 @@
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		DisablePathNormalizing:    true,
 	}}
+	if c.Ledger != "" {
+		s.generated = standin.ExpectedText
+	}
+	return s
 }
 
 // exchange sends the request, a second time through another entry when the spec
@@ -184,7 +190,7 @@
 	req.Header.SetContentType("application/json")
 	req.Header.Set("Cassiaramp-Timeout", s.cmd.Timeout.String())
 	req.Header.Set("Cassiaramp-Idempotent", fmt.Sprint(sp.idempotent))
-	req.Header.Set("X-Load-Id", sp.id)
+	req.Header.Set(standin.LoadIDHeader, sp.id)
 	if sp.tier != "" {
 		req.Header.Set("Cassiaramp-Tier", sp.tier)
 	}
