--- a/cmd/cassiarampctl/main.go
+++ b/cmd/cassiarampctl/main.go
@@ -13,13 +13,21 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/cassiaramp/cassiaramp/internal/ctl/bundlecmd"
+	"github.com/cassiaramp/cassiaramp/internal/ctl/comparecmd"
+	"github.com/cassiaramp/cassiaramp/internal/ctl/loadcmd"
+	"github.com/cassiaramp/cassiaramp/internal/ctl/statuscmd"
+	"github.com/cassiaramp/cassiaramp/internal/ctl/watchcmd"
 )
 
 // commands registers the subcommands, one line each. A subcommand, or each of
 // its own subcommands, has a method Run(ctx, out) error.
 type commands struct {
-	Keys   *bundlecmd.Keys   `arg:"subcommand:keys" help:"create operators' keys and instance certificates"`
-	Bundle *bundlecmd.Bundle `arg:"subcommand:bundle" help:"write, sign, publish and inspect bundles"`
+	Keys    *bundlecmd.Keys     `arg:"subcommand:keys" help:"create operators' keys and instance certificates"`
+	Bundle  *bundlecmd.Bundle   `arg:"subcommand:bundle" help:"write, sign, publish and inspect bundles"`
+	Load    *loadcmd.Command    `arg:"subcommand:load" help:"send a generated load and check the responses"`
+	Status  *statuscmd.Command  `arg:"subcommand:status" help:"show instances, targets, queues and the bundle in effect"`
+	Watch   *watchcmd.Command   `arg:"subcommand:watch" help:"show goodput by tier and wasted prefill by policy"`
+	Compare *comparecmd.Command `arg:"subcommand:compare" help:"compare two policies from one run"`
 }
 
 // runner is a subcommand that can be run.
@@ -41,11 +49,39 @@
   cassiarampctl bundle sign v2.json --operator anna --key keys/anna.key
   cassiarampctl bundle publish v2.json --signature v2.json.anna.sig --log http://127.0.0.1:7070 --signers signers.json
   cassiarampctl bundle status --json
+  cassiarampctl load --entry http://127.0.0.1:8080 --model plan-7b --customer-key KEY --rate 20
+  cassiarampctl status --admin http://127.0.0.1:9001 --admin http://127.0.0.1:9101
+  cassiarampctl watch --admin http://127.0.0.1:9001
+  cassiarampctl compare --admin http://127.0.0.1:9001 cost round-robin
 
 Add --help to a command for its arguments. --log and --signers may also be set
 as CASSIARAMP_LOG and CASSIARAMP_SIGNERS.
 
-` + bundlecmd.ExitHelp
+` + bundlecmd.ExitHelp + `
+  7  load: a guarantee was broken
+  8  status: not everything is in order
+  9  compare: no traffic to compare
+`
+}
+
+// Exit codes in addition to those of bundlecmd. They are stable.
+const (
+	exitGuaranteeBroken = 7
+	exitUnhealthy       = 8
+	exitNoTraffic       = 9
+)
+
+// exitCode returns the exit code for the result of a command.
+func exitCode(err error) int {
+	switch {
+	case errors.Is(err, loadcmd.ErrGuaranteeBroken):
+		return exitGuaranteeBroken
+	case errors.Is(err, statuscmd.ErrUnhealthy):
+		return exitUnhealthy
+	case errors.Is(err, comparecmd.ErrNoTraffic):
+		return exitNoTraffic
+	}
+	return bundlecmd.ExitCode(err)
 }
 
 func main() {
@@ -79,7 +115,7 @@
 	}
 	if err := command.Run(ctx, stdout); err != nil {
 		fmt.Fprintln(stderr, "error:", err)
-		return bundlecmd.ExitCode(err)
+		return exitCode(err)
 	}
 	return bundlecmd.ExitOK
 }
--- a/cmd/cassiarampd/main.go
+++ b/cmd/cassiarampd/main.go
@@ -2,4 +2,94 @@
 // settings say.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/cassiaramp/cassiaramp/internal/daemon"
+	"github.com/cassiaramp/cassiaramp/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1 // the process ended with an error
+	exitSettings = 2 // the settings are invalid or cannot be read
+)
+
+type arguments struct {
+	Settings string `arg:"--settings,required,env:CASSIARAMP_SETTINGS" placeholder:"FILE" help:"settings file: JSON with comments"`
+	Check    bool   `arg:"--check" help:"check the settings and exit"`
+}
+
+// Description is the start of the help text.
+func (arguments) Description() string {
+	return "cassiarampd runs an entry or a side process of cassiaramp, as its settings say."
+}
+
+// Epilogue is the end of the help text.
+func (arguments) Epilogue() string {
+	return `Signals: SIGTERM and SIGINT ask for a planned stop; SIGHUP is ignored, because
+configuration comes from the log.
+
+Exit codes: 0 stopped as planned or settings valid; 1 failed; 2 invalid settings.
+
+Examples:
+  cassiarampd --settings /etc/cassiaramp/entry.json
+  cassiarampd --settings entry.json --check`
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	os.Exit(run(args))
+}
+
+func run(args arguments) int {
+	s, err := settings.Load(args.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if args.Check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	log, err := newLogger(s)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	defer log.Sync()
+	debug.SetMemoryLimit(int64(s.Limits.Memory))
+	signal.Ignore(syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := daemon.Run(ctx, s, log); err != nil {
+		log.Error("process failed", zap.Error(err))
+		return exitFailed
+	}
+	return exitOK
+}
+
+// newLogger writes one line of key=value pairs per event to standard error.
+func newLogger(s *settings.Settings) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(s.Log.Level)
+	if err != nil {
+		return nil, err
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(os.Stderr), level)
+	return zap.New(core).With(zap.String("instance", string(s.Instance))), nil
+}
--- /dev/null
+++ b/internal/daemon/entry.go
@@ -0,0 +1,125 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/claim"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/entry"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/member"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/placement"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/internal/transport/front"
+	"github.com/cassiaramp/cassiaramp/internal/transport/peer"
+	"github.com/cassiaramp/cassiaramp/internal/transport/platform"
+)
+
+// runEntry starts an entry. It returns when everything is started.
+func (p *process) runEntry() error {
+	s := p.settings
+	instances, err := platform.NewInstances(s.Platform.Instances)
+	if err != nil {
+		return fmt.Errorf("instance list: %w", err)
+	}
+	members := member.NewTracker(instances, p.log.Named("member"))
+	connect := newConnector(p.running)
+	placing := placement.New(placement.Config{
+		Entry: s.Instance, Domain: s.FailureDomain, Seed: uint64(p.incarnation),
+		Connector: connect, Log: p.log.Named("placement"),
+	})
+	connect.client = peer.NewClient(peer.ClientConfig{
+		Instance: s.Instance, Incarnation: p.incarnation, LocalIP: localIP(s.Listen.Callers.Addr()),
+		Credentials: p.credentials, Bundles: p.bundles,
+		Observer: &observer{placer: placing, members: members}, Log: p.log.Named("peer"),
+	})
+	claims := claim.NewManager(claim.Config{
+		Log: p.logService, Partitions: s.Platform.ClaimPartitions,
+		Retention: s.Platform.Retention.Std(), Logger: p.log.Named("claim"),
+	})
+	service := entry.New(entry.Config{
+		Peers: connect.client, Claims: claims, Placer: placer{placing},
+		Bundle: p.bundles.Current, MaxOpen: s.Limits.OpenRequests, Log: p.log.Named("entry"),
+	})
+	expvar.Publish("sessions", expvar.Func(func() any { return connect.client.Sessions() }))
+	expvar.Publish("open_requests", expvar.Func(func() any { return service.Open() }))
+
+	members.OnChange(placing.SetMembers)
+	p.background(placing.Run)
+	p.background(members.Run)
+	p.background(claims.Run)
+	p.background(func(ctx context.Context) error {
+		<-ctx.Done()
+		connect.client.Close()
+		return nil
+	})
+	p.followBundles(func(b *state.Bundle) {
+		if err := placing.SetBundle(b); err != nil {
+			p.log.Sugar().Errorw("policies of the bundle not used", "error", err)
+		}
+	})
+	if err := p.serveCallers(service); err != nil {
+		return err
+	}
+	return p.serveAdmin(func() error { return p.entryReady(members) })
+}
+
+const (
+	// callerConnections is the number of connections allowed for each open
+	// request; callers keep idle connections.
+	callerConnections = 4
+	// bodyShare is the part of the memory limit, one in bodyShare, that the
+	// bodies of requests in progress may take.
+	bodyShare = 2
+	// flushTimeout bounds the time to close callers' connections once no request
+	// is open.
+	flushTimeout = 2 * time.Second
+)
+
+var errNoMembers = errors.New("instance list not read yet")
+
+func (p *process) entryReady(members *member.Tracker) error {
+	switch {
+	case p.stopping.Err() != nil:
+		return errLeaving
+	case p.bundles.Accepted() == 0:
+		return errNoBundle
+	case members.ListedAt().IsZero():
+		return errNoMembers
+	}
+	return nil
+}
+
+// serveCallers serves the callers' interface until the process is drained.
+func (p *process) serveCallers(service *entry.Service) error {
+	ln, err := net.Listen("tcp", p.settings.Listen.Callers.String())
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	server := front.New(front.Config{
+		Service: service, Bundle: p.bundles.Current,
+		MaxConnections: callerConnections * p.settings.Limits.OpenRequests,
+		MaxBodyBytes:   int64(p.settings.Limits.Memory) / bodyShare,
+		Log:            p.log.Named("front"),
+	})
+	p.group.Go(func() error { return server.Serve(ln) })
+	p.background(func(ctx context.Context) error {
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.Background(), flushTimeout)
+		defer cancel()
+		return server.Shutdown(stop)
+	})
+	p.group.Go(func() error {
+		select {
+		case <-p.stopping.Done():
+		case <-p.running.Done():
+			return nil
+		}
+		service.StopAccepting()
+		return p.stop(service.Drained())
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/side.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/side"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/internal/transport/peer"
+)
+
+// runSide starts a side process. It returns when everything is started.
+func (p *process) runSide() error {
+	s := p.settings
+	target, err := p.newTarget()
+	if err != nil {
+		return err
+	}
+	service := side.New(side.Config{
+		Instance: s.Instance, Incarnation: p.incarnation,
+		Target: s.Target.ID, Service: s.Target.Service, Log: p.log.Named("side"),
+	}, target.runner)
+	expvar.Publish("figures", expvar.Func(func() any { return service.Figures() }))
+	p.group.Go(func() error { return service.Run(p.running) })
+	p.followBundles(service.SetBundle)
+	target.follow(p, service)
+
+	socket, err := net.ListenPacket("udp", s.Listen.Sessions.String())
+	if err != nil {
+		return fmt.Errorf("listen for sessions: %w", err)
+	}
+	server := &peer.Server{Credentials: p.credentials, Handler: sideHandler{service}, Bundles: p.bundles, Log: p.log.Named("peer")}
+	p.group.Go(func() error {
+		defer socket.Close()
+		return server.Serve(p.running, socket)
+	})
+	if err := p.serveAdmin(func() error { return p.sideReady() }); err != nil {
+		return err
+	}
+	p.group.Go(func() error {
+		select {
+		case <-p.stopping.Done():
+		case <-p.running.Done():
+			return nil
+		}
+		service.Leave()
+		return p.stop(service.Drained())
+	})
+	return nil
+}
+
+var (
+	errNoBundle = errors.New("no bundle in effect")
+	errLeaving  = errors.New("leaving")
+)
+
+func (p *process) sideReady() error {
+	if p.stopping.Err() != nil {
+		return errLeaving
+	}
+	if p.bundles.Accepted() == 0 {
+		return errNoBundle
+	}
+	return nil
+}
+
+// sideHandler adapts side.Service to the interfaces of the peer server.
+type sideHandler struct{ service *side.Service }
+
+func (h sideHandler) OpenSession(entry state.InstanceID, incarnation state.Incarnation, number uint64) (peer.Session, error) {
+	s, err := h.service.OpenSession(entry, incarnation, number)
+	if err != nil {
+		return nil, err
+	}
+	return sideSession{s}, nil
+}
+
+func (h sideHandler) Identity() (state.InstanceID, state.Incarnation, state.TargetID, state.Service) {
+	return h.service.Identity()
+}
+
+type sideSession struct{ *side.Session }
+
+func (s sideSession) Dispatch(d *state.Dispatch) peer.Attempt { return s.Session.Dispatch(d) }
+func (s sideSession) Attach(a *state.Attach) peer.Attempt     { return s.Session.Attach(a) }
+
+// background runs f until the process ends.
+func (p *process) background(f func(context.Context) error) {
+	p.group.Go(func() error { return f(p.running) })
+}
