Do not report the end of a planned stop as a failure

Cause: a goroutine that returned the cancellation of the process context made a side process log 'process failed' and exit with status 1 after SIGTERM. Change: what a background goroutine returns once the process has ended is not an error. Conclusion: exit status 1 now means a failure.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,7 +86,7 @@
 	var running context.Context
 	running, p.finish = context.WithCancel(context.WithoutCancel(ctx))
 	p.group, p.running = errgroup.WithContext(running)
-	p.group.Go(func() error { return p.bundles.Run(p.running) })
+	p.background(p.bundles.Run)
 	expvar.Publish("bundle_version", expvar.Func(func() any { return p.bundles.Accepted() }))
 	expvar.Publish("process", expvar.Func(func() any {
 		return map[string]any{
@@ -124,6 +124,18 @@
 	})
 }
 
+// background runs f until the process ends. What f returns because of that end
+// is not an error.
+func (p *process) background(f func(context.Context) error) {
+	p.group.Go(func() error {
+		err := f(p.running)
+		if p.running.Err() != nil {
+			return nil
+		}
+		return err
+	})
+}
+
 // stop waits for drained after a planned stop was begun and then ends the
 // process.
 func (p *process) stop(drained <-chan struct{}) error {
--- a/internal/daemon/side.go
+++ b/internal/daemon/side.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"errors"
 	"expvar"
 	"fmt"
@@ -24,7 +23,7 @@
 		Target: s.Target.ID, Service: s.Target.Service, Log: p.log.Named("side"),
 	}, target.runner)
 	expvar.Publish("figures", expvar.Func(func() any { return service.Figures() }))
-	p.group.Go(func() error { return service.Run(p.running) })
+	p.background(service.Run)
 	p.followBundles(service.SetBundle)
 	target.follow(p, service)
 
@@ -86,8 +85,3 @@
 
 func (s sideSession) Dispatch(d *state.Dispatch) peer.Attempt { return s.Session.Dispatch(d) }
 func (s sideSession) Attach(a *state.Attach) peer.Attempt     { return s.Session.Attach(a) }
-
-// background runs f until the process ends.
-func (p *process) background(f func(context.Context) error) {
-	p.group.Go(func() error { return f(p.running) })
-}
