--- a/internal/ctl/loadcmd/send.go
+++ b/internal/ctl/loadcmd/send.go
@@ -239,23 +239,17 @@
 	}
 	r.code = errorCode(content)
 	r.detail = fmt.Sprintf("status %d, code %q", r.status, r.code)
-	switch string(resp.Header.Peek("Cassiaramp-Outcome")) {
-	case "not-run":
-		r.outcome = refused
-	case "unknown":
-		r.outcome = unknown
-	default:
-		r.outcome = failed
-	}
+	r.outcome = outcomeOf(string(resp.Header.Peek("Cassiaramp-Outcome")))
 }
 
 // readPlain reads the response of a plain call. A stand-in's response contains
-// the id of the request.
+// the id of the request. A body that is broken off is the only way to report a
+// failure after the head, so it counts as an explicit error.
 func (r *reply) readPlain(stream io.Reader, sp *spec) {
 	content, err := io.ReadAll(io.LimitReader(stream, maxPlainBody))
 	switch {
 	case err != nil:
-		r.outcome, r.detail = broken, err.Error()
+		r.outcome, r.detail = failed, err.Error()
 	case r.standin && !bytes.Contains(content, []byte(sp.id)):
 		r.outcome, r.detail = cut, "the response is not the one to this request"
 	default:
--- a/internal/ctl/loadcmd/tally.go
+++ b/internal/ctl/loadcmd/tally.go
@@ -13,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/cassiaramp/cassiaramp/internal/ctl/vars"
+	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
 // Bounds of the histograms, in microseconds.
@@ -173,7 +174,12 @@
 	case refused:
 		row.Refused++
 	case unknown:
-		row.Unknown++
+		// The entries count a request that ran out of time as late, too.
+		if r.code == string(state.ReasonTimeout) {
+			row.Late++
+		} else {
+			row.Unknown++
+		}
 	case failed:
 		row.Failed++
 	case broken, cut:
