Read instance and queue as the daemon publishes them

Cause: the daemon publishes a map "process" and, at a side process, "figures". Change: status takes names from process and queue lengths from figures when there is no "queue". Conclusion: tests pass under the race detector.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -20,6 +20,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/ctl/statuscmd"
 	"github.com/cassiaramp/cassiaramp/internal/ctl/vars"
 	"github.com/cassiaramp/cassiaramp/internal/ctl/watchcmd"
+	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
 // serve answers the n-th read of /debug/vars with the n-th document, and later
@@ -59,15 +60,18 @@
 // Guards against a status that hides an unreachable process, a different bundle
 // version or a violated invariant.
 func TestStatus(t *testing.T) {
-	entry := vars.Vars{Instance: "entry-0", Role: "entry", BundleVersion: 4, Targets: map[string]vars.Target{"e1": {Service: "s", Connected: true}, "e2": {Service: "s", Leaving: true}}}
-	side := vars.Vars{Instance: "side-1", Role: "side", BundleVersion: 4, Queue: vars.Counter{"0": 1, "2": 5}}
-	old := vars.Vars{Instance: "side-2", Role: "side", BundleVersion: 3, Queue: vars.Counter{"2": 1}}
+	entry := vars.Vars{Process: vars.Process{Instance: "entry-0", Role: "entry"}, BundleVersion: 4, Targets: map[string]vars.Target{"e1": {Service: "s", Connected: true}, "e2": {Service: "s", Leaving: true}}}
+	side := vars.Vars{BundleVersion: 4, Figures: &state.Figures{QueuedCount: [state.MaxTiers]int{1, 0, 5}}}
+	old := vars.Vars{BundleVersion: 3, Queue: vars.Counter{"2": 1}}
 	violated := vars.Vars{BundleVersion: 4, InvariantViolations: vars.Counter{"tier_order": 1}}
 
 	s, err := run[statuscmd.Status](t, &statuscmd.Command{Admin: []string{serve(t, entry), serve(t, side)}, JSON: true})
 	if err != nil || s.BundleVersion != 4 {
 		t.Errorf("bundle version %d, error %v", s.BundleVersion, err)
 	}
+	if diff := cmp.Diff(vars.Counter{"0": 1, "2": 5}, s.Queue); diff != "" || s.Instances[0].Name != "entry-0" {
+		t.Errorf("instance %q, queue (-want +got):\n%s", s.Instances[0].Name, diff)
+	}
 	want := map[string]statuscmd.Target{"e1": {Service: "s", Connected: 1}, "e2": {Service: "s", Leaving: true}}
 	if diff := cmp.Diff(want, s.Targets); diff != "" {
 		t.Errorf("targets (-want +got):\n%s", diff)
--- a/internal/ctl/statuscmd/command.go
+++ b/internal/ctl/statuscmd/command.go
@@ -100,8 +100,8 @@
 
 func (s *Status) add(r vars.Reading) {
 	i := Instance{
-		Name: r.Vars.Instance, Role: r.Vars.Role, URL: r.URL, BundleVersion: r.Vars.BundleVersion,
-		Queue: r.Vars.Queue, Violations: r.Vars.InvariantViolations.Total(), Error: r.Error,
+		Name: r.Vars.Process.Instance, Role: r.Vars.Process.Role, URL: r.URL, BundleVersion: r.Vars.BundleVersion,
+		Queue: r.Vars.QueuedByTier(), Violations: r.Vars.InvariantViolations.Total(), Error: r.Error,
 	}
 	s.Instances = append(s.Instances, i)
 	if r.Error != "" {
@@ -113,7 +113,7 @@
 			s.Problems = append(s.Problems, fmt.Sprintf("%s: invariant %s violated %d times", r.URL, name, n))
 		}
 	}
-	s.Queue.Add(r.Vars.Queue)
+	s.Queue.Add(i.Queue)
 	for name, seen := range r.Vars.Targets {
 		t := s.Targets[name]
 		t.Service = seen.Service
--- a/internal/ctl/vars/vars.go
+++ b/internal/ctl/vars/vars.go
@@ -8,11 +8,14 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
 // fetchTimeout bounds one read of /debug/vars.
@@ -23,8 +26,7 @@
 
 // Vars is what one process publishes. Counters have the key "policy/tier".
 type Vars struct {
-	Instance            string            `json:"instance"`
-	Role                string            `json:"role"`
+	Process             Process           `json:"process"`
 	BundleVersion       uint64            `json:"bundle_version"`
 	Goodput             Counter           `json:"goodput"`
 	Requests            Counter           `json:"requests"`
@@ -33,11 +35,33 @@
 	Late                Counter           `json:"late"`
 	WastedPrefillTokens Counter           `json:"wasted_prefill_tokens"`
 	PromptTokens        Counter           `json:"prompt_tokens"`
-	Queue               Counter           `json:"queue"` // by tier
+	Queue               Counter           `json:"queue"`   // queued requests by tier
+	Figures             *state.Figures    `json:"figures"` // side processes only
 	InvariantViolations Counter           `json:"invariant_violations"`
 	Targets             map[string]Target `json:"targets"`
 }
 
+// Process identifies a process.
+type Process struct {
+	Instance string `json:"instance"`
+	Role     string `json:"role"`
+}
+
+// QueuedByTier returns Queue or, for a side process that publishes only its
+// load figures, the counts in them by the number of the tier.
+func (v *Vars) QueuedByTier() Counter {
+	if v.Queue != nil || v.Figures == nil {
+		return v.Queue
+	}
+	out := make(Counter)
+	for tier, n := range v.Figures.QueuedCount {
+		if n > 0 {
+			out[strconv.Itoa(tier)] = int64(n)
+		}
+	}
+	return out
+}
+
 // Target is an entry's view of a target.
 type Target struct {
 	Service     string `json:"service"`
