--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: help build lint test fmt
+.PHONY: help build lint model test fmt demo trial
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/^([a-z-]+):[^#]*## /\1\t/' | expand -t 12
@@ -12,12 +12,21 @@
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 fmt: ## format the code
-	gofmt -w cmd internal
+	gofmt -w cmd internal examples
 
 lint: ## formatter, vet and staticcheck
-	@test -z "$$(gofmt -l cmd internal | tee /dev/stderr)"
+	@test -z "$$(gofmt -l cmd internal examples | tee /dev/stderr)"
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
-test: lint ## lint and run the tests
+model: ## check the protocol specifications and their variants with spin
+	./model/check.sh
+
+test: lint model ## lint, model checking and the tests
 	$(GO) test -timeout 10m ./...
+
+demo: ## run a small deployment, send a mixed load and check every response
+	./scripts/deploy.sh demo
+
+trial: ## run a small deployment on 127.0.0.1:8080 until Ctrl-C
+	./scripts/deploy.sh trial
