Count the bytes of sessions and platform calls

peer publishes messages and bytes of control and attempt streams and the sums of quic's ConnectionStats, which are read only when the variable is. platform publishes the bytes of the log, the instance list and the orders, headers included. A message costs two atomic additions.

go test -race -count=15 passes on both packages.

--- a/internal/transport/peer/attempt.go
+++ b/internal/transport/peer/attempt.go
@@ -26,11 +26,13 @@
 // read passes events on until the stream ends, then closes the channel.
 func (a *attemptStream) read() {
 	defer close(a.events)
+	in := attemptTraffic.reader(a.stream)
 	for {
-		m, err := protocol.Read(a.stream)
+		m, err := protocol.Read(in)
 		if err != nil {
 			return
 		}
+		attemptTraffic.messagesReceived.Add(1)
 		a.session.touch()
 		event, ok := m.(state.AttemptEvent)
 		if !ok {
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -83,6 +83,7 @@
 
 // serve runs one session from handshake to end.
 func (s *Server) serve(ctx context.Context, conn *quic.Conn) {
+	connectionTraffic.track(conn)
 	hello, stream, err := s.handshake(ctx, conn)
 	if err != nil {
 		s.Log.Info("session refused", zap.Stringer("peer", conn.RemoteAddr()), zap.Error(err))
@@ -96,14 +97,14 @@
 		return
 	}
 	defer session.Close()
-	sc := &serverSession{server: s, conn: conn, session: session, control: sender{stream: stream}}
+	sc := &serverSession{server: s, conn: conn, session: session, control: sender{stream: stream, count: controlTraffic}}
 	if err := sc.welcome(hello); err != nil {
 		conn.CloseWithError(codeRefused, "")
 		return
 	}
 	s.Log.Info("session opened", zap.String("entry", string(hello.Instance)), zap.Uint64("session", hello.Session))
 	go sc.report()
-	go sc.readControl(stream)
+	go sc.readControl(controlTraffic.reader(stream))
 	sc.acceptAttempts()
 	s.Log.Info("session closed", zap.String("entry", string(hello.Instance)), zap.Uint64("session", hello.Session))
 }
@@ -116,10 +117,11 @@
 		return nil, nil, err
 	}
 	stream.SetReadDeadline(time.Now().Add(handshakeTimeout))
-	m, err := protocol.Read(stream)
+	m, err := protocol.Read(controlTraffic.reader(stream))
 	if err != nil {
 		return nil, nil, err
 	}
+	controlTraffic.messagesReceived.Add(1)
 	stream.SetReadDeadline(time.Time{})
 	hello, ok := m.(*protocol.Hello)
 	if !ok {
@@ -188,6 +190,7 @@
 			c.conn.CloseWithError(codeClosed, "")
 			return
 		}
+		controlTraffic.messagesReceived.Add(1)
 		if h, ok := m.(*protocol.Heartbeat); ok {
 			fetchWhenBehind(c.server.Bundles, h.Accepted, c.control.send)
 			continue
@@ -212,18 +215,20 @@
 	defer c.streams.Add(-1)
 	defer stream.Close()
 	stream.SetReadDeadline(time.Now().Add(writeTimeout))
-	m, err := protocol.Read(stream)
+	in := attemptTraffic.reader(stream)
+	m, err := protocol.Read(in)
 	if err != nil {
 		stream.CancelRead(0)
 		return
 	}
+	attemptTraffic.messagesReceived.Add(1)
 	stream.SetReadDeadline(time.Time{})
-	out := &sender{stream: stream}
+	out := &sender{stream: stream, count: attemptTraffic}
 	switch m := m.(type) {
 	case *state.Dispatch:
-		c.relay(c.session.Dispatch(m), stream, out)
+		c.relay(c.session.Dispatch(m), stream, in, out)
 	case *state.Attach:
-		c.relay(c.session.Attach(m), stream, out)
+		c.relay(c.session.Attach(m), stream, in, out)
 	case *state.Void:
 		result := c.session.Void(m)
 		out.send(&result)
@@ -233,7 +238,7 @@
 }
 
 // relay sends the attempt's events and applies the entry's commands.
-func (c *serverSession) relay(a Attempt, stream *quic.Stream, out *sender) {
+func (c *serverSession) relay(a Attempt, stream *quic.Stream, in io.Reader, out *sender) {
 	ctx, cancel := context.WithCancel(c.conn.Context())
 	defer cancel()
 	defer a.Detach()
@@ -243,7 +248,7 @@
 		// The entry closes its end when it wants no more events, but only after
 		// its last command.
 		defer cancel()
-		readCommands(stream, a)
+		readCommands(in, a)
 	}()
 	for {
 		event, err := a.Next(ctx)
@@ -272,6 +277,7 @@
 		if err != nil {
 			return
 		}
+		attemptTraffic.messagesReceived.Add(1)
 		switch m.(type) {
 		case *state.Withdraw:
 			a.Withdraw()
--- a/internal/transport/peer/session.go
+++ b/internal/transport/peer/session.go
@@ -68,6 +68,7 @@
 		socket.Close()
 		return nil, err
 	}
+	connectionTraffic.track(conn)
 	s := &session{cfg: cfg, link: l, number: number, socket: socket, transport: transport, conn: conn}
 	s.ctx, s.cancel = context.WithCancelCause(context.Background())
 	if err := s.greet(ctx); err != nil {
@@ -83,7 +84,8 @@
 	if err != nil {
 		return err
 	}
-	s.control.stream = stream
+	s.control.stream, s.control.count = stream, controlTraffic
+	in := controlTraffic.reader(stream)
 	hello := &protocol.Hello{
 		Version: protocol.Version, Instance: s.cfg.Instance, Incarnation: s.cfg.Incarnation,
 		Session: s.number, Accepted: s.cfg.Bundles.Accepted(),
@@ -94,10 +96,11 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		stream.SetReadDeadline(deadline)
 	}
-	m, err := protocol.Read(stream)
+	m, err := protocol.Read(in)
 	if err != nil {
 		return err
 	}
+	controlTraffic.messagesReceived.Add(1)
 	stream.SetReadDeadline(time.Time{})
 	welcome, ok := m.(*protocol.Welcome)
 	if !ok {
@@ -112,7 +115,7 @@
 	s.link.set(s)
 	s.cfg.Observer.SessionOpened(s.link.target, welcome)
 	fetchWhenBehind(s.cfg.Bundles, welcome.Status.Accepted, s.control.send)
-	go s.readControl(stream)
+	go s.readControl(in)
 	go s.watch()
 	return nil
 }
@@ -141,13 +144,15 @@
 	if s.streams.Add(1) == 1 {
 		s.markUsed()
 	}
-	a := &attemptStream{session: s, stream: stream, out: sender{stream: stream}, events: make(chan state.AttemptEvent, eventBuffer), done: make(chan struct{})}
+	a := &attemptStream{session: s, stream: stream, out: sender{stream: stream, count: attemptTraffic}, events: make(chan state.AttemptEvent, eventBuffer), done: make(chan struct{})}
 	go a.read()
 	stream.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := stream.Write(frame); err != nil {
 		// Part of the frame may have been delivered, so the fate of the attempt
 		// is open: the reader reports ErrSessionLost and the caller attaches.
 		s.fail(err)
+	} else {
+		attemptTraffic.sent(len(frame))
 	}
 	return a, nil
 }
@@ -160,6 +165,7 @@
 			s.fail(err)
 			return
 		}
+		controlTraffic.messagesReceived.Add(1)
 		s.touch()
 		s.handle(m)
 	}
--- a/internal/transport/peer/stream.go
+++ b/internal/transport/peer/stream.go
@@ -14,6 +14,7 @@
 type sender struct {
 	mu     sync.Mutex
 	stream *quic.Stream
+	count  *traffic
 }
 
 func (s *sender) send(m protocol.Message) error {
@@ -27,5 +28,6 @@
 	if _, err := s.stream.Write(frame); err != nil {
 		return fmt.Errorf("send %T: %w", m, err)
 	}
+	s.count.sent(len(frame))
 	return nil
 }
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -42,8 +42,9 @@
 	retryAfter string
 }
 
-// newEndpoint parses the base URL, for example "http://10.0.0.5:7070".
-func newEndpoint(base string) (*endpoint, error) {
+// newEndpoint parses the base URL, for example "http://10.0.0.5:7070". Its bytes
+// are counted under the name.
+func newEndpoint(name, base string) (*endpoint, error) {
 	u, err := url.Parse(base)
 	if err != nil {
 		return nil, fmt.Errorf("platform URL: %w", err)
@@ -51,9 +52,10 @@
 	if u.Scheme != "http" || u.Port() == "" {
 		return nil, fmt.Errorf("platform URL %q: want http://HOST:PORT", base)
 	}
+	count := newTraffic(name)
 	return &endpoint{base: u, client: &fasthttp.HostClient{
 		Addr:                      u.Host,
-		DialTimeout:               dial,
+		DialTimeout:               count.dial,
 		MaxConns:                  maxConns,
 		MaxIdleConnDuration:       maxIdle,
 		MaxResponseBodySize:       maxBodyBytes,
--- a/internal/transport/platform/instances.go
+++ b/internal/transport/platform/instances.go
@@ -17,7 +17,7 @@
 
 // NewInstances returns a client of the instance list at base.
 func NewInstances(base string) (*Instances, error) {
-	e, err := newEndpoint(base)
+	e, err := newEndpoint("instances", base)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/platform/log.go
+++ b/internal/transport/platform/log.go
@@ -20,7 +20,7 @@
 
 // NewLog returns a client of the log service at base.
 func NewLog(base string) (*Log, error) {
-	e, err := newEndpoint(base)
+	e, err := newEndpoint("log", base)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/platform/orders.go
+++ b/internal/transport/platform/orders.go
@@ -19,7 +19,7 @@
 
 // NewOrders returns a client of the target at base.
 func NewOrders(base string) (*Orders, error) {
-	e, err := newEndpoint(base)
+	e, err := newEndpoint("orders", base)
 	if err != nil {
 		return nil, err
 	}
