Test more of the stand-ins and close silent connections with their part

Cause: a silent connection outlived its stand-in by up to a minute, and the append limit, restart, injected errors, whole responses and the settings of the stand-ins had no test. Stopping the trial printed an error when a process ended by itself at the same moment.

--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -132,9 +132,10 @@
 	}
 }
 
+// closeConns closes all connections, also silent ones.
 func (l *listener) closeConns() {
 	for _, c := range l.open() {
-		c.Close()
+		c.shut()
 	}
 }
 
@@ -185,12 +186,17 @@
 	return c.Conn.Write(b)
 }
 
+// Close closes the connection. A silent one stays open until its peer closes it.
 func (c *conn) Close() error {
-	c.owner.remove(c)
 	if c.silent.Load() {
 		go c.linger()
 		return nil
 	}
+	return c.shut()
+}
+
+func (c *conn) shut() error {
+	c.owner.remove(c)
 	return c.Conn.Close()
 }
 
@@ -201,5 +207,5 @@
 func (c *conn) linger() {
 	c.Conn.SetReadDeadline(time.Now().Add(silentLinger))
 	io.Copy(io.Discard, c.Conn)
-	c.Conn.Close()
+	c.shut()
 }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -18,15 +20,15 @@
 
 func testConfig() *Config {
 	free := "127.0.0.1:0"
-	llama := []state.ModelSpec{{Name: "m", Version: "1"}}
+	loaded := []state.ModelSpec{{Name: "m", Version: "1"}}
 	return &Config{
 		Seed: 1, Admin: free,
 		Log:       &LogConfig{Address: free},
 		Instances: &InstancesConfig{Address: free},
 		Weights:   &WeightsConfig{Address: free, FetchesPerMinute: 0.001, Burst: 1},
 		Engines: []EngineConfig{
-			{Name: "engine-1", Address: free, PrefillRate: 1e6, DecodeRate: 1e5, RequestRate: 2000, CacheTokens: 4096, Models: llama, ChecksFence: true},
-			{Name: "engine-2", Address: free, PrefillRate: 1e6, DecodeRate: 1e5, RequestRate: 1e-3, CacheTokens: 4096, Models: llama},
+			{Name: "engine-1", Address: free, PrefillRate: 1e6, DecodeRate: 1e5, RequestRate: 2000, CacheTokens: 4096, Models: loaded, ChecksFence: true},
+			{Name: "engine-2", Address: free, PrefillRate: 1e6, DecodeRate: 1e5, RequestRate: 1e-3, CacheTokens: 4096, Models: loaded},
 		},
 		Services: []ServiceConfig{{Name: "quay-1", Service: "quay-app", Address: free}},
 	}
@@ -141,6 +143,92 @@
 		t.Errorf("ledger %+v", l.Targets[0])
 	}
 	mustCall(t, 404, "GET", p.URL("engine-1")+"/v1/requests/other/events", "")
+	if _, list := mustCall(t, 200, "GET", p.URL("engine-1")+"/v1/requests", ""); list != `{"requests":[{"id":"r1","state":"done","events":203}]}` {
+		t.Errorf("requests: %s", list)
+	}
+}
+
+// Guards against a whole response that differs from the streamed one, and
+// against usage that hides the part of the prompt found in the cache.
+func TestWholeResponse(t *testing.T) {
+	p := start(t)
+	prompt := strings.Repeat("draft ", 100)
+	for _, cached := range []int{0, len(prompt) / state.PromptBlockBytes * blockTokens} {
+		_, body := mustCall(t, 200, "POST", p.URL("engine-1")+"/v1/completions", fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":7}`, prompt))
+		var c completion
+		if err := json.Unmarshal([]byte(body), &c); err != nil {
+			t.Fatal(err)
+		}
+		if got := *c.Choices[0].Text; got != ExpectedText([]byte(prompt), 7) || *c.Choices[0].FinishReason != "length" {
+			t.Errorf("response %s", body)
+		}
+		if c.Usage.Details.CachedTokens != cached || c.Usage.CompletionTokens != 7 {
+			t.Errorf("usage %+v, want %d cached tokens", c.Usage, cached)
+		}
+	}
+}
+
+// Guards against a restart that keeps requests or the cache, or that hides from
+// readers that cache events are missing.
+func TestRestartLosesState(t *testing.T) {
+	p := start(t)
+	url := p.URL("engine-1")
+	body := fmt.Sprintf(chatBody, strings.Repeat("x", 1000), 1, "u4")
+	mustCall(t, 200, "POST", url+"/v1/chat/completions", body, RequestIDHeader, "r4")
+	before, _ := p.engines["engine-1"].cache.visible(0, time.Now())
+	if err := p.SetFault(Fault{Name: "engine-1", Restart: true}); err != nil {
+		t.Fatal(err)
+	}
+	mustCall(t, 404, "GET", url+"/v1/requests/r4/events", "")
+	_, stream := mustCall(t, 200, "POST", url+"/v1/chat/completions", body)
+	if _, u := streamText(t, stream, 0); u.Details.CachedTokens != 0 {
+		t.Errorf("usage after the restart %+v", u)
+	}
+	after, _ := p.engines["engine-1"].cache.visible(0, time.Now())
+	if len(before) != 1 || len(after) != 1 || after[0].Seq != before[0].Seq+2 {
+		t.Errorf("events %+v, then %+v", before, after)
+	}
+}
+
+// Guards against an injected error that has an effect.
+func TestErrorRate(t *testing.T) {
+	p := start(t)
+	always := 1.0
+	for _, name := range []string{"engine-1", LogName} {
+		if err := p.SetFault(Fault{Name: name, ErrorRate: &always}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	mustCall(t, 503, "POST", p.URL("engine-1")+"/v1/chat/completions", fmt.Sprintf(chatBody, "x", 1, "u5"))
+	mustCall(t, 503, "POST", p.URL(LogName)+"/streams/s/records", `{"records":[{"id":"a"}]}`)
+	never := 0.0
+	if err := p.SetFault(Fault{Name: LogName, ErrorRate: &never}); err != nil {
+		t.Fatal(err)
+	}
+	if _, page := mustCall(t, 200, "GET", p.URL(LogName)+"/streams/s/records", ""); !strings.Contains(page, `"end":0`) || p.Ledger().Users()["u5"].Started != 0 {
+		t.Errorf("the failed calls had an effect: %s", page)
+	}
+}
+
+// Guards against wrong settings that are accepted or reported one at a time.
+func TestLoadConfig(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "standin.jsonc")
+	for content, want := range map[string][]string{
+		`{"admin": "127.0.0.1:1", /* comment */ "engines": [{"name": "log", "address": "10.0.0.1:1"}], "log": {"address": "127.0.0.1:0"},}`: {"used twice", "loopback", "prefill_rate"},
+		`{"admin": "127.0.0.1:1", "lag": "1s"}`:          {`unknown field "lag"`},
+		`{"log": {"address": "x", "retention": 5}}`:      {"want text with a unit"},
+		`{"services": [{"name": "", "address": "::1"}]}`: {"empty", "loopback"},
+	} {
+		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadConfig(path)
+		for _, text := range want {
+			if err == nil || !strings.Contains(err.Error(), text) {
+				t.Errorf("%s: error %v, want %q in it", content, err, text)
+			}
+		}
+	}
 }
 
 // Guards against a cancelled run that counts as finished or keeps its id, and
@@ -268,8 +356,26 @@
 	}
 }
 
-// Guards against a long poll that returns without the record it waited for,
-// and against an append without bound.
+// Guards against appends without bound, and against a refused append that has
+// an effect or no Retry-After.
+func TestLogAppendRate(t *testing.T) {
+	p, err := Start(&Config{Log: &LogConfig{Address: "127.0.0.1:0", AppendsPerSecond: 0.001}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	url := p.URL(LogName) + "/streams/s/records"
+	mustCall(t, 200, "POST", url, `{"records":[{"id":"a"}]}`)
+	resp, _ := mustCall(t, 429, "POST", url, `{"records":[{"id":"b"}]}`)
+	if resp.Header.Get("Retry-After") == "" {
+		t.Error("429 without Retry-After")
+	}
+	if _, page := mustCall(t, 200, "GET", url, ""); !strings.Contains(page, `"end":1`) {
+		t.Errorf("page %s", page)
+	}
+}
+
+// Guards against a long poll that returns without the record it waited for.
 func TestLogOverHTTP(t *testing.T) {
 	p := start(t)
 	url := p.URL(LogName) + "/streams/bundles/records"
--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -302,11 +302,12 @@
 # Stops one process by a planned shutdown and checks its exit status.
 stop() {
   local pid="$1" name="$2" deadline=$((SECONDS + stop_limit)) status=0
-  if running "$pid"; then kill -TERM "$pid" || true; fi
+  # It may end between the two, for example when a Ctrl-C reached it as well.
+  if running "$pid"; then kill -TERM "$pid" 2>/dev/null || true; fi
   while running "$pid"; do
     if ((SECONDS >= deadline)); then
       fail "$name did not stop within $stop_limit s after SIGTERM"
-      kill -KILL "$pid" || true
+      kill -KILL "$pid" 2>/dev/null || true
       break
     fi
     sleep 0.05
