Measure the slopes for the capacity page

No figure existed for what one more target, entry, request, customer or record costs. cmd/slopes measures deployments that scripts/slopes.sh starts, and single operations inside one process; make slopes runs both.

--- /dev/null
+++ b/cmd/slopes/measure.go
@@ -0,0 +1,420 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/ctl/vars"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/internal/transport/platform"
+)
+
+const (
+	readyLimit   = 20 * time.Second
+	settleTime   = 2 * time.Second
+	warmTime     = 2500 * time.Millisecond // streams are spread over the first part of it
+	windowTime   = 6 * time.Second
+	changeTime   = 3 * time.Second
+	outputTokens = 96
+	callTimeout  = 2 * time.Second
+)
+
+// The phases of a measurement.
+const (
+	phaseIdle   = "idle"   // before any load
+	phaseLoad   = "load"   // requests in flight
+	phaseRest   = "rest"   // idle after a load: QUIC has found the path MTU
+	phaseChange = "change" // a bundle is published
+)
+
+// measure measures a running deployment.
+type measure struct {
+	Dir     string `arg:"--dir,required" help:"directory that prepare wrote; file pids has a line NAME PID for each process"`
+	Samples string `arg:"--samples,required" help:"file to append samples to"`
+	Streams []int  `arg:"--streams,separate" help:"requests in flight; repeatable"`
+}
+
+// sample is the mean over the processes of one role in one window.
+type sample struct {
+	Targets    int        `json:"targets"`
+	Entries    int        `json:"entries"`
+	Role       state.Role `json:"role"`
+	Phase      string     `json:"phase"`
+	Streams    int        `json:"streams"`    // in flight at all entries together
+	Requests   float64    `json:"requests"`   // a second at all entries together
+	Sessions   float64    `json:"sessions"`   // of one process
+	RSS        float64    `json:"rss"`        // bytes
+	Anonymous  float64    `json:"anonymous"`  // resident bytes that belong to no file
+	CPU        float64    `json:"cpu"`        // cores
+	Sent       float64    `json:"sent"`       // control bytes a second
+	Received   float64    `json:"received"`   // control bytes a second
+	Control    float64    `json:"control"`    // messages on control streams a second, both ways
+	ControlIn  float64    `json:"control_in"` // bytes on control streams a second, received
+	ControlOut float64    `json:"control_out"`
+	Attempts   float64    `json:"attempts"` // bytes on attempt streams a second, both ways
+	LogBytes   float64    `json:"log_bytes"`
+	ListBytes  float64    `json:"list_bytes"`
+	Overhead   float64    `json:"overhead"`  // bytes of packets for each control message beyond the message; not under load
+	Packets    float64    `json:"packets"`               // a second, both ways
+	InEffect   float64    `json:"in_effect_s,omitempty"` // time until all processes have the changed bundle
+}
+
+// reading is what one process shows at one time.
+type reading struct {
+	at             time.Time
+	cpu            time.Duration
+	rss, anonymous float64
+	vars           processVars
+}
+
+type processVars struct {
+	BundleVersion uint64             `json:"bundle_version"`
+	Sessions      float64            `json:"sessions"`
+	Control       map[string]float64 `json:"peer_control"`
+	Attempts      map[string]float64 `json:"peer_attempts"`
+	Connections   map[string]float64 `json:"peer_connections"`
+	Platform      map[string]float64 `json:"platform_calls"`
+}
+
+// run publishes a bundle and measures the deployment idle, under load and while
+// the bundle changes.
+func (c *measure) run(ctx context.Context) error {
+	m := &measurement{cmd: c, pids: map[string]int{}}
+	if err := m.load(); err != nil {
+		return err
+	}
+	log, err := platform.NewLog(m.Log)
+	if err != nil {
+		return err
+	}
+	base, err := publish(ctx, log, newBundle(1, "", m.Customers, m.Services, m.Targets))
+	if err != nil {
+		return err
+	}
+	if err := m.waitReady(ctx); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	if err := m.window(phaseIdle, 0, windowTime, nil); err != nil {
+		return err
+	}
+	for _, n := range c.Streams {
+		if err := m.underLoad(ctx, n); err != nil {
+			return err
+		}
+	}
+	time.Sleep(settleTime)
+	if err := m.window(phaseRest, 0, windowTime, nil); err != nil {
+		return err
+	}
+	change := newBundle(2, base, m.Customers, m.Services, m.Targets)
+	effect := func() (float64, error) {
+		return m.change(ctx, func() error { _, err := publish(ctx, log, change); return err })
+	}
+	if err := m.window(phaseChange, 0, changeTime, effect); err != nil {
+		return err
+	}
+	return m.write()
+}
+
+// measurement is the state of "measure".
+type measurement struct {
+	deployment
+	cmd     *measure
+	pids    map[string]int
+	samples []sample
+}
+
+func (m *measurement) load() error {
+	b, err := os.ReadFile(filepath.Join(m.cmd.Dir, "deployment.json"))
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(b, &m.deployment); err != nil {
+		return err
+	}
+	lines, err := os.ReadFile(filepath.Join(m.cmd.Dir, "pids"))
+	if err != nil {
+		return err
+	}
+	for line := range strings.Lines(string(lines)) {
+		var name string
+		var pid int
+		if _, err := fmt.Sscan(line, &name, &pid); err != nil {
+			return fmt.Errorf("file pids: %q: %w", line, err)
+		}
+		m.pids[name] = pid
+	}
+	return nil
+}
+
+// waitReady waits until every process is ready and every entry has a session to
+// each target.
+func (m *measurement) waitReady(ctx context.Context) error {
+	limit := time.Now().Add(readyLimit)
+	for _, p := range m.Processes {
+		for {
+			_, err := vars.Get("http://"+p.Admin+"/readyz", callTimeout)
+			if err == nil && p.Role == state.EntryRole {
+				var r reading
+				if r, err = m.read(p); err == nil && int(r.vars.Sessions) < m.Targets {
+					err = fmt.Errorf("%g of %d sessions", r.vars.Sessions, m.Targets)
+				}
+			}
+			if err == nil {
+				break
+			}
+			if time.Now().After(limit) || ctx.Err() != nil {
+				return fmt.Errorf("%s is not ready: %w", p.Name, err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// change applies f and returns the seconds until every process has version 2.
+func (m *measurement) change(ctx context.Context, f func() error) (float64, error) {
+	began := time.Now()
+	if err := f(); err != nil {
+		return 0, err
+	}
+	for {
+		behind := false
+		for _, p := range m.Processes {
+			r, err := m.read(p)
+			if err != nil {
+				return 0, err
+			}
+			behind = behind || r.vars.BundleVersion < 2
+		}
+		if !behind {
+			return time.Since(began).Seconds(), nil
+		}
+		if time.Since(began) > readyLimit || ctx.Err() != nil {
+			return 0, errors.New("changed bundle not in effect everywhere")
+		}
+	}
+}
+
+// window measures all processes for d, which includes the time that f takes.
+func (m *measurement) window(phase string, streams int, d time.Duration, f func() (float64, error)) error {
+	before, err := m.readAll()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	var effect float64
+	if f != nil {
+		if effect, err = f(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(d - time.Since(began))
+	after, err := m.readAll()
+	if err != nil {
+		return err
+	}
+	for _, role := range []state.Role{state.EntryRole, state.SideRole} {
+		s := m.mean(role, phase, before, after)
+		s.Streams, s.InEffect = streams, effect
+		m.samples = append(m.samples, s)
+	}
+	return nil
+}
+
+// underLoad keeps n requests in flight and measures.
+func (m *measurement) underLoad(ctx context.Context, n int) error {
+	ctx, cancel := context.WithCancel(ctx)
+	g := newLoad(m, n)
+	g.start(ctx)
+	time.Sleep(warmTime)
+	done := g.done.Load()
+	err := m.window(phaseLoad, n, windowTime, nil)
+	rate := float64(g.done.Load()-done) / windowTime.Seconds()
+	failed := g.failed.Load()
+	cancel()
+	g.group.Wait()
+	if err != nil {
+		return err
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d requests failed, for example: %v", failed, g.example.Load())
+	}
+	for i := range m.samples[len(m.samples)-2:] {
+		m.samples[len(m.samples)-2+i].Requests = rate
+	}
+	return nil
+}
+
+func (m *measurement) readAll() (map[string]reading, error) {
+	out := make(map[string]reading)
+	var mu sync.Mutex
+	var errs []error
+	var group sync.WaitGroup
+	for _, p := range m.Processes {
+		group.Go(func() {
+			r, err := m.read(p)
+			mu.Lock()
+			defer mu.Unlock()
+			out[p.Name] = r
+			errs = append(errs, err)
+		})
+	}
+	group.Wait()
+	return out, errors.Join(errs...)
+}
+
+func (m *measurement) read(p process) (reading, error) {
+	r := reading{at: time.Now()}
+	var err error
+	if r.cpu, err = cpuTime(m.pids[p.Name]); err != nil {
+		return r, err
+	}
+	if r.rss, r.anonymous, err = resident(m.pids[p.Name]); err != nil {
+		return r, err
+	}
+	body, err := vars.Get("http://"+p.Admin+"/debug/vars", callTimeout)
+	if err != nil {
+		return r, fmt.Errorf("read %s: %w", p.Name, err)
+	}
+	return r, json.Unmarshal(body, &r.vars)
+}
+
+// mean averages the growth over the processes of a role.
+func (m *measurement) mean(role state.Role, phase string, before, after map[string]reading) sample {
+	s := sample{Targets: m.Targets, Entries: m.Entries, Role: role, Phase: phase}
+	n := 0.0
+	for _, p := range m.Processes {
+		if p.Role == role {
+			n++
+		}
+	}
+	for _, p := range m.Processes {
+		if p.Role != role {
+			continue
+		}
+		a, b := before[p.Name], after[p.Name]
+		seconds := b.at.Sub(a.at).Seconds()
+		grown := func(x, y map[string]float64, key string) float64 { return (y[key] - x[key]) / seconds / n }
+		connection := func(key string) float64 { return grown(a.vars.Connections, b.vars.Connections, key) }
+		attempt := func(key string) float64 { return grown(a.vars.Attempts, b.vars.Attempts, key) }
+		control := func(key string) float64 { return grown(a.vars.Control, b.vars.Control, key) }
+		called := func(key string) float64 { return grown(a.vars.Platform, b.vars.Platform, key) }
+		s.Sessions += b.vars.Connections["open"] / n
+		s.RSS += b.rss / n
+		s.Anonymous += b.anonymous / n
+		s.CPU += (b.cpu - a.cpu).Seconds() / seconds / n
+		s.ControlOut += control("bytes_sent")
+		s.ControlIn += control("bytes_received")
+		s.Control += control("messages_sent") + control("messages_received")
+		s.Attempts += attempt("bytes_sent") + attempt("bytes_received")
+		s.LogBytes += called("log/bytes_sent") + called("log/bytes_received")
+		s.ListBytes += called("instances/bytes_sent") + called("instances/bytes_received")
+		s.Packets += connection("packets_sent") + connection("packets_received")
+		sent, received := connection("bytes_sent"), connection("bytes_received")
+		if phase == phaseLoad {
+			// Under load packets carry payload too, so only messages count as control.
+			sent, received = control("bytes_sent"), control("bytes_received")
+		}
+		s.Sent += sent + called("log/bytes_sent") + called("instances/bytes_sent")
+		s.Received += received + called("log/bytes_received") + called("instances/bytes_received")
+	}
+	if s.Phase != phaseLoad && s.Control > 0 {
+		messages := s.ControlIn + s.ControlOut
+		s.Overhead = (s.Sent + s.Received - s.LogBytes - s.ListBytes - messages) / s.Control
+	}
+	return s
+}
+
+// write appends the samples to the file.
+func (m *measurement) write() error {
+	f, err := os.OpenFile(m.cmd.Samples, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	enc := json.NewEncoder(f)
+	for _, s := range m.samples {
+		if err := enc.Encode(s); err != nil {
+			return err
+		}
+	}
+	return f.Close()
+}
+
+// tick is the unit of times in /proc/PID/stat on Linux.
+const tick = 10 * time.Millisecond
+
+// cpuTime returns the user and system time of a process.
+func cpuTime(pid int) (time.Duration, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// The name in parentheses may contain spaces; utime and stime are the 12th
+	// and 13th field after it.
+	fields := bytes.Fields(b[bytes.LastIndexByte(b, ')')+1:])
+	user, err1 := strconv.Atoi(string(fields[11]))
+	system, err2 := strconv.Atoi(string(fields[12]))
+	return time.Duration(user+system) * tick, errors.Join(err1, err2)
+}
+
+// resident returns VmRSS and RssAnon in bytes.
+func resident(pid int) (rss, anonymous float64, err error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	for line := range strings.Lines(string(b)) {
+		var kilobytes float64
+		if _, err := fmt.Sscanf(line, "VmRSS: %f", &kilobytes); err == nil {
+			rss = kilobytes * 1024
+		}
+		if _, err := fmt.Sscanf(line, "RssAnon: %f", &kilobytes); err == nil {
+			anonymous = kilobytes * 1024
+		}
+	}
+	return rss, anonymous, nil
+}
+
+// drain reads a stream of server-sent events and returns an error unless it is
+// whole.
+func drain(resp *http.Response) error {
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(io.LimitReader(resp.Body, 300))
+		return fmt.Errorf("status %d: %s", resp.StatusCode, b)
+	}
+	whole := false
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		whole = whole || lines.Text() == "data: [DONE]"
+	}
+	if err := lines.Err(); err != nil || !whole {
+		return fmt.Errorf("stream is cut: %w", err)
+	}
+	return nil
+}
+
+// cpuOfThisProcess returns the processor time that this process has used.
+func cpuOfThisProcess() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,88 @@
+#!/usr/bin/env bash
+# Measures the slopes that docs/CAPACITY.md is derived from: deployments of
+# several sizes on loopback addresses, one after the other, then the slopes
+# inside one process. Takes about 4 minutes.
+#
+#   scripts/slopes.sh [DIR]   keep settings, logs and samples in DIR
+set -euo pipefail
+
+cd "$(dirname "$0")/.."
+
+# targets, entries, numbers of requests in flight at all entries together:
+# 3 on every session, and for the last deployment more.
+readonly deployments=(
+  "8 1 24"
+  "8 4 96"
+  "8 16 384"
+  "24 2 144"
+  "48 2 288"
+  "16 2 96 192 384"
+)
+readonly stop_limit=10 # seconds for the planned shutdown of one process
+
+dir="${1:-}"
+if [[ -z "$dir" ]]; then
+  dir="$(mktemp -d "${TMPDIR:-/tmp}/cassiaramp-slopes-XXXXXX")"
+fi
+readonly dir
+mkdir -p "$dir"
+
+pids=()
+
+stop_all() {
+  local pid deadline
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  deadline=$((SECONDS + stop_limit))
+  for pid in "${pids[@]}"; do
+    while kill -0 "$pid" 2>/dev/null; do
+      if ((SECONDS >= deadline)); then
+        echo "process $pid did not stop within $stop_limit s" >&2
+        kill -KILL "$pid" || true
+        break
+      fi
+      sleep 0.05
+    done
+    wait "$pid" 2>/dev/null || true
+  done
+  pids=()
+}
+trap stop_all EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+# Measures one deployment: targets, entries, requests in flight...
+measure() {
+  local targets="$1" entries="$2" run="$dir/$1-$2" args=() n file name
+  shift 2
+  for n in "$@"; do args+=(--streams "$n"); done
+  mkdir -p "$run"
+  bin/slopes prepare --dir "$run" --targets "$targets" --entries "$entries"
+  bin/standin --settings "$run/standin.json" >"$run/standin.log" 2>&1 &
+  pids+=("$!")
+  : >"$run/pids"
+  for file in "$run"/side-*.json "$run"/entry-*.json; do
+    name="$(basename "$file" .json)"
+    bin/cassiarampd --settings "$file" >"$run/$name.log" 2>&1 &
+    pids+=("$!")
+    echo "$name $!" >>"$run/pids"
+  done
+  bin/slopes measure --dir "$run" --samples "$dir/samples.jsonl" "${args[@]}"
+  stop_all
+}
+
+go build -o bin/ ./cmd/...
+: >"$dir/samples.jsonl"
+for row in "${deployments[@]}"; do
+  # shellcheck disable=SC2086 # the fields of the row
+  measure $row
+done
+
+echo "command: make slopes"
+echo "date: $(date -u +%Y-%m-%dT%H:%M:%SZ)"
+echo "commit: $(git rev-parse --short HEAD)$(git diff --quiet HEAD || echo ' with changes')"
+echo "machine: $(nproc) processors, $(uname -sr), $(go version | cut -d' ' -f3), load average $(cut -d' ' -f1-3 /proc/loadavg)"
+echo
+bin/slopes report --samples "$dir/samples.jsonl"
+echo
+bin/slopes local
+echo "settings, logs and samples are in $dir"
