--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -8,7 +8,7 @@
 
 // Version is the protocol version sent in Hello. Peers with another version
 // are refused.
-const Version = 1
+const Version = 2
 
 // Message is a pointer to one of the types in prototypes.
 type Message any
