Read event streams through a buffer of 4 KiB

Each running request held a read buffer for the largest event, 64 KiB, although events are about 200 bytes. The buffer is now 4 KiB and longer lines are put together; the limit of an event is unchanged.

--- a/internal/transport/engine/events.go
+++ b/internal/transport/engine/events.go
@@ -19,11 +19,39 @@
 	data []byte
 }
 
+// readBuffer is the buffer of one event stream. Most events are about 200 bytes;
+// a buffer for the largest event would take 64 KiB for each running request.
+const readBuffer = 4 << 10
+
+// maxLine is the longest line that is accepted, with its end.
+const maxLine = maxChunk + len("data: \r\n")
+
 // eventReader parses a stream of server-sent events.
 type eventReader struct{ r *bufio.Reader }
 
 func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{bufio.NewReaderSize(r, maxChunk+len("data: \r\n"))}
+	return &eventReader{bufio.NewReaderSize(r, readBuffer)}
+}
+
+// line returns the next line with its end. It is valid until the next call.
+func (e *eventReader) line() ([]byte, error) {
+	line, err := e.r.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	var long []byte
+	for errors.Is(err, bufio.ErrBufferFull) {
+		long = append(long, line...)
+		if len(long) >= maxLine {
+			return nil, errTooLong
+		}
+		line, err = e.r.ReadSlice('\n')
+	}
+	long = append(long, line...)
+	if len(long) > maxLine {
+		return nil, errTooLong
+	}
+	return long, err
 }
 
 // next returns the next event that has data. Events without data, such as
@@ -33,10 +61,7 @@
 	var ev event
 	var hasData bool
 	for {
-		line, err := e.r.ReadSlice('\n')
-		if errors.Is(err, bufio.ErrBufferFull) {
-			return event{}, errTooLong
-		}
+		line, err := e.line()
 		if err != nil {
 			return event{}, err
 		}
