Send status less often on many sessions and check silence when due

An idle session took 0.062% of a core at the entry, mostly for a check of its silence every 100 ms, and a report every 500 ms on each of 61 active sessions exceeds the control budget of 19 KB/s.

The interval of status reports grows with the number of sessions from 500 ms to 1 s, which is below the silence timeout of 1.5 s, so that no extra heartbeat is needed. The entry checks silence when it may be due, and when a session becomes active. cmd/slopes also measures opening a session and claims on the log.

go test -race passes on peer and engine.

--- a/cmd/slopes/load.go
+++ b/cmd/slopes/load.go
@@ -19,6 +19,7 @@
 	entries []process
 	prompt  string
 	group   sync.WaitGroup
+	stop    atomic.Bool // requests in flight end, no others begin
 	done    atomic.Int64
 	failed  atomic.Int64
 	example atomic.Value // string
@@ -48,7 +49,7 @@
 			case <-time.After(time.Duration(i) * warmTime / 2 / time.Duration(l.streams)):
 			case <-ctx.Done():
 			}
-			for k := 0; ctx.Err() == nil; k++ {
+			for k := 0; ctx.Err() == nil && !l.stop.Load(); k++ {
 				if err := l.send(ctx, i, k); err != nil && ctx.Err() == nil {
 					l.failed.Add(1)
 					l.example.Store(err.Error())
--- a/cmd/slopes/local.go
+++ b/cmd/slopes/local.go
@@ -36,7 +36,7 @@
 
 func (*local) run(ctx context.Context, out io.Writer) error {
 	t := &table{w: tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)}
-	return errors.Join(t.bundles(), t.claims(), t.placements(ctx), t.queued(ctx), t.messages(), t.instances(), t.w.Flush())
+	return errors.Join(t.bundles(), t.claims(), t.placements(ctx), t.queued(ctx), t.messages(), t.instances(), t.tailing(ctx), t.opening(ctx), t.w.Flush())
 }
 
 // table prints rows of name, value and unit.
--- a/cmd/slopes/measure.go
+++ b/cmd/slopes/measure.go
@@ -67,7 +67,7 @@
 	Attempts   float64    `json:"attempts"` // bytes on attempt streams a second, both ways
 	LogBytes   float64    `json:"log_bytes"`
 	ListBytes  float64    `json:"list_bytes"`
-	Overhead   float64    `json:"overhead"`  // bytes of packets for each control message beyond the message; not under load
+	Overhead   float64    `json:"overhead"`              // bytes of packets for each control message beyond the message; not under load
 	Packets    float64    `json:"packets"`               // a second, both ways
 	InEffect   float64    `json:"in_effect_s,omitempty"` // time until all processes have the changed bundle
 }
@@ -238,7 +238,6 @@
 
 // underLoad keeps n requests in flight and measures.
 func (m *measurement) underLoad(ctx context.Context, n int) error {
-	ctx, cancel := context.WithCancel(ctx)
 	g := newLoad(m, n)
 	g.start(ctx)
 	time.Sleep(warmTime)
@@ -246,7 +245,7 @@
 	err := m.window(phaseLoad, n, windowTime, nil)
 	rate := float64(g.done.Load()-done) / windowTime.Seconds()
 	failed := g.failed.Load()
-	cancel()
+	g.stop.Store(true)
 	g.group.Wait()
 	if err != nil {
 		return err
--- a/cmd/slopes/report.go
+++ b/cmd/slopes/report.go
@@ -88,7 +88,7 @@
 // control returns the bytes of sessions without those of platform calls, in
 // which checkpoints of the bundle stand out.
 func control(s sample) float64 { return s.Sent + s.Received - s.LogBytes - s.ListBytes }
-func idle(s sample) bool        { return s.Phase == phaseIdle }
+func idle(s sample) bool       { return s.Phase == phaseIdle }
 
 // inFlight returns the requests in flight at one process.
 func inFlight(s sample) float64 {
--- /dev/null
+++ b/internal/transport/peer/interval_test.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// Guards against reports of many sessions that exceed their share of the control
+// budget, and against reports so rare that a live session counts as silent.
+func TestStatusInterval(t *testing.T) {
+	for n, want := range map[int]time.Duration{0: StatusInterval, 15: StatusInterval, 30: StatusInterval, 45: 750 * time.Millisecond, 60: MaxStatusInterval, 500: MaxStatusInterval} {
+		if got := statusInterval(n); got != want {
+			t.Errorf("%d sessions: %s, want %s", n, got, want)
+		}
+	}
+	for n := 31; n <= 60; n++ {
+		if bytes := float64(n) * statusCost / statusInterval(n).Seconds(); bytes > statusShare+1 {
+			t.Errorf("%d sessions: %.0f bytes/s, want at most %d", n, bytes, statusShare)
+		}
+	}
+	// A report may be due just after a tick and is then sent at the next one.
+	if worst := MaxStatusInterval + StatusInterval/2; worst > ActiveSilence {
+		t.Errorf("a report may be %s after the last one, silence is %s", worst, ActiveSilence)
+	}
+}
+
+// Guards against a session whose silence is noticed only at the next heartbeat
+// because it became active after the check was scheduled.
+func TestSilenceAfterIdle(t *testing.T) {
+	f, ctx := newFixture(t, "entry-1", 1, 1), testContext(t)
+	r, err := f.client.Reserve(ctx, testTarget)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := f.client.link(testTarget, false).live()
+	stream, err := f.client.Dispatch(ctx, r, &state.Request{ID: "r"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	s.mu.Lock()
+	s.heard, s.used = s.heard.Add(-ActiveSilence), s.used.Add(-ActiveSilence)
+	s.mu.Unlock()
+	// The check is scheduled for the time that the earlier values gave; only a
+	// new activity moves it.
+	s.active <- struct{}{}
+	select {
+	case err := <-f.observer.lost:
+		if !errors.Is(err, errSilent) {
+			t.Errorf("session lost: %v, want %v", err, errSilent)
+		}
+	case <-ctx.Done():
+		t.Error("the silent session was not given up")
+	}
+}
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -58,6 +58,8 @@
 	Handler     Handler
 	Bundles     Bundles
 	Log         *zap.Logger
+
+	sessions atomic.Int64 // open
 }
 
 // Serve accepts sessions on conn until ctx ends. It returns nil then.
@@ -103,6 +105,8 @@
 		return
 	}
 	s.Log.Info("session opened", zap.String("entry", string(hello.Instance)), zap.Uint64("session", hello.Session))
+	s.sessions.Add(1)
+	defer s.sessions.Add(-1)
 	go sc.report()
 	go sc.readControl(controlTraffic.reader(stream))
 	sc.acceptAttempts()
@@ -169,7 +173,7 @@
 			return
 		case <-c.session.Urgent():
 		case <-ticker.C:
-			if c.streams.Load() == 0 && time.Since(sent) < HeartbeatInterval {
+			if time.Since(sent) < c.interval() {
 				continue
 			}
 		}
@@ -183,6 +187,18 @@
 	}
 }
 
+// tickMargin is how much earlier than its interval a report may be sent, because
+// ticks are not exact.
+const tickMargin = StatusInterval / 10
+
+// interval returns the time between two reports.
+func (c *serverSession) interval() time.Duration {
+	if c.streams.Load() == 0 {
+		return HeartbeatInterval - tickMargin
+	}
+	return statusInterval(int(c.server.sessions.Load())) - tickMargin
+}
+
 func (c *serverSession) readControl(r io.Reader) {
 	for {
 		m, err := protocol.Read(r)
--- a/internal/transport/peer/session.go
+++ b/internal/transport/peer/session.go
@@ -44,7 +44,8 @@
 	once   sync.Once
 
 	seq     atomic.Uint64
-	streams atomic.Int64 // open attempt streams
+	streams atomic.Int64  // open attempt streams
+	active  chan struct{} // receives a value when the session becomes active
 
 	mu    sync.Mutex
 	heard time.Time // last message of any kind
@@ -69,7 +70,7 @@
 		return nil, err
 	}
 	connectionTraffic.track(conn)
-	s := &session{cfg: cfg, link: l, number: number, socket: socket, transport: transport, conn: conn}
+	s := &session{cfg: cfg, link: l, number: number, socket: socket, transport: transport, conn: conn, active: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancelCause(context.Background())
 	if err := s.greet(ctx); err != nil {
 		s.close(codeRefused, err)
@@ -143,6 +144,10 @@
 	}
 	if s.streams.Add(1) == 1 {
 		s.markUsed()
+		select {
+		case s.active <- struct{}{}:
+		default:
+		}
 	}
 	a := &attemptStream{session: s, stream: stream, out: sender{stream: stream, count: attemptTraffic}, events: make(chan state.AttemptEvent, eventBuffer), done: make(chan struct{})}
 	go a.read()
@@ -185,16 +190,20 @@
 	}
 }
 
-// watch sends heartbeats and gives the session up when it is silent.
+// watch sends heartbeats and gives the session up when it is silent. It wakes
+// only when one of the two may be due, because an entry has about 100 sessions.
 func (s *session) watch() {
-	ticker := time.NewTicker(watchInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	beat := clock()
 	for {
+		timer.Reset(min(s.untilSilent(clock()), beat.Add(HeartbeatInterval).Sub(clock())) + watchSlack)
 		select {
 		case <-s.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-s.active:
+			continue
+		case <-timer.C:
 		}
 		now := clock()
 		if s.silent(now) {
@@ -214,21 +223,23 @@
 }
 
 // silent reports whether the silence timeout has passed.
-func (s *session) silent(now time.Time) bool {
+func (s *session) silent(now time.Time) bool { return s.untilSilent(now) < 0 }
+
+// untilSilent returns the time until the session counts as silent unless
+// something is heard before.
+func (s *session) untilSilent(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(s.heard) > IdleSilence {
-		return true
-	}
+	idle := s.heard.Add(IdleSilence).Sub(now)
 	if s.streams.Load() == 0 {
-		return false
+		return idle
 	}
 	since := s.heard
 	if s.used.After(since) {
 		// The side process reports often only from here on.
 		since = s.used
 	}
-	return now.Sub(since) > ActiveSilence
+	return min(idle, since.Add(ActiveSilence).Sub(now))
 }
 
 func (s *session) idle(now time.Time) bool {
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -30,8 +30,9 @@
 pids=()
 
 stop_all() {
-  local pid deadline
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  local pid deadline i
+  # Entries first and the stand-ins last.
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do kill -TERM "${pids[i]}" 2>/dev/null || true; done
   deadline=$((SECONDS + stop_limit))
   for pid in "${pids[@]}"; do
     while kill -0 "$pid" 2>/dev/null; do
