Publish each entry's view of its targets; drop the placement adapter

Cause: 'cassiarampctl status' showed no targets, because entries did not publish them. Package placement implements the port of package entry itself.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -41,10 +41,11 @@
 		Retention: s.Platform.Retention.Std(), Logger: p.log.Named("claim"),
 	})
 	service := entry.New(entry.Config{
-		Peers: connect.client, Claims: claims, Placer: placer{placing},
+		Peers: connect.client, Claims: claims, Placer: placing,
 		Bundle: p.bundles.Current, MaxOpen: s.Limits.OpenRequests, Log: p.log.Named("entry"),
 	})
 	expvar.Publish("sessions", expvar.Func(func() any { return connect.client.Sessions() }))
+	expvar.Publish("targets", expvar.Func(func() any { return placing.Summaries() }))
 	expvar.Publish("open_requests", expvar.Func(func() any { return service.Open() }))
 
 	members.OnChange(placing.SetMembers)
--- a/internal/daemon/placer.go
+++ b/internal/daemon/sessions.go
@@ -4,9 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
-	"time"
 
-	"github.com/cassiaramp/cassiaramp/internal/coordination/entry"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/member"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/placement"
 	"github.com/cassiaramp/cassiaramp/internal/protocol"
@@ -14,30 +12,6 @@
 	"github.com/cassiaramp/cassiaramp/internal/transport/peer"
 )
 
-// placer adapts placement.Placer to the port of package entry.
-type placer struct{ *placement.Placer }
-
-func (p placer) Place(q entry.Query) (entry.Decision, bool) {
-	d, ok := p.Placer.Place(placement.Query(q))
-	candidates := make([]entry.Candidate, len(d.Candidates))
-	for i, c := range d.Candidates {
-		candidates[i] = entry.Candidate(c)
-	}
-	return entry.Decision{Target: d.Target, Policy: d.Policy, Reason: d.Reason, Candidates: candidates, Wait: d.Wait}, ok
-}
-
-func (p placer) Ended(target state.TargetID, attempt state.AttemptID, o entry.Outcome) {
-	p.Placer.Ended(target, attempt, placement.Outcome(o))
-}
-
-func (p placer) Alternative(target state.TargetID, q entry.Query) (best, current time.Duration, ok bool) {
-	return p.Placer.Alternative(target, placement.Query(q))
-}
-
-func (p placer) LowerTierQueued(q entry.Query, tier state.Tier) []state.TargetID {
-	return p.Placer.LowerTierQueued(placement.Query(q), tier)
-}
-
 // observer passes what sessions learn on to placement and membership.
 type observer struct {
 	placer  *placement.Placer
