Reduce the cost of events and refusals, assert P4(a) in one place

Cause: each chunk allocated a closure and a timer, each refusal sorted the queue, and three places asserted parts of P4(a).

Change: events travel as typed commands, a stream reuses its timer, queued work is summed from counters, entries are visited every 500 ms instead of every 50 ms, and checkTierOrder guards every refusal.

--- a/internal/coordination/side/doc.go
+++ b/internal/coordination/side/doc.go
@@ -48,9 +48,11 @@
 	// staying unused when the target frees capacity early.
 	minAdmissionHold = 100 * time.Millisecond
 	maxAdmissionHold = 500 * time.Millisecond
-	// tickInterval is how often deadlines and lost sessions are checked and
-	// speeds sampled.
+	// tickInterval is how often deadlines are checked and speeds sampled.
 	tickInterval = 50 * time.Millisecond
+	// sweepInterval is how often lost sessions and the horizon are checked,
+	// which visits every entry that was ever seen.
+	sweepInterval = 500 * time.Millisecond
 	// cancelTimeout bounds a cancellation at the target.
 	cancelTimeout = 2 * time.Second
 	// recoveryRetry is the pause between two requests for the live streams.
--- a/internal/coordination/side/lifecycle.go
+++ b/internal/coordination/side/lifecycle.go
@@ -87,12 +87,7 @@
 		}
 		s.displace()
 	}
-	if s.queue.count <= limits.MaxCount && s.queue.prompts-a.prompt < limits.MaxTokens {
-		return true
-	}
-	state.Assert(!s.queue.holdsLowerThan(a.tier), state.TierOrder,
-		fmt.Sprintf("refused tier %d while tier %d is queued", a.tier, s.queue.lowest()))
-	return false
+	return s.queue.count <= limits.MaxCount && s.queue.prompts-a.prompt < limits.MaxTokens
 }
 
 // mayStart reports whether attempts may be sent to the target at all.
@@ -102,14 +97,22 @@
 
 // displace refuses the last queued attempt of the lowest tier.
 func (s *Service) displace() {
-	victim := s.queue.last(s.queue.lowest())
-	state.Assert(!s.queue.holdsLowerThan(victim.tier), state.TierOrder,
-		fmt.Sprintf("displaced tier %d while tier %d is queued", victim.tier, s.queue.lowest()))
-	s.refuseQueued(victim, state.ReasonDisplaced)
+	s.refuseQueued(s.queue.last(s.queue.lowest()), state.ReasonDisplaced)
+}
+
+// checkTierOrder asserts P4(a) for a refusal that is about to be reported: no
+// request is refused or displaced for load while one of a lower tier is queued.
+func (s *Service) checkTierOrder(t state.Tier, reason state.Reason) {
+	switch reason {
+	case state.ReasonQueueFull, state.ReasonDisplaced, state.ReasonNotAdmitted:
+		state.Assert(!s.queue.holdsLowerThan(t), state.TierOrder,
+			fmt.Sprintf("tier %d refused (%s) while tier %d is queued", t, reason, s.queue.lowest()))
+	}
 }
 
 // refuse answers a dispatch that is not accepted.
 func (s *Service) refuse(d *state.Dispatch, stream *Attempt, reason state.Reason) {
+	s.checkTierOrder(d.Request.Tier, reason)
 	phase := state.AttemptNotRun
 	if reason == state.ReasonVoided {
 		phase = state.AttemptVoided
@@ -132,11 +135,7 @@
 	r := &state.Refused{Reason: reason, Figures: s.figures()}
 	switch reason {
 	case state.ReasonQueueFull, state.ReasonDisplaced, state.ReasonDeadline, state.ReasonNotAdmitted:
-		var all work
-		for _, a := range s.queue.sorted() {
-			all.add(a)
-		}
-		r.RetryAfter = seconds(s.firstFree() + s.speed.seconds(all))
+		r.RetryAfter = seconds(s.firstFree() + s.speed.seconds(s.queue.work()))
 	}
 	return r
 }
@@ -155,6 +154,7 @@
 
 // refuseAttempt reports an attempt that is neither queued nor running as not run.
 func (s *Service) refuseAttempt(a *attempt, reason state.Reason) {
+	s.checkTierOrder(a.tier, reason)
 	state.Assert(!a.mayHaveRun, state.NotRunIsTrue, fmt.Sprintf("attempt %s reported as not run", a.id))
 	a.phase = state.AttemptNotRun
 	if reason == state.ReasonVoided {
@@ -226,7 +226,7 @@
 	s.workers.Go(func() {
 		defer cancel(nil)
 		var o outcome
-		o.usage, o.err = run(ctx, func(e state.AttemptEvent) { s.post(func() { s.event(a, e) }) })
+		o.usage, o.err = run(ctx, func(e state.AttemptEvent) { s.send(command{attempt: a, event: e}) })
 		if o.err != nil && errors.Is(context.Cause(ctx), errCancelled) {
 			o.cancelled = s.cancelAtTarget(a.id)
 		}
--- a/internal/coordination/side/queue.go
+++ b/internal/coordination/side/queue.go
@@ -173,6 +173,16 @@
 	return w
 }
 
+// work returns all queued work.
+func (q *queue) work() work {
+	w := work{count: q.count, prompt: q.prompts}
+	for _, n := range q.tokens {
+		w.output += n
+	}
+	w.output -= q.prompts
+	return w
+}
+
 // highest and lowest return the tier of queued attempts that is served first
 // and last, or NoTier.
 func (q *queue) highest() state.Tier {
--- a/internal/coordination/side/service.go
+++ b/internal/coordination/side/service.go
@@ -26,7 +26,7 @@
 type Service struct {
 	cfg      Config
 	runner   Runner
-	commands chan func() // run by the control goroutine in the order sent
+	commands chan command // in the order sent
 	stopped  chan struct{}
 	drained  chan struct{}
 	workers  sync.WaitGroup
@@ -56,6 +56,7 @@
 	recovering bool     // the target's list of live streams is awaited
 	waiting    []func() // dispatches and attaches that depend on that list
 
+	swept     time.Time
 	refreshed time.Time // when the queued attempts were last told their place
 	idle      time.Time // since when nothing runs; set while leaving
 }
@@ -64,7 +65,7 @@
 func New(cfg Config, runner Runner) *Service {
 	return &Service{
 		cfg: cfg, runner: runner,
-		commands: make(chan func(), commandBuffer),
+		commands: make(chan command, commandBuffer),
 		stopped:  make(chan struct{}),
 		drained:  make(chan struct{}),
 		entries:  make(map[entryKey]*entryState),
@@ -105,18 +106,36 @@
 		case <-ctx.Done():
 			state.Assert(!s.leaving || len(s.running) == 0, state.GracefulStop, "stopped before the running attempts ended")
 			return nil
-		case f := <-s.commands:
-			f()
+		case c := <-s.commands:
+			c.run(s)
 		case <-ticker.C:
 			s.tick(time.Now())
 		}
 	}
 }
 
+// command is what the control goroutine is asked to do: call f, or record an
+// event of an attempt. Events are frequent and need no closure of their own.
+type command struct {
+	f       func()
+	attempt *attempt
+	event   state.AttemptEvent
+}
+
+func (c command) run(s *Service) {
+	if c.f != nil {
+		c.f()
+		return
+	}
+	s.event(c.attempt, c.event)
+}
+
 // post hands f to the control goroutine. It does nothing after Run has returned.
-func (s *Service) post(f func()) {
+func (s *Service) post(f func()) { s.send(command{f: f}) }
+
+func (s *Service) send(c command) {
 	select {
-	case s.commands <- f:
+	case s.commands <- c:
 	case <-s.stopped:
 	}
 }
@@ -212,12 +231,20 @@
 // tick does what is due by time alone.
 func (s *Service) tick(now time.Time) {
 	s.measure(now)
-	s.dropLost(now)
 	s.checkRunning(now)
 	s.checkQueued(now)
-	s.forget(now)
+	if now.Sub(s.swept) >= sweepInterval {
+		s.swept = now
+		s.sweep(now)
+	}
 	s.schedule()
 	s.checkDrained(now)
+}
+
+// sweep does what may be late by sweepInterval.
+func (s *Service) sweep(now time.Time) {
+	s.dropLost(now)
+	s.forget(now)
 	state.Assert(len(s.voided) <= MaxVoided && s.retained.bytes <= MaxRetained && len(s.outcomes.order) <= maxOutcomes,
 		state.BoundedState, "side process tables")
 }
--- a/internal/coordination/side/stream.go
+++ b/internal/coordination/side/stream.go
@@ -29,7 +29,9 @@
 	record *record // nil for a stream that has only the first events
 	cursor cursor
 
-	begun bool // Next has returned an event
+	// Used by Next only.
+	begun bool        // Next has returned an event
+	timer *time.Timer // until a progress event is due; nil before the first wait
 }
 
 func newAttempt(s *Service, id state.AttemptID, owner bool) *Attempt {
@@ -43,12 +45,16 @@
 	if e, err := a.take(); e != nil || err != nil {
 		return e, err
 	}
-	timer := time.NewTimer(ProgressInterval)
-	defer timer.Stop()
+	if a.timer == nil {
+		a.timer = time.NewTimer(ProgressInterval)
+	} else {
+		a.timer.Reset(ProgressInterval)
+	}
+	defer a.timer.Stop()
 	for {
 		select {
 		case <-a.wake:
-		case <-timer.C:
+		case <-a.timer.C:
 			// The first event tells the state of the attempt, so nothing may
 			// precede it.
 			if a.begun {
