Keep truthful answers for forgotten entries and adopted attempts

An entry whose state was evicted from the table and that came back would have been told "unseen" for attempts of its older sessions, and a Runner that returns ErrNotSent from Resume would have had an adopted attempt reported as not run.

Change: the older sessions of a returning entry count as forgotten, so the answer is "unknown"; an error of an adopted attempt is a failure whatever its kind. Session number 0 is refused.

Conclusion: neither path has a test of its own; both need 4,096 lost entry incarnations or a Runner that breaks its contract.

--- a/internal/coordination/side/lifecycle.go
+++ b/internal/coordination/side/lifecycle.go
@@ -305,7 +305,7 @@
 	var denied *NotAdmittedError
 	var unknown *UnknownError
 	switch {
-	case errors.As(o.err, &unknown):
+	case a.adopted || errors.As(o.err, &unknown):
 		s.failed(a, o)
 	case errors.Is(o.err, ErrNotSent):
 		a.mayHaveRun = false
--- a/internal/coordination/side/ports.go
+++ b/internal/coordination/side/ports.go
@@ -19,7 +19,8 @@
 	// counts as an unknown outcome.
 	Run(ctx context.Context, attempt state.AttemptID, req *state.Request, emit func(state.AttemptEvent)) (state.Usage, error)
 	// Resume continues the stream of an attempt that the target knows, from
-	// chunk from on. Events and errors are those of Run.
+	// chunk from on. Events and errors are those of Run, but the attempt counts
+	// as run whatever the error.
 	Resume(ctx context.Context, attempt state.AttemptID, from uint64, emit func(state.AttemptEvent)) (state.Usage, error)
 	// Cancel ends the attempt at the target. A nil error means that the target
 	// confirmed it.
--- a/internal/coordination/side/session.go
+++ b/internal/coordination/side/session.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -68,10 +69,17 @@
 }
 
 func (s *Service) open(sess *Session) error {
+	if sess.number == 0 {
+		return ErrFenced // numbers count from 1
+	}
 	e := s.entries[sess.key]
 	if e == nil {
 		s.boundEntries()
 		e = &entryState{}
+		if s.entriesForgotten {
+			// This entry may be one of those forgotten.
+			e.forgotten = state.AttemptID{Session: sess.number - 1, Seq: math.MaxUint64}
+		}
 		s.entries[sess.key] = e
 	}
 	if sess.number <= e.highest {
