Checkpoint while the log is slow; align orders with targets

Cause: randomised faults showed that no process wrote checkpoints while each log call took 3 s, because the end of the stream counted as stale after 4 s; after the retention time every process was cut off. Targets hold models by name and version, and may not report adapters and role. Change: the end of the stream counts as read for 20 s; unload names the version, and an old version stays until the new one is due; adapters and role that are not reported are ordered once; a peer's invalid bundle is logged once; pages whose next is below the oldest offset are understood.

--- a/internal/coordination/bundle/store.go
+++ b/internal/coordination/bundle/store.go
@@ -35,6 +35,7 @@
 	atEnd    bool // the stream was read to its end since the start or the last gap
 	progress logstream.Position
 	subs     map[chan *state.Bundle]struct{}
+	refused  state.BundleID // last offer refused; a peer repeats it with each message
 }
 
 // NewStore returns a store without a bundle.
@@ -91,13 +92,18 @@
 	if offered.Version == 0 || offered.Version < s.Accepted() {
 		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := ID(offered.Document)
+	if id == s.refused {
+		return
+	}
 	a, err := newAccepted(offered)
 	if err != nil {
+		s.refused = id
 		s.cfg.Logger.Warn("bundle offered by a peer ignored", zap.Uint64("version", offered.Version), zap.Error(err))
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.fold.Adopt(a, a.Offset+1)
 	s.install(a, "peer")
 	s.installHead()
@@ -148,6 +154,8 @@
 	s.installHead()
 	if s.current.Load() == nil {
 		s.cfg.Logger.Warn("no bundle in effect: the stream has neither a first bundle nor a usable checkpoint nor an anchor")
+	} else if !s.fold.Connected() {
+		s.cfg.Logger.Warn("proposals are not judged: records were lost to retention before they were read; a checkpoint, a peer's newer bundle or an anchor is needed")
 	}
 }
 
@@ -194,6 +202,10 @@
 	return a.Version
 }
 
+// checkpointFresh is how recently the end of the stream must have been read for
+// a checkpoint. A poll of a slow log takes up to twice the wait.
+const checkpointFresh = 10 * logstream.PollWait
+
 // Fractions of the retention time.
 const (
 	checkpointAge   = 4  // a checkpoint older than retention/4 is repeated
@@ -234,7 +246,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	head := s.fold.Head()
-	if head == nil || head.ID != s.currentID() || !s.atEnd || !s.fold.Connected() || time.Since(s.progress.AsOf) > 2*logstream.PollWait {
+	if head == nil || head.ID != s.currentID() || !s.atEnd || !s.fold.Connected() || time.Since(s.progress.AsOf) > checkpointFresh {
 		return nil, false
 	}
 	rec = &Record{Kind: Checkpoint, Document: head.Document, Signatures: head.Signatures, Accepted: head.Offset, Through: s.fold.Next()}
--- a/internal/coordination/claim/manager.go
+++ b/internal/coordination/claim/manager.go
@@ -35,9 +35,10 @@
 	// Limit is the number of keys held at most; 0 stands for DefaultLimit. While
 	// the table of a partition is full, new keys are refused.
 	Limit int
-	// Retention is how long the log service retains records of the streams. When
-	// it is shorter than the horizon, a process serves no claims until it has
-	// read for a horizon.
+	// Retention is how long the log service retains records of the streams. Below
+	// Horizon a process serves no claims until it has read for a horizon. Below
+	// two horizons, the keys of retained claims may be in doubt for a process
+	// that has just started, and are refused there.
 	Retention time.Duration
 	Logger    *zap.Logger
 }
--- a/internal/coordination/claim/partition.go
+++ b/internal/coordination/claim/partition.go
@@ -287,7 +287,7 @@
 // end is the end of the stream: what is appended later is younger than what was
 // forgotten by more than the retention time.
 func (p *partition) completeAt(end uint64) uint64 {
-	if p.cfg.Retention < Horizon+horizonSlack {
+	if p.cfg.Retention < Horizon {
 		return never
 	}
 	return end
--- a/internal/coordination/order/plan.go
+++ b/internal/coordination/order/plan.go
@@ -73,39 +73,38 @@
 // that has equals want.
 func difference(want *state.TargetPlacement, has Holding, starts map[state.ModelSpec]time.Time, now time.Time) (o Order, empty, settled bool) {
 	o = Order{Adapters: want.Adapters, Role: want.Role}
-	settled = true
+	waiting := make(map[string]bool) // names whose wanted version is not due yet
 	for _, m := range want.Models {
-		if holds(has, m) {
-			continue
-		}
-		settled = false
-		if !now.Before(starts[m]) {
+		switch {
+		case holds(has, m):
+		case now.Before(starts[m]):
+			waiting[m.Name] = true
+		default:
 			o.Load = append(o.Load, m)
 		}
 	}
 	for _, m := range has.Models {
-		if !wants(want, m.Name) {
-			o.Unload = append(o.Unload, m.Name)
+		// An old version serves until the new one is loaded.
+		if !wants(want, m) && !waiting[m.Name] {
+			o.Unload = append(o.Unload, m)
 		}
 	}
-	other := len(o.Unload) > 0 ||
-		want.Role != "" && has.Role != "" && want.Role != has.Role ||
-		!sameSet(want.Adapters, has.Adapters)
-	settled = settled && !other
-	return o, len(o.Load) == 0 && !other, settled
+	empty = len(o.Load) == 0 && len(o.Unload) == 0 &&
+		(want.Role == "" || want.Role == has.Role) && sameSet(want.Adapters, has.Adapters)
+	return o, empty, empty && len(waiting) == 0
 }
 
 func holds(has Holding, m state.ModelSpec) bool {
-	for _, h := range has.Models {
-		if h.Name == m.Name && (h.Version == m.Version || h.Version == "") {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(has.Models, func(h state.ModelSpec) bool {
+		return h.Name == m.Name && (h.Version == m.Version || h.Version == "")
+	})
 }
 
-func wants(p *state.TargetPlacement, name string) bool {
-	return slices.ContainsFunc(p.Models, func(m state.ModelSpec) bool { return m.Name == name })
+// wants reports whether p lists h, whose version may be unknown.
+func wants(p *state.TargetPlacement, h state.ModelSpec) bool {
+	return slices.ContainsFunc(p.Models, func(m state.ModelSpec) bool {
+		return h.Name == m.Name && (h.Version == m.Version || h.Version == "")
+	})
 }
 
 func sameSet(a, b []string) bool {
--- a/internal/coordination/order/ports.go
+++ b/internal/coordination/order/ports.go
@@ -16,9 +16,9 @@
 type Order struct {
 	Fence    uint64
 	Load     []state.ModelSpec
-	Unload   []string // model names
-	Adapters []string // the whole list wanted
-	Role     string   // "mixed", "prefill" or "decode"
+	Unload   []state.ModelSpec // an empty version stands for the one that is held
+	Adapters []string          // the whole list wanted
+	Role     string            // "mixed", "prefill" or "decode"
 }
 
 // Orders sends orders to the target. An error wraps ErrOldFence,
@@ -41,9 +41,10 @@
 // Error returns the wait.
 func (e *RateLimitedError) Error() string { return fmt.Sprintf("rate limited for %s", e.After) }
 
-// Holding is what a target reports to hold.
+// Holding is what a target reports to hold. Adapters and a role that it does not
+// report are ordered once and then taken as held.
 type Holding struct {
 	Models   []state.ModelSpec // an empty version stands for an unknown one
-	Adapters []string
-	Role     string // empty when the target does not report it
+	Adapters []string          // nil when not reported
+	Role     string            // empty when not reported
 }
--- a/internal/coordination/order/reconciler.go
+++ b/internal/coordination/order/reconciler.go
@@ -55,7 +55,8 @@
 	failures          int
 	superseded        int    // consecutive times
 	highest           uint64 // fencing number used last
-	sent              string // content of the last order accepted
+	ordered           Order  // the last order accepted
+	sent              string // its content as text
 	sentAt            time.Time
 }
 
@@ -102,6 +103,12 @@
 	if want == nil || !known {
 		return
 	}
+	if has.Adapters == nil {
+		has.Adapters = r.ordered.Adapters
+	}
+	if has.Role == "" {
+		has.Role = r.ordered.Role
+	}
 	o, empty, settled := difference(want, has, r.starts, now)
 	if settled {
 		r.sent, r.failures, r.superseded = "", 0, 0
@@ -120,7 +127,7 @@
 		return
 	}
 	r.failures, r.superseded = 0, 0
-	r.sent, r.sentAt = content, time.Now()
+	r.sent, r.sentAt, r.ordered = content, time.Now(), o
 }
 
 // give sends o under a lease.
@@ -148,7 +155,7 @@
 		return fmt.Errorf("order to target %s: %w", r.cfg.Target, err)
 	}
 	r.cfg.Logger.Info("order accepted", zap.String("target", string(r.cfg.Target)), zap.Uint64("fence", o.Fence),
-		zap.Any("load", o.Load), zap.Strings("unload", o.Unload), zap.Strings("adapters", o.Adapters), zap.String("role", o.Role))
+		zap.Any("load", o.Load), zap.Any("unload", o.Unload), zap.Strings("adapters", o.Adapters), zap.String("role", o.Role))
 	return nil
 }
 
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -51,6 +52,7 @@
 	if u.Scheme != "http" || u.Port() == "" {
 		return nil, fmt.Errorf("platform URL %q: want http://HOST:PORT", base)
 	}
+	u.Path = strings.TrimSuffix(u.Path, "/")
 	return &endpoint{base: u, client: &fasthttp.HostClient{
 		Addr:                      u.Host,
 		DialTimeout:               dial,
--- a/internal/transport/platform/log.go
+++ b/internal/transport/platform/log.go
@@ -122,7 +122,9 @@
 		expect = r.Offset + 1
 		page.Records[i] = logstream.Record(r)
 	}
-	if page.Next > page.End {
+	// The service may leave next at from when that is not retained any more.
+	page.Next = max(page.Next, expect)
+	if page.Next > page.End && len(page.Records) > 0 {
 		return logstream.Page{}, fmt.Errorf("next %d is after end %d", page.Next, page.End)
 	}
 	return page, nil
--- a/internal/transport/platform/orders.go
+++ b/internal/transport/platform/orders.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/order"
+	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
 // Orders is a client of a target's orders. It implements order.Orders.
@@ -29,7 +30,7 @@
 type orderBody struct {
 	Fence    uint64      `json:"fence"`
 	Load     []modelBody `json:"load"`
-	Unload   []string    `json:"unload"`
+	Unload   []modelBody `json:"unload"`
 	Adapters []string    `json:"adapters"`
 	Role     string      `json:"role,omitempty"`
 }
@@ -44,11 +45,8 @@
 
 // SendOrder implements order.Orders.
 func (o *Orders) SendOrder(ctx context.Context, ord order.Order) error {
-	b := orderBody{Fence: ord.Fence, Load: []modelBody{}, Unload: append([]string{}, ord.Unload...),
+	b := orderBody{Fence: ord.Fence, Load: models(ord.Load), Unload: models(ord.Unload),
 		Adapters: append([]string{}, ord.Adapters...), Role: ord.Role}
-	for _, m := range ord.Load {
-		b.Load = append(b.Load, modelBody(m))
-	}
 	body, err := json.Marshal(b)
 	if err != nil {
 		return fmt.Errorf("encode order: %w", err)
@@ -71,6 +69,15 @@
 	}
 }
 
+// models returns the wire form, never null.
+func models(specs []state.ModelSpec) []modelBody {
+	list := make([]modelBody, len(specs))
+	for i, m := range specs {
+		list[i] = modelBody(m)
+	}
+	return list
+}
+
 // parseRetryAfter parses seconds or an HTTP date.
 func parseRetryAfter(text string, now time.Time) time.Duration {
 	if seconds, err := strconv.Atoi(text); err == nil && seconds >= 0 {
