Make the checkpoint test independent of two processes writing at once

Change: the test forgets by retention time, as the log service does. Conclusion: fixed; the code is unchanged.

--- a/internal/coordination/bundle/bundle_test.go
+++ b/internal/coordination/bundle/bundle_test.go
@@ -117,6 +117,22 @@
 	return off
 }
 
+// forget applies the retention time.
+func forget(t testing.TB, log *logtest.Log) {
+	t.Helper()
+	page, err := log.Read(t.Context(), Stream, 0, 1<<20, 0)
+	if err != nil {
+		return // down; what is due goes next time
+	}
+	first := page.First
+	for _, r := range page.Records {
+		if time.Since(r.Time) > retention {
+			first = r.Offset + 1
+		}
+	}
+	log.Forget(Stream, first)
+}
+
 func propose(t testing.TB, log logstream.Log, doc []byte) uint64 {
 	t.Helper()
 	return appendRecord(t, log, Record{Kind: Proposal, Document: doc, Signatures: sign(t, doc, "anna", "ben")})
@@ -286,12 +302,13 @@
 				defer stop()
 			}
 			log.SetDelay(delay)
-			time.Sleep(retention)
+			time.Sleep(retention * 3 / 2)
 			log.SetDelay(0)
-			if n := log.Appends(); n < 4 || n > 10 {
-				t.Errorf("delay %s: %d records after one retention time, want 1 bundle and about 4 checkpoints", delay, n)
+			// Each of the 6 quarters needs a checkpoint; rarely, two processes write one.
+			if n := log.Appends(); n < 6 || n > 13 {
+				t.Errorf("delay %s: %d records, want 1 bundle and about 6 checkpoints", delay, n)
 			}
-			log.Forget(Stream, uint64(log.Appends()-1))
+			forget(t, log)
 			s, stop := start(t, log)
 			defer stop()
 			wantVersion(t, s, 1, first)
--- a/internal/coordination/bundle/faults_test.go
+++ b/internal/coordination/bundle/faults_test.go
@@ -45,21 +45,6 @@
 	}()
 }
 
-// forget applies the retention time.
-func (c *cluster) forget() {
-	page, err := c.log.Read(c.t.Context(), Stream, 0, 1<<20, 0)
-	if err != nil {
-		return
-	}
-	first := page.First
-	for _, r := range page.Records {
-		if time.Since(r.Time) > retention {
-			first = r.Offset + 1
-		}
-	}
-	c.log.Forget(Stream, first)
-}
-
 // gossip hands the bundle of each store to the others, as sessions do.
 func (c *cluster) gossip() {
 	for _, from := range c.stores {
@@ -108,7 +93,7 @@
 		c.gossip()
 	}
 	time.Sleep(time.Duration(c.rand.ExpFloat64() * float64(retention/20)))
-	c.forget()
+	forget(c.t, c.log)
 	c.check()
 }
 
