--- a/internal/coordination/logstream/tailer.go
+++ b/internal/coordination/logstream/tailer.go
@@ -32,8 +32,8 @@
 	// Fold receives each record.
 	Fold func(Record)
 	// Gap is called before the next Fold when records from offset from up to but
-	// not including page.First were never read and are no longer retained. A
-	// reader without Start is not told about records lost before its first read.
+	// not including page.First were never read and are no longer retained, also
+	// before the first read.
 	Gap func(from uint64, page Page)
 	// Progress is called after each successful read.
 	Progress func(Position)
@@ -46,7 +46,6 @@
 	if err != nil {
 		return err
 	}
-	started := t.Start != nil
 	failures := 0
 	wait := time.Duration(0)
 	for {
@@ -70,11 +69,10 @@
 			t.Logger.Info("log stream readable again", zap.String("stream", t.Stream), zap.Int("failures", failures))
 			failures = 0
 		}
-		if page.First > next && started && t.Gap != nil {
-			t.Logger.Warn("log stream gap: records are no longer retained", zap.String("stream", t.Stream), zap.Uint64("from", next), zap.Uint64("first", page.First))
+		if page.First > next && t.Gap != nil {
+			t.Logger.Info("log stream gap: records are no longer retained", zap.String("stream", t.Stream), zap.Uint64("from", next), zap.Uint64("first", page.First))
 			t.Gap(next, page)
 		}
-		started = true
 		for _, r := range page.Records {
 			t.Fold(r)
 		}
