Let old speeds approach the typical ones instead of expiring at once

Cause: in a trial a slowed engine got 30 requests within 4 s when its speeds expired after 30 s without figures. Change: from 5 s to 30 s of age measured speeds approach the median of the service.

--- a/internal/coordination/placement/delay.go
+++ b/internal/coordination/placement/delay.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/state"
@@ -29,17 +30,24 @@
 
 // ratesOf returns the speeds of t at a full window.
 func (v *serviceView) ratesOf(t *target, now time.Time) rates {
-	r := v.typical
-	if t.figures == nil || now.Sub(t.received) > speedLifetime {
-		return r
+	if t.figures == nil {
+		return v.typical
 	}
-	if t.figures.PrefillRate > 0 {
-		r.prefill = t.figures.PrefillRate
+	age := now.Sub(t.received)
+	known := 1 - max(0, (age-loadLifetime).Seconds())/(speedLifetime-loadLifetime).Seconds()
+	return rates{
+		prefill: blend(t.figures.PrefillRate, v.typical.prefill, known),
+		decode:  blend(t.figures.DecodeRate*batchGain(t.figures), v.typical.decode, known),
 	}
-	if t.figures.DecodeRate > 0 {
-		r.decode = t.figures.DecodeRate * batchGain(t.figures)
+}
+
+// blend returns the geometric mean of measured and typical, weighted by the
+// share (up to 1) to which the measurement is still known.
+func blend(measured, typical, known float64) float64 {
+	if measured <= 0 || known <= 0 {
+		return typical
 	}
-	return r
+	return typical * math.Pow(measured/typical, known)
 }
 
 func batchGain(f *state.Figures) float64 {
--- a/internal/coordination/placement/target.go
+++ b/internal/coordination/placement/target.go
@@ -150,7 +150,9 @@
 	// session brings none, so without this limit a target that was busy when its
 	// last attempt ended would look busy for ever.
 	loadLifetime = 5 * time.Second
-	// speedLifetime is the same for the measured speeds, which change less.
+	// speedLifetime is the age at which measured speeds count no longer. From
+	// loadLifetime on they approach the typical speeds of the service, so that a
+	// target that was slow gets one request and new figures before it gets many.
 	speedLifetime = 30 * time.Second
 )
 
