Add long randomised runs over request handling

Real entries, placers, claim managers and side processes run against fakes of sessions, targets and the log, with faults drawn by rapid and the time of synctest. Ghost state checks what ran against what was reported.

--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,137 @@
+// Package soak runs the decision code of entries, side processes, bundles and
+// orders against fakes at its interfaces, with random faults drawn by rapid and
+// the clock of synctest. Ghost state in the fakes records what really happened
+// and is compared with what was reported.
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+var (
+	soakSeed     = flag.Uint64("soak.seed", 1, "first seed of the runs")
+	soakTries    = flag.Int("soak.tries", 1, "times that each case is run; more than 1 to replay a failure")
+	soakDuration = flag.Duration("soak.duration", 0, "run the properties in turns for this long, each turn with the next seed; 0 runs each once")
+)
+
+// shrinkTries is how often a case is run while a failure is shrunk. Which of two
+// simultaneous events comes first is not drawn by rapid, so a case that failed
+// once may pass.
+const shrinkTries = 10
+
+// roundChecks is the number of cases that one turn of a long run makes.
+const roundChecks = 20
+
+// tally counts what the runs tried and how it ended.
+var tally struct {
+	sync.Mutex
+	counts map[string]int
+}
+
+func count(name string, n int) {
+	tally.Lock()
+	defer tally.Unlock()
+	tally.counts[name] += n
+}
+
+func summary() string {
+	tally.Lock()
+	defer tally.Unlock()
+	var b strings.Builder
+	for _, name := range sortedKeys(tally.counts) {
+		fmt.Fprintf(&b, "  %-32s %d\n", name, tally.counts[name])
+	}
+	return b.String()
+}
+
+// current is the ghost of the running case. state.OnViolation has no other way
+// to reach it.
+var current atomic.Pointer[ghost]
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	tally.counts = make(map[string]int)
+	state.OnViolation(func(inv state.Invariant, detail string) {
+		if g := current.Load(); g != nil {
+			g.fail("invariant %s: %s", inv, detail)
+		}
+	})
+	set := make(map[string]bool)
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	for name, value := range map[string]string{"rapid.nofailfile": "true", "rapid.shrinktime": "20s", "rapid.seed": fmt.Sprint(*soakSeed)} {
+		if !set[name] {
+			flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// check runs a property in a synctest bubble for each case. The property
+// reports failures to the ghost, because a failed bubble could not be shrunk.
+func check(t *testing.T, name string, checks int, draw func(rt *rapid.T) func(g *ghost)) {
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		flag.Set("rapid.checks", fmt.Sprint(checks))
+		defer flag.Set("rapid.checks", f.DefValue)
+	}
+	seed := flag.Lookup("rapid.seed").Value.String()
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("replay this turn: go test ./internal/soak -count=1 -run '^%s$' -rapid.seed=%s -rapid.checks=%d -soak.tries=%d", name, seed, checks, shrinkTries)
+		}
+	})
+	tries := *soakTries
+	rapid.Check(t, func(rt *rapid.T) {
+		run := draw(rt)
+		for range tries {
+			g := newGhost()
+			current.Store(g)
+			synctest.Test(t, func(*testing.T) { run(g) })
+			current.Store(nil)
+			if faults := g.faultList(); len(faults) > 0 {
+				tries = max(tries, shrinkTries)
+				rt.Fatalf("%s", strings.Join(faults, "\n"))
+			}
+		}
+	})
+}
+
+// properties are the properties that a long run takes in turns.
+var properties = []struct {
+	name   string
+	checks int // in one run of the tests
+	draw   func(rt *rapid.T) func(g *ghost)
+}{
+	{"Requests", 150, drawRequests},
+}
+
+// Guards against requests that run twice, are reported wrongly, are lost or
+// hang under any combination of faults.
+func TestRequests(t *testing.T) { check(t, t.Name(), properties[0].checks, properties[0].draw) }
+
+// TestSoak takes the properties in turns until the duration is over.
+func TestSoak(t *testing.T) {
+	if *soakDuration == 0 {
+		t.Skip("runs with -soak.duration only")
+	}
+	end := time.Now().Add(*soakDuration)
+	seed := *soakSeed
+	for ; time.Now().Before(end) && !t.Failed(); seed++ {
+		flag.Set("rapid.seed", fmt.Sprint(seed))
+		for _, p := range properties {
+			check(t, "Test"+p.name, roundChecks, p.draw)
+		}
+	}
+	t.Logf("seeds %d to %d\n%s", *soakSeed, seed-1, summary())
+}
