Number attempts over all targets so that identifiers are unique

Cause: sessions are numbered for each target and attempts were numbered within a session, so the first attempts of an entry at two targets had the same identifier. When a caller retried a key at the same entry, the claim of the second target was taken for a copy of the first and won too, and a non-idempotent request ran at both. Placement, which tracks open attempts by identifier, also mixed the two up.

Change: the peer client numbers attempts over all targets, and a claim counts as a copy only when its target is the same.

TestClaimForAnotherTarget fails without the comparison of targets.

--- a/internal/coordination/claim/claim_test.go
+++ b/internal/coordination/claim/claim_test.go
@@ -360,3 +360,35 @@
 		}
 	})
 }
+
+// Guards against a claim that wins because its attempt has the identifier of the
+// holder's at another target.
+func TestClaimForAnotherTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(logtest.Log)
+		m, stop := start(t, log, time.Hour)
+		defer stop()
+		first, second := claimOf("k", "e1", 1), claimOf("k", "e1", 1)
+		second.Target = "t2"
+		log.SetDelay(10 * time.Millisecond) // both are in the log before either is folded
+		results := make([]state.ClaimResult, 2)
+		var wg sync.WaitGroup
+		for i, c := range []state.Claim{first, second} {
+			wg.Go(func() {
+				var err error
+				if results[i], err = m.Claim(t.Context(), c); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+		if results[0].Won == results[1].Won {
+			t.Errorf("both claims won=%t, want one", results[0].Won)
+		}
+		for _, c := range []state.Claim{first, second} { // decided without an append
+			if r, err := m.Claim(t.Context(), c); err != nil || r.Won != (r.Holder.Target == c.Target) {
+				t.Errorf("repeated claim for %s: won=%t, holder at %s, error %v", c.Target, r.Won, r.Holder.Target, err)
+			}
+		}
+	})
+}
--- a/internal/coordination/claim/fold.go
+++ b/internal/coordination/claim/fold.go
@@ -127,8 +127,12 @@
 	if !ok {
 		return Result{} // a later placement whose first one has passed the horizon
 	}
-	repeated := h.claim.Placement == c.Placement && h.claim.Attempt == c.Attempt
-	return Result{ClaimResult: state.ClaimResult{Won: repeated, Holder: h.claim}, Decided: true}
+	return Result{ClaimResult: state.ClaimResult{Won: repeats(c, &h.claim), Holder: h.claim}, Decided: true}
+}
+
+// repeats reports whether c is another copy of the claim that holds the key.
+func repeats(c, holder *state.Claim) bool {
+	return c.Placement == holder.Placement && c.Attempt == holder.Attempt && c.Target == holder.Target
 }
 
 // valid reports whether c takes the key from the holder h, if there is one. A
--- a/internal/coordination/claim/partition.go
+++ b/internal/coordination/claim/partition.go
@@ -99,7 +99,7 @@
 			return state.ClaimResult{}, false, unavailable(p.stream, "the claims before are not all known")
 		}
 		if ok && !valid(&w.claim, held{claim: holder}, true) {
-			return state.ClaimResult{Won: holder.Attempt == w.claim.Attempt && holder.Placement == w.claim.Placement, Holder: holder}, true, nil
+			return state.ClaimResult{Won: repeats(&w.claim, &holder), Holder: holder}, true, nil
 		}
 		if !ok && p.fold.Full() {
 			return state.ClaimResult{}, false, unavailable(p.stream, "%d keys are held", p.fold.Len())
--- a/internal/soak/peers_test.go
+++ b/internal/soak/peers_test.go
@@ -46,7 +46,6 @@
 	server context.Context // ends at the side process
 	end    context.CancelFunc
 
-	seq      atomic.Uint64
 	streams  atomic.Int64
 	lateUp   atomic.Int64 // extra nanoseconds for messages to the side process
 	lostUp   atomic.Bool  // messages to the side process are lost
@@ -393,7 +392,7 @@
 	if err != nil {
 		return state.Reservation{}, err
 	}
-	id := state.AttemptID{Entry: e.name, Incarnation: e.incarnation, Session: s.number, Seq: s.seq.Add(1)}
+	id := state.AttemptID{Entry: e.name, Incarnation: e.incarnation, Session: s.number, Seq: e.seq.Add(1)}
 	return state.Reservation{Target: target, Incarnation: s.peer.incarnation, Attempt: id}, nil
 }
 
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -91,6 +91,7 @@
 	claims      *claim.Manager
 	links       map[state.TargetID]*link
 	bundle      atomic.Pointer[state.Bundle]
+	seq         atomic.Uint64 // attempts reserved
 }
 
 type sideProcess struct {
--- a/internal/state/ids.go
+++ b/internal/state/ids.go
@@ -40,8 +40,9 @@
 }
 
 // AttemptID identifies one placement of a request on a target. Session is the
-// number of the entry's session to that target; Seq counts the attempts within
-// the session. An attempt may be dispatched only on the session that it names.
+// number of the entry's session to that target; Seq counts the attempts of the
+// entry incarnation over all targets, so that no two attempts have the same
+// identifier. An attempt may be dispatched only on the session that it names.
 type AttemptID struct {
 	Entry       InstanceID  `cbor:"1,keyasint" json:"entry"`
 	Incarnation Incarnation `cbor:"2,keyasint" json:"incarnation"`
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,6 +49,7 @@
 type Client struct {
 	cfg ClientConfig
 
+	seq    atomic.Uint64 // of the last attempt reserved, over all targets
 	mu     sync.Mutex
 	links  map[state.TargetID]*link
 	closed bool
@@ -56,6 +58,7 @@
 // link is the entry's relation to one target over successive sessions.
 type link struct {
 	target state.TargetID
+	seq    *atomic.Uint64 // of the client
 
 	dialing sync.Mutex // held while a session is opened
 
@@ -198,11 +201,11 @@
 	defer c.mu.Unlock()
 	l := c.links[target]
 	if l == nil && create && !c.closed {
-		l = &link{target: target}
+		l = &link{target: target, seq: &c.seq}
 		c.links[target] = l
 	}
 	if l == nil && create {
-		return &link{target: target}
+		return &link{target: target, seq: &c.seq}
 	}
 	return l
 }
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -447,3 +447,14 @@
 	}()
 	return c
 }
+
+// Guards against one identifier for attempts at two targets, which made both of
+// two claims for a key win.
+func TestReservationsDiffer(t *testing.T) {
+	c := NewClient(ClientConfig{Instance: "entry-1", Incarnation: 7})
+	first := &session{cfg: c.cfg, link: c.link("a", true), number: 1}
+	second := &session{cfg: c.cfg, link: c.link("b", true), number: 1}
+	if a, b := first.reserve(), second.reserve(); a.Attempt == b.Attempt {
+		t.Errorf("attempts at %s and %s are both %s", a.Target, b.Target, a.Attempt)
+	}
+}
--- a/internal/transport/peer/session.go
+++ b/internal/transport/peer/session.go
@@ -43,7 +43,6 @@
 	cancel context.CancelCauseFunc
 	once   sync.Once
 
-	seq     atomic.Uint64
 	streams atomic.Int64 // open attempt streams
 
 	mu    sync.Mutex
@@ -123,7 +122,7 @@
 		Incarnation: s.incarnation,
 		Attempt: state.AttemptID{
 			Entry: s.cfg.Instance, Incarnation: s.cfg.Incarnation,
-			Session: s.number, Seq: s.seq.Add(1),
+			Session: s.number, Seq: s.link.seq.Add(1),
 		},
 	}
 }
