--- a/internal/coordination/claim/claim_test.go
+++ b/internal/coordination/claim/claim_test.go
@@ -355,8 +355,7 @@
 func TestClaimForAnotherTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := new(logtest.Log)
-		m, stop := start(t, log, time.Hour)
-		defer stop()
+		m := start(t, log, time.Hour)
 		first, second := claimOf("k", "e1", 1), claimOf("k", "e1", 1)
 		second.Target = "t2"
 		log.SetDelay(10 * time.Millisecond) // both are in the log before either is folded
