Let a keyed request run past its deadline so that a retry can collect it

Cause: a running request with a claimed key was cancelled at its deadline. The key was then used up for the horizon with an unknown outcome, and a caller's retry could never learn the result. Change: the side process lets a keyed attempt run for up to another horizon, and the entry does not cancel it; the caller is told 'outcome unknown' at its deadline as before. Before: the keyed case of TestDeadlines ends Failed (deadline_exceeded). After: it ends Done. Conclusion: a retry with the key attaches to the attempt and gets the response.

--- a/internal/coordination/entry/follow.go
+++ b/internal/coordination/entry/follow.go
@@ -354,7 +354,7 @@
 	if a.waiting() && a.stream != nil && r.confirmWithdrawal(a) {
 		return refused(state.ReasonTimeout, defaultRetryAfter, err)
 	}
-	if a.stream != nil {
+	if a.stream != nil && !r.keyed() {
 		_ = a.stream.Cancel()
 	}
 	r.started(a) // it may have run
--- a/internal/coordination/side/lifecycle_test.go
+++ b/internal/coordination/side/lifecycle_test.go
@@ -289,7 +289,8 @@
 	})
 }
 
-// Guards against requests that are held or run past their deadline.
+// Guards against requests that are held or run past their deadline, and against a
+// keyed request that is cut off at it.
 func TestDeadlines(t *testing.T) {
 	withRig(t, &scriptedRunner{run: produce(40, 100*time.Millisecond)}, bundle(1, 10), func(r *rig) {
 		last[*state.Done](r, r.session.Dispatch(r.job(0))) // measures 10 tokens/s
@@ -312,6 +313,10 @@
 		if id := <-r.runner.cancelled; id != short.Attempt {
 			r.t.Errorf("cancelled %s at the target", id)
 		}
+
+		keyed := r.job(0)
+		keyed.Request.Key, keyed.Request.Deadline = "k", time.Now().Add(2*time.Second)
+		last[*state.Done](r, r.session.Dispatch(keyed)) // a retry may collect it
 	})
 }
 
--- a/internal/coordination/side/service.go
+++ b/internal/coordination/side/service.go
@@ -278,10 +278,16 @@
 	}
 }
 
-// checkRunning cancels attempts that have passed their deadline.
+// checkRunning cancels attempts that have passed their deadline. A keyed one may
+// run for another Horizon: cut off, it would use up its key with an unknown
+// outcome, while a retry with the key can still collect the response.
 func (s *Service) checkRunning(now time.Time) {
 	for a := range s.running {
-		if !a.deadline.IsZero() && now.After(a.deadline) {
+		limit := a.deadline
+		if a.keyed {
+			limit = limit.Add(Horizon)
+		}
+		if !a.deadline.IsZero() && now.After(limit) {
 			s.stop(a, state.ReasonTimeout)
 		}
 	}
