Test that a keyed request is not cancelled at its deadline

Change: one scenario; the calls to the target contain no cancel. Figures: with the check for the key removed the scenario fails. Conclusion: covered at both ends.

--- a/internal/coordination/entry/service_test.go
+++ b/internal/coordination/entry/service_test.go
@@ -257,6 +257,10 @@
 	{guards: "a running request that is not cancelled at its deadline", setup: func(h *harness) {
 		script1(h, "a", started, never)
 	}, kind: TimedOut, reason: state.ReasonTimeout, calls: "dispatch a,cancel a", within: time.Minute},
+	{guards: "a keyed request that is cut off at its deadline, so that a retry cannot collect it", setup: func(h *harness) {
+		h.keyed()
+		script1(h, "a", started, never)
+	}, kind: Unknown, reason: state.ReasonTimeout, calls: "dispatch a", within: time.Minute},
 	{guards: "work queued behind a slow target", setup: func(h *harness) {
 		s := events(queued, never)
 		s.withdrawn = events(refuse(state.ReasonWithdrawn)).steps
