Reconnect to a target that was restarted in place after it had left

Change: the owner goes on asking for a session to a target that left the subset by leaving, with the backoff of a lost session.

--- a/internal/coordination/placement/owner.go
+++ b/internal/coordination/placement/owner.go
@@ -57,6 +57,10 @@
 	// clock difference plus the shortest delay of a report.
 	fastest time.Duration
 	asked   time.Time // last call of Connector.Connect
+	// lapsed is set when the target left while it was in the subset. The owner
+	// goes on asking for a session, because a process that was restarted in place
+	// is noticed only by its new incarnation.
+	lapsed bool
 }
 
 // owner holds the tracked state. All methods run on one goroutine.
@@ -352,10 +356,13 @@
 func (o *owner) assignSubsets() {
 	members := make(map[state.Service][]subsetMember)
 	for _, t := range o.targets {
-		if !t.view.live.leaving() {
-			m := subsetMember{target: t.view.id, domain: t.view.domain, ejected: t.health.ejected}
-			members[t.view.service] = append(members[t.view.service], m)
+		if t.view.live.leaving() {
+			t.lapsed = t.lapsed || t.view.subset
+			continue
 		}
+		t.lapsed = false
+		m := subsetMember{target: t.view.id, domain: t.view.domain, ejected: t.health.ejected}
+		members[t.view.service] = append(members[t.view.service], m)
 	}
 	cfg := o.placer.cfg
 	chosen := make(map[state.TargetID]bool)
@@ -381,17 +388,17 @@
 // reconnect asks for the sessions of the subset that are missing.
 func (o *owner) reconnect(now time.Time) {
 	for _, t := range o.targets {
-		if t.view.subset {
+		if t.view.subset || t.lapsed {
 			o.connect(t, now)
 		}
 	}
 }
 
-// connect asks for a session to t unless it has one, leaves or is in backoff.
+// connect asks for a session to t unless it has one or is in backoff.
 func (o *owner) connect(t *tracked, now time.Time) {
 	c := o.placer.cfg.Connector
 	waits := t.health.ejected && now.Before(t.health.probeFrom)
-	if c == nil || t.view.connected || t.view.live.leaving() || waits || now.Sub(t.asked) < firstBackoff {
+	if c == nil || t.view.connected || waits || now.Sub(t.asked) < firstBackoff {
 		return
 	}
 	t.asked = now
--- a/internal/coordination/placement/structure_test.go
+++ b/internal/coordination/placement/structure_test.go
@@ -66,6 +66,35 @@
 	})
 }
 
+// Guards against a target that is restarted in place after it has left and gets
+// nothing for ever, since only a session shows its new incarnation.
+func TestRestartedTargetIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRecorder()
+		r := start(t, "entry-0", engines(2, 1), c)
+		r.SessionOpened(engine(0), 1, nil)
+		r.Leaving(engine(0))
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		asked := c.connected[engine(0)]
+		if asked != 1 {
+			t.Errorf("asked %d times for a session although there is one", asked)
+		}
+		r.SessionLost(engine(0), errors.New("process ended"))
+		time.Sleep(lastBackoff)
+		synctest.Wait()
+		if c.connected[engine(0)] == asked {
+			t.Fatal("no session was asked for after the process had ended")
+		}
+		r.SessionOpened(engine(0), 2, nil)
+		r.Leaving(engine(1))
+		synctest.Wait()
+		if target, _ := r.send(r.query()); target != engine(0) {
+			t.Errorf("placed on %s", target)
+		}
+	})
+}
+
 // Guards against a deadlock of the owner with a connector that reports the
 // sessions it closes, and against reports that are kept without bound.
 func TestMailboxNeverBlocks(t *testing.T) {
--- a/internal/ctl/statuscmd/command.go
+++ b/internal/ctl/statuscmd/command.go
@@ -138,7 +138,7 @@
 	fmt.Fprintf(w, "instance\trole\tadmin\tbundle\tqueued by tier\tviolations\n")
 	for _, i := range s.Instances {
 		if i.Error != "" {
-			fmt.Fprintf(w, "%s\t%s\t%s\tunreachable\n", i.Name, i.Role, i.URL)
+			fmt.Fprintf(w, "-\t-\t%s\tunreachable\t-\t-\n", i.URL)
 			continue
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\n", i.Name, i.Role, i.URL, i.BundleVersion, queue(i.Queue), i.Violations)
