State once which refusals are for load; assert P4(b) without a race

Cause: three packages listed the reasons for load, and 'target_not_admitting' was missing in two of them, so callers got 503 instead of 429 and the entry did not apply P4(b). The assertion of P4(b) asked the placer again after the decision, so figures that arrived in between could look like a violation. Change: state.Reason.ForLoad and Shed; the assertion now checks that no target was left to ask after the last placement, as the decision itself saw it. It still fails when a refusal skips that question. Conclusion: one list, and an assertion that cannot fail falsely.

--- a/internal/coordination/entry/choose.go
+++ b/internal/coordination/entry/choose.go
@@ -58,6 +58,7 @@
 // entry may refuse it for load: one from whose queue the entry itself took the
 // request, or one that shows room.
 func (r *run) requiredTarget() (Decision, bool) {
+	r.allAsked = false
 	for target, reason := range r.tried {
 		if reason == state.ReasonWithdrawn {
 			return Decision{Target: target, Policy: r.req.Policy, Reason: "return to the queue left before"}, true
@@ -68,6 +69,7 @@
 			return Decision{Target: target, Policy: r.req.Policy, Reason: "free slot or lower tier queued"}, true
 		}
 	}
+	r.allAsked = true
 	return Decision{}, false
 }
 
@@ -104,9 +106,8 @@
 	if end.retryAfter == 0 {
 		end.retryAfter = defaultRetryAfter
 	}
-	if isLoad(end.reason) {
-		target, left := r.requiredTarget()
-		state.Assert(!left, state.TierOrder, fmt.Sprintf("request %s of tier %d refused for load before target %s was asked", r.req.ID, r.req.Tier, target.Target))
+	if end.reason.ForLoad() {
+		state.Assert(r.allAsked, state.TierOrder, fmt.Sprintf("request %s of tier %d refused for load before all targets were asked", r.req.ID, r.req.Tier))
 	}
 	return end
 }
--- a/internal/coordination/entry/result.go
+++ b/internal/coordination/entry/result.go
@@ -66,11 +66,6 @@
 	return errRequest.Wrap(cause, "%s", step).WithProperty(propertyStep, step).WithProperty(propertyPeer, string(peer))
 }
 
-// isLoad reports whether a refusal was for load, which P4 restricts.
-func isLoad(r state.Reason) bool {
-	return r == state.ReasonQueueFull || r == state.ReasonDisplaced || r == state.ReasonDeadline
-}
-
 // isTransient reports whether the same target may take the request after all.
 func isTransient(r state.Reason) bool {
 	switch r {
--- a/internal/coordination/entry/run.go
+++ b/internal/coordination/entry/run.go
@@ -34,6 +34,7 @@
 	reopened   int // times that targets in tried were asked again
 	retries    int // retries of work that may have run
 	refusal    ending
+	allAsked   bool // P4(b) requires no further target to be asked; false after a placement
 	mayHaveRun bool // an attempt ended unknown, so the request is no longer "not run"
 
 	caller  context.Context // ends when the caller is gone
@@ -80,6 +81,7 @@
 // place makes one attempt at the target of d.
 func (r *run) place(ctx context.Context, d Decision) ending {
 	r.placements++
+	r.allAsked = false
 	s := r.service
 	reservation, err := s.cfg.Peers.Reserve(ctx, d.Target)
 	if err != nil {
@@ -175,7 +177,7 @@
 
 // noteRefusal remembers why and for how long a target refused.
 func (r *run) noteRefusal(end ending) {
-	if r.refusal.reason == "" || isLoad(end.reason) || !isLoad(r.refusal.reason) {
+	if r.refusal.reason == "" || end.reason.ForLoad() || !r.refusal.reason.ForLoad() {
 		r.refusal.reason, r.refusal.err = end.reason, end.err
 	}
 	if end.retryAfter > 0 && (r.refusal.retryAfter == 0 || end.retryAfter < r.refusal.retryAfter) {
--- a/internal/coordination/side/lifecycle.go
+++ b/internal/coordination/side/lifecycle.go
@@ -103,8 +103,7 @@
 // checkTierOrder asserts P4(a) for a refusal that is about to be reported: no
 // request is refused or displaced for load while one of a lower tier is queued.
 func (s *Service) checkTierOrder(t state.Tier, reason state.Reason) {
-	switch reason {
-	case state.ReasonQueueFull, state.ReasonDisplaced, state.ReasonNotAdmitted:
+	if reason.Shed() {
 		state.Assert(!s.queue.holdsLowerThan(t), state.TierOrder,
 			fmt.Sprintf("tier %d refused (%s) while tier %d is queued", t, reason, s.queue.lowest()))
 	}
@@ -133,8 +132,7 @@
 
 func (s *Service) refused(reason state.Reason) *state.Refused {
 	r := &state.Refused{Reason: reason, Figures: s.figures()}
-	switch reason {
-	case state.ReasonQueueFull, state.ReasonDisplaced, state.ReasonDeadline, state.ReasonNotAdmitted:
+	if reason.ForLoad() {
 		r.RetryAfter = seconds(s.firstFree() + s.speed.seconds(s.queue.work()))
 	}
 	return r
--- a/internal/state/attempt.go
+++ b/internal/state/attempt.go
@@ -127,6 +127,14 @@
 // that callers see.
 type Reason string
 
+// Shed reports whether a request was refused because others took its place.
+func (r Reason) Shed() bool {
+	return r == ReasonQueueFull || r == ReasonDisplaced || r == ReasonNotAdmitted
+}
+
+// ForLoad reports whether a request was refused because of load.
+func (r Reason) ForLoad() bool { return r.Shed() || r == ReasonDeadline }
+
 // The reasons for Refused.
 const (
 	ReasonQueueFull        Reason = "queue_full"
--- a/internal/transport/front/failure.go
+++ b/internal/transport/front/failure.go
@@ -104,9 +104,11 @@
 
 // refusalStatus returns the HTTP status and error type of a refusal.
 func refusalStatus(reason state.Reason) (int, string) {
+	if reason.ForLoad() {
+		return http.StatusTooManyRequests, typeRateLimit
+	}
 	switch reason {
-	case admission.ReasonCustomerLimit, admission.ReasonOverloaded,
-		state.ReasonQueueFull, state.ReasonDisplaced, state.ReasonDeadline:
+	case admission.ReasonCustomerLimit, admission.ReasonOverloaded:
 		return http.StatusTooManyRequests, typeRateLimit
 	case state.ReasonTimeout:
 		return http.StatusGatewayTimeout, typeTimeout
