--- a/internal/soak/requests_test.go
+++ b/internal/soak/requests_test.go
@@ -128,10 +128,7 @@
 	for range 14 {
 		list = append(list, "request", "retry")
 	}
-	for _, name := range sortedKeys(faults) {
-		list = append(list, name)
-	}
-	return list
+	return append(list, sortedKeys(faults)...)
 }()
 
 var (
