--- a/internal/transport/peer/session.go
+++ b/internal/transport/peer/session.go
@@ -43,7 +43,6 @@
 	cancel context.CancelCauseFunc
 	once   sync.Once
 
-	seq     atomic.Uint64
 	streams atomic.Int64  // open attempt streams
 	active  chan struct{} // receives a value when the session becomes active
 
@@ -127,7 +126,7 @@
 		Incarnation: s.incarnation,
 		Attempt: state.AttemptID{
 			Entry: s.cfg.Instance, Incarnation: s.cfg.Incarnation,
-			Session: s.number, Seq: s.seq.Add(1),
+			Session: s.number, Seq: s.link.seq.Add(1),
 		},
 	}
 }
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -52,6 +53,7 @@
 	if u.Scheme != "http" || u.Port() == "" {
 		return nil, fmt.Errorf("platform URL %q: want http://HOST:PORT", base)
 	}
+	u.Path = strings.TrimSuffix(u.Path, "/")
 	count := newTraffic(name)
 	return &endpoint{base: u, client: &fasthttp.HostClient{
 		Addr:                      u.Host,
