Publish unchanged target views again

An entry at the size of docs/CAPACITY.md knows 600 targets and receives about 100 status reports a second; each copied and sorted all of them.

Views that have not changed are published again, and the order by name is kept until targets come or go.

go test -bench BenchmarkStatus ./internal/coordination/placement: a status with 600 targets 452 us and 675 allocations before, 78 us and 76 after; with 24 targets 11.5 us before, 7.7 us after.

--- a/internal/coordination/placement/owner.go
+++ b/internal/coordination/placement/owner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -57,6 +58,8 @@
 	// clock difference plus the shortest delay of a report.
 	fastest time.Duration
 	asked   time.Time // last call of Connector.Connect
+	// published is the view in the latest snapshot.
+	published *target
 	// lapsed is set when the target left while it was in the subset. The owner
 	// goes on asking for a session, because a process that was restarted in place
 	// is noticed only by its new incarnation.
@@ -72,6 +75,8 @@
 	share    map[state.Service]float64
 	settling []*openAttempt // to be subtracted once their figures are published
 	changed  bool
+	ordered  []*tracked // targets by name
+	reorder  bool       // targets came or went since ordered was set
 }
 
 func newOwner(p *Placer) *owner {
@@ -127,6 +132,7 @@
 
 func (e membersEvent) apply(o *owner) {
 	o.changed = true
+	o.reorder = true
 	o.entries = 0
 	present := make(map[state.TargetID]bool)
 	for _, m := range e.members {
@@ -412,24 +418,44 @@
 		services: make(map[state.Service]*serviceView),
 		targets:  make(map[state.TargetID]*target, len(o.targets)),
 	}
-	for id, t := range o.targets {
-		view := t.view
-		view.ejected, view.probeFrom = t.health.ejected, t.health.probeFrom
-		s.targets[id] = &view
+	for _, t := range o.byName() {
+		view := t.publish()
+		s.targets[view.id] = view
 		service := s.services[view.service]
 		if service == nil {
 			service = &serviceView{}
 			s.services[view.service] = service
 		}
-		service.all = append(service.all, &view)
+		service.all = append(service.all, view)
 	}
 	for name, service := range s.services {
-		slices.SortFunc(service.all, func(a, b *target) int { return cmp.Compare(a.id, b.id) })
 		o.summarise(name, service)
 	}
 	o.placer.snapshot.Store(s)
 }
 
+// publish returns the view to publish: the one published before if nothing has
+// changed since, because a report about one of 600 targets changes one view.
+func (t *tracked) publish() *target {
+	view := t.view
+	view.ejected, view.probeFrom = t.health.ejected, t.health.probeFrom
+	if t.published == nil || *t.published != view {
+		changed := view // view itself stays on the stack
+		t.published = &changed
+	}
+	return t.published
+}
+
+// byName returns the targets ordered by name. The order is kept until targets
+// come or go.
+func (o *owner) byName() []*tracked {
+	if len(o.ordered) != len(o.targets) || o.reorder {
+		o.reorder = false
+		o.ordered = slices.SortedFunc(maps.Values(o.targets), func(a, b *tracked) int { return cmp.Compare(a.view.id, b.view.id) })
+	}
+	return o.ordered
+}
+
 // defaultPromptShare is used before the entry has sent anything to a service.
 const defaultPromptShare = 0.5
 
