--- a/cmd/slopes/local.go
+++ b/cmd/slopes/local.go
@@ -87,7 +87,7 @@
 }
 
 // cost is what one bundle costs.
-type cost struct{ document, record, decode, verify, effect, heap float64 }
+type cost struct{ document, record, unmarshal, decode, verify, effect, heap float64 }
 
 func bundleCost(customers, placements int) (cost, error) {
 	b := newBundle(1, "", customers, sizeModels, placements)
@@ -104,6 +104,7 @@
 		return cost{}, err
 	}
 	c := cost{document: float64(len(document)), record: float64(len(record))}
+	c.unmarshal = nanoseconds(func() { _, err = bundle.UnmarshalRecord(record) })
 	c.decode = nanoseconds(func() { _, err = bundle.Decode(document) })
 	c.verify = nanoseconds(func() { err = errors.Join(err, bundle.Verify(document, signatures, signers())) })
 	placer := placement.New(placement.Config{Entry: "entry"})
@@ -140,6 +141,7 @@
 	t.row("bundle: heap for each customer, decoded", per(small.heap, customers.heap, sizeCustomers), "bytes")
 	t.row("bundle at the size: document", full.document, "bytes")
 	t.row("bundle at the size: record on the log", full.record, "bytes")
+	t.row("bundle at the size: read the record", full.unmarshal, "ns")
 	t.row("bundle at the size: decode", full.decode, "ns")
 	t.row("bundle at the size: verify 2 signatures", full.verify, "ns")
 	t.row("bundle at the size: put into effect", full.effect, "ns")
