Bound the sessions opened on demand for long prompts

A long prompt selects two targets by its first blocks, and an entry kept a session to each for 60 s. Closing an idle session was not told to placement, which went on counting it as open.

At most 24 sessions lie outside the subset; a target beyond that is no candidate for the prompt. Idle closes are reported.

--- a/cmd/slopes/wire.go
+++ b/cmd/slopes/wire.go
@@ -119,6 +119,7 @@
 func (quietObserver) SessionOpened(state.TargetID, *protocol.Welcome) {}
 func (quietObserver) StatusReceived(state.TargetID, *state.Status)    {}
 func (quietObserver) TargetLeaving(state.TargetID)                    {}
+func (quietObserver) SessionClosed(state.TargetID)                    {}
 func (quietObserver) SessionLost(state.TargetID, error)               {}
 
 // opening measures what opening one session takes, both ends together.
--- a/internal/coordination/placement/feedback.go
+++ b/internal/coordination/placement/feedback.go
@@ -37,8 +37,9 @@
 		err    error
 		at     time.Time
 	}
-	wantEvent struct{ target state.TargetID }
-	sentEvent struct {
+	closedEvent struct{ target state.TargetID }
+	wantEvent   struct{ target state.TargetID }
+	sentEvent   struct {
 		attempt state.AttemptID
 		open    *openAttempt
 	}
@@ -81,6 +82,11 @@
 	p.mailbox.put(leavingEvent{target: target, at: now}, false)
 }
 
+// SessionClosed tells that the session to target was closed because it was idle.
+func (p *Placer) SessionClosed(target state.TargetID) {
+	p.mailbox.put(closedEvent{target: target}, false)
+}
+
 // SessionLost tells that the session to target failed or could not be opened.
 func (p *Placer) SessionLost(target state.TargetID, err error) {
 	p.mailbox.put(lostEvent{target: target, err: err, at: time.Now()}, false)
--- a/internal/coordination/placement/owner.go
+++ b/internal/coordination/placement/owner.go
@@ -273,6 +273,13 @@
 	o.assignSubsets()
 }
 
+func (e closedEvent) apply(o *owner) {
+	if t := o.targets[e.target]; t != nil {
+		t.view.connected = false
+		o.changed = true
+	}
+}
+
 func (e wantEvent) apply(o *owner) {
 	if t := o.targets[e.target]; t != nil {
 		o.connect(t, time.Now())
@@ -421,6 +428,9 @@
 	for _, t := range o.byName() {
 		view := t.publish()
 		s.targets[view.id] = view
+		if view.connected && !view.subset {
+			s.onDemand++
+		}
 		service := s.services[view.service]
 		if service == nil {
 			service = &serviceView{}
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -123,7 +123,8 @@
 		random:   p.random(q),
 		rejected: make(map[string]int),
 	}
-	s.service = p.snapshot.Load().services[q.Request.Service]
+	view := p.snapshot.Load()
+	s.service, s.onDemand = view.services[q.Request.Service], view.onDemand
 	if s.service == nil {
 		return s
 	}
@@ -145,7 +146,7 @@
 // select and that the entry holds no session to.
 func (p *Placer) wantSession(q *Query, s *scene) {
 	for _, t := range s.affinity {
-		if t.subset || t.connected {
+		if t.subset || t.connected || !s.reachable(t) {
 			continue
 		}
 		p.mailbox.put(wantEvent{target: t.id}, true)
@@ -161,6 +162,7 @@
 	domain   state.FailureDomain
 	random   *rand.Rand
 	affinity []*target              // targets selected by the prompt's first blocks
+	onDemand int                    // sessions to targets outside the subset
 	cached   map[state.TargetID]int // leading prompt blocks expected in each target's cache
 
 	candidates []*candidate
@@ -187,7 +189,7 @@
 // left out whatever the policy says.
 func (s *scene) gather() {
 	for _, t := range s.service.all {
-		affinity := slices.Contains(s.affinity, t)
+		affinity := s.reachable(t) && slices.Contains(s.affinity, t)
 		if !t.subset && !affinity {
 			continue
 		}
@@ -203,6 +205,11 @@
 	}
 }
 
+// reachable reports whether there is a session to t or may be one.
+func (s *scene) reachable(t *target) bool {
+	return t.subset || t.connected || s.onDemand < maxOnDemand
+}
+
 func (s *scene) rejectedBy(t *target) string {
 	for _, f := range s.policy.filters {
 		if !f.accept(s, t) {
--- a/internal/coordination/placement/subset.go
+++ b/internal/coordination/placement/subset.go
@@ -17,6 +17,10 @@
 	subsetSize = 24
 	// affinityCount is the number of targets selected by a prompt's first blocks.
 	affinityCount = 2
+	// maxOnDemand bounds the sessions to targets outside the subset. An entry that
+	// sees many different long prompts would otherwise hold one to every target,
+	// at about 200 KB each.
+	maxOnDemand = 24
 	// affinityBlocks is the number of first blocks that select targets: 512
 	// tokens, below which a cached prefix does not repay an extra session.
 	affinityBlocks = 512 / blockTokens
--- a/internal/coordination/placement/target.go
+++ b/internal/coordination/placement/target.go
@@ -13,6 +13,7 @@
 type snapshot struct {
 	services map[state.Service]*serviceView
 	targets  map[state.TargetID]*target
+	onDemand int // sessions to targets outside the subset
 }
 
 // serviceView is the published state of one service.
--- a/internal/daemon/sessions.go
+++ b/internal/daemon/sessions.go
@@ -35,6 +35,11 @@
 	o.placer.Leaving(target)
 }
 
+func (o *observer) SessionClosed(target state.TargetID) {
+	o.members.SessionLost(target)
+	o.placer.SessionClosed(target)
+}
+
 func (o *observer) SessionLost(target state.TargetID, err error) {
 	o.members.SessionLost(target)
 	o.placer.SessionLost(target, err)
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -31,6 +31,8 @@
 	StatusReceived(target state.TargetID, s *state.Status)
 	TargetLeaving(target state.TargetID)
 	SessionLost(target state.TargetID, err error)
+	// SessionClosed tells that the session was closed because it was idle.
+	SessionClosed(target state.TargetID)
 }
 
 // ClientConfig configures a Client. All fields are required.
--- a/internal/transport/peer/interval_test.go
+++ b/internal/transport/peer/interval_test.go
@@ -56,3 +56,26 @@
 		t.Error("the silent session was not given up")
 	}
 }
+
+// Guards against placement that counts a closed session as open.
+func TestIdleCloseIsReported(t *testing.T) {
+	f, ctx := newFixture(t, "entry-1", 1, 1), testContext(t)
+	f.client.SetAddress(testTarget, Address{Instance: "side-1", UDP: f.address}, false)
+	if err := f.client.Connect(ctx, testTarget); err != nil {
+		t.Fatal(err)
+	}
+	s := f.client.link(testTarget, false).live()
+	s.mu.Lock()
+	s.used = s.used.Add(-IdleClose)
+	s.mu.Unlock()
+	select {
+	case target := <-f.observer.closed: // at the next heartbeat
+		if target != testTarget {
+			t.Errorf("closed session to %s reported, want %s", target, testTarget)
+		}
+	case err := <-f.observer.lost:
+		t.Errorf("session lost: %v; want it closed", err)
+	case <-ctx.Done():
+		t.Error("the idle session was not closed")
+	}
+}
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -154,11 +154,15 @@
 }
 func (b *fakeBundles) Offer(a state.AcceptedBundle) { b.offers <- a }
 
-type fakeObserver struct{ lost chan error }
+type fakeObserver struct {
+	lost   chan error
+	closed chan state.TargetID
+}
 
 func (fakeObserver) SessionOpened(state.TargetID, *protocol.Welcome) {}
 func (fakeObserver) StatusReceived(state.TargetID, *state.Status)    {}
 func (fakeObserver) TargetLeaving(state.TargetID)                    {}
+func (o fakeObserver) SessionClosed(target state.TargetID)           { o.closed <- target }
 func (o fakeObserver) SessionLost(_ state.TargetID, err error)       { o.lost <- err }
 
 // fixture is one side process and one entry on loopback.
@@ -175,7 +179,7 @@
 	t.Helper()
 	f := &fixture{
 		side:     &fakeSide{sessions: map[uint64]*fakeSession{}, events: make(chan state.AttemptEvent, 16), acks: make(chan struct{}, 16), accepted: sideVersion},
-		observer: fakeObserver{lost: make(chan error, 16)},
+		observer: fakeObserver{lost: make(chan error, 16), closed: make(chan state.TargetID, 16)},
 		offers:   make(chan state.AcceptedBundle, 1),
 		ca:       newAuthority(t),
 	}
--- a/internal/transport/peer/session.go
+++ b/internal/transport/peer/session.go
@@ -210,6 +210,8 @@
 			return
 		}
 		if s.idle(now) {
+			// Told first, so that a session opened meanwhile is reported after it.
+			s.cfg.Observer.SessionClosed(s.link.target)
 			s.close(codeClosed, errors.New("session idle"))
 			return
 		}
