Extrapolate decode speed by the concurrency it was measured at

Cause: an engine that runs one request measures a low total speed; with the bounded extrapolation by instantaneous counts an idle engine stayed unused.

--- a/internal/coordination/placement/delay.go
+++ b/internal/coordination/placement/delay.go
@@ -19,11 +19,8 @@
 	assumedDecodeRate  = 400.0
 )
 
-// maxBatchGain bounds by how much the decode speed of a partly filled window is
-// extrapolated. Engines batch, so a target that runs one request measures a
-// low total speed although it could take more; without the bound an almost idle
-// target would be credited with more speed than batching yields.
-const maxBatchGain = 4.0
+// speedMemory is the time constant of the decode speed in load figures.
+const speedMemory = 200 * time.Millisecond
 
 // maxDelay bounds predictions, so that sums stay within time.Duration.
 const maxDelay = time.Hour
@@ -37,7 +34,7 @@
 	known := 1 - max(0, (age-loadLifetime).Seconds())/(speedLifetime-loadLifetime).Seconds()
 	return rates{
 		prefill: blend(t.figures.PrefillRate, v.typical.prefill, known),
-		decode:  blend(t.figures.DecodeRate*batchGain(t.figures), v.typical.decode, known),
+		decode:  blend(t.decodeRate(), v.typical.decode, known),
 	}
 }
 
@@ -50,12 +47,26 @@
 	return typical * math.Pow(measured/typical, known)
 }
 
-func batchGain(f *state.Figures) float64 {
-	running := max(1, f.RunningCount)
-	if f.Window <= running {
-		return 1
+// decodeRate extrapolates the measured decode speed to a full window. Engines
+// batch, so a target that runs one request measures a low total speed. Taken as
+// it is, that speed would keep a target that has little work from getting more.
+func (t *target) decodeRate() float64 {
+	running := max(1, t.concurrency)
+	return t.figures.DecodeRate * max(1, float64(t.figures.Window)/running)
+}
+
+// observeConcurrency updates the number of requests that the decode speed in f
+// refers to. Side processes average the speed over speedMemory and keep it while
+// nothing runs, so the number is averaged in the same way.
+func (t *target) observeConcurrency(f *state.Figures, elapsed time.Duration) {
+	if f.RunningCount == 0 {
+		return
+	}
+	keep := 0.0
+	if t.concurrency > 0 {
+		keep = math.Exp(-elapsed.Seconds() / speedMemory.Seconds())
 	}
-	return min(maxBatchGain, float64(f.Window)/float64(running))
+	t.concurrency = keep*t.concurrency + (1-keep)*float64(f.RunningCount)
 }
 
 // predict fills in the speeds, the delay and the wait of c.
--- a/internal/coordination/placement/owner.go
+++ b/internal/coordination/placement/owner.go
@@ -190,7 +190,7 @@
 	if t.incarnation != e.incarnation {
 		t.incarnation = e.incarnation
 		t.health.leaving = false
-		t.view.figures = nil
+		t.view.figures, t.view.concurrency = nil, 0
 		o.updateLeaving(t, e.at)
 	}
 	t.fastest = math.MaxInt64
@@ -231,6 +231,7 @@
 	}
 	o.changed = true
 	copied := *f
+	t.view.observeConcurrency(f, at.Sub(t.view.received))
 	t.view.figures, t.view.received = &copied, at
 	delay := at.Sub(f.Taken)
 	t.fastest = min(t.fastest, delay)
@@ -441,7 +442,7 @@
 			prefill = append(prefill, f.PrefillRate)
 		}
 		if f := t.figures; f != nil && f.DecodeRate > 0 {
-			decode = append(decode, f.DecodeRate*batchGain(f))
+			decode = append(decode, t.decodeRate())
 		}
 	}
 	v.typical = rates{prefill: median(prefill, assumedPrefillRate), decode: median(decode, assumedDecodeRate)}
--- a/internal/coordination/placement/scenario_test.go
+++ b/internal/coordination/placement/scenario_test.go
@@ -327,6 +327,41 @@
 	})
 }
 
+// Guards against an idle target that stays idle because one running request
+// measures a low total speed, and against a speed that is extrapolated from many
+// requests when few are left.
+func TestSpeedAtFullWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := start(t, "entry-0", engines(1, 1), nil)
+		for _, step := range []struct {
+			running int
+			decode  float64
+			low, up float64
+		}{
+			{1, 60, 470, 490},   // 8 slots of 60 tokens/s
+			{8, 480, 470, 490},  // the window is full
+			{1, 440, 440, 1000}, // the speed has not followed yet
+			{1, 60, 440, 490},   // now it has
+			{0, 60, 440, 490},   // nothing is measured while nothing runs
+			{8, 96, 90, 100},    // slowed five times
+		} {
+			time.Sleep(20 * time.Millisecond)
+			if step.decode != 440 {
+				time.Sleep(time.Second)
+			}
+			f := idleFigures(step.decode)
+			f.RunningCount = step.running
+			r.Figures(engine(0), f)
+			synctest.Wait()
+			view := r.snapshot.Load()
+			got := view.services[testService].ratesOf(view.targets[engine(0)], time.Now()).decode
+			if got < step.low || got > step.up {
+				t.Errorf("%d running, %.0f tokens/s measured: %.0f, want %.0f to %.0f", step.running, step.decode, got, step.low, step.up)
+			}
+		}
+	})
+}
+
 // Guards against queued work that stays behind on a slowed engine.
 func TestAlternative(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/placement/scorer_predicted_delay_test.go
+++ b/internal/coordination/placement/scorer_predicted_delay_test.go
@@ -37,6 +37,9 @@
 		{"plain calls", with(func(f *state.Figures) { f.RunningCount, f.Window, f.QueuedCount[0] = 4, 4, 1 }), -1, work{}, 1, 800 * time.Millisecond, 320 * time.Millisecond},
 	} {
 		e := &target{id: "e", figures: tc.figures, cacheTrust: 1, live: new(live)}
+		if tc.figures != nil {
+			e.observeConcurrency(tc.figures, time.Second)
+		}
 		if tc.sent != (work{}) {
 			e.live.add(tc.sent, 1)
 		}
--- a/internal/coordination/placement/target.go
+++ b/internal/coordination/placement/target.go
@@ -30,17 +30,20 @@
 
 // target is the published state of one target.
 type target struct {
-	id         state.TargetID
-	service    state.Service
-	domain     state.FailureDomain
-	figures    *state.Figures // nil when unknown
-	received   time.Time      // arrival of figures by this process's clock
-	subset     bool           // belongs to the subset that this entry keeps sessions to
-	connected  bool           // has a live session
-	ejected    bool           // may be probed from probeFrom on
-	probeFrom  time.Time      // end of the current backoff
-	cacheTrust float64        // share (0 to 1) of predicted cached tokens that the engine confirms
-	live       *live
+	id       state.TargetID
+	service  state.Service
+	domain   state.FailureDomain
+	figures  *state.Figures // nil when unknown
+	received time.Time      // arrival of figures by this process's clock
+	// concurrency is the number of running requests that the decode speed in
+	// figures refers to; 0 before anything ran.
+	concurrency float64
+	subset      bool      // belongs to the subset that this entry keeps sessions to
+	connected   bool      // has a live session
+	ejected     bool      // may be probed from probeFrom on
+	probeFrom   time.Time // end of the current backoff
+	cacheTrust  float64   // share (0 to 1) of predicted cached tokens that the engine confirms
+	live        *live
 }
 
 // live counts what this entry has sent to a target since its latest figures.
