--- a/internal/coordination/claim/partition.go
+++ b/internal/coordination/claim/partition.go
@@ -99,7 +99,7 @@
 			return state.ClaimResult{}, false, unavailable(p.stream, "the claims before are not all known")
 		}
 		if ok && !valid(&w.claim, held{claim: holder}, true) {
-			return state.ClaimResult{Won: holder.Attempt == w.claim.Attempt && holder.Placement == w.claim.Placement, Holder: holder}, true, nil
+			return state.ClaimResult{Won: repeats(&w.claim, &holder), Holder: holder}, true, nil
 		}
 		if !ok && p.fold.Full() {
 			return state.ClaimResult{}, false, unavailable(p.stream, "%d keys are held", p.fold.Len())
@@ -287,7 +287,7 @@
 // end is the end of the stream: what is appended later is younger than what was
 // forgotten by more than the retention time.
 func (p *partition) completeAt(end uint64) uint64 {
-	if p.cfg.Retention < Horizon+horizonSlack {
+	if p.cfg.Retention < Horizon {
 		return never
 	}
 	return end
--- a/internal/coordination/entry/follow.go
+++ b/internal/coordination/entry/follow.go
@@ -270,7 +270,8 @@
 	switch {
 	case e.Reason == state.ReasonTimeout && r.req.Idempotent:
 		end.verdict = verdictTimedOut
-	case e.Unknown || e.Reason == state.ReasonTimeout:
+	case e.Unknown || e.Reason == state.ReasonTimeout || e.Reason == state.ReasonCancelled:
+		// A cancelled attempt was dispatched, so part of it may have taken effect.
 		end.verdict = verdictUnknown
 	}
 	return end, finish
@@ -353,7 +354,7 @@
 	if a.waiting() && a.stream != nil && r.confirmWithdrawal(a) {
 		return refused(state.ReasonTimeout, defaultRetryAfter, err)
 	}
-	if a.stream != nil {
+	if a.stream != nil && !r.keyed() {
 		_ = a.stream.Cancel()
 	}
 	r.started(a) // it may have run
--- a/internal/coordination/entry/service_test.go
+++ b/internal/coordination/entry/service_test.go
@@ -189,6 +189,10 @@
 		h.service.budget.Earn(5, 5)
 		script1(h, "a", started, broken)
 	}, kind: Unknown, reason: state.ReasonTargetSilent, calls: "dispatch a,ack a"},
+	{guards: "partly run work that is reported as a plain failure", setup: func(h *harness) {
+		h.req.Idempotent = false
+		script1(h, "a", started, &state.Failed{Reason: state.ReasonCancelled})
+	}, kind: Unknown, reason: state.ReasonCancelled, calls: "dispatch a,ack a"},
 	{guards: "an attempt whose fate the restarted side process cannot tell", setup: func(h *harness) {
 		h.req.Idempotent = false
 		script1(h, "a", lost)
@@ -253,6 +257,10 @@
 	{guards: "a running request that is not cancelled at its deadline", setup: func(h *harness) {
 		script1(h, "a", started, never)
 	}, kind: TimedOut, reason: state.ReasonTimeout, calls: "dispatch a,cancel a", within: time.Minute},
+	{guards: "a keyed request that is cut off at its deadline, so that a retry cannot collect it", setup: func(h *harness) {
+		h.keyed()
+		script1(h, "a", started, never)
+	}, kind: Unknown, reason: state.ReasonTimeout, calls: "dispatch a", within: time.Minute},
 	{guards: "work queued behind a slow target", setup: func(h *harness) {
 		s := events(queued, never)
 		s.withdrawn = events(refuse(state.ReasonWithdrawn)).steps
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -42,8 +43,9 @@
 	retryAfter string
 }
 
-// newEndpoint parses the base URL, for example "http://10.0.0.5:7070".
-func newEndpoint(base string) (*endpoint, error) {
+// newEndpoint parses the base URL, for example "http://10.0.0.5:7070". Its bytes
+// are counted under the name.
+func newEndpoint(name, base string) (*endpoint, error) {
 	u, err := url.Parse(base)
 	if err != nil {
 		return nil, fmt.Errorf("platform URL: %w", err)
@@ -51,9 +53,11 @@
 	if u.Scheme != "http" || u.Port() == "" {
 		return nil, fmt.Errorf("platform URL %q: want http://HOST:PORT", base)
 	}
+	u.Path = strings.TrimSuffix(u.Path, "/")
+	count := newTraffic(name)
 	return &endpoint{base: u, client: &fasthttp.HostClient{
 		Addr:                      u.Host,
-		Dial:                      dial,
+		DialTimeout:               count.dial,
 		MaxConns:                  maxConns,
 		MaxIdleConnDuration:       maxIdle,
 		MaxResponseBodySize:       maxBodyBytes,
@@ -63,8 +67,11 @@
 	}}, nil
 }
 
-func dial(addr string) (net.Conn, error) {
-	conn, err := fasthttp.DialTimeout(addr, CallTimeout)
+func dial(addr string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 || timeout > CallTimeout {
+		timeout = CallTimeout
+	}
+	conn, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
@@ -92,6 +99,10 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			<-done // do has the same deadline
+			break
+		}
 		return nil, fmt.Errorf("%s %s%s: %w", method, e.base.Host, path, ctx.Err())
 	}
 	if err != nil {
@@ -133,7 +144,7 @@
 
 func isTimeout(err error) bool {
 	var n net.Error
-	return errors.Is(err, fasthttp.ErrTimeout) || errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &n) && n.Timeout()
+	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &n) && n.Timeout()
 }
 
 // StatusError is an unexpected HTTP status.
