Do not keep prompts and responses during a load

Cause: a long run kept each prompt and response until the ledger was read. Change: only outcomes are kept after a request is counted. Conclusion: tests pass under the race detector.

--- a/internal/ctl/loadcmd/command.go
+++ b/internal/ctl/loadcmd/command.go
@@ -175,6 +175,10 @@
 func (g *generator) exchange(s *spec) {
 	e := g.sender.exchange(s)
 	g.tally.add(e, g.cmd.EntryFailures)
+	for _, r := range e.replies {
+		// The ledger needs only the outcomes; a long run must not keep prompts.
+		r.content, r.gaps, r.expected = nil, nil, nil
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.final = append(g.final, e)
