Test when load sends a request again

Cause: sending again was untested. Change: a test with an entry that is down and one that breaks connections.

--- a/internal/ctl/loadcmd/load_test.go
+++ b/internal/ctl/loadcmd/load_test.go
@@ -290,3 +290,28 @@
 		t.Errorf("%+v: %v", c, c.check())
 	}
 }
+
+// Guards against a request that is lost because one entry is down, and against
+// a second sending of an unkeyed request that may have run.
+func TestSendsAgainOnlyWhenSafe(t *testing.T) {
+	s := &stub{Runs: map[string]int{}}
+	sound := serve(t, s.handle)
+	breaks := serve(t, func(ctx *fasthttp.RequestCtx) { ctx.HijackSetNoResponse(true); ctx.Hijack(func(net.Conn) {}) })
+	for _, tc := range []struct {
+		name  string
+		first string
+		keyed bool
+		want  outcome
+		sent  int
+	}{
+		{"entry down", "http://127.0.0.1:1", false, whole, 2},
+		{"connection broken, keyed", breaks, true, whole, 2},
+		{"connection broken, not keyed", breaks, false, broken, 1},
+	} {
+		sender := newSender(command(tc.first, sound))
+		e := sender.exchange(&spec{id: tc.name, form: plain, customer: -1, keyed: tc.keyed})
+		if got := e.best().outcome; got != tc.want || len(e.replies) != tc.sent {
+			t.Errorf("%s: %s after %d sendings (%s), want %s after %d", tc.name, got, len(e.replies), e.best().detail, tc.want, tc.sent)
+		}
+	}
+}
