--- a/internal/soak/ghost_test.go
+++ b/internal/soak/ghost_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,10 @@
 
 // ghost records what really happened in one case.
 type ghost struct {
+	// crashed tells that a process was killed while it was leaving. It then ends
+	// with running attempts, as a real one does without a check.
+	crashed atomic.Bool
+
 	mu      sync.Mutex
 	faults  []string
 	arrived map[placed]bool
