--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -64,7 +64,8 @@
 	flag.Parse()
 	tally.counts = make(map[string]int)
 	state.OnViolation(func(inv state.Invariant, detail string) {
-		if g := current.Load(); g != nil {
+		g := current.Load()
+		if g != nil && (inv != state.GracefulStop || !g.crashed.Load()) {
 			g.fail("invariant %s: %s", inv, detail)
 		}
 	})
@@ -92,7 +93,7 @@
 		}
 	})
 	tries := *soakTries
-	rapid.Check(t, func(rt *rapid.T) {
+	rapid.Check(quiet{t}, func(rt *rapid.T) {
 		run := draw(rt)
 		for range tries {
 			g := newGhost()
@@ -107,19 +108,40 @@
 	})
 }
 
+// quiet drops the line that rapid logs when a check has passed, of which a long
+// run makes hundreds.
+type quiet struct{ *testing.T }
+
+func (q quiet) Logf(format string, args ...any) {
+	q.Helper()
+	if !strings.HasPrefix(format, "[rapid] OK") {
+		q.T.Logf(format, args...)
+	}
+}
+
 // properties are the properties that a long run takes in turns.
 var properties = []struct {
 	name   string
 	checks int // in one run of the tests
 	draw   func(rt *rapid.T) func(g *ghost)
 }{
-	{"Requests", 150, drawRequests},
+	{"Requests", 250, drawRequests},
+	{"Bundles", 150, drawBundles},
+	{"Orders", 150, drawOrders},
 }
 
 // Guards against requests that run twice, are reported wrongly, are lost or
 // hang under any combination of faults.
 func TestRequests(t *testing.T) { check(t, t.Name(), properties[0].checks, properties[0].draw) }
 
+// Guards against a bundle that is reverted, differs between processes, or has
+// another fate than its operator was told.
+func TestBundles(t *testing.T) { check(t, t.Name(), properties[1].checks, properties[1].draw) }
+
+// Guards against orders of a superseded process and against a target that is
+// left without its models.
+func TestOrders(t *testing.T) { check(t, t.Name(), properties[2].checks, properties[2].draw) }
+
 // TestSoak takes the properties in turns until the duration is over.
 func TestSoak(t *testing.T) {
 	if *soakDuration == 0 {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -126,10 +126,13 @@
 // newBundle returns the bundle with the given version; shape varies its limits.
 func newBundle(version uint64, shape int) *state.Bundle {
 	return &state.Bundle{
-		Version:   version,
-		Tiers:     []state.TierPolicy{{Name: "high"}, {Name: "middle", Reserve: shape % 2}, {Name: "low", Reserve: shape % 2}},
-		Customers: []state.CustomerPolicy{{Name: "c", RequestsPerSecond: 1000, Burst: 1000}, {Name: "d", RequestsPerSecond: 1000, Burst: 1000}},
-		Services:  []state.ServicePolicy{{Name: "svc", Kind: state.EngineService, Models: []string{"m"}, DefaultTier: "low"}},
+		Version: version,
+		Tiers:   []state.TierPolicy{{Name: "high", Timeout: 1}, {Name: "middle", Timeout: 1, Reserve: shape % 2}, {Name: "low", Timeout: 1, Reserve: shape % 2}},
+		Customers: []state.CustomerPolicy{
+			{Name: "c", RequestsPerSecond: 1000, Burst: 1000, Weight: 1, HighestTier: "high"},
+			{Name: "d", RequestsPerSecond: 1000, Burst: 1000, Weight: 2, HighestTier: "high"},
+		},
+		Services: []state.ServicePolicy{{Name: "svc", Kind: state.EngineService, Models: []string{"m"}, DefaultTier: "low"}},
 		Policies: map[string]state.PlacementPolicy{"p": {
 			Filters: []string{"serves-model", "ready", "not-tried"},
 			Scorers: []state.WeightedScorer{{Name: "predicted-delay", Weight: 1}},
@@ -238,11 +241,15 @@
 	w.entries[i] = nil
 }
 
-// killSide kills p if it is still the side process of the slot.
-func (w *world) killSide(slot int, p *sideProcess) {
+// killSide ends p if it is still the side process of the slot, after a planned
+// stop or as a crash.
+func (w *world) killSide(slot int, p *sideProcess, planned bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if p != nil && w.sides[slot] == p {
+		if !planned && p.left.Load() != 0 {
+			w.ghost.crashed.Store(true)
+		}
 		p.kill()
 		w.sides[slot] = nil
 	}
@@ -259,7 +266,7 @@
 	go func() {
 		select {
 		case <-p.service.Drained():
-			w.killSide(slot, p)
+			w.killSide(slot, p, true)
 			time.Sleep(restart)
 			w.startSide(slot)
 		case <-p.ctx.Done():
