--- a/internal/ctl/loadcmd/command.go
+++ b/internal/ctl/loadcmd/command.go
@@ -40,11 +40,12 @@
 	Duration      time.Duration `arg:"--duration" default:"30s" help:"how long to send"`
 	Rate          float64       `arg:"--rate" default:"20" help:"mean requests per second"`
 	Seed          uint64        `arg:"--seed" default:"1" help:"seed of arrivals and contents"`
+	ContentSeed   uint64        `arg:"--content-seed" help:"changes the contents only, so that runs with equal arrivals and lengths share no cached prompt"`
 	CustomerKey   []string      `arg:"--customer-key,separate" help:"bearer key of a customer, the first sends most; repeatable"`
-	Tier          []string      `arg:"--tier,separate" help:"tier to ask for; repeatable; none for the default tier"`
+	Tier          []string      `arg:"--tier,separate" help:"tier to ask for, as NAME or NAME=TIMEOUT; repeatable; none for the default tier"`
 	Model         string        `arg:"--model" help:"model to send chats and completions to"`
 	Service       string        `arg:"--service" help:"plain service to call"`
-	Timeout       time.Duration `arg:"--timeout" default:"30s" help:"deadline of each request"`
+	Timeout       time.Duration `arg:"--timeout" default:"30s" help:"deadline of each request whose tier names none"`
 	PromptTokens  int           `arg:"--prompt-tokens" default:"200" help:"median prompt length; the longest is 100 times that"`
 	OutputTokens  int           `arg:"--output-tokens" default:"48" help:"median output length; the longest is 100 times that"`
 	MaxOpen       int           `arg:"--max-open" default:"1000" help:"open requests at most; further arrivals are skipped"`
@@ -78,7 +79,32 @@
 	case c.PromptTokens < 1 || c.OutputTokens < 1 || c.MaxOpen < 1:
 		return errors.New("--prompt-tokens, --output-tokens and --max-open: want at least 1")
 	}
-	return nil
+	_, err := c.tiers()
+	return err
+}
+
+// tierTimeout is a tier to ask for and the deadline of its requests.
+type tierTimeout struct {
+	name    string
+	timeout time.Duration
+}
+
+// tiers parses --tier.
+func (c *Command) tiers() ([]tierTimeout, error) {
+	var out []tierTimeout
+	for _, arg := range c.Tier {
+		name, value, given := strings.Cut(arg, "=")
+		t := tierTimeout{name: name, timeout: c.Timeout}
+		if given {
+			d, err := time.ParseDuration(value)
+			if err != nil || d <= 0 {
+				return nil, fmt.Errorf("--tier: %q, want NAME or NAME=TIMEOUT with a timeout such as 5s", arg)
+			}
+			t.timeout = d
+		}
+		out = append(out, t)
+	}
+	return out, nil
 }
 
 // Run sends the load and prints the report. Its error wraps ErrGuaranteeBroken
@@ -90,7 +116,7 @@
 	g := &generator{
 		cmd:    c,
 		sender: newSender(c),
-		tally:  newTally(),
+		tally:  newTally(c.Duration),
 		nonce:  strconv.FormatInt(time.Now().UnixNano(), 36),
 	}
 	before := vars.Fetch(ctx, c.Admin)
--- a/internal/ctl/loadcmd/load_test.go
+++ b/internal/ctl/loadcmd/load_test.go
@@ -290,3 +290,56 @@
 		t.Errorf("%+v: %v", c, c.check())
 	}
 }
+
+// Guards against requests that get another tier's deadline, and against a
+// content seed that changes arrivals or leaves two runs with equal prompts.
+func TestTierTimeoutsAndContentSeed(t *testing.T) {
+	c := command("http://127.0.0.1:1")
+	c.Tier = []string{"high=2s", "low"}
+	if err := c.check(); err != nil {
+		t.Fatal(err)
+	}
+	other := *c
+	other.ContentSeed = 7
+	want := map[string]time.Duration{"high": 2 * time.Second, "low": c.Timeout}
+	a, b := newPlan(c), newPlan(&other)
+	for range 200 {
+		x, y := a.next(), b.next()
+		if x.timeout != want[x.tier] {
+			t.Fatalf("tier %s got timeout %s", x.tier, x.timeout)
+		}
+		if x.content == y.content || (x.prefix != 0 && x.prefix == y.prefix) {
+			t.Fatalf("request %d has equal texts under two content seeds", x.number)
+		}
+		y.content, y.prefix = x.content, x.prefix
+		if d := cmp.Diff(*x, *y, cmp.AllowUnexported(spec{})); d != "" {
+			t.Fatalf("the content seed changed more than the texts: %s", d)
+		}
+	}
+	for _, bad := range []string{"high=", "high=0s", "high=-1s", "high=soon"} {
+		c.Tier = []string{bad}
+		if c.check() == nil {
+			t.Errorf("--tier %s was accepted", bad)
+		}
+	}
+}
+
+// Guards against a goodput rate that counts late responses, or those of the
+// backlog that is served after the last arrival.
+func TestGoodputRateIsThatOfTheSteadyState(t *testing.T) {
+	y := newTally(10 * time.Second)
+	for _, tc := range []struct{ at, took time.Duration }{
+		{1 * time.Second, 500 * time.Millisecond}, // ends before the first fifth has passed
+		{3 * time.Second, time.Second},            // counts
+		{4 * time.Second, 3 * time.Second},        // late
+		{9500 * time.Millisecond, time.Second},    // ends after the last arrival
+	} {
+		y.add(&exchange{
+			spec:    &spec{at: tc.at, timeout: 2 * time.Second},
+			replies: []*reply{{outcome: whole, took: tc.took}},
+		}, false)
+	}
+	if got := y.report(10 * time.Second).GoodputRate; got != 1.0/8 {
+		t.Errorf("goodput rate %g, want one response in 8 s", got)
+	}
+}
--- a/internal/ctl/loadcmd/plan.go
+++ b/internal/ctl/loadcmd/plan.go
@@ -41,6 +41,10 @@
 	secondAfter = 500 * time.Millisecond
 )
 
+// contentStride separates the seeds of the texts of two values of
+// --content-seed; it is odd and large, so that multiples do not meet.
+const contentStride = 0x9e3779b97f4a7c15
+
 // bytesPerWord is the length of a generated word with its space, one token.
 const bytesPerWord = 4
 
@@ -78,6 +82,7 @@
 // give equal plans.
 type plan struct {
 	cmd    *Command
+	tiers  []tierTimeout
 	random *rand.Rand
 	at     time.Duration
 	burst  bool
@@ -87,6 +92,7 @@
 
 func newPlan(c *Command) *plan {
 	p := &plan{cmd: c, random: rand.New(rand.NewPCG(c.Seed, 1)), burst: true}
+	p.tiers, _ = c.tiers() // check has reported errors
 	p.toggle()
 	return p
 }
@@ -127,8 +133,9 @@
 		content: r.Uint64(), promptLen: p.length(p.cmd.PromptTokens), outputLen: p.length(p.cmd.OutputTokens),
 		streamed: r.IntN(2) == 0, form: form(r.IntN(2)), idempotent: r.IntN(4) > 0,
 	}
-	if n := len(p.cmd.Tier); n > 0 {
-		s.tier = p.cmd.Tier[r.IntN(n)]
+	if n := len(p.tiers); n > 0 {
+		t := p.tiers[r.IntN(n)]
+		s.tier, s.timeout = t.name, t.timeout
 	}
 	if p.cmd.Model == "" || (p.cmd.Service != "" && r.Float64() < plainShare) {
 		s.form, s.streamed, s.idempotent = plain, false, r.IntN(3) == 0
@@ -141,7 +148,9 @@
 		n := r.IntN(prefixesPerCustomer)
 		s.prefix = uint64((s.customer+1)*prefixesPerCustomer + n + 1)
 		s.prefixLen = prefixTokens + prefixTokens*n/prefixesPerCustomer
+		s.prefix += p.cmd.ContentSeed * contentStride
 	}
+	s.content += p.cmd.ContentSeed * contentStride
 	return s
 }
 
--- a/internal/ctl/loadcmd/send.go
+++ b/internal/ctl/loadcmd/send.go
@@ -159,7 +159,7 @@
 		return r
 	}
 	started := time.Now()
-	err := s.client.DoTimeout(req, resp, s.cmd.Timeout+grace)
+	err := s.client.DoTimeout(req, resp, sp.timeout+grace)
 	if err == nil {
 		defer resp.CloseBodyStream()
 		r.read(sp, resp, started)
@@ -167,7 +167,7 @@
 		r.fail(err)
 	}
 	r.took = time.Since(started)
-	r.expired = r.outcome == broken && r.took >= s.cmd.Timeout+grace
+	r.expired = r.outcome == broken && r.took >= sp.timeout+grace
 	return r
 }
 
@@ -188,7 +188,7 @@
 	req.SetRequestURI(strings.TrimRight(entry, "/") + path)
 	req.Header.SetMethod(method)
 	req.Header.SetContentType("application/json")
-	req.Header.Set("Cassiaramp-Timeout", s.cmd.Timeout.String())
+	req.Header.Set("Cassiaramp-Timeout", sp.timeout.String())
 	req.Header.Set("Cassiaramp-Idempotent", fmt.Sprint(sp.idempotent))
 	req.Header.Set(standin.LoadIDHeader, sp.id)
 	if sp.tier != "" {
--- a/internal/ctl/loadcmd/tally.go
+++ b/internal/ctl/loadcmd/tally.go
@@ -31,6 +31,9 @@
 	falseNotRun = "false_not_run" // reported as not run, but ran
 )
 
+// allTiers is the key of the times over all tiers.
+const allTiers = "all"
+
 // maxListed bounds the violations that are printed.
 const maxListed = 20
 
@@ -70,12 +73,16 @@
 
 // Report is the result of a load.
 type Report struct {
-	Elapsed       float64                `json:"elapsed_s"`
-	Sent          int                    `json:"sent"`
-	Skipped       int                    `json:"skipped"` // arrivals above the bound on open requests
+	Elapsed float64 `json:"elapsed_s"`
+	Sent    int     `json:"sent"`
+	Skipped int     `json:"skipped"` // arrivals above the bound on open requests
+	// GoodputRate is the number of responses per second that ended in time after
+	// the first fifth of the duration and before its end: neither the start nor
+	// the backlog that is served after the last arrival counts.
+	GoodputRate   float64                `json:"goodput_per_s"`
 	Rows          []Row                  `json:"rows"`
-	FirstToken    map[string]Percentiles `json:"first_token"` // by tier
-	Gap           map[string]Percentiles `json:"gap"`         // by tier
+	FirstToken    map[string]Percentiles `json:"first_token"` // by tier, and "all"
+	Gap           map[string]Percentiles `json:"gap"`         // by tier, and "all"
 	Refusals      map[string]int         `json:"refusals"`    // by error code
 	Entries       []Row                  `json:"entries"`     // as the entries count, by tier and policy
 	Waste         map[string]Waste       `json:"waste"`       // by policy
@@ -109,6 +116,8 @@
 // tally counts results. It is safe for concurrent use.
 type tally struct {
 	mu       sync.Mutex
+	duration time.Duration // of sending
+	steady   int           // responses counted in GoodputRate
 	sent     int
 	skipped  int
 	rows     map[[2]string]*Row
@@ -118,8 +127,9 @@
 	broken   Report // violations so far
 }
 
-func newTally() *tally {
+func newTally(duration time.Duration) *tally {
 	return &tally{
+		duration: duration,
 		rows:     make(map[[2]string]*Row),
 		first:    make(map[string]*hdrhistogram.Histogram),
 		gap:      make(map[string]*hdrhistogram.Histogram),
@@ -144,6 +154,9 @@
 		tier = "default"
 	}
 	t.row(tier, r.policy).count(r, e.spec)
+	if end := e.spec.at + r.took; r.inTime(e.spec) && end >= t.settled() && end <= t.duration {
+		t.steady++
+	}
 	if r.code != "" {
 		t.refusals[r.code]++
 	}
@@ -151,6 +164,12 @@
 	t.violations(e, entryFailures)
 }
 
+// settled is the end of the time that GoodputRate leaves out.
+func (t *tally) settled() time.Duration { return t.duration / 5 }
+
+// inTime reports whether the response is whole and within its deadline.
+func (r *reply) inTime(s *spec) bool { return r.outcome == whole && r.took <= s.timeout }
+
 func (t *tally) row(tier, policy string) *Row {
 	if policy == "" {
 		policy = "-"
@@ -166,7 +185,7 @@
 func (row *Row) count(r *reply, s *spec) {
 	switch r.outcome {
 	case whole:
-		if r.took <= s.timeout {
+		if r.inTime(s) {
 			row.InTime++
 		} else {
 			row.Late++
@@ -188,11 +207,13 @@
 }
 
 func (t *tally) times(tier string, r *reply) {
-	if r.first > 0 {
-		record(t.first, tier, r.first)
-	}
-	for _, gap := range r.gaps {
-		record(t.gap, tier, gap)
+	for _, key := range []string{tier, allTiers} {
+		if r.first > 0 {
+			record(t.first, key, r.first)
+		}
+		for _, gap := range r.gaps {
+			record(t.gap, key, gap)
+		}
 	}
 }
 
@@ -245,7 +266,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := &Report{
-		Elapsed: elapsed.Seconds(), Sent: t.sent, Skipped: t.skipped, Refusals: t.refusals,
+		GoodputRate: float64(t.steady) / (t.duration - t.settled()).Seconds(),
+		Elapsed:     elapsed.Seconds(), Sent: t.sent, Skipped: t.skipped, Refusals: t.refusals,
 		FirstToken: percentiles(t.first), Gap: percentiles(t.gap), Violations: t.broken.Violations,
 	}
 	for _, row := range t.rows {
--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -7,21 +7,26 @@
 #
 # The exit status is not 0 when a response was lost, doubled or cut, or when a
 # process failed or did not stop in order.
+#
+# measure.sh sources this file for its functions. It sets "mode" before, and
+# the deployment (entries, engines, services, load_lag) after that.
 set -euo pipefail
 
-cd "$(dirname "$0")/.."
-mode="${1:-demo}"
-case "$mode" in
-demo | trial) ;;
-*)
-  echo "usage: $0 demo|trial" >&2
-  exit 2
-  ;;
-esac
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+if [[ "${BASH_SOURCE[0]}" == "$0" ]]; then
+  mode="${1:-demo}"
+  case "$mode" in
+  demo | trial) ;;
+  *)
+    echo "usage: $0 demo|trial" >&2
+    exit 2
+    ;;
+  esac
+fi
 
 # Time limits in seconds.
 readonly ready_limit=15 # until all processes are ready
-readonly stop_limit=10  # for the planned shutdown of one process
+stop_limit=10           # for the planned shutdown of one process
 
 readonly load_duration=15s
 readonly load_timeout=10s # deadline of each request; the demo ends within 45 s
@@ -31,26 +36,28 @@
 readonly trial_port=8080 # of the first entry in a trial
 readonly template=examples/tema/bundle.jsonc
 readonly operators=(ama kofi)                                 # as in the template
-readonly customers=(volta-lines gulf-feeder harmattan-bulk)   # may use all tiers
+customers=(volta-lines gulf-feeder harmattan-bulk)            # may use all tiers
 readonly tiers=(berth plan check bulk)
 readonly model=stowage-large
 readonly retention=15m
 
+load_lag=500ms # age of the engines' load figures
+
 # name, failure domain
-readonly entries=(
+entries=(
   "entry-1 tema-a"
   "entry-2 tkd-a"
 )
 # target, failure domain, checks the fencing number, prefill and decode rate
 # (tokens/s of the engine), rate of one request, cache (tokens)
-readonly engines=(
+engines=(
   "plan-01 tema-a true 40000 4000 400 20000"
   "plan-02 tkd-a true 24000 2500 300 16000"
   "plan-03 accra-dc true 12000 1500 250 12000"
   "plan-04 tema-b false 6000 800 200 8000"
 )
 # target, failure domain, duration of a call
-readonly services=(
+services=(
   "quay-01 tema-a 2ms"
   "quay-02 tkd-a 8ms"
 )
@@ -80,9 +87,11 @@
 # Writes tls/authority.pem, and tls/INSTANCE.pem and tls/INSTANCE.key for each.
 ctl_certificates() { ctl keys tls "$@" --dir "$run_dir/tls"; }
 
+# Writes, signs and publishes a bundle: file, further arguments of "bundle new".
 ctl_publish() {
-  local bundle="$run_dir/bundle.json" signatures=() operator
-  ctl bundle new "$bundle" --anchor --template "$run_dir/template.jsonc" --note "$mode"
+  local bundle="$1" signatures=() operator
+  shift
+  ctl bundle new "$bundle" --note "$mode" "$@"
   ctl bundle check "$bundle"
   for operator in "${operators[@]}"; do
     ctl bundle sign "$bundle" --operator "$operator" --key "$run_dir/keys/$operator.key" --out "$bundle.$operator.sig"
@@ -171,6 +180,7 @@
 entry_admins=()
 all_admins=()
 sides=() # instance names
+instances=() # names of all daemons
 members=""
 engine_settings=""
 service_settings=""
@@ -204,7 +214,7 @@
   add_side "$1" "$2" plan-llm engine "$3"
   engine_settings+="    {\"name\": \"$1\", \"address\": \"$target_address\", \"checks_fence\": $3,
       \"prefill_rate\": $4, \"decode_rate\": $5, \"request_rate\": $6, \"cache_tokens\": $7,
-      \"load_lag\": \"500ms\", \"cache_lag\": \"1s\", \"cache_gap\": 0.02,
+      \"load_lag\": \"$load_lag\", \"cache_lag\": \"1s\", \"cache_gap\": 0.02,
       \"models\": [{\"name\": \"stowage-large\", \"version\": \"1\"}, {\"name\": \"notes-small\", \"version\": \"1\"}]},"$'\n'
 }
 
@@ -264,7 +274,7 @@
 start() {
   local name="$1"
   shift
-  "$@" >"$run_dir/log/$name.log" 2>&1 &
+  "$@" >>"$run_dir/log/$name.log" 2>&1 &
   pids=("$!" "${pids[@]}")
   names=("$name" "${names[@]}")
 }
@@ -299,11 +309,15 @@
   done
 }
 
+terminate() {
+  # It may end between the two, for example when a Ctrl-C reached it as well.
+  if running "$1"; then kill -TERM "$1" 2>/dev/null || true; fi
+}
+
 # Stops one process by a planned shutdown and checks its exit status.
 stop() {
   local pid="$1" name="$2" deadline=$((SECONDS + stop_limit)) status=0
-  # It may end between the two, for example when a Ctrl-C reached it as well.
-  if running "$pid"; then kill -TERM "$pid" 2>/dev/null || true; fi
+  terminate "$pid"
   while running "$pid"; do
     if ((SECONDS >= deadline)); then
       fail "$name did not stop within $stop_limit s after SIGTERM"
@@ -317,8 +331,14 @@
 }
 
 stop_all() {
-  local i
-  for i in "${!pids[@]}"; do stop "${pids[i]}" "${names[i]}"; done
+  local i j
+  for i in "${!pids[@]}"; do
+    # The side processes stop at the same time: each may wait for its callers.
+    if [[ "${names[i]}" == side-* ]]; then
+      for j in "${!pids[@]}"; do [[ "${names[j]}" != side-* ]] || terminate "${pids[j]}"; done
+    fi
+    stop "${pids[i]}" "${names[i]}"
+  done
   pids=()
   names=()
 }
@@ -340,6 +360,39 @@
 
 # --- Steps ---
 
+build_and_write() {
+  local operator row
+  say "building"
+  mkdir -p bin
+  go build -o bin/ ./cmd/...
+  say "writing keys and settings to $run_dir"
+  for operator in "${operators[@]}"; do ctl_operator_key "$operator" >/dev/null; done
+  write_bundle_template
+  write_all
+  instances=("${sides[@]}")
+  for row in "${entries[@]}"; do instances+=("${row%% *}"); done
+  ctl_certificates "${instances[@]}" >/dev/null
+}
+
+start_daemon() { start "$1" bin/cassiarampd --settings "$run_dir/$1.jsonc"; }
+
+start_all() {
+  local name
+  say "starting the stand-ins, ${#sides[@]} side processes and ${#entries[@]} entries"
+  start standin bin/standin --settings "$run_dir/standin.jsonc"
+  until curl -fs --max-time 1 -o /dev/null "http://$admin_address/admin/ledger"; do
+    check_alive
+    sleep 0.05
+  done
+  for name in "${instances[@]}"; do start_daemon "$name"; done
+  say "publishing the bundle"
+  ctl_publish "$run_dir/bundle.json" --anchor --template "$run_dir/template.jsonc"
+  say "waiting until all processes are ready"
+  wait_ready
+}
+
+[[ "${BASH_SOURCE[0]}" == "$0" ]] || return 0
+
 if [[ "$mode" == trial ]] && in_use "$trial_port"; then
   trap - EXIT
   rm -rf "$run_dir"
@@ -347,30 +400,8 @@
   exit 1
 fi
 
-say "building"
-mkdir -p bin
-go build -o bin/ ./cmd/...
-
-say "writing keys and settings to $run_dir"
-for operator in "${operators[@]}"; do ctl_operator_key "$operator" >/dev/null; done
-write_bundle_template
-write_all
-instances=("${sides[@]}")
-for row in "${entries[@]}"; do instances+=("${row%% *}"); done
-ctl_certificates "${instances[@]}" >/dev/null
-
-say "starting the stand-ins, ${#sides[@]} side processes and ${#entries[@]} entries"
-start standin bin/standin --settings "$run_dir/standin.jsonc"
-until curl -fs --max-time 1 -o /dev/null "http://$admin_address/admin/ledger"; do
-  check_alive
-  sleep 0.05
-done
-for name in "${instances[@]}"; do start "$name" bin/cassiarampd --settings "$run_dir/$name.jsonc"; done
-
-say "publishing the bundle"
-ctl_publish
-say "waiting until all processes are ready"
-wait_ready
+build_and_write
+start_all
 
 if [[ "$mode" == trial ]]; then
   say "ready; settings and logs are in $run_dir; stop with Ctrl-C"
