--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: help build lint model test soak fmt demo trial slopes
+.PHONY: help build lint model test soak fmt demo trial slopes measure
 
 # Used by soak.
 SEED ?= 1
@@ -40,3 +40,6 @@
 
 slopes: ## measure the slopes that docs/CAPACITY.md is derived from (4 minutes)
 	./scripts/slopes.sh
+
+measure: ## measure the policies under load and faults; CELLS="cost/200 cost/slow" for single cells
+	./scripts/measure.sh $(CELLS)
