Close sessions at exit and check for leaving before each dispatch

Cause: a side process that had stopped was noticed only by the silence timeout of 15 s, because its connections were not closed. Change: the server closes its sessions when it stops; the entry asks the placer whether the target is leaving right before it dispatches. Before: TestServerClosesSessions ends by silence after 15 s; a dispatch to 'a' in the new scenario. After: both pass.

--- a/internal/coordination/entry/fake_test.go
+++ b/internal/coordination/entry/fake_test.go
@@ -175,6 +175,7 @@
 	mu      sync.Mutex
 	targets []state.TargetID
 	lower   []state.TargetID
+	leaving state.TargetID   // begins to leave after Place
 	waits   [2]time.Duration // best and current of Alternative
 	open    map[state.AttemptID]bool
 	ends    []Outcome
@@ -206,6 +207,8 @@
 	p.ends = append(p.ends, o)
 }
 
+func (p *fakePlacer) IsLeaving(target state.TargetID) bool { return target == p.leaving }
+
 func (p *fakePlacer) Figures(state.TargetID, *state.Figures) { p.figures++ }
 
 func (p *fakePlacer) Alternative(state.TargetID, Query) (best, current time.Duration, ok bool) {
--- a/internal/coordination/entry/placer.go
+++ b/internal/coordination/entry/placer.go
@@ -11,6 +11,8 @@
 type Placer interface {
 	// Place chooses a target. It returns false when no target qualifies.
 	Place(q Query) (Decision, bool)
+	// IsLeaving reports whether target is known to leave.
+	IsLeaving(target state.TargetID) bool
 	// Sent tells that the attempt was dispatched.
 	Sent(target state.TargetID, attempt state.AttemptID, req *state.Request, blocks []uint64)
 	// Ended tells how an attempt ended. Every Sent is followed by one Ended.
--- a/internal/coordination/entry/run.go
+++ b/internal/coordination/entry/run.go
@@ -16,6 +16,9 @@
 // errDeadline is the cause of a context that ended at the request's deadline.
 var errDeadline = errors.New("request deadline passed")
 
+// errLeaving tells why an attempt was not dispatched.
+var errLeaving = errors.New("target is leaving")
+
 // errBudget tells why a retry was not made.
 var errBudget = errors.New("retry budget exhausted")
 
@@ -88,7 +91,7 @@
 		if ctx.Err() != nil {
 			return r.stopped(ctx, stepError("reserve", d.Target, err))
 		}
-		return r.notSent(ctx, &attempt{target: d.Target}, stepError("reserve", d.Target, err))
+		return r.notSent(ctx, &attempt{target: d.Target}, ReasonTargetUnreachable, stepError("reserve", d.Target, err))
 	}
 	a := &attempt{target: d.Target, id: reservation.Attempt, incarnation: reservation.Incarnation, own: true}
 	if r.keyed() {
@@ -99,13 +102,17 @@
 	if r.retries == 0 && r.placements == 1 {
 		s.budget.Earn(r.bundle.Retry.BudgetRatio, r.bundle.Retry.BudgetMax)
 	}
+	if s.cfg.Placer.IsLeaving(d.Target) {
+		// It began to leave while the session was opened or the key was claimed.
+		return r.notSent(ctx, a, state.ReasonLeaving, stepError("dispatch", d.Target, errLeaving))
+	}
 	a.known = s.computed.leading(r.blocks)
 	stream, err := s.cfg.Peers.Dispatch(ctx, reservation, r.req)
 	if errors.Is(err, ErrNotSent) {
 		if ctx.Err() != nil {
 			return r.stopped(ctx, stepError("dispatch", d.Target, err))
 		}
-		return r.notSent(ctx, a, stepError("dispatch", d.Target, err))
+		return r.notSent(ctx, a, ReasonTargetUnreachable, stepError("dispatch", d.Target, err))
 	}
 	s.cfg.Placer.Sent(d.Target, a.id, r.req, r.blocks)
 	if err == nil {
@@ -122,8 +129,8 @@
 }
 
 // notSent ends an attempt of which nothing was sent.
-func (r *run) notSent(ctx context.Context, a *attempt, err error) ending {
-	end := elsewhere(ReasonTargetUnreachable, err)
+func (r *run) notSent(ctx context.Context, a *attempt, reason state.Reason, err error) ending {
+	end := elsewhere(reason, err)
 	r.tried[a.target] = end.reason
 	if a.own {
 		return r.withReceipt(ctx, a, end)
--- a/internal/coordination/entry/service_test.go
+++ b/internal/coordination/entry/service_test.go
@@ -257,6 +257,10 @@
 	{guards: "a running request that is not cancelled at its deadline", setup: func(h *harness) {
 		script1(h, "a", started, never)
 	}, kind: TimedOut, reason: state.ReasonTimeout, calls: "dispatch a,cancel a", within: time.Minute},
+	{guards: "a dispatch to a target that began to leave while the session was opened", setup: func(h *harness) {
+		h.placer.leaving = "a"
+		script1(h, "b", started, done(0))
+	}, kind: Complete, calls: "dispatch b,ack b"},
 	{guards: "a keyed request that is cut off at its deadline, so that a retry cannot collect it", setup: func(h *harness) {
 		h.keyed()
 		script1(h, "a", started, never)
--- a/internal/coordination/placement/feedback.go
+++ b/internal/coordination/placement/feedback.go
@@ -81,6 +81,13 @@
 	p.mailbox.put(leavingEvent{target: target, at: now}, false)
 }
 
+// IsLeaving reports whether target is known to leave, by its own word or by the
+// instance list.
+func (p *Placer) IsLeaving(target state.TargetID) bool {
+	t := p.snapshot.Load().targets[target]
+	return t != nil && t.live.leaving()
+}
+
 // SessionLost tells that the session to target failed or could not be opened.
 func (p *Placer) SessionLost(target state.TargetID, err error) {
 	p.mailbox.put(lostEvent{target: target, err: err, at: time.Now()}, false)
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -169,6 +169,7 @@
 	offers   chan state.AcceptedBundle
 	address  string
 	ca       *authority
+	stop     context.CancelFunc // of the server
 }
 
 func newFixture(t *testing.T, entryName string, entryVersion, sideVersion uint64) *fixture {
@@ -186,6 +187,7 @@
 	f.address = socket.LocalAddr().String()
 	server := &Server{Credentials: f.ca.issue(t, "side-1"), Handler: f.side, Bundles: &fakeBundles{version: sideVersion, offers: f.offers}, Log: zap.NewNop()}
 	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(ctx, socket) }()
 	f.client = NewClient(ClientConfig{
@@ -319,6 +321,23 @@
 	}
 }
 
+// Guards against an entry that learns of a planned shutdown only by silence.
+func TestServerClosesSessions(t *testing.T) {
+	f, ctx := newFixture(t, "entry-1", 1, 1), testContext(t)
+	if err := f.client.Connect(ctx, testTarget); err != nil {
+		t.Fatal(err)
+	}
+	f.stop()
+	select {
+	case err := <-f.observer.lost:
+		if errors.Is(err, errSilent) {
+			t.Fatal("the session ended by silence, want a closed connection")
+		}
+	case <-ctx.Done():
+		t.Fatal("the session did not end")
+	}
+}
+
 // Guards against an instance that poses as another one.
 func TestCertificateMustNameInstance(t *testing.T) {
 	f, ctx := newFixture(t, "entry-2", 1, 1), testContext(t)
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,12 +61,15 @@
 	Log         *zap.Logger
 
 	sessions atomic.Int64 // open
+	serving  sync.WaitGroup
 }
 
-// Serve accepts sessions on conn until ctx ends. It returns nil then.
+// Serve accepts sessions on conn until ctx ends. It closes them then, so that
+// entries need not wait for the silence timeout, and returns nil.
 func (s *Server) Serve(ctx context.Context, conn net.PacketConn) error {
 	transport := &quic.Transport{Conn: conn}
 	defer transport.Close()
+	defer s.serving.Wait()
 	listener, err := transport.Listen(s.Credentials.server(), quicConfig())
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", conn.LocalAddr(), err)
@@ -79,7 +83,10 @@
 		if err != nil {
 			return fmt.Errorf("accept session on %s: %w", conn.LocalAddr(), err)
 		}
-		go s.serve(ctx, c)
+		s.serving.Go(func() {
+			defer context.AfterFunc(ctx, func() { c.CloseWithError(codeClosed, "") })()
+			s.serve(ctx, c)
+		})
 	}
 }
 
