--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: help build lint model test fmt demo trial
+.PHONY: help build lint model test fmt demo trial faults
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/^([a-z-]+):[^#]*## /\1\t/' | expand -t 12
@@ -30,3 +30,6 @@
 
 trial: ## run a small deployment on 127.0.0.1:8080 until Ctrl-C
 	./scripts/deploy.sh trial
+
+faults: ## inject failures into a deployment under load; SCENARIO="NAME ..." selects
+	./scripts/faults.sh
--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -7,25 +7,32 @@
 #
 # The exit status is not 0 when a response was lost, doubled or cut, or when a
 # process failed or did not stop in order.
+#
+# A script that sets "mode" and sources this file gets its functions; only the
+# modes above run anything.
 set -euo pipefail
 
-cd "$(dirname "$0")/.."
-mode="${1:-demo}"
-case "$mode" in
-demo | trial) ;;
-*)
-  echo "usage: $0 demo|trial" >&2
-  exit 2
-  ;;
-esac
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+if [[ "${BASH_SOURCE[0]}" == "$0" ]]; then
+  mode="${1:-demo}"
+  case "$mode" in
+  demo | trial) ;;
+  *)
+    echo "usage: $0 demo|trial" >&2
+    exit 2
+    ;;
+  esac
+fi
 
 # Time limits in seconds.
 readonly ready_limit=15 # until all processes are ready
 readonly stop_limit=10  # for the planned shutdown of one process
 
-readonly load_duration=15s
-readonly load_timeout=10s # deadline of each request; the demo ends within 45 s
-readonly load_rate=40
+# The load of the demo; a caller of ctl_load may set others.
+load_duration=15s
+load_timeout=10s # deadline of each request; the demo ends within 45 s
+load_rate=40
+load_seed=1
 
 readonly host=127.0.0.1
 readonly trial_port=8080 # of the first entry in a trial
@@ -80,17 +87,31 @@
 # Writes tls/authority.pem, and tls/INSTANCE.pem and tls/INSTANCE.key for each.
 ctl_certificates() { ctl keys tls "$@" --dir "$run_dir/tls"; }
 
+# Writes the first bundle and publishes it.
 ctl_publish() {
-  local bundle="$run_dir/bundle.json" signatures=() operator
+  local bundle="$run_dir/bundle.json"
   ctl bundle new "$bundle" --anchor --template "$run_dir/template.jsonc" --note "$mode"
-  ctl bundle check "$bundle"
+  ctl_sign "$bundle"
+  ctl_append "$bundle"
+}
+
+# Checks a bundle file and signs it as each operator.
+ctl_sign() {
+  local operator
+  ctl bundle check "$1"
   for operator in "${operators[@]}"; do
-    ctl bundle sign "$bundle" --operator "$operator" --key "$run_dir/keys/$operator.key" --out "$bundle.$operator.sig"
-    signatures+=(--signature "$bundle.$operator.sig")
+    ctl bundle sign "$1" --operator "$operator" --key "$run_dir/keys/$operator.key" --out "$1.$operator.sig"
   done
-  ctl bundle publish "$bundle" "${signatures[@]}" --log "http://$log_address" --signers "$run_dir/signers.json"
 }
 
+# Publishes a bundle file that ctl_sign has signed.
+ctl_append() {
+  local signatures=() operator
+  for operator in "${operators[@]}"; do signatures+=(--signature "$1.$operator.sig"); done
+  ctl bundle publish "$1" "${signatures[@]}" --log "http://$log_address" --signers "$run_dir/signers.json"
+}
+
+# Sends the load. Further arguments are added to those of the load.
 ctl_load() {
   local args=() address name
   for address in "${caller_addresses[@]}"; do args+=(--entry "http://$address"); done
@@ -98,7 +119,7 @@
   for name in "${customers[@]}"; do args+=(--customer-key "$(customer_key "$name")"); done
   for name in "${tiers[@]}"; do args+=(--tier "$name"); done
   ctl load "${args[@]}" --model "$model" --service quay-app --duration "$load_duration" --rate "$load_rate" \
-    --seed 1 --timeout "$load_timeout" --prompt-tokens 100 --output-tokens 24 --ledger "http://$admin_address"
+    --seed "$load_seed" --timeout "$load_timeout" --prompt-tokens 100 --output-tokens 24 --ledger "http://$admin_address" "$@"
 }
 
 # Fails when a process cannot be read, bundle versions differ or an invariant
@@ -170,7 +191,9 @@
 caller_addresses=() # of the entries
 entry_admins=()
 all_admins=()
+declare -A admin_of=() # by instance name
 sides=() # instance names
+instances=() # instance names of all daemons
 members=""
 engine_settings=""
 service_settings=""
@@ -182,6 +205,7 @@
   caller_addresses+=("$3")
   entry_admins+=("$address")
   all_admins+=("$address")
+  admin_of[$1]="$address"
   members+="      {\"instance\": \"$1\", \"role\": \"entry\", \"failure_domain\": \"$2\"},"$'\n'
 }
 
@@ -197,6 +221,7 @@
   \"target\": {\"id\": \"$1\", \"service\": \"$3\", \"kind\": \"$4\", \"address\": \"$target_address\"$fence},"
   sides+=("side-$1")
   all_admins+=("$admin")
+  admin_of[side-$1]="$admin"
   members+="      {\"instance\": \"side-$1\", \"role\": \"side\", \"failure_domain\": \"$2\", \"address\": \"$sessions\", \"target\": \"$1\", \"service\": \"$3\"},"$'\n'
 }
 
@@ -264,7 +289,7 @@
 start() {
   local name="$1"
   shift
-  "$@" >"$run_dir/log/$name.log" 2>&1 &
+  "$@" >>"$run_dir/log/$name.log" 2>&1 &
   pids=("$!" "${pids[@]}")
   names=("$name" "${names[@]}")
 }
@@ -323,8 +348,10 @@
   names=()
 }
 
+# Stops everything and ends the script. The status is that of the script, by
+# default that of the last command.
 finish() {
-  local status=$?
+  local status="${1:-$?}"
   trap - EXIT INT TERM
   stop_all
   if ((status != 0 || failed != 0)); then
@@ -340,39 +367,39 @@
 
 # --- Steps ---
 
-if [[ "$mode" == trial ]] && in_use "$trial_port"; then
-  trap - EXIT
-  rm -rf "$run_dir"
-  say "$host:$trial_port is in use by another process" >&2
-  exit 1
-fi
+# Builds the programs, starts all processes and waits until they are ready.
+deploy() {
+  local operator row name
+  say "building"
+  mkdir -p bin
+  go build -o bin/ ./cmd/...
+
+  say "writing keys and settings to $run_dir"
+  for operator in "${operators[@]}"; do ctl_operator_key "$operator" >/dev/null; done
+  write_bundle_template
+  write_all
+  instances=("${sides[@]}")
+  for row in "${entries[@]}"; do instances+=("${row%% *}"); done
+  ctl_certificates "${instances[@]}" >/dev/null
+
+  say "starting the stand-ins, ${#sides[@]} side processes and ${#entries[@]} entries"
+  start standin bin/standin --settings "$run_dir/standin.jsonc"
+  until curl -fs --max-time 1 -o /dev/null "http://$admin_address/admin/ledger"; do
+    check_alive
+    sleep 0.05
+  done
+  for name in "${instances[@]}"; do start_daemon "$name"; done
+
+  say "publishing the bundle"
+  ctl_publish
+  say "waiting until all processes are ready"
+  wait_ready
+}
 
-say "building"
-mkdir -p bin
-go build -o bin/ ./cmd/...
-
-say "writing keys and settings to $run_dir"
-for operator in "${operators[@]}"; do ctl_operator_key "$operator" >/dev/null; done
-write_bundle_template
-write_all
-instances=("${sides[@]}")
-for row in "${entries[@]}"; do instances+=("${row%% *}"); done
-ctl_certificates "${instances[@]}" >/dev/null
-
-say "starting the stand-ins, ${#sides[@]} side processes and ${#entries[@]} entries"
-start standin bin/standin --settings "$run_dir/standin.jsonc"
-until curl -fs --max-time 1 -o /dev/null "http://$admin_address/admin/ledger"; do
-  check_alive
-  sleep 0.05
-done
-for name in "${instances[@]}"; do start "$name" bin/cassiarampd --settings "$run_dir/$name.jsonc"; done
-
-say "publishing the bundle"
-ctl_publish
-say "waiting until all processes are ready"
-wait_ready
-
-if [[ "$mode" == trial ]]; then
+# Starts the daemon of one instance.
+start_daemon() { start "$1" bin/cassiarampd --settings "$run_dir/$1.jsonc"; }
+
+serve_trial() {
   say "ready; settings and logs are in $run_dir; stop with Ctrl-C"
   cat <<END
 
@@ -384,10 +411,25 @@
   trap 'exit 0' INT TERM
   while check_alive; do sleep 1; done
   exit 1
-fi
+}
 
-say "sending a mixed load for $load_duration"
-ctl_load || fail "load"
-check_alive || true
-ctl_status || fail "status"
-say "stopping"
+case "$mode" in
+trial)
+  if in_use "$trial_port"; then
+    trap - EXIT
+    rm -rf "$run_dir"
+    say "$host:$trial_port is in use by another process" >&2
+    exit 1
+  fi
+  deploy
+  serve_trial
+  ;;
+demo)
+  deploy
+  say "sending a mixed load for $load_duration"
+  ctl_load || fail "load"
+  check_alive || true
+  ctl_status || fail "status"
+  say "stopping"
+  ;;
+esac
