--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -26,7 +26,7 @@
 
 # Time limits in seconds.
 readonly ready_limit=15 # until all processes are ready
-readonly stop_limit=10  # for the planned shutdown of one process
+stop_limit=10           # for the planned shutdown of one process
 
 # The load of the demo; a caller of ctl_load may set others.
 load_duration=15s
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -17,20 +17,48 @@
 readonly leaving_limit=3    # seconds until a leaving target gets no new work
 readonly restart_pause=0.5  # between a crash and the restart
 load_timeout=8s
+# A planned stop waits for the longest request and then up to 10 s (DrainGrace
+# of package side) for responses that a crashed entry has not fetched.
+stop_limit=20
 
 # name, seconds of load, function that injects the failure, arguments of the
 # load. The order of the rows gives the seeds of the loads.
 readonly scenarios=(
   "none 4 nothing"
-  "side-kill-engine 6 kill_side side-plan-01"
-  "side-kill-plain 6 kill_side side-quay-01"
-  "entry-kill 6 kill_entry entry-1"
-  "side-pause-1s 5 pause_for side-plan-01 1"
-  "side-pause-4s 8 pause_for side-plan-01 4"
+  "side-kill-engine 5 kill_once side-plan-01"
+  "side-kill-plain 5 kill_once side-quay-01"
+  "entry-kill 5 kill_once entry-1"
+  "side-pause-1s 4 pause_for side-plan-01 1"
+  "side-pause-4s 7 pause_for side-plan-01 4"
+  "side-pause-12s 15 pause_for side-plan-01 12"
+  "entry-pause-1s 4 pause_for entry-2 1"
+  "entry-pause-4s 7 pause_for entry-2 4"
+  "entry-pause-12s 15 pause_for entry-2 12"
+  "side-leave 7 leave_for side-plan-02"
+  "entry-leave 5 leave_entry entry-2"
+  "target-leave 7 leave_for side-plan-01 listed"
+  "plain-leave 7 leave_for side-quay-02 listed"
+  "target-listed-leaving 7 only_listed side-plan-01"
+  "engine-slow 6 fault_for 4 plan-01 slow 5 1"
+  "engine-silent 6 silence_twice plan-01"
+  "engine-down 6 fault_for 3 plan-01 down true false"
+  "engine-restart 5 engine_restart_twice plan-01"
+  "log-down 7 fault_for 4 log down true false"
+  "log-slow 6 fault_for 4 log lag \"1.5s\" \"0s\""
+  "log-lost-acks 5 fault_for 3 log lose_ack 30 0"
+  "list-down 6 list_down_side_kill"
+  "list-lag 8 list_lag_leave"
+  "publish-race 5 publish_race"
+  "publish-cut-off 11 publish_cut_off"
+  "entry-kill-log-down 9 entry_kill_log_down"
+  "stale-bundle 6 stale_bundle"
+  "engine-and-side-kill 6 engine_and_side_kill plan-01"
+  "side-kill-twice 6 side_kill_twice"
+  "entry-and-side-kill 6 entry_and_side_kill"
 )
 
 # Scenarios in which an entry ends abruptly: broken connections are expected.
-readonly entry_failures=" entry-kill entry-kill-log-down "
+readonly entry_failures=" entry-kill entry-kill-log-down entry-and-side-kill "
 
 # --- Processes by name ---
 
@@ -43,8 +71,8 @@
       return
     fi
   done
-  say "no process is named $1" >&2
-  return 1
+  fail "no process is named $1"
+  exit 1
 }
 
 # Takes a process that has ended off the list.
@@ -154,14 +182,13 @@
 
 nothing() { :; }
 
-kill_side() {
+# Crashes a process and starts it again.
+kill_once() {
   crash "$1"
   sleep "$restart_pause"
   start_daemon "$1"
 }
 
-kill_entry() { kill_side "$1"; }
-
 # name, seconds
 pause_for() {
   pause "$1"
@@ -169,6 +196,193 @@
   resume "$1"
 }
 
+leave_entry() {
+  leave "$1"
+  sleep 1
+  start_daemon "$1"
+}
+
+# Sleeps until a time in microseconds.
+sleep_until() {
+  local left=$(($1 - ${EPOCHREALTIME/./}))
+  ((left <= 0)) || sleep "$((left / 1000000)).$(printf %06d $((left % 1000000)))"
+}
+
+# Fails when a target gets new work more than leaving_limit after a time in
+# microseconds: instance, time.
+expect_no_work() {
+  local target="${1#side-}" before after
+  sleep_until $(($2 + leaving_limit * 1000000))
+  before="$(started_at "$target")"
+  sleep 1.5
+  after="$(started_at "$target")"
+  [[ "$before" == "$after" ]] || breach "$target started $((after - before)) requests more than $leaving_limit s after it was announced as leaving"
+}
+
+# Planned stop of a side process: name, "listed" to mark it in the instance list
+# as well.
+leave_for() {
+  local announced="${EPOCHREALTIME/./}"
+  [[ "${2:-}" != listed ]] || list_leaving "$1" true
+  leave "$1"
+  expect_no_work "$1" "$announced"
+  [[ "${2:-}" != listed ]] || list_leaving "$1" false
+  start_daemon "$1"
+}
+
+# Marks an instance as leaving, which keeps running.
+only_listed() {
+  local announced="${EPOCHREALTIME/./}"
+  list_leaving "$1" true
+  expect_no_work "$1" "$announced"
+  list_leaving "$1" false
+}
+
+# seconds, part, field of the fault, value, value afterwards
+fault_for() {
+  fault "{\"name\": \"$2\", \"$3\": $4}"
+  sleep "$1"
+  fault "{\"name\": \"$2\", \"$3\": $5}"
+}
+
+silence_twice() {
+  fault "{\"name\": \"$1\", \"silent\": true}"
+  sleep 1
+  fault "{\"name\": \"$1\", \"silent\": true}"
+}
+
+engine_restart_twice() {
+  fault "{\"name\": \"$1\", \"restart\": true}"
+  sleep 1
+  fault "{\"name\": \"$1\", \"restart\": true}"
+}
+
+list_down_side_kill() {
+  fault '{"name": "instances", "down": true}'
+  kill_once side-plan-02
+  sleep 3
+  fault '{"name": "instances", "down": false}'
+}
+
+# The list shows a planned stop only after 20 s; the side process says so itself.
+list_lag_leave() {
+  fault '{"name": "instances", "lag": "20s"}'
+  leave_for side-plan-03 listed
+  fault '{"name": "instances", "lag": "1s"}'
+}
+
+bundles=0 # files written for publication
+
+# Writes and signs the next version; sets "bundle" to its file.
+next_bundle() {
+  bundles=$((bundles + 1))
+  bundle="$run_dir/bundle-$bundles.json"
+  ctl bundle new "$bundle" --log "http://$log_address" --signers "$run_dir/signers.json" --note "$1" >/dev/null
+  ctl_sign "$bundle" >/dev/null
+}
+
+# Publishes the next version; sets "bundle" and "version".
+publish_next() {
+  next_bundle "$1"
+  version="$(jq .version "$bundle")"
+  ctl_append "$bundle" >/dev/null || breach "publishing version $version failed"
+}
+
+# Two operators publish on the same base.
+publish_race() {
+  local first second first_pid first_status=0 second_status=0
+  next_bundle "first operator" && first="$bundle"
+  next_bundle "second operator" && second="$bundle"
+  version="$(jq .version "$first")"
+  ctl_append "$first" >"$first.out" 2>&1 &
+  first_pid=$!
+  ctl_append "$second" >"$second.out" 2>&1 || second_status=$?
+  wait "$first_pid" || first_status=$?
+  # 0 is accepted and 4 is superseded.
+  case "$first_status $second_status" in
+  "0 4" | "4 0") ;;
+  *) breach "concurrent publications ended with status $first_status and $second_status: $(tail -qn 1 "$first.out" "$second.out")" ;;
+  esac
+  expect_version "$version" "${instances[@]}"
+}
+
+# Fails unless the last bundle of a process came from a peer.
+expect_from_peer() {
+  grep 'msg="bundle in effect"' "$run_dir/log/$1.log" | tail -n 1 | grep -q 'source=peer' ||
+    breach "$1 did not learn the bundle from a peer"
+}
+
+# A version is published while one side process is paused; another one restarts
+# without the log.
+publish_cut_off() {
+  local others=() name
+  for name in "${instances[@]}"; do [[ "$name" == side-plan-02 ]] || others+=("$name"); done
+  pause side-plan-02
+  publish_next "while side-plan-02 is paused"
+  expect_version "$version" "${others[@]}"
+  fault '{"name": "log", "down": true}'
+  kill_once side-plan-03
+  expect_version "$version" side-plan-03
+  expect_from_peer side-plan-03
+  resume side-plan-02
+  expect_version "$version" side-plan-02
+  fault '{"name": "log", "down": false}'
+}
+
+entry_kill_log_down() {
+  publish_next "before the log fails"
+  expect_version "$version" "${instances[@]}"
+  fault '{"name": "log", "down": true}'
+  kill_once entry-1
+  expect_version "$version" entry-1
+  expect_from_peer entry-1
+  sleep 2
+  fault '{"name": "log", "down": false}'
+}
+
+# Appends all records of the bundle stream again, with the same identifiers.
+append_again() {
+  curl -fsS --max-time 2 "http://$log_address/streams/bundles/records?from=0" | jq -c '{records: [.records[] | {id, data}]}' |
+    curl -fsS -o /dev/null --max-time 2 -d @- "http://$log_address/streams/bundles/records"
+}
+
+# An older version is published again, its records are appended again, and
+# processes that restart read both.
+stale_bundle() {
+  local old status=0
+  publish_next "soon superseded" && old="$bundle"
+  publish_next "in effect"
+  ctl_append "$old" >/dev/null 2>&1 || status=$?
+  ((status == 4)) || breach "publishing a superseded bundle ended with status $status"
+  append_again
+  kill_once side-plan-04
+  sleep 1
+  append_again
+  expect_version "$version" "${instances[@]}"
+}
+
+engine_and_side_kill() {
+  fault "{\"name\": \"$1\", \"restart\": true}"
+  kill_once "side-$1"
+}
+
+side_kill_twice() {
+  crash side-plan-01
+  crash side-quay-01
+  start_daemon side-plan-01
+  start_daemon side-quay-01
+  sleep 0.7
+  kill_once side-plan-01
+}
+
+entry_and_side_kill() {
+  crash entry-2
+  crash side-plan-02
+  sleep "$restart_pause"
+  start_daemon side-plan-02
+  start_daemon entry-2
+}
+
 # --- Runs ---
 
 breaches=() # of the scenario that runs
