--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -42,8 +43,9 @@
 	retryAfter string
 }
 
-// newEndpoint parses the base URL, for example "http://10.0.0.5:7070".
-func newEndpoint(base string) (*endpoint, error) {
+// newEndpoint parses the base URL, for example "http://10.0.0.5:7070". Its bytes
+// are counted under the name.
+func newEndpoint(name, base string) (*endpoint, error) {
 	u, err := url.Parse(base)
 	if err != nil {
 		return nil, fmt.Errorf("platform URL: %w", err)
@@ -51,9 +53,11 @@
 	if u.Scheme != "http" || u.Port() == "" {
 		return nil, fmt.Errorf("platform URL %q: want http://HOST:PORT", base)
 	}
+	u.Path = strings.TrimSuffix(u.Path, "/")
+	count := newTraffic(name)
 	return &endpoint{base: u, client: &fasthttp.HostClient{
 		Addr:                      u.Host,
-		DialTimeout:               dial,
+		DialTimeout:               count.dial,
 		MaxConns:                  maxConns,
 		MaxIdleConnDuration:       maxIdle,
 		MaxResponseBodySize:       maxBodyBytes,
