Check stale bundles with a bundle on an old base

Publishing a bundle again that was accepted before reports that it was accepted, which is documented and changes nothing, so that the earlier expectation of status 4 was wrong. The scenario now publishes another bundle on an old base, which must end with status 4, and still repeats the earlier publication and appends its records again.

--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -4,6 +4,7 @@
 #
 #   scripts/faults.sh                    run all scenarios
 #   SCENARIO="log-down entry-kill" scripts/faults.sh    run only these
+#   SEED=100 scripts/faults.sh           add 100 to the seeds of the loads
 #
 # Prints one line for each scenario. The exit status is not 0 when a guarantee
 # was broken: see "judge". Signals go only to processes that this script started.
@@ -346,14 +347,17 @@
     curl -fsS -o /dev/null --max-time 2 -d @- "http://$log_address/streams/bundles/records"
 }
 
-# An older version is published again, its records are appended again, and
-# processes that restart read both.
+# A bundle on an old base is published, and the version before the one in effect
+# is published and appended again. Processes that restart read all of it.
 stale_bundle() {
-  local old status=0
+  local old late status=0
+  next_bundle "on a base that is soon superseded" && late="$bundle"
   publish_next "soon superseded" && old="$bundle"
   publish_next "in effect"
-  ctl_append "$old" >/dev/null 2>&1 || status=$?
-  ((status == 4)) || breach "publishing a superseded bundle ended with status $status"
+  ctl_append "$late" >/dev/null 2>&1 || status=$?
+  ((status == 4)) || breach "publishing on an old base ended with status $status"
+  # Publishing again what was accepted before reports that, and changes nothing.
+  ctl_append "$old" >/dev/null 2>&1 || breach "repeating a publication ended with status $?"
   append_again
   kill_once side-plan-04
   sleep 1
@@ -464,7 +468,7 @@
   for i in "${!scenarios[@]}"; do
     read -ra row <<<"${scenarios[i]}"
     selected "${row[0]}" || continue
-    run_scenario $((i + 1)) "${row[@]}"
+    run_scenario $((i + 1 + ${SEED:-0})) "${row[@]}"
     count=$((count + 1))
   done
   if ((count == 0)); then fail "no scenario is named ${SCENARIO:-}"; fi
