Retire pooled connections before a stopping entry closes them

The entry closed idle connections right after its last response, without having told callers before: its refusals while stopping kept connections open.

A stopping entry now closes its listener at once, so that callers connect elsewhere, and refuses requests on open connections as not run for 3 s after its last response, with responses that close the connection.

A caller that keeps a connection unused for longer than 3 s and uses it in the instant of the close can still meet this; HTTP/1.1 leaves that open.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -78,6 +78,12 @@
 	// flushTimeout bounds the time to close callers' connections once no request
 	// is open.
 	flushTimeout = 2 * time.Second
+	// refusalPeriod is how long a stopping entry still refuses requests on open
+	// connections as not run after its last response. In this time callers give up their pooled
+	// connections: each refusal closes one, and those left have been unused for as
+	// long. Without it, requests sent on connections that the entry was closing
+	// broke off without a response.
+	refusalPeriod = 3 * time.Second
 )
 
 var errNoMembers = errors.New("instance list not read yet")
@@ -120,7 +126,28 @@
 			return nil
 		}
 		service.StopAccepting()
-		return p.stop(service.Drained())
+		server.StopAccepting()
+		return p.stop(p.later(service.Drained(), refusalPeriod))
 	})
 	return nil
 }
+
+// later returns a channel that is closed d after done, if the process still
+// runs then.
+func (p *process) later(done <-chan struct{}, d time.Duration) <-chan struct{} {
+	out := make(chan struct{})
+	p.background(func(ctx context.Context) error {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return nil
+		}
+		select {
+		case <-time.After(d):
+			close(out)
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	return out
+}
--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -21,12 +21,19 @@
 	net.Listener
 	open      *semaphore.Weighted
 	rejecting *semaphore.Weighted
+	close     func() error
 }
 
 func newListener(l net.Listener, maxOpen int) *listener {
-	return &listener{Listener: l, open: semaphore.NewWeighted(int64(maxOpen)), rejecting: semaphore.NewWeighted(maxRejecting)}
+	return &listener{
+		Listener: l, open: semaphore.NewWeighted(int64(maxOpen)), rejecting: semaphore.NewWeighted(maxRejecting),
+		close: sync.OnceValue(l.Close),
+	}
 }
 
+// Close implements net.Listener. It may be called more than once.
+func (l *listener) Close() error { return l.close() }
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -66,6 +66,13 @@
 
 // serve starts a server on loopback and returns its address.
 func serve(t *testing.T, service Service) string {
+	t.Helper()
+	_, address := listen(t, service)
+	return address
+}
+
+// listen is serve that returns the server as well.
+func listen(t *testing.T, service Service) (*Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -79,7 +86,7 @@
 		defer cancel()
 		s.Shutdown(ctx)
 	})
-	return l.Addr().String()
+	return s, l.Addr().String()
 }
 
 // exchangeWith sends one request. headers are name, value pairs. The error is that
@@ -444,3 +451,54 @@
 		}
 	})
 }
+
+// Guards against a planned stop that closes pooled connections while callers
+// still send on them: before, responses of a stopping entry kept connections
+// open, and the next request on one broke off without a response.
+func TestStopAccepting(t *testing.T) {
+	s, address := listen(t, send(entry.Result{Kind: entry.Refused, Reason: entry.ReasonStopping}))
+	paths := []string{chat, "/services/app/x", "/none"}
+	pooled := make([]net.Conn, len(paths))
+	readers := make([]*bufio.Reader, len(paths))
+	for i, path := range paths {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		pooled[i], readers[i] = c, bufio.NewReader(c)
+		if resp := post(t, c, readers[i], path); resp.Close {
+			t.Errorf("%s: the connection is closed before the stop", path)
+		}
+	}
+	s.StopAccepting()
+	if c, err := net.Dial("tcp", address); err == nil {
+		c.Close()
+		t.Error("a new connection was accepted after the stop")
+	}
+	for i, path := range paths {
+		if resp := post(t, pooled[i], readers[i], path); !resp.Close {
+			t.Errorf("%s: the connection stays open after the stop", path)
+		}
+		if _, err := readers[i].ReadByte(); err != io.EOF {
+			t.Errorf("%s: read after the last response: %v, want EOF", path, err)
+		}
+	}
+}
+
+// post sends a request on c and reads its response from r.
+func post(t *testing.T, c net.Conn, r *bufio.Reader, path string) *http.Response {
+	t.Helper()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	body := `{"model":"m"}`
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatalf("%s: %v", path, err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatalf("%s: %v", path, err)
+	}
+	return resp
+}
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -45,6 +46,8 @@
 	http      *fasthttp.Server
 	customers customers
 	bodies    *semaphore.Weighted
+	listener  atomic.Pointer[listener]
+	stopping  atomic.Bool // StopAccepting was called
 }
 
 // sink is an entry.Sink with the body that the handler waits for.
@@ -75,9 +78,25 @@
 	return s
 }
 
-// Serve accepts connections from l until Shutdown.
+// Serve accepts connections from l until Shutdown or StopAccepting.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(newListener(l, s.cfg.MaxConnections))
+	bounded := newListener(l, s.cfg.MaxConnections)
+	s.listener.Store(bounded)
+	if s.stopping.Load() {
+		bounded.Close()
+	}
+	return s.http.Serve(bounded)
+}
+
+// StopAccepting closes the listener, so that callers connect to another entry,
+// and makes every response from now on tell the caller that its connection is
+// closed. Otherwise a caller may send a request on a pooled connection at the
+// moment when Shutdown closes it, and learn nothing about the request.
+func (s *Server) StopAccepting() {
+	s.stopping.Store(true)
+	if l := s.listener.Load(); l != nil {
+		l.Close()
+	}
 }
 
 // Shutdown stops accepting connections and waits until those with a request in
@@ -119,6 +138,9 @@
 			ctx.SetConnectionClose()
 		}
 	}
+	if s.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
 }
 
 // serve serves one request or returns why it is not passed to the service.
