--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: help build lint model test soak fmt demo trial slopes measure
+.PHONY: help build lint model test soak fmt demo trial slopes measure faults
 
 # Used by soak.
 SEED ?= 1
@@ -43,3 +43,6 @@
 
 measure: ## measure the policies under load and faults; CELLS="cost/200 cost/slow" for single cells
 	./scripts/measure.sh $(CELLS)
+
+faults: ## inject failures into a deployment under load; SCENARIO="NAME ..." selects
+	./scripts/faults.sh
--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -8,8 +8,9 @@
 # The exit status is not 0 when a response was lost, doubled or cut, or when a
 # process failed or did not stop in order.
 #
-# measure.sh sources this file for its functions. It sets "mode" before, and
-# the deployment (entries, engines, services, load_lag) after that.
+# A script that sets "mode" and sources this file gets its functions; only the
+# modes above run anything. It may set the deployment (entries, engines,
+# services, load_lag) afterwards.
 set -euo pipefail
 
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
@@ -28,9 +29,11 @@
 readonly ready_limit=15 # until all processes are ready
 stop_limit=10           # for the planned shutdown of one process
 
-readonly load_duration=15s
-readonly load_timeout=10s # deadline of each request; the demo ends within 45 s
-readonly load_rate=40
+# The load of the demo; a caller of ctl_load may set others.
+load_duration=15s
+load_timeout=10s # deadline of each request; the demo ends within 45 s
+load_rate=40
+load_seed=1
 
 readonly host=127.0.0.1
 readonly trial_port=8080 # of the first entry in a trial
@@ -89,17 +92,30 @@
 
 # Writes, signs and publishes a bundle: file, further arguments of "bundle new".
 ctl_publish() {
-  local bundle="$1" signatures=() operator
+  local bundle="$1"
   shift
   ctl bundle new "$bundle" --note "$mode" "$@"
-  ctl bundle check "$bundle"
+  ctl_sign "$bundle"
+  ctl_append "$bundle"
+}
+
+# Checks a bundle file and signs it as each operator.
+ctl_sign() {
+  local operator
+  ctl bundle check "$1"
   for operator in "${operators[@]}"; do
-    ctl bundle sign "$bundle" --operator "$operator" --key "$run_dir/keys/$operator.key" --out "$bundle.$operator.sig"
-    signatures+=(--signature "$bundle.$operator.sig")
+    ctl bundle sign "$1" --operator "$operator" --key "$run_dir/keys/$operator.key" --out "$1.$operator.sig"
   done
-  ctl bundle publish "$bundle" "${signatures[@]}" --log "http://$log_address" --signers "$run_dir/signers.json"
 }
 
+# Publishes a bundle file that ctl_sign has signed.
+ctl_append() {
+  local signatures=() operator
+  for operator in "${operators[@]}"; do signatures+=(--signature "$1.$operator.sig"); done
+  ctl bundle publish "$1" "${signatures[@]}" --log "http://$log_address" --signers "$run_dir/signers.json"
+}
+
+# Sends the load. Further arguments are added to those of the load.
 ctl_load() {
   local args=() address name
   for address in "${caller_addresses[@]}"; do args+=(--entry "http://$address"); done
@@ -107,7 +123,7 @@
   for name in "${customers[@]}"; do args+=(--customer-key "$(customer_key "$name")"); done
   for name in "${tiers[@]}"; do args+=(--tier "$name"); done
   ctl load "${args[@]}" --model "$model" --service quay-app --duration "$load_duration" --rate "$load_rate" \
-    --seed 1 --timeout "$load_timeout" --prompt-tokens 100 --output-tokens 24 --ledger "http://$admin_address"
+    --seed "$load_seed" --timeout "$load_timeout" --prompt-tokens 100 --output-tokens 24 --ledger "http://$admin_address" "$@"
 }
 
 # Fails when a process cannot be read, bundle versions differ or an invariant
@@ -179,8 +195,9 @@
 caller_addresses=() # of the entries
 entry_admins=()
 all_admins=()
+declare -A admin_of=() # by instance name
 sides=() # instance names
-instances=() # names of all daemons
+instances=() # instance names of all daemons
 members=""
 engine_settings=""
 service_settings=""
@@ -192,6 +209,7 @@
   caller_addresses+=("$3")
   entry_admins+=("$address")
   all_admins+=("$address")
+  admin_of[$1]="$address"
   members+="      {\"instance\": \"$1\", \"role\": \"entry\", \"failure_domain\": \"$2\"},"$'\n'
 }
 
@@ -207,6 +225,7 @@
   \"target\": {\"id\": \"$1\", \"service\": \"$3\", \"kind\": \"$4\", \"address\": \"$target_address\"$fence},"
   sides+=("side-$1")
   all_admins+=("$admin")
+  admin_of[side-$1]="$admin"
   members+="      {\"instance\": \"side-$1\", \"role\": \"side\", \"failure_domain\": \"$2\", \"address\": \"$sessions\", \"target\": \"$1\", \"service\": \"$3\"},"$'\n'
 }
 
@@ -343,8 +362,10 @@
   names=()
 }
 
+# Stops everything and ends the script. The status is that of the script, by
+# default that of the last command.
 finish() {
-  local status=$?
+  local status="${1:-$?}"
   trap - EXIT INT TERM
   stop_all
   if ((status != 0 || failed != 0)); then
@@ -374,6 +395,7 @@
   ctl_certificates "${instances[@]}" >/dev/null
 }
 
+# Starts the daemon of one instance.
 start_daemon() { start "$1" bin/cassiarampd --settings "$run_dir/$1.jsonc"; }
 
 start_all() {
@@ -391,19 +413,13 @@
   wait_ready
 }
 
-[[ "${BASH_SOURCE[0]}" == "$0" ]] || return 0
-
-if [[ "$mode" == trial ]] && in_use "$trial_port"; then
-  trap - EXIT
-  rm -rf "$run_dir"
-  say "$host:$trial_port is in use by another process" >&2
-  exit 1
-fi
-
-build_and_write
-start_all
+# Builds the programs, starts all processes and waits until they are ready.
+deploy() {
+  build_and_write
+  start_all
+}
 
-if [[ "$mode" == trial ]]; then
+serve_trial() {
   say "ready; settings and logs are in $run_dir; stop with Ctrl-C"
   cat <<END
 
@@ -415,10 +431,25 @@
   trap 'exit 0' INT TERM
   while check_alive; do sleep 1; done
   exit 1
-fi
+}
 
-say "sending a mixed load for $load_duration"
-ctl_load || fail "load"
-check_alive || true
-ctl_status || fail "status"
-say "stopping"
+case "$mode" in
+trial)
+  if in_use "$trial_port"; then
+    trap - EXIT
+    rm -rf "$run_dir"
+    say "$host:$trial_port is in use by another process" >&2
+    exit 1
+  fi
+  deploy
+  serve_trial
+  ;;
+demo)
+  deploy
+  say "sending a mixed load for $load_duration"
+  ctl_load || fail "load"
+  check_alive || true
+  ctl_status || fail "status"
+  say "stopping"
+  ;;
+esac
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -303,8 +303,7 @@
   check_alive
 }
 
-build_and_write
-start_all
+deploy
 for row in "${entries[@]}"; do entry_names+=("${row%% *}"); done
 read -r capacity_rate prefill decode mean_prompt mean_output < <(capacity)
 say "capacity $capacity_rate requests/s: prefill $prefill and decode $decode tokens/s, mean request $mean_prompt prompt and $mean_output output tokens; seed $seed"
