--- a/internal/ctl/vars/vars.go
+++ b/internal/ctl/vars/vars.go
@@ -21,8 +21,9 @@
 // fetchTimeout bounds one read of /debug/vars.
 const fetchTimeout = 2 * time.Second
 
-// maxBody bounds the document read; expvar's memstats alone take about 6 KB.
-const maxBody = 8 << 20
+// maxBody bounds the document read. expvar's memstats alone take about 6 KB; the
+// ledger of a stand-in has about 250 bytes for each request.
+const maxBody = 64 << 20
 
 // Vars is what one process publishes. Counters have the key "policy/tier".
 type Vars struct {
