Print one command that replays a failed turn

A failure names the test of its property, the seed and the number of tries, and a long run prints its counts also when it fails.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -56,6 +56,9 @@
 	return b.String()
 }
 
+// checksGiven tells that the number of cases was given on the command line.
+var checksGiven bool
+
 // current is the ghost of the running case. state.OnViolation has no other way
 // to reach it.
 var current atomic.Pointer[ghost]
@@ -76,24 +79,25 @@
 			flag.Set(name, value)
 		}
 	}
+	checksGiven = set["rapid.checks"]
 	os.Exit(m.Run())
 }
 
 // check runs a property in a synctest bubble for each case. The property
 // reports failures to the ghost, because a failed bubble could not be shrunk.
 func check(t *testing.T, name string, checks int, draw func(rt *rapid.T) func(g *ghost)) {
-	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+	if !checksGiven {
 		flag.Set("rapid.checks", fmt.Sprint(checks))
-		defer flag.Set("rapid.checks", f.DefValue)
 	}
 	seed := flag.Lookup("rapid.seed").Value.String()
-	t.Cleanup(func() {
+	defer func() {
 		if t.Failed() {
-			t.Logf("replay this turn: go test ./internal/soak -count=1 -run '^%s$' -rapid.seed=%s -rapid.checks=%d -soak.tries=%d", name, seed, checks, shrinkTries)
+			t.Logf("to replay: go test ./internal/soak -count=1 -run '^%s$' -rapid.seed=%s -rapid.checks=%s -soak.tries=%d",
+				name, seed, flag.Lookup("rapid.checks").Value, shrinkTries)
 		}
-	})
+	}()
 	tries := *soakTries
-	rapid.Check(quiet{t}, func(rt *rapid.T) {
+	rapid.Check(quiet{t, name}, func(rt *rapid.T) {
 		run := draw(rt)
 		for range tries {
 			g := newGhost()
@@ -109,8 +113,11 @@
 }
 
 // quiet drops the line that rapid logs when a check has passed, of which a long
-// run makes hundreds.
-type quiet struct{ *testing.T }
+// run makes hundreds, and puts the test of the property into rapid's advice.
+type quiet struct {
+	*testing.T
+	test string
+}
 
 func (q quiet) Logf(format string, args ...any) {
 	q.Helper()
@@ -119,6 +126,12 @@
 	}
 }
 
+func (q quiet) Errorf(format string, args ...any) {
+	q.Helper()
+	text := fmt.Sprintf(format, args...)
+	q.T.Error(strings.ReplaceAll(text, q.Name(), q.test))
+}
+
 // properties are the properties that a long run takes in turns.
 var properties = []struct {
 	name   string
@@ -149,11 +162,12 @@
 	}
 	end := time.Now().Add(*soakDuration)
 	seed := *soakSeed
-	for ; time.Now().Before(end) && !t.Failed(); seed++ {
+	defer func() { t.Logf("seeds from %d up to but not including %d\n%s", *soakSeed, seed, summary()) }()
+	for time.Now().Before(end) {
 		flag.Set("rapid.seed", fmt.Sprint(seed))
+		seed++
 		for _, p := range properties {
 			check(t, "Test"+p.name, roundChecks, p.draw)
 		}
 	}
-	t.Logf("seeds %d to %d\n%s", *soakSeed, seed-1, summary())
 }
