Stop entries as planned in the randomised runs

An entry that was stopped must be drained after the deadlines of its open requests. The counts tell how often a call is reported as not run although an earlier call with its key has run.

--- a/internal/soak/ghost_test.go
+++ b/internal/soak/ghost_test.go
@@ -83,10 +83,14 @@
 	}
 }
 
-// refused notes that a request was reported as not run.
-func (g *ghost) refused(id state.RequestID, reason state.Reason) {
+// refused notes that a call was reported as not run. An earlier call with the
+// same key may have run, of which the report says nothing.
+func (g *ghost) refused(id state.RequestID, op string, reason state.Reason) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if _, ok := g.once[op]; ok {
+		count("not run, earlier call ran: "+string(reason), 1)
+	}
 	g.notRun[id] = reason
 	if g.ran[id] {
 		g.failLocked("request %s ran and was reported as not run (%s)", id, reason)
--- a/internal/soak/requests_test.go
+++ b/internal/soak/requests_test.go
@@ -45,6 +45,7 @@
 		w.killSide(slot, w.side(slot), false)
 		time.AfterFunc(ev.d, func() { w.startSide(slot) })
 	},
+	"stop entry": func(w *world, ev event) { w.stopEntry(ev.i%len(w.entries), ev.d) },
 	"pause entry": func(w *world, ev event) {
 		if e := w.entry(ev.i % len(w.entries)); e != nil {
 			e.pause(ev.d)
@@ -277,7 +278,7 @@
 		}
 	case entry.Refused:
 		count("not run: "+string(result.Reason), 1)
-		w.ghost.refused(id, result.Reason)
+		w.ghost.refused(id, out.op, result.Reason)
 		if out.next > 0 {
 			w.ghost.fail("request %s was reported as not run after %d chunks", id, out.next)
 		}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -241,6 +241,33 @@
 	w.entries[i] = nil
 }
 
+// stopEntry stops an entry as planned: it must be drained once the deadlines of
+// its open requests have passed.
+func (w *world) stopEntry(i int, restart time.Duration) {
+	e := w.entry(i)
+	if e == nil {
+		return
+	}
+	e.service.StopAccepting()
+	go func() {
+		select {
+		case <-e.service.Drained():
+			w.mu.Lock()
+			current := w.entries[i] == e
+			w.mu.Unlock()
+			if current {
+				w.killEntry(i)
+				time.Sleep(restart)
+				w.startEntry(i)
+			}
+		case <-time.After(maxTimeout + endGrace):
+			if e.ctx.Err() == nil {
+				w.ghost.fail("entry %s has %d open requests long after it was stopped", e.name, e.service.Open())
+			}
+		}
+	}()
+}
+
 // killSide ends p if it is still the side process of the slot, after a planned
 // stop or as a crash.
 func (w *world) killSide(slot int, p *sideProcess, planned bool) {
