--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -7,50 +7,60 @@
 #
 # The exit status is not 0 when a response was lost, doubled or cut, or when a
 # process failed or did not stop in order.
+#
+# A script that sets "mode" and sources this file gets its functions; only the
+# modes above run anything. It may set the deployment (entries, engines,
+# services, load_lag) afterwards.
 set -euo pipefail
 
-cd "$(dirname "$0")/.."
-mode="${1:-demo}"
-case "$mode" in
-demo | trial) ;;
-*)
-  echo "usage: $0 demo|trial" >&2
-  exit 2
-  ;;
-esac
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+if [[ "${BASH_SOURCE[0]}" == "$0" ]]; then
+  mode="${1:-demo}"
+  case "$mode" in
+  demo | trial) ;;
+  *)
+    echo "usage: $0 demo|trial" >&2
+    exit 2
+    ;;
+  esac
+fi
 
 # Time limits in seconds.
 readonly ready_limit=15 # until all processes are ready
-readonly stop_limit=10  # for the planned shutdown of one process
+stop_limit=10           # for the planned shutdown of one process
 
-readonly load_duration=15s
-readonly load_timeout=10s # deadline of each request; the demo ends within 45 s
-readonly load_rate=40
+# The load of the demo; a caller of ctl_load may set others.
+load_duration=15s
+load_timeout=10s # deadline of each request; the demo ends within 45 s
+load_rate=40
+load_seed=1
 
 readonly host=127.0.0.1
 readonly trial_port=8080 # of the first entry in a trial
 readonly template=examples/tema/bundle.jsonc
 readonly operators=(ama kofi)                                 # as in the template
-readonly customers=(volta-lines gulf-feeder harmattan-bulk)   # may use all tiers
+customers=(volta-lines gulf-feeder harmattan-bulk)            # may use all tiers
 readonly tiers=(berth plan check bulk)
 readonly model=stowage-large
 readonly retention=15m
 
+load_lag=500ms # age of the engines' load figures
+
 # name, failure domain
-readonly entries=(
+entries=(
   "entry-1 tema-a"
   "entry-2 tkd-a"
 )
 # target, failure domain, checks the fencing number, prefill and decode rate
 # (tokens/s of the engine), rate of one request, cache (tokens)
-readonly engines=(
+engines=(
   "plan-01 tema-a true 40000 4000 400 20000"
   "plan-02 tkd-a true 24000 2500 300 16000"
   "plan-03 accra-dc true 12000 1500 250 12000"
   "plan-04 tema-b false 6000 800 200 8000"
 )
 # target, failure domain, duration of a call
-readonly services=(
+services=(
   "quay-01 tema-a 2ms"
   "quay-02 tkd-a 8ms"
 )
@@ -80,17 +90,32 @@
 # Writes tls/authority.pem, and tls/INSTANCE.pem and tls/INSTANCE.key for each.
 ctl_certificates() { ctl keys tls "$@" --dir "$run_dir/tls"; }
 
+# Writes, signs and publishes a bundle: file, further arguments of "bundle new".
 ctl_publish() {
-  local bundle="$run_dir/bundle.json" signatures=() operator
-  ctl bundle new "$bundle" --anchor --template "$run_dir/template.jsonc" --note "$mode"
-  ctl bundle check "$bundle"
+  local bundle="$1"
+  shift
+  ctl bundle new "$bundle" --note "$mode" "$@"
+  ctl_sign "$bundle"
+  ctl_append "$bundle"
+}
+
+# Checks a bundle file and signs it as each operator.
+ctl_sign() {
+  local operator
+  ctl bundle check "$1"
   for operator in "${operators[@]}"; do
-    ctl bundle sign "$bundle" --operator "$operator" --key "$run_dir/keys/$operator.key" --out "$bundle.$operator.sig"
-    signatures+=(--signature "$bundle.$operator.sig")
+    ctl bundle sign "$1" --operator "$operator" --key "$run_dir/keys/$operator.key" --out "$1.$operator.sig"
   done
-  ctl bundle publish "$bundle" "${signatures[@]}" --log "http://$log_address" --signers "$run_dir/signers.json"
 }
 
+# Publishes a bundle file that ctl_sign has signed.
+ctl_append() {
+  local signatures=() operator
+  for operator in "${operators[@]}"; do signatures+=(--signature "$1.$operator.sig"); done
+  ctl bundle publish "$1" "${signatures[@]}" --log "http://$log_address" --signers "$run_dir/signers.json"
+}
+
+# Sends the load. Further arguments are added to those of the load.
 ctl_load() {
   local args=() address name
   for address in "${caller_addresses[@]}"; do args+=(--entry "http://$address"); done
@@ -98,7 +123,7 @@
   for name in "${customers[@]}"; do args+=(--customer-key "$(customer_key "$name")"); done
   for name in "${tiers[@]}"; do args+=(--tier "$name"); done
   ctl load "${args[@]}" --model "$model" --service quay-app --duration "$load_duration" --rate "$load_rate" \
-    --seed 1 --timeout "$load_timeout" --prompt-tokens 100 --output-tokens 24 --ledger "http://$admin_address"
+    --seed "$load_seed" --timeout "$load_timeout" --prompt-tokens 100 --output-tokens 24 --ledger "http://$admin_address" "$@"
 }
 
 # Fails when a process cannot be read, bundle versions differ or an invariant
@@ -170,7 +195,9 @@
 caller_addresses=() # of the entries
 entry_admins=()
 all_admins=()
+declare -A admin_of=() # by instance name
 sides=() # instance names
+instances=() # instance names of all daemons
 members=""
 engine_settings=""
 service_settings=""
@@ -182,6 +209,7 @@
   caller_addresses+=("$3")
   entry_admins+=("$address")
   all_admins+=("$address")
+  admin_of[$1]="$address"
   members+="      {\"instance\": \"$1\", \"role\": \"entry\", \"failure_domain\": \"$2\"},"$'\n'
 }
 
@@ -197,6 +225,7 @@
   \"target\": {\"id\": \"$1\", \"service\": \"$3\", \"kind\": \"$4\", \"address\": \"$target_address\"$fence},"
   sides+=("side-$1")
   all_admins+=("$admin")
+  admin_of[side-$1]="$admin"
   members+="      {\"instance\": \"side-$1\", \"role\": \"side\", \"failure_domain\": \"$2\", \"address\": \"$sessions\", \"target\": \"$1\", \"service\": \"$3\"},"$'\n'
 }
 
@@ -204,7 +233,7 @@
   add_side "$1" "$2" plan-llm engine "$3"
   engine_settings+="    {\"name\": \"$1\", \"address\": \"$target_address\", \"checks_fence\": $3,
       \"prefill_rate\": $4, \"decode_rate\": $5, \"request_rate\": $6, \"cache_tokens\": $7,
-      \"load_lag\": \"500ms\", \"cache_lag\": \"1s\", \"cache_gap\": 0.02,
+      \"load_lag\": \"$load_lag\", \"cache_lag\": \"1s\", \"cache_gap\": 0.02,
       \"models\": [{\"name\": \"stowage-large\", \"version\": \"1\"}, {\"name\": \"notes-small\", \"version\": \"1\"}]},"$'\n'
 }
 
@@ -264,7 +293,7 @@
 start() {
   local name="$1"
   shift
-  "$@" >"$run_dir/log/$name.log" 2>&1 &
+  "$@" >>"$run_dir/log/$name.log" 2>&1 &
   pids=("$!" "${pids[@]}")
   names=("$name" "${names[@]}")
 }
@@ -299,11 +328,15 @@
   done
 }
 
+terminate() {
+  # It may end between the two, for example when a Ctrl-C reached it as well.
+  if running "$1"; then kill -TERM "$1" 2>/dev/null || true; fi
+}
+
 # Stops one process by a planned shutdown and checks its exit status.
 stop() {
   local pid="$1" name="$2" deadline=$((SECONDS + stop_limit)) status=0
-  # It may end between the two, for example when a Ctrl-C reached it as well.
-  if running "$pid"; then kill -TERM "$pid" 2>/dev/null || true; fi
+  terminate "$pid"
   while running "$pid"; do
     if ((SECONDS >= deadline)); then
       fail "$name did not stop within $stop_limit s after SIGTERM"
@@ -317,14 +350,22 @@
 }
 
 stop_all() {
-  local i
-  for i in "${!pids[@]}"; do stop "${pids[i]}" "${names[i]}"; done
+  local i j
+  for i in "${!pids[@]}"; do
+    # The side processes stop at the same time: each may wait for its callers.
+    if [[ "${names[i]}" == side-* ]]; then
+      for j in "${!pids[@]}"; do [[ "${names[j]}" != side-* ]] || terminate "${pids[j]}"; done
+    fi
+    stop "${pids[i]}" "${names[i]}"
+  done
   pids=()
   names=()
 }
 
+# Stops everything and ends the script. The status is that of the script, by
+# default that of the last command.
 finish() {
-  local status=$?
+  local status="${1:-$?}"
   trap - EXIT INT TERM
   stop_all
   if ((status != 0 || failed != 0)); then
@@ -340,39 +381,45 @@
 
 # --- Steps ---
 
-if [[ "$mode" == trial ]] && in_use "$trial_port"; then
-  trap - EXIT
-  rm -rf "$run_dir"
-  say "$host:$trial_port is in use by another process" >&2
-  exit 1
-fi
+build_and_write() {
+  local operator row
+  say "building"
+  mkdir -p bin
+  go build -o bin/ ./cmd/...
+  say "writing keys and settings to $run_dir"
+  for operator in "${operators[@]}"; do ctl_operator_key "$operator" >/dev/null; done
+  write_bundle_template
+  write_all
+  instances=("${sides[@]}")
+  for row in "${entries[@]}"; do instances+=("${row%% *}"); done
+  ctl_certificates "${instances[@]}" >/dev/null
+}
+
+# Starts the daemon of one instance.
+start_daemon() { start "$1" bin/cassiarampd --settings "$run_dir/$1.jsonc"; }
 
-say "building"
-mkdir -p bin
-go build -o bin/ ./cmd/...
-
-say "writing keys and settings to $run_dir"
-for operator in "${operators[@]}"; do ctl_operator_key "$operator" >/dev/null; done
-write_bundle_template
-write_all
-instances=("${sides[@]}")
-for row in "${entries[@]}"; do instances+=("${row%% *}"); done
-ctl_certificates "${instances[@]}" >/dev/null
-
-say "starting the stand-ins, ${#sides[@]} side processes and ${#entries[@]} entries"
-start standin bin/standin --settings "$run_dir/standin.jsonc"
-until curl -fs --max-time 1 -o /dev/null "http://$admin_address/admin/ledger"; do
-  check_alive
-  sleep 0.05
-done
-for name in "${instances[@]}"; do start "$name" bin/cassiarampd --settings "$run_dir/$name.jsonc"; done
-
-say "publishing the bundle"
-ctl_publish
-say "waiting until all processes are ready"
-wait_ready
-
-if [[ "$mode" == trial ]]; then
+start_all() {
+  local name
+  say "starting the stand-ins, ${#sides[@]} side processes and ${#entries[@]} entries"
+  start standin bin/standin --settings "$run_dir/standin.jsonc"
+  until curl -fs --max-time 1 -o /dev/null "http://$admin_address/admin/ledger"; do
+    check_alive
+    sleep 0.05
+  done
+  for name in "${instances[@]}"; do start_daemon "$name"; done
+  say "publishing the bundle"
+  ctl_publish "$run_dir/bundle.json" --anchor --template "$run_dir/template.jsonc"
+  say "waiting until all processes are ready"
+  wait_ready
+}
+
+# Builds the programs, starts all processes and waits until they are ready.
+deploy() {
+  build_and_write
+  start_all
+}
+
+serve_trial() {
   say "ready; settings and logs are in $run_dir; stop with Ctrl-C"
   cat <<END
 
@@ -384,10 +431,25 @@
   trap 'exit 0' INT TERM
   while check_alive; do sleep 1; done
   exit 1
-fi
+}
 
-say "sending a mixed load for $load_duration"
-ctl_load || fail "load"
-check_alive || true
-ctl_status || fail "status"
-say "stopping"
+case "$mode" in
+trial)
+  if in_use "$trial_port"; then
+    trap - EXIT
+    rm -rf "$run_dir"
+    say "$host:$trial_port is in use by another process" >&2
+    exit 1
+  fi
+  deploy
+  serve_trial
+  ;;
+demo)
+  deploy
+  say "sending a mixed load for $load_duration"
+  ctl_load || fail "load"
+  check_alive || true
+  ctl_status || fail "status"
+  say "stopping"
+  ;;
+esac
