Ask one peer at a time for a newer bundle

A process that is behind asked every peer that told of a newer version. An entry hears about 86 reports a second, so for as long as the log takes to deliver a change it would fetch the 228 KB document dozens of times.

A version is asked of one peer, and again after 1 s if it has not come.

--- a/internal/transport/peer/bundles.go
+++ b/internal/transport/peer/bundles.go
@@ -1,6 +1,9 @@
 package peer
 
 import (
+	"sync"
+	"time"
+
 	"github.com/cassiaramp/cassiaramp/internal/protocol"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -30,9 +33,31 @@
 	return true
 }
 
-// fetchWhenBehind asks the peer for its bundle when it has a newer one.
-func fetchWhenBehind(b Bundles, peerAccepted uint64, send func(protocol.Message) error) {
-	if peerAccepted > b.Accepted() {
+// fetchRetry is the time after which a bundle that was asked for is asked for
+// again, possibly from another peer.
+const fetchRetry = time.Second
+
+// catchUp fetches bundles for a process that is behind. Many peers tell of the
+// same version at once, so that it is asked of one peer at a time.
+type catchUp struct {
+	mu      sync.Mutex
+	version uint64 // last one asked for
+	asked   time.Time
+}
+
+// fetch asks the peer for its bundle when it has a newer one.
+func (c *catchUp) fetch(b Bundles, peerAccepted uint64, send func(protocol.Message) error) {
+	if peerAccepted > b.Accepted() && c.due(peerAccepted, clock()) {
 		send(&protocol.FetchBundle{})
 	}
 }
+
+func (c *catchUp) due(version uint64, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version <= c.version && now.Sub(c.asked) < fetchRetry {
+		return false
+	}
+	c.version, c.asked = version, now
+	return true
+}
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -55,11 +55,13 @@
 	mu     sync.Mutex
 	links  map[state.TargetID]*link
 	closed bool
+	behind catchUp
 }
 
 // link is the entry's relation to one target over successive sessions.
 type link struct {
 	target state.TargetID
+	behind *catchUp       // of the client
 	seq    *atomic.Uint64 // of the client
 
 	dialing sync.Mutex // held while a session is opened
@@ -203,11 +205,11 @@
 	defer c.mu.Unlock()
 	l := c.links[target]
 	if l == nil && create && !c.closed {
-		l = &link{target: target, seq: &c.seq}
+		l = &link{behind: &c.behind, target: target, seq: &c.seq}
 		c.links[target] = l
 	}
 	if l == nil && create {
-		return &link{target: target, seq: &c.seq}
+		return &link{behind: &c.behind, target: target, seq: &c.seq}
 	}
 	return l
 }
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -61,6 +61,7 @@
 	Log         *zap.Logger
 
 	sessions atomic.Int64 // open
+	behind   catchUp
 	serving  sync.WaitGroup
 }
 
@@ -162,7 +163,7 @@
 	if err := c.control.send(w); err != nil {
 		return err
 	}
-	fetchWhenBehind(c.server.Bundles, hello.Accepted, c.control.send)
+	c.server.behind.fetch(c.server.Bundles, hello.Accepted, c.control.send)
 	return nil
 }
 
@@ -215,7 +216,7 @@
 		}
 		controlTraffic.messagesReceived.Add(1)
 		if h, ok := m.(*protocol.Heartbeat); ok {
-			fetchWhenBehind(c.server.Bundles, h.Accepted, c.control.send)
+			c.server.behind.fetch(c.server.Bundles, h.Accepted, c.control.send)
 			continue
 		}
 		exchangeBundle(c.server.Bundles, m, c.control.send)
--- a/internal/transport/peer/session.go
+++ b/internal/transport/peer/session.go
@@ -114,7 +114,7 @@
 	s.markUsed()
 	s.link.set(s)
 	s.cfg.Observer.SessionOpened(s.link.target, welcome)
-	fetchWhenBehind(s.cfg.Bundles, welcome.Status.Accepted, s.control.send)
+	s.link.behind.fetch(s.cfg.Bundles, welcome.Status.Accepted, s.control.send)
 	go s.readControl(in)
 	go s.watch()
 	return nil
@@ -179,9 +179,9 @@
 	switch m := m.(type) {
 	case *state.Status:
 		s.cfg.Observer.StatusReceived(s.link.target, m)
-		fetchWhenBehind(s.cfg.Bundles, m.Accepted, s.control.send)
+		s.link.behind.fetch(s.cfg.Bundles, m.Accepted, s.control.send)
 	case *protocol.Heartbeat:
-		fetchWhenBehind(s.cfg.Bundles, m.Accepted, s.control.send)
+		s.link.behind.fetch(s.cfg.Bundles, m.Accepted, s.control.send)
 	case *protocol.Leaving:
 		s.cfg.Observer.TargetLeaving(s.link.target)
 	default:
