--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -3,7 +3,7 @@
 # several sizes on loopback addresses, one after the other, then the slopes
 # inside one process. Takes about 4 minutes.
 #
-#   scripts/slopes.sh [DIR]   keep settings, logs and samples in DIR
+#   scripts/slopes.sh [DIR]   keep programs, settings, logs and samples in DIR
 set -euo pipefail
 
 cd "$(dirname "$0")/.."
@@ -25,7 +25,7 @@
   dir="$(mktemp -d "${TMPDIR:-/tmp}/cassiaramp-slopes-XXXXXX")"
 fi
 readonly dir
-mkdir -p "$dir"
+mkdir -p "$dir/bin"
 
 pids=()
 
@@ -57,21 +57,23 @@
   shift 2
   for n in "$@"; do args+=(--streams "$n"); done
   mkdir -p "$run"
-  bin/slopes prepare --dir "$run" --targets "$targets" --entries "$entries"
-  bin/standin --settings "$run/standin.json" >"$run/standin.log" 2>&1 &
+  "$dir/bin/slopes" prepare --dir "$run" --targets "$targets" --entries "$entries"
+  "$dir/bin/standin" --settings "$run/standin.json" >"$run/standin.log" 2>&1 &
   pids+=("$!")
   : >"$run/pids"
   for file in "$run"/side-*.json "$run"/entry-*.json; do
     name="$(basename "$file" .json)"
-    bin/cassiarampd --settings "$file" >"$run/$name.log" 2>&1 &
+    "$dir/bin/cassiarampd" --settings "$file" >"$run/$name.log" 2>&1 &
     pids+=("$!")
     echo "$name $!" >>"$run/pids"
   done
-  bin/slopes measure --dir "$run" --samples "$dir/samples.jsonl" "${args[@]}"
+  "$dir/bin/slopes" measure --dir "$run" --samples "$dir/samples.jsonl" "${args[@]}"
   stop_all
 }
 
-go build -o bin/ ./cmd/...
+go build -o "$dir/bin/" ./cmd/...
+commit="$(git rev-parse --short HEAD)$(git diff --quiet HEAD || echo ' with changes')" # as built
+readonly commit
 : >"$dir/samples.jsonl"
 for row in "${deployments[@]}"; do
   # shellcheck disable=SC2086 # the fields of the row
@@ -80,10 +82,11 @@
 
 echo "command: make slopes"
 echo "date: $(date -u +%Y-%m-%dT%H:%M:%SZ)"
-echo "commit: $(git rev-parse --short HEAD)$(git diff --quiet HEAD || echo ' with changes')"
+echo "commit: $commit"
 echo "machine: $(nproc) processors, $(uname -sr), $(go version | cut -d' ' -f3), load average $(cut -d' ' -f1-3 /proc/loadavg)"
 echo
-bin/slopes report --samples "$dir/samples.jsonl"
+"$dir/bin/slopes" report --samples "$dir/samples.jsonl"
 echo
-bin/slopes local
+"$dir/bin/slopes" local
+rm -rf "${dir:?}/bin"
 echo "settings, logs and samples are in $dir"
