--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -42,7 +42,7 @@
 customers=(volta-lines gulf-feeder harmattan-bulk)            # may use all tiers
 readonly tiers=(berth plan check bulk)
 readonly model=stowage-large
-readonly retention=15m
+readonly retention=30m # two horizons of keyed requests and some slack
 
 load_lag=500ms # age of the engines' load figures
 
