--- a/internal/coordination/placement/owner.go
+++ b/internal/coordination/placement/owner.go
@@ -274,6 +274,13 @@
 	o.assignSubsets()
 }
 
+func (e closedEvent) apply(o *owner) {
+	if t := o.targets[e.target]; t != nil {
+		t.view.connected = false
+		o.changed = true
+	}
+}
+
 func (e wantEvent) apply(o *owner) {
 	if t := o.targets[e.target]; t != nil {
 		o.connect(t, time.Now())
@@ -422,6 +429,9 @@
 	for _, t := range o.byName() {
 		view := t.publish()
 		s.targets[view.id] = view
+		if view.connected && !view.subset {
+			s.onDemand++
+		}
 		service := s.services[view.service]
 		if service == nil {
 			service = &serviceView{}
