--- a/internal/soak/requests_test.go
+++ b/internal/soak/requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -58,6 +59,12 @@
 	},
 	"leave":  func(w *world, ev event) { w.leave(ev.i%len(w.sides), ev.d) },
 	"bundle": func(w *world, ev event) { w.publish(ev.i) },
+	"list leaving": func(w *world, ev event) {
+		w.list(ev, func(m []state.Member, slot int) []state.Member { m[slot].Leaving = true; return m })
+	},
+	"list gap": func(w *world, ev event) {
+		w.list(ev, func(m []state.Member, slot int) []state.Member { return slices.Delete(m, slot, slot+1) })
+	},
 	"cut session": onSession(func(s *session, _ event) {
 		s.fail(errConnection)
 	}),
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -171,6 +171,25 @@
 	return w.entries[i]
 }
 
+// members returns the instance list.
+func (w *world) members() []state.Member {
+	var list []state.Member
+	for slot := range w.sides {
+		list = append(list, state.Member{Instance: state.InstanceID(fmt.Sprint("s", slot)), Role: state.SideRole, Address: "a", Target: targetName(slot), Service: "svc"})
+	}
+	return list
+}
+
+// list gives a changed instance list to one entry for a while.
+func (w *world) list(ev event, change func(m []state.Member, slot int) []state.Member) {
+	e := w.entry(ev.i % len(w.entries))
+	if e == nil {
+		return
+	}
+	e.placer.SetMembers(change(w.members(), ev.i/len(w.entries)%len(w.sides)))
+	time.AfterFunc(ev.d, func() { e.placer.SetMembers(w.members()) })
+}
+
 func (w *world) startEntry(i int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -180,10 +199,8 @@
 	w.incarnations++
 	e := &entryProcess{world: w, name: state.InstanceID(fmt.Sprint("e", i)), incarnation: w.incarnations, links: make(map[state.TargetID]*link)}
 	e.ctx, e.kill = context.WithCancel(context.Background())
-	members := []state.Member{}
 	for slot := range w.sides {
 		e.links[targetName(slot)] = &link{entry: e, slot: slot, dialing: make(chan struct{}, 1)}
-		members = append(members, state.Member{Instance: state.InstanceID(fmt.Sprint("s", slot)), Role: state.SideRole, Address: "a", Target: targetName(slot), Service: "svc"})
 	}
 	e.placer = placement.New(placement.Config{Entry: e.name, Seed: uint64(i), Connector: connector{e}})
 	e.claims = claim.NewManager(claim.Config{
@@ -193,7 +210,7 @@
 		Peers: e, Claims: e.claims, Placer: e.placer, Bundle: e.bundle.Load, MaxOpen: 24, Log: zap.NewNop(),
 	})
 	e.setBundle(w.bundle)
-	e.placer.SetMembers(members)
+	e.placer.SetMembers(w.members())
 	go e.placer.Run(e.ctx)
 	go e.claims.Run(e.ctx)
 	w.entries[i] = e
@@ -210,7 +227,11 @@
 type connector struct{ *entryProcess }
 
 func (connector) SetAddress(state.Member, bool) {}
-func (connector) Forget(state.TargetID)         {}
+func (c connector) Forget(target state.TargetID) {
+	if s := c.links[target].live(); s != nil {
+		s.fail(errors.New("target removed"))
+	}
+}
 func (c connector) Connect(target state.TargetID) {
 	go func() { _, _ = c.links[target].session(c.ctx) }()
 }
