Report the goroutines that are left at the end of a case

A stopped entry drains for up to 20 s and then starts again, which could be after the end of the case. Change: nothing is started after the end, and the stacks of goroutines that are left are reported. Such a failure is now shrunk like any other.

--- a/internal/soak/requests_test.go
+++ b/internal/soak/requests_test.go
@@ -227,6 +227,15 @@
 	for id := range g.stillOpen() {
 		g.fail("request %s has not ended", id)
 	}
+	w.end()
+	time.Sleep(2 * time.Minute) // what is still there then blocks for ever, which synctest reports
+}
+
+// end kills everything.
+func (w *world) end() {
+	w.mu.Lock()
+	w.over = true
+	w.mu.Unlock()
 	for i := range w.entries {
 		w.killEntry(i)
 	}
@@ -236,7 +245,6 @@
 	for _, e := range w.engines {
 		e.restart()
 	}
-	time.Sleep(2 * time.Minute) // what is still there then blocks for ever, which synctest reports
 }
 
 // request makes a call and checks how it ends.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -102,7 +103,9 @@
 		for range tries {
 			g := newGhost()
 			current.Store(g)
-			synctest.Test(t, func(*testing.T) { run(g) })
+			if left := bubble(t, func() { run(g) }); left != "" {
+				g.fail("goroutines are left:\n%s", left)
+			}
 			current.Store(nil)
 			if faults := g.faultList(); len(faults) > 0 {
 				tries = max(tries, shrinkTries)
@@ -112,6 +115,34 @@
 	})
 }
 
+// maxStacks bounds the stacks reported of goroutines that are left.
+const maxStacks = 3
+
+// bubble runs f under synctest and returns the stacks of the goroutines that are
+// blocked when it has returned. They stay blocked until the test process ends.
+func bubble(t *testing.T, f func()) (left string) {
+	defer func() {
+		r := recover()
+		if r == nil {
+			return
+		}
+		if !strings.Contains(fmt.Sprint(r), "blocked goroutines remain") {
+			panic(r)
+		}
+		all := make([]byte, 1<<20)
+		all = all[:runtime.Stack(all, true)]
+		var stacks []string
+		for _, s := range strings.Split(string(all), "\n\n") {
+			if strings.Contains(s, "synctest bubble") && len(stacks) < maxStacks {
+				stacks = append(stacks, s)
+			}
+		}
+		left = strings.Join(stacks, "\n\n")
+	}()
+	synctest.Test(t, func(*testing.T) { f() })
+	return ""
+}
+
 // quiet drops the line that rapid logs when a check has passed, of which a long
 // run makes hundreds, and puts the test of the property into rapid's advice.
 type quiet struct {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -119,6 +119,7 @@
 	entries      []*entryProcess // nil while down
 	sides        []*sideProcess  // by target; nil while down
 	bundle       *state.Bundle
+	over         bool // nothing is started any more
 }
 
 func targetName(slot int) state.TargetID { return state.TargetID(fmt.Sprint("t", slot)) }
@@ -193,7 +194,7 @@
 func (w *world) startEntry(i int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.entries[i] != nil {
+	if w.entries[i] != nil || w.over {
 		return
 	}
 	w.incarnations++
@@ -239,7 +240,7 @@
 func (w *world) startSide(slot int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.sides[slot] != nil {
+	if w.sides[slot] != nil || w.over {
 		return
 	}
 	w.incarnations++
