--- a/internal/soak/requests_test.go
+++ b/internal/soak/requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -58,6 +59,12 @@
 	},
 	"leave":  func(w *world, ev event) { w.leave(ev.i%len(w.sides), ev.d) },
 	"bundle": func(w *world, ev event) { w.publish(ev.i) },
+	"list leaving": func(w *world, ev event) {
+		w.list(ev, func(m []state.Member, slot int) []state.Member { m[slot].Leaving = true; return m })
+	},
+	"list gap": func(w *world, ev event) {
+		w.list(ev, func(m []state.Member, slot int) []state.Member { return slices.Delete(m, slot, slot+1) })
+	},
 	"cut session": onSession(func(s *session, _ event) {
 		s.fail(errConnection)
 	}),
@@ -220,6 +227,15 @@
 	for id := range g.stillOpen() {
 		g.fail("request %s has not ended", id)
 	}
+	w.end()
+	time.Sleep(2 * time.Minute) // what is still there then blocks for ever, which synctest reports
+}
+
+// end kills everything.
+func (w *world) end() {
+	w.mu.Lock()
+	w.over = true
+	w.mu.Unlock()
 	for i := range w.entries {
 		w.killEntry(i)
 	}
@@ -229,7 +245,6 @@
 	for _, e := range w.engines {
 		e.restart()
 	}
-	time.Sleep(2 * time.Minute) // what is still there then blocks for ever, which synctest reports
 }
 
 // request makes a call and checks how it ends.
