Check a leaving side process while it may still run; print error codes

Checked only after the process had ended, new work at its target could not show. A planned stop after an entry crash lasts up to 10 s longer than the last request (DrainGrace), so that the load had ended by then; two scenarios that had passed proved nothing.

--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -228,12 +228,14 @@
 }
 
 # Planned stop of a side process: name, "listed" to mark it in the instance list
-# as well.
+# as well. New work is checked while the process may still be finishing requests.
 leave_for() {
   local announced="${EPOCHREALTIME/./}"
   [[ "${2:-}" != listed ]] || list_leaving "$1" true
-  leave "$1"
+  find_pid "$1"
+  kill -TERM "$pid"
   expect_no_work "$1" "$announced"
+  leave "$1"
   [[ "${2:-}" != listed ]] || list_leaving "$1" false
   start_daemon "$1"
 }
@@ -401,14 +403,14 @@
 breach() { breaches+=("$*"); }
 
 print_header() {
-  printf '%-24s %5s %7s %5s %7s %7s %6s %4s %7s %4s %13s %10s %8s  %s\n' scenario sent in_time late refused unknown \
-    other lost doubled cut false_not_run violations versions verdict
+  printf '%-24s %5s %7s %5s %7s %7s %6s %4s %7s %4s %13s %10s %8s  %-7s %s\n' scenario sent in_time late refused unknown \
+    other lost doubled cut false_not_run violations versions verdict "error codes"
 }
 
 # Prints the line of a scenario and judges it: name, report of the load,
 # violations of invariants.
 judge() {
-  local name="$1" report="$2" violations="$3" verdict=ok values
+  local name="$1" report="$2" violations="$3" verdict=ok values codes
   # sent, in time, late, refused, unknown, other, lost, doubled, cut, false not-run
   if ! values="$(jq -r '
     def sum(f): [.rows[]? | f] | add // 0;
@@ -418,6 +420,7 @@
     breach "the load gave no report"
     values="0 0 0 0 0 0 0 0 0 0"
   fi
+  codes="$(jq -r '.refusals // {} | to_entries | map("\(.key)=\(.value)") | join(" ")' "$report" || true)"
   local sent in_time late refused unknown other lost doubled cut false_not_run versions
   read -r sent in_time late refused unknown other lost doubled cut false_not_run <<<"$values"
   ((lost + doubled + cut + false_not_run == 0)) || breach "$(jq -c '.violations[:5]' "$report")"
@@ -427,8 +430,8 @@
   [[ "$versions" != *,* ]] || breach "bundle versions differ"
   [[ -z "$(decreased)" ]] || breach "a version decreased: $(decreased)"
   ((${#breaches[@]} == 0)) || verdict=BROKEN
-  printf '%-24s %5d %7d %5d %7d %7d %6d %4d %7d %4d %13d %10d %8s  %s\n' "$name" "$sent" "$in_time" "$late" "$refused" \
-    "$unknown" "$other" "$lost" "$doubled" "$cut" "$false_not_run" "$violations" "$versions" "$verdict"
+  printf '%-24s %5d %7d %5d %7d %7d %6d %4d %7d %4d %13d %10d %8s  %-7s %s\n' "$name" "$sent" "$in_time" "$late" "$refused" \
+    "$unknown" "$other" "$lost" "$doubled" "$cut" "$false_not_run" "$violations" "$versions" "$verdict" "$codes"
   if ((${#breaches[@]} > 0)); then
     failed=1
     printf '    %s\n' "${breaches[@]}"
