Count no body for requests that have none

A GET was counted as a body of 8 MiB, because fasthttp reports the length -2 for a request with neither Content-Length nor Transfer-Encoding, and every negative length was taken for a chunked body. An entry with the default memory limit (32 MiB for bodies) refused the fifth GET at once as entry_overloaded.

The bound on open requests (4,096) and on connections were ruled out by their size; twelve concurrent GETs against a bound of 64 MiB gave 8 times 200 and 4 times 429.

--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -392,6 +392,50 @@
 	}
 }
 
+// Guards against a request without a body that takes the place of a large one: a
+// GET counted as 8 MiB, so that the fifth at once was refused as overload by an
+// entry with the default memory limit.
+func TestRequestsWithoutBodyTakeNoPlace(t *testing.T) {
+	const requests = 12 // above the 8 bodies of unknown length that listen allows
+	hold := make(chan struct{})
+	arrived := make(chan struct{}, requests)
+	_, address := listen(t, serviceFunc(func(context.Context, *state.Request, entry.Sink) entry.Result {
+		arrived <- struct{}{}
+		<-hold
+		return complete
+	}))
+	status := make(chan int, requests)
+	for range requests {
+		go func() {
+			req, _ := http.NewRequest("GET", "http://"+address+"/services/app/x", nil)
+			req.Header.Set("Authorization", "Bearer secret")
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Error(err)
+				status <- 0
+				return
+			}
+			resp.Body.Close()
+			status <- resp.StatusCode
+		}()
+	}
+	open := 0
+	for range requests {
+		select {
+		case <-arrived:
+			open++
+		case got := <-status:
+			t.Errorf("request ended with status %d while %d are open", got, open)
+		}
+	}
+	close(hold)
+	for range open {
+		if got := <-status; got != http.StatusOK {
+			t.Errorf("status %d, want 200", got)
+		}
+	}
+}
+
 // Guards against a model list without the bundle's models.
 func TestModels(t *testing.T) {
 	_, body, _ := exchangeWith(t, send(complete), "GET", "/v1/models", "")
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -132,7 +132,7 @@
 	if f := s.serve(ctx, state.RequestID(id)); f != nil {
 		s.cfg.Log.Info("request rejected", zap.String("request", id), zap.String("reason", string(f.code)), zap.Int("status", f.status), zap.String("detail", f.message))
 		f.write(ctx)
-		length := ctx.Request.Header.ContentLength()
+		length := bodyLength(ctx)
 		if c, ok := ctx.Conn().(*conn); ok && (length < 0 || length > maxDrained) {
 			c.linger.Store(true)
 			ctx.SetConnectionClose()
@@ -205,17 +205,27 @@
 	return kind, nil
 }
 
+// bodyLength returns the length of the body in bytes, or -1 for a chunked body,
+// whose length is not known yet. fasthttp reports -2 for a request with neither
+// Content-Length nor Transfer-Encoding, which has no body.
+func bodyLength(ctx *fasthttp.RequestCtx) int {
+	if n := ctx.Request.Header.ContentLength(); n >= -1 {
+		return n
+	}
+	return 0
+}
+
 // readBody reads the body within the bounds. release must be called when the
 // body is no longer used.
 func (s *Server) readBody(ctx *fasthttp.RequestCtx) (data []byte, release func(), f *failure) {
 	tooLarge := invalid(http.StatusRequestEntityTooLarge, state.ReasonTooLarge, "body is too large")
-	length := ctx.Request.Header.ContentLength()
+	length := bodyLength(ctx)
 	if length > maxBody {
 		return nil, nil, tooLarge
 	}
 	reserved := int64(length)
 	if length < 0 {
-		reserved = maxBody // chunked: the length is not known yet
+		reserved = maxBody
 	}
 	if !s.bodies.TryAcquire(reserved) {
 		return nil, nil, failureOf(entry.Result{Kind: entry.Refused, Reason: admission.ReasonOverloaded})
