Send SIGTERM once to each process of a deployment

A second SIGTERM reached a side process that was about to exit, which then ended with status 143 instead of 0. The burst of a measurement sends its own texts: with those of the load it counted as wasted prefill.

--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -309,7 +309,13 @@
   done
 }
 
+declare -A terminated # process ids that were sent SIGTERM
+
+# Sends SIGTERM once: a second one ends a process that is about to exit in order
+# with a status other than 0.
 terminate() {
+  [[ -z "${terminated[$1]:-}" ]] || return 0
+  terminated[$1]=1
   # It may end between the two, for example when a Ctrl-C reached it as well.
   if running "$1"; then kill -TERM "$1" 2>/dev/null || true; fi
 }
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -61,7 +61,8 @@
 # more; it waits 10 s for them before it ends.
 stop_limit=15
 entries=("entry-1 tema-a" "entry-2 tkd-a" "entry-3 accra-dc")
-# Columns as in deploy.sh. All 40 shared prefixes have about 29,000 tokens.
+# Columns as in deploy.sh. The 40 shared prefixes, which differ between chats and
+# completions, have about 58,000 tokens.
 engines=(
   "plan-01 tema-a true 56000 600 300 16000"
   "plan-02 tkd-a true 56000 600 300 16000"
@@ -173,7 +174,10 @@
   fault_time="$(date -u +%s.%N)"
   case "$1" in
   slow) set_fault "{\"name\": \"$slow_target\", \"slow\": $slowdown}" ;;
-  burst) send burst "$burst_seconds" "$(awk -v r="$rate" -v f="$burst_factor" 'BEGIN {print r * (f - 1)}')" --model "$model" ;;
+  burst)
+    content=$((content + 1)) # texts that the load has not sent
+    send burst "$burst_seconds" "$(awk -v r="$rate" -v f="$burst_factor" 'BEGIN {print r * (f - 1)}')" --model "$model"
+    ;;
   domain)
     mapfile -t killed < <(domain_sides)
     for name in "${killed[@]}"; do kill_daemon "$name"; done
