Report the decode rate of a saturated target

Cause: entries multiplied the decode rate of a partly filled window by up to 4, whatever the engine. A nearly idle slow engine, or one that had slowed, was credited with four times its speed, and the next burst went there.

Change: the side process learns the rate at saturation: the rate of one attempt drops below 70% of the fastest lately. A target with little work keeps its last rate.

--- a/internal/coordination/placement/delay.go
+++ b/internal/coordination/placement/delay.go
@@ -18,16 +18,10 @@
 	assumedDecodeRate  = 400.0
 )
 
-// maxBatchGain bounds by how much the decode speed of a partly filled window is
-// extrapolated. Engines batch, so a target that runs one request measures a
-// low total speed although it could take more; without the bound an almost idle
-// target would be credited with more speed than batching yields.
-const maxBatchGain = 4.0
-
 // maxDelay bounds predictions, so that sums stay within time.Duration.
 const maxDelay = time.Hour
 
-// ratesOf returns the speeds of t at a full window.
+// ratesOf returns the speeds of t when it is saturated.
 func (v *serviceView) ratesOf(t *target, now time.Time) rates {
 	r := v.typical
 	if t.figures == nil || now.Sub(t.received) > speedLifetime {
@@ -37,19 +31,11 @@
 		r.prefill = t.figures.PrefillRate
 	}
 	if t.figures.DecodeRate > 0 {
-		r.decode = t.figures.DecodeRate * batchGain(t.figures)
+		r.decode = t.figures.DecodeRate
 	}
 	return r
 }
 
-func batchGain(f *state.Figures) float64 {
-	running := max(1, f.RunningCount)
-	if f.Window <= running {
-		return 1
-	}
-	return min(maxBatchGain, float64(f.Window)/float64(running))
-}
-
 // predict fills in the speeds, the delay and the wait of c.
 func (s *scene) predict(c *candidate) {
 	req := s.query.Request
--- a/internal/coordination/placement/owner.go
+++ b/internal/coordination/placement/owner.go
@@ -434,7 +434,7 @@
 			prefill = append(prefill, f.PrefillRate)
 		}
 		if f := t.figures; f != nil && f.DecodeRate > 0 {
-			decode = append(decode, f.DecodeRate*batchGain(f))
+			decode = append(decode, f.DecodeRate)
 		}
 	}
 	v.typical = rates{prefill: median(prefill, assumedPrefillRate), decode: median(decode, assumedDecodeRate)}
--- a/internal/coordination/side/service.go
+++ b/internal/coordination/side/service.go
@@ -195,7 +195,7 @@
 		RunningCount: len(s.running),
 		Window:       s.window.size,
 		PrefillRate:  s.speed.prefill,
-		DecodeRate:   s.speed.decode,
+		DecodeRate:   s.speed.capacity,
 		LowestQueued: s.queue.lowest(),
 	}
 	if s.bundle != nil {
--- a/internal/coordination/side/speed.go
+++ b/internal/coordination/side/speed.go
@@ -9,6 +9,13 @@
 	// speedMemory is the time constant of the decode rate. After a sudden
 	// slowdown the rate has followed by 92% within 500 ms.
 	speedMemory = 200 * time.Millisecond
+	// saturatedBelow is the decode rate of one attempt, relative to the fastest
+	// lately, below which the target counts as saturated.
+	saturatedBelow = 0.7
+	// fastestMemory is the time constant with which the fastest rate of one
+	// attempt is forgotten, so that a target that became slower for good is not
+	// taken as saturated for ever.
+	fastestMemory = 10 * time.Second
 	// prefillWeight, durationWeight and outputWeight are the weights of a new
 	// sample in the averages that are updated once for each attempt.
 	prefillWeight  = 0.4
@@ -22,6 +29,9 @@
 // speed measures the target. All rates are 0 before the first measurement.
 type speed struct {
 	decode   float64 // generated tokens per second over all running attempts
+	capacity float64 // the same when the target is saturated, or the highest seen so far
+	each     float64 // generated tokens per second of one running attempt
+	fastest  float64 // highest value of each lately
 	prefill  float64 // prompt tokens per second
 	duration float64 // seconds that a call of a plain service takes
 	output   float64 // generated tokens divided by the most that were allowed; 1 before the first measurement
@@ -42,12 +52,25 @@
 		return
 	}
 	rate := float64(tokens) / dt.Seconds()
+	each := rate / float64(decoding)
 	if s.decode == 0 {
-		s.decode = rate
-		return
+		s.decode, s.each = rate, each
 	}
 	keep := math.Exp(-float64(dt) / float64(speedMemory))
 	s.decode = keep*s.decode + (1-keep)*rate
+	s.each = keep*s.each + (1-keep)*each
+	s.fastest = max(s.each, s.fastest*math.Exp(-float64(dt)/float64(fastestMemory)))
+	s.learnCapacity()
+}
+
+// learnCapacity follows the decode rate down only while the target is saturated.
+// A target that runs few attempts generates few tokens, but is not slower for it.
+func (s *speed) learnCapacity() {
+	if s.each < saturatedBelow*s.fastest {
+		s.capacity = s.decode
+		return
+	}
+	s.capacity = max(s.capacity, s.decode)
 }
 
 // firstToken takes the time to the first token of a finished attempt. tokens
--- a/internal/coordination/side/window_test.go
+++ b/internal/coordination/side/window_test.go
@@ -25,6 +25,39 @@
 	return state.Usage{GeneratedTokens: 2000}, nil
 }
 
+// Guards against a decode rate that mistakes little work for a slow target, and
+// against one that keeps the earlier rate after a slowdown with little work.
+func TestCapacityOutlastsLittleWork(t *testing.T) {
+	s, now := newSpeed(), time.Now()
+	s.sampled = now
+	// run feeds a second of a target that decodes at most total tokens/s, and at
+	// most 100 for one attempt.
+	run := func(attempts int, total float64) float64 {
+		for range 20 {
+			now = now.Add(50 * time.Millisecond)
+			s.tokens = int(min(total, 100*float64(attempts)*min(1, total/800)) / 20)
+			s.sample(now, attempts)
+		}
+		return s.capacity
+	}
+	for _, step := range []struct {
+		name      string
+		attempts  int
+		total     float64
+		low, high float64
+	}{
+		{"saturated", 16, 800, 750, 850},
+		{"one attempt", 1, 800, 750, 850},
+		{"one attempt of a target slowed ten times", 1, 80, 0, 200},
+		{"saturated while slowed", 16, 80, 50, 100},
+		{"recovered", 16, 800, 750, 850},
+	} {
+		if got := run(step.attempts, step.total); got < step.low || got > step.high {
+			t.Errorf("%s: capacity %.0f tokens/s, want %.0f to %.0f", step.name, got, step.low, step.high)
+		}
+	}
+}
+
 // Guards against a window or a decode rate that follows a slowdown too late:
 // figures must show it within 500 ms.
 func TestSlowdownShows(t *testing.T) {
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -57,7 +57,7 @@
 	Window        int           `cbor:"6,keyasint"`            // attempts that may run at once
 	QueueLimit    int           `cbor:"7,keyasint"`            // queued attempts at most
 	PrefillRate   float64       `cbor:"8,keyasint"`            // prompt tokens per second, measured; 0 before the first measurement
-	DecodeRate    float64       `cbor:"9,keyasint"`            // generated tokens per second over all running attempts, measured; 0 before the first
+	DecodeRate    float64       `cbor:"9,keyasint"`            // generated tokens per second when saturated, or the most seen, measured; 0 before the first
 	LowestQueued  Tier          `cbor:"10,keyasint"`           // NoTier when the queue is empty
 	Models        []string      `cbor:"11,keyasint,omitempty"` // models that the engine reports as loaded
 }
