--- a/internal/coordination/placement/delay.go
+++ b/internal/coordination/placement/delay.go
@@ -19,13 +19,10 @@
 	assumedDecodeRate  = 400.0
 )
 
-// speedMemory is the time constant of the decode speed in load figures.
-const speedMemory = 200 * time.Millisecond
-
 // maxDelay bounds predictions, so that sums stay within time.Duration.
 const maxDelay = time.Hour
 
-// ratesOf returns the speeds of t at a full window.
+// ratesOf returns the speeds of t when it is saturated.
 func (v *serviceView) ratesOf(t *target, now time.Time) rates {
 	if t.figures == nil {
 		return v.typical
@@ -34,7 +31,7 @@
 	known := 1 - max(0, (age-loadLifetime).Seconds())/(speedLifetime-loadLifetime).Seconds()
 	return rates{
 		prefill: blend(t.figures.PrefillRate, v.typical.prefill, known),
-		decode:  blend(t.decodeRate(), v.typical.decode, known),
+		decode:  blend(t.figures.DecodeRate, v.typical.decode, known),
 	}
 }
 
@@ -47,28 +44,6 @@
 	return typical * math.Pow(measured/typical, known)
 }
 
-// decodeRate extrapolates the measured decode speed to a full window. Engines
-// batch, so a target that runs one request measures a low total speed. Taken as
-// it is, that speed would keep a target that has little work from getting more.
-func (t *target) decodeRate() float64 {
-	running := max(1, t.concurrency)
-	return t.figures.DecodeRate * max(1, float64(t.figures.Window)/running)
-}
-
-// observeConcurrency updates the number of requests that the decode speed in f
-// refers to. Side processes average the speed over speedMemory and keep it while
-// nothing runs, so the number is averaged in the same way.
-func (t *target) observeConcurrency(f *state.Figures, elapsed time.Duration) {
-	if f.RunningCount == 0 {
-		return
-	}
-	keep := 0.0
-	if t.concurrency > 0 {
-		keep = math.Exp(-elapsed.Seconds() / speedMemory.Seconds())
-	}
-	t.concurrency = keep*t.concurrency + (1-keep)*float64(f.RunningCount)
-}
-
 // predict fills in the speeds, the delay and the wait of c.
 func (s *scene) predict(c *candidate) {
 	req := s.query.Request
--- a/internal/coordination/side/service.go
+++ b/internal/coordination/side/service.go
@@ -214,7 +214,7 @@
 		RunningCount: len(s.running),
 		Window:       s.window.size,
 		PrefillRate:  s.speed.prefill,
-		DecodeRate:   s.speed.decode,
+		DecodeRate:   s.speed.capacity,
 		LowestQueued: s.queue.lowest(),
 	}
 	if s.bundle != nil {
@@ -261,7 +261,7 @@
 			s.speed.waiting(a.prefillLoad, now.Sub(a.started))
 		}
 	}
-	s.speed.sample(now, decoding)
+	s.speed.sample(now, decoding, s.window.size)
 	if !s.window.due(now) {
 		return
 	}
--- a/internal/coordination/side/speed.go
+++ b/internal/coordination/side/speed.go
@@ -9,6 +9,13 @@
 	// speedMemory is the time constant of the decode rate. After a sudden
 	// slowdown the rate has followed by 92% within 500 ms.
 	speedMemory = 200 * time.Millisecond
+	// saturatedBelow is the decode rate of one attempt, relative to the fastest
+	// lately, below which the target counts as saturated.
+	saturatedBelow = 0.7
+	// fastestMemory is the time constant with which the fastest rate of one
+	// attempt is forgotten, so that a target that became slower for good is not
+	// taken as saturated for ever.
+	fastestMemory = 10 * time.Second
 	// prefillWeight, durationWeight and outputWeight are the weights of a new
 	// sample in the averages that are updated once for each attempt.
 	prefillWeight  = 0.4
@@ -22,6 +29,10 @@
 // speed measures the target. All rates are 0 before the first measurement.
 type speed struct {
 	decode   float64 // generated tokens per second over all running attempts
+	capacity float64 // the same when the target is saturated, as far as that is known
+	full     bool    // the target has been saturated
+	each     float64 // generated tokens per second of one running attempt
+	fastest  float64 // highest value of each lately
 	prefill  float64 // prompt tokens per second
 	duration float64 // seconds that a call of a plain service takes
 	output   float64 // generated tokens divided by the most that were allowed; 1 before the first measurement
@@ -33,8 +44,8 @@
 func newSpeed() *speed { return &speed{output: 1} }
 
 // sample updates the decode rate. decoding is the number of running attempts
-// past their first token.
-func (s *speed) sample(now time.Time, decoding int) {
+// past their first token, of the window that may run.
+func (s *speed) sample(now time.Time, decoding, window int) {
 	dt := now.Sub(s.sampled)
 	tokens := s.tokens
 	s.sampled, s.tokens = now, 0
@@ -42,12 +53,32 @@
 		return
 	}
 	rate := float64(tokens) / dt.Seconds()
+	each := rate / float64(decoding)
 	if s.decode == 0 {
-		s.decode = rate
-		return
+		s.decode, s.each = rate, each
 	}
 	keep := math.Exp(-float64(dt) / float64(speedMemory))
 	s.decode = keep*s.decode + (1-keep)*rate
+	s.each = keep*s.each + (1-keep)*each
+	s.fastest = max(s.each, s.fastest*math.Exp(-float64(dt)/float64(fastestMemory)))
+	s.learnCapacity(each, window)
+}
+
+// learnCapacity follows the decode rate down only while the target is saturated.
+// A target that runs few attempts generates few tokens, but is not slower for it.
+// Until it has been saturated, a full window counts as many times the rate of one
+// attempt: taken as it is, that rate would keep an idle target from getting work.
+// latest is the rate of one attempt in the last sample; the average alone lags
+// behind when many attempts end at once.
+func (s *speed) learnCapacity(latest float64, window int) {
+	if max(latest, s.each) < saturatedBelow*s.fastest {
+		s.capacity, s.full = s.decode, true
+		return
+	}
+	s.capacity = max(s.capacity, s.decode)
+	if !s.full {
+		s.capacity = max(s.capacity, s.each*float64(window))
+	}
 }
 
 // firstToken takes the time to the first token of a finished attempt. tokens
