--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -42,7 +42,7 @@
 customers=(volta-lines gulf-feeder harmattan-bulk)            # may use all tiers
 readonly tiers=(berth plan check bulk)
 readonly model=stowage-large
-readonly retention=15m
+readonly retention=30m # two horizons of keyed requests and some slack
 
 load_lag=500ms # age of the engines' load figures
 
@@ -328,7 +328,13 @@
   done
 }
 
+declare -A terminated # process ids that were sent SIGTERM
+
+# Sends SIGTERM once: a second one ends a process that is about to exit in order
+# with a status other than 0.
 terminate() {
+  [[ -z "${terminated[$1]:-}" ]] || return 0
+  terminated[$1]=1
   # It may end between the two, for example when a Ctrl-C reached it as well.
   if running "$1"; then kill -TERM "$1" 2>/dev/null || true; fi
 }
