Count running prompts by the time of their prefill

Cause: the running tokens in the load figures were prompt and output tokens alike, and entries divided them by the decode rate. One prompt of 700 tokens in prefill looked like more than 1 s of work instead of about 0.02 s, for as long as the figures lasted, and pushed requests to other targets.

Change: a prompt token counts as the output that is generated in its prefill time. TestRunningPromptCountsByItsTime guards that. scripts/measure.sh also prints how many placements were not the first of their request.

--- a/internal/coordination/side/service.go
+++ b/internal/coordination/side/service.go
@@ -202,8 +202,7 @@
 		f.QueueLimit = s.bundle.Queue.MaxCount
 	}
 	for a := range s.running {
-		w := s.remaining(a)
-		f.RunningTokens += w.prompt + w.output
+		f.RunningTokens += s.speed.outputTokens(s.remaining(a))
 	}
 	f.Models = slices.Sorted(maps.Keys(s.models))
 	return f
--- a/internal/coordination/side/speed.go
+++ b/internal/coordination/side/speed.go
@@ -114,6 +114,16 @@
 	s.output = average(s.output, ratio, max(outputWeight, 1/float64(s.finished)))
 }
 
+// outputTokens returns the number of output tokens that take as long as w. A
+// target computes prompt tokens up to a hundred times as fast as it generates
+// output: counted alike, one prompt would look like seconds of output.
+func (s *speed) outputTokens(w work) int {
+	if s.prefill <= 0 || s.capacity <= 0 {
+		return w.output
+	}
+	return w.output + int(float64(w.prompt)*s.capacity/s.prefill)
+}
+
 func average(old, sample, weight float64) float64 { return (1-weight)*old + weight*sample }
 
 // seconds returns how long the target takes for w when it runs at the measured
--- a/internal/coordination/side/window_test.go
+++ b/internal/coordination/side/window_test.go
@@ -25,6 +25,19 @@
 	return state.Usage{GeneratedTokens: 2000}, nil
 }
 
+// Guards against a prompt in progress that looks like as many tokens of output.
+func TestRunningPromptCountsByItsTime(t *testing.T) {
+	s := newSpeed()
+	w := work{count: 1, prompt: 7000, output: 10}
+	if got := s.outputTokens(w); got != 10 {
+		t.Errorf("%d tokens before any measurement, want the 10 of the output", got)
+	}
+	s.prefill, s.capacity = 70000, 600 // 0.1 s of prefill
+	if got := s.outputTokens(w); got != 70 {
+		t.Errorf("%d tokens, want 10 and the 60 that are generated in 0.1 s", got)
+	}
+}
+
 // Guards against a decode rate that mistakes little work for a slow target, and
 // against one that keeps the earlier rate after a slowdown with little work.
 func TestCapacityOutlastsLittleWork(t *testing.T) {
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -53,7 +53,7 @@
 	QueuedCount   [MaxTiers]int `cbor:"2,keyasint"` // queued attempts by tier
 	QueuedTokens  [MaxTiers]int `cbor:"3,keyasint"` // queued prompt and expected output tokens by tier
 	RunningCount  int           `cbor:"4,keyasint"`
-	RunningTokens int           `cbor:"5,keyasint"`            // expected tokens still to be computed for running attempts
+	RunningTokens int           `cbor:"5,keyasint"`            // output tokens still expected of running attempts; prompts count as output that takes as long
 	Window        int           `cbor:"6,keyasint"`            // attempts that may run at once
 	QueueLimit    int           `cbor:"7,keyasint"`            // queued attempts at most
 	PrefillRate   float64       `cbor:"8,keyasint"`            // prompt tokens per second, measured; 0 before the first measurement
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -231,13 +231,13 @@
 
 # Prints the placements of a cell: share by target against its share of the
 # decode rates, and, for a slowed target, placements a second around the fault.
-# Columns of the input: seconds relative to the start of the cell, target.
+# Input: time, target and number of the placement of its request.
 print_placements() {
   local name
   for name in "${entry_names[@]}"; do
     tail -n "+$((log_lines[$name] + 1))" "$run_dir/log/$name.log"
   done | grep 'msg=placement ' | grep -v 'target=quay' |
-    sed -nE 's/^.*ts=([^ ]+) .* target=([^ ]+) .*$/\1 \2/p' >"$run_dir/placements"
+    sed -nE 's/^.*ts=([^ ]+) .* target=([^ ]+) .* placement=([0-9]+) .*$/\1 \2 \3/p' >"$run_dir/placements"
   printf '%s\n' "${engines[@]}" | awk -v fault="$1" -v fault_time="$2" -v slow="$slow_target" -v slowdown="$slowdown" '
     function seconds(t,  p) { # of the day, UTC
       split(substr(t, 12), p, ":")
@@ -246,6 +246,7 @@
     FILENAME == "-" {rate[$1] = $5; sum += $5; order[++targets] = $1; next}
     {
       n[$2]++; total++
+      if ($3 > 1) again++
       at = seconds($1)
       window = int(at * 2); count[window, $2]++; all[window]++
       if (fault == "slow") {
@@ -266,7 +267,8 @@
         ratios[++windows] = ratio
         if (ratio > most) most = ratio
       }
-      printf " (%% / %% of speed); most within 0.5 s %.1f times its share\n", most
+      printf " (%% / %% of speed); %.1f%% placed again", 100 * again / total
+      printf "; most within 0.5 s %.1f times its share\n", most
       if (fault == "slow") {
         printf "  %s, placements/s of all placements/s, each 0.5 s from 2 s before to 5 s after it slowed:", slow
         for (b = -4; b < 10; b++) printf "%s %d/%d", b == 0 ? " |" : "", 2 * bucket[b], 2 * every[b]
