Check that a restarted reader puts no outdated bundle into effect

Change: a reader that takes its bundle from the log must start with a version at least as high as the one accepted before it started.

--- a/internal/soak/bundles_test.go
+++ b/internal/soak/bundles_test.go
@@ -37,6 +37,10 @@
 type reader struct {
 	process
 	store *bundle.Store
+	// floor is the version accepted before the start. What is put into effect from
+	// the log is at least that; a peer that is behind may offer less.
+	floor   uint64
+	offered atomic.Bool
 }
 
 // bundleWorld holds the readers of one case and what was published.
@@ -79,7 +83,7 @@
 }
 
 func (w *bundleWorld) start(i int) {
-	r := &reader{}
+	r := &reader{floor: w.newest.Load()}
 	r.ctx, r.kill = context.WithCancel(context.Background())
 	r.store = bundle.NewStore(bundle.Config{
 		Log: processLog{&r.process, &w.log}, Signers: operators, Retention: bundleRetention, Logger: zap.NewNop(),
@@ -95,6 +99,9 @@
 			case <-updates:
 				if b := r.store.Bundle(); b.Version > 0 {
 					w.observe(b, version)
+					if b.Version < r.floor && !r.offered.Load() {
+						w.ghost.fail("version %d was put into effect by a process that started after version %d was accepted", b.Version, r.floor)
+					}
 					version = b.Version
 				}
 			case <-r.ctx.Done():
@@ -217,6 +224,7 @@
 		r.pause(ev.d)
 	case "offer":
 		if b := r.store.Bundle(); b.Version > 0 && other.paused.Load() < time.Now().UnixNano() {
+			other.offered.Store(true)
 			other.store.Offer(b)
 		}
 	default:
