--- a/internal/coordination/side/lifecycle_test.go
+++ b/internal/coordination/side/lifecycle_test.go
@@ -200,6 +200,23 @@
 	})
 }
 
+// Guards against a planned stop that waits for a response that its entry has
+// cancelled and does not read.
+func TestDrainSkipsCancelled(t *testing.T) {
+	withRig(t, &scriptedRunner{run: produce(10, 100*time.Millisecond)}, bundle(1, 10), func(r *rig) {
+		a := r.session.Dispatch(r.job(0))
+		time.Sleep(200 * time.Millisecond)
+		a.Cancel()
+		a.Detach()
+		left := time.Now()
+		r.Leave()
+		<-r.Drained()
+		if d := time.Since(left); d > time.Second {
+			r.t.Errorf("drained after %s", d)
+		}
+	})
+}
+
 // Guards against a stop that waits for an entry that is gone.
 func TestDrainIsBounded(t *testing.T) {
 	withRig(t, &scriptedRunner{run: produce(10, 100*time.Millisecond)}, bundle(1, 10), func(r *rig) {
