--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -119,6 +119,7 @@
 	entries      []*entryProcess // nil while down
 	sides        []*sideProcess  // by target; nil while down
 	bundle       *state.Bundle
+	over         bool // nothing is started any more
 }
 
 func targetName(slot int) state.TargetID { return state.TargetID(fmt.Sprint("t", slot)) }
@@ -126,10 +127,13 @@
 // newBundle returns the bundle with the given version; shape varies its limits.
 func newBundle(version uint64, shape int) *state.Bundle {
 	return &state.Bundle{
-		Version:   version,
-		Tiers:     []state.TierPolicy{{Name: "high"}, {Name: "middle", Reserve: shape % 2}, {Name: "low", Reserve: shape % 2}},
-		Customers: []state.CustomerPolicy{{Name: "c", RequestsPerSecond: 1000, Burst: 1000}, {Name: "d", RequestsPerSecond: 1000, Burst: 1000}},
-		Services:  []state.ServicePolicy{{Name: "svc", Kind: state.EngineService, Models: []string{"m"}, DefaultTier: "low"}},
+		Version: version,
+		Tiers:   []state.TierPolicy{{Name: "high", Timeout: 1}, {Name: "middle", Timeout: 1, Reserve: shape % 2}, {Name: "low", Timeout: 1, Reserve: shape % 2}},
+		Customers: []state.CustomerPolicy{
+			{Name: "c", RequestsPerSecond: 1000, Burst: 1000, Weight: 1, HighestTier: "high"},
+			{Name: "d", RequestsPerSecond: 1000, Burst: 1000, Weight: 2, HighestTier: "high"},
+		},
+		Services: []state.ServicePolicy{{Name: "svc", Kind: state.EngineService, Models: []string{"m"}, DefaultTier: "low"}},
 		Policies: map[string]state.PlacementPolicy{"p": {
 			Filters: []string{"serves-model", "ready", "not-tried"},
 			Scorers: []state.WeightedScorer{{Name: "predicted-delay", Weight: 1}},
@@ -168,19 +172,36 @@
 	return w.entries[i]
 }
 
+// members returns the instance list.
+func (w *world) members() []state.Member {
+	var list []state.Member
+	for slot := range w.sides {
+		list = append(list, state.Member{Instance: state.InstanceID(fmt.Sprint("s", slot)), Role: state.SideRole, Address: "a", Target: targetName(slot), Service: "svc"})
+	}
+	return list
+}
+
+// list gives a changed instance list to one entry for a while.
+func (w *world) list(ev event, change func(m []state.Member, slot int) []state.Member) {
+	e := w.entry(ev.i % len(w.entries))
+	if e == nil {
+		return
+	}
+	e.placer.SetMembers(change(w.members(), ev.i/len(w.entries)%len(w.sides)))
+	time.AfterFunc(ev.d, func() { e.placer.SetMembers(w.members()) })
+}
+
 func (w *world) startEntry(i int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.entries[i] != nil {
+	if w.entries[i] != nil || w.over {
 		return
 	}
 	w.incarnations++
 	e := &entryProcess{world: w, name: state.InstanceID(fmt.Sprint("e", i)), incarnation: w.incarnations, links: make(map[state.TargetID]*link)}
 	e.ctx, e.kill = context.WithCancel(context.Background())
-	members := []state.Member{}
 	for slot := range w.sides {
 		e.links[targetName(slot)] = &link{entry: e, slot: slot, dialing: make(chan struct{}, 1)}
-		members = append(members, state.Member{Instance: state.InstanceID(fmt.Sprint("s", slot)), Role: state.SideRole, Address: "a", Target: targetName(slot), Service: "svc"})
 	}
 	e.placer = placement.New(placement.Config{Entry: e.name, Seed: uint64(i), Connector: connector{e}})
 	e.claims = claim.NewManager(claim.Config{
@@ -190,7 +211,7 @@
 		Peers: e, Claims: e.claims, Placer: e.placer, Bundle: e.bundle.Load, MaxOpen: 24, Log: zap.NewNop(),
 	})
 	e.setBundle(w.bundle)
-	e.placer.SetMembers(members)
+	e.placer.SetMembers(w.members())
 	go e.placer.Run(e.ctx)
 	go e.claims.Run(e.ctx)
 	w.entries[i] = e
@@ -207,7 +228,11 @@
 type connector struct{ *entryProcess }
 
 func (connector) SetAddress(state.Member, bool) {}
-func (connector) Forget(state.TargetID)         {}
+func (c connector) Forget(target state.TargetID) {
+	if s := c.links[target].live(); s != nil {
+		s.fail(errors.New("target removed"))
+	}
+}
 func (c connector) Connect(target state.TargetID) {
 	go func() { _, _ = c.links[target].session(c.ctx) }()
 }
@@ -215,7 +240,7 @@
 func (w *world) startSide(slot int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.sides[slot] != nil {
+	if w.sides[slot] != nil || w.over {
 		return
 	}
 	w.incarnations++
@@ -238,11 +263,42 @@
 	w.entries[i] = nil
 }
 
-// killSide kills p if it is still the side process of the slot.
-func (w *world) killSide(slot int, p *sideProcess) {
+// stopEntry stops an entry as planned: it must be drained once the deadlines of
+// its open requests have passed.
+func (w *world) stopEntry(i int, restart time.Duration) {
+	e := w.entry(i)
+	if e == nil {
+		return
+	}
+	e.service.StopAccepting()
+	go func() {
+		select {
+		case <-e.service.Drained():
+			w.mu.Lock()
+			current := w.entries[i] == e
+			w.mu.Unlock()
+			if current {
+				w.killEntry(i)
+				time.Sleep(restart)
+				w.startEntry(i)
+			}
+		case <-time.After(maxTimeout + endGrace):
+			if e.ctx.Err() == nil {
+				w.ghost.fail("entry %s has %d open requests long after it was stopped", e.name, e.service.Open())
+			}
+		}
+	}()
+}
+
+// killSide ends p if it is still the side process of the slot, after a planned
+// stop or as a crash.
+func (w *world) killSide(slot int, p *sideProcess, planned bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if p != nil && w.sides[slot] == p {
+		if !planned && p.left.Load() != 0 {
+			w.ghost.crashed.Store(true)
+		}
 		p.kill()
 		w.sides[slot] = nil
 	}
@@ -259,7 +315,7 @@
 	go func() {
 		select {
 		case <-p.service.Drained():
-			w.killSide(slot, p)
+			w.killSide(slot, p, true)
 			time.Sleep(restart)
 			w.startSide(slot)
 		case <-p.ctx.Done():
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -31,6 +31,8 @@
 	StatusReceived(target state.TargetID, s *state.Status)
 	TargetLeaving(target state.TargetID)
 	SessionLost(target state.TargetID, err error)
+	// SessionClosed tells that the session was closed because it was idle.
+	SessionClosed(target state.TargetID)
 }
 
 // ClientConfig configures a Client. All fields are required.
@@ -53,11 +55,13 @@
 	mu     sync.Mutex
 	links  map[state.TargetID]*link
 	closed bool
+	behind catchUp
 }
 
 // link is the entry's relation to one target over successive sessions.
 type link struct {
 	target state.TargetID
+	behind *catchUp       // of the client
 	seq    *atomic.Uint64 // of the client
 
 	dialing sync.Mutex // held while a session is opened
@@ -201,11 +205,11 @@
 	defer c.mu.Unlock()
 	l := c.links[target]
 	if l == nil && create && !c.closed {
-		l = &link{target: target, seq: &c.seq}
+		l = &link{behind: &c.behind, target: target, seq: &c.seq}
 		c.links[target] = l
 	}
 	if l == nil && create {
-		return &link{target: target, seq: &c.seq}
+		return &link{behind: &c.behind, target: target, seq: &c.seq}
 	}
 	return l
 }
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -154,11 +154,15 @@
 }
 func (b *fakeBundles) Offer(a state.AcceptedBundle) { b.offers <- a }
 
-type fakeObserver struct{ lost chan error }
+type fakeObserver struct {
+	lost   chan error
+	closed chan state.TargetID
+}
 
 func (fakeObserver) SessionOpened(state.TargetID, *protocol.Welcome) {}
 func (fakeObserver) StatusReceived(state.TargetID, *state.Status)    {}
 func (fakeObserver) TargetLeaving(state.TargetID)                    {}
+func (o fakeObserver) SessionClosed(target state.TargetID)           { o.closed <- target }
 func (o fakeObserver) SessionLost(_ state.TargetID, err error)       { o.lost <- err }
 
 // fixture is one side process and one entry on loopback.
@@ -169,13 +173,14 @@
 	offers   chan state.AcceptedBundle
 	address  string
 	ca       *authority
+	stop     context.CancelFunc // of the server
 }
 
 func newFixture(t *testing.T, entryName string, entryVersion, sideVersion uint64) *fixture {
 	t.Helper()
 	f := &fixture{
 		side:     &fakeSide{sessions: map[uint64]*fakeSession{}, events: make(chan state.AttemptEvent, 16), acks: make(chan struct{}, 16), accepted: sideVersion},
-		observer: fakeObserver{lost: make(chan error, 16)},
+		observer: fakeObserver{lost: make(chan error, 16), closed: make(chan state.TargetID, 16)},
 		offers:   make(chan state.AcceptedBundle, 1),
 		ca:       newAuthority(t),
 	}
@@ -186,6 +191,7 @@
 	f.address = socket.LocalAddr().String()
 	server := &Server{Credentials: f.ca.issue(t, "side-1"), Handler: f.side, Bundles: &fakeBundles{version: sideVersion, offers: f.offers}, Log: zap.NewNop()}
 	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(ctx, socket) }()
 	f.client = NewClient(ClientConfig{
@@ -319,6 +325,23 @@
 	}
 }
 
+// Guards against an entry that learns of a planned shutdown only by silence.
+func TestServerClosesSessions(t *testing.T) {
+	f, ctx := newFixture(t, "entry-1", 1, 1), testContext(t)
+	if err := f.client.Connect(ctx, testTarget); err != nil {
+		t.Fatal(err)
+	}
+	f.stop()
+	select {
+	case err := <-f.observer.lost:
+		if errors.Is(err, errSilent) {
+			t.Fatal("the session ended by silence, want a closed connection")
+		}
+	case <-ctx.Done():
+		t.Fatal("the session did not end")
+	}
+}
+
 // Guards against an instance that poses as another one.
 func TestCertificateMustNameInstance(t *testing.T) {
 	f, ctx := newFixture(t, "entry-2", 1, 1), testContext(t)
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,12 +59,18 @@
 	Handler     Handler
 	Bundles     Bundles
 	Log         *zap.Logger
+
+	sessions atomic.Int64 // open
+	behind   catchUp
+	serving  sync.WaitGroup
 }
 
-// Serve accepts sessions on conn until ctx ends. It returns nil then.
+// Serve accepts sessions on conn until ctx ends. It closes them then, so that
+// entries need not wait for the silence timeout, and returns nil.
 func (s *Server) Serve(ctx context.Context, conn net.PacketConn) error {
 	transport := &quic.Transport{Conn: conn}
 	defer transport.Close()
+	defer s.serving.Wait()
 	listener, err := transport.Listen(s.Credentials.server(), quicConfig())
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", conn.LocalAddr(), err)
@@ -77,7 +84,10 @@
 		if err != nil {
 			return fmt.Errorf("accept session on %s: %w", conn.LocalAddr(), err)
 		}
-		go s.serve(ctx, c)
+		s.serving.Go(func() {
+			defer context.AfterFunc(ctx, func() { c.CloseWithError(codeClosed, "") })()
+			s.serve(ctx, c)
+		})
 	}
 }
 
@@ -103,6 +113,8 @@
 		return
 	}
 	s.Log.Info("session opened", zap.String("entry", string(hello.Instance)), zap.Uint64("session", hello.Session))
+	s.sessions.Add(1)
+	defer s.sessions.Add(-1)
 	go sc.report()
 	go sc.readControl(controlTraffic.reader(stream))
 	sc.acceptAttempts()
@@ -151,7 +163,7 @@
 	if err := c.control.send(w); err != nil {
 		return err
 	}
-	fetchWhenBehind(c.server.Bundles, hello.Accepted, c.control.send)
+	c.server.behind.fetch(c.server.Bundles, hello.Accepted, c.control.send)
 	return nil
 }
 
@@ -169,7 +181,7 @@
 			return
 		case <-c.session.Urgent():
 		case <-ticker.C:
-			if c.streams.Load() == 0 && time.Since(sent) < HeartbeatInterval {
+			if time.Since(sent) < c.interval() {
 				continue
 			}
 		}
@@ -183,6 +195,18 @@
 	}
 }
 
+// tickMargin is how much earlier than its interval a report may be sent, because
+// ticks are not exact.
+const tickMargin = StatusInterval / 10
+
+// interval returns the time between two reports.
+func (c *serverSession) interval() time.Duration {
+	if c.streams.Load() == 0 {
+		return HeartbeatInterval - tickMargin
+	}
+	return statusInterval(int(c.server.sessions.Load())) - tickMargin
+}
+
 func (c *serverSession) readControl(r io.Reader) {
 	for {
 		m, err := protocol.Read(r)
@@ -192,7 +216,7 @@
 		}
 		controlTraffic.messagesReceived.Add(1)
 		if h, ok := m.(*protocol.Heartbeat); ok {
-			fetchWhenBehind(c.server.Bundles, h.Accepted, c.control.send)
+			c.server.behind.fetch(c.server.Bundles, h.Accepted, c.control.send)
 			continue
 		}
 		exchangeBundle(c.server.Bundles, m, c.control.send)
--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -9,7 +9,8 @@
 # process failed or did not stop in order.
 #
 # A script that sets "mode" and sources this file gets its functions; only the
-# modes above run anything.
+# modes above run anything. It may set the deployment (entries, engines,
+# services, load_lag) afterwards.
 set -euo pipefail
 
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
@@ -38,26 +39,28 @@
 readonly trial_port=8080 # of the first entry in a trial
 readonly template=examples/tema/bundle.jsonc
 readonly operators=(ama kofi)                                 # as in the template
-readonly customers=(volta-lines gulf-feeder harmattan-bulk)   # may use all tiers
+customers=(volta-lines gulf-feeder harmattan-bulk)            # may use all tiers
 readonly tiers=(berth plan check bulk)
 readonly model=stowage-large
-readonly retention=15m
+readonly retention=30m # two horizons of keyed requests and some slack
+
+load_lag=500ms # age of the engines' load figures
 
 # name, failure domain
-readonly entries=(
+entries=(
   "entry-1 tema-a"
   "entry-2 tkd-a"
 )
 # target, failure domain, checks the fencing number, prefill and decode rate
 # (tokens/s of the engine), rate of one request, cache (tokens)
-readonly engines=(
+engines=(
   "plan-01 tema-a true 40000 4000 400 20000"
   "plan-02 tkd-a true 24000 2500 300 16000"
   "plan-03 accra-dc true 12000 1500 250 12000"
   "plan-04 tema-b false 6000 800 200 8000"
 )
 # target, failure domain, duration of a call
-readonly services=(
+services=(
   "quay-01 tema-a 2ms"
   "quay-02 tkd-a 8ms"
 )
@@ -87,10 +90,11 @@
 # Writes tls/authority.pem, and tls/INSTANCE.pem and tls/INSTANCE.key for each.
 ctl_certificates() { ctl keys tls "$@" --dir "$run_dir/tls"; }
 
-# Writes the first bundle and publishes it.
+# Writes, signs and publishes a bundle: file, further arguments of "bundle new".
 ctl_publish() {
-  local bundle="$run_dir/bundle.json"
-  ctl bundle new "$bundle" --anchor --template "$run_dir/template.jsonc" --note "$mode"
+  local bundle="$1"
+  shift
+  ctl bundle new "$bundle" --note "$mode" "$@"
   ctl_sign "$bundle"
   ctl_append "$bundle"
 }
@@ -229,7 +233,7 @@
   add_side "$1" "$2" plan-llm engine "$3"
   engine_settings+="    {\"name\": \"$1\", \"address\": \"$target_address\", \"checks_fence\": $3,
       \"prefill_rate\": $4, \"decode_rate\": $5, \"request_rate\": $6, \"cache_tokens\": $7,
-      \"load_lag\": \"500ms\", \"cache_lag\": \"1s\", \"cache_gap\": 0.02,
+      \"load_lag\": \"$load_lag\", \"cache_lag\": \"1s\", \"cache_gap\": 0.02,
       \"models\": [{\"name\": \"stowage-large\", \"version\": \"1\"}, {\"name\": \"notes-small\", \"version\": \"1\"}]},"$'\n'
 }
 
@@ -324,11 +328,21 @@
   done
 }
 
+declare -A terminated # process ids that were sent SIGTERM
+
+# Sends SIGTERM once: a second one ends a process that is about to exit in order
+# with a status other than 0.
+terminate() {
+  [[ -z "${terminated[$1]:-}" ]] || return 0
+  terminated[$1]=1
+  # It may end between the two, for example when a Ctrl-C reached it as well.
+  if running "$1"; then kill -TERM "$1" 2>/dev/null || true; fi
+}
+
 # Stops one process by a planned shutdown and checks its exit status.
 stop() {
   local pid="$1" name="$2" deadline=$((SECONDS + stop_limit)) status=0
-  # It may end between the two, for example when a Ctrl-C reached it as well.
-  if running "$pid"; then kill -TERM "$pid" 2>/dev/null || true; fi
+  terminate "$pid"
   while running "$pid"; do
     if ((SECONDS >= deadline)); then
       fail "$name did not stop within $stop_limit s after SIGTERM"
@@ -342,8 +356,14 @@
 }
 
 stop_all() {
-  local i
-  for i in "${!pids[@]}"; do stop "${pids[i]}" "${names[i]}"; done
+  local i j
+  for i in "${!pids[@]}"; do
+    # The side processes stop at the same time: each may wait for its callers.
+    if [[ "${names[i]}" == side-* ]]; then
+      for j in "${!pids[@]}"; do [[ "${names[j]}" != side-* ]] || terminate "${pids[j]}"; done
+    fi
+    stop "${pids[i]}" "${names[i]}"
+  done
   pids=()
   names=()
 }
@@ -367,13 +387,11 @@
 
 # --- Steps ---
 
-# Builds the programs, starts all processes and waits until they are ready.
-deploy() {
-  local operator row name
+build_and_write() {
+  local operator row
   say "building"
   mkdir -p bin
   go build -o bin/ ./cmd/...
-
   say "writing keys and settings to $run_dir"
   for operator in "${operators[@]}"; do ctl_operator_key "$operator" >/dev/null; done
   write_bundle_template
@@ -381,7 +399,13 @@
   instances=("${sides[@]}")
   for row in "${entries[@]}"; do instances+=("${row%% *}"); done
   ctl_certificates "${instances[@]}" >/dev/null
+}
+
+# Starts the daemon of one instance.
+start_daemon() { start "$1" bin/cassiarampd --settings "$run_dir/$1.jsonc"; }
 
+start_all() {
+  local name
   say "starting the stand-ins, ${#sides[@]} side processes and ${#entries[@]} entries"
   start standin bin/standin --settings "$run_dir/standin.jsonc"
   until curl -fs --max-time 1 -o /dev/null "http://$admin_address/admin/ledger"; do
@@ -389,15 +413,17 @@
     sleep 0.05
   done
   for name in "${instances[@]}"; do start_daemon "$name"; done
-
   say "publishing the bundle"
-  ctl_publish
+  ctl_publish "$run_dir/bundle.json" --anchor --template "$run_dir/template.jsonc"
   say "waiting until all processes are ready"
   wait_ready
 }
 
-# Starts the daemon of one instance.
-start_daemon() { start "$1" bin/cassiarampd --settings "$run_dir/$1.jsonc"; }
+# Builds the programs, starts all processes and waits until they are ready.
+deploy() {
+  build_and_write
+  start_all
+}
 
 serve_trial() {
   say "ready; settings and logs are in $run_dir; stop with Ctrl-C"
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -233,7 +233,7 @@
   local announced="${EPOCHREALTIME/./}"
   [[ "${2:-}" != listed ]] || list_leaving "$1" true
   find_pid "$1"
-  kill -TERM "$pid"
+  terminate "$pid"
   expect_no_work "$1" "$announced"
   leave "$1"
   [[ "${2:-}" != listed ]] || list_leaving "$1" false
