Keep sessions to 16 targets per service and report once a second from 40 sessions

Cause: docs/CAPACITY.md puts an entry with 24 targets per service at 3.3% of a core and 19.0 KB/s for control, at or over 2.3% and 19 KB/s. Change: the subset is 16 per service, and the status reports of a side process get 6,000 bytes a second. Conclusion: fewer sessions, with at least 16 candidates for each request.

--- a/internal/coordination/placement/subset.go
+++ b/internal/coordination/placement/subset.go
@@ -13,8 +13,9 @@
 const (
 	// subsetSize is the number of targets per service to which an entry keeps
 	// sessions. 380 entries with sessions to all of 600 targets would be 228,000
-	// sessions; with 24 a side process has about 15.
-	subsetSize = 24
+	// sessions; with 16 for each of 4 models a side process has about 41, and an
+	// entry's status reports fit its share of 19 KB/s and 2.3% of a core.
+	subsetSize = 16
 	// affinityCount is the number of targets selected by a prompt's first blocks.
 	affinityCount = 2
 	// maxOnDemand bounds the sessions to targets outside the subset. An entry that
--- a/internal/state/figures.go
+++ b/internal/state/figures.go
@@ -7,7 +7,7 @@
 )
 
 // compactFigures is the form of Figures on the wire. A side process sends them
-// once or twice a second on each of about 60 sessions, so field keys, trailing
+// once or twice a second on each of about 40 sessions, so field keys, trailing
 // zeros and digits that no decision uses are left out.
 type compactFigures struct {
 	_             struct{} `cbor:",toarray"`
--- a/internal/transport/peer/doc.go
+++ b/internal/transport/peer/doc.go
@@ -38,11 +38,11 @@
 )
 
 // Status reports of one side process are sent less often when they would take
-// more than statusShare, in bytes a second: 60 sessions then have the longest
+// more than statusShare, in bytes a second: 40 sessions then have the longest
 // interval. statusCost is what one report costs with the QUIC packet and its
 // acknowledgement; see docs/CAPACITY.md.
 const (
-	statusShare = 9000
+	statusShare = 6000
 	statusCost  = 150
 )
 
