Reset sessions of a killed side process when it is restarted

Cause: until the silence timeout of 1.5 s an entry goes on sending on a session whose side process was killed and restarted. Change: the key of QUIC's stateless resets is derived from the private key of the certificate, so the restarted process answers the first packet of an old session with a reset, and the entry attaches on a new session. Before: TestRestartedServerResetsSessions ends by silence after 1.5 s. After: by a reset at the first packet.

--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
@@ -174,6 +175,8 @@
 	address  string
 	ca       *authority
 	stop     context.CancelFunc // of the server
+
+	sideCredentials *Credentials
 }
 
 func newFixture(t *testing.T, entryName string, entryVersion, sideVersion uint64) *fixture {
@@ -184,16 +187,8 @@
 		offers:   make(chan state.AcceptedBundle, 1),
 		ca:       newAuthority(t),
 	}
-	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.address = socket.LocalAddr().String()
-	server := &Server{Credentials: f.ca.issue(t, "side-1"), Handler: f.side, Bundles: &fakeBundles{version: sideVersion, offers: f.offers}, Log: zap.NewNop()}
-	ctx, cancel := context.WithCancel(context.Background())
-	f.stop = cancel
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(ctx, socket) }()
+	f.sideCredentials = f.ca.issue(t, "side-1")
+	f.address, f.stop = f.serve(t)
 	f.client = NewClient(ClientConfig{
 		Instance: "entry-1", Incarnation: 7, LocalIP: net.IPv4(127, 0, 0, 1),
 		Credentials: f.ca.issue(t, entryName),
@@ -201,15 +196,30 @@
 		Observer:    f.observer, Log: zap.NewNop(),
 	})
 	f.client.SetAddress(testTarget, Address{Instance: "side-1", UDP: f.address}, true)
+	t.Cleanup(f.client.Close)
+	return f
+}
+
+// serve runs a side process with the fixture's credentials until the test ends.
+// It returns its address and what stops it as planned.
+func (f *fixture) serve(t *testing.T) (string, context.CancelFunc) {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &Server{Credentials: f.sideCredentials, Handler: f.side, Bundles: &fakeBundles{version: f.side.accepted, offers: f.offers}, Log: zap.NewNop()}
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx, socket) }()
 	t.Cleanup(func() {
-		f.client.Close()
 		cancel()
 		if err := <-served; err != nil {
 			t.Errorf("serve: %v", err)
 		}
 		socket.Close()
 	})
-	return f
+	return socket.LocalAddr().String(), cancel
 }
 
 func testContext(t *testing.T) context.Context {
@@ -342,6 +352,32 @@
 	}
 }
 
+// Guards against an entry that goes on sending on a session whose side process
+// was killed and restarted, until the silence timeout.
+func TestRestartedServerResetsSessions(t *testing.T) {
+	f, ctx := newFixture(t, "entry-1", 1, 1), testContext(t)
+	relay := newRelay(t, f.address)
+	f.client.SetAddress(testTarget, Address{Instance: "side-1", UDP: relay.address()}, true)
+	r, err := f.client.Reserve(ctx, testTarget)
+	if err != nil {
+		t.Fatal(err)
+	}
+	restarted, _ := f.serve(t)
+	relay.redirect(t, restarted)
+	stream, err := f.client.Dispatch(ctx, r, &state.Request{ID: "r"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	if _, err := stream.Next(ctx); !errors.Is(err, entry.ErrSessionLost) {
+		t.Fatalf("got %v, want ErrSessionLost", err)
+	}
+	var reset *quic.StatelessResetError
+	if err := <-f.observer.lost; !errors.As(err, &reset) {
+		t.Fatalf("session ended by %v, want a stateless reset", err)
+	}
+}
+
 // Guards against an instance that poses as another one.
 func TestCertificateMustNameInstance(t *testing.T) {
 	f, ctx := newFixture(t, "entry-2", 1, 1), testContext(t)
@@ -414,6 +450,23 @@
 	}
 }
 
+// redirect sends what follows to another server, as after a restart at the same
+// address.
+func (r *relay) redirect(t *testing.T, server string) {
+	t.Helper()
+	addr, err := net.ResolveUDPAddr("udp", server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server = addr
+	for k, c := range r.flows {
+		c.Close()
+		delete(r.flows, k)
+	}
+}
+
 func (r *relay) dropped(key string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -68,7 +68,11 @@
 // Serve accepts sessions on conn until ctx ends. It closes them then, so that
 // entries need not wait for the silence timeout, and returns nil.
 func (s *Server) Serve(ctx context.Context, conn net.PacketConn) error {
-	transport := &quic.Transport{Conn: conn}
+	key, err := s.Credentials.resetKey()
+	if err != nil {
+		return err
+	}
+	transport := &quic.Transport{Conn: conn, StatelessResetKey: key}
 	defer transport.Close()
 	defer s.serving.Wait()
 	listener, err := transport.Listen(s.Credentials.server(), quicConfig())
--- a/internal/transport/peer/tls.go
+++ b/internal/transport/peer/tls.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"crypto/hkdf"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
@@ -59,6 +61,22 @@
 	}
 }
 
+// resetKey derives the key of stateless resets. It depends only on the private
+// key, so a restarted process can tell an entry at once that its session is gone;
+// without it the entry sends on the old session until the silence timeout.
+func (c *Credentials) resetKey() (*quic.StatelessResetKey, error) {
+	private, err := x509.MarshalPKCS8PrivateKey(c.Certificate.PrivateKey)
+	if err != nil {
+		return nil, fmt.Errorf("derive the key of stateless resets: %w", err)
+	}
+	secret, err := hkdf.Key(sha256.New, private, nil, "cassiaramp stateless reset", len(quic.StatelessResetKey{}))
+	if err != nil {
+		return nil, fmt.Errorf("derive the key of stateless resets: %w", err)
+	}
+	key := quic.StatelessResetKey(secret)
+	return &key, nil
+}
+
 // identified reports whether the peer's certificate is issued to instance.
 func identified(conn *quic.Conn, instance state.InstanceID) bool {
 	chain := conn.ConnectionState().TLS.PeerCertificates
