Write structured log values as JSON instead of panicking

Cause: the logfmt encoder calls Elem on a slice and panics, so a side process crashed when it logged the models of an order ('order given'). Ruled out: a fault in the reconciler; the panic is in the encoder. Change: internal/logging wraps the encoder and writes values without a text form as JSON. Before: the side processes crash at the first order. Conclusion: a log call cannot end a process.

--- a/cmd/cassiarampd/main.go
+++ b/cmd/cassiarampd/main.go
@@ -11,11 +11,10 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
-	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/cassiaramp/cassiaramp/internal/daemon"
+	"github.com/cassiaramp/cassiaramp/internal/logging"
 	"github.com/cassiaramp/cassiaramp/internal/settings"
 )
 
@@ -64,11 +63,12 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
-	log, err := newLogger(s)
+	log, err := logging.New(os.Stderr, s.Log.Level)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	log = log.With(zap.String("instance", string(s.Instance)))
 	defer log.Sync()
 	debug.SetMemoryLimit(int64(s.Limits.Memory))
 	signal.Ignore(syscall.SIGHUP)
@@ -80,16 +80,3 @@
 	}
 	return exitOK
 }
-
-// newLogger writes one line of key=value pairs per event to standard error.
-func newLogger(s *settings.Settings) (*zap.Logger, error) {
-	level, err := zapcore.ParseLevel(s.Log.Level)
-	if err != nil {
-		return nil, err
-	}
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	config.EncodeDuration = zapcore.StringDurationEncoder
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(os.Stderr), level)
-	return zap.New(core).With(zap.String("instance", string(s.Instance))), nil
-}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,59 @@
+// Package logging writes the log of a process: one line of key=value pairs for
+// each event.
+package logging
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/buffer"
+	"go.uber.org/zap/zapcore"
+)
+
+// New returns a logger that writes events from level on to w. It fails for an
+// unknown level.
+func New(w zapcore.WriteSyncer, level string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	return zap.New(zapcore.NewCore(encoder{zaplogfmt.NewEncoder(config)}, zapcore.Lock(w), parsed)), nil
+}
+
+// encoder writes values that have no text form as JSON. zap-logfmt panics on a
+// slice of structs and drops maps and structs.
+type encoder struct{ zapcore.Encoder }
+
+// Clone implements zapcore.Encoder.
+func (e encoder) Clone() zapcore.Encoder { return encoder{e.Encoder.Clone()} }
+
+// AddReflected implements zapcore.ObjectEncoder.
+func (e encoder) AddReflected(key string, value any) error {
+	e.AddString(key, text(value))
+	return nil
+}
+
+// EncodeEntry implements zapcore.Encoder.
+func (e encoder) EncodeEntry(entry zapcore.Entry, fields []zapcore.Field) (*buffer.Buffer, error) {
+	fields = slices.Clone(fields)
+	for i, f := range fields {
+		if f.Type == zapcore.ReflectType {
+			fields[i] = zap.String(f.Key, text(f.Interface))
+		}
+	}
+	return e.Encoder.EncodeEntry(entry, fields)
+}
+
+func text(value any) string {
+	b, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Sprint(value)
+	}
+	return string(b)
+}
