Refuse bundles whose policies entries cannot build; split runEntry

Cause: 'bundle check' accepted an unknown filter, scorer or picker. Change: the operators' tool builds every policy before it accepts a file; newPlacement is a function of its own. Before: TestUnknownPlugin gets exit code 0. After: 3, with the plugin's name. Conclusion: the mistake is found before sign-off.

--- a/cmd/cassiarampctl/main_test.go
+++ b/cmd/cassiarampctl/main_test.go
@@ -169,6 +169,21 @@
 	}
 }
 
+// Guards against a policy that entries cannot build: they would keep their
+// earlier policies although the bundle is accepted.
+func TestUnknownPlugin(t *testing.T) {
+	s, _ := setUp(t)
+	s.run(0, "bundle check @template.json")
+	sound, err := os.ReadFile(filepath.Join(s.dir, "template.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.write("unknown.json", strings.Replace(string(sound), `"best"`, `"bets"`, 1))
+	if out := s.run(bundlecmd.ExitInvalid, "bundle check --json @unknown.json"); !strings.Contains(out, "bets") {
+		t.Errorf("output %q does not name the plugin", out)
+	}
+}
+
 // Guards against certificates that sessions between processes refuse, and
 // against an authority that is replaced by a second call.
 func TestKeysTLS(t *testing.T) {
--- a/internal/ctl/bundlecmd/bundlecmd.go
+++ b/internal/ctl/bundlecmd/bundlecmd.go
@@ -9,13 +9,16 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/tailscale/hujson"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/bundle"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/logstream"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/placement"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/platform"
 )
@@ -155,9 +158,24 @@
 	if _, err := bundle.Decode(document); err != nil {
 		return nil, nil, &ExitError{Code: ExitInvalid, Err: fmt.Errorf("%s: %w", path, err)}
 	}
+	if err := checkPolicies(b); err != nil {
+		return nil, nil, &ExitError{Code: ExitInvalid, Err: fmt.Errorf("%s: %w", path, err)}
+	}
 	return document, b, nil
 }
 
+// checkPolicies reports every policy that entries could not build. They would
+// keep their earlier policies although the bundle is accepted.
+func checkPolicies(b *state.Bundle) error {
+	var errs []error
+	for _, name := range slices.Sorted(maps.Keys(b.Policies)) {
+		if err := placement.CheckPolicy(name, b.Policies[name]); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	return errors.Join(errs...)
+}
+
 // writeNew writes a file that must not exist yet.
 func writeNew(path string, data []byte, mode os.FileMode) error {
 	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -8,6 +8,8 @@
 	"net"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cassiaramp/cassiaramp/internal/coordination/claim"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/entry"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/member"
@@ -26,46 +28,54 @@
 		return fmt.Errorf("instance list: %w", err)
 	}
 	members := member.NewTracker(instances, p.log.Named("member"))
-	connect := newConnector(p.running)
-	placing := placement.New(placement.Config{
-		Entry: s.Instance, Domain: s.FailureDomain, Seed: uint64(p.incarnation),
-		Connector: connect, Log: p.log.Named("placement"),
-	})
-	connect.client = peer.NewClient(peer.ClientConfig{
-		Instance: s.Instance, Incarnation: p.incarnation, LocalIP: localIP(s.Listen.Callers.Addr()),
-		Credentials: p.credentials, Bundles: p.bundles,
-		Observer: &observer{placer: placing, members: members}, Log: p.log.Named("peer"),
-	})
+	placing, client := p.newPlacement(members)
 	claims := claim.NewManager(claim.Config{
 		Log: p.logService, Partitions: s.Platform.ClaimPartitions,
 		Retention: s.Platform.Retention.Std(), Logger: p.log.Named("claim"),
 	})
 	service := entry.New(entry.Config{
-		Peers: connect.client, Claims: claims, Placer: placing,
+		Peers: client, Claims: claims, Placer: placing,
 		Bundle: p.bundles.Current, MaxOpen: s.Limits.OpenRequests, Log: p.log.Named("entry"),
 	})
-	expvar.Publish("sessions", expvar.Func(func() any { return connect.client.Sessions() }))
+	expvar.Publish("sessions", expvar.Func(func() any { return client.Sessions() }))
 	expvar.Publish("targets", expvar.Func(func() any { return placing.Summaries() }))
 	expvar.Publish("open_requests", expvar.Func(func() any { return service.Open() }))
-
-	members.OnChange(placing.SetMembers)
 	p.background(placing.Run)
 	p.background(members.Run)
 	p.background(claims.Run)
+	if err := p.serveCallers(service); err != nil {
+		return err
+	}
+	return p.serveAdmin(func() error { return p.entryReady(members) })
+}
+
+// newPlacement connects placement with the sessions to side processes, the
+// members and the bundle.
+func (p *process) newPlacement(members *member.Tracker) (*placement.Placer, *peer.Client) {
+	s := p.settings
+	connect := newConnector(p.running)
+	placing := placement.New(placement.Config{
+		Entry: s.Instance, Domain: s.FailureDomain, Seed: uint64(p.incarnation),
+		Connector: connect, Log: p.log.Named("placement"),
+	})
+	connect.client = peer.NewClient(peer.ClientConfig{
+		Instance: s.Instance, Incarnation: p.incarnation, LocalIP: localIP(s.Listen.Callers.Addr()),
+		Credentials: p.credentials, Bundles: p.bundles,
+		Observer: &observer{placer: placing, members: members}, Log: p.log.Named("peer"),
+	})
 	p.background(func(ctx context.Context) error {
 		<-ctx.Done()
 		connect.client.Close()
 		return nil
 	})
+	members.OnChange(placing.SetMembers)
 	p.followBundles(func(b *state.Bundle) {
 		if err := placing.SetBundle(b); err != nil {
-			p.log.Sugar().Errorw("policies of the bundle not used", "error", err)
+			p.log.Error("policies of the bundle not used; the earlier ones stay in effect",
+				zap.Uint64("version", b.Version), zap.Error(err))
 		}
 	})
-	if err := p.serveCallers(service); err != nil {
-		return err
-	}
-	return p.serveAdmin(func() error { return p.entryReady(members) })
+	return placing, connect.client
 }
 
 const (
@@ -79,10 +89,10 @@
 	// is open.
 	flushTimeout = 2 * time.Second
 	// refusalPeriod is how long a stopping entry still refuses requests on open
-	// connections as not run after its last response. In this time callers give up their pooled
-	// connections: each refusal closes one, and those left have been unused for as
-	// long. Without it, requests sent on connections that the entry was closing
-	// broke off without a response.
+	// connections as not run after its last response. In this time callers give up
+	// their pooled connections: each refusal closes one, and those left have been
+	// unused for as long. Without it, requests sent on connections that the entry
+	// was closing broke off without a response.
 	refusalPeriod = 3 * time.Second
 )
 
