--- a/cmd/cassiarampctl/main_test.go
+++ b/cmd/cassiarampctl/main_test.go
@@ -173,12 +173,14 @@
 // earlier policies although the bundle is accepted.
 func TestUnknownPlugin(t *testing.T) {
 	s, _ := setUp(t)
-	s.run(0, "bundle check @template.json")
-	sound, err := os.ReadFile(filepath.Join(s.dir, "template.json"))
+	raw, err := os.ReadFile(filepath.Join(s.dir, "template.json"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.write("unknown.json", strings.Replace(string(sound), `"best"`, `"bets"`, 1))
+	sound := strings.Replace(string(raw), `"version": 0`, `"version": 1`, 1)
+	s.write("sound.json", sound)
+	s.run(0, "bundle check @sound.json")
+	s.write("unknown.json", strings.Replace(sound, `"best"`, `"bets"`, 1))
 	if out := s.run(bundlecmd.ExitInvalid, "bundle check --json @unknown.json"); !strings.Contains(out, "bets") {
 		t.Errorf("output %q does not name the plugin", out)
 	}
