Use the field's terms for evaluation, admission and attach time limits

Cause: names such as scene, turnedAway and patience need explaining. Change: renamed to evaluation, notAdmitted and attachTimeout; no change of behaviour. Conclusion: reads without a glossary.

--- a/internal/coordination/entry/follow.go
+++ b/internal/coordination/entry/follow.go
@@ -306,7 +306,7 @@
 				return r.abandon(ctx, a), false
 			}
 		}
-		left := r.patience() - time.Since(a.lostAt)
+		left := r.attachLimit() - time.Since(a.lostAt)
 		if left <= 0 {
 			r.started(a) // it may have run
 			return unknown(ReasonTargetUnreachable, stepError("attach", a.target, cause)), false
@@ -330,12 +330,12 @@
 	return r.service.cfg.Peers.Attach(ctx, a.target, &state.Attach{Attempt: a.id, Incarnation: a.incarnation, Offset: r.out.next})
 }
 
-// patience is how long the fate of an attempt is asked for.
-func (r *run) patience() time.Duration {
+// attachLimit is how long the fate of an attempt is asked for.
+func (r *run) attachLimit() time.Duration {
 	if r.req.Idempotent && !r.out.begun() {
-		return retryPatience
+		return retryAttachTimeout
 	}
-	return attachPatience
+	return attachTimeout
 }
 
 // abandon ends an attempt whose context ended: at the deadline, or because the
--- a/internal/coordination/entry/service.go
+++ b/internal/coordination/entry/service.go
@@ -17,12 +17,12 @@
 const (
 	// claimTimeout bounds the wait for the log.
 	claimTimeout = 2 * time.Second
-	// attachPatience is how long the entry asks for the fate of an attempt after
+	// attachTimeout is how long the entry asks for the fate of an attempt after
 	// its session was lost. A side process drops attempts of a lost session
 	// after the same time.
-	attachPatience = 10 * time.Second
-	// retryPatience is the same for a request that can be retried elsewhere.
-	retryPatience = time.Second
+	attachTimeout = 10 * time.Second
+	// retryAttachTimeout is the same for a request that can be retried elsewhere.
+	retryAttachTimeout = time.Second
 	// attachBackoffBase and attachBackoffMax bound the delay between two Attach.
 	attachBackoffBase = 50 * time.Millisecond
 	attachBackoffMax  = time.Second
--- a/internal/coordination/entry/service_test.go
+++ b/internal/coordination/entry/service_test.go
@@ -201,7 +201,7 @@
 	{guards: "an unreachable target that is asked for ever", setup: func(h *harness) {
 		h.req.Idempotent = false
 		script1(h, "a", started, lost)
-	}, kind: Unknown, reason: ReasonTargetUnreachable, calls: anyCalls, within: attachPatience + attachBackoffMax, check: func(t *testing.T, h *harness, _ Result) {
+	}, kind: Unknown, reason: ReasonTargetUnreachable, calls: anyCalls, within: attachTimeout + attachBackoffMax, check: func(t *testing.T, h *harness, _ Result) {
 		if n := len(h.peers.calls); n < 10 || n > 40 {
 			t.Errorf("%d calls, want the attach to be repeated with backoff", n)
 		}
@@ -215,7 +215,7 @@
 		h.service.budget.Earn(1, 5)
 		script1(h, "a", started, lost)
 		script1(h, "b", started, chunk(0), done(1))
-	}, kind: Complete, calls: anyCalls, got: "c0", within: retryPatience + attachBackoffMax},
+	}, kind: Complete, calls: anyCalls, got: "c0", within: retryAttachTimeout + attachBackoffMax},
 	{guards: "retries beyond the budget", setup: func(h *harness) {
 		script1(h, "a", started, broken)
 	}, kind: Unknown, reason: state.ReasonTargetSilent, calls: "dispatch a,ack a"},
--- a/internal/coordination/placement/alternative.go
+++ b/internal/coordination/placement/alternative.go
@@ -14,7 +14,7 @@
 	if t == nil {
 		return 0, 0, false
 	}
-	s := p.scene(&q)
+	s := p.evaluate(&q)
 	for _, c := range s.candidates {
 		if c.target.id == target || c.probing {
 			continue
@@ -31,7 +31,7 @@
 
 // queuedWait predicts the wait of a request that is already queued at t. The
 // figures or counters include the request itself, so its own work is taken off.
-func (s *scene) queuedWait(t *target) time.Duration {
+func (s *evaluation) queuedWait(t *target) time.Duration {
 	c := &candidate{target: t, cached: t.trusted(s.cached[t.id])}
 	s.predict(c)
 	own := workOf(s.query.Request, c.cached)
@@ -46,7 +46,7 @@
 // without such figures, since nothing shows that they are full. An entry may
 // refuse the request for load when the result is empty (guarantee P4).
 func (p *Placer) LowerTierQueued(q Query, tier state.Tier) []state.TargetID {
-	s := p.scene(&q)
+	s := p.evaluate(&q)
 	reserve := s.set.reserve(tier)
 	var shown, unknown []state.TargetID
 	for _, c := range s.candidates {
--- a/internal/coordination/placement/delay.go
+++ b/internal/coordination/placement/delay.go
@@ -45,7 +45,7 @@
 }
 
 // predict fills in the speeds, the delay and the wait of c.
-func (s *scene) predict(c *candidate) {
+func (s *evaluation) predict(c *candidate) {
 	req := s.query.Request
 	c.rates = s.service.ratesOf(c.target, s.query.Now)
 	prefill := float64(workOf(req, c.cached).prompt) / c.rates.prefill
@@ -57,7 +57,7 @@
 // backlog returns the seconds of work queued at the same or a higher tier,
 // running, and sent since the figures. Plain calls have no tokens and are
 // counted instead.
-func (s *scene) backlog(t *target, r rates) (queued, running, sent float64) {
+func (s *evaluation) backlog(t *target, r rates) (queued, running, sent float64) {
 	tier := s.query.Request.Tier
 	prompt, output := t.live.ahead(tier)
 	sent = float64(prompt)/r.prefill + float64(output)/r.decode
@@ -80,7 +80,7 @@
 // startWait returns the seconds until the target would start the request. A
 // slot of a full window becomes free after about the running work divided by
 // the window.
-func (s *scene) startWait(t *target, ahead, running float64) float64 {
+func (s *evaluation) startWait(t *target, ahead, running float64) float64 {
 	if t.load(s.query.Now) == nil || s.freeSlot(t) {
 		return 0
 	}
@@ -89,7 +89,7 @@
 
 // freeSlot reports whether the window of t has a slot for the request's tier
 // after everything that is ahead of it.
-func (s *scene) freeSlot(t *target) bool {
+func (s *evaluation) freeSlot(t *target) bool {
 	tier := s.query.Request.Tier
 	taken := t.figures.RunningCount + t.queuedCount(tier) + int(t.live.count.Load())
 	return taken < t.figures.Window-s.set.reserve(tier)
--- a/internal/coordination/placement/filter_not_tried.go
+++ b/internal/coordination/placement/filter_not_tried.go
@@ -1,7 +1,7 @@
 package placement
 
 // notTried accepts targets that have neither refused nor failed this request.
-func notTried(s *scene, t *target) bool {
+func notTried(s *evaluation, t *target) bool {
 	_, tried := s.query.Tried[t.id]
 	return !tried
 }
--- a/internal/coordination/placement/filter_not_tried_test.go
+++ b/internal/coordination/placement/filter_not_tried_test.go
@@ -8,7 +8,7 @@
 
 // Guards against a request that returns to the target that refused it.
 func TestNotTried(t *testing.T) {
-	s := testScene(state.Request{})
+	s := testEvaluation(state.Request{})
 	s.query.Tried = map[state.TargetID]state.Reason{"a": state.ReasonQueueFull}
 	for id, want := range map[state.TargetID]bool{"a": false, "b": true} {
 		if got := notTried(s, &target{id: id}); got != want {
--- a/internal/coordination/placement/filter_ready_test.go
+++ b/internal/coordination/placement/filter_ready_test.go
@@ -10,7 +10,7 @@
 // Guards against work for leaving or ejected targets, and against a second
 // probe while one is open.
 func TestReady(t *testing.T) {
-	s := testScene(state.Request{})
+	s := testEvaluation(state.Request{})
 	now := s.query.Now
 	for _, tc := range []struct {
 		name  string
--- a/internal/coordination/placement/filter_serves_model.go
+++ b/internal/coordination/placement/filter_serves_model.go
@@ -5,7 +5,7 @@
 // servesModel accepts targets that report the request's model as loaded. When
 // the target reports nothing, the bundle's placement decides; when the bundle
 // says nothing about the target, it is accepted and may refuse.
-func servesModel(s *scene, t *target) bool {
+func servesModel(s *evaluation, t *target) bool {
 	model := s.query.Request.Model
 	if model == "" {
 		return true
--- a/internal/coordination/placement/filter_serves_model_test.go
+++ b/internal/coordination/placement/filter_serves_model_test.go
@@ -22,7 +22,7 @@
 		{"unknown and not placed", "m2", nil, []string{"m1"}, false},
 		{"nothing known", "m2", nil, nil, true},
 	} {
-		s := testScene(state.Request{Model: tc.model})
+		s := testEvaluation(state.Request{Model: tc.model})
 		if tc.placed != nil {
 			s.set.models = map[state.TargetID][]string{"e": tc.placed}
 		}
--- a/internal/coordination/placement/picker_best.go
+++ b/internal/coordination/placement/picker_best.go
@@ -2,7 +2,7 @@
 
 // best takes the candidate with the highest score; the random source decides
 // between equals.
-func best(s *scene, candidates []*candidate) *candidate {
+func best(s *evaluation, candidates []*candidate) *candidate {
 	chosen, equals := candidates[0], 1
 	for _, c := range candidates[1:] {
 		switch {
--- a/internal/coordination/placement/picker_power_of_two.go
+++ b/internal/coordination/placement/picker_power_of_two.go
@@ -2,7 +2,7 @@
 
 // powerOfTwo draws two candidates at random and takes the one with the higher
 // score.
-func powerOfTwo(s *scene, candidates []*candidate) *candidate {
+func powerOfTwo(s *evaluation, candidates []*candidate) *candidate {
 	n := len(candidates)
 	if n == 1 {
 		return candidates[0]
--- a/internal/coordination/placement/picker_weighted_near_best.go
+++ b/internal/coordination/placement/picker_weighted_near_best.go
@@ -6,7 +6,7 @@
 // weightedNearBest draws among the candidates within 10% of the best score,
 // weighted by speed. Entries that share stale figures would otherwise all
 // choose the same best target.
-func weightedNearBest(s *scene, candidates []*candidate) *candidate {
+func weightedNearBest(s *evaluation, candidates []*candidate) *candidate {
 	highest := 0.0
 	for _, c := range candidates {
 		highest = max(highest, c.score)
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -91,7 +91,7 @@
 // Place chooses a target for the request. It returns false when no target
 // passes the filters; Decision.Reason then says why.
 func (p *Placer) Place(q Query) (Decision, bool) {
-	s := p.scene(&q)
+	s := p.evaluate(&q)
 	d := Decision{Policy: s.policy.name}
 	if len(s.candidates) == 0 {
 		d.Reason = s.rejections()
@@ -112,10 +112,10 @@
 	return d, true
 }
 
-// scene gathers and scores the candidates for a query.
-func (p *Placer) scene(q *Query) *scene {
+// evaluate gathers and scores the candidates for a query.
+func (p *Placer) evaluate(q *Query) *evaluation {
 	set := p.policies.Load()
-	s := &scene{
+	s := &evaluation{
 		query:    q,
 		set:      set,
 		policy:   set.forRequest(q.Request.ID),
@@ -144,7 +144,7 @@
 
 // wantSession asks for sessions to the targets that the prompt's first blocks
 // select and that the entry holds no session to.
-func (p *Placer) wantSession(q *Query, s *scene) {
+func (p *Placer) wantSession(q *Query, s *evaluation) {
 	for _, t := range s.affinity {
 		if t.subset || t.connected || !s.reachable(t) {
 			continue
@@ -153,8 +153,8 @@
 	}
 }
 
-// scene is the evaluation of one query.
-type scene struct {
+// evaluation holds the candidates for one query and what is known about them.
+type evaluation struct {
 	query    *Query
 	set      *policySet
 	policy   *policy
@@ -187,7 +187,7 @@
 
 // gather fills in the candidates that pass the filters. Leaving targets are
 // left out whatever the policy says.
-func (s *scene) gather() {
+func (s *evaluation) gather() {
 	for _, t := range s.service.all {
 		affinity := s.reachable(t) && slices.Contains(s.affinity, t)
 		if !t.subset && !affinity {
@@ -206,11 +206,11 @@
 }
 
 // reachable reports whether there is a session to t or may be one.
-func (s *scene) reachable(t *target) bool {
+func (s *evaluation) reachable(t *target) bool {
 	return t.subset || t.connected || s.onDemand < maxOnDemand
 }
 
-func (s *scene) rejectedBy(t *target) string {
+func (s *evaluation) rejectedBy(t *target) string {
 	for _, f := range s.policy.filters {
 		if !f.accept(s, t) {
 			return f.name
@@ -219,7 +219,7 @@
 	return ""
 }
 
-func (s *scene) add(t *target, affinity bool) {
+func (s *evaluation) add(t *target, affinity bool) {
 	c := &candidate{target: t, affinity: affinity, probing: t.ejected}
 	c.cached = t.trusted(min(s.cached[t.id], len(s.query.Blocks)))
 	c.outstanding = t.outstanding(s.query.Now)
@@ -233,7 +233,7 @@
 }
 
 // score fills in the weighted mean of the policy's scorers.
-func (s *scene) score() {
+func (s *evaluation) score() {
 	for _, c := range s.candidates {
 		sum, weights := 0.0, 0.0
 		for _, w := range s.policy.scorers {
@@ -248,7 +248,7 @@
 
 // choose picks a candidate. A target that is due for its probe gets the first
 // idempotent request, because a probe may end with an unknown outcome.
-func (s *scene) choose() (*candidate, string) {
+func (s *evaluation) choose() (*candidate, string) {
 	var sound, probing []*candidate
 	for _, c := range s.candidates {
 		if c.probing {
@@ -272,7 +272,7 @@
 }
 
 // ranked returns the candidates in the order of their scores.
-func (s *scene) ranked() []Candidate {
+func (s *evaluation) ranked() []Candidate {
 	out := make([]Candidate, 0, len(s.candidates))
 	for _, c := range s.candidates {
 		out = append(out, Candidate{Target: c.target.id, Score: c.score, Wait: c.wait})
@@ -290,7 +290,7 @@
 }
 
 // rejections says how many targets each filter rejected.
-func (s *scene) rejections() string {
+func (s *evaluation) rejections() string {
 	if s.service == nil {
 		return fmt.Sprintf("no target known for service %q", s.query.Request.Service)
 	}
--- a/internal/coordination/placement/plugin_test.go
+++ b/internal/coordination/placement/plugin_test.go
@@ -10,10 +10,10 @@
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
-// testScene returns a scene with one candidate for each target, for the table
+// testEvaluation returns a evaluation with one candidate for each target, for the table
 // tests of the plugins.
-func testScene(req state.Request, targets ...*target) *scene {
-	s := &scene{
+func testEvaluation(req state.Request, targets ...*target) *evaluation {
+	s := &evaluation{
 		query:    &Query{Request: &req, Now: time.Unix(1000, 0)},
 		set:      initialPolicies(),
 		service:  &serviceView{all: targets, typical: rates{prefill: 1000, decode: 100}, promptShare: 0.5, senders: 1},
@@ -54,7 +54,7 @@
 func checkPicker(t *testing.T, pick picker, cases []pickerCase) {
 	t.Helper()
 	for _, tc := range cases {
-		s := testScene(state.Request{})
+		s := testEvaluation(state.Request{})
 		total := 0
 		for _, n := range tc.want {
 			total += n
--- a/internal/coordination/placement/registry.go
+++ b/internal/coordination/placement/registry.go
@@ -1,13 +1,13 @@
 package placement
 
 // filter reports whether t may receive the request.
-type filter func(s *scene, t *target) bool
+type filter func(s *evaluation, t *target) bool
 
 // scorer returns 0 to 1; higher is better.
-type scorer func(s *scene, c *candidate) float64
+type scorer func(s *evaluation, c *candidate) float64
 
 // picker chooses one of the scored candidates, of which there is at least one.
-type picker func(s *scene, candidates []*candidate) *candidate
+type picker func(s *evaluation, candidates []*candidate) *candidate
 
 // The plugins by the names used in a bundle.
 var (
--- a/internal/coordination/placement/scorer_cached_prefix.go
+++ b/internal/coordination/placement/scorer_cached_prefix.go
@@ -19,7 +19,7 @@
 // cachedPrefix scores by the share of the prompt that is expected in the
 // target's cache, or by rendezvous hashing of the prompt's first blocks. A
 // target with more than its bounded share of the load scores 0.
-func cachedPrefix(s *scene, c *candidate) float64 {
+func cachedPrefix(s *evaluation, c *candidate) float64 {
 	if s.overloaded(c) {
 		return 0
 	}
@@ -38,7 +38,7 @@
 
 // overloaded reports whether c has more than loadBound times its share, by
 // speed, of all outstanding requests.
-func (s *scene) overloaded(c *candidate) bool {
+func (s *evaluation) overloaded(c *candidate) bool {
 	if c.outstanding < smallLoad || s.speed <= 0 {
 		return false
 	}
--- a/internal/coordination/placement/scorer_cached_prefix_test.go
+++ b/internal/coordination/placement/scorer_cached_prefix_test.go
@@ -25,7 +25,7 @@
 		{"more than its share", 10, 1, 20, 0},
 	} {
 		a, b := &target{id: "a"}, &target{id: "b"}
-		s := testScene(state.Request{}, a, b)
+		s := testEvaluation(state.Request{}, a, b)
 		s.query.Blocks = make([]uint64, 10)
 		c := s.candidates[0]
 		c.cached, c.outstanding, s.total = tc.cached, tc.outstanding, tc.outstanding
--- a/internal/coordination/placement/scorer_failure_domain_test.go
+++ b/internal/coordination/placement/scorer_failure_domain_test.go
@@ -8,7 +8,7 @@
 
 // Guards against a preference for other failure domains.
 func TestFailureDomain(t *testing.T) {
-	s := testScene(state.Request{}, &target{id: "a", domain: "tema-a"}, &target{id: "b", domain: "tema-b"}, &target{id: "c"})
+	s := testEvaluation(state.Request{}, &target{id: "a", domain: "tema-a"}, &target{id: "b", domain: "tema-b"}, &target{id: "c"})
 	for i, want := range []float64{1, 0, 0} {
 		if got := failureDomain(s, s.candidates[i]); got != want {
 			t.Errorf("%s: %g, want %g", s.candidates[i].target.id, got, want)
--- a/internal/coordination/placement/scorer_outstanding_requests_test.go
+++ b/internal/coordination/placement/scorer_outstanding_requests_test.go
@@ -10,7 +10,7 @@
 func TestOutstandingRequests(t *testing.T) {
 	busy := &target{id: "busy", figures: &state.Figures{RunningCount: 2, QueuedCount: [state.MaxTiers]int{0, 3}}, live: new(live)}
 	busy.live.count.Store(4)
-	s := testScene(state.Request{}, busy, &target{id: "one", figures: &state.Figures{RunningCount: 1}}, &target{id: "unknown"})
+	s := testEvaluation(state.Request{}, busy, &target{id: "one", figures: &state.Figures{RunningCount: 1}}, &target{id: "unknown"})
 	for i, want := range []float64{1.0 / 10, 1.0 / 2, 1} {
 		if got := outstandingRequests(s, s.candidates[i]); got != want {
 			t.Errorf("%s: %g, want %g", s.candidates[i].target.id, got, want)
--- a/internal/coordination/placement/scorer_predicted_delay.go
+++ b/internal/coordination/placement/scorer_predicted_delay.go
@@ -7,6 +7,6 @@
 
 // predictedDelay scores by the predicted delay: the work that is ahead of the
 // request over the measured speeds, and the prefill of the uncached prompt.
-func predictedDelay(_ *scene, c *candidate) float64 {
+func predictedDelay(_ *evaluation, c *candidate) float64 {
 	return delayScale / (delayScale + c.delay.Seconds())
 }
--- a/internal/coordination/placement/scorer_predicted_delay_test.go
+++ b/internal/coordination/placement/scorer_predicted_delay_test.go
@@ -44,7 +44,7 @@
 		if tc.cached < 0 {
 			req = state.Request{Tier: 1, Kind: state.PlainCall}
 		}
-		s := testScene(req, e)
+		s := testEvaluation(req, e)
 		s.service.senders = tc.senders
 		c := &candidate{target: e, cached: max(0, tc.cached)}
 		s.predict(c)
--- a/internal/coordination/side/lifecycle.go
+++ b/internal/coordination/side/lifecycle.go
@@ -310,7 +310,7 @@
 		s.notRun(a, state.ReasonUnreachable)
 	case errors.As(o.err, &denied):
 		a.mayHaveRun = false
-		s.turnedAway(a, denied)
+		s.notAdmitted(a, denied)
 	default:
 		s.failed(a, o)
 	}
@@ -328,12 +328,12 @@
 	s.refuseAttempt(a, reason)
 }
 
-// turnedAway queues an attempt again that the target did not admit. After
+// notAdmitted queues an attempt again that the target did not admit. After
 // maxAdmissions the target counts as full, and what gives way is chosen as it
 // is for a full queue.
-func (s *Service) turnedAway(a *attempt, denied *NotAdmittedError) {
+func (s *Service) notAdmitted(a *attempt, denied *NotAdmittedError) {
 	a.admissions++
-	s.window.turnedAway(len(s.running))
+	s.window.notAdmitted(len(s.running))
 	s.hold = time.Now().Add(min(max(minAdmissionHold, denied.RetryAfter), maxAdmissionHold))
 	switch {
 	case a.stopReason != "":
--- a/internal/coordination/side/lifecycle_test.go
+++ b/internal/coordination/side/lifecycle_test.go
@@ -362,7 +362,7 @@
 	})
 }
 
-// Guards against shedding a request that the target turned away while lower
+// Guards against shedding a request that the target did not admit while lower
 // tiers stay queued, and against retrying it for ever.
 func TestNotAdmitted(t *testing.T) {
 	full := true
--- a/internal/coordination/side/ports.go
+++ b/internal/coordination/side/ports.go
@@ -41,8 +41,8 @@
 // not run.
 var ErrNotSent = errors.New("request not sent to the target")
 
-// NotAdmittedError tells that the target turned the request away before running
-// it.
+// NotAdmittedError tells that the target did not admit the request, so it did
+// not run.
 type NotAdmittedError struct {
 	Status     int
 	RetryAfter time.Duration // 0 when the target named none
--- a/internal/coordination/side/window.go
+++ b/internal/coordination/side/window.go
@@ -98,7 +98,7 @@
 	w.adapted = now
 }
 
-// turnedAway shrinks the window to what the target has shown to admit.
-func (w *window) turnedAway(running int) {
+// notAdmitted shrinks the window to what the target has shown to admit.
+func (w *window) notAdmitted(running int) {
 	w.size = w.clamp(min(w.size, running))
 }
--- a/internal/coordination/side/window_test.go
+++ b/internal/coordination/side/window_test.go
@@ -179,7 +179,7 @@
 	if w.size != 5 {
 		t.Errorf("window %d, want 5 unchanged for a gap between 80%% and 100%% of its target", w.size)
 	}
-	w.turnedAway(1)
+	w.notAdmitted(1)
 	if w.size != 3 {
 		t.Errorf("window %d, want its floor", w.size)
 	}
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -22,7 +22,7 @@
 	gap     time.Duration // between chunks
 	silent  time.Time     // until when no chunks are produced
 	down    bool
-	denies  int // requests to turn away
+	denies  int // requests that are not admitted
 	fails   int // requests to answer with an error
 	breaks  int // connections to lose after the request has arrived
 	jobs    map[state.AttemptID]*job
--- a/internal/transport/engine/engine_test.go
+++ b/internal/transport/engine/engine_test.go
@@ -290,7 +290,7 @@
 	}
 }
 
-// Guards against reporting as run what the engine turned away, and as not run
+// Guards against reporting as run what the engine did not admit, and as not run
 // what it reported as failed.
 func TestStatusBeforeTheStream(t *testing.T) {
 	status := 0
