--- a/cmd/slopes/local.go
+++ b/cmd/slopes/local.go
@@ -233,7 +233,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var first, last float64
-	for _, n := range []int{4, 8, 16, 24} {
+	for _, n := range []int{4, 8, 12, 16} {
 		p := placement.New(placement.Config{Entry: "entry-000", Domain: "zone-a", Seed: 1})
 		go p.Run(ctx)
 		var members []state.Member
