--- a/internal/coordination/dispatch/load_test.go
+++ b/internal/coordination/dispatch/load_test.go
@@ -148,21 +148,40 @@
 	return records, engines
 }
 
-// exchange carries reports between the entries every 40 ms.
+// Reports to near entries go in each nearRounds-th round where there are more than
+// NearEntries, and to all in each farRounds-th.
+const nearRounds, farRounds = 4, 25
+
+// exchange carries reports between the entries in rounds of 40 ms.
 func (l load) exchange(ctx context.Context, schedulers []*Scheduler) {
-	for ctx.Err() == nil {
+	for i, s := range schedulers {
+		s.SetPosition(Position{Index: i, Count: l.entries})
+	}
+	for round := 0; ctx.Err() == nil; round++ {
 		time.Sleep(reportInterval)
 		for i, from := range schedulers {
 			from.Pump()
-			if l.apart {
+			if l.apart || l.entries > NearEntries && (round+i)%nearRounds != 0 {
 				continue
 			}
-			r := from.Report()
-			for j, to := range schedulers {
-				if i != j {
-					to.SetReport(state.InstanceID(fmt.Sprint(i)), r)
-				}
-			}
+			l.report(schedulers, i, (round+i)%farRounds < nearRounds)
+		}
+	}
+}
+
+// report carries the report of entry i to the near entries, and to all if far is
+// set.
+func (l load) report(schedulers []*Scheduler, i int, far bool) {
+	id := state.InstanceID(fmt.Sprint(i))
+	toNear, toFar := schedulers[i].Report(false), schedulers[i].Report(true)
+	toFar.Lifetime = 3 * farRounds * reportInterval
+	for j, to := range schedulers {
+		switch near := schedulers[i].position.Near(j); {
+		case i == j:
+		case near:
+			to.SetReport(id, toNear)
+		case far:
+			to.SetReport(id, toFar)
 		}
 	}
 }
@@ -264,6 +283,28 @@
 	}
 }
 
+// Pattern: a fleet of over a hundred entries, of which each uses a part of the
+// engines. Guards against parts that are full while others are free, and against
+// reports to all that are too old for placement (sweep to 300 instances).
+func TestLargeFleetIsOnTime(t *testing.T) {
+	l := load{entries: 120, engines: 150, slots: 8, slow: 3, ranks: 1, length: 4 * time.Second, perSecond: steady([]float64{3000}, 1)}
+	got := l.run(t, 5)[0]
+	if got.share() < onTimeTarget {
+		t.Errorf("%.3f on time (%+v), want %g", got.share(), got, onTimeTarget)
+	}
+}
+
+// Pattern: a plain service with few instances behind a large fleet, so that far
+// entries use the same ones. Guards against entries that send more than the
+// instances take, because they see the near entries' requests only.
+func TestFewTargetsOfLargeFleet(t *testing.T) {
+	l := load{entries: 120, engines: 8, slots: 8, slow: 1, ranks: 1, length: 4 * time.Second, perSecond: steady([]float64{160}, 1)}
+	got := l.run(t, 6)[0]
+	if got.share() < onTimeTarget {
+		t.Errorf("%.3f on time (%+v), want %g", got.share(), got, onTimeTarget)
+	}
+}
+
 // Pattern: a burst to twice the capacity. Guards against a higher tier that is
 // shed before a lower one, or late because of it (guarantee P4).
 func TestBurstKeepsTierOrder(t *testing.T) {
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -13,21 +13,22 @@
 // maxRanks bounds the ranks told apart in reports.
 const maxRanks = 8
 
-// Report returns what the other entries need to know of this one.
-func (s *Scheduler) Report() Report {
+// Report returns what the near entries need to know of this one, or, when far is
+// set, all others: they use targets of wide services only.
+func (s *Scheduler) Report(far bool) Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := Report{Open: make(map[state.TargetID]int), Prefill: make(map[state.TargetID]int), Waiting: make(map[state.Service][]int)}
+	r := Report{Open: make(map[Key]int), Prefill: make(map[Key]int), Waiting: make(map[state.Service][]int)}
 	for id, t := range s.targets {
-		if len(t.open) > 0 {
-			r.Open[id] = len(t.open)
+		if len(t.open) > 0 && (!far || s.pool(t.record.Service).wide) {
+			r.Open[KeyOf(id)] = len(t.open)
 			if prefill := int(t.prefill()); prefill >= reportedPrefill {
-				r.Prefill[id] = prefill
+				r.Prefill[KeyOf(id)] = prefill
 			}
 		}
 	}
 	for name, p := range s.services {
-		if len(p.queue) == 0 {
+		if len(p.queue) == 0 || far && !p.wide {
 			continue
 		}
 		ranks := make([]int, maxRanks)
@@ -43,30 +44,45 @@
 func (s *Scheduler) SetReport(from state.InstanceID, r Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers[from] = &peer{report: r, heard: s.now()}
+	if old := s.peers[from]; old != nil {
+		s.count(&old.report, -1)
+	}
+	s.peers[from] = &peer{report: r, expires: s.now().Add(max(peerLifetime, r.Lifetime))}
+	s.count(&r, 1)
 	s.pump()
 }
 
-// countElsewhere sums what the other entries have open at each target.
-func (s *Scheduler) countElsewhere() {
-	now := s.now()
+// count adds what another entry has open at each target, times sign.
+func (s *Scheduler) count(r *Report, sign int) {
+	for key, n := range r.Open {
+		if t := s.keys[key]; t != nil {
+			t.elsewhere += sign * n
+		}
+	}
+	for key, prefill := range r.Prefill {
+		if t := s.keys[key]; t != nil {
+			t.elsewherePrefill += sign * prefill
+		}
+	}
+}
+
+// recount counts all reports again, after the list of targets has changed.
+func (s *Scheduler) recount() {
 	for _, t := range s.targets {
 		t.elsewhere, t.elsewherePrefill = 0, 0
 	}
+	for _, p := range s.peers {
+		s.count(&p.report, 1)
+	}
+}
+
+// expire drops reports that count no longer.
+func (s *Scheduler) expire() {
+	now := s.now()
 	for id, p := range s.peers {
-		if now.Sub(p.heard) > peerLifetime {
+		if now.After(p.expires) {
+			s.count(&p.report, -1)
 			delete(s.peers, id)
-			continue
-		}
-		for target, prefill := range p.report.Prefill {
-			if t := s.targets[target]; t != nil {
-				t.elsewherePrefill += float64(prefill)
-			}
-		}
-		for target, n := range p.report.Open {
-			if t := s.targets[target]; t != nil {
-				t.elsewhere += n
-			}
 		}
 	}
 }
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -46,7 +46,7 @@
 	retryJitter    = 0.6
 	maxQueue       = 2000 // requests waiting for one service
 	noTargetRetry  = time.Second
-	peerLifetime   = 1200 * time.Millisecond // age at which another entry's report counts no longer
+	peerLifetime   = 1200 * time.Millisecond // shortest time for which another entry's report counts
 	pumpInterval   = 20 * time.Millisecond
 	assumedEntries = 5 // entries assumed while none has reported
 	// queuedSlots is how many requests may wait at a target itself, so that a slot
@@ -63,8 +63,10 @@
 
 	mu       sync.Mutex
 	random   *rand.Rand
+	position Position
 	services map[state.Service]*pool
 	targets  map[state.TargetID]*target
+	keys     map[Key]*target
 	peers    map[state.InstanceID]*peer
 	observe  Observer
 }
@@ -79,7 +81,9 @@
 // pool is one service.
 type pool struct {
 	name    state.Service
-	targets []*target
+	all     []*target
+	targets []*target // those that this entry uses
+	wide    bool      // others than the near entries use them too
 	queue   queue
 	hold    time.Duration // moving average of the time a slot is held
 	first   time.Duration // moving average of the time from a slot to the response
@@ -89,17 +93,19 @@
 
 // peer is what another entry reports.
 type peer struct {
-	report Report
-	heard  time.Time
+	report  Report
+	expires time.Time
 }
 
 // Report is what an entry tells the others.
 type Report struct {
-	Open map[state.TargetID]int // requests open at each target
+	Open map[Key]int // requests open at each target
 	// Prefill is the work before the responses of those that have none yet, in
 	// milliseconds, where it is reportedPrefill or more.
-	Prefill map[state.TargetID]int
+	Prefill map[Key]int
 	Waiting map[state.Service][]int // requests waiting, by rank
+	// Lifetime is how long the report counts; it counts for peerLifetime at least.
+	Lifetime time.Duration
 }
 
 // New returns a scheduler without targets, for an entry in domain.
@@ -118,7 +124,7 @@
 	defer s.mu.Unlock()
 	listed := make(map[state.TargetID]*target, len(records))
 	for _, p := range s.services {
-		p.targets = nil
+		p.all = nil
 	}
 	for _, r := range records {
 		t := s.targets[r.ID]
@@ -128,9 +134,32 @@
 		t.record = r
 		listed[r.ID] = t
 		p := s.pool(r.Service)
-		p.targets = append(p.targets, t)
+		p.all = append(p.all, t)
 	}
 	s.targets = listed
+	s.keys = make(map[Key]*target, len(listed))
+	for id, t := range listed {
+		s.keys[KeyOf(id)] = t
+	}
+	s.recount()
+	s.choosePart()
+}
+
+// SetPosition sets the place of this entry among all entries.
+func (s *Scheduler) SetPosition(p Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p != s.position {
+		s.position = p
+		s.choosePart()
+	}
+}
+
+// choosePart sets which targets of each service this entry uses.
+func (s *Scheduler) choosePart() {
+	for _, p := range s.services {
+		p.targets, p.wide = s.position.subset(p.all)
+	}
 	s.pump()
 }
 
@@ -350,6 +379,7 @@
 func (s *Scheduler) Pump() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expire()
 	s.pump()
 }
 
@@ -357,7 +387,6 @@
 const PumpInterval = pumpInterval
 
 func (s *Scheduler) pump() {
-	s.countElsewhere()
 	for _, p := range s.services {
 		s.pumpService(p)
 	}
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -38,6 +38,7 @@
 // target is what this entry knows of one target.
 type target struct {
 	record  state.TargetRecord
+	hash    uint64
 	open    map[*Grant]struct{} // granted here and not released
 	slow    float64             // measured time over cost, relative; 0: not measured
 	failing float64             // share of recent requests that failed
@@ -48,13 +49,14 @@
 	ejectedUntil time.Time
 	pausedUntil  time.Time
 	// elsewhere is the number of requests that other entries have open there, and
-	// elsewherePrefill the work before the responses of those without one.
+	// elsewherePrefill the work before the responses of those without one, in
+	// milliseconds.
 	elsewhere        int
-	elsewherePrefill float64
+	elsewherePrefill int
 }
 
 func newTarget(r state.TargetRecord) *target {
-	return &target{record: r, open: make(map[*Grant]struct{})}
+	return &target{record: r, hash: hashOf(r.ID), open: make(map[*Grant]struct{})}
 }
 
 // used returns the slots taken by all entries.
@@ -103,7 +105,7 @@
 // firstResponse predicts the time to the response in milliseconds, for a target
 // whose slowness relative to the usual one is relative.
 func (t *target) firstResponse(r *Request, relative float64) float64 {
-	return relative * (firstBase + firstPerRequest*float64(t.used()) + t.prefill() + t.elsewherePrefill + r.Prefill)
+	return relative * (firstBase + firstPerRequest*float64(t.used()) + t.prefill() + float64(t.elsewherePrefill) + r.Prefill)
 }
 
 // expected returns the time that r takes here when the slots are full.
--- a/internal/coordination/dispatch/target_test.go
+++ b/internal/coordination/dispatch/target_test.go
@@ -143,7 +143,7 @@
 // Guards against counting a slot that another entry has taken as free.
 func TestReportedRequestsTakeSlots(t *testing.T) {
 	s, c := newTest()
-	s.SetReport("other", Report{Open: map[state.TargetID]int{"t1": 3, "t2": 1}})
+	s.SetReport("other", Report{Open: map[Key]int{KeyOf("t1"): 3, KeyOf("t2"): 1}})
 	for range 2 {
 		if g := acquire(t, s, c.request(true)); g.Target.ID != "t2" {
 			t.Fatalf("target %s was chosen, whose slots another entry has", g.Target.ID)
@@ -151,6 +151,7 @@
 	}
 	c.at = c.at.Add(peerLifetime + time.Millisecond)
 	s.SetReport("third", Report{})
+	s.Pump()
 	if g := acquire(t, s, c.request(true)); g.Target.ID != "t1" {
 		t.Error("an entry that has gone silent still holds its slots")
 	}
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -7,7 +7,6 @@
 package quota
 
 import (
-	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -45,7 +44,7 @@
 
 	mu      sync.Mutex
 	buckets map[state.Customer]*bucket
-	used    map[state.Customer]float64 // admitted here since the start
+	used    map[state.Customer]usage // admitted here since the start
 	peers   map[state.InstanceID]*peer
 }
 
@@ -59,10 +58,17 @@
 	loweredAt            time.Time
 }
 
+type usage struct {
+	total   float64 // units
+	changed time.Time
+}
+
 type peer struct {
 	incarnation state.Incarnation
 	used        map[state.Customer]float64
-	heard       time.Time
+	// complete says that used has all customers that the entry has admitted.
+	complete bool
+	heard    time.Time
 }
 
 // Config configures a Ledger.
@@ -80,7 +86,7 @@
 func New(c Config) *Ledger {
 	return &Ledger{
 		window: max(time.Millisecond, c.Window), unsure: c.Restart, slack: c.Slack,
-		buckets: make(map[state.Customer]*bucket), used: make(map[state.Customer]float64),
+		buckets: make(map[state.Customer]*bucket), used: make(map[state.Customer]usage),
 		peers: make(map[state.InstanceID]*peer),
 	}
 }
@@ -104,18 +110,22 @@
 		}
 		b.level -= cost
 	}
-	l.used[c.Name] += cost
+	l.use(now, c.Name, cost)
 	return 0, true
 }
 
+func (l *Ledger) use(now time.Time, customer state.Customer, cost float64) {
+	l.used[customer] = usage{total: l.used[customer].total + cost, changed: now}
+}
+
 // Return gives back the units of a request that did not run.
-func (l *Ledger) Return(customer state.Customer, cost float64) {
+func (l *Ledger) Return(now time.Time, customer state.Customer, cost float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.buckets[customer]; b != nil {
 		b.level = min(b.burst, b.level+cost)
 	}
-	l.used[customer] -= cost
+	l.use(now, customer, -cost)
 }
 
 // refill brings the customer's bucket up to date.
@@ -162,11 +172,18 @@
 	return float64(heard) / float64(known)
 }
 
-// Used returns a copy of what was admitted here since the start.
-func (l *Ledger) Used() map[state.Customer]float64 {
+// Used returns what was admitted here since the start, of the customers for which
+// it has changed at since or later.
+func (l *Ledger) Used(since time.Time) map[state.Customer]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return maps.Clone(l.used)
+	used := make(map[state.Customer]float64)
+	for customer, u := range l.used {
+		if !u.changed.Before(since) {
+			used[customer] = u.total
+		}
+	}
+	return used
 }
 
 // Levels returns the levels of the buckets, so that a restarted entry can take
@@ -218,22 +235,27 @@
 	delete(l.peers, from)
 }
 
-// Report takes over what another entry has admitted since its start. A report
-// that is lost or late is made up for by the next one.
-func (l *Ledger) Report(now time.Time, from state.InstanceID, incarnation state.Incarnation, used map[state.Customer]float64) {
+// Report takes over what another entry has admitted since its start, of some
+// customers or, when complete is set, of all. A report that is lost or late is made
+// up for by the next one of the same customer.
+func (l *Ledger) Report(now time.Time, from state.InstanceID, incarnation state.Incarnation, used map[state.Customer]float64, complete bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.peers[from]
 	if p == nil || p.incarnation != incarnation {
-		// What it admitted before the first report is not known to be recent.
-		l.peers[from] = &peer{incarnation: incarnation, used: used, heard: now}
-		return
+		p = &peer{incarnation: incarnation, used: make(map[state.Customer]float64)}
+		l.peers[from] = p
 	}
 	p.heard = now
 	for customer, total := range used {
+		before, known := p.used[customer]
+		p.used[customer] = total
+		if !known && !p.complete {
+			continue // what it admitted before is not known to be recent
+		}
 		if b := l.buckets[customer]; b != nil {
-			b.level = max(-maxDebt*b.rate, min(b.burst, b.level-(total-p.used[customer])))
+			b.level = max(-maxDebt*b.rate, min(b.burst, b.level-(total-before)))
 		}
 	}
-	p.used = used
+	p.complete = p.complete || complete
 }
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -95,8 +95,8 @@
 				total += 100
 			}
 		}
-		a.Report(now, "b", 1, b.Used())
-		b.Report(now, "a", 1, a.Used())
+		a.Report(now, "b", 1, b.Used(time.Time{}), true)
+		b.Report(now, "a", 1, a.Used(time.Time{}), true)
 	}
 	// Each entry may admit one request that the bucket does not cover.
 	if limit := customer.Rate*window.Seconds() + customer.Burst + 200; total > limit {
@@ -109,7 +109,7 @@
 func TestSilentEntryKeepsItsShare(t *testing.T) {
 	start := time.Unix(1000, 0)
 	l := New(Config{Window: window})
-	l.Report(start, "b", 1, map[state.Customer]float64{})
+	l.Report(start, "b", 1, nil, true)
 	total := 0.0
 	for at := 2 * time.Second; at < 10*time.Second; at += 10 * time.Millisecond {
 		if _, ok := l.Admit(start.Add(at), customer, 100); ok {
@@ -141,3 +141,45 @@
 		t.Error("levels taken over are not passed on")
 	}
 }
+
+// Guards against use that is counted twice, or not at all, because reports name
+// only the customers whose use has changed.
+func TestReportsOfSomeCustomers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	other := &state.CustomerConfig{Name: "d", Rate: 1000, Burst: 2000}
+	l := New(Config{Window: window})
+	for _, c := range []*state.CustomerConfig{customer, other} {
+		l.Admit(start, c, 0)
+	}
+	level := func(c *state.CustomerConfig, want float64) {
+		t.Helper()
+		if got := l.Levels(start)[c.Name]; got != want {
+			t.Errorf("level of %s is %g, want %g", c.Name, got, want)
+		}
+	}
+	l.Report(start, "b", 1, map[state.Customer]float64{"c": 500}, false)
+	level(customer, 2000) // admitted at an unknown time
+	l.Report(start, "b", 1, map[state.Customer]float64{"c": 600}, false)
+	level(customer, 1900)
+	l.Report(start, "b", 1, map[state.Customer]float64{"c": 600, "e": 1}, true)
+	l.Report(start, "b", 1, map[state.Customer]float64{"d": 300}, false)
+	level(customer, 1900)
+	level(other, 1700) // nothing before: the report before was complete
+	l.Report(start, "b", 2, map[state.Customer]float64{"d": 50}, false)
+	level(other, 1700)
+}
+
+// Guards against reports that grow with the number of all customers.
+func TestUsedNamesChangedCustomers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	l := New(Config{Window: window})
+	l.Admit(start, customer, 100)
+	l.Admit(start.Add(time.Second), &state.CustomerConfig{Name: "d", Rate: 1000, Burst: 2000}, 100)
+	if used := l.Used(start.Add(time.Second)); len(used) != 1 || used["d"] != 100 {
+		t.Errorf("used %v, want the customer that has changed", used)
+	}
+	l.Return(start.Add(2*time.Second), "c", 100)
+	if used := l.Used(start.Add(2 * time.Second)); len(used) != 1 || used["c"] != 0 {
+		t.Errorf("used %v, want the customer whose request did not run", used)
+	}
+}
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -30,10 +30,12 @@
 
 // Handler is told what a topic holds. Its methods are called by one goroutine.
 type Handler interface {
-	// Listed is called with all keys, at first and after a gap.
-	Listed(now time.Time, records []Record)
-	// Changed is called with later records, possibly none.
-	Changed(now time.Time, records []Record)
+	// Listed is called with all keys, at first and after a gap. They are complete up
+	// to offset next.
+	Listed(now time.Time, records []Record, next uint64)
+	// Changed is called with the records up to offset next that follow, possibly
+	// none.
+	Changed(now time.Time, records []Record, next uint64)
 	// Failed is called when the store did not answer a call.
 	Failed(now time.Time, err error)
 }
@@ -48,16 +50,16 @@
 	// Skip reports that the content is known from elsewhere at the moment, so that
 	// a read can be spared. nil: every read is needed.
 	Skip func() bool
-	// Relist reports, once for each cause, that the content was replaced from
-	// elsewhere. All keys are then read again: later records alone would not bring
-	// back what the replacement lacked. nil: never.
-	Relist func() bool
+	// Resume reports, once for each cause, that the content was replaced from
+	// elsewhere by what is complete up to offset next. Reading goes on from there.
+	// nil: never.
+	Resume func() (next uint64, ok bool)
 }
 
 // The pause after a failed call grows from firstPause to maxPause.
 const (
 	firstPause = 100 * time.Millisecond
-	maxPause   = 800 * time.Millisecond
+	maxPause   = 1500 * time.Millisecond
 	skipPause  = 100 * time.Millisecond // between questions whether to skip
 )
 
@@ -98,8 +100,10 @@
 }
 
 func (f *follower) step(ctx context.Context) error {
-	if f.topic.Relist != nil && f.topic.Relist() {
-		f.listed = false
+	if f.topic.Resume != nil {
+		if next, ok := f.topic.Resume(); ok {
+			f.listed, f.next = true, next
+		}
 	}
 	if !f.listed {
 		records, next, err := f.source.Newest(ctx, f.topic.Name)
@@ -107,7 +111,7 @@
 			return err
 		}
 		f.listed, f.next = true, next
-		f.handler.Listed(time.Now(), records)
+		f.handler.Listed(time.Now(), records, next)
 		return nil
 	}
 	records, next, err := f.source.Read(ctx, f.topic.Name, f.next, f.topic.Wait)
@@ -119,6 +123,6 @@
 		return err
 	}
 	f.next = next
-	f.handler.Changed(time.Now(), records)
+	f.handler.Changed(time.Now(), records, next)
 	return nil
 }
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -13,6 +13,7 @@
 // source answers reads from a script and then waits.
 type source struct {
 	newest int
+	from   []uint64 // offsets that were read from
 	reads  []func() ([]Record, uint64, error)
 }
 
@@ -21,7 +22,8 @@
 	return []Record{{Key: "listed"}}, uint64(10 * s.newest), nil
 }
 
-func (s *source) Read(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]Record, uint64, error) {
+func (s *source) Read(ctx context.Context, _ string, from uint64, _ time.Duration) ([]Record, uint64, error) {
+	s.from = append(s.from, from)
 	if len(s.reads) == 0 {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
@@ -34,8 +36,10 @@
 // handler records what it is told.
 type handler struct{ seen []string }
 
-func (h *handler) Listed(_ time.Time, r []Record) { h.seen = append(h.seen, "listed "+r[0].Key) }
-func (h *handler) Changed(_ time.Time, r []Record) {
+func (h *handler) Listed(_ time.Time, r []Record, _ uint64) {
+	h.seen = append(h.seen, "listed "+r[0].Key)
+}
+func (h *handler) Changed(_ time.Time, r []Record, _ uint64) {
 	for _, record := range r {
 		h.seen = append(h.seen, "changed "+record.Key)
 	}
@@ -70,28 +74,29 @@
 	})
 }
 
-// Guards against a list that was replaced by an older one from elsewhere and is
-// only brought forward by later records (DRAIN on trouble-1 of tbl-plan-grown).
-func TestRelist(t *testing.T) {
+// Guards against content that was replaced from elsewhere while reading goes on
+// from another offset than the one up to which the replacement is complete: what
+// lies between would be missing (DRAIN on trouble-1 of tbl-plan-grown).
+func TestResume(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &source{}
 		for range 3 {
 			s.reads = append(s.reads, func() ([]Record, uint64, error) { return nil, 10, nil })
 		}
 		replaced := false
-		relist := func() bool {
+		resume := func() (uint64, bool) {
 			was := replaced
 			replaced = false
-			return was
+			return 7, was
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
 		time.AfterFunc(1500*time.Millisecond, func() { replaced = true })
-		if err := Follow(ctx, s, Topic{Name: "t", Interval: time.Second, Relist: relist}, &handler{}); err != nil {
+		if err := Follow(ctx, s, Topic{Name: "t", Interval: time.Second, Resume: resume}, &handler{}); err != nil {
 			t.Fatal(err)
 		}
-		if s.newest != 2 {
-			t.Errorf("%d listings, want one at the start and one after the replacement", s.newest)
+		if diff := cmp.Diff([]uint64{10, 7, 10, 10}, s.from); diff != "" {
+			t.Errorf("offsets that were read from (-want +got):\n%s", diff)
 		}
 	})
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -34,13 +31,20 @@
 	// listReaders entries, those with the lowest names, read the list of targets
 	// from the store. The others learn from them, which spares calls to the store.
 	listReaders = 2
+	// readerGap keeps the reads of two readers apart, so that the second one has
+	// heard of a change before it reads. Otherwise both tell a change of the same
+	// list, and the others can apply only one.
+	readerGap = 300 * time.Millisecond
 	// maxListAge is the age of the list from which on an entry reads for itself.
 	maxListAge = 1500 * time.Millisecond
 	// wayTime is taken off the age of what comes from other entries, which lacks the
 	// time on the way.
-	wayTime   = 100 * time.Millisecond
-	joinPause = 500 * time.Millisecond // between tries to write this entry's record
-	leaveTime = 300 * time.Millisecond // for the removal of the record
+	wayTime = 100 * time.Millisecond
+	// changeTime is how long reports carry a change of the list. It covers a report
+	// to each entry and some lost ones.
+	changeTime = 1500 * time.Millisecond
+	joinPause  = 500 * time.Millisecond // between tries to write this entry's record
+	leaveTime  = 300 * time.Millisecond // for the removal of the record
 )
 
 // control owns what the entry knows from the store: one goroutine runs it, and
@@ -52,33 +56,57 @@
 	list   *membership.List // owned by the goroutine
 	stored map[string]*dependency
 
-	adopted   atomic.Bool // the list came from another entry since the last read
-	published atomic.Pointer[[]state.TargetRecord]
 	fetchNow  chan state.InstanceID // the entry to ask first
 	mu        sync.Mutex
-	fresh     time.Time // when the list of targets was known to be current
-	read      time.Time // when it was last read from the store here
-	hash      uint64    // of the published list
-	settling  bool      // removals are pending after an outage
+	fresh     time.Time            // when the list of targets was known to be current
+	read      time.Time            // when it was last read from the store here
+	next      uint64               // offset in the topic up to which the list is complete
+	adopted   bool                 // the list came from another entry since the last read
+	hash      uint64               // of the published list
+	published []state.TargetRecord // never changed in place
+	change    *mesh.ListChange     // the last one that was published
+	changedAt time.Time
+	settling  bool // removals are pending after an outage
 }
 
 // dependency is the state of one topic at the store.
 type dependency struct{ failedSince time.Time }
 
 func newControl(p *gatewayProcess) *control {
-	c := &control{p: p, events: make(chan func(time.Time), 64), fetchNow: make(chan state.InstanceID, 1), list: membership.New(), stored: make(map[string]*dependency)}
-	c.published.Store(&[]state.TargetRecord{})
-	return c
+	return &control{
+		p: p, events: make(chan func(time.Time), 64), fetchNow: make(chan state.InstanceID, 1), list: membership.New(),
+		stored: make(map[string]*dependency),
+	}
+}
+
+// targets returns the published list, which must not be changed.
+func (c *control) targets() []state.TargetRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.published
 }
 
-func (c *control) targetCount() int { return len(*c.published.Load()) }
+func (c *control) targetCount() int { return len(c.targets()) }
 
 // snapshot is what other entries may fetch.
 func (c *control) snapshot() mesh.Snapshot {
 	c.mu.Lock()
-	age := time.Since(c.fresh)
-	c.mu.Unlock()
-	return mesh.Snapshot{Configuration: c.p.gateway.Configuration(), Targets: *c.published.Load(), Age: age}
+	defer c.mu.Unlock()
+	return mesh.Snapshot{
+		Configuration: c.p.gateway.Configuration(), Targets: c.published, ListHash: c.hash, ListNext: c.next, Age: time.Since(c.fresh),
+	}
+}
+
+// have is what a fetched snapshot need not repeat.
+func (c *control) have() mesh.Have {
+	h := mesh.Have{}
+	if config := c.p.gateway.Configuration(); config != nil {
+		h.Version = config.Version
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h.ListHash = c.hash
+	return h
 }
 
 func (c *control) run(ctx context.Context) error {
@@ -93,7 +121,7 @@
 			&topicHandler{control: c, name: platform.ConfigurationTopic, apply: c.applyConfiguration})
 	})
 	group.Go(func() error {
-		return registry.Follow(ctx, c.p.store, registry.Topic{Name: platform.TargetTopic, Interval: targetInterval, Skip: c.skipRead, Relist: func() bool { return c.adopted.Swap(false) }},
+		return registry.Follow(ctx, c.p.store, registry.Topic{Name: platform.TargetTopic, Interval: targetInterval, Skip: c.skipRead, Resume: c.resume},
 			&topicHandler{control: c, name: platform.TargetTopic, apply: c.applyTargets})
 	})
 	group.Go(func() error { return c.fetch(ctx) })
@@ -122,19 +150,23 @@
 type topicHandler struct {
 	control *control
 	name    string
-	apply   func(now time.Time, listed bool, records []registry.Record)
+	apply   func(now time.Time, listed bool, records []registry.Record, next uint64)
 }
 
 // Listed implements registry.Handler.
-func (h *topicHandler) Listed(_ time.Time, records []registry.Record) { h.answered(true, records) }
+func (h *topicHandler) Listed(_ time.Time, records []registry.Record, next uint64) {
+	h.answered(true, records, next)
+}
 
 // Changed implements registry.Handler.
-func (h *topicHandler) Changed(_ time.Time, records []registry.Record) { h.answered(false, records) }
+func (h *topicHandler) Changed(_ time.Time, records []registry.Record, next uint64) {
+	h.answered(false, records, next)
+}
 
-func (h *topicHandler) answered(listed bool, records []registry.Record) {
+func (h *topicHandler) answered(listed bool, records []registry.Record, next uint64) {
 	h.control.post(func(now time.Time) {
 		h.control.regained(now, h.name)
-		h.apply(now, listed, records)
+		h.apply(now, listed, records, next)
 	})
 }
 
@@ -188,7 +220,7 @@
 	return d
 }
 
-func (c *control) applyConfiguration(_ time.Time, _ bool, records []registry.Record) {
+func (c *control) applyConfiguration(_ time.Time, _ bool, records []registry.Record, _ uint64) {
 	for _, r := range records {
 		if r.Key != platform.ConfigurationKey || len(r.Value) == 0 {
 			continue
@@ -231,9 +263,19 @@
 	}
 }
 
-func (c *control) applyTargets(now time.Time, listed bool, records []registry.Record) {
+func (c *control) applyTargets(now time.Time, listed bool, records []registry.Record, next uint64) {
+	c.mu.Lock()
+	have := c.next
+	c.next = max(have, next)
+	c.mu.Unlock()
+	if listed && next < have {
+		return // a newer list was taken over meanwhile
+	}
 	var present []state.TargetRecord
 	for _, r := range records {
+		if !listed && r.Offset < have {
+			continue // a list that was taken over meanwhile has it
+		}
 		if len(r.Value) == 0 {
 			c.list.Remove(now, state.TargetID(r.Key))
 			continue
@@ -260,94 +302,137 @@
 	c.mu.Lock()
 	c.settling = c.list.Settling()
 	c.mu.Unlock()
-	slices.SortFunc(records, func(a, b state.TargetRecord) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	old := *c.published.Load()
+	sortTargets(records)
+	old := c.targets()
 	if slices.Equal(old, records) {
 		return
 	}
 	c.logTargets(old, records)
-	c.published.Store(&records)
 	c.mu.Lock()
+	c.published = records
+	c.change, c.changedAt = changeOf(c.hash, old, records), now
 	c.hash = hashOf(records)
+	tells := now.Sub(c.read) < maxListAge && !c.settling
 	c.mu.Unlock()
-	c.p.scheduler.SetTargets(records)
-}
-
-func hashOf(records []state.TargetRecord) uint64 {
-	var d xxhash.Digest
-	for _, r := range records {
-		fmt.Fprintln(&d, r) // a digest takes every write
+	if tells {
+		c.p.listChanged.Store(true)
 	}
-	return d.Sum64()
+	c.p.scheduler.SetTargets(records)
 }
 
 func (c *control) logTargets(old, records []state.TargetRecord) {
-	before := make(map[state.TargetID]state.TargetRecord, len(old))
-	for _, r := range old {
-		before[r.ID] = r
+	put, gone := diff(old, records)
+	for _, r := range put {
+		c.p.log.Info("target listed", zap.String("target", string(r.ID)), zap.String("service", string(r.Service)),
+			zap.String("address", r.Address), zap.String("domain", string(r.Domain)), zap.Int("slots", r.Slots),
+			zap.Bool("draining", r.Draining), zap.Int64("started", r.Started))
 	}
-	for _, r := range records {
-		if was, ok := before[r.ID]; !ok || was != r {
-			c.p.log.Info("target listed", zap.String("target", string(r.ID)), zap.String("service", string(r.Service)),
-				zap.String("address", r.Address), zap.String("domain", string(r.Domain)), zap.Int("slots", r.Slots),
-				zap.Bool("draining", r.Draining), zap.Int64("started", r.Started))
-		}
-		delete(before, r.ID)
-	}
-	for id, r := range before {
+	for _, r := range gone {
 		c.p.targets.Forget(r.Address)
-		c.p.log.Info("target gone", zap.String("target", string(id)), zap.String("service", string(r.Service)))
+		c.p.log.Info("target gone", zap.String("target", string(r.ID)), zap.String("service", string(r.Service)))
 	}
 }
 
 // skipRead reports whether the list of targets is known from other entries.
 func (c *control) skipRead() bool {
 	now := time.Now()
-	if c.p.mesh.LowerReaders(now, c.p.settings.Instance) < listReaders {
-		return false
-	}
+	lower := c.p.mesh.LowerReaders(now, c.p.settings.Instance)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Sub(c.fresh) < maxListAge
+	switch age := now.Sub(c.fresh); {
+	case lower >= listReaders:
+		return age < maxListAge
+	case lower > 0:
+		return age < readerGap+wayTime
+	default:
+		return false
+	}
 }
 
-// listState returns what reports tell of the list: the time in milliseconds since
-// it was read here and a hash of its content, 0 when it was not read lately or
-// still holds targets that may be gone.
-func (c *control) listState(now time.Time) (age int64, hash uint64) {
+// tellList puts into a report the time since the list was read here and a hash of
+// its content, unless it was not read lately or still holds targets that may be
+// gone.
+func (c *control) tellList(now time.Time, m *mesh.Message) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.settling || now.Sub(c.read) > maxListAge {
-		return 0, 0
+		return
+	}
+	m.ListAge, m.ListHash, m.ListNext = now.Sub(c.read).Milliseconds(), c.hash, c.next
+	if now.Sub(c.changedAt) < changeTime {
+		m.Change = c.change
 	}
-	return now.Sub(c.read).Milliseconds(), c.hash
 }
 
 // listReported takes over that another entry has read the list from the store.
-// When its content differs, it is fetched.
-func (c *control) listReported(from state.InstanceID, age int64, hash uint64) {
-	if hash == 0 {
+// When its content differs, the change is applied, or the list is fetched if the
+// change is from another list than that known here.
+func (c *control) listReported(m *mesh.Message) {
+	if m.ListHash == 0 {
 		return
 	}
-	at := time.Now().Add(-time.Duration(age)*time.Millisecond - wayTime)
+	at := time.Now().Add(-time.Duration(m.ListAge)*time.Millisecond - wayTime)
 	c.mu.Lock()
-	newer := at.After(c.fresh)
-	same := hash == c.hash
+	newer := at.After(c.fresh) && m.ListNext >= c.next
+	same := m.ListHash == c.hash
 	if newer && same {
 		c.fresh = at
 	}
+	applies := m.Change != nil && m.Change.From == c.hash
 	c.mu.Unlock()
-	if newer && !same {
+	switch {
+	case !newer || same:
+	case applies:
 		select {
-		case c.fetchNow <- from:
-		default: // a fetch is due already
+		case c.events <- func(now time.Time) { c.applyChange(now, at, m) }:
+		default: // the next report tells it again
 		}
+	default:
+		c.askFor(m.Instance)
+	}
+}
+
+// askFor has the list fetched from an entry.
+func (c *control) askFor(from state.InstanceID) {
+	select {
+	case c.fetchNow <- from:
+	default: // a fetch is due already
+	}
+}
+
+// applyChange takes over a change of the list that another entry read at.
+func (c *control) applyChange(now, at time.Time, m *mesh.Message) {
+	c.mu.Lock()
+	stale := c.hash != m.Change.From || !at.After(c.fresh) || m.ListNext < c.next
+	c.mu.Unlock()
+	if stale {
+		return
+	}
+	records := changed(c.targets(), m.Change)
+	if hashOf(records) != m.ListHash {
+		c.p.log.Warn("change of the target list does not fit", zap.String("from", string(m.Instance)))
+		c.askFor(m.Instance)
+		return
 	}
+	c.takeOver(now, at, records, m.ListNext)
+}
+
+// takeOver puts the list of another entry into effect, which was current at and is
+// complete up to offset next.
+func (c *control) takeOver(now, at time.Time, records []state.TargetRecord, next uint64) {
+	c.mu.Lock()
+	c.fresh, c.next, c.adopted = at, next, true
+	c.mu.Unlock()
+	c.list.Adopt(records)
+	c.publish(now)
+}
+
+// resume implements registry.Topic.Resume.
+func (c *control) resume() (next uint64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ok, c.adopted = c.adopted, false
+	return c.next, ok
 }
 
 // join writes this entry's record and learns the others.
@@ -401,7 +486,7 @@
 func (c *control) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
 	defer cancel()
-	if err := c.p.mesh.Send(time.Now(), &mesh.Message{Instance: c.p.settings.Instance, Incarnation: c.p.incarnation, Leaving: true}, false); err != nil {
+	if err := c.p.mesh.Leave(&mesh.Message{Instance: c.p.settings.Instance, Incarnation: c.p.incarnation}); err != nil {
 		c.p.log.Warn("leave not told", zap.Error(err))
 	}
 	if err := c.p.store.Put(ctx, platform.EntryTopic, string(c.p.settings.Instance), nil); err != nil {
@@ -424,7 +509,7 @@
 				continue
 			}
 		}
-		s, from, err := c.p.mesh.Fetch(ctx, first)
+		s, from, err := c.p.mesh.Fetch(ctx, first, c.have())
 		if err != nil {
 			c.p.log.Debug("snapshot not fetched", zap.Error(err))
 			continue
@@ -451,14 +536,15 @@
 	if s.Configuration != nil {
 		c.setConfiguration(s.Configuration, from.String())
 	}
+	at := now.Add(-s.Age - wayTime)
 	c.mu.Lock()
-	older := now.Sub(c.fresh) > s.Age+wayTime
+	newer := at.After(c.fresh) && s.ListNext >= c.next
+	same := s.ListHash == c.hash
+	if newer && same {
+		c.fresh = at
+	}
 	c.mu.Unlock()
-	if !older || len(s.Targets) == 0 {
-		return
+	if newer && !same && len(s.Targets) > 0 {
+		c.takeOver(now, at, s.Targets, s.ListNext)
 	}
-	c.setFresh(now.Add(-s.Age - wayTime))
-	c.list.Adopt(s.Targets)
-	c.adopted.Store(true)
-	c.publish(now)
 }
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -3,8 +3,23 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/internal/transport/mesh"
+	"github.com/cassiaramp/cassiaramp/internal/transport/upstream"
 )
 
+// tell returns what c's reports tell of the list.
+func tell(c *control, now time.Time) *mesh.Message {
+	m := &mesh.Message{Instance: "reader"}
+	c.tellList(now, m)
+	return m
+}
+
 // Guards against a stale list of targets that entries keep telling each other is
 // fresh: each hop hides the time on the way (found on trouble-1 of
 // tbl-plan-grown: DRAIN 4,284 ms after a target had left).
@@ -12,23 +27,23 @@
 	c := newControl(&gatewayProcess{})
 	now := time.Now()
 	c.hash = 7
-	c.listReported("reader", 10, 7)
+	c.listReported(&mesh.Message{Instance: "reader", ListAge: 10, ListHash: 7})
 	if c.fresh.IsZero() || c.fresh.After(now) {
 		t.Fatalf("fresh at %v, want shortly before %v", c.fresh, now)
 	}
-	if age, hash := c.listState(now); hash != 0 {
-		t.Errorf("age %d and hash %d are told of a list that was not read here", age, hash)
+	if m := tell(c, now); m.ListHash != 0 {
+		t.Errorf("age %d and hash %d are told of a list that was not read here", m.ListAge, m.ListHash)
 	}
 	c.read = now
-	if _, hash := c.listState(now); hash != 7 {
-		t.Errorf("hash %d is told of a list that was read here, want 7", hash)
+	if m := tell(c, now); m.ListHash != 7 {
+		t.Errorf("hash %d is told of a list that was read here, want 7", m.ListHash)
 	}
 	c.settling = true
-	if _, hash := c.listState(now); hash != 0 {
+	if m := tell(c, now); m.ListHash != 0 {
 		t.Error("a list with targets that may be gone is told as current (DRAIN on trouble-1 of tbl-plan)")
 	}
 	c.settling = false
-	if _, hash := c.listState(now.Add(2 * maxListAge)); hash != 0 {
+	if m := tell(c, now.Add(2*maxListAge)); m.ListHash != 0 {
 		t.Error("a list that was read long ago is told as current")
 	}
 }
@@ -37,14 +52,14 @@
 func TestDifferentFresherListIsFetched(t *testing.T) {
 	c := newControl(&gatewayProcess{})
 	c.hash, c.fresh = 7, time.Now()
-	c.listReported("old", 5000, 8)
+	c.listReported(&mesh.Message{Instance: "old", ListAge: 5000, ListHash: 8})
 	select {
 	case from := <-c.fetchNow:
 		t.Fatalf("an older list is fetched from %s", from)
 	default:
 	}
 	c.fresh = time.Now().Add(-time.Second)
-	c.listReported("reader", 10, 8)
+	c.listReported(&mesh.Message{Instance: "reader", ListAge: 10, ListHash: 8})
 	select {
 	case from := <-c.fetchNow:
 		if from != "reader" {
@@ -54,3 +69,65 @@
 		t.Error("a fresher list is not fetched")
 	}
 }
+
+// listHolder returns a control that published a list.
+func listHolder(now time.Time, records ...state.TargetRecord) *control {
+	p := &gatewayProcess{
+		log: zap.NewNop(), targets: upstream.New(),
+	}
+	p.scheduler = dispatch.New("a", 1, time.Now, p)
+	c := newControl(p)
+	for _, r := range records {
+		c.list.Put(r)
+	}
+	c.publish(now)
+	return c
+}
+
+// Guards against a fetch of the whole list by every entry for each change of it,
+// which fills the link of the reader where hundreds of entries follow it.
+func TestChangeOfListIsAppliedWithoutFetch(t *testing.T) {
+	now := time.Now()
+	records := []state.TargetRecord{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}}
+	reader, follower := listHolder(now, records...), listHolder(now, records...)
+	if reader.hash != follower.hash {
+		t.Fatal("equal lists have unequal hashes")
+	}
+	reader.read = now
+	reader.list.Remove(now, "a")
+	reader.list.Put(state.TargetRecord{ID: "b", Service: "s", Draining: true})
+	reader.list.Put(state.TargetRecord{ID: "d", Service: "s"})
+	reader.publish(now)
+	m := tell(reader, now)
+	follower.listReported(m)
+	select {
+	case apply := <-follower.events:
+		apply(now)
+	case from := <-follower.fetchNow:
+		t.Fatalf("the list is fetched from %s", from)
+	}
+	if d := cmp.Diff(reader.targets(), follower.targets()); d != "" {
+		t.Errorf("the follower's list differs: %s", d)
+	}
+	if follower.hash != reader.hash {
+		t.Error("the follower's hash differs")
+	}
+}
+
+// Guards against a change that is applied to another list than the one it is from,
+// which would keep a target that has left.
+func TestChangeOfAnotherListIsNotApplied(t *testing.T) {
+	now := time.Now()
+	a, b := state.TargetRecord{ID: "a", Service: "s"}, state.TargetRecord{ID: "b", Service: "s"}
+	reader, follower := listHolder(now, a, b), listHolder(now, a)
+	reader.read = now
+	reader.list.Remove(now, "b")
+	reader.list.Put(state.TargetRecord{ID: "c"})
+	reader.publish(now)
+	follower.listReported(tell(reader, now))
+	select {
+	case <-follower.events:
+		t.Error("the change of another list is applied")
+	case <-follower.fetchNow:
+	}
+}
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -20,12 +20,22 @@
 	reportInterval = 40 * time.Millisecond
 	// quietInterval is the time between reports when nothing changes.
 	quietInterval = 400 * time.Millisecond
-	// greetInterval is the time between reports to entries not heard of.
+	// greetInterval is the time between reports to all entries, also those that are
+	// not near or not heard of.
 	greetInterval = time.Second
 	// firstGreetInterval is the same in the firstGreetTime after the start, when
 	// the others are not heard of yet.
 	firstGreetInterval = 120 * time.Millisecond
 	firstGreetTime     = 3 * time.Second
+	// greetCost for each entry is the least time between reports to all, so that a
+	// start of hundreds of entries does not fill their links.
+	greetCost = time.Millisecond
+	// levelsTime is how long after an entry started reports carry the levels of the
+	// allowances, of which it knows nothing. It covers some lost reports.
+	levelsTime = 4 * time.Second
+	// usedTime is how long reports to all name a customer after its use has changed.
+	// It covers some lost reports.
+	usedTime = 4 * time.Second
 	// fewEntries is the number of entries up to which reports go at the shortest
 	// interval. It grows in proportion beyond, to bound packets and processor time.
 	fewEntries = 12
@@ -45,14 +55,15 @@
 		p.scheduler.SetReport(m.Instance, dispatch.Report{})
 		return
 	}
+	now := time.Now()
 	if started {
+		p.startedHeard.Store(now.UnixNano())
 		p.greetNext.Store(true)
 	}
-	now := time.Now()
 	p.quota.Adopt(now, m.Levels)
-	p.quota.Report(now, m.Instance, m.Incarnation, m.Used)
+	p.quota.Report(now, m.Instance, m.Incarnation, m.Used, m.Complete)
 	p.scheduler.SetReport(m.Instance, m.Report())
-	p.control.listReported(m.Instance, m.ListAge, m.ListHash)
+	p.control.listReported(m)
 }
 
 func (p *gatewayProcess) malformed(from netip.AddrPort, err error) {
@@ -63,7 +74,7 @@
 	tick := time.NewTicker(reportInterval)
 	defer tick.Stop()
 	var sequence uint64
-	var last mesh.Message
+	var last *mesh.Message
 	var sent, greeted time.Time
 	started := time.Now()
 	for {
@@ -73,44 +84,80 @@
 		case <-tick.C:
 		}
 		now := time.Now()
-		interval := reportInterval * time.Duration(max(1, p.mesh.Peers(now)/fewEntries))
-		if now.Sub(sent) < interval {
+		position := p.mesh.Position(now)
+		p.scheduler.SetPosition(position)
+		changed := p.listChanged.Swap(false)
+		if now.Sub(sent) < reportPause(position.Count) && !changed {
 			continue
 		}
-		m := p.report()
-		greet := p.greetNext.Swap(false) || now.Sub(greeted) > greetInterval || now.Sub(started) < firstGreetTime && now.Sub(greeted) > firstGreetInterval
-		if !greet && now.Sub(sent) < quietInterval && sameReport(m, &last) {
+		m := p.report(sent)
+		greet := changed || now.Sub(greeted) > greetPause(position.Count, now.Sub(started)) &&
+			(p.greetNext.Swap(false) || now.Sub(greeted) > greetInterval || now.Sub(started) < firstGreetTime)
+		if !greet && now.Sub(sent) < quietInterval && sameReport(m, last) {
 			continue
 		}
 		sequence++
-		last = *m
+		last = m
 		m.Sequence = sequence
 		sent = now
+		var far *mesh.Message
 		if greet {
 			greeted = now
-			m.Levels = p.quota.Levels(now)
+			far = p.farReport(m, now)
 		}
-		if err := p.mesh.Send(now, m, greet); err != nil {
+		if err := p.mesh.Send(now, m, far); err != nil {
 			p.counters.Add("report_not_sent")
 			p.log.Debug("report not sent", zap.Error(err))
 		}
 	}
 }
 
-func (p *gatewayProcess) report() *mesh.Message {
-	r := p.scheduler.Report()
+// reportPause returns the shortest time between reports to the near entries.
+func reportPause(entries int) time.Duration {
+	return reportInterval * time.Duration(max(1, (min(entries, dispatch.NearEntries)-1)/fewEntries))
+}
+
+// greetPause returns the shortest time between reports to all entries.
+func greetPause(entries int, running time.Duration) time.Duration {
+	pause := time.Duration(entries) * greetCost
+	if running < firstGreetTime {
+		return max(firstGreetInterval, pause)
+	}
+	return pause
+}
+
+// report returns what the near entries are told, with the use of allowances since
+// the last report.
+func (p *gatewayProcess) report(since time.Time) *mesh.Message {
+	r := p.scheduler.Report(false)
 	m := &mesh.Message{
 		Instance: p.settings.Instance, Incarnation: p.incarnation, Open: r.Open, Prefill: r.Prefill, Waiting: r.Waiting,
-		Used: p.quota.Used(),
+		Used: p.quota.Used(since), Next: int(quietInterval.Milliseconds()),
 	}
-	m.ListAge, m.ListHash = p.control.listState(time.Now())
+	p.control.tellList(time.Now(), m)
 	if c := p.gateway.Configuration(); c != nil {
 		m.Version = c.Version
 	}
 	return m
 }
 
+// farReport returns what all other entries are told, along with the near report m,
+// and adds to both what entries that have just started need.
+func (p *gatewayProcess) farReport(m *mesh.Message, now time.Time) *mesh.Message {
+	if now.Sub(time.Unix(0, p.startedHeard.Load())) < levelsTime {
+		m.Levels = p.quota.Levels(now)
+		m.Used, m.Complete = p.quota.Used(time.Time{}), true
+	} else {
+		m.Used = p.quota.Used(now.Add(-usedTime))
+	}
+	far := *m
+	r := p.scheduler.Report(true)
+	far.Open, far.Prefill, far.Waiting = r.Open, r.Prefill, r.Waiting
+	far.Next = int(greetInterval.Milliseconds())
+	return &far
+}
+
 func sameReport(a, b *mesh.Message) bool {
-	return a.Version == b.Version && maps.Equal(a.Open, b.Open) && maps.Equal(a.Used, b.Used) &&
+	return b != nil && a.Version == b.Version && maps.Equal(a.Open, b.Open) && len(a.Used) == 0 &&
 		maps.EqualFunc(a.Waiting, b.Waiting, slices.Equal)
 }
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -14,13 +14,16 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
@@ -40,6 +43,9 @@
 	snapshotTimeout = time.Second
 	maxSnapshot     = 16 << 20 // bytes
 	snapshotPath    = "/snapshot"
+	// The fields of Have, as parameters.
+	versionParameter = "version"
+	hashParameter    = "list"
 )
 
 // Message is a report of one entry.
@@ -48,37 +54,70 @@
 	Incarnation state.Incarnation          `cbor:"2,keyasint"`
 	Sequence    uint64                     `cbor:"3,keyasint"`
 	Version     int64                      `cbor:"4,keyasint,omitempty"` // of the configuration in effect
-	Used        map[state.Customer]float64 `cbor:"5,keyasint,omitempty"`
-	Open        map[state.TargetID]int     `cbor:"6,keyasint,omitempty"`
+	Used        map[state.Customer]float64 `cbor:"5,keyasint,omitempty"` // of customers whose use changed lately, in units
+	Open        map[dispatch.Key]int       `cbor:"6,keyasint,omitempty"`
 	Waiting     map[state.Service][]int    `cbor:"7,keyasint,omitempty"`
 	// Entries are addresses of other entries that the sender knows.
 	Entries []string `cbor:"8,keyasint,omitempty"`
 	// Levels are those of the customers' buckets, sent along with Entries.
-	Levels  map[state.Customer]float64 `cbor:"10,keyasint,omitempty"`
-	Prefill map[state.TargetID]int     `cbor:"11,keyasint,omitempty"`
+	Levels map[state.Customer]float64 `cbor:"10,keyasint,omitempty"`
+	// Complete says that Used has all customers that were admitted.
+	Complete bool                 `cbor:"17,keyasint,omitempty"`
+	Prefill  map[dispatch.Key]int `cbor:"11,keyasint,omitempty"`
 	// ListAge is the time in milliseconds since the sender itself read the list of
 	// targets from the store, and ListHash identifies its content; 0 when it did
 	// not read lately. What was learned from others is not passed on: its age would
 	// lack the time on the way, and a stale list could look fresh for ever.
 	ListAge  int64  `cbor:"12,keyasint,omitempty"`
 	ListHash uint64 `cbor:"13,keyasint,omitempty"`
+	// ListNext is the offset in the store's topic up to which the list is complete.
+	ListNext uint64 `cbor:"16,keyasint,omitempty"`
+	// Change is the last one of the list, while others may not have it yet.
+	Change *ListChange `cbor:"14,keyasint,omitempty"`
+	// Next is the time in milliseconds after which the next report to this receiver
+	// follows at the latest.
+	Next int `cbor:"15,keyasint,omitempty"`
 	// Leaving says that the sender stops.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 }
 
+// ListChange turns the list of targets with the hash From into that with the
+// message's ListHash.
+type ListChange struct {
+	From    uint64               `cbor:"1,keyasint"`
+	Put     []state.TargetRecord `cbor:"2,keyasint,omitempty"`
+	Removed []state.TargetID     `cbor:"3,keyasint,omitempty"`
+}
+
+// lostReports is how many reports in a row may be lost before the last one counts
+// no longer.
+const lostReports = 3
+
 // Report returns the part that the scheduler uses.
 func (m *Message) Report() dispatch.Report {
-	return dispatch.Report{Open: m.Open, Prefill: m.Prefill, Waiting: m.Waiting}
+	return dispatch.Report{
+		Open: m.Open, Prefill: m.Prefill, Waiting: m.Waiting, Lifetime: lostReports * time.Duration(m.Next) * time.Millisecond,
+	}
 }
 
 // Snapshot is what an entry knows from the platform's store.
 type Snapshot struct {
+	// Configuration is nil when the asking entry has it or a newer one.
 	Configuration *state.Configuration
-	Targets       []state.TargetRecord
-	// Age is the time since the store last answered the sender.
+	// Targets is nil when the asking entry has the same list.
+	Targets  []state.TargetRecord
+	ListHash uint64 // as in Message
+	ListNext uint64 // as in Message
+	// Age is the time since the list was known to be current.
 	Age time.Duration
 }
 
+// Have is what an entry that asks for a snapshot has.
+type Have struct {
+	Version  int64  // of the configuration in effect, 0 for none
+	ListHash uint64 // of its list of targets
+}
+
 // Mesh is this entry's end. It is safe for concurrent use.
 type Mesh struct {
 	self  netip.AddrPort
@@ -88,11 +127,30 @@
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
-	known map[netip.AddrPort]bool // addresses that were named but not heard
+	known map[netip.AddrPort]*silent // addresses that were named but not heard
+	// position is the place of this entry among those heard of, and arranged says
+	// that it is up to date.
+	position dispatch.Position
+	arranged bool
 }
 
+// silent is an address from which no report came, or none lately.
+type silent struct {
+	greeted time.Time     // last, zero: never
+	pause   time.Duration // until the next
+}
+
+// An address that does not answer is greeted after firstPause, then after twice the
+// pause before, up to maxPause. Entries that left without a word would otherwise
+// cost packets for ever.
+const (
+	firstPause = 100 * time.Millisecond
+	maxPause   = 2 * time.Second
+)
+
 type peer struct {
 	instance    state.InstanceID
+	near        bool // uses targets that this entry uses
 	incarnation state.Incarnation
 	sequence    uint64
 	version     int64
@@ -114,7 +172,7 @@
 			},
 			DisableKeepAlives: true, DisableCompression: true,
 		}},
-		peers: make(map[netip.AddrPort]*peer), known: make(map[netip.AddrPort]bool),
+		peers: make(map[netip.AddrPort]*peer), known: make(map[netip.AddrPort]*silent),
 	}, nil
 }
 
@@ -122,8 +180,12 @@
 func (m *Mesh) Learn(a netip.AddrPort) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if a != m.self && a.IsValid() && m.peers[a] == nil {
-		m.known[a] = true
+	m.learn(a)
+}
+
+func (m *Mesh) learn(a netip.AddrPort) {
+	if a != m.self && a.IsValid() && m.peers[a] == nil && m.known[a] == nil {
+		m.known[a] = &silent{}
 	}
 }
 
@@ -152,30 +214,97 @@
 func (m *Mesh) expire(now time.Time) {
 	for a, p := range m.peers {
 		if now.Sub(p.heard) > peerTimeout {
-			delete(m.peers, a)
-			m.known[a] = true
+			m.forget(a)
+			m.learn(a)
 		}
 	}
 }
 
-// Send sends a report to the entries heard of, and also to those only known when
-// all is set.
-func (m *Mesh) Send(now time.Time, msg *Message, all bool) error {
+func (m *Mesh) forget(a netip.AddrPort) {
+	delete(m.peers, a)
+	m.arranged = false
+}
+
+// Position returns the place of this entry among the entries heard of lately.
+func (m *Mesh) Position(now time.Time) dispatch.Position {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.expire(now)
-	var to []netip.AddrPort
+	m.arrange()
+	return m.position
+}
+
+// arrange orders the entries heard of by a hash of their addresses and marks those
+// that are near.
+func (m *Mesh) arrange() {
+	if m.arranged {
+		return
+	}
+	m.arranged = true
+	order := []netip.AddrPort{m.self}
 	for a := range m.peers {
-		to = append(to, a)
-		if all {
-			msg.Entries = append(msg.Entries, a.String())
+		order = append(order, a)
+	}
+	slices.SortFunc(order, func(a, b netip.AddrPort) int {
+		return cmp.Compare(xxhash.Sum64String(a.String()), xxhash.Sum64String(b.String()))
+	})
+	m.position = dispatch.Position{Index: slices.Index(order, m.self), Count: len(order)}
+	for i, a := range order {
+		if a != m.self {
+			m.peers[a].near = m.position.Near(i)
 		}
 	}
-	if all {
-		for a := range m.known {
-			to = append(to, a)
+}
+
+// maxNamed is the number of other entries that a report names, so that a report to
+// hundreds of entries stays small. They are drawn at random each time.
+const maxNamed = 32
+
+// Send sends a report to the near entries, and another one, far, unless it is nil,
+// to all others, also to those that were only named. Both then name entries.
+func (m *Mesh) Send(now time.Time, near, far *Message) error {
+	m.mu.Lock()
+	m.expire(now)
+	m.arrange()
+	var toNear, toFar []netip.AddrPort
+	var named []string
+	for a, p := range m.peers { // in random order
+		if p.near {
+			toNear = append(toNear, a)
+		} else {
+			toFar = append(toFar, a)
 		}
+		if len(named) < maxNamed {
+			named = append(named, a.String())
+		}
+	}
+	if far != nil {
+		near.Entries, far.Entries = named, named
+		for a, s := range m.known {
+			if now.Sub(s.greeted) >= s.pause {
+				s.greeted, s.pause = now, min(maxPause, max(firstPause, 2*s.pause))
+				toFar = append(toFar, a)
+			}
+		}
+	}
+	m.mu.Unlock()
+	err := m.send(near, toNear)
+	if far != nil {
+		err = errors.Join(err, m.send(far, toFar))
 	}
+	return err
+}
+
+// Leave tells the entries heard of that this one stops.
+func (m *Mesh) Leave(msg *Message) error {
+	m.mu.Lock()
+	to := slices.Collect(maps.Keys(m.peers))
 	m.mu.Unlock()
+	msg.Leaving = true
+	return m.send(msg, to)
+}
+
+func (m *Mesh) send(msg *Message, to []netip.AddrPort) error {
 	if len(to) == 0 {
 		return nil
 	}
@@ -225,21 +354,22 @@
 	defer m.mu.Unlock()
 	delete(m.known, from)
 	if msg.Leaving {
-		delete(m.peers, from)
+		m.forget(from)
 		return true, false
 	}
 	p := m.peers[from]
 	if p == nil || p.incarnation != msg.Incarnation {
 		p = &peer{instance: msg.Instance, incarnation: msg.Incarnation}
 		m.peers[from] = p
+		m.arranged = false
 		started = true
 	} else if msg.Sequence <= p.sequence {
 		return false, false
 	}
 	p.sequence, p.version, p.reads, p.heard = msg.Sequence, msg.Version, msg.ListHash != 0, time.Now()
 	for _, text := range msg.Entries {
-		if a, err := netip.ParseAddrPort(text); err == nil && a != m.self && m.peers[a] == nil {
-			m.known[a] = true
+		if a, err := netip.ParseAddrPort(text); err == nil {
+			m.learn(a)
 		}
 	}
 	return true, started
@@ -248,8 +378,21 @@
 // ServeSnapshots serves other entries on ln until ctx ends.
 func (m *Mesh) ServeSnapshots(ctx context.Context, ln net.Listener) error {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, _ *http.Request) {
-		b, err := json.Marshal(m.serve())
+	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, r *http.Request) {
+		version, errVersion := strconv.ParseInt(r.FormValue(versionParameter), 10, 64)
+		hash, errHash := strconv.ParseUint(r.FormValue(hashParameter), 10, 64)
+		if err := errors.Join(errVersion, errHash); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s := m.serve()
+		if s.Configuration != nil && s.Configuration.Version <= version {
+			s.Configuration = nil
+		}
+		if s.ListHash == hash {
+			s.Targets = nil
+		}
+		b, err := json.Marshal(s)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
@@ -264,11 +407,11 @@
 const maxAsked = 3
 
 // Fetch asks other entries for a snapshot: first the one named, if any, then those
-// with the newest configuration.
-func (m *Mesh) Fetch(ctx context.Context, first state.InstanceID) (*Snapshot, netip.AddrPort, error) {
+// with the newest configuration. have is what the reply need not repeat.
+func (m *Mesh) Fetch(ctx context.Context, first state.InstanceID, have Have) (*Snapshot, netip.AddrPort, error) {
 	var errs []error
 	for _, a := range m.candidates(first) {
-		s, err := m.fetch(ctx, a)
+		s, err := m.fetch(ctx, a, have)
 		if err == nil {
 			return s, a, nil
 		}
@@ -299,8 +442,9 @@
 	return list[:min(len(list), maxAsked)]
 }
 
-func (m *Mesh) fetch(ctx context.Context, a netip.AddrPort) (*Snapshot, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+snapshotPath, nil)
+func (m *Mesh) fetch(ctx context.Context, a netip.AddrPort, have Have) (*Snapshot, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet,
+		fmt.Sprintf("http://%s%s?%s=%d&%s=%d", a, snapshotPath, versionParameter, have.Version, hashParameter, have.ListHash), nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -55,19 +56,20 @@
 	b.Learn(a.self)
 	a.Learn(b.self)
 	now := time.Now()
-	if err := b.Send(now, &Message{Instance: "b", Incarnation: 1, Sequence: 1}, true); err != nil {
+	if err := b.Send(now, &Message{}, &Message{Instance: "b", Incarnation: 1, Sequence: 1}); err != nil {
 		t.Fatal(err)
 	}
 	<-fromA
 	c.Learn(a.self)
-	if err := c.Send(now, &Message{Instance: "c", Incarnation: 1, Sequence: 1}, true); err != nil {
+	if err := c.Send(now, &Message{}, &Message{Instance: "c", Incarnation: 1, Sequence: 1}); err != nil {
 		t.Fatal(err)
 	}
 	<-fromA
 	if n := a.Peers(now); n != 2 {
 		t.Errorf("a heard %d entries, want 2", n)
 	}
-	if err := a.Send(now, &Message{Instance: "a", Incarnation: 1, Sequence: 1}, true); err != nil {
+	report := &Message{Instance: "a", Incarnation: 1, Sequence: 1}
+	if err := a.Send(now, report, report); err != nil {
 		t.Fatal(err)
 	}
 	<-toC
@@ -113,15 +115,15 @@
 func TestFetch(t *testing.T) {
 	want := Snapshot{
 		Configuration: &state.Configuration{Version: 9, Routes: []state.Route{{Name: "r", Timeout: time.Second}}},
-		Targets:       []state.TargetRecord{{ID: "t", Service: "s", Slots: 3}}, Age: time.Second,
+		Targets:       []state.TargetRecord{{ID: "t", Service: "s", Slots: 3}}, Age: time.Second, ListHash: 5,
 	}
 	a, _ := open(t, want)
 	b, _ := open(t, Snapshot{})
-	if _, _, err := b.Fetch(t.Context(), ""); err == nil {
+	if _, _, err := b.Fetch(t.Context(), "", Have{Version: 8}); err == nil {
 		t.Error("a snapshot without any entry")
 	}
 	b.Learn(a.self)
-	got, from, err := b.Fetch(t.Context(), "")
+	got, from, err := b.Fetch(t.Context(), "", Have{Version: 8})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -129,4 +131,61 @@
 		len(got.Targets) != 1 || got.Targets[0] != want.Targets[0] || got.Age != time.Second {
 		t.Errorf("snapshot %+v from %s", got, from)
 	}
+	if got, _, err = b.Fetch(t.Context(), "", Have{Version: 9, ListHash: want.ListHash}); err != nil || got.Configuration != nil || got.Targets != nil {
+		t.Errorf("snapshot %+v, %v repeats what the asking entry has", got, err)
+	}
+}
+
+// Guards against reports to all of some hundreds of entries at the interval for
+// near ones, and against entries that are not told anything.
+func TestReportsToNearAndFarEntries(t *testing.T) {
+	m, _ := open(t, Snapshot{})
+	const others = 99
+	for i := range others {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 1)
+		m.accept(a, &Message{Instance: state.InstanceID(a.String()), Incarnation: 1, Sequence: 1})
+	}
+	now := time.Now()
+	if p := m.Position(now); p.Count != others+1 {
+		t.Fatalf("position %+v, want one of %d", p, others+1)
+	}
+	near := 0
+	for _, p := range m.peers {
+		if p.near {
+			near++
+		}
+	}
+	if near != dispatch.NearEntries {
+		t.Errorf("%d entries are near, want %d", near, dispatch.NearEntries)
+	}
+	far := &Message{}
+	if err := m.Send(now, &Message{}, far); err != nil {
+		t.Fatal(err)
+	}
+	if len(far.Entries) != maxNamed {
+		t.Errorf("%d entries are named, want %d", len(far.Entries), maxNamed)
+	}
+}
+
+// Guards against packets for ever to entries that left without a word, and against
+// entries that do not find each other again after a cut.
+func TestSilentEntriesAreGreetedLessOften(t *testing.T) {
+	m, _ := open(t, Snapshot{})
+	a := netip.MustParseAddrPort("127.0.0.1:9")
+	m.Learn(a)
+	now := time.Now()
+	greeted := 0
+	for range 600 {
+		before := m.known[a].greeted
+		if err := m.Send(now, &Message{}, &Message{}); err != nil {
+			t.Fatal(err)
+		}
+		if m.known[a].greeted != before {
+			greeted++
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if most := int(time.Minute/maxPause) + 6; greeted > most || greeted < int(time.Minute/maxPause) {
+		t.Errorf("%d reports in a minute, want up to %d", greeted, most)
+	}
 }
