--- a/cmd/cassiarampd/main.go
+++ b/cmd/cassiarampd/main.go
@@ -28,6 +28,7 @@
 type arguments struct {
 	Settings string `arg:"--settings,env:CASSIARAMP_SETTINGS" placeholder:"FILE" help:"settings file: JSON with comments"`
 	Platform bool   `arg:"--platform" help:"run an entry on the users' platform, with the settings file that the platform names"`
+	Signers  string `arg:"--signers" placeholder:"FILE" help:"with --platform: operators who sign bundles, JSON with comments; without it no bundle is put into effect"`
 	Check    bool   `arg:"--check" help:"check the settings and exit"`
 }
 
@@ -46,7 +47,7 @@
 Examples:
   cassiarampd --settings /etc/cassiaramp/entry.json
   cassiarampd --settings entry.json --check
-  cassiarampd --platform`
+  cassiarampd --platform --signers deploy/signers.json`
 }
 
 func main() {
--- a/cmd/cassiarampd/platform.go
+++ b/cmd/cassiarampd/platform.go
@@ -11,7 +11,9 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiaramp/cassiaramp/internal/daemon"
+	"github.com/cassiaramp/cassiaramp/internal/jsonfile"
 	"github.com/cassiaramp/cassiaramp/internal/logging"
+	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/platform"
 )
 
@@ -31,6 +33,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	var signers state.Signers
+	if args.Signers != "" {
+		if err := jsonfile.Read(args.Signers, &signers); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitSettings
+		}
+	}
 	if args.Check {
 		fmt.Println("settings are valid")
 		return exitOK
@@ -47,7 +56,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	go checkReloads(ctx, path, log.Process)
-	if err := daemon.RunGateway(ctx, s, log); err != nil {
+	if err := daemon.RunGateway(ctx, s, signers, log); err != nil {
 		log.Process.Error("process failed", zap.Error(err))
 		return exitFailed
 	}
--- /dev/null
+++ b/internal/coordination/dispatch/picker_power_of_two.go
@@ -0,0 +1,17 @@
+package dispatch
+
+// pickPowerOfTwo picks the better one of two candidates drawn at random.
+func pickPowerOfTwo(candidates []scored, draw random) int {
+	n := len(candidates)
+	if n == 1 {
+		return 0
+	}
+	a, b := int(draw()*float64(n)), int(draw()*float64(n-1))
+	if b >= a {
+		b++
+	}
+	if candidates[b].score < candidates[a].score {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/coordination/dispatch/policy_test.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+func policies(t *testing.T, specs map[string]state.PlacementPolicy, split ...state.PolicyShare) *Policies {
+	t.Helper()
+	p, err := NewPolicies(DefaultAdmission(), specs, split)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// Guards against a bundle that is accepted although entries cannot build a policy
+// in it.
+func TestPoliciesAreChecked(t *testing.T) {
+	share := []state.PolicyShare{{Policy: "p", Share: 1}}
+	for name, tc := range map[string]struct {
+		spec  state.PlacementPolicy
+		split []state.PolicyShare
+	}{
+		"unknown scorer":  {state.PlacementPolicy{Picker: "power-of-two", Scorers: []state.WeightedScorer{{Name: "no", Weight: 1}}}, share},
+		"unknown picker":  {state.PlacementPolicy{Picker: "no"}, share},
+		"negative weight": {state.PlacementPolicy{Picker: "power-of-two", Scorers: []state.WeightedScorer{{Name: "failing-share", Weight: -1}}}, share},
+		"filter":          {state.PlacementPolicy{Picker: "power-of-two", Filters: []string{"ready"}}, share},
+		"no split":        {Shipped()[PredictedDelay], nil},
+		"unknown policy":  {Shipped()[PredictedDelay], []state.PolicyShare{{Policy: "q", Share: 1}}},
+	} {
+		if _, err := NewPolicies(DefaultAdmission(), map[string]state.PlacementPolicy{"p": tc.spec}, tc.split); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	for name, spec := range Shipped() {
+		if _, err := buildPolicy(name, spec); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Guards against shares that differ from the bundle's, and against entries that
+// choose different policies for the same request.
+func TestRequestsAreSplit(t *testing.T) {
+	specs := Shipped()
+	split := []state.PolicyShare{{Policy: PredictedDelay, Share: 3}, {Policy: LeastOutstanding, Share: 1}}
+	a, b := policies(t, specs, split...), policies(t, specs, split...)
+	const n = 4000
+	counts := make(map[string]int)
+	for i := range n {
+		id := state.RequestID(fmt.Sprint(i))
+		counts[a.of(id).name]++
+		if a.of(id).name != b.of(id).name {
+			t.Fatalf("request %s has two policies", id)
+		}
+	}
+	if got := counts[PredictedDelay]; got < n*3/4-n/20 || got > n*3/4+n/20 {
+		t.Errorf("%d of %d requests, want about three quarters", got, n)
+	}
+}
+
+// Guards against a bundle without effect on the choice: one engine has more
+// requests than the other but responds earlier.
+func TestPolicyDecides(t *testing.T) {
+	for name, want := range map[string]state.TargetID{PredictedDelay: "t1", LeastOutstanding: "t2"} {
+		s, c := newTest()
+		s.SetPolicies(policies(t, Shipped(), state.PolicyShare{Policy: name, Share: 1}))
+		s.targets["t1"].slow, s.targets["t2"].slow = 1, 20
+		s.SetReport("other", Report{Open: map[Key]int{KeyOf("t1"): 1}})
+		counts := make(map[state.TargetID]int)
+		for range 20 {
+			g := acquire(t, s, c.request(true))
+			counts[g.Target.ID]++
+			if g.Policy != name {
+				t.Fatalf("policy %q, want %q", g.Policy, name)
+			}
+			s.Release(g, Cancelled)
+		}
+		if counts[want] < 20 {
+			t.Errorf("%s: %v, want %s more often", name, counts, want)
+		}
+	}
+}
+
+// Guards against an admission that ignores the bundle.
+func TestAdmissionDecides(t *testing.T) {
+	refusedAfter := func(a state.AdmissionPolicy) (admitted int, retry time.Duration) {
+		s, c := newTest()
+		p, err := NewPolicies(a, Shipped(), []state.PolicyShare{{Policy: PredictedDelay, Share: 1}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.SetPolicies(p)
+		s.SetReport("other", Report{})
+		for ; admitted < 1000; admitted++ {
+			if _, _, refusal := s.place(c.request(true)); refusal != nil {
+				return admitted, refusal.RetryAfter
+			}
+		}
+		return admitted, 0
+	}
+	short := DefaultAdmission()
+	few, soon := refusedAfter(short)
+	long := short
+	long.RefuseShare, long.QueuedRequests, long.MinRetryAfter = 2, 3, state.Duration(5*time.Second)
+	many, late := refusedAfter(long)
+	if many <= few || late <= soon || late < 5*time.Second {
+		t.Errorf("%d and %d admitted, retry after %s and %s", few, many, soon, late)
+	}
+}
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -69,6 +69,7 @@
 	// Inputs of the decision, for the log.
 	Used, Slots int
 	Candidates  int
+	Policy      string // name of the policy that chose
 
 	target  *target
 	request *Request
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -14,17 +14,6 @@
 	// costScale is the time that a unit of cost takes when an engine's slots are
 	// full: about as many requests share the engine as it has slots.
 	costScale = 6.0
-	// remotePenalty makes a target of another failure domain look this much more
-	// loaded: bytes between failure domains are priced and slower.
-	remotePenalty = 1.15
-	// drawSpread varies scores at random, so that entries with equal views do not
-	// all choose the same target.
-	drawSpread = 0.15
-	// failWeight is how much a failing share above the usual one of the service
-	// adds to a target's score.
-	failWeight = 10.0
-	// refuseShare is the share of the objective that a predicted wait may take.
-	refuseShare = 0.6
 	// Without other figures a slot is held for this long.
 	assumedHold  = 300 * time.Millisecond
 	holdBlend    = 0.1 // weight of one request in the moving averages of times
@@ -34,24 +23,12 @@
 	leastShare = 0.1
 	// leastRate is the arrival rate (per second) from which on slots are left to a
 	// rank.
-	leastRate = 0.5
-	// longShare is the share of the time left that a request may be expected to
-	// take at a target. longPenalty multiplies the score of a target where it takes
-	// longer.
-	longShare   = 0.5
-	longPenalty = 5.0
-	// minRetryAfter and the jitter spread refused requests, so that they do not
-	// come back together.
-	minRetryAfter  = 400 * time.Millisecond
-	retryJitter    = 0.6
-	maxQueue       = 2000 // requests waiting for one service
-	noTargetRetry  = time.Second
-	peerLifetime   = 1200 * time.Millisecond // shortest time for which another entry's report counts
-	pumpInterval   = 20 * time.Millisecond
-	assumedEntries = 5 // entries assumed while none has reported
-	// queuedSlots is how many requests may wait at a target itself, so that a slot
-	// is taken again at once when it becomes free.
-	queuedSlots     = 1
+	leastRate       = 0.5
+	maxQueue        = 2000 // requests waiting for one service
+	noTargetRetry   = time.Second
+	peerLifetime    = 1200 * time.Millisecond // shortest time for which another entry's report counts
+	pumpInterval    = 20 * time.Millisecond
+	assumedEntries  = 5 // entries assumed while none has reported
 	overcommitSlots = 1 // slots beyond a target's own that an entry below its fair share may take
 )
 
@@ -69,6 +46,9 @@
 	keys     map[Key]*target
 	peers    map[state.InstanceID]*peer
 	observe  Observer
+	policies *Policies
+	// candidates are the targets of the placement in progress.
+	candidates []scored
 }
 
 // Observer is told of changes in what the scheduler believes. Its methods must
@@ -113,10 +93,18 @@
 	return &Scheduler{
 		domain: domain, now: now, random: rand.New(rand.NewPCG(seed, 0)), observe: observe,
 		services: make(map[state.Service]*pool), targets: make(map[state.TargetID]*target),
-		peers: make(map[state.InstanceID]*peer),
+		peers: make(map[state.InstanceID]*peer), policies: defaultPolicies(),
 	}
 }
 
+// SetPolicies puts what a bundle says into effect for the placements that follow.
+func (s *Scheduler) SetPolicies(p *Policies) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.policies = p
+	s.pump()
+}
+
 // SetTargets replaces the list of targets. What is known of a target is kept
 // unless it has started again.
 func (s *Scheduler) SetTargets(records []state.TargetRecord) {
@@ -220,7 +208,7 @@
 	}
 	predicted := s.predict(p, r, ahead, now)
 	if !r.Again {
-		if predicted > time.Duration(refuseShare*float64(r.Objective)) || len(p.queue) >= maxQueue {
+		if predicted > time.Duration(s.policies.admission.RefuseShare*float64(r.Objective)) || len(p.queue) >= maxQueue {
 			return nil, nil, &Refusal{
 				Reason: ReasonOverload, RetryAfter: s.retryAfter(predicted), Waiting: ahead, Predicted: predicted,
 			}
@@ -261,53 +249,48 @@
 
 // retryAfter returns when a refused request may come back.
 func (s *Scheduler) retryAfter(predicted time.Duration) time.Duration {
-	return s.jitter(max(minRetryAfter, 2*predicted))
+	return s.jitter(max(s.policies.admission.MinRetryAfter.Std(), 2*predicted))
 }
 
 func (s *Scheduler) jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 + retryJitter*s.random.Float64()))
+	return time.Duration(float64(d) * (1 + s.policies.admission.RetrySpread*s.random.Float64()))
 }
 
 // choose returns a slot of the target that is predicted to respond first, or nil
 // when no slot is free. The scheduler is locked.
 func (s *Scheduler) choose(p *pool, r *Request, now time.Time) *Grant {
-	typical, usualFail := p.typical()
 	extra, allowed := s.fairness(p, r, now)
 	if !allowed {
 		return nil
 	}
 	reserve := p.reserve(r, now)
-	var best *target
-	bestScore, candidates := 0.0, 0
+	c := choice{request: r, now: now, domain: s.domain}
+	c.typical, c.usualFail = p.typical()
+	chosen := s.policies.of(r.ID)
+	s.candidates = s.candidates[:0]
+	probe := -1
 	for _, t := range p.targets {
-		if !t.eligible(now, r) || t.used() >= t.limit(reserve)+extra {
+		if !t.eligible(now, r) || t.used() >= t.limit(reserve)+s.policies.admission.QueuedRequests+extra {
 			continue
 		}
-		if !t.ejectedUntil.IsZero() && !r.Repeatable && now.Before(t.ejectedUntil.Add(probeWait)) {
-			continue // a probe may fail, which a repeatable request survives
-		}
-		candidates++
-		score := t.firstResponse(r, t.slowness(typical)/typical) * (1 + failWeight*max(0, t.failing-usualFail))
-		if t.record.Domain != s.domain {
-			score *= remotePenalty
-		}
-		if t.expected(r, typical) > time.Duration(longShare*float64(r.Deadline.Sub(now))) {
-			score *= longPenalty
-		}
-		score *= 1 + drawSpread*s.random.Float64()
 		if !t.ejectedUntil.IsZero() {
-			score = 0 // a probe is due
-		}
-		if best == nil || score < bestScore {
-			best, bestScore = t, score
+			if !r.Repeatable && now.Before(t.ejectedUntil.Add(probeWait)) {
+				continue // a probe may fail, which a repeatable request survives
+			}
+			probe = len(s.candidates)
 		}
+		s.candidates = append(s.candidates, scored{target: t, score: chosen.score(t, &c)})
 	}
-	if best == nil {
+	if len(s.candidates) == 0 {
 		return nil
 	}
+	if probe < 0 {
+		probe = chosen.pick(s.candidates, s.random.Float64)
+	}
+	best := s.candidates[probe].target
 	g := &Grant{
 		Target: best.record, target: best, request: r, sent: now, Used: best.used(), Slots: best.record.Slots,
-		Candidates: candidates,
+		Candidates: len(s.candidates), Policy: chosen.name,
 	}
 	best.open[g] = struct{}{}
 	return g
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -69,10 +69,7 @@
 // limit returns how many requests the target may have, with reserve slots left to
 // higher ranks.
 func (t *target) limit(reserve int) int {
-	if reserve == 0 {
-		return t.record.Slots + queuedSlots
-	}
-	return t.record.Slots - min(reserve, int(maxReserve*float64(t.record.Slots))) + queuedSlots
+	return t.record.Slots - min(reserve, int(maxReserve*float64(t.record.Slots)))
 }
 
 // slowness returns the measured slowness or the assumed one.
--- a/internal/coordination/dispatch/target_test.go
+++ b/internal/coordination/dispatch/target_test.go
@@ -119,7 +119,7 @@
 func TestWaiterThatGivesUp(t *testing.T) {
 	s, c := newTest()
 	var grants []*Grant
-	for range 2 * (2 + queuedSlots) {
+	for range 2 * (2 + DefaultAdmission().QueuedRequests) {
 		grants = append(grants, acquire(t, s, c.request(true)))
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -135,7 +135,7 @@
 	for _, g := range grants {
 		s.Release(g, Served)
 	}
-	for range 2 * (2 + queuedSlots) {
+	for range 2 * (2 + DefaultAdmission().QueuedRequests) {
 		acquire(t, s, c.request(true))
 	}
 }
--- a/internal/coordination/entry/run.go
+++ b/internal/coordination/entry/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/admission"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/retry"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/traffic"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -106,7 +107,7 @@
 		// It began to leave while the session was opened or the key was claimed.
 		return r.notSent(ctx, a, state.ReasonLeaving, stepError("dispatch", d.Target, errLeaving))
 	}
-	a.known = s.computed.leading(r.blocks)
+	a.known = leading(&s.computed, r.blocks)
 	stream, err := s.cfg.Peers.Dispatch(ctx, reservation, r.req)
 	if errors.Is(err, ErrNotSent) {
 		if ctx.Err() != nil {
@@ -152,7 +153,9 @@
 	r.service.cfg.Placer.Ended(a.target, a.id, o)
 	if a.ran() && !o.NotRun {
 		countAttempt(r.key(), r.req, end.usage, a.known, o.Complete)
-		r.service.computed.add(r.blocks)
+		for _, b := range r.blocks {
+			r.service.computed.Set(b, struct{}{})
+		}
 	}
 }
 
@@ -268,12 +271,12 @@
 		r.log.Info("request failed", fields...)
 	}
 	useful := r.out.err == nil && !time.Now().After(r.req.Deadline)
-	countResult(r.key(), res, useful)
+	traffic.Ended(r.key(), outcomeOf(res, useful))
 }
 
 func (r *run) policy() string {
 	if r.req.Policy == "" {
-		return noPolicy
+		return traffic.NoPolicy
 	}
 	return r.req.Policy
 }
@@ -286,7 +289,7 @@
 }
 
 // key is the key of the counters.
-func (r *run) key() string { return r.policy() + "/" + r.tierName() }
+func (r *run) key() string { return traffic.Key(r.policy(), r.tierName()) }
 
 // sleep waits for d or until ctx ends, and returns the context's error then.
 func sleep(ctx context.Context, d time.Duration) error {
--- a/internal/coordination/entry/service.go
+++ b/internal/coordination/entry/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/admission"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/retry"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/traffic"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -65,7 +66,7 @@
 	cfg       Config
 	admission *admission.Controller
 	budget    retry.Budget
-	computed  computedBlocks
+	computed  traffic.Recent[uint64, struct{}] // prompt blocks
 
 	mu       sync.Mutex
 	stopping bool
@@ -78,7 +79,9 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
-	return &Service{cfg: cfg, admission: admission.NewController(cfg.MaxOpen), drained: make(chan struct{})}
+	s := &Service{cfg: cfg, admission: admission.NewController(cfg.MaxOpen), drained: make(chan struct{})}
+	s.computed.Limit = maxGeneration
+	return s
 }
 
 // StopAccepting refuses requests from now on. Open ones go on.
--- a/internal/coordination/entry/service_test.go
+++ b/internal/coordination/entry/service_test.go
@@ -415,10 +415,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness()
 		h.bundle.Tiers[1].Name = "counted"
-		maps := []*expvar.Map{countWasted, countPromptTokens, countGoodput, countRequests}
+		names := []string{"wasted_prefill_tokens", "prompt_tokens", "goodput", "requests"}
 		var before []int64
-		for _, m := range maps {
-			before = append(before, counter(m))
+		for _, name := range names {
+			before = append(before, counter(name))
 		}
 		usage := state.Usage{PromptTokens: 150, CachedTokens: 28}
 		script1(h, "a", started, &state.Done{Usage: usage})
@@ -430,15 +430,15 @@
 		// The first computes the blocks, the second has two blocks of 64 tokens
 		// known but only 28 tokens cached, the third is of no use at all.
 		for i, want := range []int64{2*64 - 28 + 150 - 28, 450, 2, 3} {
-			if got := counter(maps[i]) - before[i]; got != want {
-				t.Errorf("counter %d grew by %d, want %d", i, got, want)
+			if got := counter(names[i]) - before[i]; got != want {
+				t.Errorf("%s grew by %d, want %d", names[i], got, want)
 			}
 		}
 	})
 }
 
-func counter(m *expvar.Map) int64 {
-	if v, ok := m.Get("p/counted").(*expvar.Int); ok {
+func counter(name string) int64 {
+	if v, ok := expvar.Get(name).(*expvar.Map).Get("p/counted").(*expvar.Int); ok {
 		return v.Value()
 	}
 	return 0
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -201,6 +201,7 @@
 			return fmt.Errorf("begin stream to caller: %w", err)
 		}
 	}
+	r.eventForwarded()
 	if e.id != "" {
 		r.last = e.id
 	}
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -73,11 +73,16 @@
 	// longest is the longest time that callers of a route wait, by route. One that
 	// waits for less was refused before: callers count from their first attempt.
 	longest map[string]time.Duration
+	// computed has the latest parts of prompts.
+	computed computedParts
 }
 
 // New returns a service without a configuration.
 func New(cfg Config) *Service {
-	return &Service{cfg: cfg, budgets: make(map[state.Service]*retry.Window), longest: make(map[string]time.Duration)}
+	return &Service{
+		cfg: cfg, budgets: make(map[state.Service]*retry.Window), longest: make(map[string]time.Duration),
+		computed: computedParts{Limit: maxParts},
+	}
 }
 
 // SetConfiguration puts a configuration into effect unless a newer one is, and
@@ -139,7 +144,10 @@
 	arrived  time.Time
 	deadline time.Time
 
+	policy     string        // that chose the last target, empty for none
 	firstAfter time.Duration // from arrived to the start of the response
+	lastEvent  time.Time
+	longestGap time.Duration // between events
 
 	runs    int    // attempts that may have run
 	begun   bool   // a stream was begun to the caller
@@ -257,6 +265,7 @@
 			r.unplaced(ctx, err)
 			return
 		}
+		r.policy = grant.Policy
 		r.logChosen(grant)
 		next := r.attempt(ctx, grant)
 		if !next {
@@ -331,6 +340,7 @@
 	r.service.cfg.Scheduler.Release(g, outcome)
 	r.lastErr = err
 	if err == nil {
+		r.countAttempt(g, true)
 		return false
 	}
 	return r.after(ctx, g, outcome, err)
@@ -338,11 +348,14 @@
 
 // after decides what follows an attempt that did not answer the caller.
 func (r *request) after(ctx context.Context, g *dispatch.Grant, outcome dispatch.Outcome, err error) (next bool) {
+	mayHaveRun := outcome != dispatch.Unreachable && outcome != dispatch.Rejected && outcome != dispatch.Gone
+	if mayHaveRun {
+		r.countAttempt(g, false)
+	}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimeUp) {
 		r.callerLeft()
 		return false
 	}
-	mayHaveRun := outcome != dispatch.Unreachable && outcome != dispatch.Rejected && outcome != dispatch.Gone
 	if mayHaveRun {
 		r.runs++
 	}
--- a/internal/ctl/bundlecmd/bundlecmd.go
+++ b/internal/ctl/bundlecmd/bundlecmd.go
@@ -3,7 +3,6 @@
 package bundlecmd
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,13 +13,14 @@
 	"slices"
 	"time"
 
-	"github.com/tailscale/hujson"
-
 	"github.com/cassiaramp/cassiaramp/internal/coordination/bundle"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/logstream"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/placement"
+	"github.com/cassiaramp/cassiaramp/internal/jsonfile"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/platform"
+	usersplatform "github.com/cassiaramp/cassiaramp/platform"
 )
 
 // Exit codes. They are stable.
@@ -95,54 +95,81 @@
 	return enc.Encode(result)
 }
 
-// logFlags say where the log is and who may sign the first bundle.
+// logFlags say where bundles are kept and who signs them.
 type logFlags struct {
-	Log     string        `arg:"--log,required,env:CASSIARAMP_LOG" placeholder:"URL" help:"log service, for example http://127.0.0.1:7070"`
+	Log     string        `arg:"--log,env:CASSIARAMP_LOG" placeholder:"URL" help:"log service, for example http://127.0.0.1:7070"`
+	Store   string        `arg:"--store,env:CASSIARAMP_STORE" placeholder:"IP:PORT" help:"the users' platform's store, instead of --log"`
 	Signers string        `arg:"--signers,required,env:CASSIARAMP_SIGNERS" placeholder:"FILE" help:"initial signers as in the daemon's settings"`
 	Timeout time.Duration `arg:"--timeout" default:"15s" help:"time limit of the command"`
 }
 
-// open returns the log, the initial signers, and ctx with the time limit.
-func (f logFlags) open(ctx context.Context) (logstream.Log, state.Signers, context.Context, context.CancelFunc, error) {
-	var signers state.Signers
-	if err := readStrict(f.Signers, &signers); err != nil {
-		return nil, signers, nil, nil, err
+// place is where bundles are kept: exactly one of log and register is set.
+type place struct {
+	log      logstream.Log
+	register bundle.Register
+	signers  state.Signers
+}
+
+// open returns the place, and ctx with the time limit.
+func (f logFlags) open(ctx context.Context) (place, context.Context, context.CancelFunc, error) {
+	var p place
+	if (f.Log == "") == (f.Store == "") {
+		return p, nil, nil, &ExitError{Code: ExitUsage, Err: errors.New("one of --log and --store is needed")}
 	}
-	log, err := platform.NewLog(f.Log)
-	if err != nil {
-		return nil, signers, nil, nil, &ExitError{Code: ExitUsage, Err: err}
+	if err := readStrict(f.Signers, &p.signers); err != nil {
+		return p, nil, nil, err
+	}
+	if f.Store != "" {
+		p.register = usersplatform.Bundles{Store: usersplatform.NewStore(f.Store)}
+	} else {
+		log, err := platform.NewLog(f.Log)
+		if err != nil {
+			return p, nil, nil, &ExitError{Code: ExitUsage, Err: err}
+		}
+		p.log = log
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
-	return log, signers, ctx, cancel, nil
+	return p, ctx, cancel, nil
 }
 
 // view folds the retained stream.
 func (f logFlags) view(ctx context.Context) (*bundle.View, error) {
-	log, signers, ctx, cancel, err := f.open(ctx)
+	p, ctx, cancel, err := f.open(ctx)
 	if err != nil {
 		return nil, err
 	}
 	defer cancel()
-	return bundle.ReadView(ctx, log, signers)
+	if p.log == nil {
+		return nil, &ExitError{Code: ExitUsage, Err: errors.New("the store keeps the newest bundle only; --log is needed")}
+	}
+	return bundle.ReadView(ctx, p.log, p.signers)
 }
 
-// readStrict reads a file of JSON with comments into v. Unknown fields are
-// errors, since they are usually misspelled.
-func readStrict(path string, v any) error {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return err
+// head returns the bundle in effect, nil for none.
+func (f logFlags) head(ctx context.Context) (*bundle.Accepted, error) {
+	if f.Store == "" {
+		view, err := f.view(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return view.Fold.Head(), nil
 	}
-	std, err := hujson.Standardize(raw)
+	p, ctx, cancel, err := f.open(ctx)
 	if err != nil {
-		return &ExitError{Code: ExitInvalid, Err: fmt.Errorf("%s: %w", path, err)}
+		return nil, err
 	}
-	dec := json.NewDecoder(bytes.NewReader(std))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		return &ExitError{Code: ExitInvalid, Err: fmt.Errorf("%s: %w", path, err)}
+	defer cancel()
+	head, _, err := bundle.ReadRegister(ctx, p.register, p.signers)
+	return head, err
+}
+
+// readStrict reads a file of JSON with comments into v.
+func readStrict(path string, v any) error {
+	err := jsonfile.Read(path, v)
+	if errors.Is(err, jsonfile.ErrInvalid) {
+		return &ExitError{Code: ExitInvalid, Err: err}
 	}
-	return nil
+	return err
 }
 
 // readDocument reads a bundle file and returns its canonical document.
@@ -167,6 +194,10 @@
 // checkPolicies reports every policy that entries could not build. They would
 // keep their earlier policies although the bundle is accepted.
 func checkPolicies(b *state.Bundle) error {
+	if b.Admission != nil {
+		_, err := dispatch.NewPolicies(*b.Admission, b.Policies, b.Split)
+		return err
+	}
 	var errs []error
 	for _, name := range slices.Sorted(maps.Keys(b.Policies)) {
 		if err := placement.CheckPolicy(name, b.Policies[name]); err != nil {
--- a/internal/ctl/bundlecmd/edit.go
+++ b/internal/ctl/bundlecmd/edit.go
@@ -19,6 +19,7 @@
 	Anchor   bool   `arg:"--anchor" help:"write a bundle without base, for the first publication or after the log forgot everything; needs --template"`
 	Version  uint64 `arg:"--version" default:"1" help:"version of an anchor; higher than any version ever in effect"`
 	Log      string `arg:"--log,env:CASSIARAMP_LOG" placeholder:"URL" help:"log service; not needed for an anchor"`
+	Store    string `arg:"--store,env:CASSIARAMP_STORE" placeholder:"IP:PORT" help:"the users' platform's store, instead of --log"`
 	Signers  string `arg:"--signers,env:CASSIARAMP_SIGNERS" placeholder:"FILE" help:"initial signers; not needed for an anchor"`
 	output
 }
@@ -68,14 +69,13 @@
 		b.Version, b.Base = c.Version, ""
 		return b, nil
 	}
-	if c.Log == "" || c.Signers == "" {
-		return nil, &ExitError{Code: ExitUsage, Err: errors.New("--log and --signers are needed unless --anchor is given")}
+	if c.Signers == "" {
+		return nil, &ExitError{Code: ExitUsage, Err: errors.New("--signers is needed unless --anchor is given")}
 	}
-	view, err := logFlags{Log: c.Log, Signers: c.Signers, Timeout: defaultTimeout}.view(ctx)
+	head, err := logFlags{Log: c.Log, Store: c.Store, Signers: c.Signers, Timeout: defaultTimeout}.head(ctx)
 	if err != nil {
 		return nil, err
 	}
-	head := view.Fold.Head()
 	if head == nil {
 		return nil, noBundle()
 	}
--- a/internal/ctl/bundlecmd/publish.go
+++ b/internal/ctl/bundlecmd/publish.go
@@ -39,12 +39,17 @@
 	if err != nil {
 		return err
 	}
-	log, signers, ctx, cancel, err := c.open(ctx)
+	to, ctx, cancel, err := c.open(ctx)
 	if err != nil {
 		return err
 	}
 	defer cancel()
-	p := bundle.Publish(ctx, log, signers, document, signatures)
+	var p bundle.Published
+	if to.register != nil {
+		p = bundle.PublishNewest(ctx, to.register, to.signers, document, signatures)
+	} else {
+		p = bundle.Publish(ctx, to.log, to.signers, document, signatures)
+	}
 	result := publishResult{Outcome: p.Outcome, Bundle: p.ID, Version: p.Version}
 	if p.Appended {
 		result.Offset = &p.Offset
@@ -110,6 +115,9 @@
 
 // Run prints the bundle in effect.
 func (c *Status) Run(ctx context.Context, out io.Writer) error {
+	if c.Store != "" {
+		return c.runStore(ctx, out)
+	}
 	view, err := c.view(ctx)
 	if err != nil {
 		return err
@@ -118,11 +126,33 @@
 	if head == nil {
 		return noBundle()
 	}
+	r := statusOf(head)
+	r.First, r.End = view.First, view.Next
+	return c.show(out, r)
+}
+
+// runStore prints the bundle that the users' platform's store holds.
+func (c *Status) runStore(ctx context.Context, out io.Writer) error {
+	head, err := c.head(ctx)
+	if err != nil {
+		return err
+	}
+	if head == nil {
+		return noBundle()
+	}
+	return c.show(out, statusOf(head))
+}
+
+func statusOf(head *bundle.Accepted) statusResult {
 	r := statusResult{Version: head.Version, Bundle: head.ID, Base: head.Bundle.Base, Note: head.Bundle.Note,
-		Offset: head.Offset, Signers: []string{}, Required: head.Bundle.Signers.Required, First: view.First, End: view.Next}
+		Offset: head.Offset, Signers: []string{}, Required: head.Bundle.Signers.Required}
 	for _, s := range head.Signatures {
 		r.Signers = append(r.Signers, s.Operator)
 	}
+	return r
+}
+
+func (c *Status) show(out io.Writer, r statusResult) error {
 	return c.write(out, r, func(w io.Writer) {
 		fmt.Fprintf(w, "version %d in effect\n  bundle    %s\n  base      %s\n  accepted  offset %d\n  signed by %s\n  note      %s\n",
 			r.Version, r.Bundle, orNone(r.Base), r.Offset, strings.Join(r.Signers, ", "), r.Note)
--- a/internal/ctl/comparecmd/command.go
+++ b/internal/ctl/comparecmd/command.go
@@ -19,8 +19,8 @@
 
 // Command holds the arguments of "cassiarampctl compare".
 type Command struct {
-	Policies []string      `arg:"positional,required" placeholder:"POLICY" help:"the two policies"`
-	Admin    []string      `arg:"--admin,separate,required" help:"admin URL of an entry; repeatable"`
+	Policies []string `arg:"positional,required" placeholder:"POLICY" help:"the two policies"`
+	vars.Processes
 	Duration time.Duration `arg:"--duration" default:"0s" help:"compare the traffic of this time; 0 for all since the entries started"`
 	JSON     bool          `arg:"--json" help:"print one JSON document"`
 }
@@ -60,10 +60,11 @@
 	if len(c.Policies) != 2 || c.Policies[0] == c.Policies[1] {
 		return errors.New("want two different policies")
 	}
-	if len(c.Admin) == 0 {
-		return errors.New("--admin: want at least one")
+	urls, err := c.URLs(ctx)
+	if err != nil {
+		return err
 	}
-	growth, err := c.growth(ctx)
+	growth, err := c.growth(ctx, urls)
 	if err != nil {
 		return err
 	}
@@ -78,10 +79,10 @@
 
 // growth reads the counters, over Duration when it is set. Every entry must
 // answer, because a missing one would bias the comparison.
-func (c *Command) growth(ctx context.Context) (vars.Traffic, error) {
+func (c *Command) growth(ctx context.Context, urls []string) (vars.Traffic, error) {
 	var earlier []vars.Reading
 	if c.Duration > 0 {
-		earlier = vars.Fetch(ctx, c.Admin)
+		earlier = vars.Fetch(ctx, urls)
 		if err := firstError(earlier); err != nil {
 			return vars.Traffic{}, err
 		}
@@ -91,7 +92,7 @@
 			return vars.Traffic{}, ctx.Err()
 		}
 	}
-	now := vars.Fetch(ctx, c.Admin)
+	now := vars.Fetch(ctx, urls)
 	return vars.Growth(now, earlier), firstError(now)
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -65,7 +65,7 @@
 	old := vars.Vars{BundleVersion: 3, Queue: vars.Counter{"2": 1}}
 	violated := vars.Vars{BundleVersion: 4, InvariantViolations: vars.Counter{"tier_order": 1}}
 
-	s, err := run[statuscmd.Status](t, &statuscmd.Command{Admin: []string{serve(t, entry), serve(t, side)}, JSON: true})
+	s, err := run[statuscmd.Status](t, &statuscmd.Command{Processes: vars.Processes{Admin: []string{serve(t, entry), serve(t, side)}}, JSON: true})
 	if err != nil || s.BundleVersion != 4 {
 		t.Errorf("bundle version %d, error %v", s.BundleVersion, err)
 	}
@@ -81,7 +81,7 @@
 		"unreachable":   {serve(t, side), "http://127.0.0.1:1"},
 		"violation":     {serve(t, violated)},
 	} {
-		s, err := run[statuscmd.Status](t, &statuscmd.Command{Admin: urls, JSON: true})
+		s, err := run[statuscmd.Status](t, &statuscmd.Command{Processes: vars.Processes{Admin: urls}, JSON: true})
 		if !errors.Is(err, statuscmd.ErrUnhealthy) || len(s.Problems) != 1 {
 			t.Errorf("%s: error %v, problems %q", name, err, s.Problems)
 		}
@@ -103,7 +103,7 @@
 func TestWatch(t *testing.T) {
 	first, second := traffic(100, 90, 80, 10, 20), traffic(110, 98, 84, 10, 25)
 	restarted := traffic(7, 5, 5, 0, 0)
-	c := &watchcmd.Command{Admin: []string{serve(t, first, second), serve(t, first, restarted)}, Count: 1, Interval: time.Millisecond, JSON: true}
+	c := &watchcmd.Command{Processes: vars.Processes{Admin: []string{serve(t, first, second), serve(t, first, restarted)}}, Count: 1, Interval: time.Millisecond, JSON: true}
 	r, err := run[watchcmd.Refresh](t, c)
 	if err != nil {
 		t.Fatal(err)
@@ -120,7 +120,7 @@
 // before, or passes without traffic.
 func TestCompare(t *testing.T) {
 	url := serve(t, traffic(100, 90, 80, 10, 20), traffic(200, 140, 180, 10, 520))
-	c := &comparecmd.Command{Policies: []string{"a", "b"}, Admin: []string{url}, Duration: time.Millisecond, JSON: true}
+	c := &comparecmd.Command{Policies: []string{"a", "b"}, Processes: vars.Processes{Admin: []string{url}}, Duration: time.Millisecond, JSON: true}
 	got, err := run[comparecmd.Comparison](t, c)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/ctl/statuscmd/command.go
+++ b/internal/ctl/statuscmd/command.go
@@ -22,8 +22,8 @@
 
 // Command holds the arguments of "cassiarampctl status".
 type Command struct {
-	Admin []string `arg:"--admin,separate,required" help:"admin URL of a process; repeatable"`
-	JSON  bool     `arg:"--json" help:"print one JSON document"`
+	vars.Processes
+	JSON bool `arg:"--json" help:"print one JSON document"`
 }
 
 // Description is shown by --help.
@@ -68,10 +68,11 @@
 
 // Run prints the status. Its error wraps ErrUnhealthy when there are problems.
 func (c *Command) Run(ctx context.Context, out io.Writer) error {
-	if len(c.Admin) == 0 {
-		return errors.New("--admin: want at least one")
+	urls, err := c.URLs(ctx)
+	if err != nil {
+		return err
 	}
-	s := summarise(vars.Fetch(ctx, c.Admin))
+	s := summarise(vars.Fetch(ctx, urls))
 	if err := c.print(out, s); err != nil {
 		return err
 	}
--- a/internal/ctl/watchcmd/command.go
+++ b/internal/ctl/watchcmd/command.go
@@ -16,7 +16,7 @@
 
 // Command holds the arguments of "cassiarampctl watch".
 type Command struct {
-	Admin    []string      `arg:"--admin,separate,required" help:"admin URL of an entry; repeatable"`
+	vars.Processes
 	Count    int           `arg:"--count" default:"0" help:"stop after this many refreshes; 0 for never"`
 	Interval time.Duration `arg:"--interval" default:"1s" help:"time between refreshes"`
 	JSON     bool          `arg:"--json" help:"print one JSON document a line for each refresh"`
@@ -43,22 +43,23 @@
 // Run refreshes until ctx ends or Count is reached. A process that cannot be
 // read is reported and does not end the command.
 func (c *Command) Run(ctx context.Context, out io.Writer) error {
-	if len(c.Admin) == 0 {
-		return errors.New("--admin: want at least one")
+	urls, err := c.URLs(ctx)
+	if err != nil {
+		return err
 	}
 	if c.Interval <= 0 {
 		return errors.New("--interval: want more than 0")
 	}
 	ticker := time.NewTicker(c.Interval)
 	defer ticker.Stop()
-	earlier, at := vars.Fetch(ctx, c.Admin), time.Now()
+	earlier, at := vars.Fetch(ctx, urls), time.Now()
 	for n := 0; c.Count == 0 || n < c.Count; n++ {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
-		now, read := vars.Fetch(ctx, c.Admin), time.Now()
+		now, read := vars.Fetch(ctx, urls), time.Now()
 		if err := c.show(out, refresh(now, earlier, read.Sub(at))); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/daemon/bundles.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/bundle"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/registry"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/platform"
+)
+
+const (
+	// bundleWait is how long the store holds a read of the bundle.
+	bundleWait = 20 * time.Second
+	// bundlePause is the time between reads. A bundle is in effect everywhere some
+	// seconds after its publication.
+	bundlePause = time.Second
+	// bundleAskPause is the time between questions to other entries for their
+	// bundle, which may be one that this entry refuses.
+	bundleAskPause = time.Second
+)
+
+// followBundles reads the bundle from the store at the entries that also read the
+// list of targets. The others fetch it when a report names a higher version.
+func (c *control) followBundles(ctx context.Context) error {
+	topic := registry.Topic{Name: platform.BundleTopic, Wait: bundleWait, Interval: bundlePause, Skip: func() bool {
+		return c.p.mesh.LowerReaders(time.Now(), c.p.settings.Instance) >= listReaders
+	}}
+	return registry.Follow(ctx, c.p.store, topic, &topicHandler{control: c, name: platform.BundleTopic, apply: c.applyBundles})
+}
+
+func (c *control) applyBundles(_ time.Time, _ bool, records []registry.Record, _ uint64) {
+	for _, r := range records {
+		if r.Key != platform.BundleKey || len(r.Value) == 0 {
+			continue
+		}
+		accepted, err := c.p.rollout.OfferRecord(r.Value, r.Offset, c.p.putPolicies)
+		c.bundleOffered(accepted, "store", err)
+	}
+}
+
+// bundleReported has the bundle fetched when another entry has a newer one.
+func (c *control) bundleReported(from state.InstanceID, version uint64) {
+	if !c.p.followsBundles || version <= c.p.rollout.Version() {
+		return
+	}
+	now := time.Now()
+	c.mu.Lock()
+	due := now.Sub(c.bundleAsked) > bundleAskPause
+	if due {
+		c.bundleAsked = now
+	}
+	c.mu.Unlock()
+	if due {
+		c.askFor(from)
+	}
+}
+
+func (c *control) bundleOffered(accepted *bundle.Accepted, source string, err error) {
+	switch {
+	case err != nil:
+		c.p.counters.Add("bundle_refused")
+		c.p.log.Error("bundle refused", zap.String("source", source), zap.Error(err))
+	case accepted != nil:
+		c.p.log.Info("bundle in effect", zap.Uint64("version", accepted.Version), zap.String("bundle", string(accepted.ID)),
+			zap.String("source", source), zap.String("note", accepted.Bundle.Note))
+	}
+}
+
+// putPolicies puts the policies of a bundle into effect.
+func (p *gatewayProcess) putPolicies(b *state.Bundle) error {
+	if b.Admission == nil {
+		return errors.New("admission is missing")
+	}
+	policies, err := dispatch.NewPolicies(*b.Admission, b.Policies, b.Split)
+	if err != nil {
+		return err
+	}
+	p.scheduler.SetPolicies(policies)
+	return nil
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -56,17 +56,18 @@
 	list   *membership.List // owned by the goroutine
 	stored map[string]*dependency
 
-	fetchNow  chan state.InstanceID // the entry to ask first
-	mu        sync.Mutex
-	fresh     time.Time            // when the list of targets was known to be current
-	read      time.Time            // when it was last read from the store here
-	next      uint64               // offset in the topic up to which the list is complete
-	adopted   bool                 // the list came from another entry since the last read
-	hash      uint64               // of the published list
-	published []state.TargetRecord // never changed in place
-	change    *mesh.ListChange     // the last one that was published
-	changedAt time.Time
-	settling  bool // removals are pending after an outage
+	fetchNow    chan state.InstanceID // the entry to ask first
+	mu          sync.Mutex
+	fresh       time.Time            // when the list of targets was known to be current
+	read        time.Time            // when it was last read from the store here
+	next        uint64               // offset in the topic up to which the list is complete
+	adopted     bool                 // the list came from another entry since the last read
+	hash        uint64               // of the published list
+	published   []state.TargetRecord // never changed in place
+	change      *mesh.ListChange     // the last one that was published
+	changedAt   time.Time
+	bundleAsked time.Time // when another entry was last asked for its bundle
+	settling    bool      // removals are pending after an outage
 }
 
 // dependency is the state of one topic at the store.
@@ -92,14 +93,18 @@
 func (c *control) snapshot() mesh.Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return mesh.Snapshot{
+	s := mesh.Snapshot{
 		Configuration: c.p.gateway.Configuration(), Targets: c.published, ListHash: c.hash, ListNext: c.next, Age: time.Since(c.fresh),
 	}
+	if b := c.p.rollout.Current(); b != nil {
+		s.Bundle = &b.AcceptedBundle
+	}
+	return s
 }
 
 // have is what a fetched snapshot need not repeat.
 func (c *control) have() mesh.Have {
-	h := mesh.Have{}
+	h := mesh.Have{Bundle: c.p.rollout.Version()}
 	if config := c.p.gateway.Configuration(); config != nil {
 		h.Version = config.Version
 	}
@@ -124,6 +129,9 @@
 		return registry.Follow(ctx, c.p.store, registry.Topic{Name: platform.TargetTopic, Interval: targetInterval, Skip: c.skipRead, Resume: c.resume},
 			&topicHandler{control: c, name: platform.TargetTopic, apply: c.applyTargets})
 	})
+	if c.p.followsBundles {
+		group.Go(func() error { return c.followBundles(ctx) })
+	}
 	group.Go(func() error { return c.fetch(ctx) })
 	return group.Wait()
 }
@@ -536,6 +544,10 @@
 	if s.Configuration != nil {
 		c.setConfiguration(s.Configuration, from.String())
 	}
+	if s.Bundle != nil {
+		accepted, err := c.p.rollout.Offer(*s.Bundle, c.p.putPolicies)
+		c.bundleOffered(accepted, from.String(), err)
+	}
 	at := now.Add(-s.Age - wayTime)
 	c.mu.Lock()
 	newer := at.After(c.fresh) && s.ListNext >= c.next
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/bundle"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/mesh"
@@ -24,7 +25,7 @@
 // fresh: each hop hides the time on the way (found on trouble-1 of
 // tbl-plan-grown: DRAIN 4,284 ms after a target had left).
 func TestListLearnedFromOthersIsNotPassedOn(t *testing.T) {
-	c := newControl(&gatewayProcess{})
+	c := newControl(&gatewayProcess{rollout: bundle.NewRollout(state.Signers{})})
 	now := time.Now()
 	c.hash = 7
 	c.listReported(&mesh.Message{Instance: "reader", ListAge: 10, ListHash: 7})
@@ -50,7 +51,7 @@
 
 // Guards against a fetch from an entry that does not know more.
 func TestDifferentFresherListIsFetched(t *testing.T) {
-	c := newControl(&gatewayProcess{})
+	c := newControl(&gatewayProcess{rollout: bundle.NewRollout(state.Signers{})})
 	c.hash, c.fresh = 7, time.Now()
 	c.listReported(&mesh.Message{Instance: "old", ListAge: 5000, ListHash: 8})
 	select {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,14 +87,19 @@
 	running, p.finish = context.WithCancel(context.WithoutCancel(ctx))
 	p.group, p.running = errgroup.WithContext(running)
 	p.background(p.bundles.Run)
-	expvar.Publish("bundle_version", expvar.Func(func() any { return p.bundles.Accepted() }))
+	publishProcess(s.Instance, string(s.Role), s.FailureDomain, p.incarnation, p.bundles.Accepted)
+	return p, nil
+}
+
+// publishProcess publishes what operators ask of every process.
+func publishProcess(instance state.InstanceID, role string, domain state.FailureDomain, incarnation state.Incarnation, bundleVersion func() uint64) {
+	expvar.Publish("bundle_version", expvar.Func(func() any { return bundleVersion() }))
 	expvar.Publish("process", expvar.Func(func() any {
 		return map[string]any{
-			"instance": s.Instance, "role": s.Role, "failure_domain": s.FailureDomain,
-			"incarnation": fmt.Sprintf("%x", uint64(p.incarnation)),
+			"instance": instance, "role": role, "failure_domain": domain,
+			"incarnation": fmt.Sprintf("%x", uint64(incarnation)),
 		}
 	}))
-	return p, nil
 }
 
 // serveAdmin serves the operators' endpoint until the process ends.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/bundle"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
@@ -29,8 +30,6 @@
 )
 
 const (
-	// MetricsPort is where an entry on the platform serves its metrics.
-	MetricsPort = 9090
 	// stopMargin is the part of the grace period that is kept for the end of the
 	// process.
 	stopMargin = 500 * time.Millisecond
@@ -55,24 +54,29 @@
 	targets     *upstream.Client
 	mesh        *mesh.Mesh
 	control     *control
-	counters    *gateway.Counters
-	callers     *callers.Server
-	stopping    atomic.Bool
-	greetNext   atomic.Bool // an entry was heard for the first time
-	listChanged atomic.Bool // the list of targets has changed at a reader of it
+	rollout     *bundle.Rollout
+	// followsBundles says that there are operators who may sign bundles.
+	followsBundles bool
+	counters       *gateway.Counters
+	callers        *callers.Server
+	stopping       atomic.Bool
+	greetNext      atomic.Bool // an entry was heard for the first time
+	listChanged    atomic.Bool // the list of targets has changed at a reader of it
 	// startedHeard is when that was last, in Unix nanoseconds.
 	startedHeard atomic.Int64
 }
 
 // RunGateway runs an entry on the users' platform until ctx ends, which asks for a
-// planned stop. It returns nil after one.
-func RunGateway(ctx context.Context, s *platform.Settings, log *logging.Bounded) error {
+// planned stop. It returns nil after one. signers are the operators whose bundles
+// are put into effect; without any, the policies shipped stay in effect.
+func RunGateway(ctx context.Context, s *platform.Settings, signers state.Signers, log *logging.Bounded) error {
 	if !s.Callers.IsValid() || !s.Readiness.IsValid() || !s.Store.IsValid() {
 		return errors.New("settings: an entry needs the addresses for callers, for readiness and of the store")
 	}
 	p := &gatewayProcess{
 		settings: s, log: log.Process, incarnation: state.NewIncarnation(), store: platform.NewStore(s.Store.String()),
-		targets: upstream.New(), counters: gateway.NewCounters(true),
+		targets: upstream.New(), counters: gateway.NewCounters(true), rollout: bundle.NewRollout(signers),
+		followsBundles: len(signers.Keys) > 0,
 	}
 	p.quota = quota.New(quota.Config{
 		Window: s.Bounds.QuotaWindow, Restart: !s.FirstStart, Slack: s.Bounds.QuotaSlack * slackUse / (2 * fewestSharers),
@@ -178,6 +182,9 @@
 
 // serveMetrics serves the counters. An entry serves callers without them.
 func (p *gatewayProcess) serveMetrics(ctx context.Context) error {
+	publishProcess(p.settings.Instance, "entry", p.settings.Domain, p.incarnation, p.rollout.Version)
+	expvar.Publish("targets", expvar.Func(func() any { return p.scheduler.Summaries() }))
+	expvar.Publish("queue", expvar.Func(func() any { return p.scheduler.WaitingByRank() }))
 	expvar.Publish("configuration_version", expvar.Func(func() any {
 		if c := p.gateway.Configuration(); c != nil {
 			return c.Version
@@ -188,7 +195,7 @@
 	expvar.Publish("requests_open", expvar.Func(func() any { return p.callers.Open() }))
 	expvar.Publish("targets_listed", expvar.Func(func() any { return p.control.targetCount() }))
 	expvar.Publish("entries_heard", expvar.Func(func() any { return p.mesh.Peers(time.Now()) }))
-	ln, err := net.Listen("tcp4", netip.AddrPortFrom(p.settings.IP, MetricsPort).String())
+	ln, err := net.Listen("tcp4", netip.AddrPortFrom(p.settings.IP, platform.MetricsPort).String())
 	if err != nil {
 		p.log.Error("metrics are not served", zap.Error(err))
 		return nil
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -30,9 +30,10 @@
 	// greetCost for each entry is the least time between reports to all, so that a
 	// start of hundreds of entries does not fill their links.
 	greetCost = time.Millisecond
-	// levelsTime is how long after an entry started reports carry the levels of the
-	// allowances, of which it knows nothing. It covers some lost reports.
-	levelsTime = 4 * time.Second
+	// newcomerTime is how long after an entry started reports carry the levels of
+	// the allowances and many addresses, of which it knows nothing. It covers some
+	// lost reports.
+	newcomerTime = 4 * time.Second
 	// usedTime is how long reports to all name a customer after its use has changed.
 	// It covers some lost reports.
 	usedTime = 4 * time.Second
@@ -64,6 +65,7 @@
 	p.quota.Report(now, m.Instance, m.Incarnation, m.Used, m.Complete)
 	p.scheduler.SetReport(m.Instance, m.Report())
 	p.control.listReported(m)
+	p.control.bundleReported(m.Instance, m.Bundle)
 }
 
 func (p *gatewayProcess) malformed(from netip.AddrPort, err error) {
@@ -101,11 +103,16 @@
 		m.Sequence = sequence
 		sent = now
 		var far *mesh.Message
+		naming := mesh.FewNamed
 		if greet {
 			greeted = now
-			far = p.farReport(m, now)
+			newcomers := now.Sub(time.Unix(0, p.startedHeard.Load())) < newcomerTime
+			far = p.farReport(m, now, newcomers)
+			if newcomers {
+				naming = mesh.ManyNamed
+			}
 		}
-		if err := p.mesh.Send(now, m, far); err != nil {
+		if err := p.mesh.Send(now, m, far, naming); err != nil {
 			p.counters.Add("report_not_sent")
 			p.log.Debug("report not sent", zap.Error(err))
 		}
@@ -132,7 +139,7 @@
 	r := p.scheduler.Report(false)
 	m := &mesh.Message{
 		Instance: p.settings.Instance, Incarnation: p.incarnation, Open: r.Open, Prefill: r.Prefill, Waiting: r.Waiting,
-		Used: p.quota.Used(since), Next: int(quietInterval.Milliseconds()),
+		Used: p.quota.Used(since), Next: int(quietInterval.Milliseconds()), Bundle: p.rollout.Version(),
 	}
 	p.control.tellList(time.Now(), m)
 	if c := p.gateway.Configuration(); c != nil {
@@ -141,10 +148,10 @@
 	return m
 }
 
-// farReport returns what all other entries are told, along with the near report m,
-// and adds to both what entries that have just started need.
-func (p *gatewayProcess) farReport(m *mesh.Message, now time.Time) *mesh.Message {
-	if now.Sub(time.Unix(0, p.startedHeard.Load())) < levelsTime {
+// farReport returns what all other entries are told, along with the near report m.
+// With newcomers, it adds to both what entries that have just started need.
+func (p *gatewayProcess) farReport(m *mesh.Message, now time.Time, newcomers bool) *mesh.Message {
+	if newcomers {
 		m.Levels = p.quota.Levels(now)
 		m.Used, m.Complete = p.quota.Used(time.Time{}), true
 	} else {
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -59,11 +59,19 @@
 	s.append(name, append(content, value...))
 }
 
-func (s *Store) append(name string, content []byte) uint64 {
+func (s *Store) append(name string, content []byte) {
+	s.appendAt(name, "", content)
+}
+
+// appendAt appends unless at is given and is not the offset of the record.
+func (s *Store) appendAt(name, at string, content []byte) (offset uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
-	offset := t.first + uint64(len(t.records))
+	offset = t.first + uint64(len(t.records))
+	if at != "" && at != strconv.FormatUint(offset, 10) {
+		return offset, false
+	}
 	t.records = append(t.records, content)
 	key, value := string(content[1:1+content[0]]), content[1+content[0]:]
 	if len(value) == 0 {
@@ -73,7 +81,7 @@
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return offset
+	return offset, true
 }
 
 // Trim forgets all records but the newest of each key.
@@ -177,7 +185,11 @@
 		http.Error(w, "malformed", http.StatusBadRequest)
 		return
 	}
-	offset := s.append(r.URL.Query().Get("Topic"), b[4:4+binary.BigEndian.Uint32(b)])
+	offset, ok := s.appendAt(r.URL.Query().Get("Topic"), r.URL.Query().Get("At"), b[4:4+binary.BigEndian.Uint32(b)])
+	if !ok {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
 	if s.Lost.Load() {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -6,7 +6,7 @@
 // proxy; processes stopped, paused, killed and restarted; targets that lose, tear
 // or double responses, fail, drain, crash and start again under their name; a
 // store that is down, slow, loses acknowledgements or forgets its history; new
-// configurations. The time of day cannot be changed here without privileges.
+// configurations and bundles. The time of day cannot be changed here without privileges.
 package faultsoak
 
 import (
@@ -65,13 +65,20 @@
 // a request, and the pauses after which ejected targets are probed.
 const quietTime = 4 * time.Second
 
+// bundlesInFaults is the number of bundles published while faults go on.
+const bundlesInFaults = 3
+
 func soak(t *testing.T, binary string, seed uint64, duration time.Duration) {
 	w := newWorld(t, binary, seed)
 	defer w.close()
 	w.waitReady(10 * time.Second)
 	stopLoad := w.startLoad()
-	end := time.Now().Add(duration)
-	for time.Now().Before(end) {
+	begin := time.Now()
+	for published := 0; time.Since(begin) < duration; {
+		if time.Since(begin) >= time.Duration(published)*duration/bundlesInFaults {
+			w.publish()
+			published++
+		}
 		w.fault()
 		time.Sleep(time.Duration(50+w.random.IntN(400)) * time.Millisecond)
 	}
@@ -80,6 +87,7 @@
 	stopLoad()
 	w.waitReady(10 * time.Second)
 	w.checkRecovered()
+	w.checkBundles()
 	w.checkLedger()
 	t.Logf("seed %d: %d requests: %v; faults: %v", seed, len(w.results), w.tally(), w.faults)
 }
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -48,9 +48,12 @@
 	ledger  *emulator.Ledger
 	entries []*entry
 	engines []*engine
-	version int
-	faults  map[string]int
-	cleanup []func()
+	rollout *rollout
+	// storeAddress reaches the store without a proxy.
+	storeAddress string
+	version      int
+	faults       map[string]int
+	cleanup      []func()
 
 	mu      sync.Mutex
 	results []result
@@ -69,13 +72,14 @@
 		t: t, binary: binary, random: newRandom(seed), logs: logDir(t, seed), store: emulator.NewStore(),
 		ledger: emulator.NewLedger(), faults: make(map[string]int),
 	}
-	storeAddress := w.listen("127.0.0.1:0", func(ln net.Listener) { w.store.Serve(ln) })
+	w.storeAddress = w.listen("127.0.0.1:0", func(ln net.Listener) { w.store.Serve(ln) })
+	w.newRollout()
 	for i := range 6 {
 		w.addEngine(fmt.Sprintf("engine-%d", i), i < 3)
 	}
 	w.configure()
 	for i := range *entriesFlag {
-		w.addEntry(i, storeAddress)
+		w.addEntry(i, w.storeAddress)
 	}
 	go w.beat()
 	return w
@@ -177,7 +181,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	cmd := exec.Command(w.binary, "--platform")
+	cmd := exec.Command(w.binary, "--platform", "--signers", w.rollout.file)
 	cmd.Env = append(os.Environ(), "CASSIARAMP_BOOT="+e.boot)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
--- /dev/null
+++ b/internal/jsonfile/jsonfile.go
@@ -0,0 +1,34 @@
+// Package jsonfile reads files of JSON with comments.
+package jsonfile
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/tailscale/hujson"
+)
+
+// ErrInvalid is wrapped by errors about the content of a file.
+var ErrInvalid = errors.New("invalid content")
+
+// Read reads a file into v. Unknown fields are errors, since they are usually
+// misspelled. The error wraps ErrInvalid unless the file could not be read.
+func Read(path string, v any) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	std, err := hujson.Standardize(raw)
+	if err != nil {
+		return fmt.Errorf("%s: %w: %w", path, ErrInvalid, err)
+	}
+	dec := json.NewDecoder(bytes.NewReader(std))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return fmt.Errorf("%s: %w: %w", path, ErrInvalid, err)
+	}
+	return nil
+}
--- a/internal/state/bundle.go
+++ b/internal/state/bundle.go
@@ -57,6 +57,10 @@
 	Queue QueuePolicy `json:"queue"`
 	// Retry bounds retries at each entry.
 	Retry RetryPolicy `json:"retry"`
+	// Admission, if present, makes this the bundle of a deployment whose entries
+	// send straight to targets. Tiers, customers, services and targets then come
+	// from elsewhere, and only Signers, Policies and Split are used besides.
+	Admission *AdmissionPolicy `json:"admission,omitempty"`
 	// Placement says which models each engine holds and in which role.
 	Placement []TargetPlacement `json:"placement,omitempty"`
 	// WeightStore limits how fast targets load model weights.
@@ -147,6 +151,21 @@
 	TokenGap  Duration `json:"token_gap"`  // 95th percentile of the gap between tokens that the window aims at
 }
 
+// AdmissionPolicy says when an entry that sends straight to targets refuses.
+type AdmissionPolicy struct {
+	// RefuseShare is the share of a route's objective that a predicted wait may
+	// take; a request that would wait for longer is refused at once.
+	RefuseShare float64 `json:"refuse_share"`
+	// QueuedRequests is how many requests beyond its slots may be at a target, so
+	// that a slot is taken again at once when it becomes free.
+	QueuedRequests int `json:"queued_requests"`
+	// MinRetryAfter is the shortest time after which a refused request is asked to
+	// come back, and RetrySpread the random part added to that time, as a share of
+	// it.
+	MinRetryAfter Duration `json:"min_retry_after"`
+	RetrySpread   float64  `json:"retry_spread"`
+}
+
 // RetryPolicy bounds retries of work that may have run.
 type RetryPolicy struct {
 	BudgetRatio float64  `json:"budget_ratio"` // retries earned by each first attempt
@@ -213,10 +232,14 @@
 func (b *Bundle) Validate() error {
 	v := &bundleValidator{bundle: b}
 	v.signers()
+	v.policies()
+	if b.Admission != nil {
+		v.admission(b.Admission)
+		return errors.Join(v.errs...)
+	}
 	v.tiers()
 	v.customers()
 	v.services()
-	v.policies()
 	v.bounds()
 	return errors.Join(v.errs...)
 }
@@ -301,6 +324,25 @@
 	}
 }
 
+// Bounds of AdmissionPolicy. Beyond them an entry would hold requests until they
+// are late, or flood targets and callers.
+const (
+	maxRefuseShare    = 2.0
+	maxQueuedRequests = 8
+	maxMinRetryAfter  = 10 * time.Second
+	maxRetrySpread    = 4.0
+)
+
+func (v *bundleValidator) admission(a *AdmissionPolicy) {
+	v.check(a.RefuseShare > 0 && a.RefuseShare <= maxRefuseShare, "admission.refuse_share: %g, want more than 0 and up to %g", a.RefuseShare, maxRefuseShare)
+	v.check(a.QueuedRequests >= 0 && a.QueuedRequests <= maxQueuedRequests, "admission.queued_requests: %d, want 0 to %d", a.QueuedRequests, maxQueuedRequests)
+	v.check(a.MinRetryAfter > 0 && a.MinRetryAfter.Std() <= maxMinRetryAfter, "admission.min_retry_after: %s, want more than 0 and up to %s", a.MinRetryAfter.Std(), maxMinRetryAfter)
+	v.check(a.RetrySpread >= 0 && a.RetrySpread <= maxRetrySpread, "admission.retry_spread: %g, want 0 to %g", a.RetrySpread, maxRetrySpread)
+	b := v.bundle
+	v.check(len(b.Tiers) == 0 && len(b.Customers) == 0 && len(b.Services) == 0 && len(b.Placement) == 0,
+		"admission: tiers, customers, services and placement come from elsewhere where entries send straight to targets")
+}
+
 func (v *bundleValidator) bounds() {
 	b := v.bundle
 	v.check(b.Queue.MaxCount >= 1 && b.Queue.MaxTokens >= 1 && b.Queue.MaxWindow >= 1, "queue: max_count, max_tokens and max_window must be positive")
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -126,6 +126,8 @@
 	PromptTokens int
 	OutputTokens int
 	HasTokens    bool
+	// Prompt lists the parts of the prompt in order, as far as the caller names them.
+	Prompt []PromptPart
 	// LikelyOutput is the caller's estimate of the output tokens, 0 when not
 	// stated.
 	LikelyOutput int
@@ -134,6 +136,12 @@
 	ResumeAfter string
 }
 
+// PromptPart is a part of a prompt, which other prompts may share.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
 // Field is one header field.
 type Field struct{ Name, Value string }
 
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -10,16 +10,13 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"net"
 	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -39,13 +36,6 @@
 	// silentAfter is the time without a report after which others do an entry's
 	// duties.
 	silentAfter = 1200 * time.Millisecond
-	// snapshotTimeout bounds a fetch of a snapshot.
-	snapshotTimeout = time.Second
-	maxSnapshot     = 16 << 20 // bytes
-	snapshotPath    = "/snapshot"
-	// The fields of Have, as parameters.
-	versionParameter = "version"
-	hashParameter    = "list"
 )
 
 // Message is a report of one entry.
@@ -74,6 +64,8 @@
 	ListNext uint64 `cbor:"16,keyasint,omitempty"`
 	// Change is the last one of the list, while others may not have it yet.
 	Change *ListChange `cbor:"14,keyasint,omitempty"`
+	// Bundle is the version of the bundle in effect, 0 for none.
+	Bundle uint64 `cbor:"18,keyasint,omitempty"`
 	// Next is the time in milliseconds after which the next report to this receiver
 	// follows at the latest.
 	Next int `cbor:"15,keyasint,omitempty"`
@@ -100,24 +92,6 @@
 	}
 }
 
-// Snapshot is what an entry knows from the platform's store.
-type Snapshot struct {
-	// Configuration is nil when the asking entry has it or a newer one.
-	Configuration *state.Configuration
-	// Targets is nil when the asking entry has the same list.
-	Targets  []state.TargetRecord
-	ListHash uint64 // as in Message
-	ListNext uint64 // as in Message
-	// Age is the time since the list was known to be current.
-	Age time.Duration
-}
-
-// Have is what an entry that asks for a snapshot has.
-type Have struct {
-	Version  int64  // of the configuration in effect, 0 for none
-	ListHash uint64 // of its list of targets
-}
-
 // Mesh is this entry's end. It is safe for concurrent use.
 type Mesh struct {
 	self  netip.AddrPort
@@ -125,6 +99,8 @@
 	http  *http.Client
 	serve func() Snapshot
 
+	encoded snapshots
+
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
 	known map[netip.AddrPort]*silent // addresses that were named but not heard
@@ -256,13 +232,18 @@
 	}
 }
 
-// maxNamed is the number of other entries that a report names, so that a report to
-// hundreds of entries stays small. They are drawn at random each time.
-const maxNamed = 32
+// The number of other entries that a report names: many while entries have started
+// lately and look for others, few otherwise, so that a report to hundreds of
+// entries stays small. They are drawn at random each time.
+const (
+	ManyNamed = 32
+	FewNamed  = 4
+)
 
 // Send sends a report to the near entries, and another one, far, unless it is nil,
-// to all others, also to those that were only named. Both then name entries.
-func (m *Mesh) Send(now time.Time, near, far *Message) error {
+// to all others, also to those that were only named. Both then name up to naming
+// entries.
+func (m *Mesh) Send(now time.Time, near, far *Message, naming int) error {
 	m.mu.Lock()
 	m.expire(now)
 	m.arrange()
@@ -274,7 +255,7 @@
 		} else {
 			toFar = append(toFar, a)
 		}
-		if len(named) < maxNamed {
+		if len(named) < naming {
 			named = append(named, a.String())
 		}
 	}
@@ -295,6 +276,17 @@
 	return err
 }
 
+// encoding writes totals of allowances, which are mostly whole numbers, in 3 or 5
+// bytes instead of 9.
+var encoding = must(cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode())
+
+func must(m cbor.EncMode, err error) cbor.EncMode {
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}
+
 // Leave tells the entries heard of that this one stops.
 func (m *Mesh) Leave(msg *Message) error {
 	m.mu.Lock()
@@ -308,7 +300,7 @@
 	if len(to) == 0 {
 		return nil
 	}
-	b, err := cbor.Marshal(msg)
+	b, err := encoding.Marshal(msg)
 	if err != nil {
 		return fmt.Errorf("encode report: %w", err)
 	}
@@ -374,91 +366,3 @@
 	}
 	return true, started
 }
-
-// ServeSnapshots serves other entries on ln until ctx ends.
-func (m *Mesh) ServeSnapshots(ctx context.Context, ln net.Listener) error {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, r *http.Request) {
-		version, errVersion := strconv.ParseInt(r.FormValue(versionParameter), 10, 64)
-		hash, errHash := strconv.ParseUint(r.FormValue(hashParameter), 10, 64)
-		if err := errors.Join(errVersion, errHash); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		s := m.serve()
-		if s.Configuration != nil && s.Configuration.Version <= version {
-			s.Configuration = nil
-		}
-		if s.ListHash == hash {
-			s.Targets = nil
-		}
-		b, err := json.Marshal(s)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
-		}
-		w.Write(b)
-	})
-	server := &http.Server{Handler: mux, ReadTimeout: snapshotTimeout, WriteTimeout: 2 * snapshotTimeout}
-	return netconn.Serve(ctx, server, ln)
-}
-
-// maxAsked bounds the entries asked for one snapshot.
-const maxAsked = 3
-
-// Fetch asks other entries for a snapshot: first the one named, if any, then those
-// with the newest configuration. have is what the reply need not repeat.
-func (m *Mesh) Fetch(ctx context.Context, first state.InstanceID, have Have) (*Snapshot, netip.AddrPort, error) {
-	var errs []error
-	for _, a := range m.candidates(first) {
-		s, err := m.fetch(ctx, a, have)
-		if err == nil {
-			return s, a, nil
-		}
-		errs = append(errs, err)
-	}
-	return nil, netip.AddrPort{}, errors.Join(append(errs, errors.New("no entry answered"))...)
-}
-
-func (m *Mesh) candidates(first state.InstanceID) []netip.AddrPort {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var list []netip.AddrPort
-	for a := range m.peers {
-		list = append(list, a)
-	}
-	slices.SortFunc(list, func(a, b netip.AddrPort) int {
-		if named := m.peers[a].instance == first; named != (m.peers[b].instance == first) {
-			if named {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(m.peers[b].version, m.peers[a].version)
-	})
-	for a := range m.known {
-		list = append(list, a)
-	}
-	return list[:min(len(list), maxAsked)]
-}
-
-func (m *Mesh) fetch(ctx context.Context, a netip.AddrPort, have Have) (*Snapshot, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet,
-		fmt.Sprintf("http://%s%s?%s=%d&%s=%d", a, snapshotPath, versionParameter, have.Version, hashParameter, have.ListHash), nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := m.http.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("snapshot of %s: %w", a, err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("snapshot of %s: status %d", a, resp.StatusCode)
-	}
-	var s Snapshot
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSnapshot)).Decode(&s); err != nil {
-		return nil, fmt.Errorf("snapshot of %s: %w", a, err)
-	}
-	return &s, nil
-}
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -56,12 +56,12 @@
 	b.Learn(a.self)
 	a.Learn(b.self)
 	now := time.Now()
-	if err := b.Send(now, &Message{}, &Message{Instance: "b", Incarnation: 1, Sequence: 1}); err != nil {
+	if err := b.Send(now, &Message{}, &Message{Instance: "b", Incarnation: 1, Sequence: 1}, FewNamed); err != nil {
 		t.Fatal(err)
 	}
 	<-fromA
 	c.Learn(a.self)
-	if err := c.Send(now, &Message{}, &Message{Instance: "c", Incarnation: 1, Sequence: 1}); err != nil {
+	if err := c.Send(now, &Message{}, &Message{Instance: "c", Incarnation: 1, Sequence: 1}, FewNamed); err != nil {
 		t.Fatal(err)
 	}
 	<-fromA
@@ -69,7 +69,7 @@
 		t.Errorf("a heard %d entries, want 2", n)
 	}
 	report := &Message{Instance: "a", Incarnation: 1, Sequence: 1}
-	if err := a.Send(now, report, report); err != nil {
+	if err := a.Send(now, report, report, FewNamed); err != nil {
 		t.Fatal(err)
 	}
 	<-toC
@@ -159,11 +159,11 @@
 		t.Errorf("%d entries are near, want %d", near, dispatch.NearEntries)
 	}
 	far := &Message{}
-	if err := m.Send(now, &Message{}, far); err != nil {
+	if err := m.Send(now, &Message{}, far, ManyNamed); err != nil {
 		t.Fatal(err)
 	}
-	if len(far.Entries) != maxNamed {
-		t.Errorf("%d entries are named, want %d", len(far.Entries), maxNamed)
+	if len(far.Entries) != ManyNamed {
+		t.Errorf("%d entries are named, want %d", len(far.Entries), ManyNamed)
 	}
 }
 
@@ -177,7 +177,7 @@
 	greeted := 0
 	for range 600 {
 		before := m.known[a].greeted
-		if err := m.Send(now, &Message{}, &Message{}); err != nil {
+		if err := m.Send(now, &Message{}, &Message{}, FewNamed); err != nil {
 			t.Fatal(err)
 		}
 		if m.known[a].greeted != before {
