--- a/cmd/cassiarampd/platform.go
+++ b/cmd/cassiarampd/platform.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/bundle"
 	"github.com/cassiaramp/cassiaramp/internal/daemon"
 	"github.com/cassiaramp/cassiaramp/internal/jsonfile"
 	"github.com/cassiaramp/cassiaramp/internal/logging"
@@ -33,12 +34,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	var signers state.Signers
-	if args.Signers != "" {
-		if err := jsonfile.Read(args.Signers, &signers); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return exitSettings
-		}
+	signers, err := readSigners(args.Signers)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
 	}
 	if args.Check {
 		fmt.Println("settings are valid")
@@ -63,6 +62,21 @@
 	return exitOK
 }
 
+// readSigners reads the operators who sign bundles. Without a file there are none.
+func readSigners(path string) (state.Signers, error) {
+	var s state.Signers
+	if path == "" {
+		return s, nil
+	}
+	if err := jsonfile.Read(path, &s); err != nil {
+		return s, err
+	}
+	if err := bundle.CheckSigners(s); err != nil {
+		return s, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
 // checkReloads reports on settings that changed. Addresses cannot change while a
 // process runs; what the platform decides at run time comes from its store.
 func checkReloads(ctx context.Context, path string, log *zap.Logger) {
--- a/internal/coordination/bundle/document.go
+++ b/internal/coordination/bundle/document.go
@@ -85,6 +85,18 @@
 	return errors.Join(errs...)
 }
 
+// CheckSigners reports why signers could sign no bundle, or nil. Without any keys no
+// bundle is meant to be signed.
+func CheckSigners(s state.Signers) error {
+	if len(s.Keys) == 0 {
+		return nil
+	}
+	if s.Required < 1 || s.Required > len(s.Keys) {
+		return fmt.Errorf("signers.required: %d, want 1 to %d", s.Required, len(s.Keys))
+	}
+	return checkKeys(s)
+}
+
 // ID returns the identifier of a document.
 func ID(document []byte) state.BundleID {
 	sum := sha256.Sum256(document)
