Fetch a configuration that other entries have had for a while

Change: reports name the version in effect; an entry that has been behind for 0.3 s asks. Ruled out: the offset after a listing (the late response contained the record, so it was asked for); the age of the entry's knowledge (others had the version within 20 ms).

--- a/internal/daemon/bundles.go
+++ b/internal/daemon/bundles.go
@@ -20,9 +20,6 @@
 	// bundlePause is the time between reads. A bundle is in effect everywhere some
 	// seconds after its publication.
 	bundlePause = time.Second
-	// bundleAskPause is the time between questions to other entries for their
-	// bundle, which may be one that this entry refuses.
-	bundleAskPause = time.Second
 )
 
 // followBundles reads the bundle from the store at the entries that also read the
@@ -45,18 +42,8 @@
 }
 
 // bundleReported has the bundle fetched when another entry has a newer one.
-func (c *control) bundleReported(from state.InstanceID, version uint64) {
-	if !c.p.followsBundles || version <= c.p.rollout.Version() {
-		return
-	}
-	now := time.Now()
-	c.mu.Lock()
-	due := now.Sub(c.bundleAsked) > bundleAskPause
-	if due {
-		c.bundleAsked = now
-	}
-	c.mu.Unlock()
-	if due {
+func (c *control) bundleReported(now time.Time, from state.InstanceID, version uint64) {
+	if c.p.followsBundles && version > c.p.rollout.Version() && c.bundleBehind.ask(now, 0) {
 		c.askFor(from)
 	}
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -56,18 +56,19 @@
 	list   *membership.List // owned by the goroutine
 	stored map[string]*dependency
 
-	fetchNow    chan state.InstanceID // the entry to ask first
-	mu          sync.Mutex
-	fresh       time.Time            // when the list of targets was known to be current
-	read        time.Time            // when it was last read from the store here
-	next        uint64               // offset in the topic up to which the list is complete
-	adopted     bool                 // the list came from another entry since the last read
-	hash        uint64               // of the published list
-	published   []state.TargetRecord // never changed in place
-	change      *mesh.ListChange     // the last one that was published
-	changedAt   time.Time
-	bundleAsked time.Time // when another entry was last asked for its bundle
-	settling    bool      // removals are pending after an outage
+	fetchNow  chan state.InstanceID // the entry to ask first
+	mu        sync.Mutex
+	fresh     time.Time            // when the list of targets was known to be current
+	read      time.Time            // when it was last read from the store here
+	next      uint64               // offset in the topic up to which the list is complete
+	adopted   bool                 // the list came from another entry since the last read
+	hash      uint64               // of the published list
+	published []state.TargetRecord // never changed in place
+	change    *mesh.ListChange     // the last one that was published
+	changedAt time.Time
+	// What other entries have in a newer version.
+	configurationBehind, bundleBehind behind
+	settling                          bool // removals are pending after an outage
 }
 
 // dependency is the state of one topic at the store.
@@ -400,6 +401,62 @@
 	}
 }
 
+// behind is something that other entries have in a newer version.
+type behind struct {
+	mu           sync.Mutex
+	since, asked time.Time
+}
+
+const (
+	// behindTime is how long the store has to deliver a configuration that another
+	// entry has. A read that waits at the store was once not answered although
+	// there was a newer record (CONFIG on scale-2 of tbl-plan-grown).
+	behindTime = 300 * time.Millisecond
+	// askPause is the time between questions to other entries for what is newer
+	// there: this entry may refuse it.
+	askPause = time.Second
+)
+
+// ask reports whether to ask for what has been newer elsewhere for the time given.
+func (b *behind) ask(now time.Time, after time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.since.IsZero() {
+		b.since = now
+	}
+	if now.Sub(b.since) < after || now.Sub(b.asked) < askPause {
+		return false
+	}
+	b.asked = now
+	return true
+}
+
+// caughtUp records that nothing newer is known elsewhere.
+func (b *behind) caughtUp() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.since = time.Time{}
+}
+
+// configurationReported has the configuration fetched when another entry has had a
+// newer one for a while.
+func (c *control) configurationReported(now time.Time, from state.InstanceID, version int64) {
+	own := c.p.gateway.Configuration()
+	if own == nil {
+		return // asked for at intervals already
+	}
+	switch {
+	case version > own.Version:
+		if c.configurationBehind.ask(now, behindTime) {
+			c.p.log.Info("configuration is newer elsewhere", zap.String("entry", string(from)),
+				zap.Int64("version", version), zap.Int64("own", own.Version))
+			c.askFor(from)
+		}
+	case version == own.Version:
+		c.configurationBehind.caughtUp()
+	}
+}
+
 // askFor has the list fetched from an entry.
 func (c *control) askFor(from state.InstanceID) {
 	select {
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/bundle"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/mesh"
 	"github.com/cassiaramp/cassiaramp/internal/transport/upstream"
@@ -132,3 +133,45 @@
 	case <-follower.fetchNow:
 	}
 }
+
+// Guards against an entry that keeps an old configuration because the store does
+// not answer its read (CONFIG on scale-2 of tbl-plan-grown: 11 s), and against
+// fetches by all entries when a configuration is just being delivered.
+func TestNewerConfigurationElsewhereIsFetched(t *testing.T) {
+	p := &gatewayProcess{log: zap.NewNop(), gateway: gateway.New(gateway.Config{})}
+	p.gateway.SetConfiguration(&state.Configuration{Version: 7})
+	c := newControl(p)
+	now := time.Now()
+	asked := func() bool {
+		select {
+		case <-c.fetchNow:
+			return true
+		default:
+			return false
+		}
+	}
+	c.configurationReported(now, "a", 8)
+	if asked() {
+		t.Error("fetched at once")
+	}
+	now = now.Add(behindTime)
+	c.configurationReported(now, "old", 6)
+	if asked() {
+		t.Error("an older configuration is fetched")
+	}
+	c.configurationReported(now, "a", 8)
+	if !asked() {
+		t.Error("not fetched although the store does not deliver it")
+	}
+	c.configurationReported(now.Add(askPause/2), "a", 8)
+	if asked() {
+		t.Error("fetched again without a pause")
+	}
+	p.gateway.SetConfiguration(&state.Configuration{Version: 8})
+	c.configurationReported(now, "a", 8)
+	now = now.Add(2 * askPause)
+	c.configurationReported(now, "a", 9)
+	if asked() {
+		t.Error("the next configuration is fetched at once")
+	}
+}
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -65,7 +65,8 @@
 	p.quota.Report(now, m.Instance, m.Incarnation, m.Used, m.Complete)
 	p.scheduler.SetReport(m.Instance, m.Report())
 	p.control.listReported(m)
-	p.control.bundleReported(m.Instance, m.Bundle)
+	p.control.configurationReported(now, m.Instance, m.Version)
+	p.control.bundleReported(now, m.Instance, m.Bundle)
 }
 
 func (p *gatewayProcess) malformed(from netip.AddrPort, err error) {
