--- /dev/null
+++ b/internal/coordination/gateway/traffic_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"expvar"
+	"testing"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/traffic"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+func counted(name, key string) int64 {
+	if v, ok := expvar.Get(name).(*expvar.Map).Get(key).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
+
+// Guards against wasted prefill that operators do not see: a prompt of which a part
+// was computed at another target, and one that was computed in vain.
+func TestWastedPrefillIsCounted(t *testing.T) {
+	s := New(Config{})
+	attempt := func(target state.TargetID, used bool) {
+		r := &request{service: s, policy: "p", ask: &dispatch.Request{Rank: 3}, call: &state.Call{
+			HasTokens: true, PromptTokens: 100, Prompt: []state.PromptPart{{ID: "shared", Tokens: 60}},
+		}}
+		r.countAttempt(&dispatch.Grant{Target: state.TargetRecord{ID: target}}, used)
+	}
+	for i, step := range []struct {
+		target state.TargetID
+		used   bool
+		wasted int64
+	}{{"a", true, 0}, {"a", true, 0}, {"b", true, 60}, {"b", false, 100}} {
+		before, prompts := counted("wasted_prefill_tokens", "p/3"), counted("prompt_tokens", "p/3")
+		attempt(step.target, step.used)
+		if got := counted("wasted_prefill_tokens", "p/3") - before; got != step.wasted {
+			t.Errorf("attempt %d: %d tokens wasted, want %d", i, got, step.wasted)
+		}
+		if got := counted("prompt_tokens", "p/3") - prompts; got != 100 {
+			t.Errorf("attempt %d: %d prompt tokens", i, got)
+		}
+	}
+}
+
+// Guards against late responses and failures that count as goodput.
+func TestGoodputIsInTime(t *testing.T) {
+	route := &state.Route{Objective: 400 * time.Millisecond, Gap: 250 * time.Millisecond}
+	for name, tc := range map[string]struct {
+		request request
+		status  int
+		want    traffic.Outcome
+	}{
+		"in time":      {request{firstAfter: 400 * time.Millisecond}, 200, traffic.InTime},
+		"late":         {request{firstAfter: 401 * time.Millisecond}, 200, traffic.Late},
+		"pause":        {request{longestGap: 251 * time.Millisecond}, 200, traffic.Late},
+		"returned":     {request{ask: &dispatch.Request{Returned: true}}, 200, traffic.Late},
+		"target fails": {request{}, 500, traffic.Other},
+	} {
+		r := tc.request
+		r.route = route
+		if r.ask == nil {
+			r.ask = &dispatch.Request{}
+		}
+		if got := r.answeredOutcome(tc.status); got != tc.want {
+			t.Errorf("%s: outcome %d, want %d", name, got, tc.want)
+		}
+	}
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -250,7 +250,7 @@
 	}
 	c.logCustomers(old, config)
 	c.p.log.Info("configuration in effect", zap.Int64("version", config.Version), zap.String("source", source),
-		zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("customers", len(config.Customers)))
+		zap.Int("routes", len(config.Routes)), zap.Int("customers", len(config.Customers)))
 }
 
 // logCustomers logs the allowances that a configuration changes.
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -30,12 +30,11 @@
 	}
 }
 
-// Configuration is a version of the operator's routes, services, customers and
+// Configuration is a version of the operator's routes, customers and
 // limits. It is immutable once published.
 type Configuration struct {
 	Version   int64
 	Routes    []Route
-	Services  map[Service]ServiceConfig
 	Customers []CustomerConfig // empty: callers need no key
 	Limits    CallerLimits
 }
@@ -67,14 +66,6 @@
 	Weight  float64
 }
 
-// ServiceConfig describes a service's targets.
-type ServiceConfig struct {
-	Name           Service
-	HealthPath     string
-	MaxConnections int  // that each target accepts from all callers together
-	Engine         bool // the targets run a language model
-}
-
 // CustomerConfig describes a customer, its keys and its allowance.
 type CustomerConfig struct {
 	Name  Customer
@@ -94,7 +85,6 @@
 type CallerLimits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
 }
 
