--- a/internal/ctl/loadcmd/load_test.go
+++ b/internal/ctl/loadcmd/load_test.go
@@ -368,3 +368,20 @@
 		t.Errorf("goodput rate %g, want one response in 8 s", got)
 	}
 }
+
+// Guards against a report whose goodput cannot be read as a count and a share.
+func TestReportNamesGoodput(t *testing.T) {
+	var out strings.Builder
+	r := &Report{
+		Rows:  []Row{{Tier: "plan", Policy: "cost", InTime: 3, Late: 1}, {Tier: "bulk", Policy: "cost"}},
+		Waste: map[string]Waste{"cost": {PromptTokens: 200, Wasted: 50}},
+	}
+	if err := r.print(&out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"goodput", "75.0%", "wasted prefill", "25.0%"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, out.String())
+		}
+	}
+}
--- a/internal/ctl/loadcmd/tally.go
+++ b/internal/ctl/loadcmd/tally.go
@@ -56,6 +56,10 @@
 	Broken  int    `json:"broken"`
 }
 
+func (r *Row) total() int {
+	return r.InTime + r.Late + r.Refused + r.Unknown + r.Failed + r.Broken
+}
+
 // Percentiles are times in milliseconds.
 type Percentiles struct {
 	Count int64   `json:"count"`
@@ -300,9 +304,10 @@
 	}
 	r.printTimes(w, "first token", r.FirstToken)
 	r.printTimes(w, "gap", r.Gap)
-	fmt.Fprintf(w, "\npolicy\tprompt tokens\twasted\t\n")
+	fmt.Fprintf(w, "\npolicy\tprompt tokens\twasted prefill\tshare\t\n")
 	for _, policy := range slices.Sorted(maps.Keys(r.Waste)) {
-		fmt.Fprintf(w, "%s\t%d\t%d\t\n", policy, r.Waste[policy].PromptTokens, r.Waste[policy].Wasted)
+		waste := r.Waste[policy]
+		fmt.Fprintf(w, "%s\t%d\t%d\t%.1f%%\t\n", policy, waste.PromptTokens, waste.Wasted, 100*float64(waste.Wasted)/float64(max(1, waste.PromptTokens)))
 	}
 	if err := w.Flush(); err != nil {
 		return err
@@ -310,10 +315,13 @@
 	return r.printViolations(out)
 }
 
+// printRows prints rows; goodput is the number of requests that ended in time, and
+// its share of all.
 func printRows(w io.Writer, name string, rows []Row) {
-	fmt.Fprintf(w, "\n%s\tpolicy\tin time\tlate\trefused\tunknown\tfailed\tbroken\t\n", name)
+	fmt.Fprintf(w, "\n%s\tpolicy\tgoodput\tshare\tlate\trefused\tunknown\tfailed\tbroken\t\n", name)
 	for _, row := range rows {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", row.Tier, row.Policy, row.InTime, row.Late, row.Refused, row.Unknown, row.Failed, row.Broken)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.1f%%\t%d\t%d\t%d\t%d\t%d\t\n", row.Tier, row.Policy, row.InTime,
+			100*float64(row.InTime)/float64(max(1, row.total())), row.Late, row.Refused, row.Unknown, row.Failed, row.Broken)
 	}
 }
 
