--- a/internal/coordination/dispatch/load_test.go
+++ b/internal/coordination/dispatch/load_test.go
@@ -149,8 +149,8 @@
 }
 
 // Reports to near entries go in each nearRounds-th round where there are more than
-// NearEntries, and to all in each farRounds-th.
-const nearRounds, farRounds = 4, 25
+// AllEntries, and to all in each farRounds-th.
+const nearRounds, farRounds = 3, 25
 
 // exchange carries reports between the entries in rounds of 40 ms.
 func (l load) exchange(ctx context.Context, schedulers []*Scheduler) {
@@ -161,7 +161,7 @@
 		time.Sleep(reportInterval)
 		for i, from := range schedulers {
 			from.Pump()
-			if l.apart || l.entries > NearEntries && (round+i)%nearRounds != 0 {
+			if l.apart || l.entries > AllEntries && (round+i)%nearRounds != 0 {
 				continue
 			}
 			l.report(schedulers, i, (round+i)%farRounds < nearRounds)
--- a/internal/coordination/dispatch/subset.go
+++ b/internal/coordination/dispatch/subset.go
@@ -10,10 +10,14 @@
 )
 
 const (
-	// NearEntries is the number of entries up to which all report to each other at
+	// AllEntries is the number of entries up to which all report to each other at
 	// short intervals and use all targets. An interval grows with the number of
 	// receivers; with more of them reports would be older than a slot is held.
-	NearEntries = 48
+	AllEntries = 48
+	// NearEntries is the number of entries with which an entry shares targets beyond
+	// that. Reports to them are most of the bytes between failure domains; with 48 of
+	// them those took a quarter of the worth at 300 instances.
+	NearEntries = 24
 	// leastTargets is the least number of targets of a service in a subset, if the
 	// service has that many: with few, one that fails takes a large share away.
 	leastTargets = 12
@@ -30,7 +34,7 @@
 
 // arc returns the share of the circle, from 0 to 1, that an entry uses.
 func (p Position) arc() float64 {
-	if p.Count <= NearEntries {
+	if p.Count <= AllEntries {
 		return 1
 	}
 	return float64(NearEntries/2) / float64(p.Count)
@@ -47,7 +51,7 @@
 func (p Position) subset(all []*target) (chosen []*target, wide bool) {
 	share := max(p.arc(), leastTargets/float64(max(1, len(all))))
 	if share >= 1 {
-		return all, p.Count > NearEntries
+		return all, p.Count > AllEntries
 	}
 	ring := byHash(all)
 	n := float64(len(ring))
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -17,7 +17,7 @@
 
 const (
 	// silentAfter is the time without a report after which another entry's use
-	// is unknown. Reports come at least every 500 ms.
+	// is unknown. Reports come every second at least.
 	silentAfter = 1500 * time.Millisecond
 	// forgetAfter is the time after which a silent entry is taken as gone. It
 	// covers the platform's window of 8 s, in which its requests still count.
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -74,55 +74,78 @@
 }
 
 func (p *gatewayProcess) sendReports(ctx context.Context) error {
+	r := reporter{p: p, started: time.Now()}
 	tick := time.NewTicker(reportInterval)
 	defer tick.Stop()
-	var sequence uint64
-	var last *mesh.Message
-	var sent, greeted time.Time
-	started := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+			r.tick(time.Now())
 		}
-		now := time.Now()
-		position := p.mesh.Position(now)
-		p.scheduler.SetPosition(position)
-		changed := p.listChanged.Swap(false)
-		if now.Sub(sent) < reportPause(position.Count) && !changed {
-			continue
-		}
-		m := p.report(sent)
-		greet := changed || now.Sub(greeted) > greetPause(position.Count, now.Sub(started)) &&
-			(p.greetNext.Swap(false) || now.Sub(greeted) > greetInterval || now.Sub(started) < firstGreetTime)
-		if !greet && now.Sub(sent) < quietInterval && sameReport(m, last) {
-			continue
-		}
-		sequence++
-		last = m
-		m.Sequence = sequence
-		sent = now
-		var far *mesh.Message
-		naming := mesh.FewNamed
-		if greet {
-			greeted = now
-			newcomers := now.Sub(time.Unix(0, p.startedHeard.Load())) < newcomerTime
-			far = p.farReport(m, now, newcomers)
-			if newcomers {
-				naming = mesh.ManyNamed
-			}
-		}
-		if err := p.mesh.Send(now, m, far, naming); err != nil {
-			p.counters.Add("report_not_sent")
-			p.log.Debug("report not sent", zap.Error(err))
+	}
+}
+
+// reporter decides when reports are due and to whom.
+type reporter struct {
+	p        *gatewayProcess
+	started  time.Time
+	sequence uint64
+	sent     time.Time // last report to the near entries
+	greeted  time.Time // last report to all
+	last     *mesh.Message
+}
+
+func (r *reporter) tick(now time.Time) {
+	position := r.p.mesh.Position(now)
+	r.p.scheduler.SetPosition(position)
+	// A change of the list does not wait: entries must learn in time that a target
+	// leaves.
+	urgent := r.p.listChanged.Swap(false)
+	if now.Sub(r.sent) < reportPause(position.Count) && !urgent {
+		return
+	}
+	m := r.p.report(r.sent)
+	greet := urgent || r.greetDue(now, position.Count)
+	if !greet && now.Sub(r.sent) < quietInterval && sameReport(m, r.last) {
+		return
+	}
+	r.send(now, m, greet)
+}
+
+// greetDue reports whether all entries are to be told.
+func (r *reporter) greetDue(now time.Time, entries int) bool {
+	since, running := now.Sub(r.greeted), now.Sub(r.started)
+	if since <= greetPause(entries, running) {
+		return false
+	}
+	return r.p.greetNext.Swap(false) || since > greetInterval || running < firstGreetTime
+}
+
+func (r *reporter) send(now time.Time, m *mesh.Message, greet bool) {
+	r.sequence++
+	m.Sequence = r.sequence
+	r.sent, r.last = now, m
+	var far *mesh.Message
+	naming := mesh.FewNamed
+	if greet {
+		r.greeted = now
+		newcomers := now.Sub(time.Unix(0, r.p.startedHeard.Load())) < newcomerTime
+		far = r.p.farReport(m, now, newcomers)
+		if newcomers {
+			naming = mesh.ManyNamed
 		}
 	}
+	if err := r.p.mesh.Send(now, m, far, naming); err != nil {
+		r.p.counters.Add("report_not_sent")
+		r.p.log.Debug("report not sent", zap.Error(err))
+	}
 }
 
 // reportPause returns the shortest time between reports to the near entries.
 func reportPause(entries int) time.Duration {
-	return reportInterval * time.Duration(max(1, (min(entries, dispatch.NearEntries)-1)/fewEntries))
+	return reportInterval * time.Duration(max(1, (min(entries, dispatch.AllEntries)-1)/fewEntries))
 }
 
 // greetPause returns the shortest time between reports to all entries.
--- /dev/null
+++ b/internal/daemon/reports_test.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/bundle"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/internal/transport/mesh"
+	"github.com/cassiaramp/cassiaramp/internal/transport/upstream"
+	"github.com/cassiaramp/cassiaramp/platform"
+)
+
+// openMesh returns a mesh on loopback, its address and the reports it receives.
+func openMesh(t *testing.T) (*mesh.Mesh, netip.AddrPort, <-chan mesh.Message) {
+	t.Helper()
+	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := probe.LocalAddr().(*net.UDPAddr).AddrPort()
+	probe.Close()
+	m, err := mesh.New(address, func() mesh.Snapshot { return mesh.Snapshot{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	received, done := make(chan mesh.Message, 16), make(chan struct{})
+	go func() {
+		defer close(done)
+		m.Receive(ctx, func(msg *mesh.Message, _ bool) { received <- *msg }, func(netip.AddrPort, error) {})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return m, address, received
+}
+
+// next returns the next report.
+func next(t *testing.T, reports <-chan mesh.Message) mesh.Message {
+	t.Helper()
+	select {
+	case m := <-reports:
+		return m
+	case <-time.After(10 * time.Second):
+		t.Fatal("no report")
+		return mesh.Message{}
+	}
+}
+
+// Guards against a change of the list of targets that waits for the next report to
+// all: far entries would send to a target that has left.
+func TestChangeOfListIsToldAtOnce(t *testing.T) {
+	own, ownAddress, heard := openMesh(t)
+	far, _, received := openMesh(t)
+	far.Learn(ownAddress)
+	p := &gatewayProcess{
+		log: zap.NewNop(), mesh: own, targets: upstream.New(), settings: &platform.Settings{Instance: "a"}, incarnation: 1,
+		gateway: gateway.New(gateway.Config{}), quota: quota.New(quota.Config{Window: time.Second}),
+		rollout: bundle.NewRollout(state.Signers{}), counters: gateway.NewCounters(false),
+	}
+	p.scheduler = dispatch.New("a", 1, time.Now, p)
+	p.control = newControl(p)
+	now := time.Now()
+	greeting := &mesh.Message{Instance: "b", Incarnation: 1, Sequence: 1}
+	if err := far.Send(now, greeting, greeting, mesh.FewNamed); err != nil {
+		t.Fatal(err)
+	}
+	next(t, heard)
+	r := reporter{p: p, started: now.Add(-time.Minute)}
+	r.tick(now)
+	if m := next(t, received); m.ListHash != 0 {
+		t.Errorf("list %d is told before it was read", m.ListHash)
+	}
+	p.control.read = now
+	p.control.list.Put(state.TargetRecord{ID: "t", Service: "s"})
+	p.control.publish(now)
+	r.tick(now.Add(time.Millisecond))
+	if m := next(t, received); m.Change == nil || len(m.Change.Put) != 1 {
+		t.Errorf("change %+v is told, want the new target", m.Change)
+	}
+	r.tick(now.Add(2 * time.Millisecond))
+	select {
+	case m := <-received:
+		t.Errorf("report %d without a cause", m.Sequence)
+	default:
+	}
+}
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -31,7 +31,7 @@
 const (
 	maxDatagram = 60 << 10 // bytes
 	// peerTimeout is the time without a report after which an entry is taken as
-	// gone. Reports come at least every 500 ms.
+	// gone. Reports come every second at least.
 	peerTimeout = 10 * time.Second
 	// silentAfter is the time without a report after which others do an entry's
 	// duties.
@@ -49,7 +49,7 @@
 	Waiting     map[state.Service][]int    `cbor:"7,keyasint,omitempty"`
 	// Entries are addresses of other entries that the sender knows.
 	Entries []string `cbor:"8,keyasint,omitempty"`
-	// Levels are those of the customers' buckets, sent along with Entries.
+	// Levels are those of the customers' buckets, while entries have started lately.
 	Levels map[state.Customer]float64 `cbor:"10,keyasint,omitempty"`
 	// Complete says that Used has all customers that were admitted.
 	Complete bool                 `cbor:"17,keyasint,omitempty"`
