--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -62,8 +62,6 @@
 	stopping       atomic.Bool
 	greetNext      atomic.Bool // an entry was heard for the first time
 	listChanged    atomic.Bool // the list of targets has changed at a reader of it
-	// startedHeard is when that was last, in Unix nanoseconds.
-	startedHeard atomic.Int64
 }
 
 // RunGateway runs an entry on the users' platform until ctx ends, which asks for a
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -30,10 +30,6 @@
 	// greetCost for each entry is the least time between reports to all, so that a
 	// start of hundreds of entries does not fill their links.
 	greetCost = time.Millisecond
-	// newcomerTime is how long after an entry started reports carry the levels of
-	// the allowances and many addresses, of which it knows nothing. It covers some
-	// lost reports.
-	newcomerTime = 4 * time.Second
 	// usedTime is how long reports to all name a customer after its use has changed.
 	// It covers some lost reports.
 	usedTime = 4 * time.Second
@@ -58,7 +54,6 @@
 	}
 	now := time.Now()
 	if started {
-		p.startedHeard.Store(now.UnixNano())
 		p.greetNext.Store(true)
 	}
 	p.quota.Adopt(now, m.Levels)
@@ -127,17 +122,14 @@
 	r.sequence++
 	m.Sequence = r.sequence
 	r.sent, r.last = now, m
-	var far *mesh.Message
-	naming := mesh.FewNamed
+	reports := mesh.Reports{Near: m}
 	if greet {
 		r.greeted = now
-		newcomers := now.Sub(time.Unix(0, r.p.startedHeard.Load())) < newcomerTime
-		far = r.p.farReport(m, now, newcomers)
-		if newcomers {
-			naming = mesh.ManyNamed
-		}
+		m.Used = r.p.quota.Used(now.Add(-usedTime))
+		reports.Far = r.p.farReport(m)
+		reports.Newcomer = func() *mesh.Message { return r.p.newcomerReport(m, now) }
 	}
-	if err := r.p.mesh.Send(now, m, far, naming); err != nil {
+	if err := r.p.mesh.Send(now, reports); err != nil {
 		r.p.counters.Add("report_not_sent")
 		r.p.log.Debug("report not sent", zap.Error(err))
 	}
@@ -173,14 +165,7 @@
 }
 
 // farReport returns what all other entries are told, along with the near report m.
-// With newcomers, it adds to both what entries that have just started need.
-func (p *gatewayProcess) farReport(m *mesh.Message, now time.Time, newcomers bool) *mesh.Message {
-	if newcomers {
-		m.Levels = p.quota.Levels(now)
-		m.Used, m.Complete = p.quota.Used(time.Time{}), true
-	} else {
-		m.Used = p.quota.Used(now.Add(-usedTime))
-	}
+func (p *gatewayProcess) farReport(m *mesh.Message) *mesh.Message {
 	far := *m
 	r := p.scheduler.Report(true)
 	far.Open, far.Prefill, far.Waiting = r.Open, r.Prefill, r.Waiting
@@ -188,6 +173,15 @@
 	return &far
 }
 
+// newcomerReport returns what entries that have just started are told: the near
+// report m and all use of allowances.
+func (p *gatewayProcess) newcomerReport(m *mesh.Message, now time.Time) *mesh.Message {
+	n := *m
+	n.Levels = p.quota.Levels(now)
+	n.Used, n.Complete = p.quota.Used(time.Time{}), true
+	return &n
+}
+
 func sameReport(a, b *mesh.Message) bool {
 	return b != nil && a.Version == b.Version && maps.Equal(a.Open, b.Open) && len(a.Used) == 0 &&
 		maps.EqualFunc(a.Waiting, b.Waiting, slices.Equal)
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -49,7 +49,7 @@
 	Waiting     map[state.Service][]int    `cbor:"7,keyasint,omitempty"`
 	// Entries are addresses of other entries that the sender knows.
 	Entries []string `cbor:"8,keyasint,omitempty"`
-	// Levels are those of the customers' buckets, while entries have started lately.
+	// Levels are those of the customers' buckets, for an entry that has started lately.
 	Levels map[state.Customer]float64 `cbor:"10,keyasint,omitempty"`
 	// Complete says that Used has all customers that were admitted.
 	Complete bool                 `cbor:"17,keyasint,omitempty"`
@@ -126,7 +126,8 @@
 
 type peer struct {
 	instance    state.InstanceID
-	near        bool // uses targets that this entry uses
+	near        bool      // uses targets that this entry uses
+	started     time.Time // when it was first heard, of this incarnation
 	incarnation state.Incarnation
 	sequence    uint64
 	version     int64
@@ -232,46 +233,68 @@
 	}
 }
 
-// The number of other entries that a report names: many while entries have started
-// lately and look for others, few otherwise, so that a report to hundreds of
-// entries stays small. They are drawn at random each time.
+// The number of other entries that a report names: many to an entry that has
+// started lately and looks for others, few otherwise, so that reports to hundreds
+// of entries stay small. They are drawn at random each time.
 const (
-	ManyNamed = 32
-	FewNamed  = 4
+	manyNamed = 32
+	fewNamed  = 4
 )
 
-// Send sends a report to the near entries, and another one, far, unless it is nil,
-// to all others, also to those that were only named. Both then name up to naming
-// entries.
-func (m *Mesh) Send(now time.Time, near, far *Message, naming int) error {
+// newcomerTime is how long an entry counts as one that has started lately. It
+// covers some lost reports.
+const newcomerTime = 4 * time.Second
+
+// Reports are what is due at one time.
+type Reports struct {
+	// Near goes to the near entries.
+	Near *Message
+	// Far goes to all others; nil when only near entries are told.
+	Far *Message
+	// Newcomer returns what goes, along with Far, to entries that have started
+	// lately or were not heard of yet. It is called only if there are any.
+	Newcomer func() *Message
+}
+
+// Send sends reports.
+func (m *Mesh) Send(now time.Time, r Reports) error {
 	m.mu.Lock()
 	m.expire(now)
 	m.arrange()
-	var toNear, toFar []netip.AddrPort
+	var near, far, newcomers []netip.AddrPort
 	var named []string
 	for a, p := range m.peers { // in random order
-		if p.near {
-			toNear = append(toNear, a)
-		} else {
-			toFar = append(toFar, a)
+		switch {
+		case r.Far != nil && now.Sub(p.started) < newcomerTime:
+			newcomers = append(newcomers, a)
+		case p.near:
+			near = append(near, a)
+		default:
+			far = append(far, a)
 		}
-		if len(named) < naming {
+		if len(named) < manyNamed {
 			named = append(named, a.String())
 		}
 	}
-	if far != nil {
-		near.Entries, far.Entries = named, named
+	if r.Far != nil {
 		for a, s := range m.known {
 			if now.Sub(s.greeted) >= s.pause {
 				s.greeted, s.pause = now, min(maxPause, max(firstPause, 2*s.pause))
-				toFar = append(toFar, a)
+				newcomers = append(newcomers, a)
 			}
 		}
 	}
 	m.mu.Unlock()
-	err := m.send(near, toNear)
-	if far != nil {
-		err = errors.Join(err, m.send(far, toFar))
+	if r.Far == nil {
+		return m.send(r.Near, near)
+	}
+	few := named[:min(len(named), fewNamed)]
+	r.Near.Entries, r.Far.Entries = few, few
+	err := errors.Join(m.send(r.Near, near), m.send(r.Far, far))
+	if len(newcomers) > 0 {
+		welcome := r.Newcomer()
+		welcome.Entries = named
+		err = errors.Join(err, m.send(welcome, newcomers))
 	}
 	return err
 }
@@ -351,7 +374,7 @@
 	}
 	p := m.peers[from]
 	if p == nil || p.incarnation != msg.Incarnation {
-		p = &peer{instance: msg.Instance, incarnation: msg.Incarnation}
+		p = &peer{instance: msg.Instance, incarnation: msg.Incarnation, started: time.Now()}
 		m.peers[from] = p
 		m.arranged = false
 		started = true
