--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -75,7 +76,7 @@
 // listHolder returns a control that published a list.
 func listHolder(now time.Time, records ...state.TargetRecord) *control {
 	p := &gatewayProcess{
-		log: zap.NewNop(), targets: upstream.New(),
+		log: zap.NewNop(), targets: upstream.New(), gateway: gateway.New(gateway.Config{}), rollout: bundle.NewRollout(state.Signers{}),
 	}
 	p.scheduler = dispatch.New("a", 1, time.Now, p)
 	c := newControl(p)
@@ -175,3 +176,24 @@
 		t.Error("the next configuration is fetched at once")
 	}
 }
+
+// Guards against a target that has left and comes back with the list of an entry
+// that has not judged its removal yet, and against an entry that starts and gets no
+// targets.
+func TestSettlingListIsTakenOnlyByEntriesWithoutTargets(t *testing.T) {
+	now := time.Now()
+	a, b := state.TargetRecord{ID: "a", Service: "s"}, state.TargetRecord{ID: "b", Service: "s"}
+	settling := listHolder(now, a, b)
+	settling.fresh, settling.settling = now, true
+	s := settling.snapshot()
+	knows, starts := listHolder(now, a), listHolder(now)
+	for _, c := range []*control{knows, starts} {
+		c.adopt(now, &s, netip.AddrPort{})
+	}
+	if n := knows.targetCount(); n != 1 {
+		t.Errorf("%d targets, want the one that has not left", n)
+	}
+	if n := starts.targetCount(); n != 2 {
+		t.Errorf("%d targets at an entry without any, want 2", n)
+	}
+}
--- a/internal/daemon/snapshots.go
+++ b/internal/daemon/snapshots.go
@@ -25,7 +25,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := mesh.Snapshot{
-		Configuration: c.p.gateway.Configuration(), Targets: c.published, ListHash: c.hash, ListNext: c.next, Age: time.Since(c.fresh),
+		Configuration: c.p.gateway.Configuration(), Targets: c.published, ListHash: c.hash, ListNext: c.next,
+		Settling: c.settling, Age: time.Since(c.fresh),
 	}
 	if b := c.p.rollout.Current(); b != nil {
 		s.Bundle = &b.AcceptedBundle
@@ -102,6 +103,9 @@
 	at := now.Add(-s.Age - wayTime)
 	c.mu.Lock()
 	newer := at.After(c.fresh) && s.ListNext >= c.next
+	if s.Settling && len(c.published) > 0 {
+		newer = false // this entry may know that some of its targets left
+	}
 	same := s.ListHash == c.hash
 	if newer && same {
 		c.fresh = at
--- a/internal/transport/mesh/snapshot.go
+++ b/internal/transport/mesh/snapshot.go
@@ -43,6 +43,8 @@
 	Targets  []state.TargetRecord
 	ListHash uint64 // as in Message
 	ListNext uint64 // as in Message
+	// Settling says that the list holds targets that may be gone.
+	Settling bool
 	// Age is the time since the list was known to be current.
 	Age time.Duration `json:"-"`
 	// Bundle is nil when the asking entry has it or a newer one.
@@ -76,10 +78,11 @@
 	hash, next uint64
 	bundle     uint64
 	targets    bool
+	settling   bool
 }
 
 func (s *Snapshot) content() content {
-	c := content{hash: s.ListHash, next: s.ListNext, targets: s.Targets != nil}
+	c := content{hash: s.ListHash, next: s.ListNext, targets: s.Targets != nil, settling: s.Settling}
 	if s.Configuration != nil {
 		c.version = s.Configuration.Version
 	}
