Ask for a newer configuration also while other entries are behind as well

Change: the time runs as long as the own version stays the same. Test: TestNewerConfigurationElsewhereIsFetched with another entry that is behind, failed before.

--- a/internal/daemon/behind.go
+++ b/internal/daemon/behind.go
@@ -8,7 +8,8 @@
 // behind is something that other entries have in a newer version.
 type behind struct {
 	mu           sync.Mutex
-	since, asked time.Time
+	own          uint64    // version here
+	since, asked time.Time // since when a newer one than own is known elsewhere
 }
 
 const (
@@ -21,12 +22,14 @@
 	askPause = time.Second
 )
 
-// ask reports whether to ask for what has been newer elsewhere for the time given.
-func (b *behind) ask(now time.Time, after time.Duration) bool {
+// ask is called when a newer version than own is known elsewhere. It reports whether
+// to ask for it, which is so when that has been the case for the time given. Reports
+// of entries that are behind as well do not count.
+func (b *behind) ask(now time.Time, own uint64, after time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.since.IsZero() {
-		b.since = now
+	if b.since.IsZero() || b.own != own {
+		b.own, b.since = own, now
 	}
 	if now.Sub(b.since) < after || now.Sub(b.asked) < askPause {
 		return false
@@ -34,10 +37,3 @@
 	b.asked = now
 	return true
 }
-
-// caughtUp records that nothing newer is known elsewhere.
-func (b *behind) caughtUp() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.since = time.Time{}
-}
--- a/internal/daemon/bundles.go
+++ b/internal/daemon/bundles.go
@@ -43,7 +43,8 @@
 
 // bundleReported has the bundle fetched when another entry has a newer one.
 func (c *control) bundleReported(now time.Time, from state.InstanceID, version uint64) {
-	if c.p.followsBundles && version > c.p.rollout.Version() && c.bundleBehind.ask(now, 0) {
+	own := c.p.rollout.Version()
+	if c.p.followsBundles && version > own && c.bundleBehind.ask(now, own, 0) {
 		c.askFor(from)
 	}
 }
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -60,14 +60,9 @@
 	if own == nil {
 		return // asked for at intervals already
 	}
-	switch {
-	case version > own.Version:
-		if c.configurationBehind.ask(now, behindTime) {
-			c.p.log.Info("configuration is newer elsewhere", zap.String("entry", string(from)),
-				zap.Int64("version", version), zap.Int64("own", own.Version))
-			c.askFor(from)
-		}
-	case version == own.Version:
-		c.configurationBehind.caughtUp()
+	if version > own.Version && c.configurationBehind.ask(now, uint64(own.Version), behindTime) {
+		c.p.log.Info("configuration is newer elsewhere", zap.String("entry", string(from)),
+			zap.Int64("version", version), zap.Int64("own", own.Version))
+		c.askFor(from)
 	}
 }
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -157,6 +157,7 @@
 	}
 	now = now.Add(behindTime)
 	c.configurationReported(now, "old", 6)
+	c.configurationReported(now, "behind as well", 7)
 	if asked() {
 		t.Error("an older configuration is fetched")
 	}
