Hash a target's id once, decode a register's record in one place, drop a check that cannot fail

Cause: read once more as a newcomer. Each report hashed the id of every target with open requests again; the record of a bundle was decoded twice in the same way; putPolicies checked what a rollout has checked before; setFresh had one caller. Ruled out: one clean-up of the pairs in imports and in test set-up, which only look alike.

--- a/internal/coordination/bundle/rollout.go
+++ b/internal/coordination/bundle/rollout.go
@@ -54,11 +54,20 @@
 
 // OfferRecord takes a record of a Register. See Offer.
 func (r *Rollout) OfferRecord(record []byte, offset uint64, put func(*state.Bundle) error) (*Accepted, error) {
-	rec, err := UnmarshalRecord(record)
+	offered, err := fromRecord(record, offset)
 	if err != nil {
 		return nil, err
 	}
-	return r.Offer(state.AcceptedBundle{Offset: offset, Document: rec.Document, Signatures: rec.Signatures}, put)
+	return r.Offer(offered, put)
+}
+
+// fromRecord decodes a record of a Register.
+func fromRecord(record []byte, offset uint64) (state.AcceptedBundle, error) {
+	rec, err := UnmarshalRecord(record)
+	if err != nil {
+		return state.AcceptedBundle{}, err
+	}
+	return state.AcceptedBundle{Offset: offset, Document: rec.Document, Signatures: rec.Signatures}, nil
 }
 
 // Offer takes a bundle that is signed and newer than the one in effect: put puts it
@@ -106,11 +115,11 @@
 	if err != nil || record == nil {
 		return nil, end, err
 	}
-	rec, err := UnmarshalRecord(record)
+	held, err := fromRecord(record, end)
 	if err != nil {
 		return nil, end, err
 	}
-	a, err := signed(state.AcceptedBundle{Offset: end, Document: rec.Document, Signatures: rec.Signatures}, signers)
+	a, err := signed(held, signers)
 	if err != nil {
 		return nil, end, err
 	}
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -19,11 +19,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := Report{Open: make(map[Key]int), Prefill: make(map[Key]int), Waiting: make(map[state.Service][]int)}
-	for id, t := range s.targets {
+	for _, t := range s.targets {
 		if len(t.open) > 0 && (!far || s.pool(t.record.Service).wide) {
-			r.Open[KeyOf(id)] = len(t.open)
+			r.Open[t.key()] = len(t.open)
 			if prefill := int(t.prefill()); prefill >= reportedPrefill {
-				r.Prefill[KeyOf(id)] = prefill
+				r.Prefill[t.key()] = prefill
 			}
 		}
 	}
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -126,8 +126,8 @@
 	}
 	s.targets = listed
 	s.keys = make(map[Key]*target, len(listed))
-	for id, t := range listed {
-		s.keys[KeyOf(id)] = t
+	for _, t := range listed {
+		s.keys[t.key()] = t
 	}
 	s.recount()
 	s.choosePart()
--- a/internal/coordination/dispatch/subset.go
+++ b/internal/coordination/dispatch/subset.go
@@ -77,5 +77,4 @@
 // two targets have the same key, load is counted for one of them only.
 type Key uint32
 
-// KeyOf returns the key of a target.
-func KeyOf(id state.TargetID) Key { return Key(hashOf(id)) }
+func (t *target) key() Key { return Key(t.hash) }
--- a/internal/coordination/dispatch/target_test.go
+++ b/internal/coordination/dispatch/target_test.go
@@ -9,6 +9,9 @@
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
+// KeyOf returns the key of a target in reports.
+func KeyOf(id state.TargetID) Key { return Key(hashOf(id)) }
+
 // clock is a time that tests move.
 type clock struct{ at time.Time }
 
--- a/internal/daemon/bundles.go
+++ b/internal/daemon/bundles.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,11 +59,9 @@
 	}
 }
 
-// putPolicies puts the policies of a bundle into effect.
+// putPolicies puts the policies of a bundle into effect. A rollout offers only
+// bundles that have Admission.
 func (p *gatewayProcess) putPolicies(b *state.Bundle) error {
-	if b.Admission == nil {
-		return errors.New("admission is missing")
-	}
 	policies, err := dispatch.NewPolicies(*b.Admission, b.Policies, b.Split)
 	if err != nil {
 		return err
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -159,21 +159,15 @@
 	}
 	if topic == platform.TargetTopic {
 		c.list.Answered(now)
-		c.setFresh(now)
 		c.mu.Lock()
 		c.read = now
+		if now.After(c.fresh) {
+			c.fresh = now
+		}
 		c.mu.Unlock()
 	}
 }
 
-func (c *control) setFresh(at time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if at.After(c.fresh) {
-		c.fresh = at
-	}
-}
-
 func (c *control) dependency(topic string) *dependency {
 	d := c.stored[topic]
 	if d == nil {
