Log how a response's end is marked and what a stream had left over

Cause: from the logs one cannot tell whether a response that reached its caller as complete had a length or chunks, how many events it had, and whether it ended inside an event.

No decision changes.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -175,6 +175,10 @@
 			return a.outcomeOf(err), err
 		}
 		a.resetStallTimer(r.eventGapTimeout())
+		unfinishedBytes := 0
+		if err != nil {
+			unfinishedBytes = len(event.data)
+		}
 		if len(event.data) > 0 {
 			a.countEvent()
 			if writeErr := r.forwardEvent(a.grant, head, event); writeErr != nil {
@@ -183,7 +187,7 @@
 			}
 		}
 		if err != nil {
-			return a.finishStream(head)
+			return a.finishStream(head, unfinishedBytes)
 		}
 	}
 }
@@ -198,7 +202,7 @@
 
 // finishStream completes the response after the regular end of the stream. A stream
 // without events is answered as a complete response without a body.
-func (a *attempt) finishStream(head *state.Response) (dispatch.Outcome, error) {
+func (a *attempt) finishStream(head *state.Response, unfinishedBytes int) (dispatch.Outcome, error) {
 	r := a.request
 	if !r.streamBegun {
 		r.respond(a.grant, head, nil)
@@ -207,7 +211,7 @@
 	if err := r.responder.EndStream(); err != nil {
 		r.logCallerError("end of stream", err)
 	}
-	r.recordAnswered(a.grant, head.Status, "complete")
+	r.recordAnswered(a.grant, head, unfinishedBytes)
 	return dispatch.Served, nil
 }
 
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -154,4 +154,8 @@
 	// HasContentEncoding says that a content encoding was applied, which no target
 	// does.
 	HasContentEncoding bool
+	// EndsWithConnection says that the response has neither a length nor chunks, so
+	// that its body ends where the connection does. Such an end does not prove that the
+	// body is complete: the connection of a target that crashes ends in the same way.
+	EndsWithConnection bool
 }
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -211,7 +211,8 @@
 	stop      func() bool // cancels the closing of conn at the end of the context; false if it was closed
 	method    string
 	requestID state.RequestID
-	resp      *http.Response // nil until Head has returned it
+	resp      *http.Response  // nil until Head has returned it
+	head      *state.Response // decoded from resp
 	closeOnce sync.Once
 }
 
@@ -228,7 +229,7 @@
 		}
 		head := platform.DecodeResponse(resp)
 		if head.RequestID == e.requestID || head.RequestID == "" {
-			e.resp = resp
+			e.resp, e.head = resp, head
 			return head, nil
 		}
 		// This is a late response to an earlier request on the connection.
@@ -249,8 +250,7 @@
 // Close implements gateway.Exchange.
 func (e *exchange) Close(bodyRead bool) {
 	e.closeOnce.Do(func() {
-		if !e.stop() || !bodyRead || e.resp == nil || e.resp.Close || e.resp.ContentLength < 0 && len(e.resp.TransferEncoding) == 0 ||
-			e.conn.reader.Buffered() > 0 {
+		if !e.stop() || !bodyRead || e.resp == nil || e.resp.Close || e.head.EndsWithConnection || e.conn.reader.Buffered() > 0 {
 			e.conn.Close()
 			return
 		}
