Failing tests: a stream of a crashed target looks complete to its caller

A target that crashes closes its connection. If its stream has neither a length nor chunks, the body ends without an error.

TestPlainResponseEndingWithConnectionIsComplete holds what must stay.

--- /dev/null
+++ b/internal/coordination/gateway/streamend_test.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// endingWithConnection answers with a signed response that has neither a length nor
+// chunks. Its body ends without an error, as it does when a target crashes.
+func endingWithConnection(body string) behaviour {
+	return func(context.Context, *Forward) (Exchange, error) {
+		head := &state.Response{Status: 200, HasSignature: true, EndsWithConnection: true}
+		return &fakeExchange{head: head, Reader: strings.NewReader(body)}, nil
+	}
+}
+
+// Guards against a stream that a target breaks off inside an event, or before the first
+// one, and that reaches the caller as complete because its body ended without an error.
+func TestStreamEndingInsideEventIsIncomplete(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	for _, c := range []struct {
+		name    string
+		path    string
+		next    []behaviour
+		want    string
+		ended   bool
+		aborted bool
+		failure FailureKind
+		resume  []string
+	}{
+		{"inside an event", "/stream/x", []behaviour{endingWithConnection(first + "id: 2\nda")}, first, false, true, 0, []string{""}},
+		{"inside the line that ends an event", "/stream/x", []behaviour{endingWithConnection(first + "id: 2\ndata: b\n")}, first, false, true, 0, []string{""}},
+		{"inside an event, goes on elsewhere", "/resume/x", []behaviour{endingWithConnection(first + "id: 2\nda"), endingWithConnection(rest)}, events, true, false, 0, []string{"", "1"}},
+		{"inside an event of the second run", "/resume/x", []behaviour{truncated(first), endingWithConnection("id: 2\nda")}, first, false, true, 0, []string{"", "1"}},
+		{"inside the first event", "/stream/x", []behaviour{endingWithConnection("id: 1\nda")}, "", false, false, UnknownOutcome, []string{""}},
+		{"inside the first event, runs elsewhere", "/resume/x", []behaviour{endingWithConnection("id: 1\nda"), respondWith(200, events)}, events, true, false, 0, []string{"", ""}},
+		{"inside an event of a body with an end", "/stream/x", []behaviour{respondWith(200, first+"id: 2\nda")}, first, false, true, 0, []string{""}},
+		{"before the first event", "/stream/x", []behaviour{endingWithConnection("")}, "", false, false, UnknownOutcome, []string{""}},
+		{"before the first event, runs elsewhere", "/resume/x", []behaviour{endingWithConnection(""), respondWith(200, events)}, events, true, false, 0, []string{"", ""}},
+		{"after the last event", "/stream/x", []behaviour{endingWithConnection(events)}, events, true, false, 0, []string{""}},
+		{"without events, of a body with an end", "/stream/x", []behaviour{respondWith(200, "")}, "", true, false, 0, []string{""}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			out, targets := serveCall(t, c.path, c.next...)
+			if diff := cmp.Diff(c.want, out.body.String()); diff != "" {
+				t.Errorf("body (-want +got):\n%s", diff)
+			}
+			if out.ended != c.ended || out.aborted != c.aborted || out.failure.Kind != c.failure {
+				t.Errorf("ended %t, aborted %t, failure %v; want %t, %t, %v", out.ended, out.aborted, out.failure.Kind, c.ended, c.aborted, c.failure)
+			}
+			var resume []string
+			for _, f := range targets.sends {
+				resume = append(resume, f.ResumeAfter)
+			}
+			if diff := cmp.Diff(c.resume, resume); diff != "" {
+				t.Errorf("resumed after (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against a plain response that is lost because it has neither a length nor
+// chunks: its body is complete when the connection ends without an error.
+func TestPlainResponseEndingWithConnectionIsComplete(t *testing.T) {
+	out, _ := serveCall(t, "/once/x", endingWithConnection("whole"))
+	if !out.ended || out.body.String() != "whole" {
+		t.Errorf("ended %t with body %q, want the whole response", out.ended, out.body.String())
+	}
+}
+
