A stream that ends inside an event is broken off, however its body ended

Cause: a body without length or chunks ends without an error when its connection is closed, also by a crash. The entry took the end of the body for the end of the stream, forwarded what it had of the last event and ended its own chunked response. It thus claimed a completeness of which it had no proof.

Change: the reader of events returns the end of the stream only between two events; an end inside one is an error, as a reset is. The attempt then counts as broken: the stream goes on at another target after its last whole event where it may be resumed, and is cut off otherwise. A stream without length or chunks that ends before any event with data is broken off too.

Why it works: a stream's own blank lines mark its events, so a break that falls inside one shows without any help of the framing.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -171,23 +172,17 @@
 	events := newEventReader(ex)
 	for {
 		event, err := events.next()
-		if err != nil && !errors.Is(err, io.EOF) {
-			return a.outcomeOf(err), err
+		if errors.Is(err, io.EOF) {
+			return a.finishStream(head)
 		}
-		a.resetStallTimer(r.eventGapTimeout())
-		unfinishedBytes := 0
 		if err != nil {
-			unfinishedBytes = len(event.data)
-		}
-		if len(event.data) > 0 {
-			a.countEvent()
-			if writeErr := r.forwardEvent(a.grant, head, event); writeErr != nil {
-				a.cancel(writeErr)
-				return dispatch.Cancelled, writeErr
-			}
+			return a.outcomeOf(err), err
 		}
-		if err != nil {
-			return a.finishStream(head, unfinishedBytes)
+		a.resetStallTimer(r.eventGapTimeout())
+		a.countEvent()
+		if err := r.forwardEvent(a.grant, head, event); err != nil {
+			a.cancel(err)
+			return dispatch.Cancelled, err
 		}
 	}
 }
@@ -200,10 +195,14 @@
 	a.grant.Events++
 }
 
-// finishStream completes the response after the regular end of the stream. A stream
-// without events is answered as a complete response without a body.
-func (a *attempt) finishStream(head *state.Response, unfinishedBytes int) (dispatch.Outcome, error) {
+// finishStream completes the response after a stream that ended between two events. A
+// stream without events is answered as a complete response without a body, unless only
+// the end of the connection says that it ended.
+func (a *attempt) finishStream(head *state.Response) (dispatch.Outcome, error) {
 	r := a.request
+	if head.EndsWithConnection && !r.dataForwarded {
+		return dispatch.Broken, errNoEvent
+	}
 	if !r.streamBegun {
 		r.respond(a.grant, head, nil)
 		return dispatch.Served, nil
@@ -211,7 +210,7 @@
 	if err := r.responder.EndStream(); err != nil {
 		r.logCallerError("end of stream", err)
 	}
-	r.recordAnswered(a.grant, head, unfinishedBytes)
+	r.recordAnswered(a.grant, head)
 	return dispatch.Served, nil
 }
 
@@ -229,6 +228,7 @@
 	if e.id != "" {
 		r.lastEventID = e.id
 	}
+	r.dataForwarded = r.dataForwarded || e.hasData
 	if err := r.responder.WriteEvent(e.data); err != nil {
 		return fmt.Errorf("write event to caller: %w", err)
 	}
@@ -237,8 +237,9 @@
 
 // event is one complete event of a stream, including the blank line that ends it.
 type event struct {
-	data []byte
-	id   string // empty when the event has none
+	data    []byte
+	id      string // empty when the event has none
+	hasData bool   // false for comments and empty lines
 }
 
 // maxEventBytes bounds the size of one event.
@@ -248,9 +249,9 @@
 
 func newEventReader(r io.Reader) *eventReader { return &eventReader{in: bufio.NewReader(r)} }
 
-// next returns the next complete event. At the regular end of the stream it returns
-// io.EOF together with the data that follows the last blank line. With any other
-// error the returned event is incomplete and must not be forwarded.
+// next returns the next complete event. The error is io.EOF only if the body ended
+// between two events. A body that ends inside an event was broken off, even if nothing
+// else shows it: a body without length or chunks also ends when its sender crashes.
 func (e *eventReader) next() (event, error) {
 	var ev event
 	for {
@@ -262,8 +263,11 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
+		if errors.Is(err, io.EOF) && len(ev.data) > 0 {
+			return event{}, fmt.Errorf("%w, after %d bytes of it", errEndsInsideEvent, len(ev.data))
+		}
 		if err != nil {
-			return ev, err
+			return event{}, err
 		}
 		text := trimLineEnd(line)
 		if len(text) == 0 {
@@ -272,6 +276,7 @@
 		if id, ok := fieldValue(text, "id"); ok {
 			ev.id = id
 		}
+		ev.hasData = ev.hasData || bytes.HasPrefix(text, []byte("data:"))
 	}
 }
 
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -44,7 +44,8 @@
 type Exchange interface {
 	// Head waits for the head of the response.
 	Head() (*state.Response, error)
-	// Read reads the body. It returns io.EOF only if the body is complete.
+	// Read reads the body. It returns io.EOF only if the body is complete or, for a
+	// response that ends with its connection, if that was closed without an error.
 	io.Reader
 	// Close ends the exchange. bodyRead says that the body was read to its end, so
 	// that the connection may be reused.
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -114,7 +114,7 @@
 	if err := r.responder.Respond(head, body); err != nil {
 		r.logCallerError("response", err)
 	}
-	r.recordAnswered(g, head, 0)
+	r.recordAnswered(g, head)
 }
 
 // fail answers the caller with an error response of the entry itself.
@@ -150,9 +150,8 @@
 	r.responder.Abort()
 }
 
-// recordAnswered counts and logs a request that a target answered. unfinishedBytes is
-// the size of what a stream had after its last whole event.
-func (r *request) recordAnswered(g *dispatch.Grant, head *state.Response, unfinishedBytes int) {
+// recordAnswered counts and logs a request that a target answered.
+func (r *request) recordAnswered(g *dispatch.Grant, head *state.Response) {
 	took := time.Since(r.arrived)
 	r.service.cfg.Counters.Add("answered." + r.route.Name)
 	if head.EndsWithConnection {
@@ -162,7 +161,7 @@
 	r.service.cfg.Counters.observeLatency("whole."+r.route.Name, took)
 	r.log.Info("request answered", zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name),
 		zap.String("target", string(g.Target.ID)), zap.Int("status", head.Status), zap.Bool("ends_with_connection", head.EndsWithConnection),
-		zap.Int("events", g.Events), zap.Int("unfinished_bytes", unfinishedBytes),
+		zap.Int("events", g.Events),
 		zap.Duration("first_after", r.timeToResponse), zap.Duration("after", took), zap.Int("runs", r.possibleRuns+1),
 		zap.Bool("returned", r.returned()))
 }
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -57,6 +57,8 @@
 	errInvalidResponse = errors.New("response is encoded, unsigned, or has a status that is valid only for a request that did not run")
 	errDeadline        = errors.New("deadline of the request passed")
 	errTooLarge        = errors.New("response body or event is too large")
+	errEndsInsideEvent = errors.New("stream ended inside an event")
+	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
 )
 
 // Config configures a Service.
@@ -159,10 +161,12 @@
 	lastEventAt    time.Time     // when the last event was forwarded
 	longestGap     time.Duration // longest pause between forwarded events
 
-	possibleRuns int    // number of attempts that may have run
-	streamBegun  bool   // the head of a stream was sent to the caller
-	lastEventID  string // ID of the last event that the caller has
-	lastErr      error
+	possibleRuns int  // number of attempts that may have run
+	streamBegun  bool // the head of a stream was sent to the caller
+	// dataForwarded says that an event with data was sent to the caller.
+	dataForwarded bool
+	lastEventID   string // ID of the last event that the caller has
+	lastErr       error
 	// targetFailure is the latest 5xx response of a target. The caller gets it if no
 	// other target serves the request.
 	targetFailure *failureResponse
--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -43,6 +43,7 @@
 		{"inside an event of a body with an end", "/stream/x", []behaviour{respondWith(200, first+"id: 2\nda")}, first, false, true, 0, []string{""}},
 		{"before the first event", "/stream/x", []behaviour{endingWithConnection("")}, "", false, false, UnknownOutcome, []string{""}},
 		{"before the first event, runs elsewhere", "/resume/x", []behaviour{endingWithConnection(""), respondWith(200, events)}, events, true, false, 0, []string{"", ""}},
+		{"after a comment", "/stream/x", []behaviour{endingWithConnection(": waiting\n\n")}, ": waiting\n\n", false, true, 0, []string{""}},
 		{"after the last event", "/stream/x", []behaviour{endingWithConnection(events)}, events, true, false, 0, []string{""}},
 		{"without events, of a body with an end", "/stream/x", []behaviour{respondWith(200, "")}, "", true, false, 0, []string{""}},
 	} {
@@ -73,4 +74,3 @@
 		t.Errorf("ended %t with body %q, want the whole response", out.ended, out.body.String())
 	}
 }
-
