Side process: a plain service's event stream must end between two events

What callers would see: a streamed response of a plain service, behind a side process, that looks complete although the service crashed inside an event.

A body without length or chunks ends without an error when its connection is closed, and the side process reports that as a complete response. Streams of engines are not affected: they end with the event [DONE], and a stream without it is resumed.

Change: bodies of the media type text/event-stream are read by a reader that returns the end only between two events, and, without length or chunks, only after an event. The outcome is then unknown, upon which the entry cuts the response off. Other media types are passed on as before.

--- a/internal/transport/engine/plain.go
+++ b/internal/transport/engine/plain.go
@@ -66,15 +66,16 @@
 }
 
 // forwardResponse passes the response to emit. headRequest says that the request is
-// a HEAD request. Reading a body that is shorter than its Content-Length ends with
-// an error other than io.EOF.
+// a HEAD request. Reading a body that is shorter than its Content-Length, or a stream of
+// events that was broken off, ends with an error other than io.EOF.
 func (c *Client) forwardResponse(call *httpCall, headRequest bool, emit func(state.AttemptEvent)) error {
 	emit(responseHead(call, headRequest))
+	body := newPlainBodyReader(call, headRequest)
 	var offset uint64
 	received := 0
 	buffer := make([]byte, maxPlainChunkBytes)
 	for {
-		n, err := call.bodyReader().Read(buffer)
+		n, err := body.Read(buffer)
 		if n > 0 {
 			emit(&state.Chunk{Offset: offset, Data: bytes.Clone(buffer[:n])})
 			offset++
