Reset the connection of a broken response that has no chunks

What callers would see: over HTTP/1.0, a stream that broke off between two events and looks complete.

Cause: the entry cuts a broken stream off by closing the connection without the last chunk. A response to an HTTP/1.0 request has no chunks; it ends where its connection is closed.

Change: the connection of a response that is cut off is reset where the response has no chunks. Responses over HTTP/1.1 are cut off as before.

Evidence: TestBrokenStreamResetsConnectionWithoutChunks failed before (error nil after the first event) and passes now.

Result: go test ./internal/transport/gatewayhttp passes. Only read, not changed: entryhttp, on fasthttp, answers streams to HTTP/1.0 callers in chunks.

--- a/internal/transport/gatewayhttp/server.go
+++ b/internal/transport/gatewayhttp/server.go
@@ -81,6 +81,7 @@
 	server := &http.Server{
 		Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: s.trackIdle, DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(s.Log),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 	// Bounds idle connections when the operator sets no limit.
 	server.IdleTimeout = 10 * time.Minute
@@ -217,10 +218,25 @@
 	}
 	s.Gateway.Serve(r.Context(), call, arrived, out)
 	if out.aborted {
-		panic(http.ErrAbortHandler) // closes the connection without ending the response
+		s.cutResponse(r)
 	}
 }
 
+// connKey is the key under which the context of a request holds its connection.
+type connKey struct{}
+
+// cutResponse closes the caller's connection without ending the response. A response
+// without chunks ends with its connection, so that only a reset tells the caller that it
+// is incomplete.
+func (s *Server) cutResponse(r *http.Request) {
+	if tcp, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
+		if err := tcp.SetLinger(0); err != nil {
+			s.Log.Warn("connection of a broken response not reset", zap.String("caller", r.RemoteAddr), zap.Error(err))
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // The parts of the longest time that a request takes: at an engine that is several times
 // slower than most and has all its slots in use.
 const (
--- a/internal/transport/gatewayhttp/streamend_test.go
+++ b/internal/transport/gatewayhttp/streamend_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
@@ -70,3 +71,27 @@
 		})
 	}
 }
+
+// Guards against a broken stream that looks complete to a caller of HTTP/1.0, whose
+// responses have no chunks and end with the connection.
+func TestBrokenStreamResetsConnectionWithoutChunks(t *testing.T) {
+	for name, c := range map[string]struct {
+		body     io.Reader
+		complete bool
+	}{
+		"broken": {io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), brokenReader{}), false},
+		"whole":  {strings.NewReader("id: 1\ndata: a\n\n"), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, address := startServer(t, func(context.Context, *gateway.Forward) (gateway.Exchange, error) {
+				return &fakeExchange{Reader: c.body}, nil
+			})
+			conn := dial(t, address)
+			request := "POST /stream/x HTTP/1.0\r\nHost: 127.0.0.1\r\nRequest-Id: r\r\nContent-Length: 0\r\n\r\n"
+			resp, body, err := roundTrip(t, conn, bufio.NewReader(conn), request)
+			if complete := err == nil; complete != c.complete || body != "id: 1\ndata: a\n\n" {
+				t.Errorf("response %v with body %q, error %v; want the event and complete %t", resp, body, err, c.complete)
+			}
+		})
+	}
+}
