--- a/internal/emulator/proxy.go
+++ b/internal/emulator/proxy.go
@@ -65,7 +65,8 @@
 }
 
 // copyData copies one direction until it ends, applying the faults. If reading
-// fails with anything but EOF, it resets the connection to.
+// fails with anything but EOF, or data was discarded, it resets the connection to: a
+// regular close would tell the receiver that it has all data.
 func (p *Proxy) copyData(to, from net.Conn, drop *atomic.Bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, 16<<10)
@@ -84,7 +85,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if err != io.EOF || dropped {
 				resetConn(to)
 			}
 			return
--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -43,7 +43,10 @@
 	Slots           int
 	EventsPerStream int
 	WorkTime        time.Duration // for a plain response, or for one event
-	Ledger          *Ledger
+	// EndWithConnection makes the target send streams without length or chunks, which
+	// end with their connection.
+	EndWithConnection bool
+	Ledger            *Ledger
 	// LoseResponse makes the target run requests and close the connection without
 	// a response. TruncateResponse makes it close the connection in the middle of
 	// a response. ExtraResponse makes a plain service send a second response after
@@ -140,6 +143,9 @@
 // events without one.
 func (t *Target) serveStream(w http.ResponseWriter, r *http.Request, id string) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if t.EndWithConnection {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http then sends no chunks
+	}
 	from := 0
 	if lastEventID := r.Header.Get("Last-Event-Id"); lastEventID != "" {
 		var err error
