Log the software version of targets and what a resumed stream resumes

Cause: from the logs one cannot tell at which software version a stream began and went on, nor which earlier request a caller takes up.

--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -167,11 +167,17 @@
 }
 
 func (r *request) logTargetChosen(g *dispatch.Grant) {
-	r.log.Info("target chosen", zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name),
+	fields := []zap.Field{
+		zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name),
 		zap.String("customer", string(r.customerName())), zap.Int("rank", r.placement.Rank), zap.Int64("configuration", r.configurationVersion()),
-		zap.String("policy", g.Policy), zap.String("target", string(g.Target.ID)), zap.String("domain", string(g.Target.Domain)),
+		zap.String("policy", g.Policy), zap.String("target", string(g.Target.ID)), zap.String("domain", string(g.Target.Domain)), zap.String("software", string(g.Target.Software)),
 		zap.Int("used", g.Used), zap.Int("slots", g.Slots), zap.Int("candidates", g.Candidates),
-		zap.Duration("waited", g.Waited), zap.Duration("predicted", g.Predicted), zap.Duration("left", time.Until(r.deadline)), zap.Int("tried", len(r.placement.Tried)))
+		zap.Duration("waited", g.Waited), zap.Duration("predicted", g.Predicted), zap.Duration("left", time.Until(r.deadline)), zap.Int("tried", len(r.placement.Tried)),
+	}
+	if r.lastEventID != "" {
+		fields = append(fields, zap.String("resume_after", r.lastEventID), zap.String("resumes", string(r.call.ResumedRequest)))
+	}
+	r.log.Info("target chosen", fields...)
 }
 
 func (r *request) logPlacementRefused(refusal *dispatch.Refusal) {
--- a/internal/daemon/targetlist.go
+++ b/internal/daemon/targetlist.go
@@ -160,7 +160,7 @@
 	for _, r := range put {
 		c.p.log.Info("target listed", zap.String("target", string(r.ID)), zap.String("service", string(r.Service)),
 			zap.String("address", r.Address), zap.String("domain", string(r.Domain)), zap.Int("slots", r.Slots),
-			zap.Bool("draining", r.Draining), zap.Int64("started", r.Started))
+			zap.Bool("draining", r.Draining), zap.Int64("started", r.Started), zap.String("software", string(r.Software)))
 	}
 	for _, r := range removed {
 		c.p.targetClient.CloseIdle(r.Address)
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -91,6 +91,10 @@
 	IdleTimeout    time.Duration
 }
 
+// SoftwareVersion is the version of the software that a target runs, not of its model
+// weights. Versions have no order.
+type SoftwareVersion string
+
 // TargetRecord describes one target in the platform's list.
 type TargetRecord struct {
 	ID       TargetID
@@ -100,6 +104,9 @@
 	Slots    int   // number of requests that the target runs at once
 	Started  int64 // start time in Unix milliseconds; 0 when not stated
 	Draining bool  // accepts no new requests
+	// Software is empty when not stated. What targets of different versions write does
+	// not fit together in one stream.
+	Software SoftwareVersion
 }
 
 // Call is a caller's request as the gateway forwards it.
@@ -128,6 +135,9 @@
 	// ResumeAfter is the identifier of the last event that the caller received;
 	// empty for a request for the whole stream.
 	ResumeAfter string
+	// ResumedRequest is the caller's request that brought the first event of the stream
+	// that this one resumes; empty when not stated.
+	ResumedRequest RequestID
 }
 
 // PromptPart is a section of a prompt that other prompts may have in common.
