Failing tests: streams go on at another software version

Neither an entry's own attempts nor those of callers keep a stream at the software version that began it.

Events of the emulator's streams name the version.

--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -159,8 +159,12 @@
 	return out, targets
 }
 
-func newUnconfiguredService(targets TargetClient) *Service {
-	scheduler := dispatch.New("a", 1, time.Now, noObserver{})
+func newUnconfiguredService(targets TargetClient) *Service { return newSeededService(targets, 1) }
+
+// newSeededService returns a service without a configuration, whose choice of targets
+// depends on seed.
+func newSeededService(targets TargetClient, seed uint64) *Service {
+	scheduler := dispatch.New("a", seed, time.Now, noObserver{})
 	var records []state.TargetRecord
 	for _, id := range []state.TargetID{"t1", "t2", "t3"} {
 		records = append(records, state.TargetRecord{ID: id, Service: "s", Address: string(id), Slots: 4})
--- /dev/null
+++ b/internal/coordination/gateway/software_test.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// seeds is the number of seeds that each case runs with, because targets are picked at
+// random.
+const seeds = 20
+
+// newSoftwareService returns a service with targets of the versions.
+func newSoftwareService(targets TargetClient, seed int, versions ...state.SoftwareVersion) *Service {
+	s := newSeededService(targets, uint64(seed))
+	s.SetConfiguration(testConfig)
+	setSoftware(s, "t", versions...)
+	return s
+}
+
+// setSoftware lists one target for each version, with the given prefix of their names.
+func setSoftware(s *Service, prefix string, versions ...state.SoftwareVersion) {
+	var records []state.TargetRecord
+	for i, v := range versions {
+		id := fmt.Sprintf("%s%d-%s", prefix, i, v)
+		records = append(records, state.TargetRecord{ID: state.TargetID(id), Service: "s", Address: id, Slots: 4, Software: v})
+	}
+	s.cfg.Scheduler.SetTargets(records)
+}
+
+// serve serves a call on the resumable route.
+func serve(t *testing.T, s *Service, call state.Call) *recordingResponder {
+	t.Helper()
+	call.Host, call.Path, call.APIKey = "h", "/resume/x", "key"
+	out := &recordingResponder{}
+	s.Serve(t.Context(), &call, time.Now(), out)
+	return out
+}
+
+// Guards against a stream that its target breaks off and that the entry sends on to a
+// target of another software version. What two versions write does not fit together.
+func TestBrokenStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	for _, c := range []struct {
+		name     string
+		versions []state.SoftwareVersion
+		goesOn   bool
+	}{
+		{"served by others", []state.SoftwareVersion{"v1", "v2", "v1", "v2", "v1", "v2"}, true},
+		{"served by no other", []state.SoftwareVersion{"v1", "v2"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range seeds {
+				synctest.Test(t, func(t *testing.T) {
+					targets := &fakeTargetClient{behaviours: []behaviour{truncated(first), respondWith(200, rest)}}
+					s := newSoftwareService(targets, seed, c.versions...)
+					out := serve(t, s, state.Call{ID: "first"})
+					for _, f := range targets.sends[1:] {
+						if f.Target.Software != targets.sends[0].Target.Software {
+							t.Errorf("began at %s and was sent on to %s", targets.sends[0].Target.ID, f.Target.ID)
+						}
+					}
+					if out.ended != c.goesOn || out.aborted == c.goesOn {
+						t.Errorf("ended %t, aborted %t with body %q; want complete %t", out.ended, out.aborted, out.body.String(), c.goesOn)
+					}
+				})
+			}
+		})
+	}
+}
+
+// Guards against a stream that a caller takes up and that goes on at another software
+// version than the one that began it, or at an unknown one.
+func TestStreamTakenUpGoesOnAtItsSoftwareVersion(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	takeUp := state.Call{ID: "second", ResumeAfter: "1", ResumedRequest: "first"}
+	for _, c := range []struct {
+		name     string
+		versions []state.SoftwareVersion // when the stream begins
+		later    []state.SoftwareVersion // when it is taken up
+		call     state.Call
+		goesOn   bool
+	}{
+		{"served by others", []state.SoftwareVersion{"v1", "v2"}, []state.SoftwareVersion{"v1", "v2", "v1", "v2"}, takeUp, true},
+		{"no longer served", []state.SoftwareVersion{"v1"}, []state.SoftwareVersion{"v2", "v2"}, takeUp, false},
+		{"unknown, one of two", []state.SoftwareVersion{"v1", "v2"}, []state.SoftwareVersion{"v1", "v2"}, state.Call{ID: "second", ResumeAfter: "1", ResumedRequest: "elsewhere"}, false},
+		{"not stated, one of two", []state.SoftwareVersion{"v1", "v2"}, []state.SoftwareVersion{"v1", "v2"}, state.Call{ID: "second", ResumeAfter: "1"}, false},
+		{"unknown, of one", []state.SoftwareVersion{"v1", "v1"}, []state.SoftwareVersion{"v1", "v1"}, state.Call{ID: "second", ResumeAfter: "1", ResumedRequest: "elsewhere"}, true},
+		{"not stated, of one", []state.SoftwareVersion{"v1", "v1"}, []state.SoftwareVersion{"v1", "v1"}, state.Call{ID: "second", ResumeAfter: "1"}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range seeds {
+				synctest.Test(t, func(t *testing.T) {
+					targets := &fakeTargetClient{behaviours: []behaviour{truncated(first), truncated(""), respondWith(200, rest)}}
+					s := newSoftwareService(targets, seed, c.versions...)
+					serve(t, s, state.Call{ID: "first"})
+					began := targets.sends[0].Target
+					targets.sends, targets.behaviours = nil, []behaviour{respondWith(200, rest)}
+					setSoftware(s, "later", c.later...)
+					out := serve(t, s, c.call)
+					if out.ended != c.goesOn || !c.goesOn && out.failure.Kind != NotRun {
+						t.Errorf("ended %t, failure %v; want complete %t, or that it did not run", out.ended, out.failure, c.goesOn)
+					}
+					for _, f := range targets.sends {
+						if f.Target.Software != began.Software {
+							t.Errorf("began at %s and goes on at %s", began.ID, f.Target.ID)
+						}
+					}
+				})
+			}
+		})
+	}
+}
--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -43,6 +43,7 @@
 	Slots           int
 	EventsPerStream int
 	WorkTime        time.Duration // for a plain response, or for one event
+	Software        string        // version of the software, part of each event
 	Ledger          *Ledger
 	// LoseResponse makes the target run requests and close the connection without
 	// a response. TruncateResponse makes it close the connection in the middle of
@@ -58,7 +59,7 @@
 // Record returns the value of the target's record in the store.
 func (t *Target) Record(address, state string, startedAt time.Time) ([]byte, error) {
 	return json.Marshal(map[string]any{
-		"Service": t.Service, "Address": address, "Zone": "a", "Slots": t.Slots, "State": state, "born": startedAt.UnixMilli(),
+		"Service": t.Service, "Address": address, "Zone": "a", "Version": t.Software, "Slots": t.Slots, "State": state, "born": startedAt.UnixMilli(),
 	})
 }
 
@@ -68,8 +69,11 @@
 // PlainBody returns the response body of a plain service for a request id.
 func PlainBody(id string) string { return "response to " + id }
 
-// StreamEvent returns event n, from 1, of the stream for a request id.
-func StreamEvent(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+// StreamEvent returns event n, from 1, of the stream that a target of the given software
+// version sends for a request id.
+func StreamEvent(id string, n int, software string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", n, id, n, software)
+}
 
 func (t *Target) handle(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
@@ -160,7 +164,7 @@
 			return
 		case <-time.After(t.WorkTime):
 		}
-		event := StreamEvent(id, n)
+		event := StreamEvent(id, n, t.Software)
 		if t.TruncateResponse.Load() && n == t.EventsPerStream/2+1 {
 			fmt.Fprint(w, event[:len(event)/2])
 			control.Flush()
--- a/internal/faultsoak/load_test.go
+++ b/internal/faultsoak/load_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -54,14 +55,18 @@
 
 // sendRequest sends a request, checks its response and records the result.
 func (w *world) sendRequest(e *entry, id, route string) result {
-	r := result{id: id, route: route, started: time.Now(), entry: e.name}
-	defer func() {
-		r.ended = time.Now()
-		w.checkResponse(r)
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.results = append(w.results, r)
-	}()
+	r := w.send(e, id, route, nil)
+	w.checkResponse(r)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.results = append(w.results, r)
+	return r
+}
+
+// send sends a request with extra header fields and returns its response.
+func (w *world) send(e *entry, id, route string, extra map[string]string) (r result) {
+	r = result{id: id, route: route, started: time.Now(), entry: e.name}
+	defer func() { r.ended = time.Now() }()
 	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/%s/x", e.ip, callerPort, route), bytes.NewReader([]byte(id)))
 	if err != nil {
 		r.err = err
@@ -71,6 +76,9 @@
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Api-Key", "key")
 	req.Header.Set("Deadline-Ms", "3000")
+	for name, value := range extra {
+		req.Header.Set(name, value)
+	}
 	resp, err := e.client.Do(req)
 	if err != nil {
 		r.err = err
@@ -99,20 +107,31 @@
 }
 
 // checkStream reports a streamed response whose events are not a prefix of the
-// expected ones, or that ended without an error before the last event.
+// expected ones of one software version, or that ended without an error before the last
+// event.
 func (w *world) checkStream(r result) {
-	var complete strings.Builder
-	for n := 1; n <= eventsPerStream; n++ {
-		complete.WriteString(emulator.StreamEvent(r.id, n))
-	}
-	if r.err == nil && r.body != complete.String() {
+	if r.err == nil && !isWholeStream(r.id, r.body) {
 		w.t.Errorf("%s %s: a stream that ended without an error has the wrong body %q", r.route, r.id, r.body)
 	}
-	if !strings.HasPrefix(complete.String(), r.body) {
-		w.t.Errorf("%s %s: events are missing or repeated: %q", r.route, r.id, r.body)
+	if !slices.ContainsFunc(softwareVersions, func(v string) bool { return strings.HasPrefix(wholeStream(r.id, v), r.body) }) {
+		w.t.Errorf("%s %s: events are missing, repeated or of two software versions: %q", r.route, r.id, r.body)
 	}
 }
 
+// wholeStream returns the stream that a target of a software version sends for a request.
+func wholeStream(id, software string) string {
+	var b strings.Builder
+	for n := 1; n <= eventsPerStream; n++ {
+		b.WriteString(emulator.StreamEvent(id, n, software))
+	}
+	return b.String()
+}
+
+// isWholeStream reports whether body is the whole stream of one software version.
+func isWholeStream(id, body string) bool {
+	return slices.ContainsFunc(softwareVersions, func(v string) bool { return body == wholeStream(id, v) })
+}
+
 // checkLedger compares what callers were told with how often the targets ran each
 // request.
 func (w *world) checkLedger() {
