A stream that its target breaks off goes on at the same software version

Cause: an entry that resumes a broken stream placed it on any target of the service. It did not read which software version a target has.

Change: the version of the target that wrote the first event with data is kept with the request; later attempts may only be placed on targets of that version. They wait for one that is full, and the stream is cut off if none is left. In large fleets such an attempt may use any target of the service, because the entry's subset may hold none of the version.

The soak's targets have two versions by turns, and it checks that no response mixes them.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -44,7 +44,7 @@
 	reservedSlots := p.reservedSlots(r, now)
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
-	for _, t := range p.subset {
+	for _, t := range p.targetsFor(r) {
 		if !t.eligible(now, r) {
 			continue
 		}
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/costmodel"
@@ -30,6 +31,9 @@
 	ObjectiveMissed bool
 	// Tried are the targets that must not be chosen again.
 	Tried []state.TargetID
+	// RequiredSoftware is the software version that the target must have, because
+	// targets of other versions cannot continue the stream; nil if any may serve it.
+	RequiredSoftware *state.SoftwareVersion
 	// Repeatable says that the request may run more than once, so that it may probe
 	// an ejected target.
 	Repeatable bool
@@ -44,14 +48,9 @@
 	AlreadyAdmitted bool
 }
 
-// tried reports whether id is in Tried.
-func (r *Request) tried(id state.TargetID) bool {
-	for _, t := range r.Tried {
-		if t == id {
-			return true
-		}
-	}
-	return false
+// allows reports whether the request may be sent to a target with the given record.
+func (r *Request) allows(t *state.TargetRecord) bool {
+	return !t.Draining && !slices.Contains(r.Tried, t.ID) && (r.RequiredSoftware == nil || *r.RequiredSoftware == t.Software)
 }
 
 // Reasons for refusals, as they appear in logs.
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -210,12 +211,17 @@
 
 // hasTargetFor reports whether some target of the service may take r, now or later.
 func (s *Scheduler) hasTargetFor(p *pool, r *Request) bool {
-	for _, t := range p.subset {
-		if !t.record.Draining && !r.tried(t.record.ID) {
-			return true
-		}
+	return slices.ContainsFunc(p.targetsFor(r), func(t *target) bool { return r.allows(&t.record) })
+}
+
+// targetsFor returns the targets among which r is placed: those that this entry uses or,
+// if only some can continue the stream, all of the service, because the subset may hold
+// none of them.
+func (p *pool) targetsFor(r *Request) []*target {
+	if r.RequiredSoftware != nil {
+		return p.allTargets
 	}
-	return false
+	return p.subset
 }
 
 // Waiting returns the number of requests waiting for a service.
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -106,7 +106,7 @@
 // eligible reports whether the target may take r, apart from its load. An ejected
 // target takes one request at a time, as a probe, once its backoff is over.
 func (t *target) eligible(now time.Time, r *Request) bool {
-	if t.record.Draining || r.tried(t.record.ID) || now.Before(t.pausedUntil) {
+	if !r.allows(&t.record) || now.Before(t.pausedUntil) {
 		return false
 	}
 	if !t.ejectedUntil.IsZero() {
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -228,7 +228,9 @@
 	if e.id != "" {
 		r.lastEventID = e.id
 	}
-	r.dataForwarded = r.dataForwarded || e.hasData
+	if e.hasData && !r.dataForwarded {
+		r.dataForwarded, r.software = true, &g.Target.Software
+	}
 	if err := r.responder.WriteEvent(e.data); err != nil {
 		return fmt.Errorf("write event to caller: %w", err)
 	}
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -165,8 +165,11 @@
 	streamBegun  bool // the head of a stream was sent to the caller
 	// dataForwarded says that an event with data was sent to the caller.
 	dataForwarded bool
-	lastEventID   string // ID of the last event that the caller has
-	lastErr       error
+	// software is the version of the target that wrote the first event with data; nil
+	// before there is one.
+	software    *state.SoftwareVersion
+	lastEventID string // ID of the last event that the caller has
+	lastErr     error
 	// targetFailure is the latest 5xx response of a target. The caller gets it if no
 	// other target serves the request.
 	targetFailure *failureResponse
@@ -335,7 +338,7 @@
 		}
 		r.placement.Tried = append(r.placement.Tried, grant.Target.ID)
 		r.placement.AlreadyAdmitted = true
-		r.placement.Resumed = r.lastEventID != ""
+		r.placement.Resumed, r.placement.RequiredSoftware = r.lastEventID != "", r.software
 		if placements+1 >= maxPlacements {
 			r.giveUp("no_placement_left", defaultRetryAfter)
 			return
--- a/internal/faultsoak/versions_test.go
+++ b/internal/faultsoak/versions_test.go
@@ -55,9 +55,8 @@
 	const rounds, streamsPerRound = 8, 12 // half of the slots
 	w := newWorld(t, buildDaemon(t), 1)
 	defer w.close()
-	for i, e := range w.engines {
-		e.WorkTime, e.Software = 40*time.Millisecond, softwareVersions[i%2]
-		w.putTargetRecord(e, "ready")
+	for _, e := range w.engines {
+		e.WorkTime = 40 * time.Millisecond
 	}
 	w.waitReady(10 * time.Second)
 	cut, goneOn, mixed := 0, 0, 0
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -68,7 +68,7 @@
 	eventsPerStream                     = 8               // in a response of an engine that streams
 )
 
-// softwareVersions are the versions that targets' software may have.
+// softwareVersions are the versions of the targets' software, by turns.
 var softwareVersions = []string{"v1", "v2"}
 
 func newWorld(t *testing.T, binary string, seed uint64) *world {
@@ -104,7 +104,7 @@
 // addEngine starts an emulated target and its proxy and puts its record into the
 // store. A target that streams belongs to the service model, others to plain.
 func (w *world) addEngine(id string, streams bool) {
-	target := &emulator.Target{ID: id, Service: "plain", Software: softwareVersions[0], Slots: 8, WorkTime: 5 * time.Millisecond, Ledger: w.ledger}
+	target := &emulator.Target{ID: id, Service: "plain", Software: softwareVersions[len(w.engines)%2], Slots: 8, WorkTime: 5 * time.Millisecond, Ledger: w.ledger}
 	if streams {
 		target.Service, target.EventsPerStream = "model", eventsPerStream
 	}
