--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -229,7 +229,8 @@
 		r.lastEventID = e.id
 	}
 	if e.hasData && !r.dataForwarded {
-		r.dataForwarded, r.software = true, &g.Target.Software
+		r.dataForwarded = true
+		r.recordOrigin(g)
 	}
 	if err := r.responder.WriteEvent(e.data); err != nil {
 		return fmt.Errorf("write event to caller: %w", err)
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/costmodel"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/retry"
@@ -67,6 +68,10 @@
 	TargetClient TargetClient
 	Quota        *quota.Ledger
 	Refusals     *refusal.Log
+	// Origins remembers where streams began. AskOrigin asks other entries where the stream
+	// of a request began, which is at service if nothing else is known.
+	Origins   *origin.Log
+	AskOrigin func(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, bool)
 	// RetryRatio, RetryWindow and RetrySlack bound the repeated sends for each
 	// service: within RetryWindow, at most RetryRatio for each first send, plus
 	// RetrySlack. RetrySlack returns this entry's share of the repeated sends that
@@ -166,7 +171,7 @@
 	// dataForwarded says that an event with data was sent to the caller.
 	dataForwarded bool
 	// software is the version of the target that wrote the first event with data; nil
-	// before there is one.
+	// before there is one. It is known from the start for a stream that is taken up.
 	software    *state.SoftwareVersion
 	lastEventID string // ID of the last event that the caller has
 	lastErr     error
@@ -212,6 +217,9 @@
 		return &Failure{Kind: UnknownKey, Reason: "unknown_key"}
 	}
 	r.preparePlacement()
+	if failure := r.findOrigin(ctx); failure != nil {
+		return failure
+	}
 	if r.customer != nil {
 		r.cost = r.customer.PlainCost
 		if r.customer.CountsTokens && r.call.HasTokenCounts {
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/state"
@@ -170,9 +171,14 @@
 		records = append(records, state.TargetRecord{ID: id, Service: "s", Address: string(id), Slots: 4})
 	}
 	scheduler.SetTargets(records)
+	origins := origin.New(time.Now(), true)
+	origins.SetTargets(time.Now(), records)
+	askOrigin := func(context.Context, state.RequestID, state.Service) (origin.Origin, bool) {
+		return origin.Origin{}, false
+	}
 	return New(Config{
 		Scheduler: scheduler, TargetClient: targets, Quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}),
-		Refusals: refusal.NewLog(), RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: func() float64 { return 5 }, Log: zap.NewNop(), Counters: NewCounters(false),
+		Refusals: refusal.NewLog(), Origins: origins, AskOrigin: askOrigin, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: func() float64 { return 5 }, Log: zap.NewNop(), Counters: NewCounters(false),
 	})
 }
 
--- a/internal/coordination/gateway/software_test.go
+++ b/internal/coordination/gateway/software_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -18,6 +19,7 @@
 func newSoftwareService(targets TargetClient, seed int, versions ...state.SoftwareVersion) *Service {
 	s := newSeededService(targets, uint64(seed))
 	s.SetConfiguration(testConfig)
+	s.cfg.Origins = origin.New(time.Now(), true)
 	setSoftware(s, "t", versions...)
 	return s
 }
@@ -29,6 +31,7 @@
 		id := fmt.Sprintf("%s%d-%s", prefix, i, v)
 		records = append(records, state.TargetRecord{ID: state.TargetID(id), Service: "s", Address: id, Slots: 4, Software: v})
 	}
+	s.cfg.Origins.SetTargets(time.Now(), records)
 	s.cfg.Scheduler.SetTargets(records)
 }
 
--- /dev/null
+++ b/internal/coordination/gateway/takeup.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// unknownOriginRetryAfter is the retry-after time of a caller whose stream has an unknown
+// origin. Callers retry at other entries, which may know it.
+const unknownOriginRetryAfter = 100 * time.Millisecond
+
+// takesStreamUp reports whether the caller takes up a stream that began in an earlier
+// request.
+func (r *request) takesStreamUp() bool {
+	return r.route.Kind == state.StreamingRoute && r.call.ResumeAfter != ""
+}
+
+// findOrigin finds out where a stream that the caller takes up began, and restricts the
+// placement to targets of that service and software version. If the origin is unknown, or
+// the route no longer leads to its service, it returns the failure to answer with.
+func (r *request) findOrigin(ctx context.Context) *Failure {
+	if !r.takesStreamUp() {
+		return nil
+	}
+	source := "here"
+	o, ok := r.service.cfg.Origins.Find(time.Now(), r.call.ResumedRequest, r.targetService)
+	if !ok {
+		source = "other_entry"
+		o, ok = r.service.cfg.AskOrigin(ctx, r.call.ResumedRequest, r.targetService)
+	}
+	if !ok {
+		source = "unknown"
+	}
+	r.service.cfg.Counters.Add("stream_taken_up." + source)
+	r.log.Info("stream taken up", zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name),
+		zap.String("resumes", string(r.call.ResumedRequest)), zap.String("resume_after", r.call.ResumeAfter),
+		zap.String("service", string(o.Service)), zap.String("software", string(o.Software)), zap.String("origin_from", source))
+	if !ok {
+		return &Failure{Kind: NotRun, Reason: "unknown_origin", RetryAfter: r.capRetryAfter(unknownOriginRetryAfter)}
+	}
+	if !r.route.LeadsTo(o.Service) {
+		return &Failure{Kind: NotRun, Reason: "origin_not_on_route"}
+	}
+	r.targetService, r.software = o.Service, &o.Software
+	r.placement.Service, r.placement.RequiredSoftware = o.Service, r.software
+	return nil
+}
+
+// recordOrigin remembers where the stream began when its first event with data is sent to
+// the caller, before the caller can take it up elsewhere.
+func (r *request) recordOrigin(g *dispatch.Grant) {
+	r.software = &g.Target.Software
+	id := r.call.ID
+	if r.takesStreamUp() {
+		id = r.call.ResumedRequest
+	}
+	if r.route.Resumable && id != "" {
+		r.service.cfg.Origins.Begin(time.Now(), id, origin.Origin{Service: r.targetService, Software: *r.software})
+	}
+}
--- /dev/null
+++ b/internal/coordination/origin/origin.go
@@ -0,0 +1,310 @@
+// Package origin remembers at which service and software version streams began, so that
+// a caller can take a stream up through any entry and it goes on at that version. Entries
+// tell each other the origins of their streams while several versions of a service
+// serve, or have served lately. While there is only one, every stream of the service
+// began there, and nothing needs to be told.
+//
+// Invariant: an origin is reported as known only if the stream cannot have begun at
+// another version.
+package origin
+
+import (
+	"iter"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// MaxTakeUpTime is the longest time from the first event of a stream until a caller takes
+// it up. It exceeds the longest time limits of callers. After this time without
+// isolation, a log knows all versions by itself.
+const MaxTakeUpTime = 20 * time.Second
+
+const (
+	// maxRemembered bounds the remembered origins to a few megabytes.
+	maxRemembered = 1 << 16
+	// reportsEach is the number of reports that contain an origin, because a report may
+	// be lost.
+	reportsEach = 2
+	// maxNotes bounds the origins in a report, of about 9 bytes each.
+	maxNotes       = 400
+	expiryInterval = time.Second // between removals of expired origins
+	// maxIsolation is the time without Connected after which versions may have served
+	// that are not known here.
+	maxIsolation = 2 * time.Second
+)
+
+// Origin is where a stream began.
+type Origin struct {
+	Service  state.Service
+	Software state.SoftwareVersion
+}
+
+// Notes tell other entries of streams that began at Origin.
+type Notes struct {
+	_ struct{} `cbor:",toarray"`
+	Origin
+	Streams []uint64 // hashes of the requests that brought the first events
+}
+
+// Log remembers the origins of streams. It is safe for concurrent use.
+type Log struct {
+	mu       sync.Mutex
+	services map[state.Service]*service
+	hasList  bool
+	// coveredSince is the time since when all versions that served are known, and
+	// connectedAt is when Connected was called last.
+	coveredSince, connectedAt time.Time
+	streams                   map[uint64]stream
+	own                       []ownStream // in the order in which they began
+	nextExpiry                time.Time
+}
+
+// service holds the versions of a service that serve or have served lately.
+type service struct {
+	listed map[state.SoftwareVersion]bool
+	leftAt map[state.SoftwareVersion]time.Time // of versions that are no longer listed
+}
+
+type stream struct {
+	origin  Origin
+	expires time.Time
+}
+
+// ownStream is a stream that began here. nearReports and farReports are the numbers of
+// reports to the near and to the other entries that are still to contain it.
+type ownStream struct {
+	stream
+	hash                    uint64
+	nearReports, farReports int
+}
+
+// New returns an empty log. allKnown says that no stream can have begun before now, as at
+// the first start of the whole system.
+func New(now time.Time, allKnown bool) *Log {
+	l := &Log{services: make(map[state.Service]*service), streams: make(map[uint64]stream), coveredSince: now, connectedAt: now}
+	if allKnown {
+		l.coveredSince = now.Add(-MaxTakeUpTime)
+	}
+	return l
+}
+
+// Connected records that the list of targets is current or that other entries are heard,
+// so that a version that serves now is known here or soon will be.
+func (l *Log) Connected(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.connectedAt) > maxIsolation {
+		l.coveredSince = now
+	}
+	l.connectedAt = now
+}
+
+// hashRequest returns the hash under which a stream is remembered.
+func hashRequest(id state.RequestID) uint64 { return xxhash.Sum64String(string(id)) }
+
+// SetTargets takes a new list of targets.
+func (l *Log) SetTargets(now time.Time, records []state.TargetRecord) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	listed := make(map[state.Service]map[state.SoftwareVersion]bool)
+	for _, r := range records {
+		if listed[r.Service] == nil {
+			listed[r.Service] = make(map[state.SoftwareVersion]bool)
+		}
+		listed[r.Service][r.Software] = true
+	}
+	for name := range listed {
+		l.service(name)
+	}
+	for name, s := range l.services {
+		for version := range s.listed {
+			if !listed[name][version] {
+				s.leftAt[version] = now
+			}
+		}
+		s.listed = listed[name]
+	}
+	l.hasList = l.hasList || len(records) > 0
+}
+
+func (l *Log) service(name state.Service) *service {
+	s := l.services[name]
+	if s == nil {
+		s = &service{leftAt: make(map[state.SoftwareVersion]time.Time)}
+		l.services[name] = s
+	}
+	return s
+}
+
+// versions returns the versions of a service at which a stream that is taken up now may
+// have begun.
+func (l *Log) versions(now time.Time, name state.Service) []state.SoftwareVersion {
+	s := l.services[name]
+	if s == nil {
+		return nil
+	}
+	for version, at := range s.leftAt {
+		if now.Sub(at) > MaxTakeUpTime {
+			delete(s.leftAt, version)
+		}
+	}
+	versions := slices.Collect(maps.Keys(s.listed))
+	for version := range s.leftAt {
+		if !s.listed[version] {
+			versions = append(versions, version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+// covered reports whether all versions are known at which a stream that is taken up now
+// may have begun.
+func (l *Log) covered(now time.Time) bool {
+	return l.hasList && now.Sub(l.coveredSince) >= MaxTakeUpTime && now.Sub(l.connectedAt) <= maxIsolation
+}
+
+// Mixed returns the versions of the services of which several serve or have served
+// lately. ok is false if not all such versions are known.
+func (l *Log) Mixed(now time.Time) (mixed map[state.Service][]state.SoftwareVersion, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	mixed = make(map[state.Service][]state.SoftwareVersion)
+	for name := range l.services {
+		if versions := l.versions(now, name); len(versions) > 1 {
+			mixed[name] = versions
+		}
+	}
+	return mixed, l.covered(now)
+}
+
+// AdoptMixed takes the result of Mixed of an entry that knew all versions lately, after
+// which all are known here too.
+func (l *Log) AdoptMixed(now time.Time, mixed map[state.Service][]state.SoftwareVersion) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, versions := range mixed {
+		for _, version := range versions {
+			l.service(name).leftAt[version] = now
+		}
+	}
+	l.coveredSince, l.connectedAt = now.Add(-MaxTakeUpTime), now
+}
+
+// Begin remembers that the stream of a request began here at origin.
+func (l *Log) Begin(now time.Time, id state.RequestID, origin Origin) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	hash, added := hashRequest(id), stream{origin, now.Add(MaxTakeUpTime)}
+	if l.remember(now, hash, added) {
+		l.own = append(l.own, ownStream{stream: added, hash: hash, nearReports: reportsEach, farReports: reportsEach})
+	}
+}
+
+// Learn remembers the origins in a report of another entry.
+func (l *Log) Learn(now time.Time, notes []Notes) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, n := range notes {
+		for _, hash := range n.Streams {
+			l.remember(now, hash, stream{n.Origin, now.Add(MaxTakeUpTime)})
+		}
+	}
+}
+
+// remember adds a stream unless the log is full.
+func (l *Log) remember(now time.Time, hash uint64, s stream) bool {
+	if !now.Before(l.nextExpiry) {
+		l.nextExpiry = now.Add(expiryInterval)
+		maps.DeleteFunc(l.streams, func(_ uint64, s stream) bool { return now.After(s.expires) })
+		l.own = slices.DeleteFunc(l.own, func(s ownStream) bool {
+			return now.After(s.expires) || s.nearReports == 0 && s.farReports == 0
+		})
+	}
+	if len(l.streams) >= maxRemembered {
+		return false
+	}
+	l.streams[hash] = s
+	return true
+}
+
+// Find returns where the stream of a request began, as far as it is known here. service
+// is where it began if nothing else is known.
+func (l *Log) Find(now time.Time, id state.RequestID, service state.Service) (origin Origin, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s, ok := l.streams[hashRequest(id)]; ok && id != "" && !now.After(s.expires) {
+		return s.origin, true
+	}
+	if versions := l.versions(now, service); l.covered(now) && len(versions) == 1 {
+		return Origin{service, versions[0]}, true
+	}
+	return Origin{}, false
+}
+
+// Unreported returns the origins that the next report to the near entries is to contain
+// or, if far is set, the next report to the others.
+func (l *Log) Unreported(now time.Time, far bool) []Notes {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	byOrigin := make(map[Origin][]uint64)
+	count := 0
+	for s := range l.unreported(now, far) {
+		byOrigin[s.origin] = append(byOrigin[s.origin], s.hash)
+		*s.reportsLeft(far)--
+		if count++; count == maxNotes {
+			break
+		}
+	}
+	var notes []Notes
+	for origin, streams := range byOrigin {
+		notes = append(notes, Notes{Origin: origin, Streams: streams})
+	}
+	return notes
+}
+
+// HasUnreported reports whether the next report to the near entries is to contain origins.
+func (l *Log) HasUnreported(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for range l.unreported(now, false) {
+		return true
+	}
+	return false
+}
+
+// reportsLeft returns the number of reports that are still to contain the stream.
+func (s *ownStream) reportsLeft(far bool) *int {
+	if far {
+		return &s.farReports
+	}
+	return &s.nearReports
+}
+
+// unreported returns the streams that are to be reported: those of services with several
+// versions.
+func (l *Log) unreported(now time.Time, far bool) iter.Seq[*ownStream] {
+	mixed := make(map[state.Service]bool)
+	for name := range l.services {
+		if len(l.versions(now, name)) > 1 {
+			mixed[name] = true
+		}
+	}
+	return func(yield func(*ownStream) bool) {
+		if len(mixed) == 0 {
+			return
+		}
+		for i := range l.own {
+			s := &l.own[i]
+			if mixed[s.origin.Service] && *s.reportsLeft(far) > 0 && !now.After(s.expires) && !yield(s) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/origin/origin_test.go
@@ -0,0 +1,208 @@
+package origin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+var start = time.Unix(1000, 0)
+
+// targets lists one target of service s for each version.
+func targets(versions ...state.SoftwareVersion) []state.TargetRecord {
+	var records []state.TargetRecord
+	for i, v := range versions {
+		records = append(records, state.TargetRecord{ID: state.TargetID(fmt.Sprint("t", i)), Service: "s", Software: v})
+	}
+	return records
+}
+
+// newLog returns a log that knows all versions, with a list of them.
+func newLog(versions ...state.SoftwareVersion) *Log {
+	l := New(start, true)
+	l.SetTargets(start, targets(versions...))
+	return l
+}
+
+// Guards against a stream whose origin is not known here and that is placed by the
+// versions that happen to be listed: it may have begun at another one.
+func TestUnknownStream(t *testing.T) {
+	v1 := Origin{"s", "v1"}
+	for _, c := range []struct {
+		name string
+		log  func() *Log
+		at   time.Duration // after start
+		want Origin        // zero: not known
+	}{
+		{"one version", func() *Log { return newLog("v1", "v1") }, time.Second, v1},
+		{"two versions", func() *Log { return newLog("v1", "v2") }, time.Second, Origin{}},
+		{"no target", func() *Log { return New(start, true) }, time.Second, Origin{}},
+		{"of another service", func() *Log {
+			l := New(start, true)
+			l.SetTargets(start, append(targets("v1"), state.TargetRecord{ID: "o", Service: "other", Software: "v9"}))
+			return l
+		}, time.Second, v1},
+		{"a version left lately", func() *Log {
+			l := newLog("v1", "v2")
+			l.SetTargets(start, targets("v1"))
+			return l
+		}, time.Second, Origin{}},
+		{"a version left long ago", func() *Log {
+			l := newLog("v1", "v2")
+			l.SetTargets(start, targets("v1"))
+			return l
+		}, MaxTakeUpTime + time.Second, v1},
+		{"just started", func() *Log {
+			l := New(start, false)
+			l.SetTargets(start, targets("v1"))
+			return l
+		}, time.Second, Origin{}},
+		{"started long ago", func() *Log {
+			l := New(start, false)
+			l.SetTargets(start, targets("v1"))
+			return l
+		}, MaxTakeUpTime + time.Second, v1},
+		{"just started, but told that none was mixed", func() *Log {
+			l := New(start, false)
+			l.SetTargets(start, targets("v1"))
+			l.AdoptMixed(start, nil)
+			return l
+		}, time.Second, v1},
+		{"just started and told of another version", func() *Log {
+			l := New(start, false)
+			l.SetTargets(start, targets("v1"))
+			l.AdoptMixed(start, map[state.Service][]state.SoftwareVersion{"s": {"v1", "v2"}})
+			return l
+		}, time.Second, Origin{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := c.log()
+			for d := time.Duration(0); d <= c.at; d += time.Second {
+				l.Connected(start.Add(d))
+			}
+			got, ok := l.Find(start.Add(c.at), "stream", "s")
+			if diff := cmp.Diff(c.want, got); diff != "" || ok != (c.want != Origin{}) {
+				t.Errorf("known %t (-want +got):\n%s", ok, diff)
+			}
+		})
+	}
+}
+
+// Guards against an entry that was cut off for a while, in which another version may have
+// served, and that takes the version it knows for the only one.
+func TestIsolationEndsKnowledge(t *testing.T) {
+	l := newLog("v1")
+	at := start.Add(maxIsolation + time.Second)
+	if o, ok := l.Find(at, "stream", "s"); ok {
+		t.Errorf("origin %v is known while nothing is heard", o)
+	}
+	l.Connected(at)
+	if o, ok := l.Find(at, "stream", "s"); ok {
+		t.Errorf("origin %v is known as soon as something is heard", o)
+	}
+	for range MaxTakeUpTime / time.Second {
+		at = at.Add(time.Second)
+		l.Connected(at)
+	}
+	if _, ok := l.Find(at, "stream", "s"); !ok {
+		t.Error("the origin is not known again after the longest time for taking a stream up")
+	}
+}
+
+// Guards against reports that carry origins while every stream of a service began at the
+// same version, and against a stream that began before the second version and is unknown
+// to the others afterwards.
+func TestReportsBeginWithSecondVersion(t *testing.T) {
+	l := newLog("v1")
+	l.Begin(start, "stream", Origin{"s", "v1"})
+	if notes := l.Unreported(start, false); notes != nil || l.HasUnreported(start) {
+		t.Errorf("%v are reported although there is one version", notes)
+	}
+	l.SetTargets(start, targets("v1", "v2"))
+	other := newLog("v1", "v2")
+	for _, far := range []bool{false, true} {
+		for range reportsEach {
+			if far == l.HasUnreported(start) {
+				t.Errorf("far %t: report to the near entries due %t", far, !far)
+			}
+			notes := l.Unreported(start, far)
+			if len(notes) != 1 || len(notes[0].Streams) != 1 {
+				t.Fatalf("far %t: reported %v, want the stream", far, notes)
+			}
+			other.Learn(start, notes)
+		}
+		if notes := l.Unreported(start, far); notes != nil {
+			t.Errorf("far %t: %v are reported once more", far, notes)
+		}
+	}
+	if o, ok := other.Find(start, "stream", "s"); !ok || o != (Origin{"s", "v1"}) {
+		t.Errorf("origin %v, known %t at the other entry; want v1", o, ok)
+	}
+	if _, ok := other.Find(start.Add(MaxTakeUpTime+time.Second), "stream", "s"); ok {
+		t.Error("the origin is still known after the longest time for taking a stream up")
+	}
+}
+
+// Guards against any order of starts, lists, isolation and lost reports after which an
+// entry holds an origin for known that is not the stream's.
+func TestKnownOriginIsTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const entries = 3
+		now := start
+		listed := []state.SoftwareVersion{"v1"}
+		logs := make([]*Log, entries)
+		for i := range logs {
+			logs[i] = newLog(listed...)
+		}
+		began := make(map[state.RequestID]state.SoftwareVersion)
+		beganAt := make(map[state.RequestID]time.Time)
+		entry := rapid.IntRange(0, entries-1)
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			for _, l := range logs {
+				l.Connected(now)
+			}
+			switch rapid.SampledFrom([]string{"list", "begin", "report", "restart", "take up"}).Draw(t, "action") {
+			case "list": // all entries have the new list before a stream begins by it
+				listed = rapid.SliceOfNDistinct(rapid.SampledFrom([]state.SoftwareVersion{"v1", "v2", "v3"}), 1, 3, rapid.ID).Draw(t, "listed")
+				for _, l := range logs {
+					l.SetTargets(now, targets(listed...))
+				}
+			case "begin":
+				id := state.RequestID(fmt.Sprint(step))
+				began[id], beganAt[id] = rapid.SampledFrom(listed).Draw(t, "version"), now
+				logs[entry.Draw(t, "entry")].Begin(now, id, Origin{"s", began[id]})
+			case "report":
+				from, to := entry.Draw(t, "from"), entry.Draw(t, "to")
+				notes := logs[from].Unreported(now, rapid.Bool().Draw(t, "far"))
+				if rapid.Bool().Draw(t, "delivered") {
+					logs[to].Learn(now, notes)
+				}
+			case "restart":
+				i := entry.Draw(t, "entry")
+				mixed, covered := logs[(i+1)%entries].Mixed(now)
+				logs[i] = New(now, false)
+				logs[i].SetTargets(now, targets(listed...))
+				if covered {
+					logs[i].AdoptMixed(now, mixed)
+				}
+			case "take up":
+				for id, version := range began {
+					if now.Sub(beganAt[id]) > MaxTakeUpTime {
+						continue
+					}
+					for i, l := range logs {
+						if o, ok := l.Find(now, id, "s"); ok && o.Software != version {
+							t.Fatalf("entry %d holds %s for the origin of a stream that began at %s", i, o.Software, version)
+						}
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -11,6 +11,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/bundle"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/mesh"
 	"github.com/cassiaramp/cassiaramp/internal/transport/upstream"
@@ -78,7 +79,7 @@
 	p := &gatewayProcess{
 		log: zap.NewNop(), targetClient: upstream.New(), gateway: gateway.New(gateway.Config{}), rollout: bundle.NewRollout(state.Signers{}),
 	}
-	p.scheduler = dispatch.New("a", 1, time.Now, p)
+	p.scheduler, p.origins = dispatch.New("a", 1, time.Now, p), origin.New(now, true)
 	c := newControl(p)
 	for _, r := range records {
 		c.list.Put(r)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/bundle"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/logging"
@@ -54,6 +55,7 @@
 	scheduler    *dispatch.Scheduler
 	quota        *quota.Ledger
 	refusals     *refusal.Log
+	origins      *origin.Log
 	gateway      *gateway.Service
 	targetClient *upstream.Client
 	mesh         *mesh.Mesh
@@ -86,15 +88,16 @@
 		Restarted: !s.FirstStart,
 	})
 	p.refusals = refusal.NewLog()
+	p.origins = origin.New(p.startedAt, s.FirstStart)
 	p.scheduler = dispatch.New(s.Domain, xxhash.Sum64String(string(s.Instance))^uint64(p.incarnation), time.Now, p)
 	p.gateway = gateway.New(gateway.Config{
-		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, RetryRatio: s.Bounds.RetryRatio,
+		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Origins: p.origins, AskOrigin: p.askOrigin, RetryRatio: s.Bounds.RetryRatio,
 		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack,
 		Log: log.Requests, Counters: p.counters,
 	})
 	p.control = newControl(p)
 	var err error
-	if p.mesh, err = mesh.New(netip.AddrPortFrom(s.IP, s.FirstPort), p.control.snapshot); err != nil {
+	if p.mesh, err = mesh.New(netip.AddrPortFrom(s.IP, s.FirstPort), p.control.snapshot, p.findOrigin); err != nil {
 		return err
 	}
 	p.log.Info("process started", zap.String("instance", string(s.Instance)), zap.String("domain", string(s.Domain)),
@@ -111,7 +114,7 @@
 	p.callers = &gatewayhttp.Server{Gateway: p.gateway, Log: p.log}
 	group.Go(func() error { return p.callers.Serve(running, p.settings.Callers.String()) })
 	group.Go(func() error { return p.serveReadiness(running) })
-	group.Go(func() error { return p.serveSnapshots(running) })
+	group.Go(func() error { return p.serveEntries(running) })
 	group.Go(func() error { return p.serveMetrics(running) })
 	group.Go(func() error { return p.control.run(running) })
 	group.Go(func() error { return p.exchangeReports(running) })
@@ -182,14 +185,14 @@
 	return netconn.Serve(ctx, server, ln)
 }
 
-// serveSnapshots serves snapshots to the other entries.
-func (p *gatewayProcess) serveSnapshots(ctx context.Context) error {
+// serveEntries serves snapshots and origins of streams to the other entries.
+func (p *gatewayProcess) serveEntries(ctx context.Context) error {
 	config := netconn.ListenConfig()
 	ln, err := config.Listen(ctx, "tcp4", netip.AddrPortFrom(p.settings.IP, p.settings.FirstPort).String())
 	if err != nil {
 		return fmt.Errorf("listen for entries: %w", err)
 	}
-	return p.mesh.ServeSnapshots(ctx, ln)
+	return p.mesh.ServeEntries(ctx, ln)
 }
 
 // serveMetrics serves the metrics. If it cannot listen, the entry serves callers
--- /dev/null
+++ b/internal/daemon/origins_test.go
@@ -0,0 +1,119 @@
+package daemon
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
+	"github.com/cassiaramp/cassiaramp/internal/emulator"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/internal/transport/mesh"
+	"github.com/cassiaramp/cassiaramp/platform"
+)
+
+// startStore starts an emulated store and returns a client of it.
+func startStore(t *testing.T) *platform.Store {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		emulator.NewStore().Serve(ln) // returns when ln is closed
+	}()
+	t.Cleanup(func() {
+		ln.Close()
+		<-served
+	})
+	return platform.NewStore(ln.Addr().String())
+}
+
+// Guards against an entry that starts after all others and cannot learn that a service
+// had another software version lately, and against writes where there is only one.
+func TestMixedServicesAreKeptInStore(t *testing.T) {
+	now := time.Now()
+	one := []state.TargetRecord{{ID: "a", Service: "s", Software: "v1"}}
+	two := append(one, state.TargetRecord{ID: "b", Service: "s", Software: "v2"})
+	store := startStore(t)
+	c := controlWithList(now, one...)
+	c.p.store, c.p.settings = store, &platform.Settings{Instance: "a", FirstStart: true}
+	c.p.mesh, _, _ = openMesh(t)
+	w := mixedServicesWriter{control: c, stored: make(map[state.Service][]state.SoftwareVersion)}
+	check := func(at time.Time, records []state.TargetRecord, want map[state.Service][]state.SoftwareVersion) {
+		t.Helper()
+		c.listReadAt = at
+		c.p.origins.Connected(at)
+		c.p.origins.SetTargets(at, records)
+		w.update(t.Context(), at)
+		got, err := store.MixedServices(t.Context())
+		if diff := cmp.Diff(want, got); err != nil || diff != "" {
+			t.Errorf("error %v, in the store (-want +got):\n%s", err, diff)
+		}
+	}
+	none := map[state.Service][]state.SoftwareVersion{}
+	both := map[state.Service][]state.SoftwareVersion{"s": {"v1", "v2"}}
+	check(now, one, none)
+	check(now.Add(time.Second), two, both)
+	check(now.Add(2*time.Second), one, both)
+
+	starting := origin.New(now.Add(3*time.Second), false)
+	starting.SetTargets(now.Add(3*time.Second), one)
+	mixed, err := store.MixedServices(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	starting.AdoptMixed(now.Add(3*time.Second), mixed)
+	if o, ok := starting.Find(now.Add(3*time.Second), "stream", "s"); ok {
+		t.Errorf("origin %v is known to an entry that has started after a version left", o)
+	}
+
+	end := now.Add(3*time.Second + origin.MaxTakeUpTime)
+	for at := now.Add(3 * time.Second); at.Before(end); at = at.Add(time.Second) {
+		c.p.origins.Connected(at)
+	}
+	check(end, one, none)
+}
+
+// Guards against several entries that write the same records, and against an entry that
+// overwrites them although it does not know all versions.
+func TestOneEntryWritesMixedServices(t *testing.T) {
+	now := time.Now()
+	two := []state.TargetRecord{{ID: "a", Service: "s", Software: "v1"}, {ID: "b", Service: "s", Software: "v2"}}
+	for name, prepare := range map[string]func(c *control, lower *mesh.Mesh, own *mesh.Mesh, heard <-chan mesh.Message){
+		"has not read the list": func(c *control, _, _ *mesh.Mesh, _ <-chan mesh.Message) {
+			c.listReadAt = now.Add(-time.Minute)
+		},
+		"has just started": func(c *control, _, _ *mesh.Mesh, _ <-chan mesh.Message) {
+			c.p.origins = origin.New(now, false)
+			c.p.origins.SetTargets(now, two)
+		},
+		"is not the first reader": func(_ *control, lower, _ *mesh.Mesh, heard <-chan mesh.Message) {
+			m := &mesh.Message{Instance: "a", Incarnation: 1, Sequence: 1, ListHash: 7}
+			if err := lower.Send(now, mesh.Reports{Near: m, Far: m, Newcomer: func() *mesh.Message { return m }}); err != nil {
+				t.Fatal(err)
+			}
+			nextReport(t, heard)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := startStore(t)
+			c := controlWithList(now, two...)
+			c.p.store, c.p.settings = store, &platform.Settings{Instance: "b"}
+			own, address, heard := openMesh(t)
+			lower, _, _ := openMesh(t)
+			lower.AddAddress(address)
+			c.p.mesh, c.listReadAt = own, now
+			prepare(c, lower, own, heard)
+			w := mixedServicesWriter{control: c}
+			w.update(t.Context(), now)
+			if got, err := store.MixedServices(t.Context()); err != nil || len(got) != 0 {
+				t.Errorf("written %v, error %v; want nothing", got, err)
+			}
+		})
+	}
+}
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -65,6 +65,7 @@
 	p.quota.AdoptLevels(now, m.Levels)
 	p.quota.ApplyReport(now, m.UsageReport())
 	p.refusals.Learn(now, m.Refused)
+	p.origins.Learn(now, m.Origins)
 	p.scheduler.SetReport(m.Instance, m.LoadReport())
 	p.control.onListReport(m)
 	p.control.onConfigurationReport(now, m.Instance, m.ConfigurationVersion)
@@ -104,6 +105,9 @@
 	position := r.p.mesh.Position(now)
 	r.p.scheduler.SetPosition(position)
 	r.p.quota.SetExpectedPeers(r.p.mesh.ExpectedPeerCount(now))
+	if r.p.isConnected(now) {
+		r.p.origins.Connected(now)
+	}
 	// A change of the list of targets is reported at once, so that entries learn in
 	// time that a target leaves.
 	urgent := r.p.listChanged.Swap(false)
@@ -112,7 +116,7 @@
 	}
 	m := r.p.nearReport(r.nearSentAt)
 	toAll := urgent || r.reportToAllDue(now, position.Count)
-	if !toAll && now.Sub(r.nearSentAt) < idleReportInterval && sameReport(m, r.lastReport) && !r.p.refusals.HasUnreported() {
+	if !toAll && now.Sub(r.nearSentAt) < idleReportInterval && sameReport(m, r.lastReport) && !r.p.refusals.HasUnreported() && !r.p.origins.HasUnreported(now) {
 		return
 	}
 	r.send(now, m, toAll)
@@ -133,13 +137,13 @@
 func (r *reporter) send(now time.Time, m *mesh.Message, toAll bool) {
 	r.sequence++
 	m.Sequence = r.sequence
-	m.Refused = r.p.refusals.Unreported(now)
+	m.Refused, m.Origins = r.p.refusals.Unreported(now), r.p.origins.Unreported(now, false)
 	r.nearSentAt, r.lastReport = now, m
 	reports := mesh.Reports{Near: m}
 	if toAll {
 		r.allSentAt = now
 		m.Used = r.p.quota.TotalsChangedSince(now.Add(-usageReportTime))
-		reports.Far = r.p.farReport(m)
+		reports.Far = r.p.farReport(m, now)
 		reports.Newcomer = func() *mesh.Message { return r.p.newcomerReport(m, now) }
 	}
 	if err := r.p.mesh.Send(now, reports); err != nil {
@@ -181,11 +185,11 @@
 
 // farReport returns the report to the entries that are not near: the near report m
 // with the load limited to targets that are shared beyond the near entries.
-func (p *gatewayProcess) farReport(m *mesh.Message) *mesh.Message {
+func (p *gatewayProcess) farReport(m *mesh.Message, now time.Time) *mesh.Message {
 	far := *m
 	r := p.scheduler.Report(true)
 	far.Open, far.Pending, far.Waiting = r.Open, r.Pending, r.Waiting
-	far.Refused = nil
+	far.Refused, far.Origins = nil, p.origins.Unreported(now, true)
 	far.NextReportMillis = int(reportToAllInterval.Milliseconds())
 	return &far
 }
--- a/internal/daemon/reports_test.go
+++ b/internal/daemon/reports_test.go
@@ -12,6 +12,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/bundle"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/state"
@@ -29,7 +30,7 @@
 	}
 	address := probe.LocalAddr().(*net.UDPAddr).AddrPort()
 	probe.Close()
-	m, err := mesh.New(address, func() mesh.Snapshot { return mesh.Snapshot{} })
+	m, err := mesh.New(address, func() mesh.Snapshot { return mesh.Snapshot{} }, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,7 +68,7 @@
 	far.AddAddress(ownAddress)
 	p := &gatewayProcess{
 		log: zap.NewNop(), mesh: own, targetClient: upstream.New(), settings: &platform.Settings{Instance: "a"}, incarnation: 1,
-		gateway: gateway.New(gateway.Config{}), quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}), refusals: refusal.NewLog(),
+		gateway: gateway.New(gateway.Config{}), quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}), refusals: refusal.NewLog(), origins: origin.New(time.Now(), true),
 		rollout: bundle.NewRollout(state.Signers{}), counters: gateway.NewCounters(false),
 	}
 	p.scheduler = dispatch.New("a", 1, time.Now, p)
--- a/internal/daemon/targetlist.go
+++ b/internal/daemon/targetlist.go
@@ -150,6 +150,7 @@
 	if willReport {
 		c.p.listChanged.Store(true)
 	}
+	c.p.origins.SetTargets(now, records)
 	c.p.scheduler.SetTargets(records)
 }
 
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -77,7 +77,7 @@
 // runSeed sends requests and injects the faults of one seed for the given duration,
 // then ends all faults and checks the outcome.
 func runSeed(t *testing.T, binary string, seed uint64, duration time.Duration) {
-	w := newWorld(t, binary, seed)
+	w := newWorld(t, binary, seed, softwareVersions...)
 	defer w.close()
 	w.waitReady(10 * time.Second)
 	stopLoad := w.startLoad()
--- a/internal/faultsoak/versions_test.go
+++ b/internal/faultsoak/versions_test.go
@@ -43,58 +43,125 @@
 	}
 	s.cut = true
 	s.first.body = s.first.body[:whole+len("\n\n")]
-	events := strings.Count(s.first.body, "\n\n")
-	s.second = w.send(other, id+"-again", "resume", map[string]string{"Last-Event-Id": fmt.Sprint(events), "Resumes": id})
-	return s
+	header := map[string]string{"Last-Event-Id": fmt.Sprint(strings.Count(s.first.body, "\n\n")), "Resumes": id}
+	for try := 0; ; try++ {
+		s.second = w.send(other, fmt.Sprintf("%s-again-%d", id, try), "resume", header)
+		if s.second.status != 0 || try == maxTakeUps {
+			return s
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
 }
 
-// Guards against streams that callers take up at another entry, after their own was
-// killed, and that go on at a target of another software version than the one that began
-// them. At least half of them must go on, because both versions serve all the time.
-func TestStreamsTakenUpKeepTheirSoftwareVersion(t *testing.T) {
-	const rounds, streamsPerRound = 8, 12 // half of the slots
-	w := newWorld(t, buildDaemon(t), 1)
-	defer w.close()
+// maxTakeUps bounds how often a caller tries to reach an entry.
+const maxTakeUps = 100
+
+// streamTally counts the streams of some rounds.
+type streamTally struct{ cut, goneOn, mixed int }
+
+// killDuringStreams begins streams at an entry, kills some entries in their midst and
+// counts what callers received that take the streams up at other.
+func (w *world) killDuringStreams(round, streams int, at, other *entry, killed ...*entry) (tally streamTally) {
+	results := make([]*takenUpStream, streams)
+	var group sync.WaitGroup
+	for i := range results {
+		group.Go(func() { results[i] = w.takeUpStream(at, other, fmt.Sprintf("round%d-%d", round, i)) })
+	}
+	time.Sleep(200 * time.Millisecond) // about half of the events of a stream
+	for _, e := range killed {
+		e.signal(syscall.SIGKILL)
+	}
+	group.Wait()
+	for _, s := range results {
+		if len(s.software()) > 1 {
+			tally.mixed++
+			w.t.Logf("%s has events of two software versions: %q, then %q", s.first.id, s.first.body, s.second.body)
+		}
+		if !s.cut {
+			continue
+		}
+		tally.cut++
+		if s.goesOn() {
+			tally.goneOn++
+		}
+	}
+	w.waitReady(10 * time.Second)
+	time.Sleep(2 * time.Second) // until restarted entries count as peers of the others
+	return tally
+}
+
+func (t *streamTally) add(o streamTally) {
+	t.cut, t.goneOn, t.mixed = t.cut+o.cut, t.goneOn+o.goneOn, t.mixed+o.mixed
+}
+
+// newStreamWorld returns a world with targets of the versions by turns and streams of
+// about 0.3 s.
+func newStreamWorld(t *testing.T, versions ...string) *world {
+	w := newWorld(t, buildDaemon(t), 1, versions...)
+	t.Cleanup(w.close)
 	for _, e := range w.engines {
 		e.WorkTime = 40 * time.Millisecond
 	}
 	w.waitReady(10 * time.Second)
-	cut, goneOn, mixed := 0, 0, 0
+	return w
+}
+
+// streamsPerRound is half of the slots of the targets that stream.
+const streamsPerRound = 12
+
+// Guards against streams that callers take up at another entry, after their own was
+// killed, and that go on at a target of another software version than the one that began
+// them. At least half of them must go on, because both versions serve all the time.
+func TestStreamsTakenUpKeepTheirSoftwareVersion(t *testing.T) {
+	const rounds = 8
+	w := newStreamWorld(t, softwareVersions...)
+	var tally streamTally
 	for round := range rounds {
 		killed, other := w.entries[round%len(w.entries)], w.entries[(round+1)%len(w.entries)]
-		streams := make([]*takenUpStream, streamsPerRound)
-		var group sync.WaitGroup
-		for i := range streams {
-			group.Go(func() { streams[i] = w.takeUpStream(killed, other, fmt.Sprintf("round%d-%d", round, i)) })
-		}
-		time.Sleep(200 * time.Millisecond) // about half of the events of a stream
-		killed.signal(syscall.SIGKILL)
-		group.Wait()
-		for _, s := range streams {
-			if len(s.software()) > 1 {
-				mixed++
-				t.Logf("%s has events of two software versions: %q, then %q", s.first.id, s.first.body, s.second.body)
-			}
-			if s.cut {
-				cut++
-				if s.goesOn() {
-					goneOn++
-				} else {
-					t.Logf("%s did not go on: status %d, error %v", s.first.id, s.second.status, s.second.err)
-				}
-			}
-		}
-		w.waitReady(10 * time.Second)
-		time.Sleep(2 * time.Second) // until the restarted entry counts as a peer of the others
+		tally.add(w.killDuringStreams(round, streamsPerRound, killed, other, killed))
 	}
-	t.Logf("of %d streams %d were cut off, of which %d went on, %d of them at another version", rounds*streamsPerRound, cut, goneOn, mixed)
-	if mixed > 0 {
-		t.Errorf("%d streams have events of two software versions", mixed)
+	t.Logf("of the streams of %d rounds %+v", rounds, tally)
+	if tally.mixed > 0 {
+		t.Errorf("%d streams have events of two software versions", tally.mixed)
 	}
-	if cut < streamsPerRound {
-		t.Errorf("only %d streams were cut off, too few to judge", cut)
+	if tally.cut < rounds*streamsPerRound/2 {
+		t.Errorf("only %d streams were cut off, too few to judge", tally.cut)
 	}
-	if goneOn < cut/2 {
-		t.Errorf("%d of %d streams that were taken up went on, want at least half", goneOn, cut)
+	if tally.goneOn < tally.cut/2 {
+		t.Errorf("%d of %d streams that were taken up went on, want at least half", tally.goneOn, tally.cut)
 	}
 }
+
+// Guards against entries that all restart and then continue streams, of which none knows
+// the origin, at any of two versions; and against refusing such streams where the service
+// has had one version only.
+func TestStreamsTakenUpAfterAllEntriesRestart(t *testing.T) {
+	const rounds = 2
+	for _, c := range []struct {
+		name     string
+		versions []string
+	}{{"two versions", softwareVersions}, {"one version", softwareVersions[:1]}} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newStreamWorld(t, c.versions...)
+			time.Sleep(mixedServicesTime)
+			var tally streamTally
+			for round := range rounds {
+				tally.add(w.killDuringStreams(round, streamsPerRound, w.entries[0], w.entries[1+round%2], w.entries...))
+			}
+			t.Logf("of the streams of %d rounds %+v", rounds, tally)
+			if tally.mixed > 0 {
+				t.Errorf("%d streams have events of two software versions", tally.mixed)
+			}
+			if tally.cut < rounds*streamsPerRound/2 {
+				t.Errorf("only %d streams were cut off, too few to judge", tally.cut)
+			}
+			if len(c.versions) == 1 && tally.goneOn < tally.cut/2 {
+				t.Errorf("%d of %d streams that were taken up went on, want at least half", tally.goneOn, tally.cut)
+			}
+		})
+	}
+}
+
+// mixedServicesTime is long enough for an entry to write to the store which services have
+// several software versions.
+const mixedServicesTime = 2 * time.Second
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -68,10 +68,12 @@
 	eventsPerStream                     = 8               // in a response of an engine that streams
 )
 
-// softwareVersions are the versions of the targets' software, by turns.
+// softwareVersions are the versions that the targets' software may have.
 var softwareVersions = []string{"v1", "v2"}
 
-func newWorld(t *testing.T, binary string, seed uint64) *world {
+// newWorld starts the processes of a seed. The targets have the given software versions
+// by turns.
+func newWorld(t *testing.T, binary string, seed uint64, versions ...string) *world {
 	w := &world{
 		t: t, binary: binary, random: newRandom(seed), logDirectory: logDir(t, seed), store: emulator.NewStore(),
 		ledger: emulator.NewLedger(), faultCounts: make(map[string]int),
@@ -79,7 +81,7 @@
 	w.storeAddress = w.serveOn("127.0.0.1:0", func(ln net.Listener) { w.store.Serve(ln) })
 	w.newPublisher()
 	for i := range 6 {
-		w.addEngine(fmt.Sprintf("engine-%d", i), i < 3)
+		w.addEngine(fmt.Sprintf("engine-%d", i), versions[i%len(versions)], i < 3)
 	}
 	w.writeConfiguration()
 	for i := range *entriesFlag {
@@ -103,8 +105,8 @@
 
 // addEngine starts an emulated target and its proxy and puts its record into the
 // store. A target that streams belongs to the service model, others to plain.
-func (w *world) addEngine(id string, streams bool) {
-	target := &emulator.Target{ID: id, Service: "plain", Software: softwareVersions[len(w.engines)%2], Slots: 8, WorkTime: 5 * time.Millisecond, Ledger: w.ledger}
+func (w *world) addEngine(id, software string, streams bool) {
+	target := &emulator.Target{ID: id, Service: "plain", Software: software, Slots: 8, WorkTime: 5 * time.Millisecond, Ledger: w.ledger}
 	if streams {
 		target.Service, target.EventsPerStream = "model", eventsPerStream
 	}
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -1,6 +1,9 @@
 package state
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // RouteKind says whether requests of a route may be repeated, and whether their
 // responses are streams.
@@ -62,6 +65,11 @@
 	return r.Kind == IdempotentRoute || r.Kind == StreamingRoute && r.Resumable
 }
 
+// LeadsTo reports whether requests of the route may be sent to the service.
+func (r *Route) LeadsTo(service Service) bool {
+	return slices.ContainsFunc(r.Split, func(w ServiceWeight) bool { return w.Service == service })
+}
+
 // ServiceWeight is the share of a route's requests that a service receives.
 type ServiceWeight struct {
 	Service Service
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -51,7 +52,7 @@
 	scheduler.SetTargets([]state.TargetRecord{{ID: "t", Service: "s", Address: "t", Slots: 4}})
 	g := gateway.New(gateway.Config{
 		Scheduler: scheduler, TargetClient: send, Quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}),
-		RetryWindow: time.Second, RetrySlack: func() float64 { return 0 }, Log: zap.NewNop(), Counters: gateway.NewCounters(false),
+		Origins: origin.New(time.Now(), true), RetryWindow: time.Second, RetrySlack: func() float64 { return 0 }, Log: zap.NewNop(), Counters: gateway.NewCounters(false),
 	})
 	route := func(prefix string, kind state.RouteKind) state.Route {
 		return state.Route{
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -26,6 +26,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/state"
@@ -63,6 +64,8 @@
 	Waiting map[state.Service][]int `cbor:"7,keyasint,omitempty"`
 	// Refused are the requests that the sender has refused lately.
 	Refused []refusal.Note `cbor:"20,keyasint,omitempty"`
+	// Origins are the origins of streams that began lately at the sender.
+	Origins []origin.Notes `cbor:"22,keyasint,omitempty"`
 	// KnownAddresses are addresses of other entries that the sender has heard from.
 	KnownAddresses []string `cbor:"8,keyasint,omitempty"`
 	// Levels are the levels of the customers' token buckets, in units, for an entry
@@ -129,6 +132,7 @@
 	conn          *net.UDPConn
 	http          *http.Client
 	localSnapshot func() Snapshot // what other entries may fetch
+	findOrigin    FindOrigin      // answers the questions of other entries
 
 	cache snapshotCache
 
@@ -170,14 +174,15 @@
 }
 
 // New returns a mesh that sends and receives datagrams at address. localSnapshot
-// returns the snapshot that other entries may fetch.
-func New(address netip.AddrPort, localSnapshot func() Snapshot) (*Mesh, error) {
+// returns the snapshot that other entries may fetch, and findOrigin answers their
+// questions for the origins of streams.
+func New(address netip.AddrPort, localSnapshot func() Snapshot, findOrigin FindOrigin) (*Mesh, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, fmt.Errorf("listen for reports of other entries: %w", err)
 	}
 	return &Mesh{
-		self: address, conn: conn, localSnapshot: localSnapshot,
+		self: address, conn: conn, localSnapshot: localSnapshot, findOrigin: findOrigin,
 		http: &http.Client{Timeout: snapshotTimeout, Transport: &http.Transport{
 			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 				return netconn.Dial(ctx, addr, snapshotTimeout)
@@ -210,6 +215,19 @@
 	return len(m.peers)
 }
 
+// HeardCount returns the number of other entries of which a report came within age.
+func (m *Mesh) HeardCount(now time.Time, age time.Duration) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := 0
+	for _, p := range m.peers {
+		if now.Sub(p.lastHeard) <= age {
+			count++
+		}
+	}
+	return count
+}
+
 // ExpectedPeerCount returns the number of other entries that have reported within
 // peerTimeout or that may exist although they have not.
 func (m *Mesh) ExpectedPeerCount(now time.Time) int {
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -16,12 +16,19 @@
 // openMesh returns a mesh on loopback that serves snapshot, and the reports that it
 // receives.
 func openMesh(t *testing.T, snapshot Snapshot) (*Mesh, <-chan Message) {
+	t.Helper()
+	return openMeshWithOrigins(t, snapshot, nil)
+}
+
+// openMeshWithOrigins returns a mesh as openMesh does, which answers questions for origins
+// by findOrigin.
+func openMeshWithOrigins(t *testing.T, snapshot Snapshot, findOrigin FindOrigin) (*Mesh, <-chan Message) {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	m, err := New(ln.Addr().(*net.TCPAddr).AddrPort(), func() Snapshot { return snapshot })
+	m, err := New(ln.Addr().(*net.TCPAddr).AddrPort(), func() Snapshot { return snapshot }, findOrigin)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,7 +40,7 @@
 		done <- struct{}{}
 	}()
 	go func() {
-		if err := m.ServeSnapshots(ctx, ln); err != nil {
+		if err := m.ServeEntries(ctx, ln); err != nil {
 			t.Error(err)
 		}
 		done <- struct{}{}
--- /dev/null
+++ b/internal/transport/mesh/origin.go
@@ -0,0 +1,92 @@
+package mesh
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+const (
+	originPath = "/origin"
+	// The query parameters of a question for the origin of a stream.
+	requestParameter = "request"
+	serviceParameter = "service"
+	// originTimeout bounds one question, and maxOriginQuestions the number of entries
+	// that are asked one after the other. A caller waits for the answer.
+	originTimeout      = 150 * time.Millisecond
+	maxOriginQuestions = 3
+)
+
+// FindOrigin returns where the stream of a request began, as far as it is known. service
+// is where it began if nothing else is known.
+type FindOrigin func(id state.RequestID, service state.Service) (origin.Origin, bool)
+
+func (m *Mesh) handleOrigin(w http.ResponseWriter, r *http.Request) {
+	o, ok := m.findOrigin(state.RequestID(r.FormValue(requestParameter)), state.Service(r.FormValue(serviceParameter)))
+	if !ok {
+		http.Error(w, "unknown origin", http.StatusNotFound)
+		return
+	}
+	if err := json.NewEncoder(w).Encode(o); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	}
+}
+
+// AskOrigin asks other entries where the stream of a request began, until one knows. It
+// begins with those that have been heard for longest, because an entry that has started
+// lately knows little. The error is nil if one knew.
+func (m *Mesh) AskOrigin(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, error) {
+	err := fmt.Errorf("origin of stream %s: no other entry to ask", id)
+	for _, a := range m.longestHeard(maxOriginQuestions) {
+		var o origin.Origin
+		if o, err = m.askOrigin(ctx, a, id, service); err == nil {
+			return o, nil
+		}
+	}
+	return origin.Origin{}, err
+}
+
+// longestHeard returns up to n peers, those that were first heard earliest.
+func (m *Mesh) longestHeard(n int) []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	addresses := make([]netip.AddrPort, 0, len(m.peers))
+	for a := range m.peers {
+		addresses = append(addresses, a)
+	}
+	slices.SortFunc(addresses, func(a, b netip.AddrPort) int {
+		return cmp.Or(m.peers[a].firstHeard.Compare(m.peers[b].firstHeard), a.Compare(b))
+	})
+	return addresses[:min(n, len(addresses))]
+}
+
+func (m *Mesh) askOrigin(ctx context.Context, a netip.AddrPort, id state.RequestID, service state.Service) (o origin.Origin, err error) {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	query := url.Values{requestParameter: {string(id)}, serviceParameter: {string(service)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+originPath+"?"+query.Encode(), nil)
+	if err != nil {
+		return o, err
+	}
+	resp, err := m.http.Do(req)
+	if err != nil {
+		return o, fmt.Errorf("ask %s for the origin of stream %s: %w", a, id, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return o, fmt.Errorf("ask %s for the origin of stream %s: status %d", a, id, resp.StatusCode)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&o); err != nil {
+		return origin.Origin{}, fmt.Errorf("ask %s for the origin of stream %s: decode: %w", a, id, err)
+	}
+	return o, nil
+}
--- a/internal/transport/mesh/snapshot.go
+++ b/internal/transport/mesh/snapshot.go
@@ -136,10 +136,12 @@
 	return s, nil
 }
 
-// ServeSnapshots serves snapshots to other entries on ln until ctx ends.
-func (m *Mesh) ServeSnapshots(ctx context.Context, ln net.Listener) error {
+// ServeEntries serves snapshots and origins of streams to other entries on ln until ctx
+// ends.
+func (m *Mesh) ServeEntries(ctx context.Context, ln net.Listener) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+snapshotPath, m.handleSnapshot)
+	mux.HandleFunc("GET "+originPath, m.handleOrigin)
 	server := &http.Server{Handler: mux, ReadTimeout: snapshotTimeout, WriteTimeout: 2 * snapshotTimeout}
 	return netconn.Serve(ctx, server, ln)
 }
