An entry that was cut off or suspended reads again which versions served

Cause: an entry that could hear neither the store nor others, or whose instance was suspended, needed 20 s until it knew by itself that a service has one software version only. If all entries were cut off together, none could answer for the others, and streams that callers take up would have been refused in that time. Seen in the code, not in a run.

Change: an entry that does not know all versions reads from the store which services have several, at its start and after being cut off alike. A jump of the time of day of over 2 s counts as being cut off, because the steady clock stands still while an instance is suspended.

--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -56,13 +56,13 @@
 type Log struct {
 	mu       sync.Mutex
 	services map[state.Service]*service
-	hasList  bool
-	// coveredSince is the time since when all versions that served are known, and
+	// coveredSince is the time since when all versions that served are known.
+	coveredSince time.Time
 	// connectedAt is when Connected was called last.
-	coveredSince, connectedAt time.Time
-	streams                   map[uint64]stream
-	own                       []ownStream // in the order in which they began
-	nextExpiry                time.Time
+	connectedAt, connectedAtTimeOfDay time.Time
+	streams                           map[uint64]stream
+	own                               []ownStream // in the order in which they began
+	nextExpiry                        time.Time
 }
 
 // service holds the versions of a service that serve or have served lately.
@@ -87,7 +87,7 @@
 // New returns an empty log. allKnown says that no stream can have begun before now, as at
 // the first start of the whole system.
 func New(now time.Time, allKnown bool) *Log {
-	l := &Log{services: make(map[state.Service]*service), streams: make(map[uint64]stream), coveredSince: now, connectedAt: now}
+	l := &Log{services: make(map[state.Service]*service), streams: make(map[uint64]stream), coveredSince: now, connectedAt: now, connectedAtTimeOfDay: now.Round(0)}
 	if allKnown {
 		l.coveredSince = now.Add(-MaxTakeUpTime)
 	}
@@ -95,14 +95,17 @@
 }
 
 // Connected records that the list of targets is current or that other entries are heard,
-// so that a version that serves now is known here or soon will be.
-func (l *Log) Connected(now time.Time) {
+// so that a version that serves now is known here or soon will be. It must be called at
+// intervals well below maxIsolation. timeOfDay tells of times in which the instance was
+// suspended, which the steady clock of now does not count.
+func (l *Log) Connected(now, timeOfDay time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.connectedAt) > maxIsolation {
+	timeOfDay = timeOfDay.Round(0) // without the steady clock's reading
+	if now.Sub(l.connectedAt) > maxIsolation || timeOfDay.Sub(l.connectedAtTimeOfDay).Abs() > maxIsolation {
 		l.coveredSince = now
 	}
-	l.connectedAt = now
+	l.connectedAt, l.connectedAtTimeOfDay = now, timeOfDay
 }
 
 // hashRequest returns the hash under which a stream is remembered.
@@ -130,7 +133,6 @@
 		}
 		s.listed = listed[name]
 	}
-	l.hasList = l.hasList || len(records) > 0
 }
 
 func (l *Log) service(name state.Service) *service {
@@ -167,25 +169,33 @@
 // covered reports whether all versions are known at which a stream that is taken up now
 // may have begun.
 func (l *Log) covered(now time.Time) bool {
-	return l.hasList && now.Sub(l.coveredSince) >= MaxTakeUpTime && now.Sub(l.connectedAt) <= maxIsolation
+	return now.Sub(l.coveredSince) >= MaxTakeUpTime && now.Sub(l.connectedAt) <= maxIsolation
 }
 
-// Mixed returns the versions of the services of which several serve or have served
-// lately. ok is false if not all such versions are known.
-func (l *Log) Mixed(now time.Time) (mixed map[state.Service][]state.SoftwareVersion, ok bool) {
+// Covered reports whether all versions are known at which a stream that is taken up now
+// may have begun, provided that the list of targets is.
+func (l *Log) Covered(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	mixed = make(map[state.Service][]state.SoftwareVersion)
+	return l.covered(now)
+}
+
+// Mixed returns the versions of the services of which several are known that serve or
+// have served lately.
+func (l *Log) Mixed(now time.Time) map[state.Service][]state.SoftwareVersion {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	mixed := make(map[state.Service][]state.SoftwareVersion)
 	for name := range l.services {
 		if versions := l.versions(now, name); len(versions) > 1 {
 			mixed[name] = versions
 		}
 	}
-	return mixed, l.covered(now)
+	return mixed
 }
 
-// AdoptMixed takes the result of Mixed of an entry that knew all versions lately, after
-// which all are known here too.
+// AdoptMixed takes the result of Mixed of an entry that knew all versions lately. After
+// that, all are known here too.
 func (l *Log) AdoptMixed(now time.Time, mixed map[state.Service][]state.SoftwareVersion) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -194,7 +204,7 @@
 			l.service(name).leftAt[version] = now
 		}
 	}
-	l.coveredSince, l.connectedAt = now.Add(-MaxTakeUpTime), now
+	l.coveredSince = now.Add(-MaxTakeUpTime)
 }
 
 // Begin remembers that the stream of a request began here at origin.
--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -83,7 +83,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			l := c.log()
 			for d := time.Duration(0); d <= c.at; d += time.Second {
-				l.Connected(start.Add(d))
+				l.Connected(start.Add(d), start.Add(d))
 			}
 			got, ok := l.Find(start.Add(c.at), "stream", "s")
 			if diff := cmp.Diff(c.want, got); diff != "" || ok != (c.want != Origin{}) {
@@ -101,19 +101,33 @@
 	if o, ok := l.Find(at, "stream", "s"); ok {
 		t.Errorf("origin %v is known while nothing is heard", o)
 	}
-	l.Connected(at)
+	l.Connected(at, at)
 	if o, ok := l.Find(at, "stream", "s"); ok {
 		t.Errorf("origin %v is known as soon as something is heard", o)
 	}
 	for range MaxTakeUpTime / time.Second {
 		at = at.Add(time.Second)
-		l.Connected(at)
+		l.Connected(at, at)
 	}
 	if _, ok := l.Find(at, "stream", "s"); !ok {
 		t.Error("the origin is not known again after the longest time for taking a stream up")
 	}
 }
 
+// Guards against an entry whose instance was suspended, which its steady clock does not
+// show, and that takes the version it knows for the only one.
+func TestSuspensionEndsKnowledge(t *testing.T) {
+	l := newLog("v1")
+	l.Connected(start.Add(100*time.Millisecond), start.Add(100*time.Millisecond))
+	if !l.Covered(start.Add(100 * time.Millisecond)) {
+		t.Fatal("versions are not known although the log was connected all the time")
+	}
+	l.Connected(start.Add(200*time.Millisecond), start.Add(3*time.Second))
+	if l.Covered(start.Add(200 * time.Millisecond)) {
+		t.Error("versions count as known after a suspension of 3 s")
+	}
+}
+
 // Guards against reports that carry origins while every stream of a service began at the
 // same version, and against a stream that began before the second version and is unknown
 // to the others afterwards.
@@ -165,7 +179,7 @@
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			for _, l := range logs {
-				l.Connected(now)
+				l.Connected(now, now)
 			}
 			switch rapid.SampledFrom([]string{"list", "begin", "report", "restart", "take up"}).Draw(t, "action") {
 			case "list": // all entries have the new list before a stream begins by it
@@ -185,11 +199,11 @@
 				}
 			case "restart":
 				i := entry.Draw(t, "entry")
-				mixed, covered := logs[(i+1)%entries].Mixed(now)
+				other := logs[(i+1)%entries]
 				logs[i] = New(now, false)
 				logs[i].SetTargets(now, targets(listed...))
-				if covered {
-					logs[i].AdoptMixed(now, mixed)
+				if other.Covered(now) {
+					logs[i].AdoptMixed(now, other.Mixed(now))
 				}
 			case "take up":
 				for id, version := range began {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -83,7 +83,6 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.loop(ctx) })
 	group.Go(func() error { return c.join(ctx) })
-	group.Go(func() error { return c.adoptMixedServices(ctx) })
 	group.Go(func() error { return c.shareMixedServices(ctx) })
 	group.Go(func() error {
 		return keyedtopic.Follow(ctx, c.p.store, keyedtopic.Topic{Name: platform.ConfigurationTopic, ReadWait: configurationReadWait},
--- a/internal/daemon/origins.go
+++ b/internal/daemon/origins.go
@@ -57,96 +57,87 @@
 	return c.listReadAt
 }
 
-// adoptMixedServices reads from the store which services had several software versions
-// lately, which an entry that has just started cannot know from the list of targets. It
-// retries until it succeeds, or until it is needless.
-func (c *control) adoptMixedServices(ctx context.Context) error {
-	for !c.p.settings.FirstStart && ctx.Err() == nil && time.Since(c.p.startedAt) < origin.MaxTakeUpTime {
-		mixed, err := c.p.store.MixedServices(ctx)
-		if err == nil {
-			c.p.origins.AdoptMixed(time.Now(), mixed)
-			c.p.log.Info("services with several software versions known", zap.Any("services", mixed))
-			return nil
-		}
-		c.p.log.Warn("services with several software versions not read", zap.Error(err))
-		select {
-		case <-ctx.Done():
-		case <-time.After(joinRetryInterval):
-		}
-	}
-	return nil
-}
-
-// shareMixedServices keeps the services with several software versions in the store, for
-// entries that start. One entry writes them.
+// shareMixedServices keeps the services with several software versions in the store. One
+// entry writes them; entries that have just started or were cut off read them, because
+// the list of targets does not say which versions served before.
 func (c *control) shareMixedServices(ctx context.Context) error {
 	tick := time.NewTicker(mixedCheckInterval)
 	defer tick.Stop()
-	w := mixedServicesWriter{control: c}
-	if c.p.settings.FirstStart {
-		w.stored = make(map[state.Service][]state.SoftwareVersion)
-	}
+	m := mixedServices{control: c}
 	for {
+		now := time.Now()
+		if !c.p.origins.Covered(now) {
+			m.adopt(ctx)
+		}
+		m.update(ctx, now)
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-tick.C:
-			w.update(ctx, now)
+		case <-tick.C:
 		}
 	}
 }
 
-// mixedServicesWriter writes changes of the services with several software versions.
-type mixedServicesWriter struct {
+// mixedServices reads and writes the services with several software versions.
+type mixedServices struct {
 	control *control
 	// stored is what the store holds; nil if that is unknown.
 	stored map[state.Service][]state.SoftwareVersion
 }
 
-// update writes what has changed, if this entry is to write: it reads the list of targets
-// and has the lowest name of those that do.
-func (w *mixedServicesWriter) update(ctx context.Context, now time.Time) {
-	p := w.control.p
-	if now.Sub(w.control.listReadTime()) > maxListAge || p.mesh.CountReadersBelow(now, p.settings.Instance) > 0 {
-		w.stored = nil // another entry may write
+// read reads the services from the store. It reports whether that succeeded.
+func (m *mixedServices) read(ctx context.Context) bool {
+	var err error
+	if m.stored, err = m.control.p.store.MixedServices(ctx); err != nil {
+		m.control.p.log.Warn("services with several software versions not read", zap.Error(err))
+	}
+	return err == nil
+}
+
+// adopt reads the services and passes them to the log of origins.
+func (m *mixedServices) adopt(ctx context.Context) {
+	if !m.read(ctx) {
 		return
 	}
-	mixed, covered := p.origins.Mixed(now)
-	if !covered {
+	m.control.p.origins.AdoptMixed(time.Now(), m.stored)
+	m.control.p.log.Info("services with several software versions known", zap.Any("services", m.stored))
+}
+
+// update writes what has changed, if this entry is to write: it reads the list of targets,
+// has the lowest name of those that do, and knows all versions.
+func (m *mixedServices) update(ctx context.Context, now time.Time) {
+	p := m.control.p
+	if now.Sub(m.control.listReadTime()) > maxListAge || p.mesh.CountReadersBelow(now, p.settings.Instance) > 0 {
+		m.stored = nil // another entry may write
 		return
 	}
-	if w.stored == nil {
-		var err error
-		if w.stored, err = p.store.MixedServices(ctx); err != nil {
-			p.log.Warn("services with several software versions not read", zap.Error(err))
-		}
-		if w.stored == nil {
-			return
-		}
+	if !p.origins.Covered(now) || m.stored == nil && !m.read(ctx) {
+		return
 	}
+	mixed := p.origins.Mixed(now)
 	for service, versions := range mixed {
-		w.put(ctx, service, versions)
+		m.put(ctx, service, versions)
 	}
-	for service := range w.stored {
+	for service := range m.stored {
 		if mixed[service] == nil {
-			w.put(ctx, service, nil)
+			m.put(ctx, service, nil)
 		}
 	}
 }
 
 // put writes the versions of a service unless the store holds them. Without versions it
 // removes the record.
-func (w *mixedServicesWriter) put(ctx context.Context, service state.Service, versions []state.SoftwareVersion) {
-	if slices.Equal(w.stored[service], versions) {
+func (m *mixedServices) put(ctx context.Context, service state.Service, versions []state.SoftwareVersion) {
+	if slices.Equal(m.stored[service], versions) {
 		return
 	}
-	p := w.control.p
+	p := m.control.p
 	if err := p.store.PutMixedService(ctx, service, versions); err != nil {
 		p.log.Warn("software versions of a service not written", zap.String("service", string(service)), zap.Error(err))
 		return
 	}
 	p.log.Info("software versions of a service written", zap.String("service", string(service)), zap.Any("versions", versions))
-	if w.stored[service] = versions; versions == nil {
-		delete(w.stored, service)
+	if m.stored[service] = versions; versions == nil {
+		delete(m.stored, service)
 	}
 }
--- a/internal/daemon/origins_test.go
+++ b/internal/daemon/origins_test.go
@@ -43,13 +43,13 @@
 	c := controlWithList(now, one...)
 	c.p.store, c.p.settings = store, &platform.Settings{Instance: "a", FirstStart: true}
 	c.p.mesh, _, _ = openMesh(t)
-	w := mixedServicesWriter{control: c, stored: make(map[state.Service][]state.SoftwareVersion)}
+	m := mixedServices{control: c}
 	check := func(at time.Time, records []state.TargetRecord, want map[state.Service][]state.SoftwareVersion) {
 		t.Helper()
 		c.listReadAt = at
-		c.p.origins.Connected(at)
+		c.p.origins.Connected(at, at)
 		c.p.origins.SetTargets(at, records)
-		w.update(t.Context(), at)
+		m.update(t.Context(), at)
 		got, err := store.MixedServices(t.Context())
 		if diff := cmp.Diff(want, got); err != nil || diff != "" {
 			t.Errorf("error %v, in the store (-want +got):\n%s", err, diff)
@@ -63,18 +63,19 @@
 
 	starting := origin.New(now.Add(3*time.Second), false)
 	starting.SetTargets(now.Add(3*time.Second), one)
-	mixed, err := store.MixedServices(t.Context())
-	if err != nil {
-		t.Fatal(err)
+	c.p.origins, starting = starting, c.p.origins
+	m.adopt(t.Context())
+	c.p.origins, starting = starting, c.p.origins
+	if !starting.Covered(now.Add(3 * time.Second)) {
+		t.Error("the entry that has started does not know all versions from the store")
 	}
-	starting.AdoptMixed(now.Add(3*time.Second), mixed)
 	if o, ok := starting.Find(now.Add(3*time.Second), "stream", "s"); ok {
 		t.Errorf("origin %v is known to an entry that has started after a version left", o)
 	}
 
 	end := now.Add(3*time.Second + origin.MaxTakeUpTime)
 	for at := now.Add(3 * time.Second); at.Before(end); at = at.Add(time.Second) {
-		c.p.origins.Connected(at)
+		c.p.origins.Connected(at, at)
 	}
 	check(end, one, none)
 }
@@ -109,8 +110,8 @@
 			lower.AddAddress(address)
 			c.p.mesh, c.listReadAt = own, now
 			prepare(c, lower, own, heard)
-			w := mixedServicesWriter{control: c}
-			w.update(t.Context(), now)
+			m := mixedServices{control: c}
+			m.update(t.Context(), now)
 			if got, err := store.MixedServices(t.Context()); err != nil || len(got) != 0 {
 				t.Errorf("written %v, error %v; want nothing", got, err)
 			}
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -106,7 +106,7 @@
 	r.p.scheduler.SetPosition(position)
 	r.p.quota.SetExpectedPeers(r.p.mesh.ExpectedPeerCount(now))
 	if r.p.isConnected(now) {
-		r.p.origins.Connected(now)
+		r.p.origins.Connected(now, now)
 	}
 	// A change of the list of targets is reported at once, so that entries learn in
 	// time that a target leaves.
