Origins: ask only entries heard lately; events are told from comments by fields

Cause: found on reading the change. An entry that lacks an origin asked those heard for longest first, also ones that had just died, which costs the caller 150 ms each where their instance is dark. A stream whose first event has an identifier but no data did not fix the software version of its later attempts.

Change: only entries whose last report is at most 1.5 s old are asked. Whatever has a field counts as an event, in the entry and in the side process; comments alone do not.

Result: tests of gateway, engine, mesh and daemon pass, with a new case for a comment before the end.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -200,7 +199,7 @@
 // the end of the connection says that it ended.
 func (a *attempt) finishStream(head *state.Response) (dispatch.Outcome, error) {
 	r := a.request
-	if head.EndsWithConnection && !r.dataForwarded {
+	if head.EndsWithConnection && !r.eventForwarded {
 		return dispatch.Broken, errNoEvent
 	}
 	if !r.streamBegun {
@@ -228,8 +227,8 @@
 	if e.id != "" {
 		r.lastEventID = e.id
 	}
-	if e.hasData && !r.dataForwarded {
-		r.dataForwarded = true
+	if e.hasField && !r.eventForwarded {
+		r.eventForwarded = true
 		r.recordOrigin(g)
 	}
 	if err := r.responder.WriteEvent(e.data); err != nil {
@@ -240,9 +239,9 @@
 
 // event is one complete event of a stream, including the blank line that ends it.
 type event struct {
-	data    []byte
-	id      string // empty when the event has none
-	hasData bool   // false for comments and empty lines
+	data     []byte
+	id       string // empty when the event has none
+	hasField bool   // false for comments and empty lines
 }
 
 // maxEventBytes bounds the size of one event.
@@ -279,7 +278,7 @@
 		if id, ok := fieldValue(text, "id"); ok {
 			ev.id = id
 		}
-		ev.hasData = ev.hasData || bytes.HasPrefix(text, []byte("data:"))
+		ev.hasField = ev.hasField || text[0] != ':'
 	}
 }
 
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -168,10 +168,10 @@
 
 	possibleRuns int  // number of attempts that may have run
 	streamBegun  bool // the head of a stream was sent to the caller
-	// dataForwarded says that an event with data was sent to the caller.
-	dataForwarded bool
-	// software is the version of the target that wrote the first event with data; nil
-	// before there is one. It is known from the start for a stream that is taken up.
+	// eventForwarded says that an event was sent to the caller.
+	eventForwarded bool
+	// software is the version of the target that wrote the first event; nil before there
+	// is one. It is known from the start for a stream that is taken up.
 	software    *state.SoftwareVersion
 	lastEventID string // ID of the last event that the caller has
 	lastErr     error
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -52,8 +52,8 @@
 	return nil
 }
 
-// recordOrigin remembers where the stream began when its first event with data is sent to
-// the caller, before the caller can take it up elsewhere.
+// recordOrigin remembers where the stream began. It is called before the first event is
+// sent to the caller, who can then take the stream up elsewhere.
 func (r *request) recordOrigin(g *dispatch.Grant) {
 	r.software = &g.Target.Software
 	id := r.call.ID
--- a/internal/daemon/origins.go
+++ b/internal/daemon/origins.go
@@ -11,13 +11,9 @@
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
-const (
-	// heardLately is the age of a report up to which its sender counts as heard.
-	heardLately = 1500 * time.Millisecond
-	// mixedCheckInterval is the time between checks whether the services with several
-	// software versions in the store are to be written again.
-	mixedCheckInterval = time.Second
-)
+// mixedCheckInterval is the time between checks whether the services with several software
+// versions are to be read from the store or written there.
+const mixedCheckInterval = time.Second
 
 // findOrigin implements mesh.FindOrigin.
 func (p *gatewayProcess) findOrigin(id state.RequestID, service state.Service) (origin.Origin, bool) {
@@ -39,7 +35,7 @@
 	if listCurrentAt, _ := p.control.listTimes(); now.Sub(listCurrentAt) < maxListAge {
 		return true
 	}
-	heard := p.mesh.HeardCount(now, heardLately)
+	heard := p.mesh.HeardCount(now)
 	return heard > 0 && heard >= p.mesh.PeerCount(now)/2
 }
 
--- a/internal/transport/engine/streamend_test.go
+++ b/internal/transport/engine/streamend_test.go
@@ -22,6 +22,7 @@
 		{"inside an event", "text/event-stream; charset=utf-8", "data: a\n\ndata: b", false},
 		{"inside the empty line", "text/event-stream", "data: a\n\ndata: b\n", false},
 		{"before the first event", "text/event-stream", "", false},
+		{"after a comment", "text/event-stream", ": waiting\n\n", false},
 		{"after the last event", "text/event-stream", "data: a\n\ndata: b\r\n\r\n", true},
 		{"of a body that is no stream", "text/plain", "data: a\n\ndata: b", true},
 	} {
--- a/internal/transport/engine/wholeevents.go
+++ b/internal/transport/engine/wholeevents.go
@@ -23,7 +23,8 @@
 	body               io.Reader
 	endsWithConnection bool // the body has neither a length nor chunks
 	lineBegun          bool // the last line has a byte other than CR, and no LF yet
-	eventBegun         bool // lines of an event came without the empty line that ends it
+	eventBegun         bool // lines came without the empty line that ends an event
+	hasField           bool // one of these lines is no comment
 	hasEvent           bool
 }
 
@@ -60,11 +61,14 @@
 	switch {
 	case c == '\r':
 	case c != '\n':
+		if !r.lineBegun {
+			r.hasField = r.hasField || c != ':'
+		}
 		r.lineBegun = true
 	case r.lineBegun:
 		r.lineBegun, r.eventBegun = false, true
 	default:
-		r.hasEvent = r.hasEvent || r.eventBegun
-		r.eventBegun = false
+		r.hasEvent = r.hasEvent || r.hasField
+		r.eventBegun, r.hasField = false, false
 	}
 }
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -43,6 +43,9 @@
 	// readerTimeout is the time without a report after which an entry no longer counts
 	// as a reader of the store, so that another one reads in its place.
 	readerTimeout = 1200 * time.Millisecond
+	// heardLately is the age of its last report up to which an entry counts as reachable.
+	// It exceeds the longest time between reports.
+	heardLately = 1500 * time.Millisecond
 )
 
 // Message is a report of one entry to others.
@@ -215,13 +218,13 @@
 	return len(m.peers)
 }
 
-// HeardCount returns the number of other entries of which a report came within age.
-func (m *Mesh) HeardCount(now time.Time, age time.Duration) int {
+// HeardCount returns the number of other entries that have reported lately.
+func (m *Mesh) HeardCount(now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	count := 0
 	for _, p := range m.peers {
-		if now.Sub(p.lastHeard) <= age {
+		if now.Sub(p.lastHeard) <= heardLately {
 			count++
 		}
 	}
--- a/internal/transport/mesh/origin.go
+++ b/internal/transport/mesh/origin.go
@@ -46,7 +46,7 @@
 // lately knows little. The error is nil if one knew.
 func (m *Mesh) AskOrigin(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, error) {
 	err := fmt.Errorf("origin of stream %s: no other entry to ask", id)
-	for _, a := range m.longestHeard(maxOriginQuestions) {
+	for _, a := range m.longestHeard(time.Now(), maxOriginQuestions) {
 		var o origin.Origin
 		if o, err = m.askOrigin(ctx, a, id, service); err == nil {
 			return o, nil
@@ -55,13 +55,16 @@
 	return origin.Origin{}, err
 }
 
-// longestHeard returns up to n peers, those that were first heard earliest.
-func (m *Mesh) longestHeard(n int) []netip.AddrPort {
+// longestHeard returns up to n of the peers that have reported lately, those that were
+// first heard earliest.
+func (m *Mesh) longestHeard(now time.Time, n int) []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	addresses := make([]netip.AddrPort, 0, len(m.peers))
-	for a := range m.peers {
-		addresses = append(addresses, a)
+	for a, p := range m.peers {
+		if now.Sub(p.lastHeard) <= heardLately {
+			addresses = append(addresses, a)
+		}
 	}
 	slices.SortFunc(addresses, func(a, b netip.AddrPort) int {
 		return cmp.Or(m.peers[a].firstHeard.Compare(m.peers[b].firstHeard), a.Compare(b))
