Fault soak: each run keeps its logs and settings in directories of its own

Cause: two runs started by hand with the same directory for logs both ran the regression seeds at the same time and overwrote each other's settings.

Change: the directory's name has the process's number.

--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -100,12 +100,13 @@
 	t.Logf("seed %d: %d requests: %v; faults: %v", seed, len(w.results), w.outcomeCounts(), w.faultCounts)
 }
 
-// logDir returns the directory for the logs and settings of a seed's processes.
+// logDir returns the directory for the logs and settings of a seed's processes. It is
+// this run's own: processes that restart read their settings again.
 func logDir(t *testing.T, seed uint64) string {
 	if *logsFlag == "" {
 		return t.TempDir()
 	}
-	dir := filepath.Join(*logsFlag, fmt.Sprint(seed))
+	dir := filepath.Join(*logsFlag, fmt.Sprintf("%d-%d", seed, os.Getpid()))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		t.Fatal(err)
 	}
