--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -1,7 +1,9 @@
 package origin
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -11,6 +13,14 @@
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
+// TestMain fixes the random sequences of the tests. Flags on the command line override
+// them.
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
 var start = time.Unix(1000, 0)
 
 // targets lists one target of service s for each version.
