Property of the log of origins: entries that are cut off or read no store

Change: in the property, entries are cut off and rejoin, and an entry that starts may not be able to read the store; origins are compared after each step.

--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -172,58 +172,101 @@
 	}
 }
 
-// Guards against any order of starts, lists, isolation and lost reports after which an
-// entry holds an origin for known that is not the stream's.
+// fleet is a set of entries that hear of lists and of each other, unless they are cut off.
+type fleet struct {
+	now    time.Time
+	listed []state.SoftwareVersion
+	logs   []*Log
+	cutOff []bool
+}
+
+// advance lets d pass.
+func (f *fleet) advance(d time.Duration) {
+	for ; d > 0; d -= time.Second {
+		f.now = f.now.Add(min(d, time.Second))
+		for i, l := range f.logs {
+			if !f.cutOff[i] {
+				l.Connected(f.now, f.now)
+			}
+		}
+	}
+}
+
+// list replaces the list of targets, before a stream begins by it.
+func (f *fleet) list(versions []state.SoftwareVersion) {
+	f.listed = versions
+	for i, l := range f.logs {
+		if !f.cutOff[i] {
+			l.SetTargets(f.now, targets(versions...))
+		}
+	}
+}
+
+// restart starts an entry anew. It adopts what another entry has written to the store, if
+// it reads that.
+func (f *fleet) restart(i int, readsStore bool) {
+	other := f.logs[(i+1)%len(f.logs)]
+	f.logs[i], f.cutOff[i] = New(f.now, false), false
+	f.logs[i].SetTargets(f.now, targets(f.listed...))
+	if readsStore && other.Covered(f.now) {
+		f.logs[i].AdoptMixed(f.now, other.Mixed(f.now))
+	}
+}
+
+// Guards against any order of starts, lists, cuts and lost reports after which an entry
+// holds an origin for known that is not the stream's.
 func TestKnownOriginIsTrue(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const entries = 3
-		now := start
-		listed := []state.SoftwareVersion{"v1"}
-		logs := make([]*Log, entries)
-		for i := range logs {
-			logs[i] = newLog(listed...)
+		f := fleet{now: start, listed: []state.SoftwareVersion{"v1"}, cutOff: make([]bool, entries)}
+		for range entries {
+			f.logs = append(f.logs, newLog(f.listed...))
 		}
-		began := make(map[state.RequestID]state.SoftwareVersion)
-		beganAt := make(map[state.RequestID]time.Time)
+		type begun struct {
+			version state.SoftwareVersion
+			at      time.Time
+		}
+		streams := make(map[state.RequestID]begun)
 		entry := rapid.IntRange(0, entries-1)
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
-			for _, l := range logs {
-				l.Connected(now, now)
-			}
-			switch rapid.SampledFrom([]string{"list", "begin", "report", "restart", "take up"}).Draw(t, "action") {
-			case "list": // all entries have the new list before a stream begins by it
-				listed = rapid.SliceOfNDistinct(rapid.SampledFrom([]state.SoftwareVersion{"v1", "v2", "v3"}), 1, 3, rapid.ID).Draw(t, "listed")
-				for _, l := range logs {
-					l.SetTargets(now, targets(listed...))
-				}
+			f.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			i := entry.Draw(t, "entry")
+			switch rapid.SampledFrom([]string{"list", "begin", "report", "restart", "cut off", "rejoin"}).Draw(t, "action") {
+			case "list":
+				f.list(rapid.SliceOfNDistinct(rapid.SampledFrom([]state.SoftwareVersion{"v1", "v2", "v3"}), 1, 3, rapid.ID).Draw(t, "listed"))
 			case "begin":
-				id := state.RequestID(fmt.Sprint(step))
-				began[id], beganAt[id] = rapid.SampledFrom(listed).Draw(t, "version"), now
-				logs[entry.Draw(t, "entry")].Begin(now, id, Origin{"s", began[id]})
+				if f.cutOff[i] {
+					continue
+				}
+				id, s := state.RequestID(fmt.Sprint(step)), begun{rapid.SampledFrom(f.listed).Draw(t, "version"), f.now}
+				streams[id] = s
+				f.logs[i].Begin(f.now, id, Origin{"s", s.version})
 			case "report":
-				from, to := entry.Draw(t, "from"), entry.Draw(t, "to")
-				notes := logs[from].Unreported(now, rapid.Bool().Draw(t, "far"))
-				if rapid.Bool().Draw(t, "delivered") {
-					logs[to].Learn(now, notes)
+				to := entry.Draw(t, "to")
+				notes := f.logs[i].Unreported(f.now, rapid.Bool().Draw(t, "far"))
+				if !f.cutOff[i] && !f.cutOff[to] && rapid.Bool().Draw(t, "delivered") {
+					f.logs[to].Learn(f.now, notes)
 				}
 			case "restart":
-				i := entry.Draw(t, "entry")
-				other := logs[(i+1)%entries]
-				logs[i] = New(now, false)
-				logs[i].SetTargets(now, targets(listed...))
-				if other.Covered(now) {
-					logs[i].AdoptMixed(now, other.Mixed(now))
+				f.restart(i, rapid.Bool().Draw(t, "reads the store"))
+			case "cut off":
+				f.cutOff[i] = true
+				f.advance(maxIsolation + time.Millisecond)
+			case "rejoin":
+				if f.cutOff[i] {
+					f.cutOff[i] = false
+					f.logs[i].Connected(f.now, f.now)
+					f.logs[i].SetTargets(f.now, targets(f.listed...))
 				}
-			case "take up":
-				for id, version := range began {
-					if now.Sub(beganAt[id]) > MaxTakeUpTime {
-						continue
-					}
-					for i, l := range logs {
-						if o, ok := l.Find(now, id, "s"); ok && o.Software != version {
-							t.Fatalf("entry %d holds %s for the origin of a stream that began at %s", i, o.Software, version)
-						}
+			}
+			for id, s := range streams {
+				if f.now.Sub(s.at) > MaxTakeUpTime {
+					delete(streams, id)
+					continue
+				}
+				for i, l := range f.logs {
+					if o, ok := l.Find(f.now, id, "s"); ok && o.Software != s.version {
+						t.Fatalf("entry %d holds %s for the origin of a stream that began at %s", i, o.Software, s.version)
 					}
 				}
 			}
