One request between entries and one list of mixed services

Cause: found on reading the whole change again.

Change: Mesh.get, Log.mixed and peer.isHeard serve both. No behaviour changes.

Result: tests of mesh and origin pass.

--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -185,6 +185,11 @@
 func (l *Log) Mixed(now time.Time) map[state.Service][]state.SoftwareVersion {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.mixed(now)
+}
+
+// mixed implements Mixed.
+func (l *Log) mixed(now time.Time) map[state.Service][]state.SoftwareVersion {
 	mixed := make(map[state.Service][]state.SoftwareVersion)
 	for name := range l.services {
 		if versions := l.versions(now, name); len(versions) > 1 {
@@ -300,19 +305,14 @@
 // unreported returns the streams that are to be reported: those of services with several
 // versions.
 func (l *Log) unreported(now time.Time, far bool) iter.Seq[*ownStream] {
-	mixed := make(map[state.Service]bool)
-	for name := range l.services {
-		if len(l.versions(now, name)) > 1 {
-			mixed[name] = true
-		}
-	}
+	mixed := l.mixed(now)
 	return func(yield func(*ownStream) bool) {
 		if len(mixed) == 0 {
 			return
 		}
 		for i := range l.own {
 			s := &l.own[i]
-			if mixed[s.origin.Service] && *s.reportsLeft(far) > 0 && !now.After(s.expires) && !yield(s) {
+			if mixed[s.origin.Service] != nil && *s.reportsLeft(far) > 0 && !now.After(s.expires) && !yield(s) {
 				return
 			}
 		}
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -218,13 +218,16 @@
 	return len(m.peers)
 }
 
+// isHeard reports whether the entry has reported lately.
+func (p *peer) isHeard(now time.Time) bool { return now.Sub(p.lastHeard) <= heardLately }
+
 // HeardCount returns the number of other entries that have reported lately.
 func (m *Mesh) HeardCount(now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	count := 0
 	for _, p := range m.peers {
-		if now.Sub(p.lastHeard) <= heardLately {
+		if p.isHeard(now) {
 			count++
 		}
 	}
--- a/internal/transport/mesh/origin.go
+++ b/internal/transport/mesh/origin.go
@@ -62,7 +62,7 @@
 	defer m.mu.Unlock()
 	addresses := make([]netip.AddrPort, 0, len(m.peers))
 	for a, p := range m.peers {
-		if now.Sub(p.lastHeard) <= heardLately {
+		if p.isHeard(now) {
 			addresses = append(addresses, a)
 		}
 	}
@@ -76,18 +76,11 @@
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	query := url.Values{requestParameter: {string(id)}, serviceParameter: {string(service)}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+originPath+"?"+query.Encode(), nil)
-	if err != nil {
-		return o, err
-	}
-	resp, err := m.http.Do(req)
+	resp, err := m.get(ctx, a, originPath, query)
 	if err != nil {
 		return o, fmt.Errorf("ask %s for the origin of stream %s: %w", a, id, err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return o, fmt.Errorf("ask %s for the origin of stream %s: status %d", a, id, resp.StatusCode)
-	}
 	if err := json.NewDecoder(resp.Body).Decode(&o); err != nil {
 		return origin.Origin{}, fmt.Errorf("ask %s for the origin of stream %s: decode: %w", a, id, err)
 	}
--- a/internal/transport/mesh/snapshot.go
+++ b/internal/transport/mesh/snapshot.go
@@ -217,18 +217,11 @@
 		versionParameter: {strconv.FormatInt(known.ConfigurationVersion, 10)}, hashParameter: {strconv.FormatUint(known.ListHash, 10)},
 		bundleParameter: {strconv.FormatUint(known.BundleVersion, 10)},
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+snapshotPath+"?"+query.Encode(), nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := m.http.Do(req)
+	resp, err := m.get(ctx, a, snapshotPath, query)
 	if err != nil {
 		return nil, fmt.Errorf("fetch snapshot from %s: %w", a, err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("fetch snapshot from %s: status %d", a, resp.StatusCode)
-	}
 	age, err := strconv.ParseInt(resp.Header.Get(ageHeader), 10, 64)
 	if err != nil {
 		return nil, fmt.Errorf("fetch snapshot from %s: parse age: %w", a, err)
@@ -240,3 +233,21 @@
 	s.Age = time.Duration(age) * time.Millisecond
 	return s, nil
 }
+
+// get requests path from the entry at a. Status codes other than 200 are errors. The body
+// of the response must be closed.
+func (m *Mesh) get(ctx context.Context, a netip.AddrPort, path string, query url.Values) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+path+"?"+query.Encode(), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := m.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return resp, nil
+}
