A question for an origin that fails is logged with its request

Cause: found on reading the whole change again. Why no other entry knew an origin was written by the logger of the process, which is not limited, once for each such request; lines about requests are to be limited.

Change: AskOrigin returns the error, and stream taken up shows it as its cause. The mesh exists before the gateway, so the gateway asks it directly; the line origin of a stream not found is gone. Decisions are as before.

--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -69,9 +69,10 @@
 	Quota        *quota.Ledger
 	Refusals     *refusal.Log
 	// Origins remembers where streams began. AskOrigin asks other entries where the stream
-	// of a request began, which is at service if nothing else is known.
+	// of a request began, which is at service if nothing else is known. The error says why
+	// none knew.
 	Origins   *origin.Log
-	AskOrigin func(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, bool)
+	AskOrigin func(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, error)
 	// RetryRatio, RetryWindow and RetrySlack bound the repeated sends for each
 	// service: within RetryWindow, at most RetryRatio for each first send, plus
 	// RetrySlack. RetrySlack returns this entry's share of the repeated sends that
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -182,8 +182,8 @@
 	scheduler.SetTargets(records)
 	origins := origin.New(time.Now(), true)
 	origins.SetTargets(time.Now(), records)
-	askOrigin := func(context.Context, state.RequestID, state.Service) (origin.Origin, bool) {
-		return origin.Origin{}, false
+	askOrigin := func(context.Context, state.RequestID, state.Service) (origin.Origin, error) {
+		return origin.Origin{}, errors.New("no other entry to ask")
 	}
 	return New(Config{
 		Scheduler: scheduler, TargetClient: targets, Quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}),
--- a/internal/coordination/gateway/software_test.go
+++ b/internal/coordination/gateway/software_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -138,8 +139,11 @@
 				synctest.Test(t, func(t *testing.T) {
 					targets := &fakeTargetClient{behaviours: []behaviour{respondWith(200, events)}}
 					s := newSoftwareService(targets, seed, "v1", "v2")
-					s.cfg.AskOrigin = func(_ context.Context, id state.RequestID, service state.Service) (origin.Origin, bool) {
-						return c.origin, id == "first" && service == "s"
+					s.cfg.AskOrigin = func(_ context.Context, id state.RequestID, service state.Service) (origin.Origin, error) {
+						if id != "first" || service != "s" {
+							return origin.Origin{}, errors.New("unknown")
+						}
+						return c.origin, nil
 					}
 					out := serve(t, s, state.Call{ID: "second", ResumeAfter: "1", ResumedRequest: "first"})
 					if out.ended != c.goesOn || !c.goesOn && (out.failure.Kind != NotRun || len(targets.sends) > 0) {
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -30,18 +30,18 @@
 	}
 	source := "here"
 	o, ok := r.service.cfg.Origins.Find(time.Now(), r.call.ResumedRequest, r.targetService)
+	var err error
 	if !ok {
 		source = "other_entry"
-		o, ok = r.service.cfg.AskOrigin(ctx, r.call.ResumedRequest, r.targetService)
-	}
-	if !ok {
-		source = "unknown"
+		if o, err = r.service.cfg.AskOrigin(ctx, r.call.ResumedRequest, r.targetService); err != nil {
+			source = "unknown"
+		}
 	}
 	r.service.cfg.Counters.Add("stream_taken_up." + source)
 	r.log.Info("stream taken up", zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name),
 		zap.String("resumes", string(r.call.ResumedRequest)), zap.String("resume_after", r.call.ResumeAfter),
-		zap.String("service", string(o.Service)), zap.String("software", string(o.Software)), zap.String("origin_from", source))
-	if !ok {
+		zap.String("service", string(o.Service)), zap.String("software", string(o.Software)), zap.String("origin_from", source), zap.NamedError("cause", err))
+	if err != nil {
 		return &Failure{Kind: NotRun, Reason: "unknown_origin", RetryAfter: r.capRetryAfter(unknownOriginRetryAfter)}
 	}
 	if !r.route.LeadsTo(o.Service) {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -90,16 +90,16 @@
 	p.refusals = refusal.NewLog()
 	p.origins = origin.New(p.startedAt, s.FirstStart)
 	p.scheduler = dispatch.New(s.Domain, xxhash.Sum64String(string(s.Instance))^uint64(p.incarnation), time.Now, p)
-	p.gateway = gateway.New(gateway.Config{
-		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Origins: p.origins, AskOrigin: p.askOrigin, RetryRatio: s.Bounds.RetryRatio,
-		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack,
-		Log: log.Requests, Counters: p.counters,
-	})
 	p.control = newControl(p)
 	var err error
 	if p.mesh, err = mesh.New(netip.AddrPortFrom(s.IP, s.FirstPort), p.control.snapshot, p.findOrigin); err != nil {
 		return err
 	}
+	p.gateway = gateway.New(gateway.Config{
+		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Origins: p.origins, AskOrigin: p.mesh.AskOrigin, RetryRatio: s.Bounds.RetryRatio,
+		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack,
+		Log: log.Requests, Counters: p.counters,
+	})
 	p.log.Info("process started", zap.String("instance", string(s.Instance)), zap.String("domain", string(s.Domain)),
 		zap.Uint64("incarnation", uint64(p.incarnation)), zap.String("store", s.StoreAddress.String()))
 	err = p.run(ctx)
--- a/internal/daemon/origins.go
+++ b/internal/daemon/origins.go
@@ -20,15 +20,6 @@
 	return p.origins.Find(time.Now(), id, service)
 }
 
-// askOrigin asks other entries where the stream of a request began.
-func (p *gatewayProcess) askOrigin(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, bool) {
-	o, err := p.mesh.AskOrigin(ctx, id, service)
-	if err != nil {
-		p.log.Info("origin of a stream not found", zap.String("resumes", string(id)), zap.String("service", string(service)), zap.Error(err))
-	}
-	return o, err == nil
-}
-
 // isConnected reports whether a software version that begins to serve becomes known here:
 // the list of targets is current, or most other entries are heard.
 func (p *gatewayProcess) isConnected(now time.Time) bool {
@@ -117,7 +108,8 @@
 			written = m.put(ctx, service, nil) && written
 		}
 	}
-	if m.stored = mixed; !written {
+	m.stored = mixed
+	if !written {
 		m.stored = nil // a write that failed may have taken effect, or may do so later
 	}
 }
