Gateway tests: one check for both tables of streams

Cause: TestStreams and TestStreamEndingInsideEventIsIncomplete had the same loop; the second also compared the failure.

Change: checkStreams runs both and always compares the failure. Cases and expectations are as before.

--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -262,33 +262,29 @@
 
 const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
 
-// Guards against missing or repeated events in a stream, and against an interrupted
-// stream that looks complete to the caller.
-func TestStreams(t *testing.T) {
-	first := events[:strings.Index(events, "id: 2")]
-	rest := events[len(first):]
-	for _, c := range []struct {
-		name    string
-		path    string
-		next    []behaviour
-		want    string
-		ended   bool
-		aborted bool
-		resume  []string
-	}{
-		{"whole", "/stream/x", []behaviour{respondWith(200, events)}, events, true, false, []string{""}},
-		{"broken inside an event", "/stream/x", []behaviour{truncated(first + "id: 2\nda"), respondWith(200, events)}, first, false, true, []string{""}},
-		{"resumed", "/resume/x", []behaviour{truncated(first + "id: 2\nda"), respondWith(200, rest)}, events, true, false, []string{"", "1"}},
-		{"resumed once only", "/resume/x", []behaviour{truncated(first), truncated(""), respondWith(200, rest)}, first, false, true, []string{"", "1"}},
-		{"broken before the first event", "/resume/x", []behaviour{truncated("id: 1\nda"), respondWith(200, events)}, events, true, false, []string{"", ""}},
-	} {
+// streamCase is a stream to one caller, what targets do in their order, and what the
+// caller and the targets then see.
+type streamCase struct {
+	name    string
+	path    string
+	next    []behaviour
+	want    string
+	ended   bool
+	aborted bool
+	failure FailureKind
+	resume  []string
+}
+
+func checkStreams(t *testing.T, cases []streamCase) {
+	t.Helper()
+	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			out, targets := serveCall(t, c.path, c.next...)
 			if diff := cmp.Diff(c.want, out.body.String()); diff != "" {
 				t.Errorf("body (-want +got):\n%s", diff)
 			}
-			if out.ended != c.ended || out.aborted != c.aborted {
-				t.Errorf("ended %t, aborted %t; want %t, %t", out.ended, out.aborted, c.ended, c.aborted)
+			if out.ended != c.ended || out.aborted != c.aborted || out.failure.Kind != c.failure {
+				t.Errorf("ended %t, aborted %t, failure %v; want %t, %t, %v", out.ended, out.aborted, out.failure.Kind, c.ended, c.aborted, c.failure)
 			}
 			if diff := cmp.Diff(c.resume, targets.resumePoints()); diff != "" {
 				t.Errorf("resumed after (-want +got):\n%s", diff)
@@ -297,6 +293,20 @@
 	}
 }
 
+// Guards against missing or repeated events in a stream, and against an interrupted
+// stream that looks complete to the caller.
+func TestStreams(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	checkStreams(t, []streamCase{
+		{"whole", "/stream/x", []behaviour{respondWith(200, events)}, events, true, false, 0, []string{""}},
+		{"broken inside an event", "/stream/x", []behaviour{truncated(first + "id: 2\nda"), respondWith(200, events)}, first, false, true, 0, []string{""}},
+		{"resumed", "/resume/x", []behaviour{truncated(first + "id: 2\nda"), respondWith(200, rest)}, events, true, false, 0, []string{"", "1"}},
+		{"resumed once only", "/resume/x", []behaviour{truncated(first), truncated(""), respondWith(200, rest)}, first, false, true, 0, []string{"", "1"}},
+		{"broken before the first event", "/resume/x", []behaviour{truncated("id: 1\nda"), respondWith(200, events)}, events, true, false, 0, []string{"", ""}},
+	})
+}
+
 // Guards against a request that continues, or is sent to another target, after its
 // caller has disconnected.
 func TestCallerLeaves(t *testing.T) {
--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -5,8 +5,6 @@
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -24,16 +22,7 @@
 func TestStreamEndingInsideEventIsIncomplete(t *testing.T) {
 	first := events[:strings.Index(events, "id: 2")]
 	rest := events[len(first):]
-	for _, c := range []struct {
-		name    string
-		path    string
-		next    []behaviour
-		want    string
-		ended   bool
-		aborted bool
-		failure FailureKind
-		resume  []string
-	}{
+	checkStreams(t, []streamCase{
 		{"inside an event", "/stream/x", []behaviour{endingWithConnection(first + "id: 2\nda")}, first, false, true, 0, []string{""}},
 		{"inside the line that ends an event", "/stream/x", []behaviour{endingWithConnection(first + "id: 2\ndata: b\n")}, first, false, true, 0, []string{""}},
 		{"inside an event, goes on elsewhere", "/resume/x", []behaviour{endingWithConnection(first + "id: 2\nda"), endingWithConnection(rest)}, events, true, false, 0, []string{"", "1"}},
@@ -46,20 +35,7 @@
 		{"after a comment", "/stream/x", []behaviour{endingWithConnection(": waiting\n\n")}, ": waiting\n\n", false, true, 0, []string{""}},
 		{"after the last event", "/stream/x", []behaviour{endingWithConnection(events)}, events, true, false, 0, []string{""}},
 		{"without events, of a body with an end", "/stream/x", []behaviour{respondWith(200, "")}, "", true, false, 0, []string{""}},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			out, targets := serveCall(t, c.path, c.next...)
-			if diff := cmp.Diff(c.want, out.body.String()); diff != "" {
-				t.Errorf("body (-want +got):\n%s", diff)
-			}
-			if out.ended != c.ended || out.aborted != c.aborted || out.failure.Kind != c.failure {
-				t.Errorf("ended %t, aborted %t, failure %v; want %t, %t, %v", out.ended, out.aborted, out.failure.Kind, c.ended, c.aborted, c.failure)
-			}
-			if diff := cmp.Diff(c.resume, targets.resumePoints()); diff != "" {
-				t.Errorf("resumed after (-want +got):\n%s", diff)
-			}
-		})
-	}
+	})
 }
 
 // Guards against a plain response that is lost because it has neither a length nor
