Limits that targets state are read and logged

Neither logs nor metrics show whether an answer states a limit, so the hypotheses of the incident cannot be told apart.

An entry logs when it learns a limit, another value or the end; the line "target chosen" and the metric "targets" show the limit. No decision depends on it.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
 // fit says how well a target suits a request at the moment. Lower is better.
@@ -78,7 +80,7 @@
 func (s *Scheduler) grant(p *pool, r *Request, t *target, now time.Time, candidates int) *Grant {
 	g := &Grant{
 		Target: t.record, target: t, request: r, grantedAt: now, Used: t.outstanding(), Slots: t.record.Slots,
-		Candidates: candidates, Policy: s.policies.forRequest(r.ID).name, load: t.load(),
+		Candidates: candidates, Policy: s.policies.forRequest(r.ID).name, load: t.load(), RateLimit: s.limits.Limit(t.record.ID),
 	}
 	g.Predicted = p.cost.Response(&t.cost, r.Work, g.load)
 	g.duration = p.cost.Duration(&t.cost, r.Work, g.load)
@@ -124,6 +126,18 @@
 	}
 }
 
+// ObserveRateLimit records the limit that the target states in the head of its response.
+func (s *Scheduler) ObserveRateLimit(g *Grant, limit state.RateLimit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.targets[g.Target.ID] != g.target {
+		return // the target has gone or restarted meanwhile
+	}
+	if c := s.limits.Observe(s.now(), g.grantedAt, g.Target.ID, limit); c != nil {
+		s.observer.RateLimitChanged(c)
+	}
+}
+
 // Release returns the slot and records how the request ended. Releasing a grant
 // again has no effect.
 func (s *Scheduler) Release(g *Grant, o Outcome) {
--- a/internal/coordination/dispatch/load_test.go
+++ b/internal/coordination/dispatch/load_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/costmodel"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -20,6 +21,7 @@
 
 func (noObserver) TargetEjected(state.TargetID, state.Service, Outcome, time.Duration) {}
 func (noObserver) TargetReturned(state.TargetID, state.Service)                        {}
+func (noObserver) RateLimitChanged(*ratelimit.Change)                                  {}
 
 // simulation simulates requests that arrive at one or more entries. Each engine
 // behind them runs up to slots requests at once and queues the rest in order of
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -87,6 +87,8 @@
 	// Scheduler.Release; it stays 0 for a response that is not a stream.
 	Events int
 	Policy string // name of the policy
+	// RateLimit is the limit of the target that was known when the slot was granted.
+	RateLimit state.RateLimit
 
 	target      *target
 	request     *Request
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/costmodel"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -41,16 +42,18 @@
 	peerReports  map[state.InstanceID]*peerReport
 	observer     Observer
 	policies     *Policies
+	limits       *ratelimit.Ledger // limits that targets state
 	// candidates is the scratch slice of tryGrant, reused between calls.
 	candidates []candidate
 }
 
-// Observer is notified when targets are ejected and when they are in use again. Its
-// methods are called with the scheduler locked, so they must not block or call the
+// Observer is notified when targets are ejected, when they are in use again, and when
+// the limit that a target states changes. Its methods are called with the scheduler locked, so they must not block or call the
 // scheduler.
 type Observer interface {
 	TargetEjected(id state.TargetID, service state.Service, cause Outcome, backoff time.Duration)
 	TargetReturned(id state.TargetID, service state.Service)
+	RateLimitChanged(c *ratelimit.Change)
 }
 
 // pool holds the targets, the queue and the moving averages of one service.
@@ -90,7 +93,7 @@
 	return &Scheduler{
 		domain: domain, now: now, random: rand.New(rand.NewPCG(seed, 0)), observer: observer,
 		services: make(map[state.Service]*pool), targets: make(map[state.TargetID]*target),
-		peerReports: make(map[state.InstanceID]*peerReport), policies: defaultPolicies(),
+		peerReports: make(map[state.InstanceID]*peerReport), policies: defaultPolicies(), limits: ratelimit.New(),
 	}
 }
 
@@ -122,6 +125,7 @@
 		p := s.pool(r.Service)
 		p.allTargets = append(p.allTargets, t)
 	}
+	s.limits.Retain(func(id state.TargetID) bool { return listed[id] != nil && listed[id] == s.targets[id] })
 	s.targets = listed
 	s.targetsByKey = make(map[TargetKey]*target, len(listed))
 	for _, t := range listed {
--- a/internal/coordination/dispatch/summary.go
+++ b/internal/coordination/dispatch/summary.go
@@ -16,6 +16,9 @@
 	Outstanding int           `json:"outstanding"` // open requests of this entry and those that others report
 	Slowness    float64       `json:"slowness"`    // ratio of the time to a response to that usual in the service, 0 if not measured
 	Failing     float64       `json:"failing"`     // share of recent requests that failed
+	// RateLimit is the limit that the target states, in requests a second over all
+	// entries; absent without one.
+	RateLimit *float64 `json:"rate_limit,omitempty"`
 }
 
 // Summaries returns the summaries of all targets.
@@ -24,10 +27,14 @@
 	defer s.mu.Unlock()
 	out := make(map[state.TargetID]Summary, len(s.targets))
 	for id, t := range s.targets {
-		out[id] = Summary{
+		summary := Summary{
 			Service: t.record.Service, Connected: len(t.openGrants) > 0, Leaving: t.record.Draining,
 			Ejected: !t.ejectedUntil.IsZero(), Outstanding: t.outstanding(), Slowness: s.pool(t.record.Service).cost.Slowness(&t.cost), Failing: t.failingShare,
 		}
+		if limit := s.limits.Limit(id); limit.Stated {
+			summary.RateLimit = &limit.PerSecond
+		}
+		out[id] = summary
 	}
 	for _, p := range s.services {
 		for _, t := range p.subset {
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -40,6 +42,7 @@
 	if err != nil {
 		return a.outcomeOf(err), err
 	}
+	a.observeRateLimit(head)
 	if head.NotRun {
 		_, copyErr := io.Copy(io.Discard, io.LimitReader(ex, maxResponseBytes))
 		bodyRead = copyErr == nil
@@ -76,6 +79,19 @@
 	return dispatch.Served, nil
 }
 
+// observeRateLimit records the limit that the target states in its response. The response
+// of another target at the same address says nothing about this one.
+func (a *attempt) observeRateLimit(head *state.Response) {
+	r := a.request
+	switch {
+	case head.Misdirected:
+	case head.RateLimitErr != nil:
+		r.log.Warn("rate limit of target ignored", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)), zap.Error(head.RateLimitErr))
+	default:
+		r.service.cfg.Scheduler.ObserveRateLimit(a.grant, head.RateLimit)
+	}
+}
+
 // handleTargetFailure keeps a 5xx response. If the request is repeatable, another
 // target may serve it; otherwise the caller gets the kept response. Once a stream
 // has begun, the response cannot be passed on and is dropped.
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -174,6 +174,9 @@
 		zap.Int("used", g.Used), zap.Int("slots", g.Slots), zap.Int("candidates", g.Candidates),
 		zap.Duration("waited", g.Waited), zap.Duration("predicted", g.Predicted), zap.Duration("left", time.Until(r.deadline)), zap.Int("tried", len(r.placement.Tried)),
 	}
+	if g.RateLimit.Stated {
+		fields = append(fields, zap.Float64("rate_limit", g.RateLimit.PerSecond))
+	}
 	if r.lastEventID != "" {
 		fields = append(fields, zap.String("resume_after", r.lastEventID), zap.String("resumes", string(r.call.ResumedRequest)))
 	}
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -18,6 +18,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -136,6 +137,7 @@
 
 func (noObserver) TargetEjected(state.TargetID, state.Service, dispatch.Outcome, time.Duration) {}
 func (noObserver) TargetReturned(state.TargetID, state.Service)                                 {}
+func (noObserver) RateLimitChanged(*ratelimit.Change)                                           {}
 
 var testConfig = &state.Configuration{
 	Version: 3,
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/logging"
 	"github.com/cassiaramp/cassiaramp/internal/state"
@@ -250,3 +251,17 @@
 func (p *gatewayProcess) TargetReturned(id state.TargetID, service state.Service) {
 	p.log.Info("target returned", zap.String("target", string(id)), zap.String("service", string(service)))
 }
+
+// RateLimitChanged implements dispatch.Observer.
+func (p *gatewayProcess) RateLimitChanged(c *ratelimit.Change) {
+	p.counters.Add("rate_limit_changed")
+	fields := []zap.Field{zap.String("target", string(c.Target)), zap.Duration("age", c.Age)}
+	if c.From.Stated {
+		fields = append(fields, zap.Float64("from", c.From.PerSecond))
+	}
+	if !c.To.Stated {
+		p.log.Info("rate limit of target ended", fields...)
+		return
+	}
+	p.log.Info("rate limit of target", append(fields, zap.Float64("per_second", c.To.PerSecond))...)
+}
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -176,4 +176,15 @@
 	// that its body ends where the connection does. Such an end does not prove that the
 	// body is complete: the connection of a target that crashes ends in the same way.
 	EndsWithConnection bool
+	// RateLimit is the limit that the target states. RateLimitErr says why the stated one
+	// could not be read; RateLimit is then meaningless.
+	RateLimit    RateLimit
+	RateLimitErr error
+}
+
+// RateLimit is how many requests a second a target takes from all entries together. The
+// zero value means that the target states no limit.
+type RateLimit struct {
+	PerSecond float64 // valid only if Stated; at least 0
+	Stated    bool
 }
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -18,6 +18,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -43,6 +44,7 @@
 
 func (noObserver) TargetEjected(state.TargetID, state.Service, dispatch.Outcome, time.Duration) {}
 func (noObserver) TargetReturned(state.TargetID, state.Service)                                 {}
+func (noObserver) RateLimitChanged(*ratelimit.Change)                                           {}
 
 // startServer starts a server on loopback, in front of a gateway with one target that
 // send stands for. It returns the server and its address.
