Failing test: a limit that a target states is exceeded

Change: simulated entries before engines of which some state a limit for a while, from 0.4 requests a second and 3 entries to 60 entries. The test checks the users' bound over all entries, that the limit is used, and that it ends.

--- a/internal/coordination/dispatch/load_test.go
+++ b/internal/coordination/dispatch/load_test.go
@@ -46,6 +46,10 @@
 	tallyFrom time.Duration
 	// withoutReports says that entries exchange no reports.
 	withoutReports bool
+	// rateLimit returns the limit that an engine states in a response that begins at a
+	// time; nil if none ever does. sent receives what the engines get.
+	rateLimit func(at time.Duration, engine int) state.RateLimit
+	sent      *sentRequests
 }
 
 // rankTally counts the requests of one rank by how they ended.
@@ -249,12 +253,20 @@
 		s.Release(g, Silent)
 		return false, nil
 	}
-	first := sim.execute(s, engines[g.Target.ID], g, index, a.cost)
+	if sim.sent != nil {
+		sim.sent.add(s, index, time.Since(start))
+	}
+	first := sim.execute(s, engines[g.Target.ID], g, index, a.cost, func(first time.Time) {
+		if sim.rateLimit != nil {
+			sim.sent.observe(s, g, index, first.Sub(start), sim.rateLimit(first.Sub(start), index))
+		}
+	})
 	return first.Sub(arrived) <= objective, nil
 }
 
-// execute runs a request at an engine and returns when its response started.
-func (sim simulation) execute(s *Scheduler, e *simulatedEngine, g *Grant, index int, cost float64) time.Time {
+// execute runs a request at an engine, calls onResponse when its response starts, and
+// returns when that was.
+func (sim simulation) execute(s *Scheduler, e *simulatedEngine, g *Grant, index int, cost float64, onResponse func(time.Time)) time.Time {
 	e.mu.Lock()
 	if e.running >= sim.slots {
 		turn := make(chan struct{})
@@ -274,6 +286,7 @@
 	time.Sleep(whole / 4)
 	first := time.Now()
 	s.ResponseStarted(g)
+	onResponse(first)
 	time.Sleep(whole - whole/4)
 	g.Events = int(cost / costPerEvent)
 	s.Release(g, Served)
--- /dev/null
+++ b/internal/coordination/dispatch/rate_limit_test.go
@@ -0,0 +1,142 @@
+package dispatch
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// The users' rule for a target that states a limit: from limitGrace after it first did, it
+// gets within limitWindow at most limitOverage times what the limit allows and limitSlack
+// requests more, from entries that had passed on such a response for toldFor.
+const (
+	limitGrace   = 3 * time.Second
+	limitWindow  = 4 * time.Second
+	limitOverage = 1.5
+	limitSlack   = 5
+	toldFor      = 500 * time.Millisecond
+)
+
+// minUsedShare is the share of the limit that a target gets at least if callers ask for
+// more.
+const minUsedShare = 0.5
+
+// sentRequests records the requests that entries send to engines.
+type sentRequests struct {
+	mu   sync.Mutex
+	told map[entryAndEngine]time.Duration // when the entry first passed on a response that states a limit
+	all  map[int][]sentRequest            // by engine, in the order of sending
+}
+
+type entryAndEngine struct {
+	entry  *Scheduler
+	engine int
+}
+
+// sentRequest is one request to an engine. told says that its entry had passed on the
+// engine's limit for toldFor.
+type sentRequest struct {
+	at   time.Duration
+	told bool
+}
+
+func newSentRequests() *sentRequests {
+	return &sentRequests{told: make(map[entryAndEngine]time.Duration), all: make(map[int][]sentRequest)}
+}
+
+func (r *sentRequests) add(s *Scheduler, engine int, at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	told, ok := r.told[entryAndEngine{s, engine}]
+	r.all[engine] = append(r.all[engine], sentRequest{at: at, told: ok && at-told >= toldFor})
+}
+
+// observe delivers a response that states limit to the entry.
+func (r *sentRequests) observe(s *Scheduler, g *Grant, engine int, at time.Duration, limit state.RateLimit) {
+	s.ObserveRateLimit(g, limit)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if key := (entryAndEngine{s, engine}); limit.Stated && r.told[key] == 0 {
+		r.told[key] = at
+	}
+}
+
+// maxInWindow returns the highest number of requests to the engine from told entries within
+// a limitWindow that ends between from and to.
+func (r *sentRequests) maxInWindow(engine int, from, to time.Duration) int {
+	most := 0
+	for _, last := range r.all[engine] {
+		if last.at < from || last.at > to {
+			continue
+		}
+		n := 0
+		for _, s := range r.all[engine] {
+			if s.told && s.at > last.at-limitWindow && s.at <= last.at {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// rate returns the requests a second that the engine gets between from and to.
+func (r *sentRequests) rate(engine int, from, to time.Duration) float64 {
+	n := 0
+	for _, s := range r.all[engine] {
+		if s.at >= from && s.at < to {
+			n++
+		}
+	}
+	return float64(n) / (to - from).Seconds()
+}
+
+// Engines in need state a limit over all entries for a while, and callers ask for more.
+// Guards against entries that do not keep to the limit, or each by itself only, so that a
+// target on the users' site got 50 requests in 4 s where 34 were allowed; against shares
+// that nobody uses; and against a limit that stays in force when it is stated no more.
+func TestStatedLimitHoldsOverAllEntries(t *testing.T) {
+	const from, to, duration = 2 * time.Second, 16 * time.Second, 24 * time.Second
+	for _, c := range []struct {
+		entries, engines int
+		perSecond        float64 // of the service, asked by callers
+		limits           []float64
+	}{
+		{entries: 3, engines: 9, perSecond: 80, limits: []float64{0.6, 4.9}},
+		{entries: 5, engines: 9, perSecond: 80, limits: []float64{0.4, 4.1}},
+		{entries: 12, engines: 12, perSecond: 120, limits: []float64{0.9, 6}},
+		{entries: 30, engines: 24, perSecond: 240, limits: []float64{0.5, 3}},
+		{entries: 60, engines: 24, perSecond: 240, limits: []float64{0.5, 5}},
+	} {
+		t.Run(fmt.Sprintf("entries=%d", c.entries), func(t *testing.T) {
+			sent := newSentRequests()
+			sim := simulation{
+				entries: c.entries, engines: c.engines, slots: 8, slowFactor: 1, ranks: 1, duration: duration, sent: sent,
+				arrivalRate: constantRateWithBurst([]float64{c.perSecond}, 1),
+				rateLimit: func(at time.Duration, engine int) state.RateLimit {
+					if engine >= len(c.limits) || at < from || at >= to {
+						return state.RateLimit{}
+					}
+					return state.RateLimit{PerSecond: c.limits[engine], Stated: true}
+				},
+			}
+			sim.run(t, 1)
+			for engine, limit := range c.limits {
+				allowed := limitOverage*limit*limitWindow.Seconds() + limitSlack
+				if got := sent.maxInWindow(engine, from+limitGrace, to); float64(got) > allowed {
+					t.Errorf("limit %g: %d requests in %s, allowed %.1f", limit, got, limitWindow, allowed)
+				}
+				if got := sent.rate(engine, from+limitGrace, to); got < minUsedShare*limit {
+					t.Errorf("limit %g: the target gets %.2f requests a second, want %.2f", limit, got, minUsedShare*limit)
+				}
+				usual := c.perSecond / float64(c.engines)
+				if got := sent.rate(engine, to+limitGrace, duration); got < usual/2 {
+					t.Errorf("limit %g: after its end the target gets %.2f requests a second, want %.2f", limit, got, usual/2)
+				}
+			}
+		})
+	}
+}
