Entries share the limit that a target states

Cause: no entry acted on the limit. Class: a bound over all entries that no entry has a part of.

Change: package ratelimit gives each entry a token bucket of its part of the limit. Parts are equal among the entries that do not lend; an entry that leaves a permit unused, or may not send, lends its part in its reports and takes it back only when no other entry can count on it any more. If the limit is too low for a bucket at every entry, the number of buckets follows from what is tolerated. Each send takes a permit when its slot is granted: first, repeated and resumed ones and probes. Limits are learned from all responses and from reports; a response ends a limit only if its request was sent after the limit was last stated. The predicted wait counts the rate of limited targets, so that requests are refused at once when no target may take them.

Why it works: at any time the parts add up to the limit at most, a property over random starts, stops, restarts, pauses, lost and late reports.

Without the bound on buckets TestIdleEntriesBecomeBusy fails, without the delay of loans TestLimitHoldsOverAllEntries.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -47,7 +48,7 @@
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
 	for _, t := range p.targetsFor(r) {
-		if !t.eligible(now, r) {
+		if !t.eligible(now, r) || !s.limits.Allows(now, t.record.ID) {
 			continue
 		}
 		if !t.ejectedUntil.IsZero() {
@@ -84,6 +85,7 @@
 	}
 	g.Predicted = p.cost.Response(&t.cost, r.Work, g.load)
 	g.duration = p.cost.Duration(&t.cost, r.Work, g.load)
+	s.limits.Take(now, t.record.ID)
 	t.openGrants[g] = struct{}{}
 	return g
 }
@@ -138,6 +140,13 @@
 	}
 }
 
+// notifyRateLimits notifies the observer of changes.
+func (s *Scheduler) notifyRateLimits(changes []*ratelimit.Change) {
+	for _, c := range changes {
+		s.observer.RateLimitChanged(c)
+	}
+}
+
 // Release returns the slot and records how the request ended. Releasing a grant
 // again has no effect.
 func (s *Scheduler) Release(g *Grant, o Outcome) {
@@ -161,6 +170,9 @@
 			p.cost.ObserveEnd(&t.cost, g.request.Work, g.Events, now.Sub(g.respondedAt), hold)
 		}
 	}
+	if o == Unreachable {
+		s.limits.Return(now, t.record.ID)
+	}
 	ejected, returned := t.recordOutcome(now, g, o)
 	if ejected {
 		s.observer.TargetEjected(t.record.ID, t.record.Service, o, t.backoff)
@@ -178,6 +190,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireReports()
+	s.notifyRateLimits(s.limits.Update(s.now()))
 	s.grantFreeSlots()
 }
 
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -16,7 +16,7 @@
 func (s *Scheduler) Report(far bool) Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := Report{Open: make(map[TargetKey]int), Pending: make(map[TargetKey]int), Waiting: make(map[state.Service][]int)}
+	r := Report{Open: make(map[TargetKey]int), Pending: make(map[TargetKey]int), Waiting: make(map[state.Service][]int), Limits: s.limits.Report(s.now())}
 	for _, t := range s.targets {
 		if len(t.openGrants) > 0 && (!far || s.pool(t.record.Service).sharedBeyondNear) {
 			r.Open[t.key()] = len(t.openGrants)
@@ -47,6 +47,19 @@
 	}
 	s.peerReports[from] = &peerReport{report: r, expires: s.now().Add(max(minReportLifetime, r.Lifetime))}
 	s.addReport(&r, 1)
+	s.notifyRateLimits(s.limits.ApplyReport(s.now(), from, r.Limits))
+	s.grantFreeSlots()
+}
+
+// RemovePeer forgets an entry that has stopped.
+func (s *Scheduler) RemovePeer(from state.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old := s.peerReports[from]; old != nil {
+		s.addReport(&old.report, -1)
+		delete(s.peerReports, from)
+	}
+	s.limits.RemovePeer(from)
 	s.grantFreeSlots()
 }
 
--- a/internal/coordination/dispatch/review.go
+++ b/internal/coordination/dispatch/review.go
@@ -11,6 +11,9 @@
 	minRankShare = 0.1
 	// minHoldTime bounds the rate at which one slot is predicted to be freed.
 	minHoldTime = 20 * time.Millisecond
+	// minFreedPerSecond keeps the predicted wait finite when all targets state limits of
+	// which this entry has no part.
+	minFreedPerSecond = 0.01
 	// lateWaitShare is the share of its objective that a request which has just missed
 	// it may be predicted to wait. Its caller is better told to come back after a burst.
 	lateWaitShare = 0.5
@@ -94,12 +97,7 @@
 // duration, and requests that arrive in the meantime and precede r take some of the
 // freed slots.
 func (s *Scheduler) predictWait(p *pool, r *Request, ahead int, now time.Time) time.Duration {
-	freedPerSecond := 1 / p.holdTime.Seconds()
-	for _, t := range p.subset {
-		for g := range t.openGrants {
-			freedPerSecond += 1 / max(minHoldTime, g.duration).Seconds()
-		}
-	}
+	freedPerSecond := s.freedPerSecond(p, now)
 	precedingPerSecond := 0.0
 	for rank := range min(r.precedingRanks(), maxRanks) {
 		precedingPerSecond += p.arrivalRates[rank].perSecond(now)
@@ -108,6 +106,27 @@
 	return time.Duration(float64(ahead+1) / availablePerSecond * float64(time.Second))
 }
 
+// freedPerSecond returns the predicted number of requests a second that this entry can send
+// to the targets of a service. A target that states a limit takes no more than this entry's
+// part of it, however many of its slots are free.
+func (s *Scheduler) freedPerSecond(p *pool, now time.Time) float64 {
+	sum, unlimited := minFreedPerSecond, false
+	for _, t := range p.subset {
+		if rate, limited := s.limits.Limited(now, t.record.ID); limited {
+			sum += rate
+			continue
+		}
+		unlimited = true
+		for g := range t.openGrants {
+			sum += 1 / max(minHoldTime, g.duration).Seconds()
+		}
+	}
+	if unlimited {
+		sum += 1 / p.holdTime.Seconds()
+	}
+	return sum
+}
+
 // precedingRanks returns the number of ranks of which a request that arrives later
 // precedes r, if it can still meet its objective.
 func (r *Request) precedingRanks() int {
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -82,18 +82,20 @@
 	// yet, at targets that have any.
 	Pending map[TargetKey]int
 	Waiting map[state.Service][]int // number of waiting requests, indexed by rank
+	// Limits is what the entry knows of the limits that targets state, and its part of them.
+	Limits map[state.TargetID]ratelimit.Note
 	// Lifetime is how long the report counts, unless a newer one replaces it; it
 	// counts for minReportLifetime at least.
 	Lifetime time.Duration
 }
 
 // New returns a scheduler without targets, for an entry in domain. seed initializes
-// the random choices, and now returns the current time.
-func New(domain state.FailureDomain, seed uint64, now func() time.Time, observer Observer) *Scheduler {
+// the random choices, and now returns the current time. The scheduler owns limits.
+func New(domain state.FailureDomain, seed uint64, now func() time.Time, observer Observer, limits *ratelimit.Ledger) *Scheduler {
 	return &Scheduler{
 		domain: domain, now: now, random: rand.New(rand.NewPCG(seed, 0)), observer: observer,
 		services: make(map[state.Service]*pool), targets: make(map[state.TargetID]*target),
-		peerReports: make(map[state.InstanceID]*peerReport), policies: defaultPolicies(), limits: ratelimit.New(),
+		peerReports: make(map[state.InstanceID]*peerReport), policies: defaultPolicies(), limits: limits,
 	}
 }
 
@@ -125,7 +127,11 @@
 		p := s.pool(r.Service)
 		p.allTargets = append(p.allTargets, t)
 	}
-	s.limits.Retain(func(id state.TargetID) bool { return listed[id] != nil && listed[id] == s.targets[id] })
+	for id, t := range s.targets {
+		if listed[id] != t {
+			s.limits.Forget(id)
+		}
+	}
 	s.targets = listed
 	s.targetsByKey = make(map[TargetKey]*target, len(listed))
 	for _, t := range listed {
@@ -150,6 +156,16 @@
 	for _, p := range s.services {
 		p.subset, p.sharedBeyondNear = s.position.chooseSubset(p.allTargets)
 	}
+	uses := make(map[state.TargetID]bool, len(s.targets))
+	for id := range s.targets {
+		uses[id] = false
+	}
+	for _, p := range s.services {
+		for _, t := range p.subset {
+			uses[t.record.ID] = true
+		}
+	}
+	s.limits.SetTargets(uses)
 	s.grantFreeSlots()
 }
 
@@ -185,6 +201,7 @@
 	select {
 	case <-w.done: // granted or refused meanwhile
 		if w.grant != nil {
+			s.limits.Return(s.now(), w.grant.Target.ID)
 			s.release(w.grant, Cancelled)
 		}
 	default:
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -90,7 +90,10 @@
 	})
 	p.refusals = refusal.NewLog()
 	p.origins = origin.New(p.startedAt, s.FirstStart)
-	p.scheduler = dispatch.New(s.Domain, xxhash.Sum64String(string(s.Instance))^uint64(p.incarnation), time.Now, p)
+	p.scheduler = dispatch.New(s.Domain, xxhash.Sum64String(string(s.Instance))^uint64(p.incarnation), time.Now, p, ratelimit.New(ratelimit.Config{
+		Self: s.Instance, StartedAt: p.startedAt,
+		Tolerance: ratelimit.Tolerance{Window: platform.RateLimitWindow, Factor: platform.RateLimitFactor, Slack: platform.RateLimitSlack},
+	}))
 	p.control = newControl(p)
 	var err error
 	if p.mesh, err = mesh.New(netip.AddrPortFrom(s.IP, s.FirstPort), p.control.snapshot, p.findOrigin); err != nil {
@@ -255,7 +258,7 @@
 // RateLimitChanged implements dispatch.Observer.
 func (p *gatewayProcess) RateLimitChanged(c *ratelimit.Change) {
 	p.counters.Add("rate_limit_changed")
-	fields := []zap.Field{zap.String("target", string(c.Target)), zap.Duration("age", c.Age)}
+	fields := []zap.Field{zap.String("target", string(c.Target)), zap.Duration("age", c.Age), zap.String("source", string(c.Source))}
 	if c.From.Stated {
 		fields = append(fields, zap.Float64("from", c.From.PerSecond))
 	}
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/transport/mesh"
 )
 
@@ -55,7 +56,7 @@
 func (p *gatewayProcess) handleReport(m *mesh.Message, started bool) {
 	if m.Leaving {
 		p.quota.RemovePeer(m.Instance)
-		p.scheduler.SetReport(m.Instance, dispatch.Report{})
+		p.scheduler.RemovePeer(m.Instance)
 		return
 	}
 	now := time.Now()
@@ -173,7 +174,7 @@
 func (p *gatewayProcess) nearReport(since time.Time) *mesh.Message {
 	r := p.scheduler.Report(false)
 	m := &mesh.Message{
-		Instance: p.settings.Instance, Incarnation: p.incarnation, Open: r.Open, Pending: r.Pending, Waiting: r.Waiting,
+		Instance: p.settings.Instance, Incarnation: p.incarnation, Open: r.Open, Pending: r.Pending, Waiting: r.Waiting, Limits: r.Limits,
 		UptimeMillis: time.Since(p.startedAt).Milliseconds(), Used: p.quota.TotalsChangedSince(since), NextReportMillis: int(idleReportInterval.Milliseconds()), BundleVersion: p.rollout.Version(),
 	}
 	p.control.addListState(time.Now(), m)
@@ -203,10 +204,10 @@
 	return &n
 }
 
-// sameReport reports whether a has the same configuration version, open requests and
-// queues as b, the last report, and no usage. Then a can wait until idleReportInterval
+// sameReport reports whether a has the same configuration version, open requests, queues
+// and parts of limits as b, the last report, and no usage. Then a can wait until idleReportInterval
 // has passed. b may be nil.
 func sameReport(a, b *mesh.Message) bool {
 	return b != nil && a.ConfigurationVersion == b.ConfigurationVersion && maps.Equal(a.Open, b.Open) && len(a.Used) == 0 &&
-		maps.EqualFunc(a.Waiting, b.Waiting, slices.Equal)
+		maps.EqualFunc(a.Waiting, b.Waiting, slices.Equal) && maps.EqualFunc(a.Limits, b.Limits, ratelimit.Note.SameExceptAge)
 }
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -185,6 +185,6 @@
 // RateLimit is how many requests a second a target takes from all entries together. The
 // zero value means that the target states no limit.
 type RateLimit struct {
-	PerSecond float64 // valid only if Stated; at least 0
-	Stated    bool
+	PerSecond float64 `cbor:"1,keyasint,omitempty"` // valid only if Stated; at least 0
+	Stated    bool    `cbor:"2,keyasint,omitempty"`
 }
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -28,6 +28,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
@@ -95,6 +96,8 @@
 	BundleVersion uint64 `cbor:"18,keyasint,omitempty"`
 	// NextReportMillis is the longest time until the next report to this receiver.
 	NextReportMillis int `cbor:"15,keyasint,omitempty"`
+	// Limits is what the sender knows of the limits that targets state, and its part of them.
+	Limits map[state.TargetID]ratelimit.Note `cbor:"23,keyasint,omitempty"`
 	// Leaving reports that the sender stops.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 }
@@ -115,7 +118,7 @@
 // LoadReport returns the part of the message that the scheduler uses.
 func (m *Message) LoadReport() dispatch.Report {
 	return dispatch.Report{
-		Open: m.Open, Pending: m.Pending, Waiting: m.Waiting,
+		Open: m.Open, Pending: m.Pending, Waiting: m.Waiting, Limits: m.Limits,
 		Lifetime: reportLifetimeIntervals * time.Duration(m.NextReportMillis) * time.Millisecond,
 	}
 }
