--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -51,11 +51,44 @@
 	// the first. FailRequests makes the target run requests and respond with
 	// status 500.
 	LoseResponse, TruncateResponse, ExtraResponse, FailRequests atomic.Bool
+	// RateLimit is the limit that responses state, in requests a second; 0: none.
+	RateLimit atomic.Int64
+
+	arrivalsMu sync.Mutex
+	arrivals   []Arrival // while a limit is stated
 
 	running atomic.Int64
 	streams atomic.Int64 // streams begun so far
 }
 
+// Arrival is a request that a target got.
+type Arrival struct {
+	At time.Time
+	ID string
+}
+
+// Arrivals returns the requests that the target got since it has stated a limit, and
+// forgets them.
+func (t *Target) Arrivals() []Arrival {
+	t.arrivalsMu.Lock()
+	defer t.arrivalsMu.Unlock()
+	taken := t.arrivals
+	t.arrivals = nil
+	return taken
+}
+
+// stateLimit states the limit in a response, if there is one, and records the request.
+func (t *Target) stateLimit(header http.Header, id string) {
+	limit := t.RateLimit.Load()
+	if limit <= 0 {
+		return
+	}
+	header.Set("Server-Limit", strconv.FormatInt(limit, 10))
+	t.arrivalsMu.Lock()
+	defer t.arrivalsMu.Unlock()
+	t.arrivals = append(t.arrivals, Arrival{At: time.Now(), ID: id})
+}
+
 // Record returns the value of the target's record in the store.
 func (t *Target) Record(address, state string, startedAt time.Time) ([]byte, error) {
 	return json.Marshal(map[string]any{
@@ -84,6 +117,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	t.stateLimit(header, id)
 	defer t.running.Add(-1)
 	if t.running.Add(1) > int64(4*t.Slots) {
 		header.Set("Not-Executed", "1")
--- a/internal/faultsoak/faults_test.go
+++ b/internal/faultsoak/faults_test.go
@@ -65,6 +65,11 @@
 			e.FailRequests.Store(true)
 			w.endLater(func() { e.FailRequests.Store(false) })
 		}},
+		{"target states a limit", func() {
+			e := w.randomEngine()
+			e.RateLimit.Store(1)
+			w.endLater(func() { e.RateLimit.Store(0) })
+		}},
 		{"target leaves and comes back", w.replaceTarget},
 		{"invalid target record", func() { w.store.Put("keyed.servers", "stranger", []byte(`{"Service":7,"State":"odd"}`)) }},
 	}
--- a/internal/faultsoak/load_test.go
+++ b/internal/faultsoak/load_test.go
@@ -71,6 +71,9 @@
 func (w *world) send(e *entry, id, route string, extra map[string]string) (r result) {
 	r = result{id: id, route: route, started: time.Now(), entry: e.name}
 	defer func() { r.ended = time.Now() }()
+	w.mu.Lock()
+	w.sentTo[id] = e.name
+	w.mu.Unlock()
 	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/%s/x", e.ip, callerPort, route), bytes.NewReader([]byte(id)))
 	if err != nil {
 		r.err = err
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -3,6 +3,7 @@
 // of the users (package emulator), injects faults from outside and checks what
 // callers and targets see. Package soak runs the code of a deployment with side
 // processes against in-memory fakes.
+// After the faults, some targets state limits and an entry is stopped meanwhile.
 //
 // The faults are: connections that a proxy delays, resets, refuses or drops the
 // data of in one direction; processes that are stopped, paused, killed and
@@ -67,7 +68,7 @@
 	return binary
 }
 
-// recoveryTime is the time without faults before the last checks. It covers the
+// recoveryTime is the time without faults before the first checks. It covers the
 // longest time limit of a request and the pause before an ejected target is probed.
 const recoveryTime = 4 * time.Second
 
@@ -91,7 +92,7 @@
 		time.Sleep(time.Duration(50+w.random.IntN(400)) * time.Millisecond)
 	}
 	w.endAllFaults()
-	time.Sleep(recoveryTime)
+	w.checkRateLimits()
 	stopLoad()
 	w.waitReady(10 * time.Second)
 	w.checkRecovered()
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -58,7 +58,8 @@
 
 	mu          sync.Mutex
 	results     []result
-	disruptions []time.Time // times of faults that may cut off a response
+	sentTo      map[string]string // name of the entry that each request was sent to, by ID
+	disruptions []time.Time       // times of faults that may cut off a response
 }
 
 const (
@@ -76,7 +77,7 @@
 func newWorld(t *testing.T, binary string, seed uint64, versions ...string) *world {
 	w := &world{
 		t: t, binary: binary, random: newRandom(seed), logDirectory: logDir(t, seed), store: emulator.NewStore(),
-		ledger: emulator.NewLedger(), faultCounts: make(map[string]int),
+		ledger: emulator.NewLedger(), faultCounts: make(map[string]int), sentTo: make(map[string]string),
 	}
 	w.storeAddress = w.serveOn("127.0.0.1:0", func(ln net.Listener) { w.store.Serve(ln) })
 	w.newPublisher()
