A connection is reused only after a response that names its request

What callers would see: the response to another request. Operators of similar systems reported it; it was looked for here.

Cause: a response without an identifier was taken for the one expected next. On a connection that is in use again, it can be a late second copy of the response before.

Change: a connection whose response names no request is closed instead of reused. Targets on the users' platform name it in all responses.

Test: TestLateCopyWithoutIDIsNotTheNextResponse failed before (request b got the response to a) and passes now.

--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -247,10 +247,15 @@
 // Read implements gateway.Exchange.
 func (e *exchange) Read(p []byte) (int, error) { return e.resp.Body.Read(p) }
 
+// identified reports whether the response names the request. If not, the connection is not
+// reused: a late second copy of the response could not be told from that to the next
+// request.
+func (e *exchange) identified() bool { return e.head.RequestID == e.requestID }
+
 // Close implements gateway.Exchange.
 func (e *exchange) Close(bodyRead bool) {
 	e.closeOnce.Do(func() {
-		if !e.stop() || !bodyRead || e.resp == nil || e.resp.Close || e.head.EndsWithConnection || e.conn.reader.Buffered() > 0 {
+		if !e.stop() || !bodyRead || e.resp == nil || e.resp.Close || e.head.EndsWithConnection || e.conn.reader.Buffered() > 0 || !e.identified() {
 			e.conn.Close()
 			return
 		}
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -213,3 +213,30 @@
 	}
 	<-closed
 }
+
+// A target that names no request in its responses sends a second copy of one after the next
+// request has arrived on the connection. Guards against taking that copy for the response
+// to the next request.
+func TestLateCopyWithoutIDIsNotTheNextResponse(t *testing.T) {
+	address, _ := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		previous := ""
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			own := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + req.Header.Get("Request-Id")
+			respond(t, c, previous+own)
+			previous = own
+		}
+	})
+	client := New()
+	for _, id := range []state.RequestID{"a", "b"} {
+		if _, body, err := send(t, client, address, id); err != nil || body != string(id) {
+			t.Errorf("request %s: body %q, error %v; want its own response", id, body, err)
+		}
+	}
+}
