Comments do not hold a stalled stream at its target

What callers would see: a stream that may be resumed stalls until its deadline, although another target could go on with it. Operators of similar systems reported stalled streams that never ended; it was looked for here.

Cause: each complete event restarted the timer of the pause between events, a comment too. Parts of an event did not.

Change: only an event with a field restarts the timer and counts as an event. Comments are forwarded as before.

Test: TestStalledStreamWithCommentsGoesOnElsewhere failed before (one send until the deadline) and passes now. TestSlowStreamIsNotCut, the opposite case, passed before.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -193,8 +193,11 @@
 		if err != nil {
 			return a.outcomeOf(err), err
 		}
-		a.resetStallTimer(r.eventGapTimeout())
-		a.countEvent()
+		// A comment shows only that the target is alive, not that the stream goes on.
+		if event.hasField {
+			a.resetStallTimer(r.eventGapTimeout())
+			a.countEvent()
+		}
 		if err := r.forwardEvent(a.grant, head, event); err != nil {
 			a.cancel(err)
 			return dispatch.Cancelled, err
