Side process: a stream that stalls with bytes arriving ends

What callers would see: a request through a side process that ends only with its own timeout, because the engine sends a comment or a part of an event now and then.

Cause: the timeout of a stream was the time without a byte.

Change: after the first event, StallTimeout (30 s) bounds the time without a new event; it is long, because an engine may pause a sound stream.

Test: TestStalledStreamWithCommentsIsUnknown failed before (no end within 20 s) and passes now; its slow stream is not cut.

--- a/internal/transport/engine/call.go
+++ b/internal/transport/engine/call.go
@@ -18,12 +18,19 @@
 type conn struct {
 	net.Conn
 	idleTimeout atomic.Int64 // longest wait of a read, in nanoseconds
-	sent        atomic.Bool  // at least one byte of the request was written
+	// stallsAt is when reads end even if bytes arrive; nil for never.
+	stallsAt atomic.Pointer[time.Time]
+	sent     atomic.Bool // at least one byte of the request was written
 }
 
-// Read implements net.Conn. It fails when no byte arrives within the idle timeout.
+// Read implements net.Conn. It fails when no byte arrives within the idle timeout, and after
+// stallsAt.
 func (c *conn) Read(p []byte) (int, error) {
-	c.Conn.SetReadDeadline(time.Now().Add(time.Duration(c.idleTimeout.Load())))
+	deadline := time.Now().Add(time.Duration(c.idleTimeout.Load()))
+	if stall := c.stallsAt.Load(); stall != nil && stall.Before(deadline) {
+		deadline = *stall
+	}
+	c.Conn.SetReadDeadline(deadline)
 	return c.Conn.Read(p)
 }
 
@@ -38,6 +45,14 @@
 	return n, err
 }
 
+// setProgress sets the longest time without a byte, and the time from now after which the
+// stream counts as stalled although bytes arrive.
+func (c *conn) setProgress(idle, stall time.Duration) {
+	c.idleTimeout.Store(int64(idle))
+	stallsAt := time.Now().Add(stall)
+	c.stallsAt.Store(&stallsAt)
+}
+
 // The deadlines of the HTTP library are ignored, since Read and Write set their own.
 func (c *conn) SetReadDeadline(time.Time) error  { return nil }
 func (c *conn) SetWriteDeadline(time.Time) error { return nil }
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -29,6 +29,7 @@
 	// for PollInterval).
 	FirstEventIdleTimeout time.Duration
 	StreamIdleTimeout     time.Duration
+	StallTimeout          time.Duration
 	ResumeTimeout         time.Duration
 	PollInterval          time.Duration
 }
@@ -48,6 +49,7 @@
 func New(cfg Config) *Client {
 	setDefault(&cfg.FirstEventIdleTimeout, FirstEventIdleTimeout)
 	setDefault(&cfg.StreamIdleTimeout, StreamIdleTimeout)
+	setDefault(&cfg.StallTimeout, StallTimeout)
 	setDefault(&cfg.ResumeTimeout, ResumeTimeout)
 	setDefault(&cfg.PollInterval, pollInterval)
 	return &Client{cfg: cfg}
--- a/internal/transport/engine/doc.go
+++ b/internal/transport/engine/doc.go
@@ -20,6 +20,10 @@
 	// StreamIdleTimeout bounds the time without a received byte after the first
 	// event of a stream.
 	StreamIdleTimeout = 2 * time.Second
+	// StallTimeout bounds the time without an event after the first one, while other bytes
+	// arrive, such as comments that keep the connection alive. An engine that is short of
+	// memory may pause a stream for many seconds.
+	StallTimeout = 30 * time.Second
 	// ResumeTimeout bounds the time without a new chunk during which an interrupted
 	// stream is resumed. It allows for two connections that run into
 	// StreamIdleTimeout.
--- a/internal/transport/engine/stream.go
+++ b/internal/transport/engine/stream.go
@@ -125,17 +125,23 @@
 	if call.status() != fasthttp.StatusOK {
 		return s.statusError(call, carriesRequest)
 	}
+	if s.nextOffset > 0 {
+		call.conn.setProgress(s.client.cfg.StreamIdleTimeout, s.client.cfg.StallTimeout)
+	}
 	events := newEventReader(call.bodyReader())
 	for {
 		e, err := events.next()
 		if err != nil {
 			return fmt.Errorf("engine stream: %w", err)
 		}
-		call.conn.idleTimeout.Store(int64(s.client.cfg.StreamIdleTimeout))
+		expected := s.nextOffset
 		complete, err := s.handleEvent(e)
 		if complete || err != nil {
 			return err
 		}
+		if s.nextOffset > expected {
+			call.conn.setProgress(s.client.cfg.StreamIdleTimeout, s.client.cfg.StallTimeout)
+		}
 	}
 }
 
--- a/internal/transport/engine/streamend_test.go
+++ b/internal/transport/engine/streamend_test.go
@@ -1,11 +1,14 @@
 package engine
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/side"
 	"github.com/cassiaramp/cassiaramp/internal/state"
@@ -49,3 +52,44 @@
 		})
 	}
 }
+
+// Guards against a stream that never ends because the engine sends a comment or a part of an
+// event now and then, and against cutting one whose events are slow but come.
+func TestStalledStreamWithCommentsIsUnknown(t *testing.T) {
+	for name, filler := range map[string]string{"comments": ": alive\n\n", "parts of an event": "data: x\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client := startTarget(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPost {
+					fmt.Fprint(w, "id: 0\ndata: a\n\n")
+				}
+				for r.Method != http.MethodDelete && r.Context().Err() == nil {
+					fmt.Fprint(w, filler)
+					w.(http.Flusher).Flush()
+					time.Sleep(20 * time.Millisecond)
+				}
+			}), false)
+			client.cfg.StallTimeout = 600 * time.Millisecond
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			_, err := client.Run(ctx, testAttempt, &state.Request{Kind: state.Completion, Body: []byte("{}")}, func(state.AttemptEvent) {})
+			var unknown *side.UnknownOutcomeError
+			if !errors.As(err, &unknown) || unknown.Reason != state.ReasonTargetSilent {
+				t.Errorf("got error %v, want an unknown outcome because the target is silent", err)
+			}
+		})
+	}
+	slow := startTarget(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for i, data := range []string{"a", "b", "[DONE]"} {
+			for range 20 { // longer than StreamIdleTimeout, but not without a byte
+				fmt.Fprint(w, ": alive\n\n")
+				w.(http.Flusher).Flush()
+				time.Sleep(50 * time.Millisecond)
+			}
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data)
+		}
+	}), false)
+	if _, err := slow.Run(t.Context(), testAttempt, &state.Request{Kind: state.Completion, Body: []byte("{}")}, func(state.AttemptEvent) {}); err != nil {
+		t.Errorf("slow stream: %v", err)
+	}
+}
