A grant expires before the request is sent

What callers would see: a request that is sent to a target seconds after it was granted, because the process was paused in between: the target may be leaving by then, or the part of its limit used by others. Operators of similar systems reported permissions that were used after they had run out; it was looked for here.

Cause: a grant had no end. What it rests on (list of targets, reports, parts of limits) is checked when it is given only.

Change: a grant expires after ratelimit.MaxSendDelay (800 ms), the delay that the sum of a limit counts with. The client checks it just before it writes, by the monotonic clock and by the time of day, which goes on while the machine is suspended. An expired grant says nothing of the target: the request is placed again, without a repeated send.

Tests: TestExpiredGrantIsNotUsed failed before (the target got both requests) and passes now; TestExpiredGrantIsReplaced. The fleet of the limits' property keeps its events by tick, and each peer its hashes, which makes the tests faster.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -81,7 +81,7 @@
 func (s *Scheduler) grant(p *pool, r *Request, t *target, now time.Time, candidates int) *Grant {
 	g := &Grant{
 		Target: t.record, target: t, request: r, grantedAt: now, Used: t.outstanding(), Slots: t.record.Slots,
-		Candidates: candidates, Policy: s.policies.forRequest(r.ID).name, load: t.load(), RateLimit: s.limits.Limit(t.record.ID),
+		Candidates: candidates, Policy: s.policies.forRequest(r.ID).name, load: t.load(), ExpiresAt: now.Add(ratelimit.MaxSendDelay), RateLimit: s.limits.Limit(t.record.ID),
 	}
 	g.Predicted = p.cost.Response(&t.cost, r.Work, g.load)
 	g.duration = p.cost.Duration(&t.cost, r.Work, g.load)
@@ -170,7 +170,7 @@
 			p.cost.ObserveEnd(&t.cost, g.request.Work, g.Events, now.Sub(g.respondedAt), hold)
 		}
 	}
-	if o == Unreachable {
+	if o == Unreachable || o == Expired {
 		s.limits.Return(now, t.record.ID)
 	}
 	ejected, returned := t.recordOutcome(now, g, o)
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -87,6 +87,8 @@
 	// Scheduler.Release; it stays 0 for a response that is not a stream.
 	Events int
 	Policy string // name of the policy
+	// ExpiresAt is when the grant may no longer be used to send the request.
+	ExpiresAt time.Time
 	// RateLimit is the limit of the target that was known when the slot was granted.
 	RateLimit state.RateLimit
 
@@ -114,6 +116,8 @@
 	// Unreachable means that the request was not sent, because no connection could be
 	// opened.
 	Unreachable
+	// Expired means that the request was not sent, because the grant had expired.
+	Expired
 	// Broken means that the response was missing, invalid or incomplete.
 	Broken
 	// Cancelled means that the attempt ended for a reason on the caller's side; it
@@ -125,5 +129,5 @@
 
 // String returns the outcome as it appears in logs.
 func (o Outcome) String() string {
-	return [...]string{"served", "failed", "rejected", "gone", "unreachable", "broken", "cancelled", "silent"}[o]
+	return [...]string{"served", "failed", "rejected", "gone", "unreachable", "expired", "broken", "cancelled", "silent"}[o]
 }
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -150,7 +150,7 @@
 			t.eject(now)
 		}
 		return ejected, false
-	case Cancelled:
+	case Cancelled, Expired:
 		return false, false
 	}
 	returned = !t.ejectedUntil.IsZero()
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -32,6 +32,7 @@
 	defer a.stopStallTimer()
 	ex, err := r.service.cfg.TargetClient.Send(a.ctx, &Forward{
 		Call: r.call, Target: a.grant.Target, Customer: r.customerName(), TimeLeft: time.Until(r.deadline), ResumeAfter: r.lastEventID,
+		SendBy: a.grant.ExpiresAt,
 	})
 	if err != nil {
 		return a.outcomeOf(err), err
@@ -127,6 +128,8 @@
 func (a *attempt) outcomeOf(err error) dispatch.Outcome {
 	cause := context.Cause(a.ctx)
 	switch {
+	case errors.Is(err, ErrGrantExpired):
+		return dispatch.Expired
 	case errors.Is(err, ErrNotSent) && (cause == nil || errors.Is(cause, errStalled)):
 		return dispatch.Unreachable
 	case errors.Is(cause, errStalled), errors.Is(cause, errDeadline):
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -23,6 +24,10 @@
 // ErrNotSent means that the request certainly did not reach the target.
 var ErrNotSent = errors.New("request not sent")
 
+// ErrGrantExpired means that the request was not sent because Forward.SendBy had passed: the
+// process was paused or delayed meanwhile.
+var ErrGrantExpired = fmt.Errorf("%w: the grant of the target has expired", ErrNotSent)
+
 // Forward is a caller's request together with what the target is told about it.
 type Forward struct {
 	Call        *state.Call
@@ -30,12 +35,15 @@
 	Customer    state.Customer
 	TimeLeft    time.Duration // time left for the response
 	ResumeAfter string        // ID of the event to resume a stream after; empty: start
+	// SendBy is when the grant of the target expires. What it rests on, such as the list of
+	// targets and the parts of limits, may have changed by then.
+	SendBy time.Time
 }
 
 // TargetClient sends requests to targets.
 type TargetClient interface {
 	// Send sends a request once. The error wraps ErrNotSent when the target
-	// certainly did not get it. Cancelling ctx cancels the request.
+	// certainly did not get it, and ErrGrantExpired if that was because of SendBy. Cancelling ctx cancels the request.
 	Send(ctx context.Context, f *Forward) (Exchange, error)
 }
 
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -345,7 +345,9 @@
 		if !tryAnother {
 			return
 		}
-		r.placement.Tried = append(r.placement.Tried, grant.Target.ID)
+		if !errors.Is(r.lastErr, ErrGrantExpired) {
+			r.placement.Tried = append(r.placement.Tried, grant.Target.ID)
+		}
 		r.placement.AlreadyAdmitted = true
 		r.placement.Resumed, r.placement.RequiredSoftware = r.lastEventID != "", r.software
 		if placements+1 >= maxPlacements {
@@ -428,7 +430,7 @@
 // afterFailedAttempt decides whether a request is placed on another target after an
 // attempt that did not answer the caller. If not, it ends the request.
 func (r *request) afterFailedAttempt(ctx context.Context, g *dispatch.Grant, outcome dispatch.Outcome, err error) (tryAnother bool) {
-	mayHaveRun := outcome != dispatch.Unreachable && outcome != dispatch.Rejected && outcome != dispatch.Gone
+	mayHaveRun := outcome != dispatch.Unreachable && outcome != dispatch.Expired && outcome != dispatch.Rejected && outcome != dispatch.Gone
 	if mayHaveRun {
 		r.countPromptTokens(g, false)
 	}
@@ -440,8 +442,8 @@
 		r.possibleRuns++
 	}
 	willRetry := ctx.Err() == nil && (!mayHaveRun || r.route.Repeatable() && r.possibleRuns < r.route.MaxAttempts)
-	// An unreachable target received nothing, so the next send is not a repeated one.
-	if willRetry && outcome != dispatch.Unreachable {
+	// A target that received nothing does not make the next send a repeated one.
+	if willRetry && !errors.Is(err, ErrNotSent) {
 		willRetry = r.service.retryBudget(r.targetService).Take(time.Now(), r.service.cfg.RetrySlack())
 	}
 	r.logAttemptFailed(g, outcome, err, willRetry)
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -399,3 +399,20 @@
 		t.Errorf("version %d in effect, want 7", got)
 	}
 }
+
+// Guards against giving up a request, or leaving out its target, because the process was
+// paused between the grant and the send.
+func TestExpiredGrantIsReplaced(t *testing.T) {
+	expired := func(context.Context, *Forward) (Exchange, error) { return nil, ErrGrantExpired }
+	for _, path := range []string{"/plain/x", "/once/x"} {
+		out, targets := serveCall(t, path, expired, expired, respondWith(200, "ok"))
+		if out.body.String() != "ok" || len(targets.sends) != 3 {
+			t.Errorf("%s: %d sends, body %q, failure %+v; want the response to the third send", path, len(targets.sends), out.body.String(), out.failure)
+		}
+		for _, send := range targets.sends {
+			if send.SendBy.IsZero() {
+				t.Errorf("%s: a send without the time at which its grant expires", path)
+			}
+		}
+	}
+}
--- a/internal/coordination/ratelimit/bucket.go
+++ b/internal/coordination/ratelimit/bucket.go
@@ -81,7 +81,7 @@
 		if !n.Lends {
 			t.sharers++
 		}
-		if precedes(n.Idle, rankHash(id, instance), idle, hash) {
+		if precedes(n.Idle, p.rank(id, instance), idle, hash) {
 			before++
 		}
 	}
--- a/internal/coordination/ratelimit/property_test.go
+++ b/internal/coordination/ratelimit/property_test.go
@@ -25,7 +25,7 @@
 var tolerance = Tolerance{Window: 4 * time.Second, Factor: 1.5, Slack: 5}
 
 // The delays that the property draws are within what the package states: reports are under
-// way for up to maxReportDelay, and requests for up to maxSendDelay.
+// way for up to maxReportDelay, and requests for up to MaxSendDelay.
 const (
 	tick           = 20 * time.Millisecond
 	maxReportDelay = 400 * time.Millisecond
@@ -40,8 +40,8 @@
 	now      time.Time
 	limit    state.RateLimit // what the target states now
 	entries  []*simulatedEntry
-	added    int     // entries so far, including those that have left
-	inFlight []event // reports and responses, in any order
+	added    int              // entries so far, including those that have left
+	inFlight map[int][]func() // reports and responses, by the number of the tick at which they arrive
 	sent     []time.Time
 	lossy    float64 // share of the reports that are lost
 	// highestFill is the highest sum of the rates at which buckets filled, as a share of the
@@ -64,14 +64,8 @@
 	heard        map[state.InstanceID]int // number of the last report of each other entry
 }
 
-// event is something that happens at a time.
-type event struct {
-	at time.Time
-	do func()
-}
-
 func newFleet(seed uint64, entries int) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: at(0)}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: at(0), inFlight: make(map[int][]func())}
 	for range entries {
 		f.add(at(-60))
 	}
@@ -147,21 +141,16 @@
 	return n
 }
 
-// deliver runs the events that are due. Those of a paused entry run at its end.
+// tickNumber returns the number of the first tick at t or later.
+func tickNumber(t time.Time) int { return int((t.Sub(at(0)) + tick - 1) / tick) }
+
+// deliver runs what arrives now.
 func (f *fleet) deliver() {
-	kept := f.inFlight[:0]
-	var due []event
-	for _, ev := range f.inFlight {
-		if ev.at.After(f.now) {
-			kept = append(kept, ev)
-		} else {
-			due = append(due, ev)
-		}
-	}
-	f.inFlight = kept
-	for _, ev := range due {
-		ev.do()
+	n := tickNumber(f.now)
+	for _, do := range f.inFlight[n] {
+		do()
 	}
+	delete(f.inFlight, n)
 }
 
 // after runs do for the entry after d, or when it runs again.
@@ -170,7 +159,8 @@
 	if e.pausedUntil.After(due) {
 		due = e.pausedUntil
 	}
-	f.inFlight = append(f.inFlight, event{due, do})
+	n := max(tickNumber(due), tickNumber(f.now)+1)
+	f.inFlight[n] = append(f.inFlight[n], do)
 }
 
 // report sends the entry's report to all others.
@@ -202,7 +192,7 @@
 	e.ledger.Take(f.now, "t")
 	sentAt, ledger := f.now, e.ledger
 	if e.ledger.Limit("t").Stated && !f.now.Before(e.excusedUntil) {
-		f.sent = append(f.sent, f.now.Add(time.Duration(f.random.Int64N(int64(maxSendDelay)))))
+		f.sent = append(f.sent, f.now.Add(time.Duration(f.random.Int64N(int64(MaxSendDelay)))))
 	}
 	limit := f.limit
 	f.after(responseTime, e, func() {
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -41,9 +41,6 @@
 	// idleAfter is the time without a request that could go to the target after which other
 	// entries are preferred as holders.
 	idleAfter = 3 * time.Second
-	// maxSendDelay is the longest time from taking a permit to the arrival of the request
-	// at the target. It covers the opening of a connection.
-	maxSendDelay = 500 * time.Millisecond
 	// burstTime is the time for which a bucket gathers permits beyond the first, so that
 	// none are lost between two looks at the queue.
 	burstTime = 100 * time.Millisecond
@@ -62,6 +59,10 @@
 	countInterval = 20 * time.Millisecond
 )
 
+// MaxSendDelay is the longest time from taking a permit to sending the request. It covers
+// the opening of a connection. A permit that is older must not be used.
+const MaxSendDelay = 800 * time.Millisecond
+
 // Tolerance is what the platform tolerates beyond a limit: within any Window, a target may
 // get Factor times what the limit allows and Slack requests more.
 type Tolerance struct {
@@ -74,7 +75,7 @@
 // is tolerated: each bucket may hold one request at the start of a window.
 func (t *Tolerance) maxHolders(limit float64) int {
 	tolerated := t.Factor*limit*t.Window.Seconds() + t.Slack
-	filled := sharedRate(limit) * (t.Window + maxSendDelay + burstTime).Seconds()
+	filled := sharedRate(limit) * (t.Window + MaxSendDelay + burstTime).Seconds()
 	return int(min(math.MaxInt32, max(1, tolerated-filled-changeReserve)))
 }
 
@@ -254,6 +255,9 @@
 // requests. It lends its part of the others.
 func (l *Ledger) SetTargets(uses map[state.TargetID]bool) {
 	l.used = uses
+	for _, p := range l.peers {
+		clear(p.ranks)
+	}
 	for id, t := range l.targets {
 		used, listed := uses[id]
 		t.used = used
--- a/internal/coordination/ratelimit/reports.go
+++ b/internal/coordination/ratelimit/reports.go
@@ -29,6 +29,7 @@
 type peer struct {
 	reportedAt time.Time
 	notes      map[state.TargetID]Note
+	ranks      map[state.TargetID]uint64 // hashes already computed
 }
 
 // note returns what the entry says of a target. Of an entry that says nothing, or has been
@@ -40,6 +41,16 @@
 	return p.notes[id]
 }
 
+// rank returns the hash by which the entry is ordered for a target.
+func (p *peer) rank(id state.TargetID, instance state.InstanceID) uint64 {
+	hash, ok := p.ranks[id]
+	if !ok {
+		hash = rankHash(id, instance)
+		p.ranks[id] = hash
+	}
+	return hash
+}
+
 // Report returns what to report to the other entries.
 func (l *Ledger) Report(now time.Time) map[state.TargetID]Note {
 	var notes map[state.TargetID]Note
@@ -74,7 +85,7 @@
 	changes := l.Update(now) // what is due until now depends on the reports before
 	p := l.peers[from]
 	if p == nil {
-		p = &peer{}
+		p = &peer{ranks: make(map[state.TargetID]uint64)}
 		l.peers[from] = p
 	}
 	p.reportedAt, p.notes = now, notes
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -82,6 +82,12 @@
 	b := platform.AppendForwardedRequest(make([]byte, 0, 1024+len(f.Call.Body)), &platform.ForwardedRequest{
 		Call: f.Call, Target: f.Target.ID, Customer: f.Customer, TimeLeft: f.TimeLeft, ResumeAfter: f.ResumeAfter,
 	})
+	if now := time.Now(); now.After(f.SendBy) || now.Round(0).After(f.SendBy.Round(0)) {
+		// The second comparison goes by the time of day, which includes the time for which
+		// the machine was suspended.
+		conn.Close()
+		return nil, fmt.Errorf("%w: send to %s", gateway.ErrGrantExpired, f.Target.Address)
+	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		stop()
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -59,11 +59,39 @@
 	}
 }
 
+// Guards against a request that is sent on a grant that has expired, because the process was
+// paused after it got the grant: the target may be leaving or take no requests by now.
+func TestExpiredGrantIsNotUsed(t *testing.T) {
+	var received atomic.Int64
+	address, _ := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		for discardRequest(r) {
+			received.Add(1)
+			respond(t, c, response("a", "ok"))
+		}
+	})
+	now := time.Now()
+	for name, sendBy := range map[string]time.Time{
+		"paused":            now.Add(-time.Millisecond),
+		"machine suspended": now.Round(0).Add(-time.Millisecond), // only the time of day went on
+	} {
+		f := &gateway.Forward{
+			Call: &state.Call{ID: "a", Method: "POST", URI: "/x", Host: "h"}, Target: state.TargetRecord{ID: "t", Address: address},
+			TimeLeft: time.Second, SendBy: sendBy,
+		}
+		if _, err := New().Send(t.Context(), f); !errors.Is(err, gateway.ErrGrantExpired) || !errors.Is(err, gateway.ErrNotSent) {
+			t.Errorf("%s: error %v, want that the grant has expired", name, err)
+		}
+	}
+	if n := received.Load(); n != 0 {
+		t.Errorf("the target received %d requests", n)
+	}
+}
+
 func send(t *testing.T, c *Client, address string, id state.RequestID) (*state.Response, string, error) {
 	t.Helper()
 	ex, err := c.Send(t.Context(), &gateway.Forward{
 		Call:   &state.Call{ID: id, Method: "POST", URI: "/x", Host: "h", Header: []state.HeaderField{{Name: "Request-Id", Value: string(id)}}, Body: []byte("body")},
-		Target: state.TargetRecord{ID: "t", Address: address}, TimeLeft: time.Second,
+		Target: state.TargetRecord{ID: "t", Address: address}, TimeLeft: time.Second, SendBy: time.Now().Add(time.Minute),
 	})
 	if err != nil {
 		return nil, "", err
@@ -202,7 +230,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ex, err := New().Send(ctx, &gateway.Forward{
-		Call: &state.Call{ID: "a", Method: "GET", URI: "/x", Host: "h"}, Target: state.TargetRecord{Address: address}, TimeLeft: time.Second,
+		Call: &state.Call{ID: "a", Method: "GET", URI: "/x", Host: "h"}, Target: state.TargetRecord{Address: address}, TimeLeft: time.Second, SendBy: time.Now().Add(time.Minute),
 	})
 	if err != nil {
 		t.Fatal(err)
