Servers answer requests in progress before they end

What callers would see: a request that was read at the very end of a planned stop, such as one that is being refused, is cut off without an answer.

Cause: the end of a server closed all connections at once. The planned stop waits for requests in progress before that, but not for those that arrive while the entry takes leave.

Change: a server stops accepting, waits for requests in progress for up to 150 ms and closes the rest. With the time for leaving it stays within the margin before the platform's SIGKILL.

Test: TestRequestInProgressIsAnsweredAtTheEnd failed before (connection closed) and passes now.

--- a/internal/transport/netconn/netconn.go
+++ b/internal/transport/netconn/netconn.go
@@ -46,17 +46,37 @@
 	return net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setUserTimeout}
 }
 
-// Serve serves HTTP on ln until ctx ends. It closes all connections then and
-// returns nil.
+// endTimeout bounds the time that a server waits at its end for requests in progress.
+const endTimeout = 150 * time.Millisecond
+
+// Serve serves HTTP on ln until ctx ends. It then waits for requests in progress, for up to
+// endTimeout, closes all connections and returns nil.
 func Serve(ctx context.Context, server *http.Server, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { server.Close() })
-	defer stop()
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		end(server)
+	})
 	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		stop()
 		return err
 	}
+	if !stop() {
+		<-ended
+	}
 	return nil
 }
 
+// end ends the server. An error of Shutdown means that requests are still in progress, and
+// one of Close that a connection was closed already.
+func end(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		server.Close()
+	}
+}
+
 // setUserTimeout limits how long sent data may stay unacknowledged.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var err error
--- /dev/null
+++ b/internal/transport/netconn/netconn_test.go
@@ -0,0 +1,63 @@
+package netconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Guards against cutting off a request that was read just before the server ends, such as
+// one that is being refused at the end of a planned stop.
+func TestRequestInProgressIsAnsweredAtTheEnd(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		cancel()
+		time.Sleep(20 * time.Millisecond)
+		io.WriteString(w, "whole")
+	})}
+	ended := make(chan error, 1)
+	go func() { ended <- Serve(ctx, server, ln) }()
+	resp, err := http.Get("http://" + ln.Addr().String())
+	if err != nil {
+		t.Fatalf("request in progress: %v", err)
+	}
+	defer resp.Body.Close()
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "whole" {
+		t.Errorf("body %q, error %v, want the whole response", body, err)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("Serve: %v", err)
+	}
+}
+
+// Guards against a server that waits without limit for a handler that does not end.
+func TestServeEndsAlthoughAHandlerDoesNot(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	stuck := make(chan struct{})
+	defer close(stuck)
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		cancel()
+		<-stuck
+	})}
+	go func() {
+		if resp, err := http.Get("http://" + ln.Addr().String()); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	if err := Serve(ctx, server, ln); err != nil {
+		t.Errorf("Serve: %v", err)
+	}
+}
