Refusals and metrics show limits that targets state

A request that is refused because all targets are limited looked like any other under load, and the part of a limit that an entry uses could not be seen.

Change: "placement refused" has the number of limited targets, the metric "targets" the part of the limit. TestRequestsBeyondLimitsAreRefusedAtOnce covers the predicted wait of limited services, which came with the limits.

Result: the test fails when the predicted wait does not count limits (the request waits until its context ends) and passes as it is.

--- a/internal/coordination/dispatch/rate_limit_test.go
+++ b/internal/coordination/dispatch/rate_limit_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -148,3 +150,25 @@
 		})
 	}
 }
+
+// All targets of a service state a limit. Guards against requests that wait for a permit
+// until their deadline although the entry knows the rate at which it gets permits.
+func TestRequestsBeyondLimitsAreRefusedAtOnce(t *testing.T) {
+	s, c := newTestScheduler()
+	for _, id := range []state.TargetID{"t1", "t2"} {
+		g := acquire(t, s, allowOnly(c.request(false), id))
+		s.ObserveRateLimit(g, state.RateLimit{PerSecond: 0.25, Stated: true})
+		s.Release(g, Served)
+	}
+	r := c.request(false)
+	r.Objective = time.Second
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := s.Acquire(ctx, r)
+	// This entry and another share 0.25 requests a second at each target.
+	const nextPermit = 4 * time.Second
+	var refused *Refusal
+	if !errors.As(err, &refused) || refused.Limited != 2 || refused.RetryAfter < nextPermit {
+		t.Errorf("got %+v, want a refusal without a wait, because of 2 limited targets, for at least %s", err, nextPermit)
+	}
+}
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -66,6 +66,7 @@
 	RetryAfter    time.Duration // time after which the caller may retry
 	Ahead         int           // waiting requests that would be served before it
 	PredictedWait time.Duration // 0 unless the reason is ReasonOverload
+	Limited       int           // targets of the service that state a limit; 0 unless ReasonOverload
 }
 
 // Error implements error.
--- a/internal/coordination/dispatch/review.go
+++ b/internal/coordination/dispatch/review.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		p.queue.remove(w)
-		w.refuse(&Refusal{Reason: ReasonOverload, RetryAfter: s.retryAfter(predicted), Ahead: ahead, PredictedWait: predicted})
+		w.refuse(&Refusal{Reason: ReasonOverload, RetryAfter: s.retryAfter(predicted), Ahead: ahead, PredictedWait: predicted, Limited: s.limitedTargets(p, now)})
 	}
 }
 
@@ -127,6 +127,17 @@
 	return sum
 }
 
+// limitedTargets returns how many targets of the service that this entry uses state a limit.
+func (s *Scheduler) limitedTargets(p *pool, now time.Time) int {
+	n := 0
+	for _, t := range p.subset {
+		if _, limited := s.limits.Limited(now, t.record.ID); limited {
+			n++
+		}
+	}
+	return n
+}
+
 // precedingRanks returns the number of ranks of which a request that arrives later
 // precedes r, if it can still meet its objective.
 func (r *Request) precedingRanks() int {
--- a/internal/coordination/dispatch/summary.go
+++ b/internal/coordination/dispatch/summary.go
@@ -19,6 +19,9 @@
 	// RateLimit is the limit that the target states, in requests a second over all
 	// entries; absent without one.
 	RateLimit *float64 `json:"rate_limit,omitempty"`
+	// RateLimitPart is the part of the limit that this entry may use now, in requests a
+	// second; 0 without a limit.
+	RateLimitPart float64 `json:"rate_limit_part,omitempty"`
 }
 
 // Summaries returns the summaries of all targets.
@@ -33,6 +36,7 @@
 		}
 		if limit := s.limits.Limit(id); limit.Stated {
 			summary.RateLimit = &limit.PerSecond
+			summary.RateLimitPart, _ = s.limits.Limited(s.now(), id)
 		}
 		out[id] = summary
 	}
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -186,7 +186,7 @@
 func (r *request) logPlacementRefused(refusal *dispatch.Refusal) {
 	r.log.Info("placement refused", zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name),
 		zap.Int("rank", r.placement.Rank), zap.String("reason", refusal.Reason), zap.Int("ahead", refusal.Ahead),
-		zap.Duration("predicted", refusal.PredictedWait), zap.Duration("objective", r.route.Objective))
+		zap.Duration("predicted", refusal.PredictedWait), zap.Duration("objective", r.route.Objective), zap.Int("limited_targets", refusal.Limited))
 }
 
 func (r *request) logOverAllowance(refusal *quota.Refusal, retryAfter time.Duration) {
