--- a/internal/coordination/dispatch/rate_limit_test.go
+++ b/internal/coordination/dispatch/rate_limit_test.go
@@ -172,3 +172,43 @@
 		t.Errorf("got %+v, want a refusal without a wait, because of 2 limited targets, for at least %s", err, nextPermit)
 	}
 }
+
+// Guards against kinds of sends that pass by a limit: a request that is sent again, a stream
+// that goes on at a software version, a probe of an ejected target.
+func TestEverySendNeedsAPermit(t *testing.T) {
+	version := state.SoftwareVersion("")
+	for name, change := range map[string]func(*Request){
+		"first":    func(*Request) {},
+		"repeated": func(r *Request) { r.AlreadyAdmitted = true },
+		"resumed":  func(r *Request) { r.Resumed, r.AlreadyAdmitted, r.RequiredSoftware = true, true, &version },
+		"probe":    func(r *Request) { r.Repeatable = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, c := newTestScheduler()
+			if name == "probe" {
+				s.Release(acquire(t, s, allowOnly(c.request(true), "t1")), Unreachable)
+				c.at = c.at.Add(2 * initialBackoff)
+			}
+			s.mu.Lock()
+			s.limits.Observe(c.at, c.at, "t1", state.RateLimit{PerSecond: 1, Stated: true})
+			s.mu.Unlock()
+			next := func() *Grant {
+				r := allowOnly(c.request(false), "t1")
+				change(r)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return s.tryGrant(s.pool("s"), r, c.at, fitsNeither)
+			}
+			if next() != nil {
+				t.Error("granted without a permit")
+			}
+			c.at = c.at.Add(4 * time.Second) // this entry gets half a permit a second
+			if next() == nil {
+				t.Error("not granted with a permit")
+			}
+			if next() != nil {
+				t.Error("granted twice with one permit")
+			}
+		})
+	}
+}
