--- a/model/check.sh
+++ b/model/check.sh
@@ -47,6 +47,8 @@
 for v in NO_BASE CHECKPOINT_BY_POSITION NO_READ_TO_END NO_ACCEPT_OFFSET; do check bundle counterexample $v; done
 check order proved
 for v in NO_TARGET_CHECK FENCE_IS_LOCAL; do check order counterexample $v; done
+check loan proved
+for v in NO_STALENESS NO_LOAN_DELAY NO_SETTLE_TIME; do check loan counterexample $v; done
 
 echo "model: $passed passed, $failed failed"
 [ "$failed" -eq 0 ]
