Test of a server's end waits for the shutdown instead of a time

Cause: on a machine under load the handler could take longer than the server waits for it.

Change: the handler goes on when the shutdown has begun.

Result: passes, and fails on the code before with the same end of file.

--- a/internal/transport/netconn/netconn_test.go
+++ b/internal/transport/netconn/netconn_test.go
@@ -18,11 +18,16 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	shutdown := make(chan struct{})
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		cancel()
-		time.Sleep(20 * time.Millisecond)
+		select {
+		case <-shutdown:
+		case <-time.After(time.Second): // the server was closed without a shutdown
+		}
 		io.WriteString(w, "whole")
 	})}
+	server.RegisterOnShutdown(func() { close(shutdown) })
 	ended := make(chan error, 1)
 	go func() { ended <- Serve(ctx, server, ln) }()
 	resp, err := http.Get("http://" + ln.Addr().String())
