Only a signed response ends a limit

A rejection or another response that the target did not sign would have ended its limit if it lacks the field, and entries would have sent at the full rate until the next answer.

Change: a stated limit counts from any response of the target, its absence only from signed ones.

Test: TestLimitIsEndedBySignedResponsesOnly failed before for a rejection and an unsigned response, and passes now.

--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -47,9 +47,9 @@
 	candidates []candidate
 }
 
-// Observer is notified when targets are ejected, when they are in use again, and when
-// the limit that a target states changes. Its methods are called with the scheduler locked, so they must not block or call the
-// scheduler.
+// Observer is notified when targets are ejected, when they are in use again, and when the
+// limit that a target states changes. Its methods are called with the scheduler locked, so
+// they must not block or call the scheduler.
 type Observer interface {
 	TargetEjected(id state.TargetID, service state.Service, cause Outcome, backoff time.Duration)
 	TargetReturned(id state.TargetID, service state.Service)
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -81,11 +81,12 @@
 }
 
 // observeRateLimit records the limit that the target states in its response. The response
-// of another target at the same address says nothing about this one.
+// of another target at the same address says nothing about this one, and an unsigned one,
+// such as a rejection, does not show that a limit has ended.
 func (a *attempt) observeRateLimit(head *state.Response) {
 	r := a.request
 	switch {
-	case head.Misdirected:
+	case head.Misdirected, head.RateLimitErr == nil && !head.RateLimit.Stated && !head.HasSignature:
 	case head.RateLimitErr != nil:
 		r.log.Warn("rate limit of target ignored", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)), zap.Error(head.RateLimitErr))
 	default:
