Permits go to higher ranks first

What callers would see: at a service whose targets all state limits, one in twelve requests of the highest rank is refused although the limits would bear all of them, while lower ranks are served.

Cause: a permit went to whichever request was there when it came. Free slots are left to higher ranks, permits were not.

Nothing changes where no target states a limit.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -45,10 +45,11 @@
 		return nil
 	}
 	reservedSlots := p.reservedSlots(r, now)
+	first := reservedSlots == 0 || r.AlreadyAdmitted
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
 	for _, t := range p.targetsFor(r) {
-		if !t.eligible(now, r) || !s.limits.Allows(now, t.record.ID) {
+		if !t.eligible(now, r) || !s.limits.Allows(now, t.record.ID, first) {
 			continue
 		}
 		if !t.ejectedUntil.IsZero() {
--- a/internal/coordination/dispatch/rate_limit_test.go
+++ b/internal/coordination/dispatch/rate_limit_test.go
@@ -212,3 +212,25 @@
 		})
 	}
 }
+
+// All targets of a service state limits that add up to half of what callers of three ranks
+// ask for. Guards against lower ranks that take each permit as it comes, so that one in
+// twelve requests of the highest rank was refused although the limits would bear all.
+func TestPermitsGoToHigherRanksFirst(t *testing.T) {
+	const perSecond, engines = 80.0, 9
+	sim := simulation{
+		entries: 5, engines: engines, slots: 9, slowFactor: 1, ranks: 3, duration: 30 * time.Second, tallyFrom: 10 * time.Second, sent: newSentRequests(),
+		arrivalRate: constantRateWithBurst([]float64{perSecond / 3, perSecond / 3, perSecond / 3}, 1),
+		rateLimit: func(at time.Duration, _ int) state.RateLimit {
+			return state.RateLimit{PerSecond: perSecond / engines / 2, Stated: at >= 6*time.Second}
+		},
+	}
+	var served []float64
+	for _, tally := range sim.run(t, 1) {
+		served = append(served, float64(tally.onTime+tally.late)/float64(tally.asked))
+	}
+	t.Logf("served by rank: %.3f", served)
+	if served[0] < minOnTimeShare || served[0] < served[1] || served[1] < served[2] {
+		t.Errorf("served by rank: %.3f, want %g of the highest rank, and no rank below the next", served, minOnTimeShare)
+	}
+}
--- a/internal/coordination/ratelimit/property_test.go
+++ b/internal/coordination/ratelimit/property_test.go
@@ -186,7 +186,7 @@
 // send sends one request if the entry may. The target responds with what it states when the
 // request arrives.
 func (f *fleet) send(e *simulatedEntry) {
-	if !e.ledger.Allows(f.now, "t") {
+	if !e.ledger.Allows(f.now, "t", true) {
 		return
 	}
 	e.ledger.Take(f.now, "t")
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -196,15 +196,17 @@
 	return t.part(), true
 }
 
-// Allows reports whether this entry may send a request to the target now.
-func (l *Ledger) Allows(now time.Time, id state.TargetID) bool {
+// Allows reports whether this entry may send a request to the target now. Unless first is
+// set, the request leaves a permit for burstTime to those that go first. The bucket gathers
+// for that time beyond the first permit, so that none is lost.
+func (l *Ledger) Allows(now time.Time, id state.TargetID, first bool) bool {
 	t := l.targets[id]
 	if t == nil || !t.limit.Stated {
 		return true
 	}
 	t.askedAt = now
 	l.update(now, id, t)
-	return t.level >= 1
+	return t.level >= 1 && (first || t.level >= t.depth())
 }
 
 // Take takes the permit for one request to the target. Each send needs one: first,
