--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -43,7 +43,8 @@
 // TargetClient sends requests to targets.
 type TargetClient interface {
 	// Send sends a request once. The error wraps ErrNotSent when the target
-	// certainly did not get it, and ErrGrantExpired if that was because of SendBy. Cancelling ctx cancels the request.
+	// certainly did not get it, and ErrGrantExpired if that was because of SendBy.
+	// Cancelling ctx cancels the request.
 	Send(ctx context.Context, f *Forward) (Exchange, error)
 }
 
