Placement test waits until the end of an attempt is counted

The owner counts the end of an attempt in a goroutine of its own. When it lags, four requests that have ended still count as outstanding, the target looks overloaded, and the next request goes to a third one, as it should for requests that do overlap.

Change: the test waits for the owner after each attempt. What it requires is unchanged.

--- a/internal/coordination/placement/scenario_test.go
+++ b/internal/coordination/placement/scenario_test.go
@@ -140,6 +140,7 @@
 				blocks[affinityPrefixBlocks+1] = r.seq + 1e6 // the prompts differ at the end
 				target, attempt := r.placeAndSend(r.query(blocks...))
 				r.AttemptEnded(target, attempt, Outcome{Complete: true, Usage: state.Usage{CachedTokens: 9 * blockTokens}})
+				synctest.Wait() // the owner has counted the end, so that targets do not look overloaded
 				prefixTargets[target] = true
 				used[target] = true
 			}
