Test: notes of limits keep their meaning in reports

Cause: empty fields of a note are left out in its encoded form.

Change: a test sends notes of a limit of 0, an end, a loan and a usual limit.

Result: passes.

--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -211,3 +213,25 @@
 		t.Errorf("%d reports to a silent address in a minute, want up to %d", attempts, most)
 	}
 }
+
+// Guards against a note of a limit that another entry reads differently, such as an end
+// that looks like nothing, or a limit of 0 that looks like none.
+func TestNotesOfLimitsKeepTheirMeaning(t *testing.T) {
+	sent := Message{Limits: map[state.TargetID]ratelimit.Note{
+		"zero":  {Observed: true, Limit: state.RateLimit{Stated: true}, AgeMillis: 7, InForce: true},
+		"ended": {Observed: true, AgeMillis: 1200},
+		"lends": {InForce: true, Lends: true, Idle: true},
+		"usual": {Observed: true, Limit: state.RateLimit{PerSecond: 4.9, Stated: true}, InForce: true},
+	}}
+	b, err := encMode.Marshal(&sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var received Message
+	if err := cbor.Unmarshal(b, &received); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(sent, received); diff != "" {
+		t.Errorf("report after transmission (-sent +received):\n%s", diff)
+	}
+}
