Logs and metrics show from where the store's topics are read

Cause: nothing showed at which offset an entry reads a topic, how old the last answer is, or that the store has come back from an older copy (header Store-Era), so the hypotheses on outdated configurations could not be told apart. Change: reads carry a position of era and offset; a change of the era is logged and counted, and the metric store_topics shows era, offset and age by topic. Nothing is decided by the era yet. Measured: tests of daemon, keyedtopic and platform pass.

--- a/internal/coordination/keyedtopic/keyedtopic.go
+++ b/internal/coordination/keyedtopic/keyedtopic.go
@@ -18,26 +18,34 @@
 	Offset uint64
 }
 
+// Position is a place in a topic. Offsets of different eras are not comparable.
+type Position struct {
+	// Era is the number of times that the store has come back from an older copy, which
+	// lacks the newest records, as far as it states that; 0 if it does not. The store then
+	// gives out the offsets of the missing records again.
+	Era    uint64
+	Offset uint64
+}
+
 // Source reads topics from the store.
 type Source interface {
-	// Newest returns the newest record of each key and the offset at which to continue
+	// Newest returns the newest record of each key and the position at which to continue
 	// with Read.
-	Newest(ctx context.Context, topic string) ([]Record, uint64, error)
-	// Read returns the records from offset from on and the offset after the last one.
-	// If there are none yet, it waits up to wait. It fails with ErrTrimmed if from is
+	Newest(ctx context.Context, topic string) ([]Record, Position, error)
+	// Read returns the records from the position from on and the position after the last
+	// one. If there are none yet, it waits up to wait. It fails with ErrTrimmed if from is
 	// no longer retained.
-	Read(ctx context.Context, topic string, from uint64, wait time.Duration) ([]Record, uint64, error)
+	Read(ctx context.Context, topic string, from Position, wait time.Duration) ([]Record, Position, error)
 }
 
 // Handler receives the content of a topic. Its methods are called by one goroutine.
 type Handler interface {
 	// Listed is called with the newest record of each key, at first and after records
-	// were trimmed before they were read. It is complete up to, but not including,
-	// offset next.
-	Listed(now time.Time, records []Record, next uint64)
+	// were trimmed before they were read. It is complete up to, but not including, next.
+	Listed(now time.Time, records []Record, next Position)
 	// Changed is called with the records that follow, possibly none, up to but not
-	// including offset next.
-	Changed(now time.Time, records []Record, next uint64)
+	// including next.
+	Changed(now time.Time, records []Record, next Position)
 	// Failed is called when a call to the store failed.
 	Failed(now time.Time, err error)
 }
@@ -53,9 +61,9 @@
 	// content is known from elsewhere. nil: never.
 	SkipRead func() bool
 	// ResumeFrom reports, once for each replacement, that the content was replaced by
-	// content from elsewhere that is complete up to offset next. Reading continues
-	// from there. nil: the content is never replaced.
-	ResumeFrom func() (next uint64, ok bool)
+	// content from elsewhere that is complete up to next. Reading continues from there.
+	// nil: the content is never replaced.
+	ResumeFrom func() (next Position, ok bool)
 }
 
 // The pause after failed calls doubles from minRetryPause up to maxRetryPause.
@@ -98,8 +106,8 @@
 	source     Source
 	topic      Topic
 	handler    Handler
-	listed     bool // the content is known up to nextOffset
-	nextOffset uint64
+	listed     bool // the content is known up to next
+	next       Position
 	retryPause time.Duration
 }
 
@@ -108,7 +116,7 @@
 func (f *follower) readOnce(ctx context.Context) error {
 	if f.topic.ResumeFrom != nil {
 		if next, ok := f.topic.ResumeFrom(); ok {
-			f.listed, f.nextOffset = true, next
+			f.listed, f.next = true, next
 		}
 	}
 	if !f.listed {
@@ -116,11 +124,11 @@
 		if err != nil {
 			return err
 		}
-		f.listed, f.nextOffset = true, next
+		f.listed, f.next = true, next
 		f.handler.Listed(time.Now(), records, next)
 		return nil
 	}
-	records, next, err := f.source.Read(ctx, f.topic.Name, f.nextOffset, f.topic.ReadWait)
+	records, next, err := f.source.Read(ctx, f.topic.Name, f.next, f.topic.ReadWait)
 	if errors.Is(err, ErrTrimmed) {
 		f.listed = false
 		return f.readOnce(ctx)
@@ -128,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	f.nextOffset = next
+	f.next = next
 	f.handler.Changed(time.Now(), records, next)
 	return nil
 }
--- a/internal/coordination/keyedtopic/keyedtopic_test.go
+++ b/internal/coordination/keyedtopic/keyedtopic_test.go
@@ -15,19 +15,19 @@
 type scriptedSource struct {
 	newest int
 	from   []uint64 // offsets that were read from
-	reads  []func() ([]Record, uint64, error)
+	reads  []func() ([]Record, Position, error)
 }
 
-func (s *scriptedSource) Newest(context.Context, string) ([]Record, uint64, error) {
+func (s *scriptedSource) Newest(context.Context, string) ([]Record, Position, error) {
 	s.newest++
-	return []Record{{Key: "listed"}}, uint64(10 * s.newest), nil
+	return []Record{{Key: "listed"}}, Position{Offset: uint64(10 * s.newest)}, nil
 }
 
-func (s *scriptedSource) Read(ctx context.Context, _ string, from uint64, _ time.Duration) ([]Record, uint64, error) {
-	s.from = append(s.from, from)
+func (s *scriptedSource) Read(ctx context.Context, _ string, from Position, _ time.Duration) ([]Record, Position, error) {
+	s.from = append(s.from, from.Offset)
 	if len(s.reads) == 0 {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, Position{}, ctx.Err()
 	}
 	read := s.reads[0]
 	s.reads = s.reads[1:]
@@ -37,10 +37,10 @@
 // recordingHandler records the calls of its methods.
 type recordingHandler struct{ seen []string }
 
-func (h *recordingHandler) Listed(_ time.Time, r []Record, _ uint64) {
+func (h *recordingHandler) Listed(_ time.Time, r []Record, _ Position) {
 	h.seen = append(h.seen, "listed "+r[0].Key)
 }
-func (h *recordingHandler) Changed(_ time.Time, r []Record, _ uint64) {
+func (h *recordingHandler) Changed(_ time.Time, r []Record, _ Position) {
 	for _, record := range r {
 		h.seen = append(h.seen, "changed "+record.Key)
 	}
@@ -51,12 +51,12 @@
 // trimmed before they were read, or retries without a pause.
 func TestFollow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		down := func() ([]Record, uint64, error) { return nil, 0, errors.New("down") }
-		s := &scriptedSource{reads: []func() ([]Record, uint64, error){
-			func() ([]Record, uint64, error) { return []Record{{Key: "a"}}, 11, nil },
+		down := func() ([]Record, Position, error) { return nil, Position{}, errors.New("down") }
+		s := &scriptedSource{reads: []func() ([]Record, Position, error){
+			func() ([]Record, Position, error) { return []Record{{Key: "a"}}, Position{Offset: 11}, nil },
 			down, down,
-			func() ([]Record, uint64, error) { return nil, 0, ErrTrimmed },
-			func() ([]Record, uint64, error) { return []Record{{Key: "b"}}, 21, nil },
+			func() ([]Record, Position, error) { return nil, Position{}, ErrTrimmed },
+			func() ([]Record, Position, error) { return []Record{{Key: "b"}}, Position{Offset: 21}, nil },
 		}}
 		h := &recordingHandler{}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -82,13 +82,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &scriptedSource{}
 		for range 3 {
-			s.reads = append(s.reads, func() ([]Record, uint64, error) { return nil, 10, nil })
+			s.reads = append(s.reads, func() ([]Record, Position, error) { return nil, Position{Offset: 10}, nil })
 		}
 		replaced := false
-		resume := func() (uint64, bool) {
+		resume := func() (Position, bool) {
 			was := replaced
 			replaced = false
-			return 7, was
+			return Position{Offset: 7}, was
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
@@ -109,7 +109,7 @@
 		reads := 0
 		s := &scriptedSource{}
 		for range 5 {
-			s.reads = append(s.reads, func() ([]Record, uint64, error) { reads++; return nil, 10, nil })
+			s.reads = append(s.reads, func() ([]Record, Position, error) { reads++; return nil, Position{Offset: 10}, nil })
 		}
 		skip := true
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/internal/daemon/bundles.go
+++ b/internal/daemon/bundles.go
@@ -33,7 +33,7 @@
 }
 
 // applyBundles offers the bundles among the records of the topic to the rollout.
-func (c *control) applyBundles(_ time.Time, _ bool, records []keyedtopic.Record, _ uint64) {
+func (c *control) applyBundles(_ time.Time, _ bool, records []keyedtopic.Record, _ keyedtopic.Position) {
 	for _, r := range records {
 		if r.Key != platform.BundleKey || len(r.Value) == 0 {
 			continue
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -12,7 +12,7 @@
 
 // applyConfiguration puts the configurations among the records of the topic into
 // effect.
-func (c *control) applyConfiguration(_ time.Time, _ bool, records []keyedtopic.Record, _ uint64) {
+func (c *control) applyConfiguration(_ time.Time, _ bool, records []keyedtopic.Record, _ keyedtopic.Position) {
 	for _, r := range records {
 		if r.Key != platform.ConfigurationKey || len(r.Value) == 0 {
 			continue
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -34,13 +34,14 @@
 	p      *gatewayProcess
 	events chan func(now time.Time)
 
-	// list and topics are used by the goroutine of loop only.
-	list   *targetlist.List
-	topics map[string]*topicState // by name
+	// list is used by the goroutine of loop only.
+	list *targetlist.List
 
 	fetchRequests chan state.InstanceID // the entry to ask first
 
-	mu            sync.Mutex           // guards the fields below, except the throttles
+	mu sync.Mutex // guards the fields below, except the throttles
+	// topics has the state of each topic by name. Only the goroutine of loop changes it.
+	topics        map[string]*topicState
 	listCurrentAt time.Time            // latest time for which the list of targets is known to be current
 	listReadAt    time.Time            // when it was last read from the store here
 	nextOffset    uint64               // offset in the topic up to which the list is complete
@@ -54,8 +55,12 @@
 	hasPendingRemovals                  bool // removals are pending after an outage
 }
 
-// topicState records whether reads of a topic fail.
-type topicState struct{ failedSince time.Time } // zero: the last read succeeded
+// topicState is what is known of the reads of a topic.
+type topicState struct {
+	failedSince time.Time // zero: the last read succeeded
+	answeredAt  time.Time // when the last read succeeded
+	next        keyedtopic.Position
+}
 
 func newControl(p *gatewayProcess) *control {
 	return &control{
@@ -124,22 +129,22 @@
 type topicHandler struct {
 	control *control
 	name    string
-	apply   func(now time.Time, listed bool, records []keyedtopic.Record, next uint64)
+	apply   func(now time.Time, listed bool, records []keyedtopic.Record, next keyedtopic.Position)
 }
 
 // Listed implements keyedtopic.Handler.
-func (h *topicHandler) Listed(_ time.Time, records []keyedtopic.Record, next uint64) {
+func (h *topicHandler) Listed(_ time.Time, records []keyedtopic.Record, next keyedtopic.Position) {
 	h.deliver(true, records, next)
 }
 
 // Changed implements keyedtopic.Handler.
-func (h *topicHandler) Changed(_ time.Time, records []keyedtopic.Record, next uint64) {
+func (h *topicHandler) Changed(_ time.Time, records []keyedtopic.Record, next keyedtopic.Position) {
 	h.deliver(false, records, next)
 }
 
-func (h *topicHandler) deliver(listed bool, records []keyedtopic.Record, next uint64) {
+func (h *topicHandler) deliver(listed bool, records []keyedtopic.Record, next keyedtopic.Position) {
 	h.control.post(func(now time.Time) {
-		h.control.topicAnswered(now, h.name)
+		h.control.topicAnswered(now, h.name, next)
 		h.apply(now, listed, records, next)
 	})
 }
@@ -162,9 +167,18 @@
 	}
 }
 
-// topicAnswered records that a read of a topic succeeded, and logs the end of an outage.
-func (c *control) topicAnswered(now time.Time, topic string) {
+// topicAnswered records that a read of a topic succeeded and continues at next. It logs
+// the end of an outage and a change of the store's era.
+func (c *control) topicAnswered(now time.Time, topic string, next keyedtopic.Position) {
 	d := c.topicState(topic)
+	if before := d.next; !d.answeredAt.IsZero() && before.Era != next.Era {
+		c.p.counters.Add("store_era_changed")
+		c.p.log.Warn("era of the store changed", zap.String("topic", topic), zap.Uint64("from_era", before.Era), zap.Uint64("from_offset", before.Offset),
+			zap.Uint64("era", next.Era), zap.Uint64("offset", next.Offset), zap.Duration("last_answer", now.Sub(d.answeredAt)))
+	}
+	c.mu.Lock()
+	d.answeredAt, d.next = now, next
+	c.mu.Unlock()
 	if !d.failedSince.IsZero() {
 		c.p.log.Info("dependency regained", zap.String("dependency", "store"), zap.String("topic", topic),
 			zap.Duration("lost_for", now.Sub(d.failedSince)))
@@ -182,6 +196,8 @@
 }
 
 func (c *control) topicState(topic string) *topicState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	d := c.topics[topic]
 	if d == nil {
 		d = &topicState{}
@@ -189,3 +205,23 @@
 	}
 	return d
 }
+
+// topicReading is the published state of the reads of a topic.
+type topicReading struct {
+	Era        uint64 `json:"era"`
+	NextOffset uint64 `json:"next_offset"`
+	AgeMillis  int64  `json:"age_ms"` // since the last answer of the store
+}
+
+// topicReadings returns the state of the reads of all topics, for the metrics.
+func (c *control) topicReadings() map[string]topicReading {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	readings := make(map[string]topicReading, len(c.topics))
+	for name, t := range c.topics {
+		if !t.answeredAt.IsZero() {
+			readings[name] = topicReading{Era: t.next.Era, NextOffset: t.next.Offset, AgeMillis: time.Since(t.answeredAt).Milliseconds()}
+		}
+	}
+	return readings
+}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -214,6 +214,7 @@
 	expvar.Publish("connections_opened", expvar.Func(func() any { return p.targetClient.ConnectionsOpened() }))
 	expvar.Publish("requests_open", expvar.Func(func() any { return p.callers.OpenRequests() }))
 	expvar.Publish("targets_listed", expvar.Func(func() any { return p.control.targetCount() }))
+	expvar.Publish("store_topics", expvar.Func(func() any { return p.control.topicReadings() }))
 	expvar.Publish("entries_heard", expvar.Func(func() any { return p.mesh.PeerCount(time.Now()) }))
 	ln, err := net.Listen("tcp4", netip.AddrPortFrom(p.settings.IP, platform.MetricsPort).String())
 	if err != nil {
--- a/internal/daemon/targetlist.go
+++ b/internal/daemon/targetlist.go
@@ -93,9 +93,10 @@
 
 // applyTargets applies records of the topic of targets to the list and publishes it.
 // listed says that records holds the newest record of each target rather than the
-// changes since the last call. nextOffset is the offset up to which the list is then
+// changes since the last call. next is the position up to which the list is then
 // complete.
-func (c *control) applyTargets(now time.Time, listed bool, records []keyedtopic.Record, nextOffset uint64) {
+func (c *control) applyTargets(now time.Time, listed bool, records []keyedtopic.Record, next keyedtopic.Position) {
+	nextOffset := next.Offset
 	c.mu.Lock()
 	knownOffset := c.nextOffset
 	c.nextOffset = max(knownOffset, nextOffset)
@@ -261,9 +262,9 @@
 
 // resumeFrom implements keyedtopic.Topic.ResumeFrom. ok says that a list was adopted
 // from another entry since the last call.
-func (c *control) resumeFrom() (nextOffset uint64, ok bool) {
+func (c *control) resumeFrom() (next keyedtopic.Position, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ok, c.listAdopted = c.listAdopted, false
-	return c.nextOffset, ok
+	return keyedtopic.Position{Offset: c.nextOffset}, ok
 }
