Logs and metrics show the use of the retry budget

Cause: no line said that a request was not sent again because the budget was spent, and no metric counted repeated sends. Change: the line "retry budget spent" and counters of repeated sends that the budget allowed and refused, by service. What is decided is as before. Measured: tests of gateway pass.

--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -427,6 +427,20 @@
 	return r.afterFailedAttempt(ctx, g, outcome, err)
 }
 
+// takeRetry takes the permission to send the request once more, if the budget of the
+// service allows it.
+func (r *request) takeRetry() bool {
+	allowed := r.service.retryBudget(r.targetService).Take(time.Now(), r.service.cfg.RetrySlack())
+	if allowed {
+		r.service.cfg.Counters.Add("repeated_send." + string(r.targetService))
+	} else {
+		r.service.cfg.Counters.Add("repeated_send_refused." + string(r.targetService))
+		r.log.Info("retry budget spent", zap.String("request", string(r.call.ID)), zap.String("service", string(r.targetService)),
+			zap.Float64("slack", r.service.cfg.RetrySlack()))
+	}
+	return allowed
+}
+
 // afterFailedAttempt decides whether a request is placed on another target after an
 // attempt that did not answer the caller. If not, it ends the request.
 func (r *request) afterFailedAttempt(ctx context.Context, g *dispatch.Grant, outcome dispatch.Outcome, err error) (tryAnother bool) {
@@ -444,7 +458,7 @@
 	willRetry := ctx.Err() == nil && (!mayHaveRun || r.route.Repeatable() && r.possibleRuns < r.route.MaxAttempts)
 	// A target that received nothing does not make the next send a repeated one.
 	if willRetry && !errors.Is(err, ErrNotSent) {
-		willRetry = r.service.retryBudget(r.targetService).Take(time.Now(), r.service.cfg.RetrySlack())
+		willRetry = r.takeRetry()
 	}
 	r.logAttemptFailed(g, outcome, err, willRetry)
 	if willRetry {
