--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -9,8 +9,10 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -24,11 +26,14 @@
 	// Unavailable makes the store respond with status 503. LoseAppendResponses
 	// makes it close the connection after an append took effect, without a response.
 	Unavailable, LoseAppendResponses atomic.Bool
+	// HoldWaitingReads makes reads that ask to wait for a record wait for ever.
+	HoldWaitingReads atomic.Bool
 	// DelayMs delays each request, in milliseconds.
 	DelayMs atomic.Int64
 
 	mu      sync.Mutex
 	topics  map[string]*topic
+	era     uint64        // rises with each Restore
 	changed chan struct{} // closed and replaced on each append
 }
 
@@ -48,7 +53,34 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{topics: make(map[string]*topic), changed: make(chan struct{})}
+	return &Store{topics: make(map[string]*topic), era: 1, changed: make(chan struct{})}
+}
+
+// Copy is the content of a store at some time.
+type Copy struct{ topics map[string]*topic }
+
+// Copy returns a copy of the store.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{cloneTopics(s.topics)}
+}
+
+// Restore replaces the content of the store by a copy and begins a new era. Reads that
+// wait go on waiting for a record at the offset that they ask for.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = cloneTopics(c.topics)
+	s.era++
+}
+
+func cloneTopics(topics map[string]*topic) map[string]*topic {
+	clones := make(map[string]*topic, len(topics))
+	for name, t := range topics {
+		clones[name] = &topic{firstOffset: t.firstOffset, records: slices.Clone(t.records), latestByKey: maps.Clone(t.latestByKey)}
+	}
+	return clones
 }
 
 // topic returns the named topic and creates it if needed. The caller holds the
@@ -115,6 +147,9 @@
 	mux.HandleFunc("POST /api/log-append", s.handleAppend)
 	return http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(time.Duration(s.DelayMs.Load()) * time.Millisecond)
+		s.mu.Lock()
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+		s.mu.Unlock()
 		if s.Unavailable.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -147,7 +182,7 @@
 }
 
 // handleRead responds with the records from the offset From on, or with status
-// 410 if the log no longer has that offset. If there are no records it waits for
+// 410 if the log does not have that offset. If there are no records it waits for
 // an append, for WaitMs at most.
 func (s *Store) handleRead(w http.ResponseWriter, r *http.Request) {
 	from, err := strconv.ParseUint(r.URL.Query().Get("From"), 10, 64)
@@ -156,6 +191,10 @@
 		return
 	}
 	waitMs, _ := strconv.Atoi(r.URL.Query().Get("WaitMs")) // 0 if absent or invalid
+	if waitMs > 0 && s.HoldWaitingReads.Load() {
+		<-r.Context().Done()
+		return
+	}
 	timeout := time.After(time.Duration(waitMs) * time.Millisecond)
 	for {
 		s.mu.Lock()
@@ -166,7 +205,7 @@
 			records = t.records[from-first:]
 		}
 		s.mu.Unlock()
-		if from < first {
+		if from < first || from > end {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -150,6 +150,23 @@
 	}
 }
 
+// Guards against a fetch that asks only entries which have just been killed and waits for
+// each of them, although another one answers.
+func TestHeardEntriesAreAskedFirst(t *testing.T) {
+	m, _ := openMesh(t, Snapshot{})
+	heard := netip.MustParseAddrPort("127.0.0.1:1")
+	for i := range 2 * maxFetchAttempts {
+		silent := netip.AddrPortFrom(heard.Addr(), uint16(2+i))
+		m.peers[silent] = &peer{instance: "silent", configurationVersion: 8, lastHeard: time.Now().Add(-2 * heardLately)}
+	}
+	m.peers[heard] = &peer{instance: "heard", configurationVersion: 8, lastHeard: time.Now()}
+	for _, preferred := range []state.InstanceID{"", "silent"} {
+		if got := m.fetchCandidates(preferred); len(got) == 0 || got[0] != heard {
+			t.Errorf("preferred %q: %v are asked, want %s first", preferred, got, heard)
+		}
+	}
+}
+
 // Guards against treating all of a hundred entries as near, which would send each of
 // them reports at the short interval, and against wrong numbers of addresses in reports.
 func TestReportsToNearAndFarEntries(t *testing.T) {
