Configuration is also read without waiting

Callers saw: refusals that an older configuration says, until a read of the configuration ended after up to 22 s. Cause: entries follow the configuration with reads that wait at the store for 20 s. If the store leaves the reads of all entries unanswered, as it once did with single ones, no entry has the newer version for the others to fetch. Change: the two entries that read the list of targets read the configuration every 1.2 s without waiting as well. With the report and the fetch of the others (0.4 s) a change is in effect everywhere within 2 s. Evidence: TestConfigurationWithUnansweredReads did not see the newer version within 10 s and sees it after 1.2 s. Cost: 1.7 calls to the store a second.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -20,6 +20,13 @@
 	// configurationReadWait is how long a read of the configuration waits at the store
 	// for a new record.
 	configurationReadWait = 20 * time.Second
+	// configurationCheckInterval is the pause between reads of the configuration that do
+	// not wait. The store may leave the waiting reads of all entries unanswered. Together
+	// with a report to the other entries and their fetch, it stays below the 2 s after
+	// which a configuration must be in effect.
+	configurationCheckInterval = 1200 * time.Millisecond
+	// configurationCheck is the name of these reads in logs and metrics.
+	configurationCheck = platform.ConfigurationTopic + " (check)"
 	// targetReadInterval is the pause between reads of the list of targets. Together
 	// with the duration of a read, it stays well below the 2 s after which a leaving
 	// target must get no more work.
@@ -97,6 +104,10 @@
 		return keyedtopic.Follow(ctx, c.p.store, keyedtopic.Topic{Name: platform.TargetTopic, ReadInterval: targetReadInterval, SkipRead: c.skipTargetRead, ResumeFrom: c.resumeFrom},
 			&topicHandler{control: c, name: platform.TargetTopic, apply: c.applyTargets})
 	})
+	group.Go(func() error {
+		return keyedtopic.Follow(ctx, c.p.store, keyedtopic.Topic{Name: platform.ConfigurationTopic, ReadInterval: configurationCheckInterval, SkipRead: c.othersReadStore},
+			&topicHandler{control: c, name: configurationCheck, apply: c.applyConfiguration})
+	})
 	if c.p.followsBundles {
 		group.Go(func() error { return c.followBundles(ctx) })
 	}
--- a/internal/daemon/targetlist.go
+++ b/internal/daemon/targetlist.go
@@ -170,6 +170,12 @@
 	}
 }
 
+// othersReadStore implements keyedtopic.Topic.SkipRead for topics of which the others
+// learn from the entries that read the list of targets.
+func (c *control) othersReadStore() bool {
+	return c.p.mesh.CountReadersBelow(time.Now(), c.p.settings.Instance) >= maxListReaders
+}
+
 // skipTargetRead implements keyedtopic.Topic.SkipRead. It reports whether the list of
 // targets is known from other entries and recent enough.
 func (c *control) skipTargetRead() bool {
