--- a/internal/transport/mesh/snapshot.go
+++ b/internal/transport/mesh/snapshot.go
@@ -173,9 +173,9 @@
 const maxFetchAttempts = 3
 
 // Fetch asks other entries for a snapshot until one answers, and returns the snapshot
-// and the address of that entry. It asks the preferred entry first, if that is a peer,
-// and then the peers with the newest configuration. The snapshot lacks what is
-// identified by known.
+// and the address of that entry. It asks peers that have reported lately first, and among
+// them the preferred entry, and then those with the newest configuration. The snapshot
+// lacks what is identified by known.
 func (m *Mesh) Fetch(ctx context.Context, preferred state.InstanceID, known KnownVersions) (*Snapshot, netip.AddrPort, error) {
 	var errs []error
 	for _, a := range m.fetchCandidates(preferred) {
@@ -193,18 +193,24 @@
 func (m *Mesh) fetchCandidates(preferred state.InstanceID) []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := time.Now()
+	precedence := func(p *peer) int {
+		switch {
+		case !p.isHeard(now):
+			return 0
+		case p.instance != preferred:
+			return 1
+		default:
+			return 2
+		}
+	}
 	var list []netip.AddrPort
 	for a := range m.peers {
 		list = append(list, a)
 	}
 	slices.SortFunc(list, func(a, b netip.AddrPort) int {
-		if isPreferred := m.peers[a].instance == preferred; isPreferred != (m.peers[b].instance == preferred) {
-			if isPreferred {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(m.peers[b].configurationVersion, m.peers[a].configurationVersion)
+		p, q := m.peers[a], m.peers[b]
+		return cmp.Or(cmp.Compare(precedence(q), precedence(p)), cmp.Compare(q.configurationVersion, p.configurationVersion))
 	})
 	for a := range m.unheard {
 		list = append(list, a)
