Topics are listed anew when the store has come back from an older copy

Callers saw: refusals that an older configuration says. Cause: a store that comes back from an older copy gives offsets out again. An entry read on from its own offset: records below it were skipped, and a waiting read ended only when the store reached the offset again. All entries have the same offset, so none had the newer version for the others to fetch. A response of another era than the position's lists the topic anew; an era that is first seen in another topic or in another entry's report ends waiting reads. Versions never go back, as before. Why it works: an offset is only used in the era that gave it out, so nothing written after the return lies below the position that is read from.

--- a/internal/coordination/keyedtopic/keyedtopic.go
+++ b/internal/coordination/keyedtopic/keyedtopic.go
@@ -64,6 +64,10 @@
 	// content from elsewhere that is complete up to next. Reading continues from there.
 	// nil: the content is never replaced.
 	ResumeFrom func() (next Position, ok bool)
+	// Relist returns a channel that is closed when the topic is to be listed anew at once,
+	// because the store has come back from an older copy. A waiting read would not end
+	// before the offset that it asks for is given out again. nil: never.
+	Relist func() <-chan struct{}
 }
 
 // The pause after failed calls doubles from minRetryPause up to maxRetryPause.
@@ -81,7 +85,10 @@
 		pause := topic.ReadInterval
 		if topic.SkipRead != nil && f.listed && topic.SkipRead() {
 			pause = skipCheckInterval
-		} else if err := f.readOnce(ctx); err != nil && ctx.Err() == nil {
+		} else if err := f.readOnce(ctx); errors.Is(err, errRelist) {
+			f.listed = false
+			pause = minRetryPause
+		} else if err != nil && ctx.Err() == nil {
 			h.Failed(time.Now(), err)
 			f.retryPause = min(maxRetryPause, max(minRetryPause, 2*f.retryPause))
 			pause = f.retryPause
@@ -111,8 +118,12 @@
 	retryPause time.Duration
 }
 
+// errRelist means that the topic is to be listed anew.
+var errRelist = errors.New("the store has come back from an older copy")
+
 // readOnce lists the topic or reads the records that follow, and passes them to the
-// handler.
+// handler. The error is errRelist if the records that follow are of another era than the
+// position from which they were read.
 func (f *follower) readOnce(ctx context.Context) error {
 	if f.topic.ResumeFrom != nil {
 		if next, ok := f.topic.ResumeFrom(); ok {
@@ -128,7 +139,7 @@
 		f.handler.Listed(time.Now(), records, next)
 		return nil
 	}
-	records, next, err := f.source.Read(ctx, f.topic.Name, f.next, f.topic.ReadWait)
+	records, next, err := f.read(ctx)
 	if errors.Is(err, ErrTrimmed) {
 		f.listed = false
 		return f.readOnce(ctx)
@@ -136,7 +147,36 @@
 	if err != nil {
 		return err
 	}
+	if next.Era == 0 {
+		next.Era = f.next.Era
+	}
+	if next.Era != f.next.Era {
+		return errRelist
+	}
 	f.next = next
 	f.handler.Changed(time.Now(), records, next)
 	return nil
 }
+
+// read reads the records that follow. The error is errRelist if it was interrupted by
+// Topic.Relist.
+func (f *follower) read(ctx context.Context) ([]Record, Position, error) {
+	if f.topic.Relist == nil {
+		return f.source.Read(ctx, f.topic.Name, f.next, f.topic.ReadWait)
+	}
+	readCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	relist := f.topic.Relist()
+	go func() {
+		select {
+		case <-relist:
+			cancel(errRelist)
+		case <-readCtx.Done():
+		}
+	}()
+	records, next, err := f.source.Read(readCtx, f.topic.Name, f.next, f.topic.ReadWait)
+	if err != nil && errors.Is(context.Cause(readCtx), errRelist) {
+		return nil, next, errRelist
+	}
+	return records, next, err
+}
--- a/internal/coordination/keyedtopic/keyedtopic_test.go
+++ b/internal/coordination/keyedtopic/keyedtopic_test.go
@@ -13,14 +13,19 @@
 // scriptedSource answers each read by the next function of reads, and blocks when none
 // is left.
 type scriptedSource struct {
-	newest int
-	from   []uint64 // offsets that were read from
-	reads  []func() ([]Record, Position, error)
+	newest   int
+	era      uint64   // of the listings
+	onNewest func()   // called for each listing; may be nil
+	from     []uint64 // offsets that were read from
+	reads    []func() ([]Record, Position, error)
 }
 
 func (s *scriptedSource) Newest(context.Context, string) ([]Record, Position, error) {
 	s.newest++
-	return []Record{{Key: "listed"}}, Position{Offset: uint64(10 * s.newest)}, nil
+	if s.onNewest != nil {
+		s.onNewest()
+	}
+	return []Record{{Key: "listed"}}, Position{Era: s.era, Offset: uint64(10 * s.newest)}, nil
 }
 
 func (s *scriptedSource) Read(ctx context.Context, _ string, from Position, _ time.Duration) ([]Record, Position, error) {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -48,7 +48,12 @@
 
 	mu sync.Mutex // guards the fields below, except the throttles
 	// topics has the state of each topic by name. Only the goroutine of loop changes it.
-	topics        map[string]*topicState
+	topics map[string]*topicState
+	// storeEra is the era of the latest response of the store, 0 if it has stated none.
+	// storeRestored is closed and replaced when the store has come back in another one.
+	storeEra      uint64
+	storeRestored chan struct{}
+	reportedEra   uint64               // highest one that another entry has reported
 	listCurrentAt time.Time            // latest time for which the list of targets is known to be current
 	listReadAt    time.Time            // when it was last read from the store here
 	nextOffset    uint64               // offset in the topic up to which the list is complete
@@ -72,7 +77,7 @@
 func newControl(p *gatewayProcess) *control {
 	return &control{
 		p: p, events: make(chan func(time.Time), 64), fetchRequests: make(chan state.InstanceID, 1), list: targetlist.New(),
-		topics: make(map[string]*topicState),
+		topics: make(map[string]*topicState), storeRestored: make(chan struct{}),
 	}
 }
 
@@ -97,7 +102,7 @@
 	group.Go(func() error { return c.join(ctx) })
 	group.Go(func() error { return c.shareMixedServices(ctx) })
 	group.Go(func() error {
-		return keyedtopic.Follow(ctx, c.p.store, keyedtopic.Topic{Name: platform.ConfigurationTopic, ReadWait: configurationReadWait},
+		return keyedtopic.Follow(ctx, c.p.store, keyedtopic.Topic{Name: platform.ConfigurationTopic, ReadWait: configurationReadWait, Relist: c.restored},
 			&topicHandler{control: c, name: platform.ConfigurationTopic, apply: c.applyConfiguration})
 	})
 	group.Go(func() error {
@@ -187,6 +192,7 @@
 		c.p.log.Warn("era of the store changed", zap.String("topic", topic), zap.Uint64("from_era", before.Era), zap.Uint64("from_offset", before.Offset),
 			zap.Uint64("era", next.Era), zap.Uint64("offset", next.Offset), zap.Duration("last_answer", now.Sub(d.answeredAt)))
 	}
+	c.observeEra(next.Era)
 	c.mu.Lock()
 	d.answeredAt, d.next = now, next
 	c.mu.Unlock()
@@ -206,6 +212,45 @@
 	}
 }
 
+// observeEra records the era of a response of the store. In a new era, all topics are
+// listed anew, because their offsets are given out again.
+func (c *control) observeEra(era uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if era == 0 || era == c.storeEra {
+		return
+	}
+	if c.storeEra != 0 {
+		c.relist()
+	}
+	c.storeEra = era
+}
+
+// onEraReport handles the era that another entry reports. If it is higher than the one
+// known here, the waiting reads may be of an offset that was given out again.
+func (c *control) onEraReport(era uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if era > max(c.storeEra, c.reportedEra) && c.storeEra != 0 {
+		c.reportedEra = era
+		c.relist()
+	}
+}
+
+// relist ends the waiting reads of topics, which are then listed anew. The caller must
+// hold c.mu.
+func (c *control) relist() {
+	close(c.storeRestored)
+	c.storeRestored = make(chan struct{})
+}
+
+// restored implements keyedtopic.Topic.Relist.
+func (c *control) restored() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.storeRestored
+}
+
 func (c *control) topicState(topic string) *topicState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -88,6 +88,7 @@
 		Tolerance: quota.Tolerance{Window: s.Bounds.QuotaWindow, Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack},
 		Restarted: !s.FirstStart,
 	})
+	p.store.OnInvalidEra = func(err error) { p.log.Warn("era of the store ignored", zap.Error(err)) }
 	p.refusals = refusal.NewLog()
 	p.origins = origin.New(p.startedAt, s.FirstStart)
 	p.scheduler = dispatch.New(s.Domain, xxhash.Sum64String(string(s.Instance))^uint64(p.incarnation), time.Now, p, ratelimit.New(ratelimit.Config{
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -68,6 +68,7 @@
 	p.refusals.Learn(now, m.Refused)
 	p.origins.Learn(now, m.Origins)
 	p.scheduler.SetReport(m.Instance, m.LoadReport())
+	p.control.onEraReport(m.StoreEra)
 	p.control.onListReport(m)
 	p.control.onConfigurationReport(now, m.Instance, m.ConfigurationVersion)
 	p.control.onBundleReport(now, m.Instance, m.BundleVersion)
--- a/internal/daemon/targetlist.go
+++ b/internal/daemon/targetlist.go
@@ -193,13 +193,14 @@
 	}
 }
 
-// addListState adds to a report the time since this entry read the list, its hash, its
-// offset and, for changeReportTime, the last change. It adds nothing if this entry has
-// not read the list within maxListAge or if removals are pending, because the list may
-// then hold targets that are gone.
+// addListState adds to a report the era of the store and the state of the list: the time
+// since this entry read it, its hash, its offset and, for changeReportTime, the last change.
+// It adds nothing of the list if this entry has not read it within maxListAge or if removals
+// are pending, because the list may then hold targets that are gone.
 func (c *control) addListState(now time.Time, m *mesh.Message) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	m.StoreEra = c.storeEra
 	if c.hasPendingRemovals || now.Sub(c.listReadAt) > maxListAge {
 		return
 	}
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -89,6 +89,9 @@
 	ListHash      uint64 `cbor:"13,keyasint,omitempty"`
 	// ListNext is the offset in the store's topic up to which the list is complete.
 	ListNext uint64 `cbor:"16,keyasint,omitempty"`
+	// StoreEra is the era of the latest response of the store to the sender, as in
+	// keyedtopic.Position.
+	StoreEra uint64 `cbor:"24,keyasint,omitempty"`
 	// Change is the last change of the list. It is sent only for a while after the
 	// change, in which other entries may not have it yet.
 	Change *ListChange `cbor:"14,keyasint,omitempty"`
