List of targets follows the store into a new era

Callers could see: requests at targets that had left, or none at new ones. An entry ignored every list with a lower offset than its own, so its list stood still until the store had given out as many offsets again, and removals among the records in between were lost for good. A listing of the older copy would also have brought back targets that had left or drained.

--- a/internal/coordination/targetlist/targetlist_test.go
+++ b/internal/coordination/targetlist/targetlist_test.go
@@ -78,7 +78,7 @@
 	l.StoreAnswered(now)
 	l.Replace(now, []state.TargetRecord{{ID: "a"}, {ID: "b"}})
 	l.StoreFailed()
-	l.Adopt([]state.TargetRecord{{ID: "a"}})
+	l.Adopt(now, []state.TargetRecord{{ID: "a"}})
 	if got := ids(l, now); got["b"] || !got["a"] {
 		t.Fatalf("targets %v, want only a", got)
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -56,7 +56,7 @@
 	reportedEra   uint64               // highest one that another entry has reported
 	listCurrentAt time.Time            // latest time for which the list of targets is known to be current
 	listReadAt    time.Time            // when it was last read from the store here
-	nextOffset    uint64               // offset in the topic up to which the list is complete
+	next          keyedtopic.Position  // up to which the list is complete
 	listAdopted   bool                 // the list came from another entry since the last read
 	listHash      uint64               // of the published list
 	published     []state.TargetRecord // never changed in place
--- a/internal/daemon/restoredstore_test.go
+++ b/internal/daemon/restoredstore_test.go
@@ -106,6 +106,7 @@
 // back from an older copy: it gives out offsets again, and an entry that reads on from its
 // own misses the records below.
 func TestConfigurationChangesAfterStoreIsRestored(t *testing.T) {
+	t.Parallel()
 	s := newStoreTest(t)
 	s.putConfiguration(1)
 	older := s.store.Copy()
@@ -127,6 +128,7 @@
 // Guards against an older configuration that replaces a newer one, because the store has
 // come back without it.
 func TestConfigurationOutlivesRestoredStore(t *testing.T) {
+	t.Parallel()
 	s := newStoreTest(t)
 	s.putConfiguration(1)
 	older := s.store.Copy()
@@ -144,6 +146,7 @@
 // Guards against a configuration that takes effect nowhere for up to 22 s, because the
 // store leaves the waiting reads of all entries unanswered.
 func TestConfigurationWithUnansweredReads(t *testing.T) {
+	t.Parallel()
 	s := newStoreTest(t)
 	s.putConfiguration(1)
 	s.store.HoldWaitingReads.Store(true)
--- a/internal/daemon/snapshots.go
+++ b/internal/daemon/snapshots.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/keyedtopic"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/mesh"
 )
@@ -26,7 +27,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := mesh.Snapshot{
-		Configuration: c.p.gateway.Configuration(), Targets: c.published, ListHash: c.listHash, ListNext: c.nextOffset,
+		Configuration: c.p.gateway.Configuration(), Targets: c.published, ListHash: c.listHash, ListEra: c.next.Era, ListNext: c.next.Offset,
 		Settling: c.hasPendingRemovals, Age: time.Since(c.listCurrentAt),
 	}
 	if b := c.p.rollout.Current(); b != nil {
@@ -106,7 +107,8 @@
 	}
 	currentAt := now.Add(-s.Age - transitAllowance)
 	c.mu.Lock()
-	newer := currentAt.After(c.listCurrentAt) && s.ListNext >= c.nextOffset
+	next := keyedtopic.Position{Era: s.ListEra, Offset: s.ListNext}
+	newer := currentAt.After(c.listCurrentAt) && c.mayFollow(next)
 	if s.Settling && len(c.published) > 0 {
 		newer = false // this entry may know already that some of the snapshot's targets left
 	}
@@ -116,6 +118,6 @@
 	}
 	c.mu.Unlock()
 	if newer && !sameList && len(s.Targets) > 0 {
-		c.adoptList(now, currentAt, s.Targets, s.ListNext)
+		c.adoptList(now, currentAt, s.Targets, next)
 	}
 }
--- a/internal/daemon/targetlist.go
+++ b/internal/daemon/targetlist.go
@@ -96,17 +96,22 @@
 // changes since the last call. next is the position up to which the list is then
 // complete.
 func (c *control) applyTargets(now time.Time, listed bool, records []keyedtopic.Record, next keyedtopic.Position) {
-	nextOffset := next.Offset
 	c.mu.Lock()
-	knownOffset := c.nextOffset
-	c.nextOffset = max(knownOffset, nextOffset)
+	known := c.next
+	sameEra := next.Era == known.Era
+	if known.Offset == 0 || listed && !sameEra || sameEra && next.Offset > known.Offset {
+		c.next = next
+	}
 	c.mu.Unlock()
-	if listed && nextOffset < knownOffset {
+	if sameEra && listed && next.Offset < known.Offset {
 		return // a newer list was adopted while this one was read
 	}
+	if !sameEra && !listed {
+		return // a list of another era was adopted while the records were read
+	}
 	var present []state.TargetRecord
 	for _, r := range records {
-		if !listed && r.Offset < knownOffset {
+		if !listed && r.Offset < known.Offset {
 			continue // contained in a list that was adopted meanwhile
 		}
 		if len(r.Value) == 0 {
@@ -123,12 +128,24 @@
 			c.list.Put(t)
 		}
 	}
-	if listed {
+	switch {
+	case listed && !sameEra && known.Offset > 0:
+		ignored := c.list.Restore(now, present)
+		c.p.log.Warn("list of targets read from an older copy", zap.Uint64("from_era", known.Era), zap.Uint64("era", next.Era),
+			zap.Int("records", len(present)), zap.Int("ignored", ignored))
+	case listed:
 		c.list.Replace(now, present)
 	}
 	c.publish(now)
 }
 
+// mayFollow reports whether a list that is complete up to a position may replace the one
+// here: it does not lack records that this one has, as far as their offsets tell. The caller
+// must hold c.mu.
+func (c *control) mayFollow(next keyedtopic.Position) bool {
+	return next.Era != c.next.Era || next.Offset >= c.next.Offset
+}
+
 // publish passes the list to the scheduler if it has changed, and prepares the change
 // for the reports to other entries.
 func (c *control) publish(now time.Time) {
@@ -204,7 +221,7 @@
 	if c.hasPendingRemovals || now.Sub(c.listReadAt) > maxListAge {
 		return
 	}
-	m.ListAgeMillis, m.ListHash, m.ListNext = now.Sub(c.listReadAt).Milliseconds(), c.listHash, c.nextOffset
+	m.ListAgeMillis, m.ListHash, m.ListEra, m.ListNext = now.Sub(c.listReadAt).Milliseconds(), c.listHash, c.next.Era, c.next.Offset
 	if now.Sub(c.lastChangeAt) < changeReportTime {
 		m.Change = c.lastChange
 	}
@@ -220,7 +237,7 @@
 	}
 	currentAt := time.Now().Add(-time.Duration(m.ListAgeMillis)*time.Millisecond - transitAllowance)
 	c.mu.Lock()
-	newer := currentAt.After(c.listCurrentAt) && m.ListNext >= c.nextOffset
+	newer := currentAt.After(c.listCurrentAt) && c.mayFollow(listPosition(m))
 	sameList := m.ListHash == c.listHash
 	if newer && sameList {
 		c.listCurrentAt = currentAt
@@ -243,7 +260,7 @@
 // current at currentAt.
 func (c *control) applyReportedChange(now, currentAt time.Time, m *mesh.Message) {
 	c.mu.Lock()
-	stale := c.listHash != m.Change.FromHash || !currentAt.After(c.listCurrentAt) || m.ListNext < c.nextOffset
+	stale := c.listHash != m.Change.FromHash || !currentAt.After(c.listCurrentAt) || !c.mayFollow(listPosition(m))
 	c.mu.Unlock()
 	if stale {
 		return
@@ -254,16 +271,22 @@
 		c.requestFetch(m.Instance)
 		return
 	}
-	c.adoptList(now, currentAt, records, m.ListNext)
+	c.adoptList(now, currentAt, records, listPosition(m))
+}
+
+// listPosition returns the position up to which the list that a report describes is
+// complete.
+func listPosition(m *mesh.Message) keyedtopic.Position {
+	return keyedtopic.Position{Era: m.ListEra, Offset: m.ListNext}
 }
 
 // adoptList replaces the list by that of another entry, which was current at currentAt
-// and is complete up to nextOffset.
-func (c *control) adoptList(now, currentAt time.Time, records []state.TargetRecord, nextOffset uint64) {
+// and is complete up to next.
+func (c *control) adoptList(now, currentAt time.Time, records []state.TargetRecord, next keyedtopic.Position) {
 	c.mu.Lock()
-	c.listCurrentAt, c.nextOffset, c.listAdopted = currentAt, nextOffset, true
+	c.listCurrentAt, c.next, c.listAdopted = currentAt, next, true
 	c.mu.Unlock()
-	c.list.Adopt(records)
+	c.list.Adopt(now, records)
 	c.publish(now)
 }
 
@@ -273,5 +296,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ok, c.listAdopted = c.listAdopted, false
-	return keyedtopic.Position{Offset: c.nextOffset}, ok
+	return c.next, ok
 }
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -89,6 +89,8 @@
 	ListHash      uint64 `cbor:"13,keyasint,omitempty"`
 	// ListNext is the offset in the store's topic up to which the list is complete.
 	ListNext uint64 `cbor:"16,keyasint,omitempty"`
+	// ListEra is the era of the store to which ListNext belongs.
+	ListEra uint64 `cbor:"25,keyasint,omitempty"`
 	// StoreEra is the era of the latest response of the store to the sender, as in
 	// keyedtopic.Position.
 	StoreEra uint64 `cbor:"24,keyasint,omitempty"`
--- a/internal/transport/mesh/snapshot.go
+++ b/internal/transport/mesh/snapshot.go
@@ -44,6 +44,7 @@
 	Targets  []state.TargetRecord
 	ListHash uint64 // identifies the content of the list, as in Message
 	ListNext uint64 // offset up to which the list is complete, as in Message
+	ListEra  uint64 // era of the store to which ListNext belongs
 	// Settling reports that the list still holds targets that may be gone, because
 	// removals are pending (see targetlist.List.HasPendingRemovals).
 	Settling bool
@@ -79,14 +80,15 @@
 // that the snapshot lacks.
 type cacheKey struct {
 	configurationVersion int64
-	listHash, listNext   uint64
+	listHash             uint64
+	listEra, listNext    uint64
 	bundleVersion        uint64
 	hasTargets           bool
 	settling             bool
 }
 
 func (s *Snapshot) cacheKey() cacheKey {
-	k := cacheKey{listHash: s.ListHash, listNext: s.ListNext, hasTargets: s.Targets != nil, settling: s.Settling}
+	k := cacheKey{listHash: s.ListHash, listEra: s.ListEra, listNext: s.ListNext, hasTargets: s.Targets != nil, settling: s.Settling}
 	if s.Configuration != nil {
 		k.configurationVersion = s.Configuration.Version
 	}
