Budget of repeated sends is a sum that restarts and waiting cannot exceed

Callers saw: more repeated sends at a service than tolerated, which takes slots from first sends when targets fail. Cause: an entry counted permissions in its own window of ten buckets. A restart gave the entry a new budget; two full budgets fitted within 10 s at the edges of the buckets; requests counted for the repeated sends of every later moment; permissions were taken when an attempt failed and used together when requests had waited for a target; entries that were not heard had no part in the division. Change: a request earns permissions for half of the ratio, lost after a window; the part of the slack comes 12 s after a start; permissions are taken just before the send and returned if there was none; sharers are all entries that are known. The sum is in decision 0013. A request that is placed again after its grant expired no longer counts twice.

--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -202,6 +202,12 @@
 		zap.String("outcome", o.String()), zap.Bool("again", willRetry), zap.Int("runs", r.possibleRuns), zap.NamedError("cause", err))
 }
 
+func (r *request) logRetryRefused() {
+	r.service.cfg.Counters.Add("repeated_send_refused." + string(r.targetService))
+	r.log.Info("retry budget spent", zap.String("request", string(r.call.ID)), zap.String("service", string(r.targetService)),
+		zap.Float64("slack", r.service.cfg.RetrySlack()))
+}
+
 func (r *request) logCallerError(step string, err error) {
 	r.log.Info("write to caller failed", zap.String("request", string(r.call.ID)), zap.String("step", step), zap.Error(err))
 }
--- a/internal/coordination/gateway/retrybudget_test.go
+++ b/internal/coordination/gateway/retrybudget_test.go
@@ -71,10 +71,11 @@
 
 // start starts the process of an entry, or replaces it, which cuts off its requests.
 func (f *retryFleet) start(t *testing.T, i int) {
+	s := newSeededService(f.faultyTargets, uint64(i))
 	if f.cancel[i] != nil {
 		f.cancel[i]()
+		s.cfg.RetrySlackFrom = time.Now().Add(toleratedWindow)
 	}
-	s := newSeededService(f.faultyTargets, uint64(i))
 	// As in the daemon: most of the slack, divided among the entries.
 	s.cfg.RetrySlack = func() float64 { return 0.9 * toleratedSlack / float64(max(8, len(f.entries))) }
 	s.SetConfiguration(&state.Configuration{Version: 1, Routes: []state.Route{{
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -73,15 +73,15 @@
 	// none knew.
 	Origins   *origin.Log
 	AskOrigin func(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, error)
-	// RetryRatio, RetryWindow and RetrySlack bound the repeated sends for each
-	// service: within RetryWindow, at most RetryRatio for each first send, plus
-	// RetrySlack. RetrySlack returns this entry's share of the repeated sends that
-	// all entries together may make beyond the ratio.
-	RetryRatio  float64
-	RetryWindow time.Duration
-	RetrySlack  func() float64
-	Log         *zap.Logger
-	Counters    *Counters
+	// RetryRatio, RetryWindow, RetrySlack and RetrySlackFrom bound the repeated sends for
+	// each service as retry.WindowBudget says. RetrySlack returns this entry's part of what
+	// all entries together may send beyond the ratio.
+	RetryRatio     float64
+	RetryWindow    time.Duration
+	RetrySlack     func() float64
+	RetrySlackFrom time.Time
+	Log            *zap.Logger
+	Counters       *Counters
 }
 
 // Service serves callers' requests. It is safe for concurrent use.
@@ -137,7 +137,7 @@
 	defer s.mu.Unlock()
 	w := s.retryBudgets[service]
 	if w == nil {
-		w = &retry.WindowBudget{Ratio: s.cfg.RetryRatio, Length: s.cfg.RetryWindow}
+		w = &retry.WindowBudget{Ratio: s.cfg.RetryRatio, Length: s.cfg.RetryWindow, SlackFrom: s.cfg.RetrySlackFrom}
 		s.retryBudgets[service] = w
 	}
 	return w
@@ -167,8 +167,9 @@
 	lastEventAt    time.Time     // when the last event was forwarded
 	longestGap     time.Duration // longest pause between forwarded events
 
-	possibleRuns int  // number of attempts that may have run
-	streamBegun  bool // the head of a stream was sent to the caller
+	reachedTarget bool // an attempt may have reached a target, so that the next one is a repeated send
+	possibleRuns  int  // number of attempts that may have run
+	streamBegun   bool // the head of a stream was sent to the caller
 	// eventForwarded says that an event was sent to the caller.
 	eventForwarded bool
 	// software is the version of the target that wrote the first event; nil before there
@@ -333,6 +334,7 @@
 // serve sends the request to one target after another until it is answered or given
 // up.
 func (r *request) serve(ctx context.Context) {
+	r.service.retryBudget(r.targetService).RecordRequest(time.Now())
 	for placements := 0; ; placements++ {
 		grant, err := r.service.cfg.Scheduler.Acquire(ctx, r.placement)
 		if err != nil {
@@ -413,13 +415,20 @@
 	a := &attempt{request: r, grant: g}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
-	now := time.Now()
-	if r.possibleRuns == 0 && len(r.placement.Tried) == 0 {
-		r.service.retryBudget(r.targetService).RecordFirst(now)
+	repeated := r.reachedTarget
+	if repeated && !r.takeRetry() {
+		r.service.cfg.Scheduler.Release(g, dispatch.Expired)
+		r.giveUp("retry_budget", defaultRetryAfter)
+		return false
 	}
 	outcome, err := a.run()
 	r.service.cfg.Scheduler.Release(g, outcome)
 	r.lastErr = err
+	if !errors.Is(err, ErrNotSent) {
+		r.reachedTarget = true
+	} else if repeated {
+		r.service.retryBudget(r.targetService).Return()
+	}
 	if err == nil {
 		r.countPromptTokens(g, true)
 		return false
@@ -430,15 +439,12 @@
 // takeRetry takes the permission to send the request once more, if the budget of the
 // service allows it.
 func (r *request) takeRetry() bool {
-	allowed := r.service.retryBudget(r.targetService).Take(time.Now(), r.service.cfg.RetrySlack())
-	if allowed {
-		r.service.cfg.Counters.Add("repeated_send." + string(r.targetService))
-	} else {
-		r.service.cfg.Counters.Add("repeated_send_refused." + string(r.targetService))
-		r.log.Info("retry budget spent", zap.String("request", string(r.call.ID)), zap.String("service", string(r.targetService)),
-			zap.Float64("slack", r.service.cfg.RetrySlack()))
-	}
-	return allowed
+	if !r.service.retryBudget(r.targetService).Take(time.Now(), r.service.cfg.RetrySlack()) {
+		r.logRetryRefused()
+		return false
+	}
+	r.service.cfg.Counters.Add("repeated_send." + string(r.targetService))
+	return true
 }
 
 // afterFailedAttempt decides whether a request is placed on another target after an
@@ -456,9 +462,9 @@
 		r.possibleRuns++
 	}
 	willRetry := ctx.Err() == nil && (!mayHaveRun || r.route.Repeatable() && r.possibleRuns < r.route.MaxAttempts)
-	// A target that received nothing does not make the next send a repeated one.
-	if willRetry && !errors.Is(err, ErrNotSent) {
-		willRetry = r.takeRetry()
+	if willRetry && r.reachedTarget && !r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack()) {
+		willRetry = false
+		r.logRetryRefused()
 	}
 	r.logAttemptFailed(g, outcome, err, willRetry)
 	if willRetry {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -38,8 +38,11 @@
 	stopMargin = 500 * time.Millisecond
 	// minSharers is the least number of entries among which the platform's slack, which
 	// is what all entries together may exceed a limit by, is divided. More entries may
-	// run than are heard, because some may be cut off by a network partition.
+	// run than are known.
 	minSharers = 8
+	// entriesKnownTime is the time after its start within which an entry is known to the
+	// others, and they to it.
+	entriesKnownTime = 2 * time.Second
 	// slackFraction is the fraction of the slack that is used.
 	slackFraction = 0.9
 	// closeExpiredInterval is the time between checks for idle connections to close.
@@ -102,7 +105,7 @@
 	}
 	p.gateway = gateway.New(gateway.Config{
 		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Origins: p.origins, AskOrigin: p.mesh.AskOrigin, RetryRatio: s.Bounds.RetryRatio,
-		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack,
+		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack, RetrySlackFrom: p.retrySlackFrom(),
 		Log: log.Requests, Counters: p.counters,
 	})
 	p.log.Info("process started", zap.String("instance", string(s.Instance)), zap.String("domain", string(s.Domain)),
@@ -152,12 +155,22 @@
 
 // retrySlack returns this entry's share of the repeated sends that all entries
 // together may make beyond the retry ratio. The slack is divided evenly because
-// entries do not report how many repeated sends they made.
+// entries do not report how many repeated sends they made. Entries that are not heard
+// have a share too: they may be cut off from this one and not from the targets.
 func (p *gatewayProcess) retrySlack() float64 {
-	sharers := max(minSharers, 1+p.mesh.PeerCount(time.Now()))
+	sharers := max(minSharers, 1+p.mesh.ExpectedPeerCount(time.Now()))
 	return slackFraction * p.settings.Bounds.RetrySlack / float64(sharers)
 }
 
+// retrySlackFrom returns the time from which this entry may use its share of the slack. A
+// process that was started before may have used it just before it ended.
+func (p *gatewayProcess) retrySlackFrom() time.Time {
+	if p.settings.FirstStart {
+		return p.startedAt
+	}
+	return p.startedAt.Add(p.settings.Bounds.RetryWindow + entriesKnownTime)
+}
+
 // checkReady returns nil if the entry can serve new connections, and otherwise why not.
 // The error text is the body of the readiness response.
 func (p *gatewayProcess) checkReady() error {
