Failed attempts are logged with the parts of the prompt and the number of events

Cause: nothing related the end of a target to the requests that it had, so it could not be seen whether requests with something in common crash targets. Change: "attempt failed" names the first parts of the prompt and the number of events that the attempt brought. What is decided is as before.

--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"strings"
 	"sync"
 	"time"
 
@@ -199,7 +200,20 @@
 func (r *request) logAttemptFailed(g *dispatch.Grant, o dispatch.Outcome, err error, willRetry bool) {
 	r.service.cfg.Counters.Add("attempt." + o.String())
 	r.log.Info("attempt failed", zap.String("request", string(r.call.ID)), zap.String("target", string(g.Target.ID)),
-		zap.String("outcome", o.String()), zap.Bool("again", willRetry), zap.Int("runs", r.possibleRuns), zap.NamedError("cause", err))
+		zap.String("outcome", o.String()), zap.Bool("again", willRetry), zap.Int("runs", r.possibleRuns), zap.Int("events", g.Events),
+		zap.String("prompt", promptText(r.call.Prompt)), zap.NamedError("cause", err))
+}
+
+// maxLoggedParts bounds the prompt parts in a log line.
+const maxLoggedParts = 8
+
+// promptText returns the identifiers of the first parts of a prompt for a log line.
+func promptText(parts []state.PromptPart) string {
+	var ids []string
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
 }
 
 func (r *request) logRetryRefused() {
