Parts of prompts that crash targets are kept from them

Callers saw: engines that ended one after the other under requests with one part in their prompts; most sound requests late, refused or cut off, because three to nine of nine engines were missing. Cause: nothing related the end of a target to the requests that it had. Each request of the kind went anywhere, and was repeated at a second engine. Class: a request that harms its target is handled as one that its target has harmed. Attempts whose target closed the connection before the first event and then refuses connections are evidence against the shared parts of their prompts; answers speak for them. Entries share what they saw. A part is kept from targets after a series of crashes, tried again after a hold that doubles, and on probation while few crashes or one other entry speak against it. Two entries keep the blocks in the store for processes that start. Why it works: the part is in every crash of the kind and in no answer, whichever engine, entry, customer or other part comes with it, and each send is checked.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -129,6 +129,14 @@
 	}
 }
 
+// Serves reports whether the target of a grant is still expected to serve requests: it is
+// listed, has not been started again and does not drain.
+func (s *Scheduler) Serves(g *Grant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets[g.Target.ID] == g.target && !g.target.record.Draining
+}
+
 // ObserveRateLimit records the limit that the target states in the head of its response.
 func (s *Scheduler) ObserveRateLimit(g *Grant, limit state.RateLimit) {
 	s.mu.Lock()
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -75,7 +75,7 @@
 	if r.streamBegun {
 		return dispatch.Failed, fmt.Errorf("resumed stream: status %d", head.Status)
 	}
-	r.service.cfg.Scheduler.ResponseStarted(a.grant)
+	r.responseStarted(a.grant)
 	r.respond(a.grant, head, body)
 	return dispatch.Served, nil
 }
@@ -212,7 +212,7 @@
 // countEvent records the start of the response and the events for the cost model.
 func (a *attempt) countEvent() {
 	if a.grant.Events == 0 {
-		a.request.service.cfg.Scheduler.ResponseStarted(a.grant)
+		a.request.responseStarted(a.grant)
 	}
 	a.grant.Events++
 }
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -46,6 +46,9 @@
 	// certainly did not get it, and ErrGrantExpired if that was because of SendBy.
 	// Cancelling ctx cancels the request.
 	Send(ctx context.Context, f *Forward) (Exchange, error)
+	// Refuses reports whether connections to an address are refused, which shows that the
+	// target there has ended.
+	Refuses(ctx context.Context, address string) bool
 }
 
 // Exchange is a request that was sent and its response. It is not safe for
--- a/internal/coordination/gateway/retrybudget_test.go
+++ b/internal/coordination/gateway/retrybudget_test.go
@@ -47,6 +47,8 @@
 	return ex, err
 }
 
+func (f *faultyTargets) Refuses(context.Context, string) bool { return false }
+
 // retryFleet is a number of entries before one service, under a load of 140 requests a
 // second.
 type retryFleet struct {
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -13,6 +13,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/costmodel"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/quarantine"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/retry"
@@ -68,6 +69,8 @@
 	TargetClient TargetClient
 	Quota        *quota.Ledger
 	Refusals     *refusal.Log
+	// Quarantine knows the parts of prompts that crash targets.
+	Quarantine *quarantine.Ledger
 	// Origins remembers where streams began. AskOrigin asks other entries where the stream
 	// of a request began, which is at service if nothing else is known. The error says why
 	// none knew.
@@ -154,6 +157,7 @@
 	customer      *state.CustomerConfig
 	cost          float64 // charged to the customer's allowance, in units
 	targetService state.Service
+	promptParts   []quarantine.Key // that other requests may have too
 	placement     *dispatch.Request
 	arrived       time.Time
 	// firstArrived is when the caller's first attempt arrived; before arrived if that
@@ -222,6 +226,10 @@
 	if failure := r.findOrigin(ctx); failure != nil {
 		return failure
 	}
+	r.promptParts = quarantine.KeysOf(r.targetService, r.call.Prompt)
+	if wait, blocked := r.checkPrompt(false); blocked {
+		return &Failure{Kind: NotRun, Reason: reasonPromptPart, RetryAfter: r.capRetryAfter(wait)}
+	}
 	if r.customer != nil {
 		r.cost = r.customer.PlainCost
 		if r.customer.CountsTokens && r.call.HasTokenCounts {
@@ -415,12 +423,18 @@
 	a := &attempt{request: r, grant: g}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
+	if wait, blocked := r.checkPrompt(true); blocked {
+		r.service.cfg.Scheduler.Release(g, dispatch.Expired)
+		r.giveUp(reasonPromptPart, wait)
+		return false
+	}
 	repeated := r.reachedTarget
 	if repeated && !r.takeRetry() {
 		r.service.cfg.Scheduler.Release(g, dispatch.Expired)
 		r.giveUp("retry_budget", defaultRetryAfter)
 		return false
 	}
+	sentAt := time.Now()
 	outcome, err := a.run()
 	r.service.cfg.Scheduler.Release(g, outcome)
 	r.lastErr = err
@@ -433,7 +447,7 @@
 		r.countPromptTokens(g, true)
 		return false
 	}
-	return r.afterFailedAttempt(ctx, g, outcome, err)
+	return r.afterFailedAttempt(ctx, g, outcome, err, r.suspectsPrompt(ctx, g, sentAt, outcome, err))
 }
 
 // takeRetry takes the permission to send the request once more, if the budget of the
@@ -448,8 +462,9 @@
 }
 
 // afterFailedAttempt decides whether a request is placed on another target after an
-// attempt that did not answer the caller. If not, it ends the request.
-func (r *request) afterFailedAttempt(ctx context.Context, g *dispatch.Grant, outcome dispatch.Outcome, err error) (tryAnother bool) {
+// attempt that did not answer the caller. If not, it ends the request. suspected says that
+// the request may crash the next target too.
+func (r *request) afterFailedAttempt(ctx context.Context, g *dispatch.Grant, outcome dispatch.Outcome, err error, suspected bool) (tryAnother bool) {
 	mayHaveRun := outcome != dispatch.Unreachable && outcome != dispatch.Expired && outcome != dispatch.Rejected && outcome != dispatch.Gone
 	if mayHaveRun {
 		r.countPromptTokens(g, false)
@@ -461,7 +476,7 @@
 	if mayHaveRun {
 		r.possibleRuns++
 	}
-	willRetry := ctx.Err() == nil && (!mayHaveRun || r.route.Repeatable() && r.possibleRuns < r.route.MaxAttempts)
+	willRetry := ctx.Err() == nil && !suspected && (!mayHaveRun || r.route.Repeatable() && r.possibleRuns < r.route.MaxAttempts)
 	if willRetry && r.reachedTarget && !r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack()) {
 		willRetry = false
 		r.logRetryRefused()
--- /dev/null
+++ b/internal/coordination/quarantine/evidence.go
@@ -0,0 +1,297 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+const (
+	// evidenceMemory is how long a crash counts.
+	evidenceMemory = 10 * time.Minute
+	// maxEvidence bounds the requests that are remembered, and maxEvidenceOfOther those of
+	// one other entry.
+	maxEvidence        = 512
+	maxEvidenceOfOther = maxEvidence / 4
+	// A part is blocked after minSeries crashes each of which began after the one before,
+	// on minMachines machines. Without other machines, after minCrashes.
+	minSeries   = 3
+	minMachines = 2
+	// It is also blocked after minCrashes of which some overlap, if one began after another
+	// or they are minMoments moments that are momentGap apart: targets that end together end
+	// within milliseconds.
+	minCrashes = 5
+	minMoments = 3
+	momentGap  = 50 * time.Millisecond
+	// A part that was not answered within answeredMemory is on probation after
+	// minProbationCrashes crashes on minMachines machines.
+	minProbationCrashes = 3
+	answeredMemory      = time.Minute
+	// minSeriesOfAnswered replaces minSeries for a part that was answered within
+	// answeredMemory: targets may crash again and again before they can answer anything.
+	minSeriesOfAnswered = 10
+)
+
+// evidence is a request that had no response when its target crashed.
+type evidence struct {
+	id       uint64 // random
+	reporter state.InstanceID
+	// Hashes of the run of the target, of its address, of its service and of the customer.
+	run, machine, service, customer uint64
+	sentAt, endedAt                 time.Time
+	parts                           []Key // without those that the reporter knew to be answered
+	reportsLeft                     int   // reports that are still to contain it; 0 for those of others
+}
+
+// evidenceLog holds evidence. It bounds it by dropping the oldest.
+type evidenceLog struct {
+	all    []*evidence // in the order in which it was learned
+	byPart map[Key][]*evidence
+	byID   map[evidenceID]bool
+}
+
+// evidenceID identifies evidence over all entries.
+type evidenceID struct {
+	reporter state.InstanceID
+	id       uint64
+}
+
+func newEvidenceLog() evidenceLog {
+	return evidenceLog{byPart: make(map[Key][]*evidence), byID: make(map[evidenceID]bool)}
+}
+
+// add adds evidence. limit bounds what is remembered of its reporter.
+func (l *evidenceLog) add(now time.Time, e *evidence, limit int) {
+	for len(l.all) > 0 && (now.Sub(l.all[0].endedAt) > evidenceMemory || len(l.all) >= maxEvidence) {
+		l.remove(0)
+	}
+	count, oldest := 0, 0
+	for i := len(l.all) - 1; i >= 0; i-- {
+		if l.all[i].reporter == e.reporter {
+			count, oldest = count+1, i
+		}
+	}
+	if count >= limit {
+		l.remove(oldest)
+	}
+	l.all = append(l.all, e)
+	l.byID[evidenceID{e.reporter, e.id}] = true
+	for _, p := range e.parts {
+		l.byPart[p] = append(l.byPart[p], e)
+	}
+}
+
+func (l *evidenceLog) remove(i int) {
+	e := l.all[i]
+	l.all = slices.Delete(l.all, i, i+1)
+	delete(l.byID, evidenceID{e.reporter, e.id})
+	for _, p := range e.parts {
+		rest := slices.DeleteFunc(l.byPart[p], func(other *evidence) bool { return other == e })
+		if l.byPart[p] = rest; len(rest) == 0 {
+			delete(l.byPart, p)
+		}
+	}
+}
+
+// add adds evidence and blocks the parts that it is sufficient to block. The caller must
+// hold l.mu.
+func (l *Ledger) add(now time.Time, e *evidence) {
+	limit := maxEvidenceOfOther
+	if e.reporter == l.cfg.Self {
+		limit = maxEvidence
+	}
+	l.evidence.add(now, e, limit)
+	for _, p := range e.parts {
+		if b := l.blocks[p]; b != nil {
+			l.addToBlock(now, p, b, e)
+		}
+	}
+	l.applyEvidence(now, e.parts)
+}
+
+// verdict sums up the evidence against a part.
+type verdict struct {
+	part      Key
+	crashes   int  // targets that crashed
+	answered  bool // the part was answered within answeredMemory
+	served    bool // the service answered other requests since the first of them was sent
+	series    int  // longest sequence of crashes each of which began after the one before
+	moments   int
+	machines  map[uint64]bool
+	customers map[uint64]bool
+	reporters map[state.InstanceID]bool
+}
+
+// sufficient reports whether the crashes speak against the part.
+func (v *verdict) sufficient() bool {
+	if !v.served {
+		return false
+	}
+	if v.answered {
+		return v.series >= minSeriesOfAnswered
+	}
+	if len(v.machines) < minMachines {
+		return v.series >= minCrashes
+	}
+	return v.series >= minSeries || v.crashes >= minCrashes && (v.series > 1 || v.moments >= minMoments)
+}
+
+// witnessed reports whether what entries have seen suffices to block a part: this entry or
+// two others are among them.
+func (l *Ledger) witnessed(entries map[state.InstanceID]bool) bool {
+	return entries[l.cfg.Self] || len(entries) >= 2
+}
+
+// convicts reports whether the part is to be blocked.
+func (l *Ledger) convicts(v *verdict) bool { return v.sufficient() && l.witnessed(v.reporters) }
+
+// suspects reports whether the part is to be on probation at least.
+func (l *Ledger) suspects(v *verdict) bool {
+	if !l.witnessed(v.reporters) && l.discredited(v.reporters) {
+		return false
+	}
+	if v.sufficient() {
+		return true
+	}
+	return v.served && !v.answered && v.crashes >= minProbationCrashes && len(v.machines) >= minMachines
+}
+
+// changes reports whether the verdict changes what is blocked.
+func (l *Ledger) changes(v *verdict) bool {
+	b := l.blocks[v.part]
+	switch {
+	case b == nil:
+		return l.suspects(v)
+	case b.probation && l.convicts(v):
+		return true
+	default:
+		return v.sufficient() && !b.appliesToAll(v.customers)
+	}
+}
+
+// compare orders verdicts by the number of crashes that they explain.
+func (v *verdict) compare(w *verdict) int {
+	return cmp.Or(cmp.Compare(v.series, w.series), cmp.Compare(v.crashes, w.crashes))
+}
+
+// judge sums up the evidence against a part: requests with it that were sent after it was
+// last answered. A crash that a blocked part explains does not count against others.
+func (l *Ledger) judge(now time.Time, p Key, explained map[uint64][]Key) *verdict {
+	answeredAt, _ := l.answered.Get(p)
+	v := &verdict{part: p, answered: now.Sub(answeredAt) <= answeredMemory, machines: make(map[uint64]bool), customers: make(map[uint64]bool), reporters: make(map[state.InstanceID]bool)}
+	latest := make(map[uint64]*evidence) // by run, the one that was sent last
+	for _, e := range l.evidence.byPart[p] {
+		if !e.sentAt.After(answeredAt) {
+			continue
+		}
+		if by := explained[e.run]; len(by) > 0 && !slices.Contains(by, p) {
+			continue
+		}
+		v.served = v.served || l.served[e.service].After(e.sentAt)
+		v.machines[e.machine], v.customers[e.customer], v.reporters[e.reporter] = true, true, true
+		if known, ok := latest[e.run]; !ok || e.sentAt.After(known.sentAt) {
+			latest[e.run] = e
+		}
+	}
+	crashes := slices.SortedFunc(maps.Values(latest), func(a, b *evidence) int { return a.endedAt.Compare(b.endedAt) })
+	v.crashes = len(crashes)
+	var endOfSeries, lastMoment time.Time
+	for _, e := range crashes {
+		if !e.sentAt.Before(endOfSeries) {
+			v.series++
+			endOfSeries = e.endedAt
+		}
+		if e.endedAt.Sub(lastMoment) > momentGap {
+			v.moments++
+		}
+		lastMoment = e.endedAt
+	}
+	return v
+}
+
+// explainedRuns returns the blocked parts that explain the crash of each run of a target.
+// Parts on probation explain nothing.
+func (l *Ledger) explainedRuns() map[uint64][]Key {
+	explained := make(map[uint64][]Key)
+	for p, b := range l.blocks {
+		if b.probation {
+			continue
+		}
+		for run := range l.runsWith(p) {
+			explained[run] = append(explained[run], p)
+		}
+	}
+	return explained
+}
+
+// applyEvidence blocks those of the parts against which the evidence is sufficient, or puts
+// them on probation. Of several, those with the most crashes go first, and then explain
+// these.
+func (l *Ledger) applyEvidence(now time.Time, parts []Key) {
+	for {
+		worst := l.worstOf(now, parts)
+		if len(worst) == 0 {
+			return
+		}
+		for _, v := range worst {
+			l.applyVerdict(now, v)
+			l.releaseExplained(v.part)
+		}
+	}
+}
+
+// worstOf returns the verdicts on those of the parts for which something is to change, and
+// that have the most crashes: several if these cannot be told apart.
+func (l *Ledger) worstOf(now time.Time, parts []Key) []*verdict {
+	explained := l.explainedRuns()
+	var worst []*verdict
+	for _, p := range parts {
+		v := l.judge(now, p, explained)
+		if !l.changes(v) {
+			continue
+		}
+		if len(worst) > 0 {
+			switch order := v.compare(worst[0]); {
+			case order < 0:
+				continue
+			case order > 0:
+				worst = nil
+			}
+		}
+		worst = append(worst, v)
+	}
+	return worst
+}
+
+// runsWith returns the runs of targets that crashed with a part.
+func (l *Ledger) runsWith(p Key) map[uint64]bool {
+	runs := make(map[uint64]bool)
+	for _, e := range l.evidence.byPart[p] {
+		runs[e.run] = true
+	}
+	return runs
+}
+
+// releaseExplained releases the other blocked parts that were only at targets whose crash
+// this one explains, and not at all of them.
+func (l *Ledger) releaseExplained(p Key) {
+	if l.blocks[p].probation {
+		return
+	}
+	byPart := l.runsWith(p)
+	for other := range l.blocks {
+		runs := l.runsWith(other)
+		if other == p || len(runs) == 0 || len(runs) >= len(byPart) {
+			continue
+		}
+		for run := range byPart {
+			delete(runs, run)
+		}
+		if len(runs) == 0 {
+			l.release(other)
+		}
+	}
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -101,6 +101,7 @@
 	group.Go(func() error { return c.loop(ctx) })
 	group.Go(func() error { return c.join(ctx) })
 	group.Go(func() error { return c.shareMixedServices(ctx) })
+	group.Go(func() error { return c.sharePromptParts(ctx) })
 	group.Go(func() error {
 		return keyedtopic.Follow(ctx, c.p.store, keyedtopic.Topic{Name: platform.ConfigurationTopic, ReadWait: configurationReadWait, Relist: c.restored},
 			&topicHandler{control: c, name: platform.ConfigurationTopic, apply: c.applyConfiguration})
@@ -226,6 +227,13 @@
 	c.storeEra = era
 }
 
+// era returns the era of the latest response of the store, 0 if it has stated none.
+func (c *control) era() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.storeEra
+}
+
 // onEraReport handles the era that another entry reports. If it is higher than the one
 // known here, the waiting reads may be of an offset that was given out again.
 func (c *control) onEraReport(era uint64) {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/quarantine"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
@@ -59,6 +60,7 @@
 	scheduler    *dispatch.Scheduler
 	quota        *quota.Ledger
 	refusals     *refusal.Log
+	quarantine   *quarantine.Ledger
 	origins      *origin.Log
 	gateway      *gateway.Service
 	targetClient *upstream.Client
@@ -94,6 +96,9 @@
 	p.store.OnInvalidEra = func(err error) { p.log.Warn("era of the store ignored", zap.Error(err)) }
 	p.refusals = refusal.NewLog()
 	p.origins = origin.New(p.startedAt, s.FirstStart)
+	p.quarantine = quarantine.New(quarantine.Config{
+		Self: s.Instance, Others: func(now time.Time) []state.InstanceID { return p.mesh.Heard(now) }, OnChange: p.logQuarantine,
+	})
 	p.scheduler = dispatch.New(s.Domain, xxhash.Sum64String(string(s.Instance))^uint64(p.incarnation), time.Now, p, ratelimit.New(ratelimit.Config{
 		Self: s.Instance, StartedAt: p.startedAt,
 		Tolerance: ratelimit.Tolerance{Window: platform.RateLimitWindow, Factor: platform.RateLimitFactor, Slack: platform.RateLimitSlack},
@@ -104,7 +109,7 @@
 		return err
 	}
 	p.gateway = gateway.New(gateway.Config{
-		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Origins: p.origins, AskOrigin: p.mesh.AskOrigin, RetryRatio: s.Bounds.RetryRatio,
+		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Quarantine: p.quarantine, Origins: p.origins, AskOrigin: p.mesh.AskOrigin, RetryRatio: s.Bounds.RetryRatio,
 		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack, RetrySlackFrom: p.retrySlackFrom(),
 		Log: log.Requests, Counters: p.counters,
 	})
@@ -228,6 +233,7 @@
 	expvar.Publish("connections_opened", expvar.Func(func() any { return p.targetClient.ConnectionsOpened() }))
 	expvar.Publish("requests_open", expvar.Func(func() any { return p.callers.OpenRequests() }))
 	expvar.Publish("targets_listed", expvar.Func(func() any { return p.control.targetCount() }))
+	expvar.Publish("prompt_parts", expvar.Func(func() any { return p.quarantine.Summary(time.Now()) }))
 	expvar.Publish("store_topics", expvar.Func(func() any { return p.control.topicReadings() }))
 	expvar.Publish("entries_heard", expvar.Func(func() any { return p.mesh.PeerCount(time.Now()) }))
 	ln, err := net.Listen("tcp4", netip.AddrPortFrom(p.settings.IP, platform.MetricsPort).String())
--- a/internal/daemon/origins.go
+++ b/internal/daemon/origins.go
@@ -26,7 +26,7 @@
 	if listCurrentAt, _ := p.control.listTimes(); now.Sub(listCurrentAt) < maxListAge {
 		return true
 	}
-	heard := p.mesh.HeardCount(now)
+	heard := len(p.mesh.Heard(now))
 	return heard > 0 && heard >= p.mesh.PeerCount(now)/2
 }
 
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -67,6 +67,9 @@
 	p.quota.ApplyReport(now, m.UsageReport())
 	p.refusals.Learn(now, m.Refused)
 	p.origins.Learn(now, m.Origins)
+	if m.Quarantine != nil {
+		p.quarantine.Learn(now, m.Instance, m.Quarantine)
+	}
 	p.scheduler.SetReport(m.Instance, m.LoadReport())
 	p.control.onEraReport(m.StoreEra)
 	p.control.onListReport(m)
@@ -118,7 +121,7 @@
 	}
 	m := r.p.nearReport(r.nearSentAt)
 	toAll := urgent || r.reportToAllDue(now, position.Count)
-	if !toAll && now.Sub(r.nearSentAt) < idleReportInterval && sameReport(m, r.lastReport) && !r.p.refusals.HasUnreported() && !r.p.origins.HasUnreported(now) {
+	if !toAll && now.Sub(r.nearSentAt) < idleReportInterval && sameReport(m, r.lastReport) && !r.p.refusals.HasUnreported() && !r.p.origins.HasUnreported(now) && !r.p.quarantine.HasUnreported() {
 		return
 	}
 	r.send(now, m, toAll)
@@ -140,6 +143,9 @@
 	r.sequence++
 	m.Sequence = r.sequence
 	m.Refused, m.Origins = r.p.refusals.Unreported(now), r.p.origins.Unreported(now, false)
+	if q := r.p.quarantine.Report(now, toAll); !q.Empty() {
+		m.Quarantine = &q
+	}
 	r.nearSentAt, r.lastReport = now, m
 	reports := mesh.Reports{Near: m}
 	if toAll {
--- a/internal/daemon/restoredstore_test.go
+++ b/internal/daemon/restoredstore_test.go
@@ -15,6 +15,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/quarantine"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/emulator"
 	"github.com/cassiaramp/cassiaramp/internal/state"
@@ -49,6 +50,7 @@
 	}
 	p.scheduler = dispatch.New("a", 1, time.Now, p, ratelimit.New(ratelimit.Config{Self: "self"}))
 	p.origins = origin.New(p.startedAt, true)
+	p.quarantine = quarantine.New(quarantine.Config{Self: "self"})
 	p.control = newControl(p)
 	if p.mesh, err = mesh.New(netip.MustParseAddrPort("127.0.0.1:0"), p.control.snapshot, p.findOrigin); err != nil {
 		t.Fatal(err)
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -27,6 +27,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/quarantine"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
@@ -103,6 +104,8 @@
 	NextReportMillis int `cbor:"15,keyasint,omitempty"`
 	// Limits is what the sender knows of the limits that targets state, and its part of them.
 	Limits map[state.TargetID]ratelimit.Note `cbor:"23,keyasint,omitempty"`
+	// Quarantine is what the sender knows of parts of prompts that crash targets.
+	Quarantine *quarantine.Report `cbor:"26,keyasint,omitempty"`
 	// Leaving reports that the sender stops.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 }
@@ -229,17 +232,17 @@
 // isHeard reports whether the entry has reported lately.
 func (p *peer) isHeard(now time.Time) bool { return now.Sub(p.lastHeard) <= heardLately }
 
-// HeardCount returns the number of other entries that have reported lately.
-func (m *Mesh) HeardCount(now time.Time) int {
+// Heard returns the other entries that have reported lately.
+func (m *Mesh) Heard(now time.Time) []state.InstanceID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	count := 0
+	var heard []state.InstanceID
 	for _, p := range m.peers {
 		if p.isHeard(now) {
-			count++
+			heard = append(heard, p.instance)
 		}
 	}
-	return count
+	return heard
 }
 
 // ExpectedPeerCount returns the number of other entries that have reported within
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -119,6 +119,11 @@
 		}
 		conn.Close()
 	}
+	return c.dial(ctx, address)
+}
+
+// dial opens a connection.
+func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
 	raw, err := netconn.Dial(ctx, address, dialTimeout)
 	if err != nil {
 		return nil, err
@@ -129,6 +134,17 @@
 	return &connection{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
 }
 
+// Refuses implements gateway.TargetClient. A connection that it opens goes to the pool.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.expiresAt = time.Now().Add(defaultIdleTimeout)
+	c.pushIdle(conn)
+	return false
+}
+
 // popIdle removes the most recently used idle connection to address from the pool
 // and returns it, nil when there is none.
 func (c *Client) popIdle(address string) *connection {
