Responses without end take bounded memory

Cause: heads, and late responses that are skipped, were read without a limit; bodies and events had limits for one response only, 24 of which exceed the memory of an instance. Change: 64 KiB for the heads of a request and 1 MiB for a late response; all responses that an entry holds take an eighth of its memory together, 64 KiB each apart. The body of a rejection is read up to 64 KiB. Side processes bound heads (4 KiB buffers of the library) and pass bodies on in pieces; they are not affected (read, and bounds tested before).

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -45,8 +45,8 @@
 	}
 	a.observeRateLimit(head)
 	if head.NotRun {
-		_, copyErr := io.Copy(io.Discard, io.LimitReader(ex, maxResponseBytes))
-		bodyRead = copyErr == nil
+		n, copyErr := io.Copy(io.Discard, io.LimitReader(ex, maxRejectionBytes))
+		bodyRead = copyErr == nil && n < maxRejectionBytes
 		outcome := dispatch.Rejected
 		if head.Misdirected {
 			outcome = dispatch.Gone
@@ -61,10 +61,7 @@
 		bodyRead = err == nil
 		return outcome, err
 	}
-	body, err := io.ReadAll(io.LimitReader(ex, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errTooLarge
-	}
+	body, err := a.readBody(ex)
 	if err != nil {
 		return a.outcomeOf(err), err
 	}
@@ -80,6 +77,31 @@
 	return dispatch.Served, nil
 }
 
+// readBody reads a body that is not a stream. What it takes of the memory for responses is
+// given back at the end of the request, because a failure may be passed on later.
+func (a *attempt) readBody(ex Exchange) ([]byte, error) {
+	held := a.request.holdResponse()
+	body := make([]byte, 0, minBodyBuffer)
+	for {
+		if len(body) == cap(body) {
+			if err := held.hold(2 * cap(body)); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, 2*cap(body)), body...)
+		}
+		n, err := ex.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) > maxResponseBytes:
+			return nil, errTooLarge
+		}
+	}
+}
+
 // observeRateLimit records the limit that the target states in its response. The response
 // of another target at the same address says nothing about this one, and an unsigned one,
 // such as a rejection, does not show that a limit has ended.
@@ -188,7 +210,8 @@
 // an error response.
 func (a *attempt) forwardStream(head *state.Response, ex Exchange) (dispatch.Outcome, error) {
 	r := a.request
-	events := newEventReader(ex)
+	events := newEventReader(ex, &heldResponse{memory: r.service.cfg.ResponseMemory})
+	defer events.held.release()
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -270,21 +293,30 @@
 // maxEventBytes bounds the size of one event.
 const maxEventBytes = 4 << 20
 
-type eventReader struct{ in *bufio.Reader }
+type eventReader struct {
+	in   *bufio.Reader
+	held *heldResponse // by the event that was returned last
+}
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{in: bufio.NewReader(r)} }
+func newEventReader(r io.Reader, held *heldResponse) *eventReader {
+	return &eventReader{in: bufio.NewReader(r), held: held}
+}
 
-// next returns the next complete event. The error is io.EOF only if the body ended
+// next returns the next complete event, which takes the place of the one before. The error is io.EOF only if the body ended
 // between two events. A body that ends inside an event was broken off, even if nothing
 // else shows it: a body without length or chunks also ends when its sender crashes.
 func (e *eventReader) next() (event, error) {
 	var ev event
+	e.held.release()
 	for {
 		line, err := e.in.ReadSlice('\n')
 		ev.data = append(ev.data, line...)
 		if len(ev.data) > maxEventBytes {
 			return event{}, errTooLarge
 		}
+		if err := e.held.hold(cap(ev.data)); err != nil {
+			return event{}, err
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -36,6 +36,10 @@
 	// maxResponseBytes bounds the body of a response that is not a stream, which is
 	// held in memory until it is complete.
 	maxResponseBytes = 16 << 20
+	minBodyBuffer    = 4 << 10 // bytes
+	// maxRejectionBytes bounds the body of a response that says that the request did not run,
+	// which is discarded.
+	maxRejectionBytes = 64 << 10
 	// defaultRetryAfter is the retry-after time of a request that did not run before
 	// it had used up its time or the targets that it may be sent to.
 	defaultRetryAfter = 200 * time.Millisecond
@@ -83,6 +87,8 @@
 	RetryWindow    time.Duration
 	RetrySlack     func() float64
 	RetrySlackFrom time.Time
+	// ResponseMemory bounds the bytes of responses that are held at a time.
+	ResponseMemory *ResponseMemory
 	Log            *zap.Logger
 	Counters       *Counters
 }
@@ -181,6 +187,7 @@
 	software    *state.SoftwareVersion
 	lastEventID string // ID of the last event that the caller has
 	lastErr     error
+	held        []*heldResponse // bodies of responses, one an attempt
 	// targetFailure is the latest 5xx response of a target. The caller gets it if no
 	// other target serves the request.
 	targetFailure *failureResponse
@@ -197,6 +204,7 @@
 // disconnects.
 func (s *Service) Serve(ctx context.Context, call *state.Call, arrived time.Time, out Responder) {
 	r := &request{service: s, call: call, responder: out, arrived: arrived, log: s.cfg.Log, lastEventID: call.ResumeAfter}
+	defer r.releaseHeld()
 	if failure := r.admit(ctx); failure != nil {
 		r.fail(*failure)
 		return
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -46,6 +46,10 @@
 	entriesKnownTime = 2 * time.Second
 	// slackFraction is the fraction of the slack that is used.
 	slackFraction = 0.9
+	// responseMemoryShare is the fraction of the process's memory that responses may take,
+	// and defaultResponseMemory what they may take if its limit is not stated, in bytes.
+	responseMemoryShare   = 0.125
+	defaultResponseMemory = 32 << 20
 	// closeExpiredInterval is the time between checks for idle connections to close.
 	closeExpiredInterval = time.Second
 )
@@ -110,7 +114,7 @@
 	}
 	p.gateway = gateway.New(gateway.Config{
 		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Quarantine: p.quarantine, Origins: p.origins, AskOrigin: p.mesh.AskOrigin, RetryRatio: s.Bounds.RetryRatio,
-		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack, RetrySlackFrom: p.retrySlackFrom(),
+		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack, RetrySlackFrom: p.retrySlackFrom(), ResponseMemory: gateway.NewResponseMemory(p.responseMemory()),
 		Log: log.Requests, Counters: p.counters,
 	})
 	p.log.Info("process started", zap.String("instance", string(s.Instance)), zap.String("domain", string(s.Domain)),
@@ -158,6 +162,15 @@
 	p.control.leave()
 }
 
+// responseMemory returns the number of bytes that the responses which this entry holds may
+// take together.
+func (p *gatewayProcess) responseMemory() int {
+	if p.settings.MemoryMB == 0 {
+		return defaultResponseMemory
+	}
+	return int(responseMemoryShare * float64(p.settings.MemoryMB<<20))
+}
+
 // retrySlack returns this entry's share of the repeated sends that all entries
 // together may make beyond the retry ratio. The slack is divided evenly because
 // entries do not report how many repeated sends they made. Entries that are not heard
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -57,7 +57,7 @@
 	scheduler.SetTargets([]state.TargetRecord{{ID: "t", Service: "s", Address: "t", Slots: 4}})
 	g := gateway.New(gateway.Config{
 		Scheduler: scheduler, TargetClient: send, Quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}),
-		Quarantine: quarantine.New(quarantine.Config{}), Origins: origin.New(time.Now(), true), RetryWindow: time.Second, RetrySlack: func() float64 { return 0 }, Log: zap.NewNop(), Counters: gateway.NewCounters(false),
+		Quarantine: quarantine.New(quarantine.Config{}), Origins: origin.New(time.Now(), true), RetryWindow: time.Second, RetrySlack: func() float64 { return 0 }, ResponseMemory: gateway.NewResponseMemory(1 << 20), Log: zap.NewNop(), Counters: gateway.NewCounters(false),
 	})
 	route := func(prefix string, kind state.RouteKind) state.Route {
 		return state.Route{
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -39,8 +39,12 @@
 	defaultIdleTimeout = 10 * time.Second
 	// maxResponses bounds the response heads that are read for one request: interim
 	// responses, late responses to earlier requests, and its own response.
-	maxResponses   = 4
-	readBufferSize = 4 << 10 // bytes
+	maxResponses = 4
+	// maxHeadBytes bounds the heads that are read for one request, and maxSkippedBytes the
+	// body of a late response to an earlier one.
+	maxHeadBytes    = 64 << 10
+	maxSkippedBytes = 1 << 20
+	readBufferSize  = 4 << 10 // bytes
 )
 
 // Client sends requests to targets and pools the idle connections to them. It is
@@ -67,10 +71,38 @@
 type connection struct {
 	net.Conn
 	address   string
+	limit     *limitedReader // of reader
 	reader    *bufio.Reader
 	expiresAt time.Time // end of its idle time; it is not reused from then on
 }
 
+func newConnection(conn net.Conn, address string) *connection {
+	limit := &limitedReader{in: conn}
+	return &connection{Conn: conn, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}
+}
+
+// limitedReader fails after a number of bytes, unless it is unlimited.
+type limitedReader struct {
+	in        io.Reader
+	left      int
+	unlimited bool
+}
+
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if r.unlimited {
+		return r.in.Read(p)
+	}
+	if r.left <= 0 {
+		return 0, errTooLarge
+	}
+	n, err := r.in.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
+// errTooLarge is returned when a target sends more than any answer takes.
+var errTooLarge = errors.New("response head, or late response, is too large")
+
 // Send sends a request once. The error wraps gateway.ErrNotSent when the target
 // certainly did not receive any of it. When ctx ends, the connection is closed, upon
 // which targets abandon the request.
@@ -131,7 +163,7 @@
 	c.mu.Lock()
 	c.openedCount++
 	c.mu.Unlock()
-	return &connection{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	return newConnection(raw, address), nil
 }
 
 // Refuses implements gateway.TargetClient. A connection that it opens goes to the pool.
@@ -241,6 +273,7 @@
 // Head implements gateway.Exchange.
 func (e *exchange) Head() (*state.Response, error) {
 	req := &http.Request{Method: e.method}
+	e.conn.limit.left, e.conn.limit.unlimited = maxHeadBytes, false
 	for range maxResponses {
 		resp, err := http.ReadResponse(e.conn.reader, req)
 		if err != nil {
@@ -252,9 +285,11 @@
 		head := platform.DecodeResponse(resp)
 		if head.RequestID == e.requestID || head.RequestID == "" {
 			e.resp, e.head = resp, head
+			e.conn.limit.unlimited = true // the caller bounds what it reads of the body
 			return head, nil
 		}
 		// This is a late response to an earlier request on the connection.
+		e.conn.limit.left += maxSkippedBytes
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, fmt.Errorf("skip late response of %s to another request: %w", e.conn.address, err)
 		}
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -268,3 +269,44 @@
 		}
 	}
 }
+
+// Guards against memory that grows with a response without end, in its head, in heads before
+// it, or in the response to an earlier request. On the code as it was, 24 requests took an
+// entry to 1.2 GB in a second.
+func TestResponsesWithoutEndAreBounded(t *testing.T) {
+	const sentAtMost = 64 << 20 // bytes; the buffers of the connection take a few megabytes
+	for name, c := range map[string]struct{ start, repeated string }{
+		"status line":       {"", "HTTP/1.1 200 OK"},
+		"header fields":     {"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+		"one field":         {"HTTP/1.1 200 OK\r\nX-Field: ", "value"},
+		"interim responses": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"late response":     {responseStart + "other\r\n\r\n", "body"},
+		"late chunks":       {responseStart + "other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			address, _ := startTarget(t, func(conn net.Conn, r *bufio.Reader) {
+				if !discardRequest(r) {
+					return
+				}
+				respond(t, conn, c.start)
+				piece := strings.Repeat(c.repeated, 4096)
+				n := 0
+				for n < sentAtMost {
+					k, err := io.WriteString(conn, piece)
+					n += k
+					if err != nil {
+						break
+					}
+				}
+				sent <- n
+			})
+			if _, _, err := send(t, New(), address, "a"); err == nil {
+				t.Error("no error for a response without end")
+			}
+			if n := <-sent; n >= sentAtMost {
+				t.Errorf("%d MiB were read before the connection was closed", n>>20)
+			}
+		})
+	}
+}
