Own records are written again after the store has come back from an older copy

Cause: what the system wrote since the copy is gone: addresses of entries, without which an entry that starts cannot find them, the bundle in effect, services with several software versions, blocked prompt parts. Each was written once.

--- a/internal/coordination/bundle/rollout.go
+++ b/internal/coordination/bundle/rollout.go
@@ -162,6 +162,29 @@
 	return p.withOutcome(OutcomeAccepted, nil)
 }
 
+// Keep appends a bundle that is in effect to a register that has lost it, unless the
+// register holds its version or a newer one. It reports whether it appended the bundle.
+func Keep(ctx context.Context, register Register, inEffect *DecodedBundle) (written bool, err error) {
+	record, end, err := register.Newest(ctx)
+	if err != nil {
+		return false, err
+	}
+	if record != nil {
+		stored, err := decodeRegisterRecord(record, end)
+		if err != nil {
+			return false, err
+		}
+		if a, err := newDecodedBundle(stored); err != nil || a.Version >= inEffect.Version {
+			return false, err
+		}
+	}
+	data, err := (&Record{Kind: Proposal, Document: inEffect.Document, Signatures: inEffect.Signatures}).Marshal()
+	if err != nil {
+		return false, err
+	}
+	return true, register.Append(ctx, end, data)
+}
+
 // resolveFailedAppend reads the register to find out whether an append that returned
 // the error cause has stored the bundle.
 func (p Published) resolveFailedAppend(ctx context.Context, register Register, signers state.Signers, cause error) Published {
--- a/internal/coordination/bundle/rollout_test.go
+++ b/internal/coordination/bundle/rollout_test.go
@@ -132,3 +132,39 @@
 		t.Errorf("head %+v, end %d, error %v; want version 2 and end 2", head, end, err)
 	}
 }
+
+// Guards against a bundle that the store has lost and nobody writes again, and against an
+// older one in place of a newer one.
+func TestKeepWritesWhatTheRegisterLacks(t *testing.T) {
+	first := dispatchDocument(t, 1, "", "first")
+	second := dispatchDocument(t, 2, ID(first), "second")
+	r := &fakeRegister{}
+	for _, doc := range [][]byte{first, second} {
+		if p := PublishToRegister(t.Context(), r, initial, doc, signatures(t, doc, "anna", "ben")); p.Outcome != OutcomeAccepted {
+			t.Fatalf("%s: %v", p.Outcome, p.Err)
+		}
+	}
+	inEffect, _, err := ReadRegister(t.Context(), r, initial)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if written, err := Keep(t.Context(), r, inEffect); written || err != nil {
+		t.Errorf("written %t, error %v, for a bundle that the register holds", written, err)
+	}
+	for _, kept := range []int{1, 0} {
+		r.records = r.records[:kept]
+		if written, err := Keep(t.Context(), r, inEffect); !written || err != nil {
+			t.Errorf("written %t, error %v, for a register that has lost the bundle", written, err)
+		}
+		if head, _, err := ReadRegister(t.Context(), r, initial); err != nil || head.ID != inEffect.ID {
+			t.Errorf("the register holds %v, error %v", head, err)
+		}
+	}
+	older, err := decodeAndVerify(state.AcceptedBundle{Document: first, Signatures: signatures(t, first, "anna", "ben")}, initial)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if written, err := Keep(t.Context(), r, older); written || err != nil {
+		t.Errorf("written %t, error %v, for a bundle older than the register's", written, err)
+	}
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -102,6 +102,7 @@
 	group.Go(func() error { return c.join(ctx) })
 	group.Go(func() error { return c.shareMixedServices(ctx) })
 	group.Go(func() error { return c.sharePromptParts(ctx) })
+	group.Go(func() error { return c.keepOwnRecords(ctx) })
 	group.Go(func() error {
 		return keyedtopic.Follow(ctx, c.p.store, keyedtopic.Topic{Name: platform.ConfigurationTopic, ReadWait: configurationReadWait, Relist: c.restored},
 			&topicHandler{control: c, name: platform.ConfigurationTopic, apply: c.applyConfiguration})
--- a/internal/daemon/entries.go
+++ b/internal/daemon/entries.go
@@ -20,14 +20,11 @@
 // join writes this entry's record to the store and passes the addresses in the other
 // entries' records to the mesh. It retries until both have succeeded once.
 func (c *control) join(ctx context.Context) error {
-	value, err := platform.EncodeEntry(platform.EntryRecord{Address: netip.AddrPortFrom(c.p.settings.IP, c.p.settings.FirstPort).String()})
-	if err != nil {
-		return err
-	}
 	written := false
 	for ctx.Err() == nil {
+		var err error
 		if !written {
-			err = c.p.store.Put(ctx, platform.EntryTopic, string(c.p.settings.Instance), value)
+			err = c.putEntryRecord(ctx)
 			written = err == nil
 		}
 		if written {
@@ -46,6 +43,15 @@
 	return nil
 }
 
+// putEntryRecord writes this entry's record.
+func (c *control) putEntryRecord(ctx context.Context) error {
+	value, err := platform.EncodeEntry(platform.EntryRecord{Address: netip.AddrPortFrom(c.p.settings.IP, c.p.settings.FirstPort).String()})
+	if err != nil {
+		return err
+	}
+	return c.p.store.Put(ctx, platform.EntryTopic, string(c.p.settings.Instance), value)
+}
+
 // learnEntries passes the entries' addresses to the mesh. malformed is the error of
 // the records that could not be decoded, or nil.
 func (c *control) learnEntries(entries map[state.InstanceID]platform.EntryRecord, malformed error) {
--- a/internal/daemon/origins.go
+++ b/internal/daemon/origins.go
@@ -47,6 +47,9 @@
 	m := mixedServices{control: c}
 	for {
 		now := time.Now()
+		if era := c.era(); era != m.era {
+			m.stored, m.era = nil, era // what was written may be gone
+		}
 		if !c.p.origins.Covered(now) {
 			m.adopt(ctx)
 		}
@@ -64,6 +67,7 @@
 	control *control
 	// stored is what the store holds; nil if that is unknown.
 	stored map[state.Service][]state.SoftwareVersion
+	era    uint64 // of the store
 }
 
 // read reads the services from the store. It reports whether that succeeded.
@@ -88,8 +92,7 @@
 // has the lowest name of those that do, and knows all versions.
 func (m *mixedServices) update(ctx context.Context, now time.Time) {
 	p := m.control.p
-	_, listReadAt := m.control.listTimes()
-	if now.Sub(listReadAt) > maxListAge || p.mesh.CountReadersBelow(now, p.settings.Instance) > 0 {
+	if !m.control.readsListFirst(now) {
 		m.stored = nil // another entry may write
 		return
 	}
