Soak: restored stores, bytes without end, prompts that crash targets

The store comes back from older copies while operators and targets write again what they wrote; targets send heads or bodies without end; after the faults, requests with a part of a prompt crash engines, which may get three of them later than 3 s after the fifth crash. Entries must stay within their memory.

--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,13 @@
 	LoseResponse, TruncateResponse, ExtraResponse, FailRequests atomic.Bool
 	// RateLimit is the limit that responses state, in requests a second; 0: none.
 	RateLimit atomic.Int64
+	// EndlessHead and EndlessBody make the target run requests and send bytes that are no
+	// response, until the connection is closed: in place of the head or of the body.
+	EndlessHead, EndlessBody atomic.Bool
+	// CrashPart is the part of a prompt under which an engine calls Crash before the first
+	// event; empty for none. Both are set before requests come.
+	CrashPart string
+	Crash     func()
 
 	arrivalsMu sync.Mutex
 	arrivals   []Arrival // while a limit is stated
@@ -134,13 +142,40 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if t.EndlessHead.Load() || t.EndlessBody.Load() {
+		t.sendWithoutEnd(w, id)
+		return
+	}
 	if t.EventsPerStream == 0 {
 		t.servePlain(w, id)
 		return
 	}
+	if t.CrashPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), t.CrashPart+":") {
+		time.Sleep(t.WorkTime)
+		t.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	t.serveStream(w, r, id)
 }
 
+// sendWithoutEnd sends bytes that are no response until the connection is closed.
+func (t *Target) sendWithoutEnd(w http.ResponseWriter, id string) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	noise := strings.Repeat("X-Noise: 0123456789abcdef\r\n", 256)
+	start := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: signed by " + t.ID + "\r\n"
+	if t.EndlessBody.Load() {
+		start += "\r\n"
+	}
+	_, err = buffer.WriteString(start)
+	for err == nil {
+		_, err = buffer.WriteString(noise)
+	}
+}
+
 func (t *Target) servePlain(w http.ResponseWriter, id string) {
 	time.Sleep(t.WorkTime)
 	body := PlainBody(id)
--- a/internal/faultsoak/bundles_test.go
+++ b/internal/faultsoak/bundles_test.go
@@ -22,6 +22,7 @@
 	signersFile string // path of the signers, which the processes read
 	operatorKey ed25519.PrivateKey
 	headID      state.BundleID
+	last        *bundle.DecodedBundle
 	version     uint64
 }
 
@@ -66,8 +67,12 @@
 		p := bundle.PublishToRegister(w.t.Context(), register, pub.signers, document, []state.Signature{signature})
 		if p.Outcome == bundle.OutcomeAccepted {
 			pub.version, pub.headID = p.Version, p.ID
+			pub.last = &bundle.DecodedBundle{ID: p.ID, Bundle: b, AcceptedBundle: state.AcceptedBundle{
+				Version: p.Version, Document: document, Signatures: []state.Signature{signature},
+			}}
 			return
 		}
+		w.publishLostBundle(register)
 		if time.Now().After(end) {
 			w.t.Errorf("publishing bundle version %d failed: %s: %v", b.Version, p.Outcome, p.Err)
 			return
@@ -75,6 +80,29 @@
 	}
 }
 
+// publishLostBundle publishes the last bundle again if neither the store nor an entry has
+// it: the store has come back from an older copy before an entry had read it.
+func (w *world) publishLostBundle(register platform.BundleRegister) {
+	for _, r := range vars.Fetch(w.t.Context(), w.metricsURLs()) {
+		if r.Error != "" || r.Metrics.BundleVersion == w.publisher.version {
+			return
+		}
+	}
+	if last := w.publisher.last; last != nil {
+		if _, err := bundle.Keep(w.t.Context(), register, last); err != nil {
+			w.t.Log("bundle not published again: ", err)
+		}
+	}
+}
+
+func (w *world) metricsURLs() []string {
+	var urls []string
+	for _, e := range w.entries {
+		urls = append(urls, fmt.Sprintf("http://%s:%d", e.ip, platform.MetricsPort))
+	}
+	return urls
+}
+
 // bundleEffectLimit is how long a bundle may take to be in effect in all entries
 // when there are no faults: the time of a read of the store, a report and a fetch.
 const bundleEffectLimit = 5 * time.Second
@@ -83,10 +111,7 @@
 // entries within bundleEffectLimit.
 func (w *world) checkBundles() {
 	w.publishBundle()
-	var urls []string
-	for _, e := range w.entries {
-		urls = append(urls, fmt.Sprintf("http://%s:%d", e.ip, platform.MetricsPort))
-	}
+	urls := w.metricsURLs()
 	var readings []vars.Reading
 	for end := time.Now().Add(bundleEffectLimit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		readings = vars.Fetch(w.t.Context(), urls)
--- a/internal/faultsoak/faults_test.go
+++ b/internal/faultsoak/faults_test.go
@@ -19,6 +19,7 @@
 			w.endLater(func() { w.store.LoseAppendResponses.Store(false) })
 		}},
 		{"store forgets its history", w.store.TrimLogs},
+		{"store comes back from an older copy", w.restoreStore},
 		{"store unreachable for one entry", func() {
 			p := w.randomEntry().storeProxy
 			p.RefuseNew.Store(true)
@@ -65,6 +66,16 @@
 			e.FailRequests.Store(true)
 			w.endLater(func() { e.FailRequests.Store(false) })
 		}},
+		{"target sends a head without end", func() {
+			e := w.randomEngine()
+			e.EndlessHead.Store(true)
+			w.endLater(func() { e.EndlessHead.Store(false) })
+		}},
+		{"target sends a body without end", func() {
+			e := w.randomEngine()
+			e.EndlessBody.Store(true)
+			w.endLater(func() { e.EndlessBody.Store(false) })
+		}},
 		{"target states a limit", func() {
 			e := w.randomEngine()
 			e.RateLimit.Store(1)
@@ -114,6 +125,7 @@
 	} else {
 		e.proxy.RefuseNew.Store(true)
 		e.proxy.Reset(w.random, 1)
+		e.record = nil
 		w.store.Put("keyed.servers", e.ID, nil)
 	}
 	time.AfterFunc(maxFaultDuration, func() {
@@ -125,6 +137,42 @@
 	})
 }
 
+const (
+	// The store is copied every copyInterval, and keptCopies copies are kept.
+	copyInterval = 500 * time.Millisecond
+	keptCopies   = 8
+)
+
+// copyStore copies the store at intervals until the test ends.
+func (w *world) copyStore() {
+	for w.t.Context().Err() == nil {
+		time.Sleep(copyInterval)
+		w.mu.Lock()
+		w.copies = append(w.copies, w.store.Copy())
+		w.copies = w.copies[max(0, len(w.copies)-keptCopies):]
+		w.mu.Unlock()
+	}
+}
+
+// restoreStore takes the store away for a moment and lets it come back from an older copy.
+// The operator and the targets then write again what they wrote; what the entries wrote is
+// gone.
+func (w *world) restoreStore() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.copies) == 0 {
+		return
+	}
+	w.store.Unavailable.Store(true)
+	w.store.Restore(w.copies[w.random.IntN(len(w.copies))])
+	w.copies = nil
+	w.store.Put("keyed.op", "config", w.configuration)
+	for _, e := range w.engines {
+		w.store.Put("keyed.servers", e.ID, e.record)
+	}
+	w.endLater(func() { w.store.Unavailable.Store(false) })
+}
+
 // endAllFaults waits until the faults that last have ended, and clears all faults of
 // the store and the proxies.
 func (w *world) endAllFaults() {
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -3,13 +3,15 @@
 // of the users (package emulator), injects faults from outside and checks what
 // callers and targets see. Package soak runs the code of a deployment with side
 // processes against in-memory fakes.
-// After the faults, some targets state limits and an entry is stopped meanwhile.
+// After the faults, some targets state limits and an entry is stopped meanwhile; then
+// requests come with a part of a prompt that crashes targets.
 //
 // The faults are: connections that a proxy delays, resets, refuses or drops the
 // data of in one direction; processes that are stopped, paused, killed and
-// restarted; targets that lose, truncate or double responses, fail, drain, crash
-// and start again under the same name; a store that is down, slow, loses
-// acknowledgements or forgets its history; and new configurations and bundles.
+// restarted; targets that lose, truncate or double responses, send bytes without end,
+// fail, drain, crash and start again under the same name; a store that is down, slow,
+// loses acknowledgements, forgets its history or comes back from an older copy; and new
+// configurations and bundles.
 // Changes of the time of day are not among them, since they need privileges.
 package faultsoak
 
@@ -93,6 +95,8 @@
 	}
 	w.endAllFaults()
 	w.checkRateLimits()
+	w.checkPromptParts()
+	w.checkMemory()
 	stopLoad()
 	w.waitReady(10 * time.Second)
 	w.checkRecovered()
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -35,8 +35,10 @@
 	*emulator.Target
 	proxy        *emulator.Proxy
 	proxyAddress string
-	removed      bool      // draining or crashed, until it is started again
-	startedAt    time.Time // as stated in its record
+	listener     net.Listener // of the proxy; closed while the engine is crashed
+	removed      bool         // draining or crashed, until it is started again
+	startedAt    time.Time    // as stated in its record
+	record       []byte       // the last one that it wrote; nil if it was removed
 }
 
 // world holds everything that one seed runs.
@@ -53,10 +55,14 @@
 	// storeAddress is the address of the store itself, not of a proxy.
 	storeAddress  string
 	configVersion int
+	configuration []byte           // the last one that was written
+	copies        []*emulator.Copy // of the store, the newest last
 	faultCounts   map[string]int
 	cleanups      []func()
 
 	mu          sync.Mutex
+	closed      bool
+	crashes     []time.Time // crashes under requests with crashPart
 	results     []result
 	sentTo      map[string]string // name of the entry that each request was sent to, by ID
 	disruptions []time.Time       // times of faults that may cut off a response
@@ -67,6 +73,7 @@
 	firstInternalPort, lastInternalPort = 7600, 7615
 	stopGrace                           = 4 * time.Second // from SIGTERM to SIGKILL
 	eventsPerStream                     = 8               // in a response of an engine that streams
+	memoryLimitMB                       = 284             // of an entry
 )
 
 // softwareVersions are the versions that the targets' software may have.
@@ -89,6 +96,7 @@
 		w.addEntry(i, w.storeAddress)
 	}
 	go w.repeatTargetRecords()
+	go w.copyStore()
 	return w
 }
 
@@ -112,11 +120,24 @@
 		target.Service, target.EventsPerStream = "model", eventsPerStream
 	}
 	proxy := emulator.NewProxy(w.serveOn("127.0.0.1:0", func(ln net.Listener) { target.Serve(ln) }))
-	e := &engine{Target: target, proxy: proxy, startedAt: time.Now(), proxyAddress: w.serveOn("127.0.0.1:0", proxy.Serve)}
+	e := &engine{Target: target, proxy: proxy, startedAt: time.Now()}
+	target.CrashPart, target.Crash = crashPart, func() { w.crash(e) }
+	w.serveEngine(e, "127.0.0.1:0")
 	w.engines = append(w.engines, e)
 	w.putTargetRecord(e, "ready")
 }
 
+// serveEngine serves the engine's proxy at an address.
+func (w *world) serveEngine(e *engine, address string) {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		w.t.Errorf("%s: %v", e.ID, err)
+		return
+	}
+	e.listener, e.proxyAddress = ln, ln.Addr().String()
+	go e.proxy.Serve(ln)
+}
+
 // putTargetRecord writes a target's record with the given state to the store.
 func (w *world) putTargetRecord(e *engine, state string) {
 	b, err := e.Record(e.proxyAddress, state, e.startedAt)
@@ -124,6 +145,7 @@
 		w.t.Error(err)
 		return
 	}
+	e.record = b
 	w.store.Put("keyed.servers", e.ID, b)
 }
 
@@ -167,6 +189,9 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	w.mu.Lock()
+	w.configuration = b
+	w.mu.Unlock()
 	w.store.Put("keyed.op", "config", b)
 }
 
@@ -179,9 +204,9 @@
 	proxied := w.serveOn("127.0.0.1:0", e.storeProxy.Serve)
 	e.bootFile = filepath.Join(w.logDirectory, e.name+".conf")
 	text := fmt.Sprintf("NodeName=%s\nZone=a\nIp=%s\nListen.Front=%s:%d\nListen.Ready=%s:%d\nInternalPorts=%d,%d\nBootstrap=%t\n"+
-		"HeartbeatMs=1200\nBounds.GraceS=%g\nBounds.DrainMs=2000\nBounds.RetryBudgetRatio=0.2\nBounds.BudgetWindowS=10\n"+
+		"HeartbeatMs=1200\nLimits.MemoryMb=%d\nBounds.GraceS=%g\nBounds.DrainMs=2000\nBounds.RetryBudgetRatio=0.2\nBounds.BudgetWindowS=10\n"+
 		"Bounds.RetryBudgetSlack=56\nBounds.QuotaWindowS=8\nPlatform.Address=%s\n",
-		e.name, e.ip, e.ip, callerPort, e.ip, readyPort, firstInternalPort, lastInternalPort, i == 0, stopGrace.Seconds(), proxied)
+		e.name, e.ip, e.ip, callerPort, e.ip, readyPort, firstInternalPort, lastInternalPort, i == 0, memoryLimitMB, stopGrace.Seconds(), proxied)
 	if err := os.WriteFile(e.bootFile, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
@@ -257,6 +282,12 @@
 	for _, f := range w.cleanups {
 		f()
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	for _, e := range w.engines {
+		e.listener.Close()
+	}
 }
 
 // isReady reports whether an entry answers the platform's readiness check.
