Soak records the crash of an engine before it cuts off responses

Traced: the engine crashed under a prompt; the crash was recorded as a disruption after the connections were reset, 0.1 ms too late for the check. Change: it is recorded before. The check is as it was.

--- a/internal/faultsoak/promptparts_test.go
+++ b/internal/faultsoak/promptparts_test.go
@@ -30,10 +30,10 @@
 	if e.removed || w.closed {
 		return
 	}
+	w.disruptions = append(w.disruptions, time.Now()) // before the first response is cut off
 	e.removed = true
 	e.listener.Close()
 	e.proxy.Reset(w.random, 1)
-	w.disruptions = append(w.disruptions, time.Now())
 	time.AfterFunc(restartTime, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
