Streams taken up at the start of a process wait for what it reads

Callers saw: 503 unknown_origin for streams that they took up at an entry in the first milliseconds after its restart, although the service has one version only. Cause: until the entry had read from the store which services have several versions, and the list of targets, the origin counted as unknown at once. Change: in the first 2 s of a process such a request waits up to 0.3 s for them. Evidence: TestStreamTakenUpAtTheStartOfAProcess failed before.

--- a/internal/coordination/gateway/software_test.go
+++ b/internal/coordination/gateway/software_test.go
@@ -157,3 +157,37 @@
 		})
 	}
 }
+
+// Guards against refusing a stream that is taken up in the first moments of a process, which
+// learns a little later that all targets have had one version.
+func TestStreamTakenUpAtTheStartOfAProcess(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	for name, c := range map[string]struct {
+		knownAfter time.Duration
+		goesOn     bool
+	}{
+		"known soon":     {100 * time.Millisecond, true},
+		"known too late": {maxOriginWait + time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				targets := &fakeTargetClient{behaviours: []behaviour{respondWith(200, events[len(first):])}}
+				s := newSoftwareService(targets, 1, "v1", "v1")
+				s.cfg.Origins = origin.New(time.Now(), false)
+				time.AfterFunc(c.knownAfter, func() {
+					setSoftware(s, "t", "v1", "v1")
+					s.cfg.Origins.AdoptMixed(time.Now(), nil)
+				})
+				began := time.Now()
+				out := serve(t, s, state.Call{ID: "second", ResumeAfter: "1", ResumedRequest: "first"})
+				if out.ended != c.goesOn || !c.goesOn && out.failure.Kind != NotRun {
+					t.Errorf("ended %t, failure %v; want that it goes on: %t", out.ended, out.failure, c.goesOn)
+				}
+				if waited := time.Since(began); waited > maxOriginWait+originCheckInterval {
+					t.Errorf("the caller has waited %s", waited)
+				}
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -15,6 +15,15 @@
 // origin. Callers retry at other entries, which may know it.
 const unknownOriginRetryAfter = 100 * time.Millisecond
 
+const (
+	// In the first originStartTime of a process, a request waits up to maxOriginWait for what
+	// the process reads at its start: which services have several versions, and the list of
+	// targets.
+	originStartTime     = 2 * time.Second
+	maxOriginWait       = 300 * time.Millisecond
+	originCheckInterval = 10 * time.Millisecond
+)
+
 // takesStreamUp reports whether the caller takes up a stream that began in an earlier
 // request.
 func (r *request) takesStreamUp() bool {
@@ -29,7 +38,7 @@
 		return nil
 	}
 	source := "here"
-	o, ok := r.service.cfg.Origins.Find(time.Now(), r.call.ResumedRequest, r.targetService)
+	o, ok := r.findOriginHere(ctx)
 	var err error
 	if !ok {
 		source = "other_entry"
@@ -52,6 +61,22 @@
 	return nil
 }
 
+// findOriginHere finds out where the stream began from what is known here.
+func (r *request) findOriginHere(ctx context.Context) (o origin.Origin, ok bool) {
+	for began := time.Now(); ; {
+		now := time.Now()
+		o, ok = r.service.cfg.Origins.Find(now, r.call.ResumedRequest, r.targetService)
+		if ok || now.Sub(r.service.started) > originStartTime || now.Sub(began) >= maxOriginWait {
+			return o, ok
+		}
+		select {
+		case <-ctx.Done():
+			return o, false
+		case <-time.After(originCheckInterval):
+		}
+	}
+}
+
 // recordOrigin remembers where the stream began. It is called before the first event is
 // sent to the caller, who can then take the stream up elsewhere.
 func (r *request) recordOrigin(g *dispatch.Grant) {
