--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -42,9 +42,7 @@
 func (s *Scheduler) SetReport(from state.InstanceID, r Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old := s.peerReports[from]; old != nil {
-		s.addReport(&old.report, -1)
-	}
+	s.dropReport(from)
 	s.peerReports[from] = &peerReport{report: r, expires: s.now().Add(max(minReportLifetime, r.Lifetime))}
 	s.addReport(&r, 1)
 	s.notifyRateLimits(s.limits.ApplyReport(s.now(), from, r.Limits))
@@ -55,12 +53,17 @@
 func (s *Scheduler) RemovePeer(from state.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.dropReport(from)
+	s.limits.RemovePeer(from)
+	s.grantFreeSlots()
+}
+
+// dropReport forgets the report of another entry, if there is one.
+func (s *Scheduler) dropReport(from state.InstanceID) {
 	if old := s.peerReports[from]; old != nil {
 		s.addReport(&old.report, -1)
 		delete(s.peerReports, from)
 	}
-	s.limits.RemovePeer(from)
-	s.grantFreeSlots()
 }
 
 // addReport adds the load in a report to the targets if sign is 1, and subtracts it
@@ -94,8 +97,7 @@
 	now := s.now()
 	for id, p := range s.peerReports {
 		if now.After(p.expires) {
-			s.addReport(&p.report, -1)
-			delete(s.peerReports, id)
+			s.dropReport(id)
 		}
 	}
 }
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -201,8 +201,7 @@
 	select {
 	case <-w.done: // granted or refused meanwhile
 		if w.grant != nil {
-			s.limits.Return(s.now(), w.grant.Target.ID)
-			s.release(w.grant, Cancelled)
+			s.release(w.grant, Expired) // it was not sent
 		}
 	default:
 		s.pool(r.Service).queue.remove(w)
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -154,7 +154,7 @@
 		if !limit.Stated {
 			return nil
 		}
-		t = &target{bucket: bucket{used: l.uses(id)}}
+		t = &target{bucket: bucket{used: l.used[id]}}
 		l.targets[id] = t
 	}
 	if !at.After(t.observedAt) {
@@ -272,9 +272,6 @@
 // Forget forgets the limit of a target that has restarted.
 func (l *Ledger) Forget(id state.TargetID) { delete(l.targets, id) }
 
-// uses reports whether this entry sends requests to the target.
-func (l *Ledger) uses(id state.TargetID) bool { return l.used[id] }
-
 // rankHash returns the hash by which entries are ordered for a target.
 func rankHash(id state.TargetID, entry state.InstanceID) uint64 {
 	return xxhash.Sum64String(string(id) + " " + string(entry))
