Parts that cannot be told apart are blocked a few at a time

Cause: a customer whose prompts have 256 shared parts and crash three targets makes all of them blocked, which displaces every other block. Change: at most eight parts of those that cannot be told apart are blocked; one would do, as they come together. Each part is judged once for new evidence. Evidence: TestManyPartsThatCannotBeToldApart; before, the block of another part was gone after one series of crashes.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -33,6 +33,9 @@
 	// minSeriesOfAnswered replaces minSeries for a part that was answered within
 	// answeredMemory: targets may crash again and again before they can answer anything.
 	minSeriesOfAnswered = 10
+	// maxTied bounds the parts that are blocked because they cannot be told apart. One would
+	// do, as they come together.
+	maxTied = 8
 )
 
 // evidence is a request that had no response when its target crashed.
@@ -231,15 +234,18 @@
 // them on probation. Of several, those with the most crashes go first, and then explain
 // these.
 func (l *Ledger) applyEvidence(now time.Time, parts []Key) {
-	for {
+	for parts = slices.Clone(parts); len(parts) > 0; {
 		worst := l.worstOf(now, parts)
 		if len(worst) == 0 {
 			return
 		}
-		for _, v := range worst {
+		for _, v := range worst[:min(len(worst), maxTied)] {
 			l.applyVerdict(now, v)
 			l.releaseExplained(v.part)
 		}
+		for _, v := range worst {
+			parts = slices.DeleteFunc(parts, func(p Key) bool { return p == v.part })
+		}
 	}
 }
 
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -281,6 +281,29 @@
 	}
 }
 
+// Guards against a customer whose prompts have many parts and crash targets, and which so
+// displaces the blocks of other parts.
+func TestManyPartsThatCannotBeToldApart(t *testing.T) {
+	l, bad := newLedger("a"), request("c", "bad")
+	end := l.crashes(bad, minSeries, 0)
+	for n := range 2 * maxBlocks / maxTied {
+		many := Request{Service: "s", Customer: "liar"}
+		for i := range maxParts {
+			many.Parts = append(many.Parts, Key(1000*n+i))
+		}
+		end = l.crashes(many, minSeries, end)
+		if !l.isBlocked(at(end), many) {
+			t.Fatalf("request %d is not blocked", n)
+		}
+		if len(l.blocks) > maxBlocks {
+			t.Fatalf("%d parts are blocked, want at most %d", len(l.blocks), maxBlocks)
+		}
+		if n < maxBlocks/maxTied/2 && l.blocks[bad.Parts[0]] == nil {
+			t.Fatalf("the block of another part is gone after %d series of crashes", n+1)
+		}
+	}
+}
+
 // Guards against a report of another build, or of a faulty one, that makes an entry fail.
 func TestMalformedReports(t *testing.T) {
 	l, bad := newLedger("a"), request("c", "bad")
