Reads notice a restored store after an outage too; the bundle is kept by any first reader

Causes: the bundle was checked once, by whoever was the first reader of the list at that moment, which nobody was after an outage, so a lost bundle was not written again. And a read that failed during the outage came back after the signal that ends waiting reads, and waited 20 s at an offset of the old era. Change: each first reader checks the bundle once an era, whenever it becomes that; a read compares its era with that of the other topics before it waits, and the first read after a failure does not wait.

--- a/internal/coordination/keyedtopic/keyedtopic.go
+++ b/internal/coordination/keyedtopic/keyedtopic.go
@@ -64,10 +64,11 @@
 	// content from elsewhere that is complete up to next. Reading continues from there.
 	// nil: the content is never replaced.
 	ResumeFrom func() (next Position, ok bool)
-	// Relist returns a channel that is closed when the topic is to be listed anew at once,
-	// because the store has come back from an older copy. A waiting read would not end
-	// before the offset that it asks for is given out again. nil: never.
-	Relist func() <-chan struct{}
+	// Era returns the era of the store that other topics have shown, 0 for none, and a channel
+	// that is closed when the topic is to be listed anew at once, because it has changed. A
+	// waiting read would not end before the offset that it asks for is given out again. nil:
+	// nothing is known of other topics.
+	Era func() (era uint64, changed <-chan struct{})
 }
 
 // The pause after failed calls doubles from minRetryPause up to maxRetryPause.
@@ -90,6 +91,7 @@
 			pause = minRetryPause
 		} else if err != nil && ctx.Err() == nil {
 			h.Failed(time.Now(), err)
+			f.failed = true
 			f.retryPause = min(maxRetryPause, max(minRetryPause, 2*f.retryPause))
 			pause = f.retryPause
 		} else {
@@ -115,6 +117,7 @@
 	handler    Handler
 	listed     bool // the content is known up to next
 	next       Position
+	failed     bool // the last call failed
 	retryPause time.Duration
 }
 
@@ -135,7 +138,7 @@
 		if err != nil {
 			return err
 		}
-		f.listed, f.next = true, next
+		f.listed, f.next, f.failed = true, next, false
 		f.handler.Listed(time.Now(), records, next)
 		return nil
 	}
@@ -153,28 +156,36 @@
 	if next.Era != f.next.Era {
 		return errRelist
 	}
-	f.next = next
+	f.next, f.failed = next, false
 	f.handler.Changed(time.Now(), records, next)
 	return nil
 }
 
-// read reads the records that follow. The error is errRelist if it was interrupted by
-// Topic.Relist.
+// read reads the records that follow. The error is errRelist if another topic shows that the
+// era has changed. The first read after a failure does not wait, because the store may have
+// come back from an older copy meanwhile.
 func (f *follower) read(ctx context.Context) ([]Record, Position, error) {
-	if f.topic.Relist == nil {
-		return f.source.Read(ctx, f.topic.Name, f.next, f.topic.ReadWait)
+	wait := f.topic.ReadWait
+	if f.failed {
+		wait = 0
+	}
+	if f.topic.Era == nil {
+		return f.source.Read(ctx, f.topic.Name, f.next, wait)
+	}
+	era, changed := f.topic.Era()
+	if era != 0 && f.next.Era != 0 && era != f.next.Era {
+		return nil, f.next, errRelist
 	}
 	readCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	relist := f.topic.Relist()
 	go func() {
 		select {
-		case <-relist:
+		case <-changed:
 			cancel(errRelist)
 		case <-readCtx.Done():
 		}
 	}()
-	records, next, err := f.source.Read(readCtx, f.topic.Name, f.next, f.topic.ReadWait)
+	records, next, err := f.source.Read(readCtx, f.topic.Name, f.next, wait)
 	if err != nil && errors.Is(context.Cause(readCtx), errRelist) {
 		return nil, next, errRelist
 	}
--- a/internal/coordination/keyedtopic/keyedtopic_test.go
+++ b/internal/coordination/keyedtopic/keyedtopic_test.go
@@ -14,9 +14,10 @@
 // is left.
 type scriptedSource struct {
 	newest   int
-	era      uint64   // of the listings
-	onNewest func()   // called for each listing; may be nil
-	from     []uint64 // offsets that were read from
+	era      uint64          // of the listings
+	onNewest func()          // called for each listing; may be nil
+	waits    []time.Duration // of the reads
+	from     []uint64        // offsets that were read from
 	reads    []func() ([]Record, Position, error)
 }
 
@@ -28,7 +29,8 @@
 	return []Record{{Key: "listed"}}, Position{Era: s.era, Offset: uint64(10 * s.newest)}, nil
 }
 
-func (s *scriptedSource) Read(ctx context.Context, _ string, from Position, _ time.Duration) ([]Record, Position, error) {
+func (s *scriptedSource) Read(ctx context.Context, _ string, from Position, wait time.Duration) ([]Record, Position, error) {
+	s.waits = append(s.waits, wait)
 	s.from = append(s.from, from.Offset)
 	if len(s.reads) == 0 {
 		<-ctx.Done()
--- a/internal/coordination/keyedtopic/restored_test.go
+++ b/internal/coordination/keyedtopic/restored_test.go
@@ -64,27 +64,55 @@
 }
 
 // Guards against a read that waits for an offset which the store has not yet given out
-// again.
-func TestRelistEndsWaitingRead(t *testing.T) {
+// again, although another topic has shown the new era: while it waited, or before it began.
+func TestEraOfOtherTopics(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, h := &scriptedSource{}, &recordingHandler{}
-		relist := make(chan struct{})
+		s, h := &scriptedSource{era: 1}, &recordingHandler{}
+		era, changed := uint64(1), make(chan struct{})
+		restore := func() {
+			era++
+			s.era++
+			close(changed)
+			changed = make(chan struct{})
+		}
+		s.reads = []func() ([]Record, Position, error){
+			func() ([]Record, Position, error) { // another topic shows the era before the next read
+				restore()
+				return []Record{{Key: "r"}}, Position{Era: 1, Offset: 11}, nil
+			},
+		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		time.AfterFunc(time.Second, func() {
-			restored := relist
-			relist = make(chan struct{})
-			close(restored)
-		})
-		if err := Follow(ctx, s, Topic{Name: "t", ReadWait: time.Hour, Relist: func() <-chan struct{} { return relist }}, h); err != nil {
+		time.AfterFunc(10*time.Second, restore)
+		topic := Topic{Name: "t", ReadWait: time.Hour, Era: func() (uint64, <-chan struct{}) { return era, changed }}
+		if err := Follow(ctx, s, topic, h); err != nil {
 			t.Fatal(err)
 		}
-		if diff := cmp.Diff([]string{"listed listed", "listed listed"}, h.seen); diff != "" {
+		if diff := cmp.Diff([]string{"listed listed", "changed r", "listed listed", "listed listed"}, h.seen); diff != "" {
 			t.Errorf("events (-want +got):\n%s", diff)
 		}
 	})
 }
 
+// Guards against a waiting read after an outage, in which the store may have come back from
+// an older copy: it would not end before the offset is given out again.
+func TestFirstReadAfterFailureDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedSource{reads: []func() ([]Record, Position, error){
+			func() ([]Record, Position, error) { return nil, Position{}, errors.New("down") },
+			func() ([]Record, Position, error) { return nil, Position{Offset: 10}, nil },
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if err := Follow(ctx, s, Topic{Name: "t", ReadWait: time.Hour}, &recordingHandler{}); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]time.Duration{time.Hour, 0, time.Hour}, s.waits); diff != "" {
+			t.Errorf("waits of the reads (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // restorableSource is a topic with one key whose values are rising numbers. It can be
 // copied and restored.
 type restorableSource struct {
--- a/internal/daemon/bundles.go
+++ b/internal/daemon/bundles.go
@@ -26,7 +26,7 @@
 // maxListReaders that read the list of targets. Other entries skip the reads and fetch
 // the bundle from an entry when a report names a higher version.
 func (c *control) followBundles(ctx context.Context) error {
-	topic := keyedtopic.Topic{Name: platform.BundleTopic, ReadWait: bundleReadWait, ReadInterval: bundleReadInterval, SkipRead: c.othersReadStore, Relist: c.restored}
+	topic := keyedtopic.Topic{Name: platform.BundleTopic, ReadWait: bundleReadWait, ReadInterval: bundleReadInterval, SkipRead: c.othersReadStore, Era: c.knownEra}
 	return keyedtopic.Follow(ctx, c.p.store, topic, &topicHandler{control: c, name: platform.BundleTopic, apply: c.applyBundles})
 }
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -104,7 +104,7 @@
 	group.Go(func() error { return c.sharePromptParts(ctx) })
 	group.Go(func() error { return c.keepOwnRecords(ctx) })
 	group.Go(func() error {
-		return keyedtopic.Follow(ctx, c.p.store, keyedtopic.Topic{Name: platform.ConfigurationTopic, ReadWait: configurationReadWait, Relist: c.restored},
+		return keyedtopic.Follow(ctx, c.p.store, keyedtopic.Topic{Name: platform.ConfigurationTopic, ReadWait: configurationReadWait, Era: c.knownEra},
 			&topicHandler{control: c, name: platform.ConfigurationTopic, apply: c.applyConfiguration})
 	})
 	group.Go(func() error {
@@ -230,9 +230,8 @@
 
 // era returns the era of the latest response of the store, 0 if it has stated none.
 func (c *control) era() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.storeEra
+	era, _ := c.knownEra()
+	return era
 }
 
 // onEraReport handles the era that another entry reports. If it is higher than the one
@@ -253,11 +252,11 @@
 	c.storeRestored = make(chan struct{})
 }
 
-// restored implements keyedtopic.Topic.Relist.
-func (c *control) restored() <-chan struct{} {
+// knownEra implements keyedtopic.Topic.Era.
+func (c *control) knownEra() (era uint64, changed <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.storeRestored
+	return c.storeEra, c.storeRestored
 }
 
 func (c *control) topicState(topic string) *topicState {
--- a/internal/daemon/ownrecords.go
+++ b/internal/daemon/ownrecords.go
@@ -20,13 +20,15 @@
 	maxRewriteDelay = time.Second
 )
 
-// keepOwnRecords writes again what this entry has written to the store, when that has come
-// back from an older copy: its own record and, at one of the entries, the bundle in effect.
-// The records of other tasks are written again by these.
+// keepOwnRecords writes again what the store has lost when it has come back from an older
+// copy: the record of this entry and, if it is the first reader of the list of targets, the
+// bundle in effect. The records of other tasks are written again by these.
 func (c *control) keepOwnRecords(ctx context.Context) error {
 	tick := time.NewTicker(eraCheckInterval)
 	defer tick.Stop()
-	known := uint64(0)
+	// The eras in which the records are known to be in the store; 0 for none. An entry writes
+	// its record at its start, but may become the first reader at any time.
+	var entryEra, bundleEra uint64
 	for {
 		select {
 		case <-ctx.Done():
@@ -34,36 +36,49 @@
 		case <-tick.C:
 		}
 		era := c.era()
-		if known == 0 || era == known {
-			known = era
-			continue
+		if entryEra == 0 {
+			entryEra = era
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(rand.N(maxRewriteDelay)):
+		if era != entryEra && c.rewriteEntryRecord(ctx, era) {
+			entryEra = era
 		}
-		if c.rewriteRecords(ctx, era) {
-			known = era
+		if era != bundleEra && c.readsListFirst(time.Now()) && c.keepBundle(ctx, era) {
+			bundleEra = era
 		}
 	}
 }
 
-// rewriteRecords writes the records of this entry. It reports whether that succeeded.
-func (c *control) rewriteRecords(ctx context.Context, era uint64) bool {
+// rewriteEntryRecord writes this entry's record after a random delay. It reports whether
+// that succeeded.
+func (c *control) rewriteEntryRecord(ctx context.Context, era uint64) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(rand.N(maxRewriteDelay)):
+	}
 	if err := c.putEntryRecord(ctx); err != nil {
-		c.p.log.Warn("records not written again", zap.Uint64("era", era), zap.Error(err))
+		c.p.log.Warn("entry record not written again", zap.Uint64("era", era), zap.Error(err))
 		return false
 	}
-	bundleWritten := false
-	if current := c.p.rollout.Current(); current != nil && c.readsListFirst(time.Now()) {
-		var err error
-		if bundleWritten, err = bundle.Keep(ctx, platform.BundleRegister{Store: c.p.store}, current); err != nil {
-			c.p.log.Warn("bundle not written again", zap.Uint64("era", era), zap.Uint64("version", current.Version), zap.Error(err))
-			return false
-		}
+	c.p.log.Info("entry record written again", zap.Uint64("era", era))
+	return true
+}
+
+// keepBundle writes the bundle in effect if the store has none or an older one. It reports
+// whether the store has it then.
+func (c *control) keepBundle(ctx context.Context, era uint64) bool {
+	current := c.p.rollout.Current()
+	if current == nil {
+		return false
+	}
+	written, err := bundle.Keep(ctx, platform.BundleRegister{Store: c.p.store}, current)
+	if err != nil {
+		c.p.log.Warn("bundle not written again", zap.Uint64("era", era), zap.Uint64("version", current.Version), zap.Error(err))
+		return false
+	}
+	if written {
+		c.p.log.Info("bundle written again", zap.Uint64("era", era), zap.Uint64("version", current.Version))
 	}
-	c.p.log.Info("records written again", zap.Uint64("era", era), zap.Bool("bundle", bundleWritten))
 	return true
 }
 
--- a/internal/daemon/restoredstore_test.go
+++ b/internal/daemon/restoredstore_test.go
@@ -157,3 +157,17 @@
 	s.putConfiguration(2)
 	s.waitVersion(2)
 }
+
+// Guards against a read that goes on to wait for an offset which the store has not yet given
+// out again, although another topic has shown that it came back from an older copy.
+func TestWaitingReadEndsWhenStoreIsRestored(t *testing.T) {
+	t.Parallel()
+	s := newStoreTest(t)
+	s.putConfiguration(1)
+	older := s.store.Copy()
+	s.putConfiguration(2)
+	s.start()
+	s.waitVersion(2)
+	s.store.Restore(older)
+	s.wait("configuration listed anew", func() bool { return s.control.topicReadings()[platform.ConfigurationTopic].Era == 2 })
+}
