--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -42,6 +42,8 @@
 }{
 	{306, "the emulator sent a second response after a truncated one, and both together had the length stated in the first"},
 	{802, "a stream without length or chunks that a target broke off inside an event reached the caller as complete"},
+	{8000, "the soak recorded the crash of an engine after it had cut off responses, also in 8002 and 8061"},
+	{9003, "nobody wrote a bundle again that the store had lost during an outage, also in 9047 and 9060"},
 }
 
 // TestFaultSoak runs the seeds given by the flags, then regressionSeeds.
