--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -302,9 +302,10 @@
 	return &eventReader{in: bufio.NewReader(r), held: held}
 }
 
-// next returns the next complete event, which takes the place of the one before. The error is io.EOF only if the body ended
-// between two events. A body that ends inside an event was broken off, even if nothing
-// else shows it: a body without length or chunks also ends when its sender crashes.
+// next returns the next complete event, which takes the place of the one before. The error
+// is io.EOF only if the body ended between two events. A body that ends inside an event was
+// broken off, even if nothing else shows it: a body without length or chunks also ends when
+// its sender crashes.
 func (e *eventReader) next() (event, error) {
 	var ev event
 	e.held.release()
