Comment of Expired names its second use

Since grants of requests that a blocked prompt part or the retry budget stops are released as Expired too, the comment named only one of its causes.

--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -117,7 +117,8 @@
 	// Unreachable means that the request was not sent, because no connection could be
 	// opened.
 	Unreachable
-	// Expired means that the request was not sent, because the grant had expired.
+	// Expired means that the request was not sent, because the grant had expired or its
+	// holder does not use it.
 	Expired
 	// Broken means that the response was missing, invalid or incomplete.
 	Broken
