--- a/internal/coordination/gateway/promptpart.go
+++ b/internal/coordination/gateway/promptpart.go
@@ -54,7 +54,7 @@
 // part of its prompt that none has answered since. A target that leaves, or that still takes
 // connections, has not crashed.
 func (r *request) suspectsPrompt(ctx context.Context, g *dispatch.Grant, sentAt time.Time, o dispatch.Outcome, err error) bool {
-	if o != dispatch.Broken || g.Events > 0 || len(r.promptParts) == 0 || !isEndOfConnection(err) || !r.service.cfg.Scheduler.Serves(g) {
+	if o != dispatch.Broken || g.Events > 0 || !isEndOfConnection(err) || !r.service.cfg.Scheduler.Serves(g) {
 		return false
 	}
 	endedAt := time.Now()
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -56,13 +56,24 @@
 	return keys
 }
 
-func hashOf(words ...string) uint64 {
-	var d xxhash.Digest
+// ContentKey returns the key of a request by its content: customer, method, host, path and
+// body.
+func ContentKey(customer state.Customer, c *state.Call) Key {
+	d := digestOf(string(customer), c.Method, c.Host, c.URI)
+	_, _ = d.Write(c.Body) // hash writes never fail
+	return Key(d.Sum64())
+}
+
+func hashOf(words ...string) uint64 { return digestOf(words...).Sum64() }
+
+// digestOf returns a digest to which the words were written.
+func digestOf(words ...string) *xxhash.Digest {
+	d := xxhash.New()
 	for _, w := range words {
 		_, _ = d.WriteString(w) // hash writes never fail
 		_, _ = d.Write([]byte{0})
 	}
-	return d.Sum64()
+	return d
 }
 
 // Request is what the ledger needs to know of a request.
