Failing tests: one repeated request crashes engine after engine

Cause: nothing relates the crashes of targets to a whole request. Only the shared parts of prompts are known to the quarantine.

The simulated engines also crash by the body of a request, and there are routes of a plain service.

--- a/internal/coordination/gateway/promptcrash_test.go
+++ b/internal/coordination/gateway/promptcrash_test.go
@@ -124,9 +124,7 @@
 		return nil, fmt.Errorf("%w: connection refused", ErrNotSent)
 	}
 	x := &crashExchange{ctx: ctx, engines: c, engine: e, running: e.crashed, wait: time.Duration(20+c.random.IntN(60)) * time.Millisecond, events: 8}
-	for _, part := range f.Call.Prompt {
-		x.crashes = x.crashes || part.ID == crashPart && !c.healed
-	}
+	x.crashes = !c.healed && (string(f.Call.Body) == crashBody || slices.ContainsFunc(f.Call.Prompt, func(p state.PromptPart) bool { return p.ID == crashPart }))
 	if x.crashes && time.Since(c.startedAt[f.Call.ID]) > learnTime {
 		c.reached = append(c.reached, time.Now())
 	}
@@ -199,6 +197,11 @@
 	return r.recordingResponder.BeginStream(h)
 }
 
+func (r *startedResponder) Respond(h *state.Response, body []byte) error {
+	r.began = true
+	return r.recordingResponder.Respond(h, body)
+}
+
 // crashFleet is a number of entries before crashEngines.
 type crashFleet struct {
 	*crashEngines
@@ -206,6 +209,8 @@
 	// unheard says which entries send and receive no reports.
 	unheard map[int]bool
 	reports int
+	// learnAfter is the number of crashes from which learnTime counts.
+	learnAfter int
 	// kept is what two entries have written to the store.
 	kept   map[int]keptBlocks
 	starts []time.Time // of the entries
@@ -227,7 +232,7 @@
 
 func newCrashFleet(t *testing.T, seed uint64, entries, engines int) *crashFleet {
 	t.Helper()
-	f := &crashFleet{kept: make(map[int]keptBlocks), sound: make(map[time.Duration]int), began: make(map[time.Duration]int), start: time.Now()}
+	f := &crashFleet{learnAfter: 5, kept: make(map[int]keptBlocks), sound: make(map[time.Duration]int), began: make(map[time.Duration]int), start: time.Now()}
 	for i := range entries {
 		s := newSeededService(nil, seed*100+uint64(i))
 		s.cfg.Quarantine = f.newQuarantine(i, entries)
@@ -257,10 +262,19 @@
 
 // sendTo sends a request to one entry.
 func (f *crashFleet) sendTo(t *testing.T, entry int, path, key string, parts ...string) *startedResponder {
+	body := fmt.Append(nil, "body ", f.sent)
+	return f.sendCall(t, entry, &state.Call{Path: path, APIKey: key, Body: body, HasTokenCounts: true, PromptTokens: 1000, MaxOutputTokens: 40}, parts...)
+}
+
+// sendCall sends a call to one entry, with an identifier and, if it has parts of a prompt, a
+// part of its own.
+func (f *crashFleet) sendCall(t *testing.T, entry int, call *state.Call, parts ...string) *startedResponder {
 	f.sent++
-	call := &state.Call{ID: state.RequestID(fmt.Sprint(f.sent)), Host: "h", Path: path, APIKey: key, HasTokenCounts: true, PromptTokens: 1000, MaxOutputTokens: 40}
-	for _, p := range append(slices.Clone(parts), fmt.Sprint("own-", f.sent)) {
-		call.Prompt = append(call.Prompt, state.PromptPart{ID: p, Tokens: 100})
+	call.ID, call.Host, call.URI = state.RequestID(fmt.Sprint(f.sent)), "h", call.Path
+	if len(parts) > 0 {
+		for _, p := range append(slices.Clone(parts), fmt.Sprint("own-", f.sent)) {
+			call.Prompt = append(call.Prompt, state.PromptPart{ID: p, Tokens: 100})
+		}
 	}
 	f.mu.Lock()
 	f.startedAt[call.ID] = f.starts[entry]
@@ -283,11 +297,15 @@
 
 // sendSound sends a sound request and counts it.
 func (f *crashFleet) sendSound(t *testing.T, key string, parts ...string) {
+	f.countSound(f.send(t, key, parts...))
+}
+
+// countSound counts a sound request that was sent now, and whether its response begins.
+func (f *crashFleet) countSound(out *startedResponder) {
 	at := time.Since(f.start).Truncate(time.Second)
 	f.soundMu.Lock()
 	f.sound[at]++
 	f.soundMu.Unlock()
-	out := f.send(t, key, parts...)
 	time.AfterFunc(2*time.Second, func() {
 		f.soundMu.Lock()
 		defer f.soundMu.Unlock()
@@ -362,16 +380,16 @@
 }
 
 // crashersAfterLearning returns how many requests with the part reached engines later than
-// learnTime after the fifth crash.
+// learnTime after the crash of number learnAfter.
 func (f *crashFleet) crashersAfterLearning() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.crashes) < 5 {
+	if len(f.crashes) < f.learnAfter {
 		return 0
 	}
 	n := 0
 	for _, at := range f.reached {
-		if at.After(f.crashes[4].Add(learnTime)) {
+		if at.After(f.crashes[f.learnAfter-1].Add(learnTime)) {
 			n++
 		}
 	}
@@ -438,6 +456,7 @@
 	burst            int           // requests that come at once
 	pause            time.Duration // between bursts; 0: by perSecond
 	customers        []string      // keys
+	body             string        // of the requests that crash engines; empty: one of their own, and a part of the prompt that does
 	oneEntry         time.Duration // how long they come to one entry only
 	restarts         time.Duration // between restarts of an entry; 0: none
 }
@@ -473,7 +492,11 @@
 	nextBurst, nextRestart := 5*time.Second, 5*time.Second+p.restarts
 	for tick := range int(duration / (20 * time.Millisecond)) {
 		at := time.Duration(tick) * 20 * time.Millisecond
-		f.sendSound(t, p.customers[tick%len(p.customers)], "shared")
+		if p.body == "" {
+			f.sendSound(t, p.customers[tick%len(p.customers)], "shared")
+		} else {
+			f.sendSoundCalls(t, p.path)
+		}
 		n := 0
 		switch {
 		case at < 5*time.Second:
@@ -487,7 +510,11 @@
 			if at < 5*time.Second+p.oneEntry {
 				entry = 0
 			}
-			f.sendTo(t, entry, p.path, p.customers[f.random.IntN(len(p.customers))], "shared", crashPart)
+			if p.body == "" {
+				f.sendTo(t, entry, p.path, p.customers[f.random.IntN(len(p.customers))], "shared", crashPart)
+			} else {
+				f.sendCrashing(t, entry, p.path)
+			}
 		}
 		if p.restarts > 0 && at >= nextRestart {
 			f.restart(f.random.IntN(len(f.entries)))
