Entries try what is on probation by turns

Cause: after 10 to 20 s on probation at several entries, each of them could try a part at the same moment, before the first one's trial was known to the others: with 20 requests a second, three entries sent within 80 ms.

Change: in each turn of 250 ms one entry may try, chosen anew each time; the number doubles after each 30 s instead of 10.

--- a/internal/coordination/quarantine/block.go
+++ b/internal/coordination/quarantine/block.go
@@ -19,9 +19,11 @@
 	// and probationInterval that between two with a part on probation.
 	blockTrialInterval = 10 * time.Second
 	probationInterval  = time.Second
-	// At first one of the entries may try a part, and twice as many with each rampInterval,
-	// because callers with such requests may not come to each.
-	rampInterval = 10 * time.Second
+	// Entries may try a key by turns of trialTurn, in which the others hear of a trial. At
+	// first one of them may in each turn, and twice as many with each rampInterval, because
+	// callers with such requests may seldom come to the one whose turn it is.
+	trialTurn    = 250 * time.Millisecond
+	rampInterval = 30 * time.Second
 	// maxRefuted is the number of an entry's accusations that were refuted after which its
 	// word alone puts no part on probation.
 	maxRefuted = 3
@@ -86,10 +88,10 @@
 	if now.Sub(b.triedAt) < b.trialInterval() {
 		return false
 	}
-	ramp := int(now.Sub(b.until) / rampInterval)
+	turn, ramp := uint64(now.Sub(b.until)/trialTurn), int(now.Sub(b.until)/rampInterval)
 	rank := func(id state.InstanceID) uint64 {
 		text := binary.LittleEndian.AppendUint64([]byte(id), uint64(p))
-		return xxhash.Sum64(binary.LittleEndian.AppendUint64(text, uint64(ramp)))
+		return xxhash.Sum64(binary.LittleEndian.AppendUint64(text, turn))
 	}
 	own, before := rank(l.cfg.Self), 0
 	for _, other := range l.cfg.Others(now) {
