A request whose content crashes targets is kept from them

What callers saw: one request, sent again and again with the same path, customer and body, ended engine after engine; sound requests at the same service fell to a tenth.

Cause: the quarantine knew the shared parts of prompts only. Nothing related the crashes to the request, and requests of plain services had no key at all.

Change: the content of a request is a key of the same account, reports and records, blocked after three crashes for ten minutes at first; crashes under one content do not speak against its parts. An entry that has answered a key lately tells this to the entry that reports a crash with it, so that popular requests need a series of ten.

--- a/internal/coordination/gateway/crashingrequest_test.go
+++ b/internal/coordination/gateway/crashingrequest_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -24,6 +25,7 @@
 	t.Helper()
 	f := newCrashFleet(t, seed, entries, engines)
 	f.learnAfter = toleratedCrashesOfRequest
+	f.crashes = func(c *state.Call) bool { return string(c.Body) == crashBody }
 	for _, s := range f.entries {
 		c := *s.Configuration()
 		get, do := route("get", "/get/", state.IdempotentRoute, false, 2), route("do", "/do/", state.NonIdempotentRoute, false, 1)
@@ -52,6 +54,11 @@
 // their own, one is popular.
 func (f *crashFleet) sendSoundCalls(t *testing.T, path string) {
 	f.countSound(f.sendCall(t, f.random.IntN(len(f.entries)), &state.Call{Path: path, APIKey: "key", Body: fmt.Append(nil, "body ", f.sent)}, promptOf(path)...))
+	f.sendPopular(t)
+}
+
+// sendPopular sends a sound request whose content is always the same.
+func (f *crashFleet) sendPopular(t *testing.T) {
 	f.countSound(f.sendCall(t, f.random.IntN(len(f.entries)), &state.Call{Path: "/get/popular", APIKey: "key"}))
 }
 
@@ -98,6 +105,47 @@
 	})
 }
 
+// Guards against refusing requests that differ from one that crashes targets in the last
+// byte of a long body only, or in the customer, method or path.
+func TestRequestsLikeTheCrashingOneAreServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPlainCrashFleet(t, 1, 3, 9)
+		body := append(bytes.Repeat([]byte("x"), 1<<20), 'a')
+		f.crashes = func(c *state.Call) bool {
+			return c.APIKey == "key" && c.Path == "/get/x" && c.Method == "" && bytes.Equal(c.Body, body)
+		}
+		other := append(bytes.Repeat([]byte("x"), 1<<20), 'b')
+		crashing := state.Call{Path: "/get/x", APIKey: "key", Body: body}
+		var alike []*startedResponder
+		for tick := range 20 * 50 {
+			if tick%10 == 0 {
+				c := crashing
+				f.sendCall(t, f.random.IntN(3), &c)
+			}
+			if tick%10 == 5 {
+				for _, change := range []func(*state.Call){
+					func(c *state.Call) { c.Body = other }, func(c *state.Call) { c.APIKey = "other" },
+					func(c *state.Call) { c.Method = "PUT" }, func(c *state.Call) { c.Path = "/get/y" },
+				} {
+					c := crashing
+					change(&c)
+					out := f.sendCall(t, f.random.IntN(3), &c)
+					if tick > 10*50 {
+						alike = append(alike, out)
+					}
+				}
+			}
+			f.wait(20 * time.Millisecond)
+		}
+		f.checkCrashes(t)
+		for i, out := range alike {
+			if !out.began {
+				t.Fatalf("request %d of %d that differs from the crashing one was not served", i, len(alike))
+			}
+		}
+	})
+}
+
 // checkCrashes waits for the requests and checks how many of those that crash engines
 // reached them late.
 func (f *crashFleet) checkCrashes(t *testing.T) {
@@ -105,8 +153,8 @@
 	f.group.Wait()
 	time.Sleep(restartTime)
 	n := f.crashersAfterLearning()
-	t.Logf("%d crashes, %d requests reached engines, %d of them %s after crash %d", len(f.crashes), len(f.reached), n, learnTime, f.learnAfter)
-	if len(f.crashes) == 0 {
+	t.Logf("%d crashes, %d requests reached engines, %d of them %s after crash %d", len(f.crashTimes), len(f.reached), n, learnTime, f.learnAfter)
+	if len(f.crashTimes) == 0 {
 		t.Fatal("no engine has crashed")
 	}
 	if n > toleratedCrashers {
--- a/internal/coordination/gateway/promptcrash_test.go
+++ b/internal/coordination/gateway/promptcrash_test.go
@@ -43,7 +43,9 @@
 	engines []*crashEngine
 	// changed is called with the list of engines when it changes.
 	changed func([]state.TargetRecord)
-	crashes []time.Time // crashes for which the part is to blame
+	// crashes reports whether a call crashes each engine that begins to run it.
+	crashes    func(*state.Call) bool
+	crashTimes []time.Time // of the crashes under such calls
 	// reached is when requests with the part reached engines, without those of entries that
 	// were started less than learnTime before.
 	reached   []time.Time
@@ -52,7 +54,7 @@
 }
 
 func newCrashEngines(t *testing.T, seed uint64, n int, changed func([]state.TargetRecord)) *crashEngines {
-	c := &crashEngines{t: t, random: rand.New(rand.NewPCG(seed, 3)), changed: changed, startedAt: make(map[state.RequestID]time.Time)}
+	c := &crashEngines{t: t, random: rand.New(rand.NewPCG(seed, 3)), changed: changed, startedAt: make(map[state.RequestID]time.Time), crashes: hasCrashPart}
 	for i := range n {
 		c.engines = append(c.engines, &crashEngine{record: state.TargetRecord{Service: "s", Address: fmt.Sprint("engine-", i), Slots: 9}})
 		c.startEngine(c.engines[i])
@@ -60,6 +62,10 @@
 	return c
 }
 
+func hasCrashPart(c *state.Call) bool {
+	return slices.ContainsFunc(c.Prompt, func(p state.PromptPart) bool { return p.ID == crashPart })
+}
+
 // startEngine starts an engine and lists it. The caller must not hold c.mu.
 func (c *crashEngines) startEngine(e *crashEngine) {
 	c.mu.Lock()
@@ -124,7 +130,7 @@
 		return nil, fmt.Errorf("%w: connection refused", ErrNotSent)
 	}
 	x := &crashExchange{ctx: ctx, engines: c, engine: e, running: e.crashed, wait: time.Duration(20+c.random.IntN(60)) * time.Millisecond, events: 8}
-	x.crashes = !c.healed && (string(f.Call.Body) == crashBody || slices.ContainsFunc(f.Call.Prompt, func(p state.PromptPart) bool { return p.ID == crashPart }))
+	x.crashes = !c.healed && c.crashes(f.Call)
 	if x.crashes && time.Since(c.startedAt[f.Call.ID]) > learnTime {
 		c.reached = append(c.reached, time.Now())
 	}
@@ -171,7 +177,7 @@
 		if x.crashes {
 			if x.engines.crash(x.engine, x.running) {
 				x.engines.mu.Lock()
-				x.engines.crashes = append(x.engines.crashes, time.Now())
+				x.engines.crashTimes = append(x.engines.crashTimes, time.Now())
 				x.engines.mu.Unlock()
 			}
 			return 0, io.ErrUnexpectedEOF
@@ -284,12 +290,13 @@
 	return out
 }
 
-// blockedRequests returns how many requests the entries have refused for their prompts.
+// blockedRequests returns how many requests the entries have refused for their prompts or
+// contents.
 func (f *crashFleet) blockedRequests() int64 {
 	n := int64(0)
 	for _, s := range f.entries {
 		s.cfg.Counters.mu.Lock()
-		n += s.cfg.Counters.counts["failed.not_run."+reasonPromptPart]
+		n += s.cfg.Counters.counts["failed.not_run."+reasonPromptPart] + s.cfg.Counters.counts["failed.not_run."+reasonContent]
 		s.cfg.Counters.mu.Unlock()
 	}
 	return n
@@ -384,12 +391,12 @@
 func (f *crashFleet) crashersAfterLearning() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.crashes) < f.learnAfter {
+	if len(f.crashTimes) < f.learnAfter {
 		return 0
 	}
 	n := 0
 	for _, at := range f.reached {
-		if at.After(f.crashes[f.learnAfter-1].Add(learnTime)) {
+		if at.After(f.crashTimes[f.learnAfter-1].Add(learnTime)) {
 			n++
 		}
 	}
@@ -432,8 +439,8 @@
 				}
 				f.group.Wait()
 				time.Sleep(restartTime)
-				t.Logf("%d crashes, %d requests with the part reached engines, %d of them %s after the fifth crash", len(f.crashes), len(f.reached), f.crashersAfterLearning(), learnTime)
-				if len(f.crashes) == 0 {
+				t.Logf("%d crashes, %d requests with the part reached engines, %d of them %s after the fifth crash", len(f.crashTimes), len(f.reached), f.crashersAfterLearning(), learnTime)
+				if len(f.crashTimes) == 0 {
 					t.Fatal("no engine has crashed")
 				}
 				if n := f.crashersAfterLearning(); n > toleratedCrashers {
@@ -536,7 +543,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newCrashFleet(t, seed, p.entries, p.engines)
 				f.run(t, p, 90*time.Second)
-				t.Logf("%+v: %d crashes, %d requests with the part reached engines, %d late", p, len(f.crashes), len(f.reached), f.crashersAfterLearning())
+				t.Logf("%+v: %d crashes, %d requests with the part reached engines, %d late", p, len(f.crashTimes), len(f.reached), f.crashersAfterLearning())
 				if n := f.crashersAfterLearning(); n > toleratedCrashers {
 					t.Errorf("%d requests with the part reached engines %s after the fifth crash or later, tolerated %d", n, learnTime, toleratedCrashers)
 				}
@@ -565,10 +572,13 @@
 		for _, entries := range []int{3, 12, 60} {
 			t.Run(fmt.Sprintf("%s, %d entries", name, entries), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f := newCrashFleet(t, 5, entries, 9)
+					f := newPlainCrashFleet(t, 5, entries, 9)
 					crashes, nextCrash := 0, 5*time.Second
 					for tick := range 60 * 50 {
 						f.sendSound(t, "key", "shared")
+						if tick%10 == 0 {
+							f.sendPopular(t)
+						}
 						if tick%5 == 0 {
 							f.sendSound(t, "other", "shared", fmt.Sprint("document-", f.random.IntN(200)))
 						}
@@ -582,7 +592,7 @@
 					f.group.Wait()
 					time.Sleep(restartTime)
 					if n := f.blockedRequests(); n > 0 {
-						t.Errorf("%d of %d requests were refused for their prompts after %d crashes, want none", n, f.sent, crashes)
+						t.Errorf("%d of %d requests were refused for their prompts or contents after %d crashes, want none", n, f.sent, crashes)
 					}
 				})
 			})
--- a/internal/coordination/gateway/promptpart.go
+++ b/internal/coordination/gateway/quarantine.go
@@ -15,32 +15,50 @@
 
 const (
 	// reasonPromptPart is the reason of a failure because a part of the prompt crashes
-	// targets.
+	// targets, and reasonContent because the request itself does.
 	reasonPromptPart = "prompt_part"
+	reasonContent    = "crashing_request"
 	// refusalTimeout bounds the check whether a target has ended. The host of an ended
 	// process refuses connections at once.
 	refusalTimeout = 150 * time.Millisecond
 )
 
+// findKeys determines the keys by which the quarantine knows the request.
+func (r *request) findKeys() {
+	contents := quarantine.ContentKeys(r.customerName(), r.call)
+	r.content = contents[0]
+	r.keys = append(quarantine.KeysOf(r.targetService, r.call.Prompt), contents...)
+}
+
 // quarantined returns what the quarantine needs to know of the request.
 func (r *request) quarantined() quarantine.Request {
-	return quarantine.Request{Service: r.targetService, Parts: r.promptParts, Customer: r.customerName()}
+	return quarantine.Request{Service: r.targetService, Keys: r.keys, Customer: r.customerName()}
 }
 
-// checkPrompt reports whether a part of the prompt keeps the request from targets, and how
-// long to wait until it is tried again. begin says that the request is about to be sent.
-func (r *request) checkPrompt(begin bool) (wait time.Duration, blocked bool) {
-	if len(r.promptParts) == 0 {
-		return 0, false
-	}
+// quarantineBlock says why the quarantine keeps a request from targets.
+type quarantineBlock struct {
+	reason string
+	wait   time.Duration // until what crashes targets is tried again
+}
+
+// checkQuarantine returns what keeps the request from targets, or nil. begin says that the
+// request is about to be sent.
+func (r *request) checkQuarantine(begin bool) *quarantineBlock {
 	now := time.Now()
-	part, until := r.service.cfg.Quarantine.Check(now, r.quarantined(), begin)
-	if part < 0 {
-		return 0, false
+	i, until := r.service.cfg.Quarantine.Check(now, r.quarantined(), begin)
+	if i < 0 {
+		return nil
+	}
+	b := &quarantineBlock{reason: reasonContent, wait: until.Sub(now)}
+	fields := []zap.Field{zap.String("request", string(r.call.ID)), zap.String("customer", string(r.customerName())),
+		zap.Uint64("key", uint64(r.keys[i])), zap.Duration("wait", b.wait)}
+	if r.keys[i].IsContent() {
+		r.log.Info("crashing request blocked", fields...)
+		return b
 	}
-	r.log.Info("prompt part blocked", zap.String("request", string(r.call.ID)), zap.String("customer", string(r.customerName())),
-		zap.String("part", r.call.Prompt[part].ID), zap.Uint64("key", uint64(r.promptParts[part])), zap.Duration("wait", until.Sub(now)))
-	return until.Sub(now), true
+	b.reason = reasonPromptPart
+	r.log.Info("prompt part blocked", append(fields, zap.String("part", r.call.Prompt[i].ID))...)
+	return b
 }
 
 // responseStarted records that the target has started to respond.
@@ -49,11 +67,11 @@
 	r.service.cfg.Quarantine.Answered(time.Now(), r.quarantined())
 }
 
-// suspectsPrompt records the crash of a target before it began to answer the request, and
-// reports whether the request may have caused it: another target has crashed before under a
-// part of its prompt that none has answered since. A target that leaves, or that still takes
+// suspected records the crash of a target before it began to answer the request, and reports
+// whether the request may have caused it: another target has crashed before under a part of
+// its prompt, or under its content, that none has answered since. A target that leaves, or that still takes
 // connections, has not crashed.
-func (r *request) suspectsPrompt(ctx context.Context, g *dispatch.Grant, sentAt time.Time, o dispatch.Outcome, err error) bool {
+func (r *request) suspected(ctx context.Context, g *dispatch.Grant, sentAt time.Time, o dispatch.Outcome, err error) bool {
 	if o != dispatch.Broken || g.Events > 0 || !isEndOfConnection(err) || !r.service.cfg.Scheduler.Serves(g) {
 		return false
 	}
@@ -68,7 +86,7 @@
 	suspected := r.service.cfg.Quarantine.Suspects(c)
 	r.service.cfg.Counters.Add("target_crashed_under_request")
 	r.log.Info("target crashed under request", zap.String("request", string(r.call.ID)), zap.String("customer", string(r.customerName())),
-		zap.String("target", string(g.Target.ID)), zap.Duration("after", endedAt.Sub(sentAt)), zap.String("prompt", promptText(r.call.Prompt)), zap.Bool("suspected", suspected))
+		zap.String("target", string(g.Target.ID)), zap.Duration("after", endedAt.Sub(sentAt)), zap.String("prompt", promptText(r.call.Prompt)), zap.Uint64("content", uint64(r.content)), zap.Bool("suspected", suspected))
 	return suspected
 }
 
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
-	"github.com/cassiaramp/cassiaramp/internal/coordination/quarantine"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/traffic"
 	"github.com/cassiaramp/cassiaramp/internal/state"
@@ -202,7 +201,7 @@
 	r.service.cfg.Counters.Add("attempt." + o.String())
 	r.log.Info("attempt failed", zap.String("request", string(r.call.ID)), zap.String("target", string(g.Target.ID)),
 		zap.String("outcome", o.String()), zap.Bool("again", willRetry), zap.Int("runs", r.possibleRuns), zap.Int("events", g.Events),
-		zap.String("prompt", promptText(r.call.Prompt)), zap.Uint64("content", uint64(quarantine.ContentKey(r.customerName(), r.call))), zap.NamedError("cause", err))
+		zap.String("prompt", promptText(r.call.Prompt)), zap.Uint64("content", uint64(r.content)), zap.NamedError("cause", err))
 }
 
 // maxLoggedParts bounds the prompt parts in a log line.
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -73,7 +73,7 @@
 	TargetClient TargetClient
 	Quota        *quota.Ledger
 	Refusals     *refusal.Log
-	// Quarantine knows the parts of prompts that crash targets.
+	// Quarantine knows the parts of prompts, and the contents of requests, that crash targets.
 	Quarantine *quarantine.Ledger
 	// Origins remembers where streams began. AskOrigin asks other entries where the stream
 	// of a request began, which is at service if nothing else is known. The error says why
@@ -163,7 +163,8 @@
 	customer      *state.CustomerConfig
 	cost          float64 // charged to the customer's allowance, in units
 	targetService state.Service
-	promptParts   []quarantine.Key // that other requests may have too
+	keys          []quarantine.Key // by which the quarantine knows the request
+	content       quarantine.Key   // that of them which is the same each time the request comes
 	placement     *dispatch.Request
 	arrived       time.Time
 	// firstArrived is when the caller's first attempt arrived; before arrived if that
@@ -234,9 +235,9 @@
 	if failure := r.findOrigin(ctx); failure != nil {
 		return failure
 	}
-	r.promptParts = quarantine.KeysOf(r.targetService, r.call.Prompt)
-	if wait, blocked := r.checkPrompt(false); blocked {
-		return &Failure{Kind: NotRun, Reason: reasonPromptPart, RetryAfter: r.capRetryAfter(wait)}
+	r.findKeys()
+	if b := r.checkQuarantine(false); b != nil {
+		return &Failure{Kind: NotRun, Reason: b.reason, RetryAfter: r.capRetryAfter(b.wait)}
 	}
 	if r.customer != nil {
 		r.cost = r.customer.PlainCost
@@ -431,9 +432,9 @@
 	a := &attempt{request: r, grant: g}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
-	if wait, blocked := r.checkPrompt(true); blocked {
+	if b := r.checkQuarantine(true); b != nil {
 		r.service.cfg.Scheduler.Release(g, dispatch.Expired)
-		r.giveUp(reasonPromptPart, wait)
+		r.giveUp(b.reason, b.wait)
 		return false
 	}
 	repeated := r.reachedTarget
@@ -455,7 +456,7 @@
 		r.countPromptTokens(g, true)
 		return false
 	}
-	return r.afterFailedAttempt(ctx, g, outcome, err, r.suspectsPrompt(ctx, g, sentAt, outcome, err))
+	return r.afterFailedAttempt(ctx, g, outcome, err, r.suspected(ctx, g, sentAt, outcome, err))
 }
 
 // takeRetry takes the permission to send the request once more, if the budget of the
--- a/internal/coordination/quarantine/block.go
+++ b/internal/coordination/quarantine/block.go
@@ -15,6 +15,9 @@
 	// next hold is twice as long, up to maxHold.
 	initialHold = time.Minute
 	maxHold     = time.Hour
+	// initialContentHold replaces initialHold for the content of a request: no other request
+	// waits for its trial.
+	initialContentHold = 10 * time.Minute
 	// blockTrialInterval is the time between two requests with a part whose hold is over,
 	// and probationInterval that between two with a part on probation.
 	blockTrialInterval = 10 * time.Second
@@ -73,6 +76,14 @@
 	b.triedAt, b.ownTrial = time.Time{}, false
 }
 
+// firstHold returns the hold with which the block of a key begins.
+func firstHold(k Key) time.Duration {
+	if k.IsContent() {
+		return initialContentHold
+	}
+	return initialHold
+}
+
 // trialInterval returns the time between two requests that try the part.
 func (b *block) trialInterval() time.Duration {
 	if b.probation {
@@ -127,9 +138,9 @@
 // applyVerdict puts a part on probation or blocks it, as the verdict says, or extends its
 // block to more customers.
 func (l *Ledger) applyVerdict(now time.Time, v *verdict) {
-	b := l.blocks[v.part]
+	b := l.blocks[v.key]
 	if b == nil {
-		b = l.newBlock(now, v.part)
+		b = l.newBlock(now, v.key)
 	}
 	for entry := range v.reporters {
 		if entry != l.cfg.Self {
@@ -137,10 +148,10 @@
 		}
 	}
 	if b.probation && l.convicts(v) {
-		b.beginHold(now, initialHold)
+		b.beginHold(now, firstHold(v.key))
 	}
 	b.addCustomers(v.customers)
-	l.notify(v.part, b, v.crashes, len(v.reporters))
+	l.notify(v.key, b, v.crashes, len(v.reporters))
 }
 
 // addToBlock applies a further crash with a part that is blocked or on probation. Seen by
@@ -149,7 +160,7 @@
 func (l *Ledger) addToBlock(now time.Time, p Key, b *block, e *evidence) {
 	switch {
 	case b.probation && len(b.accusers) > 0 && !b.accusers[e.reporter]:
-		b.beginHold(now, initialHold)
+		b.beginHold(now, firstHold(p))
 	case !b.probation && !e.sentAt.Before(b.until):
 		b.beginHold(e.endedAt, min(maxHold, 2*b.hold))
 	default:
@@ -187,7 +198,7 @@
 	delete(l.blocks, p)
 	l.changeCount++
 	if l.cfg.OnChange != nil {
-		l.cfg.OnChange(Change{Part: p, Released: true})
+		l.cfg.OnChange(Change{Key: p, Released: true})
 	}
 }
 
@@ -196,6 +207,6 @@
 	b.reportsLeft, l.unsent = reportsEach, true
 	l.changeCount++
 	if l.cfg.OnChange != nil {
-		l.cfg.OnChange(Change{Part: p, Probation: b.probation, All: b.all, Until: b.until, Crashes: crashes, Entries: entries})
+		l.cfg.OnChange(Change{Key: p, Probation: b.probation, All: b.all, Until: b.until, Crashes: crashes, Entries: entries})
 	}
 }
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -26,6 +26,8 @@
 	minCrashes = 5
 	minMoments = 3
 	momentGap  = 50 * time.Millisecond
+	// minMomentsOfContent replaces minMoments for the content of a request.
+	minMomentsOfContent = 2
 	// A part that was not answered within answeredMemory is on probation after
 	// minProbationCrashes crashes on minMachines machines.
 	minProbationCrashes = 3
@@ -33,6 +35,9 @@
 	// minSeriesOfAnswered replaces minSeries for a part that was answered within
 	// answeredMemory: targets may crash again and again before they can answer anything.
 	minSeriesOfAnswered = 10
+	// A part is blocked only if minOtherCrashes of the crashes were not under the one request
+	// that had the most: crashes under one request are explained by its content.
+	minOtherCrashes = 2
 	// maxTied bounds the parts that are blocked because they cannot be told apart. One would
 	// do, as they come together.
 	maxTied = 8
@@ -45,15 +50,23 @@
 	// Hashes of the run of the target, of its address, of its service and of the customer.
 	run, machine, service, customer uint64
 	sentAt, endedAt                 time.Time
-	parts                           []Key // without those that the reporter knew to be answered
+	keys                            []Key // without those that the reporter knew to be answered
 	reportsLeft                     int   // reports that are still to contain it; 0 for those of others
 }
 
+// content returns the key that tells the request from others best, 0 if it is not known.
+func (e *evidence) content() Key {
+	if n := len(e.keys); n > 0 && e.keys[n-1].IsContent() {
+		return e.keys[n-1]
+	}
+	return 0
+}
+
 // evidenceLog holds evidence. It bounds it by dropping the oldest.
 type evidenceLog struct {
-	all    []*evidence // in the order in which it was learned
-	byPart map[Key][]*evidence
-	byID   map[evidenceID]bool
+	all   []*evidence // in the order in which it was learned
+	byKey map[Key][]*evidence
+	byID  map[evidenceID]bool
 }
 
 // evidenceID identifies evidence over all entries.
@@ -63,7 +76,7 @@
 }
 
 func newEvidenceLog() evidenceLog {
-	return evidenceLog{byPart: make(map[Key][]*evidence), byID: make(map[evidenceID]bool)}
+	return evidenceLog{byKey: make(map[Key][]*evidence), byID: make(map[evidenceID]bool)}
 }
 
 // add adds evidence. limit bounds what is remembered of its reporter.
@@ -82,8 +95,8 @@
 	}
 	l.all = append(l.all, e)
 	l.byID[evidenceID{e.reporter, e.id}] = true
-	for _, p := range e.parts {
-		l.byPart[p] = append(l.byPart[p], e)
+	for _, p := range e.keys {
+		l.byKey[p] = append(l.byKey[p], e)
 	}
 }
 
@@ -91,10 +104,10 @@
 	e := l.all[i]
 	l.all = slices.Delete(l.all, i, i+1)
 	delete(l.byID, evidenceID{e.reporter, e.id})
-	for _, p := range e.parts {
-		rest := slices.DeleteFunc(l.byPart[p], func(other *evidence) bool { return other == e })
-		if l.byPart[p] = rest; len(rest) == 0 {
-			delete(l.byPart, p)
+	for _, p := range e.keys {
+		rest := slices.DeleteFunc(l.byKey[p], func(other *evidence) bool { return other == e })
+		if l.byKey[p] = rest; len(rest) == 0 {
+			delete(l.byKey, p)
 		}
 	}
 }
@@ -107,19 +120,20 @@
 		limit = maxEvidence
 	}
 	l.evidence.add(now, e, limit)
-	for _, p := range e.parts {
+	for _, p := range e.keys {
 		if b := l.blocks[p]; b != nil {
 			l.addToBlock(now, p, b, e)
 		}
 	}
-	l.applyEvidence(now, e.parts)
+	l.applyEvidence(now, e.keys)
 }
 
-// verdict sums up the evidence against a part.
+// verdict sums up the evidence against a key.
 type verdict struct {
-	part      Key
+	key       Key
 	crashes   int  // targets that crashed
-	answered  bool // the part was answered within answeredMemory
+	byOthers  int  // those of them not under the request that had the most
+	answered  bool // the key was answered within answeredMemory
 	served    bool // the service answered other requests since the first of them was sent
 	series    int  // longest sequence of crashes each of which began after the one before
 	moments   int
@@ -128,18 +142,34 @@
 	reporters map[state.InstanceID]bool
 }
 
-// sufficient reports whether the crashes speak against the part.
+// sufficient reports whether the crashes speak against the key.
 func (v *verdict) sufficient() bool {
-	if !v.served {
+	switch {
+	case v.answered:
+		return v.served && v.explainsMore() && v.series >= minSeriesOfAnswered
+	case v.key.IsContent():
+		return v.sufficientForContent()
+	case !v.served || !v.explainsMore():
 		return false
-	}
-	if v.answered {
-		return v.series >= minSeriesOfAnswered
-	}
-	if len(v.machines) < minMachines {
+	case len(v.machines) < minMachines:
 		return v.series >= minCrashes
+	default:
+		return v.series >= minSeries || v.crashes >= minCrashes && (v.series > 1 || v.moments >= minMoments)
 	}
-	return v.series >= minSeries || v.crashes >= minCrashes && (v.series > 1 || v.moments >= minMoments)
+}
+
+// explainsMore reports whether the key explains more crashes than the content of a single
+// request does.
+func (v *verdict) explainsMore() bool { return v.key.IsContent() || v.byOthers >= minOtherCrashes }
+
+// sufficientForContent reports whether the crashes speak against the content of a request
+// that was not answered lately. It may have crashed targets before the service could answer
+// any other request.
+func (v *verdict) sufficientForContent() bool {
+	if v.series >= minCrashes {
+		return true
+	}
+	return v.served && (v.series >= minSeries || v.crashes >= minSeries && v.moments >= minMomentsOfContent)
 }
 
 // witnessed reports whether what entries have seen suffices to block a part: this entry or
@@ -159,12 +189,12 @@
 	if v.sufficient() {
 		return true
 	}
-	return v.served && !v.answered && v.crashes >= minProbationCrashes && len(v.machines) >= minMachines
+	return v.served && !v.answered && v.explainsMore() && v.crashes >= minProbationCrashes && len(v.machines) >= minMachines
 }
 
 // changes reports whether the verdict changes what is blocked.
 func (l *Ledger) changes(v *verdict) bool {
-	b := l.blocks[v.part]
+	b := l.blocks[v.key]
 	switch {
 	case b == nil:
 		return l.suspects(v)
@@ -183,10 +213,10 @@
 // judge sums up the evidence against a part: requests with it that were sent after it was
 // last answered. A crash that a blocked part explains does not count against others.
 func (l *Ledger) judge(now time.Time, p Key, explained map[uint64][]Key) *verdict {
-	answeredAt, _ := l.answered.Get(p)
-	v := &verdict{part: p, answered: now.Sub(answeredAt) <= answeredMemory, machines: make(map[uint64]bool), customers: make(map[uint64]bool), reporters: make(map[state.InstanceID]bool)}
+	answeredAt, _ := l.answered(p).Get(p)
+	v := &verdict{key: p, answered: now.Sub(answeredAt) <= answeredMemory, machines: make(map[uint64]bool), customers: make(map[uint64]bool), reporters: make(map[state.InstanceID]bool)}
 	latest := make(map[uint64]*evidence) // by run, the one that was sent last
-	for _, e := range l.evidence.byPart[p] {
+	for _, e := range l.evidence.byKey[p] {
 		if !e.sentAt.After(answeredAt) {
 			continue
 		}
@@ -201,6 +231,7 @@
 	}
 	crashes := slices.SortedFunc(maps.Values(latest), func(a, b *evidence) int { return a.endedAt.Compare(b.endedAt) })
 	v.crashes = len(crashes)
+	v.byOthers = v.crashes - mostUnderOneRequest(crashes)
 	var endOfSeries, lastMoment time.Time
 	for _, e := range crashes {
 		if !e.sentAt.Before(endOfSeries) {
@@ -215,6 +246,19 @@
 	return v
 }
 
+// mostUnderOneRequest returns the largest number of the crashes that were under requests with
+// the same content.
+func mostUnderOneRequest(crashes []*evidence) int {
+	most, counts := min(1, len(crashes)), make(map[Key]int)
+	for _, e := range crashes {
+		if c := e.content(); c != 0 {
+			counts[c]++
+			most = max(most, counts[c])
+		}
+	}
+	return most
+}
+
 // explainedRuns returns the blocked parts that explain the crash of each run of a target.
 // Parts on probation explain nothing.
 func (l *Ledger) explainedRuns() map[uint64][]Key {
@@ -241,10 +285,10 @@
 		}
 		for _, v := range worst[:min(len(worst), maxTied)] {
 			l.applyVerdict(now, v)
-			l.releaseExplained(v.part)
+			l.releaseExplained(v.key)
 		}
 		for _, v := range worst {
-			parts = slices.DeleteFunc(parts, func(p Key) bool { return p == v.part })
+			parts = slices.DeleteFunc(parts, func(p Key) bool { return p == v.key })
 		}
 	}
 }
@@ -275,7 +319,7 @@
 // runsWith returns the runs of targets that crashed with a part.
 func (l *Ledger) runsWith(p Key) map[uint64]bool {
 	runs := make(map[uint64]bool)
-	for _, e := range l.evidence.byPart[p] {
+	for _, e := range l.evidence.byKey[p] {
 		runs[e.run] = true
 	}
 	return runs
@@ -287,13 +331,13 @@
 	if l.blocks[p].probation {
 		return
 	}
-	byPart := l.runsWith(p)
+	byKey := l.runsWith(p)
 	for other := range l.blocks {
 		runs := l.runsWith(other)
-		if other == p || len(runs) == 0 || len(runs) >= len(byPart) {
+		if other == p || len(runs) == 0 || len(runs) >= len(byKey) {
 			continue
 		}
-		for run := range byPart {
+		for run := range byKey {
 			delete(runs, run)
 		}
 		if len(runs) == 0 {
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -1,6 +1,7 @@
-// Package quarantine keeps requests from targets if a part of their prompts crashes each
-// target that begins to answer it. The parts are found from the requests that had no
-// response when their targets ended. Entries tell each other what they have seen.
+// Package quarantine keeps requests from targets if a part of their prompts, or their whole
+// content, crashes each target that begins to answer it. Parts and contents are identified
+// by keys. Those that crash targets are found from the requests that had no response when
+// their targets ended. Entries tell each other what they have seen.
 //
 // Invariants:
 //   - A part is blocked only if nothing with it was answered since the crashes that speak
@@ -8,6 +9,8 @@
 //     after crash: a request that had been sent before another crash counts as one with it,
 //     because all targets may end together. Against a part that was answered within the last
 //     minute, more crashes must speak.
+//   - The content of a request is blocked after fewer crashes than a part, because nothing
+//     else is refused with it. Crashes under one content say nothing about its parts.
 //   - Another entry's word alone blocks nothing: it puts a part on probation, in which all
 //     entries together send about one request a second with it, until one is answered. So do
 //     a few crashes with a part of which no answer is known. What only one customer's
@@ -23,63 +26,25 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cassiaramp/cassiaramp/internal/coordination/traffic"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
 const (
-	// maxParts is the number of parts of a prompt that are considered.
-	maxParts = 256
 	// maxAnswered bounds each of the two generations of parts known to be answered, which
-	// together take about half a megabyte.
-	maxAnswered = 1 << 12
-	// maxBlocks bounds the blocked parts.
+	// together take about half a megabyte. maxAnsweredContents does so for contents, most of
+	// which come once; they take about a megabyte.
+	maxAnswered         = 1 << 12
+	maxAnsweredContents = 1 << 13
+	// maxBlocks bounds the blocked keys.
 	maxBlocks = 256
 )
 
-// Key identifies a part of a prompt at a service.
-type Key uint64
-
-// KeysOf returns the keys of the parts of a prompt that requests may have in common: all
-// but the last, which is the request's own.
-func KeysOf(service state.Service, prompt []state.PromptPart) []Key {
-	if len(prompt) < 2 {
-		return nil
-	}
-	shared := prompt[:min(len(prompt)-1, maxParts)]
-	keys := make([]Key, len(shared))
-	for i, part := range shared {
-		keys[i] = Key(hashOf(string(service), part.ID))
-	}
-	return keys
-}
-
-// ContentKey returns the key of a request by its content: customer, method, host, path and
-// body.
-func ContentKey(customer state.Customer, c *state.Call) Key {
-	d := digestOf(string(customer), c.Method, c.Host, c.URI)
-	_, _ = d.Write(c.Body) // hash writes never fail
-	return Key(d.Sum64())
-}
-
-func hashOf(words ...string) uint64 { return digestOf(words...).Sum64() }
-
-// digestOf returns a digest to which the words were written.
-func digestOf(words ...string) *xxhash.Digest {
-	d := xxhash.New()
-	for _, w := range words {
-		_, _ = d.WriteString(w) // hash writes never fail
-		_, _ = d.Write([]byte{0})
-	}
-	return d
-}
-
 // Request is what the ledger needs to know of a request.
 type Request struct {
-	Service  state.Service
-	Parts    []Key
+	Service state.Service
+	// Keys are those of the shared parts of its prompt and, last, of its content.
+	Keys     []Key
 	Customer state.Customer
 }
 
@@ -88,18 +53,18 @@
 	Self state.InstanceID
 	// Others returns the other entries that have been heard lately.
 	Others func(now time.Time) []state.InstanceID
-	// OnChange is called, with the ledger locked, when a part is blocked, blocked for more
+	// OnChange is called, with the ledger locked, when a key is blocked, blocked for more
 	// customers, or released. It must not block or call the ledger.
 	OnChange func(Change)
 }
 
 // Change is a change of what is blocked.
 type Change struct {
-	Part     Key
+	Key      Key
 	Released bool // answered again; the fields below are then meaningless
-	// Probation says that the part is not blocked, but only one request is sent at a time.
+	// Probation says that the key is not blocked, but only one request is sent at a time.
 	Probation bool
-	// All says that the part is blocked for all customers, otherwise for those whose
+	// All says that the key is blocked for all customers, otherwise for those whose
 	// requests were at targets that crashed.
 	All     bool
 	Until   time.Time // when it is tried again
@@ -107,12 +72,13 @@
 	Entries int       // that saw them
 }
 
-// Ledger holds what is known of parts that crash targets. It is safe for concurrent use.
+// Ledger holds what is known of parts and contents that crash targets. It is safe for concurrent use.
 type Ledger struct {
 	cfg Config
-	// answered holds when a part was last answered here or, if there is evidence against
-	// it, elsewhere.
-	answered traffic.RecentCache[Key, time.Time]
+	// answeredParts and answeredContents hold when a key was last answered here or, if there
+	// is evidence against it, elsewhere. They are apart because contents, which seldom recur,
+	// would displace the parts.
+	answeredParts, answeredContents traffic.RecentCache[Key, time.Time]
 
 	mu          sync.Mutex
 	served      map[uint64]time.Time // when a service last answered a request here, by its hash
@@ -129,16 +95,25 @@
 // New returns an empty ledger.
 func New(c Config) *Ledger {
 	return &Ledger{
-		cfg: c, answered: traffic.RecentCache[Key, time.Time]{GenerationLimit: maxAnswered},
-		served: make(map[uint64]time.Time), evidence: newEvidenceLog(), blocks: make(map[Key]*block), sound: make(map[Key]*soundNote), refuted: make(map[state.InstanceID]int),
+		cfg: c, answeredParts: traffic.RecentCache[Key, time.Time]{GenerationLimit: maxAnswered},
+		answeredContents: traffic.RecentCache[Key, time.Time]{GenerationLimit: maxAnsweredContents},
+		served:           make(map[uint64]time.Time), evidence: newEvidenceLog(), blocks: make(map[Key]*block), sound: make(map[Key]*soundNote), refuted: make(map[state.InstanceID]int),
+	}
+}
+
+// answered returns the cache of answers that a key belongs to.
+func (l *Ledger) answered(k Key) *traffic.RecentCache[Key, time.Time] {
+	if k.IsContent() {
+		return &l.answeredContents
 	}
+	return &l.answeredParts
 }
 
-// Answered records that a target has begun to answer a request, which speaks for all parts
-// of its prompt.
+// Answered records that a target has begun to answer a request, which speaks for all of its
+// keys.
 func (l *Ledger) Answered(now time.Time, r Request) {
-	for _, p := range r.Parts {
-		l.answered.Set(p, now)
+	for _, k := range r.Keys {
+		l.answered(k).Set(k, now)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -146,9 +121,9 @@
 	if len(l.evidence.all) == 0 && len(l.blocks) == 0 {
 		return
 	}
-	for _, p := range r.Parts {
+	for _, p := range r.Keys {
 		if l.accused(p) {
-			l.noteSound(p, now)
+			l.noteSound(now, p, now)
 		}
 		l.releaseIfAnswered(p, now)
 	}
@@ -164,19 +139,19 @@
 	l.served[service] = at
 	for _, e := range l.evidence.all {
 		if e.service == service && !before.After(e.sentAt) && at.After(e.sentAt) {
-			l.applyEvidence(at, e.parts)
+			l.applyEvidence(at, e.keys)
 		}
 	}
 }
 
 // accused reports whether there is any evidence against a part, or a block.
 func (l *Ledger) accused(p Key) bool {
-	return l.blocks[p] != nil || len(l.evidence.byPart[p]) > 0
+	return l.blocks[p] != nil || len(l.evidence.byKey[p]) > 0
 }
 
 // answeredSince reports whether the part was answered after a time.
 func (l *Ledger) answeredSince(p Key, t time.Time) bool {
-	at, ok := l.answered.Get(p)
+	at, ok := l.answered(p).Get(p)
 	return ok && at.After(t)
 }
 
@@ -188,7 +163,7 @@
 	EndedAt time.Time
 }
 
-// RecordCrash records a crash that this entry has seen. Parts that were answered since the
+// RecordCrash records a crash that this entry has seen. Keys that were answered since the
 // request was sent do not count.
 func (l *Ledger) RecordCrash(c *Crash) {
 	e := &evidence{
@@ -196,12 +171,12 @@
 		service: hashOf(string(c.Service)), customer: hashOf(string(c.Customer)),
 		sentAt: c.SentAt, endedAt: c.EndedAt, reportsLeft: reportsEach,
 	}
-	for _, p := range c.Parts {
+	for _, p := range c.Keys {
 		if !l.answeredSince(p, c.SentAt) {
-			e.parts = append(e.parts, p)
+			e.keys = append(e.keys, p)
 		}
 	}
-	if len(e.parts) == 0 {
+	if len(e.keys) == 0 {
 		return
 	}
 	l.mu.Lock()
@@ -215,22 +190,22 @@
 	return hashOf(string(t.ID), string(binary.LittleEndian.AppendUint64(nil, uint64(t.Started))))
 }
 
-// Suspects reports whether a part of the prompt was in a request that another target had
-// when it crashed, and was not answered since. Such a request is better not sent again.
+// Suspects reports whether a part of the prompt, or the content, was in a request that
+// another target had when it crashed, and was not answered since. Such a request is better not sent again.
 func (l *Ledger) Suspects(c *Crash) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	run := runOf(&c.Target)
-	return slices.ContainsFunc(c.Parts, func(p Key) bool {
-		return slices.ContainsFunc(l.evidence.byPart[p], func(e *evidence) bool {
+	return slices.ContainsFunc(c.Keys, func(p Key) bool {
+		return slices.ContainsFunc(l.evidence.byKey[p], func(e *evidence) bool {
 			return e.run != run && !l.answeredSince(p, e.sentAt)
 		})
 	})
 }
 
-// Check reports which part of the prompt, by its index, keeps a request from targets, and
+// Check reports which of its keys, by its index, keeps a request from targets, and
 // until when at least; index is -1 if none does. With begin set, the request is about to be
-// sent: if it is the one that tries a blocked part again, no other is for some time.
+// sent: if it is the one that tries a blocked key again, no other is for some time.
 func (l *Ledger) Check(now time.Time, r Request, begin bool) (index int, until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -239,7 +214,7 @@
 	}
 	customer := hashOf(string(r.Customer))
 	var trials []*block
-	for i, p := range r.Parts {
+	for i, p := range r.Keys {
 		b := l.blocks[p]
 		if b == nil || !b.appliesTo(customer) {
 			continue
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -25,7 +25,7 @@
 	for _, p := range append(parts, "own") {
 		prompt = append(prompt, state.PromptPart{ID: p})
 	}
-	return Request{Service: "s", Parts: KeysOf("s", prompt), Customer: customer}
+	return Request{Service: "s", Keys: KeysOf("s", prompt), Customer: customer}
 }
 
 // crash records that a target on a machine crashed under a request.
@@ -253,12 +253,12 @@
 	}
 	for n := range 800 {
 		now := at(float64(n) / 100)
-		own := Request{Service: "s", Parts: parts(), Customer: "c"}
+		own := Request{Service: "s", Keys: parts(), Customer: "c"}
 		l.crash(own, n, now.Add(-time.Millisecond), now)
-		l.Answered(now, Request{Service: "s", Parts: parts()})
+		l.Answered(now, Request{Service: "s", Keys: parts()})
 		var r Report
 		for range 5 {
-			r.Crashes = append(r.Crashes, CrashNote{ID: random.Uint64(), Run: random.Uint64(), Parts: parts()})
+			r.Crashes = append(r.Crashes, CrashNote{ID: random.Uint64(), Run: random.Uint64(), Keys: parts()})
 			r.Sound = append(r.Sound, SoundNote{Key: Key(random.Uint64())})
 			r.Blocks = append(r.Blocks, BlockNote{Key: Key(random.Uint64()), All: true, HoldMillis: 1 << 31})
 			r.Trials = append(r.Trials, TrialNote{Key: Key(random.Uint64())})
@@ -289,7 +289,7 @@
 	for n := range 2 * maxBlocks / maxTied {
 		many := Request{Service: "s", Customer: "liar"}
 		for i := range maxParts {
-			many.Parts = append(many.Parts, Key(1000*n+i))
+			many.Keys = append(many.Keys, Key(1000*n+i))
 		}
 		end = l.crashes(many, minSeries, end)
 		if !l.isBlocked(at(end), many) {
@@ -298,7 +298,7 @@
 		if len(l.blocks) > maxBlocks {
 			t.Fatalf("%d parts are blocked, want at most %d", len(l.blocks), maxBlocks)
 		}
-		if n < maxBlocks/maxTied/2 && l.blocks[bad.Parts[0]] == nil {
+		if n < maxBlocks/maxTied/2 && l.blocks[bad.Keys[0]] == nil {
 			t.Fatalf("the block of another part is gone after %d series of crashes", n+1)
 		}
 	}
@@ -309,9 +309,9 @@
 	l, bad := newLedger("a"), request("c", "bad")
 	l.crashes(bad, minSeries, 0)
 	l.Learn(at(10), "b", &Report{
-		Crashes: []CrashNote{{}, {ID: 1, Parts: make([]Key, maxParts+1)}, {ID: 2, SentMillis: 1, EndedMillis: 1 << 31, Parts: bad.Parts}},
-		Blocks:  []BlockNote{{}, {Key: bad.Parts[0], HoldMillis: 1}, {Key: bad.Parts[0], Customers: make([]uint64, 100), HoldMillis: 1 << 31}},
-		Sound:   []SoundNote{{}}, Trials: []TrialNote{{}, {Key: bad.Parts[0]}},
+		Crashes: []CrashNote{{}, {ID: 1, Keys: make([]Key, maxKeys+1)}, {ID: 2, SentMillis: 1, EndedMillis: 1 << 31, Keys: bad.Keys}},
+		Blocks:  []BlockNote{{}, {Key: bad.Keys[0], HoldMillis: 1}, {Key: bad.Keys[0], Customers: make([]uint64, 100), HoldMillis: 1 << 31}},
+		Sound:   []SoundNote{{}}, Trials: []TrialNote{{}, {Key: bad.Keys[0]}},
 	})
 	if !l.isBlocked(at(20), bad) {
 		t.Error("the part is no longer blocked")
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -16,8 +16,8 @@
 	repeatTime  = 5 * time.Second
 	// soundInterval is the time between reports that the same part was answered.
 	soundInterval = time.Second
-	// maxReportedParts bounds the parts in one report to about ten kilobytes.
-	maxReportedParts = 1 << 10
+	// maxReportedKeys bounds the keys in one report to about ten kilobytes.
+	maxReportedKeys = 1 << 10
 	// maxReportedCustomers bounds the customers of a block in a report. A block for more
 	// than one customer is for all.
 	maxReportedCustomers = 1
@@ -46,7 +46,7 @@
 	ID                              uint64
 	Run, Machine, Service, Customer uint64 // hashes
 	SentMillis, EndedMillis         uint32
-	Parts                           []Key
+	Keys                            []Key
 }
 
 // SoundNote says that a part was answered.
@@ -79,14 +79,15 @@
 	AgeMillis uint32
 }
 
-// soundNote is a part that was answered although there is evidence against it.
+// soundNote is a key that was answered although there is evidence against it, or shortly
+// before there was.
 type soundNote struct {
 	answeredAt, reportedAt time.Time
 	reportsLeft            int
 }
 
-// noteSound prepares the report that a part was answered.
-func (l *Ledger) noteSound(p Key, now time.Time) {
+// noteSound prepares the report that a key was answered.
+func (l *Ledger) noteSound(now time.Time, p Key, answeredAt time.Time) {
 	s := l.sound[p]
 	if s == nil {
 		if len(l.sound) >= maxEvidence {
@@ -95,7 +96,7 @@
 		s = &soundNote{}
 		l.sound[p] = s
 	}
-	s.answeredAt = now
+	s.answeredAt = answeredAt
 	if now.Sub(s.reportedAt) >= soundInterval {
 		s.reportedAt, s.reportsLeft = now, reportsEach
 		l.unsent = true
@@ -116,25 +117,25 @@
 	defer l.mu.Unlock()
 	l.unsent = false
 	var r Report
-	parts := 0
+	keys := 0
 	for _, e := range slices.Backward(l.evidence.all) { // the newest first
 		if e.reporter != l.cfg.Self || e.reportsLeft == 0 && !(toAll && now.Sub(e.endedAt) < repeatTime) {
 			continue
 		}
-		if parts += len(e.parts); parts > maxReportedParts {
+		if keys += len(e.keys); keys > maxReportedKeys {
 			break
 		}
 		e.reportsLeft = max(0, e.reportsLeft-1)
 		r.Crashes = append(r.Crashes, CrashNote{
-			ID: e.id, Run: e.run, Machine: e.machine, Service: e.service, Customer: e.customer, SentMillis: millis(now.Sub(e.sentAt)), EndedMillis: millis(now.Sub(e.endedAt)), Parts: e.parts,
+			ID: e.id, Run: e.run, Machine: e.machine, Service: e.service, Customer: e.customer, SentMillis: millis(now.Sub(e.sentAt)), EndedMillis: millis(now.Sub(e.endedAt)), Keys: e.keys,
 		})
 	}
 	for p, s := range l.sound {
-		if s.reportsLeft > 0 || toAll && now.Sub(s.answeredAt) < repeatTime {
+		if s.reportsLeft > 0 || toAll && now.Sub(s.reportedAt) < repeatTime {
 			s.reportsLeft = max(0, s.reportsLeft-1)
 			r.Sound = append(r.Sound, SoundNote{Key: p, AgeMillis: millis(now.Sub(s.answeredAt))})
 		}
-		if now.Sub(s.answeredAt) >= repeatTime {
+		if now.Sub(s.reportedAt) >= repeatTime {
 			delete(l.sound, p)
 		}
 	}
@@ -200,7 +201,7 @@
 	for _, s := range r.Sound {
 		answeredAt := ago(now, s.AgeMillis)
 		if l.accused(s.Key) && !l.answeredSince(s.Key, answeredAt) {
-			l.answered.Set(s.Key, answeredAt)
+			l.answered(s.Key).Set(s.Key, answeredAt)
 		}
 		l.releaseIfAnswered(s.Key, answeredAt)
 	}
@@ -228,17 +229,23 @@
 	}
 }
 
-// learnCrash adds what another entry has seen, unless it is known.
+// learnCrash adds what another entry has seen, unless it is known. The reporter does not know
+// which of the keys this entry has answered lately, so it is told.
 func (l *Ledger) learnCrash(now time.Time, from state.InstanceID, c *CrashNote) {
-	if len(c.Parts) == 0 || len(c.Parts) > maxParts {
+	if len(c.Keys) == 0 || len(c.Keys) > maxKeys {
 		return
 	}
 	if l.evidence.byID[evidenceID{from, c.ID}] {
 		return
 	}
+	for _, k := range c.Keys {
+		if at, ok := l.answered(k).Get(k); ok && now.Sub(at) <= answeredMemory {
+			l.noteSound(now, k, at)
+		}
+	}
 	l.add(now, &evidence{
 		id: c.ID, reporter: from, run: c.Run, machine: c.Machine, service: c.Service, customer: c.Customer,
-		sentAt: ago(now, c.SentMillis), endedAt: ago(now, c.EndedMillis), parts: c.Parts,
+		sentAt: ago(now, c.SentMillis), endedAt: ago(now, c.EndedMillis), keys: c.Keys,
 	})
 }
 
@@ -283,7 +290,7 @@
 // blocked.
 func (l *Ledger) witnessesOf(p Key) map[state.InstanceID]bool {
 	entries := make(map[state.InstanceID]bool)
-	for _, e := range l.evidence.byPart[p] {
+	for _, e := range l.evidence.byKey[p] {
 		if !l.answeredSince(p, e.sentAt) {
 			entries[e.reporter] = true
 		}
--- a/internal/daemon/ownrecords_test.go
+++ b/internal/daemon/ownrecords_test.go
@@ -40,7 +40,7 @@
 
 // crashes records crashes for which a part is blocked.
 func crashes(q *quarantine.Ledger) {
-	bad := quarantine.Request{Service: "s", Customer: "c", Parts: quarantine.KeysOf("s", []state.PromptPart{{ID: "bad"}, {ID: "own"}})}
+	bad := quarantine.Request{Service: "s", Customer: "c", Keys: quarantine.KeysOf("s", []state.PromptPart{{ID: "bad"}, {ID: "own"}})}
 	at := time.Now().Add(-time.Minute)
 	for n := range 5 {
 		at = at.Add(time.Second)
--- a/internal/daemon/promptparts.go
+++ b/internal/daemon/promptparts.go
@@ -78,19 +78,24 @@
 	return current
 }
 
-// logQuarantine logs that a part of prompts is blocked or released.
+// logQuarantine logs that a part of prompts, or the content of a request, is blocked or
+// released.
 func (p *gatewayProcess) logQuarantine(c quarantine.Change) {
-	key := zap.Uint64("key", uint64(c.Part))
+	what, counter := "prompt part", "prompt_part_"
+	if c.Key.IsContent() {
+		what, counter = "crashing request", "crashing_request_"
+	}
+	key := zap.Uint64("key", uint64(c.Key))
 	switch {
 	case c.Released:
-		p.counters.Add("prompt_part_released")
-		p.log.Info("prompt part released", key)
+		p.counters.Add(counter + "released")
+		p.log.Info(what+" released", key)
 	case c.Probation:
-		p.counters.Add("prompt_part_on_probation")
-		p.log.Warn("prompt part on probation", key, zap.Bool("all_customers", c.All), zap.Int("crashes", c.Crashes), zap.Int("entries", c.Entries))
+		p.counters.Add(counter + "on_probation")
+		p.log.Warn(what+" on probation", key, zap.Bool("all_customers", c.All), zap.Int("crashes", c.Crashes), zap.Int("entries", c.Entries))
 	default:
-		p.counters.Add("prompt_part_blocked")
-		p.log.Warn("prompt part kept from targets", key, zap.Bool("all_customers", c.All), zap.Time("until", c.Until),
+		p.counters.Add(counter + "blocked")
+		p.log.Warn(what+" kept from targets", key, zap.Bool("all_customers", c.All), zap.Time("until", c.Until),
 			zap.Int("crashes", c.Crashes), zap.Int("entries", c.Entries))
 	}
 }
