Failing test: crashes at addresses that still accept connections teach nothing

Cause: a crash counts only if the address of the target refuses connections afterwards. Where something still accepts them and resets them, no crash is recorded (open point of decision 0014).

--- a/internal/coordination/gateway/crashingrequest_test.go
+++ b/internal/coordination/gateway/crashingrequest_test.go
@@ -78,16 +78,29 @@
 		{60, 24, "/stream/x"},
 	} {
 		t.Run(fmt.Sprintf("%d entries, %s", c.entries, c.path), func(t *testing.T) {
-			checkCrashingRequest(t, c.entries, c.engines, c.path)
+			checkCrashingRequest(t, c.entries, c.engines, c.path, false)
 		})
 	}
 }
 
+// Guards against learning nothing from engines that have ended if something still accepts
+// connections at their addresses and resets them.
+func TestCrashIsLearnedWhereTheAddressAcceptsConnections(t *testing.T) {
+	for _, entries := range []int{3, 23, 60} {
+		for _, path := range []string{"/get/x", "/do/x", "/stream/x"} {
+			t.Run(fmt.Sprintf("%d entries, %s", entries, path), func(t *testing.T) {
+				checkCrashingRequest(t, entries, max(4, entries/3), path, true)
+			})
+		}
+	}
+}
+
 // checkCrashingRequest lets the request come about six times a second, and checks what
 // reaches the engines.
-func checkCrashingRequest(t *testing.T, entries, engines int, path string) {
+func checkCrashingRequest(t *testing.T, entries, engines int, path string, accepting bool) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newPlainCrashFleet(t, 1, entries, engines)
+		f.accepting = accepting
 		for tick := range 40 * 50 { // 40 s
 			if tick%3 == 0 {
 				f.sendSoundCalls(t, path)
--- a/internal/coordination/gateway/promptcrash_test.go
+++ b/internal/coordination/gateway/promptcrash_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,6 +52,9 @@
 	reached   []time.Time
 	startedAt map[state.RequestID]time.Time // of the entry, by request
 	healed    bool                          // the part crashes nothing any more
+	// accepting says that the addresses of engines that are down accept connections and
+	// reset them.
+	accepting bool
 }
 
 func newCrashEngines(t *testing.T, seed uint64, n int, changed func([]state.TargetRecord)) *crashEngines {
@@ -109,7 +113,7 @@
 func (c *crashEngines) Refuses(_ context.Context, address string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.find(address).crashed == nil
+	return c.find(address).crashed == nil && !c.accepting
 }
 
 func (c *crashEngines) find(address string) *crashEngine {
@@ -126,6 +130,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.find(f.Target.Address)
+	if e.crashed == nil && c.accepting {
+		return resetExchange{}, nil
+	}
 	if e.crashed == nil {
 		return nil, fmt.Errorf("%w: connection refused", ErrNotSent)
 	}
@@ -137,6 +144,13 @@
 	return x, nil
 }
 
+// resetExchange is a request on a connection that was accepted and is reset.
+type resetExchange struct{}
+
+func (resetExchange) Head() (*state.Response, error) { return nil, syscall.ECONNRESET }
+func (resetExchange) Read([]byte) (int, error)       { return 0, syscall.ECONNRESET }
+func (resetExchange) Close(bool)                     {}
+
 // crashExchange is a request at a crashEngine. Its response begins after wait and has an
 // event every 30 ms, unless the engine crashes.
 type crashExchange struct {
