Crashes are learned where addresses still accept connections

Cause: the end of a target counted only if its address refused connections.

Change: a new connection that is closed within 50 ms, without a request, is evidence as well, if the target then responds to nobody for 0.5 s. A target with as many connections as it takes closes further ones too: a response of it at any entry refutes the evidence and ends what rests on it. Requests that were sent to a target after its end are no evidence. The check does not delay the next attempt.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -43,6 +43,9 @@
 	if err != nil {
 		return a.outcomeOf(err), err
 	}
+	if !head.Misdirected {
+		r.service.cfg.Quarantine.Alive(time.Now(), &a.grant.Target)
+	}
 	a.observeRateLimit(head)
 	if head.NotRun {
 		n, copyErr := io.Copy(io.Discard, io.LimitReader(ex, maxRejectionBytes))
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -49,6 +49,9 @@
 	// Refuses reports whether connections to an address are refused, which shows that the
 	// target there has ended.
 	Refuses(ctx context.Context, address string) bool
+	// Closes reports whether connections to an address that does not refuse them are closed
+	// soon after, without a request.
+	Closes(ctx context.Context, address string) bool
 }
 
 // Exchange is a request that was sent and its response. It is not safe for
--- a/internal/coordination/gateway/promptcrash_test.go
+++ b/internal/coordination/gateway/promptcrash_test.go
@@ -116,6 +116,13 @@
 	return c.find(address).crashed == nil && !c.accepting
 }
 
+// Closes implements TargetClient.
+func (c *crashEngines) Closes(_ context.Context, address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.find(address).crashed == nil
+}
+
 func (c *crashEngines) find(address string) *crashEngine {
 	for _, e := range c.engines {
 		if e.record.Address == address {
@@ -585,35 +592,43 @@
 	} {
 		for _, entries := range []int{3, 12, 60} {
 			t.Run(fmt.Sprintf("%s, %d entries", name, entries), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					f := newPlainCrashFleet(t, 5, entries, 9)
-					crashes, nextCrash := 0, 5*time.Second
-					for tick := range 60 * 50 {
-						f.sendSound(t, "key", "shared")
-						if tick%10 == 0 {
-							f.sendPopular(t)
-						}
-						if tick%5 == 0 {
-							f.sendSound(t, "other", "shared", fmt.Sprint("document-", f.random.IntN(200)))
-						}
-						if at := time.Duration(tick) * 20 * time.Millisecond; at >= nextCrash {
-							crash(f, crashes)
-							crashes++
-							nextCrash = at + time.Duration(200+f.random.IntN(3000))*time.Millisecond
-						}
-						f.wait(20 * time.Millisecond)
-					}
-					f.group.Wait()
-					time.Sleep(restartTime)
-					if n := f.blockedRequests(); n > 0 {
-						t.Errorf("%d of %d requests were refused for their prompts or contents after %d crashes, want none", n, f.sent, crashes)
-					}
-				})
+				checkOtherCauses(t, entries, false, crash)
 			})
 		}
+		t.Run(name+", accepting addresses", func(t *testing.T) { checkOtherCauses(t, 12, true, crash) })
 	}
 }
 
+// checkOtherCauses lets engines crash again and again, and checks that no request is refused
+// for its prompt or content.
+func checkOtherCauses(t *testing.T, entries int, accepting bool, crash func(f *crashFleet, n int)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPlainCrashFleet(t, 5, entries, 9)
+		f.accepting = accepting
+		crashes, nextCrash := 0, 5*time.Second
+		for tick := range 60 * 50 {
+			f.sendSound(t, "key", "shared")
+			if tick%10 == 0 {
+				f.sendPopular(t)
+			}
+			if tick%5 == 0 {
+				f.sendSound(t, "other", "shared", fmt.Sprint("document-", f.random.IntN(200)))
+			}
+			if at := time.Duration(tick) * 20 * time.Millisecond; at >= nextCrash {
+				crash(f, crashes)
+				crashes++
+				nextCrash = at + time.Duration(200+f.random.IntN(3000))*time.Millisecond
+			}
+			f.wait(20 * time.Millisecond)
+		}
+		f.group.Wait()
+		time.Sleep(restartTime)
+		if n := f.blockedRequests(); n > 0 {
+			t.Errorf("%d of %d requests were refused for their prompts or contents after %d crashes, want none", n, f.sent, crashes)
+		}
+	})
+}
+
 // crashEngine crashes one engine for a reason that is in no request.
 func (c *crashEngines) crashEngine(e *crashEngine) {
 	c.mu.Lock()
--- a/internal/coordination/gateway/quarantine.go
+++ b/internal/coordination/gateway/quarantine.go
@@ -69,25 +69,36 @@
 
 // suspected records the crash of a target before it began to answer the request, and reports
 // whether the request may have caused it: another target has crashed before under a part of
-// its prompt, or under its content, that none has answered since. A target that leaves, or that still takes
-// connections, has not crashed.
+// its prompt, or under its content, that none has answered since. A target that leaves, or
+// whose address takes connections and keeps them, has not crashed.
 func (r *request) suspected(ctx context.Context, g *dispatch.Grant, sentAt time.Time, o dispatch.Outcome, err error) bool {
 	if o != dispatch.Broken || g.Events > 0 || !isEndOfConnection(err) || !r.service.cfg.Scheduler.Serves(g) {
 		return false
 	}
-	endedAt := time.Now()
+	c := &quarantine.Crash{Request: r.quarantined(), Target: g.Target, SentAt: sentAt, EndedAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refusalTimeout)
-	defer cancel()
 	if !r.service.cfg.TargetClient.Refuses(ctx, g.Target.Address) {
+		// The request need not wait for the rest of the check.
+		go func() {
+			defer cancel()
+			if c.Closed = r.service.cfg.TargetClient.Closes(ctx, g.Target.Address); c.Closed {
+				r.recordCrash(c)
+			}
+		}()
 		return false
 	}
-	c := &quarantine.Crash{Request: r.quarantined(), Target: g.Target, SentAt: sentAt, EndedAt: endedAt}
-	r.service.cfg.Quarantine.RecordCrash(c)
-	suspected := r.service.cfg.Quarantine.Suspects(c)
+	defer cancel()
+	r.recordCrash(c)
+	return r.service.cfg.Quarantine.Suspects(c)
+}
+
+// recordCrash records that a target has ended, as it seems under this request.
+func (r *request) recordCrash(c *quarantine.Crash) {
+	r.service.cfg.Quarantine.RecordCrash(time.Now(), c)
 	r.service.cfg.Counters.Add("target_crashed_under_request")
-	r.log.Info("target crashed under request", zap.String("request", string(r.call.ID)), zap.String("customer", string(r.customerName())),
-		zap.String("target", string(g.Target.ID)), zap.Duration("after", endedAt.Sub(sentAt)), zap.String("prompt", promptText(r.call.Prompt)), zap.Uint64("content", uint64(r.content)), zap.Bool("suspected", suspected))
-	return suspected
+	r.log.Info("target crashed under request", zap.String("request", string(r.call.ID)), zap.String("customer", string(c.Customer)),
+		zap.String("target", string(c.Target.ID)), zap.Bool("accepts_connections", c.Closed), zap.Duration("after", c.EndedAt.Sub(c.SentAt)), zap.String("prompt", promptText(r.call.Prompt)),
+		zap.Uint64("content", uint64(r.content)))
 }
 
 // isEndOfConnection reports whether the target's end of the connection was closed, as at
--- a/internal/coordination/gateway/retrybudget_test.go
+++ b/internal/coordination/gateway/retrybudget_test.go
@@ -49,6 +49,8 @@
 
 func (f *faultyTargets) Refuses(context.Context, string) bool { return false }
 
+func (f *faultyTargets) Closes(context.Context, string) bool { return false }
+
 // retryFleet is a number of entries before one service, under a load of 140 requests a
 // second.
 type retryFleet struct {
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -49,6 +49,8 @@
 
 func (f *fakeTargetClient) Refuses(context.Context, string) bool { return false }
 
+func (f *fakeTargetClient) Closes(context.Context, string) bool { return false }
+
 // resumePoints returns the event after which each send resumed.
 func (f *fakeTargetClient) resumePoints() []string {
 	var points []string
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// A target whose address accepts connections and closes them may have ended, or have as
+	// many as it takes. It has ended if it does not respond to anything for confirmTime.
+	confirmTime = 500 * time.Millisecond
 	// evidenceMemory is how long a crash counts.
 	evidenceMemory = 10 * time.Minute
 	// maxEvidence bounds the requests that are remembered, and maxEvidenceOfOther those of
@@ -50,8 +53,13 @@
 	// Hashes of the run of the target, of its address, of its service and of the customer.
 	run, machine, service, customer uint64
 	sentAt, endedAt                 time.Time
-	keys                            []Key // without those that the reporter knew to be answered
-	reportsLeft                     int   // reports that are still to contain it; 0 for those of others
+	// closed says that the address still accepted connections. Such evidence counts from
+	// confirmTime after endedAt.
+	closed bool
+	// refuted says that the run of the target has responded after endedAt.
+	refuted     bool
+	keys        []Key // without those that the reporter knew to be answered
+	reportsLeft int   // reports that are still to contain it; 0 for those of others
 }
 
 // content returns the key that tells the request from others best, 0 if it is not known.
@@ -67,6 +75,10 @@
 	all   []*evidence // in the order in which it was learned
 	byKey map[Key][]*evidence
 	byID  map[evidenceID]bool
+	// ends holds when each run of a target ended, by the earliest evidence that is not refuted.
+	ends map[uint64]time.Time
+	// unconfirmed is closed evidence that does not count yet.
+	unconfirmed []*evidence
 }
 
 // evidenceID identifies evidence over all entries.
@@ -76,7 +88,7 @@
 }
 
 func newEvidenceLog() evidenceLog {
-	return evidenceLog{byKey: make(map[Key][]*evidence), byID: make(map[evidenceID]bool)}
+	return evidenceLog{byKey: make(map[Key][]*evidence), byID: make(map[evidenceID]bool), ends: make(map[uint64]time.Time)}
 }
 
 // add adds evidence. limit bounds what is remembered of its reporter.
@@ -94,6 +106,7 @@
 		l.remove(oldest)
 	}
 	l.all = append(l.all, e)
+	l.updateEnd(e.run)
 	l.byID[evidenceID{e.reporter, e.id}] = true
 	for _, p := range e.keys {
 		l.byKey[p] = append(l.byKey[p], e)
@@ -103,6 +116,8 @@
 func (l *evidenceLog) remove(i int) {
 	e := l.all[i]
 	l.all = slices.Delete(l.all, i, i+1)
+	l.updateEnd(e.run)
+	l.unconfirmed = slices.DeleteFunc(l.unconfirmed, func(other *evidence) bool { return other == e })
 	delete(l.byID, evidenceID{e.reporter, e.id})
 	for _, p := range e.keys {
 		rest := slices.DeleteFunc(l.byKey[p], func(other *evidence) bool { return other == e })
@@ -112,6 +127,22 @@
 	}
 }
 
+// updateEnd finds out when a run of a target ended.
+func (l *evidenceLog) updateEnd(run uint64) {
+	delete(l.ends, run)
+	for _, e := range l.all {
+		if end, ok := l.ends[run]; e.run == run && !e.refuted && (!ok || e.endedAt.Before(end)) {
+			l.ends[run] = e.endedAt
+		}
+	}
+}
+
+// counts reports whether evidence speaks against its keys. A request that was sent after the
+// end of the run of its target has not caused it.
+func (l *evidenceLog) counts(e *evidence) bool {
+	return !e.refuted && !slices.Contains(l.unconfirmed, e) && e.sentAt.Before(l.ends[e.run])
+}
+
 // add adds evidence and blocks the parts that it is sufficient to block. The caller must
 // hold l.mu.
 func (l *Ledger) add(now time.Time, e *evidence) {
@@ -120,6 +151,30 @@
 		limit = maxEvidence
 	}
 	l.evidence.add(now, e, limit)
+	if e.closed && now.Before(e.endedAt.Add(confirmTime)) {
+		l.evidence.unconfirmed = append(l.evidence.unconfirmed, e)
+		return
+	}
+	l.apply(now, e)
+}
+
+// confirm applies the evidence of targets that have been silent for confirmTime.
+func (l *Ledger) confirm(now time.Time) {
+	for len(l.evidence.unconfirmed) > 0 {
+		e := l.evidence.unconfirmed[0]
+		if now.Before(e.endedAt.Add(confirmTime)) {
+			return
+		}
+		l.evidence.unconfirmed = l.evidence.unconfirmed[1:]
+		if !e.refuted {
+			l.unsent = true
+			l.apply(now, e)
+		}
+	}
+}
+
+// apply blocks what evidence is sufficient to block.
+func (l *Ledger) apply(now time.Time, e *evidence) {
 	for _, p := range e.keys {
 		if b := l.blocks[p]; b != nil {
 			l.addToBlock(now, p, b, e)
@@ -217,7 +272,7 @@
 	v := &verdict{key: p, answered: now.Sub(answeredAt) <= answeredMemory, machines: make(map[uint64]bool), customers: make(map[uint64]bool), reporters: make(map[state.InstanceID]bool)}
 	latest := make(map[uint64]*evidence) // by run, the one that was sent last
 	for _, e := range l.evidence.byKey[p] {
-		if !e.sentAt.After(answeredAt) {
+		if !e.sentAt.After(answeredAt) || !l.evidence.counts(e) {
 			continue
 		}
 		if by := explained[e.run]; len(by) > 0 && !slices.Contains(by, p) {
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -80,7 +80,11 @@
 	// would displace the parts.
 	answeredParts, answeredContents traffic.RecentCache[Key, time.Time]
 
+	// alive holds when runs of targets, by their hashes, have last responded here.
+	alive traffic.RecentCache[uint64, time.Time]
+
 	mu          sync.Mutex
+	life        map[uint64]time.Time // runs that responded after they were reported to have ended
 	served      map[uint64]time.Time // when a service last answered a request here, by its hash
 	evidence    evidenceLog
 	blocks      map[Key]*block
@@ -97,7 +101,8 @@
 	return &Ledger{
 		cfg: c, answeredParts: traffic.RecentCache[Key, time.Time]{GenerationLimit: maxAnswered},
 		answeredContents: traffic.RecentCache[Key, time.Time]{GenerationLimit: maxAnsweredContents},
-		served:           make(map[uint64]time.Time), evidence: newEvidenceLog(), blocks: make(map[Key]*block), sound: make(map[Key]*soundNote), refuted: make(map[state.InstanceID]int),
+		alive:            traffic.RecentCache[uint64, time.Time]{GenerationLimit: maxRunsAlive}, life: make(map[uint64]time.Time),
+		served: make(map[uint64]time.Time), evidence: newEvidenceLog(), blocks: make(map[Key]*block), sound: make(map[Key]*soundNote), refuted: make(map[state.InstanceID]int),
 	}
 }
 
@@ -161,15 +166,18 @@
 	Target  state.TargetRecord
 	SentAt  time.Time
 	EndedAt time.Time
+	// Closed says that the address of the target still accepts connections, and closes them.
+	// The target has ended only if it does not respond any more.
+	Closed bool
 }
 
 // RecordCrash records a crash that this entry has seen. Keys that were answered since the
 // request was sent do not count.
-func (l *Ledger) RecordCrash(c *Crash) {
+func (l *Ledger) RecordCrash(now time.Time, c *Crash) {
 	e := &evidence{
 		id: rand.Uint64(), reporter: l.cfg.Self, run: runOf(&c.Target), machine: hashOf(c.Target.Address),
 		service: hashOf(string(c.Service)), customer: hashOf(string(c.Customer)),
-		sentAt: c.SentAt, endedAt: c.EndedAt, reportsLeft: reportsEach,
+		sentAt: c.SentAt, endedAt: c.EndedAt, closed: c.Closed, reportsLeft: reportsEach,
 	}
 	for _, p := range c.Keys {
 		if !l.answeredSince(p, c.SentAt) {
@@ -182,7 +190,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.unsent = true
-	l.add(c.EndedAt, e)
+	l.add(now, e)
 }
 
 // runOf returns a hash of one run of a target.
@@ -209,6 +217,7 @@
 func (l *Ledger) Check(now time.Time, r Request, begin bool) (index int, until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.confirm(now)
 	if len(l.blocks) == 0 {
 		return -1, time.Time{}
 	}
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -30,7 +30,7 @@
 
 // crash records that a target on a machine crashed under a request.
 func (l *Ledger) crash(r Request, machine int, sentAt, endedAt time.Time) {
-	l.RecordCrash(&Crash{
+	l.RecordCrash(endedAt, &Crash{
 		Request: r, Target: state.TargetRecord{ID: state.TargetID(fmt.Sprint("t", endedAt.UnixNano())), Address: fmt.Sprint("machine-", machine)},
 		SentAt: sentAt, EndedAt: endedAt,
 	})
@@ -161,9 +161,9 @@
 	for i := range 6 {
 		t0 := float64(i)
 		if i%2 == 1 { // at the same targets, now and then
-			l.RecordCrash(&Crash{Request: rare, Target: state.TargetRecord{ID: state.TargetID(fmt.Sprint(i)), Address: fmt.Sprint(i)}, SentAt: at(t0 + 0.1), EndedAt: at(t0 + 0.2)})
+			l.RecordCrash(at(t0+0.2), &Crash{Request: rare, Target: state.TargetRecord{ID: state.TargetID(fmt.Sprint(i)), Address: fmt.Sprint(i)}, SentAt: at(t0 + 0.1), EndedAt: at(t0 + 0.2)})
 		}
-		l.RecordCrash(&Crash{Request: bad, Target: state.TargetRecord{ID: state.TargetID(fmt.Sprint(i)), Address: fmt.Sprint(i)}, SentAt: at(t0 + 0.1), EndedAt: at(t0 + 0.2)})
+		l.RecordCrash(at(t0+0.2), &Crash{Request: bad, Target: state.TargetRecord{ID: state.TargetID(fmt.Sprint(i)), Address: fmt.Sprint(i)}, SentAt: at(t0 + 0.1), EndedAt: at(t0 + 0.2)})
 		l.serves(at(t0 + 0.3))
 	}
 	if !l.isBlocked(at(7), bad) || l.isBlocked(at(7), rare) {
@@ -317,3 +317,49 @@
 		t.Error("the part is no longer blocked")
 	}
 }
+
+// Guards against learning nothing from targets whose addresses still accept connections, and
+// against taking a target that has as many connections as it takes for one that has ended.
+func TestClosedConnectionsCountOnlyIfTheTargetIsSilent(t *testing.T) {
+	target := func(n int) *state.TargetRecord {
+		return &state.TargetRecord{ID: state.TargetID(fmt.Sprint("t", n)), Address: fmt.Sprint("machine-", n)}
+	}
+	for _, alive := range []bool{false, true} {
+		a, b, bad := newLedger("a"), newLedger("b"), request("c", "bad")
+		for n := range minSeries {
+			sentAt, endedAt := at(float64(n)), at(float64(n)+0.1)
+			a.RecordCrash(endedAt, &Crash{Request: bad, Target: *target(n), SentAt: sentAt, EndedAt: endedAt, Closed: true})
+			a.serves(endedAt.Add(time.Millisecond))
+			if a.isBlocked(endedAt, bad) {
+				t.Fatal("blocked at once")
+			}
+			if alive { // the other entry has responses of the target
+				b.Alive(endedAt.Add(2*lifeMargin), target(n))
+			}
+		}
+		end := at(minSeries - 1 + 0.1).Add(confirmTime)
+		if !a.isBlocked(end, bad) {
+			t.Fatal("not blocked after the targets were silent")
+		}
+		tell(t, end, a, b)
+		tell(t, end.Add(50*time.Millisecond), b, a)
+		if blocked := a.isBlocked(end.Add(100*time.Millisecond), bad); blocked == alive {
+			t.Errorf("blocked: %t after another entry had responses of the targets: %t", blocked, alive)
+		}
+	}
+}
+
+// Guards against blocking sound requests that were sent to a target after its end.
+func TestRequestsToAnEndedTargetAreNoEvidence(t *testing.T) {
+	l, bad, late := newLedger("a"), request("c", "bad"), request("c", "late")
+	for n := range 5 {
+		t0 := float64(n)
+		target := state.TargetRecord{ID: state.TargetID(fmt.Sprint(n)), Address: fmt.Sprint(n)}
+		l.RecordCrash(at(t0+0.1), &Crash{Request: bad, Target: target, SentAt: at(t0), EndedAt: at(t0 + 0.1), Closed: true})
+		l.RecordCrash(at(t0+0.3), &Crash{Request: late, Target: target, SentAt: at(t0 + 0.2), EndedAt: at(t0 + 0.3), Closed: true})
+		l.serves(at(t0 + 0.4))
+	}
+	if !l.isBlocked(at(6), bad) || l.isBlocked(at(6), late) {
+		t.Errorf("blocked: the crashing part %t, the one sent later %t; want the first only", l.isBlocked(at(6), bad), l.isBlocked(at(6), late))
+	}
+}
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -33,11 +33,12 @@
 	// Served has the services with crashes lately, and when they last answered a request
 	// here.
 	Served []ServedNote `cbor:"5,keyasint,omitempty"`
+	Life   []LifeNote   `cbor:"6,keyasint,omitempty"`
 }
 
 // Empty reports whether there is nothing to tell.
 func (r *Report) Empty() bool {
-	return len(r.Crashes)+len(r.Sound)+len(r.Blocks)+len(r.Trials)+len(r.Served) == 0
+	return len(r.Crashes)+len(r.Sound)+len(r.Blocks)+len(r.Trials)+len(r.Served)+len(r.Life) == 0
 }
 
 // CrashNote is a request that had no response when its target crashed.
@@ -119,7 +120,7 @@
 	var r Report
 	keys := 0
 	for _, e := range slices.Backward(l.evidence.all) { // the newest first
-		if e.reporter != l.cfg.Self || e.reportsLeft == 0 && !(toAll && now.Sub(e.endedAt) < repeatTime) {
+		if e.reporter != l.cfg.Self || e.refuted || slices.Contains(l.evidence.unconfirmed, e) || e.reportsLeft == 0 && !(toAll && now.Sub(e.endedAt) < repeatTime) {
 			continue
 		}
 		if keys += len(e.keys); keys > maxReportedKeys {
@@ -152,6 +153,7 @@
 		}
 	}
 	r.Served = l.servedNotes(now)
+	r.Life = l.lifeNotes(now)
 	return r
 }
 
@@ -205,6 +207,9 @@
 		}
 		l.releaseIfAnswered(s.Key, answeredAt)
 	}
+	for _, n := range r.Life {
+		l.learnLife(now, n)
+	}
 	for _, c := range r.Crashes {
 		l.learnCrash(now, from, &c)
 	}
@@ -238,6 +243,10 @@
 	if l.evidence.byID[evidenceID{from, c.ID}] {
 		return
 	}
+	if endedAt := ago(now, c.EndedMillis); l.aliveSince(c.Run, endedAt) {
+		l.life[c.Run], l.unsent = now, true
+		return
+	}
 	for _, k := range c.Keys {
 		if at, ok := l.answered(k).Get(k); ok && now.Sub(at) <= answeredMemory {
 			l.noteSound(now, k, at)
--- a/internal/daemon/ownrecords_test.go
+++ b/internal/daemon/ownrecords_test.go
@@ -45,7 +45,7 @@
 	for n := range 5 {
 		at = at.Add(time.Second)
 		id := fmt.Sprint("t", n)
-		q.RecordCrash(&quarantine.Crash{Request: bad, Target: state.TargetRecord{ID: state.TargetID(id), Address: id}, SentAt: at, EndedAt: at.Add(100 * time.Millisecond)})
+		q.RecordCrash(at.Add(100*time.Millisecond), &quarantine.Crash{Request: bad, Target: state.TargetRecord{ID: state.TargetID(id), Address: id}, SentAt: at, EndedAt: at.Add(100 * time.Millisecond)})
 		q.Answered(at.Add(200*time.Millisecond), quarantine.Request{Service: "s"})
 	}
 }
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -28,6 +28,8 @@
 
 func (f targetClientFunc) Refuses(context.Context, string) bool { return false }
 
+func (f targetClientFunc) Closes(context.Context, string) bool { return false }
+
 func (f targetClientFunc) Send(ctx context.Context, forward *gateway.Forward) (gateway.Exchange, error) {
 	return f(ctx, forward)
 }
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -177,6 +178,28 @@
 	return false
 }
 
+// closeWait is how long a connection is watched for its closing by an address that accepts
+// connections for a target that has ended.
+const closeWait = 50 * time.Millisecond
+
+// Closes implements gateway.TargetClient. It watches the connection that Refuses has opened
+// if no request uses it meanwhile.
+func (c *Client) Closes(ctx context.Context, address string) bool {
+	conn, err := c.acquire(ctx, address)
+	if err != nil {
+		return false
+	}
+	if conn.SetReadDeadline(time.Now().Add(closeWait)) == nil {
+		_, err = conn.Read(make([]byte, 1))
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) || conn.SetReadDeadline(time.Time{}) != nil {
+		conn.Close()
+		return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+	}
+	c.pushIdle(conn)
+	return false
+}
+
 // popIdle removes the most recently used idle connection to address from the pool
 // and returns it, nil when there is none.
 func (c *Client) popIdle(address string) *connection {
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -310,3 +310,40 @@
 		})
 	}
 }
+
+// Guards against a target that is taken to be well although its address closes each
+// connection, and against one that is taken to have ended although it keeps them.
+func TestCloses(t *testing.T) {
+	for _, keeps := range []bool{false, true} {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go func() {
+			var kept []net.Conn
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					break
+				}
+				if kept = append(kept, conn); !keeps {
+					conn.Close()
+				}
+			}
+			for _, conn := range kept {
+				conn.Close()
+			}
+		}()
+		c := New()
+		if c.Refuses(t.Context(), l.Addr().String()) {
+			t.Fatal("an open address refuses connections")
+		}
+		if c.Closes(t.Context(), l.Addr().String()) == keeps {
+			t.Errorf("closes: %t, although the address keeps connections: %t", !keeps, keeps)
+		}
+		if n := len(c.idle[l.Addr().String()]); keeps && n != 1 {
+			t.Errorf("%d connections are kept for requests, want the one that was opened", n)
+		}
+	}
+}
