Soak: one request comes again and again and crashes plain services

Cause: the soak knew crashes by a part of a prompt only.

Change: besides, a request with one body and path, of a route that may or may not be repeated, crashes plain services; their addresses then accept connections and reset them.

--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -57,10 +58,10 @@
 	// EndlessHead and EndlessBody make the target run requests and send bytes that are no
 	// response, until the connection is closed: in place of the head or of the body.
 	EndlessHead, EndlessBody atomic.Bool
-	// CrashPart is the part of a prompt under which an engine calls Crash before the first
-	// event; empty for none. Both are set before requests come.
-	CrashPart string
-	Crash     func()
+	// CrashUnder returns what the target calls before it breaks off the response to a request
+	// with the given header and body, or nil if it answers. It is set before requests come;
+	// nil for none.
+	CrashUnder func(header http.Header, body []byte) (crash func())
 
 	arrivalsMu sync.Mutex
 	arrivals   []Arrival // while a limit is stated
@@ -146,16 +147,28 @@
 		t.sendWithoutEnd(w, id)
 		return
 	}
+	t.crashUnder(r)
 	if t.EventsPerStream == 0 {
 		t.servePlain(w, id)
 		return
 	}
-	if t.CrashPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), t.CrashPart+":") {
+	t.serveStream(w, r, id)
+}
+
+// crashUnder crashes the target if the request does so.
+func (t *Target) crashUnder(r *http.Request) {
+	if t.CrashUnder == nil {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if crash := t.CrashUnder(r.Header, body); crash != nil {
 		time.Sleep(t.WorkTime)
-		t.Crash()
+		crash()
 		panic(http.ErrAbortHandler)
 	}
-	t.serveStream(w, r, id)
 }
 
 // sendWithoutEnd sends bytes that are no response until the connection is closed.
--- a/internal/faultsoak/load_test.go
+++ b/internal/faultsoak/load_test.go
@@ -1,7 +1,6 @@
 package faultsoak
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -68,13 +67,18 @@
 }
 
 // send sends a request with extra header fields and returns its response.
-func (w *world) send(e *entry, id, route string, extra map[string]string) (r result) {
+func (w *world) send(e *entry, id, route string, extra map[string]string) result {
+	return w.sendBody(e, id, route, id, extra)
+}
+
+// sendBody sends a request with a body.
+func (w *world) sendBody(e *entry, id, route, body string, extra map[string]string) (r result) {
 	r = result{id: id, route: route, started: time.Now(), entry: e.name}
 	defer func() { r.ended = time.Now() }()
 	w.mu.Lock()
 	w.sentTo[id] = e.name
 	w.mu.Unlock()
-	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/%s/x", e.ip, callerPort, route), bytes.NewReader([]byte(id)))
+	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/%s/x", e.ip, callerPort, route), strings.NewReader(body))
 	if err != nil {
 		r.err = err
 		return r
@@ -92,8 +96,8 @@
 		return r
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	r.status, r.body, r.err = resp.StatusCode, string(body), err
+	b, err := io.ReadAll(resp.Body)
+	r.status, r.body, r.err = resp.StatusCode, string(b), err
 	return r
 }
 
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -4,7 +4,7 @@
 // callers and targets see. Package soak runs the code of a deployment with side
 // processes against in-memory fakes.
 // After the faults, some targets state limits and an entry is stopped meanwhile; then
-// requests come with a part of a prompt that crashes targets.
+// requests come that crash targets, by a part of their prompts or by their content.
 //
 // The faults are: connections that a proxy delays, resets, refuses or drops the
 // data of in one direction; processes that are stopped, paused, killed and
@@ -97,7 +97,7 @@
 	}
 	w.endAllFaults()
 	w.checkRateLimits()
-	w.checkPromptParts()
+	w.checkCrashes()
 	w.checkMemory()
 	stopLoad()
 	w.waitReady(10 * time.Second)
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -60,9 +60,10 @@
 	faultCounts   map[string]int
 	cleanups      []func()
 
+	partCrashes, requestCrashes crashKind
+
 	mu          sync.Mutex
 	closed      bool
-	crashes     []time.Time // crashes under requests with crashPart
 	results     []result
 	sentTo      map[string]string // name of the entry that each request was sent to, by ID
 	disruptions []time.Time       // times of faults that may cut off a response
@@ -85,6 +86,7 @@
 	w := &world{
 		t: t, binary: binary, random: newRandom(seed), logDirectory: logDir(t, seed), store: emulator.NewStore(),
 		ledger: emulator.NewLedger(), faultCounts: make(map[string]int), sentTo: make(map[string]string),
+		partCrashes: crashKind{name: "prompt part", learnAfter: 5}, requestCrashes: crashKind{name: "repeated request", learnAfter: 3},
 	}
 	w.storeAddress = w.serveOn("127.0.0.1:0", func(ln net.Listener) { w.store.Serve(ln) })
 	w.newPublisher()
@@ -121,7 +123,7 @@
 	}
 	proxy := emulator.NewProxy(w.serveOn("127.0.0.1:0", func(ln net.Listener) { target.Serve(ln) }))
 	e := &engine{Target: target, proxy: proxy, startedAt: time.Now()}
-	target.CrashPart, target.Crash = crashPart, func() { w.crash(e) }
+	target.CrashUnder = w.crashUnder(e)
 	w.serveEngine(e, "127.0.0.1:0")
 	w.engines = append(w.engines, e)
 	w.putTargetRecord(e, "ready")
