--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -54,7 +54,7 @@
 		if head.Misdirected {
 			outcome = dispatch.Gone
 		}
-		return outcome, fmt.Errorf("target %s: status %d: not run", a.grant.Target.ID, head.Status)
+		return outcome, fmt.Errorf("target %s: status %d: not run%s", a.grant.Target.ID, head.Status, pauseText(head))
 	}
 	if err := checkHead(head); err != nil {
 		return dispatch.Broken, fmt.Errorf("target %s: status %d: %w", a.grant.Target.ID, head.Status, err)
@@ -80,6 +80,14 @@
 	return dispatch.Served, nil
 }
 
+// pauseText returns the pause that the target asks for, for an error message.
+func pauseText(head *state.Response) string {
+	if head.Stated.Pause == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", asks for a pause of %s", head.Stated.Pause)
+}
+
 // readBody reads a body that is not a stream. What it takes of the memory for responses is
 // given back at the end of the request, because a failure may be passed on later.
 func (a *attempt) readBody(ex Exchange) ([]byte, error) {
@@ -111,11 +119,11 @@
 func (a *attempt) observeRateLimit(head *state.Response) {
 	r := a.request
 	switch {
-	case head.Misdirected, head.RateLimitErr == nil && !head.RateLimit.Stated && !head.HasSignature:
-	case head.RateLimitErr != nil:
-		r.log.Warn("rate limit of target ignored", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)), zap.Error(head.RateLimitErr))
+	case head.Misdirected, head.Stated.RateLimitErr == nil && !head.Stated.RateLimit.Stated && !head.HasSignature:
+	case head.Stated.RateLimitErr != nil:
+		r.log.Warn("rate limit of target ignored", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)), zap.Error(head.Stated.RateLimitErr))
 	default:
-		r.service.cfg.Scheduler.ObserveRateLimit(a.grant, head.RateLimit)
+		r.service.cfg.Scheduler.ObserveRateLimit(a.grant, head.Stated.RateLimit)
 	}
 }
 
--- a/internal/coordination/gateway/ratelimit_test.go
+++ b/internal/coordination/gateway/ratelimit_test.go
@@ -32,7 +32,7 @@
 		}
 		early := acquire()
 		time.Sleep(time.Second)
-		if !inForceAfter(early, state.Response{Status: 503, NotRun: true, RateLimit: state.RateLimit{PerSecond: 2, Stated: true}}) {
+		if !inForceAfter(early, state.Response{Status: 503, NotRun: true, Stated: state.Statement{RateLimit: state.RateLimit{PerSecond: 2, Stated: true}}}) {
 			t.Fatal("a limit that a rejection states is not in force")
 		}
 		if !inForceAfter(early, state.Response{Status: 200, HasSignature: true}) {
@@ -44,7 +44,7 @@
 			"rejection":       {Status: 503, NotRun: true},
 			"another target":  {Status: 421, Misdirected: true, HasSignature: true},
 			"unsigned":        {Status: 200},
-			"malformed limit": {Status: 200, HasSignature: true, RateLimitErr: errors.New("no number")},
+			"malformed limit": {Status: 200, HasSignature: true, Stated: state.Statement{RateLimitErr: errors.New("no number")}},
 		} {
 			if !inForceAfter(late, head) {
 				t.Errorf("%s: the limit has ended", name)
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -176,10 +176,22 @@
 	// that its body ends where the connection does. Such an end does not prove that the
 	// body is complete: the connection of a target that crashes ends in the same way.
 	EndsWithConnection bool
+	// Stated is what the target states of itself.
+	Stated Statement
+}
+
+// Statement is what a target states of itself in the head of a response.
+type Statement struct {
 	// RateLimit is the limit that the target states. RateLimitErr says why the stated one
 	// could not be read; RateLimit is then meaningless.
 	RateLimit    RateLimit
 	RateLimitErr error
+	// Pause is how long the target wants no requests from this entry, counted from the
+	// response; 0 if it states none. PauseErr says why the stated one could not be read.
+	Pause    time.Duration
+	PauseErr error
+	// Leaving says that the target is about to stop.
+	Leaving bool
 }
 
 // RateLimit is how many requests a second a target takes from all entries together. The
