The pause that a target states is kept

What callers saw: requests went on to engines that turned everything away for seconds; many of them met several such engines and were refused.

Cause: nothing read the pause that a target states with a 503. A rejection kept the target from new requests for 50 ms.

Change: Scheduler.Observe takes what a target states of itself, and dispatch/statement.go keeps it for one run of the target. Each choice asks it, and each send asks again when its connection is open. After a pause one more request is sent at a time for each that is served. If all targets pause, requests are refused at once with the time of return.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
-	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
 // fit says how well a target suits a request at the moment. Lower is better.
@@ -48,8 +47,8 @@
 	first := reservedSlots == 0 || r.AlreadyAdmitted
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
-	for _, t := range p.targetsFor(r) {
-		if !t.eligible(now, r) || !s.limits.Allows(now, t.record.ID, first) {
+	for _, t := range s.targetsFor(p, r, now) {
+		if !t.eligible(now, r) || !s.mayTake(t, now, first) {
 			continue
 		}
 		if !t.ejectedUntil.IsZero() {
@@ -137,18 +136,6 @@
 	return s.targets[g.Target.ID] == g.target && !g.target.record.Draining
 }
 
-// ObserveRateLimit records the limit that the target states in the head of its response.
-func (s *Scheduler) ObserveRateLimit(g *Grant, limit state.RateLimit) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.targets[g.Target.ID] != g.target {
-		return // the target has gone or restarted meanwhile
-	}
-	if c := s.limits.Observe(s.now(), g.grantedAt, g.Target.ID, limit); c != nil {
-		s.observer.RateLimitChanged(c)
-	}
-}
-
 // notifyRateLimits notifies the observer of changes.
 func (s *Scheduler) notifyRateLimits(changes []*ratelimit.Change) {
 	for _, c := range changes {
@@ -173,6 +160,7 @@
 	now := s.now()
 	p := s.pool(g.request.Service)
 	if o == Served {
+		t.stated.served(t.record.Slots)
 		hold := now.Sub(g.grantedAt)
 		p.holdTime += time.Duration(timeAverageWeight * float64(hold-p.holdTime))
 		if !g.request.Resumed {
@@ -225,6 +213,7 @@
 	now := s.now()
 	p.markLate(now)
 	s.grantFreeSlotsOf(p, now)
+	s.refusePaused(p, now)
 	s.refuseHopeless(p, now)
 }
 
@@ -234,7 +223,7 @@
 	passedOver := 0
 	for i := 0; i < len(p.queue) && passedOver < maxPassedOver && p.hasRoom(s.policies.admission.QueuedRequests+overcommitSlots); {
 		w := p.queue[i]
-		if !s.hasTargetFor(p, w.request) {
+		if !s.hasTargetFor(p, w.request, now) {
 			p.queue = slices.Delete(p.queue, i, i+1)
 			w.refuse(&Refusal{Reason: ReasonNoTarget, RetryAfter: s.addJitter(noTargetRetryAfter)})
 			continue
--- a/internal/coordination/dispatch/rate_limit_test.go
+++ b/internal/coordination/dispatch/rate_limit_test.go
@@ -66,7 +66,7 @@
 
 // observe delivers a response that states limit to the entry.
 func (r *sentRequests) observe(s *Scheduler, g *Grant, engine int, at time.Duration, limit state.RateLimit) {
-	s.ObserveRateLimit(g, limit)
+	s.Observe(g, state.Statement{RateLimit: limit}, true)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if key := (entryAndEngine{s, engine}); limit.Stated && r.told[key] == 0 {
@@ -157,7 +157,7 @@
 	s, c := newTestScheduler()
 	for _, id := range []state.TargetID{"t1", "t2"} {
 		g := acquire(t, s, allowOnly(c.request(false), id))
-		s.ObserveRateLimit(g, state.RateLimit{PerSecond: 0.25, Stated: true})
+		s.Observe(g, state.Statement{RateLimit: state.RateLimit{PerSecond: 0.25, Stated: true}}, true)
 		s.Release(g, Served)
 	}
 	r := c.request(false)
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -57,6 +57,7 @@
 const (
 	ReasonNoTarget = "no_target"
 	ReasonOverload = "overload"
+	ReasonPaused   = "targets_paused"
 )
 
 // Refusal is the error of a placement that finds no target. The request has not been
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -43,17 +43,19 @@
 	observer     Observer
 	policies     *Policies
 	limits       *ratelimit.Ledger // limits that targets state
+	statements   map[targetRun]*statement
 	// candidates is the scratch slice of tryGrant, reused between calls.
 	candidates []candidate
 }
 
-// Observer is notified when targets are ejected, when they are in use again, and when the
-// limit that a target states changes. Its methods are called with the scheduler locked, so
+// Observer is notified when targets are ejected, when they are in use again, when the limit
+// that a target states changes, and when a target asks this entry for a pause. Its methods are called with the scheduler locked, so
 // they must not block or call the scheduler.
 type Observer interface {
 	TargetEjected(id state.TargetID, service state.Service, cause Outcome, backoff time.Duration)
 	TargetReturned(id state.TargetID, service state.Service)
 	RateLimitChanged(c *ratelimit.Change)
+	TargetPaused(id state.TargetID, service state.Service, pause time.Duration)
 }
 
 // pool holds the targets, the queue and the moving averages of one service.
@@ -95,7 +97,7 @@
 	return &Scheduler{
 		domain: domain, now: now, random: rand.New(rand.NewPCG(seed, 0)), observer: observer,
 		services: make(map[state.Service]*pool), targets: make(map[state.TargetID]*target),
-		peerReports: make(map[state.InstanceID]*peerReport), policies: defaultPolicies(), limits: limits,
+		peerReports: make(map[state.InstanceID]*peerReport), policies: defaultPolicies(), limits: limits, statements: make(map[targetRun]*statement),
 	}
 }
 
@@ -120,7 +122,7 @@
 	for _, r := range records {
 		t := s.targets[r.ID]
 		if t == nil || t.record.Started != r.Started || t.record.Address != r.Address {
-			t = newTarget(r)
+			t = newTarget(r, s.statementOf(&r))
 		}
 		t.record = r
 		listed[r.ID] = t
@@ -137,6 +139,7 @@
 	for _, t := range listed {
 		s.targetsByKey[t.key()] = t
 	}
+	s.dropStatements(s.now())
 	s.recountReports()
 	s.updateSubsets()
 }
@@ -214,7 +217,7 @@
 func (s *Scheduler) place(r *Request) (*waiter, *Grant, *Refusal) {
 	p := s.pool(r.Service)
 	now := s.now()
-	if !s.hasTargetFor(p, r) {
+	if !s.hasTargetFor(p, r, now) {
 		return nil, nil, &Refusal{Reason: ReasonNoTarget, RetryAfter: s.addJitter(noTargetRetryAfter)}
 	}
 	p.arrivalRates[min(max(0, r.Rank), maxRanks-1)].record(now)
@@ -230,17 +233,19 @@
 }
 
 // hasTargetFor reports whether some target of the service may take r, now or later.
-func (s *Scheduler) hasTargetFor(p *pool, r *Request) bool {
-	return slices.ContainsFunc(p.targetsFor(r), func(t *target) bool { return r.allows(&t.record) })
+func (s *Scheduler) hasTargetFor(p *pool, r *Request, now time.Time) bool {
+	return slices.ContainsFunc(s.targetsFor(p, r, now), func(t *target) bool { return t.allows(r) })
 }
 
-// targetsFor returns the targets among which r is placed: those that this entry uses or,
-// if only some can continue the stream, all of the service, because the subset may hold
-// none of them.
-func (p *pool) targetsFor(r *Request) []*target {
+// targetsFor returns the targets among which r is placed: those that this entry uses or, if
+// none of them takes requests, or only some can continue the stream, all of the service.
+func (s *Scheduler) targetsFor(p *pool, r *Request, now time.Time) []*target {
 	if r.RequiredSoftware != nil {
 		return p.allTargets
 	}
+	if len(p.subset) < len(p.allTargets) && !slices.ContainsFunc(p.subset, func(t *target) bool { return t.stated.takes(now) }) {
+		return p.allTargets
+	}
 	return p.subset
 }
 
--- a/internal/coordination/dispatch/subset_test.go
+++ b/internal/coordination/dispatch/subset_test.go
@@ -11,7 +11,7 @@
 func newTargets(n int) []*target {
 	var all []*target
 	for i := range n {
-		all = append(all, newTarget(state.TargetRecord{ID: state.TargetID(fmt.Sprint(i))}))
+		all = append(all, newTarget(state.TargetRecord{ID: state.TargetID(fmt.Sprint(i))}, &statement{}))
 	}
 	return all
 }
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -37,6 +37,7 @@
 // target holds the record of a target, its load and its health as seen by this entry.
 type target struct {
 	record       state.TargetRecord
+	stated       *statement // by this run of the target
 	hash         uint64
 	openGrants   map[*Grant]struct{} // granted by this entry and not released
 	cost         costmodel.Target
@@ -54,8 +55,8 @@
 	pendingElsewhere int
 }
 
-func newTarget(r state.TargetRecord) *target {
-	return &target{record: r, hash: hashTargetID(r.ID), openGrants: make(map[*Grant]struct{})}
+func newTarget(r state.TargetRecord, stated *statement) *target {
+	return &target{record: r, stated: stated, hash: hashTargetID(r.ID), openGrants: make(map[*Grant]struct{})}
 }
 
 // outstanding returns the number of open requests of all entries at the target. It
@@ -103,10 +104,13 @@
 	return false
 }
 
-// eligible reports whether the target may take r, apart from its load. An ejected
-// target takes one request at a time, as a probe, once its backoff is over.
+// allows reports whether r may be sent to the target, now or later.
+func (t *target) allows(r *Request) bool { return r.allows(&t.record) }
+
+// eligible reports whether the target may take r, apart from its load and from what it has
+// stated. An ejected target takes one request at a time, as a probe, once its backoff is over.
 func (t *target) eligible(now time.Time, r *Request) bool {
-	if !r.allows(&t.record) || now.Before(t.pausedUntil) {
+	if !t.allows(r) || now.Before(t.pausedUntil) {
 		return false
 	}
 	if !t.ejectedUntil.IsZero() {
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -32,7 +32,7 @@
 	defer a.stopStallTimer()
 	ex, err := r.service.cfg.TargetClient.Send(a.ctx, &Forward{
 		Call: r.call, Target: a.grant.Target, Customer: r.customerName(), TimeLeft: time.Until(r.deadline), ResumeAfter: r.lastEventID,
-		SendBy: a.grant.ExpiresAt,
+		SendBy: a.grant.ExpiresAt, Holds: func() bool { return r.service.cfg.Scheduler.Holds(a.grant) },
 	})
 	if err != nil {
 		return a.outcomeOf(err), err
@@ -43,10 +43,7 @@
 	if err != nil {
 		return a.outcomeOf(err), err
 	}
-	if !head.Misdirected {
-		r.service.cfg.Quarantine.Alive(time.Now(), &a.grant.Target)
-	}
-	a.observeRateLimit(head)
+	a.observe(head)
 	if head.NotRun {
 		n, copyErr := io.Copy(io.Discard, io.LimitReader(ex, maxRejectionBytes))
 		bodyRead = copyErr == nil && n < maxRejectionBytes
@@ -113,18 +110,19 @@
 	}
 }
 
-// observeRateLimit records the limit that the target states in its response. The response
-// of another target at the same address says nothing about this one, and an unsigned one,
-// such as a rejection, does not show that a limit has ended.
-func (a *attempt) observeRateLimit(head *state.Response) {
-	r := a.request
-	switch {
-	case head.Misdirected, head.Stated.RateLimitErr == nil && !head.Stated.RateLimit.Stated && !head.HasSignature:
-	case head.Stated.RateLimitErr != nil:
-		r.log.Warn("rate limit of target ignored", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)), zap.Error(head.Stated.RateLimitErr))
-	default:
-		r.service.cfg.Scheduler.ObserveRateLimit(a.grant, head.Stated.RateLimit)
+// observe records what the target states in its response. That of another target at the
+// same address says nothing about this one.
+func (a *attempt) observe(head *state.Response) {
+	if head.Misdirected {
+		return
+	}
+	a.request.service.cfg.Quarantine.Alive(time.Now(), &a.grant.Target)
+	for _, err := range []error{head.Stated.RateLimitErr, head.Stated.PauseErr} {
+		if err != nil {
+			a.request.log.Warn("statement of target ignored", zap.String("request", string(a.request.call.ID)), zap.String("target", string(a.grant.Target.ID)), zap.Error(err))
+		}
 	}
+	a.request.service.cfg.Scheduler.Observe(a.grant, head.Stated, head.HasSignature)
 }
 
 // handleTargetFailure keeps a 5xx response. If the request is repeatable, another
@@ -162,7 +160,7 @@
 func (a *attempt) outcomeOf(err error) dispatch.Outcome {
 	cause := context.Cause(a.ctx)
 	switch {
-	case errors.Is(err, ErrGrantExpired):
+	case errors.Is(err, ErrGrantExpired), errors.Is(err, ErrGrantWithdrawn):
 		return dispatch.Expired
 	case errors.Is(err, ErrNotSent) && (cause == nil || errors.Is(cause, errStalled)):
 		return dispatch.Unreachable
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -28,6 +28,10 @@
 // process was paused or delayed meanwhile.
 var ErrGrantExpired = fmt.Errorf("%w: the grant of the target has expired", ErrNotSent)
 
+// ErrGrantWithdrawn means that the request was not sent because Forward.Holds was false: the
+// target has stated meanwhile that it takes no requests.
+var ErrGrantWithdrawn = fmt.Errorf("%w: the target takes no requests any more", ErrNotSent)
+
 // Forward is a caller's request together with what the target is told about it.
 type Forward struct {
 	Call        *state.Call
@@ -38,12 +42,16 @@
 	// SendBy is when the grant of the target expires. What it rests on, such as the list of
 	// targets and the parts of limits, may have changed by then.
 	SendBy time.Time
+	// Holds reports whether the request may still be sent by what its target has stated. It
+	// is called once, when the connection is open.
+	Holds func() bool
 }
 
 // TargetClient sends requests to targets.
 type TargetClient interface {
 	// Send sends a request once. The error wraps ErrNotSent when the target
-	// certainly did not get it, and ErrGrantExpired if that was because of SendBy.
+	// certainly did not get it, ErrGrantExpired if that was because of SendBy, and
+	// ErrGrantWithdrawn if because of Holds.
 	// Cancelling ctx cancels the request.
 	Send(ctx context.Context, f *Forward) (Exchange, error)
 	// Refuses reports whether connections to an address are refused, which shows that the
--- a/internal/coordination/gateway/ratelimit_test.go
+++ b/internal/coordination/gateway/ratelimit_test.go
@@ -27,7 +27,7 @@
 			return g
 		}
 		inForceAfter := func(g *dispatch.Grant, head state.Response) bool {
-			(&attempt{request: &request{service: s, call: &state.Call{ID: "r"}, log: zap.NewNop()}, grant: g}).observeRateLimit(&head)
+			(&attempt{request: &request{service: s, call: &state.Call{ID: "r"}, log: zap.NewNop()}, grant: g}).observe(&head)
 			return s.cfg.Scheduler.Summaries()["t1"].RateLimit != nil
 		}
 		early := acquire()
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -364,7 +364,7 @@
 		if !tryAnother {
 			return
 		}
-		if !errors.Is(r.lastErr, ErrGrantExpired) {
+		if !errors.Is(r.lastErr, ErrGrantExpired) && !errors.Is(r.lastErr, ErrGrantWithdrawn) {
 			r.placement.Tried = append(r.placement.Tried, grant.Target.ID)
 		}
 		r.placement.AlreadyAdmitted = true
--- a/internal/coordination/gateway/statement_test.go
+++ b/internal/coordination/gateway/statement_test.go
@@ -60,6 +60,9 @@
 	dial := time.Duration(c.random.Int64N(int64(30 * time.Millisecond)))
 	c.mu.Unlock()
 	time.Sleep(dial)
+	if !f.Holds() {
+		return nil, ErrGrantWithdrawn
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := entryAndTarget{c.entry, f.Target.ID}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -289,6 +289,12 @@
 	p.log.Info("target returned", zap.String("target", string(id)), zap.String("service", string(service)))
 }
 
+// TargetPaused implements dispatch.Observer.
+func (p *gatewayProcess) TargetPaused(id state.TargetID, service state.Service, pause time.Duration) {
+	p.counters.Add("target_paused")
+	p.log.Info("target asks for a pause", zap.String("target", string(id)), zap.String("service", string(service)), zap.Duration("pause", pause))
+}
+
 // RateLimitChanged implements dispatch.Observer.
 func (p *gatewayProcess) RateLimitChanged(c *ratelimit.Change) {
 	p.counters.Add("rate_limit_changed")
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -121,6 +121,10 @@
 		conn.Close()
 		return nil, fmt.Errorf("%w: send to %s", gateway.ErrGrantExpired, f.Target.Address)
 	}
+	if !f.Holds() {
+		conn.Close()
+		return nil, fmt.Errorf("%w: send to %s", gateway.ErrGrantWithdrawn, f.Target.Address)
+	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		stop()
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -77,7 +77,7 @@
 	} {
 		f := &gateway.Forward{
 			Call: &state.Call{ID: "a", Method: "POST", URI: "/x", Host: "h"}, Target: state.TargetRecord{ID: "t", Address: address},
-			TimeLeft: time.Second, SendBy: sendBy,
+			TimeLeft: time.Second, Holds: func() bool { return true }, SendBy: sendBy,
 		}
 		if _, err := New().Send(t.Context(), f); !errors.Is(err, gateway.ErrGrantExpired) || !errors.Is(err, gateway.ErrNotSent) {
 			t.Errorf("%s: error %v, want that the grant has expired", name, err)
@@ -92,7 +92,7 @@
 	t.Helper()
 	ex, err := c.Send(t.Context(), &gateway.Forward{
 		Call:   &state.Call{ID: id, Method: "POST", URI: "/x", Host: "h", Header: []state.HeaderField{{Name: "Request-Id", Value: string(id)}}, Body: []byte("body")},
-		Target: state.TargetRecord{ID: "t", Address: address}, TimeLeft: time.Second, SendBy: time.Now().Add(time.Minute),
+		Target: state.TargetRecord{ID: "t", Address: address}, TimeLeft: time.Second, Holds: func() bool { return true }, SendBy: time.Now().Add(time.Minute),
 	})
 	if err != nil {
 		return nil, "", err
@@ -231,7 +231,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ex, err := New().Send(ctx, &gateway.Forward{
-		Call: &state.Call{ID: "a", Method: "GET", URI: "/x", Host: "h"}, Target: state.TargetRecord{Address: address}, TimeLeft: time.Second, SendBy: time.Now().Add(time.Minute),
+		Call: &state.Call{ID: "a", Method: "GET", URI: "/x", Host: "h"}, Target: state.TargetRecord{Address: address}, TimeLeft: time.Second, Holds: func() bool { return true }, SendBy: time.Now().Add(time.Minute),
 	})
 	if err != nil {
 		t.Fatal(err)
