Failing test: requests go on to a target that says that it leaves

Cause: only the list of targets tells an entry that a target leaves; what the target says in its responses is not read.

--- a/internal/coordination/gateway/statement_test.go
+++ b/internal/coordination/gateway/statement_test.go
@@ -31,8 +31,11 @@
 	// told holds, by entry and target, the statements that the entry has received.
 	told    map[entryAndTarget][]toldStatement
 	arrived map[entryAndTarget][]time.Time
-	served  int
-	faulty  bool // some responses are broken off
+	// sentAt is when callers sent the requests that have arrived, in the same order.
+	sentAt map[entryAndTarget][]time.Time
+	calls  map[state.RequestID]time.Time // when callers sent them
+	served int
+	faulty bool // some responses are broken off
 }
 
 type entryAndTarget struct {
@@ -67,6 +70,7 @@
 	defer c.mu.Unlock()
 	key := entryAndTarget{c.entry, f.Target.ID}
 	c.arrived[key] = append(c.arrived[key], time.Now())
+	c.sentAt[key] = append(c.sentAt[key], c.calls[f.Call.ID])
 	x := &statingExchange{client: c, ctx: ctx, key: key, wait: time.Duration(20+c.random.IntN(60)) * time.Millisecond, events: 4}
 	x.stated = c.stated(f.Target.ID)
 	if x.stated.Pause > 0 {
@@ -162,9 +166,12 @@
 	sent    int
 }
 
-func newStatingFleet(seed uint64, entries, targets int) *statingFleet {
+var nineTargets = []string{"t0", "t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"}
+
+func newStatingFleet(seed uint64, entries int) *statingFleet {
 	f := &statingFleet{statingTargets: &statingTargets{
 		random: rand.New(rand.NewPCG(seed, 5)), told: make(map[entryAndTarget][]toldStatement), arrived: make(map[entryAndTarget][]time.Time),
+		sentAt: make(map[entryAndTarget][]time.Time), calls: make(map[state.RequestID]time.Time),
 		stated: func(state.TargetID) state.Statement { return state.Statement{} },
 	}}
 	for i := range entries {
@@ -174,15 +181,15 @@
 		s.SetConfiguration(&state.Configuration{Version: 1, Routes: []state.Route{resumed, once}})
 		f.entries = append(f.entries, s)
 	}
-	f.list(targets, func(i int) state.TargetID { return state.TargetID(fmt.Sprint("t", i)) })
+	f.list(nineTargets...)
 	return f
 }
 
-// list lists targets with the given identifiers, at addresses that do not change.
-func (f *statingFleet) list(targets int, id func(int) state.TargetID) {
+// list lists targets. The last character of an identifier determines the address.
+func (f *statingFleet) list(ids ...string) {
 	var list []state.TargetRecord
-	for i := range targets {
-		list = append(list, state.TargetRecord{ID: id(i), Service: "s", Address: fmt.Sprint("address-", i), Slots: 6})
+	for _, id := range ids {
+		list = append(list, state.TargetRecord{ID: state.TargetID(id), Service: "s", Address: "address-" + id[len(id)-1:], Slots: 6})
 	}
 	for _, s := range f.entries {
 		s.cfg.Scheduler.SetTargets(list)
@@ -193,6 +200,7 @@
 func (f *statingFleet) run(t *testing.T, d time.Duration, perSecond float64) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Duration(float64(time.Second) / perSecond)) {
 		f.mu.Lock()
+		f.calls[state.RequestID(fmt.Sprint(f.sent+1))] = time.Now()
 		s, path := f.entries[f.random.IntN(len(f.entries))], []string{"/resumed/x", "/once/x"}[f.random.IntN(2)]
 		f.mu.Unlock()
 		f.sent++
@@ -220,7 +228,7 @@
 	for _, entries := range []int{3, 12, 60} {
 		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newStatingFleet(1, entries, 9)
+				f := newStatingFleet(1, entries)
 				f.faulty = true
 				const perSecond = 150
 				f.run(t, 5*time.Second, perSecond)
@@ -239,3 +247,65 @@
 		})
 	}
 }
+
+// drainTime is the time after a response in which a target says that it leaves from which on
+// no request that callers send may reach the target.
+const drainTime = 2 * time.Second
+
+// afterLeaving returns the number of requests that reached targets from entries which had
+// known for drainTime, when the caller sent the request, that the target leaves.
+func (c *statingTargets) afterLeaving() int {
+	n := 0
+	for key, told := range c.told {
+		var leavesAt time.Time
+		for _, s := range told {
+			if s.Leaving && (leavesAt.IsZero() || s.at.Before(leavesAt)) {
+				leavesAt = s.at
+			}
+		}
+		for _, sentAt := range c.sentAt[key] {
+			if !leavesAt.IsZero() && sentAt.After(leavesAt.Add(drainTime)) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against requests to a target that says in its responses that it leaves, while the
+// list of targets does not say so, and against keeping them from its successor.
+func TestTargetThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+	for _, entries := range []int{3, 12, 60} {
+		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newStatingFleet(2, entries)
+				f.faulty = true
+				const perSecond = 150
+				f.run(t, 3*time.Second, perSecond)
+				f.stated = statedFor(state.Statement{Leaving: true}, "t0", "t1")
+				f.run(t, 4*time.Second, perSecond)
+				f.list(nineTargets[1:]...) // loses t0 for a moment
+				f.list(nineTargets...)
+				f.run(t, 6*time.Second, perSecond)
+				f.list(append([]string{"successor-0"}, nineTargets[1:]...)...)
+				f.run(t, 4*time.Second, perSecond)
+				f.group.Wait()
+				if n := f.afterLeaving(); n > 0 {
+					t.Errorf("%d requests reached targets %s after they had said that they leave, or later", n, drainTime)
+				}
+				successor := 0
+				for key, arrived := range f.arrived {
+					if key.target == "successor-0" {
+						successor += len(arrived)
+					}
+				}
+				if successor == 0 {
+					t.Error("the successor at the address of a target that left got no request")
+				}
+				if share := float64(f.served) / float64(f.sent); share < 0.9 {
+					t.Errorf("%.2f of the requests began, want 0.9: other targets go on", share)
+				}
+			})
+		})
+	}
+}
