A target that says that it leaves gets no more requests

Cause: the header was not read; an entry learned of a leaving target from the list only, which some targets never tell.

Change: dispatch/statement.go remembers that a run of a target has said so, also while the list loses it. No choice takes it, no grant from before holds, and its end is not taken for a crash. A successor is free.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -129,11 +129,11 @@
 }
 
 // Serves reports whether the target of a grant is still expected to serve requests: it is
-// listed, has not been started again and does not drain.
+// listed, has not been started again and does not leave.
 func (s *Scheduler) Serves(g *Grant) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.targets[g.Target.ID] == g.target && !g.target.record.Draining
+	return s.targets[g.Target.ID] == g.target && !g.target.record.Draining && !g.target.stated.leaving()
 }
 
 // notifyRateLimits notifies the observer of changes.
--- a/internal/coordination/dispatch/load_test.go
+++ b/internal/coordination/dispatch/load_test.go
@@ -22,6 +22,7 @@
 func (noObserver) TargetEjected(state.TargetID, state.Service, Outcome, time.Duration) {}
 func (noObserver) TargetReturned(state.TargetID, state.Service)                        {}
 func (noObserver) RateLimitChanged(*ratelimit.Change)                                  {}
+func (noObserver) TargetLeaving(state.TargetID, state.Service)                         {}
 func (noObserver) TargetPaused(state.TargetID, state.Service, time.Duration)           {}
 
 // simulation simulates requests that arrive at one or more entries. Each engine
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -49,12 +49,14 @@
 }
 
 // Observer is notified when targets are ejected, when they are in use again, when the limit
-// that a target states changes, and when a target asks this entry for a pause. Its methods are called with the scheduler locked, so
+// that a target states changes, when a target says that it leaves, and when it asks this
+// entry for a pause. Its methods are called with the scheduler locked, so
 // they must not block or call the scheduler.
 type Observer interface {
 	TargetEjected(id state.TargetID, service state.Service, cause Outcome, backoff time.Duration)
 	TargetReturned(id state.TargetID, service state.Service)
 	RateLimitChanged(c *ratelimit.Change)
+	TargetLeaving(id state.TargetID, service state.Service)
 	TargetPaused(id state.TargetID, service state.Service, pause time.Duration)
 }
 
@@ -243,7 +245,7 @@
 	if r.RequiredSoftware != nil {
 		return p.allTargets
 	}
-	if len(p.subset) < len(p.allTargets) && !slices.ContainsFunc(p.subset, func(t *target) bool { return t.stated.takes(now) }) {
+	if len(p.subset) < len(p.allTargets) && !slices.ContainsFunc(p.subset, func(t *target) bool { return !t.record.Draining && t.stated.takes(now) }) {
 		return p.allTargets
 	}
 	return p.subset
--- a/internal/coordination/dispatch/statement.go
+++ b/internal/coordination/dispatch/statement.go
@@ -7,9 +7,14 @@
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
-// maxPauseJitter is by how much a pause is lengthened at most, so that entries which were
-// told at one time do not all come back at one time.
-const maxPauseJitter = 250 * time.Millisecond
+const (
+	// maxPauseJitter is by how much a pause is lengthened at most, so that entries which were
+	// told at one time do not all come back at one time.
+	maxPauseJitter = 250 * time.Millisecond
+	// leavingMemory is how long a target that has said that it leaves is remembered while it
+	// is not listed.
+	leavingMemory = 10 * time.Minute
+)
 
 // targetRun identifies one run of a target. Its successor at the same address, or a new run
 // under the same identifier, has stated nothing yet.
@@ -30,13 +35,20 @@
 	// openLimit bounds the open requests of this entry that were granted since the pause; 0:
 	// no bound. It grows with each of them that is served.
 	openLimit int
+	// leavingSince is when the target first said that it leaves; zero if it did not. It does
+	// not come back.
+	leavingSince time.Time
 }
 
+func (st *statement) leaving() bool { return !st.leavingSince.IsZero() }
+
 // takes reports whether the target takes requests from this entry at all.
-func (st *statement) takes(now time.Time) bool { return !now.Before(st.pausedUntil) }
+func (st *statement) takes(now time.Time) bool { return !st.leaving() && !now.Before(st.pausedUntil) }
 
-// inEffect reports whether the statement would be missed.
-func (st *statement) inEffect(now time.Time) bool { return !st.takes(now) }
+// inEffect reports whether the statement would be missed if the target were listed again.
+func (st *statement) inEffect(now time.Time) bool {
+	return now.Before(st.pausedUntil) || st.leaving() && now.Sub(st.leavingSince) < leavingMemory
+}
 
 // pause begins a pause. One that ends before the present one changes nothing.
 func (st *statement) pause(until time.Time) bool {
@@ -81,10 +93,14 @@
 func (s *Scheduler) Observe(g *Grant, stated state.Statement, signed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
+	now, st := s.now(), s.statementOf(&g.Target)
+	if stated.Leaving && !st.leaving() {
+		st.leavingSince = now
+		s.observer.TargetLeaving(g.Target.ID, g.Target.Service)
+	}
 	if stated.Pause > 0 {
 		jitter := time.Duration(s.random.Float64() * float64(min(stated.Pause/10, maxPauseJitter)))
-		if s.statementOf(&g.Target).pause(now.Add(stated.Pause + jitter)) {
+		if st.pause(now.Add(stated.Pause + jitter)) {
 			s.observer.TargetPaused(g.Target.ID, g.Target.Service, stated.Pause)
 		}
 	}
--- a/internal/coordination/dispatch/statement_test.go
+++ b/internal/coordination/dispatch/statement_test.go
@@ -140,3 +140,32 @@
 		t.Errorf("%d statements of targets that are gone are kept", len(s.statements))
 	}
 }
+
+// Guards against requests to a target that has said that it leaves, also when the list of
+// targets loses it for a moment, against keeping them from its successor, and against taking
+// its end for a crash.
+func TestLeavingTargetGetsNoRequests(t *testing.T) {
+	s, c := newTestScheduler()
+	list := []state.TargetRecord{{ID: "t1", Service: "s", Address: "1", Domain: "a", Slots: 2, Started: 1}}
+	s.SetTargets(list)
+	g, waiting := acquire(t, s, c.request(true)), acquire(t, s, c.request(true))
+	s.Observe(g, state.Statement{Leaving: true}, true)
+	s.Release(g, Served)
+	if s.Holds(waiting) || s.Serves(waiting) {
+		t.Error("the target is still expected to serve requests")
+	}
+	s.SetTargets(nil)
+	s.SetTargets(list)
+	if refused := refusal(t, s, c.request(true)); refused == nil || refused.Reason != ReasonNoTarget {
+		t.Errorf("refusal %+v, want one because there is no target", refused)
+	}
+	s.SetTargets([]state.TargetRecord{{ID: "t2", Service: "s", Address: "1", Domain: "a", Slots: 2, Started: 2}})
+	if g := acquire(t, s, c.request(true)); g.Target.ID != "t2" || !s.Holds(g) {
+		t.Error("the successor at the address gets no requests")
+	}
+	c.at = c.at.Add(leavingMemory)
+	s.SetTargets(nil)
+	if len(s.statements) != 0 {
+		t.Errorf("%d statements of targets that are gone are kept", len(s.statements))
+	}
+}
--- a/internal/coordination/dispatch/summary.go
+++ b/internal/coordination/dispatch/summary.go
@@ -11,7 +11,8 @@
 	Service     state.Service `json:"service"`
 	InSubset    bool          `json:"subset"`    // this entry may send requests to the target
 	Connected   bool          `json:"connected"` // requests of this entry are open at the target
-	Leaving     bool          `json:"leaving"`
+	Leaving     bool          `json:"leaving"`   // by the list of targets or by its own responses
+	Paused      bool          `json:"paused"`    // wants no requests from this entry
 	Ejected     bool          `json:"ejected"`
 	Outstanding int           `json:"outstanding"` // open requests of this entry and those that others report
 	Slowness    float64       `json:"slowness"`    // ratio of the time to a response to that usual in the service, 0 if not measured
@@ -31,7 +32,7 @@
 	out := make(map[state.TargetID]Summary, len(s.targets))
 	for id, t := range s.targets {
 		summary := Summary{
-			Service: t.record.Service, Connected: len(t.openGrants) > 0, Leaving: t.record.Draining,
+			Service: t.record.Service, Connected: len(t.openGrants) > 0, Leaving: t.record.Draining || t.stated.leaving(), Paused: s.now().Before(t.stated.pausedUntil),
 			Ejected: !t.ejectedUntil.IsZero(), Outstanding: t.outstanding(), Slowness: s.pool(t.record.Service).cost.Slowness(&t.cost), Failing: t.failingShare,
 		}
 		if limit := s.limits.Limit(id); limit.Stated {
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -105,7 +105,7 @@
 }
 
 // allows reports whether r may be sent to the target, now or later.
-func (t *target) allows(r *Request) bool { return r.allows(&t.record) }
+func (t *target) allows(r *Request) bool { return !t.stated.leaving() && r.allows(&t.record) }
 
 // eligible reports whether the target may take r, apart from its load and from what it has
 // stated. An ejected target takes one request at a time, as a probe, once its backoff is over.
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -142,6 +142,7 @@
 
 func (noObserver) TargetEjected(state.TargetID, state.Service, dispatch.Outcome, time.Duration) {}
 func (noObserver) TargetReturned(state.TargetID, state.Service)                                 {}
+func (noObserver) TargetLeaving(state.TargetID, state.Service)                                  {}
 func (noObserver) TargetPaused(state.TargetID, state.Service, time.Duration)                    {}
 func (noObserver) RateLimitChanged(*ratelimit.Change)                                           {}
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -289,6 +289,12 @@
 	p.log.Info("target returned", zap.String("target", string(id)), zap.String("service", string(service)))
 }
 
+// TargetLeaving implements dispatch.Observer.
+func (p *gatewayProcess) TargetLeaving(id state.TargetID, service state.Service) {
+	p.counters.Add("target_leaving")
+	p.log.Info("target says that it leaves", zap.String("target", string(id)), zap.String("service", string(service)))
+}
+
 // TargetPaused implements dispatch.Observer.
 func (p *gatewayProcess) TargetPaused(id state.TargetID, service state.Service, pause time.Duration) {
 	p.counters.Add("target_paused")
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -50,6 +50,7 @@
 func (noObserver) TargetEjected(state.TargetID, state.Service, dispatch.Outcome, time.Duration) {}
 func (noObserver) TargetReturned(state.TargetID, state.Service)                                 {}
 func (noObserver) RateLimitChanged(*ratelimit.Change)                                           {}
+func (noObserver) TargetLeaving(state.TargetID, state.Service)                                  {}
 func (noObserver) TargetPaused(state.TargetID, state.Service, time.Duration)                    {}
 
 // startServer starts a server on loopback, in front of a gateway with one target that
