Responses of a new process with the same identifier refute no crash

Cause: a crash at an address that still accepts connections is refuted by any later response of the target.

Change: a response refutes an end for a second only, and never one where this entry has seen the address refuse connections.

Evidence: TestResponseAfterARestartRefutesNothing fails without the change.

--- a/internal/coordination/quarantine/life.go
+++ b/internal/coordination/quarantine/life.go
@@ -12,6 +12,9 @@
 	// lifeMargin is how long after its end a target must have responded to refute the end: a
 	// response may be read late, and the ages in reports include the time on the way.
 	lifeMargin = 200 * time.Millisecond
+	// maxLifeDelay is how long after its end a response refutes it at most. A later one may be
+	// of a new process with the same identifier that the list of targets does not show yet.
+	maxLifeDelay = time.Second
 )
 
 // LifeNote says that a run of a target, identified by its hash, has responded although it
@@ -33,20 +36,30 @@
 	}
 }
 
+// refutes reports whether a response at a time shows that a target had not ended before.
+func refutes(aliveAt, endedAt time.Time) bool {
+	after := aliveAt.Sub(endedAt)
+	return after > lifeMargin && after <= maxLifeDelay
+}
+
 // refute marks the evidence of the end of a run as refuted if the run has responded
 // afterwards, and releases what is no longer to be blocked. It reports whether there was
 // such evidence.
 func (l *Ledger) refute(now time.Time, run uint64, aliveAt time.Time) bool {
-	if end, ended := l.evidence.ends[run]; !ended || !aliveAt.After(end.Add(lifeMargin)) {
+	if end, ended := l.evidence.ends[run]; !ended || !refutes(aliveAt, end) {
 		return false
 	}
 	var keys []Key
 	for _, e := range l.evidence.all {
-		if e.run == run && !e.refuted && aliveAt.After(e.endedAt.Add(lifeMargin)) {
+		seenToRefuse := e.reporter == l.cfg.Self && !e.closed
+		if e.run == run && !e.refuted && !seenToRefuse && refutes(aliveAt, e.endedAt) {
 			e.refuted = true
 			keys = append(keys, e.keys...)
 		}
 	}
+	if len(keys) == 0 {
+		return false
+	}
 	l.evidence.updateEnd(run)
 	for _, k := range keys {
 		if l.blocks[k] != nil && !l.suspects(l.judge(now, k, l.explainedRuns())) {
@@ -60,7 +73,7 @@
 // another entry reports to have ended.
 func (l *Ledger) aliveSince(run uint64, endedAt time.Time) bool {
 	at, ok := l.alive.Get(run)
-	return ok && at.After(endedAt.Add(lifeMargin))
+	return ok && refutes(at, endedAt)
 }
 
 // learnLife applies what another entry tells of a run that was reported to have ended.
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -363,3 +363,18 @@
 		t.Errorf("blocked: the crashing part %t, the one sent later %t; want the first only", l.isBlocked(at(6), bad), l.isBlocked(at(6), late))
 	}
 }
+
+// Guards against a response of a new process under the same identifier that ends what was
+// learned from the crash of the one before.
+func TestResponseAfterARestartRefutesNothing(t *testing.T) {
+	l, bad := newLedger("a"), request("c", "bad")
+	for n := range minSeries {
+		target := state.TargetRecord{ID: state.TargetID(fmt.Sprint("t", n)), Address: fmt.Sprint("machine-", n)}
+		l.RecordCrash(at(float64(n)+0.1), &Crash{Request: bad, Target: target, SentAt: at(float64(n)), EndedAt: at(float64(n) + 0.1), Closed: n%2 == 0})
+		l.serves(at(float64(n) + 0.2))
+		l.Alive(at(float64(n)+0.1).Add(maxLifeDelay+time.Millisecond), &target)
+	}
+	if !l.isBlocked(at(minSeries+1), bad) {
+		t.Error("what was learned from crashes has ended with responses of new processes")
+	}
+}
