Soak: targets that ask for pauses and say that they leave

Change: a pause is one of the random faults, and a third of the targets that leave say so in their responses only. After the faults, a target of each service asks for pauses and another one says that it leaves, while an entry is stopped; requests that reach them all the same are reported.

--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -55,6 +55,10 @@
 	LoseResponse, TruncateResponse, ExtraResponse, FailRequests atomic.Bool
 	// RateLimit is the limit that responses state, in requests a second; 0: none.
 	RateLimit atomic.Int64
+	// PauseMs makes the target turn requests away and ask for a pause of so many
+	// milliseconds; 0: none. Leaving makes it say in its responses that it leaves.
+	PauseMs atomic.Int64
+	Leaving atomic.Bool
 	// EndlessHead and EndlessBody make the target run requests and send bytes that are no
 	// response, until the connection is closed: in place of the head or of the body.
 	EndlessHead, EndlessBody atomic.Bool
@@ -64,20 +68,22 @@
 	CrashUnder func(header http.Header, body []byte) (crash func())
 
 	arrivalsMu sync.Mutex
-	arrivals   []Arrival // while a limit is stated
+	arrivals   []Arrival // while a limit, a pause or leaving is stated
 
 	running atomic.Int64
 	streams atomic.Int64 // streams begun so far
 }
 
-// Arrival is a request that a target got.
+// Arrival is a request that a target got, and what it stated in the response.
 type Arrival struct {
-	At time.Time
-	ID string
+	At      time.Time
+	ID      string
+	Pause   time.Duration
+	Leaving bool
 }
 
-// Arrivals returns the requests that the target got since it has stated a limit, and
-// forgets them.
+// Arrivals returns the requests that the target got while it stated something, and forgets
+// them.
 func (t *Target) Arrivals() []Arrival {
 	t.arrivalsMu.Lock()
 	defer t.arrivalsMu.Unlock()
@@ -86,16 +92,25 @@
 	return taken
 }
 
-// stateLimit states the limit in a response, if there is one, and records the request.
-func (t *Target) stateLimit(header http.Header, id string) {
-	limit := t.RateLimit.Load()
-	if limit <= 0 {
-		return
+// state writes what the target states of itself to the header of a response, and records the
+// request if it states anything. It reports whether the request is turned away.
+func (t *Target) state(header http.Header, id string) (turnedAway bool) {
+	limit, pause, leaving := t.RateLimit.Load(), time.Duration(t.PauseMs.Load())*time.Millisecond, t.Leaving.Load()
+	if limit > 0 {
+		header.Set("Server-Limit", strconv.FormatInt(limit, 10))
 	}
-	header.Set("Server-Limit", strconv.FormatInt(limit, 10))
-	t.arrivalsMu.Lock()
-	defer t.arrivalsMu.Unlock()
-	t.arrivals = append(t.arrivals, Arrival{At: time.Now(), ID: id})
+	if pause > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
+	}
+	if leaving {
+		header.Set("Server-Leaving", "1")
+	}
+	if limit > 0 || pause > 0 || leaving {
+		t.arrivalsMu.Lock()
+		defer t.arrivalsMu.Unlock()
+		t.arrivals = append(t.arrivals, Arrival{At: time.Now(), ID: id, Pause: pause, Leaving: leaving})
+	}
+	return pause > 0
 }
 
 // Record returns the value of the target's record in the store.
@@ -126,9 +141,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	t.stateLimit(header, id)
+	turnedAway := t.state(header, id)
 	defer t.running.Add(-1)
-	if t.running.Add(1) > int64(4*t.Slots) {
+	if t.running.Add(1) > int64(4*t.Slots) || turnedAway {
 		header.Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/faultsoak/faults_test.go
+++ b/internal/faultsoak/faults_test.go
@@ -81,6 +81,11 @@
 			e.RateLimit.Store(1)
 			w.endLater(func() { e.RateLimit.Store(0) })
 		}},
+		{"target asks for a pause", func() {
+			e := w.randomEngine()
+			e.PauseMs.Store(300)
+			w.endLater(func() { e.PauseMs.Store(0) })
+		}},
 		{"target leaves and comes back", w.replaceTarget},
 		{"invalid target record", func() { w.store.Put("keyed.servers", "stranger", []byte(`{"Service":7,"State":"odd"}`)) }},
 	}
@@ -120,9 +125,12 @@
 		return
 	}
 	e.removed = true
-	if w.random.IntN(2) == 0 {
+	switch w.random.IntN(3) {
+	case 0:
 		w.putTargetRecord(e, "draining")
-	} else {
+	case 1: // only its responses tell
+		e.Leaving.Store(true)
+	default:
 		e.proxy.RefuseNew.Store(true)
 		e.proxy.Reset(w.random, 1)
 		e.record = nil
@@ -130,6 +138,7 @@
 	}
 	time.AfterFunc(maxFaultDuration, func() {
 		e.proxy.ClearFaults()
+		e.Leaving.Store(false)
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		e.removed, e.startedAt = false, time.Now()
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -3,7 +3,8 @@
 // of the users (package emulator), injects faults from outside and checks what
 // callers and targets see. Package soak runs the code of a deployment with side
 // processes against in-memory fakes.
-// After the faults, some targets state limits and an entry is stopped meanwhile; then
+// After the faults, some targets state limits, then pauses and that they leave, and an entry
+// is stopped meanwhile each time; then
 // requests come that crash targets, by a part of their prompts or by their content.
 //
 // The faults are: connections that a proxy delays, resets, refuses or drops the
@@ -97,6 +98,7 @@
 	}
 	w.endAllFaults()
 	w.checkRateLimits()
+	w.checkPausesAndLeaving()
 	w.checkCrashes()
 	w.checkMemory()
 	stopLoad()
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -65,8 +65,9 @@
 	mu          sync.Mutex
 	closed      bool
 	results     []result
-	sentTo      map[string]string // name of the entry that each request was sent to, by ID
-	disruptions []time.Time       // times of faults that may cut off a response
+	starts      map[string][]time.Time // of the processes of each entry, by its name
+	sentTo      map[string]string      // name of the entry that each request was sent to, by ID
+	disruptions []time.Time            // times of faults that may cut off a response
 }
 
 const (
@@ -85,7 +86,7 @@
 func newWorld(t *testing.T, binary string, seed uint64, versions ...string) *world {
 	w := &world{
 		t: t, binary: binary, random: newRandom(seed), logDirectory: logDir(t, seed), store: emulator.NewStore(),
-		ledger: emulator.NewLedger(), faultCounts: make(map[string]int), sentTo: make(map[string]string),
+		ledger: emulator.NewLedger(), faultCounts: make(map[string]int), sentTo: make(map[string]string), starts: make(map[string][]time.Time),
 		partCrashes: crashKind{name: "prompt part", learnAfter: 5}, requestCrashes: crashKind{name: "repeated request", learnAfter: 3},
 	}
 	w.storeAddress = w.serveOn("127.0.0.1:0", func(ln net.Listener) { w.store.Serve(ln) })
@@ -226,6 +227,9 @@
 	cmd := exec.Command(w.binary, "--platform", "--signers", w.publisher.signersFile)
 	cmd.Env = append(os.Environ(), "CASSIARAMP_BOOT="+e.bootFile)
 	cmd.Stdout, cmd.Stderr = log, log
+	w.mu.Lock()
+	w.starts[e.name] = append(w.starts[e.name], time.Now())
+	w.mu.Unlock()
 	if err := cmd.Start(); err != nil {
 		w.t.Fatal(err)
 	}
