--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -167,7 +167,7 @@
 			p.cost.ObserveEnd(&t.cost, g.request.Work, g.Events, now.Sub(g.respondedAt), hold)
 		}
 	}
-	if o == Unreachable || o == Expired {
+	if o == Unreachable || o == Unused {
 		s.limits.Return(now, t.record.ID)
 	}
 	ejected, returned := t.recordOutcome(now, g, o)
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -118,9 +118,9 @@
 	// Unreachable means that the request was not sent, because no connection could be
 	// opened.
 	Unreachable
-	// Expired means that the request was not sent, because the grant had expired or its
-	// holder does not use it.
-	Expired
+	// Unused means that the request was not sent, because the grant had expired, its target
+	// has stated that it takes no requests, or its holder does not use it.
+	Unused
 	// Broken means that the response was missing, invalid or incomplete.
 	Broken
 	// Cancelled means that the attempt ended for a reason on the caller's side; it
@@ -132,5 +132,5 @@
 
 // String returns the outcome as it appears in logs.
 func (o Outcome) String() string {
-	return [...]string{"served", "failed", "rejected", "gone", "unreachable", "expired", "broken", "cancelled", "silent"}[o]
+	return [...]string{"served", "failed", "rejected", "gone", "unreachable", "unused", "broken", "cancelled", "silent"}[o]
 }
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -206,7 +206,7 @@
 	select {
 	case <-w.done: // granted or refused meanwhile
 		if w.grant != nil {
-			s.release(w.grant, Expired) // it was not sent
+			s.release(w.grant, Unused) // it was not sent
 		}
 	default:
 		s.pool(r.Service).queue.remove(w)
--- a/internal/coordination/dispatch/statement_test.go
+++ b/internal/coordination/dispatch/statement_test.go
@@ -25,7 +25,7 @@
 	case err != nil:
 		t.Fatal(err)
 	}
-	s.Release(g, Expired)
+	s.Release(g, Unused)
 	return nil
 }
 
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -154,7 +154,7 @@
 			t.eject(now)
 		}
 		return ejected, false
-	case Cancelled, Expired:
+	case Cancelled, Unused:
 		return false, false
 	}
 	returned = !t.ejectedUntil.IsZero()
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -161,7 +161,7 @@
 	cause := context.Cause(a.ctx)
 	switch {
 	case errors.Is(err, ErrGrantExpired), errors.Is(err, ErrGrantWithdrawn):
-		return dispatch.Expired
+		return dispatch.Unused
 	case errors.Is(err, ErrNotSent) && (cause == nil || errors.Is(cause, errStalled)):
 		return dispatch.Unreachable
 	case errors.Is(cause, errStalled), errors.Is(cause, errDeadline):
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/cassiaramp/cassiaramp/internal/coordination/costmodel"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quarantine"
@@ -215,139 +213,6 @@
 	r.serve(ctx)
 }
 
-// admit finds the route and the customer, prepares the placement and charges the
-// customer's allowance. It returns the failure to answer with, or nil.
-func (r *request) admit(ctx context.Context) *Failure {
-	r.recognizeReturn()
-	if r.table = r.service.awaitTable(ctx, r.call); r.table == nil {
-		retryAfter := max(minNotReadyRetryAfter, time.Since(r.service.started))
-		return &Failure{Kind: NotRun, Reason: "no_configuration", RetryAfter: r.capRetryAfter(retryAfter)}
-	}
-	r.route = r.table.Route(r.call.Host, r.call.Path)
-	if r.route == nil {
-		return &Failure{Kind: UnknownRoute, Reason: "no_route"}
-	}
-	r.customer = r.table.CustomerByKey(r.call.APIKey)
-	if r.customer == nil && r.table.RequiresKey(r.route) {
-		return &Failure{Kind: UnknownKey, Reason: "unknown_key"}
-	}
-	r.preparePlacement()
-	if failure := r.findOrigin(ctx); failure != nil {
-		return failure
-	}
-	r.findKeys()
-	if b := r.checkQuarantine(false); b != nil {
-		return &Failure{Kind: NotRun, Reason: b.reason, RetryAfter: r.capRetryAfter(b.wait)}
-	}
-	if r.customer != nil {
-		r.cost = r.customer.PlainCost
-		if r.customer.CountsTokens && r.call.HasTokenCounts {
-			r.cost = float64(r.call.PromptTokens + r.call.MaxOutputTokens)
-		}
-		return r.takeAllowance()
-	}
-	return nil
-}
-
-// takeAllowance charges the customer's allowance, or returns the failure to answer with.
-func (r *request) takeAllowance() *Failure {
-	refusal := r.service.cfg.Quota.Admit(time.Now(), quota.Ask{
-		Customer: r.customer, Cost: r.cost, Tier: min(r.route.Tier, rankStep-1), Late: r.returnedLate(),
-	})
-	if refusal == nil {
-		return nil
-	}
-	retryAfter := r.capRetryAfter(refusal.RetryAfter)
-	r.logOverAllowance(refusal, retryAfter)
-	return &Failure{Kind: OverAllowance, Reason: "customer_allowance", RetryAfter: retryAfter}
-}
-
-// awaitTable returns the routing table of the configuration in effect. Just after the
-// start it waits for the first one, and returns nil if there is none in time.
-func (s *Service) awaitTable(ctx context.Context, call *state.Call) *routing.Table {
-	if t := s.table.Load(); t != nil {
-		return t
-	}
-	wait := maxConfigurationWait
-	if call.HasTimeout {
-		wait = min(wait, time.Duration(configurationWaitShare*float64(call.Timeout)))
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	select {
-	case <-s.configured:
-	case <-ctx.Done():
-	}
-	return s.table.Load()
-}
-
-// recognizeReturn finds out whether an earlier attempt of the caller was refused.
-func (r *request) recognizeReturn() {
-	r.firstArrived = r.arrived
-	if !r.call.HasTimeout {
-		return
-	}
-	r.refusalKey = refusal.KeyOf(r.call)
-	if first, ok := r.service.cfg.Refusals.Returned(r.refusalKey, r.arrived.Add(r.call.Timeout)); ok {
-		r.firstArrived = first
-	}
-}
-
-// recordRefusal remembers a request that was refused without having run, so that it is
-// recognized when it comes back.
-func (r *request) recordRefusal(k FailureKind) {
-	if k != NotRun && k != OverAllowance || !r.call.HasTimeout || r.firstArrived.IsZero() {
-		return
-	}
-	r.service.cfg.Refusals.Add(time.Now(), r.refusalKey, r.arrived.Add(r.call.Timeout), r.firstArrived)
-}
-
-// returned reports whether an earlier attempt of the caller was refused.
-func (r *request) returned() bool { return r.firstArrived.Before(r.arrived) }
-
-// returnedLate reports whether the objective had passed when this attempt arrived.
-func (r *request) returnedLate() bool { return r.arrived.Sub(r.firstArrived) > r.route.Objective }
-
-// preparePlacement sets the deadline, chooses the service and prepares the request
-// to the scheduler.
-func (r *request) preparePlacement() {
-	wait := r.route.Timeout
-	if r.call.HasTimeout && (wait <= 0 || r.call.Timeout < wait) {
-		wait = r.call.Timeout
-	}
-	r.deadline = r.arrived.Add(wait)
-	r.targetService = routing.ChooseService(r.route, rand.Float64())
-	r.placement = &dispatch.Request{
-		ID: r.call.ID, Service: r.targetService, Rank: r.rank(), Work: expectedWork(r.call), Arrived: r.firstArrived,
-		Objective: r.route.Objective, Deadline: r.deadline, Repeatable: r.route.Repeatable(), Resumed: r.lastEventID != "",
-	}
-	if r.route.Patience > 0 {
-		r.placement.CallerLeaves = r.arrived.Add(r.route.Patience)
-	}
-}
-
-// rankStep is the number of ranks in each customer tier. Within them the route's
-// tier decides.
-const rankStep = 4
-
-// rank returns the scheduling rank, of which 0 goes first. The customer's tier, if it
-// has one, takes precedence over the route's.
-func (r *request) rank() int {
-	if r.customer != nil && r.customer.HasTier {
-		return r.customer.Tier*rankStep + min(r.route.Tier, rankStep-1)
-	}
-	return r.route.Tier
-}
-
-// expectedWork returns the size of a call. It has no output estimate unless the caller
-// gives one.
-func expectedWork(c *state.Call) costmodel.Work {
-	if !c.HasTokenCounts {
-		return costmodel.Work{}
-	}
-	return costmodel.Work{PromptTokens: float64(c.PromptTokens), OutputTokens: float64(c.EstimatedOutputTokens)}
-}
-
 // serve sends the request to one target after another until it is answered or given
 // up.
 func (r *request) serve(ctx context.Context) {
@@ -432,16 +297,15 @@
 	a := &attempt{request: r, grant: g}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
-	if b := r.checkQuarantine(true); b != nil {
-		r.service.cfg.Scheduler.Release(g, dispatch.Expired)
-		r.giveUp(b.reason, b.wait)
-		return false
-	}
 	repeated := r.reachedTarget
 	if repeated && !r.takeRetry() {
-		r.service.cfg.Scheduler.Release(g, dispatch.Expired)
-		r.giveUp("retry_budget", defaultRetryAfter)
-		return false
+		return r.holdBack(g, "retry_budget", defaultRetryAfter)
+	}
+	if b := r.checkQuarantine(true); b != nil {
+		if repeated {
+			r.service.retryBudget(r.targetService).Return()
+		}
+		return r.holdBack(g, b.reason, b.wait)
 	}
 	sentAt := time.Now()
 	outcome, err := a.run()
@@ -459,6 +323,13 @@
 	return r.afterFailedAttempt(ctx, g, outcome, err, r.suspected(ctx, g, sentAt, outcome, err))
 }
 
+// holdBack ends a request that is not to be sent although it has been granted a target.
+func (r *request) holdBack(g *dispatch.Grant, reason string, retryAfter time.Duration) (tryAnother bool) {
+	r.service.cfg.Scheduler.Release(g, dispatch.Unused)
+	r.giveUp(reason, retryAfter)
+	return false
+}
+
 // takeRetry takes the permission to send the request once more, if the budget of the
 // service allows it.
 func (r *request) takeRetry() bool {
@@ -474,7 +345,7 @@
 // attempt that did not answer the caller. If not, it ends the request. suspected says that
 // the request may crash the next target too.
 func (r *request) afterFailedAttempt(ctx context.Context, g *dispatch.Grant, outcome dispatch.Outcome, err error, suspected bool) (tryAnother bool) {
-	mayHaveRun := outcome != dispatch.Unreachable && outcome != dispatch.Expired && outcome != dispatch.Rejected && outcome != dispatch.Gone
+	mayHaveRun := outcome != dispatch.Unreachable && outcome != dispatch.Unused && outcome != dispatch.Rejected && outcome != dispatch.Gone
 	if mayHaveRun {
 		r.countPromptTokens(g, false)
 	}
