The load that a target states is kept with its other statements

Change: state.Statement has the load, and the metric targets shows it. No choice goes by it: that would be a change of policy.

Measured: tests of platform and dispatch pass.

--- a/internal/coordination/dispatch/statement.go
+++ b/internal/coordination/dispatch/statement.go
@@ -38,6 +38,9 @@
 	// leavingSince is when the target first said that it leaves; zero if it did not. It does
 	// not come back.
 	leavingSince time.Time
+	// load is what the target stated last. Placement does not go by it: with many entries it
+	// is older than what they report to each other.
+	load state.StatedLoad
 }
 
 func (st *statement) leaving() bool { return !st.leavingSince.IsZero() }
@@ -94,6 +97,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, st := s.now(), s.statementOf(&g.Target)
+	if stated.Load.Stated {
+		st.load = stated.Load
+	}
 	if stated.Leaving && !st.leaving() {
 		st.leavingSince = now
 		s.observer.TargetLeaving(g.Target.ID, g.Target.Service)
--- a/internal/coordination/dispatch/summary.go
+++ b/internal/coordination/dispatch/summary.go
@@ -17,6 +17,9 @@
 	Outstanding int           `json:"outstanding"` // open requests of this entry and those that others report
 	Slowness    float64       `json:"slowness"`    // ratio of the time to a response to that usual in the service, 0 if not measured
 	Failing     float64       `json:"failing"`     // share of recent requests that failed
+	// StatedLoad is the load that the target stated last: running and waiting requests of all
+	// entries, and slots; absent without one.
+	StatedLoad *state.StatedLoad `json:"stated_load,omitempty"`
 	// RateLimit is the limit that the target states, in requests a second over all
 	// entries; absent without one.
 	RateLimit *float64 `json:"rate_limit,omitempty"`
@@ -35,6 +38,9 @@
 			Service: t.record.Service, Connected: len(t.openGrants) > 0, Leaving: t.record.Draining || t.stated.leaving(), Paused: s.now().Before(t.stated.pausedUntil),
 			Ejected: !t.ejectedUntil.IsZero(), Outstanding: t.outstanding(), Slowness: s.pool(t.record.Service).cost.Slowness(&t.cost), Failing: t.failingShare,
 		}
+		if load := t.stated.load; load.Stated {
+			summary.StatedLoad = &load
+		}
 		if limit := s.limits.Limit(id); limit.Stated {
 			summary.RateLimit = &limit.PerSecond
 			summary.RateLimitPart, _ = s.limits.Limited(s.now(), id)
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -192,6 +192,13 @@
 	PauseErr error
 	// Leaving says that the target is about to stop.
 	Leaving bool
+	Load    StatedLoad
+}
+
+// StatedLoad is the load that a target states of itself.
+type StatedLoad struct {
+	Running, Waiting, Slots int // valid only if Stated
+	Stated                  bool
 }
 
 // RateLimit is how many requests a second a target takes from all entries together. The
