--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -264,6 +264,10 @@
 			r.Trials = append(r.Trials, TrialNote{Key: Key(random.Uint64())})
 		}
 		l.Learn(now, state.InstanceID(fmt.Sprint("peer-", n%60)), &r)
+		l.Alive(now, &state.TargetRecord{ID: state.TargetID(fmt.Sprint("alive-", n))})
+		if len(l.evidence.ends) > maxEvidence || len(l.evidence.unconfirmed) > maxEvidence || len(l.life) > 5*maxEvidence {
+			t.Fatalf("%d ends of targets, %d of them unconfirmed, %d signs of life are remembered", len(l.evidence.ends), len(l.evidence.unconfirmed), len(l.life))
+		}
 		if len(l.evidence.all) > maxEvidence || len(l.blocks) > maxBlocks || len(l.sound) > maxEvidence {
 			t.Fatalf("%d requests, %d blocks, %d answered parts are remembered", len(l.evidence.all), len(l.blocks), len(l.sound))
 		}
@@ -378,3 +382,44 @@
 		t.Error("what was learned from crashes has ended with responses of new processes")
 	}
 }
+
+// withContent returns a request of a customer with shared parts and a body.
+func withContent(customer state.Customer, body string, parts ...string) Request {
+	r := request(customer, parts...)
+	r.Keys = append(r.Keys, ContentKeys(customer, &state.Call{Method: "POST", Host: "h", URI: "/x", Body: []byte(body)})...)
+	return r
+}
+
+// Guards against blocking the parts of a request whose content crashes targets, and against
+// not blocking a part because its requests come more than once.
+func TestContentExplainsItsCrashes(t *testing.T) {
+	l, bad := newLedger("a"), withContent("c", "bad", "rare")
+	end := l.crashes(bad, minSeries, 0)
+	if i, until := l.Check(at(end), bad, false); i < 0 || !bad.Keys[i].IsContent() || until.Before(at(end-1).Add(initialContentHold)) {
+		t.Fatalf("key %d is blocked until %s, want the content for %s", i, until, initialContentHold)
+	}
+	if other := withContent("c", "other", "rare"); l.isBlocked(at(end), other) {
+		t.Error("another request with the same part is blocked")
+	}
+	l = newLedger("a")
+	end = 0
+	for n := range 3 { // two crashes each, as with a repeated send
+		end = l.crashes(withContent("c", fmt.Sprint(n), "bad part"), 2, end)
+	}
+	if !l.isBlocked(at(end), withContent("c", "new", "bad part")) {
+		t.Error("a part that crashed six targets under three requests is not blocked")
+	}
+}
+
+// Guards against blocking a popular request at an entry that has not answered it itself.
+func TestAnswersElsewhereSpeakForAContent(t *testing.T) {
+	a, b, popular := newLedger("a"), newLedger("b"), withContent("c", "popular")
+	b.Answered(at(0), popular)
+	end := a.crashes(popular, 1, 1)
+	tell(t, at(end), a, b)
+	tell(t, at(end+0.1), b, a)
+	end = a.crashes(popular, minSeries, end+0.2)
+	if a.isBlocked(at(end), popular) {
+		t.Error("blocked although another entry has answered it within the last minute")
+	}
+}
