Crashes in the middle of a response speak against the content too

Cause: a first event counted as an answer, and a crash after it taught nothing. A request that crashes its engine after some events of each response was never learned.

Change: only a whole response speaks for a content, and a crash after the first event is evidence against the content. Parts of prompts are as before.

Tests of gateway and quarantine pass, crashes of other causes included.

--- a/internal/coordination/gateway/crashfleet_test.go
+++ b/internal/coordination/gateway/crashfleet_test.go
@@ -42,8 +42,10 @@
 	// changed is called with the list of engines when it changes.
 	changed func([]state.TargetRecord)
 	// crashes reports whether a call crashes each engine that begins to run it.
-	crashes    func(*state.Call) bool
-	crashTimes []time.Time // of the crashes under such calls
+	crashes func(*state.Call) bool
+	// eventsBeforeCrash is the number of events that such a call brings before.
+	eventsBeforeCrash int
+	crashTimes        []time.Time // of the crashes under such calls
 	// reached is when requests with the part reached engines, without those of entries that
 	// were started less than learnTime before.
 	reached   []time.Time
@@ -192,7 +194,7 @@
 		if err := x.sleep(30 * time.Millisecond); err != nil {
 			return 0, err
 		}
-		if x.crashes {
+		if x.crashes && 8-x.events >= x.engines.eventsBeforeCrash {
 			if x.engines.crash(x.engine, x.running) {
 				x.engines.mu.Lock()
 				x.engines.crashTimes = append(x.engines.crashTimes, time.Now())
--- a/internal/coordination/gateway/crashingrequest_test.go
+++ b/internal/coordination/gateway/crashingrequest_test.go
@@ -78,7 +78,7 @@
 		{60, 24, "/stream/x"},
 	} {
 		t.Run(fmt.Sprintf("%d entries, %s", c.entries, c.path), func(t *testing.T) {
-			checkCrashingRequest(t, c.entries, c.engines, c.path, false)
+			checkCrashingRequest(t, c.entries, c.engines, c.path, nil)
 		})
 	}
 }
@@ -89,18 +89,30 @@
 	for _, entries := range []int{3, 23, 60} {
 		for _, path := range []string{"/get/x", "/do/x", "/stream/x"} {
 			t.Run(fmt.Sprintf("%d entries, %s", entries, path), func(t *testing.T) {
-				checkCrashingRequest(t, entries, max(4, entries/3), path, true)
+				checkCrashingRequest(t, entries, max(4, entries/3), path, func(f *crashFleet) { f.accepting = true })
 			})
 		}
 	}
 }
 
+// Guards against taking the first events of a response for an answer: a request may crash its
+// engine in the middle of each response.
+func TestRequestThatCrashesTargetsAfterSomeEventsIsKeptFromThem(t *testing.T) {
+	for _, entries := range []int{3, 23, 60} {
+		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
+			checkCrashingRequest(t, entries, max(9, entries/3), "/stream/x", func(f *crashFleet) { f.eventsBeforeCrash = 3 })
+		})
+	}
+}
+
 // checkCrashingRequest lets the request come about six times a second, and checks what
-// reaches the engines.
-func checkCrashingRequest(t *testing.T, entries, engines int, path string, accepting bool) {
+// reaches the engines. prepare changes how the engines crash; nil: as usual.
+func checkCrashingRequest(t *testing.T, entries, engines int, path string, prepare func(*crashFleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newPlainCrashFleet(t, 1, entries, engines)
-		f.accepting = accepting
+		if prepare != nil {
+			prepare(f)
+		}
 		for tick := range 40 * 50 { // 40 s
 			if tick%3 == 0 {
 				f.sendSoundCalls(t, path)
--- a/internal/coordination/gateway/quarantine.go
+++ b/internal/coordination/gateway/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"syscall"
 	"time"
 
@@ -25,14 +26,13 @@
 
 // findKeys determines the keys by which the quarantine knows the request.
 func (r *request) findKeys() {
-	contents := quarantine.ContentKeys(r.customerName(), r.call)
-	r.content = contents[0]
-	r.keys = append(quarantine.KeysOf(r.targetService, r.call.Prompt), contents...)
+	r.parts, r.contents = quarantine.KeysOf(r.targetService, r.call.Prompt), quarantine.ContentKeys(r.customerName(), r.call)
+	r.keys = slices.Concat(r.parts, r.contents)
 }
 
-// quarantined returns what the quarantine needs to know of the request.
-func (r *request) quarantined() quarantine.Request {
-	return quarantine.Request{Service: r.targetService, Keys: r.keys, Customer: r.customerName()}
+// quarantined returns what the quarantine needs to know of the request, with some of its keys.
+func (r *request) quarantined(keys []quarantine.Key) quarantine.Request {
+	return quarantine.Request{Service: r.targetService, Keys: keys, Customer: r.customerName()}
 }
 
 // quarantineBlock says why the quarantine keeps a request from targets.
@@ -45,7 +45,7 @@
 // request is about to be sent.
 func (r *request) checkQuarantine(begin bool) *quarantineBlock {
 	now := time.Now()
-	i, until := r.service.cfg.Quarantine.Check(now, r.quarantined(), begin)
+	i, until := r.service.cfg.Quarantine.Check(now, r.quarantined(r.keys), begin)
 	if i < 0 {
 		return nil
 	}
@@ -61,21 +61,27 @@
 	return b
 }
 
-// responseStarted records that the target has started to respond.
+// responseStarted records that the target has started to respond, which speaks for the parts
+// of the prompt. Only a whole response speaks for the content.
 func (r *request) responseStarted(g *dispatch.Grant) {
 	r.service.cfg.Scheduler.ResponseStarted(g)
-	r.service.cfg.Quarantine.Answered(time.Now(), r.quarantined())
+	r.service.cfg.Quarantine.Answered(time.Now(), r.quarantined(r.parts))
 }
 
-// suspected records the crash of a target before it began to answer the request, and reports
-// whether the request may have caused it: another target has crashed before under a part of
-// its prompt, or under its content, that none has answered since. A target that leaves, or
-// whose address takes connections and keeps them, has not crashed.
+// suspected records the crash of a target under the request, and reports whether the request
+// may crash the next one too: it had no response, and another target has crashed before under
+// a part of its prompt, or under its content, that none has answered since. A target that
+// leaves, or whose address takes connections and keeps them, has not crashed. After the first
+// event, a crash speaks against the content only.
 func (r *request) suspected(ctx context.Context, g *dispatch.Grant, sentAt time.Time, o dispatch.Outcome, err error) bool {
-	if o != dispatch.Broken || g.Events > 0 || !isEndOfConnection(err) || !r.service.cfg.Scheduler.Serves(g) {
+	if o != dispatch.Broken || !isEndOfConnection(err) || !r.service.cfg.Scheduler.Serves(g) {
 		return false
 	}
-	c := &quarantine.Crash{Request: r.quarantined(), Target: g.Target, SentAt: sentAt, EndedAt: time.Now()}
+	keys := r.keys
+	if g.Events > 0 {
+		keys = r.contents
+	}
+	c := &quarantine.Crash{Request: r.quarantined(keys), Target: g.Target, SentAt: sentAt, EndedAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refusalTimeout)
 	if !r.service.cfg.TargetClient.Refuses(ctx, g.Target.Address) {
 		// The request need not wait for the rest of the check.
@@ -89,7 +95,7 @@
 	}
 	defer cancel()
 	r.recordCrash(c)
-	return r.service.cfg.Quarantine.Suspects(c)
+	return g.Events == 0 && r.service.cfg.Quarantine.Suspects(c)
 }
 
 // recordCrash records that a target has ended, as it seems under this request.
@@ -98,7 +104,7 @@
 	r.service.cfg.Counters.Add("target_crashed_under_request")
 	r.log.Info("target crashed under request", zap.String("request", string(r.call.ID)), zap.String("customer", string(c.Customer)),
 		zap.String("target", string(c.Target.ID)), zap.Bool("accepts_connections", c.Closed), zap.Duration("after", c.EndedAt.Sub(c.SentAt)), zap.String("prompt", promptText(r.call.Prompt)),
-		zap.Uint64("content", uint64(r.content)))
+		zap.Uint64("content", uint64(r.contents[0])))
 }
 
 // isEndOfConnection reports whether the target's end of the connection was closed, as at
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -153,6 +153,7 @@
 
 // recordAnswered counts and logs a request that a target answered.
 func (r *request) recordAnswered(g *dispatch.Grant, head *state.Response) {
+	r.service.cfg.Quarantine.Answered(time.Now(), r.quarantined(r.contents))
 	took := time.Since(r.arrived)
 	r.service.cfg.Counters.Add("answered." + r.route.Name)
 	if head.EndsWithConnection {
@@ -201,7 +202,7 @@
 	r.service.cfg.Counters.Add("attempt." + o.String())
 	r.log.Info("attempt failed", zap.String("request", string(r.call.ID)), zap.String("target", string(g.Target.ID)),
 		zap.String("outcome", o.String()), zap.Bool("again", willRetry), zap.Int("runs", r.possibleRuns), zap.Int("events", g.Events),
-		zap.String("prompt", promptText(r.call.Prompt)), zap.Uint64("content", uint64(r.content)), zap.NamedError("cause", err))
+		zap.String("prompt", promptText(r.call.Prompt)), zap.Uint64("content", uint64(r.contents[0])), zap.NamedError("cause", err))
 }
 
 // maxLoggedParts bounds the prompt parts in a log line.
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -162,9 +162,11 @@
 	cost          float64 // charged to the customer's allowance, in units
 	targetService state.Service
 	keys          []quarantine.Key // by which the quarantine knows the request
-	content       quarantine.Key   // that of them which is the same each time the request comes
-	placement     *dispatch.Request
-	arrived       time.Time
+	// parts and contents are those of the keys that are of parts of the prompt, and of the
+	// content.
+	parts, contents []quarantine.Key
+	placement       *dispatch.Request
+	arrived         time.Time
 	// firstArrived is when the caller's first attempt arrived; before arrived if that
 	// was refused. The objective counts from it.
 	firstArrived time.Time
