Only crashes at accepting addresses can be refuted; cheaper check for pauses

A slow entry may read a response late, and then refuted a crash that another entry had seen for certain; a request sent to a target after its end could prolong a block; a sign of life was told with the wrong age. The check for pauses looked at each waiting request on each release.

Change: reports say at which crashes the address still accepted connections; only these can be refuted. Evidence that does not count changes no block. If some target takes requests, only waiting requests that were sent before are looked at for pauses.

--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -50,8 +50,8 @@
 
 // Observer is notified when targets are ejected, when they are in use again, when the limit
 // that a target states changes, when a target says that it leaves, and when it asks this
-// entry for a pause. Its methods are called with the scheduler locked, so
-// they must not block or call the scheduler.
+// entry for a pause. Its methods are called with the scheduler locked, so they must not block
+// or call the scheduler.
 type Observer interface {
 	TargetEjected(id state.TargetID, service state.Service, cause Outcome, backoff time.Duration)
 	TargetReturned(id state.TargetID, service state.Service)
--- a/internal/coordination/dispatch/statement.go
+++ b/internal/coordination/dispatch/statement.go
@@ -169,7 +169,11 @@
 	if !slices.ContainsFunc(p.allTargets, func(t *target) bool { return !t.stated.takes(now) }) {
 		return
 	}
+	someTakes := slices.ContainsFunc(p.subset, func(t *target) bool { return !t.record.Draining && t.stated.takes(now) })
 	for _, w := range slices.Clone(p.queue) {
+		if someTakes && !w.request.AlreadyAdmitted {
+			return // these come first in the queue; only they may have tried all that take requests
+		}
 		end, allPaused := s.pauseEnd(p, w.request, now)
 		if !allPaused || end.Sub(now) <= s.waitLimit(w, now) || w.request.Resumed && end.Before(w.request.Deadline) {
 			continue
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -175,6 +175,9 @@
 
 // apply blocks what evidence is sufficient to block.
 func (l *Ledger) apply(now time.Time, e *evidence) {
+	if !l.evidence.counts(e) {
+		return
+	}
 	for _, p := range e.keys {
 		if b := l.blocks[p]; b != nil {
 			l.addToBlock(now, p, b, e)
--- a/internal/coordination/quarantine/life.go
+++ b/internal/coordination/quarantine/life.go
@@ -51,8 +51,7 @@
 	}
 	var keys []Key
 	for _, e := range l.evidence.all {
-		seenToRefuse := e.reporter == l.cfg.Self && !e.closed
-		if e.run == run && !e.refuted && !seenToRefuse && refutes(aliveAt, e.endedAt) {
+		if e.run == run && e.closed && !e.refuted && refutes(aliveAt, e.endedAt) {
 			e.refuted = true
 			keys = append(keys, e.keys...)
 		}
@@ -69,11 +68,11 @@
 	return true
 }
 
-// aliveSince reports whether this entry has had a response from a run of a target that
-// another entry reports to have ended.
-func (l *Ledger) aliveSince(run uint64, endedAt time.Time) bool {
+// aliveSince returns when this entry has had a response from a run of a target that another
+// entry reports to have ended, and whether it has.
+func (l *Ledger) aliveSince(run uint64, endedAt time.Time) (time.Time, bool) {
 	at, ok := l.alive.Get(run)
-	return ok && refutes(at, endedAt)
+	return at, ok && refutes(at, endedAt)
 }
 
 // learnLife applies what another entry tells of a run that was reported to have ended.
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -72,7 +72,8 @@
 	Entries int       // that saw them
 }
 
-// Ledger holds what is known of parts and contents that crash targets. It is safe for concurrent use.
+// Ledger holds what is known of parts and contents that crash targets. It is safe for
+// concurrent use.
 type Ledger struct {
 	cfg Config
 	// answeredParts and answeredContents hold when a key was last answered here or, if there
@@ -199,14 +200,15 @@
 }
 
 // Suspects reports whether a part of the prompt, or the content, was in a request that
-// another target had when it crashed, and was not answered since. Such a request is better not sent again.
+// another target had when it crashed, and was not answered since. Such a request is better
+// not sent again.
 func (l *Ledger) Suspects(c *Crash) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	run := runOf(&c.Target)
 	return slices.ContainsFunc(c.Keys, func(p Key) bool {
 		return slices.ContainsFunc(l.evidence.byKey[p], func(e *evidence) bool {
-			return e.run != run && !l.answeredSince(p, e.sentAt)
+			return e.run != run && l.evidence.counts(e) && !l.answeredSince(p, e.sentAt)
 		})
 	})
 }
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -34,6 +34,9 @@
 	// here.
 	Served []ServedNote `cbor:"5,keyasint,omitempty"`
 	Life   []LifeNote   `cbor:"6,keyasint,omitempty"`
+	// Closed has the identifiers of those of Crashes where the address of the target still
+	// accepted connections.
+	Closed []uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Empty reports whether there is nothing to tell.
@@ -127,6 +130,9 @@
 			break
 		}
 		e.reportsLeft = max(0, e.reportsLeft-1)
+		if e.closed {
+			r.Closed = append(r.Closed, e.id)
+		}
 		r.Crashes = append(r.Crashes, CrashNote{
 			ID: e.id, Run: e.run, Machine: e.machine, Service: e.service, Customer: e.customer, SentMillis: millis(now.Sub(e.sentAt)), EndedMillis: millis(now.Sub(e.endedAt)), Keys: e.keys,
 		})
@@ -211,7 +217,7 @@
 		l.learnLife(now, n)
 	}
 	for _, c := range r.Crashes {
-		l.learnCrash(now, from, &c)
+		l.learnCrash(now, from, &c, slices.Contains(r.Closed, c.ID))
 	}
 	for _, s := range r.Served {
 		l.learnServed(ago(now, s.AgeMillis), s.Service)
@@ -236,15 +242,15 @@
 
 // learnCrash adds what another entry has seen, unless it is known. The reporter does not know
 // which of the keys this entry has answered lately, so it is told.
-func (l *Ledger) learnCrash(now time.Time, from state.InstanceID, c *CrashNote) {
+func (l *Ledger) learnCrash(now time.Time, from state.InstanceID, c *CrashNote, closed bool) {
 	if len(c.Keys) == 0 || len(c.Keys) > maxKeys {
 		return
 	}
 	if l.evidence.byID[evidenceID{from, c.ID}] {
 		return
 	}
-	if endedAt := ago(now, c.EndedMillis); l.aliveSince(c.Run, endedAt) {
-		l.life[c.Run], l.unsent = now, true
+	if at, alive := l.aliveSince(c.Run, ago(now, c.EndedMillis)); closed && alive {
+		l.life[c.Run], l.unsent = at, true
 		return
 	}
 	for _, k := range c.Keys {
@@ -254,7 +260,7 @@
 	}
 	l.add(now, &evidence{
 		id: c.ID, reporter: from, run: c.Run, machine: c.Machine, service: c.Service, customer: c.Customer,
-		sentAt: ago(now, c.SentMillis), endedAt: ago(now, c.EndedMillis), keys: c.Keys,
+		sentAt: ago(now, c.SentMillis), endedAt: ago(now, c.EndedMillis), closed: closed, keys: c.Keys,
 	})
 }
 
