--- a/internal/faultsoak/limits_test.go
+++ b/internal/faultsoak/limits_test.go
@@ -53,8 +53,7 @@
 )
 
 // checkPausesAndLeaving lets a target of each service ask for pauses and another one say that
-// it leaves, meanwhile stops and pauses an entry, and reports requests that reach them all
-// the same.
+// it leaves, stops an entry meanwhile, and reports requests that reach them all the same.
 func (w *world) checkPausesAndLeaving() {
 	last := len(w.engines) - 1
 	pausing, leaving := []*engine{w.engines[0], w.engines[last]}, []*engine{w.engines[1], w.engines[last-1]}
