A stopping entry sends only requests that end before it does

Cause: whether a request ends before the stop was estimated once, when it arrived, from its own token counts. The wait for a target at a saturated service came on top, and so did further targets after a rejection; requests that waited already when the check began were never checked.

Change: the scheduler knows when the stop ends and checks at every placement: a request is granted a target only if its longest duration there, by the size and by twice what the cost model predicts under the target's load, ends before. Waiting requests that no longer can are refused as not run while they can still be answered, and their callers go to other entries. A stream that has begun is continued. The estimate in gatewayhttp goes.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -48,7 +48,7 @@
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
 	for _, t := range s.targetsFor(p, r, now) {
-		if !t.eligible(now, r) || !s.mayTake(t, now, first) {
+		if !t.eligible(now, r) || !s.mayTake(t, now, first) || !s.endsBeforeStop(p, t, r, now) {
 			continue
 		}
 		if !t.ejectedUntil.IsZero() {
@@ -212,6 +212,7 @@
 func (s *Scheduler) serveQueue(p *pool) {
 	now := s.now()
 	p.markLate(now)
+	s.refuseStopping(p, now)
 	s.grantFreeSlotsOf(p, now)
 	s.refusePaused(p, now)
 	s.refuseHopeless(p, now)
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -16,6 +16,8 @@
 	Rank int
 	// Work is the size of the request, from which the time that it takes is predicted.
 	Work costmodel.Work
+	// LargestWork is Work with the largest output that the request may have.
+	LargestWork costmodel.Work
 	// Arrived is when the first attempt of the caller was read.
 	Arrived time.Time
 	// Objective is the longest time from Arrived to the start of the response with
@@ -43,6 +45,9 @@
 	// Resumed says that the response continues an earlier one, so that its times tell
 	// nothing about requests of this size.
 	Resumed bool
+	// ResponseBegun says that the caller has the start of the response, so that a refusal
+	// would break it off.
+	ResponseBegun bool
 	// AlreadyAdmitted says that the request was admitted before and needs another
 	// target. It is not refused for load and goes first in the queue.
 	AlreadyAdmitted bool
@@ -58,6 +63,7 @@
 	ReasonNoTarget = "no_target"
 	ReasonOverload = "overload"
 	ReasonPaused   = "targets_paused"
+	ReasonStopping = "stopping"
 )
 
 // Refusal is the error of a placement that finds no target. The request has not been
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -40,7 +40,8 @@
 	targets       map[state.TargetID]*target
 	targetsByKey  map[TargetKey]*target
 	peerReports   map[state.InstanceID]*peerReport
-	startingPeers int // see SetStartingPeers
+	startingPeers int       // see SetStartingPeers
+	stopBy        time.Time // see StopBy; zero before
 	observer      Observer
 	policies      *Policies
 	limits        *ratelimit.Ledger // limits that targets state
--- /dev/null
+++ b/internal/coordination/dispatch/stop.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// StoppingRetryAfter is the time after which a caller whose request was refused during a
+// planned stop may retry, at another entry.
+const StoppingRetryAfter = 50 * time.Millisecond
+
+// The longest time that a request is assumed to take at a target, while nothing longer is
+// known of the service: at an engine that is several times slower than most and has all its
+// slots in use.
+const (
+	maxFixedTime          = 800 * time.Millisecond
+	maxTimePerPromptToken = 40 * time.Microsecond
+	maxTimePerOutputToken = 15 * time.Millisecond
+)
+
+// longestFactor is how many times as long as predicted a request may take.
+const longestFactor = 2
+
+// StopBy begins the end of a planned stop. From now on, a request is sent only if its
+// response ends by end even if it takes long. Requests that cannot, the waiting ones
+// included, are refused with ReasonStopping, except those whose response has begun.
+func (s *Scheduler) StopBy(end time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopBy = end
+	s.grantFreeSlots()
+}
+
+// longestDuration returns the longest time that r is expected to take at a target of usual
+// speed without other requests.
+func (p *pool) longestDuration(r *Request) time.Duration {
+	_, predicted := p.cost.Typical(r.LargestWork)
+	return longest(r, predicted)
+}
+
+// longest returns the longest time that r is expected to take at a target for which
+// predicted is the time with the largest output.
+func longest(r *Request, predicted time.Duration) time.Duration {
+	w := r.LargestWork
+	assumed := float64(maxFixedTime) + w.PromptTokens*float64(maxTimePerPromptToken) + w.OutputTokens*float64(maxTimePerOutputToken)
+	return max(time.Duration(min(assumed, math.MaxInt64/2)), longestFactor*predicted)
+}
+
+// endsBeforeStop reports whether r, if it is sent to t at now, ends before the planned stop.
+func (s *Scheduler) endsBeforeStop(p *pool, t *target, r *Request, now time.Time) bool {
+	if s.stopBy.IsZero() || r.ResponseBegun {
+		return true
+	}
+	predicted := p.cost.Duration(&t.cost, r.LargestWork, t.load())
+	return !now.Add(longest(r, predicted)).After(s.stopBy)
+}
+
+// refuseStopping refuses the waiting requests that no longer end before the planned stop,
+// wherever they are sent.
+func (s *Scheduler) refuseStopping(p *pool, now time.Time) {
+	if s.stopBy.IsZero() {
+		return
+	}
+	for _, w := range slices.Clone(p.queue) {
+		if w.request.ResponseBegun || !now.Add(p.longestDuration(w.request)).After(s.stopBy) {
+			continue
+		}
+		p.queue.remove(w)
+		w.refuse(&Refusal{Reason: ReasonStopping, RetryAfter: s.addJitter(StoppingRetryAfter)})
+	}
+}
--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -116,7 +116,7 @@
 	r.deadline = r.arrived.Add(wait)
 	r.targetService = routing.ChooseService(r.route, rand.Float64())
 	r.placement = &dispatch.Request{
-		ID: r.call.ID, Service: r.targetService, Rank: r.rank(), Work: expectedWork(r.call), Arrived: r.firstArrived,
+		ID: r.call.ID, Service: r.targetService, Rank: r.rank(), Work: expectedWork(r.call), LargestWork: largestWork(r.call), Arrived: r.firstArrived,
 		Objective: r.route.Objective, Deadline: r.deadline, Repeatable: r.route.Repeatable(), Resumed: r.lastEventID != "",
 	}
 	if r.route.Patience > 0 {
@@ -137,6 +137,11 @@
 	return r.route.Tier
 }
 
+// largestWork returns the size of a call with the largest output that it may have.
+func largestWork(c *state.Call) costmodel.Work {
+	return costmodel.Work{PromptTokens: float64(c.PromptTokens), OutputTokens: float64(c.MaxOutputTokens)}
+}
+
 // expectedWork returns the size of a call. It has no output estimate unless the caller
 // gives one.
 func expectedWork(c *state.Call) costmodel.Work {
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -234,7 +234,7 @@
 		if !errors.Is(r.lastErr, ErrGrantExpired) && !errors.Is(r.lastErr, ErrGrantWithdrawn) {
 			r.placement.Tried = append(r.placement.Tried, grant.Target.ID)
 		}
-		r.placement.AlreadyAdmitted = true
+		r.placement.AlreadyAdmitted, r.placement.ResponseBegun = true, r.streamBegun
 		r.placement.Resumed, r.placement.RequiredSoftware = r.lastEventID != "", r.software
 		if placements+1 >= maxPlacements {
 			r.giveUp("no_placement_left", defaultRetryAfter)
--- a/internal/transport/gatewayhttp/server.go
+++ b/internal/transport/gatewayhttp/server.go
@@ -20,6 +20,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
@@ -43,17 +44,20 @@
 	// idleCheckInterval is the time between searches for idle connections to close.
 	idleCheckInterval = time.Second
 	// idleCloseDelay is the time from the start of a planned stop until idle connections
-	// are closed. The platform probes readiness every second and needs two probes to
-	// send new connections to other entries. While no other entry of the failure domain
-	// is ready, it keeps sending them here. After the delay, only requests that will
-	// finish before the grace period ends are accepted.
-	idleCloseDelay = 2700 * time.Millisecond
+	// are closed, at most maxIdleCloseShare of the time that the stop may take. The platform
+	// probes readiness every second and needs two probes to send new connections to other
+	// entries. While no other entry of the failure domain is ready, it keeps sending them
+	// here. After the delay, only requests that end before the stop does are sent.
+	idleCloseDelay    = 2700 * time.Millisecond
+	maxIdleCloseShare = 0.5
+	// answerTime is the time that a planned stop leaves for the answers to requests that it
+	// ends.
+	answerTime = 100 * time.Millisecond
 	// quietPeriod is the time without a request in progress after which a planned stop
 	// ends. A request that crossed the close of its connection may still arrive in it.
 	quietPeriod = 200 * time.Millisecond
-	// stoppingRetryAfter is the time after which a caller whose request was refused
-	// during a planned stop may retry, at another entry.
-	stoppingRetryAfter = 50 * time.Millisecond
+	// stopCheckInterval is the time between checks whether a planned stop may end.
+	stopCheckInterval = 20 * time.Millisecond
 )
 
 // Server accepts HTTP requests of callers and passes them to the gateway.
@@ -62,9 +66,7 @@
 	Log     *zap.Logger
 
 	stopping     atomic.Bool // responses close their connections
-	onlyShort    atomic.Bool // only requests that finish before stopDeadline are accepted
 	refuseAll    atomic.Bool // no request is accepted
-	stopDeadline atomic.Pointer[time.Time]
 	openRequests atomic.Int64
 	mu           sync.Mutex
 	idleSince    map[net.Conn]time.Time // of each idle connection
@@ -97,28 +99,34 @@
 // OpenRequests returns the number of requests in progress.
 func (s *Server) OpenRequests() int64 { return s.openRequests.Load() }
 
-// Stop performs a planned stop: responses close their connections from now on, and
-// idle connections are closed after idleCloseDelay. Requests that will not finish
-// before the deadline of ctx are refused from then on. Stop returns when no request has
-// been in progress for quietPeriod, or when ctx ends.
+// Stop performs a planned stop: responses close their connections from now on. After
+// idleCloseDelay, idle connections are closed, and requests that will not end answerTime
+// before the deadline of ctx are refused. Stop returns when no request has been in progress
+// for quietPeriod, or when ctx ends. Without a deadline, Stop waits for all that were sent.
 func (s *Server) Stop(ctx context.Context) {
-	if end, ok := ctx.Deadline(); ok {
-		s.stopDeadline.Store(&end)
+	began := time.Now()
+	end, closeIdleFrom := began, began.Add(idleCloseDelay)
+	deadline, limited := ctx.Deadline()
+	if limited {
+		end = deadline.Add(-answerTime)
+		closeIdleFrom = began.Add(min(idleCloseDelay, time.Duration(maxIdleCloseShare*float64(end.Sub(began)))))
 	}
 	s.stopping.Store(true)
-	began := time.Now()
-	tick := time.NewTicker(20 * time.Millisecond)
+	tick := time.NewTicker(stopCheckInterval)
 	defer tick.Stop()
-	quietSince := time.Time{}
+	stopBySet, quietSince := false, time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			if now.Sub(began) < idleCloseDelay {
+			if now.Before(closeIdleFrom) {
 				continue
 			}
-			s.onlyShort.Store(true)
+			if !stopBySet {
+				s.Gateway.StopBy(end)
+				stopBySet = true
+			}
 			s.closeIdle(now, 0)
 			if s.openRequests.Load() > 0 {
 				quietSince = time.Time{}
@@ -214,9 +222,9 @@
 		return
 	}
 	out := &responder{w: w, control: control, call: call, closeConnection: s.stopping.Load}
-	if s.refuseAll.Load() || s.onlyShort.Load() && !s.finishesBeforeStop(call, arrived) {
-		s.Log.Info("request refused", zap.String("request", string(call.ID)), zap.String("reason", "stopping"))
-		if err := out.Fail(gateway.Failure{Kind: gateway.NotRun, Reason: "stopping", RetryAfter: stoppingRetryAfter}); err != nil {
+	if s.refuseAll.Load() {
+		s.Log.Info("request refused", zap.String("request", string(call.ID)), zap.String("reason", dispatch.ReasonStopping))
+		if err := out.Fail(gateway.Failure{Kind: gateway.NotRun, Reason: dispatch.ReasonStopping, RetryAfter: dispatch.StoppingRetryAfter}); err != nil {
 			s.Log.Info("write to caller failed", zap.String("request", string(call.ID)), zap.Error(err))
 		}
 		return
@@ -242,25 +250,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-// The parts of the longest time that a request takes: at an engine that is several times
-// slower than most and has all its slots in use.
-const (
-	maxFixedTime          = 800 * time.Millisecond
-	maxTimePerPromptToken = 40 * time.Microsecond
-	maxTimePerOutputToken = 15 * time.Millisecond
-)
-
-// finishesBeforeStop reports whether a request will finish before the deadline of the
-// planned stop. It returns false if the stop has no deadline.
-func (s *Server) finishesBeforeStop(call *state.Call, arrived time.Time) bool {
-	end := s.stopDeadline.Load()
-	if end == nil {
-		return false
-	}
-	maxTime := maxFixedTime + time.Duration(call.PromptTokens)*maxTimePerPromptToken + time.Duration(call.MaxOutputTokens)*maxTimePerOutputToken
-	return arrived.Add(maxTime).Before(*end)
-}
-
 // reject answers an invalid request with status and closes the connection, because the
 // unread rest of the request may follow on it.
 func (s *Server) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -263,9 +263,7 @@
 	if err != nil || body != "whole" || !resp.Close {
 		t.Errorf("request on an idle connection during the stop: %v, %q, error %v; want it served and the connection closed", resp, body, err)
 	}
-	for !s.onlyShort.Load() {
-		time.Sleep(time.Millisecond)
-	}
+	time.Sleep(idleCloseDelay + 2*stopCheckInterval)
 	close(release)
 	if err := <-answered; err != nil {
 		t.Errorf("request in progress: %v", err)
