A planned stop answers the requests in progress when it ends

Cause: Stop returned when its time was over, and the server then closed all connections. No request was told, so none could be answered.

A context that ends for this cause no longer counts as a caller that left.

--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -97,6 +97,9 @@
 	started    time.Time
 	table      atomic.Pointer[routing.Table]
 	configured chan struct{} // closed with the first configuration
+	// running ends with EndRequests.
+	running     context.Context
+	endRequests context.CancelFunc
 
 	mu           sync.Mutex
 	retryBudgets map[state.Service]*retry.WindowBudget
@@ -107,8 +110,9 @@
 
 // New returns a service without a configuration.
 func New(cfg Config) *Service {
+	running, end := context.WithCancel(context.Background())
 	return &Service{
-		cfg: cfg, started: time.Now(), configured: make(chan struct{}), retryBudgets: make(map[state.Service]*retry.WindowBudget),
+		cfg: cfg, started: time.Now(), configured: make(chan struct{}), running: running, endRequests: end, retryBudgets: make(map[state.Service]*retry.WindowBudget),
 		promptParts: promptPartTargets{GenerationLimit: maxPromptParts},
 	}
 }
@@ -206,6 +210,8 @@
 func (s *Service) Serve(ctx context.Context, call *state.Call, arrived time.Time, out Responder) {
 	r := &request{service: s, call: call, responder: out, arrived: arrived, log: s.cfg.Log, lastEventID: call.ResumeAfter}
 	defer r.releaseHeld()
+	ctx, release := s.untilStopped(ctx)
+	defer release()
 	if failure := r.admit(ctx); failure != nil {
 		r.fail(*failure)
 		return
@@ -252,6 +258,8 @@
 		r.giveUp(refusal.Reason, refusal.RetryAfter)
 	case errors.Is(context.Cause(ctx), errDeadline):
 		r.giveUp("time_is_up", defaultRetryAfter)
+	case errors.Is(context.Cause(ctx), errStopping):
+		r.giveUp(dispatch.ReasonStopping, dispatch.StoppingRetryAfter)
 	default:
 		r.handleCallerLeft()
 	}
@@ -351,14 +359,15 @@
 	if mayHaveRun {
 		r.countPromptTokens(g, false)
 	}
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline) {
+	cause := context.Cause(ctx)
+	if cause != nil && !errors.Is(cause, errDeadline) && !errors.Is(cause, errStopping) {
 		r.handleCallerLeft()
 		return false
 	}
 	if mayHaveRun {
 		r.possibleRuns++
 	}
-	willRetry := ctx.Err() == nil && !suspected && (!mayHaveRun || r.route.Repeatable() && r.possibleRuns < r.route.MaxAttempts)
+	willRetry := cause == nil && !suspected && (!mayHaveRun || r.route.Repeatable() && r.possibleRuns < r.route.MaxAttempts)
 	if willRetry && r.reachedTarget && !r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack()) {
 		willRetry = false
 		r.logRetryRefused()
@@ -368,13 +377,15 @@
 		return true
 	}
 	switch {
+	case errors.Is(cause, errStopping):
+		r.giveUp(dispatch.ReasonStopping, dispatch.StoppingRetryAfter)
 	case r.streamBegun:
 		r.abort("stream_broken")
 	case r.targetFailure != nil:
 		r.respond(r.targetFailure.grant, r.targetFailure.head, r.targetFailure.body)
 	case !mayHaveRun && r.possibleRuns == 0:
 		r.giveUp(outcome.String(), defaultRetryAfter)
-	case ctx.Err() != nil:
+	case cause != nil:
 		r.fail(Failure{Kind: TimedOut, Reason: "time_is_up"})
 	default:
 		r.fail(Failure{Kind: UnknownOutcome, Reason: outcome.String()})
--- a/internal/transport/gatewayhttp/server.go
+++ b/internal/transport/gatewayhttp/server.go
@@ -102,7 +102,8 @@
 // Stop performs a planned stop: responses close their connections from now on. After
 // idleCloseDelay, idle connections are closed, and requests that will not end answerTime
 // before the deadline of ctx are refused. Stop returns when no request has been in progress
-// for quietPeriod, or when ctx ends. Without a deadline, Stop waits for all that were sent.
+// for quietPeriod, or when ctx ends. Requests in progress are ended answerTime before the
+// deadline. Without a deadline, Stop waits for all that were sent.
 func (s *Server) Stop(ctx context.Context) {
 	began := time.Now()
 	end, closeIdleFrom := began, began.Add(idleCloseDelay)
@@ -128,6 +129,10 @@
 				stopBySet = true
 			}
 			s.closeIdle(now, 0)
+			if limited && !now.Before(end) && !s.refuseAll.Swap(true) {
+				s.Log.Warn("planned stop ends requests", zap.Int64("open", s.OpenRequests()))
+				s.Gateway.EndRequests()
+			}
 			if s.openRequests.Load() > 0 {
 				quietSince = time.Time{}
 				continue
