SIGHUP during a planned stop no longer ends the process

Cause: the goroutine that checks the settings at SIGHUP ended with SIGTERM and gave the signal back. Its default action then ended the process, with all requests in progress.

Change: SIGTERM and SIGHUP are caught before the settings are read and until the process has exited, so that neither has its default action at any time of a planned stop. The daemon of the other deployment ignores SIGHUP already; it keeps SIGTERM caught as well.

--- a/cmd/cassiarampd/main.go
+++ b/cmd/cassiarampd/main.go
@@ -82,8 +82,7 @@
 	defer log.Sync()
 	debug.SetMemoryLimit(int64(s.Limits.Memory))
 	signal.Ignore(syscall.SIGHUP)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM) // until the process has exited
 	if err := daemon.Run(ctx, s, log); err != nil {
 		log.Error("process failed", zap.Error(err))
 		return exitFailed
--- a/cmd/cassiarampd/platform.go
+++ b/cmd/cassiarampd/platform.go
@@ -28,6 +28,11 @@
 
 // runOnPlatform runs an entry with the settings file that the platform names.
 func runOnPlatform(args arguments) int {
+	// The signals stay caught until the process has exited: their default action would end it
+	// in the middle of a planned stop.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	path := platform.SettingsPath()
 	s, err := platform.LoadSettings(path)
 	if err != nil {
@@ -52,9 +57,7 @@
 		return exitSettings
 	}
 	defer log.Close()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	go checkSettingsOnHangup(ctx, path, log.Process)
+	go checkSettingsOnHangup(hangups, path, log.Process)
 	if err := daemon.RunGateway(ctx, s, signers, log); err != nil {
 		log.Process.Error("process failed", zap.Error(err))
 		return exitFailed
@@ -77,23 +80,15 @@
 	return s, nil
 }
 
-// checkSettingsOnHangup checks the settings file and logs the result when the process
-// gets SIGHUP. It applies nothing: addresses cannot change while a process runs, and
-// what the platform decides at run time comes from its store.
-func checkSettingsOnHangup(ctx context.Context, path string, log *zap.Logger) {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-reload:
-			if _, err := platform.LoadSettings(path); err != nil {
-				log.Error("settings reload failed", zap.Error(err))
-				continue
-			}
-			log.Info("settings reloaded", zap.String("path", path))
+// checkSettingsOnHangup checks the settings file and logs the result at each SIGHUP. It
+// applies nothing: addresses cannot change while a process runs, and what the platform
+// decides at run time comes from its store.
+func checkSettingsOnHangup(hangups <-chan os.Signal, path string, log *zap.Logger) {
+	for range hangups {
+		if _, err := platform.LoadSettings(path); err != nil {
+			log.Error("settings reload failed", zap.Error(err))
+			continue
 		}
+		log.Info("settings reloaded", zap.String("path", path))
 	}
 }
