A stopping entry counts the wait for a slot of the target

A request could be sent during a planned stop to a target whose slots are all in use, and be cut off there when the stop ended.

Cause: the predicted duration leaves out the wait for a slot, because it serves to order targets. The check before the stop used it.

Change: costmodel.Service.End predicts with the wait, and endsBeforeStop goes by it.

--- a/internal/coordination/costmodel/model.go
+++ b/internal/coordination/costmodel/model.go
@@ -166,6 +166,11 @@
 	return s.Response(t, w, l) + s.streaming(t, w)
 }
 
+// End predicts the time until a request ends at t, with the wait for a slot.
+func (s *Service) End(t *Target, w Work, l Load) time.Duration {
+	return s.Response(t, w, l) + s.streaming(t, w)
+}
+
 // Typical predicts the times to the start and to the end of a response at a target of
 // usual speed without other requests.
 func (s *Service) Typical(w Work) (response, duration time.Duration) {
--- a/internal/coordination/dispatch/stop.go
+++ b/internal/coordination/dispatch/stop.go
@@ -52,7 +52,7 @@
 	if s.stopBy.IsZero() || r.ResponseBegun {
 		return true
 	}
-	predicted := p.cost.Duration(&t.cost, r.LargestWork, t.load())
+	predicted := p.cost.End(&t.cost, r.LargestWork, t.load())
 	return !now.Add(longest(r, predicted)).After(s.stopBy)
 }
 
