A planned stop ends requests also when it is late

Requests in progress got no answer if the goroutine of the stop did not run in the last 0.1 s before its deadline, which a used-up processor share can cause. The same went for a request that was accepted just before a stop without requests in progress ended.

Cause: Stop returned from two places without ending the requests: when its context ended, which a select picks at random if a tick is due too, and after it had waited for accepted requests in vain.

Change: Stop waits, then refuses all, then ends what is in progress, always in this order; the wait ends answerTime before the deadline by its own context. answerTime is 200 ms, two periods of a processor share. The map of idle connections is made under its lock: a stop just after the start raced with it.

TestPlannedStop runs in virtual time with a target that sees a cancelled request.

--- a/internal/transport/gatewayhttp/server.go
+++ b/internal/transport/gatewayhttp/server.go
@@ -52,7 +52,7 @@
 	maxIdleCloseShare = 0.5
 	// answerTime is the time that a planned stop leaves for the answers to requests that it
 	// ends.
-	answerTime = 100 * time.Millisecond
+	answerTime = 200 * time.Millisecond
 	// quietPeriod is the time without a request in progress after which a planned stop
 	// ends. A request that crossed the close of its connection may still arrive in it.
 	quietPeriod = 200 * time.Millisecond
@@ -86,6 +86,8 @@
 
 // newHTTPServer returns the HTTP server of s.
 func (s *Server) newHTTPServer() *http.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.idleSince = make(map[net.Conn]time.Time)
 	return &http.Server{
 		Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -102,17 +104,28 @@
 // Stop performs a planned stop: responses close their connections from now on. After
 // idleCloseDelay, idle connections are closed, and requests that will not end answerTime
 // before the deadline of ctx are refused. Stop returns when no request has been in progress
-// for quietPeriod, or when ctx ends. Requests in progress are ended answerTime before the
-// deadline. Without a deadline, Stop waits for all that were sent.
+// for quietPeriod, or answerTime before the deadline, when it ends those that still are.
+// Without a deadline, Stop waits for all that were sent.
 func (s *Server) Stop(ctx context.Context) {
 	began := time.Now()
 	end, closeIdleFrom := began, began.Add(idleCloseDelay)
-	deadline, limited := ctx.Deadline()
-	if limited {
+	if deadline, limited := ctx.Deadline(); limited {
 		end = deadline.Add(-answerTime)
 		closeIdleFrom = began.Add(min(idleCloseDelay, time.Duration(maxIdleCloseShare*float64(end.Sub(began)))))
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, end)
+		defer cancel()
 	}
 	s.stopping.Store(true)
+	s.awaitQuiet(ctx, closeIdleFrom, end)
+	s.refuseAll.Store(true)
+	s.endRequests(ctx)
+}
+
+// awaitQuiet waits until no request has been in progress for quietPeriod, or until ctx ends.
+// From closeIdleFrom on it closes idle connections, and requests are sent only if they end
+// by end.
+func (s *Server) awaitQuiet(ctx context.Context, closeIdleFrom, end time.Time) {
 	tick := time.NewTicker(stopCheckInterval)
 	defer tick.Stop()
 	stopBySet, quietSince := false, time.Time{}
@@ -129,10 +142,6 @@
 				stopBySet = true
 			}
 			s.closeIdle(now, 0)
-			if limited && !now.Before(end) && !s.refuseAll.Swap(true) {
-				s.Log.Warn("planned stop ends requests", zap.Int64("open", s.OpenRequests()))
-				s.Gateway.EndRequests()
-			}
 			if s.openRequests.Load() > 0 {
 				quietSince = time.Time{}
 				continue
@@ -141,21 +150,28 @@
 				quietSince = now
 			}
 			if now.Sub(quietSince) > quietPeriod {
-				s.refuseAndDrain(ctx)
 				return
 			}
 		}
 	}
 }
 
-// refuseAndDrain refuses all further requests and waits for those that were accepted
-// just before. handle counts a request in openRequests before it checks refuseAll, so
-// each request is either refused or waited for.
-func (s *Server) refuseAndDrain(ctx context.Context) {
-	s.refuseAll.Store(true)
+// endRequests waits for the requests that were accepted before refuseAll was set. If ctx ends
+// before, it ends them and leaves answerTime for their answers. handle counts a request in
+// openRequests before it checks refuseAll, so each request is either refused or waited for.
+func (s *Server) endRequests(ctx context.Context) {
 	for s.openRequests.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
+	open := s.openRequests.Load()
+	if open == 0 {
+		return
+	}
+	s.Log.Warn("planned stop ends requests", zap.Int64("open", open))
+	s.Gateway.EndRequests()
+	for end := time.Now().Add(answerTime); s.openRequests.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 // trackIdle is the ConnState hook of the server. It keeps idleSince up to date.
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -77,23 +77,15 @@
 // startServer starts a server on loopback, in front of a gateway with one target that
 // send stands for. It returns the server and its address.
 func startServer(t *testing.T, send targetClientFunc) (*Server, string) {
-	t.Helper()
-	s, address, _ := startEndableServer(t, send)
-	return s, address
-}
-
-// startEndableServer is startServer; end closes the server and all its connections, as the
-// end of the process does.
-func startEndableServer(t *testing.T, send targetClientFunc) (s *Server, address string, end context.CancelFunc) {
 	t.Helper()
 	g := newGateway(send)
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	address = ln.Addr().String()
+	address := ln.Addr().String()
 	ln.Close()
-	s = &Server{Gateway: g, Log: zap.NewNop()}
+	s := &Server{Gateway: g, Log: zap.NewNop()}
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(ctx, address) }()
@@ -103,7 +95,7 @@
 			t.Error(err)
 		}
 	})
-	return s, address, cancel
+	return s, address
 }
 
 // dial connects to the server, and retries until it listens.
@@ -223,64 +215,14 @@
 	<-cancelled
 }
 
-// Guards against a planned stop that cuts a request in progress, or that closes an idle
-// connection while a request arrives on it. Either request would be lost.
-func TestPlannedStop(t *testing.T) {
-	release := make(chan struct{})
-	s, address := startServer(t, func(_ context.Context, f *gateway.Forward) (gateway.Exchange, error) {
-		if f.Call.Path == "/plain/slow" {
-			<-release
-		}
-		return respond(context.Background(), f)
-	})
-	idle, busy := dial(t, address), dial(t, address)
-	idleReader, busyReader := bufio.NewReader(idle), bufio.NewReader(busy)
-	if _, _, err := roundTrip(t, idle, idleReader, "GET /plain/x"+requestHead+"\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	answered := make(chan error, 1)
-	go func() {
-		_, body, err := roundTrip(t, busy, busyReader, "GET /plain/slow"+requestHead+"\r\n")
-		if err == nil && body != "whole" {
-			err = errors.New("body " + body)
-		}
-		answered <- err
-	}()
-	for s.OpenRequests() == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
-	defer cancel()
-	stopped := make(chan struct{})
-	go func() {
-		s.Stop(ctx)
-		close(stopped)
-	}()
-	for !s.stopping.Load() {
-		time.Sleep(time.Millisecond)
-	}
-	resp, body, err := roundTrip(t, idle, idleReader, "GET /plain/x"+requestHead+"\r\n")
-	if err != nil || body != "whole" || !resp.Close {
-		t.Errorf("request on an idle connection during the stop: %v, %q, error %v; want it served and the connection closed", resp, body, err)
-	}
-	time.Sleep(idleCloseDelay + 2*stopCheckInterval)
-	close(release)
-	if err := <-answered; err != nil {
-		t.Errorf("request in progress: %v", err)
-	}
-	<-stopped
-	if s.OpenRequests() != 0 {
-		t.Errorf("%d requests open after the stop", s.OpenRequests())
-	}
-}
-
 // Guards against a request that is accepted while a planned stop ends, and is lost when
 // the process exits.
 func TestNoRequestIsAcceptedOnceAStopEnds(t *testing.T) {
 	s, address := startServer(t, respond)
 	conn := dial(t, address)
 	reader := bufio.NewReader(conn)
-	s.refuseAndDrain(t.Context())
+	s.refuseAll.Store(true)
+	s.endRequests(t.Context())
 	resp, _, err := roundTrip(t, conn, reader, "GET /plain/x"+requestHead+"\r\n")
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("response %v, error %v; want 503", resp, err)
--- a/internal/transport/gatewayhttp/stop_test.go
+++ b/internal/transport/gatewayhttp/stop_test.go
@@ -16,17 +16,13 @@
 	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 )
 
-// pipeListener is a listener of connections in memory.
+// pipeListener is a listener of connections in memory, for tests in virtual time.
 type pipeListener struct {
 	accepted chan net.Conn
 	closed   chan struct{}
 	close    sync.Once
 }
 
-func newPipeListener() *pipeListener {
-	return &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
-}
-
 func (l *pipeListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.accepted:
@@ -43,62 +39,238 @@
 
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// stoppableServer is a server in virtual time that ends its connections once its planned stop
+// has ended, as the process does.
+type stoppableServer struct {
+	*Server
+	t       *testing.T
+	ln      *pipeListener
+	stopped chan struct{} // closed when Stop has returned
+	end     context.CancelFunc
+	served  chan error
+}
+
+// startStoppable starts a server in front of a gateway with one target of four slots, which
+// send stands for.
+func startStoppable(t *testing.T, send targetClientFunc) *stoppableServer {
+	ctx, end := context.WithCancel(t.Context())
+	s := &stoppableServer{
+		Server: &Server{Log: zap.NewNop(), Gateway: newGateway(send)}, t: t, end: end,
+		ln: &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}, stopped: make(chan struct{}), served: make(chan error, 1),
+	}
+	server := s.newHTTPServer()
+	go func() { s.served <- netconn.Serve(ctx, server, s.ln) }()
+	return s
+}
+
+// beginStop begins a planned stop that may take grace.
+func (s *stoppableServer) beginStop(grace time.Duration) {
+	ctx, cancel := context.WithTimeout(s.t.Context(), grace)
+	go func() {
+		defer cancel()
+		s.Stop(ctx)
+		close(s.stopped)
+		s.end()
+	}()
+}
+
+// waitServed waits until the server has ended.
+func (s *stoppableServer) waitServed() {
+	if err := <-s.served; err != nil {
+		s.t.Error(err)
+	}
+}
+
 // dial returns the caller's end of a new connection.
-func (l *pipeListener) dial() net.Conn {
+func (s *stoppableServer) dial() net.Conn {
 	callers, servers := net.Pipe()
-	l.accepted <- servers
+	s.ln.accepted <- servers
 	return callers
 }
 
+// statuses counts responses by status; 0 stands for no response.
+type statuses struct {
+	mu     sync.Mutex
+	counts map[int]int
+	wait   sync.WaitGroup
+}
+
+// send sends n requests on connections of their own and counts the responses.
+func (r *statuses) send(s *stoppableServer, n int) {
+	for range n {
+		c := s.dial()
+		r.wait.Go(func() {
+			defer c.Close()
+			status := 0
+			if resp, _, err := roundTrip(s.t, c, bufio.NewReader(c), "GET /plain/x"+requestHead+"\r\n"); err == nil {
+				status = resp.StatusCode
+			}
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if r.counts == nil {
+				r.counts = make(map[int]int)
+			}
+			r.counts[status]++
+		})
+	}
+}
+
+// untilCancelled is a target that does not respond.
+func untilCancelled(ctx context.Context, _ *gateway.Forward) (gateway.Exchange, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a planned stop that cuts off a request in progress or one on a kept
+// connection, or that does not end when the last request has ended.
+func TestPlannedStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		s := startStoppable(t, func(ctx context.Context, f *gateway.Forward) (gateway.Exchange, error) {
+			if f.Call.Path == "/plain/slow" {
+				select {
+				case <-release:
+				case <-ctx.Done():
+					return nil, ctx.Err()
+				}
+			}
+			return respond(ctx, f)
+		})
+		idle, busy := s.dial(), s.dial()
+		defer idle.Close()
+		defer busy.Close()
+		idleReader := bufio.NewReader(idle)
+		if _, _, err := roundTrip(t, idle, idleReader, "GET /plain/x"+requestHead+"\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			_, body, err := roundTrip(t, busy, bufio.NewReader(busy), "GET /plain/slow"+requestHead+"\r\n")
+			if err != nil || body != "whole" {
+				t.Errorf("request in progress: body %q, error %v; want it whole", body, err)
+			}
+		}()
+		synctest.Wait()
+		s.beginStop(8 * time.Second)
+		synctest.Wait()
+		resp, body, err := roundTrip(t, idle, idleReader, "GET /plain/x"+requestHead+"\r\n")
+		if err != nil || body != "whole" || !resp.Close {
+			t.Errorf("request on an idle connection during the stop: %v, %q, error %v; want it served and the connection closed", resp, body, err)
+		}
+		time.Sleep(idleCloseDelay + 10*stopCheckInterval)
+		close(release)
+		<-answered
+		<-s.stopped
+		if s.OpenRequests() != 0 {
+			t.Errorf("%d requests open after the stop", s.OpenRequests())
+		}
+		s.waitServed()
+	})
+}
+
 // Guards against a request that is read before or long after SIGTERM, waits for a target or
 // for the response of one, and is given up without an answer when the stop ends. A request
-// that was not sent must be refused, any other one must be answered.
+// that was not sent must be refused, any other one must be answered as unknown.
 func TestPlannedStopAnswersRequestsInProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &Server{Log: zap.NewNop(), Gateway: newGateway(func(ctx context.Context, _ *gateway.Forward) (gateway.Exchange, error) {
-			<-ctx.Done()
-			return nil, ctx.Err()
-		})}
-		ln := newPipeListener()
-		ctx, end := context.WithCancel(t.Context())
-		served := make(chan error, 1)
-		go func() { served <- netconn.Serve(ctx, s.newHTTPServer(), ln) }()
-		var callers sync.WaitGroup
-		var mu sync.Mutex
-		statuses := make(map[int]int)
-		send := func(n int) {
-			for range n {
-				c := ln.dial()
-				callers.Go(func() {
-					defer c.Close()
-					resp, _, err := roundTrip(t, c, bufio.NewReader(c), "GET /plain/x"+requestHead+"\r\n")
-					if err != nil {
-						t.Errorf("no answer: %v", err)
-						return
-					}
-					mu.Lock()
-					defer mu.Unlock()
-					statuses[resp.StatusCode]++
-				})
-			}
-		}
+		sent := 0
+		s := startStoppable(t, func(ctx context.Context, f *gateway.Forward) (gateway.Exchange, error) {
+			sent++
+			return untilCancelled(ctx, f)
+		})
+		var responses statuses
 		const requests = 12 // more than the slots of the target
-		send(requests)
+		responses.send(s, requests)
 		synctest.Wait()
-		stopCtx, cancel := context.WithTimeout(t.Context(), idleCloseDelay+time.Second)
-		defer cancel()
-		go func() {
-			s.Stop(stopCtx)
-			end()
-		}()
+		s.beginStop(idleCloseDelay + time.Second)
 		time.Sleep(idleCloseDelay + 50*time.Millisecond)
-		send(requests)
-		callers.Wait()
-		if statuses[http.StatusServiceUnavailable] == 0 || statuses[http.StatusServiceUnavailable]+statuses[http.StatusBadGateway] != 2*requests {
-			t.Errorf("responses by status: %v; want %d, 503 and 502 only", statuses, 2*requests)
+		responses.send(s, requests)
+		responses.wait.Wait()
+		if n := responses.counts; sent == 0 || n[http.StatusBadGateway] != sent || n[http.StatusServiceUnavailable] != 2*requests-sent {
+			t.Errorf("responses by status: %v; want 502 for the %d that were sent and 503 for the others of %d", n, sent, 2*requests)
+		}
+		s.waitServed()
+	})
+}
+
+// lateConn delays the goroutine that sets its read deadline until a given time, as a processor
+// share that is used up does.
+type lateConn struct {
+	net.Conn
+	from, until time.Time
+}
+
+func (c *lateConn) SetReadDeadline(time.Time) error {
+	if now := time.Now(); !now.Before(c.from) && now.Before(c.until) {
+		time.Sleep(c.until.Sub(now))
+	}
+	return nil
+}
+
+// Guards against requests in progress that get no answer because the goroutine of the stop
+// does not run just before the deadline.
+func TestPlannedStopThatIsLateAnswersRequests(t *testing.T) {
+	for range 8 { // a select picks at random among what is ready
+		synctest.Test(t, func(t *testing.T) {
+			s := startStoppable(t, untilCancelled)
+			const grace = 4 * time.Second
+			deadline := time.Now().Add(grace)
+			s.mu.Lock()
+			s.idleSince[&lateConn{from: deadline.Add(-answerTime - 30*time.Millisecond), until: deadline.Add(time.Millisecond)}] = time.Now()
+			s.mu.Unlock()
+			var responses statuses
+			responses.send(s, 1)
+			s.beginStop(grace)
+			responses.wait.Wait()
+			if responses.counts[http.StatusBadGateway] != 1 {
+				t.Errorf("responses by status: %v; want 502", responses.counts)
+			}
+			s.waitServed()
+		})
+	}
+}
+
+// Guards against a request that gets no answer because it is accepted just before a stop
+// without requests ends.
+func TestRequestAcceptedAsAStopEndsIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startStoppable(t, untilCancelled)
+		var responses statuses
+		responses.send(s, 1)
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		s.refuseAll.Store(true)
+		s.endRequests(ctx)
+		s.end()
+		responses.wait.Wait()
+		if responses.counts[http.StatusBadGateway] != 1 {
+			t.Errorf("responses by status: %v; want 502", responses.counts)
 		}
-		if err := <-served; err != nil {
-			t.Error(err)
+		s.waitServed()
+	})
+}
+
+// Guards against a short grace period in which requests are accepted until the end, although
+// they cannot end before it.
+func TestShortPlannedStopRefusesLateRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent := 0
+		s := startStoppable(t, func(ctx context.Context, f *gateway.Forward) (gateway.Exchange, error) {
+			sent++
+			return untilCancelled(ctx, f)
+		})
+		var early, late statuses
+		early.send(s, 1)
+		s.beginStop(time.Second)
+		time.Sleep(600 * time.Millisecond)
+		late.send(s, 1)
+		late.wait.Wait()
+		early.wait.Wait()
+		if sent != 1 || late.counts[http.StatusServiceUnavailable] != 1 {
+			t.Errorf("%d sent, responses by status of the late request: %v; want it refused", sent, late.counts)
 		}
+		s.waitServed()
 	})
 }
