Side deployment: requests open at the time limit of a stop are answered

When the planned stop of an entry reached its limit of 10 minutes, callers of non-idempotent requests had their connections closed without an answer, whether the request waited in the queue of a target or ran there. Idempotent ones that waited in a queue were answered with an unknown outcome although they had not run. Timeouts of up to an hour are allowed, so a saturated target or a long request is enough.

Cause: at the limit the process ended all its parts at once. The sessions to the side processes were closed first, so that no queued attempt could be withdrawn. A non-idempotent request then tried for 10 s to attach to its attempt, and the callers' connections were closed after 2 s.

Change: at the limit, entry.Service.EndRequests ends the open requests while the sessions are still open, as a deadline does: a request without an attempt, or whose withdrawal from the queue is confirmed, is refused as not run; any other has an unknown outcome. An attempt with a key is not cancelled, so that a retry can collect its response. The process ends when all are answered, at most 2 s later. The stop still returns an error and reports the violation.

TestEndRequests covers keyed, foreign and retried attempts.

--- a/internal/coordination/entry/claim.go
+++ b/internal/coordination/entry/claim.go
@@ -56,7 +56,7 @@
 	// This entry cannot withdraw the holder's attempt, so admission must not
 	// displace this request.
 	r.ticket.MarkStarted()
-	ctx, cancel := context.WithDeadlineCause(r.callerCtx, r.req.Deadline, errDeadlinePassed)
+	ctx, cancel := r.limit(r.callerCtx)
 	defer cancel()
 	for first := true; ; first = false {
 		a := &attempt{target: holder.Target, id: holder.Attempt, incarnation: holder.Incarnation}
@@ -92,10 +92,11 @@
 // abandonHolder ends a request that follows another entry's attempt, because ctx
 // ended. The attempt itself goes on.
 func (r *requestRun) abandonHolder(ctx context.Context) attemptEnd {
-	if r.callerCtx.Err() != nil {
-		return attemptEnd{kind: endCancelled, reason: ReasonCallerGone}
+	reason, ok := limitReason(ctx)
+	if !ok {
+		return attemptEnd{kind: endCancelled, reason: reason}
 	}
-	return unknownEnd(state.ReasonTimeout, context.Cause(ctx))
+	return unknownEnd(reason, context.Cause(ctx))
 }
 
 // voidAttempt asks the side process to refuse attempt a from now on and returns
--- a/internal/coordination/entry/follow.go
+++ b/internal/coordination/entry/follow.go
@@ -352,41 +352,42 @@
 	return attachTimeout
 }
 
-// abandon ends an attempt after ctx ended, at the deadline or because the caller is
-// gone. a.stream may be nil. A queued attempt is withdrawn at the deadline, and the
-// request is refused as not run if the target confirms that. An attempt under a
-// claimed key is not cancelled at the deadline, so that a retry with the key can
-// collect its response.
+// abandon ends an attempt after ctx ended, at the deadline, at the limit of a planned
+// stop or because the caller is gone. a.stream may be nil. At the deadline or the limit,
+// a queued attempt is withdrawn, and the request is refused as not run if the target
+// confirms that. An attempt under a claimed key is not cancelled then, so that a retry
+// with the key can collect its response.
 func (r *requestRun) abandon(ctx context.Context, a *attempt) attemptEnd {
 	if !a.isOwn {
 		return r.abandonHolder(ctx)
 	}
-	if context.Cause(ctx) != errDeadlinePassed {
+	reason, ok := limitReason(ctx)
+	if !ok {
 		if a.stream != nil {
 			_ = a.stream.Cancel()
 		}
-		return attemptEnd{kind: endCancelled, reason: ReasonCallerGone, err: context.Cause(ctx)}
+		return attemptEnd{kind: endCancelled, reason: reason, err: context.Cause(ctx)}
 	}
-	err := stepError("run", a.target, errDeadlinePassed)
-	if a.canWithdraw() && a.stream != nil && r.confirmWithdrawal(a) {
-		return refusedEnd(state.ReasonTimeout, defaultRetryAfter, err)
+	err := stepError("run", a.target, context.Cause(ctx))
+	if a.canWithdraw() && a.stream != nil && r.confirmWithdrawal(a, reason) {
+		return refusedEnd(reason, defaultRetryAfter, err)
 	}
 	if a.stream != nil && !r.needsClaim() {
 		_ = a.stream.Cancel()
 	}
 	r.markRunning(a) // it may have started
-	if r.req.Idempotent {
-		return attemptEnd{kind: endTimedOut, reason: state.ReasonTimeout, err: err}
+	if r.req.Idempotent && reason == state.ReasonTimeout {
+		return attemptEnd{kind: endTimedOut, reason: reason, err: err}
 	}
-	return unknownEnd(state.ReasonTimeout, err)
+	return unknownEnd(reason, err)
 }
 
-// confirmWithdrawal withdraws an attempt that has not started and reports whether
+// confirmWithdrawal withdraws an attempt that has not started for reason and reports whether
 // the side process confirmed within confirmTimeout that it was not run.
-func (r *requestRun) confirmWithdrawal(a *attempt) bool {
+func (r *requestRun) confirmWithdrawal(a *attempt, reason state.Reason) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
-	r.withdraw(a, state.ReasonTimeout)
+	r.withdraw(a, reason)
 	for {
 		event, err := a.stream.Next(ctx)
 		if err != nil {
--- a/internal/coordination/entry/run.go
+++ b/internal/coordination/entry/run.go
@@ -18,6 +18,9 @@
 // deadline.
 var errDeadlinePassed = errors.New("request deadline passed")
 
+// errStopLimit is the cause of a context that Service.EndRequests ended.
+var errStopLimit = errors.New("time limit of the planned stop reached")
+
 // errTargetLeaving is the error of an attempt that was not dispatched because its
 // target had begun to leave.
 var errTargetLeaving = errors.New("target is leaving")
@@ -64,7 +67,7 @@
 	if r.needsClaim() {
 		ctx = context.WithoutCancel(caller)
 	}
-	ctx, cancel := context.WithDeadlineCause(ctx, r.req.Deadline, errDeadlinePassed)
+	ctx, cancel := r.limit(ctx)
 	defer cancel()
 	if r.needsClaim() {
 		if end, over := r.joinExistingClaim(); over {
@@ -90,6 +93,31 @@
 	}
 }
 
+// limit returns a context that also ends at the request's deadline, with cause
+// errDeadlinePassed, and with EndRequests, with cause errStopLimit.
+func (r *requestRun) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancelAtDeadline := context.WithDeadlineCause(ctx, r.req.Deadline, errDeadlinePassed)
+	ctx, cancel := context.WithCancelCause(ctx)
+	unregister := context.AfterFunc(r.service.untilEnd, func() { cancel(errStopLimit) })
+	return ctx, func() {
+		unregister()
+		cancel(nil)
+		cancelAtDeadline()
+	}
+}
+
+// limitReason returns the reason that is reported for a context of limit that has
+// ended. It returns false when the caller is gone.
+func limitReason(ctx context.Context) (state.Reason, bool) {
+	switch context.Cause(ctx) {
+	case errDeadlinePassed:
+		return state.ReasonTimeout, true
+	case errStopLimit:
+		return ReasonStopping, true
+	}
+	return ReasonCallerGone, false
+}
+
 // place makes one attempt at d.Target: it reserves an attempt identifier, claims
 // the key if there is one, dispatches the attempt and follows it to its end.
 func (r *requestRun) place(ctx context.Context, d Decision) attemptEnd {
@@ -211,12 +239,14 @@
 }
 
 // contextEnd returns the end of a request without an open attempt after ctx ended:
-// a refusal at the deadline, otherwise a cancellation by the caller.
+// a refusal at the deadline or the limit of a planned stop, otherwise a cancellation by
+// the caller.
 func (r *requestRun) contextEnd(ctx context.Context, err error) attemptEnd {
-	if context.Cause(ctx) == errDeadlinePassed {
-		return refusedEnd(state.ReasonTimeout, defaultRetryAfter, err)
+	reason, ok := limitReason(ctx)
+	if ok {
+		return refusedEnd(reason, defaultRetryAfter, err)
 	}
-	return attemptEnd{kind: endCancelled, reason: ReasonCallerGone, err: err}
+	return attemptEnd{kind: endCancelled, reason: reason, err: err}
 }
 
 // displaced reports whether admission gave this request's slot to a request of a
--- a/internal/coordination/entry/service.go
+++ b/internal/coordination/entry/service.go
@@ -72,6 +72,9 @@
 	budget         retry.Budget
 	computedBlocks traffic.RecentCache[uint64, struct{}] // hashes of prompt blocks that attempts have computed
 
+	untilEnd context.Context // ended by EndRequests
+	end      context.CancelFunc
+
 	mu           sync.Mutex
 	stopping     bool
 	openRequests int
@@ -84,6 +87,7 @@
 		cfg.Random = rand.Float64
 	}
 	s := &Service{cfg: cfg, admission: admission.NewController(cfg.MaxOpen), drained: make(chan struct{})}
+	s.untilEnd, s.end = context.WithCancel(context.Background())
 	s.computedBlocks.GenerationLimit = blocksPerGeneration
 	return s
 }
@@ -98,6 +102,12 @@
 	}
 }
 
+// EndRequests ends the open requests, because the time limit of a planned stop is
+// reached. A request that has no attempt, or whose attempt the side process takes out
+// of its queue, is refused as not run. The outcome of any other is unknown. Drained is
+// closed soon after, except while a sink does not return.
+func (s *Service) EndRequests() { s.end() }
+
 // Drained returns a channel that is closed once the service has stopped accepting
 // requests and none is open.
 func (s *Service) Drained() <-chan struct{} { return s.drained }
--- a/internal/coordination/entry/service_test.go
+++ b/internal/coordination/entry/service_test.go
@@ -413,6 +413,53 @@
 	})
 }
 
+// Guards against a request that stays open when the time limit of a planned stop is
+// reached, one that is reported as not run although it may have run, and a keyed attempt
+// that is cancelled then, so that no retry with the key collects its response.
+func TestEndRequests(t *testing.T) {
+	for _, s := range []scenario{
+		{guards: "a queued attempt whose withdrawal is confirmed", setup: func(h *harness) {
+			h.peers.dispatch["a"] = []script{{steps: []step{{event: queued}, noEvent}, withdrawn: []step{{event: refusal(state.ReasonWithdrawn)}}}}
+		}, kind: Refused, calls: "dispatch a,withdraw a"},
+		{guards: "an attempt that starts before its withdrawal", setup: func(h *harness) {
+			h.peers.dispatch["a"] = []script{{steps: []step{{event: queued}, noEvent}, withdrawn: []step{{event: started}, noEvent}}}
+		}, kind: Unknown, calls: "dispatch a,withdraw a,cancel a"},
+		{guards: "a running attempt", setup: func(h *harness) { onDispatch(h, "a", started, noEvent) },
+			kind: Unknown, calls: "dispatch a,cancel a"},
+		{guards: "a running attempt with a key", setup: func(h *harness) { h.useKey(); onDispatch(h, "a", started, noEvent) },
+			kind: Unknown, calls: "dispatch a"},
+		{guards: "an attempt of another entry", setup: func(h *harness) {
+			h.useKey()
+			h.claims.existing["k"] = h.foreignClaim("a")
+			onAttach(h, "a", attemptState(state.AttemptQueued), noEvent)
+		}, kind: Unknown, calls: "attach a 0"},
+		{guards: "a queued attempt after one that may have run", setup: func(h *harness) {
+			onDispatch(h, "a", started, targetSilent)
+			h.peers.dispatch["b"] = []script{{steps: []step{{event: queued}, noEvent}, withdrawn: []step{{event: refusal(state.ReasonWithdrawn)}}}}
+			h.placer.targets = []state.TargetID{"a", "b"}
+			h.service.budget.Earn(1, 1)
+		}, kind: Unknown, calls: "dispatch a,ack a,dispatch b,withdraw b"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness()
+			s.setup(h)
+			result := make(chan Result, 1)
+			go func() { result <- h.run(t.Context()) }()
+			time.Sleep(10 * time.Second)
+			h.service.StopAccepting()
+			h.service.EndRequests()
+			r := <-result
+			<-h.service.Drained()
+			if r.Kind != s.kind || r.Reason != ReasonStopping {
+				t.Errorf("%s: kind %d, reason %q, want kind %d", s.guards, r.Kind, r.Reason, s.kind)
+			}
+			if diff := cmp.Diff(s.calls, strings.Join(h.peers.calls, ",")); diff != "" {
+				t.Errorf("%s: calls (-want +got):\n%s", s.guards, diff)
+			}
+		})
+	}
+}
+
 // Guards against counters that miss discarded or recomputed prompt tokens.
 func TestCounters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,8 +20,8 @@
 	"github.com/cassiaramp/cassiaramp/internal/transport/quicsession"
 )
 
-// stopTimeout bounds a planned stop. Requests that run longer are cut off, which is
-// a violation of the invariant state.GracefulStop.
+// stopTimeout bounds a planned stop. Requests that run longer are ended, which is a
+// violation of the invariant state.GracefulStop.
 const stopTimeout = 10 * time.Minute
 
 // process is a running process. It holds what entries and side processes share.
@@ -144,16 +144,22 @@
 }
 
 // finishWhenDrained completes a planned stop: it ends the process when drained is
-// closed or, with an error, after stopTimeout.
-func (p *process) finishWhenDrained(drained <-chan struct{}) error {
+// closed or, with an error, after limit.
+func (p *process) finishWhenDrained(drained <-chan struct{}, limit time.Duration) error {
 	defer p.cancelRunning()
+	return p.awaitDrained(drained, limit)
+}
+
+// awaitDrained waits until drained is closed or the process ends. It returns an error
+// after limit.
+func (p *process) awaitDrained(drained <-chan struct{}, limit time.Duration) error {
 	select {
 	case <-drained:
 		return nil
 	case <-p.running.Done():
 		return nil
-	case <-time.After(stopTimeout):
+	case <-time.After(limit):
 		state.ReportViolation(state.GracefulStop, "requests still run after the stop timeout")
-		return fmt.Errorf("planned stop: requests still run after %s", stopTimeout)
+		return fmt.Errorf("planned stop: requests still run after %s", limit)
 	}
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -43,9 +43,11 @@
 	p.background(placer.Run)
 	p.background(members.Run)
 	p.background(claims.Run)
-	if err := p.serveCallers(service); err != nil {
-		return err
+	ln, err := net.Listen("tcp", s.Listen.Callers.String())
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
 	}
+	p.serveCallers(ln, service, p.newCallerServer(service), stopTimes{limit: stopTimeout, refusal: refusalPeriod, close: closeTimeout})
 	return p.serveAdmin(func() error { return p.checkEntryReady(members) })
 }
 
@@ -87,7 +89,8 @@
 	// bodies of requests in progress.
 	bodyMemoryDivisor = 2
 	// closeTimeout bounds the time to close callers' connections at the end of the
-	// process.
+	// process, and before that the time to end the requests that are open at the limit
+	// of a planned stop.
 	closeTimeout = 2 * time.Second
 	// refusalPeriod is how long a stopping entry, after its last response, still
 	// answers requests on open connections with a refusal that says they were not run.
@@ -112,23 +115,30 @@
 	return nil
 }
 
-// serveCallers starts the callers' interface. In a planned stop it refuses new requests
-// and ends the process refusalPeriod after the last open request.
-func (p *process) serveCallers(service *entry.Service) error {
-	ln, err := net.Listen("tcp", p.settings.Listen.Callers.String())
-	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
-	}
-	server := entryhttp.New(entryhttp.Config{
+// newCallerServer returns the server for callers.
+func (p *process) newCallerServer(service *entry.Service) *entryhttp.Server {
+	return entryhttp.New(entryhttp.Config{
 		Service: service, Bundle: p.bundles.Current,
 		MaxConnections: connectionsPerRequest * p.settings.Limits.OpenRequests,
 		MaxBodyBytes:   int64(p.settings.Limits.Memory) / bodyMemoryDivisor,
 		Log:            p.log.Named("front"),
 	})
+}
+
+// stopTimes are the durations of an entry's planned stop.
+type stopTimes struct {
+	limit   time.Duration // see stopTimeout
+	refusal time.Duration // see refusalPeriod
+	close   time.Duration // see closeTimeout
+}
+
+// serveCallers starts the callers' interface. In a planned stop it refuses new requests
+// and ends the process times.refusal after the last open request.
+func (p *process) serveCallers(ln net.Listener, service *entry.Service, server *entryhttp.Server, times stopTimes) {
 	p.group.Go(func() error { return server.Serve(ln) })
 	p.background(func(ctx context.Context) error {
 		<-ctx.Done()
-		stop, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		stop, cancel := context.WithTimeout(context.Background(), times.close)
 		defer cancel()
 		return server.Shutdown(stop)
 	})
@@ -138,11 +148,30 @@
 		case <-p.running.Done():
 			return nil
 		}
-		service.StopAccepting()
-		server.StopAccepting()
-		return p.finishWhenDrained(p.closedAfter(service.Drained(), refusalPeriod))
+		return p.stopCallers(service, server, times)
 	})
-	return nil
+}
+
+// stopCallers makes the planned stop of the callers' interface and ends the process. At
+// times.limit it ends the open requests while the sessions to their targets are still
+// open: only a target can confirm that a request was not run.
+func (p *process) stopCallers(service *entry.Service, server *entryhttp.Server, times stopTimes) error {
+	defer p.cancelRunning()
+	service.StopAccepting()
+	server.StopAccepting()
+	err := p.awaitDrained(p.closedAfter(service.Drained(), times.refusal), times.limit)
+	if err == nil {
+		return nil
+	}
+	p.log.Warn("planned stop ends the open requests", zap.Int("open", service.OpenRequests()))
+	service.EndRequests()
+	select {
+	case <-service.Drained():
+	case <-p.running.Done():
+	case <-time.After(times.close):
+		p.log.Warn("planned stop cuts requests", zap.Int("open", service.OpenRequests()))
+	}
+	return err
 }
 
 // closedAfter returns a channel that is closed when d has passed since done was closed,
--- a/internal/daemon/side.go
+++ b/internal/daemon/side.go
@@ -46,7 +46,7 @@
 			return nil
 		}
 		service.Leave()
-		return p.finishWhenDrained(service.Drained())
+		return p.finishWhenDrained(service.Drained(), stopTimeout)
 	})
 	return nil
 }
