Side process: a planned stop lasts until entries can know of it

A side process whose target was idle ended its planned stop at the next 50 ms tick after SIGTERM. Dispatches that entries had sent before Leaving reached them were lost with the session: callers of non-idempotent requests were told after 10 s that the outcome is unknown, although the request was not run.

Cause: checkDrained looked only at running attempts, streams and responses, not at whether an entry can have been told.

Change: Drained is closed at the earliest LeaveNotice (500 ms) after Leave. In this time Leaving arrives, also after a retransmission, and dispatches on their way are refused as not run, so that they are placed elsewhere.

Evidence: TestLeaveAnswersDispatchesOnTheirWay failed before ("drained before entries could learn that the target is leaving"). Entries that are told later than 500 ms, such as paused ones, still get an unknown outcome.

--- a/internal/coordination/side/doc.go
+++ b/internal/coordination/side/doc.go
@@ -25,6 +25,10 @@
 	// DrainGrace bounds the wait for undelivered responses during a planned
 	// stop. It begins when nothing runs any more.
 	DrainGrace = 10 * time.Second
+	// LeaveNotice is the shortest duration of a planned stop. In this time entries
+	// learn that the target is leaving, also when a packet is lost, and the
+	// dispatches that were on their way are refused as not run.
+	LeaveNotice = 500 * time.Millisecond
 	// RecoveryTimeout bounds the wait for the target's list of attempts after a
 	// start. No attempt starts until the list arrives or the timeout passes.
 	RecoveryTimeout = 10 * time.Second
--- a/internal/coordination/side/lifecycle_test.go
+++ b/internal/coordination/side/lifecycle_test.go
@@ -200,6 +200,25 @@
 	})
 }
 
+// Guards against an idle side process that ends its planned stop while dispatches are
+// on their way from entries that have not been told yet. A dispatch that is lost with
+// the session has an unknown outcome, although it was not run.
+func TestLeaveAnswersDispatchesOnTheirWay(t *testing.T) {
+	withHarness(t, &scriptedRunner{run: produceChunks(10, 100*time.Millisecond)}, testBundle(1, 10), func(h *harness) {
+		h.Leave()
+		time.Sleep(LeaveNotice - tickInterval)
+		select {
+		case <-h.Drained():
+			h.t.Error("drained before entries could learn that the target is leaving")
+		default:
+		}
+		late := h.session.Dispatch(h.newDispatch(0))
+		h.wantRefused(late, state.ReasonLeaving)
+		late.Detach()
+		<-h.Drained()
+	})
+}
+
 // Guards against a planned stop that waits for a response that its entry has
 // cancelled and does not read.
 func TestDrainSkipsCancelled(t *testing.T) {
--- a/internal/coordination/side/service.go
+++ b/internal/coordination/side/service.go
@@ -37,6 +37,7 @@
 	bundle  *state.Bundle   // nil when none is in effect
 	models  map[string]bool // loaded models as reported; empty when unknown
 	leaving bool            // a planned stop has begun
+	leftAt  time.Time       // when it began
 
 	entries        map[entryKey]*entryState
 	entriesEvicted bool // entries have been evicted, so an unknown entry may be one of them
@@ -190,7 +191,7 @@
 		if s.leaving {
 			return
 		}
-		s.leaving = true
+		s.leaving, s.leftAt = true, time.Now()
 		s.cfg.Log.Info("leaving", zap.Int("queued", s.queue.count), zap.Int("running", len(s.running)))
 		for _, a := range s.queue.sorted() {
 			s.refuseQueued(a, state.ReasonLeaving)
@@ -202,7 +203,8 @@
 }
 
 // Drained is closed when, after Leave, nothing runs and every response has been
-// delivered, at the latest DrainGrace after the last running attempt has ended.
+// delivered, at the latest DrainGrace after the last running attempt has ended and at
+// the earliest LeaveNotice after Leave.
 func (s *Service) Drained() <-chan struct{} { return s.drained }
 
 // Figures returns the load figures.
@@ -367,7 +369,7 @@
 	if s.idleSince.IsZero() {
 		s.idleSince = now
 	}
-	if !s.allDelivered() && now.Sub(s.idleSince) < DrainGrace {
+	if now.Sub(s.leftAt) < LeaveNotice || !s.allDelivered() && now.Sub(s.idleSince) < DrainGrace {
 		return
 	}
 	select {
