Entry: a planned stop waits until its responses are sent

A response without a stream whose caller read slowly was cut off 5 s after the last request had ended. The caller got a part of a body with a longer Content-Length.

Cause: a request counts as open until its response is assembled. Sending it is not counted, so the stop ended refusalPeriod (3 s) later and closed the connections after closeTimeout (2 s) more.

Change: after refusalPeriod the stop closes idle connections and waits for those in use for as long as the stop may take.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -152,16 +152,19 @@
 	})
 }
 
-// stopCallers makes the planned stop of the callers' interface and ends the process. At
-// times.limit it ends the open requests while the sessions to their targets are still
-// open: only a target can confirm that a request was not run.
+// stopCallers makes the planned stop of the callers' interface and ends the process. A
+// request is no longer open while its response is being sent, so it waits for the
+// responses too. At times.limit it ends the open requests while the sessions to their
+// targets are still open: only a target can confirm that a request was not run.
 func (p *process) stopCallers(service *entry.Service, server *entryhttp.Server, times stopTimes) error {
 	defer p.cancelRunning()
+	stop, cancel := context.WithTimeout(p.running, times.limit)
+	defer cancel()
 	service.StopAccepting()
 	server.StopAccepting()
 	err := p.awaitDrained(p.closedAfter(service.Drained(), times.refusal), times.limit)
 	if err == nil {
-		return nil
+		return p.sendResponses(stop, server)
 	}
 	p.log.Warn("planned stop ends the open requests", zap.Int("open", service.OpenRequests()))
 	service.EndRequests()
@@ -174,6 +177,17 @@
 	return err
 }
 
+// sendResponses waits until the responses in progress are sent. It returns an error when
+// ctx ends before.
+func (p *process) sendResponses(ctx context.Context, server *entryhttp.Server) error {
+	err := server.Shutdown(ctx)
+	if err == nil || p.running.Err() != nil {
+		return nil
+	}
+	state.ReportViolation(state.GracefulStop, "responses are still being sent after the stop timeout")
+	return fmt.Errorf("planned stop: send responses: %w", err)
+}
+
 // closedAfter returns a channel that is closed when d has passed since done was closed,
 // unless the process ends before.
 func (p *process) closedAfter(done <-chan struct{}, d time.Duration) <-chan struct{} {
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -23,13 +24,17 @@
 )
 
 // stopTarget is the one target of a stoppedEntry. An attempt for model "queued" waits in
-// its queue, and any other runs without an event. Its sessions end with the process, and no new one can be opened.
+// its queue, one for model "large" is answered with largeResponse, and any other runs
+// without an event. Its sessions end with the process, and no new one can be opened.
 type stopTarget struct {
 	entry.Placer // nil: tests use only the methods below
 	ended        <-chan struct{}
 	dispatched   chan struct{} // receives a value for each attempt
 }
 
+// largeResponse exceeds what the sockets of a connection take without a reader.
+var largeResponse = `{"choices":[{"index":0,"text":"` + strings.Repeat("x", 12<<20) + `"}]}`
+
 func (s *stopTarget) Place(q entry.Query) (entry.Decision, bool) {
 	return entry.Decision{Target: "t"}, len(q.Tried) == 0
 }
@@ -58,6 +63,9 @@
 	case "queued":
 		a.queued = true
 		a.events <- &state.Queued{}
+	case "large":
+		a.events <- &state.Chunk{Data: []byte(largeResponse)}
+		a.events <- &state.Done{Chunks: 1}
 	default:
 		a.events <- &state.Started{}
 	}
@@ -145,7 +153,7 @@
 	bundle := &state.Bundle{
 		Tiers:     []state.TierPolicy{{Name: "normal", Timeout: state.Duration(time.Hour)}},
 		Customers: []state.CustomerPolicy{{Name: "c", KeySHA256: []string{hex.EncodeToString(sum[:])}, RequestsPerSecond: 1000, Burst: 1000, Weight: 1, HighestTier: "normal"}},
-		Services:  []state.ServicePolicy{{Name: "llm", Kind: state.EngineService, Models: []string{"queued", "running"}, DefaultTier: "normal", MaxTokens: 50}},
+		Services:  []state.ServicePolicy{{Name: "llm", Kind: state.EngineService, Models: []string{"queued", "running", "large"}, DefaultTier: "normal", MaxTokens: 50}},
 		Retry:     state.RetryPolicy{Placements: 4, BackoffBase: state.Duration(time.Millisecond), BackoffMax: state.Duration(time.Millisecond)},
 	}
 	current := func() *state.Bundle { return bundle }
@@ -215,3 +223,35 @@
 		}
 	}
 }
+
+// Guards against a planned stop that cuts off a response whose caller reads slowly,
+// because the request no longer counts as open while its response is being sent.
+func TestStopSendsWholeResponses(t *testing.T) {
+	e := startStoppedEntry(t, stopTimes{limit: time.Minute, refusal: 10 * time.Millisecond, close: 10 * time.Millisecond})
+	conn := e.send(t, `{"model":"large"}`, true)
+	reader := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.stop()
+	ended := make(chan struct{})
+	var stopErr error
+	go func() {
+		defer close(ended)
+		stopErr = e.waitEnd()
+	}()
+	select {
+	case <-ended:
+		t.Error("the process ended before its response was read")
+	case <-time.After(time.Second): // far longer than the stop takes without the response
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || len(body) < 12<<20 {
+		t.Errorf("read %d bytes of the response, error %v", len(body), err)
+	}
+	<-ended
+	if stopErr != nil {
+		t.Errorf("the stop failed: %v", stopErr)
+	}
+}
