--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -255,3 +255,40 @@
 		t.Errorf("the stop failed: %v", stopErr)
 	}
 }
+
+// Guards against a planned stop that closes a connection on which a request is still
+// arriving. Its caller must learn that the request was not run.
+func TestStopAnswersRequestThatArrivesSlowly(t *testing.T) {
+	e := startStoppedEntry(t, stopTimes{limit: time.Minute, refusal: 10 * time.Millisecond, close: 10 * time.Millisecond})
+	conn, err := net.Dial("tcp", e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	body := `{"model":"running"}`
+	fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", len(body))
+	reader := bufio.NewReader(conn)
+	if resp, err := http.ReadResponse(reader, nil); err != nil || resp.StatusCode != http.StatusContinue {
+		t.Fatalf("got %v, error %v, want status 100", resp, err)
+	}
+	e.stop()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		e.waitEnd()
+	}()
+	select {
+	case <-ended:
+		t.Error("the process ended before the request had arrived")
+	case <-time.After(time.Second): // far longer than the stop takes without the request
+	}
+	io.WriteString(conn, body)
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if got := resp.Header.Get("Cassiaramp-Outcome"); resp.StatusCode != http.StatusServiceUnavailable || got != "not-run" {
+		t.Errorf("status %d, outcome %q, want 503 and not-run", resp.StatusCode, got)
+	}
+	<-ended
+}
