A server goes on answering open connections until it ends

Cause: http.Server.Shutdown closes a connection without a response if it reads a request after it has begun. Serve called it as the first step of the end.

Change: Serve closes the listener, goes on serving until no connection is new or has a request in progress, for up to 150 ms, and then closes. The entry refuses such requests as not run. All servers of the process end so. Both tests of the end run in virtual time, because a loaded machine may pass the 150 ms; they detect the end by the close of the listener, as no Shutdown announces it. conntest has the listener in memory that gatewayhttp's tests had.

--- a/internal/transport/gatewayhttp/stop_test.go
+++ b/internal/transport/gatewayhttp/stop_test.go
@@ -14,37 +14,15 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
 	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn/conntest"
 )
 
-// pipeListener is a listener of connections in memory, for tests in virtual time.
-type pipeListener struct {
-	accepted chan net.Conn
-	closed   chan struct{}
-	close    sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.accepted:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.close.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // stoppableServer is a server in virtual time that ends its connections once its planned stop
 // has ended, as the process does.
 type stoppableServer struct {
 	*Server
 	t       *testing.T
-	ln      *pipeListener
+	ln      *conntest.Listener
 	stopped chan struct{} // closed when Stop has returned
 	end     context.CancelFunc
 	served  chan error
@@ -56,7 +34,7 @@
 	ctx, end := context.WithCancel(t.Context())
 	s := &stoppableServer{
 		Server: &Server{Log: zap.NewNop(), Gateway: newGateway(send)}, t: t, end: end,
-		ln: &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}, stopped: make(chan struct{}), served: make(chan error, 1),
+		ln: conntest.NewListener(), stopped: make(chan struct{}), served: make(chan error, 1),
 	}
 	server := s.newHTTPServer()
 	go func() { s.served <- netconn.Serve(ctx, server, s.ln) }()
@@ -81,13 +59,6 @@
 	}
 }
 
-// dial returns the caller's end of a new connection.
-func (s *stoppableServer) dial() net.Conn {
-	callers, servers := net.Pipe()
-	s.ln.accepted <- servers
-	return callers
-}
-
 // statuses counts responses by status; 0 stands for no response.
 type statuses struct {
 	mu     sync.Mutex
@@ -98,7 +69,7 @@
 // send sends n requests on connections of their own and counts the responses.
 func (r *statuses) send(s *stoppableServer, n int) {
 	for range n {
-		c := s.dial()
+		c := s.ln.Dial()
 		r.wait.Go(func() {
 			defer c.Close()
 			status := 0
@@ -136,7 +107,7 @@
 			}
 			return respond(ctx, f)
 		})
-		idle, busy := s.dial(), s.dial()
+		idle, busy := s.ln.Dial(), s.ln.Dial()
 		defer idle.Close()
 		defer busy.Close()
 		idleReader := bufio.NewReader(idle)
--- a/internal/transport/netconn/netconn.go
+++ b/internal/transport/netconn/netconn.go
@@ -4,10 +4,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -46,35 +46,57 @@
 	return net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setUserTimeout}
 }
 
-// endTimeout bounds the time that a server waits at its end for requests in progress.
+// endTimeout bounds the time that a server waits at its end for requests in progress, and for
+// those that are expected on new connections.
 const endTimeout = 150 * time.Millisecond
 
-// Serve serves HTTP on ln until ctx ends. It then waits for requests in progress, for up to
-// endTimeout, closes all connections and returns nil.
+// endCheckInterval is the time between checks whether a server may end.
+const endCheckInterval = time.Millisecond
+
+// Serve serves HTTP on ln until ctx ends. It then closes ln, goes on serving the open
+// connections until none has a request in progress and none is new, for up to endTimeout,
+// closes all connections and returns nil. It does not use http.Server.Shutdown, which closes a
+// connection without a response if it reads a request afterwards.
 func Serve(ctx context.Context, server *http.Server, ln net.Listener) error {
-	ended := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(ended)
-		end(server)
-	})
-	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		stop()
-		return err
+	busy := &busyConns{open: make(map[net.Conn]struct{}), hook: server.ConnState}
+	server.ConnState = busy.track
+	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	err := server.Serve(ln)
+	if stop() {
+		return err // ctx has not ended
 	}
-	if !stop() {
-		<-ended
+	for end := time.Now().Add(endTimeout); busy.any() && time.Now().Before(end); {
+		time.Sleep(endCheckInterval)
 	}
+	server.Close() // fails for connections that are closed already
 	return nil
 }
 
-// end ends the server. An error of Shutdown means that requests are still in progress, and
-// one of Close that a connection was closed already.
-func end(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
-	defer cancel()
-	if server.Shutdown(ctx) != nil {
-		server.Close()
+// busyConns holds the connections of a server that are new or have a request in progress.
+type busyConns struct {
+	mu   sync.Mutex
+	open map[net.Conn]struct{}
+	hook func(net.Conn, http.ConnState) // called after the state was recorded, or nil
+}
+
+// track is the ConnState hook of the server.
+func (b *busyConns) track(c net.Conn, state http.ConnState) {
+	b.mu.Lock()
+	if state == http.StateNew || state == http.StateActive {
+		b.open[c] = struct{}{}
+	} else {
+		delete(b.open, c)
 	}
+	b.mu.Unlock()
+	if b.hook != nil {
+		b.hook(c, state)
+	}
+}
+
+func (b *busyConns) any() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.open) > 0
 }
 
 // setUserTimeout limits how long sent data may stay unacknowledged.
