--- a/internal/coordination/costmodel/model.go
+++ b/internal/coordination/costmodel/model.go
@@ -163,7 +163,7 @@
 // Duration predicts the time until a request ends at t, without a wait for a slot.
 func (s *Service) Duration(t *Target, w Work, l Load) time.Duration {
 	l.Open = min(l.Open, max(0, l.Slots-1))
-	return s.Response(t, w, l) + s.streaming(t, w)
+	return s.End(t, w, l)
 }
 
 // End predicts the time until a request ends at t, with the wait for a slot.
--- a/internal/transport/gatewayhttp/stop_test.go
+++ b/internal/transport/gatewayhttp/stop_test.go
@@ -92,6 +92,14 @@
 	return nil, ctx.Err()
 }
 
+// countSends is untilCancelled and counts the requests that are sent.
+func countSends(sent *int) targetClientFunc {
+	return func(ctx context.Context, f *gateway.Forward) (gateway.Exchange, error) {
+		*sent++
+		return untilCancelled(ctx, f)
+	}
+}
+
 // Guards against a planned stop that cuts off a request in progress or one on a kept
 // connection, or that does not end when the last request has ended.
 func TestPlannedStop(t *testing.T) {
@@ -146,10 +154,7 @@
 func TestPlannedStopAnswersRequestsInProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sent := 0
-		s := startStoppable(t, func(ctx context.Context, f *gateway.Forward) (gateway.Exchange, error) {
-			sent++
-			return untilCancelled(ctx, f)
-		})
+		s := startStoppable(t, countSends(&sent))
 		var responses statuses
 		const requests = 12 // more than the slots of the target
 		responses.send(s, requests)
@@ -228,10 +233,7 @@
 func TestShortPlannedStopRefusesLateRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sent := 0
-		s := startStoppable(t, func(ctx context.Context, f *gateway.Forward) (gateway.Exchange, error) {
-			sent++
-			return untilCancelled(ctx, f)
-		})
+		s := startStoppable(t, countSends(&sent))
 		var early, late statuses
 		early.send(s, 1)
 		s.beginStop(time.Second)
