Log what ended an attempt: stall limit, deadline, planned stop or caller

Change: the line "attempt failed" has ended_by, the time that the attempt took, the silence of the target, the stall limit in effect and the time left until the deadline. No logic changes.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -22,12 +22,19 @@
 	ctx        context.Context
 	cancel     context.CancelCauseFunc
 	stallTimer *time.Timer // cancels a stalled attempt; nil if no other target could be tried
+	// sentAt is when the attempt began, and progressAt when its last event arrived, or sentAt
+	// before that.
+	sentAt, progressAt time.Time
+	// stallLimit is the time without progress after which the attempt stalls; 0 for none.
+	stallLimit time.Duration
 }
 
 // run sends the request and forwards the response. The error is nil if the
 // target's response was passed to the caller.
 func (a *attempt) run() (dispatch.Outcome, error) {
 	r := a.request
+	a.sentAt = time.Now()
+	a.progressAt = a.sentAt
 	a.resetStallTimer(r.firstResponseTimeout())
 	defer a.stopStallTimer()
 	ex, err := r.service.cfg.TargetClient.Send(a.ctx, &Forward{
@@ -173,9 +180,28 @@
 	}
 }
 
+// endedBy returns what ended an attempt that the target did not end itself: the stall limit,
+// the deadline, the planned stop or the caller. It is empty otherwise.
+func (a *attempt) endedBy() string {
+	cause := context.Cause(a.ctx)
+	switch {
+	case cause == nil:
+		return ""
+	case errors.Is(cause, errStalled):
+		return "stall_limit"
+	case errors.Is(cause, errDeadline):
+		return "deadline"
+	case errors.Is(cause, errStopping):
+		return "planned_stop"
+	default:
+		return "caller"
+	}
+}
+
 // resetStallTimer cancels the attempt with errStalled unless it is called again, or
 // the attempt ends, within d. A d of 0 sets no limit.
 func (a *attempt) resetStallTimer(d time.Duration) {
+	a.stallLimit = d
 	if d <= 0 {
 		return
 	}
@@ -247,6 +273,7 @@
 		a.request.responseStarted(a.grant)
 	}
 	a.grant.Events++
+	a.progressAt = time.Now()
 }
 
 // finishStream completes the response after a stream that ended between two events. A
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -199,10 +199,12 @@
 		zap.Duration("age", refusal.Age), zap.Bool("returned", r.returned()), zap.Duration("retry_after", retryAfter))
 }
 
-func (r *request) logAttemptFailed(g *dispatch.Grant, o dispatch.Outcome, err error, willRetry bool) {
+func (r *request) logAttemptFailed(a *attempt, o dispatch.Outcome, err error, willRetry bool) {
 	r.service.cfg.Counters.Add("attempt." + o.String())
-	r.log.Info("attempt failed", zap.String("request", string(r.call.ID)), zap.String("target", string(g.Target.ID)),
-		zap.String("outcome", o.String()), zap.Bool("again", willRetry), zap.Int("runs", r.possibleRuns), zap.Int("events", g.Events),
+	now := time.Now()
+	r.log.Info("attempt failed", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
+		zap.String("outcome", o.String()), zap.String("ended_by", a.endedBy()), zap.Bool("again", willRetry), zap.Int("runs", r.possibleRuns), zap.Int("events", a.grant.Events),
+		zap.Duration("took", now.Sub(a.sentAt)), zap.Duration("silent", now.Sub(a.progressAt)), zap.Duration("stall_limit", a.stallLimit), zap.Duration("left", r.deadline.Sub(now)),
 		zap.String("prompt", promptText(r.call.Prompt)), zap.Uint64("content", uint64(r.contents[0])), zap.NamedError("cause", err))
 }
 
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -317,7 +317,6 @@
 		}
 		return r.holdBack(g, b.reason, b.wait)
 	}
-	sentAt := time.Now()
 	outcome, err := a.run()
 	r.service.cfg.Scheduler.Release(g, outcome)
 	r.lastErr = err
@@ -330,7 +329,7 @@
 		r.countPromptTokens(g, true)
 		return false
 	}
-	return r.afterFailedAttempt(ctx, g, outcome, err, r.suspected(ctx, g, sentAt, outcome, err))
+	return r.afterFailedAttempt(ctx, a, outcome, err, r.suspected(ctx, g, a.sentAt, outcome, err))
 }
 
 // holdBack ends a request that is not to be sent although it has been granted a target.
@@ -354,10 +353,10 @@
 // afterFailedAttempt decides whether a request is placed on another target after an
 // attempt that did not answer the caller. If not, it ends the request. suspected says that
 // the request may crash the next target too.
-func (r *request) afterFailedAttempt(ctx context.Context, g *dispatch.Grant, outcome dispatch.Outcome, err error, suspected bool) (tryAnother bool) {
+func (r *request) afterFailedAttempt(ctx context.Context, a *attempt, outcome dispatch.Outcome, err error, suspected bool) (tryAnother bool) {
 	mayHaveRun := outcome != dispatch.Unreachable && outcome != dispatch.Unused && outcome != dispatch.Rejected && outcome != dispatch.Gone
 	if mayHaveRun {
-		r.countPromptTokens(g, false)
+		r.countPromptTokens(a.grant, false)
 	}
 	cause := context.Cause(ctx)
 	if cause != nil && !errors.Is(cause, errDeadline) && !errors.Is(cause, errStopping) {
@@ -372,7 +371,7 @@
 		willRetry = false
 		r.logRetryRefused()
 	}
-	r.logAttemptFailed(g, outcome, err, willRetry)
+	r.logAttemptFailed(a, outcome, err, willRetry)
 	if willRetry {
 		return true
 	}
