A stalled request stays at its target until another one takes over

Cause: an attempt was ended before it was known that another may follow. The timer also ran while the process was paused and while a slow caller blocked the write, when the target was not silent.

Change: a stalled attempt looks for another target (package gateway, handover.go) and goes on meanwhile. An event that arrives first ends the search. The time in which the caller does not read does not count, and a timer that fires late, because the process did not run, lets what has arrived be read first.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -48,7 +48,7 @@
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
 	for _, t := range s.targetsFor(p, r, now) {
-		if !t.eligible(now, r) || !s.mayTake(t, now, first) || !s.endsBeforeStop(p, t, r, now) {
+		if !t.eligible(now, r) || !s.mayTake(t, now, first) || !s.endsBeforeStop(p, t, r, now) || r.HandOver && !p.takesOver(t, r, now) {
 			continue
 		}
 		if !t.ejectedUntil.IsZero() {
@@ -213,6 +213,7 @@
 	now := s.now()
 	p.markLate(now)
 	s.refuseStopping(p, now)
+	p.refuseLateHandOvers(now)
 	s.grantFreeSlotsOf(p, now)
 	s.refusePaused(p, now)
 	s.refuseHopeless(p, now)
@@ -231,7 +232,9 @@
 		}
 		g := s.tryGrant(p, w.request, now, fitsObjective)
 		if g == nil {
-			passedOver++
+			if !w.request.HandOver { // it has a target and does not hold up others
+				passedOver++
+			}
 			i++
 			continue
 		}
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -48,6 +48,11 @@
 	// ResponseBegun says that the caller has the start of the response, so that a refusal
 	// would break it off.
 	ResponseBegun bool
+	// HandOver says that the request is still at a target, which has stalled, and is taken
+	// from there only if it ends in time elsewhere: before its deadline and a planned stop,
+	// even if it takes longestFactor times as long as predicted. It does not probe an ejected
+	// target.
+	HandOver bool
 	// AlreadyAdmitted says that the request was admitted before and needs another
 	// target. It is not refused for load and goes first in the queue.
 	AlreadyAdmitted bool
@@ -64,6 +69,8 @@
 	ReasonOverload = "overload"
 	ReasonPaused   = "targets_paused"
 	ReasonStopping = "stopping"
+	// ReasonLateHandOver says that a request with HandOver would not end in time elsewhere.
+	ReasonLateHandOver = "late_handover"
 )
 
 // Refusal is the error of a placement that finds no target. The request has not been
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -224,7 +224,9 @@
 	if !s.hasTargetFor(p, r, now) {
 		return nil, nil, &Refusal{Reason: ReasonNoTarget, RetryAfter: s.addJitter(noTargetRetryAfter)}
 	}
-	p.arrivalRates[min(max(0, r.Rank), maxRanks-1)].record(now)
+	if !r.HandOver {
+		p.arrivalRates[min(max(0, r.Rank), maxRanks-1)].record(now)
+	}
 	p.serial++
 	r.typicalResponse, r.typicalDuration = p.cost.Typical(r.Work)
 	w := &waiter{request: r, serial: p.serial, queuedAt: now, unreviewed: true, done: make(chan struct{})}
--- a/internal/coordination/dispatch/stop.go
+++ b/internal/coordination/dispatch/stop.go
@@ -49,7 +49,7 @@
 
 // endsBeforeStop reports whether r, if it is sent to t at now, ends before the planned stop.
 func (s *Scheduler) endsBeforeStop(p *pool, t *target, r *Request, now time.Time) bool {
-	if s.stopBy.IsZero() || r.ResponseBegun {
+	if s.stopBy.IsZero() || r.ResponseBegun && !r.HandOver {
 		return true
 	}
 	predicted := p.cost.End(&t.cost, r.LargestWork, t.load())
@@ -63,7 +63,7 @@
 		return
 	}
 	for _, w := range slices.Clone(p.queue) {
-		if w.request.ResponseBegun || !now.Add(p.longestDuration(w.request)).After(s.stopBy) {
+		if w.request.ResponseBegun && !w.request.HandOver || !now.Add(p.longestDuration(w.request)).After(s.stopBy) {
 			continue
 		}
 		p.queue.remove(w)
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -17,26 +17,34 @@
 
 // attempt is one send of a request to one target.
 type attempt struct {
-	request    *request
-	grant      *dispatch.Grant
-	ctx        context.Context
-	cancel     context.CancelCauseFunc
-	stallTimer *time.Timer // cancels a stalled attempt; nil if no other target could be tried
+	request  *request
+	grant    *dispatch.Grant
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	handOver *handOver
 	// sentAt is when the attempt began, and progressAt when its last event arrived, or sentAt
 	// before that.
 	sentAt, progressAt time.Time
-	// stallLimit is the time without progress after which the attempt stalls; 0 for none.
-	stallLimit time.Duration
+}
+
+// newAttempt returns an attempt at the target of a grant. ctx ends with the request, and
+// placementCtx at its deadline too.
+func (r *request) newAttempt(ctx, placementCtx context.Context, g *dispatch.Grant) *attempt {
+	a := &attempt{request: r, grant: g, sentAt: time.Now()}
+	a.progressAt = a.sentAt
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.handOver = &handOver{attempt: a, ctx: placementCtx}
+	return a
 }
 
 // run sends the request and forwards the response. The error is nil if the
 // target's response was passed to the caller.
 func (a *attempt) run() (dispatch.Outcome, error) {
 	r := a.request
-	a.sentAt = time.Now()
-	a.progressAt = a.sentAt
-	a.resetStallTimer(r.firstResponseTimeout())
-	defer a.stopStallTimer()
+	deadline := newCatchUpTimer(max(0, time.Until(r.deadline)), func() { a.cancel(errDeadline) })
+	defer deadline.stop()
+	a.handOver.expect(r.firstResponseTimeout())
+	a.handOver.await()
 	ex, err := r.service.cfg.TargetClient.Send(a.ctx, &Forward{
 		Call: r.call, Target: a.grant.Target, Customer: r.customerName(), TimeLeft: time.Until(r.deadline), ResumeAfter: r.lastEventID,
 		SendBy: a.grant.ExpiresAt, Holds: func() bool { return r.service.cfg.Scheduler.Holds(a.grant) },
@@ -198,48 +206,6 @@
 	}
 }
 
-// resetStallTimer cancels the attempt with errStalled unless it is called again, or
-// the attempt ends, within d. A d of 0 sets no limit.
-func (a *attempt) resetStallTimer(d time.Duration) {
-	a.stallLimit = d
-	if d <= 0 {
-		return
-	}
-	if a.stallTimer == nil {
-		a.stallTimer = time.AfterFunc(d, func() { a.cancel(errStalled) })
-		return
-	}
-	a.stallTimer.Reset(d)
-}
-
-func (a *attempt) stopStallTimer() {
-	if a.stallTimer != nil {
-		a.stallTimer.Stop()
-	}
-}
-
-// firstResponseTimeout returns how long to wait for the response, or for the first
-// event of a stream, before another target is tried. It is 0 if the request may not
-// be sent to another target.
-func (r *request) firstResponseTimeout() time.Duration {
-	if !r.route.Repeatable() || r.possibleRuns+1 >= r.route.MaxAttempts {
-		return 0
-	}
-	if r.route.Kind == state.StreamingRoute {
-		return max(minFirstEventTimeout, time.Duration(firstEventTimeoutFactor*float64(r.route.Objective)))
-	}
-	return max(minPlainTimeout, time.Duration(plainTimeoutFactor*float64(r.route.Objective)))
-}
-
-// eventGapTimeout returns how long to wait for the next event of a stream before
-// another target is tried. It is 0 if the request may not be sent to another target.
-func (r *request) eventGapTimeout() time.Duration {
-	if r.firstResponseTimeout() == 0 {
-		return 0
-	}
-	return max(minEventGapTimeout, time.Duration(eventGapTimeoutFactor*float64(r.route.Gap)))
-}
-
 // forwardStream forwards the response event by event. The head is held back until
 // the first complete event, so that a failure before it can still be answered with
 // an error response.
@@ -249,21 +215,26 @@
 	defer events.held.release()
 	for {
 		event, err := events.next()
+		handedOver := a.handOver.pause() != nil
 		if errors.Is(err, io.EOF) {
 			return a.finishStream(head)
 		}
 		if err != nil {
 			return a.outcomeOf(err), err
 		}
+		if handedOver { // the other target continues from the event before
+			return dispatch.Silent, errStalled
+		}
 		// A comment shows only that the target is alive, not that the stream goes on.
 		if event.hasField {
-			a.resetStallTimer(r.eventGapTimeout())
+			a.handOver.expect(r.eventGapTimeout())
 			a.countEvent()
 		}
 		if err := r.forwardEvent(a.grant, head, event); err != nil {
 			a.cancel(err)
 			return dispatch.Cancelled, err
 		}
+		a.handOver.await()
 	}
 }
 
--- /dev/null
+++ b/internal/coordination/gateway/handover.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+const (
+	// handOverInterval is the time after which a stalled attempt for which no other target
+	// was found looks for one again.
+	handOverInterval = 200 * time.Millisecond
+	// maxTimerDelay is how late a timer may be in a process that runs. After a longer delay,
+	// which shows that the process was paused, what has arrived meanwhile is read for
+	// catchUpTime before the timer counts.
+	maxTimerDelay = 20 * time.Millisecond
+	catchUpTime   = 100 * time.Millisecond
+)
+
+// catchUpTimer calls a function after a time in which the process runs.
+type catchUpTimer struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	due   time.Time
+}
+
+// newCatchUpTimer returns a timer that calls f in its own goroutine after d.
+func newCatchUpTimer(d time.Duration, f func()) *catchUpTimer {
+	t := &catchUpTimer{due: time.Now().Add(d)}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(d, func() {
+		if !t.catchUp() {
+			f()
+		}
+	})
+	return t
+}
+
+// catchUp starts the timer anew for catchUpTime if the process was paused when it was due.
+func (t *catchUpTimer) catchUp() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if now.Sub(t.due) <= maxTimerDelay {
+		return false
+	}
+	t.due = now.Add(catchUpTime)
+	t.timer.Reset(catchUpTime)
+	return true
+}
+
+func (t *catchUpTimer) reset(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.due = time.Now().Add(d)
+	t.timer.Reset(d)
+}
+
+func (t *catchUpTimer) stop() { t.timer.Stop() }
+
+// handOver watches the progress of an attempt. When the target has stalled, it looks for
+// another one, and ends the attempt only once that one has a slot for the request. Until
+// then, and if there is none, the attempt goes on.
+//
+// The fields of the request that the search reads change only while awaiting is false.
+type handOver struct {
+	attempt *attempt
+	ctx     context.Context // ends with the request or at its deadline
+
+	mu       sync.Mutex
+	awaiting bool // the request waits for the target
+	timer    *catchUpTimer
+	// limit is the time after which the target has stalled, and left what is left of it at
+	// since, which is when the request began to wait.
+	limit, left time.Duration
+	since       time.Time
+	logged      bool            // that the target has stalled
+	search      *search         // in progress, or nil
+	next        *dispatch.Grant // the target that takes over; the attempt has been cancelled
+}
+
+// search is one search for another target.
+type search struct{ cancel context.CancelFunc }
+
+// expect sets the time until the next progress. A limit of 0 means that no other target may
+// be tried.
+func (h *handOver) expect(limit time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limit, h.left = limit, limit
+}
+
+// await says that the request waits for the target from now on.
+func (h *handOver) await() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.awaiting, h.since = true, time.Now()
+	if h.limit > 0 {
+		h.startTimer(max(0, h.left))
+	}
+}
+
+// startTimer must be called with h.mu held.
+func (h *handOver) startTimer(d time.Duration) {
+	if h.timer == nil {
+		h.timer = newCatchUpTimer(d, h.stalled)
+		return
+	}
+	h.timer.reset(d)
+}
+
+// pause says that the request does not wait for the target, because it has sent something or
+// because the attempt has ended. It returns the target that has taken over, or nil.
+func (h *handOver) pause() *dispatch.Grant {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.awaiting {
+		h.awaiting = false
+		h.left -= time.Since(h.since)
+	}
+	if h.timer != nil {
+		h.timer.stop()
+	}
+	if h.search != nil {
+		h.search.cancel()
+		h.search = nil
+	}
+	return h.next
+}
+
+// stalled begins the search for another target.
+func (h *handOver) stalled() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.awaiting || h.search != nil || h.next != nil {
+		return
+	}
+	r := h.attempt.request
+	mayMoveOn := r.mayMoveOn()
+	if !h.logged {
+		h.logged = true
+		r.logStalled(h.attempt, mayMoveOn)
+	}
+	if !mayMoveOn {
+		h.startTimer(handOverInterval)
+		return
+	}
+	ctx, cancel := context.WithCancel(h.ctx)
+	h.search = &search{cancel: cancel}
+	go h.find(ctx, h.search, r.handOverPlacement(h.attempt.grant))
+}
+
+// find waits for another target and cancels the attempt when there is one.
+func (h *handOver) find(ctx context.Context, s *search, placement *dispatch.Request) {
+	defer s.cancel()
+	r := h.attempt.request
+	grant, err := r.service.cfg.Scheduler.Acquire(ctx, placement)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.search == s {
+		h.search = nil
+		if err == nil && r.takeMoveOn() {
+			h.next = grant
+			h.attempt.cancel(errStalled)
+			return
+		}
+		h.startTimer(handOverInterval)
+	}
+	if err == nil {
+		r.service.cfg.Scheduler.Release(grant, dispatch.Unused)
+	}
+}
+
+// mayMoveOn reports whether the request may be sent to another target now, apart from
+// whether one has a slot for it.
+func (r *request) mayMoveOn() bool {
+	return r.placements < maxPlacements && r.checkQuarantine(false) == nil &&
+		r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack())
+}
+
+// takeMoveOn takes the permission to send the request to another target.
+func (r *request) takeMoveOn() bool {
+	if r.checkQuarantine(false) != nil || !r.takeRetry() {
+		return false
+	}
+	if r.checkQuarantine(true) != nil {
+		r.service.retryBudget(r.targetService).Return()
+		return false
+	}
+	return true
+}
+
+// handOverPlacement returns the placement of the request at a target that takes over from
+// that of the given grant.
+func (r *request) handOverPlacement(from *dispatch.Grant) *dispatch.Request {
+	p := *r.placement
+	p.Tried = append(slices.Clone(p.Tried), from.Target.ID)
+	p.AlreadyAdmitted, p.HandOver = true, true
+	r.describeProgress(&p)
+	return &p
+}
+
+// describeProgress states in a placement how far the response has come.
+func (r *request) describeProgress(p *dispatch.Request) {
+	p.ResponseBegun, p.Resumed, p.RequiredSoftware = r.streamBegun, r.lastEventID != "", r.software
+}
+
+// firstResponseTimeout returns how long to wait for the response, or for the first
+// event of a stream, before another target is looked for. It is 0 if the request may not
+// be sent to another target.
+func (r *request) firstResponseTimeout() time.Duration {
+	if !r.route.Repeatable() || r.possibleRuns+1 >= r.route.MaxAttempts {
+		return 0
+	}
+	if r.route.Kind == state.StreamingRoute {
+		return max(minFirstEventTimeout, time.Duration(firstEventTimeoutFactor*float64(r.route.Objective)))
+	}
+	return max(minPlainTimeout, time.Duration(plainTimeoutFactor*float64(r.route.Objective)))
+}
+
+// eventGapTimeout returns how long to wait for the next event of a stream before
+// another target is looked for. It is 0 if the request may not be sent to another target.
+func (r *request) eventGapTimeout() time.Duration {
+	if r.firstResponseTimeout() == 0 {
+		return 0
+	}
+	return max(minEventGapTimeout, time.Duration(eventGapTimeoutFactor*float64(r.route.Gap)))
+}
--- /dev/null
+++ b/internal/coordination/gateway/handover_test.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// stallFor answers with the events, the first at once and the others after a pause.
+func stallFor(pause time.Duration) behaviour {
+	first := events[:strings.Index(events, "id: 2")]
+	return func(ctx context.Context, _ *Forward) (Exchange, error) {
+		rest := &pieceReader{ctx: ctx, pause: pause, pieces: []string{events[len(first):]}}
+		return &fakeExchange{head: &state.Response{Status: 200, HasSignature: true}, Reader: &joined{strings.NewReader(first), rest}}, nil
+	}
+}
+
+// joined reads its parts one after another.
+type joined struct {
+	first, rest interface{ Read([]byte) (int, error) }
+}
+
+func (j *joined) Read(p []byte) (int, error) {
+	if n, err := j.first.Read(p); err == nil {
+		return n, nil
+	}
+	return j.rest.Read(p)
+}
+
+// fillTargets takes all slots of the targets of s except one.
+func fillTargets(t *testing.T, s *Service, except state.TargetID) (open []*dispatch.Grant) {
+	for {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		g, err := s.cfg.Scheduler.Acquire(ctx, &dispatch.Request{Service: "s", Tried: []state.TargetID{except}, Arrived: time.Now(), Deadline: time.Now().Add(time.Hour), AlreadyAdmitted: true})
+		cancel()
+		if err != nil {
+			return open
+		}
+		s.cfg.Scheduler.ResponseStarted(g)
+		open = append(open, g)
+	}
+}
+
+// serveStalled serves a stream whose target stalls for pause after the first event. prepare
+// runs when the request has been sent.
+func serveStalled(t *testing.T, pause time.Duration, call *state.Call, prepare func(t *testing.T, s *Service, target state.TargetID), next ...behaviour) (*recordingResponder, *fakeTargetClient) {
+	t.Helper()
+	out := &recordingResponder{}
+	targets := &fakeTargetClient{}
+	synctest.Test(t, func(t *testing.T) {
+		var s *Service
+		first := func(ctx context.Context, f *Forward) (Exchange, error) {
+			prepare(t, s, f.Target.ID)
+			return stallFor(pause)(ctx, f)
+		}
+		targets.behaviours = append([]behaviour{first}, next...)
+		s = newService(targets)
+		s.SetConfiguration(longRoute())
+		s.Serve(t.Context(), call, time.Now(), out)
+	})
+	return out, targets
+}
+
+func resumableCall() *state.Call {
+	return &state.Call{ID: "r", Host: "h", Path: "/resume/x", APIKey: "key"}
+}
+
+// longRoute returns a configuration whose route of streams has much time.
+func longRoute() *state.Configuration {
+	c := *testConfig
+	c.Version++
+	c.Routes = []state.Route{route("resume", "/resume/", state.StreamingRoute, true, 2)}
+	c.Routes[0].Timeout = 10 * time.Second
+	return &c
+}
+
+// Guards against giving up the response of a target that has stalled although the request
+// cannot be sent to another one: the caller would lose what the target sends later.
+func TestStalledResponseIsAwaitedWithoutAnotherTarget(t *testing.T) {
+	for name, prepare := range map[string]func(t *testing.T, s *Service, target state.TargetID){
+		"no permission to repeat": func(_ *testing.T, s *Service, _ state.TargetID) { s.cfg.RetrySlack = func() float64 { return 0 } },
+		"no free slot":            func(t *testing.T, s *Service, target state.TargetID) { fillTargets(t, s, target) },
+		"no other target": func(_ *testing.T, s *Service, target state.TargetID) {
+			s.cfg.Scheduler.SetTargets([]state.TargetRecord{{ID: target, Service: "s", Address: string(target), Slots: 4}})
+		},
+		"planned stop": func(_ *testing.T, s *Service, _ state.TargetID) { s.StopBy(time.Now().Add(1500 * time.Millisecond)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			out, targets := serveStalled(t, 1700*time.Millisecond, resumableCall(), prepare, respondWith(200, ""))
+			if !out.ended || out.body.String() != events || len(targets.sends) != 1 {
+				t.Errorf("ended %t after %d sends with %q, want all events of the first target", out.ended, len(targets.sends), out.body.String())
+			}
+		})
+	}
+}
+
+// Guards against a request that moves to another target with too little time left to end
+// there: the target that has stalled may still answer, and the other one works in vain.
+func TestStalledRequestStaysIfItEndsTooLateElsewhere(t *testing.T) {
+	call := resumableCall()
+	call.Timeout, call.HasTimeout = 1500*time.Millisecond, true
+	learnDuration := func(t *testing.T, s *Service) { // of 600 ms
+		for range 200 {
+			g, err := s.cfg.Scheduler.Acquire(t.Context(), &dispatch.Request{Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Hour)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(500 * time.Microsecond)
+			s.cfg.Scheduler.ResponseStarted(g)
+			g.Events = 2
+			time.Sleep(600 * time.Millisecond)
+			s.cfg.Scheduler.Release(g, dispatch.Served)
+		}
+	}
+	out := &recordingResponder{}
+	targets := &fakeTargetClient{behaviours: []behaviour{stallFor(1300 * time.Millisecond), respondWith(200, "")}}
+	synctest.Test(t, func(t *testing.T) {
+		s := newService(targets)
+		learnDuration(t, s)
+		s.Serve(t.Context(), call, time.Now(), out)
+	})
+	if !out.ended || out.body.String() != events || len(targets.sends) != 1 {
+		t.Errorf("ended %t after %d sends with %q, want all events of the first target", out.ended, len(targets.sends), out.body.String())
+	}
+}
+
+// Guards against a stalled request that stays at its target although a slot of another one
+// becomes free.
+func TestStalledRequestTakesSlotThatBecomesFree(t *testing.T) {
+	rest := events[strings.Index(events, "id: 2"):]
+	fillFor := func(t *testing.T, s *Service, target state.TargetID) {
+		open := fillTargets(t, s, target)
+		time.AfterFunc(1300*time.Millisecond, func() { s.cfg.Scheduler.Release(open[0], dispatch.Unused) })
+	}
+	out, targets := serveStalled(t, time.Hour, resumableCall(), fillFor, respondWith(200, rest))
+	if !out.ended || out.body.String() != events || len(targets.sends) != 2 || targets.sends[1].ResumeAfter != "1" {
+		t.Errorf("ended %t after %d sends with %q, want the rest of the events from another target", out.ended, len(targets.sends), out.body.String())
+	}
+}
+
+// blockingResponder takes a time for each event.
+type blockingResponder struct {
+	recordingResponder
+	takes time.Duration
+}
+
+func (r *blockingResponder) WriteEvent(b []byte) error {
+	time.Sleep(r.takes)
+	return r.recordingResponder.WriteEvent(b)
+}
+
+// Guards against taking the target for stalled while the caller does not read.
+func TestSlowCallerIsNoStallOfTheTarget(t *testing.T) {
+	out := &blockingResponder{takes: 1500 * time.Millisecond}
+	targets := &fakeTargetClient{behaviours: []behaviour{stallFor(400 * time.Millisecond), respondWith(200, "")}}
+	synctest.Test(t, func(t *testing.T) {
+		s := newService(targets)
+		s.SetConfiguration(longRoute())
+		s.Serve(t.Context(), resumableCall(), time.Now(), out)
+	})
+	if !out.ended || out.body.String() != events || len(targets.sends) != 1 {
+		t.Errorf("ended %t after %d sends with %q, want all events of the first target", out.ended, len(targets.sends), out.body.String())
+	}
+}
+
+// Guards against a process that was paused and then ends attempts before it has read what
+// arrived meanwhile.
+func TestTimerThatIsLateWaitsForWhatHasArrived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var fired atomic.Int64
+		timer := newCatchUpTimer(time.Hour, func() { fired.Add(1) })
+		defer timer.stop()
+		timer.reset(time.Second)
+		timer.mu.Lock()
+		timer.due = timer.due.Add(-time.Second) // as if the process had not run for a second
+		timer.mu.Unlock()
+		time.Sleep(time.Second + catchUpTime/2)
+		if n := fired.Load(); n != 0 {
+			t.Errorf("the timer fired %d times before what had arrived could be read", n)
+		}
+		time.Sleep(catchUpTime)
+		if n := fired.Load(); n != 1 {
+			t.Errorf("the timer fired %d times, want once", n)
+		}
+	})
+}
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -204,10 +204,19 @@
 	now := time.Now()
 	r.log.Info("attempt failed", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
 		zap.String("outcome", o.String()), zap.String("ended_by", a.endedBy()), zap.Bool("again", willRetry), zap.Int("runs", r.possibleRuns), zap.Int("events", a.grant.Events),
-		zap.Duration("took", now.Sub(a.sentAt)), zap.Duration("silent", now.Sub(a.progressAt)), zap.Duration("stall_limit", a.stallLimit), zap.Duration("left", r.deadline.Sub(now)),
+		zap.Duration("took", now.Sub(a.sentAt)), zap.Duration("silent", now.Sub(a.progressAt)), zap.Duration("stall_limit", a.handOver.limit), zap.Duration("left", r.deadline.Sub(now)),
 		zap.String("prompt", promptText(r.call.Prompt)), zap.Uint64("content", uint64(r.contents[0])), zap.NamedError("cause", err))
 }
 
+// logStalled records that the target of an attempt has stalled. The attempt goes on until
+// another target has a slot for the request. The caller must hold a.handOver.mu.
+func (r *request) logStalled(a *attempt, mayMoveOn bool) {
+	r.service.cfg.Counters.Add("attempt_stalled")
+	r.log.Info("target stalled", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
+		zap.Int("events", a.grant.Events), zap.Duration("stall_limit", a.handOver.limit), zap.Duration("silent", time.Since(a.progressAt)),
+		zap.Duration("left", time.Until(r.deadline)), zap.Bool("may_move_on", mayMoveOn))
+}
+
 // maxLoggedParts bounds the prompt parts in a log line.
 const maxLoggedParts = 8
 
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -182,6 +182,7 @@
 	lastEventAt    time.Time     // when the last event was forwarded
 	longestGap     time.Duration // longest pause between forwarded events
 
+	placements    int  // number of targets that were granted
 	reachedTarget bool // an attempt may have reached a target, so that the next one is a repeated send
 	possibleRuns  int  // number of attempts that may have run
 	streamBegun   bool // the head of a stream was sent to the caller
@@ -216,8 +217,6 @@
 		r.fail(*failure)
 		return
 	}
-	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, errDeadline)
-	defer cancel()
 	r.serve(ctx)
 }
 
@@ -225,24 +224,32 @@
 // up.
 func (r *request) serve(ctx context.Context) {
 	r.service.retryBudget(r.targetService).RecordRequest(time.Now())
-	for placements := 0; ; placements++ {
-		grant, err := r.service.cfg.Scheduler.Acquire(ctx, r.placement)
-		if err != nil {
-			r.handlePlacementError(ctx, err)
-			return
+	placementCtx, cancel := context.WithDeadlineCause(ctx, r.deadline, errDeadline)
+	defer cancel()
+	var grant *dispatch.Grant // of the target that takes over from the one before
+	for {
+		prepared := grant != nil
+		if !prepared {
+			var err error
+			if grant, err = r.service.cfg.Scheduler.Acquire(placementCtx, r.placement); err != nil {
+				r.handlePlacementError(placementCtx, err)
+				return
+			}
 		}
+		r.placements++
 		r.policy = grant.Policy
 		r.logTargetChosen(grant)
-		tryAnother := r.sendTo(ctx, grant)
-		if !tryAnother {
+		sentTo := grant.Target.ID
+		var tryAnother bool
+		if grant, tryAnother = r.sendTo(ctx, placementCtx, grant, prepared); !tryAnother {
 			return
 		}
 		if !errors.Is(r.lastErr, ErrGrantExpired) && !errors.Is(r.lastErr, ErrGrantWithdrawn) {
-			r.placement.Tried = append(r.placement.Tried, grant.Target.ID)
+			r.placement.Tried = append(r.placement.Tried, sentTo)
 		}
-		r.placement.AlreadyAdmitted, r.placement.ResponseBegun = true, r.streamBegun
-		r.placement.Resumed, r.placement.RequiredSoftware = r.lastEventID != "", r.software
-		if placements+1 >= maxPlacements {
+		r.placement.AlreadyAdmitted = true
+		r.describeProgress(r.placement)
+		if r.placements >= maxPlacements {
 			r.giveUp("no_placement_left", defaultRetryAfter)
 			return
 		}
@@ -302,22 +309,25 @@
 }
 
 // sendTo sends the request to the granted target. It reports whether the request is
-// to be placed on another one; otherwise the request has ended.
-func (r *request) sendTo(ctx context.Context, g *dispatch.Grant) (tryAnother bool) {
-	a := &attempt{request: r, grant: g}
-	a.ctx, a.cancel = context.WithCancelCause(ctx)
+// to be placed on another one, at next unless that is nil; otherwise the request has ended.
+// prepared says that the permission to send was taken by takeMoveOn.
+func (r *request) sendTo(ctx, placementCtx context.Context, g *dispatch.Grant, prepared bool) (next *dispatch.Grant, tryAnother bool) {
+	a := r.newAttempt(ctx, placementCtx, g)
 	defer a.cancel(nil)
-	repeated := r.reachedTarget
-	if repeated && !r.takeRetry() {
-		return r.holdBack(g, "retry_budget", defaultRetryAfter)
-	}
-	if b := r.checkQuarantine(true); b != nil {
-		if repeated {
-			r.service.retryBudget(r.targetService).Return()
+	repeated := prepared || r.reachedTarget
+	if !prepared {
+		if repeated && !r.takeRetry() {
+			return nil, r.holdBack(g, "retry_budget", defaultRetryAfter)
+		}
+		if b := r.checkQuarantine(true); b != nil {
+			if repeated {
+				r.service.retryBudget(r.targetService).Return()
+			}
+			return nil, r.holdBack(g, b.reason, b.wait)
 		}
-		return r.holdBack(g, b.reason, b.wait)
 	}
 	outcome, err := a.run()
+	next = a.handOver.pause()
 	r.service.cfg.Scheduler.Release(g, outcome)
 	r.lastErr = err
 	if !errors.Is(err, ErrNotSent) {
@@ -327,9 +337,15 @@
 	}
 	if err == nil {
 		r.countPromptTokens(g, true)
-		return false
+	} else {
+		tryAnother = r.afterFailedAttempt(ctx, a, outcome, err, next != nil, r.suspected(ctx, g, a.sentAt, outcome, err))
 	}
-	return r.afterFailedAttempt(ctx, a, outcome, err, r.suspected(ctx, g, a.sentAt, outcome, err))
+	if next != nil && !tryAnother {
+		r.service.cfg.Scheduler.Release(next, dispatch.Unused)
+		r.service.retryBudget(r.targetService).Return()
+		next = nil
+	}
+	return next, tryAnother
 }
 
 // holdBack ends a request that is not to be sent although it has been granted a target.
@@ -352,13 +368,17 @@
 
 // afterFailedAttempt decides whether a request is placed on another target after an
 // attempt that did not answer the caller. If not, it ends the request. suspected says that
-// the request may crash the next target too.
-func (r *request) afterFailedAttempt(ctx context.Context, a *attempt, outcome dispatch.Outcome, err error, suspected bool) (tryAnother bool) {
+// the request may crash the next target too, and handedOver that another target has a slot
+// for the request.
+func (r *request) afterFailedAttempt(ctx context.Context, a *attempt, outcome dispatch.Outcome, err error, handedOver, suspected bool) (tryAnother bool) {
 	mayHaveRun := outcome != dispatch.Unreachable && outcome != dispatch.Unused && outcome != dispatch.Rejected && outcome != dispatch.Gone
 	if mayHaveRun {
 		r.countPromptTokens(a.grant, false)
 	}
 	cause := context.Cause(ctx)
+	if cause == nil && !time.Now().Before(r.deadline) {
+		cause = errDeadline
+	}
 	if cause != nil && !errors.Is(cause, errDeadline) && !errors.Is(cause, errStopping) {
 		r.handleCallerLeft()
 		return false
@@ -367,7 +387,7 @@
 		r.possibleRuns++
 	}
 	willRetry := cause == nil && !suspected && (!mayHaveRun || r.route.Repeatable() && r.possibleRuns < r.route.MaxAttempts)
-	if willRetry && r.reachedTarget && !r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack()) {
+	if willRetry && !handedOver && r.reachedTarget && !r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack()) {
 		willRetry = false
 		r.logRetryRefused()
 	}
