An answer sent by the timeout of its route is passed on

Callers whose time limit is longer than the timeout of the route got "timed out" although the target had answered in time: the entry closed the connection to the target at the timeout, when the last bytes were on their way.

Cause: the target is told the time left and stops by itself, but the entry allowed nothing for the way of its answer. Change: an attempt is ended 50 ms after the deadline, as far as the caller waits for it. Placements still end at the deadline. Evidence: TestAnswerSentByTheTimeoutOfTheRouteIsPassedOn fails on ("caller waits 5s: status 0, failure timed_out; want status 200") and passes now.

--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -114,6 +114,10 @@
 		wait = r.call.Timeout
 	}
 	r.deadline = r.arrived.Add(wait)
+	r.answerBy = r.deadline.Add(deadlineSlack)
+	if r.call.HasTimeout {
+		r.answerBy = r.deadline.Add(min(deadlineSlack, r.call.Timeout-wait))
+	}
 	r.targetService = routing.ChooseService(r.route, rand.Float64())
 	r.placement = &dispatch.Request{
 		ID: r.call.ID, Service: r.targetService, Rank: r.rank(), Work: expectedWork(r.call), LargestWork: largestWork(r.call), Arrived: r.firstArrived,
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -41,7 +41,7 @@
 // target's response was passed to the caller.
 func (a *attempt) run() (dispatch.Outcome, error) {
 	r := a.request
-	deadline := newCatchUpTimer(max(0, time.Until(r.deadline)), func() { a.cancel(errDeadline) })
+	deadline := newCatchUpTimer(max(0, time.Until(r.answerBy)), func() { a.cancel(errDeadline) })
 	defer deadline.stop()
 	a.handOver.expect(r.firstResponseTimeout())
 	a.handOver.await()
--- a/internal/coordination/gateway/handover_test.go
+++ b/internal/coordination/gateway/handover_test.go
@@ -169,6 +169,34 @@
 	}
 }
 
+// answerAfter answers with a complete response after d.
+func answerAfter(d time.Duration) behaviour {
+	return func(ctx context.Context, f *Forward) (Exchange, error) {
+		select {
+		case <-ctx.Done():
+			return &fakeExchange{headErr: ctx.Err()}, nil
+		case <-time.After(d):
+			return respondWith(200, "ok")(ctx, f)
+		}
+	}
+}
+
+// Guards against dropping an answer that a target sent by the time limit of the route and
+// that arrives a moment after it, while the caller still waits.
+func TestAnswerSentByTheTimeoutOfTheRouteIsPassedOn(t *testing.T) {
+	for timeout, want := range map[time.Duration]int{5 * time.Second: 200, 2 * time.Second: 0} {
+		out := &recordingResponder{}
+		targets := &fakeTargetClient{behaviours: []behaviour{answerAfter(2030 * time.Millisecond)}}
+		synctest.Test(t, func(t *testing.T) {
+			call := &state.Call{ID: "r", Host: "h", Path: "/once/x", APIKey: "key", Timeout: timeout, HasTimeout: true}
+			newService(targets).Serve(t.Context(), call, time.Now(), out)
+		})
+		if out.status != want || (want == 0) != (out.failure.Kind == TimedOut) {
+			t.Errorf("caller waits %s: status %d, failure %v; want status %d", timeout, out.status, out.failure.Kind, want)
+		}
+	}
+}
+
 // Guards against a process that was paused and then ends attempts before it has read what
 // arrived meanwhile.
 func TestTimerThatIsLateWaitsForWhatHasArrived(t *testing.T) {
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -38,6 +38,10 @@
 	// maxRejectionBytes bounds the body of a response that says that the request did not run,
 	// which is discarded.
 	maxRejectionBytes = 64 << 10
+	// deadlineSlack is how long after the deadline a response is still read, as far as its
+	// caller waits for it. Targets stop at the deadline, and what they have sent until then is
+	// on its way.
+	deadlineSlack = 50 * time.Millisecond
 	// defaultRetryAfter is the retry-after time of a request that did not run before
 	// it had used up its time or the targets that it may be sent to.
 	defaultRetryAfter = 200 * time.Millisecond
@@ -176,6 +180,8 @@
 	firstArrived time.Time
 	refusalKey   refusal.Key
 	deadline     time.Time
+	// answerBy is when an attempt is ended for the deadline.
+	answerBy time.Time
 
 	policy         string        // policy that chose the last target, empty before the first
 	timeToResponse time.Duration // from arrived to the start of the response
