A request that its deadline keeps from being sent is refused as not run

The target was blamed for silence.

Cause: an attempt without a sent request was classified by its deadline, and a placement was not checked against the deadline once it was granted. Change: such an attempt is "unused", and a slot that is granted after the deadline is given back. The caller is told "not run". Evidence: TestRequestNotSentByItsDeadlineDidNotRun failed before ("the target is blamed for 1 silent attempts" in both cases) and passes now.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -175,7 +175,8 @@
 func (a *attempt) outcomeOf(err error) dispatch.Outcome {
 	cause := context.Cause(a.ctx)
 	switch {
-	case errors.Is(err, ErrGrantExpired), errors.Is(err, ErrGrantWithdrawn), errors.Is(err, ErrNotSent) && errors.Is(cause, errStopping):
+	case errors.Is(err, ErrGrantExpired), errors.Is(err, ErrGrantWithdrawn),
+		errors.Is(err, ErrNotSent) && (errors.Is(cause, errStopping) || errors.Is(cause, errDeadline)):
 		return dispatch.Unused
 	case errors.Is(err, ErrNotSent) && (cause == nil || errors.Is(cause, errStalled)):
 		return dispatch.Unreachable
--- a/internal/coordination/gateway/handover_test.go
+++ b/internal/coordination/gateway/handover_test.go
@@ -218,3 +218,32 @@
 		}
 	})
 }
+
+// Guards against "timed out" and a failure of the target for a request whose deadline passed
+// before it was sent: it did not run, and its caller may repeat it.
+func TestRequestNotSentByItsDeadlineDidNotRun(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		late  time.Duration // from the arrival to the placement
+		first behaviour
+		sends int
+	}{
+		{"connection not open in time", 0, notConnected, 1},
+		{"paused before the placement", 2 * time.Second, silentTarget, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			out := &recordingResponder{}
+			targets := &fakeTargetClient{behaviours: []behaviour{c.first}}
+			synctest.Test(t, func(t *testing.T) {
+				s := newService(targets)
+				s.Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: "/once/x", APIKey: "key"}, time.Now().Add(-c.late), out)
+				if n := s.cfg.Counters.counts["attempt.silent"]; n > 0 {
+					t.Errorf("the target is blamed for %d silent attempts", n)
+				}
+			})
+			if out.failure.Kind != NotRun || len(targets.sends) != c.sends {
+				t.Errorf("failure %v after %d sends, want not run after %d", out.failure.Kind, len(targets.sends), c.sends)
+			}
+		})
+	}
+}
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -241,6 +241,11 @@
 				r.handlePlacementError(placementCtx, err)
 				return
 			}
+			if err = placementCtx.Err(); err != nil { // the process was paused meanwhile
+				r.service.cfg.Scheduler.Release(grant, dispatch.Unused)
+				r.handlePlacementError(placementCtx, err)
+				return
+			}
 		}
 		r.placements++
 		r.policy = grant.Policy
