The test of status owns the port that it wants closed

Cause: the test counts on nothing serving metrics at 127.0.0.1:9090, and TestSignalsDuringPlannedStopDoNotEndTheProcess of cmd/cassiarampd, which go test runs at the same time, starts an entry with NodeName=e there.

Evidence: beside that test (5 times), 60 of 60 runs of the test failed so.

Change: the test claims a loopback address of its own (conntest.Address) and holds the port there with a socket that is bound and does not listen, so that no process can serve it. The command must still report the entry as one that cannot be read, with the URL made from the entry's record.

Measured: 60 of 60 runs pass beside the same 5.

--- a/cmd/cassiarampctl/store_test.go
+++ b/cmd/cassiarampctl/store_test.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"encoding/json"
 	"net"
+	"net/netip"
 	"os"
+	"syscall"
 	"testing"
 
 	"github.com/cassiaramp/cassiaramp/internal/ctl/bundlecmd"
 	"github.com/cassiaramp/cassiaramp/internal/emulator"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn/conntest"
 	"github.com/cassiaramp/cassiaramp/platform"
 )
 
@@ -70,12 +73,30 @@
 	s.run(bundlecmd.ExitUsage, "bundle status --log http://127.0.0.1:1"+flags)
 }
 
+// closedAddress returns a loopback address at which a port refuses connections until the test
+// ends, and which no process can listen on meanwhile.
+func closedAddress(t *testing.T, port int) netip.Addr {
+	t.Helper()
+	a := conntest.Address(t)
+	// A socket that is bound and does not listen holds the port.
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: port, Addr: a.As4()}); err != nil {
+		t.Fatalf("bind to port %d of %s: %v", port, a, err)
+	}
+	return a
+}
+
 // Guards against a status that does not find the entries in the store.
 func TestStatusReadsEntriesFromStore(t *testing.T) {
 	store := serveStore(t)
+	ip := closedAddress(t, platform.MetricsPort) // nothing serves metrics there
 	s := &shell{t: t, dir: t.TempDir()}
 	s.run(bundlecmd.ExitFailure, "status --store "+store)
-	record, err := platform.EncodeEntry(platform.EntryRecord{Address: "127.0.0.1:7600"})
+	record, err := platform.EncodeEntry(platform.EntryRecord{Address: netip.AddrPortFrom(ip, 7600).String()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -83,11 +104,10 @@
 		t.Fatal(err)
 	}
 	var status struct{ Instances []struct{ URL string } }
-	// Nothing serves metrics there.
 	if err := json.Unmarshal([]byte(s.run(exitUnhealthy, "status --json --store "+store)), &status); err != nil {
 		t.Fatal(err)
 	}
-	if len(status.Instances) != 1 || status.Instances[0].URL != "http://127.0.0.1:9090" {
-		t.Errorf("instances %+v", status.Instances)
+	if want := "http://" + ip.String() + ":9090"; len(status.Instances) != 1 || status.Instances[0].URL != want {
+		t.Errorf("instances %+v, want one at %s", status.Instances, want)
 	}
 }
--- a/internal/transport/netconn/conntest/conntest.go
+++ b/internal/transport/netconn/conntest/conntest.go
@@ -1,4 +1,5 @@
-// Package conntest has a listener of connections in memory, for tests in virtual time.
+// Package conntest has a listener of connections in memory, for tests in virtual time, and
+// loopback addresses for tests that run programs with fixed ports.
 package conntest
 
 import (
