The test of signals runs its entry at an address of its own

This one was not seen to fail: an entry whose port for metrics is taken logs that and goes on.

Change: the entry has the ports of the deploy file at an address that the test claims (conntest.Address); freePort is gone.

--- a/cmd/cassiarampd/signals_test.go
+++ b/cmd/cassiarampd/signals_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -13,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn/conntest"
 	"github.com/cassiaramp/cassiaramp/platform"
 )
 
@@ -26,23 +26,12 @@
 	os.Exit(m.Run())
 }
 
-// freePort returns a port of 127.0.0.1 that nothing listens on.
-func freePort(t *testing.T) int {
-	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port
-}
-
 // Guards against SIGHUP ending a process that makes a planned stop, which cuts off all its
 // requests, and against a further SIGTERM doing so.
 func TestSignalsDuringPlannedStopDoNotEndTheProcess(t *testing.T) {
 	settings := filepath.Join(t.TempDir(), "boot.conf")
-	text := fmt.Sprintf("NodeName=e\nZone=a\nIp=127.0.0.1\nListen.Front=127.0.0.1:%d\nListen.Ready=127.0.0.1:%d\nInternalPorts=%d,%[3]d\nBounds.GraceS=3\nPlatform.Address=127.0.0.1:%d\n",
-		freePort(t), freePort(t), freePort(t), freePort(t))
+	// Nothing serves a store at port 1 of the address.
+	text := fmt.Sprintf("NodeName=e\nZone=a\nIp=%s\nListen.Front=%[1]s:8221\nListen.Ready=%[1]s:8224\nInternalPorts=7600,7600\nBounds.GraceS=3\nPlatform.Address=%[1]s:1\n", conntest.Address(t))
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
