Tests of refused connections hold the port that refuses

Cause: TestRefusedConnectionIsNotSent of packages upstream and engine close a listener and count on nobody else taking its port. The cause is that of the test of status, which counted on a port that it did not own.

Evidence: read; neither was seen to fail.

Change: both connect to a port that a bound socket holds (conntest.ClosedPort, from the test of status).

Measured: packages upstream, engine, conntest and cassiarampctl pass.

--- a/cmd/cassiarampctl/store_test.go
+++ b/cmd/cassiarampctl/store_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"os"
-	"syscall"
 	"testing"
 
 	"github.com/cassiaramp/cassiaramp/internal/ctl/bundlecmd"
@@ -73,27 +72,11 @@
 	s.run(bundlecmd.ExitUsage, "bundle status --log http://127.0.0.1:1"+flags)
 }
 
-// closedAddress returns a loopback address at which a port refuses connections until the test
-// ends, and which no process can listen on meanwhile.
-func closedAddress(t *testing.T, port int) netip.Addr {
-	t.Helper()
-	a := conntest.Address(t)
-	// A socket that is bound and does not listen holds the port.
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { syscall.Close(fd) })
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: port, Addr: a.As4()}); err != nil {
-		t.Fatalf("bind to port %d of %s: %v", port, a, err)
-	}
-	return a
-}
-
 // Guards against a status that does not find the entries in the store.
 func TestStatusReadsEntriesFromStore(t *testing.T) {
 	store := serveStore(t)
-	ip := closedAddress(t, platform.MetricsPort) // nothing serves metrics there
+	ip := conntest.Address(t)
+	conntest.ClosedPort(t, ip, platform.MetricsPort) // nothing serves metrics there
 	s := &shell{t: t, dir: t.TempDir()}
 	s.run(bundlecmd.ExitFailure, "status --store "+store)
 	record, err := platform.EncodeEntry(platform.EntryRecord{Address: netip.AddrPortFrom(ip, 7600).String()})
--- a/internal/transport/engine/engine_test.go
+++ b/internal/transport/engine/engine_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/side"
 	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn/conntest"
 )
 
 var testAttempt = state.AttemptID{Entry: "entry/1", Incarnation: 0xab, Session: 3, Seq: 4}
@@ -321,12 +322,8 @@
 
 // Guards against an unknown outcome when the target could not be connected to.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listener.Close()
-	if _, _, err := runCompletion(t, newTestClient(listener.Addr(), false)); !errors.Is(err, side.ErrNotSent) {
+	address := net.TCPAddrFromAddrPort(conntest.ClosedPort(t, conntest.Address(t), 0))
+	if _, _, err := runCompletion(t, newTestClient(address, false)); !errors.Is(err, side.ErrNotSent) {
 		t.Errorf("error %v, want ErrNotSent", err)
 	}
 }
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
 	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn/conntest"
 )
 
 // startTarget runs a target that serves each connection with handle. It returns its
@@ -210,13 +211,7 @@
 // Guards against an error that does not wrap ErrNotSent although the connection was
 // refused.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := ln.Addr().String()
-	ln.Close()
-	if _, _, err := send(t, New(), address, "a"); !errors.Is(err, gateway.ErrNotSent) {
+	if _, _, err := send(t, New(), conntest.ClosedPort(t, conntest.Address(t), 0).String(), "a"); !errors.Is(err, gateway.ErrNotSent) {
 		t.Errorf("error %v, want ErrNotSent", err)
 	}
 }
