Tests listen at addresses of their own instead of ports just released

Cause: the tests of packages gatewayhttp and daemon listened on a free port, closed it and let the code under test listen on it again; any process may take it meanwhile.

Evidence: read; neither was seen to fail.

Change: the code listens on the port of the deploy file at an address that the test claims (conntest.Address).

Measured: both packages pass.

--- a/internal/daemon/reports_test.go
+++ b/internal/daemon/reports_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -19,6 +18,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/mesh"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn/conntest"
 	"github.com/cassiaramp/cassiaramp/internal/transport/upstream"
 	"github.com/cassiaramp/cassiaramp/platform"
 )
@@ -26,12 +26,7 @@
 // openMesh returns a mesh on loopback, its address and the reports that it receives.
 func openMesh(t *testing.T) (*mesh.Mesh, netip.AddrPort, <-chan mesh.Message) {
 	t.Helper()
-	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := probe.LocalAddr().(*net.UDPAddr).AddrPort()
-	probe.Close()
+	address := netip.AddrPortFrom(conntest.Address(t), 7600)
 	m, err := mesh.New(address, func() mesh.Snapshot { return mesh.Snapshot{} }, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
@@ -21,6 +22,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn/conntest"
 )
 
 // targetClientFunc is a gateway.TargetClient whose Send calls the function.
@@ -79,12 +81,7 @@
 func startServer(t *testing.T, send targetClientFunc) (*Server, string) {
 	t.Helper()
 	g := newGateway(send)
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := ln.Addr().String()
-	ln.Close()
+	address := netip.AddrPortFrom(conntest.Address(t), 8221).String()
 	s := &Server{Gateway: g, Log: zap.NewNop()}
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
