Entries of two fault soaks have different addresses

Cause: the address of an entry came from the process id modulo 200, so that two soaks at a time on one machine could run their entries at the same addresses and ports.

Change: each entry has an address that the test claims (conntest.Address).

--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/emulator"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn/conntest"
 )
 
 // entry is one daemon with its proxy to the store.
@@ -205,7 +206,7 @@
 // addEntry writes the settings of an entry and starts it and its proxy to the store.
 func (w *world) addEntry(i int, storeAddress string) {
 	e := &entry{
-		name: fmt.Sprintf("edge-%d", i), ip: fmt.Sprintf("127.0.%d.%d", 2+os.Getpid()%200, 10+i), storeProxy: emulator.NewProxy(storeAddress), restartOnExit: true,
+		name: fmt.Sprintf("edge-%d", i), ip: conntest.Address(w.t).String(), storeProxy: emulator.NewProxy(storeAddress), restartOnExit: true,
 		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: dialEntry}},
 	}
 	proxied := w.serveOn("127.0.0.1:0", e.storeProxy.Serve)
