--- a/cmd/cassiarampctl/store_test.go
+++ b/cmd/cassiarampctl/store_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"encoding/json"
 	"net"
+	"net/netip"
 	"os"
 	"testing"
 
 	"github.com/cassiaramp/cassiaramp/internal/ctl/bundlecmd"
 	"github.com/cassiaramp/cassiaramp/internal/emulator"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn/conntest"
 	"github.com/cassiaramp/cassiaramp/platform"
 )
 
@@ -73,9 +75,11 @@
 // Guards against a status that does not find the entries in the store.
 func TestStatusReadsEntriesFromStore(t *testing.T) {
 	store := serveStore(t)
+	ip := conntest.Address(t)
+	conntest.ClosedPort(t, ip, platform.MetricsPort) // nothing serves metrics there
 	s := &shell{t: t, dir: t.TempDir()}
 	s.run(bundlecmd.ExitFailure, "status --store "+store)
-	record, err := platform.EncodeEntry(platform.EntryRecord{Address: "127.0.0.1:7600"})
+	record, err := platform.EncodeEntry(platform.EntryRecord{Address: netip.AddrPortFrom(ip, 7600).String()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -83,11 +87,10 @@
 		t.Fatal(err)
 	}
 	var status struct{ Instances []struct{ URL string } }
-	// Nothing serves metrics there.
 	if err := json.Unmarshal([]byte(s.run(exitUnhealthy, "status --json --store "+store)), &status); err != nil {
 		t.Fatal(err)
 	}
-	if len(status.Instances) != 1 || status.Instances[0].URL != "http://127.0.0.1:9090" {
-		t.Errorf("instances %+v", status.Instances)
+	if want := "http://" + ip.String() + ":9090"; len(status.Instances) != 1 || status.Instances[0].URL != want {
+		t.Errorf("instances %+v, want one at %s", status.Instances, want)
 	}
 }
