A rejection that names no request proves nothing about a request

What callers saw: a request that may run once ran twice, or was answered 503 ("not run, and never will be") although it ran.

Cause: a response without Request-Id was taken for that of the request that waits, and Not-Executed or 421 in it for proof that this request did not run. A target may send such a response on a connection that is idle, or new and not read from yet. If the next request crosses it, the target runs the request, while the entry sends it to a second target or, with none left, answers 503. The check before a reuse cannot exclude bytes that arrive between the check and the write.

Change: targets name the request in their responses. Once one has done so on a connection, a response there without a name is skipped like one to another request. Where no response has named a request, it is still taken, because some targets name none, but it never proves "not run": a rejection then counts as an attempt that may have run. A rejection that names the request counts as before (TestRejectionOfTheRequest).

--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -165,7 +165,8 @@
 	RequestID RequestID
 	// HasSignature says that the response carries the target's signature.
 	HasSignature bool
-	// NotRun says that the target did not and will not run the request.
+	// NotRun says that the target did not and will not run the request, which the response
+	// names.
 	NotRun bool
 	// Misdirected says that another target now has the address.
 	Misdirected bool
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -79,6 +79,8 @@
 	reader    *bufio.Reader
 	expiresAt time.Time // end of its idle time; it is not reused from then on
 	reused    bool      // an earlier request was sent on it
+	// namesRequests says that the target has named a request in a response on it.
+	namesRequests bool
 }
 
 func newConnection(conn net.Conn, address string) *connection {
@@ -317,12 +319,12 @@
 			continue // an interim response
 		}
 		head := platform.DecodeResponse(resp)
-		if head.RequestID == e.requestID || head.RequestID == "" {
+		if e.mayBelong(head) {
 			e.resp, e.head = resp, head
 			e.conn.limit.unlimited = true // the caller bounds what it reads of the body
 			return head, nil
 		}
-		// This is a late response to an earlier request on the connection.
+		// This is a late response to an earlier request on the connection, or one to none.
 		e.conn.limit.left += maxSkippedBytes
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, fmt.Errorf("skip late response of %s to another request: %w", e.conn.address, err)
@@ -331,6 +333,22 @@
 	return nil, fmt.Errorf("read response of %s: %w", e.conn.address, errNoMatchingResponse)
 }
 
+// mayBelong reports whether a response may belong to the request. One that names no request
+// may belong to none: targets send such on connections that are idle or new, for example
+// because they are full. It is taken only if no response on the connection named its request,
+// and it never proves that the request did not run.
+func (e *exchange) mayBelong(head *state.Response) bool {
+	if head.RequestID == e.requestID {
+		e.conn.namesRequests = true
+		return true
+	}
+	if head.RequestID != "" || e.conn.namesRequests {
+		return false
+	}
+	head.NotRun = false
+	return true
+}
+
 // closeSilent closes the idle connections to the target if the request was sent on a reused
 // connection and got no response for silentTime: if that connection has gone silent for
 // good, the idle ones may have as well.
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -400,3 +400,87 @@
 		}
 	}
 }
+
+// secondOnConnection sends two requests on one connection to a target, which answers the
+// first with its identifier and the second with the given text. It returns what the client
+// makes of the second.
+func secondOnConnection(t *testing.T, second string) (*state.Response, string, error) {
+	t.Helper()
+	address, opened := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		for _, text := range []string{response("a", "ok"), second} {
+			if !discardRequest(r) {
+				return
+			}
+			respond(t, c, text)
+		}
+	})
+	client := New()
+	if _, _, err := send(t, client, address, "a"); err != nil {
+		t.Fatal(err)
+	}
+	head, body, err := send(t, client, address, "b")
+	if n := opened.Load(); n != 1 {
+		t.Fatalf("%d connections were opened, want both requests on one", n)
+	}
+	return head, body, err
+}
+
+// rejections are the heads by which a target states that it has not run a request, without
+// the identifier of the request.
+var rejections = map[string]string{
+	"full":        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n",
+	"misdirected": "HTTP/1.1 421 Misdirected Request\r\n",
+	"idle":        "HTTP/1.1 408 Request Timeout\r\nNot-Executed: 1\r\n",
+}
+
+// A target sends a rejection on a connection that is idle, and the next request crosses it.
+// Guards against taking a rejection that names no request for that of the request, which is
+// then sent to a second target or refused as not run, although this one runs it.
+func TestRejectionOnIdleConnectionIsNotThatOfTheNextRequest(t *testing.T) {
+	for name, rejection := range rejections {
+		t.Run(name, func(t *testing.T) {
+			head, body, err := secondOnConnection(t, rejection+"Content-Length: 0\r\n\r\n"+response("b", "ran"))
+			if err != nil || head.NotRun || body != "ran" {
+				t.Errorf("head %+v, body %q, error %v; want the response of the run", head, body, err)
+			}
+		})
+	}
+}
+
+// Guards against a response to nobody on a kept connection that is passed on as that to the
+// request. The target has named the requests in its responses so far.
+func TestResponseWithoutIDOnKeptConnectionIsSkipped(t *testing.T) {
+	_, body, err := secondOnConnection(t, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nnobody"+response("b", "mine"))
+	if err != nil || body != "mine" {
+		t.Errorf("body %q, error %v; want the response to the request", body, err)
+	}
+}
+
+// A target sends a rejection as soon as it has accepted a connection. Guards against taking
+// it for proof that the request, which it has not read yet, did not run.
+func TestRejectionWithoutIDIsNoProof(t *testing.T) {
+	for name, rejection := range rejections {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+				respond(t, c, rejection+"Content-Length: 0\r\n\r\n")
+				discardRequest(r)
+			})
+			if head, _, err := send(t, New(), address, "a"); err == nil && head.NotRun {
+				t.Errorf("head %+v, want no proof that the request did not run", head)
+			}
+		})
+	}
+}
+
+// Guards against a rejection that names the request and is not taken for one: the request
+// would be answered as possibly run instead of being sent to another target.
+func TestRejectionOfTheRequest(t *testing.T) {
+	for _, name := range []string{"full", "misdirected"} {
+		t.Run(name, func(t *testing.T) {
+			head, _, err := secondOnConnection(t, rejections[name]+"Request-Id: b\r\nContent-Length: 0\r\n\r\n")
+			if err != nil || !head.NotRun {
+				t.Errorf("head %+v, error %v; want that the request did not run", head, err)
+			}
+		})
+	}
+}
