A connection that answered 421 carries no further request

Found by reading; the users' cases have no record.

Cause: a request is sent to a target only once, but two targets can have one address, one after the other. The new one answers 421 to a request for the old one and keeps the connection. When the list has the new target, the same request is sent to it, on that connection. A second, late copy of the 421 names the request and was taken as proof that it did not run there either.

Change: after a 421 the connection is closed instead of kept. Requests are identified by name only, so a connection must not carry the same request twice; no other outcome allows the same request at the same address again on a connection that stays open.

--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -370,10 +370,17 @@
 // request.
 func (e *exchange) identified() bool { return e.head.RequestID == e.requestID }
 
+// keepsConnection reports whether the connection may carry further requests. It may not
+// after a misdirected request: the same request may be sent to the target that now has the
+// address, where a late copy of the response would say that it did not run.
+func (e *exchange) keepsConnection() bool {
+	return !e.resp.Close && !e.head.EndsWithConnection && !e.head.Misdirected && e.conn.reader.Buffered() == 0 && e.identified()
+}
+
 // Close implements gateway.Exchange.
 func (e *exchange) Close(bodyRead bool) {
 	e.closeOnce.Do(func() {
-		if !e.stop() || !bodyRead || e.resp == nil || e.resp.Close || e.head.EndsWithConnection || e.conn.reader.Buffered() > 0 || !e.identified() {
+		if !e.stop() || !bodyRead || e.resp == nil || !e.keepsConnection() {
 			e.conn.Close()
 			return
 		}
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -89,10 +89,15 @@
 }
 
 func send(t *testing.T, c *Client, address string, id state.RequestID) (*state.Response, string, error) {
+	t.Helper()
+	return sendTo(t, c, state.TargetRecord{ID: "t", Address: address}, id)
+}
+
+func sendTo(t *testing.T, c *Client, target state.TargetRecord, id state.RequestID) (*state.Response, string, error) {
 	t.Helper()
 	ex, err := c.Send(t.Context(), &gateway.Forward{
 		Call:   &state.Call{ID: id, Method: "POST", URI: "/x", Host: "h", Header: []state.HeaderField{{Name: "Request-Id", Value: string(id)}}, Body: []byte("body")},
-		Target: state.TargetRecord{ID: "t", Address: address}, TimeLeft: time.Second, Holds: func() bool { return true }, SendBy: time.Now().Add(time.Minute),
+		Target: target, TimeLeft: time.Second, Holds: func() bool { return true }, SendBy: time.Now().Add(time.Minute),
 	})
 	if err != nil {
 		return nil, "", err
@@ -484,3 +489,37 @@
 		})
 	}
 }
+
+// The target that a request is sent to has left its address to another one, which answers
+// 421 and later sends a second copy of that. Meanwhile the list has the new target, and the
+// same request is sent to it. Guards against taking the copy for its answer: the request is
+// then sent to a third target although this one runs it.
+func TestCopyOfMisdirectedResponseIsNotThatOfTheNextTarget(t *testing.T) {
+	misdirected := rejections["misdirected"] + "Request-Id: a\r\nContent-Length: 0\r\n\r\n"
+	address, _ := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		previous := ""
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			own := response("a", "ran")
+			if req.Header.Get("Expect-Instance") != "new" {
+				own = misdirected
+			}
+			respond(t, c, previous+own)
+			previous = own
+		}
+	})
+	client := New()
+	if head, _, err := sendTo(t, client, state.TargetRecord{ID: "old", Address: address}, "a"); err != nil || !head.NotRun {
+		t.Fatalf("head %+v, error %v; want that the request is misdirected", head, err)
+	}
+	head, body, err := sendTo(t, client, state.TargetRecord{ID: "new", Address: address}, "a")
+	if err != nil || head.NotRun || body != "ran" {
+		t.Errorf("head %+v, body %q, error %v; want the response of the run", head, body, err)
+	}
+}
