An answer that comes before a long body was read is taken

Cause: the whole request was written before anything was read. A target may answer before it has read a long body, and close the connection or read on later. The write then failed, or waited for 2 s, and the answer that lay ready was thrown away with the connection.

Change: 16 KiB are written before Send returns, which shows whether the connection takes anything (ErrNotSent); the rest is written while the response is read. A failed write no longer ends the exchange: reading finds the answer, or the error. The fixed limit of 2 s for the write goes, the time limits of the attempt apply.

A connection is reused only if the whole request was written, so that the target never gets other bytes where the rest of a body is due (TestConnectionIsNotReusedBeforeTheWholeBodyIsSent). A response that ends with its connection is complete only then, because of a reset either the write or the read learns, and the other sees the end (TestResetResponseToALongBodyIsIncomplete).

--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -30,8 +30,9 @@
 	// milliseconds away. The timeout does not wait for the retransmission of a lost
 	// SYN, which TCP sends after 1 s.
 	dialTimeout = 400 * time.Millisecond
-	// writeTimeout bounds the writing of a whole request.
-	writeTimeout = 2 * time.Second
+	// firstWriteBytes is how much of a request is written before Send returns. The send buffer
+	// of a connection without unread data takes it at once.
+	firstWriteBytes = 16 << 10
 	// silentTime is the time without a response after which a failed request on a reused
 	// connection closes the idle ones. Targets respond sooner unless they are overloaded.
 	silentTime = 500 * time.Millisecond
@@ -131,22 +132,61 @@
 		conn.Close()
 		return nil, fmt.Errorf("%w: send to %s", gateway.ErrGrantWithdrawn, f.Target.Address)
 	}
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		stop()
+	e := &exchange{client: c, conn: conn, method: f.Call.Method, requestID: f.Call.ID, written: make(chan struct{})}
+	e.stop = context.AfterFunc(ctx, func() { conn.Close() })
+	if err := e.write(b); err != nil {
+		e.stop()
 		conn.Close()
 		return nil, fmt.Errorf("%w: write to %s: %w", gateway.ErrNotSent, f.Target.Address, err)
 	}
-	n, err := conn.Write(b)
-	if err != nil {
-		stop()
-		conn.Close()
-		if n == 0 {
-			return nil, fmt.Errorf("%w: write to %s: %w", gateway.ErrNotSent, f.Target.Address, err)
-		}
-		return nil, fmt.Errorf("write to %s: %w", f.Target.Address, err)
+	return e, nil
+}
+
+// write writes the request. The error says that the connection took none of it. Targets may
+// answer before they have read a long body, and even close the connection then. So an error
+// after the first byte does not end the exchange, and what is left after firstWriteBytes is
+// written while the response is read.
+func (e *exchange) write(request []byte) error {
+	first := min(len(request), firstWriteBytes)
+	n, err := e.conn.Write(request[:first])
+	e.sentAt = time.Now()
+	switch {
+	case err != nil && n == 0:
+		return err
+	case err != nil || first == len(request):
+		e.writeEnded(err)
+	default:
+		go func() {
+			_, err := e.conn.Write(request[first:])
+			e.writeEnded(err)
+		}()
 	}
-	return &exchange{client: c, conn: conn, sentAt: time.Now(), stop: stop, method: f.Call.Method, requestID: f.Call.ID}, nil
+	return nil
+}
+
+func (e *exchange) writeEnded(err error) {
+	e.writeErr = err
+	close(e.written)
+}
+
+// endWriting ends the writing of the request, if it goes on, and returns why the request was not
+// written to its end, or nil if it was.
+func (e *exchange) endWriting() error {
+	select {
+	case <-e.written:
+		return e.writeErr
+	default:
+	}
+	// What the connection has taken counts as written, so the result does not depend on when
+	// the writing goroutine runs.
+	if err := e.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return err
+	}
+	<-e.written
+	if e.writeErr != nil {
+		return e.writeErr
+	}
+	return e.conn.SetWriteDeadline(time.Time{})
 }
 
 // acquire returns a reusable idle connection or opens a new one. It closes the idle
@@ -300,6 +340,8 @@
 	stop      func() bool // cancels the closing of conn at the end of the context; false if it was closed
 	method    string
 	requestID state.RequestID
+	written   chan struct{}   // closed when the request is written, or its writing has failed
+	writeErr  error           // why the writing failed; set before written is closed
 	resp      *http.Response  // nil until Head has returned it
 	head      *state.Response // decoded from resp
 	closeOnce sync.Once
@@ -313,6 +355,9 @@
 		resp, err := http.ReadResponse(e.conn.reader, req)
 		if err != nil {
 			e.closeSilent()
+			if werr := e.endWriting(); werr != nil {
+				return nil, fmt.Errorf("read response of %s: %w; write: %w", e.conn.address, err, werr)
+			}
 			return nil, fmt.Errorf("read response of %s: %w", e.conn.address, err)
 		}
 		if resp.StatusCode < http.StatusOK {
@@ -362,8 +407,18 @@
 // belongs to the request.
 var errNoMatchingResponse = errors.New("no response to this request among those read")
 
-// Read implements gateway.Exchange.
-func (e *exchange) Read(p []byte) (int, error) { return e.resp.Body.Read(p) }
+// Read implements gateway.Exchange. A response that ends with its connection is complete only
+// if the request was written to its end: of a reset, only one of reading and writing learns,
+// and the other finds the connection closed.
+func (e *exchange) Read(p []byte) (int, error) {
+	n, err := e.resp.Body.Read(p)
+	if errors.Is(err, io.EOF) && e.head.EndsWithConnection {
+		if werr := e.endWriting(); werr != nil {
+			err = fmt.Errorf("%w; write: %w", io.ErrUnexpectedEOF, werr)
+		}
+	}
+	return n, err
+}
 
 // identified reports whether the response names the request. If not, the connection is not
 // reused: a late second copy of the response could not be told from that to the next
@@ -371,10 +426,11 @@
 func (e *exchange) identified() bool { return e.head.RequestID == e.requestID }
 
 // keepsConnection reports whether the connection may carry further requests. It may not
-// after a misdirected request: the same request may be sent to the target that now has the
+// while the target waits for the rest of the request, of which it would take them for a part,
+// or after a misdirected request: the same request may be sent to the target that now has the
 // address, where a late copy of the response would say that it did not run.
 func (e *exchange) keepsConnection() bool {
-	return !e.resp.Close && !e.head.EndsWithConnection && !e.head.Misdirected && e.conn.reader.Buffered() == 0 && e.identified()
+	return e.endWriting() == nil && !e.resp.Close && !e.head.EndsWithConnection && !e.head.Misdirected && e.conn.reader.Buffered() == 0 && e.identified()
 }
 
 // Close implements gateway.Exchange.
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -95,10 +95,12 @@
 
 func sendTo(t *testing.T, c *Client, target state.TargetRecord, id state.RequestID) (*state.Response, string, error) {
 	t.Helper()
-	ex, err := c.Send(t.Context(), &gateway.Forward{
-		Call:   &state.Call{ID: id, Method: "POST", URI: "/x", Host: "h", Header: []state.HeaderField{{Name: "Request-Id", Value: string(id)}}, Body: []byte("body")},
-		Target: target, TimeLeft: time.Second, Holds: func() bool { return true }, SendBy: time.Now().Add(time.Minute),
-	})
+	return sendBody(t, c, target, id, []byte("body"))
+}
+
+func sendBody(t *testing.T, c *Client, target state.TargetRecord, id state.RequestID, requestBody []byte) (*state.Response, string, error) {
+	t.Helper()
+	ex, err := begin(t.Context(), c, target, id, requestBody)
 	if err != nil {
 		return nil, "", err
 	}
@@ -112,6 +114,14 @@
 	return head, string(body), err
 }
 
+// begin sends a request.
+func begin(ctx context.Context, c *Client, target state.TargetRecord, id state.RequestID, requestBody []byte) (gateway.Exchange, error) {
+	return c.Send(ctx, &gateway.Forward{
+		Call:   &state.Call{ID: id, Method: "POST", URI: "/x", Host: "h", Header: []state.HeaderField{{Name: "Request-Id", Value: string(id)}}, Body: requestBody},
+		Target: target, TimeLeft: time.Second, Holds: func() bool { return true }, SendBy: time.Now().Add(time.Minute),
+	})
+}
+
 const responseStart = "HTTP/1.1 200 OK\r\nRequest-Id: "
 
 func response(id, body string) string {
