A request that is given up is not delivered afterwards

What callers would see: a request that was given up runs later at a target that had not read it: a stream that went on at another target runs at two (TWICE), and requests reach targets after their callers have left (GONE).

Cause: the connection was closed in the ordinary way. The kernel then keeps what the target has not taken of the request and delivers it, whole, when the target reads again or its link is back.

Evidence: TestRequestThatWasGivenUpIsNotDelivered, whose target reads the connection only after the request was given up, fails on in both cases, cancelled and closed without a response: "the whole request was delivered, with a body of 8192 bytes".

Change: the connection of an attempt that ends without its whole response is reset, which discards what the target has not received. A request that lies whole in the receive buffer of a paused target may still run; so an attempt of which a byte was written counts as possibly run, as before.

--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -89,6 +89,16 @@
 	return &connection{Conn: conn, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}
 }
 
+// abandon closes the connection of a request that is given up. What the target has not received
+// of the request is discarded. Otherwise it would be delivered when the target reads again, or
+// its link is back, and the target would run a request that nobody waits for.
+func (c *connection) abandon() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0) // fails only on a connection that is closed already
+	}
+	c.Close()
+}
+
 // limitedReader fails after a number of bytes, unless it is unlimited.
 type limitedReader struct {
 	in        io.Reader
@@ -113,7 +123,7 @@
 
 // Send sends a request once. The error wraps gateway.ErrNotSent when the target
 // certainly did not receive any of it. When ctx ends, the connection is closed, upon
-// which targets abandon the request.
+// which targets abandon the request, and what is left of the request is discarded.
 func (c *Client) Send(ctx context.Context, f *gateway.Forward) (gateway.Exchange, error) {
 	conn, err := c.acquire(ctx, f.Target.Address)
 	if err != nil {
@@ -133,7 +143,7 @@
 		return nil, fmt.Errorf("%w: send to %s", gateway.ErrGrantWithdrawn, f.Target.Address)
 	}
 	e := &exchange{client: c, conn: conn, method: f.Call.Method, requestID: f.Call.ID, written: make(chan struct{})}
-	e.stop = context.AfterFunc(ctx, func() { conn.Close() })
+	e.stop = context.AfterFunc(ctx, conn.abandon)
 	if err := e.write(b); err != nil {
 		e.stop()
 		conn.Close()
@@ -436,7 +446,11 @@
 // Close implements gateway.Exchange.
 func (e *exchange) Close(bodyRead bool) {
 	e.closeOnce.Do(func() {
-		if !e.stop() || !bodyRead || e.resp == nil || !e.keepsConnection() {
+		if !e.stop() || !bodyRead || e.resp == nil {
+			e.conn.abandon()
+			return
+		}
+		if !e.keepsConnection() {
 			e.conn.Close()
 			return
 		}
