A rejection that names no request is not passed to the caller

Such a response now ends the attempt as one that may have run, and is dropped. TestRejectionWithoutIDIsNoProof asks for an error after sending; it failed before with a head of status 503 and no error.

--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -374,7 +374,11 @@
 			continue // an interim response
 		}
 		head := platform.DecodeResponse(resp)
-		if e.mayBelong(head) {
+		own, err := e.belongs(head)
+		if err != nil {
+			return nil, err
+		}
+		if own {
 			e.resp, e.head = resp, head
 			e.conn.limit.unlimited = true // the caller bounds what it reads of the body
 			return head, nil
@@ -388,22 +392,27 @@
 	return nil, fmt.Errorf("read response of %s: %w", e.conn.address, errNoMatchingResponse)
 }
 
-// mayBelong reports whether a response may belong to the request. One that names no request
-// may belong to none: targets send such on connections that are idle or new, for example
-// because they are full. It is taken only if no response on the connection named its request,
-// and it never proves that the request did not run.
-func (e *exchange) mayBelong(head *state.Response) bool {
-	if head.RequestID == e.requestID {
+// belongs reports whether a response belongs to the request. One that names no request may
+// belong to none: targets send such on connections that are idle or new, for example because
+// they are full. It is taken only if no response on the connection named its request and it
+// does not say that a request did not run, of which it is no proof.
+func (e *exchange) belongs(head *state.Response) (bool, error) {
+	switch {
+	case head.RequestID == e.requestID:
 		e.conn.namesRequests = true
-		return true
+		return true, nil
+	case head.RequestID != "" || e.conn.namesRequests:
+		return false, nil
+	case head.NotRun:
+		return false, fmt.Errorf("%w: status %d of %s", errUnnamedRejection, head.Status, e.conn.address)
 	}
-	if head.RequestID != "" || e.conn.namesRequests {
-		return false
-	}
-	head.NotRun = false
-	return true
+	return true, nil
 }
 
+// errUnnamedRejection is returned for a response that says that a request did not run, but not
+// which.
+var errUnnamedRejection = errors.New("rejection names no request")
+
 // closeSilent closes the idle connections to the target if the request was sent on a reused
 // connection and got no response for silentTime: if that connection has gone silent for
 // good, the idle ones may have as well.
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -480,8 +480,8 @@
 				respond(t, c, rejection+"Content-Length: 0\r\n\r\n")
 				discardRequest(r)
 			})
-			if head, _, err := send(t, New(), address, "a"); err == nil && head.NotRun {
-				t.Errorf("head %+v, want no proof that the request did not run", head)
+			if head, _, err := send(t, New(), address, "a"); err == nil || errors.Is(err, gateway.ErrNotSent) {
+				t.Errorf("head %+v, error %v; want an error after sending", head, err)
 			}
 		})
 	}
