A repeated run must be allowed by the configuration in effect

Cause: a request kept the route of its arrival for all its attempts. The rule calls requests of idempotent routes and streams that may be resumed idempotent, and does not say by which of two versions. A request in progress may be judged by either, so a repeat is safe only if both allow it.

Change: the number of runs is the lesser of what the route of the arrival and the route in effect for the same host and path allow. It is asked for the time limits of an attempt, for the decision and, because a request may wait for a target, right before the send. A route that was dropped keeps the request as it came; one that became idempotent does not make it so.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -196,7 +196,7 @@
 // event of a stream, before another target is tried. It is 0 if the request may not
 // be sent to another target.
 func (r *request) firstResponseTimeout() time.Duration {
-	if !r.route.Repeatable() || r.possibleRuns+1 >= r.route.MaxAttempts {
+	if r.possibleRuns+1 >= r.maxRuns() {
 		return 0
 	}
 	if r.route.Kind == state.StreamingRoute {
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -308,6 +308,9 @@
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
 	repeated := r.reachedTarget
+	if r.possibleRuns >= r.maxRuns() {
+		return r.holdBack(g, "no_run_left", defaultRetryAfter) // the configuration has changed meanwhile
+	}
 	if repeated && !r.takeRetry() {
 		return r.holdBack(g, "retry_budget", defaultRetryAfter)
 	}
@@ -367,7 +370,7 @@
 	if mayHaveRun {
 		r.possibleRuns++
 	}
-	willRetry := cause == nil && !suspected && (!mayHaveRun || r.route.Repeatable() && r.possibleRuns < r.route.MaxAttempts)
+	willRetry := cause == nil && !suspected && r.possibleRuns < r.maxRuns()
 	if willRetry && r.reachedTarget && !r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack()) {
 		willRetry = false
 		r.logRetryRefused()
