--- a/internal/coordination/gateway/handover.go
+++ b/internal/coordination/gateway/handover.go
@@ -179,13 +179,13 @@
 // mayMoveOn reports whether the request may be sent to another target now, apart from
 // whether one has a slot for it.
 func (r *request) mayMoveOn() bool {
-	return r.placements < maxPlacements && r.checkQuarantine(false) == nil &&
+	return r.placements < maxPlacements && r.possibleRuns+1 < r.maxRuns() && r.checkQuarantine(false) == nil &&
 		r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack())
 }
 
 // takeMoveOn takes the permission to send the request to another target.
 func (r *request) takeMoveOn() bool {
-	if r.checkQuarantine(false) != nil || !r.takeRetry() {
+	if !r.mayMoveOn() || !r.takeRetry() {
 		return false
 	}
 	if r.checkQuarantine(true) != nil {
@@ -214,7 +214,7 @@
 // event of a stream, before another target is looked for. It is 0 if the request may not
 // be sent to another target.
 func (r *request) firstResponseTimeout() time.Duration {
-	if !r.route.Repeatable() || r.possibleRuns+1 >= r.route.MaxAttempts {
+	if r.possibleRuns+1 >= r.maxRuns() {
 		return 0
 	}
 	if r.route.Kind == state.StreamingRoute {
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -327,6 +327,9 @@
 	defer a.cancel(nil)
 	repeated := prepared || r.reachedTarget
 	if !prepared {
+		if r.possibleRuns >= r.maxRuns() {
+			return nil, r.holdBack(g, "no_run_left", defaultRetryAfter) // the configuration has changed meanwhile
+		}
 		if repeated && !r.takeRetry() {
 			return nil, r.holdBack(g, "retry_budget", defaultRetryAfter)
 		}
@@ -397,7 +400,7 @@
 	if mayHaveRun {
 		r.possibleRuns++
 	}
-	willRetry := cause == nil && !suspected && (!mayHaveRun || r.route.Repeatable() && r.possibleRuns < r.route.MaxAttempts)
+	willRetry := cause == nil && !suspected && r.possibleRuns < r.maxRuns()
 	if willRetry && !handedOver && r.reachedTarget && !r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack()) {
 		willRetry = false
 		r.logRetryRefused()
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -30,8 +30,9 @@
 	// milliseconds away. The timeout does not wait for the retransmission of a lost
 	// SYN, which TCP sends after 1 s.
 	dialTimeout = 400 * time.Millisecond
-	// writeTimeout bounds the writing of a whole request.
-	writeTimeout = 2 * time.Second
+	// firstWriteBytes is how much of a request is written before Send returns. The send buffer
+	// of a connection without unread data takes it at once.
+	firstWriteBytes = 16 << 10
 	// silentTime is the time without a response after which a failed request on a reused
 	// connection closes the idle ones. Targets respond sooner unless they are overloaded.
 	silentTime = 500 * time.Millisecond
@@ -79,6 +80,8 @@
 	reader    *bufio.Reader
 	expiresAt time.Time // end of its idle time; it is not reused from then on
 	reused    bool      // an earlier request was sent on it
+	// namesRequests says that the target has named a request in a response on it.
+	namesRequests bool
 }
 
 func newConnection(conn net.Conn, address string) *connection {
@@ -86,6 +89,16 @@
 	return &connection{Conn: conn, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}
 }
 
+// abandon closes the connection of a request that is given up. What the target has not received
+// of the request is discarded. Otherwise it would be delivered when the target reads again, or
+// its link is back, and the target would run a request that nobody waits for.
+func (c *connection) abandon() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0) // fails only on a connection that is closed already
+	}
+	c.Close()
+}
+
 // limitedReader fails after a number of bytes, unless it is unlimited.
 type limitedReader struct {
 	in        io.Reader
@@ -110,7 +123,7 @@
 
 // Send sends a request once. The error wraps gateway.ErrNotSent when the target
 // certainly did not receive any of it. When ctx ends, the connection is closed, upon
-// which targets abandon the request.
+// which targets abandon the request, and what is left of the request is discarded.
 func (c *Client) Send(ctx context.Context, f *gateway.Forward) (gateway.Exchange, error) {
 	conn, err := c.acquire(ctx, f.Target.Address)
 	if err != nil {
@@ -129,22 +142,61 @@
 		conn.Close()
 		return nil, fmt.Errorf("%w: send to %s", gateway.ErrGrantWithdrawn, f.Target.Address)
 	}
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		stop()
+	e := &exchange{client: c, conn: conn, method: f.Call.Method, requestID: f.Call.ID, written: make(chan struct{})}
+	e.stop = context.AfterFunc(ctx, conn.abandon)
+	if err := e.write(b); err != nil {
+		e.stop()
 		conn.Close()
 		return nil, fmt.Errorf("%w: write to %s: %w", gateway.ErrNotSent, f.Target.Address, err)
 	}
-	n, err := conn.Write(b)
-	if err != nil {
-		stop()
-		conn.Close()
-		if n == 0 {
-			return nil, fmt.Errorf("%w: write to %s: %w", gateway.ErrNotSent, f.Target.Address, err)
-		}
-		return nil, fmt.Errorf("write to %s: %w", f.Target.Address, err)
+	return e, nil
+}
+
+// write writes the request. The error says that the connection took none of it. Targets may
+// answer before they have read a long body, and even close the connection then. So an error
+// after the first byte does not end the exchange, and what is left after firstWriteBytes is
+// written while the response is read.
+func (e *exchange) write(request []byte) error {
+	first := min(len(request), firstWriteBytes)
+	n, err := e.conn.Write(request[:first])
+	e.sentAt = time.Now()
+	switch {
+	case err != nil && n == 0:
+		return err
+	case err != nil || first == len(request):
+		e.writeEnded(err)
+	default:
+		go func() {
+			_, err := e.conn.Write(request[first:])
+			e.writeEnded(err)
+		}()
+	}
+	return nil
+}
+
+func (e *exchange) writeEnded(err error) {
+	e.writeErr = err
+	close(e.written)
+}
+
+// endWriting ends the writing of the request, if it goes on, and returns why the request was not
+// written to its end, or nil if it was.
+func (e *exchange) endWriting() error {
+	select {
+	case <-e.written:
+		return e.writeErr
+	default:
+	}
+	// What the connection has taken counts as written, so the result does not depend on when
+	// the writing goroutine runs.
+	if err := e.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return err
+	}
+	<-e.written
+	if e.writeErr != nil {
+		return e.writeErr
 	}
-	return &exchange{client: c, conn: conn, sentAt: time.Now(), stop: stop, method: f.Call.Method, requestID: f.Call.ID}, nil
+	return e.conn.SetWriteDeadline(time.Time{})
 }
 
 // acquire returns a reusable idle connection or opens a new one. It closes the idle
@@ -298,6 +350,8 @@
 	stop      func() bool // cancels the closing of conn at the end of the context; false if it was closed
 	method    string
 	requestID state.RequestID
+	written   chan struct{}   // closed when the request is written, or its writing has failed
+	writeErr  error           // why the writing failed; set before written is closed
 	resp      *http.Response  // nil until Head has returned it
 	head      *state.Response // decoded from resp
 	closeOnce sync.Once
@@ -311,18 +365,25 @@
 		resp, err := http.ReadResponse(e.conn.reader, req)
 		if err != nil {
 			e.closeSilent()
+			if werr := e.endWriting(); werr != nil {
+				return nil, fmt.Errorf("read response of %s: %w; write: %w", e.conn.address, err, werr)
+			}
 			return nil, fmt.Errorf("read response of %s: %w", e.conn.address, err)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim response
 		}
 		head := platform.DecodeResponse(resp)
-		if head.RequestID == e.requestID || head.RequestID == "" {
+		own, err := e.belongs(head)
+		if err != nil {
+			return nil, err
+		}
+		if own {
 			e.resp, e.head = resp, head
 			e.conn.limit.unlimited = true // the caller bounds what it reads of the body
 			return head, nil
 		}
-		// This is a late response to an earlier request on the connection.
+		// This is a late response to an earlier request on the connection, or one to none.
 		e.conn.limit.left += maxSkippedBytes
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, fmt.Errorf("skip late response of %s to another request: %w", e.conn.address, err)
@@ -331,6 +392,27 @@
 	return nil, fmt.Errorf("read response of %s: %w", e.conn.address, errNoMatchingResponse)
 }
 
+// belongs reports whether a response belongs to the request. One that names no request may
+// belong to none: targets send such on connections that are idle or new, for example because
+// they are full. It is taken only if no response on the connection named its request and it
+// does not say that a request did not run, of which it is no proof.
+func (e *exchange) belongs(head *state.Response) (bool, error) {
+	switch {
+	case head.RequestID == e.requestID:
+		e.conn.namesRequests = true
+		return true, nil
+	case head.RequestID != "" || e.conn.namesRequests:
+		return false, nil
+	case head.NotRun:
+		return false, fmt.Errorf("%w: status %d of %s", errUnnamedRejection, head.Status, e.conn.address)
+	}
+	return true, nil
+}
+
+// errUnnamedRejection is returned for a response that says that a request did not run, but not
+// which.
+var errUnnamedRejection = errors.New("rejection names no request")
+
 // closeSilent closes the idle connections to the target if the request was sent on a reused
 // connection and got no response for silentTime: if that connection has gone silent for
 // good, the idle ones may have as well.
@@ -344,18 +426,40 @@
 // belongs to the request.
 var errNoMatchingResponse = errors.New("no response to this request among those read")
 
-// Read implements gateway.Exchange.
-func (e *exchange) Read(p []byte) (int, error) { return e.resp.Body.Read(p) }
+// Read implements gateway.Exchange. A response that ends with its connection is complete only
+// if the request was written to its end: of a reset, only one of reading and writing learns,
+// and the other finds the connection closed.
+func (e *exchange) Read(p []byte) (int, error) {
+	n, err := e.resp.Body.Read(p)
+	if errors.Is(err, io.EOF) && e.head.EndsWithConnection {
+		if werr := e.endWriting(); werr != nil {
+			err = fmt.Errorf("%w; write: %w", io.ErrUnexpectedEOF, werr)
+		}
+	}
+	return n, err
+}
 
 // identified reports whether the response names the request. If not, the connection is not
 // reused: a late second copy of the response could not be told from that to the next
 // request.
 func (e *exchange) identified() bool { return e.head.RequestID == e.requestID }
 
+// keepsConnection reports whether the connection may carry further requests. It may not
+// while the target waits for the rest of the request, of which it would take them for a part,
+// or after a misdirected request: the same request may be sent to the target that now has the
+// address, where a late copy of the response would say that it did not run.
+func (e *exchange) keepsConnection() bool {
+	return e.endWriting() == nil && !e.resp.Close && !e.head.EndsWithConnection && !e.head.Misdirected && e.conn.reader.Buffered() == 0 && e.identified()
+}
+
 // Close implements gateway.Exchange.
 func (e *exchange) Close(bodyRead bool) {
 	e.closeOnce.Do(func() {
-		if !e.stop() || !bodyRead || e.resp == nil || e.resp.Close || e.head.EndsWithConnection || e.conn.reader.Buffered() > 0 || !e.identified() {
+		if !e.stop() || !bodyRead || e.resp == nil {
+			e.conn.abandon()
+			return
+		}
+		if !e.keepsConnection() {
 			e.conn.Close()
 			return
 		}
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -91,10 +91,17 @@
 
 func send(t *testing.T, c *Client, address string, id state.RequestID) (*state.Response, string, error) {
 	t.Helper()
-	ex, err := c.Send(t.Context(), &gateway.Forward{
-		Call:   &state.Call{ID: id, Method: "POST", URI: "/x", Host: "h", Header: []state.HeaderField{{Name: "Request-Id", Value: string(id)}}, Body: []byte("body")},
-		Target: state.TargetRecord{ID: "t", Address: address}, TimeLeft: time.Second, Holds: func() bool { return true }, SendBy: time.Now().Add(time.Minute),
-	})
+	return sendTo(t, c, state.TargetRecord{ID: "t", Address: address}, id)
+}
+
+func sendTo(t *testing.T, c *Client, target state.TargetRecord, id state.RequestID) (*state.Response, string, error) {
+	t.Helper()
+	return sendBody(t, c, target, id, []byte("body"))
+}
+
+func sendBody(t *testing.T, c *Client, target state.TargetRecord, id state.RequestID, requestBody []byte) (*state.Response, string, error) {
+	t.Helper()
+	ex, err := begin(t.Context(), c, target, id, requestBody)
 	if err != nil {
 		return nil, "", err
 	}
@@ -108,6 +115,14 @@
 	return head, string(body), err
 }
 
+// begin sends a request.
+func begin(ctx context.Context, c *Client, target state.TargetRecord, id state.RequestID, requestBody []byte) (gateway.Exchange, error) {
+	return c.Send(ctx, &gateway.Forward{
+		Call:   &state.Call{ID: id, Method: "POST", URI: "/x", Host: "h", Header: []state.HeaderField{{Name: "Request-Id", Value: string(id)}}, Body: requestBody},
+		Target: target, TimeLeft: time.Second, Holds: func() bool { return true }, SendBy: time.Now().Add(time.Minute),
+	})
+}
+
 const responseStart = "HTTP/1.1 200 OK\r\nRequest-Id: "
 
 func response(id, body string) string {
@@ -395,3 +410,121 @@
 		}
 	}
 }
+
+// secondOnConnection sends two requests on one connection to a target, which answers the
+// first with its identifier and the second with the given text. It returns what the client
+// makes of the second.
+func secondOnConnection(t *testing.T, second string) (*state.Response, string, error) {
+	t.Helper()
+	address, opened := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		for _, text := range []string{response("a", "ok"), second} {
+			if !discardRequest(r) {
+				return
+			}
+			respond(t, c, text)
+		}
+	})
+	client := New()
+	if _, _, err := send(t, client, address, "a"); err != nil {
+		t.Fatal(err)
+	}
+	head, body, err := send(t, client, address, "b")
+	if n := opened.Load(); n != 1 {
+		t.Fatalf("%d connections were opened, want both requests on one", n)
+	}
+	return head, body, err
+}
+
+// rejections are the heads by which a target states that it has not run a request, without
+// the identifier of the request.
+var rejections = map[string]string{
+	"full":        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n",
+	"misdirected": "HTTP/1.1 421 Misdirected Request\r\n",
+	"idle":        "HTTP/1.1 408 Request Timeout\r\nNot-Executed: 1\r\n",
+}
+
+// A target sends a rejection on a connection that is idle, and the next request crosses it.
+// Guards against taking a rejection that names no request for that of the request, which is
+// then sent to a second target or refused as not run, although this one runs it.
+func TestRejectionOnIdleConnectionIsNotThatOfTheNextRequest(t *testing.T) {
+	for name, rejection := range rejections {
+		t.Run(name, func(t *testing.T) {
+			head, body, err := secondOnConnection(t, rejection+"Content-Length: 0\r\n\r\n"+response("b", "ran"))
+			if err != nil || head.NotRun || body != "ran" {
+				t.Errorf("head %+v, body %q, error %v; want the response of the run", head, body, err)
+			}
+		})
+	}
+}
+
+// Guards against a response to nobody on a kept connection that is passed on as that to the
+// request. The target has named the requests in its responses so far.
+func TestResponseWithoutIDOnKeptConnectionIsSkipped(t *testing.T) {
+	_, body, err := secondOnConnection(t, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nnobody"+response("b", "mine"))
+	if err != nil || body != "mine" {
+		t.Errorf("body %q, error %v; want the response to the request", body, err)
+	}
+}
+
+// A target sends a rejection as soon as it has accepted a connection. Guards against taking
+// it for proof that the request, which it has not read yet, did not run.
+func TestRejectionWithoutIDIsNoProof(t *testing.T) {
+	for name, rejection := range rejections {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+				respond(t, c, rejection+"Content-Length: 0\r\n\r\n")
+				discardRequest(r)
+			})
+			if head, _, err := send(t, New(), address, "a"); err == nil || errors.Is(err, gateway.ErrNotSent) {
+				t.Errorf("head %+v, error %v; want an error after sending", head, err)
+			}
+		})
+	}
+}
+
+// Guards against a rejection that names the request and is not taken for one: the request
+// would be answered as possibly run instead of being sent to another target.
+func TestRejectionOfTheRequest(t *testing.T) {
+	for _, name := range []string{"full", "misdirected"} {
+		t.Run(name, func(t *testing.T) {
+			head, _, err := secondOnConnection(t, rejections[name]+"Request-Id: b\r\nContent-Length: 0\r\n\r\n")
+			if err != nil || !head.NotRun {
+				t.Errorf("head %+v, error %v; want that the request did not run", head, err)
+			}
+		})
+	}
+}
+
+// The target that a request is sent to has left its address to another one, which answers
+// 421 and later sends a second copy of that. Meanwhile the list has the new target, and the
+// same request is sent to it. Guards against taking the copy for its answer: the request is
+// then sent to a third target although this one runs it.
+func TestCopyOfMisdirectedResponseIsNotThatOfTheNextTarget(t *testing.T) {
+	misdirected := rejections["misdirected"] + "Request-Id: a\r\nContent-Length: 0\r\n\r\n"
+	address, _ := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		previous := ""
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			own := response("a", "ran")
+			if req.Header.Get("Expect-Instance") != "new" {
+				own = misdirected
+			}
+			respond(t, c, previous+own)
+			previous = own
+		}
+	})
+	client := New()
+	if head, _, err := sendTo(t, client, state.TargetRecord{ID: "old", Address: address}, "a"); err != nil || !head.NotRun {
+		t.Fatalf("head %+v, error %v; want that the request is misdirected", head, err)
+	}
+	head, body, err := sendTo(t, client, state.TargetRecord{ID: "new", Address: address}, "a")
+	if err != nil || head.NotRun || body != "ran" {
+		t.Errorf("head %+v, body %q, error %v; want the response of the run", head, body, err)
+	}
+}
