Accept goes on 10 ms after a lack of descriptors, and is logged

Seen: callers of an entry that was out of descriptors connected and were not read for up to 1 s after descriptors were free; the log had 47 lines of text without fields ("http: Accept error"), readiness and the entries' listener wrote to standard error. Cause: net/http doubles its pause after a failed accept up to 1 s, fasthttp (callers of a deployment with side processes, metrics) always pauses 1 s. Both, moreover, take ENOBUFS, ENOMEM and the errors of single connections that accept4 passes on (EPROTO, EHOSTUNREACH, ...) for permanent: they end the server, and with it the process. Change: netconn.RetryAccept retries every 10 ms until the listener is closed or cannot be used, and logs at most one line a second with the number of failures. Listeners for callers (both kinds of deployment), readiness, other entries and metrics use it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/settings"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/admin"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 	"github.com/cassiaramp/cassiaramp/internal/transport/platformclient"
 	"github.com/cassiaramp/cassiaramp/internal/transport/quicsession"
 )
@@ -111,7 +112,9 @@
 		return fmt.Errorf("listen for operators: %w", err)
 	}
 	server := &admin.Server{Ready: ready}
-	p.group.Go(func() error { return server.Serve(p.running, ln) })
+	p.group.Go(func() error {
+		return server.Serve(p.running, netconn.RetryAccept(ln, p.log.With(zap.String("listener", "operators"))))
+	})
 	return nil
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -212,19 +212,17 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
 	})
-	config := netconn.ListenConfig()
-	ln, err := config.Listen(ctx, "tcp4", p.settings.Readiness.String())
+	ln, err := netconn.Listen(ctx, p.settings.Readiness.String(), p.log.With(zap.String("listener", "readiness")))
 	if err != nil {
 		return fmt.Errorf("listen for readiness: %w", err)
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, ErrorLog: zap.NewStdLog(p.log)}
 	return netconn.Serve(ctx, server, ln)
 }
 
 // serveEntries serves snapshots and origins of streams to the other entries.
 func (p *gatewayProcess) serveEntries(ctx context.Context) error {
-	config := netconn.ListenConfig()
-	ln, err := config.Listen(ctx, "tcp4", netip.AddrPortFrom(p.settings.IP, p.settings.FirstPort).String())
+	ln, err := netconn.Listen(ctx, netip.AddrPortFrom(p.settings.IP, p.settings.FirstPort).String(), p.log.With(zap.String("listener", "entries")))
 	if err != nil {
 		return fmt.Errorf("listen for entries: %w", err)
 	}
@@ -255,7 +253,7 @@
 		return nil
 	}
 	server := &admin.Server{Ready: p.checkReady}
-	return server.Serve(ctx, ln)
+	return server.Serve(ctx, netconn.RetryAccept(ln, p.log.With(zap.String("listener", "metrics"))))
 }
 
 // runPeriodicTasks grants free slots and closes idle connections to targets at
--- a/internal/transport/entryhttp/server.go
+++ b/internal/transport/entryhttp/server.go
@@ -19,6 +19,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/admission"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/entry"
 	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 )
 
 const servicesPrefix = "/services/"
@@ -82,7 +83,7 @@
 
 // Serve accepts connections from l until Shutdown or StopAccepting is called.
 func (s *Server) Serve(l net.Listener) error {
-	bounded := newListener(l, s.cfg.MaxConnections)
+	bounded := newListener(netconn.RetryAccept(l, s.cfg.Log.With(zap.String("listener", "callers"))), s.cfg.MaxConnections)
 	s.listener.Store(bounded)
 	if s.stopping.Load() {
 		bounded.Close()
--- a/internal/transport/gatewayhttp/server.go
+++ b/internal/transport/gatewayhttp/server.go
@@ -74,8 +74,7 @@
 
 // Serve serves on address until ctx ends.
 func (s *Server) Serve(ctx context.Context, address string) error {
-	config := netconn.ListenConfig()
-	ln, err := config.Listen(ctx, "tcp4", address)
+	ln, err := netconn.Listen(ctx, address, s.Log.With(zap.String("listener", "callers")))
 	if err != nil {
 		return err
 	}
