A lack of descriptors is not held against targets

Cause: every connection that could not be opened counted against the target. Change: upstream wraps gateway.ErrShortage in errors of the entry's own system (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL) when it connects or writes. A request that was not sent for that reason has the outcome "unused", is placed again after 10 ms, also at the same target, and is refused as not run after maxPlacements. A write that was cut off halfway has the outcome "cancelled": it may have run, but says nothing about the target. The log line says "the entry is short of descriptors". The dispatcher needs no change: it ignores both outcomes and returns the part of a rate limit for "unused". Nothing was wrong with Refuses and Closes (a connection that cannot be opened counts as neither refused nor closed; now tested), nor with side processes (a call that was not sent ends as "not run", which ejects no target). Measured: tests of gateway, dispatch, upstream and layers pass.

--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -125,7 +125,8 @@
 	// opened.
 	Unreachable
 	// Unused means that the request was not sent, because the grant had expired, its target
-	// has stated that it takes no requests, or its holder does not use it.
+	// has stated that it takes no requests, the entry is short of descriptors, or its holder
+	// does not use it.
 	Unused
 	// Broken means that the response was missing, invalid or incomplete.
 	Broken
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -162,6 +162,10 @@
 	switch {
 	case errors.Is(err, ErrGrantExpired), errors.Is(err, ErrGrantWithdrawn), errors.Is(err, ErrNotSent) && errors.Is(cause, errStopping):
 		return dispatch.Unused
+	case errors.Is(err, ErrNotSent) && errors.Is(err, ErrShortage):
+		return dispatch.Unused
+	case errors.Is(err, ErrShortage):
+		return dispatch.Cancelled
 	case errors.Is(err, ErrNotSent) && (cause == nil || errors.Is(cause, errStalled)):
 		return dispatch.Unreachable
 	case errors.Is(cause, errStalled), errors.Is(cause, errDeadline):
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -32,6 +32,10 @@
 // target has stated meanwhile that it takes no requests.
 var ErrGrantWithdrawn = fmt.Errorf("%w: the target takes no requests any more", ErrNotSent)
 
+// ErrShortage means that the entry itself is short of descriptors, local ports or memory for
+// sockets. It says nothing about the target.
+var ErrShortage = errors.New("the entry is short of descriptors")
+
 // Forward is a caller's request together with what the target is told about it.
 type Forward struct {
 	Call        *state.Call
@@ -51,7 +55,8 @@
 type TargetClient interface {
 	// Send sends a request once. The error wraps ErrNotSent when the target
 	// certainly did not get it, ErrGrantExpired if that was because of SendBy, and
-	// ErrGrantWithdrawn if because of Holds.
+	// ErrGrantWithdrawn if because of Holds, and ErrShortage if the entry lacks what
+	// it takes to send.
 	// Cancelling ctx cancels the request.
 	Send(ctx context.Context, f *Forward) (Exchange, error)
 	// Refuses reports whether connections to an address are refused, which shows that the
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -38,6 +38,11 @@
 	// maxRejectionBytes bounds the body of a response that says that the request did not run,
 	// which is discarded.
 	maxRejectionBytes = 64 << 10
+	// shortagePause is the time from an attempt that failed because the entry was short of
+	// descriptors until the request is placed again. Each request that ends frees some. A
+	// request that has not run is refused after maxPlacements pauses, because another entry
+	// may serve it at once.
+	shortagePause = 10 * time.Millisecond
 	// defaultRetryAfter is the retry-after time of a request that did not run before
 	// it had used up its time or the targets that it may be sent to.
 	defaultRetryAfter = 200 * time.Millisecond
@@ -237,7 +242,10 @@
 		if !tryAnother {
 			return
 		}
-		if !errors.Is(r.lastErr, ErrGrantExpired) && !errors.Is(r.lastErr, ErrGrantWithdrawn) {
+		switch {
+		case errors.Is(r.lastErr, ErrShortage):
+			pause(ctx, shortagePause)
+		case !errors.Is(r.lastErr, ErrGrantExpired) && !errors.Is(r.lastErr, ErrGrantWithdrawn):
 			r.placement.Tried = append(r.placement.Tried, grant.Target.ID)
 		}
 		r.placement.AlreadyAdmitted, r.placement.ResponseBegun = true, r.streamBegun
@@ -249,6 +257,16 @@
 	}
 }
 
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // handlePlacementError ends a request for which the scheduler granted no target.
 func (r *request) handlePlacementError(ctx context.Context, err error) {
 	var refusal *dispatch.Refusal
--- /dev/null
+++ b/internal/transport/upstream/shortage_test.go
@@ -0,0 +1,81 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+)
+
+// lowLimitVariable marks a process that a test has started to run itself with few descriptors.
+const lowLimitVariable = "UPSTREAM_TEST_LOW_LIMIT"
+
+// runWithLowLimit runs the test again in a process of its own, which may have 64 descriptors.
+// It returns true in that process.
+func runWithLowLimit(t *testing.T) bool {
+	t.Helper()
+	if os.Getenv(lowLimitVariable) != "" {
+		var limit syscall.Rlimit
+		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+			t.Fatal(err)
+		}
+		limit.Cur = 64
+		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+			t.Fatal(err)
+		}
+		return true
+	}
+	child := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+	child.Env = append(os.Environ(), lowLimitVariable+"=1")
+	if out, err := child.CombinedOutput(); err != nil {
+		t.Errorf("%v\n%s", err, out)
+	}
+	return false
+}
+
+// useAllDescriptors opens files until no descriptor is left.
+func useAllDescriptors(t *testing.T) (files []*os.File) {
+	t.Helper()
+	for {
+		f, err := os.Open(os.DevNull)
+		if errors.Is(err, syscall.EMFILE) {
+			return files
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		files = append(files, f)
+	}
+}
+
+// Guards against holding it against a sound target that this entry has no descriptor for a
+// connection to it, which ejects the target.
+func TestLackOfDescriptorsIsNotHeldAgainstTheTarget(t *testing.T) {
+	if !runWithLowLimit(t) {
+		return
+	}
+	address, _ := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		for discardRequest(r) {
+			respond(t, c, response("a", "ok"))
+		}
+	})
+	c := New()
+	files := useAllDescriptors(t)
+	if _, _, err := send(t, c, address, "a"); !errors.Is(err, gateway.ErrNotSent) || !errors.Is(err, gateway.ErrShortage) {
+		t.Errorf("error %v; want that the request was not sent because the entry is short of descriptors", err)
+	}
+	if c.Refuses(t.Context(), address) || c.Closes(t.Context(), address) {
+		t.Error("the target seems to have ended")
+	}
+	for _, f := range files[:4] {
+		f.Close()
+	}
+	if _, body, err := send(t, c, address, "a"); err != nil || body != "ok" {
+		t.Errorf("with free descriptors: body %q, error %v", body, err)
+	}
+}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -137,6 +137,7 @@
 	}
 	n, err := conn.Write(b)
 	if err != nil {
+		err = markShortage(err)
 		stop()
 		conn.Close()
 		if n == 0 {
@@ -168,7 +169,7 @@
 func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
 	raw, err := netconn.Dial(ctx, address, dialTimeout)
 	if err != nil {
-		return nil, err
+		return nil, markShortage(err)
 	}
 	c.mu.Lock()
 	c.openedCount++
@@ -176,6 +177,15 @@
 	return newConnection(raw, address), nil
 }
 
+// markShortage wraps gateway.ErrShortage in err if that is an error of this entry's own system
+// and not of the way to the target.
+func markShortage(err error) error {
+	if netconn.IsShortage(err) {
+		return fmt.Errorf("%w: %w", gateway.ErrShortage, err)
+	}
+	return err
+}
+
 // Refuses implements gateway.TargetClient. A connection that it opens goes to the pool.
 func (c *Client) Refuses(ctx context.Context, address string) bool {
 	conn, err := c.dial(ctx, address)
