Callers' connections are bounded; idle ones make room for new ones

Cause: nothing bounded callers' connections, and nothing read Limits.MaxFds. Change: callers may have 0.45 of the sockets that the settings allow (MaxFds less the 200 for files), or of RLIMIT_NOFILE if that is lower or nothing is stated: each of their requests may need a connection to a target as well. When the bound is reached, the connections that have been idle for longest are closed, by a read deadline in the past. While none is idle, a sixteenth more is accepted, answered 503 with Retry-After and closed: the caller tries another entry at once, also with a request that may not be repeated. Further ones wait in the listener's queue, where they hold no descriptor. When accept fails for lack of a descriptor, idle connections are closed too. Entries of a deployment with side processes, which refuse connections above four for each request that may be open, respect the same share of RLIMIT_NOFILE. The idle ones are in a list in the order in which they became idle, so that a bound of thousands costs no search on each connection. Two tests of planned stops use the new type in place of the map; they check the same. Idle connections to targets are not bounded: they do not matter here. Evidence: on the code before, the entry with 300 descriptors reads no caller after the 286th and does not answer readiness ("readiness: ... i/o timeout"); without the bound, "17 connections, want up to 16", "connection 1 is closed: false, want true", "3 requests were sent, want 2"; without the closing at a lack of descriptors, "the connection is not accepted". Measured: tests of transport, daemon, platform and cmd pass, the new ones of gatewayhttp with -race too.

--- a/cmd/cassiarampd/signals_test.go
+++ b/cmd/cassiarampd/signals_test.go
@@ -21,6 +21,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(runDaemonVariable) != "" {
+		lowerDescriptorLimit()
 		main()
 	}
 	os.Exit(m.Run())
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -119,12 +119,22 @@
 func (p *process) newCallerServer(service *entry.Service) *entryhttp.Server {
 	return entryhttp.New(entryhttp.Config{
 		Service: service, Bundle: p.bundles.Current,
-		MaxConnections: connectionsPerRequest * p.settings.Limits.OpenRequests,
+		MaxConnections: p.maxConnections(),
 		MaxBodyBytes:   int64(p.settings.Limits.Memory) / bodyMemoryDivisor,
 		Log:            p.log.Named("front"),
 	})
 }
 
+// maxConnections returns how many connections callers may have: connectionsPerRequest for each
+// request that may be open, as far as the descriptors suffice.
+func (p *process) maxConnections() int {
+	wanted := connectionsPerRequest * p.settings.Limits.OpenRequests
+	if possible := maxCallerConnections(0, p.log); possible > 0 {
+		return min(wanted, possible)
+	}
+	return wanted
+}
+
 // stopTimes are the durations of an entry's planned stop.
 type stopTimes struct {
 	limit   time.Duration // see stopTimeout
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -128,7 +128,7 @@
 	running, finish := context.WithCancel(context.WithoutCancel(ctx))
 	defer finish()
 	group, running := errgroup.WithContext(running)
-	p.callers = &gatewayhttp.Server{Gateway: p.gateway, Log: p.log}
+	p.callers = &gatewayhttp.Server{Gateway: p.gateway, Log: p.log, MaxConnections: maxCallerConnections(p.settings.MaxSockets, p.log)}
 	group.Go(func() error { return p.callers.Serve(running, p.settings.Callers.String()) })
 	group.Go(func() error { return p.serveReadiness(running) })
 	group.Go(func() error { return p.serveEntries(running) })
@@ -242,6 +242,7 @@
 		return 0
 	}))
 	expvar.Publish("connections_opened", expvar.Func(func() any { return p.targetClient.ConnectionsOpened() }))
+	expvar.Publish("caller_connections", expvar.Func(func() any { return p.callers.Connections() }))
 	expvar.Publish("requests_open", expvar.Func(func() any { return p.callers.OpenRequests() }))
 	expvar.Publish("targets_listed", expvar.Func(func() any { return p.control.targetCount() }))
 	expvar.Publish("prompt_parts", expvar.Func(func() any { return p.quarantine.Summary(time.Now()) }))
--- a/internal/transport/gatewayhttp/idleclose_test.go
+++ b/internal/transport/gatewayhttp/idleclose_test.go
@@ -23,9 +23,9 @@
 	var closeOnRead atomic.Bool
 	server.ConnState = func(c net.Conn, st http.ConnState) {
 		if st == http.StateActive && closeOnRead.Load() {
-			s.closeIdle(time.Now(), 0)
+			s.connections.closeIdle(time.Now(), 0)
 		}
-		s.trackIdle(c, st)
+		s.connections.track(c, st)
 	}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -67,9 +67,7 @@
 func waitUntilIdle(t *testing.T, s *Server) {
 	t.Helper()
 	for {
-		s.mu.Lock()
-		n := len(s.idleSince)
-		s.mu.Unlock()
+		_, n := s.connections.count()
 		if n == 1 {
 			return
 		}
--- a/internal/transport/gatewayhttp/server.go
+++ b/internal/transport/gatewayhttp/server.go
@@ -14,7 +14,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,35 +63,40 @@
 type Server struct {
 	Gateway *gateway.Service
 	Log     *zap.Logger
+	// MaxConnections bounds the connections of callers; 0 for no bound.
+	MaxConnections int
 
 	stopping     atomic.Bool // responses close their connections
 	refuseAll    atomic.Bool // no request is accepted
 	openRequests atomic.Int64
-	mu           sync.Mutex
-	idleSince    map[net.Conn]time.Time // of each idle connection
+	connections  connections
 }
 
 // Serve serves on address until ctx ends.
 func (s *Server) Serve(ctx context.Context, address string) error {
-	ln, err := netconn.Listen(ctx, address, s.Log.With(zap.String("listener", "callers")))
+	config := netconn.ListenConfig()
+	ln, err := config.Listen(ctx, "tcp4", address)
 	if err != nil {
 		return err
 	}
-	server := s.newHTTPServer()
 	go s.closeExpiredIdle(ctx)
-	return netconn.Serve(ctx, server, ln)
+	return s.serve(ctx, ln)
+}
+
+// serve serves on ln until ctx ends.
+func (s *Server) serve(ctx context.Context, ln net.Listener) error {
+	server := s.newHTTPServer()
+	return netconn.Serve(ctx, server, netconn.RetryAccept(newBoundedListener(ln, &s.connections), s.Log.With(zap.String("listener", "callers"))))
 }
 
 // newHTTPServer returns the HTTP server of s.
 func (s *Server) newHTTPServer() *http.Server {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.idleSince = make(map[net.Conn]time.Time)
+	s.connections.init(s.MaxConnections, s.Log)
 	return &http.Server{
 		Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		// IdleTimeout bounds idle connections when the operator sets no limit.
 		IdleTimeout: 10 * time.Minute,
-		ConnState:   s.trackIdle, DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(s.Log),
+		ConnState:   s.connections.track, DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(s.Log),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 }
@@ -100,6 +104,20 @@
 // OpenRequests returns the number of requests in progress.
 func (s *Server) OpenRequests() int64 { return s.openRequests.Load() }
 
+// ConnectionCounts are the numbers of callers' connections, for the expvar
+// "caller_connections".
+type ConnectionCounts struct {
+	Open  int `json:"open"`
+	Idle  int `json:"idle"`
+	Bound int `json:"bound"` // 0 for none
+}
+
+// Connections returns the numbers of callers' connections.
+func (s *Server) Connections() ConnectionCounts {
+	open, idle := s.connections.count()
+	return ConnectionCounts{Open: open, Idle: idle, Bound: s.MaxConnections}
+}
+
 // Stop performs a planned stop: responses close their connections from now on. After
 // idleCloseDelay, idle connections are closed, and requests that will not end answerTime
 // before the deadline of ctx are refused. Stop returns when no request has been in progress
@@ -140,7 +158,7 @@
 				s.Gateway.StopBy(end)
 				stopBySet = true
 			}
-			s.closeIdle(now, 0)
+			s.connections.closeIdle(now, 0)
 			if s.openRequests.Load() > 0 {
 				quietSince = time.Time{}
 				continue
@@ -173,17 +191,6 @@
 	}
 }
 
-// trackIdle is the ConnState hook of the server. It keeps idleSince up to date.
-func (s *Server) trackIdle(c net.Conn, st http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if st == http.StateIdle {
-		s.idleSince[c] = time.Now()
-	} else {
-		delete(s.idleSince, c)
-	}
-}
-
 // closeExpiredIdle closes connections that have been idle for longer than the operator
 // allows, until ctx ends.
 func (s *Server) closeExpiredIdle(ctx context.Context) {
@@ -195,29 +202,12 @@
 			return
 		case now := <-tick.C:
 			if c := s.Gateway.Configuration(); c != nil && c.Limits.IdleTimeout > 0 {
-				s.closeIdle(now, time.Duration(idleTimeoutFactor*float64(c.Limits.IdleTimeout)))
+				s.connections.closeIdle(now, time.Duration(idleTimeoutFactor*float64(c.Limits.IdleTimeout)))
 			}
 		}
 	}
 }
 
-// closeIdle closes connections that have been idle for at least limit. It sets a read
-// deadline in the past, on which net/http closes a connection unless it has just read a
-// request from it. Closing the connection here could cut a request that is already
-// being handled.
-func (s *Server) closeIdle(now time.Time, limit time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c, since := range s.idleSince {
-		if now.Sub(since) < limit {
-			continue
-		}
-		if err := c.SetReadDeadline(time.Unix(1, 0)); err != nil {
-			s.Log.Debug("idle connection not closed", zap.Error(err))
-		}
-	}
-}
-
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
@@ -243,10 +233,12 @@
 	}
 	out := &responder{w: w, control: control, call: call, closeConnection: s.stopping.Load}
 	if s.refuseAll.Load() {
-		s.Log.Info("request refused", zap.String("request", string(call.ID)), zap.String("reason", dispatch.ReasonStopping))
-		if err := out.Fail(gateway.Failure{Kind: gateway.NotRun, Reason: dispatch.ReasonStopping, RetryAfter: dispatch.StoppingRetryAfter}); err != nil {
-			s.Log.Info("write to caller failed", zap.String("request", string(call.ID)), zap.Error(err))
-		}
+		s.refuse(out, dispatch.ReasonStopping, dispatch.StoppingRetryAfter)
+		return
+	}
+	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok && s.connections.isAboveBound(conn) {
+		out.closeConnection = func() bool { return true }
+		s.refuse(out, reasonConnections, connectionsRetryAfter)
 		return
 	}
 	s.Gateway.Serve(r.Context(), call, arrived, out)
@@ -255,6 +247,14 @@
 	}
 }
 
+// refuse answers a request that is not passed to the gateway.
+func (s *Server) refuse(out *responder, reason string, retryAfter time.Duration) {
+	s.Log.Info("request refused", zap.String("request", string(out.call.ID)), zap.String("reason", reason))
+	if err := out.Fail(gateway.Failure{Kind: gateway.NotRun, Reason: reason, RetryAfter: retryAfter}); err != nil {
+		s.Log.Info("write to caller failed", zap.String("request", string(out.call.ID)), zap.Error(err))
+	}
+}
+
 // connKey is the key under which the context of a request holds its connection.
 type connKey struct{}
 
--- a/internal/transport/gatewayhttp/stop_test.go
+++ b/internal/transport/gatewayhttp/stop_test.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
-	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 	"github.com/cassiaramp/cassiaramp/internal/transport/netconn/conntest"
 )
 
@@ -36,8 +35,7 @@
 		Server: &Server{Log: zap.NewNop(), Gateway: newGateway(send)}, t: t, end: end,
 		ln: conntest.NewListener(), stopped: make(chan struct{}), served: make(chan error, 1),
 	}
-	server := s.newHTTPServer()
-	go func() { s.served <- netconn.Serve(ctx, server, s.ln) }()
+	go func() { s.served <- s.serve(ctx, s.ln) }()
 	return s
 }
 
@@ -192,9 +190,8 @@
 			s := startStoppable(t, untilCancelled)
 			const grace = 4 * time.Second
 			deadline := time.Now().Add(grace)
-			s.mu.Lock()
-			s.idleSince[&lateConn{from: deadline.Add(-answerTime - 30*time.Millisecond), until: deadline.Add(time.Millisecond)}] = time.Now()
-			s.mu.Unlock()
+			synctest.Wait() // the server is started
+			s.connections.track(&lateConn{from: deadline.Add(-answerTime - 30*time.Millisecond), until: deadline.Add(time.Millisecond)}, http.StateIdle)
 			var responses statuses
 			responses.send(s, 1)
 			s.beginStop(grace)
