An idle connection to a target makes room for one to another

Seen by review: an entry out of descriptors refuses a request because it cannot connect to its target, while idle connections to other targets hold descriptors that nobody uses. Cause: the pool gives a connection up only when it expires. Change: if a connection cannot be opened for lack of a descriptor, the idle one that expires first is closed and the connection is tried once more. Evidence: the test, in a process with 64 descriptors, failed before: "connection to another target: the entry is short of descriptors: ... too many open files". Measured: tests of upstream pass, also with -race.

--- a/internal/transport/upstream/shortage_test.go
+++ b/internal/transport/upstream/shortage_test.go
@@ -79,3 +79,31 @@
 		t.Errorf("with free descriptors: body %q, error %v", body, err)
 	}
 }
+
+// Guards against a request that is not sent for lack of a descriptor although idle connections
+// to other targets have some.
+func TestIdleConnectionMakesRoomForAnother(t *testing.T) {
+	if !runWithLowLimit(t) {
+		return
+	}
+	answer := func(c net.Conn, r *bufio.Reader) {
+		for discardRequest(r) {
+			respond(t, c, response("a", "ok"))
+		}
+	}
+	used, _ := startTarget(t, answer)
+	other, _ := startTarget(t, answer)
+	c := New()
+	if _, body, err := send(t, c, used, "a"); err != nil || body != "ok" {
+		t.Fatalf("body %q, error %v", body, err)
+	}
+	useAllDescriptors(t)
+	conn, err := c.dial(t.Context(), other)
+	if err != nil {
+		t.Fatalf("connection to another target: %v", err)
+	}
+	conn.Close()
+	if conn := c.popIdle(used); conn != nil {
+		t.Error("the idle connection is still there")
+	}
+}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -165,9 +165,12 @@
 	return c.dial(ctx, address)
 }
 
-// dial opens a connection.
+// dial opens a connection. If there is no descriptor for it, an idle one makes room.
 func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
 	raw, err := netconn.Dial(ctx, address, dialTimeout)
+	if netconn.IsShortage(err) && c.closeOneIdle() {
+		raw, err = netconn.Dial(ctx, address, dialTimeout)
+	}
 	if err != nil {
 		return nil, markShortage(err)
 	}
@@ -240,6 +243,27 @@
 	c.idle[conn.address] = append(c.idle[conn.address], conn)
 }
 
+// closeOneIdle closes an idle connection, that which expires first of those that are least
+// recently used at their addresses. It reports whether there was one.
+func (c *Client) closeOneIdle() bool {
+	c.mu.Lock()
+	var first *connection
+	for _, list := range c.idle {
+		if len(list) > 0 && (first == nil || list[0].expiresAt.Before(first.expiresAt)) {
+			first = list[0]
+		}
+	}
+	if first != nil {
+		c.idle[first.address] = c.idle[first.address][1:]
+	}
+	c.mu.Unlock()
+	if first == nil {
+		return false
+	}
+	first.Close()
+	return true
+}
+
 // CloseIdle closes the idle connections to address.
 func (c *Client) CloseIdle(address string) {
 	c.mu.Lock()
