Idle connections of the readiness check are closed after 10 s

Seen by review of who may hold descriptors without end. Cause: the server for readiness had a time limit for heads only, so that a connection that was idle after a check stayed open until the caller closed it. A check that connects anew each second and leaves its connections open would take 3600 descriptors an hour. Change: IdleTimeout of 10 s. The server for other entries needs none: it has a ReadTimeout, which counts for idle connections, and entries do not keep theirs.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -50,6 +50,10 @@
 	// and defaultResponseMemory what they may take if its limit is not stated, in bytes.
 	responseMemoryShare   = 0.125
 	defaultResponseMemory = 32 << 20
+	// readinessIdleTimeout is the time after which an idle connection of the readiness check is
+	// closed. The platform asks every second; one that connects anew each time and leaves its
+	// connections open would take all descriptors.
+	readinessIdleTimeout = 10 * time.Second
 	// closeExpiredInterval is the time between checks for idle connections to close.
 	closeExpiredInterval = time.Second
 )
@@ -204,20 +208,24 @@
 	}
 }
 
-// serveReadiness serves the platform's readiness check.
-func (p *gatewayProcess) serveReadiness(ctx context.Context) error {
+// newReadinessServer returns the server of the platform's readiness check.
+func (p *gatewayProcess) newReadinessServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if err := p.checkReady(); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
 	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: readinessIdleTimeout, ErrorLog: zap.NewStdLog(p.log)}
+}
+
+// serveReadiness serves the platform's readiness check.
+func (p *gatewayProcess) serveReadiness(ctx context.Context) error {
 	ln, err := netconn.Listen(ctx, p.settings.Readiness.String(), p.log.With(zap.String("listener", "readiness")))
 	if err != nil {
 		return fmt.Errorf("listen for readiness: %w", err)
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, ErrorLog: zap.NewStdLog(p.log)}
-	return netconn.Serve(ctx, server, ln)
+	return netconn.Serve(ctx, p.newReadinessServer(), ln)
 }
 
 // serveEntries serves snapshots and origins of streams to the other entries.
