--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -159,6 +159,7 @@
 func (e *exchange) write(request []byte) error {
 	first := min(len(request), firstWriteBytes)
 	n, err := e.conn.Write(request[:first])
+	err = markShortage(err)
 	e.sentAt = time.Now()
 	switch {
 	case err != nil && n == 0:
@@ -168,7 +169,7 @@
 	default:
 		go func() {
 			_, err := e.conn.Write(request[first:])
-			e.writeEnded(err)
+			e.writeEnded(markShortage(err))
 		}()
 	}
 	return nil
@@ -216,11 +217,14 @@
 	return c.dial(ctx, address)
 }
 
-// dial opens a connection.
+// dial opens a connection. If there is no descriptor for it, an idle one makes room.
 func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
 	raw, err := netconn.Dial(ctx, address, dialTimeout)
+	if netconn.IsShortage(err) && c.closeOneIdle() {
+		raw, err = netconn.Dial(ctx, address, dialTimeout)
+	}
 	if err != nil {
-		return nil, err
+		return nil, markShortage(err)
 	}
 	c.mu.Lock()
 	c.openedCount++
@@ -228,6 +232,15 @@
 	return newConnection(raw, address), nil
 }
 
+// markShortage wraps gateway.ErrShortage in err if that is an error of this entry's own system
+// and not of the way to the target.
+func markShortage(err error) error {
+	if netconn.IsShortage(err) {
+		return fmt.Errorf("%w: %w", gateway.ErrShortage, err)
+	}
+	return err
+}
+
 // Refuses implements gateway.TargetClient. A connection that it opens goes to the pool.
 func (c *Client) Refuses(ctx context.Context, address string) bool {
 	conn, err := c.dial(ctx, address)
@@ -282,6 +295,27 @@
 	c.idle[conn.address] = append(c.idle[conn.address], conn)
 }
 
+// closeOneIdle closes an idle connection, that which expires first of those that are least
+// recently used at their addresses. It reports whether there was one.
+func (c *Client) closeOneIdle() bool {
+	c.mu.Lock()
+	var first *connection
+	for _, list := range c.idle {
+		if len(list) > 0 && (first == nil || list[0].expiresAt.Before(first.expiresAt)) {
+			first = list[0]
+		}
+	}
+	if first != nil {
+		c.idle[first.address] = c.idle[first.address][1:]
+	}
+	c.mu.Unlock()
+	if first == nil {
+		return false
+	}
+	first.Close()
+	return true
+}
+
 // CloseIdle closes the idle connections to address.
 func (c *Client) CloseIdle(address string) {
 	c.mu.Lock()
