A peer that acknowledges and does not read keeps its connection

Callers saw: a connection closed in the middle of a request or response whose reader pauses for more than 1.5 s: a target that reads a long body later, or a caller that reads its response later.

Cause: TCP_USER_TIMEOUT of 1.5 s on all connections. Linux counts the time for which the peer's window is closed, and answered window probes do not reset it. The connection is lost also if no write is blocked, with a response that is written and waits in the kernel's buffer (64 KB, before a receiver with a buffer of 4 KB).

Evidence: TestPeerThatReadsLaterKeepsItsConnection and TestCallerThatPausesReadingGetsTheWholeResponse fail on the code before and on, with a pause of 3.5 s: "write: connection timed out" at the sender, "3977 bytes, error connection reset by peer; want 65536" at the caller.

Measured on Linux 6.18, arm64, loopback; a silent peer is one whose socket filter drops all packets: - Silent, data unacknowledged, keep-alive probes only: open after 6 s. Linux sends no such probes while data is unacknowledged. - Silent, data unacknowledged, option set 0.7 s after the write: ends after 1.92 s, with ETIMEDOUT; set from the start: 1.93 s. - Silent, idle, probes (idle 500 ms, interval 500 ms, 3): ends after 4.10 s without the option and after 2.05 s with it. Linux takes whole seconds, so that the interval was 1 s, and with the option one probe without an answer ended the connection. - Closed window, sound peer: TCP_INFO shows no unacknowledged segment, unsent bytes, and at most one window probe without an answer. - Silent after 3 s of a closed window, with this change: ends after 24 s, because the probes back off. Limits of the request end it sooner. - Peer stopped by SIGSTOP: its kernel answers probes; an idle connection, one with 20 kB unread and one with a blocked write of 32 MB outlast 5 to 6 s.

Change: where TCP_INFO exists, the option is set only while the kernel shows a silent peer (retransmissions without an answer, or three window probes). A goroutine looks at connections with data in transit every 500 ms and ends with the last one. One keep-alive probe ends an idle connection, as before. Where TCP_INFO does not exist, the option is set as long as the bytes written since the peer was last heard fit into any window (16 KiB). Options that do not exist no longer fail the connection.

Measured after: both tests pass, with and without TCP_INFO; silent peers end a connection after 1.72 s (blocked write), 1.92 s (unacknowledged data) and 2.03 s (idle), which are the times before the change. The tests of transport, daemon, platform and cmd pass.

--- a/internal/transport/gatewayhttp/server.go
+++ b/internal/transport/gatewayhttp/server.go
@@ -262,8 +262,8 @@
 // without chunks ends with its connection, so that only a reset tells the caller that it
 // is incomplete.
 func (s *Server) cutResponse(r *http.Request) {
-	if tcp, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
-		if err := tcp.SetLinger(0); err != nil {
+	if c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(seconds int) error }); ok && !r.ProtoAtLeast(1, 1) {
+		if err := c.SetLinger(0); err != nil {
 			s.Log.Warn("connection of a broken response not reset", zap.String("caller", r.RemoteAddr), zap.Error(err))
 		}
 	}
--- a/internal/transport/netconn/netconn.go
+++ b/internal/transport/netconn/netconn.go
@@ -17,33 +17,37 @@
 // callers abandon a stream without events.
 const (
 	silenceTimeout = 1500 * time.Millisecond
-	probeInterval  = 500 * time.Millisecond
-	probeCount     = int(silenceTimeout / probeInterval)
+	probeInterval  = time.Second // the least that Linux takes
+	// An idle connection ends when this number of probes has no answer. With TCP_USER_TIMEOUT,
+	// Linux ends it after the first one that is older than the timeout, whatever the number.
+	idleProbes    = 1
+	limitedProbes = 3
 )
 
-// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux, for which package
-// syscall has no constant.
-const tcpUserTimeout = 0x12
-
-// KeepAlive returns the keep-alive configuration of all connections.
+// KeepAlive returns the keep-alive configuration of all connections. Probes detect a silent
+// peer of an idle connection only: while data is unacknowledged, Linux sends none.
 func KeepAlive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}
+	count := limitedProbes
+	if infoAvailable() {
+		count = idleProbes
+	}
+	return net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: count}
 }
 
 // Dial opens a TCP connection to an IPv4 address. timeout bounds the attempt.
 func Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: setUserTimeout}
+	d := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: limitSocket}
 	conn, err := d.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
-	return conn, nil
+	return newConn(conn), nil
 }
 
 // ListenConfig returns the configuration of listeners whose connections detect an
 // unresponsive peer.
 func ListenConfig() net.ListenConfig {
-	return net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setUserTimeout}
+	return net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: limitSocket}
 }
 
 // endTimeout bounds the time that a server waits at its end for requests in progress, and for
@@ -61,7 +65,7 @@
 	busy := &busyConns{open: make(map[net.Conn]struct{}), hook: server.ConnState}
 	server.ConnState = busy.track
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
-	err := server.Serve(ln)
+	err := server.Serve(listener{ln})
 	if stop() {
 		return err // ctx has not ended
 	}
@@ -99,14 +103,12 @@
 	return len(b.open) > 0
 }
 
-// setUserTimeout limits how long sent data may stay unacknowledged.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var err error
-	cerr := c.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silenceTimeout.Milliseconds()))
-	})
-	if cerr != nil {
-		return cerr
+// limitSocket sets TCP_USER_TIMEOUT for a socket and the connections that it accepts, where
+// there is no better means. An error is ignored: where the option does not exist, keep-alive
+// probes detect a silent peer.
+func limitSocket(_, _ string, c syscall.RawConn) error {
+	if infoAvailable() {
+		return nil
 	}
-	return err
+	return c.Control(func(fd uintptr) { _ = setUserTimeout(fd, true) })
 }
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -358,11 +358,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
