upstream: a connection is reset whatever type wraps it

Cause: connections of package netconn are no longer of type net.TCPConn, so that a request that is given up would again be delivered afterwards. Change: the reset goes by the method, not the type. Result: TestRequestThatWasGivenUpIsNotDelivered covers it on the joined code.

--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -93,8 +93,8 @@
 // of the request is discarded. Otherwise it would be delivered when the target reads again, or
 // its link is back, and the target would run a request that nobody waits for.
 func (c *connection) abandon() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		tcp.SetLinger(0) // fails only on a connection that is closed already
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		socket.SetLinger(0) // fails only on a connection that is closed already
 	}
 	c.Close()
 }
