A server delivers what it has written before it closes a connection

Callers saw: a response that is cut off, or missing, when the server closes the connection after it: a caller that reads slowly, or whose response is still on its way, and that has sent more than the server has read. That is a further request that crosses the close (a planned stop, Connection: close), the rest of a body that is rejected, or a part of a head.

Cause: the kernel resets a connection that is closed with unread input, or that receives input after its close, and discards what it has not delivered. net/http closes at once after Connection: close and in Server.Close, and 500 ms later after a body that was not read.

Evidence: TestResponseBeforeCloseIsDeliveredDespiteUnreadInput and TestResponseIsDeliveredWhenTheServerEnds, on loopback, with a caller that has a receive buffer of 4 KB and reads 64 KB 1 s late.

Change: connections of netconn.Serve are closed in two steps, as RFC 9112 9.6 asks: the end is sent after what was written, and input is discarded until the caller closes, for 5 s once everything was acknowledged and 30 s at most. A caller that has closed first is not waited for, nor is one whose connection is to be reset. At its end, a server waits up to 150 ms for these connections, because the exit of the process closes what is left.

Measured: the tests pass, also with the race detector. The tests of netconn, gatewayhttp, mesh, daemon and cassiarampd pass. Before this change, gatewayhttp with the race detector reports a race of TestPlannedStopAnswersRequestsInProgress: its handlers share a counter.

--- a/internal/transport/netconn/conn.go
+++ b/internal/transport/netconn/conn.go
@@ -1,6 +1,7 @@
 package netconn
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -50,18 +51,6 @@
 	return &conn{Conn: tcp, raw: raw, limited: !infoAvailable()}
 }
 
-// listener accepts connections whose peers are watched.
-type listener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return newConn(c), nil
-}
-
 // SyscallConn implements syscall.Conn.
 func (c *conn) SyscallConn() (syscall.RawConn, error) { return c.raw, nil }
 
@@ -104,17 +93,25 @@
 
 // watch sets TCP_USER_TIMEOUT if the peer is silent, and reports whether c has data in transit.
 func (c *conn) watch() bool {
-	var info *unix.TCPInfo
-	var err error
-	if cerr := c.raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); cerr != nil || err != nil {
+	info, err := c.info()
+	if err != nil {
 		return false // closed
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.limit(info.Unacked > 0 && info.Retransmits > 0 || info.Probes >= silentProbes)
-	return info.Unacked > 0 || info.Notsent_bytes > 0
+	return inTransit(info)
+}
+
+// info returns what TCP_INFO says about c.
+func (c *conn) info() (info *unix.TCPInfo, err error) {
+	cerr := c.raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return info, errors.Join(cerr, err)
 }
 
+// inTransit reports whether the peer has not acknowledged all that was written.
+func inTransit(info *unix.TCPInfo) bool { return info.Unacked > 0 || info.Notsent_bytes > 0 }
+
 // limit sets TCP_USER_TIMEOUT to silenceTimeout or to none. c.mu is held.
 func (c *conn) limit(limited bool) {
 	if limited == c.limited {
--- a/internal/transport/netconn/netconn.go
+++ b/internal/transport/netconn/netconn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -50,8 +51,8 @@
 	return net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: limitSocket}
 }
 
-// endTimeout bounds the time that a server waits at its end for requests in progress, and for
-// those that are expected on new connections.
+// endTimeout bounds the time that a server waits at its end for requests in progress, for those
+// that are expected on new connections, and then for its callers to close their connections.
 const endTimeout = 150 * time.Millisecond
 
 // endCheckInterval is the time between checks whether a server may end.
@@ -60,12 +61,14 @@
 // Serve serves HTTP on ln until ctx ends. It then closes ln, goes on serving the open
 // connections until none has a request in progress and none is new, for up to endTimeout,
 // closes all connections and returns nil. It does not use http.Server.Shutdown, which closes a
-// connection without a response if it reads a request afterwards.
+// connection without a response if it reads a request afterwards. Connections are closed such
+// that callers receive what was written; see servedConn.
 func Serve(ctx context.Context, server *http.Server, ln net.Listener) error {
 	busy := &busyConns{open: make(map[net.Conn]struct{}), hook: server.ConnState}
 	server.ConnState = busy.track
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
-	err := server.Serve(listener{ln})
+	var lingering atomic.Int64
+	err := server.Serve(listener{Listener: ln, lingering: &lingering})
 	if stop() {
 		return err // ctx has not ended
 	}
@@ -73,6 +76,9 @@
 		time.Sleep(endCheckInterval)
 	}
 	server.Close() // fails for connections that are closed already
+	for end := time.Now().Add(endTimeout); lingering.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(endCheckInterval)
+	}
 	return nil
 }
 
