gatewayhttp: slow callers are given up only when nothing moves

Callers saw: a long response that ends early if it is read slowly, and 400 for a proper request whose body arrives slowly.

Cause: a response, or an event, had 10 s for all its bytes, and a body had 10 s to arrive as a whole. A body that stopped was answered with 400, which says that the request is invalid.

Evidence, in virtual time: TestSlowlyReadResponseIsWhole (512 KB at 4 KB per 0.1 s) fails on the code before with "409479 bytes, error unexpected EOF; want 524288"; TestBodyThatArrivesSlowly (1 byte per s) with 400 instead of 200, and instead of 408 if the body stops.

Change: each 64 KB of a response and each read of a body have a deadline of their own. A body that stops is answered with 408, which says that the request was not run.

--- a/internal/transport/gatewayhttp/server.go
+++ b/internal/transport/gatewayhttp/server.go
@@ -13,6 +13,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -29,11 +31,12 @@
 const (
 	// headerTimeout bounds the arrival of a request's head.
 	headerTimeout = 5 * time.Second
-	// bodyTimeout bounds the arrival of a request's body.
+	// bodyTimeout bounds the wait for more of a request's body.
 	bodyTimeout = 10 * time.Second
-	// writeTimeout bounds each write of a response. It ends connections whose callers
-	// do not read.
-	writeTimeout = 10 * time.Second
+	// writeTimeout bounds the writing of each maxWriteBytes of a response. It ends connections
+	// whose callers do not read, and not those of callers that read slowly.
+	writeTimeout  = 10 * time.Second
+	maxWriteBytes = 64 << 10
 	// maxHeaderBytes bounds the head that the server reads. The operator's limit is
 	// checked after the head was read.
 	maxHeaderBytes = 64 << 10
@@ -290,14 +293,13 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
 	}
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, http.StatusInternalServerError
-	}
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(&bodyReader{in: r.Body, control: control})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout
 	case err != nil:
 		return nil, http.StatusBadRequest
 	}
@@ -307,6 +309,19 @@
 	return body, 0
 }
 
+// bodyReader reads a request's body as long as more of it arrives within bodyTimeout.
+type bodyReader struct {
+	in      io.Reader
+	control *http.ResponseController
+}
+
+func (b *bodyReader) Read(p []byte) (int, error) {
+	if err := b.control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return 0, err
+	}
+	return b.in.Read(p)
+}
+
 // headerBytes returns the size of the method, URI, host and header fields in bytes. Each
 // field counts 4 bytes for separators.
 func headerBytes(r *http.Request) int {
@@ -362,8 +377,16 @@
 		return err
 	}
 	o.w.WriteHeader(r.Status)
-	if len(body) > 0 {
-		if _, err := o.w.Write(body); err != nil {
+	return o.write(body)
+}
+
+// write writes b and flushes it. Each piece has a deadline of its own.
+func (o *responder) write(b []byte) error {
+	for piece := range slices.Chunk(b, maxWriteBytes) {
+		if err := o.extendWriteDeadline(); err != nil {
+			return err
+		}
+		if _, err := o.w.Write(piece); err != nil {
 			return err
 		}
 	}
@@ -378,15 +401,7 @@
 }
 
 // WriteEvent implements gateway.Responder.
-func (o *responder) WriteEvent(b []byte) error {
-	if err := o.extendWriteDeadline(); err != nil {
-		return err
-	}
-	if _, err := o.w.Write(b); err != nil {
-		return err
-	}
-	return o.control.Flush()
-}
+func (o *responder) WriteEvent(b []byte) error { return o.write(b) }
 
 // EndStream implements gateway.Responder. net/http writes the end of the response when
 // the handler returns.
