engine: a response is read although the request was not written completely

Callers of a deployment with side processes saw: outcome unknown for a request with a long body whose target responds before it has read the body and closes the connection, such as with 413 or 503.

A write that fails ended the call, and the HTTP library reads no response after an error of a write, although the response had arrived before the reset.

Evidence: TestResponseBeforeLongBodyIsReadIsPassedOn fails on the code before (2 of 2) and on: "stream_broken: write: broken pipe; want 413".

Change: after the first byte, the error of a write is returned by the next read that fails, in place of its own error. An end of the connection is then an error too, because the kernel reports a reset once, to the write: without that, TestResponseWithoutLengthIsIncompleteAfterReset fails ("incomplete" is taken for complete).

Measured: both tests pass, 5 of 5 runs with the race detector; the tests of engine pass. Not changed: a write that is blocked for 5 s still ends, so that a target which reads a body of several MB later than that loses the request.

--- a/internal/transport/engine/call.go
+++ b/internal/transport/engine/call.go
@@ -20,28 +20,40 @@
 	idleTimeout atomic.Int64 // longest wait of a read, in nanoseconds
 	// stallsAt is when reads end even if bytes arrive; nil for never.
 	stallsAt atomic.Pointer[time.Time]
-	sent     atomic.Bool // at least one byte of the request was written
+	sent     atomic.Bool           // at least one byte of the request was written
+	writeErr atomic.Pointer[error] // of a write after the first byte; nil for none
 }
 
 // Read implements net.Conn. It fails when no byte arrives within the idle timeout, and after
-// stallsAt.
+// stallsAt. After a write that failed, an end does not show that a response is complete: the
+// kernel reports a reset once, to the write.
 func (c *conn) Read(p []byte) (int, error) {
 	deadline := time.Now().Add(time.Duration(c.idleTimeout.Load()))
 	if stall := c.stallsAt.Load(); stall != nil && stall.Before(deadline) {
 		deadline = *stall
 	}
 	c.Conn.SetReadDeadline(deadline)
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if werr := c.writeErr.Load(); werr != nil && err != nil {
+		return n, fmt.Errorf("request not written: %w; read: %v", *werr, err)
+	}
+	return n, err
 }
 
 // Write implements net.Conn. It records that the target may have received a part of
-// the request.
+// the request. An error after that is returned by the next failing Read: the target may have
+// responded before it closed the connection, and the HTTP library reads no response after an
+// error of Write.
 func (c *conn) Write(p []byte) (int, error) {
 	c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	n, err := c.Conn.Write(p)
 	if n > 0 {
 		c.sent.Store(true)
 	}
+	if err != nil && c.sent.Load() {
+		c.writeErr.CompareAndSwap(nil, &err)
+		return len(p), nil
+	}
 	return n, err
 }
 
