netconn: one lost keep-alive probe does not end a connection

Callers saw: no answer, or a broken stream, from a sound target that sends nothing for 2 s, if the one probe in that time or its answer is lost.

Cause: with TCP_USER_TIMEOUT set, Linux ends an idle connection at the first unanswered probe that makes the silence longer than the timeout, whatever the number of probes. That is the first one, since the interval is in whole seconds.

Change: two unanswered probes end an idle connection, where TCP_INFO exists. TestOneLostProbeDoesNotEndAConnection checks the options in effect; it fails with a count of one.

--- a/internal/transport/netconn/netconn.go
+++ b/internal/transport/netconn/netconn.go
@@ -13,15 +13,16 @@
 	"time"
 )
 
-// A connection fails when its peer neither acknowledges data nor answers keep-alive
-// probes for about silenceTimeout. The timeout is below 2 s, the time after which
-// callers abandon a stream without events.
+// A connection fails when its peer does not acknowledge data for about silenceTimeout, or
+// does not answer keep-alive probes while it is idle. The timeout is below 2 s, the time after
+// which callers abandon a stream without events.
 const (
 	silenceTimeout = 1500 * time.Millisecond
 	probeInterval  = time.Second // the least that Linux takes
-	// An idle connection ends when this number of probes has no answer. With TCP_USER_TIMEOUT,
-	// Linux ends it after the first one that is older than the timeout, whatever the number.
-	idleProbes    = 1
+	// An idle connection ends when this number of probes has no answer. One may be lost: a
+	// response may be awaited on the connection. With TCP_USER_TIMEOUT, Linux ends it after the
+	// first one that is older than the timeout, whatever the number.
+	idleProbes    = 2
 	limitedProbes = 3
 )
 
--- a/internal/transport/netconn/stall_test.go
+++ b/internal/transport/netconn/stall_test.go
@@ -214,3 +214,41 @@
 		}
 	})
 }
+
+// Guards against ending an idle connection, on which a response is awaited, because one packet
+// was lost. It checks the options in effect, because a loaded machine cannot lose just one probe.
+func TestOneLostProbeDoesNotEndAConnection(t *testing.T) {
+	if !infoAvailable() {
+		t.Skip("there is no TCP_INFO, so that TCP_USER_TIMEOUT ends connections after one probe")
+	}
+	config := ListenConfig()
+	ln, err := config.Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	dialed, err := Dial(t.Context(), ln.Addr().String(), 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialed.Close()
+	accepted, err := listener{Listener: ln}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.(*servedConn).conn.Close()
+	for name, c := range map[string]*conn{"dialed": dialed.(*conn), "accepted": accepted.(*servedConn).conn} {
+		var probes, userTimeout int
+		var perr, uerr error
+		err := c.raw.Control(func(fd uintptr) {
+			probes, perr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_KEEPCNT)
+			userTimeout, uerr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		})
+		if err := errors.Join(err, perr, uerr); err != nil {
+			t.Fatal(err)
+		}
+		if probes < 2 || userTimeout != 0 {
+			t.Errorf("%s: ends after %d probes, user timeout of %d ms; want more than one and none", name, probes, userTimeout)
+		}
+	}
+}
