netconn: a closed connection does not outlive what its peer has received

Idle connections that were closed to make room for others waited 5 s for callers that did not close.

Cause: the close in two steps waited for the caller also if nothing was on its way. Change: a connection whose peer has acknowledged everything is closed at once, others as soon as that is so. Where TCP_INFO does not exist, the close waits 0.5 s.

--- a/internal/transport/netconn/close.go
+++ b/internal/transport/netconn/close.go
@@ -9,11 +9,12 @@
 	"time"
 )
 
-// A server reads and discards the input of a connection that it has closed for lingerTimeout
-// once the caller has acknowledged all that was written, and for maxLinger at most.
 const (
-	lingerTimeout = 5 * time.Second
-	maxLinger     = 30 * time.Second
+	// lingerInterval is the time between checks whether the peer of a connection that is closed
+	// has received what was written. Where that is not known, it counts as received after one.
+	lingerInterval = 500 * time.Millisecond
+	// maxLinger bounds the time for which a closed connection waits for its peer.
+	maxLinger = 30 * time.Second
 )
 
 // listener accepts connections whose peers are watched and whose close delivers what was
@@ -35,10 +36,10 @@
 	return c, nil
 }
 
-// servedConn is a server's connection. When it is closed, it sends what was written and the
-// end, and then discards input until the peer closes it too. If it were closed with unread
-// input, or if input arrived afterwards, the kernel would reset it and discard what the peer
-// has not received yet.
+// servedConn is a server's connection. If it is closed before the peer has received what was
+// written, it sends the rest and the end, and discards input until then. If it were closed with
+// unread input, or if input arrived afterwards, the kernel would reset it and discard what the
+// peer has not received yet. What has been received can still be read there after a reset.
 type servedConn struct {
 	*conn
 	lingering *atomic.Int64
@@ -69,7 +70,7 @@
 	if c.closed.Swap(true) {
 		return net.ErrClosed
 	}
-	if c.abrupt.Load() || c.CloseWrite() != nil { // CloseWrite fails if the peer has reset the connection
+	if c.abrupt.Load() || c.delivered() || c.CloseWrite() != nil { // CloseWrite fails if the peer has reset the connection
 		return c.conn.Close()
 	}
 	c.lingering.Add(1)
@@ -77,16 +78,15 @@
 	return nil
 }
 
-// discardInput reads until the peer closes the connection or has had the time to read all that
-// was written.
+// discardInput reads until the peer closes the connection or has received all that was written.
 func (c *servedConn) discardInput() {
 	defer c.lingering.Add(-1)
 	defer c.conn.Close()
 	for end := time.Now().Add(maxLinger); time.Now().Before(end); {
-		if c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		if c.SetReadDeadline(time.Now().Add(lingerInterval)) != nil {
 			return
 		}
-		if !errors.Is(c.discard(), os.ErrDeadlineExceeded) || !c.undelivered() {
+		if !errors.Is(c.discard(), os.ErrDeadlineExceeded) || !infoAvailable() || c.delivered() {
 			return
 		}
 	}
@@ -101,8 +101,11 @@
 	}
 }
 
-// undelivered reports whether the peer is known not to have acknowledged all that was written.
-func (c *servedConn) undelivered() bool {
+// delivered reports whether the peer is known to have acknowledged all that was written.
+func (c *servedConn) delivered() bool {
+	if !infoAvailable() {
+		return false
+	}
 	info, err := c.info()
-	return err == nil && inTransit(info)
+	return err == nil && !inTransit(info)
 }
