--- a/internal/transport/upstream/longbody_test.go
+++ b/internal/transport/upstream/longbody_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -141,3 +142,34 @@
 		t.Errorf("%d connections were opened, want 1", n)
 	}
 }
+
+// Guards against giving up a request whose target reads a long body only after a while: its
+// connection has a closed window meanwhile.
+func TestTargetReadsLongBodyLater(t *testing.T) {
+	t.Parallel()
+	const pause = 3 * time.Second
+	address, _ := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		time.Sleep(pause)
+		if n, err := io.Copy(io.Discard, req.Body); err != nil || n != int64(len(longBody)) {
+			t.Errorf("target read %d bytes of the body, error %v; want %d", n, err, len(longBody))
+		}
+		respond(t, c, response("a", "ok"))
+	})
+	ex, err := begin(t.Context(), New(), state.TargetRecord{ID: "t", Address: address}, "a", longBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err = ex.Head(); err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(ex)
+	ex.Close(err == nil)
+	if err != nil || string(body) != "ok" {
+		t.Errorf("body %q, error %v; want the response", body, err)
+	}
+}
