--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -16,12 +16,15 @@
 
 // Ledger counts how often each request ran, over all targets.
 type Ledger struct {
-	mu   sync.Mutex
-	runs map[string]int
+	mu      sync.Mutex
+	runs    map[string]int
+	details map[string][]*Run // at targets with a profile
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{runs: make(map[string]int)} }
+func NewLedger() *Ledger {
+	return &Ledger{runs: make(map[string]int), details: make(map[string][]*Run)}
+}
 
 func (l *Ledger) recordRun(id string) {
 	l.mu.Lock()
@@ -70,6 +73,16 @@
 	// nil for none.
 	CrashUnder func(header http.Header, body []byte) (crash func())
 
+	// Profile is set before requests come; nil for the simple target.
+	Profile *Profile
+	// SlowFactor makes the work of a target with a profile take so many times as long; 0 and
+	// 1: as usual. LosePerMille of its runs end with a reset in place of an answer.
+	SlowFactor, LosePerMille atomic.Int64
+	// Closing is set before the server of a target with a profile is closed.
+	Closing atomic.Bool
+
+	slots slotQueue
+
 	arrivalsMu sync.Mutex
 	arrivals   []Arrival // while a limit, a pause or leaving is stated
 
@@ -144,6 +157,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if t.Profile != nil {
+		t.serveWithProfile(w, r, id)
+		return
+	}
 	turnedAway := t.state(header, id)
 	defer t.running.Add(-1)
 	if t.running.Add(1) > int64(4*t.Slots) || turnedAway {
--- /dev/null
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -0,0 +1,314 @@
+package faultsoak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/emulator"
+)
+
+var (
+	deploymentFlag = flag.String("faultsoak.deployment", "", "deployment to run; empty for the one that the seed chooses")
+	daySeconds     = flag.Duration("faultsoak.day", 24*time.Second, "how long the faults of a deployment's run last")
+	shareFlag      = flag.Float64("faultsoak.share", entryCPUShare, "share of a processor that an entry may use; 0: no limit")
+	rateFlag       = flag.Float64("faultsoak.rate", 1, "factor of a deployment's request rate")
+)
+
+// TestDeployments runs the users' deployments with planned work: entries that are stopped
+// and get SIGHUP, and configurations; in every other seed also with faults. Guards against
+// requests that are lost, run twice or are refused although they run.
+func TestDeployments(t *testing.T) {
+	binary := buildDaemon(t)
+	for i := range *seedsFlag {
+		seed := *seedFlag + uint64(i)
+		d := deployments[seed%uint64(len(deployments))]
+		for _, other := range deployments {
+			if other.name == *deploymentFlag {
+				d = other
+			}
+		}
+		t.Run(fmt.Sprintf("%s/seed=%d", d.name, seed), func(t *testing.T) { runDeployment(t, binary, d, seed) })
+	}
+}
+
+// event is planned work or a fault.
+type event struct {
+	what, where string
+	from, to    time.Time
+	impairment  bool
+}
+
+// deploymentRun is one run of a deployment.
+type deploymentRun struct {
+	*deployment
+	world         *world
+	random        *rand.Rand // of the plan
+	configVersion int
+	timeoutFactor map[*requestKind]float64
+	moved         map[*requestKind]bool // to another service
+	idleTimeout   time.Duration         // of callers' connections, in the last configuration
+	idleRoutes    int
+	extraKeys     bool
+	loadPercent   atomic.Int64
+
+	mu       sync.Mutex
+	attempts []*attempt
+	events   []event
+	ready    map[*entry]int // readiness checks missed in a row
+	idleSeen time.Duration  // shortest idleTimeout so far
+}
+
+func runDeployment(t *testing.T, binary string, dep *deployment, seed uint64) {
+	w := newEmptyWorld(t, binary, seed)
+	defer w.close()
+	d := &deploymentRun{
+		deployment: dep, world: w, random: newRandom(seed), timeoutFactor: make(map[*requestKind]float64), moved: make(map[*requestKind]bool), idleTimeout: callerIdle,
+		idleSeen: callerIdle, ready: make(map[*entry]int),
+	}
+	for _, k := range dep.kinds {
+		d.timeoutFactor[k] = 1
+	}
+	d.loadPercent.Store(100)
+	d.start()
+	w.waitReady(10 * time.Second)
+	for _, e := range w.entries {
+		go d.checkRotation(e)
+	}
+	ctx, endLoad := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { d.load(ctx) })
+	time.Sleep(stableWindow)
+	d.playPlan()
+	time.Sleep(time.Second)
+	endLoad()
+	group.Wait()
+	d.judge()
+}
+
+// checkRotation asks an entry once a second whether it is ready.
+func (d *deploymentRun) checkRotation(e *entry) {
+	for d.world.t.Context().Err() == nil {
+		ready := d.world.isReady(e)
+		d.mu.Lock()
+		if d.ready[e]++; ready {
+			d.ready[e] = 0
+		}
+		d.mu.Unlock()
+		time.Sleep(time.Second)
+	}
+}
+
+// inRotation reports whether an entry gets new connections: two readiness checks in a row
+// take it out.
+func (d *deploymentRun) inRotation(e *entry) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ready[e] < 2
+}
+
+func (d *deploymentRun) shortestIdle() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.idleSeen
+}
+
+func (d *deploymentRun) record(a *attempt) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.attempts = append(d.attempts, a)
+}
+
+// note records planned work.
+func (d *deploymentRun) note(what, where string, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.events = append(d.events, event{what: what, where: where, from: at, to: at})
+}
+
+// impair records a fault that begins now.
+func (d *deploymentRun) impair(what, where string, lasts time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.events = append(d.events, event{what: what, where: where, from: time.Now(), to: time.Now().Add(lasts), impairment: true})
+}
+
+// step is a step of a plan.
+type step struct {
+	at time.Duration
+	do func()
+}
+
+// playPlan plays the plan of the seed: planned work for the whole time and, with odd seeds,
+// faults in the first half of it.
+func (d *deploymentRun) playPlan() {
+	r, day := d.random, *daySeconds
+	var plan []step
+	add := func(at time.Duration, do func()) { plan = append(plan, step{at, do}) }
+	between := func(low, high time.Duration) time.Duration { return low + time.Duration(r.Int64N(int64(high-low))) }
+	entries := d.world.entries
+	base := []int64{60, 100, 100, 110}[r.IntN(4)]
+	add(0, func() { d.loadPercent.Store(base) })
+	burst := func(at time.Duration) {
+		factor := 150 + r.Int64N(80)
+		add(at, func() { d.loadPercent.Store(base * factor / 100) })
+		add(at+between(ms(2500), ms(5000)), func() { d.loadPercent.Store(base) })
+	}
+	burst(between(0, day*3/4))
+	// Entries are stopped in turn or at the same moment, twice if the time suffices.
+	for at := between(ms(500), ms(5000)); at < day-ms(4000); at += between(ms(11000), ms(16000)) {
+		if r.IntN(3) > 0 {
+			burst(max(0, at-between(0, ms(2000))))
+		}
+		gap := []time.Duration{0, ms(1050), ms(1300), ms(1300)}[r.IntN(4)]
+		for i, n := range r.Perm(len(entries))[:2+r.IntN(len(entries)-1)] {
+			e, stop := entries[n], at+time.Duration(i)*gap
+			add(stop, func() { d.note("SIGTERM", e.name, time.Now()); e.stop() })
+			if r.IntN(3) == 0 {
+				add(max(0, stop+between(-ms(300), ms(300))), func() { d.hangUp(e) })
+			}
+		}
+	}
+	for range 2 + r.IntN(4) {
+		e := entries[r.IntN(len(entries))]
+		add(between(0, day), func() { d.hangUp(e) })
+	}
+	for range 1 + r.IntN(3) {
+		at := between(0, day)
+		for range 1 + r.IntN(6) {
+			add(at, d.changeConfiguration)
+			at += between(ms(50), ms(400))
+		}
+	}
+	if d.world.seed%2 == 1 {
+		for range 3 + r.IntN(4) {
+			at := between(0, day/2)
+			switch r.IntN(4) {
+			case 0:
+				e, lasts := entries[r.IntN(len(entries))], between(ms(100), ms(900))
+				add(at, func() { d.impair("paused", e.name, lasts); e.pause(lasts) })
+			case 1:
+				factor, lasts := 3+r.Int64N(3), between(ms(2000), ms(5000))
+				add(at, func() {
+					e := d.engine()
+					d.impair("slow", e.ID, lasts)
+					e.SlowFactor.Store(factor)
+					time.AfterFunc(lasts, func() { e.SlowFactor.Store(1) })
+				})
+			case 2:
+				lasts := between(ms(2000), ms(5000))
+				add(at, func() {
+					for range 4 {
+						e := d.engine()
+						d.impair("answers lost", e.ID, lasts)
+						e.LosePerMille.Store(50)
+						time.AfterFunc(lasts, func() { e.LosePerMille.Store(0) })
+					}
+				})
+			default:
+				add(at, d.replaceEngine)
+			}
+		}
+	}
+	slices.SortStableFunc(plan, func(a, b step) int { return int(a.at - b.at) })
+	begin := time.Now()
+	for _, s := range plan {
+		time.Sleep(time.Until(begin.Add(s.at)))
+		s.do()
+	}
+	time.Sleep(time.Until(begin.Add(day)))
+}
+
+func (d *deploymentRun) hangUp(e *entry) {
+	d.note("SIGHUP", e.name, time.Now())
+	e.signal(syscall.SIGHUP)
+}
+
+// engine returns a random target.
+func (d *deploymentRun) engine() *engine {
+	d.world.mu.Lock()
+	defer d.world.mu.Unlock()
+	return d.world.engines[d.random.IntN(len(d.world.engines))]
+}
+
+// timeoutFactors are the factors by which configurations change the time-outs of routes.
+var timeoutFactors = []float64{0.6, 0.8, 1, 1.25}
+
+// changeConfiguration writes a configuration with a change: of the service or the time-out of
+// a route, the other routes, the keys or the idle time-out.
+func (d *deploymentRun) changeConfiguration() {
+	switch k := d.kinds[d.random.IntN(len(d.kinds))]; d.random.IntN(5) {
+	case 0:
+		d.moved[k] = !d.moved[k]
+	case 1:
+		d.timeoutFactor[k] = timeoutFactors[d.random.IntN(len(timeoutFactors))]
+	case 2:
+		d.idleRoutes = d.random.IntN(9)
+	case 3:
+		d.extraKeys = !d.extraKeys
+	default:
+		d.idleTimeout = []time.Duration{ms(2500), callerIdle, ms(6000)}[d.random.IntN(3)]
+		d.mu.Lock()
+		d.idleSeen = min(d.idleSeen, d.idleTimeout)
+		d.mu.Unlock()
+	}
+	d.writeConfiguration()
+}
+
+// replaceEngine lets a target leave and another one begin at its address.
+func (d *deploymentRun) replaceEngine() {
+	w, e := d.world, d.engine()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if e.removed {
+		return
+	}
+	e.removed = true
+	e.Leaving.Store(true)
+	w.putTargetRecord(e, "draining")
+	d.note("leaves", e.ID, time.Now())
+	time.AfterFunc(drainTime+ms(1500), func() {
+		e.Closing.Store(true)
+		e.server.Close()
+		w.store.Put("keyed.servers", e.ID, nil)
+		time.AfterFunc(2*time.Second, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.closed {
+				return
+			}
+			next := &emulator.Target{ID: e.ID + "n", Service: e.Service, Slots: e.Slots, EventsPerStream: e.EventsPerStream, Software: e.Software, Ledger: e.Ledger, Profile: e.Profile}
+			n := &engine{Target: next, startedAt: time.Now()}
+			d.serveTarget(n, e.proxyAddress)
+			w.engines[slices.Index(w.engines, e)] = n
+			w.putTargetRecord(n, "ready")
+		})
+	})
+}
+
+// outcomes returns the numbers of attempts by kind and outcome.
+func (d *deploymentRun) outcomes() map[string]map[string]int {
+	counts := make(map[string]map[string]int)
+	for _, a := range d.attempts {
+		name := fmt.Sprint(a.status)
+		switch {
+		case a.left:
+			name += " left"
+		case a.err != nil:
+			name += " cut"
+		}
+		if counts[a.kind.name] == nil {
+			counts[a.kind.name] = make(map[string]int)
+		}
+		counts[a.kind.name][name]++
+	}
+	return maps.Clone(counts)
+}
--- /dev/null
+++ b/internal/faultsoak/judge_test.go
@@ -0,0 +1,245 @@
+package faultsoak
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/emulator"
+)
+
+const (
+	// A planned stop may cut requests that their targets still work on in the last sixth of
+	// the grace, if they came no later than lateRequest after the SIGTERM.
+	lateRequest = 3 * time.Second
+	// A request may go on at another target while the one before works on it for doubleWork.
+	doubleWork = 400 * time.Millisecond
+	// keptCutsTolerated is the number of requests from kept connections that may be passed on
+	// to a sound target and get no answer.
+	keptCutsTolerated = 3
+	// Cuts beside a configuration count if they are so many times as frequent as at other times.
+	configurationFactor = 3
+)
+
+// judge reports broken rules of the users' page RULES.md, from what callers and targets saw.
+func (d *deploymentRun) judge() {
+	t := d.world.t
+	counts := make(map[string]int)
+	report := func(rule string, a *attempt, runs []emulator.Run, detail string) {
+		counts[rule]++
+		d.world.t.Log(d.describe(rule, a, runs, detail))
+	}
+	var keptCuts, besideConfiguration []*attempt
+	otherCuts := 0
+	for _, a := range d.attempts {
+		runs := d.world.ledger.Details(a.id)
+		ran := slices.DeleteFunc(slices.Clone(runs), func(r emulator.Run) bool { return strings.HasPrefix(r.Outcome, emulator.Rejected) })
+		if a.kind.once() && len(ran) > 1 {
+			report("TWICE", a, runs, "ran more than once")
+		}
+		for i := 1; i < len(ran); i++ {
+			if before := ran[i-1]; a.kind.resumable && !before.RunsOn && before.To.Sub(ran[i].From) > doubleWork {
+				report("TWICE", a, runs, "goes on elsewhere while the target before still works on it")
+			}
+		}
+		if a.kind.once() && len(ran) > 0 && slices.Contains([]int{429, 503, 408, 421}, a.status) {
+			report("REFUSED", a, runs, "was refused and ran")
+		}
+		if wrong := a.wrongAnswer(ran); wrong != "" {
+			report("MIXED", a, runs, wrong)
+		}
+		if !a.cut(runs) {
+			continue
+		}
+		if a.kept && a.status == 0 && d.inTouch(a) {
+			keptCuts = append(keptCuts, a)
+		}
+		switch work, impairment := d.plannedWork(a, ran), d.impairment(a); {
+		case impairment != "":
+			report("cut, excused", a, runs, impairment)
+		case work == "":
+			otherCuts++
+			report("cut, no planned work", a, runs, "")
+		case work == "configuration":
+			besideConfiguration = append(besideConfiguration, a)
+			report("cut beside a configuration", a, runs, "")
+		case strings.HasPrefix(work, "allowed"):
+			report("cut, excused", a, runs, work)
+		default:
+			report("LOST", a, runs, work)
+		}
+	}
+	beside, other := d.timeBesideConfigurations()
+	if n := len(besideConfiguration); n > 0 && float64(n)/beside.Seconds() > configurationFactor*float64(otherCuts)/max(1, other.Seconds()) {
+		counts["LOST"] += n
+	}
+	if len(keptCuts) > keptCutsTolerated {
+		counts["LOST"] += len(keptCuts)
+	}
+	for _, e := range d.events {
+		t.Logf("%s %s %s to %s", e.what, e.where, e.from.UTC().Format("15:04:05.000"), e.to.UTC().Format("15:04:05.000"))
+	}
+	t.Logf("%s, seed %d: %d attempts: %v; periods without processor time: %d", d.name, d.world.seed, len(d.attempts), d.outcomes(), d.world.throttled.Load())
+	t.Logf("findings of %s, seed %d: %v; cuts on kept connections: %d", d.name, d.world.seed, counts, len(keptCuts))
+	for _, rule := range []string{"LOST", "TWICE", "REFUSED", "MIXED"} {
+		if counts[rule] > 0 {
+			t.Errorf("%s: %d", rule, counts[rule])
+		}
+	}
+}
+
+// wrongAnswer says what is wrong with the answer of an attempt that ran as given, or returns
+// "".
+func (a *attempt) wrongAnswer(ran []emulator.Run) string {
+	success := a.status >= 200 && a.status < 300
+	whole := ""
+	if a.kind.kind == "streaming" {
+		for n := a.after + 1; n <= a.events; n++ {
+			whole += emulator.StreamEvent(a.id, n, "v1")
+		}
+	} else {
+		whole = emulator.SizedBody(a.id)
+	}
+	statuses := map[string]int{emulator.RunFailed: http.StatusInternalServerError, emulator.RunTimedOut: http.StatusGatewayTimeout}
+	switch {
+	case a.extra:
+		return "bytes after the answer"
+	case a.status != 0 && a.answerID != a.id:
+		return fmt.Sprintf("answer of request %q", a.answerID)
+	case success && a.signature == "":
+		return "success without signature"
+	case success && !strings.HasPrefix(whole, a.body):
+		return "events or bytes are missing, repeated or of another request"
+	case success && a.err == nil && a.body != whole:
+		return "ends as if complete"
+	case !success && a.signature != "" && !slices.ContainsFunc(ran, func(r emulator.Run) bool { return statuses[r.Outcome] == a.status }):
+		return "signed failure that no target sent"
+	}
+	return ""
+}
+
+// cut reports whether the entry closed the connection without a whole answer to a request
+// that it had read, for none of the reasons that a deadline or the targets give.
+func (a *attempt) cut(runs []emulator.Run) bool {
+	if a.err == nil || a.left || a.sent.IsZero() || len(runs) == 0 && !(a.readWhole && a.ended.Sub(a.sent) > lossSlack) {
+		return false
+	}
+	if len(runs) > 0 && slices.Contains([]string{emulator.RunBrokenOff, emulator.RunLost, emulator.RunTimedOut}, runs[len(runs)-1].Outcome) {
+		return false
+	}
+	took := a.ended.Sub(a.begun)
+	return took < a.limit*9/10 && !slices.ContainsFunc(timeoutFactors, func(f float64) bool {
+		return (took - time.Duration(f*float64(a.kind.timeout))).Abs() < timeoutSlack
+	})
+}
+
+// timeoutSlack is the time around the time-out of a route within which it may have ended a
+// request.
+const timeoutSlack = 150 * time.Millisecond
+
+// inTouch reports whether the entry was neither stopped nor paused from stableWindow before
+// an attempt to its end.
+func (d *deploymentRun) inTouch(a *attempt) bool {
+	return !slices.ContainsFunc(d.events, func(e event) bool {
+		return e.where == a.entry.name && (e.impairment || e.what == "SIGTERM") && e.from.Before(a.ended) && e.to.After(a.sent.Add(-stableWindow))
+	})
+}
+
+// plannedWork returns the planned work that an attempt was cut by, "" for none; "allowed"
+// begins the name of one that may cut it.
+func (d *deploymentRun) plannedWork(a *attempt, ran []emulator.Run) string {
+	work := ""
+	for _, e := range d.events {
+		since := a.ended.Sub(e.from)
+		switch {
+		case since < 0:
+		case e.what == "SIGTERM" && e.where == a.entry.name && since < deploymentGrace+time.Second:
+			if a.sent.Before(e.from.Add(lateRequest)) && slices.ContainsFunc(ran, func(r emulator.Run) bool {
+				return r.To.IsZero() || r.To.After(e.from.Add(deploymentGrace*5/6))
+			}) {
+				return "allowed: at work at the end of the grace"
+			}
+			return "SIGTERM"
+		case e.what == "SIGHUP" && e.where == a.entry.name && a.sent.Before(e.from.Add(configTime)):
+			work = "SIGHUP"
+		case e.what == "configuration" && since < configTime+time.Second && work == "" && a.ended.Sub(a.begun) < a.limit*7/10:
+			work = "configuration"
+		}
+	}
+	return work
+}
+
+// impairment returns the unplanned faults from stableWindow before an attempt to its end.
+func (d *deploymentRun) impairment(a *attempt) string {
+	var found []string
+	for _, e := range d.events {
+		if e.impairment && e.from.Before(a.ended) && e.to.After(a.sent.Add(-stableWindow)) {
+			found = append(found, e.what+" "+e.where)
+		}
+	}
+	return strings.Join(found, ", ")
+}
+
+// timeBesideConfigurations returns the time in which a configuration may excuse nothing, and
+// the rest of the run.
+func (d *deploymentRun) timeBesideConfigurations() (beside, other time.Duration) {
+	var end time.Time
+	for _, e := range d.events {
+		if e.what == "configuration" {
+			until := e.from.Add(configTime + time.Second)
+			beside += until.Sub(latest(e.from, end))
+			end = until
+		}
+	}
+	return beside, *daySeconds - beside
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// describe returns what callers, targets and entries saw of an attempt.
+func (d *deploymentRun) describe(rule string, a *attempt, runs []emulator.Run, detail string) string {
+	var b strings.Builder
+	origin := a.begun
+	fmt.Fprintf(&b, "%s (%s): %s at %s, begun %s", rule, detail, a.id, a.entry.name, a.begun.UTC().Format("15:04:05.000"))
+	for _, e := range d.events {
+		if e.where == a.entry.name && e.from.Before(a.ended) && e.from.After(a.begun.Add(-deploymentGrace-time.Second)) {
+			fmt.Fprintf(&b, ", %s %+dms", e.what, e.from.Sub(origin).Milliseconds())
+		}
+	}
+	for _, at := range d.world.starts[a.entry.name] {
+		if since := at.Sub(origin); since > 0 && since < deploymentGrace+2*time.Second {
+			fmt.Fprintf(&b, ", process started again %+dms", since.Milliseconds())
+		}
+	}
+	fmt.Fprintf(&b, "\n  caller: kept=%t sent +%dms ended +%dms of %d (route %d), status %d, events %d to %d of %d, left=%t read=%t, %v", a.kept, a.sent.Sub(origin).Milliseconds(),
+		a.ended.Sub(origin).Milliseconds(), a.limit.Milliseconds(), a.kind.timeout.Milliseconds(), a.status, a.after, a.after+a.received(), a.events, a.left, a.readWhole, a.err)
+	for _, r := range runs {
+		fmt.Fprintf(&b, "\n  target %s: %+dms to %+dms, %s, last event %d, goes on when left=%t", r.Target, r.From.Sub(origin).Milliseconds(), r.To.Sub(origin).Milliseconds(), r.Outcome, r.Events, r.RunsOn)
+	}
+	paths, _ := filepath.Glob(filepath.Join(d.world.logDirectory, "*.log")) // the pattern is valid
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			d.world.t.Log(err)
+			continue
+		}
+		lines := bufio.NewScanner(f)
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), "request="+a.id+" ") {
+				fmt.Fprintf(&b, "\n  %s: %s", filepath.Base(path), lines.Text())
+			}
+		}
+		f.Close()
+	}
+	return b.String()
+}
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -33,6 +33,7 @@
 	seedsFlag    = flag.Int("faultsoak.seeds", 1, "number of seeds to run")
 	durationFlag = flag.Duration("faultsoak.duration", 5*time.Second, "how long faults are injected for each seed")
 	entriesFlag  = flag.Int("faultsoak.entries", 3, "number of entries")
+	sourceFlag   = flag.String("faultsoak.source", "", "work tree that the daemon is built from; empty for this one")
 	logsFlag     = flag.String("faultsoak.logs", "", "directory in which the logs of the processes are kept; empty for a temporary one")
 )
 
@@ -67,7 +68,9 @@
 func buildDaemon(t *testing.T) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "cassiarampd")
-	out, err := exec.Command("go", "build", "-o", binary, "github.com/cassiaramp/cassiaramp/cmd/cassiarampd").CombinedOutput()
+	build := exec.Command("go", "build", "-o", binary, "github.com/cassiaramp/cassiaramp/cmd/cassiarampd")
+	build.Dir = *sourceFlag
+	out, err := build.CombinedOutput()
 	if err != nil {
 		t.Fatalf("go build of cassiarampd: %v\n%s", err, out)
 	}
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -10,10 +10,13 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/cassiaramp/cassiaramp/internal/emulator"
 )
 
@@ -23,8 +26,10 @@
 	bootFile   string // settings that the daemon starts with
 	storeProxy *emulator.Proxy
 	client     *http.Client
+	grace      time.Duration // from SIGTERM to SIGKILL
 
 	mu            sync.Mutex
+	paused        bool // stopped by the test with SIGSTOP
 	process       *exec.Cmd
 	exited        chan struct{} // closed when process has ended
 	restartOnExit bool          // the process is started again when it ends
@@ -36,6 +41,7 @@
 	proxy        *emulator.Proxy
 	proxyAddress string
 	listener     net.Listener // of the proxy; closed while the engine is crashed
+	server       *http.Server // of a target with a profile, which has no proxy
 	removed      bool         // draining or crashed, until it is started again
 	startedAt    time.Time    // as stated in its record
 	record       []byte       // the last one that it wrote; nil if it was removed
@@ -60,6 +66,10 @@
 	copies        []*emulator.Copy // of the store, the newest last
 	faultCounts   map[string]int
 	cleanups      []func()
+	grace         time.Duration // from SIGTERM to SIGKILL
+	extraSettings string        // lines for the settings files of the entries
+	cpuShare      float64       // of a core that an entry may use; 0: no limit
+	throttled     atomic.Int64  // periods in which an entry used up its share
 
 	partCrashes, requestCrashes crashKind
 
@@ -87,14 +97,7 @@
 // newWorld starts the processes of a seed. The targets have the given software versions
 // by turns.
 func newWorld(t *testing.T, binary string, seed uint64, versions ...string) *world {
-	w := &world{
-		t: t, binary: binary, seed: seed, random: newRandom(seed), logDirectory: logDir(t, seed), store: emulator.NewStore(),
-		ledger: emulator.NewLedger(), faultCounts: make(map[string]int), sentTo: make(map[string]string), starts: make(map[string][]time.Time),
-		saturatedStops: make(map[string][]time.Time),
-		partCrashes:    crashKind{name: "prompt part", learnAfter: 5}, requestCrashes: crashKind{name: "repeated request", learnAfter: 3},
-	}
-	w.storeAddress = w.serveOn("127.0.0.1:0", func(ln net.Listener) { w.store.Serve(ln) })
-	w.newPublisher()
+	w := newEmptyWorld(t, binary, seed)
 	for i := range 6 {
 		w.addEngine(fmt.Sprintf("engine-%d", i), versions[i%len(versions)], i < 3)
 	}
@@ -107,6 +110,19 @@
 	return w
 }
 
+// newEmptyWorld returns a world with a store, but without targets and entries.
+func newEmptyWorld(t *testing.T, binary string, seed uint64) *world {
+	w := &world{
+		t: t, binary: binary, seed: seed, random: newRandom(seed), logDirectory: logDir(t, seed), store: emulator.NewStore(), grace: stopGrace,
+		ledger: emulator.NewLedger(), faultCounts: make(map[string]int), sentTo: make(map[string]string), starts: make(map[string][]time.Time),
+		saturatedStops: make(map[string][]time.Time),
+		partCrashes:    crashKind{name: "prompt part", learnAfter: 5}, requestCrashes: crashKind{name: "repeated request", learnAfter: 3},
+	}
+	w.storeAddress = w.serveOn("127.0.0.1:0", func(ln net.Listener) { w.store.Serve(ln) })
+	w.newPublisher()
+	return w
+}
+
 // serveOn calls serve with a listener on a loopback address, which is closed when
 // the world is, and returns the address.
 func (w *world) serveOn(address string, serve func(net.Listener)) string {
@@ -205,7 +221,7 @@
 // addEntry writes the settings of an entry and starts it and its proxy to the store.
 func (w *world) addEntry(i int, storeAddress string) {
 	e := &entry{
-		name: fmt.Sprintf("edge-%d", i), ip: fmt.Sprintf("127.0.%d.%d", 2+os.Getpid()%200, 10+i), storeProxy: emulator.NewProxy(storeAddress), restartOnExit: true,
+		grace: w.grace, name: fmt.Sprintf("edge-%d", i), ip: fmt.Sprintf("127.0.%d.%d", 2+os.Getpid()%200, 10+i), storeProxy: emulator.NewProxy(storeAddress), restartOnExit: true,
 		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: dialEntry}},
 	}
 	proxied := w.serveOn("127.0.0.1:0", e.storeProxy.Serve)
@@ -213,7 +229,7 @@
 	text := fmt.Sprintf("NodeName=%s\nZone=a\nIp=%s\nListen.Front=%s:%d\nListen.Ready=%s:%d\nInternalPorts=%d,%d\nBootstrap=%t\n"+
 		"HeartbeatMs=1200\nLimits.MemoryMb=%d\nBounds.GraceS=%g\nBounds.DrainMs=2000\nBounds.RetryBudgetRatio=0.2\nBounds.BudgetWindowS=10\n"+
 		"Bounds.RetryBudgetSlack=56\nBounds.QuotaWindowS=8\nPlatform.Address=%s\n",
-		e.name, e.ip, e.ip, callerPort, e.ip, readyPort, firstInternalPort, lastInternalPort, i == 0, memoryLimitMB, stopGrace.Seconds(), proxied)
+		e.name, e.ip, e.ip, callerPort, e.ip, readyPort, firstInternalPort, lastInternalPort, i == 0, memoryLimitMB, w.grace.Seconds(), proxied) + w.extraSettings
 	if err := os.WriteFile(e.bootFile, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
@@ -239,8 +255,11 @@
 	}
 	exited := make(chan struct{})
 	e.mu.Lock()
-	e.process, e.exited = cmd, exited
+	e.process, e.exited, e.paused = cmd, exited, false
 	e.mu.Unlock()
+	if w.cpuShare > 0 {
+		go w.limitCPU(e, cmd, exited)
+	}
 	go func() {
 		err := cmd.Wait() // not checked, since the process may have been killed
 		fmt.Fprintf(log, "ts=%s level=info msg=\"process ended\" error=\"%v\"\n", time.Now().UTC().Format(time.RFC3339Nano), err)
@@ -262,6 +281,65 @@
 	e.process.Process.Signal(s) // fails if the process has just ended, which is harmless
 }
 
+const (
+	// As on the users' machines, a process that has used its share of the processor in a
+	// cpuPeriod does not run for the rest of it.
+	cpuPeriod   = 100 * time.Millisecond
+	cpuInterval = 2 * time.Millisecond // between readings of the processor time
+)
+
+// limitCPU keeps a process of an entry within cpuShare until it has ended.
+func (w *world) limitCPU(e *entry, cmd *exec.Cmd, exited <-chan struct{}) {
+	clock := int32(^cmd.Process.Pid<<3 | 2) // CPUCLOCK_SCHED of Linux, see clock_getcpuclockid(3)
+	used := func() time.Duration {
+		var t unix.Timespec
+		if unix.ClockGettime(clock, &t) != nil {
+			return 0 // the process has ended
+		}
+		return time.Duration(t.Nano())
+	}
+	signal := func(s syscall.Signal) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if !e.paused {
+			cmd.Process.Signal(s) // fails if the process has just ended, which is harmless
+		}
+	}
+	allowed := time.Duration(w.cpuShare * float64(cpuPeriod))
+	start, end, held := used(), time.Now().Add(cpuPeriod), false
+	for {
+		select {
+		case <-exited:
+			return
+		case <-time.After(cpuInterval):
+		}
+		now := used()
+		switch {
+		case time.Now().After(end):
+			if held {
+				signal(syscall.SIGCONT)
+			}
+			start, end, held = now, time.Now().Add(cpuPeriod), false
+		case !held && now-start >= allowed:
+			held = true
+			w.throttled.Add(1)
+			signal(syscall.SIGSTOP)
+		}
+	}
+}
+
+// pause stops the process for d.
+func (e *entry) pause(d time.Duration) {
+	set := func(paused bool, s syscall.Signal) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.paused = paused
+		e.process.Process.Signal(s) // fails if the process has just ended, which is harmless
+	}
+	set(true, syscall.SIGSTOP)
+	time.AfterFunc(d, func() { set(false, syscall.SIGCONT) })
+}
+
 // stop asks the process for a planned stop and kills it if it still runs after
 // stopGrace.
 func (e *entry) stop() {
@@ -272,7 +350,7 @@
 	go func() {
 		select {
 		case <-exited:
-		case <-time.After(stopGrace):
+		case <-time.After(e.grace):
 			process.Process.Kill()
 		}
 	}()
