--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -196,6 +196,7 @@
 	target *Target
 	late   string      // extra response to send before the next one; empty for none
 	abrupt atomic.Bool // closed by the target though no response said so
+	active atomic.Bool // a request is at work
 	closed func()
 }
 
@@ -296,6 +297,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer t.slots.leave()
+	conn.active.Store(true)
+	defer conn.active.Store(false)
 	run := t.Ledger.begin(id, t)
 	outcome := RunBrokenOff
 	defer func() { t.Ledger.end(run, outcome) }()
@@ -335,7 +338,9 @@
 		c.late = fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\nlate", head, id)
 	case v < p.LateShare+p.AbruptShare:
 		time.AfterFunc(time.Duration(rand.Int64N(int64(maxAbruptDelay))), func() {
-			c.abrupt.Store(true)
+			if c.abrupt.Store(true); c.active.Load() {
+				resetConn(c.Conn) // a close would look like the end of a stream without a length
+			}
 			c.Close()
 		})
 	}
@@ -354,10 +359,14 @@
 	return time.Duration(float64(d) / t.Profile.Speed * float64(max(1, t.SlowFactor.Load())))
 }
 
-// work waits for d, and reports the outcome if the context ends first.
-func work(ctx context.Context, d time.Duration) (outcome string, ended bool) {
+// work waits for d, and longer while the target is silent, and reports the outcome if the
+// context ends first.
+func (t *Target) work(ctx context.Context, d time.Duration) (outcome string, ended bool) {
 	select {
 	case <-time.After(d):
+		if silent := time.Until(time.Unix(0, t.SilentUntil.Load())); silent > 0 {
+			return t.work(ctx, silent)
+		}
 		return "", false
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -383,7 +392,7 @@
 // runPlain runs a plain request and returns its outcome.
 func (t *Target) runPlain(ctx context.Context, w http.ResponseWriter, r *http.Request, id string) string {
 	ms, _ := strconv.ParseFloat(r.Header.Get(HeaderWorkMs), 64) // 0 if absent
-	outcome, ended := work(ctx, t.slowed(time.Duration(ms*float64(time.Millisecond))))
+	outcome, ended := t.work(ctx, t.slowed(time.Duration(ms*float64(time.Millisecond))))
 	failShare, _ := strconv.ParseFloat(r.Header.Get(HeaderFailShare), 64) // 0 if absent
 	switch {
 	case ended && outcome == RunTimedOut:
@@ -414,7 +423,7 @@
 	if t.streams.Add(1)%2 == 0 {
 		w.Header().Set("Transfer-Encoding", "identity") // ends with its connection
 	}
-	if outcome, ended := work(ctx, t.slowed(p.FirstEvent)+t.slots.readPrompt(t.slowed(time.Duration(prompt)*p.PromptTokenTime))); ended {
+	if outcome, ended := t.work(ctx, t.slowed(p.FirstEvent)+t.slots.readPrompt(t.slowed(time.Duration(prompt)*p.PromptTokenTime))); ended {
 		if outcome == RunTimedOut {
 			w.WriteHeader(http.StatusGatewayTimeout)
 		}
@@ -439,7 +448,7 @@
 			if n == preempted {
 				step += time.Duration(rand.Int64N(int64(p.PreemptTime)))
 			}
-			if outcome, ended := work(ctx, step); ended {
+			if outcome, ended := t.work(ctx, step); ended {
 				return outcome
 			}
 		}
--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -78,6 +78,8 @@
 	// SlowFactor makes the work of a target with a profile take so many times as long; 0 and
 	// 1: as usual. LosePerMille of its runs end with a reset in place of an answer.
 	SlowFactor, LosePerMille atomic.Int64
+	// SilentUntil is when a target with a profile goes on with its work, in Unix nanoseconds.
+	SilentUntil atomic.Int64
 	// Closing is set before the server of a target with a profile is closed.
 	Closing atomic.Bool
 
