--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -52,6 +52,7 @@
 type deploymentRun struct {
 	*deployment
 	world         *world
+	runsOf        func(id string) []emulator.Run
 	random        *rand.Rand // of the plan
 	configVersion int
 	timeoutFactor map[*requestKind]float64
@@ -72,7 +73,7 @@
 	w := newEmptyWorld(t, binary, seed)
 	defer w.close()
 	d := &deploymentRun{
-		deployment: dep, world: w, random: newRandom(seed), timeoutFactor: make(map[*requestKind]float64), moved: make(map[*requestKind]bool), idleTimeout: callerIdle,
+		deployment: dep, world: w, runsOf: w.ledger.Details, random: newRandom(seed), timeoutFactor: make(map[*requestKind]float64), moved: make(map[*requestKind]bool), idleTimeout: callerIdle,
 		idleSeen: callerIdle, ready: make(map[*entry]int),
 	}
 	for _, k := range dep.kinds {
@@ -165,11 +166,27 @@
 		add(at+between(ms(2500), ms(5000)), func() { d.loadPercent.Store(base) })
 	}
 	burst(between(0, day*3/4))
+	// Targets are silent for a while, alone or several at the same moment. That is no fault:
+	// a long prompt or a lack of memory holds them up.
+	silence := func(at time.Duration) {
+		count := 1 + r.IntN(5)
+		add(at, func() {
+			for range count {
+				e, lasts := d.engine(), between(ms(300), ms(2500))
+				d.note(fmt.Sprintf("silent for %s", lasts.Round(time.Millisecond)), e.ID, time.Now())
+				e.SilentUntil.Store(time.Now().Add(lasts).UnixNano())
+			}
+		})
+	}
+	silence(between(0, day))
 	// Entries are stopped in turn or at the same moment, twice if the time suffices.
 	for at := between(ms(500), ms(5000)); at < day-ms(4000); at += between(ms(11000), ms(16000)) {
 		if r.IntN(3) > 0 {
 			burst(max(0, at-between(0, ms(2000))))
 		}
+		for range 1 + r.IntN(3) {
+			silence(at + between(0, ms(7000)))
+		}
 		gap := []time.Duration{0, ms(1050), ms(1300), ms(1300)}[r.IntN(4)]
 		for i, n := range r.Perm(len(entries))[:2+r.IntN(len(entries)-1)] {
 			e, stop := entries[n], at+time.Duration(i)*gap
@@ -190,18 +207,6 @@
 			at += between(ms(50), ms(400))
 		}
 	}
-	// Targets are silent for a while, alone or several at the same moment. That is no fault:
-	// a long prompt or a lack of memory holds them up.
-	for range 3 + r.IntN(5) {
-		at, count := between(0, day), 1+r.IntN(4)
-		add(at, func() {
-			for range count {
-				e, lasts := d.engine(), between(ms(300), ms(2000))
-				d.note(fmt.Sprintf("silent for %s", lasts.Round(time.Millisecond)), e.ID, time.Now())
-				e.SilentUntil.Store(time.Now().Add(lasts).UnixNano())
-			}
-		})
-	}
 	if d.world.seed%2 == 1 {
 		for range 3 + r.IntN(4) {
 			at := between(0, day/2)
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -28,9 +28,25 @@
 	configurationFactor = 3
 )
 
-// judge reports broken rules of the users' page RULES.md, from what callers and targets saw.
+// judge reports broken rules of the users' page RULES.md.
 func (d *deploymentRun) judge() {
 	t := d.world.t
+	counts := d.findings()
+	for _, e := range d.events {
+		t.Logf("%s %s %s to %s", e.what, e.where, e.from.UTC().Format("15:04:05.000"), e.to.UTC().Format("15:04:05.000"))
+	}
+	t.Logf("%s, seed %d: %d attempts: %v; periods without processor time: %d", d.name, d.world.seed, len(d.attempts), d.outcomes(), d.world.throttled.Load())
+	t.Logf("findings of %s, seed %d: %v", d.name, d.world.seed, counts)
+	for _, rule := range []string{"LOST", "TWICE", "REFUSED", "MIXED"} {
+		if counts[rule] > 0 {
+			t.Errorf("%s: %d", rule, counts[rule])
+		}
+	}
+}
+
+// findings counts broken rules, and other findings, from what callers and targets saw, and
+// prints what is known of each.
+func (d *deploymentRun) findings() map[string]int {
 	counts := make(map[string]int)
 	report := func(rule string, a *attempt, runs []emulator.Run, detail string) {
 		counts[rule]++
@@ -43,7 +59,7 @@
 		byID[a.id] = a
 	}
 	for _, a := range d.attempts {
-		runs := d.world.ledger.Details(a.id)
+		runs := d.runsOf(a.id)
 		ran := slices.DeleteFunc(slices.Clone(runs), func(r emulator.Run) bool { return strings.HasPrefix(r.Outcome, emulator.Rejected) })
 		if a.kind.once() && len(ran) > 1 {
 			report("TWICE", a, runs, "ran more than once")
@@ -55,13 +71,13 @@
 		}
 		// A caller that resumes a stream at another entry has closed its connection to the first.
 		if before := byID[a.resumes]; before != nil && len(ran) > 0 && d.inTouch(before) {
-			for _, r := range d.world.ledger.Details(before.id) {
+			for _, r := range d.runsOf(before.id) {
 				if !r.RunsOn && !r.To.IsZero() && r.To.Sub(ran[0].From) > doubleWork {
 					report("TWICE", a, append([]emulator.Run{r}, runs...), "resumed while the target before still works on it")
 				}
 			}
 		}
-		if len(ran) > 0 && ran[0].Outcome == emulator.RunDropped && !a.left && (!a.answered() || a.status >= 500) && a.ended.Sub(ran[0].To) > stallMargin {
+		if !a.kind.once() && len(ran) > 0 && ran[0].Outcome == emulator.RunDropped && !a.left && (!a.answered() || a.status >= 500) && a.ended.Sub(ran[0].To) > stallMargin {
 			report("given up", a, runs, "the entry closed the connection to a target that worked, and did not answer")
 		}
 		if a.kind.once() && len(ran) > 0 && slices.Contains([]int{429, 503, 408, 421}, a.status) {
@@ -98,16 +114,7 @@
 	if len(keptCuts) > keptCutsTolerated {
 		counts["LOST"] += len(keptCuts)
 	}
-	for _, e := range d.events {
-		t.Logf("%s %s %s to %s", e.what, e.where, e.from.UTC().Format("15:04:05.000"), e.to.UTC().Format("15:04:05.000"))
-	}
-	t.Logf("%s, seed %d: %d attempts: %v; periods without processor time: %d", d.name, d.world.seed, len(d.attempts), d.outcomes(), d.world.throttled.Load())
-	t.Logf("findings of %s, seed %d: %v; cuts on kept connections: %d", d.name, d.world.seed, counts, len(keptCuts))
-	for _, rule := range []string{"LOST", "TWICE", "REFUSED", "MIXED"} {
-		if counts[rule] > 0 {
-			t.Errorf("%s: %d", rule, counts[rule])
-		}
-	}
+	return counts
 }
 
 // wrongAnswer says what is wrong with the answer of an attempt that ran as given, or returns
