Deployment soak: entries without processor time for long, deaf targets, dropped answers

Change: the period of the processor share is a flag, and so are silent targets that notice a close only afterwards. "dropped" names answers that a target had sent whole and the caller did not get. make soak-deployments runs it all.

--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,13 @@
 GO ?= go
 BIN := bin
 
-.PHONY: help build lint model test soak soak-faults fmt demo trial slopes measure faults
+.PHONY: help build lint model test soak soak-faults soak-deployments fmt demo trial slopes measure faults
 
-# Used by soak and soak-faults.
+# Used by soak, soak-faults and soak-deployments.
 SEED ?= 1
 SEEDS ?= 50
 DURATION ?= 60s
+FLAGS ?=# of soak-deployments, such as -faultsoak.deployment=tbl-plan -faultsoak.source=WORKTREE
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/^([a-z-]+):[^#]*## /\1\t/' | expand -t 12
@@ -37,7 +38,10 @@
 	$(GO) test ./internal/soak -count=1 -timeout 0 -v -run '^TestSoak$$' -soak.seed=$(SEED) -soak.duration=$(DURATION)
 
 soak-faults: ## run SEEDS seeds of the fault soak over real processes, from SEED on; about 45 s each
-	$(GO) test ./internal/faultsoak -count=1 -timeout 0 -v -faultsoak.seed=$(SEED) -faultsoak.seeds=$(SEEDS)
+	$(GO) test ./internal/faultsoak -count=1 -timeout 0 -v -skip '^TestDeployments$$' -faultsoak.seed=$(SEED) -faultsoak.seeds=$(SEEDS)
+
+soak-deployments: ## run SEEDS seeds of the users' deployments over real processes; see FLAGS; about 45 s each
+	$(GO) test ./internal/faultsoak -count=1 -timeout 0 -v -run '^TestDeployments$$' -faultsoak.seed=$(SEED) -faultsoak.seeds=$(SEEDS) $(FLAGS)
 
 demo: ## run a small deployment, send a mixed load and check every response
 	./scripts/deploy.sh demo
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -37,6 +37,8 @@
 	PreemptTime  time.Duration
 	// RunsOn says that the target goes on with a request whose connection was closed.
 	RunsOn bool
+	// Deaf says that the target notices such a close only when it is not silent.
+	Deaf bool
 }
 
 // Headers of requests that say how long a target with a profile works. Entries pass them on.
@@ -362,13 +364,17 @@
 // work waits for d, and longer while the target is silent, and reports the outcome if the
 // context ends first.
 func (t *Target) work(ctx context.Context, d time.Duration) (outcome string, ended bool) {
+	noticed := ctx.Done()
+	if t.Profile.Deaf && time.Now().UnixNano() < t.SilentUntil.Load() {
+		noticed = nil
+	}
 	select {
 	case <-time.After(d):
 		if silent := time.Until(time.Unix(0, t.SilentUntil.Load())); silent > 0 {
 			return t.work(ctx, silent)
 		}
 		return "", false
-	case <-ctx.Done():
+	case <-noticed:
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return RunTimedOut, true
 		}
--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -20,7 +20,9 @@
 	deploymentFlag = flag.String("faultsoak.deployment", "", "deployment to run; empty for the one that the seed chooses")
 	daySeconds     = flag.Duration("faultsoak.day", 24*time.Second, "how long the faults of a deployment's run last")
 	shareFlag      = flag.Float64("faultsoak.share", entryCPUShare, "share of a processor that an entry may use; 0: no limit")
+	periodFlag     = flag.Duration("faultsoak.period", 100*time.Millisecond, "period of -faultsoak.share; longer ones are pauses of an entry as on a busy machine")
 	hangupsFlag    = flag.Bool("faultsoak.hangups", true, "send SIGHUP; some earlier landings end on it during a planned stop")
+	deafFlag       = flag.Bool("faultsoak.deaf", false, "silent targets do not notice that a connection was closed")
 	rateFlag       = flag.Float64("faultsoak.rate", 1, "factor of a deployment's request rate")
 )
 
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -80,6 +80,9 @@
 		if !a.kind.once() && len(ran) > 0 && ran[0].Outcome == emulator.RunDropped && !a.left && (!a.answered() || a.status >= 500) && a.ended.Sub(ran[0].To) > stallMargin {
 			report("given up", a, runs, "the entry closed the connection to a target that worked, and did not answer")
 		}
+		if n := len(ran); n > 0 && ran[n-1].Outcome == emulator.RunCompleted && ran[n-1].To.Before(a.ended) && !a.left && (!a.answered() || a.status >= 500) {
+			report("dropped", a, runs, "the target had sent the whole answer")
+		}
 		if a.kind.once() && len(ran) > 0 && slices.Contains([]int{429, 503, 408, 421}, a.status) {
 			report("REFUSED", a, runs, "was refused and ran")
 		}
--- a/internal/faultsoak/judgecases_test.go
+++ b/internal/faultsoak/judgecases_test.go
@@ -70,6 +70,8 @@
 			runs: []emulator.Run{run("x", 0, 100, emulator.RunDropped)}, want: map[string]int{"REFUSED": 1}},
 		{name: "refused after a rejection", a: with(cut, func(a *attempt) { a.kind, a.status, a.signature, a.body, a.err = plain, 503, "", "", nil }),
 			runs: []emulator.Run{run("x", 0, 100, emulator.Rejected+": queue full")}},
+		{name: "whole at the entry", a: with(cut, func(a *attempt) { a.ended = at(8000) }), runs: []emulator.Run{run("x", 0, 7000, emulator.RunCompleted)},
+			events: []event{stopped}, want: map[string]int{"dropped": 1}},
 		{name: "given up", a: with(cut, func(a *attempt) { a.kind, a.status, a.signature, a.body, a.err = resumable, 502, "", "", nil }),
 			runs: []emulator.Run{run("x", 0, 400, emulator.RunDropped)}, want: map[string]int{"given up": 1}},
 		{name: "ends too early", a: with(cut, func(a *attempt) { a.err = nil }), runs: []emulator.Run{run("x", 0, 500, emulator.RunLost)}, want: map[string]int{"MIXED": 1}},
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -15,6 +15,10 @@
 // loses acknowledgements, forgets its history or comes back from an older copy; and new
 // configurations and bundles.
 // Changes of the time of day are not among them, since they need privileges.
+//
+// TestDeployments runs the users' deployments instead: their numbers of entries and targets,
+// request kinds and rates, targets with queues, callers that keep connections, and above all
+// planned work. findings judges them as the users' rules do.
 package faultsoak
 
 import (
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -281,14 +281,10 @@
 	e.process.Process.Signal(s) // fails if the process has just ended, which is harmless
 }
 
-const (
-	// As on the users' machines, a process that has used its share of the processor in a
-	// cpuPeriod does not run for the rest of it.
-	cpuPeriod   = 100 * time.Millisecond
-	cpuInterval = 2 * time.Millisecond // between readings of the processor time
-)
+const cpuInterval = 2 * time.Millisecond // between readings of the processor time
 
-// limitCPU keeps a process of an entry within cpuShare until it has ended.
+// limitCPU keeps a process of an entry within cpuShare until it has ended. As on the users'
+// machines, a process that has used its share of a period does not run for the rest of it.
 func (w *world) limitCPU(e *entry, cmd *exec.Cmd, exited <-chan struct{}) {
 	clock := int32(^cmd.Process.Pid<<3 | 2) // CPUCLOCK_SCHED of Linux, see clock_getcpuclockid(3)
 	used := func() time.Duration {
@@ -305,8 +301,8 @@
 			cmd.Process.Signal(s) // fails if the process has just ended, which is harmless
 		}
 	}
-	allowed := time.Duration(w.cpuShare * float64(cpuPeriod))
-	start, end, held := used(), time.Now().Add(cpuPeriod), false
+	allowed := time.Duration(w.cpuShare * float64(*periodFlag))
+	start, end, held := used(), time.Now().Add(*periodFlag), false
 	for {
 		select {
 		case <-exited:
@@ -319,7 +315,7 @@
 			if held {
 				signal(syscall.SIGCONT)
 			}
-			start, end, held = now, time.Now().Add(cpuPeriod), false
+			start, end, held = now, time.Now().Add(*periodFlag), false
 		case !held && now-start >= allowed:
 			held = true
 			w.throttled.Add(1)
