A stalled target is asked to abandon a request before another one runs it

Cause: the connection was closed and the request sent elsewhere at the same moment, without knowing whether the first target had stopped.

Change: with the other target's slot in hand, the entry closes the sending side only, which a target takes for the close of the connection. If it ends the response, or its host does not acknowledge within 0.3 s (TCP_INFO), the other target takes over. If it can be reached and does not end the response, the request stays, and what it sends is passed on. A response without length that ends after that is not taken for whole. Where TCP_INFO does not exist, the connection is closed as before.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -52,6 +52,7 @@
 	if err != nil {
 		return a.outcomeOf(err), err
 	}
+	a.handOver.sent(ex)
 	bodyRead := false
 	defer func() { ex.Close(bodyRead) }()
 	head, err := ex.Head()
@@ -77,6 +78,9 @@
 		return outcome, err
 	}
 	body, err := a.readBody(ex)
+	if err == nil && head.EndsWithConnection && a.handOver.stalledAt() {
+		err = errEndsWithdrawn
+	}
 	if err != nil {
 		return a.outcomeOf(err), err
 	}
@@ -184,7 +188,7 @@
 		return dispatch.Cancelled
 	case errors.Is(err, ErrNotSent) && (cause == nil || errors.Is(cause, errStalled)):
 		return dispatch.Unreachable
-	case errors.Is(cause, errStalled), errors.Is(cause, errDeadline):
+	case errors.Is(cause, errStalled), errors.Is(cause, errDeadline), cause == nil && a.handOver.stalledAt():
 		return dispatch.Silent
 	case cause != nil:
 		return dispatch.Cancelled
@@ -198,14 +202,14 @@
 func (a *attempt) endedBy() string {
 	cause := context.Cause(a.ctx)
 	switch {
-	case cause == nil:
-		return ""
-	case errors.Is(cause, errStalled):
+	case errors.Is(cause, errStalled), cause == nil && a.handOver.stalledAt():
 		return "stall_limit"
 	case errors.Is(cause, errDeadline):
 		return "deadline"
 	case errors.Is(cause, errStopping):
 		return "planned_stop"
+	case cause == nil:
+		return ""
 	default:
 		return "caller"
 	}
@@ -220,14 +224,13 @@
 	defer events.held.release()
 	for {
 		event, err := events.next()
-		handedOver := a.handOver.pause() != nil
 		if errors.Is(err, io.EOF) {
 			return a.finishStream(head)
 		}
 		if err != nil {
 			return a.outcomeOf(err), err
 		}
-		if handedOver { // the other target continues from the event before
+		if !a.handOver.goesOn() { // the other target continues from the event before
 			return dispatch.Silent, errStalled
 		}
 		// A comment shows only that the target is alive, not that the stream goes on.
@@ -257,6 +260,9 @@
 // the end of the connection says that it ended.
 func (a *attempt) finishStream(head *state.Response) (dispatch.Outcome, error) {
 	r := a.request
+	if head.EndsWithConnection && a.handOver.stalledAt() {
+		return a.outcomeOf(errEndsWithdrawn), errEndsWithdrawn
+	}
 	if head.EndsWithConnection && !r.eventForwarded {
 		return dispatch.Broken, errNoEvent
 	}
--- a/internal/coordination/gateway/handover.go
+++ b/internal/coordination/gateway/handover.go
@@ -19,6 +19,8 @@
 	// catchUpTime before the timer counts.
 	maxTimerDelay = 20 * time.Millisecond
 	catchUpTime   = 100 * time.Millisecond
+	// withdrawTime is how long a target that is asked to abandon a request may take for it.
+	withdrawTime = 300 * time.Millisecond
 )
 
 // catchUpTimer calls a function after a time in which the process runs.
@@ -67,6 +69,10 @@
 // another one, and ends the attempt only once that one has a slot for the request. Until
 // then, and if there is none, the attempt goes on.
 //
+// The request must not run at two targets at a time. So the target is first asked to abandon
+// it, where that is possible, and the attempt ends when the target has done so or when its host
+// cannot be reached. A target that can be reached and does neither keeps the request.
+//
 // The fields of the request that the search reads change only while awaiting is false.
 type handOver struct {
 	attempt *attempt
@@ -81,7 +87,10 @@
 	since       time.Time
 	logged      bool            // that the target has stalled
 	search      *search         // in progress, or nil
-	next        *dispatch.Grant // the target that takes over; the attempt has been cancelled
+	next        *dispatch.Grant // the target that takes over
+	exchange    Exchange        // of the attempt; nil before the request is sent
+	withdrawn   bool            // the target was asked to abandon the request
+	check       *time.Timer     // of whether it does; nil before it is asked
 }
 
 // search is one search for another target.
@@ -100,7 +109,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.awaiting, h.since = true, time.Now()
-	if h.limit > 0 {
+	if h.limit > 0 && !h.withdrawn {
 		h.startTimer(max(0, h.left))
 	}
 }
@@ -114,11 +123,51 @@
 	h.timer.reset(d)
 }
 
-// pause says that the request does not wait for the target, because it has sent something or
-// because the attempt has ended. It returns the target that has taken over, or nil.
-func (h *handOver) pause() *dispatch.Grant {
+// sent says that the request has been sent.
+func (h *handOver) sent(ex Exchange) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.exchange = ex
+}
+
+// goesOn says that the target has sent something, so that the request does not wait for it.
+// It returns false if another target takes over already. If the target was only asked to
+// abandon the request, it keeps it.
+func (h *handOver) goesOn() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pause()
+	if h.next != nil && h.withdrawn && h.attempt.ctx.Err() == nil {
+		h.giveBack()
+	}
+	return h.next == nil
+}
+
+// end says that the attempt has ended. It returns the target that takes over, or nil.
+func (h *handOver) end() *dispatch.Grant {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pause()
+	return h.next
+}
+
+// stalledAt reports whether the attempt ended because the target had stalled.
+func (h *handOver) stalledAt() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.withdrawn
+}
+
+// giveBack releases the target that was to take over. The caller must hold h.mu.
+func (h *handOver) giveBack() {
+	r := h.attempt.request
+	r.service.cfg.Scheduler.Release(h.next, dispatch.Unused)
+	r.service.retryBudget(r.targetService).Return()
+	h.next = nil
+}
+
+// pause ends the wait and the search. The caller must hold h.mu.
+func (h *handOver) pause() {
 	if h.awaiting {
 		h.awaiting = false
 		h.left -= time.Since(h.since)
@@ -130,7 +179,9 @@
 		h.search.cancel()
 		h.search = nil
 	}
-	return h.next
+	if h.check != nil {
+		h.check.Stop()
+	}
 }
 
 // stalled begins the search for another target.
@@ -166,6 +217,11 @@
 		h.search = nil
 		if err == nil && r.takeMoveOn() {
 			h.next = grant
+			if w, ok := h.exchange.(Withdrawer); ok && w.Withdraw() {
+				h.withdrawn = true
+				h.check = time.AfterFunc(withdrawTime, func() { h.checkWithdrawal(w) })
+				return
+			}
 			h.attempt.cancel(errStalled)
 			return
 		}
@@ -176,6 +232,22 @@
 	}
 }
 
+// checkWithdrawal ends the attempt if the target has not abandoned the request and its host
+// cannot be reached.
+func (h *handOver) checkWithdrawal(w Withdrawer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.awaiting || h.next == nil {
+		return
+	}
+	if w.Reached() {
+		h.giveBack()
+		h.attempt.request.logWithdrawalIgnored(h.attempt)
+		return
+	}
+	h.attempt.cancel(errStalled)
+}
+
 // mayMoveOn reports whether the request may be sent to another target now, apart from
 // whether one has a slot for it.
 func (r *request) mayMoveOn() bool {
--- a/internal/coordination/gateway/handover_test.go
+++ b/internal/coordination/gateway/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -247,3 +248,88 @@
 		})
 	}
 }
+
+// withdrawnExchange is a stream whose target stalls after the first event and is then asked to
+// abandon the request.
+type withdrawnExchange struct {
+	fakeExchange
+	ctx        context.Context
+	pieces     []string      // what it sends
+	afterwards time.Duration // from the withdrawal to the second piece, or to the end; 0: never
+	end        error         // after the withdrawal, in place of the second piece
+	reached    bool
+	asked      chan struct{}
+}
+
+func (x *withdrawnExchange) Withdraw() bool { close(x.asked); return true }
+func (x *withdrawnExchange) Reached() bool  { return x.reached }
+
+func (x *withdrawnExchange) Read(p []byte) (int, error) {
+	if len(x.pieces) == 2 {
+		n := copy(p, x.pieces[0])
+		x.pieces = x.pieces[1:]
+		return n, nil
+	}
+	if len(x.pieces) == 0 {
+		return 0, io.EOF
+	}
+	select {
+	case <-x.ctx.Done():
+		return 0, x.ctx.Err()
+	case <-x.asked:
+	}
+	if x.afterwards == 0 {
+		<-x.ctx.Done()
+		return 0, x.ctx.Err()
+	}
+	time.Sleep(x.afterwards)
+	if x.end != nil {
+		return 0, x.end
+	}
+	n := copy(p, x.pieces[0])
+	x.pieces = nil
+	return n, nil
+}
+
+// Guards against a request that goes on at another target while the one before still works on
+// it, and against a stream that is given up, or taken for whole, when a stalled target is asked
+// to abandon it.
+func TestStalledTargetIsAskedToAbandonTheRequest(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	for _, c := range []struct {
+		name     string
+		exchange withdrawnExchange
+		endsWith bool // the response has neither length nor chunks
+		sends    int
+	}{
+		{"abandons it", withdrawnExchange{afterwards: 50 * time.Millisecond, end: io.ErrUnexpectedEOF, reached: true}, false, 2},
+		{"abandons it, response without length", withdrawnExchange{afterwards: 50 * time.Millisecond, end: io.EOF, reached: true}, true, 2},
+		{"sends the rest at once", withdrawnExchange{afterwards: 50 * time.Millisecond, reached: true}, false, 1},
+		{"sends the rest later", withdrawnExchange{afterwards: 2 * time.Second, reached: true}, false, 1},
+		{"abandons it later", withdrawnExchange{afterwards: 2 * time.Second, end: io.ErrUnexpectedEOF, reached: true}, false, 2},
+		{"cannot be reached", withdrawnExchange{}, false, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			out := &recordingResponder{}
+			begin := func(ctx context.Context, _ *Forward) (Exchange, error) {
+				x := &c.exchange
+				x.head = &state.Response{Status: 200, HasSignature: true, EndsWithConnection: c.endsWith}
+				x.ctx, x.pieces, x.asked = ctx, []string{first, rest}, make(chan struct{})
+				return x, nil
+			}
+			targets := &fakeTargetClient{behaviours: []behaviour{begin, respondWith(200, rest)}}
+			synctest.Test(t, func(t *testing.T) {
+				s := newService(targets)
+				s.SetConfiguration(longRoute())
+				s.Serve(t.Context(), resumableCall(), time.Now(), out)
+				if n := s.cfg.Scheduler.Waiting("s"); n != 0 {
+					t.Errorf("%d requests wait", n)
+				}
+			})
+			if !out.ended || out.body.String() != events || len(targets.sends) != c.sends {
+				t.Errorf("ended %t after %d sends with %q, want all events after %d", out.ended, len(targets.sends), out.body.String(), c.sends)
+			}
+		})
+	}
+}
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -80,6 +80,16 @@
 	Close(bodyRead bool)
 }
 
+// Withdrawer is an Exchange that can ask its target to abandon the request and still read the
+// response if the target goes on.
+type Withdrawer interface {
+	// Withdraw asks the target to abandon the request. It returns false if it cannot, or if
+	// it would not learn whether the target has been asked.
+	Withdraw() bool
+	// Reached reports whether the host of the target has received what was sent.
+	Reached() bool
+}
+
 // Responder writes the response to the caller. At most one of Respond, Fail and
 // BeginStream is called. BeginStream is followed by WriteEvent for each event and
 // by EndStream or Abort. If the caller leaves before a response begins, only Abort
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -217,6 +217,14 @@
 		zap.Duration("left", time.Until(r.deadline)), zap.Bool("may_move_on", mayMoveOn))
 }
 
+// logWithdrawalIgnored records that a stalled target that can be reached has not abandoned the
+// request, which stays there.
+func (r *request) logWithdrawalIgnored(a *attempt) {
+	r.service.cfg.Counters.Add("withdrawal_ignored")
+	r.log.Info("target keeps request", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
+		zap.Int("events", a.grant.Events), zap.Duration("silent", time.Since(a.progressAt)), zap.Duration("left", time.Until(r.deadline)))
+}
+
 // maxLoggedParts bounds the prompt parts in a log line.
 const maxLoggedParts = 8
 
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -71,6 +71,7 @@
 	errDeadline        = errors.New("deadline of the request passed")
 	errTooLarge        = errors.New("response body or event is too large")
 	errEndsInsideEvent = errors.New("stream ended inside an event")
+	errEndsWithdrawn   = errors.New("response without length or chunks ended after its target was asked to abandon it")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
 )
 
@@ -359,7 +360,7 @@
 		}
 	}
 	outcome, err := a.run()
-	next = a.handOver.pause()
+	next = a.handOver.end()
 	r.service.cfg.Scheduler.Release(g, outcome)
 	r.lastErr = err
 	if !errors.Is(err, ErrNotSent) {
--- a/internal/transport/netconn/close.go
+++ b/internal/transport/netconn/close.go
@@ -70,7 +70,7 @@
 	if c.closed.Swap(true) {
 		return net.ErrClosed
 	}
-	if c.abrupt.Load() || c.delivered() || c.CloseWrite() != nil { // CloseWrite fails if the peer has reset the connection
+	if c.abrupt.Load() || c.isDelivered() || c.CloseWrite() != nil { // CloseWrite fails if the peer has reset the connection
 		return c.conn.Close()
 	}
 	c.lingering.Add(1)
@@ -86,7 +86,7 @@
 		if c.SetReadDeadline(time.Now().Add(lingerInterval)) != nil {
 			return
 		}
-		if !errors.Is(c.discard(), os.ErrDeadlineExceeded) || !infoAvailable() || c.delivered() {
+		if !errors.Is(c.discard(), os.ErrDeadlineExceeded) || !infoAvailable() || c.isDelivered() {
 			return
 		}
 	}
@@ -101,11 +101,7 @@
 	}
 }
 
-// delivered reports whether the peer is known to have acknowledged all that was written.
-func (c *servedConn) delivered() bool {
-	if !infoAvailable() {
-		return false
-	}
-	info, err := c.info()
-	return err == nil && !inTransit(info)
+func (c *servedConn) isDelivered() bool {
+	delivered, _ := c.Delivered()
+	return delivered
 }
--- a/internal/transport/netconn/conn.go
+++ b/internal/transport/netconn/conn.go
@@ -112,6 +112,16 @@
 // inTransit reports whether the peer has not acknowledged all that was written.
 func inTransit(info *unix.TCPInfo) bool { return info.Unacked > 0 || info.Notsent_bytes > 0 }
 
+// Delivered reports whether the peer has acknowledged all that was written, as far as that is
+// known.
+func (c *conn) Delivered() (delivered, known bool) {
+	if !infoAvailable() {
+		return false, false
+	}
+	info, err := c.info()
+	return err == nil && !inTransit(info), true
+}
+
 // limit sets TCP_USER_TIMEOUT to silenceTimeout or to none. c.mu is held.
 func (c *conn) limit(limited bool) {
 	if limited == c.limited {
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,7 +64,10 @@
 // New returns a Client without connections.
 func New() *Client { return &Client{idle: make(map[string][]*connection)} }
 
-var _ gateway.TargetClient = (*Client)(nil)
+var (
+	_ gateway.TargetClient = (*Client)(nil)
+	_ gateway.Withdrawer   = (*exchange)(nil)
+)
 
 // ConnectionsOpened returns the number of connections opened so far, to all targets.
 func (c *Client) ConnectionsOpened() int64 {
@@ -200,6 +204,41 @@
 	return e.conn.SetWriteDeadline(time.Time{})
 }
 
+// withdrawer is a connection that tells whether its peer has received what was sent.
+type withdrawer interface {
+	CloseWrite() error
+	Delivered() (delivered, known bool)
+}
+
+// Withdraw implements gateway.Withdrawer. It closes the sending side of the connection, which a
+// target takes for the close of the connection.
+func (e *exchange) Withdraw() bool {
+	select {
+	case <-e.written:
+	default:
+		return false // the target may wait for the rest of the request
+	}
+	w, ok := e.conn.Conn.(withdrawer)
+	if !ok {
+		return false
+	}
+	if _, known := w.Delivered(); !known {
+		return false
+	}
+	e.withdrawn.Store(true)
+	return w.CloseWrite() == nil
+}
+
+// Reached implements gateway.Withdrawer.
+func (e *exchange) Reached() bool {
+	w, ok := e.conn.Conn.(withdrawer)
+	if !ok {
+		return false
+	}
+	delivered, _ := w.Delivered()
+	return delivered
+}
+
 // acquire returns a reusable idle connection or opens a new one. It closes the idle
 // connections that cannot be reused.
 func (c *Client) acquire(ctx context.Context, address string) (*connection, error) {
@@ -388,6 +427,7 @@
 	writeErr  error           // why the writing failed; set before written is closed
 	resp      *http.Response  // nil until Head has returned it
 	head      *state.Response // decoded from resp
+	withdrawn atomic.Bool     // the sending side of the connection is closed
 	closeOnce sync.Once
 }
 
@@ -483,7 +523,7 @@
 // or after a misdirected request: the same request may be sent to the target that now has the
 // address, where a late copy of the response would say that it did not run.
 func (e *exchange) keepsConnection() bool {
-	return e.endWriting() == nil && !e.resp.Close && !e.head.EndsWithConnection && !e.head.Misdirected && e.conn.reader.Buffered() == 0 && e.identified()
+	return e.endWriting() == nil && !e.withdrawn.Load() && !e.resp.Close && !e.head.EndsWithConnection && !e.head.Misdirected && e.conn.reader.Buffered() == 0 && e.identified()
 }
 
 // Close implements gateway.Exchange.
