gateway: a complete answer ends the wait for its target

Cause: while a complete answer was written to its caller, the attempt still counted as waiting for its target. With a caller that reads slowly, the stall limit passed, and a slot of another target and a permission to repeat were taken and held until the caller had read everything. Change: the wait ends when the body has been read. Result: the new test found 2 slots and 1 permission taken, now 1 and 0.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -85,6 +85,7 @@
 		return a.outcomeOf(err), err
 	}
 	bodyRead = true
+	a.handOver.goesOn() // the answer is complete, however slowly the caller reads it
 	if head.Status >= http.StatusInternalServerError {
 		return a.handleTargetFailure(head, body)
 	}
--- a/internal/coordination/gateway/handover_test.go
+++ b/internal/coordination/gateway/handover_test.go
@@ -333,3 +333,41 @@
 		})
 	}
 }
+
+// slowReader takes a time to read a complete response.
+type slowReader struct {
+	recordingResponder
+	takes time.Duration
+}
+
+func (r *slowReader) Respond(h *state.Response, body []byte) error {
+	time.Sleep(r.takes)
+	return r.recordingResponder.Respond(h, body)
+}
+
+// Guards against a slot of another target, and a permission to repeat, that are taken for a
+// request whose complete response is being written to a slow caller.
+func TestSlowCallerOfCompleteResponseTakesNoOtherTarget(t *testing.T) {
+	out := &slowReader{takes: 3 * time.Second}
+	targets := &fakeTargetClient{behaviours: []behaviour{answerAfter(100 * time.Millisecond)}}
+	synctest.Test(t, func(t *testing.T) {
+		s := newService(targets)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			s.Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: "/plain/x", APIKey: "key"}, time.Now(), out)
+		}()
+		time.Sleep(time.Second)
+		open := 0
+		for _, n := range s.cfg.Scheduler.Report(false).Open {
+			open += n
+		}
+		<-done
+		if n := s.cfg.Counters.counts["repeated_send.s"]; open != 1 || n != 0 {
+			t.Errorf("%d slots and %d permissions to repeat are taken for a response that is complete, want 1 and 0", open, n)
+		}
+	})
+	if out.status != 200 || len(targets.sends) != 1 {
+		t.Errorf("status %d after %d sends, want 200 after 1", out.status, len(targets.sends))
+	}
+}
