gateway: a timer that expired before progress begins no search

Cause: the function of a stall timer runs in a goroutine of its own. If the target makes progress between the expiry and that function, it found the request waiting again and began to look for another target, although the new wait had just begun. A stream that goes on could be taken from its target. Change: the function compares the time of the wait with what is left of the limit. Result: the new test shows the search without the change and none with it.

--- a/internal/coordination/gateway/handover.go
+++ b/internal/coordination/gateway/handover.go
@@ -191,6 +191,9 @@
 	if !h.awaiting || h.search != nil || h.next != nil {
 		return
 	}
+	if time.Since(h.since) < h.left {
+		return // the timer expired in an earlier wait, and has been started again
+	}
 	r := h.attempt.request
 	mayMoveOn := r.mayMoveOn()
 	if !h.logged {
--- a/internal/coordination/gateway/handover_test.go
+++ b/internal/coordination/gateway/handover_test.go
@@ -371,3 +371,33 @@
 		t.Errorf("status %d after %d sends, want 200 after 1", out.status, len(targets.sends))
 	}
 }
+
+// Guards against a search that begins just after progress, because the timer expired at the
+// same time and its function ran later.
+func TestTimerOfAnEarlierWaitBeginsNoSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newService(&fakeTargetClient{})
+		r := &request{service: s, call: resumableCall(), log: s.cfg.Log, arrived: time.Now(), firstArrived: time.Now(), table: s.table.Load()}
+		r.route = r.table.Route(r.call.Host, r.call.Path)
+		r.preparePlacement()
+		r.findKeys()
+		g, err := s.cfg.Scheduler.Acquire(t.Context(), r.placement)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.cfg.Scheduler.Release(g, dispatch.Unused)
+		a := r.newAttempt(t.Context(), t.Context(), g)
+		defer a.cancel(nil)
+		a.handOver.expect(time.Second)
+		a.handOver.await()
+		time.Sleep(999 * time.Millisecond)
+		a.handOver.pause() // progress
+		a.handOver.expect(time.Second)
+		a.handOver.await()
+		a.handOver.stalled() // of the timer that had expired before the pause
+		synctest.Wait()
+		if a.handOver.pause() != nil || s.cfg.Counters.counts["attempt_stalled"] != 0 {
+			t.Error("the request is taken from a target that has just made progress")
+		}
+	})
+}
