--- a/internal/coordination/gateway/handover_test.go
+++ b/internal/coordination/gateway/handover_test.go
@@ -391,12 +391,12 @@
 		a.handOver.expect(time.Second)
 		a.handOver.await()
 		time.Sleep(999 * time.Millisecond)
-		a.handOver.pause() // progress
+		a.handOver.goesOn()
 		a.handOver.expect(time.Second)
 		a.handOver.await()
 		a.handOver.stalled() // of the timer that had expired before the pause
 		synctest.Wait()
-		if a.handOver.pause() != nil || s.cfg.Counters.counts["attempt_stalled"] != 0 {
+		if a.handOver.end() != nil || s.cfg.Counters.counts["attempt_stalled"] != 0 {
 			t.Error("the request is taken from a target that has just made progress")
 		}
 	})
