A request whose time is up while connecting did not run

What callers saw: 504 ("may have run") for a request that was never sent, which callers then do not repeat if it may run only once, and whose allowance was not given back.

Cause: an attempt that the deadline ends while its connection is being opened is rated as silent, which says something of the target, and "silent" also meant that the request may have run.

Evidence: TestRequestWhoseTimeIsUpWhileConnectingDidNotRun fails on for routes whose attempts have no stall timer: "failure {Kind:timed_out Reason:time_is_up}, want that it did not run".

Change: whether a request may have run follows from the error (ErrNotSent) and from what the target states, no longer from the rating. The other direction was right already: Unreachable and Unused come from ErrNotSent only. A request that may have run at an earlier target is still not refused, which the test checks too.

--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -404,7 +404,8 @@
 // the request may crash the next target too, and handedOver that another target has a slot
 // for the request.
 func (r *request) afterFailedAttempt(ctx context.Context, a *attempt, outcome dispatch.Outcome, err error, handedOver, suspected bool) (tryAnother bool) {
-	mayHaveRun := outcome != dispatch.Unreachable && outcome != dispatch.Unused && outcome != dispatch.Rejected && outcome != dispatch.Gone
+	// Only these prove that the request did not run. The outcome also rates the target.
+	mayHaveRun := !errors.Is(err, ErrNotSent) && outcome != dispatch.Rejected && outcome != dispatch.Gone
 	if mayHaveRun {
 		r.countPromptTokens(a.grant, false)
 	}
