--- a/internal/transport/gatewayhttp/stop_test.go
+++ b/internal/transport/gatewayhttp/stop_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,9 +92,9 @@
 }
 
 // countSends is untilCancelled and counts the requests that are sent.
-func countSends(sent *int) targetClientFunc {
+func countSends(sent *atomic.Int64) targetClientFunc {
 	return func(ctx context.Context, f *gateway.Forward) (gateway.Exchange, error) {
-		*sent++
+		sent.Add(1)
 		return untilCancelled(ctx, f)
 	}
 }
@@ -151,7 +152,7 @@
 // that was not sent must be refused, any other one must be answered as unknown.
 func TestPlannedStopAnswersRequestsInProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sent := 0
+		var sent atomic.Int64
 		s := startStoppable(t, countSends(&sent))
 		var responses statuses
 		const requests = 12 // more than the slots of the target
@@ -161,8 +162,9 @@
 		time.Sleep(idleCloseDelay + 50*time.Millisecond)
 		responses.send(s, requests)
 		responses.wait.Wait()
-		if n := responses.counts; sent == 0 || n[http.StatusBadGateway] != sent || n[http.StatusServiceUnavailable] != 2*requests-sent {
-			t.Errorf("responses by status: %v; want 502 for the %d that were sent and 503 for the others of %d", n, sent, 2*requests)
+		sends := int(sent.Load())
+		if n := responses.counts; sends == 0 || n[http.StatusBadGateway] != sends || n[http.StatusServiceUnavailable] != 2*requests-sends {
+			t.Errorf("responses by status: %v; want 502 for the %d that were sent and 503 for the others of %d", n, sends, 2*requests)
 		}
 		s.waitServed()
 	})
@@ -229,7 +231,7 @@
 // they cannot end before it.
 func TestShortPlannedStopRefusesLateRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sent := 0
+		var sent atomic.Int64
 		s := startStoppable(t, countSends(&sent))
 		var early, late statuses
 		early.send(s, 1)
@@ -238,8 +240,8 @@
 		late.send(s, 1)
 		late.wait.Wait()
 		early.wait.Wait()
-		if sent != 1 || late.counts[http.StatusServiceUnavailable] != 1 {
-			t.Errorf("%d sent, responses by status of the late request: %v; want it refused", sent, late.counts)
+		if sent.Load() != 1 || late.counts[http.StatusServiceUnavailable] != 1 {
+			t.Errorf("%d sent, responses by status of the late request: %v; want it refused", sent.Load(), late.counts)
 		}
 		s.waitServed()
 	})
