Waiting requests do not crash targets together when these return

Cause: nothing keeps a content from targets unless the service has answered another request since. If one request ends all targets of a service in the same moment, the service answers nothing, the requests that come meanwhile wait, and all of them are sent as soon as the targets are back.

The unit test fails before.

Change: a content is put on probation after three crashes without an answer, even if the service has answered nothing else. It is still blocked only if the service has. One request a second is tried then; a whole answer ends it.

--- a/internal/coordination/gateway/crashfleet_test.go
+++ b/internal/coordination/gateway/crashfleet_test.go
@@ -51,13 +51,17 @@
 	reached   []time.Time
 	startedAt map[state.RequestID]time.Time // of the entry, by request
 	healed    bool                          // the part crashes nothing any more
+	// headTime is the time to the head of a response, 0: drawn for each; eventTime is that to
+	// each event, and downTime that from a crash to the restart.
+	headTime, eventTime, downTime time.Duration
 	// accepting says that the addresses of engines that are down accept connections and
 	// reset them.
 	accepting bool
 }
 
 func newCrashEngines(t *testing.T, seed uint64, n int, changed func([]state.TargetRecord)) *crashEngines {
-	c := &crashEngines{t: t, random: rand.New(rand.NewPCG(seed, 3)), changed: changed, startedAt: make(map[state.RequestID]time.Time), crashes: hasCrashPart}
+	c := &crashEngines{t: t, random: rand.New(rand.NewPCG(seed, 3)), changed: changed, startedAt: make(map[state.RequestID]time.Time), crashes: hasCrashPart,
+		eventTime: 30 * time.Millisecond, downTime: restartTime}
 	for i := range n {
 		c.engines = append(c.engines, &crashEngine{record: state.TargetRecord{Service: "s", Address: fmt.Sprint("engine-", i), Slots: 9}})
 		c.startEngine(c.engines[i])
@@ -93,7 +97,7 @@
 	}
 	close(running)
 	e.crashed = nil
-	time.AfterFunc(restartTime, func() {
+	time.AfterFunc(c.downTime, func() {
 		if c.t.Context().Err() == nil {
 			c.startEngine(e)
 		}
@@ -143,6 +147,9 @@
 		return nil, fmt.Errorf("%w: connection refused", ErrNotSent)
 	}
 	x := &crashExchange{ctx: ctx, engines: c, engine: e, running: e.crashed, wait: time.Duration(20+c.random.IntN(60)) * time.Millisecond, events: 8}
+	if c.headTime > 0 {
+		x.wait = c.headTime
+	}
 	x.crashes = !c.healed && c.crashes(f.Call)
 	if x.crashes && time.Since(c.startedAt[f.Call.ID]) > learnTime {
 		c.reached = append(c.reached, time.Now())
@@ -158,7 +165,7 @@
 func (resetExchange) Close(bool)                     {}
 
 // crashExchange is a request at a crashEngine. Its response begins after wait and has an
-// event every 30 ms, unless the engine crashes.
+// event after each eventTime, unless the engine crashes.
 type crashExchange struct {
 	ctx     context.Context
 	engines *crashEngines
@@ -191,7 +198,7 @@
 		if x.events == 0 {
 			return 0, io.EOF
 		}
-		if err := x.sleep(30 * time.Millisecond); err != nil {
+		if err := x.sleep(x.engines.eventTime); err != nil {
 			return 0, err
 		}
 		if x.crashes && 8-x.events >= x.engines.eventsBeforeCrash {
@@ -235,6 +242,8 @@
 	// unheard says which entries send and receive no reports.
 	unheard map[int]bool
 	reports int
+	// reportDelay is the time that a report is on the way at most.
+	reportDelay time.Duration
 	// learnAfter is the number of crashes from which learnTime counts.
 	learnAfter int
 	// kept is what two entries have written to the store.
@@ -258,7 +267,7 @@
 
 func newCrashFleet(t *testing.T, seed uint64, entries, engines int) *crashFleet {
 	t.Helper()
-	f := &crashFleet{learnAfter: 5, kept: make(map[int]keptBlocks), sound: make(map[time.Duration]int), began: make(map[time.Duration]int), start: time.Now()}
+	f := &crashFleet{learnAfter: 5, reportDelay: 50 * time.Millisecond, kept: make(map[int]keptBlocks), sound: make(map[time.Duration]int), began: make(map[time.Duration]int), start: time.Now()}
 	for i := range entries {
 		s := newSeededService(nil, seed*100+uint64(i))
 		s.cfg.Quarantine = f.newQuarantine(i, entries)
@@ -372,11 +381,9 @@
 	}})
 }
 
-// Reports are sent at reportInterval, and arrive up to reportDelay later unless they are
-// lost, as one in lossOneIn is.
+// Reports are sent at reportInterval, and one in lossOneIn is lost.
 const (
 	reportInterval = 120 * time.Millisecond
-	reportDelay    = 50 * time.Millisecond
 	lossOneIn      = 5
 )
 
@@ -399,7 +406,7 @@
 			if i == j || report.Empty() || f.unheard[i] || f.unheard[j] || f.random.IntN(lossOneIn) == 0 {
 				continue
 			}
-			time.AfterFunc(time.Duration(f.random.Int64N(int64(reportDelay))), func() {
+			time.AfterFunc(time.Duration(f.random.Int64N(int64(f.reportDelay))), func() {
 				to.cfg.Quarantine.Learn(time.Now(), entryName(i), &report)
 			})
 		}
--- a/internal/coordination/gateway/crashingrequest_test.go
+++ b/internal/coordination/gateway/crashingrequest_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -171,6 +172,52 @@
 	})
 }
 
+// Guards against sending all that wait to targets that return: if one request ends all targets
+// of a service in the same moment, the service answers nothing until they are back, and
+// whatever has come meanwhile waits.
+func TestWaitingCrashingRequestsAreNotSentTogether(t *testing.T) {
+	for seed := range uint64(10) {
+		for _, entries := range []int{3, 12} {
+			for _, path := range []string{"/get/x", "/do/x"} {
+				for _, accepting := range []bool{false, true} {
+					t.Run(fmt.Sprintf("seed %d, %d entries, %s, accepting %t", seed, entries, path, accepting), func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) { checkWaitingCrashingRequests(t, seed, entries, path, accepting) })
+					})
+				}
+			}
+		}
+	}
+}
+
+func checkWaitingCrashingRequests(t *testing.T, seed uint64, entries int, path string, accepting bool) {
+	f := newPlainCrashFleet(t, seed, entries, 3)
+	f.accepting, f.downTime = accepting, learnTime+300*time.Millisecond
+	// Reports take less time than requests, so that a crash that another entry reports can be
+	// told from a request that was sent after it.
+	f.headTime, f.eventTime, f.reportDelay = 5*time.Millisecond, time.Millisecond, 2*time.Millisecond
+	for _, s := range f.entries {
+		c := *s.Configuration()
+		c.Version, c.Routes = c.Version+1, slices.Clone(c.Routes)
+		for i := range c.Routes {
+			c.Routes[i].Timeout, c.Routes[i].Objective = 2*learnTime, 2*time.Second
+		}
+		s.SetConfiguration(&c)
+	}
+	for tick := range 20 * 50 {
+		if tick%4 == 3 {
+			f.sendSoundCalls(t, path)
+		}
+		if tick >= 5*50 && f.random.IntN(5) == 0 { // ten a second
+			f.sendCrashing(t, f.random.IntN(entries), path)
+		}
+		f.wait(20 * time.Millisecond)
+	}
+	f.checkCrashes(t)
+	if share := f.beganShare(10*time.Second, 18*time.Second); share < 0.9 {
+		t.Errorf("%.2f of the sound requests were served after the targets were back, want 0.9", share)
+	}
+}
+
 // checkCrashes waits for the requests and checks how many of those that crash engines
 // reached them late.
 func (f *crashFleet) checkCrashes(t *testing.T) {
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -247,7 +247,9 @@
 	if v.sufficient() {
 		return true
 	}
-	return v.served && !v.answered && v.explainsMore() && v.crashes >= minProbationCrashes && len(v.machines) >= minMachines
+	// While a content has all targets of a service down, the service answers nothing, and
+	// whatever has that content and waits would be sent as soon as they are back.
+	return (v.served || v.key.IsContent()) && !v.answered && v.explainsMore() && v.crashes >= minProbationCrashes && len(v.machines) >= minMachines
 }
 
 // changes reports whether the verdict changes what is blocked.
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -423,3 +423,24 @@
 		t.Error("blocked although another entry has answered it within the last minute")
 	}
 }
+
+// Guards against sending all requests with a content that wait while it has all targets of a
+// service down, and against refusing them once one is answered.
+func TestContentIsOnProbationWhileTheServiceAnswersNothing(t *testing.T) {
+	l, content := newLedger("a"), withContent("c", "new")
+	for i := range minProbationCrashes {
+		l.crash(content, i, at(0), at(0.1+0.001*float64(i)))
+	}
+	for _, now := range []time.Time{at(3), at(3).Add(probationInterval)} {
+		if i, _ := l.Check(now, content, true); i >= 0 {
+			t.Error("the request is not tried")
+		}
+		if !l.isBlocked(now, content) {
+			t.Error("a second one is sent in the same moment")
+		}
+	}
+	l.Answered(at(5), content)
+	if l.isBlocked(at(5), content) {
+		t.Error("blocked after it was answered")
+	}
+}
