A target is seen to have ended if its address resets connections at once

Cause: whether an address closes connections is found out by opening one and watching it. An address that accepts and resets it at once can make the call that opens it fail with ECONNRESET, which Closes took for an address that keeps connections.

The test fails before with "connection reset by peer: closes: false".

Change: a reset while the connection is opened counts as closed.

--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -57,10 +57,13 @@
 	mu          sync.Mutex
 	idle        map[string][]*connection // by address, least recently used first
 	openedCount int64
+	connect     func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
 }
 
 // New returns a Client without connections.
-func New() *Client { return &Client{idle: make(map[string][]*connection)} }
+func New() *Client {
+	return &Client{idle: make(map[string][]*connection), connect: netconn.Dial}
+}
 
 var _ gateway.TargetClient = (*Client)(nil)
 
@@ -166,7 +169,7 @@
 
 // dial opens a connection.
 func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
-	raw, err := netconn.Dial(ctx, address, dialTimeout)
+	raw, err := c.connect(ctx, address, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -196,7 +199,8 @@
 func (c *Client) Closes(ctx context.Context, address string) bool {
 	conn, err := c.acquire(ctx, address)
 	if err != nil {
-		return false
+		// A connection may be accepted and reset before the call that opens it returns.
+		return errors.Is(err, syscall.ECONNRESET)
 	}
 	if conn.SetReadDeadline(time.Now().Add(closeWait)) == nil {
 		_, err = conn.Read(make([]byte, 1))
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -359,6 +362,24 @@
 	}
 }
 
+// Guards against a target that is taken to be well if its address resets connections so soon
+// that opening them fails, and against one that is taken to have ended because opening fails
+// otherwise.
+func TestClosesBeforeTheConnectionIsOpen(t *testing.T) {
+	for _, cause := range []syscall.Errno{syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH} {
+		c := New()
+		c.connect = func(context.Context, string, time.Duration) (net.Conn, error) {
+			return nil, fmt.Errorf("connect: %w", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", cause)})
+		}
+		if c.Refuses(t.Context(), "t") {
+			t.Errorf("%s: refuses", cause)
+		}
+		if closes := c.Closes(t.Context(), "t"); closes != (cause == syscall.ECONNRESET) {
+			t.Errorf("%s: closes: %t", cause, closes)
+		}
+	}
+}
+
 // Guards against a target that is taken to be well although its address closes each
 // connection, and against one that is taken to have ended although it keeps them.
 func TestCloses(t *testing.T) {
