Each run of the demo has a loopback address of its own

Cause: scripts/deploy.sh looks for ports of 127.0.0.1 on which nothing accepts connections and starts the processes on them seconds later. Another run may choose the same ports meanwhile.

Evidence: two demos started together with the same first port (forced in a scratch copy; by chance it is one of 110): one failed with "stand-in admin: listen tcp 127.0.0.1:20004: bind: address already in use".

Change: the processes of a run have an address made from the script's process id. A trial stays at 127.0.0.1, where its callers expect it. faults.sh and measure.sh, which source the script, get such an address too.

--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -36,7 +36,13 @@
 load_rate=40     # requests/s
 load_seed=1
 
-readonly host=127.0.0.1
+# Each run has a loopback address of its own, so that no other process takes a port between its
+# choice and its use. Callers of a trial use the documented one.
+if [[ "$mode" == trial ]]; then
+  readonly host=127.0.0.1
+else
+  readonly host="127.$((128 + ($$ >> 16 & 63))).$(($$ >> 8 & 255)).$(($$ & 255))"
+fi
 readonly trial_port=8080 # of the first entry in a trial
 readonly bundle_template=examples/tema/bundle.jsonc
 readonly operators=(ama kofi)                                 # whose signatures the bundle needs; as in the template
