dispatch: stalled requests that wait are tried in turns

Cause: waiting requests that are still at a stalled target did not count towards maxPassedOver, so each arrival, release and tick tried all of them. Each try looks at all targets, their open requests and the whole queue. Change: at most maxPassedOver of them are tried at a time, and the next ones the next time, so that those that no slot suits do not keep it from others.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -204,7 +204,9 @@
 }
 
 // maxPassedOver bounds the waiting requests that are passed over, because no free slot
-// suits them, when free slots are granted.
+// suits them, when free slots are granted. It holds for those with HandOver apart from the
+// others: they do not hold these up, and a service that has stalled may have hundreds, of which
+// each costs a look at all targets and at the queue.
 const maxPassedOver = 16
 
 // serveQueue grants free slots to the waiting requests of one service and refuses those
@@ -220,11 +222,18 @@
 }
 
 // grantFreeSlotsOf grants slots to the waiting requests of one service in the order of
-// the queue. A request that no free slot suits is passed over.
+// the queue. A request that no free slot suits is passed over. Those with HandOver are tried
+// in turns.
 func (s *Scheduler) grantFreeSlotsOf(p *pool, now time.Time) {
-	passedOver := 0
+	passedOver, handOvers := 0, 0
 	for i := 0; i < len(p.queue) && passedOver < maxPassedOver && p.hasRoom(s.policies.admission.QueuedRequests+overcommitSlots); {
 		w := p.queue[i]
+		if w.request.HandOver {
+			if handOvers++; handOvers <= p.handOverTurn || handOvers > p.handOverTurn+maxPassedOver {
+				i++
+				continue
+			}
+		}
 		if !s.hasTargetFor(p, w.request, now) {
 			p.queue = slices.Delete(p.queue, i, i+1)
 			w.refuse(&Refusal{Reason: ReasonNoTarget, RetryAfter: s.addJitter(noTargetRetryAfter)})
@@ -241,6 +250,9 @@
 		p.queue = slices.Delete(p.queue, i, i+1)
 		w.accept(g, now)
 	}
+	if p.handOverTurn += maxPassedOver; p.handOverTurn >= handOvers {
+		p.handOverTurn = 0
+	}
 }
 
 // hasRoom reports whether some target has fewer open requests than its slots and the
