Engines of the fault soak keep their ports while they are down

Cause: a crashed engine's proxy closes its listener and listens on the same port of 127.0.0.1 1.5 s later; any process may have taken it meanwhile, for an outgoing connection too.

Evidence: read; not seen to fail.

Change: each engine has an address that the test claims (conntest.Address).

--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -130,7 +131,8 @@
 	proxy := emulator.NewProxy(w.serveOn("127.0.0.1:0", func(ln net.Listener) { target.Serve(ln) }))
 	e := &engine{Target: target, proxy: proxy, startedAt: time.Now()}
 	target.CrashUnder = w.crashUnder(e)
-	w.serveEngine(e, "127.0.0.1:0")
+	// The engine is served there again after a crash, so no other process may take the port.
+	w.serveEngine(e, netip.AddrPortFrom(conntest.Address(w.t), 0).String())
 	w.engines = append(w.engines, e)
 	w.putTargetRecord(e, "ready")
 }
