dispatch: stalled requests are not reported as waiting

Cause: a request that is still at a stalled target and looks for another one was counted twice, as open and as waiting. Other entries leave free slots to the waiting requests of higher ranks, although the free slots may suit none of these: they stay where they are then. Change: such requests do not count as waiting, neither in reports nor in this entry's own demand. Result: the new test finds one waiting request without the change, none with it. The package's tests pass.

--- a/internal/coordination/dispatch/handover_test.go
+++ b/internal/coordination/dispatch/handover_test.go
@@ -49,6 +49,27 @@
 	}
 }
 
+// Guards against requests that are still at a target and count as waiting too: other entries
+// would leave free slots that suit none of these to them.
+func TestStalledRequestsAreNotReportedAsWaiting(t *testing.T) {
+	s, c := newTestScheduler()
+	s.SetReport("other", Report{Waiting: map[state.Service][]int{"s": {0, 1}}})
+	for {
+		r := c.request(true)
+		r.Rank = 1
+		if w, _, refusal := s.placeNow(r); refusal != nil {
+			t.Fatal(refusal)
+		} else if w != nil {
+			s.pool("s").queue.remove(w)
+			break
+		}
+	}
+	queueHandOver(t, s, c)
+	if n := s.Report(false).Waiting["s"]; n != nil {
+		t.Errorf("waiting by rank: %v, want none", n)
+	}
+}
+
 // BenchmarkStalledService measures how long free slots are granted at a service that has
 // stalled with many requests.
 func BenchmarkStalledService(b *testing.B) {
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -26,18 +26,32 @@
 		}
 	}
 	for name, p := range s.services {
-		if len(p.queue) == 0 || far && !p.sharedBeyondNear {
+		if far && !p.sharedBeyondNear {
 			continue
 		}
-		ranks := make([]int, maxRanks)
-		for _, w := range p.queue {
-			ranks[min(max(0, w.request.Rank), maxRanks-1)]++
+		if ranks := p.waitingByRank(); ranks != nil {
+			r.Waiting[name] = ranks
 		}
-		r.Waiting[name] = ranks
 	}
 	return r
 }
 
+// waitingByRank returns the number of waiting requests of each rank, or nil if there is none.
+// Those with HandOver have a target and do not count: other entries would leave free slots to
+// them that may suit none.
+func (p *pool) waitingByRank() (ranks []int) {
+	for _, w := range p.queue {
+		if w.request.HandOver {
+			continue
+		}
+		if ranks == nil {
+			ranks = make([]int, maxRanks)
+		}
+		ranks[min(max(0, w.request.Rank), maxRanks-1)]++
+	}
+	return ranks
+}
+
 // SetStartingPeers sets the number of other entries that are expected to report, while this
 // entry has just started; 0 later. When all entries restart at once, each knows of no load
 // of the others, and does not know yet which targets are its own.
@@ -145,7 +159,7 @@
 	rank := min(max(0, r.Rank), maxRanks-1)
 	ownDemand := own + 1
 	for _, w := range p.queue {
-		if w.request.Rank <= rank {
+		if w.request.Rank <= rank && !w.request.HandOver {
 			ownDemand++
 		}
 	}
