--- a/internal/transport/entryhttp/conn.go
+++ b/internal/transport/entryhttp/conn.go
@@ -83,13 +83,13 @@
 	peeked      []byte      // at most one byte, read by a closeWatch and not yet returned by Read
 	readErr     error       // from the read of a closeWatch
 
-	lingerOnClose atomic.Bool // the rest of a rejected request, or a further one, may still be arriving
+	lingerOnClose atomic.Bool // the rest of a rejected request may still be arriving
 }
 
 // Close implements net.Conn. Closing a TCP connection with unread data resets it,
-// and the caller may lose the response. After a response that closes the connection,
-// Close therefore closes only the write side first, and reads and discards up to
-// lingerBytes for up to lingerTime.
+// and the caller may lose the response. After a rejected request, Close therefore
+// closes only the write side first, and reads and discards up to lingerBytes for
+// up to lingerTime.
 func (c *conn) Close() error {
 	if c.releaseSlot != nil {
 		defer c.releaseSlot()
--- a/internal/transport/entryhttp/server.go
+++ b/internal/transport/entryhttp/server.go
@@ -137,23 +137,16 @@
 		s.cfg.Log.Info("request rejected", zap.String("request", id), zap.String("reason", string(f.code)), zap.Int("status", f.status), zap.String("detail", f.message))
 		f.write(ctx)
 		length := bodyLength(ctx)
-		if length < 0 || length > maxDrainedBytes {
-			closeAfterResponse(ctx)
+		if c, ok := ctx.Conn().(*conn); ok && (length < 0 || length > maxDrainedBytes) {
+			c.lingerOnClose.Store(true)
+			ctx.SetConnectionClose()
 		}
 	}
 	if s.stopping.Load() {
-		closeAfterResponse(ctx)
+		ctx.SetConnectionClose()
 	}
 }
 
-// closeAfterResponse closes the connection after the response such that the caller receives it.
-func closeAfterResponse(ctx *fasthttp.RequestCtx) {
-	if c, ok := ctx.Conn().(*conn); ok {
-		c.lingerOnClose.Store(true)
-	}
-	ctx.SetConnectionClose()
-}
-
 // serve authenticates, parses and runs one request. It returns a failure for a
 // request that is not passed to the service.
 func (s *Server) serve(ctx *fasthttp.RequestCtx, id state.RequestID) *failure {
