A closing server delivers its response without reading further requests

Cause: that close read and discarded input. A request that crosses the close of a connection was read so, and its caller got a plain end instead of the reset by which callers tell that it was not read and may be repeated.

Change: the close waits, without reading, until the caller has acknowledged all that was written (TCP_INFO), for 30 s at most. The kernel then resets the connection if there is unread input, and ends it otherwise. A planned stop goes on until callers have received their responses, or until its deadline, because the exit of the process discards what they have not.

Tests: TestResponseBeforeCloseIsDeliveredDespiteUnreadInput now asks for the reset as well; with the close that reads it fails with "EOF; want a reset".

--- a/internal/transport/gatewayhttp/server.go
+++ b/internal/transport/gatewayhttp/server.go
@@ -55,8 +55,9 @@
 	// answerTime is the time that a planned stop leaves for the answers to requests that it
 	// ends.
 	answerTime = 200 * time.Millisecond
-	// quietPeriod is the time without a request in progress after which a planned stop
-	// ends. A request that crossed the close of its connection may still arrive in it.
+	// quietPeriod is the time without a request in progress, or a response that its caller has
+	// not received, after which a planned stop ends. A request that crossed the close of its
+	// connection may still arrive in it.
 	quietPeriod = 200 * time.Millisecond
 	// stopCheckInterval is the time between checks whether a planned stop may end.
 	stopCheckInterval = 20 * time.Millisecond
@@ -162,7 +163,7 @@
 				stopBySet = true
 			}
 			s.connections.closeIdle(now, 0)
-			if s.openRequests.Load() > 0 {
+			if s.openRequests.Load() > 0 || netconn.Delivering() > 0 {
 				quietSince = time.Time{}
 				continue
 			}
--- a/internal/transport/gatewayhttp/slowcaller_test.go
+++ b/internal/transport/gatewayhttp/slowcaller_test.go
@@ -50,21 +50,21 @@
 		t.Fatal(err)
 	}
 	<-sent
-	stopCtx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	stopCtx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	go func() {
-		for !s.stopping.Load() {
-			time.Sleep(time.Millisecond)
-		}
-		close(release)
+		s.Stop(stopCtx)
+		end()
 	}()
-	s.Stop(stopCtx)
-	end()
-	if err := <-served; err != nil {
-		t.Error(err)
+	for !s.stopping.Load() {
+		time.Sleep(time.Millisecond)
 	}
-	if _, err := io.WriteString(conn, request); err != nil {
-		t.Fatal(err)
+	close(release)
+	time.Sleep(idleCloseDelay + 4*quietPeriod) // the stop would end without a request in progress
+	select {
+	case err := <-served:
+		t.Fatalf("the server has ended before its caller has received the response; error %v", err)
+	default:
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
@@ -74,4 +74,7 @@
 	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != text || !resp.Close {
 		t.Errorf("%d bytes, connection closed %t, error %v; want %d and closed", len(body), resp.Close, err, len(text))
 	}
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
 }
--- a/internal/transport/netconn/close.go
+++ b/internal/transport/netconn/close.go
@@ -1,28 +1,32 @@
 package netconn
 
 import (
-	"errors"
 	"io"
 	"net"
-	"os"
 	"sync/atomic"
 	"time"
 )
 
+// Limits of the close of a connection whose peer has not received all that was written.
 const (
-	// lingerInterval is the time between checks whether the peer of a connection that is closed
-	// has received what was written. Where that is not known, it counts as received after one.
-	lingerInterval = 500 * time.Millisecond
-	// maxLinger bounds the time for which a closed connection waits for its peer.
-	maxLinger = 30 * time.Second
+	// maxDeliveryTime bounds how long the close waits.
+	maxDeliveryTime = 30 * time.Second
+	// Between checks, it waits for minDeliveryCheck first, and twice as long each time after.
+	minDeliveryCheck = time.Millisecond
+	maxDeliveryCheck = 50 * time.Millisecond
 )
 
+// delivering is the number of connections that were closed and whose peers have not received all
+// that was written.
+var delivering atomic.Int64
+
+// Delivering returns the number of connections of servers that were closed and whose callers have
+// not received all that was written. The exit of the process may discard what they have not.
+func Delivering() int64 { return delivering.Load() }
+
 // listener accepts connections whose peers are watched and whose close delivers what was
 // written.
-type listener struct {
-	net.Listener
-	lingering *atomic.Int64 // connections that are closed and whose peers have not closed them
-}
+type listener struct{ net.Listener }
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
@@ -31,20 +35,21 @@
 		return nil, err
 	}
 	if watched, ok := newConn(c).(*conn); ok {
-		return &servedConn{conn: watched, lingering: l.lingering}, nil
+		return &servedConn{conn: watched}, nil
 	}
 	return c, nil
 }
 
-// servedConn is a server's connection. If it is closed before the peer has received what was
-// written, it sends the rest and the end, and discards input until then. If it were closed with
-// unread input, or if input arrived afterwards, the kernel would reset it and discard what the
-// peer has not received yet. What has been received can still be read there after a reset.
+// servedConn is a server's connection. If it were closed with unread input, or if input arrived
+// afterwards, the kernel would reset it and discard what the peer has not received yet. Its close
+// therefore waits until the peer has acknowledged all that was written, where TCP_INFO says so.
+//
+// Input that arrives meanwhile is not read: a request that crosses the close is answered with a
+// reset, by which callers tell that it was not read and may be repeated.
 type servedConn struct {
 	*conn
-	lingering *atomic.Int64
-	closed    atomic.Bool // Close was called
-	abrupt    atomic.Bool // the peer has closed the connection, or it is to be reset
+	closed atomic.Bool // Close was called
+	abrupt atomic.Bool // the peer sends nothing more, or the connection is to be reset
 }
 
 // SetLinger is that of net.TCPConn. The next Close does not wait for the peer.
@@ -55,53 +60,51 @@
 
 // Read implements net.Conn.
 func (c *servedConn) Read(p []byte) (int, error) {
-	n, err := c.conn.Read(p)
 	if c.closed.Load() {
 		return 0, net.ErrClosed
 	}
+	n, err := c.conn.Read(p)
 	if err == io.EOF {
 		c.abrupt.Store(true)
 	}
 	return n, err
 }
 
-// Close implements net.Conn. It does not wait for the peer.
+// Write implements net.Conn.
+func (c *servedConn) Write(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.conn.Write(p)
+}
+
+// Close implements net.Conn. It returns without waiting for the peer.
 func (c *servedConn) Close() error {
 	if c.closed.Swap(true) {
 		return net.ErrClosed
 	}
-	if c.abrupt.Load() || c.isDelivered() || c.CloseWrite() != nil { // CloseWrite fails if the peer has reset the connection
+	// The deadline ends reads and writes in progress.
+	if c.abrupt.Load() || !c.undelivered() || c.SetDeadline(time.Unix(1, 0)) != nil {
 		return c.conn.Close()
 	}
-	c.lingering.Add(1)
-	go c.discardInput()
+	delivering.Add(1)
+	go c.closeWhenDelivered()
 	return nil
 }
 
-// discardInput reads until the peer closes the connection or has received all that was written.
-func (c *servedConn) discardInput() {
-	defer c.lingering.Add(-1)
+// closeWhenDelivered closes the connection once the peer has received all that was written.
+func (c *servedConn) closeWhenDelivered() {
+	defer delivering.Add(-1)
 	defer c.conn.Close()
-	for end := time.Now().Add(maxLinger); time.Now().Before(end); {
-		if c.SetReadDeadline(time.Now().Add(lingerInterval)) != nil {
-			return
-		}
-		if !errors.Is(c.discard(), os.ErrDeadlineExceeded) || !infoAvailable() || c.isDelivered() {
-			return
-		}
-	}
-}
-
-// discard reads until it fails.
-func (c *servedConn) discard() error {
-	for b := make([]byte, 512); ; {
-		if _, err := c.conn.Read(b); err != nil {
-			return err
-		}
+	wait := minDeliveryCheck
+	for end := time.Now().Add(maxDeliveryTime); c.undelivered() && time.Now().Before(end); {
+		time.Sleep(wait)
+		wait = min(2*wait, maxDeliveryCheck)
 	}
 }
 
-func (c *servedConn) isDelivered() bool {
-	delivered, _ := c.Delivered()
-	return delivered
+// undelivered reports whether the peer is known not to have acknowledged all that was written.
+func (c *servedConn) undelivered() bool {
+	delivered, known := c.Delivered()
+	return known && !delivered
 }
--- a/internal/transport/netconn/close_test.go
+++ b/internal/transport/netconn/close_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -20,9 +22,9 @@
 }
 
 // readAll reads a response with a body of moreThanWindow bytes.
-func readAll(t *testing.T, conn net.Conn) {
+func readAll(t *testing.T, responses *bufio.Reader) {
 	t.Helper()
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	resp, err := http.ReadResponse(responses, nil)
 	if err != nil {
 		t.Fatalf("no response: %v", err)
 	}
@@ -34,7 +36,8 @@
 
 // Guards against losing a response that is still in the server's buffer, or on its way, when the
 // server closes the connection while input is unread: the kernel discards what it has not
-// delivered and resets the connection.
+// delivered and resets the connection. Guards also against reading input that is not answered:
+// its sender could not tell that it may be repeated.
 func TestResponseBeforeCloseIsDeliveredDespiteUnreadInput(t *testing.T) {
 	for name, request := range map[string]string{
 		"further request": getRequest + getRequest,
@@ -55,7 +58,11 @@
 			if _, err := io.WriteString(conn, "more input after the close"); err != nil {
 				t.Fatal(err)
 			}
-			readAll(t, conn)
+			responses := bufio.NewReader(conn)
+			readAll(t, responses)
+			if _, err := responses.ReadByte(); name != "rest of a body" && !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("read after the response: %v; want a reset, since input was not read", err)
+			}
 		})
 	}
 }
@@ -88,5 +95,5 @@
 	if _, err := io.WriteString(conn, getRequest); err != nil {
 		t.Fatal(err)
 	}
-	readAll(t, conn)
+	readAll(t, bufio.NewReader(conn))
 }
--- a/internal/transport/netconn/conn.go
+++ b/internal/transport/netconn/conn.go
@@ -119,7 +119,7 @@
 		return false, false
 	}
 	info, err := c.info()
-	return err == nil && !inTransit(info), true
+	return err == nil && !inTransit(info), err == nil
 }
 
 // limit sets TCP_USER_TIMEOUT to silenceTimeout or to none. c.mu is held.
--- a/internal/transport/netconn/netconn.go
+++ b/internal/transport/netconn/netconn.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -53,7 +52,7 @@
 }
 
 // endTimeout bounds the time that a server waits at its end for requests in progress, for those
-// that are expected on new connections, and then for its callers to close their connections.
+// that are expected on new connections, and then for its callers to receive what was written.
 const endTimeout = 150 * time.Millisecond
 
 // endCheckInterval is the time between checks whether a server may end.
@@ -68,8 +67,7 @@
 	busy := &busyConns{open: make(map[net.Conn]struct{}), hook: server.ConnState}
 	server.ConnState = busy.track
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
-	var lingering atomic.Int64
-	err := server.Serve(listener{Listener: ln, lingering: &lingering})
+	err := server.Serve(listener{ln})
 	if stop() {
 		return err // ctx has not ended
 	}
@@ -78,7 +76,7 @@
 		time.Sleep(endCheckInterval)
 	}
 	server.Close() // fails for connections that are closed already
-	for lingering.Load() > 0 && time.Now().Before(end) {
+	for Delivering() > 0 && time.Now().Before(end) {
 		time.Sleep(endCheckInterval)
 	}
 	return nil
--- a/internal/transport/netconn/stall_test.go
+++ b/internal/transport/netconn/stall_test.go
@@ -232,7 +232,7 @@
 		t.Fatal(err)
 	}
 	defer dialed.Close()
-	accepted, err := listener{Listener: ln}.Accept()
+	accepted, err := listener{ln}.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
