entryhttp: a stopping entry delivers its responses despite further requests

Callers of a deployment with side processes saw: a response that is cut off during a planned stop, read slowly, with a further request on its way.

Cause: the same as in netconn. A connection that is closed with unread input is reset, and the kernel discards what it has not delivered. Change: connections of callers are closed as those of netconn.Serve, once their peers have received what was written, without reading further requests.

--- a/internal/transport/entryhttp/server.go
+++ b/internal/transport/entryhttp/server.go
@@ -83,7 +83,7 @@
 
 // Serve accepts connections from l until Shutdown or StopAccepting is called.
 func (s *Server) Serve(l net.Listener) error {
-	bounded := newListener(netconn.RetryAccept(l, s.cfg.Log.With(zap.String("listener", "callers"))), s.cfg.MaxConnections)
+	bounded := newListener(netconn.DeliverBeforeClose(netconn.RetryAccept(l, s.cfg.Log.With(zap.String("listener", "callers")))), s.cfg.MaxConnections)
 	s.listener.Store(bounded)
 	if s.stopping.Load() {
 		bounded.Close()
--- a/internal/transport/netconn/close.go
+++ b/internal/transport/netconn/close.go
@@ -24,6 +24,10 @@
 // not received all that was written. The exit of the process may discard what they have not.
 func Delivering() int64 { return delivering.Load() }
 
+// DeliverBeforeClose returns a listener whose connections are closed once their peers have
+// received what was written; see servedConn.
+func DeliverBeforeClose(ln net.Listener) net.Listener { return listener{ln} }
+
 // listener accepts connections whose peers are watched and whose close delivers what was
 // written.
 type listener struct{ net.Listener }
