netconn: a pause of the process is not held against a peer

Cause: if the process does not run while a connection is opened, the timeout has passed when it runs again, and the connection counts as failed although the peer has accepted it. The target was ejected as unreachable at once; after a pause, all targets to which connections were being opened. Change: an attempt that its timeout ends over 100 ms late is made once more, for 100 ms. The tests of netconn and upstream pass.

--- a/internal/transport/netconn/netconn.go
+++ b/internal/transport/netconn/netconn.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -35,10 +36,29 @@
 	return net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: count}
 }
 
-// Dial opens a TCP connection to an IPv4 address. timeout bounds the attempt.
+// An attempt to connect that its timeout ends later than by longestDelay was held up by this
+// process, which did not run, and not by the peer: the connection may have been accepted
+// meanwhile. It is made once more, for delayedDialTimeout. Sound peers are at most a few
+// milliseconds away. A process that has used up its processor share is held up for less.
+const (
+	longestDelay       = 100 * time.Millisecond
+	delayedDialTimeout = 100 * time.Millisecond
+)
+
+// Dial opens a TCP connection to an IPv4 address. timeout bounds the attempt, as far as the
+// process runs.
 func Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: limitSocket}
+	return dial(ctx, address, timeout, limitSocket)
+}
+
+func dial(ctx context.Context, address string, timeout time.Duration, control func(network, address string, c syscall.RawConn) error) (net.Conn, error) {
+	d := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: control}
+	began := time.Now()
 	conn, err := d.DialContext(ctx, "tcp4", address)
+	if t, ok := errors.AsType[net.Error](err); ok && t.Timeout() && ctx.Err() == nil && time.Since(began) > timeout+longestDelay {
+		d.Timeout = delayedDialTimeout
+		conn, err = d.DialContext(ctx, "tcp4", address)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
