--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -18,7 +17,7 @@
 
 var (
 	deploymentFlag = flag.String("faultsoak.deployment", "", "deployment to run; empty for the one that the seed chooses")
-	daySeconds     = flag.Duration("faultsoak.day", 24*time.Second, "how long the faults of a deployment's run last")
+	dayFlag        = flag.Duration("faultsoak.day", 24*time.Second, "how long the faults of a deployment's run last")
 	shareFlag      = flag.Float64("faultsoak.share", entryCPUShare, "share of a processor that an entry may use; 0: no limit")
 	periodFlag     = flag.Duration("faultsoak.period", 100*time.Millisecond, "period of -faultsoak.share; longer ones are pauses of an entry as on a busy machine")
 	holdsFlag      = flag.Bool("faultsoak.holds", false, "entries do not run for about a second, several times, beside planned stops, as on a busy machine; the judge excuses nothing for it")
@@ -156,7 +155,7 @@
 // playPlan plays the plan of the seed: planned work for the whole time and, with odd seeds,
 // faults in the first half of it.
 func (d *deploymentRun) playPlan() {
-	r, day := d.random, *daySeconds
+	r, day := d.random, *dayFlag
 	var plan []step
 	add := func(at time.Duration, do func()) { plan = append(plan, step{at, do}) }
 	between := func(low, high time.Duration) time.Duration { return low + time.Duration(r.Int64N(int64(high-low))) }
@@ -359,5 +358,5 @@
 		}
 		counts[a.kind.name][name]++
 	}
-	return maps.Clone(counts)
+	return counts
 }
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -238,7 +238,7 @@
 			end = until
 		}
 	}
-	return beside, *daySeconds - beside
+	return beside, *dayFlag - beside
 }
 
 func latest(a, b time.Time) time.Time {
