--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -42,6 +42,11 @@
 	// caller waits for it. Targets stop at the deadline, and what they have sent until then is
 	// on its way.
 	deadlineSlack = 50 * time.Millisecond
+	// shortagePause is the time from an attempt that failed because the entry was short of
+	// descriptors until the request is placed again. Each request that ends frees some. A
+	// request that has not run is refused after maxPlacements pauses, because another entry
+	// may serve it at once.
+	shortagePause = 10 * time.Millisecond
 	// defaultRetryAfter is the retry-after time of a request that did not run before
 	// it had used up its time or the targets that it may be sent to.
 	defaultRetryAfter = 200 * time.Millisecond
@@ -66,6 +71,7 @@
 	errDeadline        = errors.New("deadline of the request passed")
 	errTooLarge        = errors.New("response body or event is too large")
 	errEndsInsideEvent = errors.New("stream ended inside an event")
+	errEndsWithdrawn   = errors.New("response without length or chunks ended after its target was asked to abandon it")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
 )
 
@@ -255,7 +261,10 @@
 		if grant, tryAnother = r.sendTo(ctx, placementCtx, grant, prepared); !tryAnother {
 			return
 		}
-		if !errors.Is(r.lastErr, ErrGrantExpired) && !errors.Is(r.lastErr, ErrGrantWithdrawn) {
+		switch {
+		case errors.Is(r.lastErr, ErrShortage):
+			pause(ctx, shortagePause)
+		case !errors.Is(r.lastErr, ErrGrantExpired) && !errors.Is(r.lastErr, ErrGrantWithdrawn):
 			r.placement.Tried = append(r.placement.Tried, sentTo)
 		}
 		r.placement.AlreadyAdmitted = true
@@ -267,6 +276,16 @@
 	}
 }
 
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // handlePlacementError ends a request for which the scheduler granted no target.
 func (r *request) handlePlacementError(ctx context.Context, err error) {
 	var refusal *dispatch.Refusal
@@ -327,6 +346,9 @@
 	defer a.cancel(nil)
 	repeated := prepared || r.reachedTarget
 	if !prepared {
+		if r.possibleRuns >= r.maxRuns() {
+			return nil, r.holdBack(g, "no_run_left", defaultRetryAfter) // the configuration has changed meanwhile
+		}
 		if repeated && !r.takeRetry() {
 			return nil, r.holdBack(g, "retry_budget", defaultRetryAfter)
 		}
@@ -338,7 +360,7 @@
 		}
 	}
 	outcome, err := a.run()
-	next = a.handOver.pause()
+	next = a.handOver.end()
 	r.service.cfg.Scheduler.Release(g, outcome)
 	r.lastErr = err
 	if !errors.Is(err, ErrNotSent) {
@@ -382,7 +404,8 @@
 // the request may crash the next target too, and handedOver that another target has a slot
 // for the request.
 func (r *request) afterFailedAttempt(ctx context.Context, a *attempt, outcome dispatch.Outcome, err error, handedOver, suspected bool) (tryAnother bool) {
-	mayHaveRun := outcome != dispatch.Unreachable && outcome != dispatch.Unused && outcome != dispatch.Rejected && outcome != dispatch.Gone
+	// Only these prove that the request did not run. The outcome also rates the target.
+	mayHaveRun := !errors.Is(err, ErrNotSent) && outcome != dispatch.Rejected && outcome != dispatch.Gone
 	if mayHaveRun {
 		r.countPromptTokens(a.grant, false)
 	}
@@ -397,7 +420,7 @@
 	if mayHaveRun {
 		r.possibleRuns++
 	}
-	willRetry := cause == nil && !suspected && (!mayHaveRun || r.route.Repeatable() && r.possibleRuns < r.route.MaxAttempts)
+	willRetry := cause == nil && !suspected && r.possibleRuns < r.maxRuns()
 	if willRetry && !handedOver && r.reachedTarget && !r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack()) {
 		willRetry = false
 		r.logRetryRefused()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -50,6 +50,10 @@
 	// and defaultResponseMemory what they may take if its limit is not stated, in bytes.
 	responseMemoryShare   = 0.125
 	defaultResponseMemory = 32 << 20
+	// readinessIdleTimeout is the time after which an idle connection of the readiness check is
+	// closed. The platform asks every second; one that connects anew each time and leaves its
+	// connections open would take all descriptors.
+	readinessIdleTimeout = 10 * time.Second
 	// closeExpiredInterval is the time between checks for idle connections to close.
 	closeExpiredInterval = time.Second
 )
@@ -128,7 +132,7 @@
 	running, finish := context.WithCancel(context.WithoutCancel(ctx))
 	defer finish()
 	group, running := errgroup.WithContext(running)
-	p.callers = &gatewayhttp.Server{Gateway: p.gateway, Log: p.log}
+	p.callers = &gatewayhttp.Server{Gateway: p.gateway, Log: p.log, MaxConnections: maxCallerConnections(p.settings.MaxSockets, p.log)}
 	group.Go(func() error { return p.callers.Serve(running, p.settings.Callers.String()) })
 	group.Go(func() error { return p.serveReadiness(running) })
 	group.Go(func() error { return p.serveEntries(running) })
@@ -204,27 +208,29 @@
 	}
 }
 
-// serveReadiness serves the platform's readiness check.
-func (p *gatewayProcess) serveReadiness(ctx context.Context) error {
+// newReadinessServer returns the server of the platform's readiness check.
+func (p *gatewayProcess) newReadinessServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if err := p.checkReady(); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
 	})
-	config := netconn.ListenConfig()
-	ln, err := config.Listen(ctx, "tcp4", p.settings.Readiness.String())
+	return &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: readinessIdleTimeout, ErrorLog: zap.NewStdLog(p.log)}
+}
+
+// serveReadiness serves the platform's readiness check.
+func (p *gatewayProcess) serveReadiness(ctx context.Context) error {
+	ln, err := netconn.Listen(ctx, p.settings.Readiness.String(), p.log.With(zap.String("listener", "readiness")))
 	if err != nil {
 		return fmt.Errorf("listen for readiness: %w", err)
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second}
-	return netconn.Serve(ctx, server, ln)
+	return netconn.Serve(ctx, p.newReadinessServer(), ln)
 }
 
 // serveEntries serves snapshots and origins of streams to the other entries.
 func (p *gatewayProcess) serveEntries(ctx context.Context) error {
-	config := netconn.ListenConfig()
-	ln, err := config.Listen(ctx, "tcp4", netip.AddrPortFrom(p.settings.IP, p.settings.FirstPort).String())
+	ln, err := netconn.Listen(ctx, netip.AddrPortFrom(p.settings.IP, p.settings.FirstPort).String(), p.log.With(zap.String("listener", "entries")))
 	if err != nil {
 		return fmt.Errorf("listen for entries: %w", err)
 	}
@@ -244,6 +250,7 @@
 		return 0
 	}))
 	expvar.Publish("connections_opened", expvar.Func(func() any { return p.targetClient.ConnectionsOpened() }))
+	expvar.Publish("caller_connections", expvar.Func(func() any { return p.callers.Connections() }))
 	expvar.Publish("requests_open", expvar.Func(func() any { return p.callers.OpenRequests() }))
 	expvar.Publish("targets_listed", expvar.Func(func() any { return p.control.targetCount() }))
 	expvar.Publish("prompt_parts", expvar.Func(func() any { return p.quarantine.Summary(time.Now()) }))
@@ -255,7 +262,7 @@
 		return nil
 	}
 	server := &admin.Server{Ready: p.checkReady}
-	return server.Serve(ctx, ln)
+	return server.Serve(ctx, netconn.RetryAccept(ln, p.log.With(zap.String("listener", "metrics"))))
 }
 
 // runPeriodicTasks grants free slots and closes idle connections to targets at
--- a/internal/transport/gatewayhttp/server.go
+++ b/internal/transport/gatewayhttp/server.go
@@ -13,8 +13,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,11 +31,12 @@
 const (
 	// headerTimeout bounds the arrival of a request's head.
 	headerTimeout = 5 * time.Second
-	// bodyTimeout bounds the arrival of a request's body.
+	// bodyTimeout bounds the wait for more of a request's body.
 	bodyTimeout = 10 * time.Second
-	// writeTimeout bounds each write of a response. It ends connections whose callers
-	// do not read.
-	writeTimeout = 10 * time.Second
+	// writeTimeout bounds the writing of each maxWriteBytes of a response. It ends connections
+	// whose callers do not read, and not those of callers that read slowly.
+	writeTimeout  = 10 * time.Second
+	maxWriteBytes = 64 << 10
 	// maxHeaderBytes bounds the head that the server reads. The operator's limit is
 	// checked after the head was read.
 	maxHeaderBytes = 64 << 10
@@ -53,8 +55,9 @@
 	// answerTime is the time that a planned stop leaves for the answers to requests that it
 	// ends.
 	answerTime = 200 * time.Millisecond
-	// quietPeriod is the time without a request in progress after which a planned stop
-	// ends. A request that crossed the close of its connection may still arrive in it.
+	// quietPeriod is the time without a request in progress, or a response that its caller has
+	// not received, after which a planned stop ends. A request that crossed the close of its
+	// connection may still arrive in it.
 	quietPeriod = 200 * time.Millisecond
 	// stopCheckInterval is the time between checks whether a planned stop may end.
 	stopCheckInterval = 20 * time.Millisecond
@@ -64,12 +67,13 @@
 type Server struct {
 	Gateway *gateway.Service
 	Log     *zap.Logger
+	// MaxConnections bounds the connections of callers; 0 for no bound.
+	MaxConnections int
 
 	stopping     atomic.Bool // responses close their connections
 	refuseAll    atomic.Bool // no request is accepted
 	openRequests atomic.Int64
-	mu           sync.Mutex
-	idleSince    map[net.Conn]time.Time // of each idle connection
+	connections  connections
 }
 
 // Serve serves on address until ctx ends.
@@ -79,21 +83,24 @@
 	if err != nil {
 		return err
 	}
-	server := s.newHTTPServer()
 	go s.closeExpiredIdle(ctx)
-	return netconn.Serve(ctx, server, ln)
+	return s.serve(ctx, ln)
+}
+
+// serve serves on ln until ctx ends.
+func (s *Server) serve(ctx context.Context, ln net.Listener) error {
+	server := s.newHTTPServer()
+	return netconn.Serve(ctx, server, netconn.RetryAccept(newBoundedListener(ln, &s.connections), s.Log.With(zap.String("listener", "callers"))))
 }
 
 // newHTTPServer returns the HTTP server of s.
 func (s *Server) newHTTPServer() *http.Server {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.idleSince = make(map[net.Conn]time.Time)
+	s.connections.init(s.MaxConnections, s.Log)
 	return &http.Server{
 		Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		// IdleTimeout bounds idle connections when the operator sets no limit.
 		IdleTimeout: 10 * time.Minute,
-		ConnState:   s.trackIdle, DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(s.Log),
+		ConnState:   s.connections.track, DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(s.Log),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 }
@@ -101,6 +108,20 @@
 // OpenRequests returns the number of requests in progress.
 func (s *Server) OpenRequests() int64 { return s.openRequests.Load() }
 
+// ConnectionCounts are the numbers of callers' connections, for the expvar
+// "caller_connections".
+type ConnectionCounts struct {
+	Open  int `json:"open"`
+	Idle  int `json:"idle"`
+	Bound int `json:"bound"` // 0 for none
+}
+
+// Connections returns the numbers of callers' connections.
+func (s *Server) Connections() ConnectionCounts {
+	open, idle := s.connections.count()
+	return ConnectionCounts{Open: open, Idle: idle, Bound: s.MaxConnections}
+}
+
 // Stop performs a planned stop: responses close their connections from now on. After
 // idleCloseDelay, idle connections are closed, and requests that will not end answerTime
 // before the deadline of ctx are refused. Stop returns when no request has been in progress
@@ -141,8 +162,8 @@
 				s.Gateway.StopBy(end)
 				stopBySet = true
 			}
-			s.closeIdle(now, 0)
-			if s.openRequests.Load() > 0 {
+			s.connections.closeIdle(now, 0)
+			if s.openRequests.Load() > 0 || netconn.Delivering() > 0 {
 				quietSince = time.Time{}
 				continue
 			}
@@ -174,17 +195,6 @@
 	}
 }
 
-// trackIdle is the ConnState hook of the server. It keeps idleSince up to date.
-func (s *Server) trackIdle(c net.Conn, st http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if st == http.StateIdle {
-		s.idleSince[c] = time.Now()
-	} else {
-		delete(s.idleSince, c)
-	}
-}
-
 // closeExpiredIdle closes connections that have been idle for longer than the operator
 // allows, until ctx ends.
 func (s *Server) closeExpiredIdle(ctx context.Context) {
@@ -196,29 +206,12 @@
 			return
 		case now := <-tick.C:
 			if c := s.Gateway.Configuration(); c != nil && c.Limits.IdleTimeout > 0 {
-				s.closeIdle(now, time.Duration(idleTimeoutFactor*float64(c.Limits.IdleTimeout)))
+				s.connections.closeIdle(now, time.Duration(idleTimeoutFactor*float64(c.Limits.IdleTimeout)))
 			}
 		}
 	}
 }
 
-// closeIdle closes connections that have been idle for at least limit. It sets a read
-// deadline in the past, on which net/http closes a connection unless it has just read a
-// request from it. Closing the connection here could cut a request that is already
-// being handled.
-func (s *Server) closeIdle(now time.Time, limit time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c, since := range s.idleSince {
-		if now.Sub(since) < limit {
-			continue
-		}
-		if err := c.SetReadDeadline(time.Unix(1, 0)); err != nil {
-			s.Log.Debug("idle connection not closed", zap.Error(err))
-		}
-	}
-}
-
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
@@ -244,10 +237,12 @@
 	}
 	out := &responder{w: w, control: control, call: call, closeConnection: s.stopping.Load}
 	if s.refuseAll.Load() {
-		s.Log.Info("request refused", zap.String("request", string(call.ID)), zap.String("reason", dispatch.ReasonStopping))
-		if err := out.Fail(gateway.Failure{Kind: gateway.NotRun, Reason: dispatch.ReasonStopping, RetryAfter: dispatch.StoppingRetryAfter}); err != nil {
-			s.Log.Info("write to caller failed", zap.String("request", string(call.ID)), zap.Error(err))
-		}
+		s.refuse(out, dispatch.ReasonStopping, dispatch.StoppingRetryAfter)
+		return
+	}
+	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok && s.connections.isAboveBound(conn) {
+		out.closeConnection = func() bool { return true }
+		s.refuse(out, reasonConnections, connectionsRetryAfter)
 		return
 	}
 	s.Gateway.Serve(r.Context(), call, arrived, out)
@@ -256,6 +251,14 @@
 	}
 }
 
+// refuse answers a request that is not passed to the gateway.
+func (s *Server) refuse(out *responder, reason string, retryAfter time.Duration) {
+	s.Log.Info("request refused", zap.String("request", string(out.call.ID)), zap.String("reason", reason))
+	if err := out.Fail(gateway.Failure{Kind: gateway.NotRun, Reason: reason, RetryAfter: retryAfter}); err != nil {
+		s.Log.Info("write to caller failed", zap.String("request", string(out.call.ID)), zap.Error(err))
+	}
+}
+
 // connKey is the key under which the context of a request holds its connection.
 type connKey struct{}
 
@@ -263,8 +266,8 @@
 // without chunks ends with its connection, so that only a reset tells the caller that it
 // is incomplete.
 func (s *Server) cutResponse(r *http.Request) {
-	if tcp, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
-		if err := tcp.SetLinger(0); err != nil {
+	if c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(seconds int) error }); ok && !r.ProtoAtLeast(1, 1) {
+		if err := c.SetLinger(0); err != nil {
 			s.Log.Warn("connection of a broken response not reset", zap.String("caller", r.RemoteAddr), zap.Error(err))
 		}
 	}
@@ -291,14 +294,13 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
 	}
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, http.StatusInternalServerError
-	}
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(&bodyReader{in: r.Body, control: control})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout
 	case err != nil:
 		return nil, http.StatusBadRequest
 	}
@@ -308,6 +310,19 @@
 	return body, 0
 }
 
+// bodyReader reads a request's body as long as more of it arrives within bodyTimeout.
+type bodyReader struct {
+	in      io.Reader
+	control *http.ResponseController
+}
+
+func (b *bodyReader) Read(p []byte) (int, error) {
+	if err := b.control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return 0, err
+	}
+	return b.in.Read(p)
+}
+
 // headerBytes returns the size of the method, URI, host and header fields in bytes. Each
 // field counts 4 bytes for separators.
 func headerBytes(r *http.Request) int {
@@ -363,8 +378,16 @@
 		return err
 	}
 	o.w.WriteHeader(r.Status)
-	if len(body) > 0 {
-		if _, err := o.w.Write(body); err != nil {
+	return o.write(body)
+}
+
+// write writes b and flushes it. Each piece has a deadline of its own.
+func (o *responder) write(b []byte) error {
+	for piece := range slices.Chunk(b, maxWriteBytes) {
+		if err := o.extendWriteDeadline(); err != nil {
+			return err
+		}
+		if _, err := o.w.Write(piece); err != nil {
 			return err
 		}
 	}
@@ -379,15 +402,7 @@
 }
 
 // WriteEvent implements gateway.Responder.
-func (o *responder) WriteEvent(b []byte) error {
-	if err := o.extendWriteDeadline(); err != nil {
-		return err
-	}
-	if _, err := o.w.Write(b); err != nil {
-		return err
-	}
-	return o.control.Flush()
-}
+func (o *responder) WriteEvent(b []byte) error { return o.write(b) }
 
 // EndStream implements gateway.Responder. net/http writes the end of the response when
 // the handler returns.
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -13,14 +13,12 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
-	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 	"github.com/cassiaramp/cassiaramp/platform"
 )
@@ -30,8 +28,9 @@
 	// milliseconds away. The timeout does not wait for the retransmission of a lost
 	// SYN, which TCP sends after 1 s.
 	dialTimeout = 400 * time.Millisecond
-	// writeTimeout bounds the writing of a whole request.
-	writeTimeout = 2 * time.Second
+	// firstWriteBytes is how much of a request is written before Send returns. The send buffer
+	// of a connection without unread data takes it at once.
+	firstWriteBytes = 16 << 10
 	// silentTime is the time without a response after which a failed request on a reused
 	// connection closes the idle ones. Targets respond sooner unless they are overloaded.
 	silentTime = 500 * time.Millisecond
@@ -57,12 +56,18 @@
 	mu          sync.Mutex
 	idle        map[string][]*connection // by address, least recently used first
 	openedCount int64
+	connect     func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
 }
 
 // New returns a Client without connections.
-func New() *Client { return &Client{idle: make(map[string][]*connection)} }
+func New() *Client {
+	return &Client{idle: make(map[string][]*connection), connect: netconn.Dial}
+}
 
-var _ gateway.TargetClient = (*Client)(nil)
+var (
+	_ gateway.TargetClient = (*Client)(nil)
+	_ gateway.Withdrawer   = (*exchange)(nil)
+)
 
 // ConnectionsOpened returns the number of connections opened so far, to all targets.
 func (c *Client) ConnectionsOpened() int64 {
@@ -79,6 +84,8 @@
 	reader    *bufio.Reader
 	expiresAt time.Time // end of its idle time; it is not reused from then on
 	reused    bool      // an earlier request was sent on it
+	// namesRequests says that the target has named a request in a response on it.
+	namesRequests bool
 }
 
 func newConnection(conn net.Conn, address string) *connection {
@@ -86,6 +93,16 @@
 	return &connection{Conn: conn, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}
 }
 
+// abandon closes the connection of a request that is given up. What the target has not received
+// of the request is discarded. Otherwise it would be delivered when the target reads again, or
+// its link is back, and the target would run a request that nobody waits for.
+func (c *connection) abandon() {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		socket.SetLinger(0) // fails only on a connection that is closed already
+	}
+	c.Close()
+}
+
 // limitedReader fails after a number of bytes, unless it is unlimited.
 type limitedReader struct {
 	in        io.Reader
@@ -110,7 +127,7 @@
 
 // Send sends a request once. The error wraps gateway.ErrNotSent when the target
 // certainly did not receive any of it. When ctx ends, the connection is closed, upon
-// which targets abandon the request.
+// which targets abandon the request, and what is left of the request is discarded.
 func (c *Client) Send(ctx context.Context, f *gateway.Forward) (gateway.Exchange, error) {
 	conn, err := c.acquire(ctx, f.Target.Address)
 	if err != nil {
@@ -129,22 +146,14 @@
 		conn.Close()
 		return nil, fmt.Errorf("%w: send to %s", gateway.ErrGrantWithdrawn, f.Target.Address)
 	}
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		stop()
+	e := &exchange{client: c, conn: conn, method: f.Call.Method, requestID: f.Call.ID, written: make(chan struct{})}
+	e.stop = context.AfterFunc(ctx, conn.abandon)
+	if err := e.write(b); err != nil {
+		e.stop()
 		conn.Close()
 		return nil, fmt.Errorf("%w: write to %s: %w", gateway.ErrNotSent, f.Target.Address, err)
 	}
-	n, err := conn.Write(b)
-	if err != nil {
-		stop()
-		conn.Close()
-		if n == 0 {
-			return nil, fmt.Errorf("%w: write to %s: %w", gateway.ErrNotSent, f.Target.Address, err)
-		}
-		return nil, fmt.Errorf("write to %s: %w", f.Target.Address, err)
-	}
-	return &exchange{client: c, conn: conn, sentAt: time.Now(), stop: stop, method: f.Call.Method, requestID: f.Call.ID}, nil
+	return e, nil
 }
 
 // acquire returns a reusable idle connection or opens a new one. It closes the idle
@@ -164,11 +173,14 @@
 	return c.dial(ctx, address)
 }
 
-// dial opens a connection.
+// dial opens a connection. If there is no descriptor for it, an idle one makes room.
 func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
-	raw, err := netconn.Dial(ctx, address, dialTimeout)
+	raw, err := c.connect(ctx, address, dialTimeout)
+	if netconn.IsShortage(err) && c.closeOneIdle() {
+		raw, err = c.connect(ctx, address, dialTimeout)
+	}
 	if err != nil {
-		return nil, err
+		return nil, markShortage(err)
 	}
 	c.mu.Lock()
 	c.openedCount++
@@ -176,6 +188,15 @@
 	return newConnection(raw, address), nil
 }
 
+// markShortage wraps gateway.ErrShortage in err if that is an error of this entry's own system
+// and not of the way to the target.
+func markShortage(err error) error {
+	if netconn.IsShortage(err) {
+		return fmt.Errorf("%w: %w", gateway.ErrShortage, err)
+	}
+	return err
+}
+
 // Refuses implements gateway.TargetClient. A connection that it opens goes to the pool.
 func (c *Client) Refuses(ctx context.Context, address string) bool {
 	conn, err := c.dial(ctx, address)
@@ -196,7 +217,8 @@
 func (c *Client) Closes(ctx context.Context, address string) bool {
 	conn, err := c.acquire(ctx, address)
 	if err != nil {
-		return false
+		// A connection may be accepted and reset before the call that opens it returns.
+		return errors.Is(err, syscall.ECONNRESET)
 	}
 	if conn.SetReadDeadline(time.Now().Add(closeWait)) == nil {
 		_, err = conn.Read(make([]byte, 1))
@@ -230,6 +252,27 @@
 	c.idle[conn.address] = append(c.idle[conn.address], conn)
 }
 
+// closeOneIdle closes an idle connection, that which expires first of those that are least
+// recently used at their addresses. It reports whether there was one.
+func (c *Client) closeOneIdle() bool {
+	c.mu.Lock()
+	var first *connection
+	for _, list := range c.idle {
+		if len(list) > 0 && (first == nil || list[0].expiresAt.Before(first.expiresAt)) {
+			first = list[0]
+		}
+	}
+	if first != nil {
+		c.idle[first.address] = c.idle[first.address][1:]
+	}
+	c.mu.Unlock()
+	if first == nil {
+		return false
+	}
+	first.Close()
+	return true
+}
+
 // CloseIdle closes the idle connections to address.
 func (c *Client) CloseIdle(address string) {
 	c.mu.Lock()
@@ -272,11 +315,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -289,85 +332,3 @@
 	})
 	return err == nil && reusable
 }
-
-// exchange is one request in progress. It implements gateway.Exchange.
-type exchange struct {
-	client    *Client
-	conn      *connection
-	sentAt    time.Time
-	stop      func() bool // cancels the closing of conn at the end of the context; false if it was closed
-	method    string
-	requestID state.RequestID
-	resp      *http.Response  // nil until Head has returned it
-	head      *state.Response // decoded from resp
-	closeOnce sync.Once
-}
-
-// Head implements gateway.Exchange.
-func (e *exchange) Head() (*state.Response, error) {
-	req := &http.Request{Method: e.method}
-	e.conn.limit.left, e.conn.limit.unlimited = maxHeadBytes, false
-	for range maxResponses {
-		resp, err := http.ReadResponse(e.conn.reader, req)
-		if err != nil {
-			e.closeSilent()
-			return nil, fmt.Errorf("read response of %s: %w", e.conn.address, err)
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue // an interim response
-		}
-		head := platform.DecodeResponse(resp)
-		if head.RequestID == e.requestID || head.RequestID == "" {
-			e.resp, e.head = resp, head
-			e.conn.limit.unlimited = true // the caller bounds what it reads of the body
-			return head, nil
-		}
-		// This is a late response to an earlier request on the connection.
-		e.conn.limit.left += maxSkippedBytes
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, fmt.Errorf("skip late response of %s to another request: %w", e.conn.address, err)
-		}
-	}
-	return nil, fmt.Errorf("read response of %s: %w", e.conn.address, errNoMatchingResponse)
-}
-
-// closeSilent closes the idle connections to the target if the request was sent on a reused
-// connection and got no response for silentTime: if that connection has gone silent for
-// good, the idle ones may have as well.
-func (e *exchange) closeSilent() {
-	if e.conn.reused && time.Since(e.sentAt) >= silentTime {
-		e.client.CloseIdle(e.conn.address)
-	}
-}
-
-// errNoMatchingResponse is returned when none of the first maxResponses responses
-// belongs to the request.
-var errNoMatchingResponse = errors.New("no response to this request among those read")
-
-// Read implements gateway.Exchange.
-func (e *exchange) Read(p []byte) (int, error) { return e.resp.Body.Read(p) }
-
-// identified reports whether the response names the request. If not, the connection is not
-// reused: a late second copy of the response could not be told from that to the next
-// request.
-func (e *exchange) identified() bool { return e.head.RequestID == e.requestID }
-
-// Close implements gateway.Exchange.
-func (e *exchange) Close(bodyRead bool) {
-	e.closeOnce.Do(func() {
-		if !e.stop() || !bodyRead || e.resp == nil || e.resp.Close || e.head.EndsWithConnection || e.conn.reader.Buffered() > 0 || !e.identified() {
-			e.conn.Close()
-			return
-		}
-		idle := platform.KeepAlive(e.resp) - idleMargin
-		if platform.KeepAlive(e.resp) == 0 {
-			idle = defaultIdleTimeout
-		}
-		if idle <= 0 {
-			e.conn.Close()
-			return
-		}
-		e.conn.expiresAt = time.Now().Add(idle)
-		e.client.pushIdle(e.conn)
-	})
-}
