--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -78,7 +78,7 @@
 		return outcome, err
 	}
 	body, err := a.readBody(ex)
-	if err == nil && head.EndsWithConnection && a.handOver.stalledAt() {
+	if err == nil && head.EndsWithConnection && a.handOver.wasWithdrawn() {
 		err = errEndsWithdrawn
 	}
 	if err != nil {
@@ -189,7 +189,7 @@
 		return dispatch.Cancelled
 	case errors.Is(err, ErrNotSent) && (cause == nil || errors.Is(cause, errStalled)):
 		return dispatch.Unreachable
-	case errors.Is(cause, errStalled), errors.Is(cause, errDeadline), cause == nil && a.handOver.stalledAt():
+	case errors.Is(cause, errStalled), errors.Is(cause, errDeadline), cause == nil && a.handOver.wasWithdrawn():
 		return dispatch.Silent
 	case cause != nil:
 		return dispatch.Cancelled
@@ -203,7 +203,7 @@
 func (a *attempt) endedBy() string {
 	cause := context.Cause(a.ctx)
 	switch {
-	case errors.Is(cause, errStalled), cause == nil && a.handOver.stalledAt():
+	case errors.Is(cause, errStalled), cause == nil && a.handOver.wasWithdrawn():
 		return "stall_limit"
 	case errors.Is(cause, errDeadline):
 		return "deadline"
@@ -261,7 +261,7 @@
 // the end of the connection says that it ended.
 func (a *attempt) finishStream(head *state.Response) (dispatch.Outcome, error) {
 	r := a.request
-	if head.EndsWithConnection && a.handOver.stalledAt() {
+	if head.EndsWithConnection && a.handOver.wasWithdrawn() {
 		return a.outcomeOf(errEndsWithdrawn), errEndsWithdrawn
 	}
 	if head.EndsWithConnection && !r.eventForwarded {
--- a/internal/coordination/gateway/handover.go
+++ b/internal/coordination/gateway/handover.go
@@ -14,57 +14,10 @@
 	// handOverInterval is the time after which a stalled attempt for which no other target
 	// was found looks for one again.
 	handOverInterval = 200 * time.Millisecond
-	// maxTimerDelay is how late a timer may be in a process that runs. After a longer delay,
-	// which shows that the process was paused, what has arrived meanwhile is read for
-	// catchUpTime before the timer counts.
-	maxTimerDelay = 20 * time.Millisecond
-	catchUpTime   = 100 * time.Millisecond
 	// withdrawTime is how long a target that is asked to abandon a request may take for it.
 	withdrawTime = 300 * time.Millisecond
 )
 
-// catchUpTimer calls a function after a time in which the process runs.
-type catchUpTimer struct {
-	mu    sync.Mutex
-	timer *time.Timer
-	due   time.Time
-}
-
-// newCatchUpTimer returns a timer that calls f in its own goroutine after d.
-func newCatchUpTimer(d time.Duration, f func()) *catchUpTimer {
-	t := &catchUpTimer{due: time.Now().Add(d)}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(d, func() {
-		if !t.catchUp() {
-			f()
-		}
-	})
-	return t
-}
-
-// catchUp starts the timer anew for catchUpTime if the process was paused when it was due.
-func (t *catchUpTimer) catchUp() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	if now.Sub(t.due) <= maxTimerDelay {
-		return false
-	}
-	t.due = now.Add(catchUpTime)
-	t.timer.Reset(catchUpTime)
-	return true
-}
-
-func (t *catchUpTimer) reset(d time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.due = time.Now().Add(d)
-	t.timer.Reset(d)
-}
-
-func (t *catchUpTimer) stop() { t.timer.Stop() }
-
 // handOver watches the progress of an attempt. When the target has stalled, it looks for
 // another one, and ends the attempt only once that one has a slot for the request. Until
 // then, and if there is none, the attempt goes on.
@@ -151,8 +104,8 @@
 	return h.next
 }
 
-// stalledAt reports whether the attempt ended because the target had stalled.
-func (h *handOver) stalledAt() bool {
+// wasWithdrawn reports whether the target was asked to abandon the request.
+func (h *handOver) wasWithdrawn() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.withdrawn
