--- a/internal/coordination/gateway/handover.go
+++ b/internal/coordination/gateway/handover.go
@@ -22,9 +22,10 @@
 // another one, and ends the attempt only once that one has a slot for the request. Until
 // then, and if there is none, the attempt goes on.
 //
-// The request must not run at two targets at a time. So the target is first asked to abandon
-// it, where that is possible, and the attempt ends when the target has done so or when its host
-// cannot be reached. A target that can be reached and does neither keeps the request.
+// A stream that has begun must not go on at two targets at a time. So its target is first asked
+// to abandon it, where that is possible, and the attempt ends when the target has done so or when
+// its host cannot be reached. A target that can be reached and does neither keeps the request,
+// and the request keeps the permission to be sent once more. Other requests may run twice.
 //
 // The fields of the request that the search reads change only while awaiting is false.
 type handOver struct {
@@ -43,6 +44,7 @@
 	next        *dispatch.Grant // the target that takes over
 	exchange    Exchange        // of the attempt; nil before the request is sent
 	withdrawn   bool            // the target was asked to abandon the request
+	permission  bool            // to send the request once more, which is left of a hand-over that did not take place
 	check       *time.Timer     // of whether it does; nil before it is asked
 }
 
@@ -96,12 +98,13 @@
 	return h.next == nil
 }
 
-// end says that the attempt has ended. It returns the target that takes over, or nil.
-func (h *handOver) end() *dispatch.Grant {
+// end says that the attempt has ended. It returns the target that takes over, or nil, and
+// whether there is a permission to send the request once more.
+func (h *handOver) end() (next *dispatch.Grant, permission bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.pause()
-	return h.next
+	return h.next, h.next != nil || h.permission
 }
 
 // wasWithdrawn reports whether the target was asked to abandon the request.
@@ -111,12 +114,11 @@
 	return h.withdrawn
 }
 
-// giveBack releases the target that was to take over. The caller must hold h.mu.
+// giveBack releases the target that was to take over. The target that was asked to abandon the
+// request may do so later, so the permission is kept. The caller must hold h.mu.
 func (h *handOver) giveBack() {
-	r := h.attempt.request
-	r.service.cfg.Scheduler.Release(h.next, dispatch.Unused)
-	r.service.retryBudget(r.targetService).Return()
-	h.next = nil
+	h.attempt.request.service.cfg.Scheduler.Release(h.next, dispatch.Unused)
+	h.next, h.permission = nil, true
 }
 
 // pause ends the wait and the search. The caller must hold h.mu.
@@ -173,7 +175,7 @@
 		h.search = nil
 		if err == nil && r.takeMoveOn() {
 			h.next = grant
-			if w, ok := h.exchange.(Withdrawer); ok && w.Withdraw() {
+			if w, ok := h.exchange.(Withdrawer); ok && r.eventForwarded && w.Withdraw() {
 				h.withdrawn = true
 				h.check = time.AfterFunc(withdrawTime, func() { h.checkWithdrawal(w) })
 				return
--- a/internal/coordination/gateway/handover_test.go
+++ b/internal/coordination/gateway/handover_test.go
@@ -101,24 +101,26 @@
 	}
 }
 
+// learnDuration makes s predict that a request takes 600 ms.
+func learnDuration(t *testing.T, s *Service) {
+	for range 200 {
+		g, err := s.cfg.Scheduler.Acquire(t.Context(), &dispatch.Request{Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Hour)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Microsecond)
+		s.cfg.Scheduler.ResponseStarted(g)
+		g.Events = 2
+		time.Sleep(600 * time.Millisecond)
+		s.cfg.Scheduler.Release(g, dispatch.Served)
+	}
+}
+
 // Guards against a request that moves to another target with too little time left to end
 // there: the target that has stalled may still answer, and the other one works in vain.
 func TestStalledRequestStaysIfItEndsTooLateElsewhere(t *testing.T) {
 	call := resumableCall()
 	call.Timeout, call.HasTimeout = 1500*time.Millisecond, true
-	learnDuration := func(t *testing.T, s *Service) { // of 600 ms
-		for range 200 {
-			g, err := s.cfg.Scheduler.Acquire(t.Context(), &dispatch.Request{Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Hour)})
-			if err != nil {
-				t.Fatal(err)
-			}
-			time.Sleep(500 * time.Microsecond)
-			s.cfg.Scheduler.ResponseStarted(g)
-			g.Events = 2
-			time.Sleep(600 * time.Millisecond)
-			s.cfg.Scheduler.Release(g, dispatch.Served)
-		}
-	}
 	out := &recordingResponder{}
 	targets := &fakeTargetClient{behaviours: []behaviour{stallFor(1300 * time.Millisecond), respondWith(200, "")}}
 	synctest.Test(t, func(t *testing.T) {
@@ -334,6 +336,53 @@
 	}
 }
 
+// Guards against a stream that is cut because the permission to send it once more was given back
+// when its target did not abandon it at once.
+func TestWithdrawnRequestKeepsItsPermission(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	out := &recordingResponder{}
+	x := &withdrawnExchange{afterwards: 900 * time.Millisecond, end: io.ErrUnexpectedEOF, reached: true}
+	targets := &fakeTargetClient{}
+	synctest.Test(t, func(t *testing.T) {
+		var s *Service
+		targets.behaviours = []behaviour{func(ctx context.Context, _ *Forward) (Exchange, error) {
+			x.head = &state.Response{Status: 200, HasSignature: true}
+			x.ctx, x.pieces, x.asked = ctx, []string{first, rest}, make(chan struct{})
+			go func() { // others take what is given back
+				<-x.asked
+				time.Sleep(2 * withdrawTime)
+				for s.retryBudget("s").Take(time.Now(), s.cfg.RetrySlack()) {
+				}
+			}()
+			return x, nil
+		}, respondWith(200, rest)}
+		s = newService(targets)
+		s.SetConfiguration(longRoute())
+		s.Serve(t.Context(), resumableCall(), time.Now(), out)
+	})
+	if !out.ended || out.body.String() != events || len(targets.sends) != 2 {
+		t.Errorf("ended %t after %d sends with %q, want all events after 2", out.ended, len(targets.sends), out.body.String())
+	}
+}
+
+// Guards against leaving a request at a target that has not begun to respond although another
+// one is predicted to end it in time.
+func TestStalledRequestWithoutResponseMovesWithLittleTimeLeft(t *testing.T) {
+	call := resumableCall()
+	call.Timeout, call.HasTimeout = 1900*time.Millisecond, true
+	out := &recordingResponder{}
+	targets := &fakeTargetClient{behaviours: []behaviour{silentTarget, respondWith(200, events)}}
+	synctest.Test(t, func(t *testing.T) {
+		s := newService(targets)
+		learnDuration(t, s)
+		s.Serve(t.Context(), call, time.Now(), out)
+	})
+	if !out.ended || out.body.String() != events || len(targets.sends) != 2 {
+		t.Errorf("ended %t after %d sends with %q, want all events of the second target", out.ended, len(targets.sends), out.body.String())
+	}
+}
+
 // slowReader takes a time to read a complete response.
 type slowReader struct {
 	recordingResponder
@@ -396,7 +445,7 @@
 		a.handOver.await()
 		a.handOver.stalled() // of the timer that had expired before the pause
 		synctest.Wait()
-		if a.handOver.end() != nil || s.cfg.Counters.counts["attempt_stalled"] != 0 {
+		if next, _ := a.handOver.end(); next != nil || s.cfg.Counters.counts["attempt_stalled"] != 0 {
 			t.Error("the request is taken from a target that has just made progress")
 		}
 	})
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -195,6 +195,7 @@
 	longestGap     time.Duration // longest pause between forwarded events
 
 	placements    int  // number of targets that were granted
+	retryTaken    bool // the permission to send the request once more has been taken and is not used
 	reachedTarget bool // an attempt may have reached a target, so that the next one is a repeated send
 	possibleRuns  int  // number of attempts that may have run
 	streamBegun   bool // the head of a stream was sent to the caller
@@ -236,12 +237,13 @@
 // up.
 func (r *request) serve(ctx context.Context) {
 	r.service.retryBudget(r.targetService).RecordRequest(time.Now())
+	defer r.returnRetry()
 	placementCtx, cancel := context.WithDeadlineCause(ctx, r.deadline, errDeadline)
 	defer cancel()
 	var grant *dispatch.Grant // of the target that takes over from the one before
 	for {
-		prepared := grant != nil
-		if !prepared {
+		takesOver := grant != nil
+		if !takesOver {
 			var err error
 			if grant, err = r.service.cfg.Scheduler.Acquire(placementCtx, r.placement); err != nil {
 				r.handlePlacementError(placementCtx, err)
@@ -258,7 +260,7 @@
 		r.logTargetChosen(grant)
 		sentTo := grant.Target.ID
 		var tryAnother bool
-		if grant, tryAnother = r.sendTo(ctx, placementCtx, grant, prepared); !tryAnother {
+		if grant, tryAnother = r.sendTo(ctx, placementCtx, grant, takesOver); !tryAnother {
 			return
 		}
 		switch {
@@ -340,27 +342,26 @@
 
 // sendTo sends the request to the granted target. It reports whether the request is
 // to be placed on another one, at next unless that is nil; otherwise the request has ended.
-// prepared says that the permission to send was taken by takeMoveOn.
-func (r *request) sendTo(ctx, placementCtx context.Context, g *dispatch.Grant, prepared bool) (next *dispatch.Grant, tryAnother bool) {
+// takesOver says that the target takes over from another one, so that takeMoveOn has checked
+// that the request may be sent.
+func (r *request) sendTo(ctx, placementCtx context.Context, g *dispatch.Grant, takesOver bool) (next *dispatch.Grant, tryAnother bool) {
 	a := r.newAttempt(ctx, placementCtx, g)
 	defer a.cancel(nil)
-	repeated := prepared || r.reachedTarget
-	if !prepared {
+	repeated := r.reachedTarget || r.retryTaken
+	if !takesOver {
 		if r.possibleRuns >= r.maxRuns() {
 			return nil, r.holdBack(g, "no_run_left", defaultRetryAfter) // the configuration has changed meanwhile
 		}
-		if repeated && !r.takeRetry() {
+		if repeated && !r.retryTaken && !r.takeRetry() {
 			return nil, r.holdBack(g, "retry_budget", defaultRetryAfter)
 		}
+		r.retryTaken = repeated
 		if b := r.checkQuarantine(true); b != nil {
-			if repeated {
-				r.service.retryBudget(r.targetService).Return()
-			}
 			return nil, r.holdBack(g, b.reason, b.wait)
 		}
 	}
 	outcome, err := a.run()
-	next = a.handOver.end()
+	next, r.retryTaken = a.handOver.end()
 	r.service.cfg.Scheduler.Release(g, outcome)
 	r.lastErr = err
 	if !errors.Is(err, ErrNotSent) {
@@ -371,16 +372,23 @@
 	if err == nil {
 		r.countPromptTokens(g, true)
 	} else {
-		tryAnother = r.afterFailedAttempt(ctx, a, outcome, err, next != nil, r.suspected(ctx, g, a.sentAt, outcome, err))
+		tryAnother = r.afterFailedAttempt(ctx, a, outcome, err, r.suspected(ctx, g, a.sentAt, outcome, err))
 	}
 	if next != nil && !tryAnother {
 		r.service.cfg.Scheduler.Release(next, dispatch.Unused)
-		r.service.retryBudget(r.targetService).Return()
 		next = nil
 	}
 	return next, tryAnother
 }
 
+// returnRetry gives back the permission to send the request once more if it was not used.
+func (r *request) returnRetry() {
+	if r.retryTaken {
+		r.service.retryBudget(r.targetService).Return()
+		r.retryTaken = false
+	}
+}
+
 // holdBack ends a request that is not to be sent although it has been granted a target.
 func (r *request) holdBack(g *dispatch.Grant, reason string, retryAfter time.Duration) (tryAnother bool) {
 	r.service.cfg.Scheduler.Release(g, dispatch.Unused)
@@ -401,9 +409,8 @@
 
 // afterFailedAttempt decides whether a request is placed on another target after an
 // attempt that did not answer the caller. If not, it ends the request. suspected says that
-// the request may crash the next target too, and handedOver that another target has a slot
-// for the request.
-func (r *request) afterFailedAttempt(ctx context.Context, a *attempt, outcome dispatch.Outcome, err error, handedOver, suspected bool) (tryAnother bool) {
+// the request may crash the next target too.
+func (r *request) afterFailedAttempt(ctx context.Context, a *attempt, outcome dispatch.Outcome, err error, suspected bool) (tryAnother bool) {
 	// Only these prove that the request did not run. The outcome also rates the target.
 	mayHaveRun := !errors.Is(err, ErrNotSent) && outcome != dispatch.Rejected && outcome != dispatch.Gone
 	if mayHaveRun {
@@ -421,7 +428,7 @@
 		r.possibleRuns++
 	}
 	willRetry := cause == nil && !suspected && r.possibleRuns < r.maxRuns()
-	if willRetry && !handedOver && r.reachedTarget && !r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack()) {
+	if willRetry && !r.retryTaken && r.reachedTarget && !r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack()) {
 		willRetry = false
 		r.logRetryRefused()
 	}
