--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -37,8 +37,8 @@
 	PreemptTime  time.Duration
 	// RunsOn says that the target goes on with a request whose connection was closed.
 	RunsOn bool
-	// Deaf says that the target notices such a close only when it is not silent.
-	Deaf bool
+	// NoticesCloseLate says that the target notices such a close only when it is not silent.
+	NoticesCloseLate bool
 }
 
 // Headers of requests that say how long a target with a profile works. Entries pass them on.
@@ -365,7 +365,7 @@
 // context ends first.
 func (t *Target) work(ctx context.Context, d time.Duration) (outcome string, ended bool) {
 	noticed := ctx.Done()
-	if t.Profile.Deaf && time.Now().UnixNano() < t.SilentUntil.Load() {
+	if t.Profile.NoticesCloseLate && time.Now().UnixNano() < t.SilentUntil.Load() {
 		noticed = nil
 	}
 	select {
--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -20,9 +20,9 @@
 	dayFlag        = flag.Duration("faultsoak.day", 24*time.Second, "how long the faults of a deployment's run last")
 	shareFlag      = flag.Float64("faultsoak.share", entryCPUShare, "share of a processor that an entry may use; 0: no limit")
 	periodFlag     = flag.Duration("faultsoak.period", 100*time.Millisecond, "period of -faultsoak.share; longer ones are pauses of an entry as on a busy machine")
-	holdsFlag      = flag.Bool("faultsoak.holds", false, "entries do not run for about a second, several times, beside planned stops, as on a busy machine; the judge excuses nothing for it")
+	pausesFlag     = flag.Bool("faultsoak.pauses", false, "entries do not run for about a second, several times, beside planned stops, as on a busy machine; the judge excuses nothing for it")
 	hangupsFlag    = flag.Bool("faultsoak.hangups", true, "send SIGHUP; some earlier landings end on it during a planned stop")
-	deafFlag       = flag.Bool("faultsoak.deaf", false, "silent targets do not notice that a connection was closed")
+	lateCloseFlag  = flag.Bool("faultsoak.lateclose", false, "silent targets do not notice that a connection was closed")
 	rateFlag       = flag.Float64("faultsoak.rate", 1, "factor of a deployment's request rate")
 )
 
@@ -198,7 +198,7 @@
 		for range 2 + r.IntN(3) {
 			lasts := between(ms(900), ms(1500))
 			for _, e := range held {
-				add(from, func() { d.hold(e, lasts) })
+				add(from, func() { d.pauseEntry(e, lasts) })
 			}
 			from += lasts + between(ms(100), ms(500))
 		}
@@ -261,9 +261,9 @@
 	time.Sleep(time.Until(begin.Add(day)))
 }
 
-// hold stops an entry for a while, as a busy machine does.
-func (d *deploymentRun) hold(e *entry, lasts time.Duration) {
-	if !*holdsFlag {
+// pauseEntry stops an entry for a while, as a busy machine does.
+func (d *deploymentRun) pauseEntry(e *entry, lasts time.Duration) {
+	if !*pausesFlag {
 		return
 	}
 	d.mu.Lock()
--- a/internal/faultsoak/deployments_test.go
+++ b/internal/faultsoak/deployments_test.go
@@ -158,7 +158,7 @@
 		profile := d.profile
 		profile.Speed, profile.IdleTimeout, profile.CloseShare, profile.LateShare = d.speeds[i%len(d.speeds)], engineIdle, 0.01, 0.004
 		profile.AbruptShare, profile.PreemptShare, profile.PreemptTime = 0.004, 0.02, ms(3000)
-		profile.RunsOn, profile.Deaf = i%5 == 4, *deafFlag
+		profile.RunsOn, profile.NoticesCloseLate = i%5 == 4, *lateCloseFlag
 		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", d.engineService, i), Service: d.engineService, Slots: d.slots, EventsPerStream: 1, Software: "v1", Ledger: w.ledger, Profile: &profile})
 	}
 	for i := range d.plainTargets + movedTargets {
@@ -166,7 +166,7 @@
 		if i >= d.plainTargets {
 			service += movedSuffix
 		}
-		profile := emulator.Profile{Queue: plainQueue, Speed: 1, IdleTimeout: engineIdle, MaxConnections: plainConnections, CloseShare: 0.01, LateShare: 0.004, AbruptShare: 0.004, RunsOn: i == 0, Deaf: *deafFlag}
+		profile := emulator.Profile{Queue: plainQueue, Speed: 1, IdleTimeout: engineIdle, MaxConnections: plainConnections, CloseShare: 0.01, LateShare: 0.004, AbruptShare: 0.004, RunsOn: i == 0, NoticesCloseLate: *lateCloseFlag}
 		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Slots: plainSlots, Software: "v1", Ledger: w.ledger, Profile: &profile})
 	}
 	d.writeConfiguration()
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -89,7 +89,7 @@
 		if wrong := a.wrongAnswer(ran); wrong != "" {
 			report("MIXED", a, runs, wrong)
 		}
-		if !a.cut(runs, d.heldTime(a)) {
+		if !a.cut(runs, d.pausedTime(a)) {
 			continue
 		}
 		if a.kept && a.status == 0 && d.inTouch(a) {
@@ -174,8 +174,8 @@
 	timeoutLate  = 700 * time.Millisecond
 )
 
-// heldTime returns how long the holds of an attempt's entry lasted that overlap the attempt.
-func (d *deploymentRun) heldTime(a *attempt) (held time.Duration) {
+// pausedTime returns how long the pauses of an attempt's entry lasted that overlap the attempt.
+func (d *deploymentRun) pausedTime(a *attempt) (held time.Duration) {
 	for _, e := range d.events {
 		if e.what == "held" && e.where == a.entry.name && e.from.Before(a.ended) && e.to.After(a.begun) {
 			held += e.to.Sub(e.from)
