Test listed as red: streams without an event at targets that notice a close late

The review showed that waiting for a target to abandon a stream without an event costs callers more than it gives: a hung target would keep it. Streams that may be resumed may run more than once; whether the rule on requests that go on elsewhere means them is open.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	$(GO) test ./internal/soak -count=1 -timeout 0 -v -run '^TestSoak$$' -soak.seed=$(SEED) -soak.duration=$(DURATION)
 
 soak-faults: ## run SEEDS seeds of the fault soak over real processes, from SEED on; about 45 s each
-	$(GO) test ./internal/faultsoak -count=1 -timeout 0 -v -skip '^TestDeployments$$' -faultsoak.seed=$(SEED) -faultsoak.seeds=$(SEEDS)
+	$(GO) test ./internal/faultsoak -count=1 -timeout 0 -v -skip '^(TestDeployments|TestTargetsThatNoticeACloseLate)$$' -faultsoak.seed=$(SEED) -faultsoak.seeds=$(SEEDS)
 
 soak-deployments: ## run SEEDS seeds of the users' deployments over real processes; see FLAGS; about 45 s each
 	$(GO) test ./internal/faultsoak -count=1 -timeout 0 -v -run '^TestDeployments$$' -faultsoak.seed=$(SEED) -faultsoak.seeds=$(SEEDS) $(FLAGS)
--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -43,6 +43,16 @@
 	}
 }
 
+// TestTargetsThatNoticeACloseLate runs a deployment whose silent targets notice a closed
+// connection only when they go on. Guards against a stream that runs at a second target while
+// the first still works on it.
+func TestTargetsThatNoticeACloseLate(t *testing.T) {
+	late, share := *lateCloseFlag, *shareFlag
+	t.Cleanup(func() { *lateCloseFlag, *shareFlag = late, share })
+	*lateCloseFlag, *shareFlag = true, 0.1
+	runDeployment(t, buildDaemon(t), deployments[701%len(deployments)], 701)
+}
+
 // event is planned work or a fault.
 type event struct {
 	what, where string
