A stalled request moves only if it ends in time with twice the predicted time

Cause: had dropped the margin for requests without a response, so that a target that is dead for good is left with little time too. Change: the margin holds for all again. What remains, a request that stays at a dead target when less than twice the predicted time is left, is named in decision 0017.

--- a/internal/coordination/dispatch/handover.go
+++ b/internal/coordination/dispatch/handover.go
@@ -5,19 +5,11 @@
 	"time"
 )
 
-// handOverFactor returns how many times as long as predicted r may take at a target that takes
-// it over. A caller that has the start of a response loses it if the rest comes too late.
-func (r *Request) handOverFactor() time.Duration {
-	if r.ResponseBegun {
-		return longestFactor
-	}
-	return 1
-}
-
 // takesOver reports whether t is a sound target at which r, which is still at another one,
-// ends before its deadline.
+// ends before its deadline even if it takes longer than predicted: a response that has begun
+// there would be lost at the deadline.
 func (p *pool) takesOver(t *target, r *Request, now time.Time) bool {
-	return t.ejectedUntil.IsZero() && !now.Add(r.handOverFactor()*p.cost.End(&t.cost, r.Work, t.load())).After(r.Deadline)
+	return t.ejectedUntil.IsZero() && !now.Add(longestFactor*p.cost.End(&t.cost, r.Work, t.load())).After(r.Deadline)
 }
 
 // refuseLateHandOvers refuses the waiting requests that are still at another target and no
@@ -26,7 +18,7 @@
 func (p *pool) refuseLateHandOvers(now time.Time) {
 	for i := 0; i < len(p.queue) && p.queue[i].request.AlreadyAdmitted; {
 		w := p.queue[i]
-		if r := w.request; !r.HandOver || !now.Add(r.handOverFactor()*r.typicalDuration).After(r.Deadline) {
+		if r := w.request; !r.HandOver || !now.Add(longestFactor*r.typicalDuration).After(r.Deadline) {
 			i++
 			continue
 		}
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -49,8 +49,9 @@
 	// would break it off.
 	ResponseBegun bool
 	// HandOver says that the request is still at a target, which has stalled, and is taken
-	// from there only if it ends in time elsewhere: before its deadline and a planned stop. It
-	// does not probe an ejected target.
+	// from there only if it ends in time elsewhere: before its deadline and a planned stop,
+	// even if it takes longestFactor times as long as predicted. It does not probe an ejected
+	// target.
 	HandOver bool
 	// AlreadyAdmitted says that the request was admitted before and needs another
 	// target. It is not refused for load and goes first in the queue.
