quarantine: a blocked content does not clear one at all of the same crashes

Cause: two contents that were at the same three crashed targets cannot be told apart. The one whose third crash was learned first was blocked, and its block explained the crashes, so the other one was blocked only after three more.

Change: a blocked content explains no crash against a content that was at all of its crashed targets. Parts are judged as before.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -271,16 +271,18 @@
 }
 
 // judge sums up the evidence against a part: requests with it that were sent after it was
-// last answered. A crash that a blocked part explains does not count against others.
+// last answered. A crash that a blocked part explains does not count against others, except
+// against a content that the crashes cannot tell apart from the blocked one.
 func (l *Ledger) judge(now time.Time, p Key, explained map[uint64][]Key) *verdict {
 	answeredAt, _ := l.answered(p).Get(p)
 	v := &verdict{key: p, answered: now.Sub(answeredAt) <= answeredMemory, machines: make(map[uint64]bool), customers: make(map[uint64]bool), reporters: make(map[state.InstanceID]bool)}
 	latest := make(map[uint64]*evidence) // by run, the one that was sent last
+	indistinguishable := l.indistinguishable(p)
 	for _, e := range l.evidence.byKey[p] {
 		if !e.sentAt.After(answeredAt) || !l.evidence.counts(e) {
 			continue
 		}
-		if by := explained[e.run]; len(by) > 0 && !slices.Contains(by, p) {
+		if by := explained[e.run]; len(by) > 0 && !slices.Contains(by, p) && !containsAll(indistinguishable, by) {
 			continue
 		}
 		v.served = v.served || l.served[e.service].After(e.sentAt)
@@ -306,6 +308,30 @@
 	return v
 }
 
+// indistinguishable returns the blocked contents all of whose crashes were under the content p
+// too. Which of them is blocked first depends on the order in which the crashes were learned.
+func (l *Ledger) indistinguishable(p Key) map[Key]bool {
+	if !p.IsContent() {
+		return nil
+	}
+	same := make(map[Key]bool)
+	runs := l.runsWith(p)
+	for other, b := range l.blocks {
+		if other == p || b.probation || !other.IsContent() {
+			continue
+		}
+		byOther := l.runsWith(other)
+		maps.DeleteFunc(byOther, func(run uint64, _ bool) bool { return runs[run] })
+		same[other] = len(byOther) == 0
+	}
+	return same
+}
+
+// containsAll reports whether all keys are in the set.
+func containsAll(set map[Key]bool, keys []Key) bool {
+	return !slices.ContainsFunc(keys, func(k Key) bool { return !set[k] })
+}
+
 // mostUnderOneRequest returns the largest number of the crashes that were under requests with
 // the same content.
 func mostUnderOneRequest(crashes []*evidence) int {
