dispatch: entries divide the free slots of a service near saturation

Reports are up to 100 ms old; all entries sent to the few targets that they show to be free. Ruled out: waits at the entry (0 s in the log), rejections by targets (9 in the log of the entries), slow targets (predicted).

Change: while fewer slots are free than twice what the other entries are expected to take within a report interval, an entry takes a slot that it has released itself, or one whose turn is its own. The report interval moves to dispatch.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -45,6 +45,7 @@
 	}
 	reservedSlots := p.reservedSlots(r, now)
 	first := reservedSlots == 0 || r.AlreadyAdmitted
+	contended := s.contentionOf(p)
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
 	for _, t := range s.targetsFor(p, r, now) {
@@ -59,7 +60,8 @@
 		}
 		f := p.fitOf(t, r, now)
 		bestFit = min(bestFit, f)
-		if t.outstanding() < t.requestLimit(reservedSlots)+s.policies.admission.QueuedRequests+overcommit {
+		free := t.requestLimit(reservedSlots) + s.policies.admission.QueuedRequests + overcommit - t.outstanding()
+		if free > 0 && (r.AlreadyAdmitted || contended.mayTake(t, free, now)) {
 			s.candidates = append(s.candidates, candidate{target: t, fit: f})
 			bestFree = min(bestFree, f)
 		}
@@ -87,6 +89,7 @@
 	g.duration = p.cost.Duration(&t.cost, r.Work, g.load)
 	s.limits.Take(now, t.record.ID)
 	t.openGrants[g] = struct{}{}
+	t.takeReleased()
 	return g
 }
 
@@ -158,6 +161,7 @@
 	}
 	delete(t.openGrants, g)
 	now := s.now()
+	t.released = append(t.released, now)
 	p := s.pool(g.request.Service)
 	if o == Served {
 		t.stated.served(t.record.Slots)
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -10,6 +10,28 @@
 // apart; ranks beyond count as the lowest of them.
 const maxRanks = 8
 
+const (
+	// minReportInterval is the shortest time between reports to the near entries, if there are
+	// few. It is below the time for which a slot is held, so that reports follow the load.
+	minReportInterval = 40 * time.Millisecond
+	// largeFleetReportInterval is the same if there are more than MaxFullMeshEntries in all. A
+	// slot is held for a few hundred milliseconds, and several entries take the same slot
+	// between two reports.
+	largeFleetReportInterval = 2 * minReportInterval
+	// Otherwise the shortest time is one minReportInterval for every entriesPerReportInterval
+	// other entries, but at least one, which bounds packets and processor time.
+	entriesPerReportInterval = 12
+)
+
+// ReportInterval returns the shortest time between an entry's reports to the near entries.
+// entries is the number of all entries, including that one.
+func ReportInterval(entries int) time.Duration {
+	if entries > MaxFullMeshEntries {
+		return largeFleetReportInterval
+	}
+	return minReportInterval * time.Duration(max(1, (entries-1)/entriesPerReportInterval))
+}
+
 // Report returns the load that this entry reports to the near entries or, if far is
 // set, to all others. The latter share targets of this entry only in services with
 // sharedBeyondNear, so their report is limited to these.
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -48,6 +48,9 @@
 	// ejectedUntil is when the target may be probed; zero if it is not ejected.
 	ejectedUntil time.Time
 	pausedUntil  time.Time // the target gets no requests before
+	// released is when this entry released slots that it has not taken again, as far as
+	// hasReleased needs it.
+	released []time.Time
 	// openElsewhere is the number of requests that other entries report to have open
 	// at the target, and pendingElsewhere the prompt tokens of those that have no
 	// response yet.
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -16,10 +16,6 @@
 )
 
 const (
-	// reportInterval is the shortest time between reports to the near entries, if there
-	// are few. It is below the time for which a slot is held, so that reports follow
-	// the load.
-	reportInterval = 40 * time.Millisecond
 	// idleReportInterval is the time between reports to the near entries when nothing
 	// changes.
 	idleReportInterval = 400 * time.Millisecond
@@ -37,14 +33,6 @@
 	// usageReportTime is how long reports to all contain a customer after its usage has
 	// changed. It spans several reports, because some may be lost.
 	usageReportTime = 4 * time.Second
-	// largeFleetReportInterval is the shortest time between reports to the near entries if
-	// there are more than dispatch.MaxFullMeshEntries in all. A slot is held for a few
-	// hundred milliseconds, and several entries take the same slot between two reports.
-	largeFleetReportInterval = 2 * reportInterval
-	// Otherwise the shortest time between reports to the near entries is one reportInterval for
-	// every entriesPerReportInterval other entries, but at least one, which bounds
-	// packets and processor time.
-	entriesPerReportInterval = 12
 )
 
 // exchangeReports sends reports to the other entries and handles theirs until ctx ends.
@@ -87,7 +75,7 @@
 
 func (p *gatewayProcess) sendReports(ctx context.Context) error {
 	r := reporter{p: p, started: time.Now()}
-	tick := time.NewTicker(reportInterval)
+	tick := time.NewTicker(dispatch.ReportInterval(1))
 	defer tick.Stop()
 	for {
 		select {
@@ -125,7 +113,7 @@
 	// A change of the list of targets is reported at once, so that entries learn in
 	// time that a target leaves.
 	urgent := r.p.listChanged.Swap(false)
-	if now.Sub(r.nearSentAt) < minReportInterval(position.Count) && !urgent {
+	if now.Sub(r.nearSentAt) < dispatch.ReportInterval(position.Count) && !urgent {
 		return
 	}
 	m := r.p.nearReport(r.nearSentAt)
@@ -169,15 +157,6 @@
 	}
 }
 
-// minReportInterval returns the shortest time between reports to the near entries.
-// entries is the number of all entries, including this one.
-func minReportInterval(entries int) time.Duration {
-	if entries > dispatch.MaxFullMeshEntries {
-		return largeFleetReportInterval
-	}
-	return reportInterval * time.Duration(max(1, (entries-1)/entriesPerReportInterval))
-}
-
 // minReportToAllInterval returns the shortest time between reports to all entries.
 // uptime is the time since this entry started.
 func minReportToAllInterval(entries int, uptime time.Duration) time.Duration {
