Calibration table of predicted against actual times

Cause: the predictions of start and end decide which target a request gets, and nothing showed where they are wrong. Change: for each service, route, speed class of the target (quick below 0.8 of the usual ratio, slow above 1.6) and load (idle slots, full, beyond full), an entry sums the logarithm of actual / predicted time to the start and to the end of the response, counts ratios above 1.5 and 2, and the requests without a complete response at their deadline. It is the expvar "predictions", and 'cassiarampctl predictions' sums it over entries. Nothing is decided by it.

--- a/cmd/cassiarampctl/main.go
+++ b/cmd/cassiarampctl/main.go
@@ -15,6 +15,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/ctl/bundlecmd"
 	"github.com/cassiaramp/cassiaramp/internal/ctl/comparecmd"
 	"github.com/cassiaramp/cassiaramp/internal/ctl/loadcmd"
+	"github.com/cassiaramp/cassiaramp/internal/ctl/predictionscmd"
 	"github.com/cassiaramp/cassiaramp/internal/ctl/slotscmd"
 	"github.com/cassiaramp/cassiaramp/internal/ctl/statuscmd"
 	"github.com/cassiaramp/cassiaramp/internal/ctl/watchcmd"
@@ -30,6 +31,8 @@
 	Watch   *watchcmd.Command   `arg:"subcommand:watch" help:"show goodput by tier and wasted prefill by policy"`
 	Compare *comparecmd.Command `arg:"subcommand:compare" help:"compare two policies from one run"`
 	Slots   *slotscmd.Command   `arg:"subcommand:slots" help:"show from entries' logs what the slots of targets were used for"`
+
+	Predictions *predictionscmd.Command `arg:"subcommand:predictions" help:"compare predicted with actual times of requests"`
 }
 
 // runner is implemented by the subcommands that can be run.
@@ -56,6 +59,7 @@
   cassiarampctl watch --admin http://127.0.0.1:9001
   cassiarampctl compare --admin http://127.0.0.1:9001 cost round-robin
   cassiarampctl slots entry-1.log entry-2.log
+  cassiarampctl predictions --store IP:PORT
 
 Add --help to a command for its arguments. --log and --signers may also be set
 as CASSIARAMP_LOG and CASSIARAMP_SIGNERS.
@@ -63,7 +67,7 @@
 ` + bundlecmd.ExitHelp + `
   7  load: a guarantee was broken
   8  status: not everything is in order
-  9  compare: no traffic to compare; slots: no request in the logs
+  9  compare: no traffic to compare; slots: no request in the logs; predictions: none published
 `
 }
 
@@ -81,7 +85,7 @@
 		return exitGuaranteeBroken
 	case errors.Is(err, statuscmd.ErrUnhealthy):
 		return exitUnhealthy
-	case errors.Is(err, comparecmd.ErrNoTraffic), errors.Is(err, slotscmd.ErrNoRequests):
+	case errors.Is(err, comparecmd.ErrNoTraffic), errors.Is(err, slotscmd.ErrNoRequests), errors.Is(err, predictionscmd.ErrNoPredictions):
 		return exitNoTraffic
 	}
 	return bundlecmd.ExitCode(err)
--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -85,6 +85,8 @@
 	}
 	g.Predicted = p.cost.Response(&t.cost, r.Work, g.load)
 	g.duration = p.cost.Duration(&t.cost, r.Work, g.load)
+	g.predictedEnd = p.cost.End(&t.cost, r.Work, g.load)
+	g.calibrationKey = p.calibrationKey(t, r, g.load)
 	s.limits.Take(now, t.record.ID)
 	t.openGrants[g] = struct{}{}
 	return g
@@ -124,6 +126,7 @@
 	took := g.respondedAt.Sub(g.grantedAt)
 	p := s.pool(g.request.Service)
 	if !g.request.Resumed {
+		s.calibration.observeStart(g, took)
 		p.cost.ObserveResponse(&g.target.cost, g.request.Work, g.load, took)
 	}
 }
@@ -159,6 +162,7 @@
 	delete(t.openGrants, g)
 	now := s.now()
 	p := s.pool(g.request.Service)
+	s.calibration.observeEnd(g, o, now)
 	if o == Served {
 		t.stated.served(t.record.Slots)
 		hold := now.Sub(g.grantedAt)
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -12,6 +12,7 @@
 type Request struct {
 	ID      state.RequestID
 	Service state.Service
+	Route   string // name of the route, for the calibration table
 	// Rank is the priority among waiting requests; 0 is the highest.
 	Rank int
 	// Work is the size of the request, from which the time that it takes is predicted.
@@ -110,12 +111,15 @@
 	// RateLimit is the limit of the target that was known when the slot was granted.
 	RateLimit state.RateLimit
 
-	target      *target
-	request     *Request
-	load        costmodel.Load // of the target before this request
-	duration    time.Duration  // predicted
-	grantedAt   time.Time
-	respondedAt time.Time // zero before the response starts
+	target   *target
+	request  *Request
+	load     costmodel.Load // of the target before this request
+	duration time.Duration  // predicted
+	// predictedEnd is duration with the wait for a slot.
+	predictedEnd   time.Duration
+	calibrationKey calibrationKey
+	grantedAt      time.Time
+	respondedAt    time.Time // zero before the response starts
 }
 
 // Outcome says how a request ended at its target.
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -46,6 +46,7 @@
 	policies      *Policies
 	limits        *ratelimit.Ledger // limits that targets state
 	statements    map[targetRun]*statement
+	calibration   calibration
 	// candidates is the scratch slice of tryGrant, reused between calls.
 	candidates []candidate
 }
@@ -104,7 +105,7 @@
 	return &Scheduler{
 		domain: domain, now: now, random: rand.New(rand.NewPCG(seed, 0)), observer: observer,
 		services: make(map[state.Service]*pool), targets: make(map[state.TargetID]*target),
-		peerReports: make(map[state.InstanceID]*peerReport), policies: defaultPolicies(), limits: limits, statements: make(map[targetRun]*statement),
+		peerReports: make(map[state.InstanceID]*peerReport), policies: defaultPolicies(), limits: limits, statements: make(map[targetRun]*statement), calibration: make(calibration),
 	}
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiaramp/cassiaramp/internal/ctl/comparecmd"
+	"github.com/cassiaramp/cassiaramp/internal/ctl/predictionscmd"
 	"github.com/cassiaramp/cassiaramp/internal/ctl/statuscmd"
 	"github.com/cassiaramp/cassiaramp/internal/ctl/vars"
 	"github.com/cassiaramp/cassiaramp/internal/ctl/watchcmd"
@@ -160,3 +161,25 @@
 		}
 	}
 }
+
+// Guards against a table in which the rows of several entries are not added up.
+func TestPredictionsAreSummedOverEntries(t *testing.T) {
+	row := state.CalibrationRow{Service: "s", Route: "chat", Speed: "slow", Load: "full", Cut: 2}
+	row.Start.Observe(3*time.Second, time.Second)
+	row.End.Observe(time.Second, time.Second)
+	metrics := vars.Metrics{Predictions: []state.CalibrationRow{row}}
+	got, err := run[[]state.CalibrationRow](t, &predictionscmd.Command{ProcessFlags: vars.ProcessFlags{Admin: []string{serve(t, metrics), serve(t, metrics)}}, JSON: true})
+	want := row
+	want.Start.Add(row.Start)
+	want.End.Add(row.End)
+	want.Cut = 4
+	if err != nil || len(got) != 1 || !cmp.Equal(got[0], want) {
+		t.Errorf("rows %+v, error %v, want %+v", got, err, want)
+	}
+	if ratio := got[0].Start.MeanRatio(); ratio < 2.99 || ratio > 3.01 {
+		t.Errorf("mean ratio %g, want 3", ratio)
+	}
+	if _, err := run[any](t, &predictionscmd.Command{ProcessFlags: vars.ProcessFlags{Admin: []string{serve(t, vars.Metrics{Process: vars.Process{Role: "entry"}}), serve(t, metrics)}}, JSON: true}); err != nil {
+		t.Errorf("error %v beside a process without predictions", err)
+	}
+}
--- a/internal/ctl/vars/vars.go
+++ b/internal/ctl/vars/vars.go
@@ -41,6 +41,8 @@
 	Figures             *state.LoadFigures `json:"figures"` // published by side processes only
 	InvariantViolations Counts             `json:"invariant_violations"`
 	Targets             map[string]Target  `json:"targets"`
+	// Predictions is published by entries on the users' platform only.
+	Predictions []state.CalibrationRow `json:"predictions,omitempty"`
 }
 
 // Process identifies a process by its instance and role.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -242,6 +242,7 @@
 func (p *gatewayProcess) serveMetrics(ctx context.Context) error {
 	publishProcessVars(p.settings.Instance, "entry", p.settings.Domain, p.incarnation, p.rollout.Version)
 	expvar.Publish("targets", expvar.Func(func() any { return p.scheduler.Summaries() }))
+	expvar.Publish("predictions", expvar.Func(func() any { return p.scheduler.Calibration() }))
 	expvar.Publish("queue", expvar.Func(func() any { return p.scheduler.WaitingByRank() }))
 	expvar.Publish("configuration_version", expvar.Func(func() any {
 		if c := p.gateway.Configuration(); c != nil {
