Entries divide free slots while more requests wait than slots are free

Cause: in a simulation of 31 entries and 57 engines of 4 slots (a third 4.4 times as slow) with a burst of 2.3 times of the lowest kind, every entry with a waiting request sent it to the same engine as soon as a report showed a free slot there. Up to 57 requests were at an engine of 4 slots; they waited there in order of arrival, so that the highest rank was late too, while the calibration table showed starts 4.6 times as late as predicted under 'idle'. Change: new field late_work of the admission policy, on by default. While more requests of the rank and above wait at all entries than slots are free, an entry takes a free slot that it knows of from reports only with the probability free slots / (targets with free slots x entries with waiting requests), drawn for each target every 80 ms. A slot that it has released itself since its last report it may always reuse. Otherwise nothing changes.

--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -18,6 +18,9 @@
 	defer s.mu.Unlock()
 	r := Report{Open: make(map[TargetKey]int), Pending: make(map[TargetKey]int), Waiting: make(map[state.Service][]int), Limits: s.limits.Report(s.now())}
 	for _, t := range s.targets {
+		if !far {
+			t.reportedOpen = len(t.openGrants)
+		}
 		if len(t.openGrants) > 0 && (!far || s.pool(t.record.Service).sharedBeyondNear) {
 			r.Open[t.key()] = len(t.openGrants)
 			if tokens := int(t.pendingTokens()); tokens > 0 {
--- a/internal/coordination/dispatch/policy.go
+++ b/internal/coordination/dispatch/policy.go
@@ -43,7 +43,7 @@
 // (docs/decisions/0008).
 func DefaultAdmission() state.AdmissionPolicy {
 	return state.AdmissionPolicy{
-		RefuseShare: 2, QueuedRequests: 1, MinRetryAfter: state.Duration(400 * time.Millisecond), RetrySpread: 0.6,
+		RefuseShare: 2, QueuedRequests: 1, MinRetryAfter: state.Duration(400 * time.Millisecond), RetrySpread: 0.6, LateWork: true,
 	}
 }
 
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -53,6 +53,11 @@
 	// response yet.
 	openElsewhere    int
 	pendingElsewhere int
+	// reportedOpen is the number of open requests of this entry in its last report to the near
+	// entries. claimDraw decides whether this entry may take a free slot, see mayClaim.
+	reportedOpen int
+	claimDraw    float64
+	claimDrawn   time.Time
 }
 
 func newTarget(r state.TargetRecord, stated *statement) *target {
--- a/internal/state/bundle.go
+++ b/internal/state/bundle.go
@@ -170,6 +170,12 @@
 	// it.
 	MinRetryAfter Duration `json:"min_retry_after"`
 	RetrySpread   float64  `json:"retry_spread"`
+	// LateWork turns on rules that keep engine time for responses that come in time. They
+	// act only while requests compete for slots; where they do not say otherwise, that is
+	// while more requests wait at all entries than slots are free:
+	//   - entries divide the free slots that they hear of in reports, instead of all sending
+	//     to the same target (docs/design/late-work.md).
+	LateWork bool `json:"late_work,omitempty"`
 }
 
 // RetryPolicy bounds retries of work that may have run.
