Streams at slow targets are predicted by their first responses

The pace of events of a target was taken as usual until a stream had ended there, and then learned from 1 on. Change: it starts from the ratio of the target's response times.

--- a/internal/coordination/costmodel/model.go
+++ b/internal/coordination/costmodel/model.go
@@ -149,6 +149,9 @@
 	if s.gap.count == 0 {
 		s.gap = logAverage{value: math.Log(gap), count: 1}
 	}
+	if t.gap.count == 0 {
+		t.gap.value = s.logSlowness(t)
+	}
 	t.gap.observe(math.Log(gap) - s.gap.value)
 	s.gap.observe(math.Log(gap) - t.gap.value)
 }
@@ -187,7 +190,7 @@
 	if s.gap.count == 0 {
 		return 0
 	}
-	gap := math.Exp(s.gap.value + t.gap.value)
+	gap := math.Exp(s.gap.value + s.gapRatio(t))
 	return time.Duration(max(0, events-1) * gap * float64(time.Millisecond))
 }
 
@@ -204,10 +207,25 @@
 // relativeHold is the ratio of the time for which t holds a request to that of the
 // service.
 func (s *Service) relativeHold(t *Target) float64 {
+	return math.Exp(s.gapRatio(t))
+}
+
+// gapRatio returns the logarithm of the ratio of the time between events of t to that of the
+// service. Before the first stream has ended at t, it is as slow as its first responses: a stream
+// of 100 events is otherwise sent to a slow target as to any other.
+func (s *Service) gapRatio(t *Target) float64 {
 	if t.gap.count > 0 {
-		return math.Exp(t.gap.value)
+		return t.gap.value
 	}
-	return math.Exp(t.response.value - s.ratio.value)
+	return s.logSlowness(t)
+}
+
+// logSlowness returns the logarithm of Slowness, or 0 if nothing was observed.
+func (s *Service) logSlowness(t *Target) float64 {
+	if t.response.count == 0 {
+		return 0
+	}
+	return t.response.value - s.ratio.value
 }
 
 // responseRatio returns the ratio of the time to a response at t to the fit of the
--- a/internal/coordination/costmodel/model_test.go
+++ b/internal/coordination/costmodel/model_test.go
@@ -188,3 +188,25 @@
 		t.Errorf("a response is predicted after %s with a free slot and after %s behind another waiting request", free, full)
 	}
 }
+
+// A target 4.4 times as slow as the others at which no stream has ended yet. Guards against
+// predicting its events at the usual pace, which sent it long streams that their deadline cut off.
+func TestSlowTargetIsPredictedToStreamSlowlyFromItsFirstResponses(t *testing.T) {
+	s := NewService()
+	var usual, slow Target
+	w := Work{PromptTokens: 1000, OutputTokens: 100}
+	for n := range 120 {
+		s.ObserveResponse(&usual, w, Load{Slots: 4}, 50*time.Millisecond)
+		s.ObserveEnd(&usual, w, 101, 2*time.Second, 2050*time.Millisecond)
+		if n%10 == 0 {
+			s.ObserveResponse(&slow, w, Load{Slots: 4}, 220*time.Millisecond)
+		}
+	}
+	if got := s.End(&slow, w, Load{Slots: 4}); got < 6*time.Second || got > 11*time.Second {
+		t.Errorf("predicted end after %s, want about 9 s", got)
+	}
+	s.ObserveEnd(&slow, w, 101, 8800*time.Millisecond, 9020*time.Millisecond)
+	if got := s.End(&slow, w, Load{Slots: 4}); got < 7*time.Second || got > 11*time.Second {
+		t.Errorf("predicted end after %s once a stream has ended there, want about 9 s", got)
+	}
+}
