No slot for a request that its deadline is certain to cut off

Cause: refuseHopeless and tryGrant give a slot to a request that is predicted to end after its deadline, however long after; the deadline cuts it off, and others waited for the slot meanwhile. Change (late_work on): while more requests wait at all entries than slots are free, a request gets no slot of a target where it ends after its deadline even if it takes only 1/margin of the predicted time, and is refused at once with reason too_late if that holds for every target. The margin is exp(2 sigma) of the ends that came earlier than predicted, at least 1.3: with estimates of the output that are far off or missing it grows, so that nothing is certain. Admitted requests, streams that have begun and hand-overs are exempt.

--- a/internal/coordination/costmodel/model.go
+++ b/internal/coordination/costmodel/model.go
@@ -99,6 +99,7 @@
 	events, tokens float64
 	eventsEach     meanAverage // events of a response
 	hold           meanAverage // milliseconds from grant to end
+	early          earliness
 }
 
 // Target is how one target differs from its service. The zero value is a target of
--- a/internal/coordination/dispatch/contention.go
+++ b/internal/coordination/dispatch/contention.go
@@ -6,38 +6,48 @@
 // the age of a report when all entries report to each other.
 const claimInterval = 80 * time.Millisecond
 
-// claimShare returns the share of the targets with free slots that this entry may take for r now.
-// It is 1 unless the requests that wait at all entries are more than the free slots: then every
-// entry that hears of a free slot would send a request there, and most of them would wait at the
-// target, where no rank counts.
-func (s *Scheduler) claimShare(p *pool, r *Request) float64 {
-	if !s.policies.admission.LateWork || len(s.peerReports) == 0 {
-		return 1
-	}
-	free, freeTargets := 0, 0
+// demand is what waits at all entries for the slots of a service, and what is free.
+type demand struct {
+	waiting, entries  int // other requests that wait elsewhere, and entries where some do
+	free, freeTargets int // slots, and targets with any
+}
+
+// demandFor returns the demand by requests of the rank and above.
+func (s *Scheduler) demandFor(p *pool, rank int) demand {
+	var d demand
 	for _, t := range p.subset {
 		if n := t.record.Slots + s.policies.admission.QueuedRequests - t.outstanding(); n > 0 && !t.record.Draining {
-			free += n
-			freeTargets++
+			d.free += n
+			d.freeTargets++
 		}
 	}
-	rank := min(max(0, r.Rank), maxRanks-1)
-	waiting, entries := 1, 1
 	for _, other := range s.peerReports {
-		before := waiting
+		before := d.waiting
 		for otherRank, n := range other.report.Waiting[p.name] {
 			if otherRank <= rank {
-				waiting += n
+				d.waiting += n
 			}
 		}
-		if waiting > before {
-			entries++
+		if d.waiting > before {
+			d.entries++
 		}
 	}
-	if waiting <= free {
+	return d
+}
+
+// claimShare returns the share of the targets with free slots that this entry may take for r now.
+// It is 1 unless the requests that wait at all entries are more than the free slots: then every
+// entry that hears of a free slot would send a request there, and most of them would wait at the
+// target, where no rank counts.
+func (s *Scheduler) claimShare(p *pool, r *Request) float64 {
+	if !s.policies.admission.LateWork || len(s.peerReports) == 0 {
+		return 1
+	}
+	d := s.demandFor(p, min(max(0, r.Rank), maxRanks-1))
+	if d.waiting+1 <= d.free {
 		return 1
 	}
-	return float64(free) / float64(max(1, freeTargets)*entries)
+	return float64(d.free) / float64(max(1, d.freeTargets)*(d.entries+1))
 }
 
 // mayClaim reports whether this entry may take a free slot of t when its share of the targets is
--- /dev/null
+++ b/internal/coordination/dispatch/cut.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// usualToQuickest is how many times as fast as usual a target is assumed to be at most, in the
+// check that avoids a look at all targets.
+const usualToQuickest = 4
+
+// overloaded reports whether more requests wait at all entries than slots are free.
+func (s *Scheduler) overloaded(p *pool) bool {
+	waiting := 0
+	for _, w := range p.queue {
+		if !w.request.HandOver {
+			waiting++
+		}
+	}
+	d := s.demandFor(p, maxRanks-1)
+	return waiting+d.waiting > d.free
+}
+
+// refusesCut reports whether r is refused a slot where it is certain to be cut off by its
+// deadline, while others wait.
+func (s *Scheduler) refusesCut(r *Request) bool {
+	return s.policies.admission.LateWork && !r.AlreadyAdmitted && !r.ResponseBegun && !r.HandOver
+}
+
+// isCut reports whether r, if it is sent to t at now, is certain to be cut off by its deadline.
+func (p *pool) isCut(t *target, r *Request, now time.Time) bool {
+	return now.Add(p.cost.EarliestEnd(&t.cost, r.Work, t.load())).After(r.Deadline)
+}
+
+// refuseCut refuses the waiting requests that are certain to be cut off by their deadline at every
+// target, unless slots are free for all that wait.
+func (s *Scheduler) refuseCut(p *pool, now time.Time) {
+	if !s.policies.admission.LateWork || len(p.queue) == 0 || !s.overloaded(p) {
+		return
+	}
+	for _, w := range slices.Clone(p.queue) {
+		r := w.request
+		if !s.refusesCut(r) || !now.Add(r.typicalDuration/usualToQuickest).After(r.Deadline) && !w.unreviewed {
+			continue
+		}
+		if slices.ContainsFunc(s.targetsFor(p, r, now), func(t *target) bool { return t.allows(r) && !p.isCut(t, r, now) }) {
+			continue
+		}
+		ahead := p.queue.position(w)
+		predicted := s.predictWait(p, r, ahead, now)
+		p.queue.remove(w)
+		w.refuse(&Refusal{Reason: ReasonTooLate, RetryAfter: s.retryAfter(predicted), Ahead: ahead, PredictedWait: predicted, Limited: s.limitedTargets(p, now)})
+	}
+}
--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -46,6 +46,7 @@
 	reservedSlots := p.reservedSlots(r, now)
 	first := reservedSlots == 0 || r.AlreadyAdmitted
 	claim := s.claimShare(p, r)
+	refusesCut := s.refusesCut(r) && s.overloaded(p)
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
 	for _, t := range s.targetsFor(p, r, now) {
@@ -60,7 +61,7 @@
 		}
 		f := p.fitOf(t, r, now)
 		bestFit = min(bestFit, f)
-		if t.outstanding() < t.requestLimit(reservedSlots)+s.policies.admission.QueuedRequests+overcommit && s.mayClaim(t, claim, now) {
+		if t.outstanding() < t.requestLimit(reservedSlots)+s.policies.admission.QueuedRequests+overcommit && s.mayClaim(t, claim, now) && !(refusesCut && p.isCut(t, r, now)) {
 			s.candidates = append(s.candidates, candidate{target: t, fit: f})
 			bestFree = min(bestFree, f)
 		}
@@ -169,6 +170,7 @@
 		hold := now.Sub(g.grantedAt)
 		p.holdTime += time.Duration(timeAverageWeight * float64(hold-p.holdTime))
 		if !g.request.Resumed {
+			p.cost.ObservePrediction(g.duration, hold)
 			p.cost.ObserveEnd(&t.cost, g.request.Work, g.Events, now.Sub(g.respondedAt), hold)
 		}
 	}
@@ -220,6 +222,7 @@
 	now := s.now()
 	p.markLate(now)
 	s.refuseStopping(p, now)
+	s.refuseCut(p, now)
 	p.refuseLateHandOvers(now)
 	s.grantFreeSlotsOf(p, now)
 	s.refusePaused(p, now)
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -71,6 +71,8 @@
 const (
 	ReasonNoTarget = "no_target"
 	ReasonOverload = "overload"
+	// ReasonTooLate says that the request would be cut off by its deadline at every target.
+	ReasonTooLate  = "too_late"
 	ReasonPaused   = "targets_paused"
 	ReasonStopping = "stopping"
 	// ReasonLateHandOver says that a request with HandOver would not end in time elsewhere.
@@ -83,8 +85,8 @@
 	Reason        string
 	RetryAfter    time.Duration // time after which the caller may retry
 	Ahead         int           // waiting requests that would be served before it
-	PredictedWait time.Duration // 0 unless the reason is ReasonOverload
-	Limited       int           // targets of the service that state a limit; 0 unless ReasonOverload
+	PredictedWait time.Duration // 0 unless the reason is ReasonOverload or ReasonTooLate
+	Limited       int           // targets of the service that state a limit; 0 unless ReasonOverload or ReasonTooLate
 }
 
 // Error implements error.
--- a/internal/state/bundle.go
+++ b/internal/state/bundle.go
@@ -174,7 +174,11 @@
 	// act only while requests compete for slots; where they do not say otherwise, that is
 	// while more requests wait at all entries than slots are free:
 	//   - entries divide the free slots that they hear of in reports, instead of all sending
-	//     to the same target (docs/design/late-work.md).
+	//     to the same target;
+	//   - a request that is predicted to end after its deadline by a clear margin, as the errors
+	//     of the predictions tell, gets no slot there, and is refused at once if that holds for
+	//     every target. Requests that were admitted before are not.
+	// See docs/design/late-work.md.
 	LateWork bool `json:"late_work,omitempty"`
 }
 
