--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -46,6 +46,7 @@
 	reservedSlots := p.reservedSlots(r, now)
 	first := reservedSlots == 0 || r.AlreadyAdmitted
 	contended := s.contentionOf(p)
+	refusesCut := s.refusesCut(r) && s.overloaded(p)
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
 	for _, t := range s.targetsFor(p, r, now) {
@@ -61,7 +62,7 @@
 		f := p.fitOf(t, r, now)
 		bestFit = min(bestFit, f)
 		free := t.requestLimit(reservedSlots) + s.policies.admission.QueuedRequests + overcommit - t.outstanding()
-		if free > 0 && (r.AlreadyAdmitted || contended.mayTake(t, free, now)) {
+		if free > 0 && (r.AlreadyAdmitted || contended.mayTake(t, free, now)) && !(refusesCut && p.isCut(t, r, now)) {
 			s.candidates = append(s.candidates, candidate{target: t, fit: f})
 			bestFree = min(bestFree, f)
 		}
@@ -87,6 +88,8 @@
 	}
 	g.Predicted = p.cost.Response(&t.cost, r.Work, g.load)
 	g.duration = p.cost.Duration(&t.cost, r.Work, g.load)
+	g.predictedEnd = p.cost.End(&t.cost, r.Work, g.load)
+	g.calibrationKey = p.calibrationKey(t, r, g.load)
 	s.limits.Take(now, t.record.ID)
 	t.openGrants[g] = struct{}{}
 	t.takeReleased()
@@ -127,6 +130,7 @@
 	took := g.respondedAt.Sub(g.grantedAt)
 	p := s.pool(g.request.Service)
 	if !g.request.Resumed {
+		s.calibration.observeStart(g, took)
 		p.cost.ObserveResponse(&g.target.cost, g.request.Work, g.load, took)
 	}
 }
@@ -163,11 +167,13 @@
 	now := s.now()
 	t.released = append(t.released, now)
 	p := s.pool(g.request.Service)
+	s.calibration.observeEnd(g, o, now)
 	if o == Served {
 		t.stated.served(t.record.Slots)
 		hold := now.Sub(g.grantedAt)
 		p.holdTime += time.Duration(timeAverageWeight * float64(hold-p.holdTime))
 		if !g.request.Resumed {
+			p.cost.ObservePrediction(g.duration, hold)
 			p.cost.ObserveEnd(&t.cost, g.request.Work, g.Events, now.Sub(g.respondedAt), hold)
 		}
 	}
@@ -219,6 +225,7 @@
 	now := s.now()
 	p.markLate(now)
 	s.refuseStopping(p, now)
+	s.refuseCut(p, now)
 	p.refuseLateHandOvers(now)
 	s.grantFreeSlotsOf(p, now)
 	s.refusePaused(p, now)
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -12,6 +12,7 @@
 type Request struct {
 	ID      state.RequestID
 	Service state.Service
+	Route   string // name of the route, for the calibration table
 	// Rank is the priority among waiting requests; 0 is the highest.
 	Rank int
 	// Work is the size of the request, from which the time that it takes is predicted.
@@ -70,6 +71,8 @@
 const (
 	ReasonNoTarget = "no_target"
 	ReasonOverload = "overload"
+	// ReasonTooLate says that the request would be cut off by its deadline at every target.
+	ReasonTooLate  = "too_late"
 	ReasonPaused   = "targets_paused"
 	ReasonStopping = "stopping"
 	// ReasonLateHandOver says that a request with HandOver would not end in time elsewhere.
@@ -82,8 +85,8 @@
 	Reason        string
 	RetryAfter    time.Duration // time after which the caller may retry
 	Ahead         int           // waiting requests that would be served before it
-	PredictedWait time.Duration // 0 unless the reason is ReasonOverload
-	Limited       int           // targets of the service that state a limit; 0 unless ReasonOverload
+	PredictedWait time.Duration // 0 unless the reason is ReasonOverload or ReasonTooLate
+	Limited       int           // targets of the service that state a limit; 0 unless ReasonOverload or ReasonTooLate
 }
 
 // Error implements error.
@@ -110,12 +113,15 @@
 	// RateLimit is the limit of the target that was known when the slot was granted.
 	RateLimit state.RateLimit
 
-	target      *target
-	request     *Request
-	load        costmodel.Load // of the target before this request
-	duration    time.Duration  // predicted
-	grantedAt   time.Time
-	respondedAt time.Time // zero before the response starts
+	target   *target
+	request  *Request
+	load     costmodel.Load // of the target before this request
+	duration time.Duration  // predicted
+	// predictedEnd is duration with the wait for a slot.
+	predictedEnd   time.Duration
+	calibrationKey calibrationKey
+	grantedAt      time.Time
+	respondedAt    time.Time // zero before the response starts
 }
 
 // Outcome says how a request ended at its target.
--- a/internal/state/bundle.go
+++ b/internal/state/bundle.go
@@ -170,6 +170,17 @@
 	// it.
 	MinRetryAfter Duration `json:"min_retry_after"`
 	RetrySpread   float64  `json:"retry_spread"`
+	// LateWork turns on rules that keep engine time for responses that come in time. They
+	// act only while requests compete for slots; where they do not say otherwise, that is
+	// while more requests wait at all entries than slots are free:
+	//   - entries divide the free slots that they hear of in reports, instead of all sending
+	//     to the same target, while fewer slots are free than others are expected to take
+	//     before they hear of each other;
+	//   - a request that is predicted to end after its deadline by a clear margin, as the errors
+	//     of the predictions tell, gets no slot there, and is refused at once if that holds for
+	//     every target. Requests that were admitted before are not.
+	// See docs/design/late-work.md and docs/design/slot-contention.md.
+	LateWork bool `json:"late_work,omitempty"`
 }
 
 // RetryPolicy bounds retries of work that may have run.
