Fewer looks at all targets for requests that would be cut off

Change: whether requests compete for slots is found once for each look at the queue; ends at single targets are compared only for requests that are predicted to end after their deadline at a target of usual speed. CPU time was not measured.

--- a/internal/coordination/dispatch/cut.go
+++ b/internal/coordination/dispatch/cut.go
@@ -5,10 +5,6 @@
 	"time"
 )
 
-// usualToQuickest is how many times as fast as usual a target is assumed to be at most, in the
-// check that avoids a look at all targets.
-const usualToQuickest = 4
-
 // overloaded reports whether more requests wait at all entries than slots are free.
 func (s *Scheduler) overloaded(p *pool) bool {
 	waiting := 0
@@ -21,10 +17,9 @@
 	return waiting+d.waiting > d.free
 }
 
-// refusesCut reports whether r is refused a slot where it is certain to be cut off by its
-// deadline, while others wait.
-func (s *Scheduler) refusesCut(r *Request) bool {
-	return s.policies.admission.LateWork && !r.AlreadyAdmitted && !r.ResponseBegun && !r.HandOver
+// refusesCut reports whether r is refused slots where it is certain to be cut off by its deadline.
+func (s *Scheduler) refusesCut(p *pool, r *Request) bool {
+	return p.overloaded && !r.AlreadyAdmitted && !r.ResponseBegun && !r.HandOver
 }
 
 // isCut reports whether r, if it is sent to t at now, is certain to be cut off by its deadline.
@@ -33,14 +28,16 @@
 }
 
 // refuseCut refuses the waiting requests that are certain to be cut off by their deadline at every
-// target, unless slots are free for all that wait.
+// target, unless slots are free for all that wait. A look at all targets is needed only for
+// requests that end too late at a target of usual speed.
 func (s *Scheduler) refuseCut(p *pool, now time.Time) {
-	if !s.policies.admission.LateWork || len(p.queue) == 0 || !s.overloaded(p) {
+	p.overloaded = s.policies.admission.LateWork && len(p.queue) > 0 && s.overloaded(p)
+	if !p.overloaded {
 		return
 	}
 	for _, w := range slices.Clone(p.queue) {
 		r := w.request
-		if !s.refusesCut(r) || !now.Add(r.typicalDuration/usualToQuickest).After(r.Deadline) && !w.unreviewed {
+		if !s.refusesCut(p, r) || !now.Add(r.typicalDuration).After(r.Deadline) {
 			continue
 		}
 		if slices.ContainsFunc(s.targetsFor(p, r, now), func(t *target) bool { return t.allows(r) && !p.isCut(t, r, now) }) {
--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -46,7 +46,7 @@
 	reservedSlots := p.reservedSlots(r, now)
 	first := reservedSlots == 0 || r.AlreadyAdmitted
 	claim := s.claimShare(p, r)
-	refusesCut := s.refusesCut(r) && s.overloaded(p)
+	refusesCut := s.refusesCut(p, r)
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
 	for _, t := range s.targetsFor(p, r, now) {
@@ -61,7 +61,7 @@
 		}
 		f := p.fitOf(t, r, now)
 		bestFit = min(bestFit, f)
-		if t.outstanding() < t.requestLimit(reservedSlots)+s.policies.admission.QueuedRequests+overcommit && s.mayClaim(t, claim, now) && !(refusesCut && p.isCut(t, r, now)) {
+		if t.outstanding() < t.requestLimit(reservedSlots)+s.policies.admission.QueuedRequests+overcommit && s.mayClaim(t, claim, now) && !(refusesCut && f == fitsNeither && p.isCut(t, r, now)) {
 			s.candidates = append(s.candidates, candidate{target: t, fit: f})
 			bestFree = min(bestFree, f)
 		}
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -74,6 +74,7 @@
 	holdTime         time.Duration // moving average of the time from grant to release of served requests
 	arrivalRates     [maxRanks]arrivalRate
 	serial           uint64 // serial of the request queued last
+	overloaded       bool   // with LateWork, as of the last look at the queue
 	// handOverTurn is the number of waiting requests with HandOver that are left out when free
 	// slots are granted next, because they were tried last.
 	handOverTurn int
