--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -46,7 +46,7 @@
 	reservedSlots := p.reservedSlots(r, now)
 	first := reservedSlots == 0 || r.AlreadyAdmitted
 	contended := s.contentionOf(p)
-	refusesCut := s.refusesCut(r) && s.overloaded(p)
+	refusesCut := s.refusesCut(p, r)
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
 	for _, t := range s.targetsFor(p, r, now) {
@@ -62,7 +62,7 @@
 		f := p.fitOf(t, r, now)
 		bestFit = min(bestFit, f)
 		free := t.requestLimit(reservedSlots) + s.policies.admission.QueuedRequests + overcommit - t.outstanding()
-		if free > 0 && (r.AlreadyAdmitted || contended.mayTake(t, free, now)) && !(refusesCut && p.isCut(t, r, now)) {
+		if free > 0 && (r.AlreadyAdmitted || contended.mayTake(t, free, now)) && !(refusesCut && f == fitsNeither && p.isCut(t, r, now)) {
 			s.candidates = append(s.candidates, candidate{target: t, fit: f})
 			bestFree = min(bestFree, f)
 		}
