--- a/internal/coordination/bundle/rollout.go
+++ b/internal/coordination/bundle/rollout.go
@@ -6,13 +6,10 @@
 	"fmt"
 	"sync"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/keyedtopic"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
-// ErrConflict is wrapped by the error of an append to a Register to which another
-// record was appended in the meantime.
-var ErrConflict = errors.New("another bundle was published meanwhile")
-
 // Register is a store that keeps only the newest record, without a retention time. A
 // reader does not see every bundle, as it would in a stream, so each bundle must be
 // signed by the operators that the process was started with, not by those listed in
@@ -21,8 +18,8 @@
 	// Newest returns the newest record, or nil if there is none, and the offset for
 	// the next append.
 	Newest(ctx context.Context) (record []byte, end uint64, err error)
-	// Append appends a record at offset end. The error wraps ErrConflict if there is
-	// another record at that offset.
+	// Append appends a record at offset end. The error wraps
+	// keyedtopic.ErrConflict if there is another record at that offset.
 	Append(ctx context.Context, end uint64, record []byte) error
 }
 
@@ -193,7 +190,7 @@
 	case err == nil && head != nil && head.ID == p.ID:
 		p.Appended, p.Offset = true, end
 		return p.withOutcome(OutcomeAccepted, nil)
-	case errors.Is(cause, ErrConflict):
+	case errors.Is(cause, keyedtopic.ErrConflict):
 		return p.withOutcome(OutcomeSuperseded, cause)
 	default: // the append may still take effect
 		return p.withOutcome(OutcomeUndetermined, errors.Join(cause, err))
--- a/internal/coordination/bundle/rollout_test.go
+++ b/internal/coordination/bundle/rollout_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/keyedtopic"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -55,7 +56,7 @@
 
 func (r *fakeRegister) Append(_ context.Context, end uint64, record []byte) error {
 	if end != uint64(len(r.records)) {
-		return ErrConflict
+		return keyedtopic.ErrConflict
 	}
 	appendErr := r.appendErr
 	r.appendErr = nil
@@ -124,7 +125,7 @@
 	}
 	expectOutcome(publish(dispatchDocument(t, 2, "", "without base"), "anna", "ben"), OutcomeSuperseded)
 	expectOutcome(publish(dispatchDocument(t, 3, ID(one), "skips one"), "anna", "ben"), OutcomeRefused)
-	reg.appendErr, reg.storesDespiteErr = ErrConflict, false
+	reg.appendErr, reg.storesDespiteErr = keyedtopic.ErrConflict, false
 	expectOutcome(publish(dispatchDocument(t, 2, ID(one), ""), "anna", "ben"), OutcomeSuperseded)
 	expectOutcome(publish(dispatchDocument(t, 2, ID(one), ""), "anna", "ben"), OutcomeAccepted)
 	head, end, err := ReadRegister(ctx, reg, initial)
--- a/internal/coordination/keyedtopic/keyedtopic.go
+++ b/internal/coordination/keyedtopic/keyedtopic.go
@@ -11,6 +11,10 @@
 // ErrTrimmed means that the store no longer retains the records that were asked for.
 var ErrTrimmed = errors.New("records are no longer retained")
 
+// ErrConflict means that a conditional append was not done, because another record has the
+// offset that it asked for.
+var ErrConflict = errors.New("another record was appended meanwhile")
+
 // Record is a record of a keyed topic.
 type Record struct {
 	Key    string
