--- a/internal/coordination/rollout/choice.go
+++ b/internal/coordination/rollout/choice.go
@@ -39,6 +39,15 @@
 // request is not sent to the new version.
 func (c Choice) HasPermit() bool { return c.number != 0 }
 
+// WithoutPermit returns the choice for the same request after its permit was given back,
+// as when no trial target has a free slot: all targets except those of the new version.
+func (c Choice) WithoutPermit() Choice {
+	if !c.HasPermit() {
+		return c
+	}
+	return Choice{Kind: Except, Excluded: []state.SoftwareVersion{c.Version}}
+}
+
 // Allows reports whether a target of a version may serve the request. endsAt is when the
 // request is predicted to end there, even if it takes long.
 func (c Choice) Allows(target state.TargetID, software state.SoftwareVersion, endsAt time.Time) bool {
--- a/internal/coordination/rollout/ledger.go
+++ b/internal/coordination/rollout/ledger.go
@@ -1,6 +1,9 @@
 package rollout
 
 import (
+	"maps"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,84 +46,196 @@
 // Ledger holds the roll-outs of all services as one entry sees them. It is safe for
 // concurrent use.
 type Ledger struct {
-	cfg Config
-	mu  sync.Mutex
+	cfg        Config
+	mu         sync.Mutex
+	loaded     bool
+	startedAt  time.Time // of the first call with a time
+	contactAt  time.Time // when the store or another entry was last heard
+	sequence   uint64
+	unreported int // reports that are still to be sent at once
+	services   map[state.Service]*service
+	peers      map[state.InstanceID]*peer
 }
 
 // New returns a ledger without orders. Until Loaded is called, orders and plans are only
 // collected, and of a service with several versions only the most frequent one is used.
-func New(cfg Config) *Ledger { return &Ledger{cfg: cfg} }
+func New(cfg Config) *Ledger {
+	return &Ledger{cfg: cfg, services: make(map[state.Service]*service), peers: make(map[state.InstanceID]*peer)}
+}
 
 // Loaded records that all orders and plans have been read once from the store or from the
 // snapshot of another entry, so that a service without a plan has none.
-func (l *Ledger) Loaded(now time.Time) {}
+func (l *Ledger) Loaded(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.loaded {
+		return
+	}
+	l.loaded = true
+	l.touch(now)
+	for _, s := range l.services {
+		l.applyOrder(now, s)
+	}
+}
+
+// touch remembers the first time that is passed in.
+func (l *Ledger) touch(now time.Time) {
+	if l.startedAt.IsZero() {
+		l.startedAt = now
+	}
+}
 
-// SetOrder takes the newest order of a service as read from the store. It may be called
-// again with the same order.
-func (l *Ledger) SetOrder(now time.Time, o Order) {}
+func (l *Ledger) service(name state.Service) *service {
+	s := l.services[name]
+	if s == nil {
+		s = newService(name)
+		l.services[name] = s
+	}
+	return s
+}
 
-// LearnPlan takes a plan from the store, a snapshot or a report, and reports whether it
-// changed the one that is known. The higher number wins, then the later order, then the
-// higher phase. A terminal phase does not change.
-func (l *Ledger) LearnPlan(now time.Time, p Plan) (changed bool) { return false }
+func (l *Ledger) serviceNames() []state.Service { return slices.Sorted(maps.Keys(l.services)) }
 
-// StoredPlan takes the plan that the store holds for a service, as LearnPlan does, and
-// remembers that it is stored, so that Decide returns a plan if the store lacks one or has
-// an earlier one. A zero Plan with only Order.Service set says that the store has none.
-func (l *Ledger) StoredPlan(now time.Time, p Plan) (changed bool) { return false }
+func (l *Ledger) log(s *service, message, reason string, from state.InstanceID) {
+	if l.cfg.Log != nil {
+		l.cfg.Log(Event{Service: s.name, Number: s.plan.Number, Phase: s.plan.Phase, Message: message, Reason: reason, From: from})
+	}
+}
 
 // SetTargets takes the list of targets.
-func (l *Ledger) SetTargets(now time.Time, records []state.TargetRecord) {}
+func (l *Ledger) SetTargets(now time.Time, records []state.TargetRecord) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.touch(now)
+	listed := make(map[state.Service][]state.TargetRecord)
+	for _, r := range records {
+		listed[r.Service] = append(listed[r.Service], r)
+	}
+	for name := range listed {
+		l.service(name)
+	}
+	for name, s := range l.services {
+		s.setTargets(now, listed[name])
+	}
+}
 
 // StoreReached records that the store has answered this entry. An entry that has reached
 // neither the store nor another entry lately uses only the old version during the trial.
-func (l *Ledger) StoreReached(now time.Time) {}
+func (l *Ledger) StoreReached(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.touch(now)
+	l.contactAt = now
+}
 
 // Plans returns the plans of all services, for snapshots.
-func (l *Ledger) Plans(now time.Time) []Plan { return nil }
-
-// Choose says which targets may serve a request of a route now. It takes a permit if only
-// the new version may, in the phase Trial. It must be called again before each attempt.
-func (l *Ledger) Choose(now time.Time, service state.Service, route string) Choice { return Choice{} }
-
-// Resume says whether a request that only targets of the given version can serve, because
-// they have begun its stream, may be sent now. It takes a permit if there is one.
-func (l *Ledger) Resume(now time.Time, service state.Service, route string, version state.SoftwareVersion) (Choice, bool) {
-	return Choice{}, true
+func (l *Ledger) Plans(now time.Time) []Plan {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var plans []Plan
+	for _, name := range l.serviceNames() {
+		if s := l.services[name]; s.plan.Number > 0 {
+			plans = append(plans, s.planAt(now))
+		}
+	}
+	return plans
 }
 
-// ReturnPermit gives back the permit of a choice, if it has one, because the request was not
-// sent to the new version. A permit that was used must not be returned.
-func (l *Ledger) ReturnPermit(now time.Time, service state.Service, c Choice) {}
-
-// Sent records that a request was sent to a target of a version. Permits are earned by
-// first attempts only, because the platform counts the requests of callers. first reports
-// whether this is the first attempt of the caller's request.
-func (l *Ledger) Sent(now time.Time, service state.Service, software state.SoftwareVersion, first bool) {
+// Services returns the services that have an order or a plan.
+func (l *Ledger) Services() []state.Service {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.DeleteFunc(l.serviceNames(), func(name state.Service) bool {
+		s := l.services[name]
+		return s.plan.Number == 0 && s.order.To == ""
+	})
 }
 
-// Observe records the end of a request at a target.
-func (l *Ledger) Observe(now time.Time, o Observation) {}
-
 // SetOpen takes the numbers of requests of this entry in progress, streams included, by
-// service and version. A request counts from the Choose that precedes its sending on, or
-// the wiring must call Choose again before it sends the request.
-func (l *Ledger) SetOpen(now time.Time, open map[state.Service]map[state.SoftwareVersion]int) {}
-
-// HasUnreported reports whether there is a verdict, a phase or an acknowledgement that is to
-// be told at once.
-func (l *Ledger) HasUnreported() bool { return false }
+// service and version. Requests that were sent are counted from Sent to Observe in any
+// case; SetOpen adds those between two attempts of a stream.
+func (l *Ledger) SetOpen(now time.Time, open map[state.Service]map[state.SoftwareVersion]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.touch(now)
+	for name, s := range l.services {
+		s.openAt, s.statedOld = now, 0
+		for version, count := range open[name] {
+			if version != s.plan.Order.To {
+				s.statedOld += count
+			}
+		}
+		l.advance(now, s)
+	}
+}
 
-// Report returns what the next report to another entry is to contain.
-func (l *Ledger) Report(now time.Time) Report { return Report{} }
+// Sent is called immediately before a connection is taken or opened to send a request to a
+// target of a version. If it returns false, the request must not be sent; Choose is to be
+// called again. Otherwise, Observe must be called once when the request ends, also if the
+// target was unreachable. Permits are earned by first attempts
+// only, because the platform counts the requests of callers; first reports whether this is
+// the first attempt of the caller's request that is sent.
+func (l *Ledger) Sent(now time.Time, name state.Service, software state.SoftwareVersion, first bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.services[name]
+	if s == nil {
+		s = l.service(name)
+	}
+	l.advance(now, s)
+	isNew := s.plan.Number > 0 && software == s.plan.Order.To
+	if isNew && !s.takeHeld() || !isNew && s.drained {
+		return false
+	}
+	if first && s.plan.Number > 0 && !s.plan.Phase.Terminal() {
+		s.permits.earn(l.cfg.ExposureShare)
+	}
+	s.open[software]++
+	return true
+}
 
-// Learn takes the report of another entry.
-func (l *Ledger) Learn(now time.Time, from state.InstanceID, r Report) {}
+// takeHeld uses a permit that Choose has given. It reports whether a request may be sent
+// to the new version.
+func (s *service) takeHeld() bool {
+	switch {
+	case s.plan.Phase == Completed:
+		return true
+	case (s.bad != "" || s.plan.Phase == Reverted) && !s.drained:
+		return s.plan.Phase == Reverted && s.onlyNewListed()
+	case s.plan.Phase == Trial && s.permits.held == 0:
+		return false
+	case s.permits.held > 0:
+		s.permits.held--
+	default:
+		s.permits.credit-- // during the hand-over, without a permit
+	}
+	return true
+}
 
-// Decide returns the next plan of a service that the leader is to write, if any. The leader
-// calls StoredPlan after the write has succeeded or after it has read another plan. The
-// plan takes effect only then.
-func (l *Ledger) Decide(now time.Time, service state.Service) (Plan, bool) { return Plan{}, false }
+// Observe records the end of a request at a target.
+func (l *Ledger) Observe(now time.Time, o Observation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.service(o.Service)
+	isNew := s.plan.Number > 0 && o.Software == s.plan.Order.To
+	if o.Outcome != Begun && o.Outcome != Overdue {
+		s.end(now, o, isNew, l.cfg.ExposureShare)
+	}
+	if s.plan.Number == 0 || s.plan.Phase.Terminal() || s.bad != "" {
+		return
+	}
+	s.evidence.observe(now, o, isNew)
+	l.advance(now, s)
+}
 
-// Services returns the services that have an order or a plan.
-func (l *Ledger) Services() []state.Service { return nil }
+// OverdueRatio returns how many times the predicted time (see Observation.Ratio) a request
+// at a target takes at least if it counts as slow.
+func (l *Ledger) OverdueRatio(name state.Service, target state.TargetID, route string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.services[name]
+	if s == nil || s.plan.Number == 0 {
+		return slowTargetFactor * math.Exp2(minSlowLogRatio)
+	}
+	return s.evidence.overdueRatio(hash32(route), hash32(string(target)))
+}
--- a/internal/coordination/rollout/observation.go
+++ b/internal/coordination/rollout/observation.go
@@ -22,11 +22,19 @@
 	// target crashed, which counts once, or goes on answering, which counts as Failed.
 	Lost
 	// TimedOut is a request that had no complete response within the time limit of its route.
+	// It counts as a slow response, because slow targets and saturation cause time-outs too.
 	TimedOut
 	// Unreachable is a connection that the target did not accept; nothing was sent.
 	Unreachable
+	// Begun says that the response has begun and the request goes on. Ratio relates to the time
+	// until its first byte or event. It is optional and precedes another outcome.
+	Begun
+	// Overdue says that the request goes on although it has taken Ledger.OverdueRatio times the
+	// predicted time. It is optional and precedes another outcome.
+	Overdue
 	// Ignored says nothing of the target: the caller left, the sender cancelled the request, or
-	// the quarantine knows it as the cause of a crash. It only ends the request.
+	// the quarantine knows it as the cause of a crash. If Ratio is set and already shows a slow
+	// response, it counts as one.
 	Ignored
 )
 
@@ -39,6 +47,9 @@
 	Outcome  Outcome
 	// Took is the time from sending the request to its end.
 	Took time.Duration
+	// OverdueBefore says that Overdue was observed for the same request before, so that its end
+	// does not count as slow once more.
+	OverdueBefore bool
 	// Ratio is the actual time divided by the predicted time at a target of usual speed of the
 	// service, for this size and load. 0 if it is not known.
 	Ratio float64
