Roll-outs of software versions: orders, plans, reports and requests

The ledger (package rollout) decides, but nothing read the operator's orders, wrote plans and states, or kept requests to the versions that it allows.

Change: the daemon follows the orders in keyed.op and passes them to the ledger; the leader writes the plan and then the status with conditional appends, reads both again after a failed append and after a change of the store's era, and makes no call while nothing changes.

The gateway tells the ledger when a request is sent and how it ends. Without the contract "rollout" in the settings, none of this is created.

--- a/internal/coordination/costmodel/model.go
+++ b/internal/coordination/costmodel/model.go
@@ -178,6 +178,17 @@
 	return s.Response(&t, w, Load{Slots: 1}), s.Duration(&t, w, Load{Slots: 1})
 }
 
+// Usual predicts the time that a request takes at a target of usual speed if its response has
+// the given number of events; 0 for one that is no stream.
+func (s *Service) Usual(w Work, l Load, events int) time.Duration {
+	var t Target
+	d := s.Response(&t, w, l)
+	if events > 1 && s.gap.count > 0 {
+		d += time.Duration(float64(events-1) * math.Exp(s.gap.value) * float64(time.Millisecond))
+	}
+	return d
+}
+
 // streaming predicts the time from the first event of a response to its last.
 func (s *Service) streaming(t *Target, w Work) time.Duration {
 	events := s.eventsEach.value
--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -48,7 +48,7 @@
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
 	for _, t := range s.targetsFor(p, r, now) {
-		if !t.eligible(now, r) || !s.mayTake(t, now, first) || !s.endsBeforeStop(p, t, r, now) || r.HandOver && !p.takesOver(t, r, now) {
+		if !t.eligible(now, r) || !s.mayTake(t, now, first) || !s.endsBeforeStop(p, t, r, now) || !p.endsBeforeCompletion(t, r, now) || r.HandOver && !p.takesOver(t, r, now) {
 			continue
 		}
 		if !t.ejectedUntil.IsZero() {
@@ -86,7 +86,7 @@
 	g.Predicted = p.cost.Response(&t.cost, r.Work, g.load)
 	g.duration = p.cost.Duration(&t.cost, r.Work, g.load)
 	s.limits.Take(now, t.record.ID)
-	t.openGrants[g] = struct{}{}
+	t.openGrants[g], p.openGrants[g] = struct{}{}, struct{}{}
 	return g
 }
 
@@ -159,6 +159,7 @@
 	delete(t.openGrants, g)
 	now := s.now()
 	p := s.pool(g.request.Service)
+	delete(p.openGrants, g)
 	if o == Served {
 		t.stated.served(t.record.Slots)
 		hold := now.Sub(g.grantedAt)
@@ -170,6 +171,9 @@
 	if o == Unreachable || o == Unused {
 		s.limits.Return(now, t.record.ID)
 	}
+	if s.versions != nil && g.versions.HasPermit() && !g.Counted {
+		s.versions.ReturnPermit(now, g.request.Service, g.versions)
+	}
 	ejected, returned := t.recordOutcome(now, g, o)
 	if ejected {
 		s.observer.TargetEjected(t.record.ID, t.record.Service, o, t.backoff)
@@ -217,6 +221,7 @@
 	s.refuseStopping(p, now)
 	p.refuseLateHandOvers(now)
 	s.grantFreeSlotsOf(p, now)
+	s.refuseBlocked(p, now)
 	s.refusePaused(p, now)
 	s.refuseHopeless(p, now)
 }
@@ -234,12 +239,12 @@
 				continue
 			}
 		}
-		if !s.hasTargetFor(p, w.request, now) {
+		if !s.hasTargetByVersion(p, w.request, now) {
 			p.queue = slices.Delete(p.queue, i, i+1)
 			w.refuse(&Refusal{Reason: ReasonNoTarget, RetryAfter: s.addJitter(noTargetRetryAfter)})
 			continue
 		}
-		g := s.tryGrant(p, w.request, now, fitsObjective)
+		g := s.grantByVersion(p, w.request, now, fitsObjective)
 		if g == nil {
 			if !w.request.HandOver { // it has a target and does not hold up others
 				passedOver++
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -137,7 +137,7 @@
 func (s *Scheduler) fairShare(p *pool, r *Request, now time.Time) (overcommit int, allowed bool) {
 	slots, own, openElsewhere := 0, 0, 0
 	for _, t := range p.subset {
-		if t.record.Draining {
+		if t.record.Draining || !r.allowsVersion(&t.record) {
 			continue
 		}
 		slots += t.record.Slots
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/costmodel"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/rollout"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -59,11 +60,17 @@
 	// AlreadyAdmitted says that the request was admitted before and needs another
 	// target. It is not refused for load and goes first in the queue.
 	AlreadyAdmitted bool
+	// Route is the name of the request's route, by which roll-outs spread their trials.
+	Route string
+	// versions is what a roll-out allows, as chosen last. versionsBlocked says that it allows
+	// no target now, and oldOnly that no target of its new version is to be picked.
+	versions                 rollout.Choice
+	versionsBlocked, oldOnly bool
 }
 
 // allows reports whether the request may be sent to a target with the given record.
 func (r *Request) allows(t *state.TargetRecord) bool {
-	return !t.Draining && !slices.Contains(r.Tried, t.ID) && (r.RequiredSoftware == nil || *r.RequiredSoftware == t.Software)
+	return !t.Draining && !slices.Contains(r.Tried, t.ID) && (r.RequiredSoftware == nil || *r.RequiredSoftware == t.Software) && r.allowsVersion(t)
 }
 
 // Reasons for refusals, as they appear in logs.
@@ -72,6 +79,9 @@
 	ReasonOverload = "overload"
 	ReasonPaused   = "targets_paused"
 	ReasonStopping = "stopping"
+	// ReasonVersion says that the only software version that can continue the stream takes no
+	// requests, because it is given up.
+	ReasonVersion = "version_given_up"
 	// ReasonLateHandOver says that a request with HandOver would not end in time elsewhere.
 	ReasonLateHandOver = "late_handover"
 )
@@ -109,13 +119,17 @@
 	ExpiresAt time.Time
 	// RateLimit is the limit of the target that was known when the slot was granted.
 	RateLimit state.RateLimit
+	// Counted says that the request counts as sent to the software version of its target, so
+	// that its end is to be told to what judges versions.
+	Counted bool
 
 	target      *target
 	request     *Request
 	load        costmodel.Load // of the target before this request
 	duration    time.Duration  // predicted
 	grantedAt   time.Time
-	respondedAt time.Time // zero before the response starts
+	respondedAt time.Time      // zero before the response starts
+	versions    rollout.Choice // with the permit that the request uses, if any
 }
 
 // Outcome says how a request ended at its target.
--- a/internal/coordination/dispatch/review.go
+++ b/internal/coordination/dispatch/review.go
@@ -57,7 +57,7 @@
 		if !callerLeaves && predicted <= s.waitLimit(w, now) && len(p.queue) <= maxQueueLength {
 			continue
 		}
-		if g := s.tryGrant(p, w.request, now, fitsNeither); g != nil {
+		if g := s.grantByVersion(p, w.request, now, fitsNeither); g != nil {
 			p.queue.remove(w)
 			w.accept(g, now)
 			continue
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -9,6 +9,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/costmodel"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/rollout"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -46,6 +47,7 @@
 	policies      *Policies
 	limits        *ratelimit.Ledger // limits that targets state
 	statements    map[targetRun]*statement
+	versions      Versions // nil: none
 	// candidates is the scratch slice of tryGrant, reused between calls.
 	candidates []candidate
 }
@@ -66,11 +68,13 @@
 type pool struct {
 	name             state.Service
 	allTargets       []*target
-	subset           []*target // targets that this entry uses
-	sharedBeyondNear bool      // entries other than the near ones use targets of the subset too
+	openGrants       map[*Grant]struct{} // of all targets, also of those that are no longer listed
+	subset           []*target           // targets that this entry uses
+	sharedBeyondNear bool                // entries other than the near ones use targets of the subset too
 	queue            queue
 	cost             *costmodel.Service
-	holdTime         time.Duration // moving average of the time from grant to release of served requests
+	holdTime         time.Duration  // moving average of the time from grant to release of served requests
+	withoutPermit    rollout.Choice // the last one
 	arrivalRates     [maxRanks]arrivalRate
 	serial           uint64 // serial of the request queued last
 	// handOverTurn is the number of waiting requests with HandOver that are left out when free
@@ -183,7 +187,7 @@
 func (s *Scheduler) pool(name state.Service) *pool {
 	p := s.services[name]
 	if p == nil {
-		p = &pool{name: name, cost: costmodel.NewService(), holdTime: initialHoldTime}
+		p = &pool{name: name, openGrants: make(map[*Grant]struct{}), cost: costmodel.NewService(), holdTime: initialHoldTime}
 		s.services[name] = p
 	}
 	return p
@@ -224,7 +228,7 @@
 func (s *Scheduler) place(r *Request) (*waiter, *Grant, *Refusal) {
 	p := s.pool(r.Service)
 	now := s.now()
-	if !s.hasTargetFor(p, r, now) {
+	if !s.hasTargetByVersion(p, r, now) {
 		return nil, nil, &Refusal{Reason: ReasonNoTarget, RetryAfter: s.addJitter(noTargetRetryAfter)}
 	}
 	if !r.HandOver {
@@ -250,19 +254,23 @@
 // less than half of them take requests, or only some can continue the stream, all of the
 // service.
 func (s *Scheduler) targetsFor(p *pool, r *Request, now time.Time) []*target {
-	if r.RequiredSoftware != nil {
+	if r.RequiredSoftware != nil || len(r.versions.TrialTargets) > 0 {
 		return p.allTargets
 	}
 	if len(p.subset) == len(p.allTargets) {
 		return p.subset
 	}
-	usable := 0
+	usable, of := 0, 0
 	for _, t := range p.subset {
+		if !r.allowsVersion(&t.record) {
+			continue
+		}
+		of++
 		if !t.record.Draining && t.ejectedUntil.IsZero() && t.stated.takes(now) {
 			usable++
 		}
 	}
-	if 2*usable < len(p.subset) {
+	if of == 0 || 2*usable < of {
 		return p.allTargets
 	}
 	return p.subset
--- a/internal/coordination/dispatch/stop.go
+++ b/internal/coordination/dispatch/stop.go
@@ -52,8 +52,12 @@
 	if s.stopBy.IsZero() || r.ResponseBegun && !r.HandOver {
 		return true
 	}
-	predicted := p.cost.End(&t.cost, r.LargestWork, t.load())
-	return !now.Add(longest(r, predicted)).After(s.stopBy)
+	return !p.longestEnd(t, r, now).After(s.stopBy)
+}
+
+// longestEnd returns when r is expected to end at the latest if it is sent to t at now.
+func (p *pool) longestEnd(t *target, r *Request, now time.Time) time.Time {
+	return now.Add(longest(r, p.cost.End(&t.cost, r.LargestWork, t.load())))
 }
 
 // refuseStopping refuses the waiting requests that no longer end before the planned stop,
--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -121,7 +121,7 @@
 	r.targetService = routing.ChooseService(r.route, rand.Float64())
 	r.placement = &dispatch.Request{
 		ID: r.call.ID, Service: r.targetService, Rank: r.rank(), Work: expectedWork(r.call), LargestWork: largestWork(r.call), Arrived: r.firstArrived,
-		Objective: r.route.Objective, Deadline: r.deadline, Repeatable: r.route.Repeatable(), Resumed: r.lastEventID != "",
+		Objective: r.route.Objective, Deadline: r.deadline, Repeatable: r.route.Repeatable(), Route: r.route.Name, Resumed: r.lastEventID != "",
 	}
 	if r.route.Patience > 0 {
 		r.placement.CallerLeaves = r.arrived.Add(r.route.Patience)
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,6 +26,9 @@
 	// sentAt is when the attempt began, and progressAt when its last event arrived, or sentAt
 	// before that.
 	sentAt, progressAt time.Time
+	first              bool        // no attempt before may have reached a target
+	overdue            atomic.Bool // what judges versions was told that the response is late
+	overdueTimer       *time.Timer // until then; nil if nothing judges versions
 }
 
 // newAttempt returns an attempt at the target of a grant. ctx ends with the request, and
@@ -43,6 +47,10 @@
 	r := a.request
 	deadline := newCatchUpTimer(max(0, time.Until(r.answerBy)), func() { a.cancel(errDeadline) })
 	defer deadline.stop()
+	if !r.service.cfg.Scheduler.Sending(a.grant, a.first) {
+		return dispatch.Unused, ErrGrantWithdrawn
+	}
+	defer a.watchOverdue()()
 	a.handOver.expect(r.firstResponseTimeout())
 	a.handOver.await()
 	ex, err := r.service.cfg.TargetClient.Send(a.ctx, &Forward{
@@ -251,6 +259,7 @@
 func (a *attempt) countEvent() {
 	if a.grant.Events == 0 {
 		a.request.responseStarted(a.grant)
+		a.observeBegun()
 	}
 	a.grant.Events++
 	a.progressAt = time.Now()
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -95,6 +95,8 @@
 	RetryWindow    time.Duration
 	RetrySlack     func() float64
 	RetrySlackFrom time.Time
+	// Rollouts judges software versions that are rolled out; nil: none are.
+	Rollouts VersionJudge
 	// ResponseMemory bounds the bytes of responses that are held at a time.
 	ResponseMemory *ResponseMemory
 	Log            *zap.Logger
@@ -360,8 +362,10 @@
 			return nil, r.holdBack(g, b.reason, b.wait)
 		}
 	}
+	a.first = !repeated
 	outcome, err := a.run()
 	next, r.retryTaken = a.handOver.end()
+	ratio, slowness := r.relativeTime(g, outcome)
 	r.service.cfg.Scheduler.Release(g, outcome)
 	r.lastErr = err
 	if !errors.Is(err, ErrNotSent) {
@@ -369,10 +373,12 @@
 	} else if repeated {
 		r.service.retryBudget(r.targetService).Return()
 	}
+	suspected := err != nil && r.suspected(ctx, g, a.sentAt, outcome, err)
+	a.observeVersion(outcome, err, suspected, ratio, slowness)
 	if err == nil {
 		r.countPromptTokens(g, true)
 	} else {
-		tryAnother = r.afterFailedAttempt(ctx, a, outcome, err, r.suspected(ctx, g, a.sentAt, outcome, err))
+		tryAnother = r.afterFailedAttempt(ctx, a, outcome, err, suspected)
 	}
 	if next != nil && !tryAnother {
 		r.service.cfg.Scheduler.Release(next, dispatch.Unused)
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -11,8 +11,9 @@
 )
 
 // applyConfiguration puts the configurations among the records of the topic into
-// effect.
-func (c *control) applyConfiguration(_ time.Time, _ bool, records []keyedtopic.Record, _ keyedtopic.Position) {
+// effect, and passes on the orders of roll-outs.
+func (c *control) applyConfiguration(now time.Time, listed bool, records []keyedtopic.Record, next keyedtopic.Position) {
+	c.applyOrders(now, listed, records, next)
 	for _, r := range records {
 		if r.Key != platform.ConfigurationKey || len(r.Value) == 0 {
 			continue
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,6 +66,10 @@
 	// Decide when to fetch a newer version that other entries report.
 	configurationFetches, bundleFetches fetchThrottle
 	hasPendingRemovals                  bool // removals are pending after an outage
+
+	// ordersListed says that the orders of roll-outs were read from the store once, and
+	// plansLoaded that the plans for them are known too.
+	ordersListed, plansLoaded atomic.Bool
 }
 
 // topicState is what is known of the reads of a topic.
@@ -104,6 +109,9 @@
 	group.Go(func() error { return c.sharePromptParts(ctx) })
 	group.Go(func() error { return c.keepOwnRecords(ctx) })
 	group.Go(func() error { return c.storeLevels(ctx) })
+	if c.p.rollouts != nil {
+		group.Go(func() error { return c.shareRollouts(ctx) })
+	}
 	group.Go(func() error {
 		return keyedtopic.Follow(ctx, c.p.store, keyedtopic.Topic{Name: platform.ConfigurationTopic, ReadWait: configurationReadWait, Era: c.knownEra},
 			&topicHandler{control: c, name: platform.ConfigurationTopic, apply: c.applyConfiguration})
@@ -196,6 +204,9 @@
 			zap.Uint64("era", next.Era), zap.Uint64("offset", next.Offset), zap.Duration("last_answer", now.Sub(d.answeredAt)))
 	}
 	c.observeEra(next.Era)
+	if c.p.rollouts != nil {
+		c.p.rollouts.StoreReached(now)
+	}
 	c.mu.Lock()
 	d.answeredAt, d.next = now, next
 	c.mu.Unlock()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/rollout"
 	"github.com/cassiaramp/cassiaramp/internal/logging"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/admin"
@@ -75,6 +76,7 @@
 	mesh         *mesh.Mesh
 	control      *control
 	rollout      *bundle.Rollout
+	rollouts     *rollout.Ledger // of software versions; nil if the platform does not ask for them
 	// followsBundles says that bundles are read, because there are operators who may
 	// sign them.
 	followsBundles  bool
@@ -83,6 +85,9 @@
 	stopping        atomic.Bool
 	reportToAllNext atomic.Bool // an entry was heard for the first time since its start
 	listChanged     atomic.Bool // the list changed while this entry reads it from the store
+	// hasExposureSlack says that no roll-out was in progress when this process started, so that
+	// it has a part of the slack of later ones.
+	hasExposureSlack atomic.Bool
 }
 
 // RunGateway runs an entry on the users' platform. When ctx ends, the entry makes a
@@ -111,6 +116,9 @@
 		Self: s.Instance, StartedAt: p.startedAt,
 		Tolerance: ratelimit.Tolerance{Window: platform.RateLimitWindow, Factor: platform.RateLimitFactor, Slack: platform.RateLimitSlack},
 	}))
+	if p.rollouts = p.newRollouts(); p.rollouts != nil {
+		p.scheduler.SetVersions(p.rollouts)
+	}
 	p.control = newControl(p)
 	var err error
 	if p.mesh, err = mesh.New(netip.AddrPortFrom(s.IP, s.FirstPort), p.control.snapshot, p.findOrigin); err != nil {
@@ -119,7 +127,7 @@
 	p.gateway = gateway.New(gateway.Config{
 		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Quarantine: p.quarantine, Origins: p.origins, AskOrigin: p.mesh.AskOrigin, RetryRatio: s.Bounds.RetryRatio,
 		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack, RetrySlackFrom: p.retrySlackFrom(), ResponseMemory: gateway.NewResponseMemory(p.responseMemory()),
-		Log: log.Requests, Counters: p.counters,
+		Log: log.Requests, Counters: p.counters, Rollouts: p.versionJudge(),
 	})
 	p.log.Info("process started", zap.String("instance", string(s.Instance)), zap.String("domain", string(s.Domain)),
 		zap.Uint64("incarnation", uint64(p.incarnation)), zap.String("store", s.StoreAddress.String()))
@@ -255,6 +263,7 @@
 	expvar.Publish("targets_listed", expvar.Func(func() any { return p.control.targetCount() }))
 	expvar.Publish("prompt_parts", expvar.Func(func() any { return p.quarantine.Summary(time.Now()) }))
 	expvar.Publish("store_topics", expvar.Func(func() any { return p.control.topicReadings() }))
+	expvar.Publish("rollouts", expvar.Func(func() any { return p.rolloutVars() }))
 	expvar.Publish("entries_heard", expvar.Func(func() any { return p.mesh.PeerCount(time.Now()) }))
 	ln, err := net.Listen("tcp4", netip.AddrPortFrom(p.settings.IP, platform.MetricsPort).String())
 	if err != nil {
@@ -277,6 +286,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-grant.C:
+			p.scheduler.ReportOpen()
 			p.scheduler.GrantFreeSlots()
 		case now := <-closeExpired.C:
 			p.targetClient.CloseExpired(now)
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -60,6 +60,9 @@
 func (p *gatewayProcess) handleReport(m *mesh.Message, started bool) {
 	if m.Leaving {
 		p.quota.RemovePeer(m.Instance)
+		if p.rollouts != nil {
+			p.rollouts.Left(m.Instance)
+		}
 		p.scheduler.RemovePeer(m.Instance)
 		return
 	}
@@ -74,6 +77,9 @@
 	if m.Quarantine != nil {
 		p.quarantine.Learn(now, m.Instance, m.Quarantine)
 	}
+	if m.Rollouts != nil && p.rollouts != nil {
+		p.rollouts.Learn(now, m.Instance, *m.Rollouts) // before the targets of a new version
+	}
 	p.scheduler.SetReport(m.Instance, m.LoadReport())
 	p.control.onEraReport(m.StoreEra)
 	p.control.onListReport(m)
@@ -124,7 +130,7 @@
 	}
 	// A change of the list of targets is reported at once, so that entries learn in
 	// time that a target leaves.
-	urgent := r.p.listChanged.Swap(false)
+	urgent := r.p.listChanged.Swap(false) || r.p.rollouts != nil && r.p.rollouts.HasUnreported()
 	if now.Sub(r.nearSentAt) < minReportInterval(position.Count) && !urgent {
 		return
 	}
@@ -155,6 +161,9 @@
 	if q := r.p.quarantine.Report(now, toAll); !q.Empty() {
 		m.Quarantine = &q
 	}
+	if toAll || m.Change != nil {
+		m.Rollouts = r.p.rolloutReport(now)
+	}
 	r.nearSentAt, r.lastReport = now, m
 	reports := mesh.Reports{Near: m}
 	if toAll {
--- a/internal/daemon/snapshots.go
+++ b/internal/daemon/snapshots.go
@@ -30,6 +30,9 @@
 		Configuration: c.p.gateway.Configuration(), Targets: c.published, ListHash: c.listHash, ListEra: c.next.Era, ListNext: c.next.Offset,
 		Settling: c.hasPendingRemovals, Age: time.Since(c.listCurrentAt),
 	}
+	if c.p.rollouts != nil {
+		s.Plans, s.PlansComplete = c.p.rollouts.Plans(time.Now()), c.plansLoaded.Load()
+	}
 	if b := c.p.rollout.Current(); b != nil {
 		s.Bundle = &b.AcceptedBundle
 	}
@@ -105,6 +108,7 @@
 		accepted, err := c.p.rollout.Offer(*s.Bundle, c.p.applyPolicies)
 		c.recordBundleOffer(accepted, from.String(), err)
 	}
+	c.adoptPlans(now, s.Plans, s.PlansComplete) // before the targets of a new version
 	currentAt := now.Add(-s.Age - transitAllowance)
 	c.mu.Lock()
 	next := keyedtopic.Position{Era: s.ListEra, Offset: s.ListNext}
--- a/internal/daemon/targetlist.go
+++ b/internal/daemon/targetlist.go
@@ -169,6 +169,9 @@
 		c.p.listChanged.Store(true)
 	}
 	c.p.origins.SetTargets(now, records)
+	if c.p.rollouts != nil {
+		c.p.rollouts.SetTargets(now, records)
+	}
 	c.p.scheduler.SetTargets(records)
 }
 
--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -72,6 +72,9 @@
 	// with the given header and body, or nil if it answers. It is set before requests come;
 	// nil for none.
 	CrashUnder func(header http.Header, body []byte) (crash func())
+	// OnRun is called for each request that runs, and returns whether the target responds with
+	// status 500 to it and how much longer the response takes to start; nil for none.
+	OnRun atomic.Pointer[func() (fails bool, delay time.Duration)]
 
 	// Profile is set before requests come; nil for the simple target.
 	Profile *Profile
@@ -92,6 +95,9 @@
 	streams atomic.Int64 // streams begun so far
 }
 
+// Running returns the number of requests in progress.
+func (t *Target) Running() int64 { return t.running.Load() }
+
 // Arrival is a request that a target got, and what it stated in the response.
 type Arrival struct {
 	At      time.Time
@@ -171,12 +177,18 @@
 		return
 	}
 	t.Ledger.recordRun(id)
+	fails := t.FailRequests.Load()
+	if onRun := t.OnRun.Load(); onRun != nil {
+		bad, delay := (*onRun)()
+		fails = fails || bad
+		time.Sleep(delay)
+	}
 	if t.LoseResponse.Load() {
 		time.Sleep(t.WorkTime)
 		panic(http.ErrAbortHandler)
 	}
 	header.Set("Response-Signature", "signed by "+t.ID)
-	if t.FailRequests.Load() {
+	if fails {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -31,6 +31,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/rollout"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 )
@@ -106,6 +107,10 @@
 	Limits map[state.TargetID]ratelimit.Note `cbor:"23,keyasint,omitempty"`
 	// Quarantine is what the sender knows of parts of prompts that crash targets.
 	Quarantine *quarantine.Report `cbor:"26,keyasint,omitempty"`
+	// Rollouts is what the sender knows of roll-outs of software versions. Reports to all
+	// entries have it, and those with Change: an entry that learns of targets of a new version
+	// learns of the order with them.
+	Rollouts *rollout.Report `cbor:"27,keyasint,omitempty"`
 	// Leaving reports that the sender stops.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 }
--- a/internal/transport/mesh/snapshot.go
+++ b/internal/transport/mesh/snapshot.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/rollout"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 )
@@ -33,6 +34,9 @@
 	bundleParameter  = "bundle"
 	// ageHeader is the response header that carries Snapshot.Age in milliseconds.
 	ageHeader = "Cassiaramp-Age-Ms"
+	// bodyAgeHeader is the response header that carries the time since the body was encoded, in
+	// milliseconds. The times that plans have left are from then.
+	bodyAgeHeader = "Cassiaramp-Body-Age-Ms"
 )
 
 // Snapshot is the state that an entry has from the platform's store. It is encoded in
@@ -53,6 +57,10 @@
 	Age time.Duration `json:"-"`
 	// Bundle is nil when the requesting entry has it or a newer one.
 	Bundle *state.AcceptedBundle
+	// Plans are the plans of roll-outs, as far as the sender knows them. PlansComplete says
+	// that it knows of all orders.
+	Plans         []rollout.Plan
+	PlansComplete bool
 }
 
 // KnownVersions identifies the state that an entry requesting a snapshot already has.
@@ -85,6 +93,7 @@
 	bundleVersion        uint64
 	hasTargets           bool
 	settling             bool
+	plans                string // without the time left, which bodyAgeHeader corrects
 }
 
 func (s *Snapshot) cacheKey() cacheKey {
@@ -95,6 +104,12 @@
 	if s.Bundle != nil {
 		k.bundleVersion = s.Bundle.Version
 	}
+	if s.PlansComplete {
+		k.plans = "complete"
+	}
+	for _, p := range s.Plans {
+		k.plans += fmt.Sprintf(" %s %d %s %v", p.Order.Service, p.Number, p.Phase, p.Order.Position)
+	}
 	return k
 }
 
@@ -104,26 +119,27 @@
 	mu   sync.Mutex
 	key  cacheKey
 	body []byte
+	at   time.Time // when body was encoded
 }
 
-// encode returns s in compressed JSON, without its age.
-func (c *snapshotCache) encode(s *Snapshot) ([]byte, error) {
+// encode returns s in compressed JSON, without its age, and when that was encoded.
+func (c *snapshotCache) encode(s *Snapshot) ([]byte, time.Time, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := s.cacheKey()
 	if c.body != nil && c.key == key {
-		return c.body, nil
+		return c.body, c.at, nil
 	}
 	var buf bytes.Buffer
 	z := gzip.NewWriter(&buf)
 	if err := json.NewEncoder(z).Encode(s); err != nil {
-		return nil, err
+		return nil, time.Time{}, err
 	}
 	if err := z.Close(); err != nil {
-		return nil, err
+		return nil, time.Time{}, err
 	}
-	c.key, c.body = key, buf.Bytes()
-	return c.body, nil
+	c.key, c.body, c.at = key, buf.Bytes(), time.Now()
+	return c.body, c.at, nil
 }
 
 func decodeSnapshot(r io.Reader) (*Snapshot, error) {
@@ -155,12 +171,13 @@
 		return
 	}
 	s := m.localSnapshot().without(known)
-	b, err := m.cache.encode(&s)
+	b, encodedAt, err := m.cache.encode(&s)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set(ageHeader, strconv.FormatInt(s.Age.Milliseconds(), 10))
+	w.Header().Set(bodyAgeHeader, strconv.FormatInt(time.Since(encodedAt).Milliseconds(), 10))
 	w.Write(b)
 }
 
@@ -239,6 +256,12 @@
 		return nil, fmt.Errorf("fetch snapshot from %s: decode: %w", a, err)
 	}
 	s.Age = time.Duration(age) * time.Millisecond
+	// An entry of an earlier release states no age of the body, and no plans either.
+	if bodyAge, err := strconv.ParseInt(resp.Header.Get(bodyAgeHeader), 10, 64); err == nil {
+		for i := range s.Plans {
+			s.Plans[i].TimeLeft -= time.Duration(bodyAge) * time.Millisecond
+		}
+	}
 	return s, nil
 }
 
