--- a/internal/daemon/restoredstore_test.go
+++ b/internal/daemon/restoredstore_test.go
@@ -36,8 +36,10 @@
 // configurationReadWait, after which an entry reads again in any case.
 const waitLimit = 10 * time.Second
 
-func newStoreTest(t *testing.T) *storeTest {
-	store := emulator.NewStore()
+func newStoreTest(t *testing.T) *storeTest { return newEntryTest(t, emulator.NewStore(), "self") }
+
+// newEntryTest returns the control of an entry with the given name that follows a store.
+func newEntryTest(t *testing.T, store *emulator.Store, name state.InstanceID) *storeTest {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -47,7 +49,7 @@
 	p := &gatewayProcess{
 		log: zap.NewNop(), targetClient: upstream.New(), gateway: gateway.New(gateway.Config{}), quota: quota.New(quota.Config{}), rollout: bundle.NewRollout(state.Signers{}),
 		store: platform.NewStore(ln.Addr().String()), counters: gateway.NewCounters(false), startedAt: time.Now(),
-		settings: &platform.Settings{Instance: "self", IP: netip.MustParseAddr("127.0.0.1"), FirstPort: 7600},
+		settings: &platform.Settings{Instance: name, IP: netip.MustParseAddr("127.0.0.1"), FirstPort: 7600},
 	}
 	p.scheduler = dispatch.New("a", 1, time.Now, p, ratelimit.New(ratelimit.Config{Self: "self"}))
 	p.origins = origin.New(p.startedAt, true)
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -35,6 +35,14 @@
 	topics  map[string]*topic
 	era     uint64        // rises with each Restore
 	changed chan struct{} // closed and replaced on each append
+	calls   map[string]int
+}
+
+// Calls returns the number of requests for a topic so far.
+func (s *Store) Calls(topicName string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[topicName]
 }
 
 // topic holds the log of a topic and the latest value of each key. The first
@@ -53,7 +61,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{topics: make(map[string]*topic), era: 1, changed: make(chan struct{})}
+	return &Store{topics: make(map[string]*topic), era: 1, changed: make(chan struct{}), calls: make(map[string]int)}
 }
 
 // Copy is the content of a store at some time.
@@ -149,6 +157,7 @@
 		time.Sleep(time.Duration(s.DelayMs.Load()) * time.Millisecond)
 		s.mu.Lock()
 		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+		s.calls[r.URL.Query().Get("Topic")]++
 		s.mu.Unlock()
 		if s.Unavailable.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
