--- a/internal/coordination/rollout/evidence.go
+++ b/internal/coordination/rollout/evidence.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -16,7 +15,7 @@
 	// maxTargets bounds the targets of a service of which evidence is kept.
 	maxTargets = 1024
 	// minTimes is the number of times that must be known before they are a basis for comparison.
-	minTimes = 8
+	minTimes = 6
 	// maxUnclassified bounds the times that wait for such a basis.
 	maxUnclassified = 512
 	// minSlowLogRatio is the binary logarithm of how many times as long as the faster requests
@@ -34,6 +33,8 @@
 	basePart = 0.2
 	// crashWindow is the time in which lost connections of a target are one crash.
 	crashWindow = time.Second
+	// lostWait is the time in which an answer of a target to any entry becomes known.
+	lostWait = 2 * time.Second
 	// aliveAfter is how long after a lost connection the target must have answered to have been
 	// alive all the time: answers may be read late.
 	aliveAfter = 200 * time.Millisecond
@@ -78,7 +79,8 @@
 	all        targetCounts
 	ownCrashAt time.Time
 	crashAt    time.Time // of the last crash that any entry has reported
-	answeredAt time.Time
+	answeredAt time.Time // to any entry, as far as known
+	ownAnswer  time.Time
 	changedAt  time.Time
 }
 
@@ -176,14 +178,14 @@
 	case Ignored, TimedOut, Begun, Overdue:
 	case Failed:
 		e.count(r, t, side, counts{ended: 1, failed: 1})
-		t.answeredAt = now
+		t.answered(now)
 		return
 	case Refused:
 		e.count(r, t, side, counts{ended: 1, refused: 1})
 		return
 	default:
 		e.count(r, t, side, counts{ended: 1})
-		t.answeredAt = now
+		t.answered(now)
 	}
 	if !o.OverdueBefore {
 		e.observeTime(route, target, side, o)
@@ -303,16 +305,28 @@
 	})
 }
 
-// settleLost decides which of the lost requests were due to crashes of their targets.
+// answered records that the target has answered this entry.
+func (t *targetEvidence) answered(now time.Time) {
+	t.ownAnswer = now
+	if now.After(t.answeredAt) {
+		t.answeredAt = now
+	}
+}
+
+// settleLost decides which of the lost requests were due to crashes of their targets. Those
+// at old targets count as failures in any case: fewer answers of old targets are known.
 func (e *evidence) settleLost(now time.Time) {
 	e.lost = slices.DeleteFunc(e.lost, func(q lostRequest) bool {
-		if now.Sub(q.at) < crashWindow {
+		t := e.targets[q.target]
+		after := t.answeredAt.Sub(q.at)
+		alive := after > aliveAfter && after <= crashWindow
+		if !alive && now.Sub(q.at) < lostWait {
 			return false
 		}
-		t := e.targets[q.target]
-		if t.answeredAt.Sub(q.at) > aliveAfter && t.answeredAt.Sub(q.at) <= 2*crashWindow {
+		if alive || q.side == oldSide {
 			e.count(e.routes[q.route], t, q.side, counts{ended: 1, failed: 1})
-		} else if q.at.Sub(t.ownCrashAt).Abs() > crashWindow {
+		}
+		if !alive && q.at.Sub(t.ownCrashAt).Abs() > crashWindow {
 			t.ownCrashAt = q.at
 			t.own.crashes++
 			e.crashed(t, q.at)
@@ -338,110 +352,3 @@
 
 // unusable reports whether new targets were tried and none has answered.
 func (e *evidence) unusable() bool { return e.answered == 0 && e.missed >= minUnreachable }
-
-// routeNotes returns the counts of this entry by route.
-func (e *evidence) routeNotes() []RouteNote {
-	var notes []RouteNote
-	for hash, r := range e.routes {
-		if r.own[oldSide].ended+r.own[newSide].ended > 0 {
-			notes = append(notes, RouteNote{Route: hash, Old: r.own[oldSide].note(), New: r.own[newSide].note(), OldTimes: r.ownTimes.encode()})
-		}
-	}
-	slices.SortFunc(notes, func(a, b RouteNote) int { return cmp.Compare(a.Route, b.Route) })
-	return notes
-}
-
-func (c counts) note() CountsNote {
-	return CountsNote{Ended: uint32(c.ended), Failed: uint32(c.failed), Refused: uint32(c.refused), Timed: uint32(c.timed), Slow: uint32(c.slow)}
-}
-
-func (n CountsNote) counts() counts {
-	return counts{float64(n.Ended), float64(n.Failed), float64(n.Refused), float64(n.Timed), float64(n.Slow)}
-}
-
-// targetNotes returns the counts of this entry of some of the targets, in turn.
-func (e *evidence) targetNotes(now time.Time, sequence uint64) []TargetNote {
-	var notes []TargetNote
-	for hash, t := range e.targets {
-		if !t.isNew && t.own.crashes == 0 || t.changedAt.IsZero() {
-			continue
-		}
-		n := TargetNote{
-			Target: hash, New: t.isNew, Ended: t.own.ended, Failed: t.own.failed, Slow: t.own.slow, Crashes: t.own.crashes, Unreachable: t.own.unreachable, Times: t.own.times.encode(),
-		}
-		if t.own.crashes > 0 {
-			n.CrashAgeMillis = millis(now.Sub(t.ownCrashAt))
-		}
-		notes = append(notes, n)
-	}
-	slices.SortFunc(notes, func(a, b TargetNote) int { return cmp.Compare(a.Target, b.Target) })
-	if len(notes) <= maxReportedTargets {
-		return notes
-	}
-	turns := uint64((len(notes) + maxReportedTargets - 1) / maxReportedTargets)
-	from := int(sequence%turns) * maxReportedTargets
-	return notes[from:min(len(notes), from+maxReportedTargets)]
-}
-
-// cursor is what a report of another entry said last.
-type cursor struct {
-	routes  map[uint32]routeCursor
-	targets map[uint32]targetCounts
-}
-
-type routeCursor struct {
-	counts [2]counts
-	times  histogram
-}
-
-// learn adds what the report of another entry has more than its last one.
-func (e *evidence) learn(now time.Time, c *cursor, n *ServiceNote) {
-	if c.routes == nil {
-		c.routes, c.targets = make(map[uint32]routeCursor), make(map[uint32]targetCounts)
-	}
-	for _, rn := range n.Routes[:min(len(n.Routes), maxRoutes+1)] {
-		_, r := e.route(rn.Route)
-		last := c.routes[rn.Route]
-		next := routeCursor{counts: [2]counts{rn.Old.counts(), rn.New.counts()}, times: decodeHistogram(rn.OldTimes)}
-		for side := range next.counts {
-			d := last.counts[side].grown(next.counts[side])
-			r.pending[side].add(d, 1)
-			e.total.pending[side].add(d, 1)
-		}
-		e.answered += last.counts[newSide].grown(next.counts[newSide]).ended
-		r.times.addSince(&last.times, &next.times)
-		c.routes[rn.Route] = next
-	}
-	for i := range n.Targets {
-		e.learnTarget(now, c, &n.Targets[i])
-	}
-}
-
-func (e *evidence) learnTarget(now time.Time, c *cursor, n *TargetNote) {
-	t := e.target(n.Target, n.New)
-	if t == nil {
-		return
-	}
-	last := c.targets[n.Target]
-	next := targetCounts{n.Ended, n.Failed, n.Slow, n.Crashes, n.Unreachable, decodeHistogram(n.Times)}
-	if next.ended > last.ended {
-		t.all.ended += next.ended - last.ended
-	}
-	if next.failed > last.failed {
-		t.all.failed += next.failed - last.failed
-	}
-	if next.slow > last.slow {
-		t.all.slow += next.slow - last.slow
-	}
-	if next.unreachable > last.unreachable {
-		t.all.unreachable += next.unreachable - last.unreachable
-		if n.New {
-			e.missed += float64(next.unreachable - last.unreachable)
-		}
-	}
-	if next.crashes > last.crashes {
-		e.crashed(t, now.Add(-time.Duration(n.CrashAgeMillis)*time.Millisecond))
-	}
-	t.all.times.addSince(&last.times, &next.times)
-	c.targets[n.Target] = next
-}
--- a/internal/coordination/rollout/permits.go
+++ b/internal/coordination/rollout/permits.go
@@ -47,10 +47,7 @@
 // earn together: an entry that earns 0.3 permits uses one with probability 0.3. The sum of
 // that is right on average; roundingReserve of the slack covers its deviation.
 func (l *Ledger) startCredit(now time.Time, number uint64) float64 {
-	entries := 1.0
-	if l.cfg.Entries != nil {
-		entries += float64(len(l.cfg.Entries(now)))
-	}
+	entries := float64(1 + l.otherEntries(now))
 	random := rand.New(rand.NewPCG(xxhash.Sum64String(string(l.cfg.Self)), uint64(l.cfg.Incarnation)+number)).Float64()
 	slack := 0.0
 	if l.cfg.ExposureSlack != nil {
@@ -59,6 +56,14 @@
 	return max(0, slack-roundingReserve/math.Sqrt(entries)) + random
 }
 
+// otherEntries returns the number of the other entries that have been heard recently.
+func (l *Ledger) otherEntries(now time.Time) int {
+	if l.cfg.Entries == nil {
+		return 0
+	}
+	return len(l.cfg.Entries(now))
+}
+
 // next returns the permits of another order. The credit of the last one goes on if both
 // are of the same version within one limit.
 func (p permits) next(number uint64, again bool, slack float64) permits {
--- a/internal/coordination/rollout/phases.go
+++ b/internal/coordination/rollout/phases.go
@@ -10,7 +10,7 @@
 	// acknowledgeTime is the time from the planned end of the last request at an old target to
 	// the limit: entries report to all others every second, a report may be lost, and the
 	// leader writes the plan.
-	acknowledgeTime = 1500 * time.Millisecond
+	acknowledgeTime = 2 * time.Second
 	// maxAcknowledgeShare and maxHandoverShare bound acknowledgeTime and the hand-over before
 	// it to parts of the duration of an order, so that a short order has a trial too.
 	maxAcknowledgeShare = 0.25
@@ -22,6 +22,9 @@
 	// reopenMargin is the part of the time for the rollback that passes before a bad version
 	// is found, by reports from the other entries.
 	reopenMargin = 2 * time.Second
+	// overrunPart is the part of the longest request so far by which requests may take longer
+	// than predicted.
+	overrunPart, maxOverrunShare = 0.35, 0.08
 	// longestMargin is how much longer than the longest request so far another may take.
 	longestMargin = 1.25
 	minHandover   = 300 * time.Millisecond
@@ -36,20 +39,27 @@
 
 // endBy returns when the requests at the old targets are planned to have ended.
 func (s *service) endBy() time.Time {
-	planned := s.limit.Add(-min(acknowledgeTime, share(s.plan.Order.Duration, maxAcknowledgeShare)))
+	overrun := min(share(s.longestAnywhere(), overrunPart), share(s.plan.Order.Duration, maxOverrunShare))
+	planned := s.limit.Add(-min(acknowledgeTime, share(s.plan.Order.Duration, maxAcknowledgeShare)) - overrun)
 	if s.plan.Phase == Handover && s.phaseAt.After(planned) {
 		return s.phaseAt
 	}
 	return planned
 }
 
-// handoverAt returns when the hand-over begins.
-func (l *Ledger) handoverAt(s *service) time.Time {
-	need := s.longestOld()
+// longestAnywhere returns the longest time that a request of any entry took lately at an old
+// target.
+func (s *service) longestAnywhere() time.Duration {
+	longest := s.longestOld()
 	for _, p := range s.peers {
-		need = max(need, p.oldTime)
+		longest = max(longest, p.oldTime)
 	}
-	need = min(share(need, longestMargin), l.maxRouteTimeout())
+	return longest
+}
+
+// handoverAt returns when the hand-over begins.
+func (l *Ledger) handoverAt(s *service) time.Time {
+	need := min(share(s.longestAnywhere(), longestMargin), l.maxRouteTimeout())
 	need = min(max(need, minHandover), share(s.plan.Order.Duration, maxHandoverShare))
 	return s.endBy().Add(-need)
 }
@@ -152,7 +162,7 @@
 // send one: all that are heard have said so, and one that has run long enough knows it of
 // those that have fallen silent.
 func (l *Ledger) allDrained(now time.Time, s *service) bool {
-	if !s.drained {
+	if !s.drained || !l.silentSettled(now, s) {
 		return false
 	}
 	allSettled := l.settled(now, s)
@@ -179,13 +189,16 @@
 }
 
 // settled reports whether all entries that can have requests in progress at old targets
-// are known here to have drained. Those that have been silent for the longest time limit of
-// a route have none; so this entry must have run for that time.
+// are known here to have drained. For that, this entry must have run for the longest time
+// limit of a route, so that it has heard of those that fell silent within that time.
 func (l *Ledger) settled(now time.Time, s *service) bool {
+	return s.drained && now.Sub(l.startedAt) > l.maxRouteTimeout() && l.silentSettled(now, s)
+}
+
+// silentSettled reports whether each entry that was heard has drained, or has been silent
+// for so long that it has no requests in progress.
+func (l *Ledger) silentSettled(now time.Time, s *service) bool {
 	timeout := l.maxRouteTimeout()
-	if !s.drained || now.Sub(l.startedAt) <= timeout {
-		return false
-	}
 	for id, p := range l.peers {
 		if now.Sub(p.heardAt) <= timeout && !l.hasDrained(s, id) {
 			return false
--- a/internal/coordination/rollout/report.go
+++ b/internal/coordination/rollout/report.go
@@ -83,6 +83,7 @@
 	New                                       bool
 	Ended, Failed, Slow, Crashes, Unreachable uint32
 	CrashAgeMillis                            uint32 // since the last crash
+	AnswerAgeMillis                           uint32 // since the last answer, plus 1; 0 if there was none
 	Times                                     []byte
 }
 
--- a/internal/coordination/rollout/service.go
+++ b/internal/coordination/rollout/service.go
@@ -12,10 +12,11 @@
 	// longestKept is the time after which an observed duration no longer counts for the start
 	// of the hand-over. It is kept for up to twice as long.
 	longestKept = 30 * time.Second
-	// readDelay is how long before it was first read an order is assumed to have been written.
-	// Entries read orders every 900 ms and agree on the earliest limit that one of them assumes.
-	readDelay = 450 * time.Millisecond
-	// maxReadShare bounds readDelay to a part of the duration of the order.
+	// readInterval is the time between two reads of the orders. The time limit counts from the
+	// write of an order, which is not known. Entries agree on the earliest limit that one of
+	// them assumes; the first of n to read an order does so 1/(n+1) of the interval after it.
+	readInterval = 900 * time.Millisecond
+	// maxReadShare bounds the assumed delay to a part of the duration of the order.
 	maxReadShare = 0.2
 	// maxLimitCorrection bounds how much earlier than by its own observation an entry takes the
 	// limit of an order to be: the clocks of the store's writers differ.
@@ -130,7 +131,7 @@
 		p.Order.Position = o.Position // the same order again
 		return
 	}
-	limit := now.Add(o.Duration - min(readDelay, time.Duration(maxReadShare*float64(o.Duration))))
+	limit := now.Add(o.Duration - min(readInterval/time.Duration(2+l.otherEntries(now)), time.Duration(maxReadShare*float64(o.Duration))))
 	l.adopt(now, s, Plan{Order: o, Number: p.Number + 1, Phase: Trial}, limit)
 	l.log(s, "order seen", "", "")
 }
--- a/internal/coordination/rollout/targets.go
+++ b/internal/coordination/rollout/targets.go
@@ -17,8 +17,8 @@
 	// the choice of the trial targets aims at, to find versions that are bad only under load.
 	trialLoad = 1.3
 	// rotations is the number of sets of trial targets within the time of an order.
-	rotations                = 10
-	minRotation, maxRotation = time.Second, 3 * time.Second
+	rotations                = 6
+	minRotation, maxRotation = 2 * time.Second, 4 * time.Second
 	// manyPermits is the number of saved permits from which they are used twice as fast, as
 	// at the start, when an entry has its part of the slack.
 	manyPermits = 3
--- a/internal/coordination/rollout/verdict.go
+++ b/internal/coordination/rollout/verdict.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -40,10 +39,10 @@
 // The measures. The thresholds are those at which the simulated good versions of
 // TestSimulatedRollouts are completed, see docs/design/rollouts.md.
 var measures = [...]measure{
-	{name: "failures", floor: 0.003, factor: 1, alone: 0.02, excess: []float64{0.03, 0.08, 0.2, 0.5, 0.9}, threshold: 8.5, minEvents: 4},
-	{name: "slow responses", floor: 0.02, factor: 1.3, alone: 0.2, excess: []float64{0.06, 0.12, 0.25, 0.5, 0.9}, threshold: 9, minEvents: 5},
+	{name: "failures", floor: 0.003, factor: 1, alone: 0.02, excess: []float64{0.03, 0.08, 0.2, 0.5, 0.9}, threshold: 10, minEvents: 5},
+	{name: "slow responses", floor: 0.02, factor: 1.3, alone: 0.1, excess: []float64{0.06, 0.12, 0.25, 0.5, 0.9}, threshold: 9, minEvents: 5},
 	{name: "refusals", floor: 0.05, factor: 1.5, alone: 0.3, excess: []float64{0.1, 0.25, 0.5, 0.9}, threshold: 9, minEvents: 6},
-	{name: "crashes", floor: 0.02, factor: 1, excess: []float64{0.08, 0.2, 0.5, 0.9}, threshold: 8.5, minEvents: 3},
+	{name: "crashes", floor: 0.008, factor: 1, excess: []float64{0.03, 0.08, 0.2, 0.5}, threshold: 9, minEvents: 3},
 }
 
 const crashMeasure = len(measures) - 1
@@ -161,7 +160,7 @@
 		r.pending = [2]counts{}
 	}
 	e.total.pending, e.total.pendingCrashes = [2]counts{}, [2]float64{}
-	if reason == "" && e.slowThroughout() {
+	if reason == "" && e.total.recentOld.timed >= minComparable && e.slowThroughout() {
 		reason = "all responses are slow"
 	}
 	return reason
@@ -204,12 +203,14 @@
 const (
 	// minSlowTargets is the least number of targets that prove a version slow throughout.
 	minSlowTargets = 2
+	// minTargetTimes is the number of times at a target from which their median counts.
+	minTargetTimes = 5
 	// slowThroughoutRatio is how many times as long as usual all times at a target take at
 	// least if it counts as slow.
 	slowThroughoutRatio = 2.2
 	// maxChance is the probability below which slow targets are not explained by the speeds
 	// of the old ones.
-	maxChance = 0.0005
+	maxChance = 0.001
 )
 
 // slowThroughout reports whether the new targets are slower than targets of unlike speed
@@ -217,7 +218,7 @@
 func (e *evidence) slowThroughout() bool {
 	slow, beyond, measured := 0, 0, 0
 	for _, t := range e.targets {
-		if !t.isNew || t.all.times.count() < minTimes {
+		if !t.isNew || t.all.times.count() < minTargetTimes {
 			continue
 		}
 		measured++
@@ -241,21 +242,16 @@
 // slowChance returns the probability that a good target is slow, from the old ones. Most
 // of the times of a new target are compared with those of usual old ones.
 func (e *evidence) slowChance() float64 {
-	var all []float64
-	for _, s := range e.slowness {
-		all = append(all, s)
-	}
-	if len(all) == 0 {
-		return 0.5
-	}
-	slices.Sort(all)
 	slow := 0
-	for _, s := range all {
+	for _, s := range e.slowness {
 		if s > slowThroughoutRatio*0.8 {
 			slow++
 		}
 	}
-	return (float64(slow) + 1) / (float64(len(all)) + 2)
+	// An entry knows only some of the old targets, and each entry judges: the upper bound of
+	// what its sample allows for is taken.
+	n := float64(slow + 1)
+	return min(1, (n+2*math.Sqrt(n))/(float64(len(e.slowness))+2))
 }
 
 // binomialTail returns the probability of k or more successes in n trials.
