--- a/internal/coordination/dispatch/versions.go
+++ b/internal/coordination/dispatch/versions.go
@@ -163,6 +163,17 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.versions.SetOpen(s.now(), s.openByVersion())
+}
+
+// OpenByVersion returns the numbers of requests in progress by service and version.
+func (s *Scheduler) OpenByVersion() map[state.Service]map[state.SoftwareVersion]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.openByVersion()
+}
+
+func (s *Scheduler) openByVersion() map[state.Service]map[state.SoftwareVersion]int {
 	open := make(map[state.Service]map[state.SoftwareVersion]int)
 	for _, p := range s.services {
 		for g := range p.openGrants {
@@ -172,7 +183,7 @@
 			open[p.name][g.Target.Software]++
 		}
 	}
-	s.versions.SetOpen(s.now(), open)
+	return open
 }
 
 // RelativeTime returns the time that a granted request has taken, divided by the time that it
--- a/internal/coordination/gateway/versions.go
+++ b/internal/coordination/gateway/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
@@ -74,12 +75,19 @@
 
 func (a *attempt) judge(o rollout.Outcome, ratio, slowness float64) {
 	r, now := a.request, time.Now()
+	r.service.cfg.Counters.Add(fmt.Sprintf("version.%s.%s.%s", r.targetService, a.grant.Target.Software, outcomeNames[o]))
 	r.service.cfg.Rollouts.Observe(now, rollout.Observation{
 		Service: r.targetService, Target: a.grant.Target.ID, Software: a.grant.Target.Software, Route: r.route.Name,
 		Outcome: o, Took: now.Sub(a.sentAt), OverdueBefore: a.overdue.Load(), Ratio: ratio, Slowness: slowness,
 	})
 }
 
+// outcomeNames are the names of outcomes in the metrics.
+var outcomeNames = map[rollout.Outcome]string{
+	rollout.Answered: "answered", rollout.Failed: "failed", rollout.Refused: "refused", rollout.Lost: "lost", rollout.TimedOut: "timed_out",
+	rollout.Unreachable: "unreachable", rollout.Ignored: "ignored", rollout.Begun: "begun", rollout.Overdue: "overdue",
+}
+
 // versionOutcome says what the end of an attempt tells of the software version of its target.
 func versionOutcome(o dispatch.Outcome, err error, suspected bool) rollout.Outcome {
 	switch o {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -63,6 +63,7 @@
 	published     []state.TargetRecord // never changed in place
 	lastChange    *mesh.ListChange     // the last one that was published
 	lastChangeAt  time.Time
+	drained       map[state.InstanceID]map[state.Service]uint64 // see noteDrained
 	// Decide when to fetch a newer version that other entries report.
 	configurationFetches, bundleFetches fetchThrottle
 	hasPendingRemovals                  bool // removals are pending after an outage
@@ -82,7 +83,7 @@
 func newControl(p *gatewayProcess) *control {
 	return &control{
 		p: p, events: make(chan func(time.Time), 64), fetchRequests: make(chan state.InstanceID, 1), list: targetlist.New(),
-		topics: make(map[string]*topicState), storeRestored: make(chan struct{}),
+		topics: make(map[string]*topicState), drained: make(map[state.InstanceID]map[state.Service]uint64), storeRestored: make(chan struct{}),
 	}
 }
 
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -79,6 +79,7 @@
 	}
 	if m.Rollouts != nil && p.rollouts != nil {
 		p.rollouts.Learn(now, m.Instance, *m.Rollouts) // before the targets of a new version
+		p.control.noteDrained(m.Instance, m.Rollouts)
 	}
 	p.scheduler.SetReport(m.Instance, m.LoadReport())
 	p.control.onEraReport(m.StoreEra)
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"strconv"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -138,7 +138,7 @@
 func (c *control) shareRollouts(ctx context.Context) error {
 	tick := time.NewTicker(rolloutInterval)
 	defer tick.Stop()
-	w := rolloutWriter{control: c}
+	w := rolloutWriter{control: c, waiting: make(map[state.Service][]state.InstanceID)}
 	for {
 		select {
 		case <-ctx.Done():
@@ -161,6 +161,8 @@
 	plans              map[state.Service]rollout.Plan
 	statuses           map[state.Service]platform.RolloutStatus
 	plansEnd, statusAt uint64 // offsets for the next appends
+
+	waiting map[state.Service][]state.InstanceID // logged last, see logWaiting
 }
 
 // step makes the calls to the store that are due.
@@ -187,6 +189,51 @@
 			return
 		}
 	}
+	w.logWaiting(now)
+}
+
+// logWaiting logs for which entries the completion of a roll-out waits after its limit, once
+// for each set of them.
+func (w *rolloutWriter) logWaiting(now time.Time) {
+	p := w.control.p
+	for _, plan := range p.rollouts.Plans(now) {
+		if plan.Phase != rollout.Handover || plan.TimeLeft > 0 {
+			continue
+		}
+		service := plan.Order.Service
+		waiting := w.control.undrained(now, service, plan.Number)
+		if slices.Equal(waiting, w.waiting[service]) {
+			continue
+		}
+		w.waiting[service] = waiting
+		p.log.Info("rollout completion waits", zap.String("service", string(service)), zap.Uint64("order", plan.Number), zap.Any("entries", waiting),
+			zap.Any("open", p.scheduler.OpenByVersion()[service]), zap.Duration("after_limit", -plan.TimeLeft))
+	}
+}
+
+// noteDrained remembers of which orders another entry has reported that it has nothing in
+// progress at the old targets.
+func (c *control) noteDrained(from state.InstanceID, r *rollout.Report) {
+	drained := make(map[state.Service]uint64)
+	for i := range r.Services {
+		if n := &r.Services[i]; n.Drained {
+			drained[n.Plan.Service] = n.Plan.Number
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drained[from] = drained
+}
+
+// undrained returns the other entries heard lately that have not reported, of an order, that
+// they have nothing in progress at the old targets.
+func (c *control) undrained(now time.Time, service state.Service, order uint64) []state.InstanceID {
+	heard := c.p.mesh.Heard(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	heard = slices.DeleteFunc(heard, func(id state.InstanceID) bool { return c.drained[id][service] == order })
+	slices.Sort(heard)
+	return heard
 }
 
 // load reads the plans at the start if there are orders. Without orders there is nothing to
@@ -312,11 +359,18 @@
 
 // rolloutVar is the state of a roll-out in the metrics.
 type rolloutVar struct {
-	Order      string `json:"order"`
+	Order      uint64 `json:"order"`
 	To         string `json:"to"`
 	Phase      string `json:"phase"`
 	Reason     string `json:"reason,omitempty"`
 	LeftMillis int64  `json:"left_ms"`
+	// Open is the number of requests of this entry in progress, by version. The counters
+	// "gateway.version" have the requests sent and how they ended.
+	Open map[state.SoftwareVersion]int `json:"open"`
+	// ExposureShare is the bound of all entries, and ExposureSlack this entry's part of the
+	// slack.
+	ExposureShare float64 `json:"exposure_share"`
+	ExposureSlack float64 `json:"exposure_slack_part"`
 }
 
 // rolloutVars returns the state of all roll-outs by service, for the metrics.
@@ -325,9 +379,11 @@
 	if p.rollouts == nil {
 		return vars
 	}
+	open := p.scheduler.OpenByVersion()
 	for _, plan := range p.rollouts.Plans(time.Now()) {
 		vars[plan.Order.Service] = rolloutVar{
-			Order: strconv.FormatUint(plan.Number, 10), To: string(plan.Order.To), Phase: plan.Phase.String(), Reason: plan.Reason, LeftMillis: plan.TimeLeft.Milliseconds(),
+			Order: plan.Number, To: string(plan.Order.To), Phase: plan.Phase.String(), Reason: plan.Reason, LeftMillis: plan.TimeLeft.Milliseconds(),
+			Open: open[plan.Order.Service], ExposureShare: p.settings.Bounds.ExposureShare, ExposureSlack: p.exposureSlack(),
 		}
 	}
 	return vars
