--- a/internal/coordination/rollout/evidence.go
+++ b/internal/coordination/rollout/evidence.go
@@ -26,6 +26,8 @@
 	// usualPart is the part of the old version's times that are not slow. Where they vary
 	// much, a slow one takes longer than 2.6 times.
 	usualPart = 0.97
+	// overdueTolerance is how much the limit may have grown since OverdueRatio returned it.
+	overdueTolerance = 0.5
 	// minUsual is the number of times from which usualPart of them is known.
 	minUsual = 40
 	// basePart is the quantile of the times with which a slow one is compared. It finds slow
@@ -96,6 +98,7 @@
 	side          int
 	logRatio      float64
 	certain       bool // whether the request has ended by itself
+	overdue       bool // whether it was observed because it was slow
 }
 
 // lostRequest is a request without a response, of which it is not yet known whether its
@@ -237,7 +240,7 @@
 		}
 	}
 	if len(e.waiting) < maxUnclassified {
-		e.waiting = append(e.waiting, unclassified{route, target, side, logRatio, certain})
+		e.waiting = append(e.waiting, unclassified{route, target, side, logRatio, certain, o.Outcome == Overdue})
 	}
 }
 
@@ -295,7 +298,11 @@
 			}
 		}
 		c := counts{timed: 1}
-		if u.logRatio >= base+e.routes[u.route].slowFrom() {
+		limit := base + e.routes[u.route].slowFrom()
+		if u.overdue {
+			limit -= overdueTolerance
+		}
+		if u.logRatio >= limit {
 			c.slow = 1
 		}
 		if u.certain || c.slow > 0 {
--- a/internal/coordination/rollout/failures_test.go
+++ b/internal/coordination/rollout/failures_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/cassiaramp/cassiaramp/internal/coordination/keyedtopic"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -309,6 +311,13 @@
 	for i := range 100 {
 		a.Observe(testStart, Observation{Service: "svc", Target: state.TargetID(fmt.Sprint("n", i)), Software: "v2", Route: fmt.Sprint("r", i), Outcome: Answered, Ratio: 1})
 	}
+	usual := b.Report(testStart)
+	usual.Services[0].Routes, usual.Services[0].Targets = a.Report(testStart).Services[0].Routes[:4], a.Report(testStart).Services[0].Targets
+	if data, err := cbor.Marshal(usual); err != nil || len(data) > 500 {
+		t.Errorf("a report with 4 routes has %d bytes, error %v", len(data), err)
+	} else {
+		t.Logf("a report with 4 routes and %d targets has %d bytes", len(usual.Services[0].Targets), len(data))
+	}
 	n := a.Report(testStart).Services[0]
 	if len(n.Routes) > maxRoutes+1 || len(n.Targets) > maxReportedTargets {
 		t.Errorf("a report has %d routes and %d targets", len(n.Routes), len(n.Targets))
--- a/internal/coordination/rollout/phases.go
+++ b/internal/coordination/rollout/phases.go
@@ -92,7 +92,11 @@
 	if now.Before(end) || s.openAt.Before(end) || s.statedOld > 0 || s.oldOpen() > 0 {
 		return
 	}
-	s.drained, l.unreported = true, max(l.unreported, 1)
+	s.drained = true
+	l.unreported = max(l.unreported, 1)
+	if l.otherEntries(now) <= fewEntries {
+		l.unreported = verdictReports
+	}
 	l.log(s, "old targets drained", "", "")
 }
 
--- a/internal/coordination/rollout/report.go
+++ b/internal/coordination/rollout/report.go
@@ -14,8 +14,10 @@
 	// Further ones follow in the next reports.
 	maxReportedTargets = 8
 	// verdictReports is the number of reports that tell of a verdict at once, because one may
-	// be lost. An acknowledgement is told once; the next report to all repeats it.
+	// be lost. An acknowledgement is told as often among fewEntries and once among more, where
+	// all entries acknowledge at about the same time; the next report to all repeats it.
 	verdictReports = 2
+	fewEntries     = 100
 )
 
 // Report is what one entry tells the others of its roll-outs. All counts are cumulative
--- a/internal/coordination/rollout/verdict.go
+++ b/internal/coordination/rollout/verdict.go
@@ -210,7 +210,7 @@
 	slowThroughoutRatio = 2.2
 	// maxChance is the probability below which slow targets are not explained by the speeds
 	// of the old ones.
-	maxChance = 0.001
+	maxChance = 0.0003
 )
 
 // slowThroughout reports whether the new targets are slower than targets of unlike speed
