--- a/internal/daemon/rollouts_test.go
+++ b/internal/daemon/rollouts_test.go
@@ -255,3 +255,25 @@
 		t.Error("an entry that starts during a roll-out has a part of the slack")
 	}
 }
+
+// Guards against calls to the store, reports and restrictions where the platform does not ask
+// for roll-outs, even if there is an order.
+func TestNoRolloutWithoutContract(t *testing.T) {
+	t.Parallel()
+	s := &rolloutTest{newStoreTest(t)}
+	s.control.p.rollouts = s.control.p.newRollouts()
+	s.order(time.Minute)
+	s.putConfiguration(1)
+	s.storeTest.start()
+	s.waitVersion(1)
+	s.wait("targets listed", func() bool { return s.control.targetCount() == 2 })
+	if n := s.calls(); n > 0 {
+		t.Errorf("%d calls for the topics of roll-outs", n)
+	}
+	if r := s.control.p.rolloutReport(time.Now()); r != nil {
+		t.Errorf("report %+v", r)
+	}
+	if got := s.control.snapshot(); got.Plans != nil || got.PlansComplete {
+		t.Errorf("snapshot with plans %+v", got.Plans)
+	}
+}
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/rollout"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -252,3 +254,38 @@
 		t.Errorf("report after transmission (-sent +received):\n%s", diff)
 	}
 }
+
+// Guards against a plan whose time limit moves with each entry that fetches it, because an
+// encoded snapshot is kept and sent again later.
+func TestPlansInSnapshotsKeepTheirLimit(t *testing.T) {
+	const left, pause = 10 * time.Second, 100 * time.Millisecond
+	a, _ := openMesh(t, Snapshot{Plans: []rollout.Plan{{Order: rollout.Order{Service: "s", To: "v2"}, Number: 1, Phase: rollout.Trial, TimeLeft: left}}, PlansComplete: true})
+	b, _ := openMesh(t, Snapshot{})
+	b.AddAddress(a.self)
+	for n := range 2 {
+		s, _, err := b.Fetch(t.Context(), "", KnownVersions{})
+		if err != nil || len(s.Plans) != 1 || !s.PlansComplete {
+			t.Fatalf("snapshot %+v, %v; want one plan", s, err)
+		}
+		if most := left - time.Duration(n)*pause; s.Plans[0].TimeLeft > most {
+			t.Errorf("fetch %d: %s left, want at most %s", n, s.Plans[0].TimeLeft, most)
+		}
+		time.Sleep(pause)
+	}
+}
+
+// Guards against reports of roll-outs that are decoded differently from how they were encoded.
+func TestReportsOfRollouts(t *testing.T) {
+	want := &rollout.Report{Incarnation: 5, Sequence: 6, Services: []rollout.ServiceNote{{
+		Plan: rollout.PlanNote{Service: "s", To: "v2", DurationMillis: 12000, Era: 1, Offset: 2, Number: 3, Phase: rollout.Handover, From: []state.SoftwareVersion{"v1"}, TimeLeftMillis: -4},
+		Bad:  "failures", Drained: true, OldMillis: 7, Routes: []rollout.RouteNote{{Route: 8, OldTimes: []byte{1}}}, Targets: []rollout.TargetNote{{Target: 9, New: true, Times: []byte{2}}},
+	}}}
+	b, err := encMode.Marshal(&Message{Rollouts: want})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got Message
+	if err := cbor.Unmarshal(b, &got); err != nil || !reflect.DeepEqual(got.Rollouts, want) {
+		t.Errorf("report %+v, %v, want %+v", got.Rollouts, err, want)
+	}
+}
