rollout: requests that hang at targets of unknown speed

Change: at such a target 7 times the prediction is slow; overdue requests have their tolerance there too; crashes are decided after 1.4 s instead of 2 s.

--- a/internal/coordination/rollout/evidence.go
+++ b/internal/coordination/rollout/evidence.go
@@ -23,6 +23,9 @@
 	minSlowLogRatio = 1.4
 	// lowestBase is the binary logarithm of the least usual relative time of a target.
 	lowestBase = -0.5
+	// unknownSlow is the binary logarithm of the relative time that is slow even at the slowest
+	// target that may be good: 7 times.
+	unknownSlow = 2.8
 	// usualPart is the part of the old version's times that are not slow. Where they vary
 	// much, a slow one takes longer than 2.6 times.
 	usualPart = 0.97
@@ -36,7 +39,7 @@
 	// crashWindow is the time in which lost connections of a target are one crash.
 	crashWindow = time.Second
 	// lostWait is the time in which an answer of a target to any entry becomes known.
-	lostWait = 2 * time.Second
+	lostWait = 1400 * time.Millisecond
 	// aliveAfter is how long after a lost connection the target must have answered to have been
 	// alive all the time: answers may be read late.
 	aliveAfter = 200 * time.Millisecond
@@ -276,32 +279,32 @@
 // overdueRatio returns the ratio from which a time at a target counts as slow.
 func (e *evidence) overdueRatio(route, target uint32) float64 {
 	_, r := e.route(route)
-	base := math.Log2(slowTargetFactor)
 	if t := e.targets[target]; t != nil && t.isNew {
-		if b, known := e.base(unclassified{route: route, target: target, side: newSide}); known {
-			base = b
+		if base, known := e.base(unclassified{route: route, target: target, side: newSide}); known {
+			return math.Exp2(base + r.median() + r.slowFrom())
 		}
 	}
-	return math.Exp2(base + r.median() + r.slowFrom())
+	return math.Exp2(unknownSlow + r.median())
 }
 
 // classify counts the times for which there is a basis for comparison.
 func (e *evidence) classify() {
 	e.waiting = slices.DeleteFunc(e.waiting, func(u unclassified) bool {
 		base, known := e.base(u)
+		from := e.routes[u.route].slowFrom()
+		limit := base + from
 		if !known {
-			// The slowest target that may be good, or none that is faster than usual: some
-			// times are slow or not in either case.
-			base = math.Log2(slowTargetFactor)
-			if from := e.routes[u.route].slowFrom(); u.logRatio < base+from && u.logRatio >= lowestBase+from {
-				return false
-			}
+			limit = unknownSlow
 		}
-		c := counts{timed: 1}
-		limit := base + e.routes[u.route].slowFrom()
 		if u.overdue {
 			limit -= overdueTolerance
 		}
+		// At the slowest target that may be good as at one that is faster than usual, some
+		// times are slow and others are not.
+		if !known && u.logRatio < limit && u.logRatio >= lowestBase+from {
+			return false
+		}
+		c := counts{timed: 1}
 		if u.logRatio >= limit {
 			c.slow = 1
 		}
--- a/internal/coordination/rollout/ledger.go
+++ b/internal/coordination/rollout/ledger.go
@@ -235,7 +235,7 @@
 	defer l.mu.Unlock()
 	s := l.services[name]
 	if s == nil || s.plan.Number == 0 {
-		return slowTargetFactor * math.Exp2(minSlowLogRatio)
+		return math.Exp2(unknownSlow)
 	}
 	return s.evidence.overdueRatio(hash32(route), hash32(string(target)))
 }
