Hedged requests: a second attempt beside a slow one, within a limit

The attempt that has the first whole response or event answers the caller, the other one is cancelled. The limit is a bucket of slot time for each service and entry (retry.SlotTimeBudget); each hedge takes a permission of the retry budget while at least half of it is left. With 0, the default, no hedge is considered.

--- a/cmd/cassiarampd/main.go
+++ b/cmd/cassiarampd/main.go
@@ -27,10 +27,11 @@
 
 // arguments are the arguments on the command line.
 type arguments struct {
-	Settings string `arg:"--settings,env:CASSIARAMP_SETTINGS" placeholder:"FILE" help:"settings file: JSON with comments"`
-	Platform bool   `arg:"--platform" help:"run an entry on the users' platform, with the settings file that the platform names"`
-	Signers  string `arg:"--signers" placeholder:"FILE" help:"with --platform: operators who sign bundles, JSON with comments; without it no bundle is put into effect"`
-	Check    bool   `arg:"--check" help:"check the settings and exit"`
+	Settings     string  `arg:"--settings,env:CASSIARAMP_SETTINGS" placeholder:"FILE" help:"settings file: JSON with comments"`
+	Platform     bool    `arg:"--platform" help:"run an entry on the users' platform, with the settings file that the platform names"`
+	Signers      string  `arg:"--signers" placeholder:"FILE" help:"with --platform: operators who sign bundles, JSON with comments; without it no bundle is put into effect"`
+	HedgingShare float64 `arg:"--hedging-share" default:"0" placeholder:"FLOAT" help:"with --platform: extra work that hedges may do, as a share (0 to 0.2) of the slot time of served requests, while no bundle states it"`
+	Check        bool    `arg:"--check" help:"check the settings and exit"`
 }
 
 // Description is the start of the help text.
--- a/cmd/cassiarampd/platform.go
+++ b/cmd/cassiarampd/platform.go
@@ -44,6 +44,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	if err := state.CheckHedgingShare(args.HedgingShare); err != nil {
+		fmt.Fprintf(os.Stderr, "--hedging-share: %v\n", err)
+		return exitSettings
+	}
 	if args.Check {
 		fmt.Println("settings are valid")
 		return exitOK
@@ -58,7 +62,7 @@
 	}
 	defer log.Close()
 	go checkSettingsOnHangup(hangups, path, log.Process)
-	if err := daemon.RunGateway(ctx, s, signers, log); err != nil {
+	if err := daemon.RunGateway(ctx, s, signers, args.HedgingShare, log); err != nil {
 		log.Process.Error("process failed", zap.Error(err))
 		return exitFailed
 	}
--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -123,6 +123,7 @@
 	g.respondedAt = s.now()
 	took := g.respondedAt.Sub(g.grantedAt)
 	p := s.pool(g.request.Service)
+	p.recordPace(g, took, true)
 	if !g.request.Resumed {
 		p.cost.ObserveResponse(&g.target.cost, g.request.Work, g.load, took)
 	}
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/costmodel"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/hedging"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -70,6 +71,8 @@
 	sharedBeyondNear bool      // entries other than the near ones use targets of the subset too
 	queue            queue
 	cost             *costmodel.Service
+	ratios           hedging.Ratios
+	hedgeRatio       float64       // ratio of the time until a hedge is considered to the predicted one
 	holdTime         time.Duration // moving average of the time from grant to release of served requests
 	arrivalRates     [maxRanks]arrivalRate
 	serial           uint64 // serial of the request queued last
@@ -183,7 +186,7 @@
 func (s *Scheduler) pool(name state.Service) *pool {
 	p := s.services[name]
 	if p == nil {
-		p = &pool{name: name, cost: costmodel.NewService(), holdTime: initialHoldTime}
+		p = &pool{name: name, cost: costmodel.NewService(), holdTime: initialHoldTime, hedgeRatio: initialHedgeRatio}
 		s.services[name] = p
 	}
 	return p
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -41,6 +41,7 @@
 	hash         uint64
 	openGrants   map[*Grant]struct{} // granted by this entry and not released
 	cost         costmodel.Target
+	pace         targetPace
 	failingShare float64 // moving average of the share of requests that failed
 	// consecutiveFailures counts the failures to answer since the last response.
 	consecutiveFailures int
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -25,15 +25,26 @@
 	// sentAt is when the attempt began, and progressAt when its last event arrived, or sentAt
 	// before that.
 	sentAt, progressAt time.Time
+
+	race   *race
+	parent context.Context // of ctx
+	// isHedge says that the attempt was started beside another one, and permission that a
+	// permission for a repeated send was taken for it.
+	isHedge, permission bool
+	// begun and resumeAfter are what the caller had of the response when the attempt began.
+	begun       bool
+	resumeAfter string
+	failure     *failureResponse // 5xx response of the target, or nil
 }
 
 // newAttempt returns an attempt at the target of a grant. ctx ends with the request, and
 // placementCtx at its deadline too.
 func (r *request) newAttempt(ctx, placementCtx context.Context, g *dispatch.Grant) *attempt {
-	a := &attempt{request: r, grant: g, sentAt: time.Now()}
+	a := &attempt{request: r, grant: g, sentAt: time.Now(), parent: ctx, begun: r.streamBegun, resumeAfter: r.lastEventID}
 	a.progressAt = a.sentAt
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.handOver = &handOver{attempt: a, ctx: placementCtx}
+	a.race = newRace(a)
 	return a
 }
 
@@ -43,10 +54,12 @@
 	r := a.request
 	deadline := newCatchUpTimer(max(0, time.Until(r.answerBy)), func() { a.cancel(errDeadline) })
 	defer deadline.stop()
-	a.handOver.expect(r.firstResponseTimeout())
+	if !a.isHedge { // the first attempt watches the progress of both
+		a.handOver.expect(r.firstResponseTimeout())
+	}
 	a.handOver.await()
 	ex, err := r.service.cfg.TargetClient.Send(a.ctx, &Forward{
-		Call: r.call, Target: a.grant.Target, Customer: r.customerName(), TimeLeft: time.Until(r.deadline), ResumeAfter: r.lastEventID,
+		Call: r.call, Target: a.grant.Target, Customer: r.customerName(), TimeLeft: time.Until(r.deadline), ResumeAfter: a.resumeAfter,
 		SendBy: a.grant.ExpiresAt, Holds: func() bool { return r.service.cfg.Scheduler.Holds(a.grant) },
 	})
 	if err != nil {
@@ -89,9 +102,12 @@
 	if head.Status >= http.StatusInternalServerError {
 		return a.handleTargetFailure(head, body)
 	}
-	if r.streamBegun {
+	if a.begun {
 		return dispatch.Failed, fmt.Errorf("resumed stream: status %d", head.Status)
 	}
+	if !a.claim(true) {
+		return a.outcomeOf(errOutrun), errOutrun
+	}
 	r.responseStarted(a.grant)
 	r.respond(a.grant, head, body)
 	return dispatch.Served, nil
@@ -149,12 +165,11 @@
 // target may serve it; otherwise the caller gets the kept response. Once a stream
 // has begun, the response cannot be passed on and is dropped.
 func (a *attempt) handleTargetFailure(head *state.Response, body []byte) (dispatch.Outcome, error) {
-	r := a.request
 	err := fmt.Errorf("target %s: status %d", a.grant.Target.ID, head.Status)
-	if r.streamBegun {
+	if a.begun {
 		return dispatch.Failed, err
 	}
-	r.targetFailure = &failureResponse{grant: a.grant, head: head, body: body}
+	a.failure = &failureResponse{grant: a.grant, head: head, body: body}
 	return dispatch.Failed, err
 }
 
@@ -226,6 +241,12 @@
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
+			if head.EndsWithConnection && !a.race.won(a) && !a.begun {
+				return dispatch.Broken, errNoEvent
+			}
+			if !a.claim(true) {
+				return a.outcomeOf(errOutrun), errOutrun
+			}
 			return a.finishStream(head)
 		}
 		if err != nil {
@@ -234,6 +255,13 @@
 		if !a.handOver.goesOn() { // the other target continues from the event before
 			return dispatch.Silent, errStalled
 		}
+		if !event.hasField && a.race.contested() {
+			a.handOver.await() // a comment is no response
+			continue
+		}
+		if !a.claim(false) {
+			return a.outcomeOf(errOutrun), errOutrun
+		}
 		// A comment shows only that the target is alive, not that the stream goes on.
 		if event.hasField {
 			a.handOver.expect(r.eventGapTimeout())
--- a/internal/coordination/gateway/handover.go
+++ b/internal/coordination/gateway/handover.go
@@ -46,6 +46,7 @@
 	withdrawn   bool            // the target was asked to abandon the request
 	permission  bool            // to send the request once more, which is left of a hand-over that did not take place
 	check       *time.Timer     // of whether it does; nil before it is asked
+	hedgeAt     time.Time       // when a hedge is considered; zero for none
 }
 
 // search is one search for another target.
@@ -65,7 +66,7 @@
 	defer h.mu.Unlock()
 	h.awaiting, h.since = true, time.Now()
 	if h.limit > 0 && !h.withdrawn {
-		h.startTimer(max(0, h.left))
+		h.startTimer(h.untilNextCheck())
 	}
 }
 
@@ -146,8 +147,12 @@
 	if !h.awaiting || h.search != nil || h.next != nil {
 		return
 	}
-	if time.Since(h.since) < h.left {
-		return // the timer expired in an earlier wait, and has been started again
+	hedged := h.tryHedge()
+	if hedged || time.Since(h.since) < h.left {
+		if !h.hedgeAt.IsZero() {
+			h.startTimer(h.untilNextCheck())
+		}
+		return // otherwise, the timer expired in an earlier wait, and has been started again
 	}
 	r := h.attempt.request
 	mayMoveOn := r.mayMoveOn()
@@ -173,7 +178,7 @@
 	defer h.mu.Unlock()
 	if h.search == s {
 		h.search = nil
-		if err == nil && r.takeMoveOn() {
+		if err == nil && h.takeOver() {
 			h.next = grant
 			if w, ok := h.exchange.(Withdrawer); ok && r.eventForwarded && w.Withdraw() {
 				h.withdrawn = true
@@ -190,6 +195,20 @@
 	}
 }
 
+// takeOver takes the permission to send the request to another target, unless an attempt beside
+// this one has won.
+func (h *handOver) takeOver() bool {
+	r := h.attempt.request
+	if !r.takeMoveOn() {
+		return false
+	}
+	if !h.attempt.race.close(h.attempt) {
+		r.service.retryBudget(r.targetService).Return()
+		return false
+	}
+	return true
+}
+
 // checkWithdrawal ends the attempt if the target has not abandoned the request and its host
 // cannot be reached.
 func (h *handOver) checkWithdrawal(w Withdrawer) {
@@ -209,7 +228,7 @@
 // mayMoveOn reports whether the request may be sent to another target now, apart from
 // whether one has a slot for it.
 func (r *request) mayMoveOn() bool {
-	return r.placements < maxPlacements && r.possibleRuns+1 < r.maxRuns() && r.checkQuarantine(false) == nil &&
+	return r.placements < maxPlacements && r.race.runs() < r.maxRuns() && r.checkQuarantine(false) == nil &&
 		r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack())
 }
 
@@ -231,7 +250,7 @@
 // have become.
 func (r *request) handOverPlacement(a *attempt) *dispatch.Request {
 	p := *r.placement
-	p.Tried = append(slices.Clone(p.Tried), a.grant.Target.ID)
+	p.Tried = append(slices.Clone(p.Tried), a.race.triedTargets()...)
 	p.AlreadyAdmitted, p.HandOver = true, true
 	if r.route.Kind == state.StreamingRoute && !r.streamBegun {
 		p.HandOverTime = time.Since(a.progressAt)
@@ -252,6 +271,11 @@
 	if r.possibleRuns+1 >= r.maxRuns() {
 		return 0
 	}
+	return r.stallLimit()
+}
+
+// stallLimit returns how long a target may be silent before the response begins.
+func (r *request) stallLimit() time.Duration {
 	if r.route.Kind == state.StreamingRoute {
 		return max(minFirstEventTimeout, time.Duration(firstEventTimeoutFactor*float64(r.route.Objective)))
 	}
--- a/internal/coordination/gateway/memory.go
+++ b/internal/coordination/gateway/memory.go
@@ -67,9 +67,11 @@
 }
 
 // holdResponse returns the part of the memory for a response that is held until the end of
-// the request.
+// the request. It is called while attempts run.
 func (r *request) holdResponse() *heldResponse {
 	h := &heldResponse{memory: r.service.cfg.ResponseMemory}
+	r.race.mu.Lock()
+	defer r.race.mu.Unlock()
 	r.held = append(r.held, h)
 	return h
 }
--- /dev/null
+++ b/internal/coordination/gateway/race.go
@@ -0,0 +1,264 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// errOutrun is the cause for which an attempt is cancelled when another one has the response.
+var errOutrun = errors.New("another target has answered first")
+
+// race holds the attempts of a request that run at the same time: one and, at times, its hedge.
+// The first one that has a whole response, or the first event of a stream, wins and answers the
+// caller; the others are cancelled. Attempts that fail before leave the request to the others.
+//
+// An attempt beside others changes no field of the request until it has won, apart from
+// possibleRuns, which mu guards while attempts run.
+type race struct {
+	request *request
+	hedges  sync.WaitGroup
+
+	mu      sync.Mutex
+	running []*attempt
+	winner  *attempt
+	closed  bool // another target takes over
+	// ran is the number of attempts that may have run and have failed beside others.
+	ran  int
+	open *hedge // in progress beside another attempt, or nil
+	// tried are the targets of attempts that have ended.
+	tried  []state.TargetID
+	result raceResult
+}
+
+// raceResult is how the attempts of a race ended.
+type raceResult struct {
+	// last is the one that won or, without a winner, the one that ended last, and outcome and err
+	// are how it ended.
+	last    *attempt
+	outcome dispatch.Outcome
+	err     error
+	// suspected says that the request may crash the next target too.
+	suspected bool
+	// reached says that an attempt may have reached its target.
+	reached bool
+	// failure is the latest 5xx response of a target, or nil.
+	failure *failureResponse
+	// next is the target that takes over, or nil, and permission says that there is a permission
+	// to send the request once more.
+	next       *dispatch.Grant
+	permission bool
+}
+
+// newRace returns the race of an attempt that begins alone.
+func newRace(a *attempt) *race { return &race{request: a.request, running: []*attempt{a}} }
+
+// runAttempts runs an attempt and the hedges that are sent beside it, which ends all of them.
+func (r *request) runAttempts(first *attempt) *raceResult {
+	if r.hedges() {
+		first.handOver.hedgeAt = first.sentAt.Add(r.service.cfg.Scheduler.HedgeDelay(first.grant))
+	}
+	end := first.race.run(first)
+	if end.failure != nil {
+		r.targetFailure = end.failure
+	}
+	r.placement.Tried = append(r.placement.Tried, first.race.tried...)
+	return end
+}
+
+// run runs the first attempt, and waits for those that are started beside it.
+func (rc *race) run(first *attempt) *raceResult {
+	rc.runAttempt(first)
+	rc.hedges.Wait()
+	rc.request.possibleRuns += rc.ran
+	return &rc.result
+}
+
+// join adds a hedge of the attempt that runs. It returns false if there is none any more, or
+// more than one, or one that has won.
+func (rc *race) join(a *attempt, h *hedge) bool {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if rc.winner != nil || rc.closed || len(rc.running) != 1 || rc.running[0] != h.first {
+		return false
+	}
+	rc.running = append(rc.running, a)
+	rc.open = h
+	rc.hedges.Go(func() {
+		defer a.cancel(nil)
+		rc.runAttempt(a)
+	})
+	return true
+}
+
+// alone reports whether a single attempt runs, and none has won.
+func (rc *race) alone() bool {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.winner == nil && !rc.closed && len(rc.running) == 1
+}
+
+// won reports whether a has won.
+func (rc *race) won(a *attempt) bool {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.winner == a
+}
+
+// contested reports whether several attempts run and none has won.
+func (rc *race) contested() bool {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.winner == nil && len(rc.running) > 1
+}
+
+// runs returns the number of attempts of the request that run or may have run.
+func (rc *race) runs() int {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.request.possibleRuns + len(rc.running) + rc.ran
+}
+
+// triedTargets returns the targets of all attempts.
+func (rc *race) triedTargets() []state.TargetID {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	ids := slices.Clone(rc.tried)
+	for _, a := range rc.running {
+		ids = append(ids, a.grant.Target.ID)
+	}
+	return ids
+}
+
+// close says that another target takes over from a, and cancels the attempts beside it. It
+// returns false if one of them has won.
+func (rc *race) close(a *attempt) bool {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if rc.winner != nil {
+		return rc.winner == a
+	}
+	rc.closed = true
+	for _, o := range rc.running {
+		if o != a {
+			o.cancel(errStalled)
+		}
+	}
+	return true
+}
+
+// claim makes a the winner, unless another attempt has won. A whole response is taken although
+// another target was to take over.
+func (rc *race) claim(a *attempt, whole bool) bool {
+	rc.mu.Lock()
+	if rc.winner == a {
+		rc.mu.Unlock()
+		return true
+	}
+	if rc.winner != nil || rc.closed && !whole {
+		rc.mu.Unlock()
+		return false
+	}
+	rc.winner = a
+	losers := slices.DeleteFunc(slices.Clone(rc.running), func(o *attempt) bool { return o == a })
+	rc.request.possibleRuns += rc.ran + len(losers)
+	rc.running, rc.ran = []*attempt{a}, 0
+	rc.mu.Unlock()
+	for _, o := range losers {
+		o.cancel(errOutrun)
+		o.handOver.stop()
+	}
+	return true
+}
+
+// runAttempt runs an attempt to its end, releases its slot and records how it ended.
+func (rc *race) runAttempt(a *attempt) {
+	r := rc.request
+	outcome, err := a.run()
+	next, permission := a.handOver.end()
+	lost := err != nil && errors.Is(context.Cause(a.ctx), errOutrun)
+	if lost {
+		outcome = a.lostOutcome(outcome, err)
+		r.service.cfg.Scheduler.Outrun(a.grant)
+	}
+	r.service.cfg.Scheduler.Release(a.grant, outcome)
+	notSent := errors.Is(err, ErrNotSent)
+	if notSent && a.permission {
+		r.service.retryBudget(r.targetService).Return()
+	}
+	suspected := err != nil && !lost && r.suspected(a.ctx, a.grant, a.sentAt, outcome, err)
+	ran := err != nil && mayHaveRun(outcome, err)
+
+	rc.mu.Lock()
+	rc.running = slices.DeleteFunc(rc.running, func(o *attempt) bool { return o == a })
+	decides := rc.winner == a || rc.winner == nil && len(rc.running) == 0
+	res := &rc.result
+	res.reached = res.reached || !notSent
+	res.suspected = res.suspected || suspected
+	if next != nil {
+		res.next = next
+	}
+	res.permission = res.permission || permission
+	var heir *attempt
+	if a.failure != nil {
+		res.failure = a.failure
+	}
+	if decides {
+		res.last, res.outcome, res.err = a, outcome, err
+	} else {
+		if !notSent || !errors.Is(err, ErrShortage) && !errors.Is(err, ErrGrantExpired) && !errors.Is(err, ErrGrantWithdrawn) {
+			rc.tried = append(rc.tried, a.grant.Target.ID)
+		}
+		if rc.winner == nil {
+			heir = rc.running[0]
+			if ran {
+				rc.ran++
+			}
+		}
+	}
+	ended, winner := rc.open, rc.winner
+	rc.open = nil
+	rc.mu.Unlock()
+
+	if ended != nil {
+		ended.settle(winner)
+	}
+	if !decides {
+		r.recordBeside(a, outcome, err, ran, lost)
+	}
+	switch {
+	case heir == nil:
+	case suspected:
+		heir.cancel(errSuspected)
+	default:
+		heir.handOver.takeWatch(r.service.cfg.Scheduler.HedgeDelay(heir.grant))
+	}
+}
+
+// errSuspected is the cause for which an attempt is cancelled because the request seems to have
+// crashed the target of another one.
+var errSuspected = errors.New("request may crash targets")
+
+// lostOutcome returns the outcome of an attempt that was cancelled because another one has
+// won. It says nothing about the target, unless that was silent for so long that the request
+// would have been taken from it anyway.
+func (a *attempt) lostOutcome(outcome dispatch.Outcome, err error) dispatch.Outcome {
+	switch {
+	case errors.Is(err, ErrNotSent):
+		return dispatch.Unused
+	case outcome != dispatch.Cancelled:
+		return outcome
+	case a.grant.Events == 0 && time.Since(a.sentAt) >= a.request.stallLimit():
+		return dispatch.Silent
+	default:
+		return dispatch.Cancelled
+	}
+}
+
+// claim makes the attempt the one that answers the caller, unless another one has won.
+func (a *attempt) claim(whole bool) bool { return a.race.claim(a, whole) }
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -95,6 +95,12 @@
 	RetryWindow    time.Duration
 	RetrySlack     func() float64
 	RetrySlackFrom time.Time
+	// HedgingShare returns the extra work that hedges may do, as a share of the slot time of
+	// served requests; nil or 0 for no hedges.
+	HedgingShare func() float64
+	// InRollout reports whether a software version of a service is in a roll-out; nil if none
+	// is.
+	InRollout func(state.Service, state.SoftwareVersion) bool
 	// ResponseMemory bounds the bytes of responses that are held at a time.
 	ResponseMemory *ResponseMemory
 	Log            *zap.Logger
@@ -113,6 +119,7 @@
 
 	mu           sync.Mutex
 	retryBudgets map[state.Service]*retry.WindowBudget
+	hedgeBudgets map[state.Service]*retry.SlotTimeBudget
 	// promptParts records which target last computed each prompt part, so that parts
 	// that are computed again at another target are counted as wasted.
 	promptParts promptPartTargets
@@ -122,7 +129,7 @@
 func New(cfg Config) *Service {
 	running, end := context.WithCancel(context.Background())
 	return &Service{
-		cfg: cfg, started: time.Now(), configured: make(chan struct{}), running: running, endRequests: end, retryBudgets: make(map[state.Service]*retry.WindowBudget),
+		cfg: cfg, started: time.Now(), configured: make(chan struct{}), running: running, endRequests: end, retryBudgets: make(map[state.Service]*retry.WindowBudget), hedgeBudgets: make(map[state.Service]*retry.SlotTimeBudget),
 		promptParts: promptPartTargets{GenerationLimit: maxPromptParts},
 	}
 }
@@ -190,6 +197,7 @@
 	answerBy time.Time
 
 	policy         string        // policy that chose the last target, empty before the first
+	race           *race         // of the attempts in progress
 	timeToResponse time.Duration // from arrived to the start of the response
 	lastEventAt    time.Time     // when the last event was forwarded
 	longestGap     time.Duration // longest pause between forwarded events
@@ -347,6 +355,7 @@
 func (r *request) sendTo(ctx, placementCtx context.Context, g *dispatch.Grant, takesOver bool) (next *dispatch.Grant, tryAnother bool) {
 	a := r.newAttempt(ctx, placementCtx, g)
 	defer a.cancel(nil)
+	r.race = a.race
 	repeated := r.reachedTarget || r.retryTaken
 	if !takesOver {
 		if r.possibleRuns >= r.maxRuns() {
@@ -360,19 +369,16 @@
 			return nil, r.holdBack(g, b.reason, b.wait)
 		}
 	}
-	outcome, err := a.run()
-	next, r.retryTaken = a.handOver.end()
-	r.service.cfg.Scheduler.Release(g, outcome)
-	r.lastErr = err
-	if !errors.Is(err, ErrNotSent) {
-		r.reachedTarget = true
-	} else if repeated {
-		r.service.retryBudget(r.targetService).Return()
-	}
-	if err == nil {
-		r.countPromptTokens(g, true)
+	a.permission = repeated
+	end := r.runAttempts(a)
+	next, r.retryTaken = end.next, end.permission
+	r.lastErr = end.err
+	r.reachedTarget = r.reachedTarget || end.reached
+	if end.err == nil {
+		r.countPromptTokens(end.last.grant, true)
+		r.earnHedging(end.last)
 	} else {
-		tryAnother = r.afterFailedAttempt(ctx, a, outcome, err, r.suspected(ctx, g, a.sentAt, outcome, err))
+		tryAnother = r.afterFailedAttempt(ctx, end.last, end.outcome, end.err, end.suspected)
 	}
 	if next != nil && !tryAnother {
 		r.service.cfg.Scheduler.Release(next, dispatch.Unused)
@@ -407,12 +413,17 @@
 	return true
 }
 
+// mayHaveRun reports whether a request may have run in an attempt that has failed.
+func mayHaveRun(outcome dispatch.Outcome, err error) bool {
+	// Only these prove that it did not. The outcome also rates the target.
+	return !errors.Is(err, ErrNotSent) && outcome != dispatch.Rejected && outcome != dispatch.Gone
+}
+
 // afterFailedAttempt decides whether a request is placed on another target after an
 // attempt that did not answer the caller. If not, it ends the request. suspected says that
 // the request may crash the next target too.
 func (r *request) afterFailedAttempt(ctx context.Context, a *attempt, outcome dispatch.Outcome, err error, suspected bool) (tryAnother bool) {
-	// Only these prove that the request did not run. The outcome also rates the target.
-	mayHaveRun := !errors.Is(err, ErrNotSent) && outcome != dispatch.Rejected && outcome != dispatch.Gone
+	mayHaveRun := mayHaveRun(outcome, err)
 	if mayHaveRun {
 		r.countPromptTokens(a.grant, false)
 	}
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -103,13 +103,19 @@
 		w.slackGranted = true
 		w.level += slack
 	}
+	w.level = min(w.level, w.capacity(now, slack))
+}
+
+// capacity returns the most that the budget can hold: the part of the slack and what the
+// requests that count have earned.
+func (w *WindowBudget) capacity(now time.Time, slack float64) float64 {
 	current, requests := w.bucketAt(now), 0
 	for i := range w.buckets {
 		if w.buckets[i].index > current.index-countedBuckets {
 			requests += w.buckets[i].requests
 		}
 	}
-	w.level = min(w.level, slack+w.earned(requests))
+	return slack + w.earned(requests)
 }
 
 // recordUse records the time of a use.
--- a/internal/daemon/bundles.go
+++ b/internal/daemon/bundles.go
@@ -58,10 +58,20 @@
 		c.p.log.Error("bundle refused", zap.String("source", source), zap.Error(err))
 	case accepted != nil:
 		c.p.log.Info("bundle in effect", zap.Uint64("version", accepted.Version), zap.String("bundle", string(accepted.ID)),
-			zap.String("source", source), zap.String("note", accepted.Bundle.Note))
+			zap.String("source", source), zap.String("note", accepted.Bundle.Note),
+			zap.Float64("hedging_share", c.p.hedgingShare()))
 	}
 }
 
+// hedgingShare returns the extra work that hedges may do: what the bundle in effect states, or
+// else the flag of the daemon.
+func (p *gatewayProcess) hedgingShare() float64 {
+	if b := p.rollout.Current(); b != nil && b.Bundle.Admission.Hedging != nil {
+		return *b.Bundle.Admission.Hedging
+	}
+	return p.hedgingFlag
+}
+
 // applyPolicies puts the policies of a bundle into effect. b.Admission must be set,
 // which the rollout makes sure of.
 func (p *gatewayProcess) applyPolicies(b *state.Bundle) error {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -78,6 +78,7 @@
 	// followsBundles says that bundles are read, because there are operators who may
 	// sign them.
 	followsBundles  bool
+	hedgingFlag     float64
 	counters        *gateway.Counters
 	callers         *gatewayhttp.Server
 	stopping        atomic.Bool
@@ -88,14 +89,15 @@
 // RunGateway runs an entry on the users' platform. When ctx ends, the entry makes a
 // planned stop, after which RunGateway returns nil. signers are the operators whose
 // bundles are put into effect; without any, the built-in policies stay in effect.
-func RunGateway(ctx context.Context, s *platform.Settings, signers state.Signers, log *logging.Loggers) error {
+// hedgingShare holds while no bundle states one.
+func RunGateway(ctx context.Context, s *platform.Settings, signers state.Signers, hedgingShare float64, log *logging.Loggers) error {
 	if !s.Callers.IsValid() || !s.Readiness.IsValid() || !s.StoreAddress.IsValid() {
 		return errors.New("settings: an entry needs the addresses for callers, for readiness and of the store")
 	}
 	p := &gatewayProcess{
 		settings: s, log: log.Process, incarnation: state.NewIncarnation(), startedAt: time.Now(), store: platform.NewStore(s.StoreAddress.String()),
 		targetClient: upstream.New(), counters: gateway.NewCounters(true), rollout: bundle.NewRollout(signers),
-		followsBundles: len(signers.Keys) > 0,
+		followsBundles: len(signers.Keys) > 0, hedgingFlag: hedgingShare,
 	}
 	p.quota = quota.New(quota.Config{
 		Tolerance: quota.Tolerance{Window: s.Bounds.QuotaWindow, Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack},
@@ -118,11 +120,11 @@
 	}
 	p.gateway = gateway.New(gateway.Config{
 		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Quarantine: p.quarantine, Origins: p.origins, AskOrigin: p.mesh.AskOrigin, RetryRatio: s.Bounds.RetryRatio,
-		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack, RetrySlackFrom: p.retrySlackFrom(), ResponseMemory: gateway.NewResponseMemory(p.responseMemory()),
+		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack, RetrySlackFrom: p.retrySlackFrom(), HedgingShare: p.hedgingShare, ResponseMemory: gateway.NewResponseMemory(p.responseMemory()),
 		Log: log.Requests, Counters: p.counters,
 	})
 	p.log.Info("process started", zap.String("instance", string(s.Instance)), zap.String("domain", string(s.Domain)),
-		zap.Uint64("incarnation", uint64(p.incarnation)), zap.String("store", s.StoreAddress.String()))
+		zap.Uint64("incarnation", uint64(p.incarnation)), zap.String("store", s.StoreAddress.String()), zap.Float64("hedging_share", hedgingShare))
 	err = p.run(ctx)
 	p.log.Info("process stopped", zap.Error(err))
 	return err
--- a/internal/state/bundle.go
+++ b/internal/state/bundle.go
@@ -170,6 +170,11 @@
 	// it.
 	MinRetryAfter Duration `json:"min_retry_after"`
 	RetrySpread   float64  `json:"retry_spread"`
+	// Hedging is the extra work that hedges may do, as a share (0 to 0.2) of the slot
+	// time of served requests. A hedge sends a request that may be repeated, and whose
+	// target is slow for its size, to a second target. Without it, the daemon's
+	// --hedging-share holds.
+	Hedging *float64 `json:"hedging,omitempty"`
 }
 
 // RetryPolicy bounds retries of work that may have run.
@@ -339,11 +344,27 @@
 	maxRetrySpread    = 4.0 // of the retry delay
 )
 
+// maxHedgingShare is the largest share of extra work. Hedges also count in the users' budget of
+// repeated sends, which is as large.
+const maxHedgingShare = 0.2
+
+// CheckHedgingShare returns an error unless share may be used for hedges.
+func CheckHedgingShare(share float64) error {
+	if share >= 0 && share <= maxHedgingShare {
+		return nil
+	}
+	return fmt.Errorf("%g, want 0 to %g", share, maxHedgingShare)
+}
+
 func (v *bundleValidator) checkAdmission(a *AdmissionPolicy) {
 	v.require(a.RefuseShare > 0 && a.RefuseShare <= maxRefuseShare, "admission.refuse_share: %g, want more than 0 and up to %g", a.RefuseShare, maxRefuseShare)
 	v.require(a.QueuedRequests >= 0 && a.QueuedRequests <= maxQueuedRequests, "admission.queued_requests: %d, want 0 to %d", a.QueuedRequests, maxQueuedRequests)
 	v.require(a.MinRetryAfter > 0 && a.MinRetryAfter.Std() <= maxMinRetryAfter, "admission.min_retry_after: %s, want more than 0 and up to %s", a.MinRetryAfter.Std(), maxMinRetryAfter)
 	v.require(a.RetrySpread >= 0 && a.RetrySpread <= maxRetrySpread, "admission.retry_spread: %g, want 0 to %g", a.RetrySpread, maxRetrySpread)
+	if a.Hedging != nil {
+		err := CheckHedgingShare(*a.Hedging)
+		v.require(err == nil, "admission.hedging: %v", err)
+	}
 	b := v.bundle
 	v.require(len(b.Tiers) == 0 && len(b.Customers) == 0 && len(b.Services) == 0 && len(b.Placement) == 0,
 		"admission: tiers, customers, services and placement must be empty: they are not taken from the bundle where entries send directly to targets")
