Hedging: learn from the attempts that hedges end, and look after twice the predicted time at the latest

Cause: in a simulated service whose slow third changes every 2 s, hedges did not cut the tail (99th percentile 587 ms with and without): the attempts that they end left the cost model with nothing, so slow targets stayed in use, and the 95th percentile rose to the limit of 4 times the predicted time, when 72 of 129 hedges came too late to win.

Change: an attempt that is ended after more than its predicted time counts as a response after that time in the cost model; the limit is 2.

--- a/internal/coordination/dispatch/hedge.go
+++ b/internal/coordination/dispatch/hedge.go
@@ -11,11 +11,13 @@
 	// hedgeQuantile is the share of requests that have their response before a hedge is
 	// considered.
 	hedgeQuantile = 0.95
-	// The delay until a hedge is considered is between these multiples of the predicted time. The
-	// upper one keeps targets that pause from delaying the hedges against their own pauses.
-	minHedgeRatio, maxHedgeRatio = 1.25, 4.0
+	// The delay until a hedge is considered is between these multiples of the predicted time. With
+	// a third of the targets slow, more than a share of 1-hedgeQuantile of the requests is, and
+	// the quantile would put off the hedges that they need: with an upper limit of 4, half of the
+	// hedges came too late to win.
+	minHedgeRatio, maxHedgeRatio = 1.25, 2.0
 	// initialHedgeRatio holds before the first response.
-	initialHedgeRatio = 3.0
+	initialHedgeRatio = maxHedgeRatio
 	// minHedgeDelay is below what a caller notices.
 	minHedgeDelay = 10 * time.Millisecond
 	// A hedge must be predicted to gain minHedgeGain and hedgeGainShare of its own predicted
@@ -114,6 +116,11 @@
 	silent := now.Sub(g.grantedAt)
 	p := s.pool(g.request.Service)
 	p.recordPace(g, silent, false)
+	if silent > g.Predicted && !g.request.Resumed {
+		// The response takes at least this long. Without it, a target that has become slow would
+		// look as before, because the responses that show it are the ones that hedges end.
+		p.cost.ObserveResponse(&g.target.cost, g.request.Work, g.load, silent)
+	}
 	if t := g.target; silent > p.hedgeDelay(g) && t.pace.startedAt.Before(g.grantedAt) {
 		if until := now.Add(min(silent, maxOutrunPause)); until.After(t.pausedUntil) {
 			t.pausedUntil = until
