--- a/internal/coordination/retry/spare.go
+++ b/internal/coordination/retry/spare.go
@@ -23,10 +23,10 @@
 	if !w.hasSpare(now, slack) {
 		return false
 	}
-	w.level--
+	w.level = max(0, w.level-1)
 	return true
 }
 
 func (w *WindowBudget) hasSpare(now time.Time, slack float64) bool {
-	return w.hasOne() && w.level-1 >= spareShare*w.capacity(now, slack)
+	return w.hasOne() && w.level-1 >= spareShare*w.capacity(now, slack)-tolerance
 }
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -85,10 +85,11 @@
 	w.level++
 }
 
-// hasOne reports whether there is a permission. The tolerance makes ten additions of 0.1
-// count as one.
+// tolerance makes ten additions of 0.1 count as one.
+const tolerance = 1e-9
+
+// hasOne reports whether there is a permission.
 func (w *WindowBudget) hasOne() bool {
-	const tolerance = 1e-9
 	return w.level >= 1-tolerance
 }
 
