Hedging: look less often, the attempt that a target takes over from may still go on

Cause: (1) a request that stays without a hedge looked for one every 40 ms, each time at all targets, which with hundreds of slow requests takes a noticeable part of a small entry's processor (estimated, not measured). (2) Reading the code: a resumed stream whose target was asked to abandon it, and goes on, was refused by the race, with the share 0 too, if it had had no event of this attempt.

Change: the interval is a quarter of the time waited, 40 ms at least. The race refuses other attempts only; whether another target takes over from the attempt itself is known to its hand-over, as before. Long function split.

Tests: the hedging, hand-over, stall and stream tests of gateway pass.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -224,6 +224,8 @@
 		return "deadline"
 	case errors.Is(cause, errStopping):
 		return "planned_stop"
+	case errors.Is(cause, errSuspected):
+		return "quarantine"
 	case cause == nil:
 		return ""
 	default:
--- a/internal/coordination/gateway/hedge.go
+++ b/internal/coordination/gateway/hedge.go
@@ -10,9 +10,13 @@
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
-// hedgeInterval is the time after which a hedge that was not sent is considered again. Slots
-// become free within about this time.
-const hedgeInterval = 40 * time.Millisecond
+// A hedge that was not sent is considered again after a share of the time that the request has
+// waited, hedgeInterval at least: slots become free within about this time, and each look costs
+// one at all targets.
+const (
+	hedgeInterval      = 40 * time.Millisecond
+	hedgeIntervalShare = 0.25
+)
 
 // hedge is a second attempt beside one that has no response.
 type hedge struct {
@@ -68,7 +72,7 @@
 	if h.hedgeAt.IsZero() || now.Before(h.hedgeAt) {
 		return false
 	}
-	h.hedgeAt = now.Add(hedgeInterval)
+	h.hedgeAt = now.Add(max(hedgeInterval, time.Duration(hedgeIntervalShare*float64(now.Sub(a.sentAt)))))
 	r := a.request
 	if !a.race.alone() || !r.mayHedge() {
 		return false
@@ -177,16 +181,16 @@
 }
 
 // recordBeside records an attempt that ended while another one goes on or has won.
-func (r *request) recordBeside(a *attempt, o dispatch.Outcome, err error, ran, lost bool) {
-	if ran {
+func (r *request) recordBeside(a *attempt, end *attemptEnd) {
+	if end.ran {
 		r.countPromptTokens(a.grant, false)
 	}
-	if lost {
+	if end.lost {
 		return // the end of the hedge is logged
 	}
-	r.service.cfg.Counters.Add("attempt." + o.String())
+	r.service.cfg.Counters.Add("attempt." + end.outcome.String())
 	r.log.Info("attempt beside another failed", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
-		zap.Bool("hedge", a.isHedge), zap.String("outcome", o.String()), zap.Duration("took", time.Since(a.sentAt)), zap.NamedError("cause", err))
+		zap.Bool("hedge", a.isHedge), zap.String("outcome", end.outcome.String()), zap.Duration("took", time.Since(a.sentAt)), zap.NamedError("cause", end.err))
 }
 
 // stop ends the wait and the search for another target.
--- a/internal/coordination/gateway/race.go
+++ b/internal/coordination/gateway/race.go
@@ -27,7 +27,7 @@
 	mu      sync.Mutex
 	running []*attempt
 	winner  *attempt
-	closed  bool // another target takes over
+	closer  *attempt // from which another target takes over, or nil
 	// ran is the number of attempts that may have run and have failed beside others.
 	ran  int
 	open *hedge // in progress beside another attempt, or nil
@@ -84,7 +84,7 @@
 func (rc *race) join(a *attempt, h *hedge) bool {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	if rc.winner != nil || rc.closed || len(rc.running) != 1 || rc.running[0] != h.first {
+	if rc.winner != nil || rc.closer != nil || len(rc.running) != 1 || rc.running[0] != h.first {
 		return false
 	}
 	rc.running = append(rc.running, a)
@@ -100,7 +100,7 @@
 func (rc *race) alone() bool {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	return rc.winner == nil && !rc.closed && len(rc.running) == 1
+	return rc.winner == nil && rc.closer == nil && len(rc.running) == 1
 }
 
 // won reports whether a has won.
@@ -143,7 +143,7 @@
 	if rc.winner != nil {
 		return rc.winner == a
 	}
-	rc.closed = true
+	rc.closer = a
 	for _, o := range rc.running {
 		if o != a {
 			o.cancel(errStalled)
@@ -153,14 +153,15 @@
 }
 
 // claim makes a the winner, unless another attempt has won. A whole response is taken although
-// another target was to take over.
+// another target was to take over from the attempt beside; handOver.goesOn knows whether one takes
+// over from a itself.
 func (rc *race) claim(a *attempt, whole bool) bool {
 	rc.mu.Lock()
 	if rc.winner == a {
 		rc.mu.Unlock()
 		return true
 	}
-	if rc.winner != nil || rc.closed && !whole {
+	if rc.winner != nil || rc.closer != nil && rc.closer != a && !whole {
 		rc.mu.Unlock()
 		return false
 	}
@@ -176,68 +177,84 @@
 	return true
 }
 
+// attemptEnd is how an attempt ended.
+type attemptEnd struct {
+	outcome dispatch.Outcome
+	err     error
+	// lost says that it was cancelled because another one has won, ran that it may have run
+	// without having answered the caller, and suspected that the request may crash the next
+	// target too.
+	lost, ran, suspected bool
+	next                 *dispatch.Grant
+	permission           bool
+}
+
 // runAttempt runs an attempt to its end, releases its slot and records how it ended.
 func (rc *race) runAttempt(a *attempt) {
 	r := rc.request
-	outcome, err := a.run()
-	next, permission := a.handOver.end()
-	lost := err != nil && errors.Is(context.Cause(a.ctx), errOutrun)
-	if lost {
-		outcome = a.lostOutcome(outcome, err)
+	var end attemptEnd
+	end.outcome, end.err = a.run()
+	end.next, end.permission = a.handOver.end()
+	end.lost = end.err != nil && errors.Is(context.Cause(a.ctx), errOutrun)
+	if end.lost {
+		end.outcome = a.lostOutcome(end.outcome, end.err)
 		r.service.cfg.Scheduler.Outrun(a.grant)
 	}
-	r.service.cfg.Scheduler.Release(a.grant, outcome)
-	notSent := errors.Is(err, ErrNotSent)
-	if notSent && a.permission {
+	r.service.cfg.Scheduler.Release(a.grant, end.outcome)
+	if errors.Is(end.err, ErrNotSent) && a.permission {
 		r.service.retryBudget(r.targetService).Return()
 	}
-	suspected := err != nil && !lost && r.suspected(a.ctx, a.grant, a.sentAt, outcome, err)
-	ran := err != nil && mayHaveRun(outcome, err)
+	end.suspected = end.err != nil && !end.lost && r.suspected(a.ctx, a.grant, a.sentAt, end.outcome, end.err)
+	end.ran = end.err != nil && mayHaveRun(end.outcome, end.err)
+
+	decides, heir, settled, winner := rc.leave(a, &end)
+	if settled != nil {
+		settled.settle(winner)
+	}
+	if !decides {
+		r.recordBeside(a, &end)
+	}
+	switch {
+	case heir == nil:
+	case end.suspected:
+		heir.cancel(errSuspected)
+	default:
+		heir.handOver.takeWatch(r.service.cfg.Scheduler.HedgeDelay(heir.grant))
+	}
+}
 
+// leave removes an attempt that has ended. decides says that its end is that of the race, heir is
+// the attempt that goes on alone, and settled the hedge that has ended with it; both may be nil.
+func (rc *race) leave(a *attempt, end *attemptEnd) (decides bool, heir *attempt, settled *hedge, winner *attempt) {
 	rc.mu.Lock()
+	defer rc.mu.Unlock()
 	rc.running = slices.DeleteFunc(rc.running, func(o *attempt) bool { return o == a })
-	decides := rc.winner == a || rc.winner == nil && len(rc.running) == 0
+	decides = rc.winner == a || rc.winner == nil && len(rc.running) == 0
 	res := &rc.result
-	res.reached = res.reached || !notSent
-	res.suspected = res.suspected || suspected
-	if next != nil {
-		res.next = next
+	res.reached = res.reached || !errors.Is(end.err, ErrNotSent)
+	res.suspected = res.suspected || end.suspected
+	res.permission = res.permission || end.permission
+	if end.next != nil {
+		res.next = end.next
 	}
-	res.permission = res.permission || permission
-	var heir *attempt
 	if a.failure != nil {
 		res.failure = a.failure
 	}
+	settled, rc.open = rc.open, nil
 	if decides {
-		res.last, res.outcome, res.err = a, outcome, err
-	} else {
-		if !notSent || !errors.Is(err, ErrShortage) && !errors.Is(err, ErrGrantExpired) && !errors.Is(err, ErrGrantWithdrawn) {
-			rc.tried = append(rc.tried, a.grant.Target.ID)
-		}
-		if rc.winner == nil {
-			heir = rc.running[0]
-			if ran {
-				rc.ran++
-			}
-		}
-	}
-	ended, winner := rc.open, rc.winner
-	rc.open = nil
-	rc.mu.Unlock()
-
-	if ended != nil {
-		ended.settle(winner)
+		res.last, res.outcome, res.err = a, end.outcome, end.err
+		return true, nil, settled, rc.winner
 	}
-	if !decides {
-		r.recordBeside(a, outcome, err, ran, lost)
+	if !errors.Is(end.err, ErrShortage) && !errors.Is(end.err, ErrGrantExpired) && !errors.Is(end.err, ErrGrantWithdrawn) {
+		rc.tried = append(rc.tried, a.grant.Target.ID)
 	}
-	switch {
-	case heir == nil:
-	case suspected:
-		heir.cancel(errSuspected)
-	default:
-		heir.handOver.takeWatch(r.service.cfg.Scheduler.HedgeDelay(heir.grant))
+	if rc.winner == nil {
+		heir = rc.running[0]
+		if end.ran {
+			rc.ran++
+		}
 	}
+	return false, heir, settled, rc.winner
 }
 
 // errSuspected is the cause for which an attempt is cancelled because the request seems to have
