--- a/internal/coordination/gateway/hedgerace_test.go
+++ b/internal/coordination/gateway/hedgerace_test.go
@@ -225,3 +225,27 @@
 		})
 	}
 }
+
+// Guards against dropping a resumed stream whose target was asked to abandon it before its first
+// event and goes on with it.
+func TestResumedStreamStaysAtTargetThatKeepsIt(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	out := &recordingResponder{}
+	keeps := func(ctx context.Context, _ *Forward) (Exchange, error) {
+		x := &withdrawnExchange{ctx: ctx, pieces: []string{rest}, asked: make(chan struct{}), afterwards: 2 * time.Second, reached: true}
+		x.head = &state.Response{Status: 200, HasSignature: true}
+		return x, nil
+	}
+	targets := &fakeTargetClient{behaviours: []behaviour{truncated(first), keeps, respondWith(200, rest)}}
+	synctest.Test(t, func(t *testing.T) {
+		s := newService(targets)
+		config := longRoute()
+		config.Routes[0].MaxAttempts = 3
+		s.SetConfiguration(config)
+		s.Serve(t.Context(), resumableCall(), time.Now(), out)
+	})
+	if !out.ended || out.body.String() != events || len(targets.sends) != 2 {
+		t.Errorf("ended %t after %d sends with %q, want all events after 2", out.ended, len(targets.sends), out.body.String())
+	}
+}
