--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -43,6 +43,14 @@
 	return p.rollouts
 }
 
+// inRollout reports whether the software versions of a service are being compared, so that one of
+// them may be why its targets are slow.
+func (p *gatewayProcess) inRollout(service state.Service, _ state.SoftwareVersion) bool {
+	return p.rollouts != nil && slices.ContainsFunc(p.rollouts.Plans(time.Now()), func(plan rollout.Plan) bool {
+		return plan.Order.Service == service && !plan.Phase.Terminal()
+	})
+}
+
 // exposureSlack returns this entry's part of the requests that a bad version may get beyond
 // its share. An entry that starts while an order is open gets none: the process before it may
 // have used its part.
