callers' HTTP: bodies and header sections are read within an account of memory

Header sections were parsed before the operator's limit was applied, and HeaderTimeoutMs was not applied.

Change: internal/coordination/memory is one account for a process, a quarter of its memory limit. Header sections, bodies and responses (until now gateway.ResponseMemory) take from it. Body buffers grow with what has arrived. A quarter of the account is for reservations of up to 64 KiB. When it is used up, unfinished bodies without progress for 500 ms are ended, that with the highest product of size and waiting time first, and answered 503 (not run). Calls without route, key or configuration are answered before the body. Each 4 KiB of a body must arrive within 10 s, and all of it within Deadline-Ms. Header sections are counted while they are read (bytes, 1,000 fields, time from the first byte). Connections are bounded to 0.3 of the memory at 32 KiB each. Processes without a stated limit have no bound except that for responses.

--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -17,17 +17,8 @@
 // customer's allowance. It returns the failure to answer with, or nil.
 func (r *request) admit(ctx context.Context) *Failure {
 	r.recognizeReturn()
-	if r.table = r.service.awaitTable(ctx, r.call); r.table == nil {
-		retryAfter := max(minNotReadyRetryAfter, time.Since(r.service.started))
-		return &Failure{Kind: NotRun, Reason: "no_configuration", RetryAfter: r.capRetryAfter(retryAfter)}
-	}
-	r.route = r.table.Route(r.call.Host, r.call.Path)
-	if r.route == nil {
-		return &Failure{Kind: UnknownRoute, Reason: "no_route"}
-	}
-	r.customer = r.table.CustomerByKey(r.call.APIKey)
-	if r.customer == nil && r.table.RequiresKey(r.route) {
-		return &Failure{Kind: UnknownKey, Reason: "unknown_key"}
+	if failure := r.findRoute(ctx); failure != nil {
+		return failure
 	}
 	r.preparePlacement()
 	if failure := r.findOrigin(ctx); failure != nil {
@@ -47,6 +38,23 @@
 	return nil
 }
 
+// findRoute finds the route and the customer. It needs the head of the call only.
+func (r *request) findRoute(ctx context.Context) *Failure {
+	if r.table = r.service.awaitTable(ctx, r.call); r.table == nil {
+		retryAfter := max(minNotReadyRetryAfter, time.Since(r.service.started))
+		return &Failure{Kind: NotRun, Reason: "no_configuration", RetryAfter: r.capRetryAfter(retryAfter)}
+	}
+	r.route = r.table.Route(r.call.Host, r.call.Path)
+	if r.route == nil {
+		return &Failure{Kind: UnknownRoute, Reason: "no_route"}
+	}
+	r.customer = r.table.CustomerByKey(r.call.APIKey)
+	if r.customer == nil && r.table.RequiresKey(r.route) {
+		return &Failure{Kind: UnknownKey, Reason: "unknown_key"}
+	}
+	return nil
+}
+
 // takeAllowance charges the customer's allowance, or returns the failure to answer with.
 func (r *request) takeAllowance() *Failure {
 	refusal := r.service.cfg.Quota.Admit(time.Now(), quota.Ask{
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -221,7 +221,7 @@
 // an error response.
 func (a *attempt) forwardStream(head *state.Response, ex Exchange) (dispatch.Outcome, error) {
 	r := a.request
-	events := newEventReader(ex, &heldResponse{memory: r.service.cfg.ResponseMemory})
+	events := newEventReader(ex, r.newHeldResponse())
 	defer events.held.release()
 	for {
 		event, err := events.next()
--- a/internal/coordination/gateway/endless_test.go
+++ b/internal/coordination/gateway/endless_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/state"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/memory"
 )
 
 const (
@@ -65,7 +67,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				var held heldBytes
 				var group sync.WaitGroup
-				memory := NewResponseMemory(32 << 20)
+				account := memory.New(memory.Limits{Responses: 32 << 20})
 				for n := range endlessRequests {
 					read := 0
 					targets := &fakeTargetClient{behaviours: []behaviour{func(ctx context.Context, _ *Forward) (Exchange, error) {
@@ -73,7 +75,7 @@
 						return &fakeExchange{head: &state.Response{Status: 200, HasSignature: true}, Reader: body}, nil
 					}}}
 					s := newService(targets)
-					s.cfg.ResponseMemory = memory
+					s.cfg.Memory = account
 					group.Go(func() {
 						out := &recordingResponder{}
 						s.Serve(t.Context(), &state.Call{ID: state.RequestID(fmt.Sprint(n)), Host: "h", Path: c.path, APIKey: "key"}, time.Now(), out)
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/memory"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quarantine"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
@@ -95,10 +96,10 @@
 	RetryWindow    time.Duration
 	RetrySlack     func() float64
 	RetrySlackFrom time.Time
-	// ResponseMemory bounds the bytes of responses that are held at a time.
-	ResponseMemory *ResponseMemory
-	Log            *zap.Logger
-	Counters       *Counters
+	// Memory bounds the bytes of responses that are held at a time.
+	Memory   *memory.Account
+	Log      *zap.Logger
+	Counters *Counters
 }
 
 // Service serves callers' requests. It is safe for concurrent use.
@@ -219,6 +220,21 @@
 	body  []byte
 }
 
+// ServeHead answers a call, of which only the head was read, if the head shows that it cannot
+// be served: there is no configuration, no route or no customer. It reports whether it did.
+// A refusal is not remembered, because the body is a part of what the call is recognized by.
+func (s *Service) ServeHead(ctx context.Context, call *state.Call, out Responder) bool {
+	r := &request{service: s, call: call, responder: out, arrived: time.Now(), log: s.cfg.Log}
+	ctx, release := s.untilStopped(ctx)
+	defer release()
+	failure := r.findRoute(ctx)
+	if failure == nil {
+		return false
+	}
+	r.fail(*failure)
+	return true
+}
+
 // Serve answers a call that was read completely at arrived. ctx ends when the caller
 // disconnects.
 func (s *Service) Serve(ctx context.Context, call *state.Call, arrived time.Time, out Responder) {
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/memory"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quarantine"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
@@ -196,7 +197,7 @@
 	}
 	return New(Config{
 		Scheduler: scheduler, TargetClient: targets, Quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}),
-		Refusals: refusal.NewLog(), Quarantine: newQuarantine("self"), Origins: origins, AskOrigin: askOrigin, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: func() float64 { return 5 }, ResponseMemory: NewResponseMemory(8 << 20), Log: zap.NewNop(), Counters: NewCounters(false),
+		Refusals: refusal.NewLog(), Quarantine: newQuarantine("self"), Origins: origins, AskOrigin: askOrigin, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: func() float64 { return 5 }, Memory: memory.New(memory.Limits{Responses: 8 << 20}), Log: zap.NewNop(), Counters: NewCounters(false),
 	})
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/bundle"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/memory"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quarantine"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
@@ -46,10 +47,6 @@
 	entriesKnownTime = 2 * time.Second
 	// slackFraction is the fraction of the slack that is used.
 	slackFraction = 0.9
-	// responseMemoryShare is the fraction of the process's memory that responses may take,
-	// and defaultResponseMemory what they may take if its limit is not stated, in bytes.
-	responseMemoryShare   = 0.125
-	defaultResponseMemory = 32 << 20
 	// readinessIdleTimeout is the time after which an idle connection of the readiness check is
 	// closed. The platform asks every second; one that connects anew each time and leaves its
 	// connections open would take all descriptors.
@@ -72,6 +69,7 @@
 	origins      *origin.Log
 	gateway      *gateway.Service
 	targetClient *upstream.Client
+	memory       *memory.Account // of callers' requests and the responses to them
 	mesh         *mesh.Mesh
 	control      *control
 	rollout      *bundle.Rollout
@@ -94,7 +92,7 @@
 	}
 	p := &gatewayProcess{
 		settings: s, log: log.Process, incarnation: state.NewIncarnation(), startedAt: time.Now(), store: platform.NewStore(s.StoreAddress.String()),
-		targetClient: upstream.New(), counters: gateway.NewCounters(true), rollout: bundle.NewRollout(signers),
+		memory: memory.New(requestMemory(s.MemoryMB << 20)), targetClient: upstream.New(), counters: gateway.NewCounters(true), rollout: bundle.NewRollout(signers),
 		followsBundles: len(signers.Keys) > 0,
 	}
 	p.quota = quota.New(quota.Config{
@@ -118,7 +116,7 @@
 	}
 	p.gateway = gateway.New(gateway.Config{
 		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Quarantine: p.quarantine, Origins: p.origins, AskOrigin: p.mesh.AskOrigin, RetryRatio: s.Bounds.RetryRatio,
-		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack, RetrySlackFrom: p.retrySlackFrom(), ResponseMemory: gateway.NewResponseMemory(p.responseMemory()),
+		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack, RetrySlackFrom: p.retrySlackFrom(), Memory: p.memory,
 		Log: log.Requests, Counters: p.counters,
 	})
 	p.log.Info("process started", zap.String("instance", string(s.Instance)), zap.String("domain", string(s.Domain)),
@@ -132,7 +130,10 @@
 	running, finish := context.WithCancel(context.WithoutCancel(ctx))
 	defer finish()
 	group, running := errgroup.WithContext(running)
-	p.callers = &gatewayhttp.Server{Gateway: p.gateway, Log: p.log, MaxConnections: maxCallerConnections(p.settings.MaxSockets, p.log)}
+	p.callers = &gatewayhttp.Server{
+		Gateway: p.gateway, Log: p.log, Memory: p.memory,
+		MaxConnections: boundByMemory(maxCallerConnections(p.settings.MaxSockets, p.log), p.settings.MemoryMB<<20, p.log),
+	}
 	group.Go(func() error { return p.callers.Serve(running, p.settings.Callers.String()) })
 	group.Go(func() error { return p.serveReadiness(running) })
 	group.Go(func() error { return p.serveEntries(running) })
@@ -166,15 +167,6 @@
 	p.control.leave()
 }
 
-// responseMemory returns the number of bytes that the responses which this entry holds may
-// take together.
-func (p *gatewayProcess) responseMemory() int {
-	if p.settings.MemoryMB == 0 {
-		return defaultResponseMemory
-	}
-	return int(responseMemoryShare * float64(p.settings.MemoryMB<<20))
-}
-
 // retrySlack returns this entry's share of the repeated sends that all entries
 // together may make beyond the retry ratio. The slack is divided evenly because
 // entries do not report how many repeated sends they made. Entries that are not heard
@@ -251,6 +243,7 @@
 	}))
 	expvar.Publish("connections_opened", expvar.Func(func() any { return p.targetClient.ConnectionsOpened() }))
 	expvar.Publish("caller_connections", expvar.Func(func() any { return p.callers.Connections() }))
+	expvar.Publish("request_memory", expvar.Func(func() any { return p.memory.Counts() }))
 	expvar.Publish("requests_open", expvar.Func(func() any { return p.callers.OpenRequests() }))
 	expvar.Publish("targets_listed", expvar.Func(func() any { return p.control.targetCount() }))
 	expvar.Publish("prompt_parts", expvar.Func(func() any { return p.quarantine.Summary(time.Now()) }))
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -96,6 +96,7 @@
 type CallerLimits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration // from the first byte of a request to the end of its header section
 	IdleTimeout    time.Duration
 }
 
--- a/internal/transport/gatewayhttp/deadlines_test.go
+++ b/internal/transport/gatewayhttp/deadlines_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
 // Guards against cutting a long response, or event, that its caller reads slowly: only a caller
@@ -57,37 +59,63 @@
 	return r.in.Read(p[:min(len(p), 4<<10)])
 }
 
-// Guards against rejecting a proper request whose body arrives slowly, and against a status that
-// does not say that the request was not run if its body stops.
+// setLimits puts a configuration with other limits into effect.
+func (s *stoppableServer) setLimits(change func(*state.CallerLimits)) {
+	c := *s.Gateway.Configuration()
+	c.Version++
+	change(&c.Limits)
+	s.Gateway.SetConfiguration(&c)
+}
+
+// Guards against rejecting a proper request whose body arrives slowly, against a body that
+// arrives so slowly that it holds its memory without end, and against a status that does not
+// say that the request was not run.
 func TestBodyThatArrivesSlowly(t *testing.T) {
-	const pieces = 20
-	for name, c := range map[string]struct{ sent, status int }{
-		"whole": {pieces, http.StatusOK},
-		"stops": {pieces - 1, http.StatusRequestTimeout},
+	const size = 3 * progressBytes
+	for name, c := range map[string]struct {
+		piece, pieces int
+		pause         time.Duration
+		header        string
+		status        int
+	}{
+		"at the least rate":        {progressBytes / 4, 12, bodyTimeout*24/100 + time.Millisecond, "", http.StatusOK},
+		"stops short of the end":   {progressBytes / 4, 11, time.Millisecond, "", http.StatusRequestTimeout},
+		"a byte at a time":         {1, 100, bodyTimeout * 9 / 10, "", http.StatusRequestTimeout},
+		"slower than its caller":   {progressBytes / 4, 12, bodyTimeout * 24 / 100, "Deadline-Ms: 15000\r\n", http.StatusRequestTimeout},
+		"as fast as its caller":    {progressBytes / 4, 12, time.Second, "Deadline-Ms: 15000\r\n", http.StatusOK},
+		"all but one byte at once": {size - 1, 1, time.Millisecond, "", http.StatusRequestTimeout},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := startStoppable(t, respondUnlessCancelled)
 				defer s.waitServed()
 				defer s.end()
+				s.setLimits(func(l *state.CallerLimits) { l.MaxBodyBytes = size })
 				conn := s.ln.Dial()
 				defer conn.Close()
-				if _, err := io.WriteString(conn, "POST /plain/x"+requestHead+"Content-Length: 20\r\n\r\n"); err != nil {
+				began := time.Now()
+				if _, err := fmt.Fprintf(conn, "POST /plain/x%s%sContent-Length: %d\r\n\r\n", requestHead, c.header, size); err != nil {
 					t.Fatal(err)
 				}
 				var sending sync.WaitGroup
 				defer sending.Wait()
 				defer conn.Close()
 				sending.Go(func() {
-					for range c.sent {
-						time.Sleep(bodyTimeout / 10)
-						io.WriteString(conn, "a") // an error shows in the response
+					for range c.pieces {
+						time.Sleep(c.pause)
+						io.WriteString(conn, strings.Repeat("a", c.piece)) // an error shows in the response
 					}
 				})
 				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 				if err != nil || resp.StatusCode != c.status {
 					t.Errorf("response %v, error %v; want %d", resp, err, c.status)
 				}
+				if took, most := time.Since(began), (1+size/progressBytes)*bodyTimeout; took > most {
+					t.Errorf("answered after %v, want at most %v", took, most)
+				}
+				if used := s.Memory.Counts().Used; used != 0 && c.status != http.StatusOK {
+					t.Errorf("%d bytes are held after the answer", used)
+				}
 			})
 		})
 	}
--- a/internal/transport/gatewayhttp/server.go
+++ b/internal/transport/gatewayhttp/server.go
@@ -9,11 +9,8 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -23,6 +20,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/memory"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 	"github.com/cassiaramp/cassiaramp/platform"
@@ -31,8 +29,6 @@
 const (
 	// headerTimeout bounds the arrival of a request's head.
 	headerTimeout = 5 * time.Second
-	// bodyTimeout bounds the wait for more of a request's body.
-	bodyTimeout = 10 * time.Second
 	// writeTimeout bounds the writing of each maxWriteBytes of a response. It ends connections
 	// whose callers do not read, and not those of callers that read slowly.
 	writeTimeout  = 10 * time.Second
@@ -69,6 +65,8 @@
 	Log     *zap.Logger
 	// MaxConnections bounds the connections of callers; 0 for no bound.
 	MaxConnections int
+	// Memory covers what is read of requests; nil for no bound.
+	Memory *memory.Account
 
 	stopping     atomic.Bool // responses close their connections
 	refuseAll    atomic.Bool // no request is accepted
@@ -90,21 +88,41 @@
 // serve serves on ln until ctx ends.
 func (s *Server) serve(ctx context.Context, ln net.Listener) error {
 	server := s.newHTTPServer()
-	return netconn.Serve(ctx, server, netconn.RetryAccept(newBoundedListener(ln, &s.connections), s.Log.With(zap.String("listener", "callers"))))
+	accepted := netconn.RetryAccept(newBoundedListener(ln, &s.connections), s.Log.With(zap.String("listener", "callers")))
+	return netconn.Serve(ctx, server, &callerListener{netconn.DeliverBeforeClose(accepted), s})
 }
 
 // newHTTPServer returns the HTTP server of s.
 func (s *Server) newHTTPServer() *http.Server {
 	s.connections.init(s.MaxConnections, s.Log)
+	if s.Memory == nil {
+		s.Memory = memory.New(memory.Limits{})
+	}
 	return &http.Server{
 		Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		// IdleTimeout bounds idle connections when the operator sets no limit.
 		IdleTimeout: 10 * time.Minute,
-		ConnState:   s.connections.track, DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(s.Log),
+		ConnState:   s.trackConn, DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(s.Log),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 }
 
+// trackConn is the ConnState hook of the server.
+func (s *Server) trackConn(c net.Conn, st http.ConnState) {
+	if conn, ok := c.(*callerConn); ok && (st == http.StateIdle || st == http.StateClosed) {
+		conn.awaitHead()
+	}
+	s.connections.track(c, st)
+}
+
+// limits returns the operator's limits.
+func (s *Server) limits() state.CallerLimits {
+	if c := s.Gateway.Configuration(); c != nil {
+		return c.Limits
+	}
+	return state.CallerLimits{}
+}
+
 // OpenRequests returns the number of requests in progress.
 func (s *Server) OpenRequests() int64 { return s.openRequests.Load() }
 
@@ -215,47 +233,69 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
-	control := http.NewResponseController(w)
-	limits := state.CallerLimits{}
-	if c := s.Gateway.Configuration(); c != nil {
-		limits = c.Limits
+	limits := s.limits()
+	call := s.decodeHead(w, r, limits)
+	if call == nil {
+		return
 	}
+	out := &responder{w: w, control: http.NewResponseController(w), call: call, closeConnection: s.stopping.Load}
+	if hasBody(r) {
+		release, ok := s.receiveBody(r, out, limits.MaxBodyBytes)
+		defer release()
+		if !ok {
+			return
+		}
+	}
+	arrived := time.Now()
+	if s.refuseUnserved(r, out, out) {
+		return
+	}
+	s.Gateway.Serve(r.Context(), call, arrived, out)
+	if out.aborted {
+		s.cutResponse(r)
+	}
+}
+
+// decodeHead returns the call of a request whose body has not been read. If the request is
+// not valid, it rejects it and returns nil.
+func (s *Server) decodeHead(w http.ResponseWriter, r *http.Request, limits state.CallerLimits) *state.Call {
 	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
 		s.reject(w, r, http.StatusRequestHeaderFieldsTooLarge, "header too large")
-		return
+		return nil
 	}
-	body, status := readBody(w, r, control, limits)
-	if status != 0 {
-		s.reject(w, r, status, "reading the request body failed")
-		return
+	if limits.MaxBodyBytes > 0 && r.ContentLength > limits.MaxBodyBytes {
+		s.reject(w, r, http.StatusRequestEntityTooLarge, "body too large")
+		return nil
 	}
-	arrived := time.Now()
-	call, err := platform.DecodeCall(r, body)
+	call, err := platform.DecodeCall(r, nil)
 	if err != nil {
 		s.reject(w, r, http.StatusBadRequest, err.Error())
-		return
+		return nil
 	}
-	out := &responder{w: w, control: control, call: call, closeConnection: s.stopping.Load}
+	return call
+}
+
+// refuseUnserved refuses a request that is not passed to the gateway because a planned stop
+// ends or there are too many connections. It reports whether it did. answer is out, or answers
+// by means of it.
+func (s *Server) refuseUnserved(r *http.Request, out *responder, answer gateway.Responder) bool {
 	if s.refuseAll.Load() {
-		s.refuse(out, dispatch.ReasonStopping, dispatch.StoppingRetryAfter)
-		return
+		s.refuse(answer, out.call, dispatch.ReasonStopping, dispatch.StoppingRetryAfter)
+		return true
 	}
 	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok && s.connections.isAboveBound(conn) {
 		out.closeConnection = func() bool { return true }
-		s.refuse(out, reasonConnections, connectionsRetryAfter)
-		return
-	}
-	s.Gateway.Serve(r.Context(), call, arrived, out)
-	if out.aborted {
-		s.cutResponse(r)
+		s.refuse(answer, out.call, reasonConnections, connectionsRetryAfter)
+		return true
 	}
+	return false
 }
 
 // refuse answers a request that is not passed to the gateway.
-func (s *Server) refuse(out *responder, reason string, retryAfter time.Duration) {
-	s.Log.Info("request refused", zap.String("request", string(out.call.ID)), zap.String("reason", reason))
+func (s *Server) refuse(out gateway.Responder, call *state.Call, reason string, retryAfter time.Duration) {
+	s.Log.Info("request refused", zap.String("request", string(call.ID)), zap.String("reason", reason))
 	if err := out.Fail(gateway.Failure{Kind: gateway.NotRun, Reason: reason, RetryAfter: retryAfter}); err != nil {
-		s.Log.Info("write to caller failed", zap.String("request", string(out.call.ID)), zap.Error(err))
+		s.Log.Info("write to caller failed", zap.String("request", string(call.ID)), zap.Error(err))
 	}
 }
 
@@ -282,47 +322,6 @@
 	w.WriteHeader(status)
 }
 
-// readBody returns the body of a request and 0, or nil and the status to answer with if
-// the body cannot be read.
-func readBody(w http.ResponseWriter, r *http.Request, control *http.ResponseController, limits state.CallerLimits) ([]byte, int) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, 0
-	}
-	if limits.MaxBodyBytes > 0 {
-		if r.ContentLength > limits.MaxBodyBytes {
-			return nil, http.StatusRequestEntityTooLarge
-		}
-		r.Body = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
-	}
-	body, err := io.ReadAll(&bodyReader{in: r.Body, control: control})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, http.StatusRequestTimeout
-	case err != nil:
-		return nil, http.StatusBadRequest
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return nil, http.StatusInternalServerError
-	}
-	return body, 0
-}
-
-// bodyReader reads a request's body as long as more of it arrives within bodyTimeout.
-type bodyReader struct {
-	in      io.Reader
-	control *http.ResponseController
-}
-
-func (b *bodyReader) Read(p []byte) (int, error) {
-	if err := b.control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return 0, err
-	}
-	return b.in.Read(p)
-}
-
 // headerBytes returns the size of the method, URI, host and header fields in bytes. Each
 // field counts 4 bytes for separators.
 func headerBytes(r *http.Request) int {
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -17,10 +17,12 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/memory"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quarantine"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/netconn/conntest"
 )
@@ -61,7 +63,7 @@
 	scheduler.SetTargets([]state.TargetRecord{{ID: "t", Service: "s", Address: "t", Slots: 4}})
 	g := gateway.New(gateway.Config{
 		Scheduler: scheduler, TargetClient: send, Quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}),
-		Quarantine: quarantine.New(quarantine.Config{}), Origins: origin.New(time.Now(), true), RetryWindow: time.Second, RetrySlack: func() float64 { return 0 }, ResponseMemory: gateway.NewResponseMemory(1 << 20), Log: zap.NewNop(), Counters: gateway.NewCounters(false),
+		Quarantine: quarantine.New(quarantine.Config{}), Origins: origin.New(time.Now(), true), Refusals: refusal.NewLog(), RetryWindow: time.Second, RetrySlack: func() float64 { return 0 }, Memory: memory.New(memory.Limits{Responses: 1 << 20}), Log: zap.NewNop(), Counters: gateway.NewCounters(false),
 	})
 	route := func(prefix string, kind state.RouteKind) state.Route {
 		return state.Route{
--- a/internal/transport/gatewayhttp/stop_test.go
+++ b/internal/transport/gatewayhttp/stop_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/memory"
 	"github.com/cassiaramp/cassiaramp/internal/transport/netconn/conntest"
 )
 
@@ -31,9 +32,14 @@
 // startStoppable starts a server in front of a gateway with one target of four slots, which
 // send stands for.
 func startStoppable(t *testing.T, send targetClientFunc) *stoppableServer {
+	return startStoppableWith(t, send, memory.New(memory.Limits{}))
+}
+
+// startStoppableWith is startStoppable with an account of memory.
+func startStoppableWith(t *testing.T, send targetClientFunc, account *memory.Account) *stoppableServer {
 	ctx, end := context.WithCancel(t.Context())
 	s := &stoppableServer{
-		Server: &Server{Log: zap.NewNop(), Gateway: newGateway(send)}, t: t, end: end,
+		Server: &Server{Log: zap.NewNop(), Gateway: newGateway(send), Memory: account}, t: t, end: end,
 		ln: conntest.NewListener(), stopped: make(chan struct{}), served: make(chan error, 1),
 	}
 	go func() { s.served <- s.serve(ctx, s.ln) }()
--- a/internal/transport/upstream/runs_test.go
+++ b/internal/transport/upstream/runs_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/memory"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quarantine"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
@@ -149,7 +150,7 @@
 	g := gateway.New(gateway.Config{
 		Scheduler: scheduler, TargetClient: client, Quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}), Refusals: refusal.NewLog(),
 		Quarantine: quarantine.New(quarantine.Config{Self: "self", Others: func(time.Time) []state.InstanceID { return nil }}), Origins: origins, RetryRatio: 1, RetryWindow: time.Second, RetrySlack: func() float64 { return 100 },
-		ResponseMemory: gateway.NewResponseMemory(64 << 20), Log: zap.NewNop(), Counters: gateway.NewCounters(false),
+		Memory: memory.New(memory.Limits{Responses: 64 << 20}), Log: zap.NewNop(), Counters: gateway.NewCounters(false),
 	})
 	g.SetConfiguration(&state.Configuration{Version: 1, Routes: []state.Route{
 		runsRoute("once", state.NonIdempotentRoute, false), runsRoute("stream", state.StreamingRoute, false),
