readiness check: no bodies, and bounds for time, header and connections

Cause: the readiness server read up to 256 KB of a body before it answered, had no limit on the time of a request, and no bound on connections.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -6,7 +6,6 @@
 	"expvar"
 	"fmt"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -47,10 +46,6 @@
 	entriesKnownTime = 2 * time.Second
 	// slackFraction is the fraction of the slack that is used.
 	slackFraction = 0.9
-	// readinessIdleTimeout is the time after which an idle connection of the readiness check is
-	// closed. The platform asks every second; one that connects anew each time and leaves its
-	// connections open would take all descriptors.
-	readinessIdleTimeout = 10 * time.Second
 	// closeExpiredInterval is the time between checks for idle connections to close.
 	closeExpiredInterval = time.Second
 )
@@ -200,26 +195,6 @@
 	}
 }
 
-// newReadinessServer returns the server of the platform's readiness check.
-func (p *gatewayProcess) newReadinessServer() *http.Server {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if err := p.checkReady(); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		}
-	})
-	return &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: readinessIdleTimeout, ErrorLog: zap.NewStdLog(p.log)}
-}
-
-// serveReadiness serves the platform's readiness check.
-func (p *gatewayProcess) serveReadiness(ctx context.Context) error {
-	ln, err := netconn.Listen(ctx, p.settings.Readiness.String(), p.log.With(zap.String("listener", "readiness")))
-	if err != nil {
-		return fmt.Errorf("listen for readiness: %w", err)
-	}
-	return netconn.Serve(ctx, p.newReadinessServer(), ln)
-}
-
 // serveEntries serves snapshots and origins of streams to the other entries.
 func (p *gatewayProcess) serveEntries(ctx context.Context) error {
 	ln, err := netconn.Listen(ctx, netip.AddrPortFrom(p.settings.IP, p.settings.FirstPort).String(), p.log.With(zap.String("listener", "entries")))
--- a/internal/daemon/readiness_test.go
+++ b/internal/daemon/readiness_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,3 +51,47 @@
 		}
 	})
 }
+
+// Guards against clients that send bodies, send nothing, or stay connected at the readiness
+// check: an entry that does not answer it gets no callers.
+func TestReadinessDespiteMisbehavingClients(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &gatewayProcess{log: zap.NewNop()}
+		p.stopping.Store(true) // the answer needs no other part of the process
+		ln := conntest.NewListener()
+		ended := make(chan error, 1)
+		go func() { ended <- netconn.Serve(t.Context(), p.newReadinessServer(), ln) }()
+		t.Cleanup(func() {
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+		ask := func(request string) (status int) {
+			conn := ln.Dial()
+			t.Cleanup(func() { conn.Close() })
+			go io.WriteString(conn, request) // an error shows in the response
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				return 0
+			}
+			return resp.StatusCode
+		}
+		probe := "GET " + platform.ReadyPath + " HTTP/1.1\r\nHost: h\r\n\r\n"
+		for range 2 * maxReadinessConnections {
+			conn := ln.Dial()
+			t.Cleanup(func() { conn.Close() })
+		}
+		for request, status := range map[string]int{
+			probe: http.StatusServiceUnavailable,
+			"GET " + platform.ReadyPath + " HTTP/1.1\r\nHost: h\r\nContent-Length: 4194304\r\n\r\nab":   http.StatusRequestEntityTooLarge,
+			"POST " + platform.ReadyPath + " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n": http.StatusRequestEntityTooLarge,
+			"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("a", 3*maxReadinessHeaderBytes):         http.StatusRequestHeaderFieldsTooLarge,
+		} {
+			began := time.Now()
+			if got := ask(request); got != status || time.Since(began) > 0 {
+				t.Errorf("%.60q: status %d after %v, want %d at once", request, got, time.Since(began), status)
+			}
+		}
+		time.Sleep(time.Second) // net/http waits before it closes connections with unread input
+	})
+}
