entry to entry: bodies are not read, header, answers and connections are bounded

Cause: FormValue parses a multipart body of up to 32 MB, also of a GET. The listener for other entries had no bound on connections, and answers about origins none on their size.

Change: requests with a body are answered 413, headers are bounded to 8 KiB in both directions, an answer about an origin to 64 KiB, and beyond 512 connections the oldest one is closed.

--- a/internal/daemon/readiness.go
+++ b/internal/daemon/readiness.go
@@ -33,24 +33,11 @@
 	})
 	connections := &netconn.OldestCloser{Max: maxReadinessConnections}
 	return &http.Server{
-		Handler: rejectBodies(mux), ReadTimeout: readinessTimeout, WriteTimeout: readinessTimeout, IdleTimeout: readinessIdleTimeout,
+		Handler: netconn.RejectBodies(mux), ReadTimeout: readinessTimeout, WriteTimeout: readinessTimeout, IdleTimeout: readinessIdleTimeout,
 		MaxHeaderBytes: maxReadinessHeaderBytes, ConnState: connections.Track, ErrorLog: zap.NewStdLog(p.log),
 	}
 }
 
-// rejectBodies passes requests without a body on. It answers others without reading the body,
-// and closes their connections.
-func rejectBodies(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength != 0 {
-			w.Header().Set("Connection", "close")
-			w.WriteHeader(http.StatusRequestEntityTooLarge)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // serveReadiness serves the platform's readiness check.
 func (p *gatewayProcess) serveReadiness(ctx context.Context) error {
 	ln, err := netconn.Listen(ctx, p.settings.Readiness.String(), p.log.With(zap.String("listener", "readiness")))
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -198,6 +198,7 @@
 	return &Mesh{
 		self: address, conn: conn, localSnapshot: localSnapshot, findOrigin: findOrigin,
 		http: &http.Client{Timeout: snapshotTimeout, Transport: &http.Transport{
+			MaxResponseHeaderBytes: maxEntryHeaderBytes,
 			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 				return netconn.Dial(ctx, addr, snapshotTimeout)
 			},
--- a/internal/transport/mesh/origin.go
+++ b/internal/transport/mesh/origin.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -24,6 +25,7 @@
 	// that are asked one after the other. A caller waits for the answer.
 	originTimeout      = 150 * time.Millisecond
 	maxOriginQuestions = 3
+	maxOriginBytes     = 64 << 10 // of an answer
 )
 
 // FindOrigin returns where the stream of a request began, as far as it is known. service
@@ -31,7 +33,8 @@
 type FindOrigin func(id state.RequestID, service state.Service) (origin.Origin, bool)
 
 func (m *Mesh) handleOrigin(w http.ResponseWriter, r *http.Request) {
-	o, ok := m.findOrigin(state.RequestID(r.FormValue(requestParameter)), state.Service(r.FormValue(serviceParameter)))
+	query := r.URL.Query() // FormValue would parse a body
+	o, ok := m.findOrigin(state.RequestID(query.Get(requestParameter)), state.Service(query.Get(serviceParameter)))
 	if !ok {
 		http.Error(w, "unknown origin", http.StatusNotFound)
 		return
@@ -81,7 +84,7 @@
 		return o, fmt.Errorf("ask %s for the origin of stream %s: %w", a, id, err)
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&o); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxOriginBytes)).Decode(&o); err != nil {
 		return origin.Origin{}, fmt.Errorf("ask %s for the origin of stream %s: decode: %w", a, id, err)
 	}
 	return o, nil
--- a/internal/transport/mesh/snapshot.go
+++ b/internal/transport/mesh/snapshot.go
@@ -27,6 +27,10 @@
 	snapshotTimeout  = time.Second
 	maxSnapshotBytes = 16 << 20 // after decompression
 	snapshotPath     = "/snapshot"
+	// maxEntryConnections is more than the 400 entries that a deployment may have, all of which
+	// may ask one entry, and maxEntryHeaderBytes bounds the header of their requests.
+	maxEntryConnections = 512
+	maxEntryHeaderBytes = 8 << 10
 	// The query parameters that carry the fields of KnownVersions.
 	versionParameter = "version"
 	hashParameter    = "list"
@@ -144,7 +148,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+snapshotPath, m.handleSnapshot)
 	mux.HandleFunc("GET "+originPath, m.handleOrigin)
-	server := &http.Server{Handler: mux, ReadTimeout: snapshotTimeout, WriteTimeout: 2 * snapshotTimeout}
+	connections := &netconn.OldestCloser{Max: maxEntryConnections}
+	server := &http.Server{
+		Handler: netconn.RejectBodies(mux), ReadTimeout: snapshotTimeout, WriteTimeout: 2 * snapshotTimeout,
+		MaxHeaderBytes: maxEntryHeaderBytes, ConnState: connections.Track,
+	}
 	return netconn.Serve(ctx, server, ln)
 }
 
@@ -165,9 +173,10 @@
 }
 
 func parseKnownVersions(r *http.Request) (KnownVersions, error) {
-	version, errVersion := strconv.ParseInt(r.FormValue(versionParameter), 10, 64)
-	hash, errHash := strconv.ParseUint(r.FormValue(hashParameter), 10, 64)
-	bundle, errBundle := strconv.ParseUint(r.FormValue(bundleParameter), 10, 64)
+	query := r.URL.Query() // FormValue would parse a body
+	version, errVersion := strconv.ParseInt(query.Get(versionParameter), 10, 64)
+	hash, errHash := strconv.ParseUint(query.Get(hashParameter), 10, 64)
+	bundle, errBundle := strconv.ParseUint(query.Get(bundleParameter), 10, 64)
 	return KnownVersions{ConfigurationVersion: version, ListHash: hash, BundleVersion: bundle}, errors.Join(errVersion, errHash, errBundle)
 }
 
