--- a/internal/coordination/dispatch/contention.go
+++ b/internal/coordination/dispatch/contention.go
@@ -31,7 +31,7 @@
 
 // contentionOf returns the contention for the slots of a service.
 func (s *Scheduler) contentionOf(p *pool) contention {
-	if len(s.peerReports) == 0 || s.position.Count < 2 {
+	if !s.policies.admission.LateWork || len(s.peerReports) == 0 || s.position.Count < 2 {
 		return contention{}
 	}
 	slots, own, elsewhere := 0, 0, 0
--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -46,10 +46,11 @@
 	reservedSlots := p.reservedSlots(r, now)
 	first := reservedSlots == 0 || r.AlreadyAdmitted
 	contended := s.contentionOf(p)
+	refusesCut := s.refusesCut(p, r)
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
 	for _, t := range s.targetsFor(p, r, now) {
-		if !t.eligible(now, r) || !s.mayTake(t, now, first) || !s.endsBeforeStop(p, t, r, now) || r.HandOver && !p.takesOver(t, r, now) {
+		if !t.eligible(now, r) || !s.mayTake(t, now, first) || !s.endsBeforeStop(p, t, r, now) || !p.endsBeforeCompletion(t, r, now) || r.HandOver && !p.takesOver(t, r, now) {
 			continue
 		}
 		if !t.ejectedUntil.IsZero() {
@@ -61,7 +62,7 @@
 		f := p.fitOf(t, r, now)
 		bestFit = min(bestFit, f)
 		free := t.requestLimit(reservedSlots) + s.policies.admission.QueuedRequests + overcommit - t.outstanding()
-		if free > 0 && (r.AlreadyAdmitted || contended.mayTake(t, free, now)) {
+		if free > 0 && (r.AlreadyAdmitted || contended.mayTake(t, free, now)) && !(refusesCut && f == fitsNeither && p.isCut(t, r, now)) {
 			s.candidates = append(s.candidates, candidate{target: t, fit: f})
 			bestFree = min(bestFree, f)
 		}
@@ -87,8 +88,10 @@
 	}
 	g.Predicted = p.cost.Response(&t.cost, r.Work, g.load)
 	g.duration = p.cost.Duration(&t.cost, r.Work, g.load)
+	g.predictedEnd = p.cost.End(&t.cost, r.Work, g.load)
+	g.calibrationKey = p.calibrationKey(t, r, g.load)
 	s.limits.Take(now, t.record.ID)
-	t.openGrants[g] = struct{}{}
+	t.openGrants[g], p.openGrants[g] = struct{}{}, struct{}{}
 	t.takeReleased()
 	return g
 }
@@ -126,7 +129,9 @@
 	g.respondedAt = s.now()
 	took := g.respondedAt.Sub(g.grantedAt)
 	p := s.pool(g.request.Service)
+	p.recordPace(g, took, true)
 	if !g.request.Resumed {
+		s.calibration.observeStart(g, took)
 		p.cost.ObserveResponse(&g.target.cost, g.request.Work, g.load, took)
 	}
 }
@@ -163,17 +168,23 @@
 	now := s.now()
 	t.released = append(t.released, now)
 	p := s.pool(g.request.Service)
+	s.calibration.observeEnd(g, o, now)
+	delete(p.openGrants, g)
 	if o == Served {
 		t.stated.served(t.record.Slots)
 		hold := now.Sub(g.grantedAt)
 		p.holdTime += time.Duration(timeAverageWeight * float64(hold-p.holdTime))
 		if !g.request.Resumed {
+			p.cost.ObservePrediction(g.duration, hold)
 			p.cost.ObserveEnd(&t.cost, g.request.Work, g.Events, now.Sub(g.respondedAt), hold)
 		}
 	}
 	if o == Unreachable || o == Unused {
 		s.limits.Return(now, t.record.ID)
 	}
+	if s.versions != nil && g.versions.HasPermit() && !g.Counted {
+		s.versions.ReturnPermit(now, g.request.Service, g.versions)
+	}
 	ejected, returned := t.recordOutcome(now, g, o)
 	if ejected {
 		s.observer.TargetEjected(t.record.ID, t.record.Service, o, t.backoff)
@@ -219,8 +230,10 @@
 	now := s.now()
 	p.markLate(now)
 	s.refuseStopping(p, now)
+	s.refuseCut(p, now)
 	p.refuseLateHandOvers(now)
 	s.grantFreeSlotsOf(p, now)
+	s.refuseBlocked(p, now)
 	s.refusePaused(p, now)
 	s.refuseHopeless(p, now)
 }
@@ -238,12 +251,12 @@
 				continue
 			}
 		}
-		if !s.hasTargetFor(p, w.request, now) {
+		if !s.hasTargetByVersion(p, w.request, now) {
 			p.queue = slices.Delete(p.queue, i, i+1)
 			w.refuse(&Refusal{Reason: ReasonNoTarget, RetryAfter: s.addJitter(noTargetRetryAfter)})
 			continue
 		}
-		g := s.tryGrant(p, w.request, now, fitsObjective)
+		g := s.grantByVersion(p, w.request, now, fitsObjective)
 		if g == nil {
 			if !w.request.HandOver { // it has a target and does not hold up others
 				passedOver++
