rollout: count responses that are observed as overdue

Cause: the gateway marks an attempt as overdue before it passes the observation Overdue on, so that this observation had OverdueBefore set itself. The ledger then dropped it, and the end of the response too.

Change: the gateway never sets OverdueBefore on Overdue, and the ledger ignores it there.

--- a/internal/coordination/gateway/versions.go
+++ b/internal/coordination/gateway/versions.go
@@ -78,7 +78,7 @@
 	r.service.cfg.Counters.Add(fmt.Sprintf("version.%s.%s.%s", r.targetService, a.grant.Target.Software, outcomeNames[o]))
 	r.service.cfg.Rollouts.Observe(now, rollout.Observation{
 		Service: r.targetService, Target: a.grant.Target.ID, Software: a.grant.Target.Software, Route: r.route.Name,
-		Outcome: o, Took: now.Sub(a.sentAt), OverdueBefore: a.overdue.Load(), Ratio: ratio, Slowness: slowness,
+		Outcome: o, Took: now.Sub(a.sentAt), OverdueBefore: o != rollout.Overdue && a.overdue.Load(), Ratio: ratio, Slowness: slowness,
 	})
 }
 
--- a/internal/coordination/rollout/evidence.go
+++ b/internal/coordination/rollout/evidence.go
@@ -193,7 +193,7 @@
 		e.count(r, t, side, counts{ended: 1})
 		t.answered(now)
 	}
-	if !o.OverdueBefore {
+	if o.Outcome == Overdue || !o.OverdueBefore {
 		e.observeTime(route, target, side, o)
 	}
 }
--- a/internal/coordination/rollout/failures_test.go
+++ b/internal/coordination/rollout/failures_test.go
@@ -323,3 +323,31 @@
 		t.Errorf("a report has %d routes and %d targets", len(n.Routes), len(n.Targets))
 	}
 }
+
+// Guards against late responses that do not count because the observation Overdue states that
+// the request is overdue, as the sender knows by then: a version that delays a third of its
+// responses ten times was completed.
+func TestOverdueResponsesProveVersionSlow(t *testing.T) {
+	l := testLedger("a", nil, testPlan(Trial, 20*time.Second))
+	overdue := 0.0
+	for i := 0; i < 90 && l.services["svc"].bad == ""; i++ {
+		now := testStart.Add(time.Duration(i) * 100 * time.Millisecond)
+		serve(l, now, 8, 0, Answered)
+		o := Observation{Service: "svc", Target: state.TargetID(fmt.Sprint("t", 4+i%4)), Software: "v2", Route: "r", Ratio: 1}
+		if i%3 == 0 {
+			if l.services["svc"].bad == "" { // later ones are not counted
+				overdue++
+			}
+			late := o
+			late.Outcome, late.OverdueBefore, late.Ratio = Overdue, true, l.OverdueRatio("svc", o.Target, "r")
+			l.Observe(now, late)
+			o.OverdueBefore, o.Ratio = true, 10
+		}
+		l.Observe(now, o)
+	}
+	now := testStart.Add(10 * time.Second)
+	if counts := l.services["svc"].evidence.routes[hash32("r")].own[newSide]; counts.slow != overdue {
+		t.Errorf("%.0f of %.0f overdue responses count as slow", counts.slow, overdue)
+	}
+	expectDecision(t, l, now, Reverted, true)
+}
--- a/internal/coordination/rollout/observation.go
+++ b/internal/coordination/rollout/observation.go
@@ -48,7 +48,7 @@
 	// Took is the time from sending the request to its end.
 	Took time.Duration
 	// OverdueBefore says that Overdue was observed for the same request before, so that its end
-	// does not count as slow once more.
+	// does not count as slow once more. It means nothing for Overdue itself.
 	OverdueBefore bool
 	// Ratio is the actual time divided by the predicted time at a target of usual speed of the
 	// service, for this size and load. 0 if it is not known.
