Review, case 3: a stream without an event runs at two engines (TWICE)

Cause: a stalled stream that has begun is withdrawn from its engine before it goes on elsewhere; one without an event is sent to the next engine at once. An engine that notices the close of its channel late works on beside the next one. Whether the rule means such streams is for the users to say.

Nothing else changes.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,7 +14,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
 		os.Exit(2)
 	}
-	cases := map[string]func(*world, bool) bool{"stop": playStop, "event": playEvent}
+	cases := map[string]func(*world, bool) bool{"stop": playStop, "event": playEvent, "twice": playTwice}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
