Gateway: a part of a long line is not a line of its own

Cause: bufio.Reader.ReadSlice returns a line that is longer than its buffer in parts, and the event reader examined the last part as if it were the line. A last part that is a line feed alone was taken for the blank line; one that begins with "id:" was taken for the event's id.

Change: package eventstream puts a line together before it looks at it, and returns an event only with its blank line.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/eventstream"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -351,68 +351,30 @@
 // maxEventBytes bounds the size of one event.
 const maxEventBytes = 4 << 20
 
+// eventReader reads the events of one response.
 type eventReader struct {
-	in   *bufio.Reader
+	in   *eventstream.Reader
 	held *heldResponse // by the event that was returned last
 }
 
 func newEventReader(r io.Reader, held *heldResponse) *eventReader {
-	return &eventReader{in: bufio.NewReader(r), held: held}
+	return &eventReader{in: eventstream.NewReader(r, maxEventBytes, held.hold), held: held}
 }
 
-// next returns the next complete event, which takes the place of the one before. The error
-// is io.EOF only if the body ended between two events. A body that ends inside an event was
-// broken off, even if nothing else shows it: a body without length or chunks also ends when
-// its sender crashes.
+// next returns the next complete event, which takes the place of the one before. Its errors are
+// those of eventstream.Reader.Next and of heldResponse.hold.
 func (e *eventReader) next() (event, error) {
-	var ev event
 	e.held.release()
-	for {
-		line, err := e.in.ReadSlice('\n')
-		ev.data = append(ev.data, line...)
-		if len(ev.data) > maxEventBytes {
-			return event{}, errTooLarge
-		}
-		if err := e.held.hold(cap(ev.data)); err != nil {
-			return event{}, err
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if errors.Is(err, io.EOF) && len(ev.data) > 0 {
-			return event{}, fmt.Errorf("%w, after %d bytes of it", errEndsInsideEvent, len(ev.data))
-		}
-		if err != nil {
-			return event{}, err
-		}
-		text := trimLineEnd(line)
-		if len(text) == 0 {
-			return ev, nil
-		}
-		if id, ok := fieldValue(text, "id"); ok {
-			ev.id = id
-		}
-		ev.hasField = ev.hasField || text[0] != ':'
-	}
-}
-
-// trimLineEnd returns the line without its CR and LF characters.
-func trimLineEnd(line []byte) []byte {
-	for len(line) > 0 && (line[len(line)-1] == '\n' || line[len(line)-1] == '\r') {
-		line = line[:len(line)-1]
-	}
-	return line
-}
-
-// fieldValue returns the value of the named field, and whether the line of an event
-// sets that field.
-func fieldValue(line []byte, name string) (string, bool) {
-	if len(line) <= len(name) || string(line[:len(name)]) != name || line[len(name)] != ':' {
-		return "", false
+	data, err := e.in.Next()
+	if err != nil {
+		return event{}, err
 	}
-	value := line[len(name)+1:]
-	if len(value) > 0 && value[0] == ' ' {
-		value = value[1:]
+	ev := event{data: data}
+	for name, value := range data.Fields() {
+		ev.hasField = true
+		if name == "id" {
+			ev.id = string(value)
+		}
 	}
-	return string(value), true
+	return ev, nil
 }
--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -46,3 +47,32 @@
 		t.Errorf("ended %t with body %q, want the whole response", out.ended, out.body.String())
 	}
 }
+
+// Guards against a part of a long line that is taken for a line of its own. Taken for a blank
+// line, it ends an event that its target broke off, and the caller gets that and the next one as
+// one event. Taken for an id, it moves the place at which the stream is resumed.
+func TestPartOfLongLineIsNoLine(t *testing.T) {
+	const bufferBytes = 4096 // of the reader of events
+	first := events[:strings.Index(events, "id: 2")]
+	var cases []streamCase
+	check := func(length int, end string) {
+		line := "data: " + strings.Repeat("x", length-len("data: "))
+		begun := "id: 2" + end + line + end
+		cases = append(cases, streamCase{
+			fmt.Sprintf("%d bytes and %q, broken off before the blank line", length, end), "/resume/x",
+			[]behaviour{truncated(first + begun), endingWithConnection(begun + end)}, first + begun + end, true, false, 0, []string{"", "1"},
+		})
+		second, third := "id: 2"+end+line+"id: 9"+end+end, "id: 3"+end+"data: c"+end+end
+		cases = append(cases, streamCase{
+			fmt.Sprintf("%d bytes and %q, then an id inside the line", length, end), "/resume/x",
+			[]behaviour{truncated(first + second + "id: 3" + end), endingWithConnection(third)}, first + second + third, true, false, 0, []string{"", "2"},
+		})
+	}
+	for extra := -3; extra <= 3; extra++ {
+		for _, end := range []string{"\n", "\r\n"} {
+			check(bufferBytes+extra, end)
+			check(2*bufferBytes+extra, end)
+		}
+	}
+	checkStreams(t, cases)
+}
