Load tool: a response is complete only with its last event

The load tool and the measurement of slopes counted a stream as complete that was cut off inside its last event, and two events that came as one passed the check of order. A faulty entry would not have been noticed.

Data of several lines, which entries send, was rejected for the same reason.

Change: both read whole events with package eventstream. A stream that ends inside an event counts as cut, that is, as a violation.

--- a/cmd/slopes/measure.go
+++ b/cmd/slopes/measure.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -17,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/eventstream"
 	"github.com/cassiaramp/cassiaramp/internal/ctl/vars"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/platformclient"
@@ -30,6 +30,7 @@
 	changeWindowTime = 3 * time.Second         // duration of the window of phaseChange
 	outputTokens     = 96                      // of each request
 	callTimeout      = 2 * time.Second
+	maxEventBytes    = 1 << 20 // of one server-sent event
 )
 
 // The phases of a measurement.
@@ -408,15 +409,19 @@
 		b, _ := io.ReadAll(io.LimitReader(resp.Body, 300))
 		return fmt.Errorf("status %d: %s", resp.StatusCode, b)
 	}
+	events := eventstream.NewReader(resp.Body, maxEventBytes, nil)
 	complete := false
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		complete = complete || lines.Text() == "data: [DONE]"
-	}
-	if err := lines.Err(); err != nil || !complete {
-		return fmt.Errorf("stream ended before data: [DONE]: %w", err)
+	for {
+		event, err := events.Next()
+		switch {
+		case errors.Is(err, io.EOF) && complete:
+			return nil
+		case err != nil:
+			return fmt.Errorf("stream ended, with [DONE]: %t: %w", complete, err)
+		}
+		data, _ := event.Data()
+		complete = complete || string(data) == "[DONE]"
 	}
-	return nil
 }
 
 // ownCPUTime returns the processor time that this process has used.
--- a/cmd/slopes/report_test.go
+++ b/cmd/slopes/report_test.go
@@ -1,11 +1,29 @@
 package main
 
 import (
+	"io"
 	"math"
+	"net/http"
 	"os"
+	"strings"
 	"testing"
 )
 
+// Guards against a response that counts as complete although it ends inside its last event.
+func TestStreamIsCompleteWithItsLastEvent(t *testing.T) {
+	for body, want := range map[string]bool{
+		"data: {}\n\ndata: [DONE]\n\n": true,
+		"data: {}\n\ndata: [DONE]\n":   false,
+		"data: {}\n\ndata: [DONE]":     false,
+		"data: {}\n\n":                 false,
+	} {
+		resp := &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body))}
+		if err := readStream(resp); (err == nil) != want {
+			t.Errorf("%q: error %v, want complete: %t", body, err, want)
+		}
+	}
+}
+
 // Guards against wrong coefficients in docs/CAPACITY.md.
 func TestFitLine(t *testing.T) {
 	intercept, slope, maxResidual := fitLine([]float64{1, 2, 4, 8}, []float64{5, 7, 11, 19})
--- a/internal/ctl/loadcmd/verify.go
+++ b/internal/ctl/loadcmd/verify.go
@@ -1,7 +1,6 @@
 package loadcmd
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
@@ -9,9 +8,11 @@
 	"io"
 	"strings"
 	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/eventstream"
 )
 
-// maxEventBytes bounds one line of a stream of server-sent events.
+// maxEventBytes bounds one server-sent event.
 const maxEventBytes = 1 << 20
 
 // completionResponse is the body of a response that is not streamed, or one event of
@@ -124,23 +125,30 @@
 // readStream reads server-sent events to the end of the stream and sets the outcome.
 func (r *sendResult) readStream(stream io.Reader, started time.Time) {
 	g := &generation{reportedTokens: -1}
-	lines := bufio.NewScanner(stream)
-	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	events := eventstream.NewReader(stream, maxEventBytes, nil)
 	last := started
-	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data:")
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			r.finish(g, nil, true)
+			return
+		}
+		if err != nil {
+			r.finish(g, err, true)
+			return
+		}
+		data, ok := event.Data()
 		if !ok {
 			continue
 		}
 		before := g.tokens
-		if !r.handleEvent(g, strings.TrimSpace(data)) {
+		if !r.handleEvent(g, string(bytes.TrimSpace(data))) {
 			return
 		}
 		if g.tokens > before {
 			last = r.recordTokenTime(started, last)
 		}
 	}
-	r.finish(g, lines.Err(), true)
 }
 
 // recordTokenTime records that a token arrived now and returns the time. last is the
@@ -219,6 +227,10 @@
 // finish sets the outcome of a response whose reading ended with err, nil at its
 // regular end.
 func (r *sendResult) finish(g *generation, err error, streamed bool) {
+	if errors.Is(err, eventstream.ErrEndsInsideEvent) {
+		r.outcome, r.detail = outcomeCut, err.Error()
+		return
+	}
 	if err != nil && !g.doneReceived {
 		r.outcome, r.detail = outcomeBroken, fmt.Sprintf("after %d tokens: %v", g.tokens, err)
 		return
