Protocol: a frame without its body is not the end of a stream

Read returned an error that wraps io.EOF, which stands for a stream that ended between two frames, if the stream ended between the header of a frame and its body. No caller was affected: today's readers end the session, or break the attempt off, on every error.

Cause: io.ReadFull returns io.EOF when it gets no byte at all, also for the second part of a frame.

Change: Read returns io.ErrUnexpectedEOF there.

Evidence: TestReadTruncatedFrame tries every length of a frame now, and failed for a frame cut to 5 of its 13 bytes on the code before.

--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -86,7 +86,7 @@
 }
 
 // Read reads one frame and decodes it. The result is a pointer to one of the
-// message types. The error is io.EOF when the stream ends between two frames.
+// message types. The error is io.EOF only if the stream ends between two frames.
 func Read(r io.Reader) (Message, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
@@ -97,7 +97,11 @@
 		return nil, fmt.Errorf("read frame: %w: %d bytes", ErrFrameTooLarge, n)
 	}
 	body := make([]byte, n-1)
-	if _, err := io.ReadFull(r, body); err != nil {
+	_, err := io.ReadFull(r, body)
+	if errors.Is(err, io.EOF) { // of a stream that ends just after the header
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return nil, fmt.Errorf("read frame body: %w", err)
 	}
 	return Decode(Kind(header[4]), body)
--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -60,9 +60,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, err = Read(bytes.NewReader(frame[:len(frame)-1]))
-	if err == nil || err == io.EOF {
-		t.Fatalf("got %v, want an error other than io.EOF", err)
+	for n := range frame {
+		want := io.ErrUnexpectedEOF
+		if n == 0 {
+			want = io.EOF
+		}
+		if _, err = Read(bytes.NewReader(frame[:n])); !errors.Is(err, want) {
+			t.Errorf("%d of %d bytes: error %v, want %v", n, len(frame), err, want)
+		}
 	}
 }
 
