--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/netip"
@@ -289,3 +290,25 @@
 		t.Errorf("report %+v, %v, want %+v", got.Rollouts, err, want)
 	}
 }
+
+// Guards against a snapshot that was cut off on the way, or changed, and is taken for whole.
+func TestTruncatedSnapshotIsAnError(t *testing.T) {
+	s := Snapshot{Targets: []state.TargetRecord{{ID: "t", Service: "s", Slots: 3}}, ListHash: 5}
+	body, _, err := new(snapshotCache).encode(&s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := decodeSnapshot(bytes.NewReader(body)); err != nil || len(got.Targets) != 1 {
+		t.Fatalf("snapshot %+v, error %v", got, err)
+	}
+	for n := range body {
+		if _, err := decodeSnapshot(bytes.NewReader(body[:n])); err == nil {
+			t.Errorf("%d of %d bytes: no error", n, len(body))
+		}
+	}
+	changed := bytes.Clone(body)
+	changed[len(changed)-5]++ // of the checksum
+	if _, err := decodeSnapshot(bytes.NewReader(changed)); err == nil {
+		t.Error("another checksum: no error")
+	}
+}
--- a/internal/transport/mesh/snapshot.go
+++ b/internal/transport/mesh/snapshot.go
@@ -146,13 +146,21 @@
 	return c.body, c.at, nil
 }
 
+// decodeSnapshot reads to the end of the stream, where the checksum is.
 func decodeSnapshot(r io.Reader) (*Snapshot, error) {
 	z, err := gzip.NewReader(r)
 	if err != nil {
 		return nil, err
 	}
+	b, err := io.ReadAll(io.LimitReader(z, maxSnapshotBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(b) > maxSnapshotBytes {
+		return nil, fmt.Errorf("snapshot exceeds %d bytes", maxSnapshotBytes)
+	}
 	s := new(Snapshot)
-	if err := json.NewDecoder(io.LimitReader(z, maxSnapshotBytes)).Decode(s); err != nil {
+	if err := json.Unmarshal(b, s); err != nil {
 		return nil, err
 	}
 	return s, nil
