Gateway: a stream that ends together with its target is not complete

Callers got streams that ended as complete before their last event when the process of a target was killed (ORDER).

Cause: a stream may have neither a length nor chunks. The kernel closes the connections of a killed process without a reset if it has read all that came, and a target that writes whole events is killed between two of them. The entry took that for the end of the stream.

Change: when such a stream ends, the entry looks whether its target still accepts and keeps a connection. If not, the stream goes on elsewhere where it may be resumed, and is broken off otherwise. The soak of the users' deployments kills targets in series, and its judge names the rule ORDER, which it counted as MIXED before.

TestStreamEndingWithItsTargetIsIncomplete and TestKilledTargetHasEnded need the new check.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -254,6 +254,9 @@
 			if head.EndsWithConnection && !a.race.won(a) && !a.begun {
 				return dispatch.Broken, errNoEvent
 			}
+			if a.endsWithTarget(head) {
+				return a.outcomeOf(errEndsWithTarget), errEndsWithTarget
+			}
 			if !a.claim(true) {
 				return a.outcomeOf(errOutrun), errOutrun
 			}
@@ -285,6 +288,13 @@
 	}
 }
 
+// endsWithTarget reports whether a response that has neither a length nor chunks has ended
+// together with its target, which may have crashed in the middle of it: the kernel closes the
+// connections of a process that ends like those that the process closes itself.
+func (a *attempt) endsWithTarget(head *state.Response) bool {
+	return head.EndsWithConnection && a.request.service.cfg.TargetClient.HasEnded(a.ctx, a.grant.Target.Address)
+}
+
 // countEvent records the start of the response and the events for the cost model.
 func (a *attempt) countEvent() {
 	if a.grant.Events == 0 {
--- a/internal/coordination/gateway/crashfleet_test.go
+++ b/internal/coordination/gateway/crashfleet_test.go
@@ -126,6 +126,10 @@
 	return c.find(address).crashed == nil
 }
 
+func (c *crashEngines) HasEnded(ctx context.Context, address string) bool {
+	return c.Refuses(ctx, address) || c.Closes(ctx, address)
+}
+
 func (c *crashEngines) find(address string) *crashEngine {
 	for _, e := range c.engines {
 		if e.record.Address == address {
--- a/internal/coordination/gateway/handoverstress_test.go
+++ b/internal/coordination/gateway/handoverstress_test.go
@@ -24,6 +24,7 @@
 // stressTargets sends streams that pause at random, for ever at times. It records streams that
 // run at two targets at once.
 type stressTargets struct {
+	runningTargets
 	mu      sync.Mutex
 	random  *rand.Rand
 	running map[state.RequestID]context.Context // of the latest send
@@ -32,9 +33,6 @@
 	repeats int // sends of requests that had reached a target before
 }
 
-func (s *stressTargets) Refuses(context.Context, string) bool { return false }
-func (s *stressTargets) Closes(context.Context, string) bool  { return false }
-
 func (s *stressTargets) Send(ctx context.Context, f *Forward) (Exchange, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/coordination/gateway/hedgefleet_test.go
+++ b/internal/coordination/gateway/hedgefleet_test.go
@@ -27,6 +27,7 @@
 // simFleet is a number of entries before one service. It records what targets do and how long
 // callers wait.
 type simFleet struct {
+	runningTargets
 	mu      sync.Mutex
 	random  *rand.Rand
 	targets map[string]*simTarget
@@ -75,9 +76,6 @@
 	}
 }
 
-func (f *simFleet) Refuses(context.Context, string) bool { return false }
-func (f *simFleet) Closes(context.Context, string) bool  { return false }
-
 func (f *simFleet) Send(ctx context.Context, fw *Forward) (Exchange, error) {
 	id := fw.Target.Address
 	f.mu.Lock()
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -65,6 +65,9 @@
 	// Closes reports whether connections to an address that does not refuse them are closed
 	// soon after, without a request.
 	Closes(ctx context.Context, address string) bool
+	// HasEnded reports whether the target at an address, which has just closed a connection, has
+	// ended: further connections are refused, or closed at once.
+	HasEnded(ctx context.Context, address string) bool
 }
 
 // Exchange is a request that was sent and its response. It is not safe for
--- a/internal/coordination/gateway/retrybudget_test.go
+++ b/internal/coordination/gateway/retrybudget_test.go
@@ -24,6 +24,7 @@
 
 // faultyTargets fail all requests in one way at a time. They record what arrives.
 type faultyTargets struct {
+	runningTargets
 	mu       sync.Mutex
 	random   *rand.Rand
 	fault    behaviour
@@ -47,10 +48,6 @@
 	return ex, err
 }
 
-func (f *faultyTargets) Refuses(context.Context, string) bool { return false }
-
-func (f *faultyTargets) Closes(context.Context, string) bool { return false }
-
 // retryFleet is a number of entries before one service, under a load of 140 requests a
 // second.
 type retryFleet struct {
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -72,6 +72,7 @@
 	errDeadline        = errors.New("deadline of the request passed")
 	errTooLarge        = errors.New("response body is too large")
 	errEndsWithdrawn   = errors.New("response without length or chunks ended after its target was asked to abandon it")
+	errEndsWithTarget  = errors.New("response without length or chunks ended together with its target")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
 )
 
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -28,11 +28,20 @@
 // behaviour is how a target handles one send.
 type behaviour func(ctx context.Context, f *Forward) (Exchange, error)
 
+// runningTargets are targets that accept connections.
+type runningTargets struct{}
+
+func (runningTargets) Refuses(context.Context, string) bool  { return false }
+func (runningTargets) Closes(context.Context, string) bool   { return false }
+func (runningTargets) HasEnded(context.Context, string) bool { return false }
+
 // fakeTargetClient handles each send by the next behaviour.
 type fakeTargetClient struct {
+	runningTargets
 	mu         sync.Mutex
 	behaviours []behaviour
 	sends      []Forward
+	ended      map[string]bool // addresses of targets that have ended
 }
 
 func (f *fakeTargetClient) Send(ctx context.Context, fw *Forward) (Exchange, error) {
@@ -45,12 +54,20 @@
 	b := f.behaviours[0]
 	f.behaviours = f.behaviours[1:]
 	f.mu.Unlock()
-	return b(ctx, fw)
+	ex, err := b(ctx, fw)
+	if fake, ok := ex.(*fakeExchange); ok && fake.endsTarget {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.ended = map[string]bool{fw.Target.Address: true}
+	}
+	return ex, err
 }
 
-func (f *fakeTargetClient) Refuses(context.Context, string) bool { return false }
-
-func (f *fakeTargetClient) Closes(context.Context, string) bool { return false }
+func (f *fakeTargetClient) HasEnded(_ context.Context, address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ended[address]
+}
 
 // resumePoints returns the event after which each send resumed.
 func (f *fakeTargetClient) resumePoints() []string {
@@ -64,6 +81,8 @@
 type fakeExchange struct {
 	head    *state.Response
 	headErr error
+	// endsTarget says that the target has ended when the body has.
+	endsTarget bool
 	io.Reader
 }
 
--- a/internal/coordination/gateway/statement_test.go
+++ b/internal/coordination/gateway/statement_test.go
@@ -24,6 +24,7 @@
 // statingTargets are targets that state pauses, or that they leave, in their responses. They
 // implement TargetClient.
 type statingTargets struct {
+	runningTargets
 	mu     sync.Mutex
 	random *rand.Rand
 	// stated returns what a target states now.
@@ -54,9 +55,6 @@
 	entry int
 }
 
-func (c clientOf) Refuses(context.Context, string) bool { return false }
-func (c clientOf) Closes(context.Context, string) bool  { return false }
-
 // Send implements TargetClient. Opening the connection takes some time.
 func (c clientOf) Send(ctx context.Context, f *Forward) (Exchange, error) {
 	c.mu.Lock()
--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -18,6 +18,34 @@
 	}
 }
 
+// endingWithTarget answers as endingWithConnection does, from a target that has ended then.
+func endingWithTarget(body string) behaviour {
+	return func(ctx context.Context, f *Forward) (Exchange, error) {
+		ex, err := endingWithConnection(body)(ctx, f)
+		ex.(*fakeExchange).endsTarget = true
+		return ex, err
+	}
+}
+
+// Guards against a stream that is passed on as complete although its target has crashed between
+// two events, and against events that come twice because a stream was whole then.
+func TestStreamEndingWithItsTargetIsIncomplete(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	checkStreams(t, []streamCase{
+		{"may not be resumed", "/stream/x", []behaviour{endingWithTarget(first)}, first, false, true, 0, []string{""}},
+		{"goes on elsewhere", "/resume/x", []behaviour{endingWithTarget(first), endingWithConnection(rest)}, events, true, false, 0, []string{"", "1"}},
+		{"was whole, nothing is left", "/resume/x", []behaviour{endingWithTarget(events), endingWithConnection("")}, events, true, false, 0, []string{"", "3"}},
+		{"second target ends too", "/resume/x", []behaviour{endingWithTarget(first), endingWithTarget(rest)}, events, false, true, 0, []string{"", "1"}},
+		{"body with an end", "/stream/x", []behaviour{func(ctx context.Context, f *Forward) (Exchange, error) {
+			ex, err := endingWithTarget(events)(ctx, f)
+			ex.(*fakeExchange).head.EndsWithConnection = false
+			return ex, err
+		}}, events, true, false, 0, []string{""}},
+		{"target runs", "/stream/x", []behaviour{endingWithConnection(events)}, events, true, false, 0, []string{""}},
+	})
+}
+
 // Guards against a stream that a target breaks off inside an event, or before the first
 // one, and that reaches the caller as complete because its body ended without an error.
 func TestStreamEndingInsideEventIsIncomplete(t *testing.T) {
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -206,7 +206,7 @@
 
 func (c *engineConn) Close() error {
 	c.closed()
-	if c.target.Closing.Load() {
+	if c.target.Closing.Load() && !c.target.Killed.Load() {
 		resetConn(c.Conn)
 	}
 	return c.Conn.Close()
--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -83,8 +83,10 @@
 	SlowFactor, LosePerMille atomic.Int64
 	// SilentUntil is when a target with a profile goes on with its work, in Unix nanoseconds.
 	SilentUntil atomic.Int64
-	// Closing is set before the server of a target with a profile is closed.
-	Closing atomic.Bool
+	// Closing is set before the server of a target with a profile is closed. Its connections are
+	// reset then, unless Killed is set: the kernel ends those of a process that is killed without
+	// a reset if the process has read all that came.
+	Closing, Killed atomic.Bool
 
 	slots slotQueue
 
--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -262,6 +262,13 @@
 			}
 		}
 	}
+	if d.world.seed%2 == 1 { // processes of targets are killed in series
+		for at := between(0, ms(4000)); at < day; at += between(ms(2000), ms(6000)) {
+			for kill := at; kill < at+ms(2000); kill += between(ms(100), ms(1200)) {
+				add(kill, d.killEngine)
+			}
+		}
+	}
 	slices.SortStableFunc(plan, func(a, b step) int { return int(a.at - b.at) })
 	begin := time.Now()
 	for _, s := range plan {
@@ -337,18 +344,45 @@
 		e.Closing.Store(true)
 		e.server.Close()
 		w.store.Put("keyed.servers", e.ID, nil)
-		time.AfterFunc(2*time.Second, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if w.closed {
-				return
-			}
-			next := &emulator.Target{ID: e.ID + "n", Service: e.Service, Slots: e.Slots, EventsPerStream: e.EventsPerStream, Software: e.Software, Ledger: e.Ledger, Profile: e.Profile}
-			n := &engine{Target: next, startedAt: time.Now()}
-			d.serveTarget(n, e.proxyAddress)
-			w.engines[slices.Index(w.engines, e)] = n
-			w.putTargetRecord(n, "ready")
-		})
+		d.restartEngine(e)
+	})
+}
+
+// killEngine ends a target as a process that is killed, and lets another one begin at its address.
+// The record goes when its lease has run out.
+func (d *deploymentRun) killEngine() {
+	w, e := d.world, d.engine()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if e.removed {
+		return
+	}
+	e.removed = true
+	e.Killed.Store(true)
+	e.Closing.Store(true)
+	d.impair("killed", e.ID, 0)
+	e.server.Close()
+	time.AfterFunc(recordLease, func() { w.store.Put("keyed.servers", e.ID, nil) })
+	d.restartEngine(e)
+}
+
+// recordLease is the time after which the record of a silent target is removed.
+const recordLease = 3 * time.Second
+
+// restartEngine starts a target in place of e, which has ended, after a while.
+func (d *deploymentRun) restartEngine(e *engine) {
+	w := d.world
+	time.AfterFunc(2*time.Second, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.closed {
+			return
+		}
+		next := &emulator.Target{ID: e.ID + "n", Service: e.Service, Slots: e.Slots, EventsPerStream: e.EventsPerStream, Software: e.Software, Ledger: e.Ledger, Profile: e.Profile}
+		n := &engine{Target: next, startedAt: time.Now()}
+		d.serveTarget(n, e.proxyAddress)
+		w.engines[slices.Index(w.engines, e)] = n
+		w.putTargetRecord(n, "ready")
 	})
 }
 
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -37,7 +37,7 @@
 	}
 	t.Logf("%s, seed %d: %d attempts: %v; periods without processor time: %d", d.name, d.world.seed, len(d.attempts), d.outcomes(), d.world.throttled.Load())
 	t.Logf("findings of %s, seed %d: %v", d.name, d.world.seed, counts)
-	for _, rule := range []string{"LOST", "TWICE", "REFUSED", "MIXED"} {
+	for _, rule := range []string{"LOST", "TWICE", "REFUSED", "MIXED", "ORDER"} {
 		if counts[rule] > 0 {
 			t.Errorf("%s: %d", rule, counts[rule])
 		}
@@ -86,8 +86,8 @@
 		if a.kind.once() && len(ran) > 0 && slices.Contains([]int{429, 503, 408, 421}, a.status) {
 			report("REFUSED", a, runs, "was refused and ran")
 		}
-		if wrong := a.wrongAnswer(ran); wrong != "" {
-			report("MIXED", a, runs, wrong)
+		if rule, wrong := a.wrongAnswer(ran); wrong != "" {
+			report(rule, a, runs, wrong)
 		}
 		if !a.cut(runs, d.pausedTime(a)) {
 			continue
@@ -120,12 +120,13 @@
 	return counts
 }
 
-// wrongAnswer says what is wrong with the answer of an attempt that ran as given, or returns
-// "".
-func (a *attempt) wrongAnswer(ran []emulator.Run) string {
+// wrongAnswer says which rule the answer of an attempt that ran as given breaks and how, or
+// returns "".
+func (a *attempt) wrongAnswer(ran []emulator.Run) (rule, wrong string) {
 	success := a.status >= 200 && a.status < 300
-	whole := ""
+	whole, ofBody := "", "MIXED"
 	if a.kind.kind == "streaming" {
+		ofBody = "ORDER"
 		for n := a.after + 1; n <= a.events; n++ {
 			whole += emulator.StreamEvent(a.id, n, "v1")
 		}
@@ -135,19 +136,19 @@
 	statuses := map[string]int{emulator.RunFailed: http.StatusInternalServerError, emulator.RunTimedOut: http.StatusGatewayTimeout}
 	switch {
 	case a.extra:
-		return "bytes after the answer"
+		return "MIXED", "bytes after the answer"
 	case a.status != 0 && a.answerID != a.id:
-		return fmt.Sprintf("answer of request %q", a.answerID)
+		return "MIXED", fmt.Sprintf("answer of request %q", a.answerID)
 	case success && a.signature == "":
-		return "success without signature"
+		return "MIXED", "success without signature"
 	case success && !strings.HasPrefix(whole, a.body):
-		return "events or bytes are missing, repeated or of another request"
+		return ofBody, "events or bytes are missing, repeated or of another request"
 	case success && a.err == nil && a.body != whole:
-		return "ends as if complete"
+		return ofBody, "ends as if complete"
 	case !success && a.signature != "" && !slices.ContainsFunc(ran, func(r emulator.Run) bool { return statuses[r.Outcome] == a.status }):
-		return "signed failure that no target sent"
+		return "MIXED", "signed failure that no target sent"
 	}
-	return ""
+	return "", ""
 }
 
 // cut reports whether the entry closed the connection without a whole answer to a request
--- a/internal/faultsoak/judgecases_test.go
+++ b/internal/faultsoak/judgecases_test.go
@@ -74,7 +74,7 @@
 			events: []event{stopped}, want: map[string]int{"dropped": 1}},
 		{name: "given up", a: with(cut, func(a *attempt) { a.kind, a.status, a.signature, a.body, a.err = resumable, 502, "", "", nil }),
 			runs: []emulator.Run{run("x", 0, 400, emulator.RunDropped)}, want: map[string]int{"given up": 1}},
-		{name: "ends too early", a: with(cut, func(a *attempt) { a.err = nil }), runs: []emulator.Run{run("x", 0, 500, emulator.RunLost)}, want: map[string]int{"MIXED": 1}},
+		{name: "ends too early", a: with(cut, func(a *attempt) { a.err = nil }), runs: []emulator.Run{run("x", 0, 500, emulator.RunLost)}, want: map[string]int{"ORDER": 1}},
 		{name: "of another request", a: with(cut, func(a *attempt) { a.answerID, a.body, a.err = "b", events(9), nil }),
 			runs: []emulator.Run{run("x", 0, 500, emulator.RunCompleted)}, want: map[string]int{"MIXED": 1}},
 		{name: "failure that no target sent", a: with(cut, func(a *attempt) { a.kind, a.status, a.body, a.err = plain, 500, "", nil }),
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -34,6 +34,8 @@
 
 func (f targetClientFunc) Closes(context.Context, string) bool { return false }
 
+func (f targetClientFunc) HasEnded(context.Context, string) bool { return false }
+
 func (f targetClientFunc) Send(ctx context.Context, forward *gateway.Forward) (gateway.Exchange, error) {
 	return f(ctx, forward)
 }
--- /dev/null
+++ b/internal/transport/upstream/ended_test.go
@@ -0,0 +1,118 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// targetVariable marks a process that TestKilledTargetHasEnded has started as its target.
+const targetVariable = "UPSTREAM_TEST_TARGET"
+
+// serveEndlessStreams answers each request with a stream that has neither a length nor chunks, and
+// prints its address.
+func serveEndlessStreams(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Println(ln.Addr())
+	t.Fatal(http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Transfer-Encoding", "identity")
+		for n := 1; r.Context().Err() == nil; n++ {
+			fmt.Fprintf(w, "id: %d\ndata: x\n\n", n) // an error ends the context too
+			http.NewResponseController(w).Flush()
+			time.Sleep(time.Millisecond)
+		}
+	})))
+}
+
+// Guards against a killed process that is taken for one that runs, in which case its streams would
+// be passed on as complete: the kernel closes its connections without a reset.
+func TestKilledTargetHasEnded(t *testing.T) {
+	if os.Getenv(targetVariable) != "" {
+		serveEndlessStreams(t)
+	}
+	for range 3 {
+		target := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+		target.Env = append(os.Environ(), targetVariable+"=1")
+		out, err := target.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := target.Start(); err != nil {
+			t.Fatal(err)
+		}
+		line, err := bufio.NewReader(out).ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := strings.TrimSpace(line)
+		c := New()
+		if c.HasEnded(t.Context(), address) {
+			t.Error("the target seems to have ended before it is killed")
+		}
+		ex, err := begin(t.Context(), c, state.TargetRecord{ID: "t", Address: address}, "a", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ex.Head(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(ex, make([]byte, 100)); err != nil {
+			t.Fatal(err)
+		}
+		if err := target.Process.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		_, err = io.Copy(io.Discard, ex)
+		target.Wait() // the error says that it was killed
+		if ended := c.HasEnded(t.Context(), address); !ended || err != nil {
+			t.Errorf("stream ended with error %v, target has ended: %t; want no error and true", err, ended)
+		}
+		ex.Close(true)
+	}
+}
+
+// Guards against a target that is taken for one that runs because the kernel still accepts
+// connections for it, and resets them a moment later.
+func TestTargetThatClosesNewConnectionsHasEnded(t *testing.T) {
+	address, _ := startTarget(t, func(c net.Conn, _ *bufio.Reader) { c.(*net.TCPConn).SetLinger(0) })
+	if !New().HasEnded(t.Context(), address) {
+		t.Error("the target seems to run")
+	}
+}
+
+// closingConn is a connection that its target closes as soon as it is read.
+type closingConn struct{ *net.TCPConn }
+
+func (closingConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Guards against a target that counts as ended because it closes a connection that has been idle
+// for too long.
+func TestTargetThatClosesIdleConnectionHasNotEnded(t *testing.T) {
+	address, _ := startTarget(t, func(_ net.Conn, r *bufio.Reader) { r.Peek(1) }) // until it is closed
+	c := New()
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	idle := newConnection(closingConn{conn.(*net.TCPConn)}, address)
+	idle.expiresAt = time.Now().Add(time.Hour)
+	c.pushIdle(idle)
+	if c.HasEnded(t.Context(), address) {
+		t.Error("the target seems to have ended")
+	}
+	if n := c.ConnectionsOpened(); n != 1 {
+		t.Errorf("%d connections opened, want another one than the idle one", n)
+	}
+}
