Gateway: a plain response that ends together with its target is not complete

A plain response without length or chunks was passed on with a part of its body when the process of its target was killed in the middle of it (MIXED). Found by looking for the cause of the streams of killed targets elsewhere; not seen with callers.

Cause: as for streams, the end of a connection without an error was taken for the end of the response.

Change: the entry looks whether the target still runs before it takes such a response for complete. A request that may be repeated goes to another target; the outcome of others is unknown.

Evidence: TestPlainResponseEndingWithItsTargetIsIncomplete failed on the code before.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -99,8 +99,12 @@
 		return outcome, err
 	}
 	body, err := a.readBody(ex)
-	if err == nil && head.EndsWithConnection && a.handOver.wasWithdrawn() {
+	switch {
+	case err != nil:
+	case head.EndsWithConnection && a.handOver.wasWithdrawn():
 		err = errEndsWithdrawn
+	case a.endsWithTarget(head):
+		err = errEndsWithTarget
 	}
 	if err != nil {
 		return a.outcomeOf(err), err
--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -104,3 +104,14 @@
 	}
 	checkStreams(t, cases)
 }
+
+// Guards against a plain response that is passed on as complete although its target has crashed in
+// the middle of it: without a length or chunks, its body ends without an error then.
+func TestPlainResponseEndingWithItsTargetIsIncomplete(t *testing.T) {
+	if out, _ := serveCall(t, "/once/x", endingWithTarget("par")); out.failure.Kind != UnknownOutcome {
+		t.Errorf("failure %v with body %q, want that the outcome is unknown", out.failure.Kind, out.body.String())
+	}
+	if out, _ := serveCall(t, "/plain/x", endingWithTarget("par"), endingWithConnection("whole")); !out.ended || out.body.String() != "whole" {
+		t.Errorf("ended %t with body %q, want the response of another target", out.ended, out.body.String())
+	}
+}
