Gateway: an event that the caller has is not passed on again

If a target sent an event once more, most of all the one after which it was asked to resume a stream, the caller got it twice (ORDER). Found by trying hypotheses on the users' report of ORDER on real processes; that any of their cases is this one is not shown.

Cause: nothing compared the id of an event with the last one passed on, although the ids of a stream increase.

Change: events with a number that is not above the last one are dropped, logged and counted, and are no progress of their target. A caller's own Last-Event-Id counts only where streams may be resumed.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -38,7 +39,10 @@
 	// begun and resumeAfter are what the caller had of the response when the attempt began.
 	begun       bool
 	resumeAfter string
-	failure     *failureResponse // 5xx response of the target, or nil
+	// passedOn is the ID of the last event that the caller has, if it is a number.
+	passedOn eventNumber
+	repeated int              // events that the target sent although the caller has them
+	failure  *failureResponse // 5xx response of the target, or nil
 }
 
 // newAttempt returns an attempt at the target of a grant. ctx ends with the request, and
@@ -46,6 +50,9 @@
 func (r *request) newAttempt(ctx, placementCtx context.Context, g *dispatch.Grant) *attempt {
 	a := &attempt{request: r, grant: g, sentAt: time.Now(), parent: ctx, begun: r.streamBegun, resumeAfter: r.lastEventID}
 	a.progressAt = a.sentAt
+	if r.streamBegun || r.route.Resumable { // a target may begin again at 1 otherwise
+		a.passedOn = parseEventNumber(a.resumeAfter)
+	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.handOver = &handOver{attempt: a, ctx: placementCtx}
 	a.race = newRace(a)
@@ -272,8 +279,8 @@
 		if !a.handOver.goesOn() { // the other target continues from the event before
 			return dispatch.Silent, errStalled
 		}
-		if !event.hasField && a.race.contested() {
-			a.handOver.await() // a comment is no response
+		if a.isRepeated(event) || !event.hasField && a.race.contested() {
+			a.handOver.await() // neither what the caller has nor a comment is a response
 			continue
 		}
 		if !a.claim(false) {
@@ -299,6 +306,35 @@
 	return head.EndsWithConnection && a.request.service.cfg.TargetClient.HasEnded(a.ctx, a.grant.Target.Address)
 }
 
+// isRepeated reports whether the caller has an event already. IDs of events increase, so that
+// another target, or the same one, must have sent it before.
+func (a *attempt) isRepeated(e event) bool {
+	n := parseEventNumber(e.id)
+	if !n.known {
+		return false
+	}
+	if !a.passedOn.known || n.value > a.passedOn.value {
+		a.passedOn = n
+		return false
+	}
+	if a.repeated++; a.repeated == 1 {
+		a.request.logRepeatedEvent(a, e)
+	}
+	return true
+}
+
+// eventNumber is the ID of an event as a number.
+type eventNumber struct {
+	value uint64
+	known bool
+}
+
+// parseEventNumber returns the number of an ID. It is unknown if the ID is empty or no number.
+func parseEventNumber(id string) eventNumber {
+	n, err := strconv.ParseUint(id, 10, 64)
+	return eventNumber{n, err == nil}
+}
+
 // countEvent records the start of the response and the events for the cost model.
 func (a *attempt) countEvent() {
 	if a.grant.Events == 0 {
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -225,6 +225,13 @@
 		zap.Int("events", a.grant.Events), zap.Duration("silent", time.Since(a.progressAt)), zap.Duration("left", time.Until(r.deadline)))
 }
 
+// logRepeatedEvent records that a target has sent an event that the caller has.
+func (r *request) logRepeatedEvent(a *attempt, e event) {
+	r.service.cfg.Counters.Add("stream_with_repeated_events")
+	r.log.Info("repeated event dropped", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
+		zap.String("event", e.id), zap.Uint64("last", a.passedOn.value), zap.String("resume_after", a.resumeAfter), zap.Int("events", a.grant.Events))
+}
+
 // maxLoggedParts bounds the prompt parts in a log line.
 const maxLoggedParts = 8
 
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -337,6 +337,11 @@
 		{"broken inside an event", "/stream/x", []behaviour{truncated(first + "id: 2\nda"), respondWith(200, events)}, first, false, true, 0, []string{""}},
 		{"resumed", "/resume/x", []behaviour{truncated(first + "id: 2\nda"), respondWith(200, rest)}, events, true, false, 0, []string{"", "1"}},
 		{"resumed once only", "/resume/x", []behaviour{truncated(first), truncated(""), respondWith(200, rest)}, first, false, true, 0, []string{"", "1"}},
+		{"resumed with an event that the caller has", "/resume/x", []behaviour{truncated(first), respondWith(200, events)}, events, true, false, 0, []string{"", "1"}},
+		{"resumed with only events that the caller has", "/resume/x", []behaviour{truncated(events), respondWith(200, first)}, events, true, false, 0, []string{"", "3"}},
+		{"event comes twice", "/stream/x", []behaviour{respondWith(200, first+first+rest)}, events, true, false, 0, []string{""}},
+		{"ids go back", "/stream/x", []behaviour{respondWith(200, events+rest+"id: 4\ndata: d\n\n")}, events + "id: 4\ndata: d\n\n", true, false, 0, []string{""}},
+		{"ids are no numbers", "/stream/x", []behaviour{respondWith(200, "id: b\n\nid: a\n\nid: b\n\n")}, "id: b\n\nid: a\n\nid: b\n\n", true, false, 0, []string{""}},
 		{"broken before the first event", "/resume/x", []behaviour{truncated("id: 1\nda"), respondWith(200, events)}, events, true, false, 0, []string{"", ""}},
 	})
 }
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -35,6 +35,8 @@
 	// PreemptShare of the streams make no progress for up to PreemptTime.
 	PreemptShare float64
 	PreemptTime  time.Duration
+	// RepeatShare of the resumed streams begin with the event after which they are to go on.
+	RepeatShare float64
 	// RunsOn says that the target goes on with a request whose connection was closed.
 	RunsOn bool
 	// NoticesCloseLate says that the target notices such a close only when it is not silent.
@@ -444,8 +446,12 @@
 	if t.losesAnswer() {
 		lost = from + 1 + rand.IntN(max(1, events-from))
 	}
-	for n := from + 1; n <= events; n++ {
-		if n > from+1 {
+	first := from + 1
+	if from > 0 && rand.Float64() < p.RepeatShare {
+		first = from
+	}
+	for n := first; n <= events; n++ {
+		if n > first {
 			running, _, reading := t.slots.load()
 			step := t.slowed(p.Step + time.Duration(running)*p.StepPerSlot)
 			if reading {
