Gateway: another response behind a stream is not an event

If a target sent a further response behind a stream that has neither a length nor chunks, the caller got its head as an event, and the stream was then broken off although it was whole (ORDER).

Cause: only the end of the connection marks the end of such a stream, and a head ends with an empty line, as an event does.

Change: between two events of such a stream, the head of a response is skipped with its body. Without a Content-Length, the stream counts as broken off. The soak's targets send such responses. The event reader has a file of its own.

Evidence: eight cases of TestResponseBehindStreamIsNoEvent failed on the code before.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -6,14 +6,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
-	"github.com/cassiaramp/cassiaramp/internal/coordination/eventstream"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -257,7 +255,7 @@
 // an error response.
 func (a *attempt) forwardStream(head *state.Response, ex Exchange) (dispatch.Outcome, error) {
 	r := a.request
-	events := newEventReader(ex, r.newHeldResponse())
+	events := newEventReader(ex, r.newHeldResponse(), head.EndsWithConnection)
 	defer events.held.release()
 	for {
 		event, err := events.next()
@@ -306,35 +304,6 @@
 	return head.EndsWithConnection && a.request.service.cfg.TargetClient.HasEnded(a.ctx, a.grant.Target.Address)
 }
 
-// isRepeated reports whether the caller has an event already. IDs of events increase, so that
-// another target, or the same one, must have sent it before.
-func (a *attempt) isRepeated(e event) bool {
-	n := parseEventNumber(e.id)
-	if !n.known {
-		return false
-	}
-	if !a.passedOn.known || n.value > a.passedOn.value {
-		a.passedOn = n
-		return false
-	}
-	if a.repeated++; a.repeated == 1 {
-		a.request.logRepeatedEvent(a, e)
-	}
-	return true
-}
-
-// eventNumber is the ID of an event as a number.
-type eventNumber struct {
-	value uint64
-	known bool
-}
-
-// parseEventNumber returns the number of an ID. It is unknown if the ID is empty or no number.
-func parseEventNumber(id string) eventNumber {
-	n, err := strconv.ParseUint(id, 10, 64)
-	return eventNumber{n, err == nil}
-}
-
 // countEvent records the start of the response and the events for the cost model.
 func (a *attempt) countEvent() {
 	if a.grant.Events == 0 {
@@ -390,41 +359,3 @@
 	}
 	return nil
 }
-
-// event is one complete event of a stream, including the blank line that ends it.
-type event struct {
-	data     []byte
-	id       string // empty when the event has none
-	hasField bool   // false for comments and empty lines
-}
-
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 4 << 20
-
-// eventReader reads the events of one response.
-type eventReader struct {
-	in   *eventstream.Reader
-	held *heldResponse // by the event that was returned last
-}
-
-func newEventReader(r io.Reader, held *heldResponse) *eventReader {
-	return &eventReader{in: eventstream.NewReader(r, maxEventBytes, held.hold), held: held}
-}
-
-// next returns the next complete event, which takes the place of the one before. Its errors are
-// those of eventstream.Reader.Next and of heldResponse.hold.
-func (e *eventReader) next() (event, error) {
-	e.held.release()
-	data, err := e.in.Next()
-	if err != nil {
-		return event{}, err
-	}
-	ev := event{data: data}
-	for name, value := range data.Fields() {
-		ev.hasField = true
-		if name == "id" {
-			ev.id = string(value)
-		}
-	}
-	return ev, nil
-}
--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -46,6 +46,26 @@
 	})
 }
 
+// Guards against a further response of the target that is passed on as an event: nothing marks the
+// end of a stream without length or chunks, and a head ends with an empty line as an event does.
+func TestResponseBehindStreamIsNoEvent(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	const extra = "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 8\r\n\r\nlate\n\n\n\n"
+	const withoutLength = "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\nid: 9\n\n"
+	checkStreams(t, []streamCase{
+		{"behind the stream", "/stream/x", []behaviour{endingWithConnection(events + extra)}, events, true, false, 0, []string{""}},
+		{"two of them", "/stream/x", []behaviour{endingWithConnection(events + extra + extra)}, events, true, false, 0, []string{""}},
+		{"inside the stream", "/stream/x", []behaviour{endingWithConnection(first + extra + rest)}, events, true, false, 0, []string{""}},
+		{"before the first event", "/stream/x", []behaviour{endingWithConnection(extra + events)}, events, true, false, 0, []string{""}},
+		{"instead of events", "/resume/x", []behaviour{endingWithConnection(extra), endingWithConnection(events)}, events, true, false, 0, []string{"", ""}},
+		{"then the target ends", "/resume/x", []behaviour{endingWithTarget(first + extra), endingWithConnection(rest)}, events, true, false, 0, []string{"", "1"}},
+		{"cut off", "/resume/x", []behaviour{endingWithConnection(first + extra[:len(extra)-6]), endingWithConnection(rest)}, events, true, false, 0, []string{"", "1"}},
+		{"without a length", "/resume/x", []behaviour{endingWithConnection(first + withoutLength), endingWithConnection(rest)}, events, true, false, 0, []string{"", "1"}},
+		{"field of an event with an end", "/stream/x", []behaviour{respondWith(200, "HTTP/1.1: a\n\n")}, "HTTP/1.1: a\n\n", true, false, 0, []string{""}},
+	})
+}
+
 // Guards against a stream that a target breaks off inside an event, or before the first
 // one, and that reaches the caller as complete because its body ended without an error.
 func TestStreamEndingInsideEventIsIncomplete(t *testing.T) {
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -29,7 +29,8 @@
 	IdleTimeout     time.Duration // after which an idle connection is closed, stated in Keep-Alive
 	MaxConnections  int           // new ones beyond it are reset
 	// CloseShare is the share of responses with Connection: close, LateShare that of responses
-	// after which the connection carries an extra one before the next, AbruptShare that of
+	// after which the connection carries an extra one, before the next or behind a stream without
+	// length or chunks, AbruptShare that of
 	// responses soon after which the connection is closed though they did not say so.
 	CloseShare, LateShare, AbruptShare float64
 	// PreemptShare of the streams make no progress for up to PreemptTime.
@@ -292,7 +293,7 @@
 	switch {
 	case errors.Is(err, errQueueFull), errors.Is(err, errTimeInQueue):
 		t.Ledger.reject(id, t, err.Error())
-		conn.after(id, "503 Service Unavailable\r\nNot-Executed: 1")
+		conn.after(id, "503 Service Unavailable\r\nNot-Executed: 1", false)
 		header.Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -330,16 +331,20 @@
 		resetConn(conn.Conn)
 		panic(http.ErrAbortHandler)
 	case outcome == RunCompleted:
-		conn.after(id, "200 OK\r\nResponse-Signature: late")
+		conn.after(id, "200 OK\r\nResponse-Signature: late", header.Get("Transfer-Encoding") == "identity")
 	}
 }
 
-// after lets a share of the connections go wrong after the response to a request.
-func (c *engineConn) after(id, head string) {
+// after lets a share of the connections go wrong after the response to a request. unframed says
+// that nothing but the end of the connection marks the end of the response.
+func (c *engineConn) after(id, head string, unframed bool) {
 	p := c.target.Profile
 	switch v := rand.Float64(); {
 	case v < p.LateShare:
 		c.late = fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\nlate", head, id)
+		if unframed {
+			io.WriteString(c, c.late) // an error shows to the client too
+		}
 	case v < p.LateShare+p.AbruptShare:
 		time.AfterFunc(time.Duration(rand.Int64N(int64(maxAbruptDelay))), func() {
 			if c.abrupt.Store(true); c.active.Load() {
