Side process: a response that ends together with its service is not complete

A response of a plain service without length or chunks passed for complete if the service was killed in the middle of it, or between two events. Found by looking for the cause of the streams of killed targets elsewhere; not seen with callers. Streams of engines end with [DONE] and were not affected.

Cause: as at the entries, the end of a connection without an error was taken for the end of the response.

Change: the side process looks whether the service still accepts and keeps a connection. What both checks share is in package netconn.

Evidence: TestPlainResponseEndingWithItsTargetIsUnknown fails without the check, for streams of events and for other bodies. The tests of packages engine and upstream pass.

--- a/internal/transport/engine/plain.go
+++ b/internal/transport/engine/plain.go
@@ -12,6 +12,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/side"
 	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 )
 
 // maxPlainChunkBytes is the largest piece of a plain service's response body in one
@@ -54,7 +55,7 @@
 	})
 	if err == nil {
 		defer call.close()
-		err = c.forwardResponse(call, req.Method == fasthttp.MethodHead, emit)
+		err = c.forwardResponse(ctx, call, req.Method == fasthttp.MethodHead, emit)
 	}
 	switch {
 	case err == nil || errors.Is(err, side.ErrNotSent):
@@ -67,9 +68,11 @@
 
 // forwardResponse passes the response to emit. headRequest says that the request is
 // a HEAD request. Reading a body that is shorter than its Content-Length, or a stream of
-// events that was broken off, ends with an error other than io.EOF.
-func (c *Client) forwardResponse(call *httpCall, headRequest bool, emit func(state.AttemptEvent)) error {
+// events that was broken off, ends with an error other than io.EOF. A body without length or
+// chunks is not complete if the target has ended with it.
+func (c *Client) forwardResponse(ctx context.Context, call *httpCall, headRequest bool, emit func(state.AttemptEvent)) error {
 	emit(responseHead(call, headRequest))
+	endsWithConnection := !headRequest && call.response.Header.ContentLength() == noLengthOrChunks
 	body := newPlainBodyReader(call, headRequest)
 	var offset uint64
 	received := 0
@@ -81,6 +84,9 @@
 			offset++
 			received += n
 		}
+		if errors.Is(err, io.EOF) && endsWithConnection && netconn.HasEnded(ctx, c.cfg.Address) {
+			err = errEndsWithTarget
+		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
--- a/internal/transport/engine/streamend_test.go
+++ b/internal/transport/engine/streamend_test.go
@@ -5,11 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cassiaramp/cassiaramp/internal/coordination/side"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -53,6 +56,33 @@
 	}
 }
 
+// Guards against a response of a plain service that passes for complete although the service has
+// crashed in the middle of it: without a length or chunks, its body ends without an error then.
+func TestPlainResponseEndingWithItsTargetIsUnknown(t *testing.T) {
+	for _, mediaType := range []string{"text/event-stream", "text/plain"} {
+		for _, crashes := range []bool{false, true} {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", mediaType)
+				w.Header().Set("Transfer-Encoding", "identity") // neither a length nor chunks
+				if io.WriteString(w, "data: a\n\n"); crashes {
+					listener.Close()
+				}
+			}))
+			client := New(Config{Address: listener.Addr().String(), PlainService: true, Log: zap.NewNop()})
+			_, err = client.Run(t.Context(), testAttempt, &state.Request{Kind: state.PlainCall, Method: "GET", Path: "/x"}, func(state.AttemptEvent) {})
+			var unknown *side.UnknownOutcomeError
+			if errors.As(err, &unknown) != crashes {
+				t.Errorf("%s, crashes %t: error %v", mediaType, crashes, err)
+			}
+		}
+	}
+}
+
 // Guards against a stream that never ends because the engine sends a comment or a part of an
 // event now and then, and against cutting one whose events are slow but come.
 func TestStalledStreamWithCommentsIsUnknown(t *testing.T) {
--- a/internal/transport/engine/wholeevents.go
+++ b/internal/transport/engine/wholeevents.go
@@ -9,6 +9,7 @@
 // Errors of streams that were broken off, although their body ended without an error.
 var (
 	errEndsInsideEvent = errors.New("stream ended inside an event")
+	errEndsWithTarget  = errors.New("response without length or chunks ended together with its target")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
 )
 
--- /dev/null
+++ b/internal/transport/netconn/ended.go
@@ -0,0 +1,53 @@
+package netconn
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"time"
+)
+
+const (
+	// The kernel may close the listener of a process that ends after its connections. A
+	// connection that it accepts in between is reset within EndWait. EndTimeout bounds the whole
+	// check of whether a process has ended, which a response waits for.
+	EndWait    = 10 * time.Millisecond
+	EndTimeout = 100 * time.Millisecond
+)
+
+// ShowsEnd reports whether an error of opening a connection shows that no process accepts
+// connections at the address any more.
+func ShowsEnd(err error) bool {
+	// A connection may be accepted and reset before the call that opens it returns.
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// EndsWithin reports whether the peer ends an idle connection within the given time, and whether
+// the connection is still idle and can be used.
+func EndsWithin(conn net.Conn, wait time.Duration) (ended, idle bool) {
+	err := conn.SetReadDeadline(time.Now().Add(wait))
+	if err == nil {
+		_, err = conn.Read(make([]byte, 1))
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) || conn.SetReadDeadline(time.Time{}) != nil {
+		return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET), false
+	}
+	return false, true
+}
+
+// HasEnded reports whether the process that has just closed a connection at an address has ended:
+// further connections are refused, or closed at once.
+func HasEnded(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, EndTimeout)
+	defer cancel()
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return ShowsEnd(err)
+	}
+	defer conn.Close()
+	ended, _ := EndsWithin(conn, EndWait)
+	return ended
+}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -13,7 +13,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -208,16 +207,9 @@
 	return false
 }
 
-const (
-	// closeWait is how long a connection is watched for its closing by an address that accepts
-	// connections for a target that has ended.
-	closeWait = 50 * time.Millisecond
-	// The kernel may close the listener of a process that ends after its connections. A
-	// connection that it accepts in between is reset within endWait. endTimeout bounds the whole
-	// check, which a response waits for.
-	endWait    = 10 * time.Millisecond
-	endTimeout = 100 * time.Millisecond
-)
+// closeWait is how long a connection is watched for its closing by an address that accepts
+// connections for a target that has ended.
+const closeWait = 50 * time.Millisecond
 
 // Closes implements gateway.TargetClient. It watches the connection that Refuses has opened
 // if no request uses it meanwhile.
@@ -233,14 +225,14 @@
 // HasEnded implements gateway.TargetClient. A connection from the pool that stays open shows that
 // the target runs. One that ends may have been idle for too long, so that another one is tried.
 func (c *Client) HasEnded(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	ctx, cancel := context.WithTimeout(ctx, netconn.EndTimeout)
 	defer cancel()
 	for {
 		conn, err := c.acquire(ctx, address)
 		if err != nil {
-			return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+			return netconn.ShowsEnd(err)
 		}
-		if ended := c.endsWithin(conn, endWait); !ended || !conn.reused {
+		if ended := c.endsWithin(conn, netconn.EndWait); !ended || !conn.reused {
 			return ended
 		}
 	}
@@ -249,13 +241,10 @@
 // endsWithin reports whether the target ends an idle connection within the given time. Otherwise
 // the connection goes to the pool.
 func (c *Client) endsWithin(conn *connection, wait time.Duration) bool {
-	err := conn.SetReadDeadline(time.Now().Add(wait))
-	if err == nil {
-		_, err = conn.Read(make([]byte, 1))
-	}
-	if !errors.Is(err, os.ErrDeadlineExceeded) || conn.SetReadDeadline(time.Time{}) != nil {
+	ended, idle := netconn.EndsWithin(conn, wait)
+	if !idle {
 		conn.Close()
-		return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+		return ended
 	}
 	if conn.expiresAt.IsZero() {
 		conn.expiresAt = time.Now().Add(defaultIdleTimeout)
