Tests: a target that is short of descriptors goes on accepting

TestLackOfDescriptorsIsNotHeldAgainstTheTarget did not end in some runs.

Cause: the test's target stopped accepting at the first error. accept takes a descriptor before it looks for a connection, so that it fails with EMFILE if the goroutine of the target first runs after the test has taken all descriptors. The request that is sent when descriptors are free again then waited for ever. The client was right.

Change: the target stops accepting only when its listener is closed.

--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -33,9 +33,13 @@
 	go func() {
 		for {
 			c, err := ln.Accept()
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			if err != nil { // the process is short of descriptors for now
+				time.Sleep(time.Millisecond)
+				continue
+			}
 			opened.Add(1)
 			go func() {
 				defer c.Close()
