Planned stop: late requests are sent only if their deadline is before its end

Cause: whether a request ends before the stop was judged by a prediction alone, and a target that preempts a stream takes longer than predicted.

Change: a request that is read after the end of the stop has begun is sent only if its deadline lies before that end, and is refused as not run otherwise. Earlier requests are judged as before.

TestRequestThatArrivesAsAStopEndsMayTakeUntilItsDeadline fails without the change.

--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -22,6 +22,8 @@
 	LargestWork costmodel.Work
 	// Arrived is when the first attempt of the caller was read.
 	Arrived time.Time
+	// ReadAt is when this attempt of the caller was read.
+	ReadAt time.Time
 	// Objective is the longest time from Arrived to the start of the response with
 	// which the request is on time.
 	Objective time.Duration
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -44,6 +44,7 @@
 	peerReports   map[state.InstanceID]*peerReport
 	startingPeers int       // see SetStartingPeers
 	stopBy        time.Time // see StopBy; zero before
+	stopBegan     time.Time // when StopBy was called
 	observer      Observer
 	policies      *Policies
 	limits        *ratelimit.Ledger // limits that targets state
--- a/internal/coordination/dispatch/stop.go
+++ b/internal/coordination/dispatch/stop.go
@@ -23,12 +23,13 @@
 const longestFactor = 2
 
 // StopBy begins the end of a planned stop. From now on, a request is sent only if its
-// response ends by end even if it takes long. Requests that cannot, the waiting ones
-// included, are refused with ReasonStopping, except those whose response has begun.
+// response ends by end even if it takes long or, if it arrives from now on, even if it takes
+// until its deadline. Requests that cannot, the waiting ones included, are refused with
+// ReasonStopping, except those whose response has begun.
 func (s *Scheduler) StopBy(end time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopBy = end
+	s.stopBy, s.stopBegan = end, s.now()
 	s.grantFreeSlots()
 }
 
@@ -52,7 +53,14 @@
 	if s.stopBy.IsZero() || r.ResponseBegun && !r.HandOver {
 		return true
 	}
-	return !p.longestEnd(t, r, now).After(s.stopBy)
+	return s.endsByItsDeadline(r) && !p.longestEnd(t, r, now).After(s.stopBy)
+}
+
+// endsByItsDeadline reports whether r has arrived before the planned stop began to end, or has its
+// deadline before the end. How long a request takes can only be estimated, and one that arrives so
+// late may as well be served by another entry.
+func (s *Scheduler) endsByItsDeadline(r *Request) bool {
+	return !r.ReadAt.After(s.stopBegan) || !r.Deadline.After(s.stopBy)
 }
 
 // longestEnd returns when r is expected to end at the latest if it is sent to t at now.
@@ -67,7 +75,8 @@
 		return
 	}
 	for _, w := range slices.Clone(p.queue) {
-		if w.request.ResponseBegun && !w.request.HandOver || !now.Add(p.longestDuration(w.request)).After(s.stopBy) {
+		r := w.request
+		if r.ResponseBegun && !r.HandOver || s.endsByItsDeadline(r) && !now.Add(p.longestDuration(r)).After(s.stopBy) {
 			continue
 		}
 		p.queue.remove(w)
--- a/internal/coordination/dispatch/stop_test.go
+++ b/internal/coordination/dispatch/stop_test.go
@@ -62,6 +62,33 @@
 	}
 }
 
+// Guards against a request that arrives while a planned stop ends, is sent because it is predicted
+// to end in time, and is cut because its target is slower than that.
+func TestRequestThatArrivesAsAStopEndsMayTakeUntilItsDeadline(t *testing.T) {
+	s, c := newTestScheduler()
+	s.StopBy(c.at.Add(4 * time.Second))
+	for _, test := range []struct {
+		name                 string
+		readAt, deadline     time.Duration
+		responseBegun, takes bool
+	}{
+		{"read before", 0, 5 * time.Second, false, true},
+		{"deadline after the end", time.Millisecond, 4001 * time.Millisecond, false, false},
+		{"deadline at the end", time.Millisecond, 4 * time.Second, false, true},
+		{"goes on with a stream", time.Millisecond, 5 * time.Second, true, true},
+	} {
+		r := c.request(false)
+		r.ReadAt, r.Deadline, r.ResponseBegun, r.AlreadyAdmitted = c.at.Add(test.readAt), c.at.Add(test.deadline), test.responseBegun, test.responseBegun
+		_, g, refusal := s.placeNow(r)
+		if (g != nil) != test.takes || !test.takes && (refusal == nil || refusal.Reason != ReasonStopping) {
+			t.Errorf("%s: grant %v, refusal %v; want a grant: %t", test.name, g, refusal, test.takes)
+		}
+		if g != nil {
+			s.Release(g, Unused)
+		}
+	}
+}
+
 // Guards against sending a request during a planned stop to a target that is known to be too
 // slow for it, and against refusing it while another target is fast enough.
 func TestPlannedStopLeavesOutSlowTargets(t *testing.T) {
--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -128,7 +128,7 @@
 	}
 	r.targetService = routing.ChooseService(r.route, rand.Float64())
 	r.placement = &dispatch.Request{
-		ID: r.call.ID, Service: r.targetService, Rank: r.rank(), Work: expectedWork(r.call), LargestWork: largestWork(r.call), Arrived: r.firstArrived,
+		ID: r.call.ID, Service: r.targetService, Rank: r.rank(), Work: expectedWork(r.call), LargestWork: largestWork(r.call), Arrived: r.firstArrived, ReadAt: r.arrived,
 		Route: r.route.Name, Objective: r.route.Objective, Deadline: r.deadline, Repeatable: r.route.Repeatable(), Resumed: r.lastEventID != "",
 	}
 	if r.route.Patience > 0 {
