--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -258,14 +258,14 @@
 					}
 				})
 			default:
-				add(at, d.replaceEngine)
+				add(at, func() { d.removeEngine(d.replaceEngine) })
 			}
 		}
 	}
 	if d.world.seed%2 == 1 { // processes of targets are killed in series, and beside them an entry
 		for at := between(0, ms(4000)); at < day; at += between(ms(2000), ms(6000)) {
 			for kill := at; kill < at+ms(2000); kill += between(ms(100), ms(1200)) {
-				add(kill, d.killEngine)
+				add(kill, func() { d.removeEngine(d.killEngine) })
 			}
 			e := entries[r.IntN(len(entries))]
 			add(at+between(0, ms(2000)), func() { d.impair("killed", e.name, 0); e.signal(syscall.SIGKILL) })
@@ -330,8 +330,9 @@
 	d.writeConfiguration()
 }
 
-// replaceEngine lets a target leave and another one begin at its address.
-func (d *deploymentRun) replaceEngine() {
+// removeEngine marks a random target as removed and calls end with it, unless it is removed
+// already. end is called with the lock of the world.
+func (d *deploymentRun) removeEngine(end func(w *world, e *engine)) {
 	w, e := d.world, d.engine()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -339,6 +340,11 @@
 		return
 	}
 	e.removed = true
+	end(w, e)
+}
+
+// replaceEngine lets a target leave and another one begin at its address.
+func (d *deploymentRun) replaceEngine(w *world, e *engine) {
 	e.Leaving.Store(true)
 	w.putTargetRecord(e, "draining")
 	d.note("leaves", e.ID, time.Now())
@@ -352,14 +358,7 @@
 
 // killEngine ends a target as a process that is killed, and lets another one begin at its address.
 // The record goes when its lease has run out.
-func (d *deploymentRun) killEngine() {
-	w, e := d.world, d.engine()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if e.removed {
-		return
-	}
-	e.removed = true
+func (d *deploymentRun) killEngine(w *world, e *engine) {
 	e.Killed.Store(true)
 	e.Closing.Store(true)
 	d.impair("killed", e.ID, 0)
