Target client: an idle connection does not show that the target runs

A process that ends closes its connections one after the other, and on a busy machine an idle one may be left for a while. That the listener had gone was not looked at.

Change: HasEnded always opens a connection, which goes to the pool.

Evidence: TestIdleConnectionIsNoProofThatTheTargetRuns fails on the code before.

--- a/internal/transport/upstream/ended_test.go
+++ b/internal/transport/upstream/ended_test.go
@@ -116,3 +116,29 @@
 		t.Errorf("%d connections opened, want another one than the idle one", n)
 	}
 }
+
+// Guards against an idle connection that is taken for proof that the target runs: a process that
+// ends, on a busy machine, may close it a while after the listener and the other connections.
+func TestIdleConnectionIsNoProofThatTheTargetRuns(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	c, address := New(), listener.Addr().String()
+	idle, err := c.dial(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	idle.expiresAt = time.Now().Add(time.Hour)
+	c.pushIdle(idle)
+	listener.Close()
+	if !c.HasEnded(t.Context(), address) {
+		t.Error("the target seems to run")
+	}
+}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -222,20 +222,16 @@
 	return c.endsWithin(conn, closeWait)
 }
 
-// HasEnded implements gateway.TargetClient. A connection from the pool that stays open shows that
-// the target runs. One that ends may have been idle for too long, so that another one is tried.
+// HasEnded implements gateway.TargetClient. An idle connection shows nothing: while a process ends,
+// it may stay open for some time after others have been closed, and it may be closed for its age.
 func (c *Client) HasEnded(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, netconn.EndTimeout)
 	defer cancel()
-	for {
-		conn, err := c.acquire(ctx, address)
-		if err != nil {
-			return netconn.ShowsEnd(err)
-		}
-		if ended := c.endsWithin(conn, netconn.EndWait); !ended || !conn.reused {
-			return ended
-		}
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return netconn.ShowsEnd(err)
 	}
+	return c.endsWithin(conn, netconn.EndWait)
 }
 
 // endsWithin reports whether the target ends an idle connection within the given time. Otherwise
