Gateway: log when a target is asked to abandon a request

Cause: the logs show that a target has stalled, but not that it was asked to abandon the request, nor how near its deadline a request was answered. Both are needed to tell why a stream ended. Change: the line 'target asked to abandon request' and the counter attempt_withdrawn; 'request answered' states the time left. Result: no change of behaviour; the tests of the package pass.

--- a/internal/coordination/gateway/handover.go
+++ b/internal/coordination/gateway/handover.go
@@ -182,6 +182,7 @@
 			h.next = grant
 			if w, ok := h.exchange.(Withdrawer); ok && r.eventForwarded && w.Withdraw() {
 				h.withdrawn = true
+				r.logWithdrawn(h.attempt, grant)
 				h.check = time.AfterFunc(withdrawTime, func() { h.checkWithdrawal(w) })
 				return
 			}
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -165,7 +165,7 @@
 		zap.String("target", string(g.Target.ID)), zap.Int("status", head.Status), zap.Bool("ends_with_connection", head.EndsWithConnection),
 		zap.Int("events", g.Events),
 		zap.Duration("first_after", r.timeToResponse), zap.Duration("after", took), zap.Int("runs", r.possibleRuns+1),
-		zap.Bool("returned", r.returned()))
+		zap.Bool("returned", r.returned()), zap.Duration("left", time.Until(r.deadline)))
 }
 
 func (r *request) logTargetChosen(g *dispatch.Grant) {
@@ -217,6 +217,13 @@
 		zap.Duration("left", time.Until(r.deadline)), zap.Bool("may_move_on", mayMoveOn))
 }
 
+// logWithdrawn records that a stalled target was asked to abandon the request.
+func (r *request) logWithdrawn(a *attempt, next *dispatch.Grant) {
+	r.service.cfg.Counters.Add("attempt_withdrawn")
+	r.log.Info("target asked to abandon request", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
+		zap.String("next", string(next.Target.ID)), zap.Int("events", a.grant.Events), zap.Duration("silent", time.Since(a.progressAt)), zap.Duration("left", time.Until(r.deadline)))
+}
+
 // logWithdrawalIgnored records that a stalled target that can be reached has not abandoned the
 // request, which stays there.
 func (r *request) logWithdrawalIgnored(a *attempt) {
