--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
 
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -135,3 +140,46 @@
 		t.Errorf("ended %t with body %q, want the response of another target", out.ended, out.body.String())
 	}
 }
+
+// Guards against a stream that is passed on as complete although its target only ended it because
+// it was asked to abandon the request: HTTP servers end a response in chunks properly when its
+// handler returns early.
+func TestStreamEndingAfterItsTargetWasAskedToAbandonItIsIncomplete(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	for _, c := range []struct {
+		name       string
+		pieces     []string // of the stalled target
+		afterwards time.Duration
+		end        error
+		resumed    string // response of the second target
+		resume     []string
+	}{
+		{"at once", []string{first, rest}, 50 * time.Millisecond, io.EOF, rest, []string{"", "1"}},
+		{"after it could be reached and was silent", []string{first, rest}, 2 * time.Second, io.EOF, rest, []string{"", "1"}},
+		{"after a further event", []string{first, "id: 2\ndata: b\n\n"}, 50 * time.Millisecond, nil, "id: 3\ndata: c\n\n", []string{"", "2"}},
+		{"was whole, nothing is left", []string{first, rest}, 50 * time.Millisecond, nil, "", []string{"", "3"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			out := &recordingResponder{}
+			stall := func(ctx context.Context, _ *Forward) (Exchange, error) {
+				return &withdrawnExchange{
+					fakeExchange: fakeExchange{head: &state.Response{Status: 200, HasSignature: true}}, ctx: ctx, pieces: c.pieces,
+					asked: make(chan struct{}), afterwards: c.afterwards, end: c.end, reached: true,
+				}, nil
+			}
+			targets := &fakeTargetClient{behaviours: []behaviour{stall, respondWith(200, c.resumed)}}
+			synctest.Test(t, func(t *testing.T) {
+				s := newService(targets)
+				s.SetConfiguration(longRoute())
+				s.Serve(t.Context(), resumableCall(), time.Now(), out)
+			})
+			if !out.ended || out.body.String() != events {
+				t.Errorf("ended %t with %q, want all events", out.ended, out.body.String())
+			}
+			if diff := cmp.Diff(c.resume, targets.resumePoints()); diff != "" {
+				t.Errorf("resumed after (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
