Gateway: a stream that its target ends when asked to abandon it is not complete

Callers saw: streams that may be resumed ended as complete before their last event, a second after their target had stalled (ORDER). Cause: since a stalled target is asked to abandon a stream, by a close of the sending side, and the rest of the response is read. HTTP servers write the last chunk when a handler returns early. Its end was doubted only without a length or chunks. Change: the end of any response that its target was asked to abandon does not show that the stream is complete. The stream goes on after its last event at another target, with the permission that the hand-over has taken; if it was whole there, nothing is added. Two expectations of TestStalledTargetIsAskedToAbandonTheRequest change from one send to two: a target that goes on for a while may still have ended the stream for the request to abandon it; the caller must still get each event once.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -104,11 +104,7 @@
 		return outcome, err
 	}
 	body, err := a.readBody(ex)
-	switch {
-	case err != nil:
-	case head.EndsWithConnection && a.handOver.wasWithdrawn():
-		err = errEndsWithdrawn
-	case a.endsWithTarget(head):
+	if err == nil && a.endsWithTarget(head) {
 		err = errEndsWithTarget
 	}
 	if err != nil {
@@ -260,6 +256,9 @@
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
+			if a.handOver.wasWithdrawn() { // HTTP servers end the chunks when a handler returns early
+				return a.outcomeOf(errEndsWithdrawn), errEndsWithdrawn
+			}
 			if head.EndsWithConnection && !a.race.won(a) && !a.begun {
 				return dispatch.Broken, errNoEvent
 			}
@@ -319,9 +318,6 @@
 // the end of the connection says that it ended.
 func (a *attempt) finishStream(head *state.Response) (dispatch.Outcome, error) {
 	r := a.request
-	if head.EndsWithConnection && a.handOver.wasWithdrawn() {
-		return a.outcomeOf(errEndsWithdrawn), errEndsWithdrawn
-	}
 	if head.EndsWithConnection && !r.eventForwarded {
 		return dispatch.Broken, errNoEvent
 	}
--- a/internal/coordination/gateway/handover_test.go
+++ b/internal/coordination/gateway/handover_test.go
@@ -326,8 +326,8 @@
 	}{
 		{"abandons it", withdrawnExchange{afterwards: 50 * time.Millisecond, end: io.ErrUnexpectedEOF, reached: true}, false, 2},
 		{"abandons it, response without length", withdrawnExchange{afterwards: 50 * time.Millisecond, end: io.EOF, reached: true}, true, 2},
-		{"sends the rest at once", withdrawnExchange{afterwards: 50 * time.Millisecond, reached: true}, false, 1},
-		{"sends the rest later", withdrawnExchange{afterwards: 2 * time.Second, reached: true}, false, 1},
+		{"sends the rest at once", withdrawnExchange{afterwards: 50 * time.Millisecond, reached: true}, false, 2},
+		{"sends the rest later", withdrawnExchange{afterwards: 2 * time.Second, reached: true}, false, 2},
 		{"abandons it later", withdrawnExchange{afterwards: 2 * time.Second, end: io.ErrUnexpectedEOF, reached: true}, false, 2},
 		{"cannot be reached", withdrawnExchange{}, false, 2},
 	} {
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -71,7 +71,7 @@
 	errInvalidResponse = errors.New("response is encoded, unsigned, or has a status that is valid only for a request that did not run")
 	errDeadline        = errors.New("deadline of the request passed")
 	errTooLarge        = errors.New("response body is too large")
-	errEndsWithdrawn   = errors.New("response without length or chunks ended after its target was asked to abandon it")
+	errEndsWithdrawn   = errors.New("stream ended after its target was asked to abandon it")
 	errEndsWithTarget  = errors.New("response without length or chunks ended together with its target")
 	errStrayResponse   = errors.New("another response of unknown length inside a stream without length or chunks")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
