Soak: streams in chunks that end properly when their caller leaves or their time is up

Cause: emulated targets reset a connection whose caller has left. Servers whose handler returns write the last chunk, and the entry took it for the end of the stream. Change: half of the emulated engines end such streams as those servers do.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -40,6 +40,9 @@
 	RepeatShare float64
 	// RunsOn says that the target goes on with a request whose connection was closed.
 	RunsOn bool
+	// EndsProperly says that a stream in chunks, whose caller has left or whose time limit is over,
+	// ends with the last chunk, as HTTP servers write it when a handler returns.
+	EndsProperly bool
 	// NoticesCloseLate says that the target notices such a close only when it is not silent.
 	NoticesCloseLate bool
 }
@@ -326,6 +329,7 @@
 	case outcome == RunLost:
 		resetConn(conn.Conn)
 		panic(http.ErrAbortHandler)
+	case p.EndsProperly && (outcome == RunDropped || outcome == RunTimedOut) && run.Events > 0 && header.Get("Transfer-Encoding") != "identity":
 	case outcome == RunDropped, outcome == RunBrokenOff, outcome == RunTimedOut && run.Events > 0:
 		// A close would look like the end of a stream without a length.
 		resetConn(conn.Conn)
--- a/internal/faultsoak/deployments_test.go
+++ b/internal/faultsoak/deployments_test.go
@@ -158,7 +158,7 @@
 		profile := d.profile
 		profile.Speed, profile.IdleTimeout, profile.CloseShare, profile.LateShare = d.speeds[i%len(d.speeds)], engineIdle, 0.01, 0.004
 		profile.AbruptShare, profile.PreemptShare, profile.PreemptTime, profile.RepeatShare = 0.004, 0.02, ms(3000), 0.5
-		profile.RunsOn, profile.NoticesCloseLate = i%5 == 4, *lateCloseFlag
+		profile.RunsOn, profile.NoticesCloseLate, profile.EndsProperly = i%5 == 4, *lateCloseFlag, i%2 == 0
 		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", d.engineService, i), Service: d.engineService, Slots: d.slots, EventsPerStream: 1, Software: "v1", Ledger: w.ledger, Profile: &profile})
 	}
 	for i := range d.plainTargets + movedTargets {
