--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -183,3 +183,30 @@
 		})
 	}
 }
+
+// Guards against a stream that is passed on as complete although its target only stopped at the
+// time limit that it was told: HTTP servers end a response in chunks properly when its handler
+// returns early.
+func TestStreamEndingAtItsTimeLimitIsIncomplete(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	endsBefore := func(margin time.Duration) behaviour {
+		return func(_ context.Context, f *Forward) (Exchange, error) {
+			limit := time.Now().Add(f.TimeLeft.Truncate(time.Millisecond)) // what the target is told
+			return &fakeExchange{head: &state.Response{Status: 200, HasSignature: true}, Reader: io.MultiReader(strings.NewReader(first), readerFunc(func([]byte) (int, error) {
+				time.Sleep(time.Until(limit) - margin)
+				return 0, io.EOF
+			}))}, nil
+		}
+	}
+	checkStreams(t, []streamCase{
+		{"at the limit", "/stream/x", []behaviour{endsBefore(0)}, first, false, true, 0, []string{""}},
+		{"at the limit, may be resumed", "/resume/x", []behaviour{endsBefore(0)}, first, false, true, 0, []string{""}},
+		{"after the limit", "/stream/x", []behaviour{endsBefore(-10 * time.Millisecond)}, first, false, true, 0, []string{""}},
+		{"before the limit", "/stream/x", []behaviour{endsBefore(5 * time.Millisecond)}, first, true, false, 0, []string{""}},
+	})
+}
+
+// readerFunc is a function as io.Reader.
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
