Gateway: a stream that its target ends at its time limit is not complete

Callers saw: nothing is reported of this form alone. Cause: a target stops work at the time limit that it is told, and HTTP servers write the last chunk when a handler returns. The entry reads for 50 ms longer than that limit and took the end for that of the stream. Change: an end that is read a millisecond before the limit, its unit, or later does not show that the stream is complete. Its events are passed on, as they were. Evidence: TestStreamEndingAtItsTimeLimitIsIncomplete failed in 3 of 4 cases and passes.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -256,8 +256,8 @@
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
-			if a.handOver.wasWithdrawn() { // HTTP servers end the chunks when a handler returns early
-				return a.outcomeOf(errEndsWithdrawn), errEndsWithdrawn
+			if err := a.endsForEntry(); err != nil {
+				return a.outcomeOf(err), err
 			}
 			if head.EndsWithConnection && !a.race.won(a) && !a.begun {
 				return dispatch.Broken, errNoEvent
@@ -296,6 +296,19 @@
 	}
 }
 
+// endsForEntry returns an error if the target may have ended a stream because of this entry: it was
+// asked to abandon it, or has reached the time limit that it was told. HTTP servers write the last
+// chunk of a response when its handler returns early, so that chunks do not show that it is complete.
+func (a *attempt) endsForEntry() error {
+	switch {
+	case a.handOver.wasWithdrawn():
+		return errEndsWithdrawn
+	case time.Until(a.request.deadline) <= timeLimitUnit:
+		return errEndsAtTimeLimit
+	}
+	return nil
+}
+
 // endsWithTarget reports whether a response that has neither a length nor chunks has ended
 // together with its target, which may have crashed in the middle of it: the kernel closes the
 // connections of a process that ends like those that the process closes itself.
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -43,6 +43,8 @@
 	// caller waits for it. Targets stop at the deadline, and what they have sent until then is
 	// on its way.
 	deadlineSlack = 50 * time.Millisecond
+	// timeLimitUnit is that of the time limit which a target is told. It is rounded down.
+	timeLimitUnit = time.Millisecond
 	// shortagePause is the time from an attempt that failed because the entry was short of
 	// descriptors until the request is placed again. Each request that ends frees some. A
 	// request that has not run is refused after maxPlacements pauses, because another entry
@@ -72,6 +74,7 @@
 	errDeadline        = errors.New("deadline of the request passed")
 	errTooLarge        = errors.New("response body is too large")
 	errEndsWithdrawn   = errors.New("stream ended after its target was asked to abandon it")
+	errEndsAtTimeLimit = errors.New("stream ended at the time limit that its target was told")
 	errEndsWithTarget  = errors.New("response without length or chunks ended together with its target")
 	errStrayResponse   = errors.New("another response of unknown length inside a stream without length or chunks")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
