Tests: bytes of no request behind a stream without length or chunks

Cause: in a response without length or chunks, whatever ends with an empty line is taken for the next event. Only a head that begins at the first byte is recognised.

--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -71,6 +71,37 @@
 	})
 }
 
+// Guards against bytes of no request that are passed on as an event behind a stream without length
+// or chunks, and against a stream that is taken for complete because of them.
+func TestStrayBytesBehindStreamAreNoEvent(t *testing.T) {
+	var cases []streamCase
+	for name, stray := range map[string]string{
+		"no response":                     "ok\r\n\r\n",
+		"TLS alert":                       "\x16\x03\x01\x00*\x02\x00\x00\r\n\r\n",
+		"head of another version":         "HTTP/2 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"head in lower case":              "http/1.1 200 ok\r\ncontent-length: 2\r\n\r\nok",
+		"event without an id":             "data: x\n\n",
+		"event whose id is no number":     "id: x\ndata: x\n\n",
+		"same event again":                "id: 3\ndata: c\n\n",
+		"another stream without its head": "id: 1\ndata: x\n\nid: 4\ndata: y\n\n",
+		"another stream, no length":       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 4\ndata: x\n\n",
+		"part of an event":                "id: 4\nda",
+	} {
+		cases = append(cases,
+			streamCase{name, "/stream/x", []behaviour{endingWithConnection(events + stray)}, events, false, true, 0, []string{""}},
+			streamCase{name + ", may be resumed", "/resume/x", []behaviour{endingWithConnection(events + stray), respondWith(200, "")}, events, true, false, 0, []string{"", "3"}},
+		)
+	}
+	const late = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	checkStreams(t, append(cases,
+		streamCase{"head behind an empty line", "/stream/x", []behaviour{endingWithConnection(events + "\r\n" + late)}, events, true, false, 0, []string{""}},
+		streamCase{"in place of the first event", "/stream/x", []behaviour{endingWithConnection("ok\r\n\r\n")}, "", false, false, UnknownOutcome, []string{""}},
+		streamCase{"in place of the first event, runs elsewhere", "/resume/x", []behaviour{endingWithConnection("ok\r\n\r\n"), respondWith(200, events)}, events, true, false, 0, []string{"", ""}},
+		streamCase{"comment", "/stream/x", []behaviour{endingWithConnection(events + ": x\n\n")}, events + ": x\n\n", true, false, 0, []string{""}},
+		streamCase{"events without ids", "/stream/x", []behaviour{endingWithConnection("data: a\n\ndata: b\n\n")}, "data: a\n\ndata: b\n\n", true, false, 0, []string{""}},
+	))
+}
+
 // Guards against a stream that a target breaks off inside an event, or before the first
 // one, and that reaches the caller as complete because its body ended without an error.
 func TestStreamEndingInsideEventIsIncomplete(t *testing.T) {
