Gateway: bytes behind a stream without length or chunks are not its next event

Cause: nothing on the connection separates such a response from what a faulty target sends behind it, and all but one form of a head was taken for an event. The class: what is not shown to belong to the stream is taken for its next event. Change: eventstream.UnframedReader passes on an event only if it has a field of event streams and, where the events before have IDs, a higher one. Responses whose length is stated are skipped as before, now also behind an empty line, and logged. Remains: events with higher IDs of another stream, without a head before them, and stray bytes behind a plain response cannot be told apart.

--- a/internal/coordination/eventstream/eventstream.go
+++ b/internal/coordination/eventstream/eventstream.go
@@ -67,16 +67,6 @@
 	}
 }
 
-// Skip discards the next n bytes, which are no event. The error is ErrEndsInsideEvent if the stream
-// ends before.
-func (r *Reader) Skip(n int) error {
-	_, err := r.in.Discard(n)
-	if errors.Is(err, io.EOF) {
-		return fmt.Errorf("%w, in bytes that are no event", ErrEndsInsideEvent)
-	}
-	return err
-}
-
 // Fields returns the names and values of the event's fields. The values are parts of the event.
 func (e Event) Fields() iter.Seq2[string, []byte] {
 	return func(yield func(string, []byte) bool) {
--- /dev/null
+++ b/internal/coordination/eventstream/unframed.go
@@ -0,0 +1,116 @@
+package eventstream
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// ErrStray means that a stream contains bytes that are not its next event. What follows them
+// belongs to no known response either, and they do not show that the stream before is complete.
+var ErrStray = errors.New("bytes in a stream without length or chunks are not its next event")
+
+const (
+	// maxResponseBytes bounds the body of another response that is skipped.
+	maxResponseBytes = 16 << 20
+	// maxQuotedBytes bounds what an error quotes of stray bytes.
+	maxQuotedBytes = 60
+)
+
+// UnframedReader reads the events of a response that has neither a length nor chunks. Nothing on
+// the connection separates such a response from what a faulty target sends behind it, so each
+// event must show that it is the next one: IDs of a stream increase. It is not safe for concurrent
+// use.
+type UnframedReader struct {
+	*Reader
+	// Skipped is the number of other responses that were skipped.
+	Skipped int
+	begun   bool
+	lastID  uint64
+	hasIDs  bool // the events so far have IDs that are numbers
+}
+
+// Next returns the next event. Its errors are those of Reader.Next, and ErrStray.
+func (r *UnframedReader) Next() (Event, error) {
+	for {
+		ev, err := r.Reader.Next()
+		switch {
+		case err != nil:
+			return nil, err
+		case len(trimLineEnd(ev)) == 0: // an empty line may precede the head of a response
+			continue
+		case isResponseHead(ev):
+			if err := r.skipResponse(ev); err != nil {
+				return nil, err
+			}
+			continue
+		case !r.isNext(ev):
+			return nil, strayError(ev)
+		}
+		return ev, nil
+	}
+}
+
+// isNext reports whether an event is the next one of the stream, and remembers its ID. A comment
+// belongs to any stream.
+func (r *UnframedReader) isNext(ev Event) bool {
+	known, hasField := false, false
+	var id []byte
+	for name, value := range ev.Fields() {
+		hasField = true
+		switch name {
+		case "id":
+			id, known = value, true
+		case "data", "event", "retry":
+			known = true
+		}
+	}
+	if !hasField {
+		return true
+	}
+	n, err := strconv.ParseUint(string(id), 10, 64)
+	isNumber := err == nil
+	switch {
+	case !known, r.begun && isNumber != r.hasIDs, r.begun && isNumber && n <= r.lastID:
+		return false
+	}
+	r.begun, r.hasIDs, r.lastID = true, isNumber, n
+	return true
+}
+
+// isResponseHead reports whether what looks like an event is the head of another response, which
+// also ends with an empty line. Targets may send one behind a response, or late.
+func isResponseHead(ev Event) bool { return bytes.HasPrefix(ev, []byte("HTTP/1.")) }
+
+// skipResponse discards the body of another response. Without a stated length, its end is not
+// known.
+func (r *UnframedReader) skipResponse(head Event) error {
+	for name, value := range head.Fields() {
+		if !strings.EqualFold(name, "Content-Length") {
+			continue
+		}
+		n, err := strconv.Atoi(string(value))
+		if err != nil || n < 0 || n > maxResponseBytes {
+			break
+		}
+		r.Skipped++
+		return r.skip(n)
+	}
+	return strayError(head)
+}
+
+// skip discards the next n bytes. The error is ErrEndsInsideEvent if the stream ends before.
+func (r *UnframedReader) skip(n int) error {
+	_, err := r.in.Discard(n)
+	if errors.Is(err, io.EOF) {
+		return fmt.Errorf("%w, in bytes that are no event", ErrEndsInsideEvent)
+	}
+	return err
+}
+
+func strayError(ev Event) error {
+	return fmt.Errorf("%w: %q", ErrStray, ev[:min(len(ev), maxQuotedBytes)])
+}
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -253,6 +253,11 @@
 	r := a.request
 	events := newEventReader(ex, r.newHeldResponse(), head.EndsWithConnection)
 	defer events.held.release()
+	defer func() {
+		if n := events.skipped(); n > 0 {
+			r.logSkippedResponses(a, n)
+		}
+	}()
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
--- a/internal/coordination/gateway/events.go
+++ b/internal/coordination/gateway/events.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"strconv"
-	"strings"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/eventstream"
 )
@@ -21,25 +19,27 @@
 
 // eventReader reads the events of one response.
 type eventReader struct {
-	in                 *eventstream.Reader
-	held               *heldResponse // by the event that was returned last
-	endsWithConnection bool          // the response has neither a length nor chunks
+	in interface {
+		Next() (eventstream.Event, error)
+	}
+	unframed *eventstream.UnframedReader // in, if the response has neither a length nor chunks; else nil
+	held     *heldResponse               // by the event that was returned last
 }
 
 func newEventReader(r io.Reader, held *heldResponse, endsWithConnection bool) *eventReader {
-	return &eventReader{in: eventstream.NewReader(r, maxEventBytes, held.hold), held: held, endsWithConnection: endsWithConnection}
+	in := eventstream.NewReader(r, maxEventBytes, held.hold)
+	if endsWithConnection {
+		unframed := &eventstream.UnframedReader{Reader: in}
+		return &eventReader{in: unframed, unframed: unframed, held: held}
+	}
+	return &eventReader{in: in, held: held}
 }
 
 // next returns the next complete event, which takes the place of the one before. Its errors are
-// those of eventstream.Reader, of heldResponse.hold, and errStrayResponse.
+// those of eventstream.Reader, of eventstream.UnframedReader and of heldResponse.hold.
 func (e *eventReader) next() (event, error) {
 	e.held.release()
 	data, err := e.in.Next()
-	for err == nil && e.endsWithConnection && isResponseHead(data) {
-		if err = e.skipBody(data); err == nil {
-			data, err = e.in.Next()
-		}
-	}
 	if err != nil {
 		return event{}, err
 	}
@@ -53,24 +53,12 @@
 	return ev, nil
 }
 
-// isResponseHead reports whether what looks like an event is the head of another response, which
-// also ends with an empty line. Targets may send one behind a response, or late. If the response
-// before has neither a length nor chunks, nothing else separates the two.
-func isResponseHead(data eventstream.Event) bool { return bytes.HasPrefix(data, []byte("HTTP/1.")) }
-
-// skipBody discards the body of another response. Without a stated length, its end is not known.
-func (e *eventReader) skipBody(head eventstream.Event) error {
-	for name, value := range head.Fields() {
-		if !strings.EqualFold(name, "Content-Length") {
-			continue
-		}
-		n, err := strconv.Atoi(string(value))
-		if err != nil || n < 0 || n > maxResponseBytes {
-			break
-		}
-		return e.in.Skip(n)
+// skipped returns the number of other responses that were skipped.
+func (e *eventReader) skipped() int {
+	if e.unframed == nil {
+		return 0
 	}
-	return errStrayResponse
+	return e.unframed.Skipped
 }
 
 // isRepeated reports whether the caller has an event already. IDs of events increase, so that
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -239,6 +239,14 @@
 		zap.String("event", e.id), zap.Uint64("last", a.passedOn.value), zap.String("resume_after", a.resumeAfter), zap.Int("events", a.grant.Events))
 }
 
+// logSkippedResponses records that a target has sent other responses in a stream without length or
+// chunks.
+func (r *request) logSkippedResponses(a *attempt, n int) {
+	r.service.cfg.Counters.Add("stream_with_other_responses")
+	r.log.Info("other responses in stream skipped", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
+		zap.Int("responses", n), zap.Int("events", a.grant.Events))
+}
+
 // maxLoggedParts bounds the prompt parts in a log line.
 const maxLoggedParts = 8
 
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -76,7 +76,6 @@
 	errEndsWithdrawn   = errors.New("stream ended after its target was asked to abandon it")
 	errEndsAtTimeLimit = errors.New("stream ended at the time limit that its target was told")
 	errEndsWithTarget  = errors.New("response without length or chunks ended together with its target")
-	errStrayResponse   = errors.New("another response of unknown length inside a stream without length or chunks")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
 )
 
