Fault soak: bytes of no request behind streams, and in place of their rest

Cause: behind a stream without length or chunks, the emulated targets sent one form of further bytes, a whole head that begins at the first byte.

Change: StrayShare of these streams are followed by noise, a head in two writes, a head after an empty line, a second event stream with higher ids, a response without a length, the last event again, or a head of another version or in lower case.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -30,9 +30,12 @@
 	MaxConnections  int           // new ones beyond it are reset
 	// CloseShare is the share of responses with Connection: close, LateShare that of responses
 	// after which the connection carries an extra one, before the next or behind a stream without
-	// length or chunks, AbruptShare that of
+	// length or chunks, StrayShare that of streams without length or chunks behind which come
+	// other bytes that belong to no request, AbruptShare that of
 	// responses soon after which the connection is closed though they did not say so.
-	CloseShare, LateShare, AbruptShare float64
+	CloseShare, LateShare, StrayShare, AbruptShare float64
+	// SpoiledShare of the streams go on with bytes that are no response, and are then closed.
+	SpoiledShare float64
 	// PreemptShare of the streams make no progress for up to PreemptTime.
 	PreemptShare float64
 	PreemptTime  time.Duration
@@ -58,6 +61,7 @@
 	RunTimedOut  = "time limit"   // status 504, or the stream was broken off
 	RunDropped   = "caller left"  // the connection was closed
 	RunBrokenOff = "broken off"   // by the target
+	RunSpoiled   = "spoiled"      // bytes that are no response came in place of the rest
 	RunLost      = "answer reset" // the request ran, and the connection was reset instead of an answer
 	Rejected     = "rejected"     // not run
 )
@@ -293,7 +297,7 @@
 	switch {
 	case errors.Is(err, errQueueFull), errors.Is(err, errTimeInQueue):
 		t.Ledger.reject(id, t, err.Error())
-		conn.after(id, "503 Service Unavailable\r\nNot-Executed: 1", false)
+		conn.after(id, "503 Service Unavailable\r\nNot-Executed: 1", 0)
 		header.Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -326,25 +330,36 @@
 	case outcome == RunLost:
 		resetConn(conn.Conn)
 		panic(http.ErrAbortHandler)
+	case outcome == RunSpoiled:
+		conn.writePieces(noise())
+		conn.Close()
+		panic(http.ErrAbortHandler)
 	case outcome == RunDropped, outcome == RunBrokenOff, outcome == RunTimedOut && run.Events > 0:
 		// A close would look like the end of a stream without a length.
 		resetConn(conn.Conn)
 		panic(http.ErrAbortHandler)
 	case outcome == RunCompleted:
-		conn.after(id, "200 OK\r\nResponse-Signature: late", header.Get("Transfer-Encoding") == "identity")
+		unframed := 0
+		if header.Get("Transfer-Encoding") == "identity" {
+			unframed = run.Events
+		}
+		conn.after(id, "200 OK\r\nResponse-Signature: late", unframed)
 	}
 }
 
-// after lets a share of the connections go wrong after the response to a request. unframed says
-// that nothing but the end of the connection marks the end of the response.
-func (c *engineConn) after(id, head string, unframed bool) {
+// after lets a share of the connections go wrong after the response to a request. unframed is
+// the last event of a stream of which nothing but the end of the connection marks the end, 0 for
+// other responses.
+func (c *engineConn) after(id, head string, unframed int) {
 	p := c.target.Profile
 	switch v := rand.Float64(); {
 	case v < p.LateShare:
 		c.late = fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\nlate", head, id)
-		if unframed {
+		if unframed > 0 {
 			io.WriteString(c, c.late) // an error shows to the client too
 		}
+	case unframed > 0 && rand.Float64() < p.StrayShare:
+		c.writePieces(strayBytes(id, unframed, c.target.Software))
 	case v < p.LateShare+p.AbruptShare:
 		time.AfterFunc(time.Duration(rand.Int64N(int64(maxAbruptDelay))), func() {
 			if c.abrupt.Store(true); c.active.Load() {
@@ -355,6 +370,48 @@
 	}
 }
 
+// strayBytes returns bytes that belong to no request, for the place behind a stream whose last
+// event is n, in pieces that are written one after the other.
+func strayBytes(id string, n int, software string) []string {
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: late\r\n"
+	response := head + "Content-Length: 4\r\n\r\nlate"
+	cut := 1 + rand.IntN(len(head)-1)
+	forms := [][]string{
+		noise(),
+		{response[:cut], response[cut:]},
+		{"\r\n" + response},
+		{head + "Content-Type: text/event-stream\r\n\r\n" + StreamEvent(id, n+1, software) + StreamEvent(id, n+2, software)},
+		{head + "\r\nlate"},
+		{StreamEvent(id, n, software)},
+		{strings.Replace(response, "HTTP/1.1", "HTTP/3.7", 1)},
+		{strings.ToLower(response)},
+	}
+	return forms[rand.IntN(len(forms))]
+}
+
+// noise returns bytes that are no response, in one piece. Half of the time they end as an event.
+func noise() []string {
+	b := make([]byte, 1+rand.IntN(60))
+	for i := range b {
+		b[i] = byte(rand.IntN(256))
+	}
+	if rand.IntN(2) == 0 {
+		b = append(b, "\n\n"...)
+	}
+	return []string{string(b)}
+}
+
+// writePieces writes the pieces with a pause of a few milliseconds between them. An error shows
+// to the client too.
+func (c *engineConn) writePieces(pieces []string) {
+	for i, piece := range pieces {
+		if i > 0 {
+			time.Sleep(time.Duration(1+rand.IntN(6)) * time.Millisecond)
+		}
+		io.WriteString(c, piece)
+	}
+}
+
 // maxAbruptDelay is the longest time from a response to the close that it did not announce.
 const maxAbruptDelay = 30 * time.Millisecond
 
@@ -451,6 +508,10 @@
 	if t.losesAnswer() {
 		lost = from + 1 + rand.IntN(max(1, events-from))
 	}
+	spoiled := 0 // event in place of which other bytes come
+	if rand.Float64() < p.SpoiledShare {
+		spoiled = from + 1 + rand.IntN(max(1, events-from))
+	}
 	first := from + 1
 	if from > 0 && rand.Float64() < p.RepeatShare {
 		first = from
@@ -475,6 +536,9 @@
 			control.Flush() // an error means that the client closed the connection
 			return RunLost
 		}
+		if n == spoiled {
+			return RunSpoiled
+		}
 		fmt.Fprint(w, event)
 		t.Ledger.event(run, n)
 		if control.Flush() != nil && !p.RunsOn {
