Emulated targets answer health checks and requests for reports

Cause: the users' targets answer GET on the service's HealthPath with their Instance-Id, and engines answer GET /api/report (PROTOCOL, Engines).

Change: health checks wait for a slot, or are rejected, as requests are, get 503 from a target that is leaving and 421 if they expect another instance. They are no runs in the ledger. Reports need no slot. The configuration of the users' deployments names HealthPath.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -269,21 +269,30 @@
 	return s.Serve(&limitedListener{Listener: ln, target: t})
 }
 
-// serveWithProfile serves a request that names this target.
-func (t *Target) serveWithProfile(w http.ResponseWriter, r *http.Request, id string) {
-	p, header := t.Profile, w.Header()
+// connOf returns the connection of a request to a target with a profile.
+func connOf(r *http.Request) *engineConn {
 	conn, ok := r.Context().Value(engineConnKey{}).(*engineConn)
 	if !ok {
 		panic("connection of a target with a profile has another type")
 	}
+	return conn
+}
+
+// sendLate sends the extra response, if there is one.
+func (c *engineConn) sendLate() {
+	io.WriteString(c, c.late) // an error shows when the response is written
+	c.late = ""
+}
+
+// serveWithProfile serves a request that names this target.
+func (t *Target) serveWithProfile(w http.ResponseWriter, r *http.Request, id string) {
+	p, header := t.Profile, w.Header()
+	conn := connOf(r)
 	// The server sees that the connection was closed only after it has read the body.
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if conn.late != "" {
-		io.WriteString(conn, conn.late) // an error shows when the response is written
-		conn.late = ""
-	}
+	conn.sendLate()
 	deadline := time.Now().Add(time.Hour)
 	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
 		deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -161,12 +161,21 @@
 func (t *Target) handle(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	header := w.Header()
+	if r.Method == http.MethodGet && r.URL.Path == reportPath && t.EventsPerStream > 0 {
+		t.serveReport(w)
+		return
+	}
 	header.Set("Request-Id", id)
 	header.Set("Instance-Id", t.ID)
-	if r.Header.Get("Expect-Instance") != t.ID {
+	health := r.Method == http.MethodGet && r.URL.Path == HealthPath
+	if expected := r.Header.Get("Expect-Instance"); expected != t.ID && !(health && expected == "") {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if health {
+		t.serveHealth(w, r)
+		return
+	}
 	if t.Profile != nil {
 		t.serveWithProfile(w, r, id)
 		return
--- a/internal/faultsoak/deployments_test.go
+++ b/internal/faultsoak/deployments_test.go
@@ -230,8 +230,11 @@
 	}
 	b, err := json.Marshal(map[string]any{
 		"Version": d.configVersion, "Routes": routes, "Tenants": tenants,
-		"Services": []any{map[string]any{"Name": d.plainService}, map[string]any{"Name": d.plainService + movedSuffix}, map[string]any{"Name": d.engineService, "Engine": map[string]any{"Slots": d.slots}}},
-		"Limits":   map[string]any{"MaxHeaderBytes": 16 << 10, "MaxBodyBytes": 4 << 20, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": d.idleTimeout.Milliseconds()},
+		"Services": []any{
+			map[string]any{"Name": d.plainService, "HealthPath": emulator.HealthPath}, map[string]any{"Name": d.plainService + movedSuffix, "HealthPath": emulator.HealthPath},
+			map[string]any{"Name": d.engineService, "HealthPath": emulator.HealthPath, "Engine": map[string]any{"Slots": d.slots}},
+		},
+		"Limits": map[string]any{"MaxHeaderBytes": 16 << 10, "MaxBodyBytes": 4 << 20, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": d.idleTimeout.Milliseconds()},
 	})
 	if err != nil {
 		d.world.t.Fatal(err)
