Fault soak: targets that are replaced in place

Cause: the soak's killed targets close their listeners with their connections.

Change: targets listen on an emulator.Socket, which stays open while one process ends and the next begins.

--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -270,6 +270,9 @@
 			e := entries[r.IntN(len(entries))]
 			add(at+between(0, ms(2000)), func() { d.impair("killed", e.name, 0); e.signal(syscall.SIGKILL) })
 		}
+		for at := between(0, ms(2000)); at < day; at += between(ms(500), ms(2500)) {
+			add(at, func() { d.removeEngine(d.replaceInPlace) })
+		}
 	}
 	slices.SortStableFunc(plan, func(a, b step) int { return int(a.at - b.at) })
 	begin := time.Now()
@@ -351,29 +354,49 @@
 	time.AfterFunc(drainTime+ms(1500), func() {
 		e.Closing.Store(true)
 		e.server.Close()
+		e.socket.Close()
 		w.store.Put("keyed.servers", e.ID, nil)
-		d.restartEngine(e)
+		d.restartEngine(e, targetRestart, func(n *engine) { d.listen(n, e.proxyAddress) })
 	})
 }
 
 // killEngine ends a target as a process that is killed, and lets another one begin at its address.
-// The record goes when its lease has run out.
 func (d *deploymentRun) killEngine(w *world, e *engine) {
+	d.endProcess(e)
+	e.socket.Close()
+	d.restartEngine(e, targetRestart, func(n *engine) { d.listen(n, e.proxyAddress) })
+}
+
+// replaceInPlace ends a target as a process that is killed, and lets another one begin soon on
+// its socket, which something else holds open.
+func (d *deploymentRun) replaceInPlace(w *world, e *engine) {
+	d.endProcess(e)
+	d.restartEngine(e, time.Duration(rand.Int64N(int64(targetReplacement))), func(n *engine) { n.serveOn(e.socket) })
+}
+
+// endProcess ends the server of a target as the kernel does when a process is killed. Its record
+// goes when its lease has run out.
+func (d *deploymentRun) endProcess(e *engine) {
 	e.Killed.Store(true)
 	e.Closing.Store(true)
 	d.impair("killed", e.ID, 0)
 	e.server.Close()
-	time.AfterFunc(recordLease, func() { w.store.Put("keyed.servers", e.ID, nil) })
-	d.restartEngine(e)
+	time.AfterFunc(recordLease, func() { d.world.store.Put("keyed.servers", e.ID, nil) })
 }
 
-// recordLease is the time after which the record of a silent target is removed.
-const recordLease = 3 * time.Second
+const (
+	// recordLease is the time after which the record of a silent target is removed.
+	recordLease = 3 * time.Second
+	// A target that has ended is started again after targetRestart, or on a socket that stayed open
+	// within targetReplacement.
+	targetRestart     = 2 * time.Second
+	targetReplacement = 200 * time.Millisecond
+)
 
-// restartEngine starts a target in place of e, which has ended, after a while.
-func (d *deploymentRun) restartEngine(e *engine) {
+// restartEngine starts a target in place of e, which has ended, after a while, with serve.
+func (d *deploymentRun) restartEngine(e *engine, after time.Duration, serve func(n *engine)) {
 	w := d.world
-	time.AfterFunc(2*time.Second, func() {
+	time.AfterFunc(after, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.closed {
@@ -381,7 +404,7 @@
 		}
 		next := &emulator.Target{ID: e.ID + "n", Service: e.Service, Slots: e.Slots, EventsPerStream: e.EventsPerStream, Software: e.Software, Ledger: e.Ledger, Profile: e.Profile}
 		n := &engine{Target: next, startedAt: time.Now()}
-		d.serveTarget(n, e.proxyAddress)
+		serve(n)
 		w.engines[slices.Index(w.engines, e)] = n
 		w.putTargetRecord(n, "ready")
 	})
--- a/internal/faultsoak/deployments_test.go
+++ b/internal/faultsoak/deployments_test.go
@@ -182,20 +182,25 @@
 // addTarget starts a target on a new address.
 func (d *deploymentRun) addTarget(t *emulator.Target) {
 	e := &engine{Target: t, startedAt: time.Now()}
-	d.serveTarget(e, "127.0.0.1:0")
+	d.listen(e, "127.0.0.1:0")
 	d.world.engines = append(d.world.engines, e)
 	d.world.putTargetRecord(e, "ready")
 }
 
-// serveTarget serves a target at an address until its server is closed.
-func (d *deploymentRun) serveTarget(e *engine, address string) {
+// listen serves a target on a new socket at an address.
+func (d *deploymentRun) listen(e *engine, address string) {
 	ln, err := net.Listen("tcp4", address)
 	if err != nil {
 		d.world.t.Errorf("%s: %v", e.ID, err)
 		return
 	}
-	e.listener, e.proxyAddress, e.server = ln, ln.Addr().String(), e.NewServer()
-	go e.ServeLimited(e.server, ln)
+	e.serveOn(emulator.NewSocket(ln))
+}
+
+// serveOn serves a target on a socket until its server is closed.
+func (e *engine) serveOn(socket *emulator.Socket) {
+	e.socket, e.listener, e.proxyAddress, e.server = socket, socket, socket.Addr().String(), e.NewServer()
+	go e.ServeLimited(e.server, socket.Process())
 }
 
 // writeConfiguration writes a new version of the configuration with the changes made so far.
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -44,9 +44,10 @@
 	proxyAddress string
 	listener     net.Listener // of the proxy; closed while the engine is crashed
 	server       *http.Server // of a target with a profile, which has no proxy
-	removed      bool         // draining or crashed, until it is started again
-	startedAt    time.Time    // as stated in its record
-	record       []byte       // the last one that it wrote; nil if it was removed
+	socket       *emulator.Socket
+	removed      bool      // draining or crashed, until it is started again
+	startedAt    time.Time // as stated in its record
+	record       []byte    // the last one that it wrote; nil if it was removed
 }
 
 // world holds everything that one seed runs.
