Fault soak: proxies that accept for ended targets and close late

Cause: a proxy on the way takes connections for a process that has ended, and passes closes on late.

Change: with -faultsoak.proxies, each target is behind a proxy that passes the end of a connection on, and closes one that the target refused, up to 50 ms late. Events tell targets that are replaced in place from killed ones.

--- a/internal/emulator/proxy.go
+++ b/internal/emulator/proxy.go
@@ -19,6 +19,9 @@
 	// DropToTarget and DropFromTarget make one direction silent: its data is read
 	// and discarded.
 	DropToTarget, DropFromTarget atomic.Bool
+	// CloseDelayMs is the longest time, in milliseconds, by which the close of a target's connection
+	// is passed on late, and after which a connection is closed that the target refused.
+	CloseDelayMs atomic.Int64
 	// RefuseNew resets new connections immediately.
 	RefuseNew atomic.Bool
 
@@ -52,6 +55,7 @@
 	defer clientConn.Close()
 	targetConn, err := net.DialTimeout("tcp4", p.TargetAddress, time.Second)
 	if err != nil {
+		p.delayClose()
 		resetConn(clientConn)
 		return
 	}
@@ -85,6 +89,9 @@
 			}
 		}
 		if err != nil {
+			if drop == &p.DropFromTarget {
+				p.delayClose()
+			}
 			if err != io.EOF || dropped {
 				resetConn(to)
 			}
@@ -93,6 +100,13 @@
 	}
 }
 
+// delayClose waits up to CloseDelayMs.
+func (p *Proxy) delayClose() {
+	if delayMs := p.CloseDelayMs.Load(); delayMs > 0 {
+		time.Sleep(time.Duration(rand.Int64N(delayMs)) * time.Millisecond)
+	}
+}
+
 // track adds c to the open connections, or removes it if open is false.
 func (p *Proxy) track(c net.Conn, open bool) {
 	p.mu.Lock()
@@ -119,6 +133,7 @@
 // stays silent in that direction.
 func (p *Proxy) ClearFaults() {
 	p.DelayMs.Store(0)
+	p.CloseDelayMs.Store(0)
 	p.DropToTarget.Store(false)
 	p.DropFromTarget.Store(false)
 	p.RefuseNew.Store(false)
--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -23,6 +23,7 @@
 	pausesFlag     = flag.Bool("faultsoak.pauses", false, "entries do not run for about a second, several times, beside planned stops, as on a busy machine; the judge excuses nothing for it")
 	hangupsFlag    = flag.Bool("faultsoak.hangups", true, "send SIGHUP; some earlier landings end on it during a planned stop")
 	lateCloseFlag  = flag.Bool("faultsoak.lateclose", false, "silent targets do not notice that a connection was closed")
+	proxiesFlag    = flag.Bool("faultsoak.proxies", false, "targets are behind proxies that accept connections for ended processes and close late")
 	rateFlag       = flag.Float64("faultsoak.rate", 1, "factor of a deployment's request rate")
 )
 
@@ -356,30 +357,30 @@
 		e.server.Close()
 		e.socket.Close()
 		w.store.Put("keyed.servers", e.ID, nil)
-		d.restartEngine(e, targetRestart, func(n *engine) { d.listen(n, e.proxyAddress) })
+		d.restartEngine(e, targetRestart, func(n *engine) { d.listenAgain(n, e) })
 	})
 }
 
 // killEngine ends a target as a process that is killed, and lets another one begin at its address.
 func (d *deploymentRun) killEngine(w *world, e *engine) {
-	d.endProcess(e)
+	d.endProcess(e, "killed")
 	e.socket.Close()
-	d.restartEngine(e, targetRestart, func(n *engine) { d.listen(n, e.proxyAddress) })
+	d.restartEngine(e, targetRestart, func(n *engine) { d.listenAgain(n, e) })
 }
 
 // replaceInPlace ends a target as a process that is killed, and lets another one begin soon on
 // its socket, which something else holds open.
 func (d *deploymentRun) replaceInPlace(w *world, e *engine) {
-	d.endProcess(e)
-	d.restartEngine(e, time.Duration(rand.Int64N(int64(targetReplacement))), func(n *engine) { n.serveOn(e.socket) })
+	d.endProcess(e, "replaced in place")
+	d.restartEngine(e, time.Duration(rand.Int64N(int64(targetReplacement))), func(n *engine) { n.serveInPlace(e, e.socket) })
 }
 
-// endProcess ends the server of a target as the kernel does when a process is killed. Its record
-// goes when its lease has run out.
-func (d *deploymentRun) endProcess(e *engine) {
+// endProcess ends the server of a target as the kernel does when a process is killed, and records
+// what as the fault. The target's record goes when its lease has run out.
+func (d *deploymentRun) endProcess(e *engine, what string) {
 	e.Killed.Store(true)
 	e.Closing.Store(true)
-	d.impair("killed", e.ID, 0)
+	d.impair(what, e.ID, 0)
 	e.server.Close()
 	time.AfterFunc(recordLease, func() { d.world.store.Put("keyed.servers", e.ID, nil) })
 }
--- a/internal/faultsoak/deployments_test.go
+++ b/internal/faultsoak/deployments_test.go
@@ -179,22 +179,45 @@
 	go w.repeatTargetRecords()
 }
 
-// addTarget starts a target on a new address.
+// addTarget starts a target on a new address, behind a proxy if -faultsoak.proxies is given.
 func (d *deploymentRun) addTarget(t *emulator.Target) {
 	e := &engine{Target: t, startedAt: time.Now()}
-	d.listen(e, "127.0.0.1:0")
+	if socket := d.listen("127.0.0.1:0"); socket != nil {
+		e.serveOn(socket)
+		if *proxiesFlag {
+			e.proxy = emulator.NewProxy(e.proxyAddress)
+			e.proxy.CloseDelayMs.Store(proxyCloseDelay.Milliseconds())
+			e.proxyAddress = d.world.serveOn("127.0.0.1:0", e.proxy.Serve)
+		}
+	}
 	d.world.engines = append(d.world.engines, e)
 	d.world.putTargetRecord(e, "ready")
 }
 
-// listen serves a target on a new socket at an address.
-func (d *deploymentRun) listen(e *engine, address string) {
+// proxyCloseDelay is the longest time by which proxies close late.
+const proxyCloseDelay = 50 * time.Millisecond
+
+// listen returns a new socket at an address, or nil.
+func (d *deploymentRun) listen(address string) *emulator.Socket {
 	ln, err := net.Listen("tcp4", address)
 	if err != nil {
-		d.world.t.Errorf("%s: %v", e.ID, err)
-		return
+		d.world.t.Error(err)
+		return nil
+	}
+	return emulator.NewSocket(ln)
+}
+
+// listenAgain serves a target at the address of one that has ended, on a new socket.
+func (d *deploymentRun) listenAgain(e, before *engine) {
+	if socket := d.listen(before.socket.Addr().String()); socket != nil {
+		e.serveInPlace(before, socket)
 	}
-	e.serveOn(emulator.NewSocket(ln))
+}
+
+// serveInPlace serves a target on a socket, behind the proxy of one that has ended, if it had one.
+func (e *engine) serveInPlace(before *engine, socket *emulator.Socket) {
+	e.serveOn(socket)
+	e.proxy, e.proxyAddress = before.proxy, before.proxyAddress
 }
 
 // serveOn serves a target on a socket until its server is closed.
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -43,7 +43,7 @@
 	proxy        *emulator.Proxy
 	proxyAddress string
 	listener     net.Listener // of the proxy; closed while the engine is crashed
-	server       *http.Server // of a target with a profile, which has no proxy
+	server       *http.Server // of a target with a profile
 	socket       *emulator.Socket
 	removed      bool      // draining or crashed, until it is started again
 	startedAt    time.Time // as stated in its record
