--- a/internal/faultsoak/deployments_test.go
+++ b/internal/faultsoak/deployments_test.go
@@ -159,6 +159,9 @@
 		profile.Speed, profile.IdleTimeout, profile.CloseShare, profile.LateShare = d.speeds[i%len(d.speeds)], engineIdle, 0.01, 0.004
 		profile.AbruptShare, profile.PreemptShare, profile.PreemptTime, profile.RepeatShare = 0.004, 0.02, ms(3000), 0.5
 		profile.RunsOn, profile.NoticesCloseLate, profile.EndsProperly = i%5 == 4, *lateCloseFlag, i%2 == 0
+		if w.seed%2 == 1 {
+			profile.StrayShare, profile.SpoiledShare = 0.02, 0.004
+		}
 		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", d.engineService, i), Service: d.engineService, Slots: d.slots, EventsPerStream: 1, Software: "v1", Ledger: w.ledger, Profile: &profile})
 	}
 	for i := range d.plainTargets + movedTargets {
@@ -176,23 +179,51 @@
 	go w.repeatTargetRecords()
 }
 
-// addTarget starts a target on a new address.
+// addTarget starts a target on a new address, behind a proxy if -faultsoak.proxies is given.
 func (d *deploymentRun) addTarget(t *emulator.Target) {
 	e := &engine{Target: t, startedAt: time.Now()}
-	d.serveTarget(e, "127.0.0.1:0")
+	if socket := d.listen("127.0.0.1:0"); socket != nil {
+		e.serveOn(socket)
+		if *proxiesFlag {
+			e.proxy = emulator.NewProxy(e.proxyAddress)
+			e.proxy.CloseDelayMs.Store(proxyCloseDelay.Milliseconds())
+			e.proxyAddress = d.world.serveOn("127.0.0.1:0", e.proxy.Serve)
+		}
+	}
 	d.world.engines = append(d.world.engines, e)
 	d.world.putTargetRecord(e, "ready")
 }
 
-// serveTarget serves a target at an address until its server is closed.
-func (d *deploymentRun) serveTarget(e *engine, address string) {
+// proxyCloseDelay is the longest time by which proxies close late.
+const proxyCloseDelay = 50 * time.Millisecond
+
+// listen returns a new socket at an address, or nil.
+func (d *deploymentRun) listen(address string) *emulator.Socket {
 	ln, err := net.Listen("tcp4", address)
 	if err != nil {
-		d.world.t.Errorf("%s: %v", e.ID, err)
-		return
+		d.world.t.Error(err)
+		return nil
+	}
+	return emulator.NewSocket(ln)
+}
+
+// listenAgain serves a target at the address of one that has ended, on a new socket.
+func (d *deploymentRun) listenAgain(e, before *engine) {
+	if socket := d.listen(before.socket.Addr().String()); socket != nil {
+		e.serveInPlace(before, socket)
 	}
-	e.listener, e.proxyAddress, e.server = ln, ln.Addr().String(), e.NewServer()
-	go e.ServeLimited(e.server, ln)
+}
+
+// serveInPlace serves a target on a socket, behind the proxy of one that has ended, if it had one.
+func (e *engine) serveInPlace(before *engine, socket *emulator.Socket) {
+	e.serveOn(socket)
+	e.proxy, e.proxyAddress = before.proxy, before.proxyAddress
+}
+
+// serveOn serves a target on a socket until its server is closed.
+func (e *engine) serveOn(socket *emulator.Socket) {
+	e.socket, e.listener, e.proxyAddress, e.server = socket, socket, socket.Addr().String(), e.NewServer()
+	go e.ServeLimited(e.server, socket.Process())
 }
 
 // writeConfiguration writes a new version of the configuration with the changes made so far.
@@ -227,8 +258,11 @@
 	}
 	b, err := json.Marshal(map[string]any{
 		"Version": d.configVersion, "Routes": routes, "Tenants": tenants,
-		"Services": []any{map[string]any{"Name": d.plainService}, map[string]any{"Name": d.plainService + movedSuffix}, map[string]any{"Name": d.engineService, "Engine": map[string]any{"Slots": d.slots}}},
-		"Limits":   map[string]any{"MaxHeaderBytes": 16 << 10, "MaxBodyBytes": 4 << 20, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": d.idleTimeout.Milliseconds()},
+		"Services": []any{
+			map[string]any{"Name": d.plainService, "HealthPath": emulator.HealthPath}, map[string]any{"Name": d.plainService + movedSuffix, "HealthPath": emulator.HealthPath},
+			map[string]any{"Name": d.engineService, "HealthPath": emulator.HealthPath, "Engine": map[string]any{"Slots": d.slots}},
+		},
+		"Limits": map[string]any{"MaxHeaderBytes": 16 << 10, "MaxBodyBytes": 4 << 20, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": d.idleTimeout.Milliseconds()},
 	})
 	if err != nil {
 		d.world.t.Fatal(err)
