Callers' server: a stream without chunks is reset until it is complete

Cause: a stream to a caller of HTTP/1.0 ends with its connection. Only Abort asked for a reset, so that each other end of the connection looked like the end of the stream: that of a killed process, of a panic in the handler. Class: the default outcome of a failure was the one that claims completeness. Change: BeginStream makes each close of such a connection a reset, and EndStream takes that back. The kernel does the same for a process that ends. Responses with chunks or a length are not affected. A served connection that is no longer to be reset waits again for its peer before it closes.

--- a/internal/transport/gatewayhttp/server.go
+++ b/internal/transport/gatewayhttp/server.go
@@ -238,7 +238,7 @@
 	if call == nil {
 		return
 	}
-	out := &responder{w: w, control: http.NewResponseController(w), call: call, closeConnection: s.stopping.Load}
+	out := &responder{w: w, control: http.NewResponseController(w), call: call, conn: connWithoutChunks(r), closeConnection: s.stopping.Load}
 	if hasBody(r) {
 		release, ok := s.receiveBody(r, out, limits.MaxBodyBytes)
 		defer release()
@@ -252,7 +252,7 @@
 	}
 	s.Gateway.Serve(r.Context(), call, arrived, out)
 	if out.aborted {
-		s.cutResponse(r)
+		panic(http.ErrAbortHandler) // closes the connection without ending the response
 	}
 }
 
@@ -302,16 +302,17 @@
 // connKey is the key under which the context of a request holds its connection.
 type connKey struct{}
 
-// cutResponse closes the caller's connection without ending the response. A response
-// without chunks ends with its connection, so that only a reset tells the caller that it
-// is incomplete.
-func (s *Server) cutResponse(r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(seconds int) error }); ok && !r.ProtoAtLeast(1, 1) {
-		if err := c.SetLinger(0); err != nil {
-			s.Log.Warn("connection of a broken response not reset", zap.String("caller", r.RemoteAddr), zap.Error(err))
-		}
+// lingerer is a connection of which SetLinger says how it is closed, as that of net.TCPConn does.
+type lingerer interface{ SetLinger(seconds int) error }
+
+// connWithoutChunks returns the connection of a request whose response cannot have chunks, and
+// nil for any other request.
+func connWithoutChunks(r *http.Request) lingerer {
+	if r.ProtoAtLeast(1, 1) {
+		return nil
 	}
-	panic(http.ErrAbortHandler)
+	c, _ := r.Context().Value(connKey{}).(lingerer)
+	return c
 }
 
 // reject answers an invalid request with status and closes the connection, because the
@@ -339,6 +340,7 @@
 	w               http.ResponseWriter
 	control         *http.ResponseController
 	call            *state.Call
+	conn            lingerer    // from connWithoutChunks
 	closeConnection func() bool // the response must close the connection
 	aborted         bool        // Abort was called
 }
@@ -393,8 +395,15 @@
 	return o.control.Flush()
 }
 
-// BeginStream implements gateway.Responder.
+// BeginStream implements gateway.Responder. A stream without chunks ends with its connection, so
+// that only a reset tells the caller that it is incomplete. Until EndStream, each close of the
+// connection resets it, also that by the kernel when the process is killed.
 func (o *responder) BeginStream(r *state.Response) error {
+	if o.conn != nil {
+		if err := o.conn.SetLinger(0); err != nil {
+			return err
+		}
+	}
 	o.setHeader(r)
 	o.w.WriteHeader(r.Status)
 	return nil
@@ -405,7 +414,14 @@
 
 // EndStream implements gateway.Responder. net/http writes the end of the response when
 // the handler returns.
-func (o *responder) EndStream() error { return o.extendWriteDeadline() }
+func (o *responder) EndStream() error {
+	if o.conn != nil {
+		if err := o.conn.SetLinger(-1); err != nil {
+			return err
+		}
+	}
+	return o.extendWriteDeadline()
+}
 
 // Abort implements gateway.Responder.
 func (o *responder) Abort() { o.aborted = true }
--- a/internal/transport/netconn/close.go
+++ b/internal/transport/netconn/close.go
@@ -53,12 +53,13 @@
 type servedConn struct {
 	*conn
 	closed atomic.Bool // Close was called
-	abrupt atomic.Bool // the peer sends nothing more, or the connection is to be reset
+	abrupt atomic.Bool // the peer sends nothing more
+	reset  atomic.Bool // Close resets the connection
 }
 
-// SetLinger is that of net.TCPConn. The next Close does not wait for the peer.
+// SetLinger is that of net.TCPConn. A Close that resets the connection does not wait for the peer.
 func (c *servedConn) SetLinger(seconds int) error {
-	c.abrupt.Store(true)
+	c.reset.Store(seconds == 0)
 	return c.conn.SetLinger(seconds)
 }
 
@@ -88,7 +89,7 @@
 		return net.ErrClosed
 	}
 	// The deadline ends reads and writes in progress.
-	if c.abrupt.Load() || !c.undelivered() || c.SetDeadline(time.Unix(1, 0)) != nil {
+	if c.abrupt.Load() || c.reset.Load() || !c.undelivered() || c.SetDeadline(time.Unix(1, 0)) != nil {
 		return c.conn.Close()
 	}
 	delivering.Add(1)
