Side process: bytes behind a stream without length or chunks are not its next event

Cause: as at the entry: whatever followed such a stream of a plain service was passed on as a part of it, and the stream ended as complete. Change: the side process reads these streams with eventstream.UnframedReader and passes on whole events only.

--- a/internal/transport/engine/wholeevents.go
+++ b/internal/transport/engine/wholeevents.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"mime"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/eventstream"
 )
 
 // Errors of streams that were broken off, although their body ended without an error.
@@ -13,30 +15,62 @@
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
 )
 
-// noLengthOrChunks is what fasthttp returns as the Content-Length of a response that has
-// neither a length nor chunks.
-const noLengthOrChunks = -2
-
-// wholeEventsReader reads a stream of server-sent events. It returns io.EOF only if the
-// stream ended between two events. A body without length or chunks also ends when its
-// sender crashes, so the end of the body alone does not prove that it is complete.
-type wholeEventsReader struct {
-	body               io.Reader
-	endsWithConnection bool // the body has neither a length nor chunks
-	lineBegun          bool // the last line has a byte other than CR, and no LF yet
-	eventBegun         bool // lines came without the empty line that ends an event
-	hasField           bool // one of these lines is no comment
-	hasEvent           bool
-}
+const (
+	// noLengthOrChunks is what fasthttp returns as the Content-Length of a response that has
+	// neither a length nor chunks.
+	noLengthOrChunks = -2
+	// maxUnframedEventBytes bounds one event of such a response, which is held until it is whole.
+	maxUnframedEventBytes = 4 << 20
+)
 
 // newPlainBodyReader returns a reader of the body of a plain service's response.
 func newPlainBodyReader(call *httpCall, headRequest bool) io.Reader {
 	header := &call.response.Header
 	mediaType, _, err := mime.ParseMediaType(string(header.ContentType()))
-	if headRequest || err != nil || mediaType != "text/event-stream" {
+	switch {
+	case headRequest || err != nil || mediaType != "text/event-stream":
 		return call.bodyReader()
+	case header.ContentLength() == noLengthOrChunks:
+		return &unframedReader{in: eventstream.UnframedReader{Reader: eventstream.NewReader(call.bodyReader(), maxUnframedEventBytes, nil)}}
 	}
-	return &wholeEventsReader{body: call.bodyReader(), endsWithConnection: header.ContentLength() == noLengthOrChunks}
+	return &wholeEventsReader{body: call.bodyReader()}
+}
+
+// unframedReader reads a stream of server-sent events that has neither a length nor chunks, and
+// returns whole events only. Such a body also ends when its sender crashes, so the end of the body
+// alone does not prove that it is complete.
+type unframedReader struct {
+	in       eventstream.UnframedReader
+	rest     []byte // of the last event
+	hasEvent bool
+}
+
+// Read implements io.Reader.
+func (r *unframedReader) Read(p []byte) (int, error) {
+	if len(r.rest) == 0 {
+		ev, err := r.in.Next()
+		if errors.Is(err, io.EOF) && !r.hasEvent {
+			err = errNoEvent
+		}
+		if err != nil {
+			return 0, err
+		}
+		for range ev.Fields() {
+			r.hasEvent = true
+		}
+		r.rest = ev
+	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
+// wholeEventsReader reads a stream of server-sent events. It returns io.EOF only if the
+// stream ended between two events.
+type wholeEventsReader struct {
+	body       io.Reader
+	lineBegun  bool // the last line has a byte other than CR, and no LF yet
+	eventBegun bool // lines came without the empty line that ends an event
 }
 
 // Read implements io.Reader.
@@ -45,16 +79,10 @@
 	for _, c := range p[:n] {
 		r.next(c)
 	}
-	switch {
-	case !errors.Is(err, io.EOF):
-		return n, err
-	case r.lineBegun || r.eventBegun:
+	if errors.Is(err, io.EOF) && (r.lineBegun || r.eventBegun) {
 		return n, errEndsInsideEvent
-	case r.endsWithConnection && !r.hasEvent:
-		return n, errNoEvent
-	default:
-		return n, io.EOF
 	}
+	return n, err
 }
 
 // next takes the next byte of the stream.
@@ -62,14 +90,10 @@
 	switch {
 	case c == '\r':
 	case c != '\n':
-		if !r.lineBegun {
-			r.hasField = r.hasField || c != ':'
-		}
 		r.lineBegun = true
 	case r.lineBegun:
 		r.lineBegun, r.eventBegun = false, true
 	default:
-		r.hasEvent = r.hasEvent || r.hasField
-		r.eventBegun, r.hasField = false, false
+		r.eventBegun = false
 	}
 }
