Target client: only an answer of the same incarnation shows that a target runs

Callers got a stream without length or chunks as complete although its target was killed in the middle of it, if something else accepted connections at the address. A whole response at a target that resets new connections, because it is at its limit of them, was taken for broken off.

The entry now sends GET to the health path of the service with an Expect-Instance that no target has. A target answers it with 421 and its Instance-Id without a slot, also while it is full. The health check with the target's own id waits for a slot or is rejected; it is sent only after a 421 without Instance-Id, where any other answer than 421 that is a health check or says Not-Executed comes from the expected incarnation.

- Refused, or another Instance-Id: ended.
Everything else within 500 ms: not proved.
In both cases the response is not complete.
- An idle connection is used if there is one.
An error on it, or on a new connection, is no result; the probe is tried again after 50, 100 and 200 ms.
- Responses to other requests are skipped.
A connection carries one answered probe at most, since a late copy of the answer names no request.
- Responses that end at a time share a probe that is sent after all of them.

A target that neither names itself nor heeds Expect-Instance cannot be identified, so none of its responses without length or chunks is complete. Targets of side processes have no identity; their check is as before.

In the older tests of the check, stand-ins of targets that run now answer probes, as targets do, and HasEnded being false became Running being proved, which is stricter.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -108,8 +108,8 @@
 	case err != nil:
 	case head.EndsWithConnection && a.handOver.wasWithdrawn():
 		err = errEndsWithdrawn
-	case a.endsWithTarget(head):
-		err = errEndsWithTarget
+	default:
+		err = a.endsWithTarget(head)
 	}
 	if err != nil {
 		return a.outcomeOf(err), err
@@ -263,8 +263,8 @@
 			if head.EndsWithConnection && !a.race.won(a) && !a.begun {
 				return dispatch.Broken, errNoEvent
 			}
-			if a.endsWithTarget(head) {
-				return a.outcomeOf(errEndsWithTarget), errEndsWithTarget
+			if err := a.endsWithTarget(head); err != nil {
+				return a.outcomeOf(err), err
 			}
 			if !a.claim(true) {
 				return a.outcomeOf(errOutrun), errOutrun
@@ -297,11 +297,25 @@
 	}
 }
 
-// endsWithTarget reports whether a response that has neither a length nor chunks has ended
+// endsWithTarget returns an error if a response that has neither a length nor chunks may have ended
 // together with its target, which may have crashed in the middle of it: the kernel closes the
-// connections of a process that ends like those that the process closes itself.
-func (a *attempt) endsWithTarget(head *state.Response) bool {
-	return head.EndsWithConnection && a.request.service.cfg.TargetClient.HasEnded(a.ctx, a.grant.Target.Address)
+// connections of a process that ends like those that the process closes itself. The response is
+// complete only with proof that the target has outlived it.
+func (a *attempt) endsWithTarget(head *state.Response) error {
+	if !head.EndsWithConnection {
+		return nil
+	}
+	r, began := a.request, time.Now()
+	check := r.service.cfg.TargetClient.CheckRunning(a.ctx, &a.grant.Target, r.table.Config.HealthPaths[a.grant.Target.Service])
+	r.recordRunCheck(a, check, time.Since(began))
+	switch check.Liveness {
+	case Running:
+		return nil
+	case Ended:
+		return errEndsWithTarget
+	default:
+		return errEndUnproved
+	}
 }
 
 // countEvent records the start of the response and the events for the cost model.
--- a/internal/coordination/gateway/crashfleet_test.go
+++ b/internal/coordination/gateway/crashfleet_test.go
@@ -126,8 +126,15 @@
 	return c.find(address).crashed == nil
 }
 
-func (c *crashEngines) HasEnded(ctx context.Context, address string) bool {
-	return c.Refuses(ctx, address) || c.Closes(ctx, address)
+// CheckRunning implements TargetClient.
+func (c *crashEngines) CheckRunning(ctx context.Context, target *state.TargetRecord, _ string) RunCheck {
+	switch {
+	case c.Refuses(ctx, target.Address):
+		return RunCheck{Liveness: Ended}
+	case c.Closes(ctx, target.Address):
+		return RunCheck{Liveness: Unproved}
+	}
+	return RunCheck{Liveness: Running}
 }
 
 func (c *crashEngines) find(address string) *crashEngine {
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -65,9 +65,34 @@
 	// Closes reports whether connections to an address that does not refuse them are closed
 	// soon after, without a request.
 	Closes(ctx context.Context, address string) bool
-	// HasEnded reports whether the target at an address, which has just closed a connection, has
-	// ended: further connections are refused, or closed at once.
-	HasEnded(ctx context.Context, address string) bool
+	// CheckRunning asks a target that has just closed a connection whether it still runs.
+	// healthPath is the path of health checks of its service, or empty if there is none. The
+	// check is bounded.
+	CheckRunning(ctx context.Context, target *state.TargetRecord, healthPath string) RunCheck
+}
+
+// Liveness is what is known of a target after it has closed a connection.
+type Liveness uint8
+
+const (
+	// Unproved: the target did not answer in time, or with nothing that identifies it.
+	Unproved Liveness = iota
+	// Running: the same incarnation of the target answered a request that was sent after the
+	// close.
+	Running
+	// Ended: connections are refused, or another incarnation answers at the address.
+	Ended
+)
+
+// String returns the value as it appears in logs and names of counters.
+func (l Liveness) String() string { return [...]string{"unproved", "running", "ended"}[l] }
+
+// RunCheck is the result of TargetClient.CheckRunning.
+type RunCheck struct {
+	Liveness Liveness
+	Asked    string // the last request that was sent, for logs
+	Answer   string // what came of it, for logs
+	Tries    int    // connections on which the target was asked, or that could not be opened
 }
 
 // Exchange is a request that was sent and its response. It is not safe for
--- a/internal/coordination/gateway/quarantine.go
+++ b/internal/coordination/gateway/quarantine.go
@@ -111,7 +111,7 @@
 // isEndOfConnection reports whether the target's end of the connection was closed, as at
 // the end of its process, rather than lost on the way.
 func isEndOfConnection(err error) bool {
-	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errNoEvent, errEndsWithTarget, eventstream.ErrEndsInsideEvent} {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errNoEvent, errEndsWithTarget, errEndUnproved, eventstream.ErrEndsInsideEvent} {
 		if errors.Is(err, end) {
 			return true
 		}
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -208,6 +208,18 @@
 		zap.String("prompt", promptText(r.call.Prompt)), zap.Uint64("content", uint64(r.contents[0])), zap.NamedError("cause", err))
 }
 
+// recordRunCheck counts the check of whether a target has outlived a response without length or
+// chunks, and records it unless it has.
+func (r *request) recordRunCheck(a *attempt, c RunCheck, took time.Duration) {
+	r.service.cfg.Counters.Add("end_check." + c.Liveness.String())
+	if c.Liveness == Running {
+		return
+	}
+	r.log.Info("end of response not proved", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
+		zap.String("address", a.grant.Target.Address), zap.String("result", c.Liveness.String()), zap.String("asked", c.Asked), zap.String("answer", c.Answer),
+		zap.Int("tries", c.Tries), zap.Duration("took", took), zap.Int("events", a.grant.Events))
+}
+
 // logStalled records that the target of an attempt has stalled. The attempt goes on until
 // another target has a slot for the request. The caller must hold a.handOver.mu.
 func (r *request) logStalled(a *attempt, mayMoveOn bool) {
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -73,6 +73,7 @@
 	errTooLarge        = errors.New("response body is too large")
 	errEndsWithdrawn   = errors.New("response without length or chunks ended after its target was asked to abandon it")
 	errEndsWithTarget  = errors.New("response without length or chunks ended together with its target")
+	errEndUnproved     = errors.New("no proof that the target has outlived its response without length or chunks")
 	errStrayResponse   = errors.New("another response of unknown length inside a stream without length or chunks")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
 )
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -31,9 +31,11 @@
 // runningTargets are targets that accept connections.
 type runningTargets struct{}
 
-func (runningTargets) Refuses(context.Context, string) bool  { return false }
-func (runningTargets) Closes(context.Context, string) bool   { return false }
-func (runningTargets) HasEnded(context.Context, string) bool { return false }
+func (runningTargets) Refuses(context.Context, string) bool { return false }
+func (runningTargets) Closes(context.Context, string) bool  { return false }
+func (runningTargets) CheckRunning(context.Context, *state.TargetRecord, string) RunCheck {
+	return RunCheck{Liveness: Running}
+}
 
 // fakeTargetClient handles each send by the next behaviour.
 type fakeTargetClient struct {
@@ -41,7 +43,7 @@
 	mu         sync.Mutex
 	behaviours []behaviour
 	sends      []Forward
-	ended      map[string]bool // addresses of targets that have ended
+	liveness   map[state.TargetID]Liveness // of targets that do not run
 }
 
 func (f *fakeTargetClient) Send(ctx context.Context, fw *Forward) (Exchange, error) {
@@ -55,18 +57,21 @@
 	f.behaviours = f.behaviours[1:]
 	f.mu.Unlock()
 	ex, err := b(ctx, fw)
-	if fake, ok := ex.(*fakeExchange); ok && fake.endsTarget {
+	if fake, ok := ex.(*fakeExchange); ok && fake.thenNotRunning {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.ended = map[string]bool{fw.Target.Address: true}
+		f.liveness = map[state.TargetID]Liveness{fw.Target.ID: fake.liveness}
 	}
 	return ex, err
 }
 
-func (f *fakeTargetClient) HasEnded(_ context.Context, address string) bool {
+func (f *fakeTargetClient) CheckRunning(_ context.Context, target *state.TargetRecord, _ string) RunCheck {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.ended[address]
+	if l, ok := f.liveness[target.ID]; ok {
+		return RunCheck{Liveness: l}
+	}
+	return RunCheck{Liveness: Running}
 }
 
 // resumePoints returns the event after which each send resumed.
@@ -81,8 +86,10 @@
 type fakeExchange struct {
 	head    *state.Response
 	headErr error
-	// endsTarget says that the target has ended when the body has.
-	endsTarget bool
+	// thenNotRunning says that the target does not run any more when the body ends, and
+	// liveness what is known of it then.
+	thenNotRunning bool
+	liveness       Liveness
 	io.Reader
 }
 
--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -5,6 +5,11 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -19,10 +24,14 @@
 }
 
 // endingWithTarget answers as endingWithConnection does, from a target that has ended then.
-func endingWithTarget(body string) behaviour {
+func endingWithTarget(body string) behaviour { return endingWithLiveness(Ended, body) }
+
+// endingWithLiveness answers as endingWithConnection does, from a target of which no more is known
+// then than the given liveness.
+func endingWithLiveness(l Liveness, body string) behaviour {
 	return func(ctx context.Context, f *Forward) (Exchange, error) {
 		ex, err := endingWithConnection(body)(ctx, f)
-		ex.(*fakeExchange).endsTarget = true
+		ex.(*fakeExchange).thenNotRunning, ex.(*fakeExchange).liveness = true, l
 		return ex, err
 	}
 }
@@ -46,6 +55,40 @@
 	})
 }
 
+// Guards against a response that is passed on as complete because nothing shows that its target
+// has ended, although nothing shows that it still runs either.
+func TestResponseIsCompleteOnlyWithProof(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	unproved := func(body string) behaviour { return endingWithLiveness(Unproved, body) }
+	checkStreams(t, []streamCase{
+		{"may not be resumed", "/stream/x", []behaviour{unproved(first)}, first, false, true, 0, []string{""}},
+		{"goes on elsewhere", "/resume/x", []behaviour{unproved(first), endingWithConnection(rest)}, events, true, false, 0, []string{"", "1"}},
+		{"was whole, nothing is left", "/resume/x", []behaviour{unproved(events), endingWithConnection("")}, events, true, false, 0, []string{"", "3"}},
+		{"plain", "/once/x", []behaviour{unproved("whole")}, "", false, false, UnknownOutcome, []string{""}},
+	})
+}
+
+// Guards against checks of running targets that cannot be told apart afterwards.
+func TestChecksOfRunningTargetsAreRecorded(t *testing.T) {
+	for _, l := range []Liveness{Running, Ended, Unproved} {
+		core, lines := observer.New(zapcore.InfoLevel)
+		s := newService(&fakeTargetClient{behaviours: []behaviour{endingWithLiveness(l, "whole")}})
+		s.cfg.Log = zap.New(core)
+		s.Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: "/once/x", APIKey: "key"}, time.Now(), &recordingResponder{})
+		if n := s.cfg.Counters.counts["end_check."+l.String()]; n != 1 {
+			t.Errorf("%s: counted %d times, want 1", l, n)
+		}
+		recorded := lines.FilterMessage("end of response not proved").All()
+		if l == Running && len(recorded) > 0 {
+			t.Errorf("%s: line %v, want none", l, recorded)
+		}
+		if l != Running && (len(recorded) != 1 || recorded[0].ContextMap()["result"] != l.String()) {
+			t.Errorf("%s: lines %v, want one with the result", l, recorded)
+		}
+	}
+}
+
 // Guards against a further response of the target that is passed on as an event: nothing marks the
 // end of a stream without length or chunks, and a head ends with an empty line as an event does.
 func TestResponseBehindStreamIsNoEvent(t *testing.T) {
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -41,6 +41,9 @@
 	Routes    []Route
 	Customers []CustomerConfig // when empty, callers need no key
 	Limits    CallerLimits
+	// HealthPaths holds the paths of health checks, by service. A service that is not in it has
+	// none.
+	HealthPaths map[Service]string
 }
 
 // Route says how requests for one host and path prefix are served.
--- a/internal/transport/engine/plain.go
+++ b/internal/transport/engine/plain.go
@@ -69,7 +69,8 @@
 // forwardResponse passes the response to emit. headRequest says that the request is
 // a HEAD request. Reading a body that is shorter than its Content-Length, or a stream of
 // events that was broken off, ends with an error other than io.EOF. A body without length or
-// chunks is not complete if the target has ended with it.
+// chunks is not complete if the target has ended with it. Targets of side processes have no identity
+// that they could be asked for, so that one whose address still accepts connections counts as running.
 func (c *Client) forwardResponse(ctx context.Context, call *httpCall, headRequest bool, emit func(state.AttemptEvent)) error {
 	emit(responseHead(call, headRequest))
 	endsWithConnection := !headRequest && call.response.Header.ContentLength() == noLengthOrChunks
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -34,7 +34,9 @@
 
 func (f targetClientFunc) Closes(context.Context, string) bool { return false }
 
-func (f targetClientFunc) HasEnded(context.Context, string) bool { return false }
+func (f targetClientFunc) CheckRunning(context.Context, *state.TargetRecord, string) gateway.RunCheck {
+	return gateway.RunCheck{Liveness: gateway.Running}
+}
 
 func (f targetClientFunc) Send(ctx context.Context, forward *gateway.Forward) (gateway.Exchange, error) {
 	return f(ctx, forward)
--- a/internal/transport/netconn/ended.go
+++ b/internal/transport/netconn/ended.go
@@ -39,7 +39,8 @@
 }
 
 // HasEnded reports whether the process that has just closed a connection at an address has ended:
-// further connections are refused, or closed at once.
+// further connections are refused, or closed at once. False is no proof that it runs: another process
+// may accept connections at the address. It is for targets that have no identity to ask for.
 func HasEnded(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, EndTimeout)
 	defer cancel()
--- a/internal/transport/upstream/ended_test.go
+++ b/internal/transport/upstream/ended_test.go
@@ -27,6 +27,12 @@
 	}
 	fmt.Println(ln.Addr())
 	t.Fatal(http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Expect-Instance") != "t" {
+			w.Header().Set("Instance-Id", "t")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		w.Header().Set("Transfer-Encoding", "identity")
 		for n := 1; r.Context().Err() == nil; n++ {
 			fmt.Fprintf(w, "id: %d\ndata: x\n\n", n) // an error ends the context too
@@ -57,11 +63,11 @@
 			t.Fatal(err)
 		}
 		address := strings.TrimSpace(line)
-		c := New()
-		if c.HasEnded(t.Context(), address) {
+		c, record := New(), state.TargetRecord{ID: "t", Address: address}
+		if !outlivesResponse(t, c, record) {
 			t.Error("the target seems to have ended before it is killed")
 		}
-		ex, err := begin(t.Context(), c, state.TargetRecord{ID: "t", Address: address}, "a", nil)
+		ex, err := begin(t.Context(), c, record, "a", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -76,8 +82,8 @@
 		}
 		_, err = io.Copy(io.Discard, ex)
 		target.Wait() // the error says that it was killed
-		if ended := c.HasEnded(t.Context(), address); !ended || err != nil {
-			t.Errorf("stream ended with error %v, target has ended: %t; want no error and true", err, ended)
+		if runs := outlivesResponse(t, c, record); runs || err != nil {
+			t.Errorf("stream ended with error %v, target runs: %t; want no error and false", err, runs)
 		}
 		ex.Close(true)
 	}
@@ -87,7 +93,7 @@
 // connections for it, and resets them a moment later.
 func TestTargetThatClosesNewConnectionsHasEnded(t *testing.T) {
 	address, _ := startTarget(t, func(c net.Conn, _ *bufio.Reader) { c.(*net.TCPConn).SetLinger(0) })
-	if !New().HasEnded(t.Context(), address) {
+	if outlivesResponse(t, New(), state.TargetRecord{ID: "t", Address: address}) {
 		t.Error("the target seems to run")
 	}
 }
@@ -100,7 +106,7 @@
 // Guards against a target that counts as ended because it closes a connection that has been idle
 // for too long.
 func TestTargetThatClosesIdleConnectionHasNotEnded(t *testing.T) {
-	address, _ := startTarget(t, func(_ net.Conn, r *bufio.Reader) { r.Peek(1) }) // until it is closed
+	address, _ := startTarget(t, func(conn net.Conn, r *bufio.Reader) { answerProbes(t, conn, r, "t") })
 	c := New()
 	conn, err := net.Dial("tcp4", address)
 	if err != nil {
@@ -109,7 +115,7 @@
 	idle := newConnection(closingConn{conn.(*net.TCPConn)}, address)
 	idle.expiresAt = time.Now().Add(time.Hour)
 	c.pushIdle(idle)
-	if c.HasEnded(t.Context(), address) {
+	if !outlivesResponse(t, c, state.TargetRecord{ID: "t", Address: address}) {
 		t.Error("the target seems to have ended")
 	}
 	if n := c.ConnectionsOpened(); n != 1 {
@@ -138,7 +144,7 @@
 	idle.expiresAt = time.Now().Add(time.Hour)
 	c.pushIdle(idle)
 	listener.Close()
-	if !c.HasEnded(t.Context(), address) {
+	if outlivesResponse(t, c, state.TargetRecord{ID: "t", Address: address}) {
 		t.Error("the target seems to run")
 	}
 }
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -218,15 +218,20 @@
 			e.conn.Close()
 			return
 		}
-		idle := platform.KeepAlive(e.resp) - idleMargin
-		if platform.KeepAlive(e.resp) == 0 {
-			idle = defaultIdleTimeout
-		}
-		if idle <= 0 {
-			e.conn.Close()
-			return
-		}
-		e.conn.expiresAt = time.Now().Add(idle)
-		e.client.pushIdle(e.conn)
+		e.client.keep(e.conn, e.resp)
 	})
 }
+
+// keep returns a connection to the pool for the idle time that the last response on it states.
+func (c *Client) keep(conn *connection, last *http.Response) {
+	idle := platform.KeepAlive(last) - idleMargin
+	if platform.KeepAlive(last) == 0 {
+		idle = defaultIdleTimeout
+	}
+	if idle <= 0 {
+		conn.Close()
+		return
+	}
+	conn.expiresAt = time.Now().Add(idle)
+	c.pushIdle(conn)
+}
--- a/internal/transport/upstream/identity_test.go
+++ b/internal/transport/upstream/identity_test.go
@@ -5,18 +5,22 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
 // outlivesResponse reports whether the target counts as running after a response without length or chunks.
 func outlivesResponse(t *testing.T, c *Client, target state.TargetRecord) bool {
 	t.Helper()
-	return !c.HasEnded(t.Context(), target.Address)
+	return c.CheckRunning(t.Context(), &target, "/health").Liveness == gateway.Running
 }
 
 // listenerVariable marks a process that serves the inherited listener until it is killed.
@@ -115,3 +119,238 @@
 		})
 	}
 }
+
+// misdirected is the answer of an incarnation to a request for another one.
+func misdirected(instance string) string {
+	return "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + instance + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+// answerProbes answers the requests on a connection as an incarnation does that none of them
+// expects, until the connection is closed.
+func answerProbes(t *testing.T, conn net.Conn, requests *bufio.Reader, instance string) {
+	t.Helper()
+	for discardRequest(requests) {
+		respond(t, conn, misdirected(instance))
+	}
+}
+
+// pooled returns a client with an idle connection to the target, which must answer "/x".
+func pooled(t *testing.T, target state.TargetRecord) *Client {
+	t.Helper()
+	client := New()
+	ex, err := begin(t.Context(), client, target, "a", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ex.Head(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, ex); err != nil {
+		t.Fatal(err)
+	}
+	ex.Close(true)
+	return client
+}
+
+// Guards against a whole stream that is broken off because its target, which runs, resets new
+// connections while it is at its limit of them.
+func TestTargetAtItsLimitOfConnectionsRuns(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		resets, opened int64 // connections that are reset after the first one; connections accepted in all
+		idle           bool  // whether the first one is idle in the pool
+	}{
+		{"idle connection", 1 << 30, 1, true},
+		{"connections are closed meanwhile", 2, 3, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var accepted atomic.Int64
+			address, _ := startTarget(t, func(conn net.Conn, requests *bufio.Reader) {
+				n := accepted.Add(1)
+				if c.idle {
+					n--
+				}
+				if 0 < n && n <= c.resets {
+					conn.(*net.TCPConn).SetLinger(0)
+					return
+				}
+				if c.idle && discardRequest(requests) {
+					respond(t, conn, response("a", ""))
+				}
+				answerProbes(t, conn, requests, "i-1")
+			})
+			target, client := state.TargetRecord{ID: "i-1", Address: address}, New()
+			if c.idle {
+				client = pooled(t, target)
+			}
+			check := client.CheckRunning(t.Context(), &target, "/health")
+			if n := accepted.Load(); check.Liveness != gateway.Running || n != c.opened {
+				t.Errorf("check %+v after %d connections, want running after %d", check, n, c.opened)
+			}
+		})
+	}
+}
+
+// Guards against a check that waits for a target for longer than its bound, and against an answer
+// that came too late and is taken for that to the next check.
+func TestLateAnswerIsNoProof(t *testing.T) {
+	const late = probeTimeout + 100*time.Millisecond
+	release := make(chan struct{})
+	address, _ := startTarget(t, func(conn net.Conn, requests *bufio.Reader) {
+		if discardRequest(requests) {
+			<-release
+			fmt.Fprint(conn, misdirected("i-1")) // the client has closed the connection
+		}
+	})
+	time.AfterFunc(late, func() { close(release) })
+	client, target, began := New(), state.TargetRecord{ID: "i-1", Address: address}, time.Now()
+	check := client.CheckRunning(t.Context(), &target, "")
+	if took := time.Since(began); check.Liveness != gateway.Unproved || took >= late {
+		t.Errorf("check %+v after %s, want unproved within %s", check, took, late)
+	}
+	if check := client.CheckRunning(t.Context(), &target, ""); check.Liveness != gateway.Running {
+		t.Errorf("check %+v of a target that answers again, want running", check)
+	}
+}
+
+// Guards against what a target sent before its end and is read as its answer: a second copy of an
+// earlier answer, or a rejection that it sends on a connection without a request.
+func TestBytesOfBeforeAreNoProof(t *testing.T) {
+	for name, sent := range map[string]string{
+		"copy of an answer": misdirected("i-1"),
+		"rejection":         "HTTP/1.1 503 Service Unavailable\r\nInstance-Id: i-1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			address, _ := startTarget(t, func(conn net.Conn, requests *bufio.Reader) {
+				select {
+				case <-ended: // something else accepts connections
+					requests.Peek(1 << 10)
+					return
+				default:
+				}
+				if name != "copy of an answer" && discardRequest(requests) {
+					respond(t, conn, response("a", ""))
+				}
+				if discardRequest(requests) && name == "copy of an answer" {
+					respond(t, conn, misdirected("i-1"))
+					requests.Peek(1) // the next probe, if there is one on this connection
+				}
+				respond(t, conn, sent)
+				requests.Peek(1 << 10) // until the connection is closed
+			})
+			target, client := state.TargetRecord{ID: "i-1", Address: address}, New()
+			if name == "copy of an answer" {
+				if !outlivesResponse(t, client, target) {
+					t.Fatal("the target does not run before its end")
+				}
+			} else {
+				client = pooled(t, target)
+			}
+			close(ended)
+			if outlivesResponse(t, client, target) {
+				t.Error("the target counts as running")
+			}
+		})
+	}
+}
+
+// Guards against an answer to a request that was sent before the end of a response and counts for
+// it, and against one request for each of many responses that end at a time.
+func TestChecksShareOnlyProbesThatAreSentLater(t *testing.T) {
+	const responses = 50
+	var asked atomic.Int64
+	first, answer := make(chan struct{}), make(chan struct{})
+	address, opened := startTarget(t, func(conn net.Conn, requests *bufio.Reader) {
+		if !discardRequest(requests) {
+			return
+		}
+		if asked.Add(1) == 1 {
+			close(first)
+			<-answer
+			respond(t, conn, misdirected("i-1"))
+			return
+		}
+		answerProbesOf(t, conn, requests, "i-2") // the next incarnation
+	})
+	target, client := state.TargetRecord{ID: "i-1", Address: address}, New()
+	before := make(chan gateway.Liveness, 1)
+	go func() { before <- client.CheckRunning(t.Context(), &target, "/health").Liveness }()
+	<-first
+	after := make(chan gateway.Liveness, responses)
+	for range responses {
+		go func() { after <- client.CheckRunning(t.Context(), &target, "/health").Liveness }()
+	}
+	time.Sleep(probeShareTime / 2) // all of them wait for a probe
+	close(answer)
+	if l := <-before; l != gateway.Running {
+		t.Errorf("check before the end: %s, want running", l)
+	}
+	for range responses {
+		if l := <-after; l != gateway.Ended {
+			t.Fatalf("check after the end: %s, want ended", l)
+		}
+	}
+	if n := opened.Load(); n > 4 {
+		t.Errorf("%d connections for %d responses that ended at a time, want a few", n, responses)
+	}
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	if len(client.probes) != 0 {
+		t.Errorf("%d targets with probes that are kept, want none", len(client.probes))
+	}
+}
+
+// answerProbesOf answers a probe that was read, and those that follow.
+func answerProbesOf(t *testing.T, conn net.Conn, requests *bufio.Reader, instance string) {
+	t.Helper()
+	respond(t, conn, misdirected(instance))
+	answerProbes(t, conn, requests, instance)
+}
+
+// Guards against responses of targets that do not name themselves in rejections, and can never be
+// complete, and against any other answer that is taken for that of the target.
+func TestTargetThatDoesNotNameItself(t *testing.T) {
+	const (
+		unnamed421 = "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		unnamed503 = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		unnamed502 = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"
+		unnamed200 = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+		named200   = "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n"
+	)
+	for _, c := range []struct {
+		name, other, own string // answers to a probe for another instance and for its own
+		want             gateway.Liveness
+	}{
+		{"healthy", unnamed421, named200, gateway.Running},
+		{"healthy, unnamed", unnamed421, unnamed200, gateway.Running},
+		{"full", unnamed421, unnamed503, gateway.Running},
+		{"another incarnation", unnamed421, unnamed421, gateway.Ended},
+		{"proxy", unnamed421, unnamed502, gateway.Unproved},
+		{"does not heed the instance", unnamed200, unnamed200, gateway.Unproved},
+		{"proxy of an address where nothing runs", unnamed502, unnamed502, gateway.Unproved},
+		{"full before it looks at the instance", unnamed503, unnamed503, gateway.Unproved},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			address, _ := startTarget(t, func(conn net.Conn, requests *bufio.Reader) {
+				req, err := http.ReadRequest(requests)
+				if err != nil {
+					return
+				}
+				if req.URL.Path != "/health" || req.Header.Get("Request-Id") != "" || req.ContentLength != 0 {
+					t.Errorf("probe %v, want the path of health checks, no request ID and no body", req)
+				}
+				if req.Header.Get("Expect-Instance") == "i-1" {
+					respond(t, conn, c.own)
+				} else {
+					respond(t, conn, c.other)
+				}
+			})
+			target := state.TargetRecord{ID: "i-1", Address: address}
+			if check := New().CheckRunning(t.Context(), &target, "/health"); check.Liveness != c.want {
+				t.Errorf("check %+v, want %s", check, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/transport/upstream/probe.go
@@ -0,0 +1,277 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/platform"
+)
+
+const (
+	// probeTimeout bounds a probe with all its tries. The caller has all events of its stream
+	// meanwhile, and waits for the end.
+	probeTimeout = 500 * time.Millisecond
+	// idleProbeTimeout bounds a probe on an idle connection, which may have gone silent for good.
+	idleProbeTimeout = 150 * time.Millisecond
+	// probePause is the time between the first two tries, and doubles from there on. A target
+	// that is at its limit of connections resets new ones until others are closed.
+	probePause = 50 * time.Millisecond
+	// probeShareTime is how long a probe waits for the one before it, to be shared by all
+	// responses that end meanwhile.
+	probeShareTime = 50 * time.Millisecond
+	// defaultHealthPath is the path of a probe to a target whose service states none.
+	defaultHealthPath = "/"
+)
+
+// probeKey is what the result of a probe is valid for.
+type probeKey struct {
+	target           state.TargetID
+	address, healthy string
+}
+
+// probes are the probes of one target.
+type probes struct {
+	waiting *sharedProbe // not sent yet; nil for none
+	latest  *sharedProbe // sent last; nil for none
+}
+
+// sharedProbe is a probe and what all who wait for it learn.
+type sharedProbe struct {
+	done  chan struct{} // closed when check is set
+	check gateway.RunCheck
+}
+
+// CheckRunning implements gateway.TargetClient. Only an answer of the same incarnation of the
+// target counts as proof, to a request that was sent after the call of CheckRunning began: others
+// may accept connections at the address, and what a target has sent before its end may arrive
+// later. Calls share a probe that has not been sent yet.
+func (c *Client) CheckRunning(ctx context.Context, target *state.TargetRecord, healthPath string) gateway.RunCheck {
+	if healthPath == "" {
+		healthPath = defaultHealthPath
+	}
+	p := c.nextProbe(probeKey{target.ID, target.Address, healthPath})
+	select {
+	case <-p.done:
+		return p.check
+	case <-ctx.Done():
+		return gateway.RunCheck{Answer: context.Cause(ctx).Error()}
+	}
+}
+
+// nextProbe returns the probe of a target that has not been sent yet, and starts one if there is
+// none.
+func (c *Client) nextProbe(key probeKey) *sharedProbe {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := c.probes[key]
+	if all == nil {
+		all = &probes{}
+		c.probes[key] = all
+	}
+	if all.waiting == nil {
+		all.waiting = &sharedProbe{done: make(chan struct{})}
+		go c.runProbe(key, all, all.waiting, all.latest)
+	}
+	return all.waiting
+}
+
+// runProbe sends a probe after the one before it, if there is one.
+func (c *Client) runProbe(key probeKey, all *probes, p, before *sharedProbe) {
+	if before != nil {
+		select {
+		case <-before.done:
+		case <-time.After(probeShareTime):
+		}
+	}
+	c.mu.Lock()
+	all.waiting, all.latest = nil, p
+	c.mu.Unlock()
+
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	p.check = c.probe(ctx, key)
+
+	c.mu.Lock()
+	if all.latest == p && all.waiting == nil {
+		delete(c.probes, key)
+	}
+	c.mu.Unlock()
+	close(p.done)
+}
+
+// probe asks the target for its incarnation until it is known, or ctx ends.
+func (c *Client) probe(ctx context.Context, key probeKey) gateway.RunCheck {
+	var check gateway.RunCheck
+	for pause := probePause; ; pause *= 2 {
+		if conn := c.takeUnprobed(key.address); conn != nil {
+			idleCtx, cancel := context.WithTimeout(ctx, idleProbeTimeout)
+			decided := c.askIdle(idleCtx, key, conn, &check)
+			cancel()
+			if decided {
+				return check
+			}
+		}
+		if c.askAnew(ctx, key, &check) {
+			return check
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return check
+		}
+	}
+}
+
+// askIdle asks on an idle connection. An error proves nothing: targets close idle connections,
+// and those to a machine that has gone remain open. The same holds for a rejection, which a target
+// may have sent without a request.
+func (c *Client) askIdle(ctx context.Context, key probeKey, conn *connection, check *gateway.RunCheck) (decided bool) {
+	answer, err := c.ask(ctx, key, conn, platform.NoTarget, check)
+	if err != nil || answer.NotRun && !answer.Misdirected || answer.Instance == "" {
+		return false
+	}
+	check.Liveness = livenessOf(answer.Instance, key.target)
+	return true
+}
+
+// askAnew asks on a new connection.
+func (c *Client) askAnew(ctx context.Context, key probeKey, check *gateway.RunCheck) (decided bool) {
+	answer, err := c.askOnNewConnection(ctx, key, platform.NoTarget, check)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		check.Liveness = gateway.Ended
+		return true
+	case err != nil:
+		return false
+	case answer.Instance != "":
+		check.Liveness = livenessOf(answer.Instance, key.target)
+		return true
+	case !answer.Misdirected:
+		// The target may be full. One that neither names itself nor heeds the instance
+		// that is expected cannot be identified.
+		return !answer.NotRun
+	}
+	// The target heeds the instance that is expected, but does not name itself.
+	answer, err = c.askOnNewConnection(ctx, key, key.target, check)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		check.Liveness = gateway.Ended
+	case err != nil:
+		return false
+	case answer.Instance != "":
+		check.Liveness = livenessOf(answer.Instance, key.target)
+	case answer.Misdirected:
+		check.Liveness = gateway.Ended
+	case answer.Status == http.StatusOK || answer.NotRun:
+		check.Liveness = gateway.Running
+	}
+	return true
+}
+
+// livenessOf returns what the instance that answers at the address of a target shows.
+func livenessOf(answering, target state.TargetID) gateway.Liveness {
+	if answering == target {
+		return gateway.Running
+	}
+	return gateway.Ended
+}
+
+func (c *Client) askOnNewConnection(ctx context.Context, key probeKey, expected state.TargetID, check *gateway.RunCheck) (platform.ProbeAnswer, error) {
+	conn, err := c.dial(ctx, key.address)
+	if err != nil {
+		check.Tries++
+		check.Asked, check.Answer = "new connection", err.Error()
+		return platform.ProbeAnswer{}, err
+	}
+	return c.ask(ctx, key, conn, expected, check)
+}
+
+// ask sends a probe on a connection and reads the answer. The connection goes to the pool if it can
+// be reused.
+func (c *Client) ask(ctx context.Context, key probeKey, conn *connection, expected state.TargetID, check *gateway.RunCheck) (platform.ProbeAnswer, error) {
+	check.Tries++
+	check.Asked = fmt.Sprintf("GET %s, expecting %s, on a reused connection: %t", key.healthy, expected, conn.reused)
+	resp, answer, err := conn.exchangeProbe(ctx, platform.AppendProbe(nil, key.address, key.healthy, expected))
+	if err != nil {
+		conn.Close()
+		check.Answer = err.Error()
+		return answer, err
+	}
+	check.Answer = fmt.Sprintf("status %d of instance %q", answer.Status, answer.Instance)
+	head := platform.DecodeResponse(resp)
+	_, err = io.CopyN(io.Discard, resp.Body, maxSkippedBytes)
+	if !errors.Is(err, io.EOF) || resp.Close || head.EndsWithConnection || answer.Instance == "" || conn.reader.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
+		conn.Close()
+		return answer, nil
+	}
+	conn.probed, conn.namesRequests = true, true
+	c.keep(conn, resp)
+	return answer, nil
+}
+
+// exchangeProbe sends a probe and reads the head of the answer. It skips responses that belong to
+// other requests.
+func (c *connection) exchangeProbe(ctx context.Context, probe []byte) (*http.Response, platform.ProbeAnswer, error) {
+	deadline, _ := ctx.Deadline()
+	if err := c.SetDeadline(deadline); err != nil {
+		return nil, platform.ProbeAnswer{}, err
+	}
+	if _, err := c.Write(probe); err != nil {
+		return nil, platform.ProbeAnswer{}, fmt.Errorf("write to %s: %w", c.address, err)
+	}
+	c.limit.left, c.limit.unlimited = maxHeadBytes+maxSkippedBytes, false
+	for range maxResponses {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
+		if err != nil {
+			return nil, platform.ProbeAnswer{}, fmt.Errorf("read answer of %s: %w", c.address, err)
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue // an interim response
+		}
+		if answer, own := platform.DecodeProbeAnswer(resp); own {
+			return resp, answer, nil
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, platform.ProbeAnswer{}, fmt.Errorf("skip response of %s to another request: %w", c.address, err)
+		}
+	}
+	return nil, platform.ProbeAnswer{}, fmt.Errorf("read answer of %s: %w", c.address, errNoMatchingResponse)
+}
+
+// takeUnprobed removes an idle connection to address that can be reused and on which no probe was
+// answered, and returns it, or nil if there is none. A late copy of an earlier answer could not be
+// told from the answer to a further probe.
+func (c *Client) takeUnprobed(address string) *connection {
+	for {
+		conn := c.popUnprobed(address)
+		if conn == nil {
+			return nil
+		}
+		if time.Now().Before(conn.expiresAt) && conn.reusable() {
+			conn.reused = true
+			return conn
+		}
+		conn.Close()
+	}
+}
+
+func (c *Client) popUnprobed(address string) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		if conn := list[i]; !conn.probed {
+			c.idle[address] = slices.Delete(list, i, i+1)
+			return conn
+		}
+	}
+	return nil
+}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -55,12 +55,13 @@
 	mu          sync.Mutex
 	idle        map[string][]*connection // by address, least recently used first
 	openedCount int64
+	probes      map[probeKey]*probes
 	connect     func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
 }
 
 // New returns a Client without connections.
 func New() *Client {
-	return &Client{idle: make(map[string][]*connection), connect: netconn.Dial}
+	return &Client{idle: make(map[string][]*connection), probes: make(map[probeKey]*probes), connect: netconn.Dial}
 }
 
 var (
@@ -83,8 +84,12 @@
 	reader    *bufio.Reader
 	expiresAt time.Time // end of its idle time; it is not reused from then on
 	reused    bool      // an earlier request was sent on it
-	// namesRequests says that the target has named a request in a response on it.
+	// namesRequests says that the target has named a request in a response on it, or has
+	// answered a probe, which names none: a late copy of that answer must not be taken for the
+	// response to a request.
 	namesRequests bool
+	// probed says that a probe was answered on it.
+	probed bool
 }
 
 func newConnection(conn net.Conn, address string) *connection {
@@ -222,18 +227,6 @@
 	return c.endsWithin(conn, closeWait)
 }
 
-// HasEnded implements gateway.TargetClient. An idle connection shows nothing: while a process ends,
-// it may stay open for some time after others have been closed, and it may be closed for its age.
-func (c *Client) HasEnded(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, netconn.EndTimeout)
-	defer cancel()
-	conn, err := c.dial(ctx, address)
-	if err != nil {
-		return netconn.ShowsEnd(err)
-	}
-	return c.endsWithin(conn, netconn.EndWait)
-}
-
 // endsWithin reports whether the target ends an idle connection within the given time. Otherwise
 // the connection goes to the pool.
 func (c *Client) endsWithin(conn *connection, wait time.Duration) bool {
