Side processes' callers: a request that is given up gets no empty response

Cause: the handler of a caller that is gone returned without a response, which fasthttp takes for an empty 200. A caller that has closed only its sending side received it: the absence of an error was taken for a complete response. Change: the handler closes the connection before it returns. The tests of the package pass, also with the race detector.

--- a/internal/transport/entryhttp/server.go
+++ b/internal/transport/entryhttp/server.go
@@ -302,10 +302,11 @@
 }
 
 // abandon ends the handler of a caller that is gone. Streaming mode unblocks a
-// pending write; later writes fail.
+// pending write; later writes fail. The connection is closed before fasthttp writes an
+// empty response, which a caller that has closed only its sending side would receive.
 func (e *exchange) abandon(b *responseBody) {
 	b.startStreaming()
-	e.ctx.SetConnectionClose()
+	e.ctx.Conn().Close() // fails only on a connection that is closed already
 }
 
 // respondEvents answers with server-sent events. The status is sent with the first
