Load tool: a part of a plain response is not complete

Cause: the end of reading was taken for the end of the response, where only the end of the connection ended it, or the tool's own limit. Change: a response without length or chunks, which entries do not send, counts as cut; one that is longer than what is read counts as failed. Status 204 has no body and needs neither.

--- a/internal/ctl/loadcmd/plainend_test.go
+++ b/internal/ctl/loadcmd/plainend_test.go
@@ -18,11 +18,12 @@
 		name, response string
 		want           outcome
 	}{
-		{"whole", "Content-Length: 1\r\n\r\nx", outcomeComplete},
-		{"whole in chunks", "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", outcomeComplete},
-		{"no length or chunks", "\r\nx", outcomeCut},
-		{"longest", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long), outcomeComplete},
-		{"too long", fmt.Sprintf("Content-Length: %d\r\n\r\n%sx", len(long)+1, long), outcomeFailed},
+		{"no content", "204 No Content\r\n\r\n", outcomeComplete},
+		{"whole", "200 OK\r\nContent-Length: 1\r\n\r\nx", outcomeComplete},
+		{"whole in chunks", "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", outcomeComplete},
+		{"no length or chunks", "200 OK\r\n\r\nx", outcomeCut},
+		{"longest", fmt.Sprintf("200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long), outcomeComplete},
+		{"too long", fmt.Sprintf("200 OK\r\nContent-Length: %d\r\n\r\n%sx", len(long)+1, long), outcomeFailed},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -39,7 +40,7 @@
 				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 					t.Error(err)
 				}
-				io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n"+tc.response) // fails if the sender leaves
+				io.WriteString(conn, "HTTP/1.1 "+tc.response) // fails if the sender leaves
 			}()
 			url := "http://" + ln.Addr().String()
 			r := newSender(testCommand(url)).sendOnce(&requestSpec{id: "x", customer: -1, kind: plainRequest}, url)
--- a/internal/ctl/loadcmd/send.go
+++ b/internal/ctl/loadcmd/send.go
@@ -27,6 +27,9 @@
 	// maxPlainBodyBytes bounds what is read of the response to a plain call and of an
 	// error response.
 	maxPlainBodyBytes = 8 << 20
+	// noLengthOrChunks is what fasthttp returns as the Content-Length of a response that has
+	// neither a length nor chunks.
+	noLengthOrChunks = -2
 )
 
 // outcome classifies how sending a request ended.
@@ -233,7 +236,7 @@
 	case resp.Header.Peek("Cassiaramp-Outcome") != nil || r.status >= 400:
 		r.readError(resp, stream)
 	case sp.kind == plainRequest:
-		r.readPlain(stream, sp)
+		r.readPlain(resp, stream, sp)
 	case sp.streamed:
 		r.readStream(stream, started)
 	default:
@@ -255,12 +258,18 @@
 
 // readPlain reads the response of a plain call. A stand-in's response contains the
 // id of the request. After the headers, an entry can report a failure only by
-// breaking off the body, so a broken body counts as an explicit error.
-func (r *sendResult) readPlain(stream io.Reader, sp *requestSpec) {
-	content, err := io.ReadAll(io.LimitReader(stream, maxPlainBodyBytes))
+// breaking off the body, so a broken body counts as an explicit error. Entries answer with a
+// length or in chunks; without them, the end of the connection does not show that the body is
+// complete.
+func (r *sendResult) readPlain(resp *fasthttp.Response, stream io.Reader, sp *requestSpec) {
+	content, err := io.ReadAll(io.LimitReader(stream, maxPlainBodyBytes+1))
 	switch {
 	case err != nil:
 		r.outcome, r.detail = outcomeFailed, err.Error()
+	case len(content) > maxPlainBodyBytes:
+		r.outcome, r.detail = outcomeFailed, fmt.Sprintf("the response exceeds %d bytes", maxPlainBodyBytes)
+	case resp.Header.ContentLength() == noLengthOrChunks && r.status != fasthttp.StatusNoContent:
+		r.outcome, r.detail = outcomeCut, "the response has neither a length nor chunks"
 	case r.fromStandin && !bytes.Contains(content, []byte(sp.id)):
 		r.outcome, r.detail = outcomeCut, "the response does not contain the id of the request"
 	default:
