Fault soak: the judge tells pieces of two runs apart

An entry that resumes with a wrong Last-Event-Id and drops what comes twice looked correct. A failure whose body has events was not judged at all.

Change: events of targets with a profile have the number of their run, and the ledger has the Last-Event-Id of each. wrongEvents takes an event only if it is the next one, of the same run, or of a later run that began after the event before, where the stream may be resumed.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -69,6 +69,8 @@
 // Run is a request at a target.
 type Run struct {
 	Target   string
+	Number   int       // among the runs of the request, from 1
+	After    int       // Last-Event-Id of the request
 	From, To time.Time // To is zero while the request runs
 	Outcome  string
 	Events   int // written, including those that a resumed stream left out
@@ -76,11 +78,11 @@
 }
 
 // begin records that a request runs at a target.
-func (l *Ledger) begin(id string, t *Target) *Run {
+func (l *Ledger) begin(id string, t *Target, after int) *Run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[id]++
-	run := &Run{Target: t.ID, From: time.Now(), RunsOn: t.Profile.RunsOn}
+	run := &Run{Target: t.ID, Number: l.runs[id], After: after, From: time.Now(), RunsOn: t.Profile.RunsOn}
 	l.details[id] = append(l.details[id], run)
 	return run
 }
@@ -306,7 +308,7 @@
 	switch {
 	case errors.Is(err, errQueueFull), errors.Is(err, errTimeInQueue):
 		t.Ledger.reject(id, t, err.Error())
-		conn.after(id, "503 Service Unavailable\r\nNot-Executed: 1", 0)
+		conn.after(id, "503 Service Unavailable\r\nNot-Executed: 1", nil)
 		header.Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -317,7 +319,8 @@
 	defer t.slots.leave()
 	conn.active.Store(true)
 	defer conn.active.Store(false)
-	run := t.Ledger.begin(id, t)
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if absent
+	run := t.Ledger.begin(id, t, from)
 	outcome := RunBrokenOff
 	defer func() { t.Ledger.end(run, outcome) }()
 	ctx := r.Context()
@@ -348,27 +351,27 @@
 		resetConn(conn.Conn)
 		panic(http.ErrAbortHandler)
 	case outcome == RunCompleted:
-		unframed := 0
+		var unframed *Run
 		if header.Get("Transfer-Encoding") == "identity" {
-			unframed = run.Events
+			unframed = run
 		}
 		conn.after(id, "200 OK\r\nResponse-Signature: late", unframed)
 	}
 }
 
 // after lets a share of the connections go wrong after the response to a request. unframed is
-// the last event of a stream of which nothing but the end of the connection marks the end, 0 for
+// the run of a stream of which nothing but the end of the connection marks the end, nil for
 // other responses.
-func (c *engineConn) after(id, head string, unframed int) {
+func (c *engineConn) after(id, head string, unframed *Run) {
 	p := c.target.Profile
 	switch v := rand.Float64(); {
 	case v < p.LateShare:
 		c.late = fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\nlate", head, id)
-		if unframed > 0 {
+		if unframed != nil {
 			io.WriteString(c, c.late) // an error shows to the client too
 		}
-	case unframed > 0 && rand.Float64() < p.StrayShare:
-		c.writePieces(strayBytes(id, unframed, c.target.Software))
+	case unframed != nil && rand.Float64() < p.StrayShare:
+		c.writePieces(strayBytes(id, c.target.Software, unframed))
 	case v < p.LateShare+p.AbruptShare:
 		time.AfterFunc(time.Duration(rand.Int64N(int64(maxAbruptDelay))), func() {
 			if c.abrupt.Store(true); c.active.Load() {
@@ -379,9 +382,10 @@
 	}
 }
 
-// strayBytes returns bytes that belong to no request, for the place behind a stream whose last
-// event is n, in pieces that are written one after the other.
-func strayBytes(id string, n int, software string) []string {
+// strayBytes returns bytes that belong to no request, for the place behind the stream of a
+// run, in pieces that are written one after the other.
+func strayBytes(id, software string, run *Run) []string {
+	event := func(n int) string { return RunEvent(id, n, software, run.Number) }
 	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: late\r\n"
 	response := head + "Content-Length: 4\r\n\r\nlate"
 	cut := 1 + rand.IntN(len(head)-1)
@@ -389,9 +393,9 @@
 		noise(),
 		{response[:cut], response[cut:]},
 		{"\r\n" + response},
-		{head + "Content-Type: text/event-stream\r\n\r\n" + StreamEvent(id, n+1, software) + StreamEvent(id, n+2, software)},
+		{head + "Content-Type: text/event-stream\r\n\r\n" + event(run.Events+1) + event(run.Events+2)},
 		{head + "\r\nlate"},
-		{StreamEvent(id, n, software)},
+		{event(run.Events)},
 		{strings.Replace(response, "HTTP/1.1", "HTTP/3.7", 1)},
 		{strings.ToLower(response)},
 	}
@@ -494,8 +498,8 @@
 // runStream runs a request for a stream and returns its outcome.
 func (t *Target) runStream(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, run *Run) string {
 	p := t.Profile
-	events, _ := strconv.Atoi(r.Header.Get(HeaderEvents))         // 0 if absent
-	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))        // 0 if absent
+	events, _ := strconv.Atoi(r.Header.Get(HeaderEvents)) // 0 if absent
+	from := run.After
 	tokens, _, _ := strings.Cut(r.Header.Get("Token-Usage"), ",") // of the prompt
 	prompt, _ := strconv.Atoi(tokens)                             // 0 if absent
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -539,7 +543,7 @@
 				return outcome
 			}
 		}
-		event := StreamEvent(id, n, t.Software)
+		event := RunEvent(id, n, t.Software, run.Number)
 		if n == lost {
 			fmt.Fprint(w, event[:rand.IntN(len(event))])
 			control.Flush() // an error means that the client closed the connection
--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -158,6 +158,12 @@
 	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", n, id, n, software)
 }
 
+// RunEvent is StreamEvent for a target with a profile, whose events also have the number of the
+// run that wrote them.
+func RunEvent(id string, n int, software string, run int) string {
+	return StreamEvent(id, n, fmt.Sprintf("%s run %d", software, run))
+}
+
 func (t *Target) handle(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	header := w.Header()
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -124,15 +124,6 @@
 // returns "".
 func (a *attempt) wrongAnswer(ran []emulator.Run) (rule, wrong string) {
 	success := a.status >= 200 && a.status < 300
-	whole, ofBody := "", "MIXED"
-	if a.kind.kind == "streaming" {
-		ofBody = "ORDER"
-		for n := a.after + 1; n <= a.events; n++ {
-			whole += emulator.StreamEvent(a.id, n, "v1")
-		}
-	} else {
-		whole = emulator.SizedBody(a.id)
-	}
 	statuses := map[string]int{emulator.RunFailed: http.StatusInternalServerError, emulator.RunTimedOut: http.StatusGatewayTimeout}
 	switch {
 	case a.extra:
@@ -141,16 +132,58 @@
 		return "MIXED", fmt.Sprintf("answer of request %q", a.answerID)
 	case success && a.signature == "":
 		return "MIXED", "success without signature"
-	case success && !strings.HasPrefix(whole, a.body):
-		return ofBody, fmt.Sprintf("events or bytes are missing, repeated or of another request, at the end %q", a.body[max(0, len(a.body)-200):])
-	case success && a.err == nil && a.body != whole:
-		return ofBody, "ends as if complete"
+	case a.kind.kind == "streaming" && (success || strings.Contains(a.body, "data: ")):
+		if wrong := a.wrongEvents(ran, success); wrong != "" {
+			return "ORDER", fmt.Sprintf("%s, at the end %q", wrong, a.body[max(0, len(a.body)-200):])
+		}
+	case success && !strings.HasPrefix(emulator.SizedBody(a.id), a.body):
+		return "MIXED", "bytes are missing, repeated or of another request"
+	case success && a.err == nil && a.body != emulator.SizedBody(a.id):
+		return "MIXED", "ends as if complete"
 	case !success && a.signature != "" && !slices.ContainsFunc(ran, func(r emulator.Run) bool { return statuses[r.Outcome] == a.status }):
 		return "MIXED", "signed failure that no target sent"
 	}
 	return "", ""
 }
 
+// wrongEvents says what is wrong with the events of a stream, or returns "". Each event is to be
+// the next one, of the run before or, where the stream may be resumed, of a later one that was
+// asked to go on there.
+func (a *attempt) wrongEvents(ran []emulator.Run, success bool) string {
+	if !success {
+		return "events in a failure"
+	}
+	rest, run, n := a.body, -1, a.after+1
+	for ; n <= a.events && rest != ""; n++ {
+		written := func(r emulator.Run) bool { return sharePrefix(rest, emulator.RunEvent(a.id, n, "v1", r.Number)) }
+		i := run // a part of an event may not show which run wrote it
+		if run < 0 || !written(ran[run]) {
+			i = slices.IndexFunc(ran, written)
+		}
+		switch {
+		case i < 0:
+			return "events are missing, repeated or of another request"
+		case i != run && (i < run || ran[i].After != n-1 || run >= 0 && !a.kind.resumable):
+			return fmt.Sprintf("event %d is of another run", n)
+		}
+		event := emulator.RunEvent(a.id, n, "v1", ran[i].Number)
+		if len(rest) < len(event) {
+			break
+		}
+		rest, run = rest[len(event):], i
+	}
+	switch {
+	case rest != "" && n > a.events:
+		return "bytes after the last event"
+	case a.err == nil && n <= a.events:
+		return "ends as if complete"
+	}
+	return ""
+}
+
+// sharePrefix reports whether one of the strings begins with the other.
+func sharePrefix(a, b string) bool { return strings.HasPrefix(a, b) || strings.HasPrefix(b, a) }
+
 // cut reports whether the entry closed the connection without a whole answer to a request
 // that it had read, for none of the reasons that a deadline or the targets give.
 // held is how long the entry was held meanwhile.
--- a/internal/faultsoak/judgecases_test.go
+++ b/internal/faultsoak/judgecases_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"maps"
+	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -23,7 +25,7 @@
 	events := func(n int) string {
 		var b strings.Builder
 		for i := range n {
-			b.WriteString(emulator.StreamEvent("a", i+1, "v1"))
+			b.WriteString(emulator.RunEvent("a", i+1, "v1", 1))
 		}
 		return b.String()
 	}
@@ -81,6 +83,9 @@
 			runs: []emulator.Run{run("x", 0, 500, emulator.RunCompleted)}, want: map[string]int{"MIXED": 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			for i := range c.runs {
+				c.runs[i].Number = i + 1
+			}
 			c.a.id, c.a.entry, c.a.limit, c.a.begun, c.a.sent = "a", &entry{name: "edge-0"}, c.a.kind.limit, begin, begin
 			d := &deploymentRun{
 				deployment: deployments[0], world: &world{t: t, logDirectory: t.TempDir()}, attempts: []*attempt{&c.a}, events: c.events,
@@ -92,3 +97,99 @@
 		})
 	}
 }
+
+// Guards against a judge that misses a form of ORDER, on streams that may be resumed or not and
+// however they end, and against one that reports a stream as the users' rules allow it.
+func TestFindingsOfOrder(t *testing.T) {
+	begin := time.Now()
+	const last = 9
+	pieces := func(run, from, to int) string {
+		var b strings.Builder
+		for n := from; n <= to; n++ {
+			b.WriteString(emulator.RunEvent("a", n, "v1", run))
+		}
+		return b.String()
+	}
+	half := pieces(1, 4, 4)[:20]
+	endings := []struct {
+		name string
+		end  func(a *attempt)
+	}{
+		{"whole", func(a *attempt) {}},
+		{"cut", func(a *attempt) { a.err = io.ErrUnexpectedEOF }},
+		{"left", func(a *attempt) { a.err, a.left = os.ErrDeadlineExceeded, true }},
+		{"refused", func(a *attempt) { a.status, a.signature = 503, "" }},
+	}
+	for _, c := range []struct {
+		name  string
+		body  string
+		after int   // Last-Event-Id of the caller
+		runs  []int // Last-Event-Id of each run
+		// the names of the endings with which it is allowed, for streams that may be resumed and
+		// for others
+		resumable, once string
+	}{
+		{name: "whole", body: pieces(1, 1, last), runs: []int{0}, resumable: "whole cut left", once: "whole cut left"},
+		{name: "no event", runs: []int{0}, resumable: "cut left refused", once: "cut left refused"},
+		{name: "first events", body: pieces(1, 1, 3), runs: []int{0}, resumable: "cut left", once: "cut left"},
+		{name: "inside an event", body: pieces(1, 1, 3) + half, runs: []int{0}, resumable: "cut left", once: "cut left"},
+		{name: "inside the last event", body: pieces(1, 1, last)[:len(pieces(1, 1, last))-1], runs: []int{0}, resumable: "cut left", once: "cut left"},
+		{name: "event missing", body: pieces(1, 1, 3) + pieces(1, 5, last), runs: []int{0}},
+		{name: "first event missing", body: pieces(1, 2, last), runs: []int{0}},
+		{name: "event twice", body: pieces(1, 1, 3) + pieces(1, 3, last), runs: []int{0}},
+		{name: "last event twice", body: pieces(1, 1, last) + pieces(1, last, last), runs: []int{0}},
+		{name: "event after the last", body: pieces(1, 1, last+1), runs: []int{0}},
+		{name: "empty line after the last", body: pieces(1, 1, last) + "\r\n", runs: []int{0}},
+		{name: "event of no run", body: pieces(1, 1, 3) + pieces(2, 4, last), runs: []int{0}},
+		{name: "resumed by the entry", body: pieces(1, 1, 3) + pieces(2, 4, last), runs: []int{0, 3}, resumable: "whole cut left"},
+		{name: "resumed by the entry, inside an event", body: pieces(1, 1, 2) + pieces(2, 3, 3) + half, runs: []int{0, 2}, resumable: "cut left"},
+		{name: "resumed twice", body: pieces(1, 1, 3) + pieces(2, 4, 6) + pieces(3, 7, last), runs: []int{0, 3, 6}, resumable: "whole cut left"},
+		{name: "begun again after the first run", body: pieces(2, 1, last), runs: []int{0, 0}, resumable: "whole cut left", once: "whole cut left"},
+		{name: "resumed inside an event", body: pieces(1, 1, 3) + half + pieces(2, 4, last), runs: []int{0, 3}},
+		{name: "resumed too early, one event twice", body: pieces(1, 1, 3) + pieces(2, 3, last), runs: []int{0, 2}},
+		{name: "resumed too early, repeated event dropped", body: pieces(1, 1, 3) + pieces(2, 4, last), runs: []int{0, 2}},
+		{name: "resumed too late", body: pieces(1, 1, 3) + pieces(2, 5, last), runs: []int{0, 4}},
+		{name: "joined with a run from the start", body: pieces(1, 1, 3) + pieces(2, 4, last), runs: []int{0, 0}},
+		{name: "two writers", body: pieces(1, 1, 3) + pieces(2, 4, 5) + pieces(1, 6, last), runs: []int{0, 3}},
+		{name: "resumed by the caller", body: pieces(1, 4, last), after: 3, runs: []int{3}, resumable: "whole cut left", once: "whole cut left"},
+		{name: "resumed by the caller, then by the entry", body: pieces(1, 4, 6) + pieces(2, 7, last), after: 3, runs: []int{3, 6}, resumable: "whole cut left"},
+		{name: "resumed by the caller, event missing", body: pieces(1, 5, last), after: 3, runs: []int{3}},
+		{name: "resumed by the caller, event twice", body: pieces(1, 3, last), after: 3, runs: []int{3}},
+		{name: "resumed by the caller, run from the start", body: pieces(1, 4, last), after: 3, runs: []int{0}},
+		{name: "resumed by the caller, first events", body: pieces(1, 4, 5), after: 3, runs: []int{3}, resumable: "cut left", once: "cut left"},
+	} {
+		for _, kind := range deployments[0].kinds[:2] {
+			for _, e := range endings {
+				allowed := c.once
+				if kind.resumable {
+					allowed = c.resumable
+				}
+				t.Run(c.name+"/"+kind.name+"/"+e.name, func(t *testing.T) {
+					a := &attempt{id: "a", answerID: "a", signature: "s", kind: kind, entry: &entry{name: "edge-0"}, status: 200, after: c.after, events: last, body: c.body, limit: kind.limit, begun: begin, sent: begin, ended: begin.Add(ms(500))}
+					e.end(a)
+					var runs []emulator.Run
+					for i, after := range c.runs {
+						runs = append(runs, emulator.Run{Target: "x", Number: i + 1, After: after, From: begin, To: begin.Add(ms(400)), Outcome: emulator.RunBrokenOff})
+					}
+					attempts, want := []*attempt{a}, 0
+					if c.after > 0 { // the caller got the events before in its first attempt
+						first := &attempt{id: "b", answerID: "b", signature: "s", kind: kind, entry: a.entry, status: 200, events: last, body: strings.ReplaceAll(pieces(1, 1, c.after), "data: a", "data: b"), err: io.ErrUnexpectedEOF, limit: kind.limit, begun: begin, sent: begin, ended: begin.Add(ms(500))}
+						a.resumes, attempts = "b", append(attempts, first)
+					}
+					if !slices.Contains(strings.Fields(allowed), e.name) {
+						want = 1
+					}
+					d := &deploymentRun{deployment: deployments[0], world: &world{t: t, logDirectory: t.TempDir()}, attempts: attempts, runsOf: func(id string) []emulator.Run {
+						if id == "b" {
+							return []emulator.Run{{Target: "x", Number: 1, From: begin, To: begin.Add(ms(400)), Outcome: emulator.RunBrokenOff}}
+						}
+						return runs
+					}}
+					if got := d.findings(); got["ORDER"] != want {
+						t.Errorf("findings %v, want ORDER %d", got, want)
+					}
+				})
+			}
+		}
+	}
+}
