Stress test of hand-overs: targets that end streams early, late bytes

The targets of TestHandOversOfManyRequests can now be asked to abandon a stream, and end it then as they end a whole one, at once, later or never, with chunks or without; they do so at their time limit too, and events that had arrived are read after the send was cancelled. Every stream that ends as complete must have all its events.

--- a/internal/coordination/gateway/handoverstress_test.go
+++ b/internal/coordination/gateway/handoverstress_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,17 +56,45 @@
 	}
 	s.running[f.Call.ID] = ctx
 	s.sends++
-	return &fakeExchange{head: &state.Response{Status: 200, HasSignature: true}, Reader: &stressStream{targets: s, ctx: ctx, next: next}}, nil
+	stream := &stressStream{targets: s, ctx: ctx, next: next, late: s.random.IntN(3), noticesAfter: time.Duration(s.random.IntN(3)*s.random.IntN(1000)) * time.Millisecond}
+	head := &state.Response{Status: 200, HasSignature: true, EndsWithConnection: s.random.IntN(2) == 0}
+	if s.random.IntN(5) == 0 { // never notices that the request is withdrawn
+		stream.noticesAfter = time.Hour
+	}
+	stream.endBy.Store(time.Now().Add(f.TimeLeft.Truncate(time.Millisecond)).UnixNano())
+	return &stressExchange{fakeExchange{head: head, Reader: stream}, stream, s.random.IntN(5) > 0}, nil
+}
+
+// stressExchange is a send that can be withdrawn. Its target then ends the stream as it ends a
+// whole one, as it does at its time limit.
+type stressExchange struct {
+	fakeExchange
+	stream  *stressStream
+	reached bool
+}
+
+func (x *stressExchange) Withdraw() bool {
+	x.stream.endBy.Store(min(x.stream.endBy.Load(), time.Now().Add(x.stream.noticesAfter).UnixNano()))
+	return true
 }
+func (x *stressExchange) Reached() bool { return x.reached }
 
 // stressStream is the response of one send.
 type stressStream struct {
 	targets *stressTargets
 	ctx     context.Context
 	next    int
+	late    int // events that are still read when the send was cancelled
 	left    []byte
+	// noticesAfter is the time from a withdrawal to its effect, and endBy when the target ends the
+	// stream for it or for its time limit.
+	noticesAfter time.Duration
+	endBy        atomic.Int64
 }
 
+// abandoned reports whether the target has ended the stream early.
+func (s *stressStream) abandoned() bool { return time.Now().UnixNano() >= s.endBy.Load() }
+
 func (s *stressStream) Read(p []byte) (int, error) {
 	if len(s.left) > 0 {
 		n := copy(p, s.left)
@@ -86,12 +115,20 @@
 		return 0, io.ErrUnexpectedEOF
 	}
 	s.targets.mu.Unlock()
-	select {
-	case <-s.ctx.Done():
-		return 0, s.ctx.Err()
-	case <-time.After(pause):
+	for end := time.Now().Add(pause); time.Now().Before(end) && !s.abandoned(); {
+		select {
+		case <-s.ctx.Done():
+			if s.late == 0 {
+				return 0, s.ctx.Err()
+			}
+			s.late-- // an event that had arrived before
+			end = time.Time{}
+		case <-time.After(min(time.Until(end), 10*time.Millisecond)):
+		}
 	}
 	switch {
+	case s.abandoned():
+		return 0, io.EOF
 	case comment:
 		s.left = []byte(": alive\n\n")
 	case s.next > stressEvents:
@@ -113,8 +150,10 @@
 }
 
 // Guards against slots and permissions that are kept or returned twice, streams with lost,
-// doubled or mixed events, and streams at two targets at once, when stalled requests are handed
-// over while callers leave, deadlines pass, the configuration changes and the entry stops.
+// doubled or mixed events, streams that end as complete before their last event, and streams at two
+// targets at once, when stalled requests are handed over while their targets end them for it at
+// once, later or never, or end them at their time limit, bytes arrive late, callers leave, deadlines
+// pass, the configuration changes and the entry stops.
 func TestHandOversOfManyRequests(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
