Gateway: a stream whose last event had no id is not resumed

Cause: the entry resumed a stream after the last id that it had passed on, also where later events had none, or the last id was empty. The target then sends these events again, and the caller gets them twice in a stream that ends as complete. The last id was taken for the position of the caller, which it is not.

It may be resumed again once an event with an id has been passed on.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -381,6 +381,9 @@
 	if e.id != "" {
 		r.lastEventID = e.id
 	}
+	if e.hasField {
+		r.positionUnknown = e.id == ""
+	}
 	if e.hasField && !r.eventForwarded {
 		r.eventForwarded = true
 		r.recordOrigin(g)
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -220,8 +220,11 @@
 	// is one. It is known from the start for a stream that is taken up.
 	software    *state.SoftwareVersion
 	lastEventID string // ID of the last event that the caller has
-	lastErr     error
-	held        []*heldResponse // bodies of responses, one an attempt
+	// positionUnknown says that a later event had none, so that no target can be told after which
+	// event to resume the stream.
+	positionUnknown bool
+	lastErr         error
+	held            []*heldResponse // bodies of responses, one an attempt
 	// targetFailure is the latest 5xx response of a target. The caller gets it if no
 	// other target serves the request.
 	targetFailure *failureResponse
@@ -460,7 +463,7 @@
 	if mayHaveRun {
 		r.possibleRuns++
 	}
-	willRetry := cause == nil && !suspected && r.possibleRuns < r.maxRuns()
+	willRetry := cause == nil && !suspected && !r.positionUnknown && r.possibleRuns < r.maxRuns()
 	if willRetry && !r.retryTaken && r.reachedTarget && !r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack()) {
 		willRetry = false
 		r.logRetryRefused()
