--- a/internal/coordination/gateway/resume_test.go
+++ b/internal/coordination/gateway/resume_test.go
@@ -21,3 +21,15 @@
 	cases = append(cases, streamCase{"a later event has one", "/resume/x", []behaviour{truncated(first + ": alive\n\n"), respondWith(200, rest)}, first + ": alive\n\n" + rest, true, false, 0, []string{"", "1"}})
 	checkStreams(t, cases)
 }
+
+// Guards against a stream that is passed on as complete because a target that numbers its events
+// anew, when it is to resume the stream, has ended: the caller lacks what it sent.
+func TestEndBeforeTheLastEventThatTheCallerHas(t *testing.T) {
+	first, rest := events[:strings.Index(events, "id: 3")], events[strings.Index(events, "id: 3"):]
+	renumbered := strings.Replace(rest, "id: 3", "id: 1", 1)
+	checkStreams(t, []streamCase{
+		{"numbered anew", "/resume/x", []behaviour{truncated(first), respondWith(200, renumbered)}, first, false, true, 0, []string{"", "2"}},
+		{"last event is repeated", "/resume/x", []behaviour{truncated(events), respondWith(200, rest)}, events, true, false, 0, []string{"", "3"}},
+		{"all events are repeated", "/resume/x", []behaviour{truncated(events), respondWith(200, events)}, events, true, false, 0, []string{"", "3"}},
+	})
+}
