--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -450,6 +450,9 @@
 		if silent := time.Until(time.Unix(0, t.SilentUntil.Load())); silent > 0 {
 			return t.work(ctx, silent)
 		}
+		if t.Closing.Load() { // a process that has ended does not run on
+			return RunBrokenOff, true
+		}
 		return "", false
 	case <-noticed:
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
