Gateway: a resumed stream that ends before the caller's last event is incomplete

Cause: events of a resumed stream up to the last id that the caller has are dropped as repeated, and the end behind them was taken for the end of the stream. A target that has sent only lower ids by its end numbers its events anew, or writes another stream, and its end says nothing of the caller's. That is weak evidence of an end taken for strong.

Change: such an end breaks the attempt. The stream goes on elsewhere if it may, and is broken off otherwise.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -39,8 +39,11 @@
 	resumeAfter string
 	// passedOn is the ID of the last event that the caller has, if it is a number.
 	passedOn eventNumber
-	repeated int              // events that the target sent although the caller has them
-	failure  *failureResponse // 5xx response of the target, or nil
+	// resumedAt is passedOn when the attempt began, and received the highest number of an event
+	// that the target has sent.
+	resumedAt, received eventNumber
+	repeated            int              // events that the target sent although the caller has them
+	failure             *failureResponse // 5xx response of the target, or nil
 }
 
 // newAttempt returns an attempt at the target of a grant. ctx ends with the request, and
@@ -50,6 +53,7 @@
 	a.progressAt = a.sentAt
 	if r.streamBegun || r.route.Resumable { // a target may begin again at 1 otherwise
 		a.passedOn = parseEventNumber(a.resumeAfter)
+		a.resumedAt = a.passedOn
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.handOver = &handOver{attempt: a, ctx: placementCtx}
@@ -273,6 +277,9 @@
 			if err := a.endsWithTarget(head); err != nil {
 				return a.outcomeOf(err), err
 			}
+			if a.endsEarly() {
+				return a.outcomeOf(errEndsEarly), errEndsEarly
+			}
 			if !a.claim(true) {
 				return a.outcomeOf(errOutrun), errOutrun
 			}
@@ -338,6 +345,13 @@
 	}
 }
 
+// endsEarly reports whether a target that was to resume the stream has ended it before the last
+// event that the caller has. Then the events that it sent are not those that the caller has, and
+// its end is not that of the caller's stream.
+func (a *attempt) endsEarly() bool {
+	return a.resumedAt.known && a.received.known && a.received.value < a.resumedAt.value
+}
+
 // countEvent records the start of the response and the events for the cost model.
 func (a *attempt) countEvent() {
 	if a.grant.Events == 0 {
--- a/internal/coordination/gateway/events.go
+++ b/internal/coordination/gateway/events.go
@@ -68,6 +68,7 @@
 	if !n.known {
 		return false
 	}
+	a.received = eventNumber{max(n.value, a.received.value), true}
 	if !a.passedOn.known || n.value > a.passedOn.value {
 		a.passedOn = n
 		return false
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -77,6 +77,7 @@
 	errEndsAtTimeLimit = errors.New("stream ended at the time limit that its target was told")
 	errEndsWithTarget  = errors.New("response without length or chunks ended together with its target")
 	errEndUnproved     = errors.New("no proof that the target has outlived its response without length or chunks")
+	errEndsEarly       = errors.New("resumed stream ended before the event after which it was to go on")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
 )
 
