--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -274,11 +274,65 @@
 		{"at the limit", "/stream/x", []behaviour{endsBefore(0)}, first, false, true, 0, []string{""}},
 		{"at the limit, may be resumed", "/resume/x", []behaviour{endsBefore(0)}, first, false, true, 0, []string{""}},
 		{"after the limit", "/stream/x", []behaviour{endsBefore(-10 * time.Millisecond)}, first, false, true, 0, []string{""}},
+		{"less than the unit of the limit before", "/stream/x", []behaviour{endsBefore(500 * time.Microsecond)}, first, false, true, 0, []string{""}},
 		{"before the limit", "/stream/x", []behaviour{endsBefore(5 * time.Millisecond)}, first, true, false, 0, []string{""}},
 	})
 }
 
+// Guards against a stream that is sent to a second target because the first one stopped at the time
+// limit, where nothing of the limit is left to the second.
+func TestStreamEndingAtItsTimeLimitIsNotSentOn(t *testing.T) {
+	const gap = 100 * time.Millisecond // no stall
+	out, targets := serveCall(t, "/resume/x", func(_ context.Context, f *Forward) (Exchange, error) {
+		end := time.Now().Add(f.TimeLeft - timeLimitUnit/2)
+		n := 0
+		return &fakeExchange{head: &state.Response{Status: 200, HasSignature: true}, Reader: readerFunc(func(p []byte) (int, error) {
+			if time.Until(end) <= gap {
+				time.Sleep(time.Until(end))
+				return 0, io.EOF
+			}
+			time.Sleep(gap)
+			n++
+			return copy(p, fmt.Sprintf("id: %d\ndata: x\n\n", n)), nil
+		})}, nil
+	}, respondWith(200, ""))
+	if !out.aborted || len(targets.sends) != 1 {
+		t.Errorf("aborted %t after %d sends; want that the stream is broken off after 1", out.aborted, len(targets.sends))
+	}
+}
+
 // readerFunc is a function as io.Reader.
 type readerFunc func(p []byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// Guards against a part of a plain response that is passed on as whole because its target ended it
+// at the time limit that it was told: HTTP servers end a response in chunks properly when its
+// handler returns early, and one without length or chunks by closing the connection.
+func TestPlainResponseEndingAtItsTimeLimitIsIncomplete(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		margin             time.Duration
+		endsWithConnection bool
+		whole              bool
+	}{
+		{"in chunks, at the limit", 0, false, false},
+		{"in chunks, after the limit", -10 * time.Millisecond, false, false},
+		{"in chunks, before the limit", 5 * time.Millisecond, false, true},
+		{"without length or chunks, at the limit", 0, true, false},
+		{"without length or chunks, before the limit", 5 * time.Millisecond, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			out, _ := serveCall(t, "/once/x", func(_ context.Context, f *Forward) (Exchange, error) {
+				limit := time.Now().Add(f.TimeLeft.Truncate(time.Millisecond)) // what the target is told
+				return &fakeExchange{head: &state.Response{Status: 200, HasSignature: true, EndsWithConnection: c.endsWithConnection}, Reader: io.MultiReader(strings.NewReader("par"), readerFunc(func([]byte) (int, error) {
+					time.Sleep(time.Until(limit) - c.margin)
+					return 0, io.EOF
+				}))}, nil
+			})
+			if out.ended != c.whole {
+				t.Errorf("ended %t with body %q, failure %v; want ended %t", out.ended, out.body.String(), out.failure.Kind, c.whole)
+			}
+		})
+	}
+}
--- a/internal/transport/upstream/identity_test.go
+++ b/internal/transport/upstream/identity_test.go
@@ -354,3 +354,23 @@
 		})
 	}
 }
+
+// Guards against a rejection that names nobody and is sent without a request, by the full successor
+// of a target, and that is taken for the answer of the target.
+func TestUnaskedRejectionIsNoProof(t *testing.T) {
+	var accepted atomic.Int64
+	address, _ := startTarget(t, func(conn net.Conn, requests *bufio.Reader) {
+		if accepted.Add(1) == 1 {
+			if discardRequest(requests) {
+				respond(t, conn, "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			}
+			return
+		}
+		respond(t, conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		requests.Peek(1 << 10) // until the connection is closed
+	})
+	target := state.TargetRecord{ID: "i-1", Address: address}
+	if check := New().CheckRunning(t.Context(), &target, "/health"); check.Liveness == gateway.Running {
+		t.Errorf("check %+v, want that the target does not count as running", check)
+	}
+}
