Gateway: a plain response that its target ends at its time limit is not complete

Callers could get a part of a plain response as whole (MIXED), and a stream that its target ended less than a millisecond before the limit ran at a second target for nothing; seen with stand-ins, not reported. The end of a plain response was not checked for it, and the deadline itself, not the unit of the limit, decided whether a request is sent on. Change: a success without a stated length that ends within the unit of the limit, or later, is not complete. An end at the limit ends the request, and rates its target as one that is silent until the deadline does. A body of stated length is whole.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -104,6 +104,9 @@
 		return outcome, err
 	}
 	body, err := a.readBody(ex)
+	if err == nil && isSuccess(head.Status) && !head.HasLength {
+		err = a.endsForEntry()
+	}
 	if err == nil {
 		a.handOver.goesOn() // the answer is there, however long its check takes and slowly the caller reads it
 		err = a.endsWithTarget(head)
@@ -217,7 +220,7 @@
 		return dispatch.Cancelled
 	case errors.Is(err, ErrNotSent) && (cause == nil || errors.Is(cause, errStalled)):
 		return dispatch.Unreachable
-	case errors.Is(cause, errStalled), errors.Is(cause, errDeadline), cause == nil && a.handOver.wasWithdrawn():
+	case errors.Is(cause, errStalled), errors.Is(cause, errDeadline), cause == nil && (a.handOver.wasWithdrawn() || errors.Is(err, errEndsAtTimeLimit)):
 		return dispatch.Silent
 	case cause != nil:
 		return dispatch.Cancelled
@@ -304,7 +307,7 @@
 	}
 }
 
-// endsForEntry returns an error if the target may have ended a stream because of this entry: it was
+// endsForEntry returns an error if the target may have ended a response because of this entry: it was
 // asked to abandon it, or has reached the time limit that it was told. HTTP servers write the last
 // chunk of a response when its handler returns early, so that chunks do not show that it is complete.
 func (a *attempt) endsForEntry() error {
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -74,7 +74,7 @@
 	errDeadline        = errors.New("deadline of the request passed")
 	errTooLarge        = errors.New("response body is too large")
 	errEndsWithdrawn   = errors.New("stream ended after its target was asked to abandon it")
-	errEndsAtTimeLimit = errors.New("stream ended at the time limit that its target was told")
+	errEndsAtTimeLimit = errors.New("response ended at the time limit that its target was told")
 	errEndsWithTarget  = errors.New("response without length or chunks ended together with its target")
 	errEndUnproved     = errors.New("no proof that the target has outlived its response without length or chunks")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
@@ -450,7 +450,7 @@
 		r.countPromptTokens(a.grant, false)
 	}
 	cause := context.Cause(ctx)
-	if cause == nil && !time.Now().Before(r.deadline) {
+	if cause == nil && (!time.Now().Before(r.deadline) || errors.Is(err, errEndsAtTimeLimit)) {
 		cause = errDeadline
 	}
 	if cause != nil && !errors.Is(cause, errDeadline) && !errors.Is(cause, errStopping) {
--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -314,18 +314,20 @@
 		name               string
 		margin             time.Duration
 		endsWithConnection bool
+		hasLength          bool
 		whole              bool
 	}{
-		{"in chunks, at the limit", 0, false, false},
-		{"in chunks, after the limit", -10 * time.Millisecond, false, false},
-		{"in chunks, before the limit", 5 * time.Millisecond, false, true},
-		{"without length or chunks, at the limit", 0, true, false},
-		{"without length or chunks, before the limit", 5 * time.Millisecond, true, true},
+		{"in chunks, at the limit", 0, false, false, false},
+		{"in chunks, after the limit", -10 * time.Millisecond, false, false, false},
+		{"in chunks, before the limit", 5 * time.Millisecond, false, false, true},
+		{"without length or chunks, at the limit", 0, true, false, false},
+		{"without length or chunks, before the limit", 5 * time.Millisecond, true, false, true},
+		{"with a length, at the limit", 0, false, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			out, _ := serveCall(t, "/once/x", func(_ context.Context, f *Forward) (Exchange, error) {
 				limit := time.Now().Add(f.TimeLeft.Truncate(time.Millisecond)) // what the target is told
-				return &fakeExchange{head: &state.Response{Status: 200, HasSignature: true, EndsWithConnection: c.endsWithConnection}, Reader: io.MultiReader(strings.NewReader("par"), readerFunc(func([]byte) (int, error) {
+				return &fakeExchange{head: &state.Response{Status: 200, HasSignature: true, EndsWithConnection: c.endsWithConnection, HasLength: c.hasLength}, Reader: io.MultiReader(strings.NewReader("par"), readerFunc(func([]byte) (int, error) {
 					time.Sleep(time.Until(limit) - c.margin)
 					return 0, io.EOF
 				}))}, nil
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -181,6 +181,9 @@
 	// that its body ends where the connection does. Such an end does not prove that the
 	// body is complete: the connection of a target that crashes ends in the same way.
 	EndsWithConnection bool
+	// HasLength says that the length of the body is stated, or that there is none, so that a
+	// body that was read to its end is whole.
+	HasLength bool
 	// Stated is what the target states of itself.
 	Stated Statement
 }
