Target client: a rejection that names nobody is no proof that a target runs

Cause: after a 421 without Instance-Id, any rejection of a second probe counted as the answer of the expected incarnation. Targets also send rejections without a request, for example because they are full, as those on idle connections and those of ordinary requests are treated; the successor of a target may do so. Change: such a rejection is no result, and the probe is tried again. One expectation of TestTargetThatDoesNotNameItself changes from running to unproved, which is stricter: a full target that names itself nowhere is not proved to run, so that its response without length or chunks is not complete.

--- a/internal/transport/upstream/identity_test.go
+++ b/internal/transport/upstream/identity_test.go
@@ -324,7 +324,7 @@
 	}{
 		{"healthy", unnamed421, named200, gateway.Running},
 		{"healthy, unnamed", unnamed421, unnamed200, gateway.Running},
-		{"full", unnamed421, unnamed503, gateway.Running},
+		{"full", unnamed421, unnamed503, gateway.Unproved},
 		{"another incarnation", unnamed421, unnamed421, gateway.Ended},
 		{"proxy", unnamed421, unnamed502, gateway.Unproved},
 		{"does not heed the instance", unnamed200, unnamed200, gateway.Unproved},
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -170,7 +170,9 @@
 		check.Liveness = livenessOf(answer.Instance, key.target)
 	case answer.Misdirected:
 		check.Liveness = gateway.Ended
-	case answer.Status == http.StatusOK || answer.NotRun:
+	case answer.NotRun:
+		return false // targets also send rejections without a request
+	case answer.Status == http.StatusOK:
 		check.Liveness = gateway.Running
 	}
 	return true
