Test: a response that names no request, on a connection that has carried a probe

Cause: an answered probe marks its connection as one whose target names requests, so that responses that name none are skipped.

--- a/internal/transport/upstream/identity_test.go
+++ b/internal/transport/upstream/identity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -374,3 +375,31 @@
 		t.Errorf("check %+v, want that the target does not count as running", check)
 	}
 }
+
+// Guards against a response of a target that names no requests, and that is skipped because the
+// connection has carried a probe: the request would wait until its deadline.
+func TestUnnamedResponseBehindProbeBelongsToRequest(t *testing.T) {
+	address, _ := startTarget(t, func(conn net.Conn, requests *bufio.Reader) {
+		if discardRequest(requests) {
+			respond(t, conn, misdirected("i-1"))
+		}
+		if discardRequest(requests) {
+			respond(t, conn, misdirected("i-1")) // a late copy
+			respond(t, conn, "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	target, client := state.TargetRecord{ID: "i-1", Address: address}, New()
+	if !outlivesResponse(t, client, target) {
+		t.Fatal("the target does not run")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	ex, err := begin(ctx, client, target, "a", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ex.Close(false)
+	if head, err := ex.Head(); err != nil || head.Status != http.StatusOK {
+		t.Errorf("head %+v, error %v; want the response", head, err)
+	}
+}
