Target client: a signed response behind a probe belongs to its request

Cause: an answered probe marked its connection as one whose target names requests, so that a late copy of the answer is not taken for a response. Signed responses that name none, which are taken on other connections, were skipped too, and the request waited until its deadline. Change: on a connection that has carried a probe, only unsigned responses without a name are skipped; answers to probes are never signed.

--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -158,6 +158,8 @@
 		return true, nil
 	case head.RequestID != "" || e.conn.namesRequests:
 		return false, nil
+	case e.conn.probed && !head.HasSignature:
+		return false, nil // may be a late copy of the answer to the probe, which is not signed
 	case head.NotRun:
 		return false, fmt.Errorf("%w: status %d of %s", errUnnamedRejection, head.Status, e.conn.address)
 	}
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -214,7 +214,7 @@
 		conn.Close()
 		return answer, nil
 	}
-	conn.probed, conn.namesRequests = true, true
+	conn.probed = true
 	c.keep(conn, resp)
 	return answer, nil
 }
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -84,11 +84,10 @@
 	reader    *bufio.Reader
 	expiresAt time.Time // end of its idle time; it is not reused from then on
 	reused    bool      // an earlier request was sent on it
-	// namesRequests says that the target has named a request in a response on it, or has
-	// answered a probe, which names none: a late copy of that answer must not be taken for the
-	// response to a request.
+	// namesRequests says that the target has named a request in a response on it.
 	namesRequests bool
-	// probed says that a probe was answered on it.
+	// probed says that a probe was answered on it. The answer names no request, and a late copy of
+	// it must not be taken for the response to one.
 	probed bool
 }
 
