--- a/internal/transport/upstream/identity_test.go
+++ b/internal/transport/upstream/identity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -324,7 +325,7 @@
 	}{
 		{"healthy", unnamed421, named200, gateway.Running},
 		{"healthy, unnamed", unnamed421, unnamed200, gateway.Running},
-		{"full", unnamed421, unnamed503, gateway.Running},
+		{"full", unnamed421, unnamed503, gateway.Unproved},
 		{"another incarnation", unnamed421, unnamed421, gateway.Ended},
 		{"proxy", unnamed421, unnamed502, gateway.Unproved},
 		{"does not heed the instance", unnamed200, unnamed200, gateway.Unproved},
@@ -354,3 +355,51 @@
 		})
 	}
 }
+
+// Guards against a rejection that names nobody and is sent without a request, by the full successor
+// of a target, and that is taken for the answer of the target.
+func TestUnaskedRejectionIsNoProof(t *testing.T) {
+	var accepted atomic.Int64
+	address, _ := startTarget(t, func(conn net.Conn, requests *bufio.Reader) {
+		if accepted.Add(1) == 1 {
+			if discardRequest(requests) {
+				respond(t, conn, "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			}
+			return
+		}
+		respond(t, conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		requests.Peek(1 << 10) // until the connection is closed
+	})
+	target := state.TargetRecord{ID: "i-1", Address: address}
+	if check := New().CheckRunning(t.Context(), &target, "/health"); check.Liveness == gateway.Running {
+		t.Errorf("check %+v, want that the target does not count as running", check)
+	}
+}
+
+// Guards against a response of a target that names no requests, and that is skipped because the
+// connection has carried a probe: the request would wait until its deadline.
+func TestUnnamedResponseBehindProbeBelongsToRequest(t *testing.T) {
+	address, _ := startTarget(t, func(conn net.Conn, requests *bufio.Reader) {
+		if discardRequest(requests) {
+			respond(t, conn, misdirected("i-1"))
+		}
+		if discardRequest(requests) {
+			respond(t, conn, misdirected("i-1")) // a late copy
+			respond(t, conn, "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	target, client := state.TargetRecord{ID: "i-1", Address: address}, New()
+	if !outlivesResponse(t, client, target) {
+		t.Fatal("the target does not run")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	ex, err := begin(ctx, client, target, "a", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ex.Close(false)
+	if head, err := ex.Head(); err != nil || head.Status != http.StatusOK {
+		t.Errorf("head %+v, error %v; want the response", head, err)
+	}
+}
