Tests: the responses of stand-ins state their length

Cause: TestAnswerSentByTheTimeoutOfTheRouteIsPassedOn fails since: a plain response without a stated length that ends at its time limit is not complete, and the stand-in's response stated none. Change: respondWith states the length, as targets do that write an answer at once. The test asks for the same as before; an answer in chunks that ends at the limit is the matter of TestPlainResponseEndingAtItsTimeLimitIsIncomplete. Result: it passes, as do the tests of streams, plain responses and ends.

--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -104,7 +104,7 @@
 // respondWith answers with a complete, signed response.
 func respondWith(status int, body string) behaviour {
 	return func(context.Context, *Forward) (Exchange, error) {
-		return &fakeExchange{head: &state.Response{Status: status, HasSignature: true}, Reader: strings.NewReader(body)}, nil
+		return &fakeExchange{head: &state.Response{Status: status, HasSignature: true, HasLength: true}, Reader: strings.NewReader(body)}, nil
 	}
 }
 
