--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -268,25 +268,7 @@
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
-			if err := a.endsForEntry(); err != nil {
-				return a.outcomeOf(err), err
-			}
-			if head.EndsWithConnection && !a.race.won(a) && !a.begun {
-				return dispatch.Broken, errNoEvent
-			}
-			if !a.handOver.goesOn() { // the other target continues from the last event
-				return dispatch.Silent, errStalled
-			}
-			if err := a.endsWithTarget(head); err != nil {
-				return a.outcomeOf(err), err
-			}
-			if a.endsEarly() {
-				return a.outcomeOf(errEndsEarly), errEndsEarly
-			}
-			if !a.claim(true) {
-				return a.outcomeOf(errOutrun), errOutrun
-			}
-			return a.finishStream(head)
+			return a.endStream(head)
 		}
 		if err != nil {
 			return a.outcomeOf(err), err
@@ -314,6 +296,30 @@
 	}
 }
 
+// endStream answers the caller after the end of the response between two events, if that shows that
+// the stream is complete.
+func (a *attempt) endStream(head *state.Response) (dispatch.Outcome, error) {
+	if err := a.endsForEntry(); err != nil {
+		return a.outcomeOf(err), err
+	}
+	if head.EndsWithConnection && !a.race.won(a) && !a.begun {
+		return dispatch.Broken, errNoEvent
+	}
+	if !a.handOver.goesOn() { // the other target continues from the last event
+		return dispatch.Silent, errStalled
+	}
+	if err := a.endsWithTarget(head); err != nil {
+		return a.outcomeOf(err), err
+	}
+	if a.endsEarly() {
+		return a.outcomeOf(errEndsEarly), errEndsEarly
+	}
+	if !a.claim(true) {
+		return a.outcomeOf(errOutrun), errOutrun
+	}
+	return a.finishStream(head)
+}
+
 // endsForEntry returns an error if the target may have ended a response because of this entry: it was
 // asked to abandon it, or has reached the time limit that it was told. HTTP servers write the last
 // chunk of a response when its handler returns early, so that chunks do not show that it is complete.
--- a/internal/coordination/gateway/handover_test.go
+++ b/internal/coordination/gateway/handover_test.go
@@ -452,3 +452,32 @@
 		}
 	})
 }
+
+// slowCheckClient takes checkTime to find out whether a target runs.
+type slowCheckClient struct {
+	*fakeTargetClient
+	checkTime time.Duration
+}
+
+func (c slowCheckClient) CheckRunning(ctx context.Context, target *state.TargetRecord, path string) RunCheck {
+	select {
+	case <-ctx.Done():
+		return RunCheck{}
+	case <-time.After(c.checkTime):
+		return c.fakeTargetClient.CheckRunning(ctx, target, path)
+	}
+}
+
+// Guards against a hand-over of a stream that has ended, while its target is asked whether it runs.
+func TestCheckOfAnEndedStreamIsNoStall(t *testing.T) {
+	out := &recordingResponder{}
+	targets := &fakeTargetClient{behaviours: []behaviour{endingWithConnection(events), respondWith(200, "")}}
+	synctest.Test(t, func(t *testing.T) {
+		s := newService(slowCheckClient{targets, 3 * time.Second})
+		s.SetConfiguration(longRoute())
+		s.Serve(t.Context(), resumableCall(), time.Now(), out)
+	})
+	if !out.ended || out.body.String() != events || len(targets.sends) != 1 {
+		t.Errorf("ended %t after %d sends with %q, want all events after 1", out.ended, len(targets.sends), out.body.String())
+	}
+}
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -123,87 +123,6 @@
 	return runs
 }
 
-// slotQueue gives slots to requests in order of arrival.
-type slotQueue struct {
-	mu      sync.Mutex
-	running int
-	waiting []chan struct{}
-	reading time.Time // prompts are read until then
-}
-
-// readPrompt returns how long it takes until a prompt is read that takes d by itself.
-func (q *slotQueue) readPrompt(d time.Duration) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if now := time.Now(); q.reading.Before(now) {
-		q.reading = now
-	}
-	q.reading = q.reading.Add(d)
-	return time.Until(q.reading)
-}
-
-var (
-	errQueueFull   = errors.New("queue full")
-	errTimeInQueue = errors.New("time limit passed in queue")
-)
-
-// enter waits for a slot, which the caller gives back with leave. It fails if limit requests
-// wait, when the context ends, or at the deadline.
-func (q *slotQueue) enter(ctx context.Context, slots, limit int, deadline time.Time) error {
-	q.mu.Lock()
-	if q.running < slots {
-		q.running++
-		q.mu.Unlock()
-		return nil
-	}
-	if len(q.waiting) >= limit {
-		q.mu.Unlock()
-		return errQueueFull
-	}
-	granted := make(chan struct{})
-	q.waiting = append(q.waiting, granted)
-	q.mu.Unlock()
-	err := errTimeInQueue
-	select {
-	case <-granted:
-		return nil
-	case <-ctx.Done():
-		err = ctx.Err()
-	case <-time.After(time.Until(deadline)):
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for i, c := range q.waiting {
-		if c == granted {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			return err
-		}
-	}
-	q.leaveLocked() // the slot was granted meanwhile
-	return err
-}
-
-func (q *slotQueue) leave() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.leaveLocked()
-}
-
-func (q *slotQueue) leaveLocked() {
-	if len(q.waiting) == 0 {
-		q.running--
-		return
-	}
-	close(q.waiting[0])
-	q.waiting = q.waiting[1:]
-}
-
-func (q *slotQueue) load() (running, waiting int, reading bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.running, len(q.waiting), time.Now().Before(q.reading)
-}
-
 // engineConn is a connection to a target with a profile.
 type engineConn struct {
 	net.Conn
@@ -386,49 +305,6 @@
 	}
 }
 
-// strayBytes returns bytes that belong to no request, for the place behind the stream of a
-// run, in pieces that are written one after the other.
-func strayBytes(id, software string, run *Run) []string {
-	event := func(n int) string { return RunEvent(id, n, software, run.Number) }
-	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: late\r\n"
-	response := head + "Content-Length: 4\r\n\r\nlate"
-	cut := 1 + rand.IntN(len(head)-1)
-	forms := [][]string{
-		noise(),
-		{response[:cut], response[cut:]},
-		{"\r\n" + response},
-		{head + "Content-Type: text/event-stream\r\n\r\n" + event(run.Events+1) + event(run.Events+2)},
-		{head + "\r\nlate"},
-		{event(run.Events)},
-		{strings.Replace(response, "HTTP/1.1", "HTTP/3.7", 1)},
-		{strings.ToLower(response)},
-	}
-	return forms[rand.IntN(len(forms))]
-}
-
-// noise returns bytes that are no response, in one piece. Half of the time they end as an event.
-func noise() []string {
-	b := make([]byte, 1+rand.IntN(60))
-	for i := range b {
-		b[i] = byte(rand.IntN(256))
-	}
-	if rand.IntN(2) == 0 {
-		b = append(b, "\n\n"...)
-	}
-	return []string{string(b)}
-}
-
-// writePieces writes the pieces with a pause of a few milliseconds between them. An error shows
-// to the client too.
-func (c *engineConn) writePieces(pieces []string) {
-	for i, piece := range pieces {
-		if i > 0 {
-			time.Sleep(time.Duration(1+rand.IntN(6)) * time.Millisecond)
-		}
-		io.WriteString(c, piece)
-	}
-}
-
 // maxAbruptDelay is the longest time from a response to the close that it did not announce.
 const maxAbruptDelay = 30 * time.Millisecond
 
