Target client: 1.5 s for the check of whether a target runs

Cause: the check had 500 ms, and opening a connection took up to 1.07 s there. An undecided check does not show that the stream is complete. Change: 1.5 s, which is below the shortest gap after which callers leave (2 s).

--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -17,8 +17,9 @@
 
 const (
 	// probeTimeout bounds a probe with all its tries. The caller has all events of its stream
-	// meanwhile, and waits for the end.
-	probeTimeout = 500 * time.Millisecond
+	// meanwhile, and waits for the end, for 2 s at least. On a busy machine, opening a connection
+	// alone may take longer than a try, and a whole stream would be broken off.
+	probeTimeout = 1500 * time.Millisecond
 	// idleProbeTimeout bounds a probe on an idle connection, which may have gone silent for good.
 	idleProbeTimeout = 150 * time.Millisecond
 	// probePause is the time between the first two tries, and doubles from there on. A target
