Gateway: an event of a stream without length or chunks is UTF-8

Cause: a comment belongs to any stream, and noise that begins with a colon and ends with an empty line looks like one. Change: what is not UTF-8, as event streams are, is not the next event. Result: the new case of TestStrayBytesBehindStreamAreNoEvent passes.

--- a/internal/coordination/eventstream/unframed.go
+++ b/internal/coordination/eventstream/unframed.go
@@ -7,6 +7,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
 // ErrStray means that a stream contains bytes that are not its next event. What follows them
@@ -55,8 +56,11 @@
 }
 
 // isNext reports whether an event is the next one of the stream, and remembers its ID. A comment
-// belongs to any stream.
+// belongs to any stream. Event streams are UTF-8.
 func (r *UnframedReader) isNext(ev Event) bool {
+	if !utf8.Valid(ev) {
+		return false
+	}
 	known, hasField := false, false
 	var id []byte
 	for name, value := range ev.Fields() {
--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -121,6 +121,7 @@
 		"TLS alert":                       "\x16\x03\x01\x00*\x02\x00\x00\r\n\r\n",
 		"head of another version":         "HTTP/2 200 OK\r\nContent-Length: 2\r\n\r\nok",
 		"head in lower case":              "http/1.1 200 ok\r\ncontent-length: 2\r\n\r\nok",
+		"noise behind a colon":            ":\xf1\x88\n\n",
 		"event without an id":             "data: x\n\n",
 		"event whose id is no number":     "id: x\ndata: x\n\n",
 		"same event again":                "id: 3\ndata: c\n\n",
