--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -109,7 +109,7 @@
 	}
 	body, err := a.readBody(ex)
 	if err == nil && isSuccess(head.Status) && !head.HasLength {
-		err = a.endsForEntry(a.sentAt)
+		err = a.endsForEntry()
 	}
 	if err == nil {
 		a.handOver.goesOn() // the answer is there, however long its check takes and slowly the caller reads it
@@ -266,10 +266,9 @@
 		}
 	}()
 	for {
-		waitsSince := time.Now()
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return a.endStream(head, waitsSince)
+			return a.endStream(head)
 		}
 		if err != nil {
 			return a.outcomeOf(err), err
@@ -298,9 +297,9 @@
 }
 
 // endStream answers the caller after the end of the response between two events, if that shows that
-// the stream is complete. The entry has waited for the end since waitsSince.
-func (a *attempt) endStream(head *state.Response, waitsSince time.Time) (dispatch.Outcome, error) {
-	if err := a.endsForEntry(waitsSince); err != nil {
+// the stream is complete.
+func (a *attempt) endStream(head *state.Response) (dispatch.Outcome, error) {
+	if err := a.endsForEntry(); err != nil {
 		return a.outcomeOf(err), err
 	}
 	if head.EndsWithConnection && !a.race.won(a) && !a.begun {
@@ -324,14 +323,11 @@
 // endsForEntry returns an error if the target may have ended a response because of this entry: it was
 // asked to abandon it, or has reached the time limit that it was told. HTTP servers write the last
 // chunk of a response when its handler returns early, so that chunks do not show that it is complete.
-// An end that was there when the entry began to wait for it, since waitsSince, came earlier: the
-// caller reads slowly.
-func (a *attempt) endsForEntry(waitsSince time.Time) error {
-	limit := a.request.deadline.Add(-timeLimitUnit)
+func (a *attempt) endsForEntry() error {
 	switch {
 	case a.handOver.wasWithdrawn():
 		return errEndsWithdrawn
-	case waitsSince.Before(limit) && !time.Now().Before(limit):
+	case time.Until(a.request.deadline) <= timeLimitUnit:
 		return errEndsAtTimeLimit
 	}
 	return nil
