Target client: one place decides what a probe on a new connection shows

Cause: askAnew judged refused connections and named instances twice, once for each of its probes. Change: askOnNewConnection does it for both. No change of behaviour.

--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -145,30 +145,20 @@
 
 // askAnew asks on a new connection.
 func (c *Client) askAnew(ctx context.Context, key probeKey, check *gateway.RunCheck) (decided bool) {
-	answer, err := c.askOnNewConnection(ctx, key, platform.NoTarget, check)
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		check.Liveness = gateway.Ended
-		return true
-	case err != nil:
-		return false
-	case answer.Instance != "":
-		check.Liveness = livenessOf(answer.Instance, key.target)
-		return true
-	case !answer.Misdirected:
+	answer, decided, err := c.askOnNewConnection(ctx, key, platform.NoTarget, check)
+	if decided || err != nil {
+		return decided
+	}
+	if !answer.Misdirected {
 		// The target may be full. One that neither names itself nor heeds the instance
 		// that is expected cannot be identified.
 		return !answer.NotRun
 	}
 	// The target heeds the instance that is expected, but does not name itself.
-	answer, err = c.askOnNewConnection(ctx, key, key.target, check)
+	answer, decided, err = c.askOnNewConnection(ctx, key, key.target, check)
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		check.Liveness = gateway.Ended
-	case err != nil:
-		return false
-	case answer.Instance != "":
-		check.Liveness = livenessOf(answer.Instance, key.target)
+	case decided || err != nil:
+		return decided
 	case answer.Misdirected:
 		check.Liveness = gateway.Ended
 	case answer.NotRun:
@@ -187,14 +177,25 @@
 	return gateway.Ended
 }
 
-func (c *Client) askOnNewConnection(ctx context.Context, key probeKey, expected state.TargetID, check *gateway.RunCheck) (platform.ProbeAnswer, error) {
+// askOnNewConnection asks on a new connection. It is decided by a connection that is refused, and by
+// an answer that names an instance.
+func (c *Client) askOnNewConnection(ctx context.Context, key probeKey, expected state.TargetID, check *gateway.RunCheck) (answer platform.ProbeAnswer, decided bool, err error) {
 	conn, err := c.dial(ctx, key.address)
 	if err != nil {
 		check.Tries++
 		check.Asked, check.Answer = "new connection", err.Error()
-		return platform.ProbeAnswer{}, err
+	} else {
+		answer, err = c.ask(ctx, key, conn, expected, check)
+	}
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		check.Liveness = gateway.Ended
+		return answer, true, err
+	case err == nil && answer.Instance != "":
+		check.Liveness = livenessOf(answer.Instance, key.target)
+		return answer, true, nil
 	}
-	return c.ask(ctx, key, conn, expected, check)
+	return answer, false, err
 }
 
 // ask sends a probe on a connection and reads the answer. The connection goes to the pool if it can
