netconn: what only HasEnded uses is not exported

Cause: the target client of entries had its own check of whether a target has ended, which the probe replaced; nothing else uses the two times and the test of the error. Change: endWait, endCheckTimeout and showsEnd. No change of behaviour.

--- a/internal/transport/netconn/ended.go
+++ b/internal/transport/netconn/ended.go
@@ -12,15 +12,15 @@
 
 const (
 	// The kernel may close the listener of a process that ends after its connections. A
-	// connection that it accepts in between is reset within EndWait. EndTimeout bounds the whole
+	// connection that it accepts in between is reset within endWait. endCheckTimeout bounds the whole
 	// check of whether a process has ended, which a response waits for.
-	EndWait    = 10 * time.Millisecond
-	EndTimeout = 100 * time.Millisecond
+	endWait         = 10 * time.Millisecond
+	endCheckTimeout = 100 * time.Millisecond
 )
 
-// ShowsEnd reports whether an error of opening a connection shows that no process accepts
+// showsEnd reports whether an error of opening a connection shows that no process accepts
 // connections at the address any more.
-func ShowsEnd(err error) bool {
+func showsEnd(err error) bool {
 	// A connection may be accepted and reset before the call that opens it returns.
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
@@ -42,13 +42,13 @@
 // further connections are refused, or closed at once. False is no proof that it runs: another process
 // may accept connections at the address. It is for targets that have no identity to ask for.
 func HasEnded(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, EndTimeout)
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
 	if err != nil {
-		return ShowsEnd(err)
+		return showsEnd(err)
 	}
 	defer conn.Close()
-	ended, _ := EndsWithin(conn, EndWait)
+	ended, _ := EndsWithin(conn, endWait)
 	return ended
 }
