Gateway: the log of an answered request states how its response ended

To tell whether a response in chunks ended with its target: whether it stated a length or announced the close of its connection, and whether its target was still expected to serve.

--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -163,6 +163,7 @@
 	r.service.cfg.Counters.observeLatency("whole."+r.route.Name, took)
 	r.log.Info("request answered", zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name),
 		zap.String("target", string(g.Target.ID)), zap.Int("status", head.Status), zap.Bool("ends_with_connection", head.EndsWithConnection),
+		zap.Bool("has_length", head.HasLength), zap.Bool("announces_close", head.AnnouncesClose), zap.Bool("target_serves", r.service.cfg.Scheduler.Serves(g)),
 		zap.Int("events", g.Events),
 		zap.Duration("first_after", r.timeToResponse), zap.Duration("after", took), zap.Int("runs", r.possibleRuns+1),
 		zap.Bool("returned", r.returned()), zap.Duration("left", time.Until(r.deadline)))
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -184,6 +184,8 @@
 	// HasLength says that the length of the body is stated, or that there is none, so that a
 	// body that was read to its end is whole.
 	HasLength bool
+	// AnnouncesClose says that the target closes the connection behind the response.
+	AnnouncesClose bool
 	// Stated is what the target states of itself.
 	Stated Statement
 }
