Gateway: the last chunk does not show that a target has outlived its stream

Callers got streams that ended as complete before their last event, where a target was told to end. It cancels its handlers, upon which its HTTP server writes the last chunk, as at any planned end of a server. The entry doubted only the end of a response without length or chunks.

The end of any response that states no length is now checked. Where the connection stays open behind it for 25 ms (100 ms at a target that is to leave) and no other stream of the target has ended with it, it is believed, and nothing is asked. Otherwise the target is asked as before, 25 ms later, since a server that shuts down may answer for a moment.

A server that shuts down also accepts no connections while it finishes its streams. So a stream is whole in spite of a refused connection if another stream of the target goes on, or if this one had gone on while connections were refused. Of the latter, only streams that may not be resumed are believed: a target whose time runs out cancels its handlers then, and a resumption costs a second prefill at most.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -80,6 +81,9 @@
 		SendBy: a.grant.ExpiresAt, Holds: func() bool { return r.service.cfg.Scheduler.Holds(a.grant) },
 	})
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			r.service.streams.refuses(a.grant.Target.ID, time.Now())
+		}
 		return a.outcomeOf(err), err
 	}
 	a.handOver.sent(ex)
@@ -113,7 +117,7 @@
 	}
 	if err == nil {
 		a.handOver.goesOn() // the answer is there, however long its check takes and slowly the caller reads it
-		err = a.endsWithTarget(head)
+		err = a.checkEnd(head, ex)
 	}
 	if err != nil {
 		return a.outcomeOf(err), err
@@ -265,10 +269,12 @@
 			r.logSkippedResponses(a, n)
 		}
 	}()
+	defer r.service.streams.leave(a)
 	for {
+		began := time.Now()
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return a.endStream(head)
+			return a.endStream(head, ex)
 		}
 		if err != nil {
 			return a.outcomeOf(err), err
@@ -287,6 +293,7 @@
 		if event.hasField {
 			a.handOver.expect(r.eventGapTimeout())
 			a.countEvent()
+			r.service.streams.event(a, a.progressAt, a.progressAt.Sub(began))
 		}
 		if err := r.forwardEvent(a.grant, head, event); err != nil {
 			a.cancel(err)
@@ -298,7 +305,7 @@
 
 // endStream answers the caller after the end of the response between two events, if that shows that
 // the stream is complete.
-func (a *attempt) endStream(head *state.Response) (dispatch.Outcome, error) {
+func (a *attempt) endStream(head *state.Response, ex Exchange) (dispatch.Outcome, error) {
 	if err := a.endsForEntry(); err != nil {
 		return a.outcomeOf(err), err
 	}
@@ -308,12 +315,17 @@
 	if !a.handOver.goesOn() { // the other target continues from the last event
 		return dispatch.Silent, errStalled
 	}
-	if err := a.endsWithTarget(head); err != nil {
-		return a.outcomeOf(err), err
-	}
 	if a.endsEarly() {
 		return a.outcomeOf(errEndsEarly), errEndsEarly
 	}
+	a.request.service.streams.ended(a)
+	if a.request.streamBegun && !head.EndsWithConnection {
+		// The target's slot is free while the end is checked.
+		a.request.service.cfg.Scheduler.Release(a.grant, dispatch.Served)
+	}
+	if err := a.checkEnd(head, ex); err != nil {
+		return a.outcomeOf(err), err
+	}
 	if !a.claim(true) {
 		return a.outcomeOf(errOutrun), errOutrun
 	}
@@ -333,27 +345,6 @@
 	return nil
 }
 
-// endsWithTarget returns an error if a response that has neither a length nor chunks may have ended
-// together with its target, which may have crashed in the middle of it: the kernel closes the
-// connections of a process that ends like those that the process closes itself. The response is
-// complete only with proof that the target has outlived it.
-func (a *attempt) endsWithTarget(head *state.Response) error {
-	if !head.EndsWithConnection {
-		return nil
-	}
-	r, began := a.request, time.Now()
-	check := r.service.cfg.TargetClient.CheckRunning(a.ctx, &a.grant.Target, r.table.Config.HealthPaths[a.grant.Target.Service])
-	r.recordRunCheck(a, check, time.Since(began))
-	switch check.Liveness {
-	case Running:
-		return nil
-	case Ended:
-		return errEndsWithTarget
-	default:
-		return errEndUnproved
-	}
-}
-
 // endsEarly reports whether a target that was to resume the stream has ended it before the last
 // event that the caller has. Then the events that it sent are not those that the caller has, and
 // its end is not that of the caller's stream.
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -90,6 +90,7 @@
 // RunCheck is the result of TargetClient.CheckRunning.
 type RunCheck struct {
 	Liveness Liveness
+	Refused  bool   // connections are refused: the target has ended or accepts no more
 	Asked    string // the last request that was sent, for logs
 	Answer   string // what came of it, for logs
 	Tries    int    // connections on which the target was asked, or that could not be opened
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -209,15 +209,20 @@
 		zap.String("prompt", promptText(r.call.Prompt)), zap.Uint64("content", uint64(r.contents[0])), zap.NamedError("cause", err))
 }
 
-// recordRunCheck counts the check of whether a target has outlived a response without length or
-// chunks, and records it unless it has.
-func (r *request) recordRunCheck(a *attempt, c RunCheck, took time.Duration) {
+// recordRunCheck counts the check of whether a target has outlived a response whose end was in doubt,
+// and records it unless it has. because says why the response is complete all the same, if it is.
+func (r *request) recordRunCheck(a *attempt, doubt endDoubt, c RunCheck, because string, took time.Duration) {
 	r.service.cfg.Counters.Add("end_check." + c.Liveness.String())
+	r.service.cfg.Counters.Add("end_doubt." + doubt.String())
 	if c.Liveness == Running {
 		return
 	}
+	if because != "" {
+		r.service.cfg.Counters.Add("end_believed." + because)
+	}
 	r.log.Info("end of response not proved", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
-		zap.String("address", a.grant.Target.Address), zap.String("result", c.Liveness.String()), zap.String("asked", c.Asked), zap.String("answer", c.Answer),
+		zap.String("address", a.grant.Target.Address), zap.String("doubt", doubt.String()), zap.String("result", c.Liveness.String()), zap.String("complete_because", because),
+		zap.String("asked", c.Asked), zap.String("answer", c.Answer), zap.Bool("target_serves", r.service.cfg.Scheduler.Serves(a.grant)),
 		zap.Int("tries", c.Tries), zap.Duration("took", took), zap.Int("events", a.grant.Events))
 }
 
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -75,8 +75,8 @@
 	errTooLarge        = errors.New("response body is too large")
 	errEndsWithdrawn   = errors.New("stream ended after its target was asked to abandon it")
 	errEndsAtTimeLimit = errors.New("response ended at the time limit that its target was told")
-	errEndsWithTarget  = errors.New("response without length or chunks ended together with its target")
-	errEndUnproved     = errors.New("no proof that the target has outlived its response without length or chunks")
+	errEndsWithTarget  = errors.New("response without a stated length ended together with its target")
+	errEndUnproved     = errors.New("no proof that the target has outlived its response without a stated length")
 	errEndsEarly       = errors.New("resumed stream ended before the event after which it was to go on")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
 )
@@ -124,6 +124,7 @@
 	// running ends with EndRequests.
 	running     context.Context
 	endRequests context.CancelFunc
+	streams     streamLog
 
 	mu           sync.Mutex
 	retryBudgets map[state.Service]*retry.WindowBudget
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -69,7 +69,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if l, ok := f.liveness[target.ID]; ok {
-		return RunCheck{Liveness: l}
+		return RunCheck{Liveness: l, Refused: l == Ended}
 	}
 	return RunCheck{Liveness: Running}
 }
@@ -90,9 +90,12 @@
 	// liveness what is known of it then.
 	thenNotRunning bool
 	liveness       Liveness
+	closes         bool // the connection behind the body
 	io.Reader
 }
 
+func (e *fakeExchange) ClosedWithin(time.Duration) bool { return e.closes }
+
 func (e *fakeExchange) Head() (*state.Response, error) { return e.head, e.headErr }
 func (e *fakeExchange) Close(bool)                     {}
 
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 	"github.com/cassiaramp/cassiaramp/platform"
 )
 
@@ -27,6 +28,7 @@
 	head      *state.Response // decoded from resp
 	withdrawn atomic.Bool     // the sending side of the connection is closed
 	closeOnce sync.Once
+	unusable  bool // ClosedWithin has found the connection closed, or something on it
 }
 
 // write writes the request. The error says that the connection took none of it. Targets may
@@ -196,6 +198,16 @@
 	return n, err
 }
 
+// ClosedWithin implements gateway.CloseWatcher. What is read behind the response belongs to no request.
+func (e *exchange) ClosedWithin(wait time.Duration) bool {
+	if e.conn.reader.Buffered() > 0 {
+		return false
+	}
+	closed, idle := netconn.EndsWithin(e.conn, wait)
+	e.unusable = !idle
+	return closed
+}
+
 // identified reports whether the response names the request. If not, the connection is not
 // reused: a late second copy of the response could not be told from that to the next
 // request.
@@ -206,7 +218,7 @@
 // or after a misdirected request: the same request may be sent to the target that now has the
 // address, where a late copy of the response would say that it did not run.
 func (e *exchange) keepsConnection() bool {
-	return e.endWriting() == nil && !e.withdrawn.Load() && !e.resp.Close && !e.head.EndsWithConnection && !e.head.Misdirected && e.conn.reader.Buffered() == 0 && e.identified()
+	return !e.unusable && e.endWriting() == nil && !e.withdrawn.Load() && !e.resp.Close && !e.head.EndsWithConnection && !e.head.Misdirected && e.conn.reader.Buffered() == 0 && e.identified()
 }
 
 // Close implements gateway.Exchange.
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -189,7 +189,7 @@
 	}
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		check.Liveness = gateway.Ended
+		check.Liveness, check.Refused = gateway.Ended, true
 		return answer, true, err
 	case err == nil && answer.Instance != "":
 		check.Liveness = livenessOf(answer.Instance, key.target)
