Gateway: an empty response does not show that its target has outlived it

Callers got empty streams that ended as complete, where a target was told to end before it had written an event. The handler returns, and the HTTP server states a length of 0, which the entry took for proof.

An empty body counts as one without a stated length, unless the response cannot have one: its end is checked in the same way. That holds for plain responses too, which may be cancelled before they are written.

TestEmptyResponseEndingWithItsTargetIsIncomplete fails without the change in 3 of 4 cases.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -117,7 +117,7 @@
 	}
 	if err == nil {
 		a.handOver.goesOn() // the answer is there, however long its check takes and slowly the caller reads it
-		err = a.checkEnd(head, ex)
+		err = a.checkEnd(head, ex, len(body) == 0 && mayHaveBody(r.call.Method, head.Status))
 	}
 	if err != nil {
 		return a.outcomeOf(err), err
@@ -214,6 +214,11 @@
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
+// mayHaveBody reports whether a response to a method with a status may have a body.
+func mayHaveBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // outcomeOf classifies an attempt that got no complete response by its error and
 // by the cause for which its context was cancelled.
 func (a *attempt) outcomeOf(err error) dispatch.Outcome {
@@ -323,7 +328,7 @@
 		// The target's slot is free while the end is checked.
 		a.request.service.cfg.Scheduler.Release(a.grant, dispatch.Served)
 	}
-	if err := a.checkEnd(head, ex); err != nil {
+	if err := a.checkEnd(head, ex, a.grant.Events == 0); err != nil {
 		return a.outcomeOf(err), err
 	}
 	if !a.claim(true) {
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -162,12 +162,13 @@
 	return t != nil && !t.refusesSince.IsZero() && t.open[a] != nil && t.open[a].waitedEvent.After(t.refusesSince.Add(eventDelay))
 }
 
-// checkEnd returns an error if the end of a response that states no length does not show that the
-// response is complete: it may have ended because its target ends. The kernel closes the connections
-// of a process that is killed like those that the process closes itself, and an HTTP server whose
-// handlers are cancelled writes the last chunk.
-func (a *attempt) checkEnd(head *state.Response, ex Exchange) error {
-	if head.HasLength || !head.EndsWithConnection && !isSuccess(head.Status) {
+// checkEnd returns an error if the end of a response does not show that the response is complete: it
+// may have ended because its target ends. The kernel closes the connections of a process that is
+// killed like those that the process closes itself, and an HTTP server whose handlers are cancelled
+// writes the last chunk, or states a length of 0 if nothing was written. empty says that the body
+// may have something and has nothing.
+func (a *attempt) checkEnd(head *state.Response, ex Exchange, empty bool) error {
+	if head.HasLength && !empty || !head.EndsWithConnection && !isSuccess(head.Status) {
 		return nil
 	}
 	r, endedAt := a.request, time.Now()
--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -10,11 +10,11 @@
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
-// closingBehind answers in chunks, from a target that
+// closingBehind answers in chunks, or with a length of 0 if the body is empty, from a target that
 // closes the connection then and of which no more is known than the given liveness.
 func closingBehind(l Liveness, announced bool, body string) behaviour {
 	return func(context.Context, *Forward) (Exchange, error) {
-		head := &state.Response{Status: 200, HasSignature: true, AnnouncesClose: announced}
+		head := &state.Response{Status: 200, HasSignature: true, AnnouncesClose: announced, HasLength: body == ""}
 		return &fakeExchange{head: head, Reader: strings.NewReader(body), closes: true, thenNotRunning: true, liveness: l}, nil
 	}
 }
@@ -37,6 +37,17 @@
 	})
 }
 
+// Guards against an empty response that is passed on as complete although the target, which ends,
+// has cancelled the handler before it wrote anything: HTTP servers then state a length of 0.
+func TestEmptyResponseEndingWithItsTargetIsIncomplete(t *testing.T) {
+	checkStreams(t, []streamCase{
+		{"may not be resumed", "/stream/x", []behaviour{closingBehind(Ended, false, "")}, "", false, false, UnknownOutcome, []string{""}},
+		{"may be resumed", "/resume/x", []behaviour{closingBehind(Ended, false, ""), respondWith(200, events)}, events, true, false, 0, []string{"", ""}},
+		{"plain", "/once/x", []behaviour{closingBehind(Ended, false, "")}, "", false, false, UnknownOutcome, []string{""}},
+		{"target runs", "/once/x", []behaviour{closingBehind(Running, false, "")}, "", true, false, 0, []string{""}},
+	})
+}
+
 // Guards against a stream that is taken for whole because another one seems to go on, or seems to
 // have gone on, although its events were only read late.
 func TestStreamsOfTargetThatAcceptsNoConnections(t *testing.T) {
