Gateway: the end of a stream is judged by when it arrived, not when it was read

Callers got two cut streams as complete, on a busy machine: an event that was made before the target began to end was read so late that the stream seemed to have gone on afterwards. And whole streams were broken off where a target that shuts down accepts no connections while it finishes them, unless the entry happened to send it a request meanwhile.

When data arrived, and when idle connections were closed, is now asked of the kernel, which does not depend on when the process runs. A server that shuts down closes its idle connections first, so that a response that arrives 100 ms later was not cancelled then. Only streams that end within 25 ms of each other count as ended together. A check of a target that is believed anyway if it cannot be asked takes 250 ms at most.

Without the times of idle connections, TestStreamOfTargetThatFinishesItsHandlersIsComplete fails with one stream at a time.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -276,7 +276,6 @@
 	}()
 	defer r.service.streams.leave(a)
 	for {
-		began := time.Now()
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return a.endStream(head, ex)
@@ -297,8 +296,10 @@
 		// A comment shows only that the target is alive, not that the stream goes on.
 		if event.hasField {
 			a.handOver.expect(r.eventGapTimeout())
+			if a.grant.Events == 0 {
+				r.service.streams.begin(a, ex)
+			}
 			a.countEvent()
-			r.service.streams.event(a, a.progressAt, a.progressAt.Sub(began))
 		}
 		if err := r.forwardEvent(a.grant, head, event); err != nil {
 			a.cancel(err)
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -90,10 +90,13 @@
 // RunCheck is the result of TargetClient.CheckRunning.
 type RunCheck struct {
 	Liveness Liveness
-	Refused  bool   // connections are refused: the target has ended or accepts no more
-	Asked    string // the last request that was sent, for logs
-	Answer   string // what came of it, for logs
-	Tries    int    // connections on which the target was asked, or that could not be opened
+	Refused  bool // connections are refused: the target has ended or accepts no more
+	// IdleClosedAt is when the target closed its idle connections, as a server does that begins to
+	// shut down; zero if it has not, or had none.
+	IdleClosedAt time.Time
+	Asked        string // the last request that was sent, for logs
+	Answer       string // what came of it, for logs
+	Tries        int    // connections on which the target was asked, or that could not be opened
 }
 
 // Exchange is a request that was sent and its response. It is not safe for
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -90,11 +90,13 @@
 	// liveness what is known of it then.
 	thenNotRunning bool
 	liveness       Liveness
-	closes         bool // the connection behind the body
+	closes         bool      // the connection behind the body
+	receivedAt     time.Time // of the last data; zero if it is not known
 	io.Reader
 }
 
 func (e *fakeExchange) ClosedWithin(time.Duration) bool { return e.closes }
+func (e *fakeExchange) ReceivedAt() (time.Time, bool)   { return e.receivedAt, !e.receivedAt.IsZero() }
 
 func (e *fakeExchange) Head() (*state.Response, error) { return e.head, e.headErr }
 func (e *fakeExchange) Close(bool)                     {}
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -21,10 +21,12 @@
 	// writes streams.
 	survivorTime         = 300 * time.Millisecond
 	survivorPollInterval = 5 * time.Millisecond
-	// An event was made recently, and was not just read late, if the entry has waited minEventWait
-	// for it. eventDelay is the time that it takes on its way.
-	minEventWait = 2 * time.Millisecond
-	eventDelay   = 20 * time.Millisecond
+	// maxBelievedCheckTime bounds the check of a target that is believed if it cannot be asked.
+	maxBelievedCheckTime = 250 * time.Millisecond
+	// Responses that end within endTogetherTime may have been ended by the same event.
+	endTogetherTime = 25 * time.Millisecond
+	// cancelTime is how long a handler may take to return after it was cancelled.
+	cancelTime = 100 * time.Millisecond
 )
 
 // CloseWatcher is an Exchange that can watch the connection behind the end of its response.
@@ -32,6 +34,9 @@
 	// ClosedWithin reports whether the target closes the connection within wait after the end of
 	// the body, which was read.
 	ClosedWithin(wait time.Duration) bool
+	// ReceivedAt returns when the last data of the response arrived, also if it has not been read;
+	// ok is false if that is not known.
+	ReceivedAt() (at time.Time, ok bool)
 }
 
 // endDoubt is why the end of a response does not show that the response is complete.
@@ -69,19 +74,19 @@
 
 // targetStreams are the streams of one target.
 type targetStreams struct {
-	open map[*attempt]*streamProgress
-	// refusesSince is when the target was first seen to refuse connections; zero if it was not.
+	open map[*attempt]*openStream
+	// refusesSince is when the target was first known to refuse connections; zero if it was not.
 	refusesSince time.Time
 }
 
-// streamProgress is what is known of a stream that has begun and whose attempt has not ended.
-type streamProgress struct {
-	waitedEvent time.Time // when the last event arrived for which the entry had waited
-	ended       bool      // the response has ended
+// openStream is a stream that has begun and whose attempt has not ended.
+type openStream struct {
+	exchange Exchange
+	ended    bool // the response has ended
 }
 
-// event records an event of a stream, for which the entry has waited for the given time.
-func (l *streamLog) event(a *attempt, now time.Time, waited time.Duration) {
+// begin records a stream.
+func (l *streamLog) begin(a *attempt, ex Exchange) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.targets == nil {
@@ -89,15 +94,10 @@
 	}
 	t := l.targets[a.grant.Target.ID]
 	if t == nil {
-		t = &targetStreams{open: make(map[*attempt]*streamProgress)}
+		t = &targetStreams{open: make(map[*attempt]*openStream)}
 		l.targets[a.grant.Target.ID] = t
 	}
-	if t.open[a] == nil {
-		t.open[a] = &streamProgress{}
-	}
-	if waited >= minEventWait {
-		t.open[a].waitedEvent = now
-	}
+	t.open[a] = &openStream{exchange: ex}
 }
 
 // ended records that the response of a stream has ended. The stream stays known until leave.
@@ -122,18 +122,29 @@
 	}
 }
 
-// refuses records that a target refuses connections.
-func (l *streamLog) refuses(id state.TargetID, now time.Time) {
+// refuses records that a target refuses connections, and has done so since the given time.
+func (l *streamLog) refuses(id state.TargetID, since time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.targets[id]; t != nil && (t.refusesSince.IsZero() || since.Before(t.refusesSince)) {
+		t.refusesSince = since
+	}
+}
+
+// refusesSince returns when a target was first known to refuse connections; zero if it was not.
+func (l *streamLog) refusesSince(id state.TargetID) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t := l.targets[id]; t != nil && t.refusesSince.IsZero() {
-		t.refusesSince = now
+	if t := l.targets[id]; t != nil {
+		return t.refusesSince
 	}
+	return time.Time{}
 }
 
-// others returns how many other streams of the target of a have ended, and how many go on.
-// survives says that one of these has got an event since the given time.
-func (l *streamLog) others(a *attempt, since time.Time) (ended, open int, survives bool) {
+// others returns what is known of the other streams of the target of a, whose response has ended at
+// the given time: how many of them have ended at the same moment, how many go on, and whether data of
+// one of these has arrived so much later that its handler was not cancelled then.
+func (l *streamLog) others(a *attempt, end time.Time) (together, open int, survives bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.targets[a.grant.Target.ID]
@@ -141,25 +152,25 @@
 		return 0, 0, false
 	}
 	for o, s := range t.open {
+		at, known := receivedAt(s.exchange)
 		switch {
 		case o == a:
-		case s.ended:
-			ended++
-		default:
+		case !s.ended:
 			open++
-			survives = survives || s.waitedEvent.After(since)
+			survives = survives || known && at.After(end.Add(cancelTime))
+		case !known || at.Sub(end).Abs() <= endTogetherTime:
+			together++
 		}
 	}
-	return ended, open, survives
+	return together, open, survives
 }
 
-// continuedRefusing reports whether the stream has gone on after its target was seen to refuse
-// connections.
-func (l *streamLog) continuedRefusing(a *attempt) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	t := l.targets[a.grant.Target.ID]
-	return t != nil && !t.refusesSince.IsZero() && t.open[a] != nil && t.open[a].waitedEvent.After(t.refusesSince.Add(eventDelay))
+// receivedAt returns when the last data of a response arrived, if that is known.
+func receivedAt(ex Exchange) (at time.Time, known bool) {
+	if w, ok := ex.(CloseWatcher); ok {
+		return w.ReceivedAt()
+	}
+	return time.Time{}, false
 }
 
 // checkEnd returns an error if the end of a response does not show that the response is complete: it
@@ -171,15 +182,25 @@
 	if head.HasLength && !empty || !head.EndsWithConnection && !isSuccess(head.Status) {
 		return nil
 	}
-	r, endedAt := a.request, time.Now()
-	doubt := a.doubtEnd(head, ex)
+	r := a.request
+	arrivedAt, known := receivedAt(ex)
+	if !known {
+		arrivedAt = time.Now()
+	}
+	doubt := a.doubtEnd(head, ex, arrivedAt)
 	if doubt == noDoubt {
 		return nil
 	}
-	pause(a.ctx, endSettleTime)
+	ctx := a.ctx
+	if !doubt.needsProof() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, maxBelievedCheckTime)
+		defer cancel()
+	}
+	pause(ctx, endSettleTime)
 	asked := time.Now()
-	check := r.service.cfg.TargetClient.CheckRunning(a.ctx, &a.grant.Target, r.table.Config.HealthPaths[a.grant.Target.Service])
-	complete, because := a.judgeEnd(doubt, check, endedAt)
+	check := r.service.cfg.TargetClient.CheckRunning(ctx, &a.grant.Target, r.table.Config.HealthPaths[a.grant.Target.Service])
+	complete, because := a.judgeEnd(doubt, check, arrivedAt, known)
 	r.recordRunCheck(a, doubt, check, because, time.Since(asked))
 	switch {
 	case complete:
@@ -191,8 +212,9 @@
 	}
 }
 
-// doubtEnd returns why the response may have ended together with its target.
-func (a *attempt) doubtEnd(head *state.Response, ex Exchange) endDoubt {
+// doubtEnd returns why a response whose end arrived at arrivedAt may have ended together with its
+// target.
+func (a *attempt) doubtEnd(head *state.Response, ex Exchange, arrivedAt time.Time) endDoubt {
 	if head.EndsWithConnection {
 		return connectionEnd
 	}
@@ -210,51 +232,62 @@
 	if w.ClosedWithin(wait) {
 		return unannouncedClose
 	}
-	if ended, open, _ := a.request.service.streams.others(a, time.Time{}); ended > 0 && open == 0 {
+	if together, open, _ := a.request.service.streams.others(a, arrivedAt); together > 0 && open == 0 {
 		return endedTogether
 	}
 	return noDoubt
 }
 
-// judgeEnd decides whether a response is complete whose end at endedAt is in doubt. because says why
-// it is, although the check does not prove it.
-func (a *attempt) judgeEnd(doubt endDoubt, check RunCheck, endedAt time.Time) (complete bool, because string) {
+// judgeEnd decides whether a response is complete whose end is in doubt. because says why it is,
+// although the check does not prove it. Of a response that was read late, only the time at which its
+// end arrived, if it is known, can be compared with what the target did.
+func (a *attempt) judgeEnd(doubt endDoubt, check RunCheck, arrivedAt time.Time, known bool) (complete bool, because string) {
 	r := a.request
-	switch check.Liveness {
-	case Running:
+	switch {
+	case check.Liveness == Running:
 		return true, ""
-	case Unproved:
-		if !doubt.needsProof() {
-			return true, "target_not_asked"
-		}
-	}
-	if !check.Refused {
+	case check.Liveness == Unproved && !doubt.needsProof():
+		return true, "target_not_asked"
+	case !check.Refused || !known:
 		return false, ""
 	}
 	// A server that shuts down accepts no connections, but may finish its streams.
-	r.service.streams.refuses(a.grant.Target.ID, endedAt)
-	if a.targetSurvives(endedAt) {
+	refusesSince := time.Now()
+	if !check.IdleClosedAt.IsZero() {
+		refusesSince = check.IdleClosedAt
+	}
+	r.service.streams.refuses(a.grant.Target.ID, refusesSince)
+	if a.targetSurvives(arrivedAt) {
 		return true, "other_stream_goes_on"
 	}
-	// The target has gone on with the stream while it accepted no connections. It may still have
+	if since := r.service.streams.refusesSince(a.grant.Target.ID); !since.IsZero() {
+		refusesSince = since
+	}
+	// The target has gone on with the response while it accepted no connections. It may still have
 	// cancelled its handlers when its time ran out, so a stream that may be resumed is.
 	mayGoOn := r.route.Resumable && !r.positionUnknown && r.possibleRuns+1 < r.maxRuns()
-	ended, _, _ := r.service.streams.others(a, endedAt)
-	if doubt != connectionEnd && !mayGoOn && ended == 0 && r.service.streams.continuedRefusing(a) {
+	together, _, _ := r.service.streams.others(a, arrivedAt)
+	if doubt != connectionEnd && !mayGoOn && together == 0 && arrivedAt.After(refusesSince.Add(cancelTime)) {
 		return true, "went_on_while_refusing"
 	}
 	return false, ""
 }
 
-// targetSurvives reports whether another stream of the target goes on after the end of this one.
-func (a *attempt) targetSurvives(endedAt time.Time) bool {
+// targetSurvives reports whether another stream of the target goes on after the end of this one, which
+// arrived at arrivedAt.
+func (a *attempt) targetSurvives(arrivedAt time.Time) bool {
 	ctx, cancel := context.WithTimeout(a.ctx, survivorTime)
 	defer cancel()
-	for {
-		_, open, survives := a.request.service.streams.others(a, endedAt.Add(eventDelay))
-		if survives || open == 0 || ctx.Err() != nil {
-			return survives
+	for seen := false; ; {
+		_, open, survives := a.request.service.streams.others(a, arrivedAt)
+		switch {
+		case survives && seen:
+			return true
+		case open == 0 || ctx.Err() != nil:
+			return false
 		}
+		// What has arrived may be the end of the other stream, which is read meanwhile.
+		seen = survives
 		pause(ctx, survivorPollInterval)
 	}
 }
--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -48,43 +48,71 @@
 	})
 }
 
-// Guards against a stream that is taken for whole because another one seems to go on, or seems to
-// have gone on, although its events were only read late.
+// Guards against a stream that is taken for whole because another one seems to go on, although that
+// has ended too or its data had arrived before.
 func TestStreamsOfTargetThatAcceptsNoConnections(t *testing.T) {
 	grant := &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}
 	a, b := &attempt{grant: grant}, &attempt{grant: grant}
 	elsewhere := &attempt{grant: &dispatch.Grant{Target: state.TargetRecord{ID: "u"}}}
-	began := time.Now()
-	at := func(d time.Duration) time.Time { return began.Add(d) }
-	const long = time.Second // of waiting for an event
+	end := time.Now()
+	early, late := &fakeExchange{receivedAt: end.Add(cancelTime - time.Millisecond)}, &fakeExchange{receivedAt: end.Add(cancelTime + time.Millisecond)}
 	for _, c := range []struct {
-		name                string
-		play                func(l *streamLog)
-		survives, continued bool
+		name     string
+		play     func(l *streamLog)
+		survives bool
 	}{
-		{"other stream gets an event after the end", func(l *streamLog) { l.event(b, at(150*time.Millisecond), long) }, true, false},
-		{"event before the end", func(l *streamLog) { l.event(b, at(50*time.Millisecond), long) }, false, false},
-		{"event that had arrived before", func(l *streamLog) { l.event(b, at(150*time.Millisecond), 0) }, false, false},
-		{"other stream has ended too", func(l *streamLog) { l.event(b, at(150*time.Millisecond), long); l.ended(b) }, false, false},
-		{"other stream is forgotten", func(l *streamLog) { l.event(b, at(150*time.Millisecond), long); l.leave(b) }, false, false},
-		{"stream of another target", func(l *streamLog) { l.event(elsewhere, at(150*time.Millisecond), long) }, false, false},
-		{"refused before the last event", func(l *streamLog) { l.refuses("t", at(0)); l.event(a, at(90*time.Millisecond), long) }, false, true},
-		{"refused just before the last event", func(l *streamLog) { l.refuses("t", at(80*time.Millisecond)); l.event(a, at(90*time.Millisecond), long) }, false, false},
-		{"refused after the last event", func(l *streamLog) { l.refuses("t", at(95*time.Millisecond)); l.event(a, at(90*time.Millisecond), long) }, false, false},
-		{"last event had arrived before", func(l *streamLog) { l.refuses("t", at(0)); l.event(a, at(90*time.Millisecond), 0) }, false, false},
-		{"refused first", func(l *streamLog) {
-			l.refuses("t", at(0))
-			l.refuses("t", at(95*time.Millisecond))
-			l.event(a, at(90*time.Millisecond), long)
-		}, false, true},
+		{"data long after the end", func(l *streamLog) { l.begin(b, late) }, true},
+		{"data soon after the end", func(l *streamLog) { l.begin(b, early) }, false},
+		{"time not known", func(l *streamLog) { l.begin(b, &fakeExchange{}) }, false},
+		{"other stream has ended too", func(l *streamLog) { l.begin(b, late); l.ended(b) }, false},
+		{"other stream is forgotten", func(l *streamLog) { l.begin(b, late); l.leave(b) }, false},
+		{"stream of another target", func(l *streamLog) { l.begin(elsewhere, late) }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l := &streamLog{}
-			l.event(a, at(0), 0)
+			l.begin(a, late)
 			c.play(l)
-			_, _, survives := l.others(a, at(100*time.Millisecond))
-			if continued := l.continuedRefusing(a); survives != c.survives || continued != c.continued {
-				t.Errorf("survives %t, went on while refusing %t; want %t, %t", survives, continued, c.survives, c.continued)
+			if _, _, survives := l.others(a, end); survives != c.survives {
+				t.Errorf("survives %t, want %t", survives, c.survives)
+			}
+		})
+	}
+}
+
+// Guards against a cut stream that is believed, and against a whole one that is broken off, at a
+// target that refuses connections: it may be shutting down and finishing its streams.
+func TestStreamOfTargetThatRefusesConnections(t *testing.T) {
+	arrived := time.Now()
+	before, just := arrived.Add(-2*cancelTime), arrived.Add(-cancelTime/2)
+	for _, c := range []struct {
+		name         string
+		resumable    bool
+		doubt        endDoubt
+		idleClosedAt time.Time
+		refusesSince time.Time
+		known        bool
+		complete     bool
+	}{
+		{"idle connections closed long before", false, unannouncedClose, before, time.Time{}, true, true},
+		{"idle connections closed at the same moment", false, unannouncedClose, just, time.Time{}, true, false},
+		{"seen to refuse long before", false, unannouncedClose, time.Time{}, before, true, true},
+		{"seen to refuse at the same moment", false, unannouncedClose, time.Time{}, just, true, false},
+		{"not seen to refuse before", false, unannouncedClose, time.Time{}, time.Time{}, true, false},
+		{"time of the end not known", false, unannouncedClose, before, before, false, false},
+		{"without length or chunks", false, connectionEnd, before, before, true, false},
+		{"may be resumed", true, unannouncedClose, before, before, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newService(&fakeTargetClient{})
+			r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute, Resumable: c.resumable, MaxAttempts: 3}}
+			a := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
+			s.streams.begin(a, &fakeExchange{})
+			if !c.refusesSince.IsZero() {
+				s.streams.refuses("t", c.refusesSince)
+			}
+			complete, because := a.judgeEnd(c.doubt, RunCheck{Liveness: Ended, Refused: true, IdleClosedAt: c.idleClosedAt}, arrived, c.known)
+			if complete != c.complete {
+				t.Errorf("complete %t because %q, want %t", complete, because, c.complete)
 			}
 		})
 	}
@@ -100,14 +128,19 @@
 	}
 	r := &request{service: s}
 	a, b := &attempt{request: r, grant: grant}, &attempt{request: r, grant: grant}
-	s.streams.event(a, time.Now(), 0)
-	s.streams.event(b, time.Now(), 0)
-	ex := &fakeExchange{}
-	if d := a.doubtEnd(&state.Response{}, ex); d != noDoubt {
+	end := time.Now()
+	ex, other := &fakeExchange{receivedAt: end}, &fakeExchange{receivedAt: end.Add(endTogetherTime)}
+	s.streams.begin(a, ex)
+	s.streams.begin(b, other)
+	if d := a.doubtEnd(&state.Response{}, ex, end); d != noDoubt {
 		t.Errorf("doubt %s while the other stream goes on, want none", d)
 	}
 	s.streams.ended(b)
-	if d := a.doubtEnd(&state.Response{}, ex); d != endedTogether {
+	if d := a.doubtEnd(&state.Response{}, ex, end); d != endedTogether {
 		t.Errorf("doubt %s after the other stream has ended, want %s", d, endedTogether)
 	}
+	other.receivedAt = end.Add(endTogetherTime + 1)
+	if d := a.doubtEnd(&state.Response{}, ex, end); d != noDoubt {
+		t.Errorf("doubt %s although the other stream has ended later, want none", d)
+	}
 }
--- a/internal/transport/netconn/ended.go
+++ b/internal/transport/netconn/ended.go
@@ -8,6 +8,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -52,3 +54,37 @@
 	ended, _ := EndsWithin(conn, endWait)
 	return ended
 }
+
+// ReceivedAt returns when the last data arrived on a connection, by the clock of the kernel. It does not
+// depend on when the data is read. ok is false if the kernel does not tell.
+func ReceivedAt(c net.Conn) (at time.Time, ok bool) {
+	info := infoOf(c)
+	if info == nil {
+		return time.Time{}, false
+	}
+	return time.Now().Add(-time.Duration(info.Last_data_recv) * time.Millisecond), true
+}
+
+// ClosedAt returns when the peer closed an idle connection. ok is false if it has not, or if the
+// kernel does not tell.
+func ClosedAt(c net.Conn) (at time.Time, ok bool) {
+	info := infoOf(c)
+	if info == nil || info.State != unix.BPF_TCP_CLOSE_WAIT {
+		return time.Time{}, false
+	}
+	// The segment that closes a connection is an acknowledgement too, and no other follows it.
+	return time.Now().Add(-time.Duration(info.Last_ack_recv) * time.Millisecond), true
+}
+
+// infoOf returns what TCP_INFO says about a connection, or nil.
+func infoOf(c net.Conn) *unix.TCPInfo {
+	watched, ok := c.(*conn)
+	if !ok || !infoAvailable() {
+		return nil
+	}
+	info, err := watched.info()
+	if err != nil {
+		return nil // closed by this process
+	}
+	return info
+}
--- a/internal/transport/upstream/endingtarget_test.go
+++ b/internal/transport/upstream/endingtarget_test.go
@@ -46,11 +46,17 @@
 	}
 	fmt.Println(ln.Addr())
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Instance-Id", ln.Addr().String())
+		if r.Header.Get("Request-Id") == "" { // a check of the target's health
+			w.Header().Set("Instance-Id", ln.Addr().String())
+			return
+		}
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		w.Header().Set("Response-Signature", "signed")
 		_, text, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-		events, _ := strconv.Atoi(text) // 0 for a check of the target's health
+		events, err := strconv.Atoi(text)
+		if err != nil {
+			t.Error(err)
+		}
 		for n := 1; n <= events; n++ {
 			fmt.Fprintf(w, "id: %d\ndata: x\n\n", n) // an error ends the context too
 			http.NewResponseController(w).Flush()
@@ -141,6 +147,12 @@
 	return streams
 }
 
+// leaveIdleConnections lets a gateway have idle connections to its target.
+func leaveIdleConnections(t *testing.T, g *gateway.Service) {
+	t.Helper()
+	serveStreams(t, g, "stream", []int{20, 20, 20, 20}, func() {})
+}
+
 // Guards against a stream that is passed on as complete although its target was told to end: HTTP
 // servers write the last chunk of a response when its handler is cancelled.
 func TestStreamOfTargetThatCancelsItsHandlersIsIncomplete(t *testing.T) {
@@ -157,6 +169,7 @@
 					lengths[i] = 300
 				}
 				g := newGateway(New(), []string{target.address})
+				leaveIdleConnections(t, g)
 				for i, s := range serveStreams(t, g, route, lengths, func() { target.process.Process.Signal(syscall.SIGTERM) }) {
 					if s.complete {
 						t.Errorf("stream %d of %d: complete after %d of %d events", i, count, s.events.Load(), lengths[i])
@@ -174,12 +187,16 @@
 		serveUntilTerminated(t, ending)
 		return
 	}
-	target := startEndingTarget(t, finishesHandlers)
-	lengths := []int{50, 60, 70, 80}
-	g := newGateway(New(), []string{target.address})
-	for i, s := range serveStreams(t, g, "stream", lengths, func() { target.process.Process.Signal(syscall.SIGTERM) }) {
-		if !s.complete || s.events.Load() != int64(lengths[i]) {
-			t.Errorf("stream %d: complete %t after %d of %d events", i, s.complete, s.events.Load(), lengths[i])
-		}
+	for _, lengths := range [][]int{{50, 60, 70, 80}, {80}} {
+		t.Run(fmt.Sprint(len(lengths), " at a time"), func(t *testing.T) {
+			target := startEndingTarget(t, finishesHandlers)
+			g := newGateway(New(), []string{target.address})
+			leaveIdleConnections(t, g)
+			for i, s := range serveStreams(t, g, "stream", lengths, func() { target.process.Process.Signal(syscall.SIGTERM) }) {
+				if !s.complete || s.events.Load() != int64(lengths[i]) {
+					t.Errorf("stream %d: complete %t after %d of %d events", i, s.complete, s.events.Load(), lengths[i])
+				}
+			}
+		})
 	}
 }
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -208,6 +208,9 @@
 	return closed
 }
 
+// ReceivedAt implements gateway.CloseWatcher.
+func (e *exchange) ReceivedAt() (at time.Time, ok bool) { return netconn.ReceivedAt(e.conn.Conn) }
+
 // identified reports whether the response names the request. If not, the connection is not
 // reused: a late second copy of the response could not be told from that to the next
 // request.
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -12,6 +12,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
 	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 	"github.com/cassiaramp/cassiaramp/platform"
 )
 
@@ -110,7 +111,7 @@
 
 // probe asks the target for its incarnation until it is known, or ctx ends.
 func (c *Client) probe(ctx context.Context, key probeKey) gateway.RunCheck {
-	var check gateway.RunCheck
+	check := gateway.RunCheck{IdleClosedAt: c.idleClosedAt(key.address)}
 	for pause := probePause; ; pause *= 2 {
 		if conn := c.takeUnprobed(key.address); conn != nil {
 			idleCtx, cancel := context.WithTimeout(ctx, idleProbeTimeout)
@@ -279,3 +280,21 @@
 	}
 	return nil
 }
+
+// idleClosedAt returns when the target closed the last of the idle connections to its address, or zero
+// if one is still open or there is none.
+func (c *Client) idleClosedAt(address string) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var last time.Time
+	for _, conn := range c.idle[address] {
+		at, closed := netconn.ClosedAt(conn.Conn)
+		if !closed {
+			return time.Time{}
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
