Deployment soak: targets that are processes of their own

Change: -faultsoak.processes targets are the test binary started again, serve with net/http and end by SIGKILL or SIGTERM in five forms; -faultsoak.ending plays one form alone. The judge counts streams that ended as complete too early and whole ones that were broken off.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,6 +44,8 @@
 	RepeatShare float64
 	// RunsOn says that the target goes on with a request whose connection was closed.
 	RunsOn bool
+	// UnframedShare of the streams have neither a length nor chunks and end with their connection.
+	UnframedShare float64
 	// EndsProperly says that a stream in chunks, whose caller has left or whose time limit is over,
 	// ends with the last chunk, as HTTP servers write it when a handler returns.
 	EndsProperly bool
@@ -72,7 +75,7 @@
 // Run is a request at a target.
 type Run struct {
 	Target   string
-	Number   int       // among the runs of the request, from 1
+	Number   int       // tells the runs of the request apart
 	After    int       // Last-Event-Id of the request
 	From, To time.Time // To is zero while the request runs
 	Outcome  string
@@ -85,23 +88,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[id]++
-	run := &Run{Target: t.ID, Number: l.runs[id], After: after, From: time.Now(), RunsOn: t.Profile.RunsOn}
+	run := &Run{Target: t.ID, Number: l.firstRun + l.runs[id], After: after, From: time.Now(), RunsOn: t.Profile.RunsOn}
 	l.details[id] = append(l.details[id], run)
+	l.write(id, run)
 	return run
 }
 
 // end records the end of a run.
-func (l *Ledger) end(run *Run, outcome string) {
+func (l *Ledger) end(id string, run *Run, outcome string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	run.To, run.Outcome = time.Now(), outcome
+	l.write(id, run)
 }
 
 // event records the last event that a run wrote.
-func (l *Ledger) event(run *Run, n int) {
+func (l *Ledger) event(id string, run *Run, n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	run.Events = n
+	l.write(id, run)
 }
 
 // reject records a request that did not run, and why.
@@ -109,7 +115,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.details[id] = append(l.details[id], &Run{Target: t.ID, From: now, To: now, Outcome: Rejected + ": " + reason})
+	run := &Run{Target: t.ID, From: now, To: now, Outcome: Rejected + ": " + reason}
+	l.details[id] = append(l.details[id], run)
+	l.write(id, run)
 }
 
 // Details returns what the targets with a profile saw of a request, in order of arrival.
@@ -120,6 +128,7 @@
 	for _, run := range l.details[id] {
 		runs = append(runs, *run)
 	}
+	slices.SortStableFunc(runs, func(a, b Run) int { return a.From.Compare(b.From) })
 	return runs
 }
 
@@ -182,6 +191,9 @@
 	if t.Profile != nil {
 		s.IdleTimeout = t.Profile.IdleTimeout
 		s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+			if _, ok := c.(*engineConn); !ok { // accepted by the server itself
+				c = &engineConn{Conn: c, target: t, closed: func() {}}
+			}
 			return context.WithValue(ctx, engineConnKey{}, c)
 		}
 	}
@@ -244,7 +256,7 @@
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if absent
 	run := t.Ledger.begin(id, t, from)
 	outcome := RunBrokenOff
-	defer func() { t.Ledger.end(run, outcome) }()
+	defer func() { t.Ledger.end(id, run, outcome) }()
 	ctx := r.Context()
 	if p.RunsOn {
 		ctx = context.WithoutCancel(ctx)
@@ -265,6 +277,8 @@
 		resetConn(conn.Conn)
 		panic(http.ErrAbortHandler)
 	case p.EndsProperly && (outcome == RunDropped || outcome == RunTimedOut) && run.Events > 0 && header.Get("Transfer-Encoding") != "identity":
+	case outcome == RunBrokenOff && t.process && t.EventsPerStream > 0:
+		// The server ends the response as it does whenever a handler returns.
 	case outcome == RunSpoiled:
 		conn.writePieces(noise())
 		conn.Close()
@@ -386,7 +400,7 @@
 	tokens, _, _ := strings.Cut(r.Header.Get("Token-Usage"), ",") // of the prompt
 	prompt, _ := strconv.Atoi(tokens)                             // 0 if absent
 	w.Header().Set("Content-Type", "text/event-stream")
-	if t.streams.Add(1)%2 == 0 {
+	if rand.Float64() < p.UnframedShare {
 		w.Header().Set("Transfer-Encoding", "identity") // ends with its connection
 	}
 	if outcome, ended := t.work(ctx, t.slowed(p.FirstEvent)+t.slots.readPrompt(t.slowed(time.Duration(prompt)*p.PromptTokenTime))); ended {
@@ -436,7 +450,7 @@
 			return RunSpoiled
 		}
 		fmt.Fprint(w, event)
-		t.Ledger.event(run, n)
+		t.Ledger.event(id, run, n)
 		if control.Flush() != nil && !p.RunsOn {
 			return RunDropped
 		}
--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -19,6 +19,9 @@
 	mu      sync.Mutex
 	runs    map[string]int
 	details map[string][]*Run // at targets with a profile
+	// A ledger of another process writes each change to out, and numbers runs from firstRun on.
+	out      *json.Encoder
+	firstRun int
 }
 
 // NewLedger returns an empty ledger.
@@ -87,6 +90,7 @@
 	// reset then, unless Killed is set: the kernel ends those of a process that is killed without
 	// a reset if the process has read all that came.
 	Closing, Killed atomic.Bool
+	process         bool // it has a process of its own; see ServeProcess
 
 	slots slotQueue
 
--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -74,6 +74,7 @@
 	idleRoutes    int
 	extraKeys     bool
 	loadPercent   atomic.Int64
+	processes     atomic.Int64 // of targets, started so far
 
 	mu       sync.Mutex
 	attempts []*attempt
@@ -103,7 +104,11 @@
 	random := newRandom(d.random.Uint64())
 	group.Go(func() { d.load(ctx, random) })
 	time.Sleep(stableWindow)
-	d.playPlan()
+	if *endingFlag != "" {
+		d.playEndings()
+	} else {
+		d.playPlan()
+	}
 	time.Sleep(time.Second)
 	endLoad()
 	group.Wait()
@@ -312,11 +317,15 @@
 	e.signal(syscall.SIGHUP)
 }
 
-// engine returns a random target.
+// engine returns a random target; with -faultsoak.ending an engine.
 func (d *deploymentRun) engine() *engine {
 	d.world.mu.Lock()
 	defer d.world.mu.Unlock()
-	return d.world.engines[d.random.IntN(len(d.world.engines))]
+	for {
+		if e := d.world.engines[d.random.IntN(len(d.world.engines))]; *endingFlag == "" || e.EventsPerStream > 0 {
+			return e
+		}
+	}
 }
 
 // timeoutFactors are the factors by which configurations change the time-outs of routes.
@@ -353,7 +362,14 @@
 		return
 	}
 	e.removed = true
-	end(w, e)
+	switch {
+	case *endingFlag != "":
+		d.endProcessTarget(e, ending{*endingFlag, *announcedFlag})
+	case e.process != nil:
+		d.endProcessTarget(e, d.randomEnding())
+	default:
+		end(w, e)
+	}
 }
 
 // replaceEngine lets a target leave and another one begin at its address.
--- a/internal/faultsoak/deployments_test.go
+++ b/internal/faultsoak/deployments_test.go
@@ -154,15 +154,19 @@
 	if *shareFlag > 0 { // the processes have one core each
 		w.t.Setenv("GOMAXPROCS", "1")
 	}
+	processes := *processesFlag
+	if *endingFlag != "" {
+		processes = engineCount
+	}
 	for i := range engineCount {
 		profile := d.profile
 		profile.Speed, profile.IdleTimeout, profile.CloseShare, profile.LateShare = d.speeds[i%len(d.speeds)], engineIdle, 0.01, 0.004
-		profile.AbruptShare, profile.PreemptShare, profile.PreemptTime, profile.RepeatShare = 0.004, 0.02, ms(3000), 0.5
+		profile.AbruptShare, profile.PreemptShare, profile.PreemptTime, profile.RepeatShare, profile.UnframedShare = 0.004, 0.02, ms(3000), 0.5, 0.5
 		profile.RunsOn, profile.NoticesCloseLate, profile.EndsProperly = i%5 == 4, *lateCloseFlag, i%2 == 0
 		if d.openFaults() {
 			profile.StrayShare, profile.SpoiledShare = 0.02, 0.004
 		}
-		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", d.engineService, i), Service: d.engineService, Slots: d.slots, EventsPerStream: 1, Software: "v1", Ledger: w.ledger, Profile: &profile})
+		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", d.engineService, i), Service: d.engineService, Slots: d.slots, EventsPerStream: 1, Software: "v1", Ledger: w.ledger, Profile: &profile}, i < processes)
 	}
 	for i := range d.plainTargets + movedTargets {
 		service := d.plainService
@@ -170,7 +174,7 @@
 			service += movedSuffix
 		}
 		profile := emulator.Profile{Queue: plainQueue, Speed: 1, IdleTimeout: engineIdle, MaxConnections: plainConnections, CloseShare: 0.01, LateShare: 0.004, AbruptShare: 0.004, RunsOn: i == 0, NoticesCloseLate: *lateCloseFlag}
-		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Slots: plainSlots, Software: "v1", Ledger: w.ledger, Profile: &profile})
+		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Slots: plainSlots, Software: "v1", Ledger: w.ledger, Profile: &profile}, i < *processesFlag)
 	}
 	d.writeConfiguration()
 	for i := range 5 {
@@ -179,10 +183,13 @@
 	go w.repeatTargetRecords()
 }
 
-// addTarget starts a target on a new address, behind a proxy if -faultsoak.proxies is given.
-func (d *deploymentRun) addTarget(t *emulator.Target) {
+// addTarget starts a target on a new address, in a process of its own or behind a proxy if
+// -faultsoak.proxies is given.
+func (d *deploymentRun) addTarget(t *emulator.Target, process bool) {
 	e := &engine{Target: t, startedAt: time.Now()}
-	if socket := d.listen("127.0.0.1:0"); socket != nil {
+	if process && !*proxiesFlag {
+		d.startProcess(e, "127.0.0.1:0")
+	} else if socket := d.listen("127.0.0.1:0"); socket != nil {
 		e.serveOn(socket)
 		if *proxiesFlag {
 			e.proxy = emulator.NewProxy(e.proxyAddress)
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -32,6 +32,7 @@
 func (d *deploymentRun) judge() {
 	t := d.world.t
 	counts := d.findings()
+	d.countEnds()
 	for _, e := range d.events {
 		t.Logf("%s %s %s to %s", e.what, e.where, e.from.UTC().Format("15:04:05.000"), e.to.UTC().Format("15:04:05.000"))
 	}
@@ -301,6 +302,9 @@
 		a.ended.Sub(origin).Milliseconds(), a.limit.Milliseconds(), a.kind.timeout.Milliseconds(), a.status, a.after, a.after+a.received(), a.events, a.left, a.readWhole, a.err)
 	for _, r := range runs {
 		fmt.Fprintf(&b, "\n  target %s: %+dms to %+dms, %s, last event %d, goes on when left=%t", r.Target, r.From.Sub(origin).Milliseconds(), r.To.Sub(origin).Milliseconds(), r.Outcome, r.Events, r.RunsOn)
+		if how := d.endingOf(r); how != "" {
+			fmt.Fprintf(&b, ", the target was ended: %s", how)
+		}
 	}
 	paths, _ := filepath.Glob(filepath.Join(d.world.logDirectory, "*.log")) // the pattern is valid
 	for _, path := range paths {
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -45,9 +45,10 @@
 	listener     net.Listener // of the proxy; closed while the engine is crashed
 	server       *http.Server // of a target with a profile
 	socket       *emulator.Socket
-	removed      bool      // draining or crashed, until it is started again
-	startedAt    time.Time // as stated in its record
-	record       []byte    // the last one that it wrote; nil if it was removed
+	process      *targetProcess // nil for a target of this process
+	removed      bool           // draining or crashed, until it is started again
+	startedAt    time.Time      // as stated in its record
+	record       []byte         // the last one that it wrote; nil if it was removed
 }
 
 // world holds everything that one seed runs.
@@ -376,7 +377,9 @@
 	defer w.mu.Unlock()
 	w.closed = true
 	for _, e := range w.engines {
-		e.listener.Close()
+		if e.listener != nil {
+			e.listener.Close()
+		}
 	}
 }
 
