--- a/internal/faultsoak/endings_test.go
+++ b/internal/faultsoak/endings_test.go
@@ -89,8 +89,8 @@
 	})
 }
 
-// stopped is what the record of a stopped process of a target says.
-const stopped = "SIGSTOP"
+// targetStopped is what the record of a stopped process of a target says.
+const targetStopped = "SIGSTOP"
 
 // hold makes a target silent for a while. A process of its own is stopped.
 func (d *deploymentRun) hold(e *engine, lasts time.Duration) {
@@ -98,7 +98,7 @@
 	if e.process == nil {
 		e.SilentUntil.Store(until.UnixNano())
 	} else {
-		what = stopped
+		what = targetStopped
 		e.process.Process.Signal(syscall.SIGSTOP) // fails if it has ended, which is harmless
 		time.AfterFunc(lasts, func() { e.process.Process.Signal(syscall.SIGCONT) })
 	}
--- a/internal/faultsoak/streamends_test.go
+++ b/internal/faultsoak/streamends_test.go
@@ -63,7 +63,7 @@
 // if it was not.
 func (d *deploymentRun) endingOf(r emulator.Run) string {
 	for _, e := range d.events {
-		if e.where == r.Target && e.what != stopped && strings.HasPrefix(e.what, "SIG") && !e.from.After(r.To) {
+		if e.where == r.Target && e.what != targetStopped && strings.HasPrefix(e.what, "SIG") && !e.from.After(r.To) {
 			return e.what
 		}
 	}
@@ -74,7 +74,7 @@
 func (d *deploymentRun) worksOn(r emulator.Run, from time.Time) time.Duration {
 	works := r.To.Sub(from)
 	for _, e := range d.events {
-		if e.what == stopped && e.where == r.Target {
+		if e.what == targetStopped && e.where == r.Target {
 			works -= max(0, earlier(e.to, r.To).Sub(latest(e.from, from)))
 		}
 	}
