--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -48,9 +48,9 @@
 // connection only when they go on. Guards against a stream that runs at a second target while
 // the first still works on it.
 func TestTargetsThatNoticeACloseLate(t *testing.T) {
-	late, share := *lateCloseFlag, *shareFlag
-	t.Cleanup(func() { *lateCloseFlag, *shareFlag = late, share })
-	*lateCloseFlag, *shareFlag = true, 0.1
+	late, share, processes := *lateCloseFlag, *shareFlag, *processesFlag
+	t.Cleanup(func() { *lateCloseFlag, *shareFlag, *processesFlag = late, share, processes })
+	*lateCloseFlag, *shareFlag, *processesFlag = true, 0.1, 0
 	runDeployment(t, buildDaemon(t), deployments[701%len(deployments)], 701)
 }
 
--- a/internal/faultsoak/endings_test.go
+++ b/internal/faultsoak/endings_test.go
@@ -66,17 +66,10 @@
 	otherAddress := d.random.IntN(2) == 0
 	time.AfterFunc(after, func() {
 		d.impair(how.String(), e.ID, 0)
+		e.end(how.form)
 		recordLasts := time.Duration(0) // after the process
-		switch how.form {
-		case endKill:
-			e.process.Process.Kill()
+		if how.form == endKill || how.form == emulator.EndExit {
 			recordLasts = recordLease
-		case emulator.EndExit:
-			recordLasts = recordLease
-			fallthrough
-		default:
-			e.process.command(emulator.CommandEnd + how.form)
-			e.process.Process.Signal(syscall.SIGTERM) // fails if it has just ended, which is harmless
 		}
 		if otherAddress {
 			d.restartEngine(e, 0, func(n *engine) { d.startProcess(n, "127.0.0.1:0") })
@@ -89,6 +82,17 @@
 	})
 }
 
+// end ends the process of a target in a form. A signal fails if the process has just ended, which
+// is harmless.
+func (e *engine) end(form string) {
+	if form == endKill {
+		e.process.Process.Kill()
+		return
+	}
+	e.process.command(emulator.CommandEnd + form)
+	e.process.Process.Signal(syscall.SIGTERM)
+}
+
 // targetStopped is what the record of a stopped process of a target says.
 const targetStopped = "SIGSTOP"
 
