--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -18,7 +18,8 @@
 //
 // TestDeployments runs the users' deployments instead: their numbers of entries and targets,
 // request kinds and rates, targets with queues, callers that keep connections, and above all
-// planned work. findings judges them as the users' rules do.
+// planned work. Some of these targets are processes of their own, which serve with net/http and
+// are stopped, killed or told to end. findings judges them as the users' rules do.
 package faultsoak
 
 import (
