--- a/internal/faultsoak/streamends_test.go
+++ b/internal/faultsoak/streamends_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -70,6 +71,18 @@
 	return ""
 }
 
+// overlap reports whether a target works on a run for too long after the run next has begun. Their
+// order is not known if the target of next was stopped until then: it may have been the one before.
+func (d *deploymentRun) overlap(before, next emulator.Run) bool {
+	woken := slices.ContainsFunc(d.events, func(e event) bool {
+		return e.what == targetStopped && e.where == next.Target && !next.From.Before(e.from) && next.From.Before(e.to.Add(wakeTime))
+	})
+	return d.worksOn(before, next.From) > doubleWork && !(woken && d.worksOn(next, before.From) <= doubleWork)
+}
+
+// wakeTime is the time within which a stopped process has begun what came meanwhile.
+const wakeTime = 500 * time.Millisecond
+
 // worksOn returns how long a target works on a run after a moment. A stopped process does no work.
 func (d *deploymentRun) worksOn(r emulator.Run, from time.Time) time.Duration {
 	works := r.To.Sub(from)
