Deployment soak: a target that exits cancels nothing before

The judge also read the plan's events while late ends of targets could still add to them.

Change: such a process calls os.Exit. The judge holds the lock of the events.

Measured: TestEndingsOfProcesses and the checks of the judge pass twice.

--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -73,7 +73,6 @@
 		os.Exit(1)
 	}()
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	server := t.NewServer()
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	go server.Serve(ln)
@@ -85,7 +84,7 @@
 // end ends the work of the process.
 func (t *Target) end(ending string, server *http.Server, cancel func()) {
 	if ending == EndExit {
-		return
+		os.Exit(0)
 	}
 	if ending != EndCancel {
 		ctx := context.Background()
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -30,6 +30,8 @@
 
 // judge reports broken rules of the users' page RULES.md.
 func (d *deploymentRun) judge() {
+	d.mu.Lock() // against ends of targets that are still to come
+	defer d.mu.Unlock()
 	t := d.world.t
 	counts := d.findings()
 	t.Logf("streams of %s, seed %d: %s", d.name, d.world.seed, d.streamEnds())
--- a/internal/faultsoak/processes_test.go
+++ b/internal/faultsoak/processes_test.go
@@ -63,6 +63,7 @@
 	}
 	if err != nil {
 		w.t.Error(err)
+		e.removed = true
 		return
 	}
 	changes := json.NewDecoder(out)
