--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -48,9 +48,9 @@
 // connection only when they go on. Guards against a stream that runs at a second target while
 // the first still works on it.
 func TestTargetsThatNoticeACloseLate(t *testing.T) {
-	late, share := *lateCloseFlag, *shareFlag
-	t.Cleanup(func() { *lateCloseFlag, *shareFlag = late, share })
-	*lateCloseFlag, *shareFlag = true, 0.1
+	late, share, processes := *lateCloseFlag, *shareFlag, *processesFlag
+	t.Cleanup(func() { *lateCloseFlag, *shareFlag, *processesFlag = late, share, processes })
+	*lateCloseFlag, *shareFlag, *processesFlag = true, 0.1, 0
 	runDeployment(t, buildDaemon(t), deployments[701%len(deployments)], 701)
 }
 
@@ -74,6 +74,7 @@
 	idleRoutes    int
 	extraKeys     bool
 	loadPercent   atomic.Int64
+	processes     atomic.Int64 // of targets, started so far
 
 	mu       sync.Mutex
 	attempts []*attempt
@@ -103,7 +104,11 @@
 	random := newRandom(d.random.Uint64())
 	group.Go(func() { d.load(ctx, random) })
 	time.Sleep(stableWindow)
-	d.playPlan()
+	if *endingFlag != "" {
+		d.playEndings()
+	} else {
+		d.playPlan()
+	}
 	time.Sleep(time.Second)
 	endLoad()
 	group.Wait()
@@ -185,9 +190,7 @@
 		count := 1 + r.IntN(5)
 		add(at, func() {
 			for range count {
-				e, lasts := d.engine(), between(ms(300), ms(2500))
-				d.note(fmt.Sprintf("silent for %s", lasts.Round(time.Millisecond)), e.ID, time.Now())
-				e.SilentUntil.Store(time.Now().Add(lasts).UnixNano())
+				d.hold(d.engine(), between(ms(300), ms(2500)))
 			}
 		})
 	}
@@ -243,7 +246,7 @@
 			case 1:
 				factor, lasts := 3+r.Int64N(3), between(ms(2000), ms(5000))
 				add(at, func() {
-					e := d.engine()
+					e := d.emulatedEngine()
 					d.impair("slow", e.ID, lasts)
 					e.SlowFactor.Store(factor)
 					time.AfterFunc(lasts, func() { e.SlowFactor.Store(1) })
@@ -252,7 +255,7 @@
 				lasts := between(ms(2000), ms(5000))
 				add(at, func() {
 					for range 4 {
-						e := d.engine()
+						e := d.emulatedEngine()
 						d.impair("answers lost", e.ID, lasts)
 						e.LosePerMille.Store(50)
 						time.AfterFunc(lasts, func() { e.LosePerMille.Store(0) })
@@ -268,6 +271,8 @@
 			for kill := at; kill < at+ms(2000); kill += between(ms(100), ms(1200)) {
 				add(kill, func() { d.removeEngine(d.killEngine) })
 			}
+			held := between(ms(1000), maxPause)
+			add(at+between(0, ms(2000)), func() { d.hold(d.engine(), held) })
 			e := entries[r.IntN(len(entries))]
 			add(at+between(0, ms(2000)), func() { d.impair("killed", e.name, 0); e.signal(syscall.SIGKILL) })
 		}
@@ -312,11 +317,25 @@
 	e.signal(syscall.SIGHUP)
 }
 
-// engine returns a random target.
+// engine returns a random target; with -faultsoak.ending an engine.
 func (d *deploymentRun) engine() *engine {
+	return d.chooseEngine(func(e *engine) bool { return *endingFlag == "" || e.EventsPerStream > 0 })
+}
+
+// emulatedEngine returns a random target that is no process of its own, if there is one.
+func (d *deploymentRun) emulatedEngine() *engine {
+	return d.chooseEngine(func(e *engine) bool { return e.process == nil })
+}
+
+func (d *deploymentRun) chooseEngine(suits func(e *engine) bool) *engine {
 	d.world.mu.Lock()
 	defer d.world.mu.Unlock()
-	return d.world.engines[d.random.IntN(len(d.world.engines))]
+	for _, i := range d.random.Perm(len(d.world.engines)) {
+		if e := d.world.engines[i]; suits(e) {
+			return e
+		}
+	}
+	return d.world.engines[0]
 }
 
 // timeoutFactors are the factors by which configurations change the time-outs of routes.
@@ -353,7 +372,14 @@
 		return
 	}
 	e.removed = true
-	end(w, e)
+	switch {
+	case *endingFlag != "":
+		d.endProcessTarget(e, ending{*endingFlag, *announcedFlag})
+	case e.process != nil:
+		d.endProcessTarget(e, d.randomEnding())
+	default:
+		end(w, e)
+	}
 }
 
 // replaceEngine lets a target leave and another one begin at its address.
