--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -21,6 +21,7 @@
 	shareFlag      = flag.Float64("faultsoak.share", entryCPUShare, "share of a processor that an entry may use; 0: no limit")
 	periodFlag     = flag.Duration("faultsoak.period", 100*time.Millisecond, "period of -faultsoak.share; longer ones are pauses of an entry as on a busy machine")
 	pausesFlag     = flag.Bool("faultsoak.pauses", false, "entries do not run for about a second, several times, beside planned stops, as on a busy machine; the judge excuses nothing for it")
+	longestFlag    = flag.Duration("faultsoak.longestpause", 1500*time.Millisecond, "longest pause of an entry by -faultsoak.pauses; targets are silent as long if that is over 2.5 s")
 	hangupsFlag    = flag.Bool("faultsoak.hangups", true, "send SIGHUP; some earlier landings end on it during a planned stop")
 	lateCloseFlag  = flag.Bool("faultsoak.lateclose", false, "silent targets do not notice that a connection was closed")
 	proxiesFlag    = flag.Bool("faultsoak.proxies", false, "targets are behind proxies that accept connections for ended processes and close late")
@@ -185,7 +186,7 @@
 		count := 1 + r.IntN(5)
 		add(at, func() {
 			for range count {
-				e, lasts := d.engine(), between(ms(300), ms(2500))
+				e, lasts := d.engine(), between(ms(300), max(ms(2500), *longestFlag))
 				d.note(fmt.Sprintf("silent for %s", lasts.Round(time.Millisecond)), e.ID, time.Now())
 				e.SilentUntil.Store(time.Now().Add(lasts).UnixNano())
 			}
@@ -207,7 +208,7 @@
 			held = []*entry{entries[r.IntN(len(entries))]}
 		}
 		for range 2 + r.IntN(3) {
-			lasts := between(ms(900), ms(1500))
+			lasts := between(ms(900), *longestFlag)
 			for _, e := range held {
 				add(from, func() { d.pauseEntry(e, lasts) })
 			}
