Tests for streams that are taken up: only an ended response is complete

The test took a response whose head was sent for complete, so that an aborted stream would have passed. All cases pass with the stricter condition.

--- a/internal/coordination/gateway/takeup_test.go
+++ b/internal/coordination/gateway/takeup_test.go
@@ -49,8 +49,7 @@
 				targets := &fakeTargetClient{behaviours: c.next}
 				s := newSoftwareService(targets, 1, "v1", "v1", "v1")
 				out := serve(t, s, state.Call{ID: "second", ResumeAfter: c.after, ResumedRequest: "first"})
-				complete := out.ended || out.status == 200
-				if out.body.String() != c.body || complete != c.ended || targets.sends[0].ResumeAfter != c.after {
+				if out.body.String() != c.body || out.ended != c.ended || targets.sends[0].ResumeAfter != c.after {
 					t.Errorf("ended %t, status %d, failure %v with %q after %q; want %q, complete %t", out.ended, out.status, out.failure, out.body.String(), targets.resumePoints(), c.body, c.ended)
 				}
 			})
