A stream ends when a write to its caller has failed

A failed write was taken for a failed attempt, and the stream was resumed at another target after the event that had not been written.

Errors of writes to the caller now end the request as a caller that has left.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -391,13 +391,14 @@
 }
 
 // forwardEvent sends one event to the caller, preceded by the head if it is the
-// first one.
+// first one. Its errors wrap errWriteToCaller: the caller lacks the event, so that the stream
+// must not go on behind it.
 func (r *request) forwardEvent(g *dispatch.Grant, head *state.Response, e event) error {
 	if !r.streamBegun {
 		r.streamBegun = true
 		r.recordResponseStart()
 		if err := r.responder.BeginStream(head); err != nil {
-			return fmt.Errorf("begin stream to caller: %w", err)
+			return fmt.Errorf("%w: begin stream: %w", errWriteToCaller, err)
 		}
 	}
 	r.recordEventGap()
@@ -412,7 +413,7 @@
 		r.recordOrigin(g)
 	}
 	if err := r.responder.WriteEvent(e.data); err != nil {
-		return fmt.Errorf("write event to caller: %w", err)
+		return fmt.Errorf("%w: event: %w", errWriteToCaller, err)
 	}
 	return nil
 }
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -78,6 +78,7 @@
 	errEndsWithTarget  = errors.New("response without length or chunks ended together with its target")
 	errEndUnproved     = errors.New("no proof that the target has outlived its response without length or chunks")
 	errEndsEarly       = errors.New("resumed stream ended before the event after which it was to go on")
+	errWriteToCaller   = errors.New("write to caller failed")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
 )
 
@@ -462,7 +463,7 @@
 	if cause == nil && (!time.Now().Before(r.deadline) || errors.Is(err, errEndsAtTimeLimit)) {
 		cause = errDeadline
 	}
-	if cause != nil && !errors.Is(cause, errDeadline) && !errors.Is(cause, errStopping) {
+	if errors.Is(err, errWriteToCaller) || cause != nil && !errors.Is(cause, errDeadline) && !errors.Is(cause, errStopping) {
 		r.handleCallerLeft()
 		return false
 	}
