Failing test: a stream that is taken up twice

The origin is remembered under the request that brought the first event only. A caller that resumes for the second time and names the request that went on with the stream is refused while several versions or services may have begun it.

--- a/internal/coordination/gateway/takeup_test.go
+++ b/internal/coordination/gateway/takeup_test.go
@@ -83,3 +83,29 @@
 		}
 	})
 }
+
+// Guards against refusing a caller that takes a stream up for the second time and names the request
+// that went on with the stream rather than the one that brought its first event.
+func TestStreamTakenUpTwice(t *testing.T) {
+	second, third := strings.Index(events, "id: 2"), strings.Index(events, "id: 3")
+	for _, resumes := range []state.RequestID{"first", "second"} {
+		for seed := range seeds {
+			synctest.Test(t, func(t *testing.T) {
+				// Each request takes two tries, which break off and end it.
+				targets := &fakeTargetClient{behaviours: []behaviour{truncated(events[:second]), truncated(""), truncated(events[second:third]), truncated(""), chunked(events[third:])}}
+				s := newSoftwareService(targets, seed, "v1", "v2", "v1", "v2", "v1", "v2")
+				serve(t, s, state.Call{ID: "first"})
+				serve(t, s, state.Call{ID: "second", ResumeAfter: "1", ResumedRequest: "first"})
+				out := serve(t, s, state.Call{ID: "third", ResumeAfter: "2", ResumedRequest: resumes})
+				if !out.ended || out.body.String() != events[third:] {
+					t.Errorf("resumes %s: ended %t, failure %v with %q; want the rest", resumes, out.ended, out.failure, out.body.String())
+				}
+				for _, f := range targets.sends {
+					if f.Target.Software != targets.sends[0].Target.Software {
+						t.Errorf("resumes %s: began at %s and goes on at %s", resumes, targets.sends[0].Target.ID, f.Target.ID)
+					}
+				}
+			})
+		}
+	}
+}
