Origins are remembered under each request that goes on with a stream

A caller that resumes a stream for the second time may name the request that went on with it, under which no origin was known.

TestStreamTakenUpTwice passes; it failed in each run.

--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -84,15 +84,22 @@
 }
 
 // recordOrigin remembers where the stream began. It is called before the first event is
-// sent to the caller, who can then take the stream up elsewhere.
+// sent to the caller, who can then take the stream up elsewhere, and name this request or the one
+// that it has taken up.
 func (r *request) recordOrigin(g *dispatch.Grant) {
 	r.software = &g.Target.Software
-	id := r.call.ID
+	if !r.route.Resumable {
+		return
+	}
+	began := origin.Origin{Service: r.targetService, Software: *r.software}
+	ids := []state.RequestID{r.call.ID}
 	if r.takesStreamUp() {
-		id = r.call.ResumedRequest
+		ids = append(ids, r.call.ResumedRequest)
 	}
-	if r.route.Resumable && id != "" {
-		r.service.cfg.Origins.Begin(time.Now(), id, origin.Origin{Service: r.targetService, Software: *r.software})
+	for _, id := range ids {
+		if id != "" {
+			r.service.cfg.Origins.Begin(time.Now(), id, began)
+		}
 	}
 }
 
