Deployment soak: routes of streams that are moved to another service

-faultsoak.movestreams moves the routes whose streams may be resumed, and the judge counts a stream with events of two services as ORDER.

--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -22,6 +22,7 @@
 	periodFlag     = flag.Duration("faultsoak.period", 100*time.Millisecond, "period of -faultsoak.share; longer ones are pauses of an entry as on a busy machine")
 	pausesFlag     = flag.Bool("faultsoak.pauses", false, "entries do not run for about a second, several times, beside planned stops, as on a busy machine; the judge excuses nothing for it")
 	longestFlag    = flag.Duration("faultsoak.longestpause", 1500*time.Millisecond, "longest pause of an entry by -faultsoak.pauses; targets are silent as long if that is over 2.5 s")
+	movesFlag      = flag.Bool("faultsoak.movestreams", false, "configurations move routes whose streams may be resumed to another service and back")
 	hangupsFlag    = flag.Bool("faultsoak.hangups", true, "send SIGHUP; some earlier landings end on it during a planned stop")
 	lateCloseFlag  = flag.Bool("faultsoak.lateclose", false, "silent targets do not notice that a connection was closed")
 	proxiesFlag    = flag.Bool("faultsoak.proxies", false, "targets are behind proxies that accept connections for ended processes and close late")
@@ -326,6 +327,11 @@
 // changeConfiguration writes a configuration with a change: of the service or the time-out of
 // a route, the other routes, the keys or the idle time-out.
 func (d *deploymentRun) changeConfiguration() {
+	for _, k := range d.kinds {
+		if d.movesStreams(k) {
+			d.moved[k] = !d.moved[k]
+		}
+	}
 	switch k := d.kinds[d.random.IntN(len(d.kinds))]; d.random.IntN(5) {
 	case 0:
 		d.moved[k] = !d.moved[k]
@@ -344,6 +350,9 @@
 	d.writeConfiguration()
 }
 
+// movesStreams reports whether configurations move the route of a kind of streams.
+func (d *deploymentRun) movesStreams(k *requestKind) bool { return *movesFlag && k.resumable }
+
 // removeEngine marks a random target as removed and calls end with it, unless it is removed
 // already. end is called with the lock of the world.
 func (d *deploymentRun) removeEngine(end func(w *world, e *engine)) {
--- a/internal/faultsoak/deployments_test.go
+++ b/internal/faultsoak/deployments_test.go
@@ -80,6 +80,8 @@
 	entryCPUShare    = 0.304
 	// Configurations move routes of plain requests to a service with movedTargets targets.
 	movedTargets = 2
+	// With -faultsoak.movestreams, they move routes of streams to a service with movedEngines targets.
+	movedEngines = 6
 	movedSuffix  = "-moved"
 )
 
@@ -154,7 +156,15 @@
 	if *shareFlag > 0 { // the processes have one core each
 		w.t.Setenv("GOMAXPROCS", "1")
 	}
-	for i := range engineCount {
+	engines := engineCount
+	if *movesFlag {
+		engines += movedEngines
+	}
+	for i := range engines {
+		service := d.engineService
+		if i >= engineCount {
+			service += movedSuffix
+		}
 		profile := d.profile
 		profile.Speed, profile.IdleTimeout, profile.CloseShare, profile.LateShare = d.speeds[i%len(d.speeds)], engineIdle, 0.01, 0.004
 		profile.AbruptShare, profile.PreemptShare, profile.PreemptTime, profile.RepeatShare = 0.004, 0.02, ms(3000), 0.5
@@ -162,7 +172,7 @@
 		if d.openFaults() {
 			profile.StrayShare, profile.SpoiledShare = 0.02, 0.004
 		}
-		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", d.engineService, i), Service: d.engineService, Slots: d.slots, EventsPerStream: 1, Software: "v1", Ledger: w.ledger, Profile: &profile})
+		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Slots: d.slots, EventsPerStream: 1, Software: "v1", Ledger: w.ledger, Profile: &profile})
 	}
 	for i := range d.plainTargets + movedTargets {
 		service := d.plainService
@@ -234,7 +244,8 @@
 		service := d.plainService
 		if k.kind == "streaming" {
 			service = d.engineService
-		} else if d.moved[k] {
+		}
+		if d.moved[k] && (k.kind != "streaming" || d.movesStreams(k)) {
 			service += movedSuffix
 		}
 		routes = append(routes, map[string]any{
@@ -261,6 +272,7 @@
 		"Services": []any{
 			map[string]any{"Name": d.plainService, "HealthPath": emulator.HealthPath}, map[string]any{"Name": d.plainService + movedSuffix, "HealthPath": emulator.HealthPath},
 			map[string]any{"Name": d.engineService, "HealthPath": emulator.HealthPath, "Engine": map[string]any{"Slots": d.slots}},
+			map[string]any{"Name": d.engineService + movedSuffix, "HealthPath": emulator.HealthPath, "Engine": map[string]any{"Slots": d.slots}},
 		},
 		"Limits": map[string]any{"MaxHeaderBytes": 16 << 10, "MaxBodyBytes": 4 << 20, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": d.idleTimeout.Milliseconds()},
 	})
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -77,6 +77,9 @@
 				}
 			}
 		}
+		if d.joinsServices(a, byID[a.resumes]) {
+			report("ORDER", a, append(d.runsOf(a.resumes), runs...), "resumed at another service")
+		}
 		if !a.kind.once() && len(ran) > 0 && ran[0].Outcome == emulator.RunDropped && !a.left && (!a.answered() || a.status >= 500) && a.ended.Sub(ran[0].To) > stallMargin {
 			report("given up", a, runs, "the entry closed the connection to a target that worked, and did not answer")
 		}
@@ -120,6 +123,17 @@
 	return counts
 }
 
+// joinsServices reports whether an attempt brought events of another service than the one before,
+// which it resumes. before may be nil.
+func (d *deploymentRun) joinsServices(a, before *attempt) bool {
+	if before == nil || a.received() == 0 {
+		return false
+	}
+	moved := func(r emulator.Run) bool { return strings.Contains(r.Target, d.engineService+movedSuffix) }
+	runs := slices.DeleteFunc(append(d.runsOf(before.id), d.runsOf(a.id)...), func(r emulator.Run) bool { return strings.HasPrefix(r.Outcome, emulator.Rejected) })
+	return slices.ContainsFunc(runs, moved) && slices.ContainsFunc(runs, func(r emulator.Run) bool { return !moved(r) })
+}
+
 // wrongAnswer says which rule the answer of an attempt that ran as given breaks and how, or
 // returns "".
 func (a *attempt) wrongAnswer(ran []emulator.Run) (rule, wrong string) {
