--- a/internal/coordination/gateway/takeup_test.go
+++ b/internal/coordination/gateway/takeup_test.go
@@ -64,10 +64,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		slow := func(from int) behaviour {
 			return func(ctx context.Context, _ *Forward) (Exchange, error) {
-				var pieces []string
-				for _, p := range []string{events[:second], events[second:third], events[third:]}[from:] {
-					pieces = append(pieces, p)
-				}
+				pieces := []string{events[:second], events[second:third], events[third:]}[from:]
 				return &fakeExchange{head: &state.Response{Status: 200, HasSignature: true}, Reader: &pieceReader{ctx: ctx, pause: 400 * time.Millisecond, pieces: pieces}}, nil
 			}
 		}
