Gateway: a stream is whole that another response without a length, or a copy of its last event, follows

Change: targets send additional bytes only behind complete responses. A whole head of another response, and a copy of the last event before the end of the connection, do not stand in place of the rest, so that the stream is whole if its target runs. A stream that may be resumed is asked for its rest as before. Noise, and heads that cannot be parsed, still leave it in doubt, because a target may send them in place of the rest.

--- a/internal/coordination/eventstream/unframed.go
+++ b/internal/coordination/eventstream/unframed.go
@@ -1,10 +1,13 @@
 package eventstream
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
+	"net/http"
 	"strconv"
 	"strings"
 	"unicode/utf8"
@@ -14,6 +17,11 @@
 // belongs to no known response either, and they do not show that the stream before is complete.
 var ErrStray = errors.New("bytes in a stream without length or chunks are not its next event")
 
+// ErrFollowed means that the stream has ended as far as its sender shows: what comes behind its last
+// event is the head of another response, of which no length is known, or a copy of the last event
+// and the end of the connection. Targets send neither in place of the rest of a stream.
+var ErrFollowed = errors.New("stream without length or chunks is followed by another response or a copy of its last event")
+
 const (
 	// maxResponseBytes bounds the body of another response that is skipped.
 	maxResponseBytes = 16 << 20
@@ -32,13 +40,18 @@
 	begun   bool
 	lastID  uint64
 	hasIDs  bool // the events so far have IDs that are numbers
+	// lastSum is the checksum of the last event, and copied says that a copy of it came behind it.
+	lastSum uint64
+	copied  bool
 }
 
-// Next returns the next event. Its errors are those of Reader.Next, and ErrStray.
+// Next returns the next event. Its errors are those of Reader.Next, ErrStray and ErrFollowed.
 func (r *UnframedReader) Next() (Event, error) {
 	for {
 		ev, err := r.Reader.Next()
 		switch {
+		case errors.Is(err, io.EOF) && r.copied:
+			return nil, ErrFollowed
 		case err != nil:
 			return nil, err
 		case len(trimLineEnd(ev)) == 0: // an empty line may precede the head of a response
@@ -48,9 +61,13 @@
 				return nil, err
 			}
 			continue
+		case r.isCopy(ev):
+			r.copied = true
+			continue
 		case !r.isNext(ev):
 			return nil, strayError(ev)
 		}
+		r.copied = false
 		return ev, nil
 	}
 }
@@ -81,16 +98,24 @@
 	case !known, r.begun && isNumber != r.hasIDs, r.begun && isNumber && n <= r.lastID:
 		return false
 	}
-	r.begun, r.hasIDs, r.lastID = true, isNumber, n
+	r.begun, r.hasIDs, r.lastID, r.lastSum = true, isNumber, n, sum(ev)
 	return true
 }
 
+// isCopy reports whether an event is a copy of the last one, which has an ID. The checksum takes
+// the place of a second copy in memory.
+func (r *UnframedReader) isCopy(ev Event) bool { return r.hasIDs && sum(ev) == r.lastSum }
+
+var sumSeed = maphash.MakeSeed()
+
+func sum(ev Event) uint64 { return maphash.Bytes(sumSeed, ev) }
+
 // isResponseHead reports whether what looks like an event is the head of another response, which
 // also ends with an empty line. Targets may send one behind a response, or late.
 func isResponseHead(ev Event) bool { return bytes.HasPrefix(ev, []byte("HTTP/1.")) }
 
 // skipResponse discards the body of another response. Without a stated length, its end is not
-// known.
+// known: the error is ErrFollowed if the head can be parsed and comes behind an event.
 func (r *UnframedReader) skipResponse(head Event) error {
 	for name, value := range head.Fields() {
 		if !strings.EqualFold(name, "Content-Length") {
@@ -103,9 +128,23 @@
 		r.Skipped++
 		return r.skip(n)
 	}
+	if r.begun && isWholeHead(head) {
+		r.Skipped++
+		return ErrFollowed
+	}
 	return strayError(head)
 }
 
+// isWholeHead reports whether head is that of a final response in HTTP/1.
+func isWholeHead(head Event) bool {
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close() // cannot fail: nothing follows the head
+	return resp.StatusCode >= http.StatusOK
+}
+
 // skip discards the next n bytes. The error is ErrEndsInsideEvent if the stream ends before.
 func (r *UnframedReader) skip(n int) error {
 	_, err := r.in.Discard(n)
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/eventstream"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -267,7 +268,8 @@
 	}()
 	for {
 		event, err := events.next()
-		if errors.Is(err, io.EOF) {
+		// What follows a stream leaves a doubt about its end, which a resumption removes.
+		if errors.Is(err, io.EOF) || errors.Is(err, eventstream.ErrFollowed) && !r.route.Resumable {
 			return a.endStream(head)
 		}
 		if err != nil {
