Gateway: a stream is whole that the head of another response follows, even a spoiled one

Change: targets send heads, parsable or not, only where a response is due, so that a status line of a final response behind an event ends the stream, if the target runs. In place of the first event it shows nothing, as before. Noise still leaves the end in doubt.

--- a/internal/coordination/eventstream/unframed.go
+++ b/internal/coordination/eventstream/unframed.go
@@ -1,13 +1,12 @@
 package eventstream
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"fmt"
 	"hash/maphash"
 	"io"
-	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"unicode/utf8"
@@ -61,6 +60,8 @@
 				return nil, err
 			}
 			continue
+		case finalStatusLine.Match(ev):
+			return nil, r.followedBy(ev)
 		case r.isCopy(ev):
 			r.copied = true
 			continue
@@ -115,7 +116,7 @@
 func isResponseHead(ev Event) bool { return bytes.HasPrefix(ev, []byte("HTTP/1.")) }
 
 // skipResponse discards the body of another response. Without a stated length, its end is not
-// known: the error is ErrFollowed if the head can be parsed and comes behind an event.
+// known: the error is ErrFollowed if the head is that of a final response and comes behind an event.
 func (r *UnframedReader) skipResponse(head Event) error {
 	for name, value := range head.Fields() {
 		if !strings.EqualFold(name, "Content-Length") {
@@ -128,23 +129,22 @@
 		r.Skipped++
 		return r.skip(n)
 	}
-	if r.begun && isWholeHead(head) {
-		r.Skipped++
-		return ErrFollowed
-	}
-	return strayError(head)
+	return r.followedBy(head)
 }
 
-// isWholeHead reports whether head is that of a final response in HTTP/1.
-func isWholeHead(head Event) bool {
-	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
-	if err != nil {
-		return false
+// followedBy returns the error for the head of another response with which nothing can be read on.
+func (r *UnframedReader) followedBy(head Event) error {
+	if !r.begun || !finalStatusLine.Match(head) {
+		return strayError(head)
 	}
-	resp.Body.Close() // cannot fail: nothing follows the head
-	return resp.StatusCode >= http.StatusOK
+	r.Skipped++
+	return ErrFollowed
 }
 
+// finalStatusLine matches the beginning of a final response, even if it cannot be parsed as HTTP/1:
+// targets send the heads of spoiled responses too only where a response is due.
+var finalStatusLine = regexp.MustCompile(`^(?i)HTTP/\d(\.\d)? [2-5]\d\d[ \r\n]`)
+
 // skip discards the next n bytes. The error is ErrEndsInsideEvent if the stream ends before.
 func (r *UnframedReader) skip(n int) error {
 	_, err := r.in.Discard(n)
