Target client: the time by which the end of a response arrived

Cause: an end that is read late, because the entry was writing to a slow caller, could not be told from one that came late. The end of a connection is no data, so that it is not known for responses without length or chunks. Nothing uses it yet.

--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -118,6 +118,13 @@
 	Reached() bool
 }
 
+// ArrivalTimer is an Exchange that can tell when a response arrived that was read later.
+type ArrivalTimer interface {
+	// EndArrived returns a time by which the end of the response had arrived, after that was read,
+	// and whether it is known.
+	EndArrived() (at time.Time, known bool)
+}
+
 // Responder writes the response to the caller. At most one of Respond, Fail and
 // BeginStream is called. BeginStream is followed by WriteEvent for each event and
 // by EndStream or Abort. If the caller leaves before a response begins, only Abort
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -196,6 +196,16 @@
 	return n, err
 }
 
+// EndArrived implements gateway.ArrivalTimer. The end of the connection is no data, so that the
+// arrival of an end that only it marks is not known.
+func (e *exchange) EndArrived() (at time.Time, known bool) {
+	c, ok := e.conn.Conn.(interface{ LastArrival() (time.Time, bool) })
+	if !ok || e.head.EndsWithConnection {
+		return time.Time{}, false
+	}
+	return c.LastArrival()
+}
+
 // identified reports whether the response names the request. If not, the connection is not
 // reused: a late second copy of the response could not be told from that to the next
 // request.
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -67,6 +67,7 @@
 var (
 	_ gateway.TargetClient = (*Client)(nil)
 	_ gateway.Withdrawer   = (*exchange)(nil)
+	_ gateway.ArrivalTimer = (*exchange)(nil)
 )
 
 // ConnectionsOpened returns the number of connections opened so far, to all targets.
