Gateway: an end that arrived before the time limit is not doubted because it is read after it

Cause: endsForEntry doubted an end by when it was read. Change: the end counts as made at the limit unless the exchange knows that it had arrived before it.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -325,11 +325,13 @@
 // endsForEntry returns an error if the target may have ended a response because of this entry: it was
 // asked to abandon it, or has reached the time limit that it was told. HTTP servers write the last
 // chunk of a response when its handler returns early, so that chunks do not show that it is complete.
+// While the entry writes to a slow caller it does not read, so that an end that is read after the
+// limit may have arrived before it.
 func (a *attempt) endsForEntry() error {
 	switch {
 	case a.handOver.wasWithdrawn():
 		return errEndsWithdrawn
-	case time.Until(a.request.deadline) <= timeLimitUnit:
+	case time.Until(a.request.deadline) <= timeLimitUnit && !a.handOver.endArrivedBefore(a.request.deadline.Add(-timeLimitUnit)):
 		return errEndsAtTimeLimit
 	}
 	return nil
--- a/internal/coordination/gateway/handover.go
+++ b/internal/coordination/gateway/handover.go
@@ -115,6 +115,19 @@
 	return h.withdrawn
 }
 
+// endArrivedBefore reports whether the end of the response, which was read, is known to have arrived
+// before limit.
+func (h *handOver) endArrivedBefore(limit time.Time) bool {
+	h.mu.Lock()
+	ex, ok := h.exchange.(ArrivalTimer)
+	h.mu.Unlock()
+	if !ok {
+		return false
+	}
+	at, known := ex.EndArrived()
+	return known && at.Before(limit)
+}
+
 // giveBack releases the target that was to take over. The target that was asked to abandon the
 // request may do so later, so the permission is kept. The caller must hold h.mu.
 func (h *handOver) giveBack() {
--- a/internal/coordination/gateway/handoverstress_test.go
+++ b/internal/coordination/gateway/handoverstress_test.go
@@ -79,6 +79,12 @@
 }
 func (x *stressExchange) Reached() bool { return x.reached }
 
+// EndArrived implements ArrivalTimer. An early end arrives when the target makes it, however late the
+// entry reads it.
+func (x *stressExchange) EndArrived() (time.Time, bool) {
+	return time.Unix(0, min(time.Now().UnixNano(), x.stream.endBy.Load())), true
+}
+
 // stressStream is the response of one send.
 type stressStream struct {
 	targets *stressTargets
--- a/internal/transport/gatewayhttp/deadlines_test.go
+++ b/internal/transport/gatewayhttp/deadlines_test.go
@@ -27,7 +27,7 @@
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := startStoppable(t, func(context.Context, *gateway.Forward) (gateway.Exchange, error) {
-					return &fakeExchange{Reader: strings.NewReader(text)}, nil
+					return &fakeExchange{Reader: strings.NewReader(text), arrived: time.Now()}, nil
 				})
 				defer s.waitServed()
 				defer s.end()
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -45,7 +45,8 @@
 // fakeExchange is a response with status 200 whose body is read from Reader.
 type fakeExchange struct {
 	io.Reader
-	header []state.HeaderField
+	header  []state.HeaderField
+	arrived time.Time // zero if it is not known
 }
 
 func (e *fakeExchange) Head() (*state.Response, error) {
@@ -53,6 +54,9 @@
 }
 func (e *fakeExchange) Close(bool) {}
 
+// EndArrived implements gateway.ArrivalTimer.
+func (e *fakeExchange) EndArrived() (time.Time, bool) { return e.arrived, !e.arrived.IsZero() }
+
 type noObserver struct{}
 
 func (noObserver) TargetEjected(state.TargetID, state.Service, dispatch.Outcome, time.Duration) {}
