Target client: the check of whether a target runs does not count the time in which the entry was paused

Cause: the check had 1.5 s of time. A whole stream is broken off then. Change: the check ends when the process has run for 1.5 s, without pauses of more than 0.1 s, and after 4 s at the latest. The connection of a try that is cut is closed.

--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -18,8 +18,15 @@
 const (
 	// probeTimeout bounds a probe with all its tries. The caller has all events of its stream
 	// meanwhile, and waits for the end, for 2 s at least. On a busy machine, opening a connection
-	// alone may take longer than a try, and a whole stream would be broken off.
+	// alone may take longer than a try, and a whole stream would be broken off. Pauses of the process
+	// do not count: beside a load of 28 on 8 processors, a check was over after one try, in which the
+	// process had hardly run. maxProbeTime bounds a probe with all pauses.
 	probeTimeout = 1500 * time.Millisecond
+	maxProbeTime = 4 * time.Second
+	// runningTimeUnit is how often the time is taken in which the process runs. It has paused if it
+	// does so more than pauseTime later; at its share of a processor, it pauses for 70 ms at a time.
+	runningTimeUnit = 20 * time.Millisecond
+	pauseTime       = 100 * time.Millisecond
 	// idleProbeTimeout bounds a probe on an idle connection, which may have gone silent for good.
 	idleProbeTimeout = 150 * time.Millisecond
 	// probePause is the time between the first two tries, and doubles from there on. A target
@@ -96,7 +103,7 @@
 	all.waiting, all.latest = nil, p
 	c.mu.Unlock()
 
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := runningTimeContext(probeTimeout, maxProbeTime)
 	defer cancel()
 	p.check = c.probe(ctx, key)
 
@@ -108,6 +115,31 @@
 	close(p.done)
 }
 
+// runningTimeContext returns a context that ends when the process has run for limit, and after maxTime
+// at the latest.
+func runningTimeContext(limit, maxTime time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), maxTime)
+	go func() {
+		defer cancel()
+		ticker := time.NewTicker(runningTimeUnit)
+		defer ticker.Stop()
+		for last, ran := time.Now(), time.Duration(0); ran < limit; {
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				return
+			}
+			passed := time.Since(last)
+			last = last.Add(passed)
+			if passed > pauseTime {
+				passed = runningTimeUnit
+			}
+			ran += passed
+		}
+	}()
+	return ctx, cancel
+}
+
 // probe asks the target for its incarnation until it is known, or ctx ends.
 func (c *Client) probe(ctx context.Context, key probeKey) gateway.RunCheck {
 	var check gateway.RunCheck
@@ -201,11 +233,15 @@
 // ask sends a probe on a connection and reads the answer. The connection goes to the pool if it can
 // be reused.
 func (c *Client) ask(ctx context.Context, key probeKey, conn *connection, expected state.TargetID, check *gateway.RunCheck) (platform.ProbeAnswer, error) {
+	defer context.AfterFunc(ctx, func() { conn.Close() })() // ctx may end before its deadline
 	check.Tries++
 	check.Asked = fmt.Sprintf("GET %s, expecting %s, on a reused connection: %t", key.healthy, expected, conn.reused)
 	resp, answer, err := conn.exchangeProbe(ctx, platform.AppendProbe(nil, key.address, key.healthy, expected))
 	if err != nil {
 		conn.Close()
+		if ctx.Err() != nil {
+			err = fmt.Errorf("%w: %w", ctx.Err(), err)
+		}
 		check.Answer = err.Error()
 		return answer, err
 	}
