--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/eventstream"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -277,7 +278,8 @@
 	defer r.service.streams.leave(a)
 	for {
 		event, err := events.next()
-		if errors.Is(err, io.EOF) {
+		// What follows a stream leaves a doubt about its end, which a resumption removes.
+		if errors.Is(err, io.EOF) || errors.Is(err, eventstream.ErrFollowed) && !r.route.Resumable {
 			return a.endStream(head, ex)
 		}
 		if err != nil {
@@ -341,11 +343,13 @@
 // endsForEntry returns an error if the target may have ended a response because of this entry: it was
 // asked to abandon it, or has reached the time limit that it was told. HTTP servers write the last
 // chunk of a response when its handler returns early, so that chunks do not show that it is complete.
+// While the entry writes to a slow caller it does not read, so that an end that is read after the
+// limit may have arrived before it.
 func (a *attempt) endsForEntry() error {
 	switch {
 	case a.handOver.wasWithdrawn():
 		return errEndsWithdrawn
-	case time.Until(a.request.deadline) <= timeLimitUnit:
+	case time.Until(a.request.deadline) <= timeLimitUnit && !a.handOver.endArrivedBefore(a.request.deadline.Add(-timeLimitUnit)):
 		return errEndsAtTimeLimit
 	}
 	return nil
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -211,6 +211,16 @@
 // ReceivedAt implements gateway.CloseWatcher.
 func (e *exchange) ReceivedAt() (at time.Time, ok bool) { return netconn.ReceivedAt(e.conn.Conn) }
 
+// EndArrived implements gateway.ArrivalTimer. The end of the connection is no data, so that the
+// arrival of an end that only it marks is not known.
+func (e *exchange) EndArrived() (at time.Time, known bool) {
+	c, ok := e.conn.Conn.(interface{ LastArrival() (time.Time, bool) })
+	if !ok || e.head.EndsWithConnection {
+		return time.Time{}, false
+	}
+	return c.LastArrival()
+}
+
 // identified reports whether the response names the request. If not, the connection is not
 // reused: a late second copy of the response could not be told from that to the next
 // request.
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -68,6 +68,7 @@
 	_ gateway.TargetClient = (*Client)(nil)
 	_ gateway.Withdrawer   = (*exchange)(nil)
 	_ gateway.CloseWatcher = (*exchange)(nil)
+	_ gateway.ArrivalTimer = (*exchange)(nil)
 )
 
 // ConnectionsOpened returns the number of connections opened so far, to all targets.
