Test: streams cancelled together when the time of a draining target runs out

The last of them that is judged is passed on as complete (went_on_while_refusing): those judged before have left the log of streams, so that none seems to have ended at the same moment.

--- /dev/null
+++ b/internal/transport/upstream/endingforms_test.go
@@ -0,0 +1,111 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Further ways in which a target of these tests ends at SIGTERM, for endingVariable.
+const (
+	// finishesThenCancels shuts the server down and cancels all handlers that have not returned
+	// after endingDrainTime.
+	finishesThenCancels = "finishes handlers, then cancels"
+	// cancelsInTurn shuts the server down and cancels one handler after another, every endingTurn.
+	cancelsInTurn = "cancels handlers in turn"
+	// cancelsAndCleansUp closes the listener, cancels the handlers and exits endingCleanUpTime
+	// later, until when the connections stay open.
+	cancelsAndCleansUp = "cancels handlers and cleans up"
+
+	endingDrainTime   = 400 * time.Millisecond
+	endingTurn        = 60 * time.Millisecond
+	endingCleanUpTime = 300 * time.Millisecond
+)
+
+// serveEndingForm answers as serveUntilTerminated does and ends in the given way.
+func serveEndingForm(t *testing.T, ending string) {
+	terminated, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	var mu sync.Mutex
+	var cancels []context.CancelFunc // of the handlers, in the order in which they began
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Println(ln.Addr())
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		w.Header().Set("Instance-Id", ln.Addr().String())
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Response-Signature", "signed")
+		_, text, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+		events, _ := strconv.Atoi(text) // 0 for a check of the target's health
+		if events > 0 {
+			mu.Lock()
+			cancels = append(cancels, cancel)
+			mu.Unlock()
+		}
+		for n := 1; n <= events; n++ {
+			fmt.Fprintf(w, "id: %d\ndata: x\n\n", n) // an error ends the context too
+			http.NewResponseController(w).Flush()
+			select {
+			case <-time.After(endingEventGap):
+			case <-ctx.Done():
+				return
+			}
+		}
+	})}
+	go server.Serve(ln)
+	<-terminated.Done()
+	if ending == cancelsAndCleansUp {
+		ln.Close()
+	} else {
+		go server.Shutdown(context.Background())
+	}
+	if ending == finishesThenCancels {
+		time.Sleep(endingDrainTime)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for _, cancel := range cancels {
+		cancel()
+		if ending == cancelsInTurn {
+			time.Sleep(endingTurn)
+		}
+	}
+	time.Sleep(endingCleanUpTime)
+}
+
+// checkEndingForm checks that no stream is passed on as complete before its last event, from a target
+// that ends in the given way while the streams are under way.
+func checkEndingForm(t *testing.T, ending, route string, lengths []int) {
+	target := startEndingTarget(t, ending)
+	g := newGateway(New(), []string{target.address})
+	for i, s := range serveStreams(t, g, route, lengths, func() { target.process.Process.Signal(syscall.SIGTERM) }) {
+		if s.complete && s.events.Load() != int64(lengths[i]) {
+			t.Errorf("stream %d: complete after %d of %d events", i, s.events.Load(), lengths[i])
+		}
+	}
+}
+
+// Guards against the last of several streams that is passed on as complete when the time of a
+// draining target runs out and it cancels all handlers: the others, whose end is judged first, must
+// still be known.
+func TestStreamsCancelledTogetherAfterDrainAreIncomplete(t *testing.T) {
+	if ending := os.Getenv(endingVariable); ending != "" {
+		serveEndingForm(t, ending)
+		return
+	}
+	// The first stream ends by itself, which shows that the target accepts no connections.
+	checkEndingForm(t, finishesThenCancels, "stream", []int{30, 300, 300, 300, 300})
+}
