Test: streams that their target cancels one after another

Each is passed on as complete because another one goes on for a moment (other_stream_goes_on), or because it had gone on itself.

--- a/internal/transport/upstream/endingforms_test.go
+++ b/internal/transport/upstream/endingforms_test.go
@@ -109,3 +109,15 @@
 	// The first stream ends by itself, which shows that the target accepts no connections.
 	checkEndingForm(t, finishesThenCancels, "stream", []int{30, 300, 300, 300, 300})
 }
+
+// Guards against a stream that is passed on as complete because another one of its target, which
+// cancels its handlers in turn, goes on for a moment.
+func TestStreamsCancelledInTurnAreIncomplete(t *testing.T) {
+	if ending := os.Getenv(endingVariable); ending != "" {
+		serveEndingForm(t, ending)
+		return
+	}
+	for _, route := range []string{"stream", "resume"} {
+		t.Run(route, func(t *testing.T) { checkEndingForm(t, cancelsInTurn, route, []int{300, 300, 300, 300}) })
+	}
+}
