--- a/internal/transport/upstream/endingforms_test.go
+++ b/internal/transport/upstream/endingforms_test.go
@@ -121,3 +121,15 @@
 		t.Run(route, func(t *testing.T) { checkEndingForm(t, cancelsInTurn, route, []int{300, 300, 300, 300}) })
 	}
 }
+
+// Guards against a cancelled stream that is passed on as complete because its target, which accepts
+// no connections any more, takes longer than the watch to exit and to close the connection.
+func TestStreamOfTargetThatCleansUpIsIncomplete(t *testing.T) {
+	if ending := os.Getenv(endingVariable); ending != "" {
+		serveEndingForm(t, ending)
+		return
+	}
+	for _, route := range []string{"stream", "resume"} {
+		t.Run(route, func(t *testing.T) { checkEndingForm(t, cancelsAndCleansUp, route, []int{300}) })
+	}
+}
