--- a/internal/transport/upstream/endingforms_test.go
+++ b/internal/transport/upstream/endingforms_test.go
@@ -133,3 +133,18 @@
 		t.Run(route, func(t *testing.T) { checkEndingForm(t, cancelsAndCleansUp, route, []int{300}) })
 	}
 }
+
+// Guards against a whole stream that is broken off because it is the only one of a target that
+// shuts its server down and finishes it.
+func TestOnlyStreamOfTargetThatFinishesItIsComplete(t *testing.T) {
+	if ending := os.Getenv(endingVariable); ending != "" {
+		serveUntilTerminated(t, ending)
+		return
+	}
+	target := startEndingTarget(t, finishesHandlers)
+	g := newGateway(New(), []string{target.address})
+	s := serveStreams(t, g, "stream", []int{60}, func() { target.process.Process.Signal(syscall.SIGTERM) })[0]
+	if !s.complete || s.events.Load() != 60 {
+		t.Errorf("complete %t after %d of 60 events", s.complete, s.events.Load())
+	}
+}
