--- a/internal/transport/upstream/endingforms_test.go
+++ b/internal/transport/upstream/endingforms_test.go
@@ -1,8 +1,10 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -148,3 +150,50 @@
 		t.Errorf("complete %t after %d of 60 events", s.complete, s.events.Load())
 	}
 }
+
+// Guards against a stream that is passed on as complete although its target closes the connection
+// and ends, because bytes of no request precede the close.
+func TestBytesBehindStreamDoNotHideTheEndOfItsTarget(t *testing.T) {
+	const last = "0\r\n\r\n"
+	const stray = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	for _, c := range []struct {
+		name  string
+		write func(conn net.Conn)
+	}{
+		{"with the last chunk", func(conn net.Conn) { io.WriteString(conn, last+stray) }},
+		{"after the last chunk", func(conn net.Conn) {
+			io.WriteString(conn, last)
+			time.Sleep(5 * time.Millisecond)
+			io.WriteString(conn, stray)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			go func() {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				req, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				const event = "id: 1\ndata: x\n\n"
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: signed\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
+					req.Header.Get("Request-Id"), len(event), event)
+				time.Sleep(20 * time.Millisecond)
+				ln.Close()
+				c.write(conn)
+			}()
+			g := newGateway(New(), []string{ln.Addr().String()})
+			if s := serveStreams(t, g, "stream", []int{300}, func() {})[0]; s.complete {
+				t.Errorf("complete after %d of 300 events", s.events.Load())
+			}
+		})
+	}
+}
