Test: the slot of a stream that ended with its target

The slot is released as served before the end is checked, so that an ejected target, which has ended, returns at once.

--- a/internal/coordination/gateway/endcheck_test.go
+++ b/internal/coordination/gateway/endcheck_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -42,3 +45,47 @@
 		})
 	}
 }
+
+// ejectionObserver counts targets that return from an ejection.
+type ejectionObserver struct {
+	noObserver
+	ejected, returned int
+}
+
+func (o *ejectionObserver) TargetEjected(state.TargetID, state.Service, dispatch.Outcome, time.Duration) {
+	o.ejected++
+}
+func (o *ejectionObserver) TargetReturned(state.TargetID, state.Service) { o.returned++ }
+
+// Guards against a target that has ended and is chosen again at once, because the slot of a stream
+// that ended with it is released as served before the end of the stream is checked.
+func TestStreamThatEndedWithItsTargetIsNotServed(t *testing.T) {
+	for _, closes := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			body, target := io.Pipe()
+			s := newService(&fakeTargetClient{behaviours: []behaviour{func(context.Context, *Forward) (Exchange, error) {
+				head := &state.Response{Status: 200, HasSignature: true, EndsWithConnection: !closes}
+				return &fakeExchange{head: head, Reader: body, closes: true, thenNotRunning: true, liveness: Ended}, nil
+			}}})
+			observer := &ejectionObserver{}
+			s.cfg.Scheduler = dispatch.New("a", 1, time.Now, observer, ratelimit.New(ratelimit.Config{Self: "self"}))
+			s.cfg.Scheduler.SetTargets([]state.TargetRecord{{ID: "t1", Service: "s", Address: "t1", Slots: 4}})
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				s.Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: "/stream/x", APIKey: "key"}, time.Now(), &recordingResponder{})
+			}()
+			io.WriteString(target, "id: 1\ndata: x\n\n")
+			other, err := s.cfg.Scheduler.Acquire(t.Context(), &dispatch.Request{Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Hour)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.cfg.Scheduler.Release(other, dispatch.Unreachable)
+			target.Close()
+			<-done
+			if observer.ejected != 1 || observer.returned != 0 {
+				t.Errorf("in chunks %t: ejected %d times, returned %d times; want 1, 0", closes, observer.ejected, observer.returned)
+			}
+		})
+	}
+}
