--- /dev/null
+++ b/internal/transport/engine/plainend_test.go
@@ -0,0 +1,55 @@
+package engine
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/side"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// Guards against a response in chunks, or an empty one, that passes for complete although its service
+// was told to end and has cancelled its handlers: the HTTP server of the service ends it properly.
+func TestPlainResponseInChunksEndingWithItsTargetIsUnknown(t *testing.T) {
+	for _, c := range []struct {
+		name, method, body string
+		status             int
+		ends, unknown      bool
+	}{
+		{"ends", http.MethodGet, "data: a\n\n", http.StatusOK, true, true},
+		{"ends before the first byte", http.MethodGet, "", http.StatusOK, true, true},
+		{"runs", http.MethodGet, "data: a\n\n", http.StatusOK, false, false},
+		{"ends behind a response to HEAD", http.MethodHead, "", http.StatusOK, true, false},
+		{"ends behind status 204", http.MethodGet, "", http.StatusNoContent, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.WriteHeader(c.status)
+				if c.body != "" {
+					io.WriteString(w, c.body)
+					http.NewResponseController(w).Flush() // in chunks
+				}
+				if c.ends {
+					listener.Close()
+				}
+			}))
+			client := New(Config{Address: listener.Addr().String(), PlainService: true, Log: zap.NewNop()})
+			_, err = client.Run(t.Context(), testAttempt, &state.Request{Kind: state.PlainCall, Method: c.method, Path: "/x"}, func(state.AttemptEvent) {})
+			var unknown *side.UnknownOutcomeError
+			if errors.As(err, &unknown) != c.unknown || !c.unknown && err != nil {
+				t.Errorf("error %v, want unknown %t", err, c.unknown)
+			}
+		})
+	}
+}
