Test: an address that accepts connections which nobody serves

Behind a stream whose target had announced the close of its connection, a check without any answer counts as a target that is full.

--- a/internal/transport/upstream/endingstop_test.go
+++ b/internal/transport/upstream/endingstop_test.go
@@ -52,3 +52,34 @@
 		})
 	}
 }
+
+// Guards against a cancelled stream that is passed on as complete because its target had announced
+// that it closes the connection, and its address accepts connections that nobody serves: those who
+// do not answer at all are not full.
+func TestSilentAddressDoesNotProveStreams(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		conn, err := ln.Accept() // others stay in the queue of the kernel
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		const event = "id: 1\ndata: x\n\n"
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nRequest-Id: %s\r\nResponse-Signature: signed\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
+			req.Header.Get("Request-Id"), len(event), event)
+		time.Sleep(20 * time.Millisecond)
+		io.WriteString(conn, "0\r\n\r\n")
+	}()
+	g := newGateway(New(), []string{ln.Addr().String()})
+	if s := serveStreams(t, g, "stream", []int{300}, func() {})[0]; s.complete {
+		t.Errorf("complete after %d of 300 events", s.events.Load())
+	}
+}
