--- a/internal/transport/engine/plain.go
+++ b/internal/transport/engine/plain.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"strings"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -20,10 +19,6 @@
 // chunk.
 const maxPlainChunkBytes = 32 << 10
 
-// endSettleTime is how long after the end of a response in chunks it is checked whether its target has
-// ended: a server that shuts down may accept connections for a moment after it has ended its responses.
-const endSettleTime = 25 * time.Millisecond
-
 // unforwardedHeaders lists, in lower case, the header fields that concern one
 // connection only (RFC 9110, section 7.6.1) or that the HTTP library sets itself.
 var unforwardedHeaders = map[string]bool{
@@ -73,18 +68,13 @@
 
 // forwardResponse passes the response to emit. headRequest says that the request is
 // a HEAD request. Reading a body that is shorter than its Content-Length, or a stream of
-// events that was broken off, ends with an error other than io.EOF. A body that has no stated length,
-// or nothing, is not complete if the target has ended with it: HTTP servers write the last chunk of a
-// response, or state a length of 0, when its handler is cancelled. Targets of side processes have no
-// identity that they could be asked for, so that one whose address still accepts connections counts as
-// running.
+// events that was broken off, ends with an error other than io.EOF. A body without length or
+// chunks is not complete if the target has ended with it. Targets of side processes have no identity
+// that they could be asked for, so that one whose address still accepts connections counts as running.
 func (c *Client) forwardResponse(ctx context.Context, call *httpCall, headRequest bool, emit func(state.AttemptEvent)) error {
 	emit(responseHead(call, headRequest))
-	noBody := headRequest || call.status() == fasthttp.StatusNoContent || call.status() == fasthttp.StatusNotModified
-	length := call.response.Header.ContentLength()
-	endsWithConnection := length == noLengthOrChunks
-	checksEnd := !noBody && (endsWithConnection || length <= 0 && call.status()/100 == 2)
-	body := newPlainBodyReader(call, noBody)
+	endsWithConnection := !headRequest && call.response.Header.ContentLength() == noLengthOrChunks
+	body := newPlainBodyReader(call, headRequest)
 	var offset uint64
 	received := 0
 	buffer := make([]byte, maxPlainChunkBytes)
@@ -95,13 +85,8 @@
 			offset++
 			received += n
 		}
-		if errors.Is(err, io.EOF) && checksEnd {
-			if !endsWithConnection {
-				pause(ctx, endSettleTime)
-			}
-			if netconn.HasEnded(ctx, c.cfg.Address) {
-				err = errEndsWithTarget
-			}
+		if errors.Is(err, io.EOF) && endsWithConnection && netconn.HasEnded(ctx, c.cfg.Address) {
+			err = errEndsWithTarget
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
--- a/internal/transport/engine/wholeevents.go
+++ b/internal/transport/engine/wholeevents.go
@@ -11,7 +11,7 @@
 // Errors of streams that were broken off, although their body ended without an error.
 var (
 	errEndsInsideEvent = errors.New("stream ended inside an event")
-	errEndsWithTarget  = errors.New("response without a stated length ended together with its target")
+	errEndsWithTarget  = errors.New("response without length or chunks ended together with its target")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
 )
 
@@ -23,13 +23,12 @@
 	maxUnframedEventBytes = 4 << 20
 )
 
-// newPlainBodyReader returns a reader of the body of a plain service's response. noBody says that it
-// has none.
-func newPlainBodyReader(call *httpCall, noBody bool) io.Reader {
+// newPlainBodyReader returns a reader of the body of a plain service's response.
+func newPlainBodyReader(call *httpCall, headRequest bool) io.Reader {
 	header := &call.response.Header
 	mediaType, _, err := mime.ParseMediaType(string(header.ContentType()))
 	switch {
-	case noBody || err != nil || mediaType != "text/event-stream":
+	case headRequest || err != nil || mediaType != "text/event-stream":
 		return call.bodyReader()
 	case header.ContentLength() == noLengthOrChunks:
 		return &unframedReader{in: eventstream.UnframedReader{Reader: eventstream.NewReader(call.bodyReader(), maxUnframedEventBytes, nil)}}
