Dispatcher: a slot can be returned before the outcome is known

The slot of a stream was released as served while its end was checked, so that a target that had ended counted as sound, and an ejected one returned at once. Ended returns the slot, and Release records the outcome. TestStreamThatEndedWithItsTargetIsNotServed failed before.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -159,24 +159,48 @@
 	s.release(g, o)
 }
 
-func (s *Scheduler) release(g *Grant, o Outcome) {
+// Ended returns the slot of a grant whose target has ended the response, while it is checked whether
+// the response is whole. Release records the outcome.
+func (s *Scheduler) Ended(g *Grant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := s.now(); s.returnSlot(g, now) {
+		g.endedAt = now
+		s.serveQueue(s.pool(g.request.Service))
+	}
+}
+
+// returnSlot returns the slot of a grant and reports whether it was held.
+func (s *Scheduler) returnSlot(g *Grant, now time.Time) bool {
 	t := g.target
 	if _, ok := t.openGrants[g]; !ok {
-		return
+		return false
 	}
 	delete(t.openGrants, g)
-	now := s.now()
+	delete(s.pool(g.request.Service).openGrants, g)
 	t.released = append(t.released, now)
+	return true
+}
+
+func (s *Scheduler) release(g *Grant, o Outcome) {
+	t, now := g.target, s.now()
+	ended := now
+	switch {
+	case s.returnSlot(g, now):
+	case g.endedAt.IsZero():
+		return // released before
+	default:
+		ended, g.endedAt = g.endedAt, time.Time{}
+	}
 	p := s.pool(g.request.Service)
-	s.calibration.observeEnd(g, o, now)
-	delete(p.openGrants, g)
+	s.calibration.observeEnd(g, o, ended)
 	if o == Served {
 		t.stated.served(t.record.Slots)
-		hold := now.Sub(g.grantedAt)
+		hold := ended.Sub(g.grantedAt)
 		p.holdTime += time.Duration(timeAverageWeight * float64(hold-p.holdTime))
 		if !g.request.Resumed {
 			p.cost.ObservePrediction(g.duration, hold)
-			p.cost.ObserveEnd(&t.cost, g.request.Work, g.Events, now.Sub(g.respondedAt), hold)
+			p.cost.ObserveEnd(&t.cost, g.request.Work, g.Events, ended.Sub(g.respondedAt), hold)
 		}
 	}
 	if o == Unreachable || o == Unused {
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -134,6 +134,7 @@
 	predictedEnd   time.Duration
 	calibrationKey calibrationKey
 	grantedAt      time.Time
+	endedAt        time.Time      // when Ended returned the slot; zero before, and after Release
 	respondedAt    time.Time      // zero before the response starts
 	versions       rollout.Choice // with the permit that the request uses, if any
 }
