Gateway: what the review of the check of ends has found

Cut streams were still passed on as complete, and whole ones broken off: - bytes behind the last chunk, or the end of a planned stop of the entry, hid the close of the connection, and counted as an open one; - another stream that went on for a moment vouched for one whose handler was cancelled before its own; it must go on for 300 ms now, and vouches for no stream that may be resumed, which is completed elsewhere; - streams that were cancelled together were judged one after another, and the last one no longer knew of the others; - an answer on an idle connection counted as proof although the target had closed its listener; it must accept a connection too; - a target seemed to refuse connections since the stream had ended, not since it was asked; - responses to HEAD and with status 204 counted as empty; - an end in chunks was recorded as evidence of a crash against prompts; - fields of the request were read while another attempt wrote them.

The time by which data had arrived has bounds, since the process may be paused between the two clocks, and is that of both checks of an end.

In TestAnswerOnIdleConnectionDoesNotProveStreams the connections are idle before the streams begin: the call that left one took 1.6 s, so that the streams were whole before the target was told to end, and the test failed whatever the code did.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -327,11 +327,10 @@
 		return a.outcomeOf(errEndsEarly), errEndsEarly
 	}
 	a.request.service.streams.ended(a)
-	if a.request.streamBegun && !head.EndsWithConnection {
-		// The target's slot is free while the end is checked.
-		a.request.service.cfg.Scheduler.Release(a.grant, dispatch.Served)
+	if !head.EndsWithConnection { // the slot is free while the end is checked
+		a.request.service.cfg.Scheduler.Ended(a.grant)
 	}
-	if err := a.checkEnd(head, ex, a.grant.Events == 0); err != nil {
+	if err := a.checkEnd(head, ex, a.grant.Events == 0 && mayHaveBody(a.request.call.Method, head.Status)); err != nil {
 		return a.outcomeOf(err), err
 	}
 	if !a.claim(true) {
--- a/internal/coordination/gateway/handover.go
+++ b/internal/coordination/gateway/handover.go
@@ -119,13 +119,13 @@
 // before limit.
 func (h *handOver) endArrivedBefore(limit time.Time) bool {
 	h.mu.Lock()
-	ex, ok := h.exchange.(ArrivalTimer)
+	ex, ok := h.exchange.(ConnectionWatcher)
 	h.mu.Unlock()
 	if !ok {
 		return false
 	}
-	at, known := ex.EndArrived()
-	return known && at.Before(limit)
+	_, latest, known := ex.Received()
+	return known && latest.Before(limit)
 }
 
 // giveBack releases the target that was to take over. The target that was asked to abandon the
--- a/internal/coordination/gateway/handoverstress_test.go
+++ b/internal/coordination/gateway/handoverstress_test.go
@@ -79,10 +79,14 @@
 }
 func (x *stressExchange) Reached() bool { return x.reached }
 
-// EndArrived implements ArrivalTimer. An early end arrives when the target makes it, however late the
+// StaysOpen implements ConnectionWatcher.
+func (x *stressExchange) StaysOpen(time.Duration) bool { return true }
+
+// Received implements ConnectionWatcher. An early end arrives when the target makes it, however late the
 // entry reads it.
-func (x *stressExchange) EndArrived() (time.Time, bool) {
-	return time.Unix(0, min(time.Now().UnixNano(), x.stream.endBy.Load())), true
+func (x *stressExchange) Received() (earliest, latest time.Time, known bool) {
+	at := time.Unix(0, min(time.Now().UnixNano(), x.stream.endBy.Load()))
+	return at, at, true
 }
 
 // stressStream is the response of one send.
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -122,11 +122,14 @@
 	Reached() bool
 }
 
-// ArrivalTimer is an Exchange that can tell when a response arrived that was read later.
-type ArrivalTimer interface {
-	// EndArrived returns a time by which the end of the response had arrived, after that was read,
-	// and whether it is known.
-	EndArrived() (at time.Time, known bool)
+// ConnectionWatcher is an Exchange that knows what happens on its connection.
+type ConnectionWatcher interface {
+	// StaysOpen reports whether the connection is still open, and idle, after a while behind the end
+	// of the body, which was read.
+	StaysOpen(wait time.Duration) bool
+	// Received returns the bounds of when the last data of the response arrived, also if it has not
+	// been read. known is false if they are not known, or if the end of the response is no data.
+	Received() (earliest, latest time.Time, known bool)
 }
 
 // Responder writes the response to the caller. At most one of Respond, Fail and
--- a/internal/coordination/gateway/refusedsince_test.go
+++ b/internal/coordination/gateway/refusedsince_test.go
@@ -20,18 +20,19 @@
 		}
 		r := &request{service: s, route: &state.Route{}}
 		whole, cancelled := &attempt{request: r, grant: grant, ctx: t.Context()}, &attempt{request: r, grant: grant, ctx: t.Context()}
-		s.streams.event(whole, time.Now(), 0)
-		s.streams.event(cancelled, time.Now(), 0)
+		whole.race, cancelled.race = newRace(whole), newRace(cancelled)
+		s.streams.begin(whole, &fakeExchange{receivedAt: time.Now()})
 		s.streams.ended(whole)
 		endedAt := time.Now()
-		time.Sleep(endSettleTime)
-		s.streams.event(cancelled, time.Now(), endSettleTime) // the last one; the target is told to end now
-		time.Sleep(endSettleTime)
-		whole.judgeEnd(announcedClose, RunCheck{Liveness: Ended, Refused: true}, endedAt)
+		time.Sleep(cancelTime)
+		check := RunCheck{Liveness: Ended, Refused: true}
+		whole.judgeEnd(announcedClose, check, endedAt, true)
+		s.streams.begin(cancelled, &fakeExchange{receivedAt: time.Now()})
 		s.streams.leave(whole)
+		time.Sleep(endSettleTime)
 		s.streams.ended(cancelled)
-		if s.streams.continuedRefusing(cancelled) {
-			t.Error("the stream seems to have gone on after connections were refused")
+		if complete, because := cancelled.judgeEnd(unannouncedClose, check, time.Now(), true); complete {
+			t.Errorf("the stream is complete because %q", because)
 		}
 	})
 }
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -95,8 +95,11 @@
 	io.Reader
 }
 
-func (e *fakeExchange) ClosedWithin(time.Duration) bool { return e.closes }
-func (e *fakeExchange) ReceivedAt() (time.Time, bool)   { return e.receivedAt, !e.receivedAt.IsZero() }
+func (e *fakeExchange) StaysOpen(time.Duration) bool { return !e.closes }
+
+func (e *fakeExchange) Received() (earliest, latest time.Time, known bool) {
+	return e.receivedAt, e.receivedAt, !e.receivedAt.IsZero()
+}
 
 func (e *fakeExchange) Head() (*state.Response, error) { return e.head, e.headErr }
 func (e *fakeExchange) Close(bool)                     {}
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,28 +18,18 @@
 	// A server that shuts down may still answer for a moment after it has ended its responses, so
 	// that it is asked endSettleTime later.
 	endSettleTime = 25 * time.Millisecond
-	// survivorTime is how long another stream of a target may take to show that the target still
-	// writes streams.
-	survivorTime         = 300 * time.Millisecond
-	survivorPollInterval = 5 * time.Millisecond
 	// maxBelievedCheckTime bounds the check of a target that is believed if it cannot be asked.
 	maxBelievedCheckTime = 250 * time.Millisecond
 	// Responses that end within endTogetherTime may have been ended by the same event.
 	endTogetherTime = 25 * time.Millisecond
-	// cancelTime is how long a handler may take to return after it was cancelled.
-	cancelTime = 100 * time.Millisecond
+	// cancelTime is how long a handler may take to return after it was cancelled: those that write
+	// streams notice it between two events.
+	cancelTime = 150 * time.Millisecond
+	// Another stream shows that its target still writes streams if it goes on for survivorTime.
+	survivorTime         = 300 * time.Millisecond
+	survivorPollInterval = 10 * time.Millisecond
 )
 
-// CloseWatcher is an Exchange that can watch the connection behind the end of its response.
-type CloseWatcher interface {
-	// ClosedWithin reports whether the target closes the connection within wait after the end of
-	// the body, which was read.
-	ClosedWithin(wait time.Duration) bool
-	// ReceivedAt returns when the last data of the response arrived, also if it has not been read;
-	// ok is false if that is not known.
-	ReceivedAt() (at time.Time, ok bool)
-}
-
 // endDoubt is why the end of a response does not show that the response is complete.
 type endDoubt uint8
 
@@ -50,7 +41,8 @@
 	// endedTogether: all streams that the target writes for this entry have ended at the same
 	// moment.
 	endedTogether
-	// unannouncedClose: the target closes the connection although it had not announced that.
+	// unannouncedClose: the connection does not stay open and idle behind the response although
+	// the target had not announced that.
 	unannouncedClose
 	// connectionEnd: only the end of the connection marks that of the response.
 	connectionEnd
@@ -74,17 +66,22 @@
 
 // targetStreams are the streams of one target.
 type targetStreams struct {
-	open map[*attempt]*openStream
+	streams map[*attempt]*loggedStream
+	// ends are when the last responses ended, of attempts that have left. The oldest come first.
+	ends []time.Time
 	// refusesSince is when the target was first known to refuse connections; zero if it was not.
 	refusesSince time.Time
 }
 
-// openStream is a stream that has begun and whose attempt has not ended.
-type openStream struct {
+// loggedStream is a stream that has begun and whose attempt has not ended.
+type loggedStream struct {
 	exchange Exchange
 	ended    bool // the response has ended
 }
 
+// endsKept bounds the ends that are remembered for each target.
+const endsKept = 32
+
 // begin records a stream.
 func (l *streamLog) begin(a *attempt, ex Exchange) {
 	l.mu.Lock()
@@ -94,83 +91,92 @@
 	}
 	t := l.targets[a.grant.Target.ID]
 	if t == nil {
-		t = &targetStreams{open: make(map[*attempt]*openStream)}
+		t = &targetStreams{streams: make(map[*attempt]*loggedStream)}
 		l.targets[a.grant.Target.ID] = t
 	}
-	t.open[a] = &openStream{exchange: ex}
+	t.streams[a] = &loggedStream{exchange: ex}
 }
 
 // ended records that the response of a stream has ended. The stream stays known until leave.
 func (l *streamLog) ended(a *attempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t := l.targets[a.grant.Target.ID]; t != nil && t.open[a] != nil {
-		t.open[a].ended = true
+	if t := l.targets[a.grant.Target.ID]; t != nil && t.streams[a] != nil {
+		t.streams[a].ended = true
 	}
 }
 
-// leave forgets a stream.
+// leave forgets a stream but for its end.
 func (l *streamLog) leave(a *attempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.targets[a.grant.Target.ID]
-	if t == nil {
+	if t == nil || t.streams[a] == nil {
 		return
 	}
-	if delete(t.open, a); len(t.open) == 0 {
+	if s := t.streams[a]; s.ended {
+		if at, known := receivedAt(s.exchange); known {
+			if t.ends = append(t.ends, at); len(t.ends) > endsKept {
+				t.ends = t.ends[1:]
+			}
+		}
+	}
+	if delete(t.streams, a); len(t.streams) == 0 {
 		delete(l.targets, a.grant.Target.ID)
 	}
 }
 
-// refuses records that a target refuses connections, and has done so since the given time.
-func (l *streamLog) refuses(id state.TargetID, since time.Time) {
+// refuses records that a target refuses connections, and has done so since the given time. It returns
+// since when the target is known to.
+func (l *streamLog) refuses(id state.TargetID, since time.Time) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t := l.targets[id]; t != nil && (t.refusesSince.IsZero() || since.Before(t.refusesSince)) {
-		t.refusesSince = since
+	t := l.targets[id]
+	if t == nil {
+		return since
 	}
-}
-
-// refusesSince returns when a target was first known to refuse connections; zero if it was not.
-func (l *streamLog) refusesSince(id state.TargetID) time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if t := l.targets[id]; t != nil {
-		return t.refusesSince
+	if t.refusesSince.IsZero() || since.Before(t.refusesSince) {
+		t.refusesSince = since
 	}
-	return time.Time{}
+	return t.refusesSince
 }
 
 // others returns what is known of the other streams of the target of a, whose response has ended at
-// the given time: how many of them have ended at the same moment, how many go on, and whether data of
-// one of these has arrived so much later that its handler was not cancelled then.
-func (l *streamLog) others(a *attempt, end time.Time) (together, open int, survives bool) {
+// the given time: whether one has ended at the same moment, how many go on, and whether data of one
+// of these has arrived so much later that its handler was not cancelled then.
+func (l *streamLog) others(a *attempt, end time.Time) (together bool, open int, survives bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.targets[a.grant.Target.ID]
 	if t == nil {
-		return 0, 0, false
+		return false, 0, false
 	}
-	for o, s := range t.open {
+	near := func(at time.Time) bool { return at.Sub(end).Abs() <= endTogetherTime }
+	together = slices.ContainsFunc(t.ends, near)
+	for o, s := range t.streams {
+		if o == a {
+			continue
+		}
 		at, known := receivedAt(s.exchange)
-		switch {
-		case o == a:
-		case !s.ended:
-			open++
-			survives = survives || known && at.After(end.Add(cancelTime))
-		case !known || at.Sub(end).Abs() <= endTogetherTime:
-			together++
+		if s.ended {
+			together = together || !known || near(at)
+			continue
 		}
+		open++
+		survives = survives || known && at.After(end.Add(cancelTime))
 	}
 	return together, open, survives
 }
 
-// receivedAt returns when the last data of a response arrived, if that is known.
+// receivedAt returns the earliest time at which the last data of a response may have arrived, if that
+// is known.
 func receivedAt(ex Exchange) (at time.Time, known bool) {
-	if w, ok := ex.(CloseWatcher); ok {
-		return w.ReceivedAt()
+	w, ok := ex.(ConnectionWatcher)
+	if !ok {
+		return time.Time{}, false
 	}
-	return time.Time{}, false
+	at, _, known = w.Received()
+	return at, known
 }
 
 // checkEnd returns an error if the end of a response does not show that the response is complete: it
@@ -182,7 +188,7 @@
 	if head.HasLength && !empty || !head.EndsWithConnection && !isSuccess(head.Status) {
 		return nil
 	}
-	r := a.request
+	// What the target does behind the end is compared with when the end arrived. It may be read later.
 	arrivedAt, known := receivedAt(ex)
 	if !known {
 		arrivedAt = time.Now()
@@ -199,12 +205,15 @@
 	}
 	pause(ctx, endSettleTime)
 	asked := time.Now()
+	r := a.request
 	check := r.service.cfg.TargetClient.CheckRunning(ctx, &a.grant.Target, r.table.Config.HealthPaths[a.grant.Target.Service])
 	complete, because := a.judgeEnd(doubt, check, arrivedAt, known)
 	r.recordRunCheck(a, doubt, check, because, time.Since(asked))
 	switch {
 	case complete:
 		return nil
+	case doubt != connectionEnd:
+		return errEndsWithHandler
 	case check.Liveness == Ended:
 		return errEndsWithTarget
 	default:
@@ -221,7 +230,7 @@
 	if head.AnnouncesClose {
 		return announcedClose
 	}
-	w, ok := ex.(CloseWatcher)
+	w, ok := ex.(ConnectionWatcher)
 	if !ok {
 		return noDoubt
 	}
@@ -229,26 +238,26 @@
 	if !a.request.service.cfg.Scheduler.Serves(a.grant) {
 		wait = leavingEndWatchTime
 	}
-	if w.ClosedWithin(wait) {
+	if !w.StaysOpen(wait) {
 		return unannouncedClose
 	}
-	if together, open, _ := a.request.service.streams.others(a, arrivedAt); together > 0 && open == 0 {
+	if together, open, _ := a.request.service.streams.others(a, arrivedAt); together && open == 0 {
 		return endedTogether
 	}
 	return noDoubt
 }
 
-// judgeEnd decides whether a response is complete whose end is in doubt. because says why it is,
-// although the check does not prove it. Of a response that was read late, only the time at which its
-// end arrived, if it is known, can be compared with what the target did.
+// judgeEnd decides whether a response is complete whose end is in doubt and arrived at arrivedAt, if
+// that is known. because says why it is, although the check does not prove it.
 func (a *attempt) judgeEnd(doubt endDoubt, check RunCheck, arrivedAt time.Time, known bool) (complete bool, because string) {
-	r := a.request
 	switch {
 	case check.Liveness == Running:
 		return true, ""
+	case a.ctx.Err() != nil: // the check was cut short
+		return false, ""
 	case check.Liveness == Unproved && !doubt.needsProof():
 		return true, "target_not_asked"
-	case !check.Refused || !known:
+	case doubt == connectionEnd || !check.Refused || !known || a.mayGoOnElsewhere():
 		return false, ""
 	}
 	// A server that shuts down accepts no connections, but may finish its streams.
@@ -256,38 +265,41 @@
 	if !check.IdleClosedAt.IsZero() {
 		refusesSince = check.IdleClosedAt
 	}
-	r.service.streams.refuses(a.grant.Target.ID, refusesSince)
-	if a.targetSurvives(arrivedAt) {
-		return true, "other_stream_goes_on"
-	}
-	if since := r.service.streams.refusesSince(a.grant.Target.ID); !since.IsZero() {
-		refusesSince = since
+	streams := &a.request.service.streams
+	refusesSince = streams.refuses(a.grant.Target.ID, refusesSince)
+	if together, _, _ := streams.others(a, arrivedAt); together {
+		return false, ""
 	}
-	// The target has gone on with the response while it accepted no connections. It may still have
-	// cancelled its handlers when its time ran out, so a stream that may be resumed is.
-	mayGoOn := r.route.Resumable && !r.positionUnknown && r.possibleRuns+1 < r.maxRuns()
-	together, _, _ := r.service.streams.others(a, arrivedAt)
-	if doubt != connectionEnd && !mayGoOn && together == 0 && arrivedAt.After(refusesSince.Add(cancelTime)) {
+	if arrivedAt.After(refusesSince.Add(cancelTime)) {
 		return true, "went_on_while_refusing"
 	}
+	if a.targetSurvives(arrivedAt) {
+		return true, "other_stream_goes_on"
+	}
 	return false, ""
 }
 
-// targetSurvives reports whether another stream of the target goes on after the end of this one, which
-// arrived at arrivedAt.
+// mayGoOnElsewhere reports whether the response can be completed by another target, which adds nothing
+// to one that was whole: another attempt runs beside this one, or the stream may be resumed.
+func (a *attempt) mayGoOnElsewhere() bool {
+	if a.race.contested() {
+		return true
+	}
+	r := a.request
+	return r.route.Resumable && !r.positionUnknown && r.possibleRuns+1 < r.maxRuns()
+}
+
+// targetSurvives reports whether another stream of the target goes on for survivorTime after the end of
+// this one, which arrived at arrivedAt.
 func (a *attempt) targetSurvives(arrivedAt time.Time) bool {
-	ctx, cancel := context.WithTimeout(a.ctx, survivorTime)
-	defer cancel()
-	for seen := false; ; {
+	for {
 		_, open, survives := a.request.service.streams.others(a, arrivedAt)
 		switch {
-		case survives && seen:
-			return true
-		case open == 0 || ctx.Err() != nil:
+		case open == 0 || a.ctx.Err() != nil:
 			return false
+		case time.Since(arrivedAt) >= survivorTime:
+			return survives
 		}
-		// What has arrived may be the end of the other stream, which is read meanwhile.
-		seen = survives
-		pause(ctx, survivorPollInterval)
+		pause(a.ctx, survivorPollInterval)
 	}
 }
--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -106,6 +106,7 @@
 			s := newService(&fakeTargetClient{})
 			r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute, Resumable: c.resumable, MaxAttempts: 3}}
 			a := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
+			a.race = newRace(a)
 			s.streams.begin(a, &fakeExchange{})
 			if !c.refusesSince.IsZero() {
 				s.streams.refuses("t", c.refusesSince)
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -54,8 +54,13 @@
 }
 func (e *fakeExchange) Close(bool) {}
 
-// EndArrived implements gateway.ArrivalTimer.
-func (e *fakeExchange) EndArrived() (time.Time, bool) { return e.arrived, !e.arrived.IsZero() }
+// StaysOpen implements gateway.ConnectionWatcher.
+func (e *fakeExchange) StaysOpen(time.Duration) bool { return true }
+
+// Received implements gateway.ConnectionWatcher.
+func (e *fakeExchange) Received() (earliest, latest time.Time, known bool) {
+	return e.arrived, e.arrived, !e.arrived.IsZero()
+}
 
 type noObserver struct{}
 
--- a/internal/transport/netconn/conn.go
+++ b/internal/transport/netconn/conn.go
@@ -122,24 +122,6 @@
 	return err == nil && !inTransit(info), err == nil
 }
 
-// arrivalMargin is above the resolution of the kernel's clock for received data, 10 ms at most.
-const arrivalMargin = 20 * time.Millisecond
-
-// LastArrival returns a time by which all data that the peer has sent so far had arrived, read or
-// not, as far as that is known. The end of the connection is no data.
-func (c *conn) LastArrival() (at time.Time, known bool) {
-	if !infoAvailable() {
-		return time.Time{}, false
-	}
-	info, err := c.info()
-	if err != nil {
-		return time.Time{}, false
-	}
-	// The time is taken after the age, so that a pause of the process in between makes the result
-	// later and not earlier.
-	return time.Now().Add(arrivalMargin - time.Duration(info.Last_data_recv)*time.Millisecond), true
-}
-
 // limit sets TCP_USER_TIMEOUT to silenceTimeout or to none. c.mu is held.
 func (c *conn) limit(limited bool) {
 	if limited == c.limited {
--- a/internal/transport/netconn/ended.go
+++ b/internal/transport/netconn/ended.go
@@ -55,25 +55,31 @@
 	return ended
 }
 
-// ReceivedAt returns when the last data arrived on a connection, by the clock of the kernel. It does not
-// depend on when the data is read. ok is false if the kernel does not tell.
-func ReceivedAt(c net.Conn) (at time.Time, ok bool) {
+// clockMargin is above the resolution of the kernel's clock of connections, 10 ms at most.
+const clockMargin = 20 * time.Millisecond
+
+// Received returns the bounds of when the last data arrived on a connection, read or not, by the clock
+// of the kernel. The end of the connection is no data. ok is false if the kernel does not tell.
+func Received(c net.Conn) (earliest, latest time.Time, ok bool) {
+	before := time.Now()
 	info := infoOf(c)
 	if info == nil {
-		return time.Time{}, false
+		return time.Time{}, time.Time{}, false
 	}
-	return time.Now().Add(-time.Duration(info.Last_data_recv) * time.Millisecond), true
+	// The process may be paused between the two times.
+	age := time.Duration(info.Last_data_recv) * time.Millisecond
+	return before.Add(-age - clockMargin), time.Now().Add(clockMargin - age), true
 }
 
-// ClosedAt returns when the peer closed an idle connection. ok is false if it has not, or if the
-// kernel does not tell.
-func ClosedAt(c net.Conn) (at time.Time, ok bool) {
+// ClosedBy returns a time by which the peer had closed an idle connection. ok is false if it has not,
+// or if the kernel does not tell.
+func ClosedBy(c net.Conn) (at time.Time, ok bool) {
 	info := infoOf(c)
 	if info == nil || info.State != unix.BPF_TCP_CLOSE_WAIT {
 		return time.Time{}, false
 	}
 	// The segment that closes a connection is an acknowledgement too, and no other follows it.
-	return time.Now().Add(-time.Duration(info.Last_ack_recv) * time.Millisecond), true
+	return time.Now().Add(clockMargin - time.Duration(info.Last_ack_recv)*time.Millisecond), true
 }
 
 // infoOf returns what TCP_INFO says about a connection, or nil.
--- a/internal/transport/netconn/times_test.go
+++ b/internal/transport/netconn/times_test.go
@@ -27,26 +27,27 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, closed := ClosedAt(c); closed {
+	if _, closed := ClosedBy(c); closed {
 		t.Error("the connection counts as closed while it is open")
 	}
+	sent := time.Now()
 	if _, err := io.WriteString(peer, "x"); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(100 * time.Millisecond)
-	sentBefore := time.Now()
+	closing := time.Now()
 	peer.Close()
 	time.Sleep(100 * time.Millisecond)
 	closed := time.Now()
 	if _, err := c.Read(make([]byte, 1)); err != nil {
 		t.Fatal(err)
 	}
-	received, ok := ReceivedAt(c)
-	if !ok || !received.Before(sentBefore) {
-		t.Errorf("data received at %s, known %t; want a time before %s", received, ok, sentBefore)
+	earliest, latest, ok := Received(c)
+	if !ok || !earliest.Before(sent) || latest.Before(sent) || !latest.Before(closing) {
+		t.Errorf("data received between %s and %s, known %t; sent at %s, long before %s", earliest, latest, ok, sent, closing)
 	}
-	at, ok := ClosedAt(c)
-	if !ok || !at.After(received) || !at.Before(closed) {
-		t.Errorf("closed at %s, known %t; want a time between %s and %s", at, ok, received, closed)
+	at, ok := ClosedBy(c)
+	if !ok || at.Before(closing) || !at.Before(closed) {
+		t.Errorf("closed by %s, known %t; want a time between %s and %s", at, ok, closing, closed)
 	}
 }
--- a/internal/transport/upstream/arrival_test.go
+++ b/internal/transport/upstream/arrival_test.go
@@ -55,7 +55,7 @@
 			if body, err := io.ReadAll(ex); err != nil || string(body) != "ok" {
 				t.Fatalf("body %q, error %v", body, err)
 			}
-			at, known := ex.(gateway.ArrivalTimer).EndArrived()
+			_, at, known := ex.(gateway.ConnectionWatcher).Received()
 			if known != c.known {
 				t.Fatalf("known %t, want %t", known, c.known)
 			}
--- a/internal/transport/upstream/endingforms_test.go
+++ b/internal/transport/upstream/endingforms_test.go
@@ -47,11 +47,14 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
-		w.Header().Set("Instance-Id", ln.Addr().String())
+		if r.Header.Get("Request-Id") == "" { // a check of the target's health
+			w.Header().Set("Instance-Id", ln.Addr().String())
+			return
+		}
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		w.Header().Set("Response-Signature", "signed")
 		_, text, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-		events, _ := strconv.Atoi(text) // 0 for a check of the target's health
+		events, _ := strconv.Atoi(text) // the path ends with a number
 		if events > 0 {
 			mu.Lock()
 			cancels = append(cancels, cancel)
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -28,7 +28,7 @@
 	head      *state.Response // decoded from resp
 	withdrawn atomic.Bool     // the sending side of the connection is closed
 	closeOnce sync.Once
-	unusable  bool // ClosedWithin has found the connection closed, or something on it
+	unusable  bool // StaysOpen has found the connection closed, or something on it
 }
 
 // write writes the request. The error says that the connection took none of it. Targets may
@@ -198,27 +198,23 @@
 	return n, err
 }
 
-// ClosedWithin implements gateway.CloseWatcher. What is read behind the response belongs to no request.
-func (e *exchange) ClosedWithin(wait time.Duration) bool {
+// StaysOpen implements gateway.ConnectionWatcher. What is read behind the response belongs to no
+// request.
+func (e *exchange) StaysOpen(wait time.Duration) bool {
 	if e.conn.reader.Buffered() > 0 {
 		return false
 	}
-	closed, idle := netconn.EndsWithin(e.conn, wait)
+	_, idle := netconn.EndsWithin(e.conn, wait)
 	e.unusable = !idle
-	return closed
+	return idle
 }
 
-// ReceivedAt implements gateway.CloseWatcher.
-func (e *exchange) ReceivedAt() (at time.Time, ok bool) { return netconn.ReceivedAt(e.conn.Conn) }
-
-// EndArrived implements gateway.ArrivalTimer. The end of the connection is no data, so that the
-// arrival of an end that only it marks is not known.
-func (e *exchange) EndArrived() (at time.Time, known bool) {
-	c, ok := e.conn.Conn.(interface{ LastArrival() (time.Time, bool) })
-	if !ok || e.head.EndsWithConnection {
-		return time.Time{}, false
+// Received implements gateway.ConnectionWatcher.
+func (e *exchange) Received() (earliest, latest time.Time, known bool) {
+	if e.head == nil || e.head.EndsWithConnection {
+		return time.Time{}, time.Time{}, false
 	}
-	return c.LastArrival()
+	return netconn.Received(e.conn.Conn)
 }
 
 // identified reports whether the response names the request. If not, the connection is not
@@ -259,6 +255,6 @@
 		conn.Close()
 		return
 	}
-	conn.expiresAt = time.Now().Add(idle)
+	conn.expiresAt, conn.answered = time.Now().Add(idle), true
 	c.pushIdle(conn)
 }
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -172,6 +172,10 @@
 	if err != nil || answer.NotRun && !answer.Misdirected || answer.Instance == "" {
 		return false
 	}
+	if c.Refuses(ctx, key.address) { // it may have closed its listener, and be about to end
+		check.Liveness, check.Refused = gateway.Ended, true
+		return true
+	}
 	check.Liveness = livenessOf(answer.Instance, key.target)
 	return true
 }
@@ -324,7 +328,10 @@
 	defer c.mu.Unlock()
 	var last time.Time
 	for _, conn := range c.idle[address] {
-		at, closed := netconn.ClosedAt(conn.Conn)
+		if !conn.answered {
+			continue
+		}
+		at, closed := netconn.ClosedBy(conn.Conn)
 		if !closed {
 			return time.Time{}
 		}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -65,10 +65,9 @@
 }
 
 var (
-	_ gateway.TargetClient = (*Client)(nil)
-	_ gateway.Withdrawer   = (*exchange)(nil)
-	_ gateway.CloseWatcher = (*exchange)(nil)
-	_ gateway.ArrivalTimer = (*exchange)(nil)
+	_ gateway.TargetClient      = (*Client)(nil)
+	_ gateway.Withdrawer        = (*exchange)(nil)
+	_ gateway.ConnectionWatcher = (*exchange)(nil)
 )
 
 // ConnectionsOpened returns the number of connections opened so far, to all targets.
@@ -91,6 +90,9 @@
 	// probed says that a probe was answered on it. The answer names no request, and a late copy of
 	// it must not be taken for the response to one.
 	probed bool
+	// answered says that a response was read on it. A server that shuts down leaves other
+	// connections open for a while.
+	answered bool
 }
 
 func newConnection(conn net.Conn, address string) *connection {
