--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -92,8 +92,8 @@
 	// Quarantine knows the parts of prompts, and the contents of requests, that crash targets.
 	Quarantine *quarantine.Ledger
 	// Origins remembers where streams began. AskOrigin asks other entries where the stream
-	// of a request began, which is at service, unless that is empty, if nothing else is known.
-	// The error says why none knew.
+	// of a request began, which is at service if nothing else is known. The error says why
+	// none knew.
 	Origins   *origin.Log
 	AskOrigin func(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, error)
 	// RetryRatio, RetryWindow, RetrySlack and RetrySlackFrom bound the repeated sends for
@@ -123,8 +123,6 @@
 	started    time.Time
 	table      atomic.Pointer[routing.Table]
 	configured chan struct{} // closed with the first configuration
-	// configuring is held while a configuration is put into effect.
-	configuring sync.Mutex
 	// running ends with EndRequests.
 	running     context.Context
 	endRequests context.CancelFunc
@@ -150,21 +148,18 @@
 // SetConfiguration puts a configuration into effect unless the one in effect has the
 // same or a newer version. It reports whether it did.
 func (s *Service) SetConfiguration(c *state.Configuration) bool {
-	s.configuring.Lock()
-	defer s.configuring.Unlock()
-	old := s.table.Load()
-	if old != nil && old.Config.Version >= c.Version {
-		return false
-	}
-	t := routing.New(c)
-	// Before the configuration takes effect, so that no stream is taken up at a service to which
-	// its route has just been moved.
-	s.cfg.Origins.SetRoutes(time.Now(), sharingServices(t), movedServices(old, t))
-	s.table.Store(t)
-	if old == nil {
-		close(s.configured)
+	for {
+		old := s.table.Load()
+		if old != nil && old.Config.Version >= c.Version {
+			return false
+		}
+		if s.table.CompareAndSwap(old, routing.New(c)) {
+			if old == nil {
+				close(s.configured)
+			}
+			return true
+		}
 	}
-	return true
 }
 
 // Configuration returns the configuration in effect, or nil.
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
-	"github.com/cassiaramp/cassiaramp/internal/coordination/routing"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -44,11 +42,7 @@
 	var err error
 	if !ok {
 		source = "other_entry"
-		service := r.targetService
-		if r.service.cfg.Origins.Shared(time.Now(), service) {
-			service = "" // an entry that does not know of the move yet must not take it for granted
-		}
-		if o, err = r.service.cfg.AskOrigin(ctx, r.call.ResumedRequest, service); err != nil {
+		if o, err = r.service.cfg.AskOrigin(ctx, r.call.ResumedRequest, r.targetService); err != nil {
 			source = "unknown"
 		}
 	}
@@ -102,49 +96,3 @@
 		}
 	}
 }
-
-// sharingServices returns the services that share a route whose streams may be taken up.
-func sharingServices(t *routing.Table) (services []state.Service) {
-	for i := range t.Config.Routes {
-		if route := &t.Config.Routes[i]; mayBeTakenUp(route) && len(route.Split) > 1 {
-			services = append(services, servicesOf(route)...)
-		}
-	}
-	return services
-}
-
-// movedServices returns the services to or from which a route whose streams may be taken up has been
-// moved. old is nil for the first configuration.
-func movedServices(old, t *routing.Table) (services []state.Service) {
-	if old == nil {
-		return nil
-	}
-	// Both ways, because a route that is added or removed changes where the paths of another lead.
-	for _, way := range [][2]*routing.Table{{old, t}, {t, old}} {
-		for i := range way[0].Config.Routes {
-			route := &way[0].Config.Routes[i]
-			other := way[1].Route(route.Host, route.Prefix)
-			if other == nil || !mayBeTakenUp(route) && !mayBeTakenUp(other) {
-				continue
-			}
-			if a, b := servicesOf(route), servicesOf(other); !slices.Equal(a, b) {
-				services = append(append(services, a...), b...)
-			}
-		}
-	}
-	return services
-}
-
-// mayBeTakenUp reports whether callers may take up streams of the route.
-func mayBeTakenUp(route *state.Route) bool {
-	return route.Kind == state.StreamingRoute && route.Resumable
-}
-
-// servicesOf returns the services of a route in order.
-func servicesOf(route *state.Route) (services []state.Service) {
-	for _, w := range route.Split {
-		services = append(services, w.Service)
-	}
-	slices.Sort(services)
-	return slices.Compact(services)
-}
--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -1,9 +1,8 @@
 // Package origin remembers at which service and software version streams began, so that
 // a caller can take a stream up through any entry and it goes on at that version. Entries
 // tell each other the origins of their streams while several versions of a service
-// serve, or have served lately, and while a route leads to several services, or has been
-// moved lately. Otherwise every stream of the route began at one version of one service,
-// and nothing needs to be told.
+// serve, or have served lately. While there is only one, every stream of the service
+// began there, and nothing needs to be told.
 //
 // Invariant: an origin is reported as known only if the stream cannot have begun at
 // another version.
@@ -40,11 +39,6 @@
 	maxIsolation = 2 * time.Second
 )
 
-// otherService stands for all versions of the other services at which streams of a service's
-// routes may have begun. In the versions of a service, it makes the origin of its streams as
-// uncertain as a second version does, here and at the entries that read Mixed.
-const otherService state.SoftwareVersion = "(other service)"
-
 // Origin is where a stream began.
 type Origin struct {
 	Service  state.Service
@@ -75,7 +69,6 @@
 type service struct {
 	listed map[state.SoftwareVersion]bool
 	leftAt map[state.SoftwareVersion]time.Time // of versions that are no longer listed
-	shares bool                                // routes with other services
 }
 
 type stream struct {
@@ -142,34 +135,6 @@
 	}
 }
 
-// SetRoutes takes a new configuration. sharing are the services that share a route with others
-// now, and moved those to or from which a route has been moved, as far as the streams of the
-// routes may be taken up.
-func (l *Log) SetRoutes(now time.Time, sharing, moved []state.Service) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, s := range l.services {
-		if s.shares {
-			s.leftAt[otherService] = now
-		}
-		s.shares = false
-	}
-	for _, name := range sharing {
-		l.service(name).shares = true
-	}
-	for _, name := range moved {
-		l.service(name).leftAt[otherService] = now
-	}
-}
-
-// Shared reports whether a stream of a route that leads to the service, and that is taken up now,
-// may have begun at another service.
-func (l *Log) Shared(now time.Time, name state.Service) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.Contains(l.versions(now, name), otherService)
-}
-
 func (l *Log) service(name state.Service) *service {
 	s := l.services[name]
 	if s == nil {
@@ -192,11 +157,8 @@
 		}
 	}
 	versions := slices.Collect(maps.Keys(s.listed))
-	if s.shares {
-		versions = append(versions, otherService)
-	}
 	for version := range s.leftAt {
-		if !slices.Contains(versions, version) {
+		if !s.listed[version] {
 			versions = append(versions, version)
 		}
 	}
@@ -219,7 +181,7 @@
 }
 
 // Mixed returns the versions of the services of which several are known that serve or
-// have served lately, or whose routes lead to other services or did lately.
+// have served lately.
 func (l *Log) Mixed(now time.Time) map[state.Service][]state.SoftwareVersion {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -230,7 +192,7 @@
 func (l *Log) mixed(now time.Time) map[state.Service][]state.SoftwareVersion {
 	mixed := make(map[state.Service][]state.SoftwareVersion)
 	for name := range l.services {
-		if versions := l.versions(now, name); len(versions) > 1 || slices.Contains(versions, otherService) {
+		if versions := l.versions(now, name); len(versions) > 1 {
 			mixed[name] = versions
 		}
 	}
@@ -295,7 +257,7 @@
 	if s, ok := l.streams[hashRequest(id)]; ok && id != "" && !now.After(s.expires) {
 		return s.origin, true
 	}
-	if versions := l.versions(now, service); l.covered(now) && len(versions) == 1 && versions[0] != otherService {
+	if versions := l.versions(now, service); l.covered(now) && len(versions) == 1 {
 		return Origin{service, versions[0]}, true
 	}
 	return Origin{}, false
