--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -19,9 +19,8 @@
 const (
 	// probeTimeout bounds a probe with all its tries. The caller has all events of its stream
 	// meanwhile, and waits for the end, for 2 s at least. On a busy machine, opening a connection
-	// alone may take longer than a try, and a whole stream would be broken off. Pauses of the process
-	// do not count: beside a load of 28 on 8 processors, a check was over after one try, in which the
-	// process had hardly run. maxProbeTime bounds a probe with all pauses.
+	// alone may take longer than a try, and a whole stream would be broken off. For the same reason,
+	// pauses of the process do not count. maxProbeTime bounds a probe with all pauses.
 	probeTimeout = 1500 * time.Millisecond
 	maxProbeTime = 4 * time.Second
 	// runningTimeUnit is how often the time is taken in which the process runs. It has paused if it
