--- a/internal/transport/upstream/identity_test.go
+++ b/internal/transport/upstream/identity_test.go
@@ -185,6 +185,9 @@
 				client = pooled(t, target)
 			}
 			check := client.CheckRunning(t.Context(), &target, "/health")
+			for accepted.Load() < c.opened && t.Context().Err() == nil {
+				time.Sleep(time.Millisecond) // the target may accept after the client has connected
+			}
 			if n := accepted.Load(); check.Liveness != gateway.Running || n != c.opened {
 				t.Errorf("check %+v after %d connections, want running after %d", check, n, c.opened)
 			}
