Gateway: the log of streams answers one question at a time

Cause: others() answered three questions at once.

Change: othersGoOn, endedTogether and otherSurvives take its place, and the kernel is asked only by the last two, when their answer is needed. checkEnd itself knows which responses may have a body, countEvent begins the record of a stream where it sees the first event, and Delivered uses the one place that asks for TCP_INFO.

Result: behaviour is unchanged. The tests of the end of streams pass, also with the race detector.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -118,7 +118,7 @@
 	}
 	if err == nil {
 		a.handOver.goesOn() // the answer is there, however long its check takes and slowly the caller reads it
-		err = a.checkEnd(head, ex, len(body) == 0 && mayHaveBody(r.call.Method, head.Status))
+		err = a.checkEnd(head, ex, len(body) == 0)
 	}
 	if err != nil {
 		return a.outcomeOf(err), err
@@ -298,10 +298,7 @@
 		// A comment shows only that the target is alive, not that the stream goes on.
 		if event.hasField {
 			a.handOver.expect(r.eventGapTimeout())
-			if a.grant.Events == 0 {
-				r.service.streams.begin(a, ex)
-			}
-			a.countEvent()
+			a.countEvent(ex)
 		}
 		if err := r.forwardEvent(a.grant, head, event); err != nil {
 			a.cancel(err)
@@ -330,7 +327,7 @@
 	if !head.EndsWithConnection { // the slot is free while the end is checked
 		a.request.service.cfg.Scheduler.Ended(a.grant)
 	}
-	if err := a.checkEnd(head, ex, a.grant.Events == 0 && mayHaveBody(a.request.call.Method, head.Status)); err != nil {
+	if err := a.checkEnd(head, ex, a.grant.Events == 0); err != nil {
 		return a.outcomeOf(err), err
 	}
 	if !a.claim(true) {
@@ -362,8 +359,9 @@
 }
 
 // countEvent records the start of the response and the events for the cost model.
-func (a *attempt) countEvent() {
+func (a *attempt) countEvent(ex Exchange) {
 	if a.grant.Events == 0 {
+		a.request.service.streams.begin(a, ex)
 		a.request.responseStarted(a.grant)
 		a.observeBegun()
 	}
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -141,31 +141,50 @@
 	return t.refusesSince
 }
 
-// others returns what is known of the other streams of the target of a, whose response has ended at
-// the given time: whether one has ended at the same moment, how many go on, and whether data of one
-// of these has arrived so much later that its handler was not cancelled then.
-func (l *streamLog) others(a *attempt, end time.Time) (together bool, open int, survives bool) {
+// others returns the other streams of the target of a whose response has ended, or has not. The caller
+// must hold l.mu.
+func (l *streamLog) others(a *attempt, ended bool) (others []*loggedStream) {
+	if t := l.targets[a.grant.Target.ID]; t != nil {
+		for o, s := range t.streams {
+			if o != a && s.ended == ended {
+				others = append(others, s)
+			}
+		}
+	}
+	return others
+}
+
+// othersGoOn reports whether the target of a writes other streams.
+func (l *streamLog) othersGoOn(a *attempt) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.others(a, false)) > 0
+}
+
+// endedTogether reports whether another stream of the target of a, whose response has ended at the
+// given time, has ended at the same moment.
+func (l *streamLog) endedTogether(a *attempt, end time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.targets[a.grant.Target.ID]
-	if t == nil {
-		return false, 0, false
-	}
 	near := func(at time.Time) bool { return at.Sub(end).Abs() <= endTogetherTime }
-	together = slices.ContainsFunc(t.ends, near)
-	for o, s := range t.streams {
-		if o == a {
-			continue
-		}
-		at, known := receivedAt(s.exchange)
-		if s.ended {
-			together = together || !known || near(at)
-			continue
-		}
-		open++
-		survives = survives || known && at.After(end.Add(cancelTime))
+	if t := l.targets[a.grant.Target.ID]; t != nil && slices.ContainsFunc(t.ends, near) {
+		return true
 	}
-	return together, open, survives
+	return slices.ContainsFunc(l.others(a, true), func(s *loggedStream) bool {
+		at, known := receivedAt(s.exchange)
+		return !known || near(at)
+	})
+}
+
+// otherSurvives reports whether data of another stream of the target of a, whose response has ended
+// at the given time, has arrived so much later that its handler was not cancelled then.
+func (l *streamLog) otherSurvives(a *attempt, end time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(l.others(a, false), func(s *loggedStream) bool {
+		at, known := receivedAt(s.exchange)
+		return known && at.After(end.Add(cancelTime))
+	})
 }
 
 // receivedAt returns the earliest time at which the last data of a response may have arrived, if that
@@ -182,10 +201,10 @@
 // checkEnd returns an error if the end of a response does not show that the response is complete: it
 // may have ended because its target ends. The kernel closes the connections of a process that is
 // killed like those that the process closes itself, and an HTTP server whose handlers are cancelled
-// writes the last chunk, or states a length of 0 if nothing was written. empty says that the body
-// may have something and has nothing.
+// writes the last chunk, or states a length of 0 if nothing was written. empty says that the body has
+// nothing.
 func (a *attempt) checkEnd(head *state.Response, ex Exchange, empty bool) error {
-	if head.HasLength && !empty || !head.EndsWithConnection && !isSuccess(head.Status) {
+	if head.HasLength && !(empty && mayHaveBody(a.request.call.Method, head.Status)) || !head.EndsWithConnection && !isSuccess(head.Status) {
 		return nil
 	}
 	// What the target does behind the end is compared with when the end arrived. It may be read later.
@@ -241,7 +260,7 @@
 	if !w.StaysOpen(wait) {
 		return unannouncedClose
 	}
-	if together, open, _ := a.request.service.streams.others(a, arrivedAt); together && open == 0 {
+	if streams := &a.request.service.streams; !streams.othersGoOn(a) && streams.endedTogether(a, arrivedAt) {
 		return endedTogether
 	}
 	return noDoubt
@@ -267,7 +286,7 @@
 	}
 	streams := &a.request.service.streams
 	refusesSince = streams.refuses(a.grant.Target.ID, refusesSince)
-	if together, _, _ := streams.others(a, arrivedAt); together {
+	if streams.endedTogether(a, arrivedAt) {
 		return false, ""
 	}
 	if arrivedAt.After(refusesSince.Add(cancelTime)) {
@@ -292,14 +311,12 @@
 // targetSurvives reports whether another stream of the target goes on for survivorTime after the end of
 // this one, which arrived at arrivedAt.
 func (a *attempt) targetSurvives(arrivedAt time.Time) bool {
-	for {
-		_, open, survives := a.request.service.streams.others(a, arrivedAt)
-		switch {
-		case open == 0 || a.ctx.Err() != nil:
-			return false
-		case time.Since(arrivedAt) >= survivorTime:
-			return survives
+	streams := &a.request.service.streams
+	for streams.othersGoOn(a) && a.ctx.Err() == nil {
+		if time.Since(arrivedAt) >= survivorTime {
+			return streams.otherSurvives(a, arrivedAt)
 		}
 		pause(a.ctx, survivorPollInterval)
 	}
+	return false
 }
--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -72,7 +72,7 @@
 			l := &streamLog{}
 			l.begin(a, late)
 			c.play(l)
-			if _, _, survives := l.others(a, end); survives != c.survives {
+			if survives := l.otherSurvives(a, end); survives != c.survives {
 				t.Errorf("survives %t, want %t", survives, c.survives)
 			}
 		})
@@ -128,7 +128,7 @@
 		t.Fatal(err)
 	}
 	r := &request{service: s}
-	a, b := &attempt{request: r, grant: grant}, &attempt{request: r, grant: grant}
+	a, b, c := &attempt{request: r, grant: grant}, &attempt{request: r, grant: grant}, &attempt{request: r, grant: grant}
 	end := time.Now()
 	ex, other := &fakeExchange{receivedAt: end}, &fakeExchange{receivedAt: end.Add(endTogetherTime)}
 	s.streams.begin(a, ex)
@@ -140,6 +140,11 @@
 	if d := a.doubtEnd(&state.Response{}, ex, end); d != endedTogether {
 		t.Errorf("doubt %s after the other stream has ended, want %s", d, endedTogether)
 	}
+	s.streams.begin(c, ex)
+	if d := a.doubtEnd(&state.Response{}, ex, end); d != noDoubt {
+		t.Errorf("doubt %s while a third stream goes on, want none", d)
+	}
+	s.streams.leave(c)
 	other.receivedAt = end.Add(endTogetherTime + 1)
 	if d := a.doubtEnd(&state.Response{}, ex, end); d != noDoubt {
 		t.Errorf("doubt %s although the other stream has ended later, want none", d)
--- a/internal/transport/netconn/conn.go
+++ b/internal/transport/netconn/conn.go
@@ -115,11 +115,8 @@
 // Delivered reports whether the peer has acknowledged all that was written, as far as that is
 // known.
 func (c *conn) Delivered() (delivered, known bool) {
-	if !infoAvailable() {
-		return false, false
-	}
-	info, err := c.info()
-	return err == nil && !inTransit(info), err == nil
+	info := infoOf(c)
+	return info != nil && !inTransit(info), info != nil
 }
 
 // limit sets TCP_USER_TIMEOUT to silenceTimeout or to none. c.mu is held.
