--- a/internal/transport/upstream/endingtarget_test.go
+++ b/internal/transport/upstream/endingtarget_test.go
@@ -21,58 +21,122 @@
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
+// endingVariable tells a process that these tests have started as their target how to end at SIGTERM.
+const endingVariable = "UPSTREAM_TEST_ENDING"
+
+// How a target ends at SIGTERM.
 const (
-	// endingVariable tells a process that this test has started as its target what to do at SIGTERM.
-	endingVariable = "UPSTREAM_TEST_ENDING"
 	// cancelsHandlers cancels the handlers and shuts the server down, and finishesHandlers only
 	// shuts it down, so that no connection is accepted while the handlers go on.
 	cancelsHandlers, finishesHandlers = "cancels handlers", "finishes handlers"
+	// finishesThenCancels shuts the server down and cancels all handlers that have not returned
+	// after endingDrainTime.
+	finishesThenCancels = "finishes handlers, then cancels"
+	// cancelsInTurn shuts the server down and cancels one handler after another, every endingTurn.
+	cancelsInTurn = "cancels handlers in turn"
+	// cancelsAndCleansUp closes the listener, cancels the handlers and exits endingCleanUpTime
+	// later, until when the connections stay open.
+	cancelsAndCleansUp = "cancels handlers and cleans up"
+)
 
-	endingEventGap = 5 * time.Millisecond
+const (
+	endingEventGap    = 5 * time.Millisecond
+	endingDrainTime   = 400 * time.Millisecond
+	endingTurn        = 60 * time.Millisecond
+	endingCleanUpTime = 300 * time.Millisecond
 )
 
+// TestMain runs the tests, or a target in a process that a test has started for it.
+func TestMain(m *testing.M) {
+	ending := os.Getenv(endingVariable)
+	if ending == "" {
+		os.Exit(m.Run())
+	}
+	if err := serveUntilTerminated(ending); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
 // serveUntilTerminated answers each request with as many events as its path says, in chunks, until
-// SIGTERM. A handler returns when its request is cancelled.
-func serveUntilTerminated(t *testing.T, ending string) {
+// SIGTERM, and then ends in the given way. A handler returns when its request is cancelled.
+func serveUntilTerminated(ending string) error {
 	terminated, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
-	handlers := context.Background()
-	if ending == cancelsHandlers {
-		handlers = terminated
-	}
+	handlers := &endingHandlers{}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		return err
 	}
-	fmt.Println(ln.Addr())
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("Request-Id") == "" { // a check of the target's health
-			w.Header().Set("Instance-Id", ln.Addr().String())
-			return
-		}
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		w.Header().Set("Response-Signature", "signed")
-		_, text, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-		events, err := strconv.Atoi(text)
-		if err != nil {
-			t.Error(err)
-		}
-		for n := 1; n <= events; n++ {
-			fmt.Fprintf(w, "id: %d\ndata: x\n\n", n) // an error ends the context too
-			http.NewResponseController(w).Flush()
-			select {
-			case <-time.After(endingEventGap):
-			case <-r.Context().Done():
-				return
-			case <-handlers.Done():
-				return
-			}
-		}
-	})}
+	handlers.instance = ln.Addr().String()
+	fmt.Println(handlers.instance)
+	server := &http.Server{Handler: handlers}
 	go server.Serve(ln)
 	<-terminated.Done()
-	if err := server.Shutdown(context.Background()); err != nil {
-		t.Fatal(err)
+	switch ending {
+	case finishesHandlers:
+		return server.Shutdown(context.Background())
+	case cancelsHandlers:
+		handlers.cancel(0)
+		return server.Shutdown(context.Background())
+	case finishesThenCancels:
+		go server.Shutdown(context.Background())
+		time.Sleep(endingDrainTime)
+		handlers.cancel(0)
+	case cancelsInTurn:
+		go server.Shutdown(context.Background())
+		handlers.cancel(endingTurn)
+	case cancelsAndCleansUp:
+		ln.Close()
+		handlers.cancel(0)
+	}
+	time.Sleep(endingCleanUpTime)
+	return nil
+}
+
+// endingHandlers answers the requests to a target, and the checks of its health.
+type endingHandlers struct {
+	instance string
+
+	mu      sync.Mutex
+	cancels []context.CancelFunc // of the requests, in the order in which they began
+}
+
+func (h *endingHandlers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Request-Id") == "" { // a check of the target's health
+		w.Header().Set("Instance-Id", h.instance)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	h.mu.Lock()
+	h.cancels = append(h.cancels, cancel)
+	h.mu.Unlock()
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Response-Signature", "signed")
+	_, text, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	events, err := strconv.Atoi(text)
+	if err != nil {
+		panic(err)
+	}
+	for n := 1; n <= events; n++ {
+		fmt.Fprintf(w, "id: %d\ndata: x\n\n", n) // an error ends the context too
+		http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(endingEventGap):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// cancel cancels all requests, with a pause after each.
+func (h *endingHandlers) cancel(pause time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, cancel := range h.cancels {
+		cancel()
+		time.Sleep(pause)
 	}
 }
 
@@ -82,11 +146,10 @@
 	address string
 }
 
-// startEndingTarget starts the running test once more as a target.
+// startEndingTarget starts a target that ends in the given way.
 func startEndingTarget(t *testing.T, ending string) *endingTarget {
 	t.Helper()
-	name, _, _ := strings.Cut(t.Name(), "/")
-	target := &endingTarget{process: exec.Command(os.Args[0], "-test.run=^"+name+"$")}
+	target := &endingTarget{process: exec.Command(os.Args[0])}
 	target.process.Env = append(os.Environ(), endingVariable+"="+ending)
 	out, err := target.process.StdoutPipe()
 	if err != nil {
@@ -156,10 +219,6 @@
 // Guards against a stream that is passed on as complete although its target was told to end: HTTP
 // servers write the last chunk of a response when its handler is cancelled.
 func TestStreamOfTargetThatCancelsItsHandlersIsIncomplete(t *testing.T) {
-	if ending := os.Getenv(endingVariable); ending != "" {
-		serveUntilTerminated(t, ending)
-		return
-	}
 	for _, route := range []string{"stream", "resume"} {
 		for _, count := range []int{1, 4} {
 			t.Run(fmt.Sprintf("%s, %d at a time", route, count), func(t *testing.T) {
@@ -183,10 +242,6 @@
 // Guards against whole streams that are broken off because their target, which ends, accepts no
 // connections any more while it finishes its streams.
 func TestStreamOfTargetThatFinishesItsHandlersIsComplete(t *testing.T) {
-	if ending := os.Getenv(endingVariable); ending != "" {
-		serveUntilTerminated(t, ending)
-		return
-	}
 	for _, lengths := range [][]int{{50, 60, 70, 80}, {80}} {
 		t.Run(fmt.Sprint(len(lengths), " at a time"), func(t *testing.T) {
 			target := startEndingTarget(t, finishesHandlers)
--- a/internal/transport/upstream/idleproof_test.go
+++ b/internal/transport/upstream/idleproof_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"os"
 	"syscall"
 	"testing"
 )
@@ -9,10 +8,6 @@
 // Guards against cancelled streams that are passed on as complete because their target, which has
 // closed its listener and is about to exit, still answers on a connection that was idle.
 func TestAnswerOnIdleConnectionDoesNotProveStreams(t *testing.T) {
-	if ending := os.Getenv(endingVariable); ending != "" {
-		serveEndingForm(t, ending)
-		return
-	}
 	for _, hasIdle := range []bool{false, true} {
 		target := startEndingTarget(t, cancelsAndCleansUp)
 		g := newGateway(New(), []string{target.address})
