Gateway, target client tests: whole streams are resumed behind their last event

Cause, shown here and not yet fixed: judgeEnd resumes each doubted stream that may be resumed, although its target had begun to shut down long before the end and finished it.

Change: two tests, one of the gateway with a second target that makes one more event, one with target processes that shut down as net/http does. The two tests of target processes that finish their streams share their body.

--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -44,6 +44,8 @@
 	behaviours []behaviour
 	sends      []Forward
 	liveness   map[state.TargetID]Liveness // of targets that do not run
+	// idleClosedAt is when such targets closed their idle connections; zero if they had none.
+	idleClosedAt time.Time
 }
 
 func (f *fakeTargetClient) Send(ctx context.Context, fw *Forward) (Exchange, error) {
@@ -69,7 +71,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if l, ok := f.liveness[target.ID]; ok {
-		return RunCheck{Liveness: l, Refused: l == Ended}
+		return RunCheck{Liveness: l, Refused: l == Ended, IdleClosedAt: f.idleClosedAt}
 	}
 	return RunCheck{Liveness: Running}
 }
--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
@@ -150,3 +151,29 @@
 		t.Errorf("doubt %s although the other stream has ended later, want none", d)
 	}
 }
+
+// Guards against a whole stream that is sent to another target because it may be resumed: the protocol
+// does not say what a target that is asked to go on behind the last event does, and it may make one
+// more event. Its own target had begun to shut down long before the end, and finished it.
+func TestWholeStreamThatMayBeResumedIsNotSentOn(t *testing.T) {
+	const oneMore = "id: 4\ndata: x\n\n"
+	for name, refusing := range map[string]time.Duration{"target finishes its streams": 2 * cancelTime, "target has just begun to refuse": cancelTime / 2} {
+		t.Run(name, func(t *testing.T) {
+			whole := refusing > cancelTime
+			out := &recordingResponder{}
+			targets := &fakeTargetClient{}
+			synctest.Test(t, func(t *testing.T) {
+				targets.idleClosedAt = time.Now()
+				targets.behaviours = []behaviour{func(context.Context, *Forward) (Exchange, error) {
+					head := &state.Response{Status: 200, HasSignature: true}
+					time.Sleep(refusing)
+					return &fakeExchange{head: head, Reader: strings.NewReader(events), closes: true, thenNotRunning: true, liveness: Ended, receivedAt: time.Now()}, nil
+				}, respondWith(200, oneMore)}
+				newService(targets).Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: "/resume/x", APIKey: "key"}, time.Now(), out)
+			})
+			if sentOn := len(targets.sends) > 1; sentOn == whole || !out.ended || whole && out.body.String() != events {
+				t.Errorf("sent on %t, ended %t with %q; want sent on %t", sentOn, out.ended, out.body.String(), !whole)
+			}
+		})
+	}
+}
--- a/internal/transport/upstream/endingtarget_test.go
+++ b/internal/transport/upstream/endingtarget_test.go
@@ -243,15 +243,29 @@
 // connections any more while it finishes its streams.
 func TestStreamOfTargetThatFinishesItsHandlersIsComplete(t *testing.T) {
 	for _, lengths := range [][]int{{50, 60, 70, 80}, {80}} {
-		t.Run(fmt.Sprint(len(lengths), " at a time"), func(t *testing.T) {
-			target := startEndingTarget(t, finishesHandlers)
-			g := newGateway(New(), []string{target.address})
-			leaveIdleConnections(t, g)
-			for i, s := range serveStreams(t, g, "stream", lengths, func() { target.process.Process.Signal(syscall.SIGTERM) }) {
-				if !s.complete || s.events.Load() != int64(lengths[i]) {
-					t.Errorf("stream %d: complete %t after %d of %d events", i, s.complete, s.events.Load(), lengths[i])
-				}
-			}
-		})
+		t.Run(fmt.Sprint(len(lengths), " at a time"), func(t *testing.T) { checkFinishedStreams(t, "stream", lengths) })
+	}
+}
+
+// Guards against whole streams that are to be resumed, at a target that may make one more event, because
+// their target, which finishes them, accepts no connections any more. There is no other target, so that
+// a stream that is to be resumed is broken off.
+func TestResumableStreamOfTargetThatFinishesItIsNotResumed(t *testing.T) {
+	for _, lengths := range [][]int{{50, 60, 70, 80}, {80}} {
+		t.Run(fmt.Sprint(len(lengths), " at a time"), func(t *testing.T) { checkFinishedStreams(t, "resume", lengths) })
+	}
+}
+
+// checkFinishedStreams checks that the streams of a target that shuts down and finishes them are
+// complete.
+func checkFinishedStreams(t *testing.T, route string, lengths []int) {
+	t.Helper()
+	target := startEndingTarget(t, finishesHandlers)
+	g := newGateway(New(), []string{target.address})
+	leaveIdleConnections(t, g)
+	for i, s := range serveStreams(t, g, route, lengths, func() { target.process.Process.Signal(syscall.SIGTERM) }) {
+		if !s.complete || s.events.Load() != int64(lengths[i]) {
+			t.Errorf("stream %d: complete %t after %d of %d events", i, s.complete, s.events.Load(), lengths[i])
+		}
 	}
 }
