Gateway: one place judges whether a response ended with its target

Cause: what is known of a target's end was spread over a log of streams and five conditions of judgeEnd, and the log line named a belief without what it rested on. A refusal was forgotten with the last stream.

The line 'end of response not proved' states verdict, reason and evidence; counters end_judged.VERDICT.REASON take the place of end_believed.REASON, complete_because that of because. A refusal is forgotten when the target runs a request that was sent later, or answers a check. Streams of which some ended together while others go on are judged by whether these survive. What is resumed does not change yet.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/eventstream"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -44,8 +45,9 @@
 	// resumedAt is passedOn when the attempt began, and received the highest number of an event
 	// that the target has sent.
 	resumedAt, received eventNumber
-	repeated            int              // events that the target sent although the caller has them
-	failure             *failureResponse // 5xx response of the target, or nil
+	repeated            int               // events that the target sent although the caller has them
+	failure             *failureResponse  // 5xx response of the target, or nil
+	logged              *targetend.Stream // once the first event has arrived; nil before
 }
 
 // newAttempt returns an attempt at the target of a grant. ctx ends with the request, and
@@ -83,7 +85,7 @@
 	})
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			r.service.streams.refuses(a.grant.Target.ID, time.Now())
+			r.service.targets.Refuses(a.grant.Target.ID, time.Now())
 		}
 		return a.outcomeOf(err), err
 	}
@@ -275,7 +277,7 @@
 			r.logSkippedResponses(a, n)
 		}
 	}()
-	defer r.service.streams.leave(a)
+	defer func() { a.logged.Leave() }()
 	for {
 		event, err := events.next()
 		// What follows a stream leaves a doubt about its end, which a resumption removes.
@@ -323,7 +325,8 @@
 	if a.endsEarly() {
 		return a.outcomeOf(errEndsEarly), errEndsEarly
 	}
-	a.request.service.streams.ended(a)
+	arrivedAt, _ := endArrivedAt(ex)
+	a.logged.End(arrivedAt)
 	if !head.EndsWithConnection { // the slot is free while the end is checked
 		a.request.service.cfg.Scheduler.Ended(a.grant)
 	}
@@ -361,7 +364,7 @@
 // countEvent records the start of the response and the events for the cost model.
 func (a *attempt) countEvent(ex Exchange) {
 	if a.grant.Events == 0 {
-		a.request.service.streams.begin(a, ex)
+		a.logged = a.request.service.targets.Begin(a.grant.Target.ID, a.sentAt, func() (time.Time, bool) { return receivedAt(ex) })
 		a.request.responseStarted(a.grant)
 		a.observeBegun()
 	}
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -209,21 +209,23 @@
 		zap.String("prompt", promptText(r.call.Prompt)), zap.Uint64("content", uint64(r.contents[0])), zap.NamedError("cause", err))
 }
 
-// recordRunCheck counts the check of whether a target has outlived a response whose end was in doubt,
-// and records it unless it has. because says why the response is complete all the same, if it is.
-func (r *request) recordRunCheck(a *attempt, doubt endDoubt, c RunCheck, because string, took time.Duration) {
-	r.service.cfg.Counters.Add("end_check." + c.Liveness.String())
-	r.service.cfg.Counters.Add("end_doubt." + doubt.String())
-	if c.Liveness == Running {
+// recordEndCheck counts the check of a response whose end was in doubt, and records it unless its target
+// runs.
+func (r *request) recordEndCheck(c *endCheck) {
+	a, run, j := c.attempt, &c.run, &c.judgement
+	r.service.cfg.Counters.Add("end_check." + run.Liveness.String())
+	r.service.cfg.Counters.Add("end_doubt." + c.doubt.String())
+	if run.Liveness == Running {
 		return
 	}
-	if because != "" {
-		r.service.cfg.Counters.Add("end_believed." + because)
-	}
+	r.service.cfg.Counters.Add("end_judged." + j.Verdict.String() + "." + j.Reason)
 	r.log.Info("end of response not proved", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
-		zap.String("address", a.grant.Target.Address), zap.String("doubt", doubt.String()), zap.String("result", c.Liveness.String()), zap.String("complete_because", because),
-		zap.String("asked", c.Asked), zap.String("answer", c.Answer), zap.Bool("target_serves", r.service.cfg.Scheduler.Serves(a.grant)),
-		zap.Int("tries", c.Tries), zap.Duration("took", took), zap.Int("events", a.grant.Events))
+		zap.String("address", a.grant.Target.Address), zap.String("doubt", c.doubt.String()), zap.String("result", run.Liveness.String()),
+		zap.String("verdict", j.Verdict.String()), zap.String("because", j.Reason),
+		zap.Duration("refusing_before", j.Refusing), zap.Int("others_go_on", j.GoOn), zap.Int("ended_together", j.Together),
+		zap.Bool("may_be_resumed", a.mayGoOnElsewhere()), zap.Duration("checked_after", time.Since(c.arrivedAt)),
+		zap.String("asked", run.Asked), zap.String("answer", run.Answer), zap.Bool("target_serves", r.service.cfg.Scheduler.Serves(a.grant)),
+		zap.Int("tries", run.Tries), zap.Duration("took", c.took), zap.Int("events", a.grant.Events))
 }
 
 // logStalled records that the target of an attempt has stalled. The attempt goes on until
--- a/internal/coordination/gateway/refusedsince_test.go
+++ b/internal/coordination/gateway/refusedsince_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -21,18 +22,18 @@
 		r := &request{service: s, route: &state.Route{}}
 		whole, cancelled := &attempt{request: r, grant: grant, ctx: t.Context()}, &attempt{request: r, grant: grant, ctx: t.Context()}
 		whole.race, cancelled.race = newRace(whole), newRace(cancelled)
-		s.streams.begin(whole, &fakeExchange{receivedAt: time.Now()})
-		s.streams.ended(whole)
+		received := func() (time.Time, bool) { return time.Now(), true }
+		whole.logged = s.targets.Begin(grant.Target.ID, time.Now(), received)
+		whole.logged.End(time.Now())
 		endedAt := time.Now()
-		time.Sleep(cancelTime)
+		time.Sleep(targetend.CancelTime)
 		check := RunCheck{Liveness: Ended, Refused: true}
-		whole.judgeEnd(announcedClose, check, endedAt, true)
-		s.streams.begin(cancelled, &fakeExchange{receivedAt: time.Now()})
-		s.streams.leave(whole)
+		judgeEnd(whole, announcedClose, check, endedAt, true)
+		cancelled.logged = s.targets.Begin(grant.Target.ID, endedAt, received)
 		time.Sleep(endSettleTime)
-		s.streams.ended(cancelled)
-		if complete, because := cancelled.judgeEnd(unannouncedClose, check, time.Now(), true); complete {
-			t.Errorf("the stream is complete because %q", because)
+		cancelled.logged.End(time.Now())
+		if j := judgeEnd(cancelled, unannouncedClose, check, time.Now(), true); j.Verdict == targetend.Whole {
+			t.Errorf("the stream is complete because %q", j.Reason)
 		}
 	})
 }
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -17,6 +17,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/retry"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/routing"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -126,7 +127,7 @@
 	// running ends with EndRequests.
 	running     context.Context
 	endRequests context.CancelFunc
-	streams     streamLog
+	targets     targetend.Log
 
 	mu           sync.Mutex
 	retryBudgets map[state.Service]*retry.WindowBudget
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"slices"
-	"sync"
 	"time"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -20,13 +19,6 @@
 	endSettleTime = 25 * time.Millisecond
 	// maxBelievedCheckTime bounds the check of a target that is believed if it cannot be asked.
 	maxBelievedCheckTime = 250 * time.Millisecond
-	// Responses that end within endTogetherTime may have been ended by the same event.
-	endTogetherTime = 25 * time.Millisecond
-	// cancelTime is how long a handler may take to return after it was cancelled: those that write
-	// streams notice it between two events.
-	cancelTime = 150 * time.Millisecond
-	// Another stream shows that its target still writes streams if it goes on for survivorTime.
-	survivorTime         = 300 * time.Millisecond
 	survivorPollInterval = 10 * time.Millisecond
 )
 
@@ -57,136 +49,6 @@
 // target that cannot be asked, for example because it is full, is believed.
 func (d endDoubt) needsProof() bool { return d >= unannouncedClose }
 
-// streamLog knows the streams that each target writes for this entry, to tell whether a target that
-// accepts no connections any more still writes them. It is safe for concurrent use.
-type streamLog struct {
-	mu      sync.Mutex
-	targets map[state.TargetID]*targetStreams
-}
-
-// targetStreams are the streams of one target.
-type targetStreams struct {
-	streams map[*attempt]*loggedStream
-	// ends are when the last responses ended, of attempts that have left. The oldest come first.
-	ends []time.Time
-	// refusesSince is when the target was first known to refuse connections; zero if it was not.
-	refusesSince time.Time
-}
-
-// loggedStream is a stream that has begun and whose attempt has not ended.
-type loggedStream struct {
-	exchange Exchange
-	ended    bool // the response has ended
-}
-
-// endsKept bounds the ends that are remembered for each target.
-const endsKept = 32
-
-// begin records a stream.
-func (l *streamLog) begin(a *attempt, ex Exchange) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.targets == nil {
-		l.targets = make(map[state.TargetID]*targetStreams)
-	}
-	t := l.targets[a.grant.Target.ID]
-	if t == nil {
-		t = &targetStreams{streams: make(map[*attempt]*loggedStream)}
-		l.targets[a.grant.Target.ID] = t
-	}
-	t.streams[a] = &loggedStream{exchange: ex}
-}
-
-// ended records that the response of a stream has ended. The stream stays known until leave.
-func (l *streamLog) ended(a *attempt) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if t := l.targets[a.grant.Target.ID]; t != nil && t.streams[a] != nil {
-		t.streams[a].ended = true
-	}
-}
-
-// leave forgets a stream but for its end.
-func (l *streamLog) leave(a *attempt) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	t := l.targets[a.grant.Target.ID]
-	if t == nil || t.streams[a] == nil {
-		return
-	}
-	if s := t.streams[a]; s.ended {
-		if at, known := receivedAt(s.exchange); known {
-			if t.ends = append(t.ends, at); len(t.ends) > endsKept {
-				t.ends = t.ends[1:]
-			}
-		}
-	}
-	if delete(t.streams, a); len(t.streams) == 0 {
-		delete(l.targets, a.grant.Target.ID)
-	}
-}
-
-// refuses records that a target refuses connections, and has done so since the given time. It returns
-// since when the target is known to.
-func (l *streamLog) refuses(id state.TargetID, since time.Time) time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	t := l.targets[id]
-	if t == nil {
-		return since
-	}
-	if t.refusesSince.IsZero() || since.Before(t.refusesSince) {
-		t.refusesSince = since
-	}
-	return t.refusesSince
-}
-
-// others returns the other streams of the target of a whose response has ended, or has not. The caller
-// must hold l.mu.
-func (l *streamLog) others(a *attempt, ended bool) (others []*loggedStream) {
-	if t := l.targets[a.grant.Target.ID]; t != nil {
-		for o, s := range t.streams {
-			if o != a && s.ended == ended {
-				others = append(others, s)
-			}
-		}
-	}
-	return others
-}
-
-// othersGoOn reports whether the target of a writes other streams.
-func (l *streamLog) othersGoOn(a *attempt) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.others(a, false)) > 0
-}
-
-// endedTogether reports whether another stream of the target of a, whose response has ended at the
-// given time, has ended at the same moment.
-func (l *streamLog) endedTogether(a *attempt, end time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	near := func(at time.Time) bool { return at.Sub(end).Abs() <= endTogetherTime }
-	if t := l.targets[a.grant.Target.ID]; t != nil && slices.ContainsFunc(t.ends, near) {
-		return true
-	}
-	return slices.ContainsFunc(l.others(a, true), func(s *loggedStream) bool {
-		at, known := receivedAt(s.exchange)
-		return !known || near(at)
-	})
-}
-
-// otherSurvives reports whether data of another stream of the target of a, whose response has ended
-// at the given time, has arrived so much later that its handler was not cancelled then.
-func (l *streamLog) otherSurvives(a *attempt, end time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.ContainsFunc(l.others(a, false), func(s *loggedStream) bool {
-		at, known := receivedAt(s.exchange)
-		return known && at.After(end.Add(cancelTime))
-	})
-}
-
 // receivedAt returns the earliest time at which the last data of a response may have arrived, if that
 // is known.
 func receivedAt(ex Exchange) (at time.Time, known bool) {
@@ -198,6 +60,39 @@
 	return at, known
 }
 
+// endArrivedAt returns when the end of a response arrived, which has been read. known is false if that is
+// not known; at is the present time then.
+func endArrivedAt(ex Exchange) (at time.Time, known bool) {
+	if at, known = receivedAt(ex); known {
+		return at, true
+	}
+	return time.Now(), false
+}
+
+// endCheck checks an end of a response that does not show that the response is complete.
+type endCheck struct {
+	attempt *attempt
+	// arrivedAt is when the end arrived, if timeKnown is set.
+	arrivedAt time.Time
+	timeKnown bool
+	doubt     endDoubt
+	run       RunCheck
+	took      time.Duration // of the check
+	judgement targetend.Judgement
+}
+
+// Reasons of a judgement that does not come from package targetend.
+const (
+	becauseTargetRuns   = "target_runs"
+	becauseNotAsked     = "target_not_asked"
+	becauseCutShort     = "check_cut_short"
+	becauseNoEnd        = "no_end_marked"
+	becauseTimeUnknown  = "time_of_end_unknown"
+	becauseNotRefused   = "connections_not_refused"
+	becauseRunsBeside   = "runs_beside"
+	becauseMayBeResumed = "may_be_resumed"
+)
+
 // checkEnd returns an error if the end of a response does not show that the response is complete: it
 // may have ended because its target ends. The kernel closes the connections of a process that is
 // killed like those that the process closes itself, and an HTTP server whose handlers are cancelled
@@ -208,115 +103,137 @@
 		return nil
 	}
 	// What the target does behind the end is compared with when the end arrived. It may be read later.
-	arrivedAt, known := receivedAt(ex)
-	if !known {
-		arrivedAt = time.Now()
-	}
-	doubt := a.doubtEnd(head, ex, arrivedAt)
-	if doubt == noDoubt {
+	c := &endCheck{attempt: a}
+	c.arrivedAt, c.timeKnown = endArrivedAt(ex)
+	if c.findDoubt(head, ex); c.doubt == noDoubt {
 		return nil
 	}
-	ctx := a.ctx
-	if !doubt.needsProof() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, maxBelievedCheckTime)
-		defer cancel()
-	}
-	pause(ctx, endSettleTime)
-	asked := time.Now()
-	r := a.request
-	check := r.service.cfg.TargetClient.CheckRunning(ctx, &a.grant.Target, r.table.Config.HealthPaths[a.grant.Target.Service])
-	complete, because := a.judgeEnd(doubt, check, arrivedAt, known)
-	r.recordRunCheck(a, doubt, check, because, time.Since(asked))
+	c.askTarget()
+	c.judge()
+	a.request.recordEndCheck(c)
 	switch {
-	case complete:
+	case c.judgement.Verdict == targetend.Whole:
 		return nil
-	case doubt != connectionEnd:
+	case c.doubt != connectionEnd:
 		return errEndsWithHandler
-	case check.Liveness == Ended:
+	case c.run.Liveness == Ended:
 		return errEndsWithTarget
 	default:
 		return errEndUnproved
 	}
 }
 
-// doubtEnd returns why a response whose end arrived at arrivedAt may have ended together with its
-// target.
-func (a *attempt) doubtEnd(head *state.Response, ex Exchange, arrivedAt time.Time) endDoubt {
-	if head.EndsWithConnection {
-		return connectionEnd
-	}
-	if head.AnnouncesClose {
-		return announcedClose
-	}
+// findDoubt finds why the response may have ended together with its target.
+func (c *endCheck) findDoubt(head *state.Response, ex Exchange) {
 	w, ok := ex.(ConnectionWatcher)
-	if !ok {
-		return noDoubt
-	}
-	wait := endWatchTime
-	if !a.request.service.cfg.Scheduler.Serves(a.grant) {
-		wait = leavingEndWatchTime
+	switch {
+	case head.EndsWithConnection:
+		c.doubt = connectionEnd
+	case head.AnnouncesClose:
+		c.doubt = announcedClose
+	case !ok:
+		c.doubt = noDoubt
+	case !w.StaysOpen(c.watchTime()):
+		c.doubt = unannouncedClose
+	case targetend.Judge(c.arrivedAt, c.seenHere()).Verdict == targetend.Cut:
+		c.doubt = endedTogether
 	}
-	if !w.StaysOpen(wait) {
-		return unannouncedClose
+}
+
+// watchTime returns how long the connection is watched behind the end.
+func (c *endCheck) watchTime() time.Duration {
+	if c.attempt.request.service.cfg.Scheduler.Serves(c.attempt.grant) {
+		return endWatchTime
 	}
-	if streams := &a.request.service.streams; !streams.othersGoOn(a) && streams.endedTogether(a, arrivedAt) {
-		return endedTogether
+	return leavingEndWatchTime
+}
+
+// askTarget asks the target whether it still runs.
+func (c *endCheck) askTarget() {
+	a := c.attempt
+	ctx := a.ctx
+	if !c.doubt.needsProof() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, maxBelievedCheckTime)
+		defer cancel()
 	}
-	return noDoubt
+	pause(ctx, endSettleTime)
+	asked := time.Now()
+	r := a.request
+	c.run = r.service.cfg.TargetClient.CheckRunning(ctx, &a.grant.Target, r.table.Config.HealthPaths[a.grant.Target.Service])
+	c.took = time.Since(asked)
 }
 
-// judgeEnd decides whether a response is complete whose end is in doubt and arrived at arrivedAt, if
-// that is known. because says why it is, although the check does not prove it.
-func (a *attempt) judgeEnd(doubt endDoubt, check RunCheck, arrivedAt time.Time, known bool) (complete bool, because string) {
-	switch {
-	case check.Liveness == Running:
-		return true, ""
-	case a.ctx.Err() != nil: // the check was cut short
-		return false, ""
-	case check.Liveness == Unproved && !doubt.needsProof():
-		return true, "target_not_asked"
-	case doubt == connectionEnd || !check.Refused || !known || a.mayGoOnElsewhere():
-		return false, ""
+// judge decides whether the response is complete.
+func (c *endCheck) judge() {
+	a := c.attempt
+	log := &a.request.service.targets
+	undecided := func(reason string) { c.judgement = targetend.Judgement{Reason: reason} }
+	whole := func(reason string) { c.judgement = targetend.Judgement{Verdict: targetend.Whole, Reason: reason} }
+	if c.run.Refused {
+		log.Refuses(a.grant.Target.ID, c.refusesSince())
 	}
-	// A server that shuts down accepts no connections, but may finish its streams.
-	refusesSince := time.Now()
-	if !check.IdleClosedAt.IsZero() {
-		refusesSince = check.IdleClosedAt
+	switch {
+	case c.run.Liveness == Running:
+		log.Accepts(a.grant.Target.ID)
+		whole(becauseTargetRuns)
+	case a.ctx.Err() != nil:
+		undecided(becauseCutShort)
+	case c.run.Liveness == Unproved && !c.doubt.needsProof():
+		whole(becauseNotAsked)
+	case c.doubt == connectionEnd:
+		undecided(becauseNoEnd)
+	case !c.run.Refused:
+		undecided(becauseNotRefused)
+	case !c.timeKnown:
+		undecided(becauseTimeUnknown)
+	case a.race.contested(): // the other attempt answers
+		undecided(becauseRunsBeside)
+	case a.mayGoOnElsewhere():
+		undecided(becauseMayBeResumed)
+	default:
+		c.judgeByStreams()
 	}
-	streams := &a.request.service.streams
-	refusesSince = streams.refuses(a.grant.Target.ID, refusesSince)
-	if streams.endedTogether(a, arrivedAt) {
-		return false, ""
+}
+
+// refusesSince returns since when the target that was asked refuses connections, as far as it is known.
+func (c *endCheck) refusesSince() time.Time {
+	if c.run.IdleClosedAt.IsZero() {
+		return time.Now()
 	}
-	if arrivedAt.After(refusesSince.Add(cancelTime)) {
-		return true, "went_on_while_refusing"
+	return c.run.IdleClosedAt
+}
+
+// seenHere returns what this entry has seen of the target, apart from the response itself.
+func (c *endCheck) seenHere() targetend.Report {
+	a := c.attempt
+	return a.request.service.targets.Seen(a.grant.Target.ID, a.logged)
+}
+
+// judgeByStreams judges by the other streams of a target that accepts no connections: a server that
+// shuts down may finish its streams. As long as others go on, it waits to see whether they survive.
+func (c *endCheck) judgeByStreams() {
+	for {
+		c.judgement = targetend.Judge(c.arrivedAt, c.seenHere())
+		if c.judgement.Verdict != targetend.Undecided || c.judgement.GoOn == 0 || !c.waitForSurvivors() {
+			return
+		}
 	}
-	if a.targetSurvives(arrivedAt) {
-		return true, "other_stream_goes_on"
+}
+
+// waitForSurvivors waits a moment. It returns false if other streams have gone on for long enough after
+// the end to count, or if the check is cut short.
+func (c *endCheck) waitForSurvivors() bool {
+	ctx := c.attempt.ctx
+	if time.Since(c.arrivedAt) > targetend.SurvivalTime {
+		return false
 	}
-	return false, ""
+	pause(ctx, survivorPollInterval)
+	return ctx.Err() == nil
 }
 
-// mayGoOnElsewhere reports whether the response can be completed by another target, which adds nothing
-// to one that was whole: another attempt runs beside this one, or the stream may be resumed.
+// mayGoOnElsewhere reports whether the stream may be resumed at another target.
 func (a *attempt) mayGoOnElsewhere() bool {
-	if a.race.contested() {
-		return true
-	}
 	r := a.request
 	return r.route.Resumable && !r.positionUnknown && r.possibleRuns+1 < r.maxRuns()
 }
-
-// targetSurvives reports whether another stream of the target goes on for survivorTime after the end of
-// this one, which arrived at arrivedAt.
-func (a *attempt) targetSurvives(arrivedAt time.Time) bool {
-	streams := &a.request.service.streams
-	for streams.othersGoOn(a) && a.ctx.Err() == nil {
-		if time.Since(arrivedAt) >= survivorTime {
-			return streams.otherSurvives(a, arrivedAt)
-		}
-		pause(a.ctx, survivorPollInterval)
-	}
-	return false
-}
--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -49,33 +50,45 @@
 	})
 }
 
+// judgeEnd judges the end of a response to an attempt.
+func judgeEnd(a *attempt, doubt endDoubt, check RunCheck, arrivedAt time.Time, known bool) targetend.Judgement {
+	c := &endCheck{attempt: a, arrivedAt: arrivedAt, timeKnown: known, doubt: doubt, run: check}
+	c.judge()
+	return c.judgement
+}
+
 // Guards against a stream that is taken for whole because another one seems to go on, although that
 // has ended too or its data had arrived before.
 func TestStreamsOfTargetThatAcceptsNoConnections(t *testing.T) {
-	grant := &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}
-	a, b := &attempt{grant: grant}, &attempt{grant: grant}
-	elsewhere := &attempt{grant: &dispatch.Grant{Target: state.TargetRecord{ID: "u"}}}
-	end := time.Now()
-	early, late := &fakeExchange{receivedAt: end.Add(cancelTime - time.Millisecond)}, &fakeExchange{receivedAt: end.Add(cancelTime + time.Millisecond)}
+	const early, late = targetend.CancelTime - time.Millisecond, targetend.CancelTime + time.Millisecond
+	data := func(at time.Time) func() (time.Time, bool) { return func() (time.Time, bool) { return at, true } }
+	unknown := func() (time.Time, bool) { return time.Time{}, false }
 	for _, c := range []struct {
 		name     string
-		play     func(l *streamLog)
+		play     func(l *targetend.Log, end time.Time)
 		survives bool
 	}{
-		{"data long after the end", func(l *streamLog) { l.begin(b, late) }, true},
-		{"data soon after the end", func(l *streamLog) { l.begin(b, early) }, false},
-		{"time not known", func(l *streamLog) { l.begin(b, &fakeExchange{}) }, false},
-		{"other stream has ended too", func(l *streamLog) { l.begin(b, late); l.ended(b) }, false},
-		{"other stream is forgotten", func(l *streamLog) { l.begin(b, late); l.leave(b) }, false},
-		{"stream of another target", func(l *streamLog) { l.begin(elsewhere, late) }, false},
+		{"data long after the end", func(l *targetend.Log, end time.Time) { l.Begin("t", end, data(end.Add(late))) }, true},
+		{"data soon after the end", func(l *targetend.Log, end time.Time) { l.Begin("t", end, data(end.Add(early))) }, false},
+		{"time not known", func(l *targetend.Log, end time.Time) { l.Begin("t", end, unknown) }, false},
+		{"other stream has ended too", func(l *targetend.Log, end time.Time) { l.Begin("t", end, data(end.Add(late))).End(end.Add(late)) }, false},
+		{"other stream is forgotten", func(l *targetend.Log, end time.Time) { l.Begin("t", end, data(end.Add(late))).Leave() }, false},
+		{"stream of another target", func(l *targetend.Log, end time.Time) { l.Begin("u", end, data(end.Add(late))) }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			l := &streamLog{}
-			l.begin(a, late)
-			c.play(l)
-			if survives := l.otherSurvives(a, end); survives != c.survives {
-				t.Errorf("survives %t, want %t", survives, c.survives)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				s := newService(&fakeTargetClient{})
+				r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute}}
+				a := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
+				a.race = newRace(a)
+				end := time.Now()
+				a.logged = s.targets.Begin("t", end, data(end.Add(late)))
+				c.play(&s.targets, end)
+				j := judgeEnd(a, unannouncedClose, RunCheck{Liveness: Ended, Refused: true}, end, true)
+				if whole := j.Verdict == targetend.Whole; whole != c.survives {
+					t.Errorf("%s because %s, want whole %t", j.Verdict, j.Reason, c.survives)
+				}
+			})
 		})
 	}
 }
@@ -84,7 +97,7 @@
 // target that refuses connections: it may be shutting down and finishing its streams.
 func TestStreamOfTargetThatRefusesConnections(t *testing.T) {
 	arrived := time.Now()
-	before, just := arrived.Add(-2*cancelTime), arrived.Add(-cancelTime/2)
+	before, just := arrived.Add(-2*targetend.CancelTime), arrived.Add(-targetend.CancelTime/2)
 	for _, c := range []struct {
 		name         string
 		resumable    bool
@@ -108,13 +121,13 @@
 			r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute, Resumable: c.resumable, MaxAttempts: 3}}
 			a := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
 			a.race = newRace(a)
-			s.streams.begin(a, &fakeExchange{})
+			a.logged = s.targets.Begin("t", arrived, func() (time.Time, bool) { return time.Time{}, false })
 			if !c.refusesSince.IsZero() {
-				s.streams.refuses("t", c.refusesSince)
+				s.targets.Refuses("t", c.refusesSince)
 			}
-			complete, because := a.judgeEnd(c.doubt, RunCheck{Liveness: Ended, Refused: true, IdleClosedAt: c.idleClosedAt}, arrived, c.known)
-			if complete != c.complete {
-				t.Errorf("complete %t because %q, want %t", complete, because, c.complete)
+			j := judgeEnd(a, c.doubt, RunCheck{Liveness: Ended, Refused: true, IdleClosedAt: c.idleClosedAt}, arrived, c.known)
+			if complete := j.Verdict == targetend.Whole; complete != c.complete {
+				t.Errorf("complete %t because %q, want %t", complete, j.Reason, c.complete)
 			}
 		})
 	}
@@ -123,32 +136,41 @@
 // Guards against streams of which no connection shows that their target has cancelled all handlers
 // at the same moment.
 func TestStreamsEndingTogetherAreDoubted(t *testing.T) {
-	s := newService(&fakeTargetClient{})
-	grant, err := s.cfg.Scheduler.Acquire(t.Context(), &dispatch.Request{Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Hour)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &request{service: s}
-	a, b, c := &attempt{request: r, grant: grant}, &attempt{request: r, grant: grant}, &attempt{request: r, grant: grant}
-	end := time.Now()
-	ex, other := &fakeExchange{receivedAt: end}, &fakeExchange{receivedAt: end.Add(endTogetherTime)}
-	s.streams.begin(a, ex)
-	s.streams.begin(b, other)
-	if d := a.doubtEnd(&state.Response{}, ex, end); d != noDoubt {
-		t.Errorf("doubt %s while the other stream goes on, want none", d)
-	}
-	s.streams.ended(b)
-	if d := a.doubtEnd(&state.Response{}, ex, end); d != endedTogether {
-		t.Errorf("doubt %s after the other stream has ended, want %s", d, endedTogether)
-	}
-	s.streams.begin(c, ex)
-	if d := a.doubtEnd(&state.Response{}, ex, end); d != noDoubt {
-		t.Errorf("doubt %s while a third stream goes on, want none", d)
-	}
-	s.streams.leave(c)
-	other.receivedAt = end.Add(endTogetherTime + 1)
-	if d := a.doubtEnd(&state.Response{}, ex, end); d != noDoubt {
-		t.Errorf("doubt %s although the other stream has ended later, want none", d)
+	const together = 25 * time.Millisecond
+	for _, c := range []struct {
+		name        string
+		otherEnd    time.Duration // after the end; negative: it goes on
+		thirdGoesOn bool
+		doubt       endDoubt
+	}{
+		{"other stream goes on", -1, false, noDoubt},
+		{"other stream has ended", together, false, endedTogether},
+		{"other stream has ended, a third one goes on", together, true, noDoubt},
+		{"other stream has ended later", together + 1, false, noDoubt},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newService(&fakeTargetClient{})
+			grant, err := s.cfg.Scheduler.Acquire(t.Context(), &dispatch.Request{Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Hour)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			end := time.Now()
+			ex := &fakeExchange{receivedAt: end}
+			begin := func() *targetend.Stream {
+				return s.targets.Begin(grant.Target.ID, end, func() (time.Time, bool) { return end, true })
+			}
+			a := &attempt{request: &request{service: s}, grant: grant, logged: begin()}
+			if other := begin(); c.otherEnd >= 0 {
+				other.End(end.Add(c.otherEnd))
+			}
+			if c.thirdGoesOn {
+				begin()
+			}
+			check := &endCheck{attempt: a, arrivedAt: end, timeKnown: true}
+			if check.findDoubt(&state.Response{}, ex); check.doubt != c.doubt {
+				t.Errorf("doubt %s, want %s", check.doubt, c.doubt)
+			}
+		})
 	}
 }
 
@@ -157,9 +179,9 @@
 // more event. Its own target had begun to shut down long before the end, and finished it.
 func TestWholeStreamThatMayBeResumedIsNotSentOn(t *testing.T) {
 	const oneMore = "id: 4\ndata: x\n\n"
-	for name, refusing := range map[string]time.Duration{"target finishes its streams": 2 * cancelTime, "target has just begun to refuse": cancelTime / 2} {
+	for name, refusing := range map[string]time.Duration{"target finishes its streams": 2 * targetend.CancelTime, "target has just begun to refuse": targetend.CancelTime / 2} {
 		t.Run(name, func(t *testing.T) {
-			whole := refusing > cancelTime
+			whole := refusing > targetend.CancelTime
 			out := &recordingResponder{}
 			targets := &fakeTargetClient{}
 			synctest.Test(t, func(t *testing.T) {
