Gateway: a stream that may be resumed is judged like any other

Cause: an end in doubt was taken for cut where the stream may be resumed, because another attempt adds nothing to a stream that was whole.

Change: whether a stream may be resumed is no evidence. A first run that ends before its first event still runs elsewhere, where nothing is resumed.

--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -75,6 +75,7 @@
 	// arrivedAt is when the end arrived, if timeKnown is set.
 	arrivedAt time.Time
 	timeKnown bool
+	empty     bool // the body has nothing
 	doubt     endDoubt
 	run       RunCheck
 	took      time.Duration // of the check
@@ -83,14 +84,14 @@
 
 // Reasons of a judgement that does not come from package targetend.
 const (
-	becauseTargetRuns   = "target_runs"
-	becauseNotAsked     = "target_not_asked"
-	becauseCutShort     = "check_cut_short"
-	becauseNoEnd        = "no_end_marked"
-	becauseTimeUnknown  = "time_of_end_unknown"
-	becauseNotRefused   = "connections_not_refused"
-	becauseRunsBeside   = "runs_beside"
-	becauseMayBeResumed = "may_be_resumed"
+	becauseTargetRuns  = "target_runs"
+	becauseNotAsked    = "target_not_asked"
+	becauseCutShort    = "check_cut_short"
+	becauseNoEnd       = "no_end_marked"
+	becauseTimeUnknown = "time_of_end_unknown"
+	becauseNotRefused  = "connections_not_refused"
+	becauseRunsBeside  = "runs_beside"
+	becauseNoEvent     = "no_event"
 )
 
 // checkEnd returns an error if the end of a response does not show that the response is complete: it
@@ -103,7 +104,7 @@
 		return nil
 	}
 	// What the target does behind the end is compared with when the end arrived. It may be read later.
-	c := &endCheck{attempt: a}
+	c := &endCheck{attempt: a, empty: empty}
 	c.arrivedAt, c.timeKnown = endArrivedAt(ex)
 	if c.findDoubt(head, ex); c.doubt == noDoubt {
 		return nil
@@ -189,8 +190,8 @@
 		undecided(becauseTimeUnknown)
 	case a.race.contested(): // the other attempt answers
 		undecided(becauseRunsBeside)
-	case a.mayGoOnElsewhere():
-		undecided(becauseMayBeResumed)
+	case c.empty && !a.begun && a.mayGoOnElsewhere(): // the other run gives the caller the first event
+		undecided(becauseNoEvent)
 	default:
 		c.judgeByStreams()
 	}
