Gateway: other entries are asked for the end of a target

Cause: an entry often has a single stream from a target. Whether it was cancelled together with those of other entries, or whether the target finishes its streams, cannot be told from that stream alone: a target that finishes its streams for a while and then cancels the rest passed for one that finishes all, and whole streams were broken off because the entry had no sign of when the shutdown had begun.

The end of a response at a target that is to leave or refuses connections, of which this entry has no other stream, is compared in the same way although its connection stays open. Counters end_peers.asked and .told; the log line states them.

--- a/internal/coordination/gateway/crashfleet_test.go
+++ b/internal/coordination/gateway/crashfleet_test.go
@@ -126,6 +126,9 @@
 	return c.find(address).crashed == nil
 }
 
+// IdleClosedAt implements TargetClient.
+func (c *crashEngines) IdleClosedAt(string) time.Time { return time.Time{} }
+
 // CheckRunning implements TargetClient.
 func (c *crashEngines) CheckRunning(ctx context.Context, target *state.TargetRecord, _ string) RunCheck {
 	switch {
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -69,6 +69,9 @@
 	// healthPath is the path of health checks of its service, or empty if there is none. The
 	// check is bounded.
 	CheckRunning(ctx context.Context, target *state.TargetRecord, healthPath string) RunCheck
+	// IdleClosedAt returns when the target at an address closed its idle connections, as a server
+	// does that begins to shut down; zero if it has not, or had none.
+	IdleClosedAt(address string) time.Time
 }
 
 // Liveness is what is known of a target after it has closed a connection.
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -97,6 +97,9 @@
 	// none knew.
 	Origins   *origin.Log
 	AskOrigin func(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, error)
+	// AskTargetEnd asks other entries what they have seen of a target; nil if there are none. The
+	// error says which did not answer.
+	AskTargetEnd func(ctx context.Context, id state.TargetID, address string) ([]targetend.Report, error)
 	// RetryRatio, RetryWindow, RetrySlack and RetrySlackFrom bound the repeated sends for
 	// each service as retry.WindowBudget says. RetrySlack returns this entry's part of what
 	// all entries together may send beyond the ratio.
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
@@ -19,6 +20,7 @@
 	endSettleTime = 25 * time.Millisecond
 	// maxBelievedCheckTime bounds the check of a target that is believed if it cannot be asked.
 	maxBelievedCheckTime = 250 * time.Millisecond
+	// survivorPollInterval is the time between looks at the other streams of a target.
 	survivorPollInterval = 10 * time.Millisecond
 )
 
@@ -80,6 +82,11 @@
 	run       RunCheck
 	took      time.Duration // of the check
 	judgement targetend.Judgement
+	// seenElsewhere is what other entries have told, questions how often they were asked, and askErr
+	// says which did not answer.
+	seenElsewhere []targetend.Report
+	questions     int
+	askErr        error
 }
 
 // Reasons of a judgement that does not come from package targetend.
@@ -136,17 +143,35 @@
 		c.doubt = noDoubt
 	case !w.StaysOpen(c.watchTime()):
 		c.doubt = unannouncedClose
-	case targetend.Judge(c.arrivedAt, c.seenHere()).Verdict == targetend.Cut:
+	case c.endedWithOthers():
 		c.doubt = endedTogether
 	}
 }
 
 // watchTime returns how long the connection is watched behind the end.
 func (c *endCheck) watchTime() time.Duration {
-	if c.attempt.request.service.cfg.Scheduler.Serves(c.attempt.grant) {
-		return endWatchTime
+	if c.targetLeaves() {
+		return leavingEndWatchTime
 	}
-	return leavingEndWatchTime
+	return endWatchTime
+}
+
+// targetLeaves reports whether the end of the target is expected.
+func (c *endCheck) targetLeaves() bool {
+	return !c.attempt.request.service.cfg.Scheduler.Serves(c.attempt.grant)
+}
+
+// endedWithOthers reports whether all streams of the target have ended at the same moment as this one.
+// Other entries are asked only where the end of the target is expected and it writes no other stream for
+// this one.
+func (c *endCheck) endedWithOthers() bool {
+	seen := c.seenHere()
+	j := targetend.Judge(c.arrivedAt, seen)
+	if j.Verdict != targetend.Cut && j.GoOn == 0 && (c.targetLeaves() || seen.Refusing > 0) {
+		c.askOthers()
+		j = c.judgeByAll()
+	}
+	return j.Verdict == targetend.Cut
 }
 
 // askTarget asks the target whether it still runs.
@@ -212,27 +237,76 @@
 }
 
 // judgeByStreams judges by the other streams of a target that accepts no connections: a server that
-// shuts down may finish its streams. As long as others go on, it waits to see whether they survive.
+// shuts down may finish its streams. As long as others go on here, it waits to see whether they survive.
+// Other entries are asked where that does not decide, once more if streams go on there.
 func (c *endCheck) judgeByStreams() {
-	for {
-		c.judgement = targetend.Judge(c.arrivedAt, c.seenHere())
-		if c.judgement.Verdict != targetend.Undecided || c.judgement.GoOn == 0 || !c.waitForSurvivors() {
-			return
-		}
+	for c.judgeHere() && c.judgement.GoOn > 0 && c.waitUntil(min(c.sinceEnd()+survivorPollInterval, targetend.SurvivalTime)) {
+	}
+	if !c.judgement.NeedsOthers() || !c.askOthers() {
+		return
 	}
+	c.judgement = c.judgeByAll()
+	if c.judgement.Verdict == targetend.Undecided && c.judgement.GoOn > 0 && c.waitUntil(targetend.SurvivalTime) {
+		c.askOthers()
+		c.judgement = c.judgeByAll()
+	}
+}
+
+// judgeHere judges by what this entry has seen, and reports whether that leaves the end undecided.
+func (c *endCheck) judgeHere() (undecided bool) {
+	c.judgement = targetend.Judge(c.arrivedAt, c.seenHere())
+	return c.judgement.Verdict == targetend.Undecided
+}
+
+// judgeByAll judges by what this entry and those that were asked have seen.
+func (c *endCheck) judgeByAll() targetend.Judgement {
+	return targetend.Judge(c.arrivedAt, append(slices.Clip(c.seenElsewhere), c.seenHere())...)
 }
 
-// waitForSurvivors waits a moment. It returns false if other streams have gone on for long enough after
-// the end to count, or if the check is cut short.
-func (c *endCheck) waitForSurvivors() bool {
+// sinceEnd returns the time since the end of the response.
+func (c *endCheck) sinceEnd() time.Duration { return time.Since(c.arrivedAt) }
+
+// waitUntil waits until a time after the end of the response. It returns false if that has passed, or if
+// the check is cut short.
+func (c *endCheck) waitUntil(afterEnd time.Duration) bool {
 	ctx := c.attempt.ctx
-	if time.Since(c.arrivedAt) > targetend.SurvivalTime {
+	left := afterEnd - c.sinceEnd()
+	if left <= 0 {
 		return false
 	}
-	pause(ctx, survivorPollInterval)
+	pause(ctx, left)
 	return ctx.Err() == nil
 }
 
+// askOthers asks other entries what they have seen of the target. It reports whether there is a new
+// answer.
+func (c *endCheck) askOthers() bool {
+	a := c.attempt
+	cfg := &a.request.service.cfg
+	if cfg.AskTargetEnd == nil {
+		return false
+	}
+	c.questions++
+	cfg.Counters.Add("end_peers.asked")
+	answers, err := cfg.AskTargetEnd(a.ctx, a.grant.Target.ID, a.grant.Target.Address)
+	c.askErr = err
+	if len(answers) == 0 {
+		return false
+	}
+	cfg.Counters.Add("end_peers.told")
+	c.seenElsewhere = answers
+	return true
+}
+
+// TargetSeen returns what this entry has seen of a target at an address, for another entry.
+func (s *Service) TargetSeen(id state.TargetID, address string) targetend.Seen {
+	seen := s.targets.Seen(id, nil).Seen
+	if at := s.cfg.TargetClient.IdleClosedAt(address); !at.IsZero() {
+		seen.Refusing = max(seen.Refusing, time.Since(at))
+	}
+	return seen
+}
+
 // mayGoOnElsewhere reports whether the stream may be resumed at another target.
 func (a *attempt) mayGoOnElsewhere() bool {
 	r := a.request
--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -59,6 +59,8 @@
 // String returns the value as it appears in logs and names of counters.
 func (v Verdict) String() string { return [...]string{"undecided", "whole", "cut"}[v] }
 
+const wentOnWhileRefusing = "went_on_while_refusing"
+
 // Judgement is a verdict with what it rests on.
 type Judgement struct {
 	Verdict Verdict
@@ -71,6 +73,13 @@
 	Refusing time.Duration
 }
 
+// NeedsOthers reports whether other entries are to be asked before the judgement counts. A stream that
+// ends long after its target began to refuse connections may have been cancelled with those of other
+// entries, unless another one here goes on.
+func (j *Judgement) NeedsOthers() bool {
+	return j.Verdict == Undecided || j.Reason == wentOnWhileRefusing && j.GoOn == 0
+}
+
 // Judge judges a response whose end arrived at the given time by what entries have seen of its target.
 func Judge(end time.Time, reports ...Report) Judgement {
 	var j Judgement
@@ -90,7 +99,7 @@
 	case j.Together > 0:
 		j.Reason = "some_ended_together"
 	case j.Refusing > CancelTime:
-		j.Verdict, j.Reason = Whole, "went_on_while_refusing"
+		j.Verdict, j.Reason = Whole, wentOnWhileRefusing
 	case j.Refusing > 0:
 		j.Reason = "began_to_refuse_just_before"
 	default:
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/rollout"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
 	"github.com/cassiaramp/cassiaramp/internal/logging"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/admin"
@@ -116,11 +117,11 @@
 	}
 	p.control = newControl(p)
 	var err error
-	if p.mesh, err = mesh.New(netip.AddrPortFrom(s.IP, s.FirstPort), p.control.snapshot, p.findOrigin); err != nil {
+	if p.mesh, err = mesh.New(netip.AddrPortFrom(s.IP, s.FirstPort), p.control.snapshot, p.findOrigin, p.findTargetEnd); err != nil {
 		return err
 	}
 	p.gateway = gateway.New(gateway.Config{
-		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Quarantine: p.quarantine, Origins: p.origins, AskOrigin: p.mesh.AskOrigin, RetryRatio: s.Bounds.RetryRatio,
+		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Quarantine: p.quarantine, Origins: p.origins, AskOrigin: p.mesh.AskOrigin, AskTargetEnd: p.mesh.AskTargetEnd, RetryRatio: s.Bounds.RetryRatio,
 		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack, RetrySlackFrom: p.retrySlackFrom(), HedgingShare: p.hedgingShare, InRollout: p.inRollout, Memory: p.memory,
 		Log: log.Requests, Counters: p.counters, Rollouts: p.versionJudge(),
 	})
@@ -205,7 +206,12 @@
 	}
 }
 
-// serveEntries serves snapshots and origins of streams to the other entries.
+// findTargetEnd implements mesh.FindTargetEnd.
+func (p *gatewayProcess) findTargetEnd(id state.TargetID, address string) targetend.Seen {
+	return p.gateway.TargetSeen(id, address)
+}
+
+// serveEntries serves snapshots, origins of streams and the ends of targets to the other entries.
 func (p *gatewayProcess) serveEntries(ctx context.Context) error {
 	ln, err := netconn.Listen(ctx, netip.AddrPortFrom(p.settings.IP, p.settings.FirstPort).String(), p.log.With(zap.String("listener", "entries")))
 	if err != nil {
--- a/internal/daemon/reports_test.go
+++ b/internal/daemon/reports_test.go
@@ -27,7 +27,7 @@
 func openMesh(t *testing.T) (*mesh.Mesh, netip.AddrPort, <-chan mesh.Message) {
 	t.Helper()
 	address := netip.AddrPortFrom(conntest.Address(t), 7600)
-	m, err := mesh.New(address, func() mesh.Snapshot { return mesh.Snapshot{} }, nil)
+	m, err := mesh.New(address, func() mesh.Snapshot { return mesh.Snapshot{} }, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/restoredstore_test.go
+++ b/internal/daemon/restoredstore_test.go
@@ -55,7 +55,7 @@
 	p.origins = origin.New(p.startedAt, true)
 	p.quarantine = quarantine.New(quarantine.Config{Self: "self"})
 	p.control = newControl(p)
-	if p.mesh, err = mesh.New(netip.MustParseAddrPort("127.0.0.1:0"), p.control.snapshot, p.findOrigin); err != nil {
+	if p.mesh, err = mesh.New(netip.MustParseAddrPort("127.0.0.1:0"), p.control.snapshot, p.findOrigin, nil); err != nil {
 		t.Fatal(err)
 	}
 	return &storeTest{t: t, store: store, control: p.control}
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -152,6 +152,7 @@
 	http          *http.Client
 	localSnapshot func() Snapshot // what other entries may fetch
 	findOrigin    FindOrigin      // answers the questions of other entries
+	findTargetEnd FindTargetEnd   // likewise
 
 	cache snapshotCache
 
@@ -193,15 +194,15 @@
 }
 
 // New returns a mesh that sends and receives datagrams at address. localSnapshot
-// returns the snapshot that other entries may fetch, and findOrigin answers their
-// questions for the origins of streams.
-func New(address netip.AddrPort, localSnapshot func() Snapshot, findOrigin FindOrigin) (*Mesh, error) {
+// returns the snapshot that other entries may fetch; findOrigin and findTargetEnd answer
+// their questions for the origins of streams and the ends of targets.
+func New(address netip.AddrPort, localSnapshot func() Snapshot, findOrigin FindOrigin, findTargetEnd FindTargetEnd) (*Mesh, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, fmt.Errorf("listen for reports of other entries: %w", err)
 	}
 	return &Mesh{
-		self: address, conn: conn, localSnapshot: localSnapshot, findOrigin: findOrigin,
+		self: address, conn: conn, localSnapshot: localSnapshot, findOrigin: findOrigin, findTargetEnd: findTargetEnd,
 		http: &http.Client{Timeout: snapshotTimeout, Transport: &http.Transport{
 			MaxResponseHeaderBytes: maxEntryHeaderBytes,
 			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -28,12 +28,24 @@
 // openMeshWithOrigins returns a mesh as openMesh does, which answers questions for origins
 // by findOrigin.
 func openMeshWithOrigins(t *testing.T, snapshot Snapshot, findOrigin FindOrigin) (*Mesh, <-chan Message) {
+	t.Helper()
+	return openAnsweringMesh(t, snapshot, findOrigin, nil)
+}
+
+// openMeshWithEnds returns a mesh that answers questions for the ends of targets by findTargetEnd.
+func openMeshWithEnds(t *testing.T, findTargetEnd FindTargetEnd) *Mesh {
+	t.Helper()
+	m, _ := openAnsweringMesh(t, Snapshot{}, nil, findTargetEnd)
+	return m
+}
+
+func openAnsweringMesh(t *testing.T, snapshot Snapshot, findOrigin FindOrigin, findTargetEnd FindTargetEnd) (*Mesh, <-chan Message) {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	m, err := New(ln.Addr().(*net.TCPAddr).AddrPort(), func() Snapshot { return snapshot }, findOrigin)
+	m, err := New(ln.Addr().(*net.TCPAddr).AddrPort(), func() Snapshot { return snapshot }, findOrigin, findTargetEnd)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/mesh/snapshot.go
+++ b/internal/transport/mesh/snapshot.go
@@ -166,12 +166,13 @@
 	return s, nil
 }
 
-// ServeEntries serves snapshots and origins of streams to other entries on ln until ctx
-// ends.
+// ServeEntries serves snapshots, origins of streams and what is known of the ends of targets
+// to other entries on ln until ctx ends.
 func (m *Mesh) ServeEntries(ctx context.Context, ln net.Listener) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+snapshotPath, m.handleSnapshot)
 	mux.HandleFunc("GET "+originPath, m.handleOrigin)
+	mux.HandleFunc("GET "+targetEndPath, m.handleTargetEnd)
 	connections := &netconn.OldestCloser{Max: maxEntryConnections}
 	server := &http.Server{
 		Handler: netconn.RejectBodies(mux), ReadTimeout: snapshotTimeout, WriteTimeout: 2 * snapshotTimeout,
--- a/internal/transport/upstream/endingforms_test.go
+++ b/internal/transport/upstream/endingforms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
+	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
 // checkEndingForm checks that no stream is passed on as complete before its last event, from a target
@@ -60,6 +63,59 @@
 	}
 }
 
+// newEntries returns the gateways of two entries with the same target, each of which asks the other.
+func newEntries(address string) (a, b *gateway.Service) {
+	asks := func(other **gateway.Service) func(context.Context, state.TargetID, string) ([]targetend.Report, error) {
+		return func(_ context.Context, id state.TargetID, address string) ([]targetend.Report, error) {
+			earliest := time.Now()
+			seen := (*other).TargetSeen(id, address)
+			return []targetend.Report{{Seen: seen, Earliest: earliest, Latest: time.Now()}}, nil
+		}
+	}
+	a = newAskingGateway(New(), []string{address}, asks(&b))
+	b = newAskingGateway(New(), []string{address}, asks(&a))
+	return a, b
+}
+
+// Guards against streams that are passed on as complete because each is the only one that its entry has
+// from a target whose time to finish them runs out, so that it cancels them all.
+func TestOnlyStreamsOfTwoEntriesCancelledTogetherAreIncomplete(t *testing.T) {
+	for _, route := range []string{"stream", "resume"} {
+		t.Run(route, func(t *testing.T) {
+			target := startEndingTarget(t, finishesThenCancels)
+			a, b := newEntries(target.address)
+			leaveIdleConnections(t, a)
+			leaveIdleConnections(t, b)
+			var atB *eventCount
+			atA := serveStreams(t, a, route, []int{300}, func() {
+				atB = serveStreams(t, b, route, []int{300}, func() { target.process.Process.Signal(syscall.SIGTERM) })[0]
+			})[0]
+			for name, s := range map[string]*eventCount{"first": atA, "second": atB} {
+				if s.complete {
+					t.Errorf("%s entry: complete after %d of 300 events", name, s.events.Load())
+				}
+			}
+		})
+	}
+}
+
+// Guards against a whole stream that is broken off, or sent to another target, because its entry has no
+// other stream from a target that shuts down and finishes its streams, while another entry has.
+func TestStreamOfTargetThatFinishesThoseOfOtherEntriesIsComplete(t *testing.T) {
+	for _, route := range []string{"stream", "resume"} {
+		t.Run(route, func(t *testing.T) {
+			target := startEndingTarget(t, finishesHandlers)
+			a, b := newEntries(target.address)
+			s := serveStreams(t, a, route, []int{40}, func() {
+				serveStreams(t, b, route, []int{200}, func() { target.process.Process.Signal(syscall.SIGTERM) })
+			})[0]
+			if !s.complete || s.events.Load() != 40 {
+				t.Errorf("complete %t after %d of 40 events", s.complete, s.events.Load())
+			}
+		})
+	}
+}
+
 // checkCutStream checks that a stream is not passed on as complete that its target ends after the first
 // event, in chunks and with a header. end ends it, and closes the listener if it is to be closed.
 func checkCutStream(t *testing.T, header string, end func(g *gateway.Service, ln net.Listener, conn net.Conn)) {
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -142,7 +142,7 @@
 
 // probe asks the target for its incarnation until it is known, or ctx ends.
 func (c *Client) probe(ctx context.Context, key probeKey) gateway.RunCheck {
-	check := gateway.RunCheck{IdleClosedAt: c.idleClosedAt(key.address)}
+	check := gateway.RunCheck{IdleClosedAt: c.IdleClosedAt(key.address)}
 	for pause := probePause; ; pause *= 2 {
 		if conn := c.takeUnprobed(key.address); conn != nil {
 			idleCtx, cancel := context.WithTimeout(ctx, idleProbeTimeout)
@@ -320,9 +320,9 @@
 	return nil
 }
 
-// idleClosedAt returns when the target closed the last of the idle connections to its address, or zero
-// if one is still open or there is none.
-func (c *Client) idleClosedAt(address string) time.Time {
+// IdleClosedAt implements gateway.TargetClient: it returns when the target closed the last of the idle
+// connections to its address, or zero if one is still open or there is none.
+func (c *Client) IdleClosedAt(address string) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var last time.Time
--- a/internal/transport/upstream/runs_test.go
+++ b/internal/transport/upstream/runs_test.go
@@ -24,6 +24,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quota"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/ratelimit"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -139,6 +140,12 @@
 
 // newGateway returns a gateway whose requests go to the targets at the addresses by client.
 func newGateway(client *Client, addresses []string) *gateway.Service {
+	return newAskingGateway(client, addresses, nil)
+}
+
+// newAskingGateway returns a gateway as newGateway does, which asks other entries for the ends of targets
+// by ask.
+func newAskingGateway(client *Client, addresses []string, ask func(context.Context, state.TargetID, string) ([]targetend.Report, error)) *gateway.Service {
 	scheduler := dispatch.New("a", 1, time.Now, noObserver{}, ratelimit.New(ratelimit.Config{Self: "self"}))
 	var records []state.TargetRecord
 	for _, address := range addresses {
@@ -149,7 +156,7 @@
 	origins.SetTargets(time.Now(), records)
 	g := gateway.New(gateway.Config{
 		Scheduler: scheduler, TargetClient: client, Quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}), Refusals: refusal.NewLog(),
-		Quarantine: quarantine.New(quarantine.Config{Self: "self", Others: func(time.Time) []state.InstanceID { return nil }}), Origins: origins, RetryRatio: 1, RetryWindow: time.Second, RetrySlack: func() float64 { return 100 },
+		Quarantine: quarantine.New(quarantine.Config{Self: "self", Others: func(time.Time) []state.InstanceID { return nil }}), Origins: origins, AskTargetEnd: ask, RetryRatio: 1, RetryWindow: time.Second, RetrySlack: func() float64 { return 100 },
 		Memory: memory.New(memory.Limits{Responses: 64 << 20}), Log: zap.NewNop(), Counters: gateway.NewCounters(false),
 	})
 	g.SetConfiguration(&state.Configuration{Version: 1, Routes: []state.Route{
