Fault soak: targets that linger behind their end, and answers behind the last event

No target of the soak kept its listener after it had cancelled its streams, all answered a request to go on behind the last event with an empty stream (or the last event again), and nothing counted such requests. An event named its run only at its end, so that a part of an event of one run, with the rest of another's, looked like an event of one.

Change: two ends of target processes, cancel-linger and cancel-linger-empty, which are played by -faultsoak.ending only, as the current code breaks ORDER under them; -faultsoak.beyond with five answers; a third figure of streamEnds: streams that were resumed behind their last event, how many of them whole, how many with further events. Events name their run at both ends; one case of the judge's table, whose part of an event belonged to the run before the last, is now of the last run, and the part of the earlier run is a case of its own that counts as ORDER. A whole stream that was broken off counts as such also when a resumption of it was refused. An unknown form in a flag ends the test.

The other tests of the package were not run for this commit.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -42,6 +42,8 @@
 	PreemptTime  time.Duration
 	// RepeatShare of the resumed streams begin with the event after which they are to go on.
 	RepeatShare float64
+	// Beyond is the answer to a request that resumes a stream behind its last event.
+	Beyond string
 	// RunsOn says that the target goes on with a request whose connection was closed.
 	RunsOn bool
 	// UnframedShare of the streams have neither a length nor chunks and end with their connection.
@@ -53,6 +55,15 @@
 	NoticesCloseLate bool
 }
 
+// Answers to a request that resumes a stream behind its last event.
+const (
+	BeyondNone   = "none"   // an empty stream
+	BeyondMore   = "more"   // one further event
+	BeyondRepeat = "repeat" // the last event
+	BeyondRefuse = "refuse" // status 400
+	BeyondAnew   = "anew"   // all events
+)
+
 // Headers of requests that say how long a target with a profile works. Entries pass them on.
 const (
 	HeaderEvents    = "Emulated-Events"     // of the stream
@@ -64,6 +75,7 @@
 const (
 	RunCompleted = "completed"
 	RunFailed    = "failed"       // status 500
+	RunRefused   = "refused"      // status 400, which does not state that the request has not run
 	RunTimedOut  = "time limit"   // status 504, or the stream was broken off
 	RunDropped   = "caller left"  // the connection was closed
 	RunBrokenOff = "broken off"   // by the target
@@ -397,6 +409,14 @@
 	p := t.Profile
 	events, _ := strconv.Atoi(r.Header.Get(HeaderEvents)) // 0 if absent
 	from := run.After
+	beyond := ""
+	if from > 0 && from >= events {
+		beyond = p.Beyond
+	}
+	if beyond == BeyondRefuse {
+		w.WriteHeader(http.StatusBadRequest)
+		return RunRefused
+	}
 	tokens, _, _ := strings.Cut(r.Header.Get("Token-Usage"), ",") // of the prompt
 	prompt, _ := strconv.Atoi(tokens)                             // 0 if absent
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -426,6 +446,14 @@
 	if from > 0 && rand.Float64() < p.RepeatShare {
 		first = from
 	}
+	switch beyond {
+	case BeyondMore:
+		first, events = from+1, from+1
+	case BeyondRepeat:
+		first, events = from, from
+	case BeyondAnew:
+		first = 1
+	}
 	for n := first; n <= events; n++ {
 		if n > first {
 			running, _, reading := t.slots.load()
--- a/internal/emulator/health.go
+++ b/internal/emulator/health.go
@@ -11,6 +11,10 @@
 
 const reportPath = "/api/report"
 
+func isHealthCheck(r *http.Request) bool {
+	return r.Method == http.MethodGet && r.URL.Path == HealthPath
+}
+
 // serveHealth answers a health check. At a target with a profile it waits for a slot, or is
 // rejected, as a request is. It is no run in the ledger.
 func (t *Target) serveHealth(w http.ResponseWriter, r *http.Request) {
--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -21,7 +22,8 @@
 	Slots                 int
 	EventsPerStream       int
 	Profile               Profile
-	FirstRun              int // its runs are numbered from here on
+	FirstRun              int           // its runs are numbered from here on
+	Linger                time.Duration // before the exit in the forms of an end that linger
 }
 
 // What a target that is a process of its own does at SIGTERM.
@@ -31,6 +33,10 @@
 	EndFinish = "finish" // accepts no connection, finishes its requests and exits
 	// EndFinishCancel finishes requests for finishTime, then cancels the others.
 	EndFinishCancel = "finish-cancel"
+	// EndCancelLinger cancels the handlers and goes on accepting for ProcessConfig.Linger, but
+	// refuses requests as not run. EndCancelLingerEmpty answers them with an empty success.
+	EndCancelLinger      = "cancel-linger"
+	EndCancelLingerEmpty = "cancel-linger-empty"
 )
 
 const finishTime = 700 * time.Millisecond
@@ -77,16 +83,16 @@
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	go server.Serve(ln)
 	<-terminated
-	t.end(<-endings, server, cancel)
+	t.end(<-endings, server, cancel, config.Linger)
 	return nil
 }
 
 // end ends the work of the process.
-func (t *Target) end(ending string, server *http.Server, cancel func()) {
-	if ending == EndExit {
+func (t *Target) end(ending string, server *http.Server, cancel func(), linger time.Duration) {
+	switch ending {
+	case EndExit:
 		os.Exit(0)
-	}
-	if ending != EndCancel {
+	case EndFinish, EndFinishCancel:
 		ctx := context.Background()
 		if ending == EndFinishCancel {
 			var stop func()
@@ -96,12 +102,44 @@
 		if server.Shutdown(ctx) == nil {
 			return
 		}
+	case EndCancelLinger:
+		t.lingers.Store(new(http.HandlerFunc(t.refuse)))
+	case EndCancelLingerEmpty:
+		t.lingers.Store(new(http.HandlerFunc(t.answerEmpty)))
 	}
 	t.Closing.Store(true)
 	cancel()
+	if t.lingers.Load() != nil {
+		time.Sleep(linger)
+	}
 	server.Shutdown(context.Background())
 }
 
+// refuse states that a request does not run, or that the target is not healthy.
+func (t *Target) refuse(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Instance-Id", t.ID)
+	if !isHealthCheck(r) {
+		t.Ledger.reject(id, t, "ending")
+		w.Header().Set("Not-Executed", "1")
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// answerEmpty answers a request with an empty success, as a server does whose handlers return at
+// once. The answer does not state that the request has not run, so it counts as a run.
+func (t *Target) answerEmpty(w http.ResponseWriter, r *http.Request) {
+	if isHealthCheck(r) {
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Response-Signature", "signed by "+t.ID)
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if absent
+	t.Ledger.end(id, t.Ledger.begin(id, t, after), RunBrokenOff)
+}
+
 // ledgerChange is a run as it is after a change.
 type ledgerChange struct {
 	ID  string
--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -91,6 +91,8 @@
 	// a reset if the process has read all that came.
 	Closing, Killed atomic.Bool
 	process         bool // it has a process of its own; see ServeProcess
+	// lingers answers all requests while that process is ending; nil before.
+	lingers atomic.Pointer[http.HandlerFunc]
 
 	slots slotQueue
 
@@ -163,12 +165,16 @@
 }
 
 // RunEvent is StreamEvent for a target with a profile, whose events also have the number of the
-// run that wrote them.
+// run that wrote them, at both ends so that parts of two runs differ from an event of one.
 func RunEvent(id string, n int, software string, run int) string {
-	return StreamEvent(id, n, fmt.Sprintf("%s run %d", software, run))
+	return StreamEvent(fmt.Sprintf("%s run %d", id, run), n, fmt.Sprintf("%s run %d", software, run))
 }
 
 func (t *Target) handle(w http.ResponseWriter, r *http.Request) {
+	if lingers := t.lingers.Load(); lingers != nil {
+		lingers.ServeHTTP(w, r)
+		return
+	}
 	id := r.Header.Get("Request-Id")
 	header := w.Header()
 	if r.Method == http.MethodGet && r.URL.Path == reportPath && t.EventsPerStream > 0 {
@@ -177,7 +183,7 @@
 	}
 	header.Set("Request-Id", id)
 	header.Set("Instance-Id", t.ID)
-	health := r.Method == http.MethodGet && r.URL.Path == HealthPath
+	health := isHealthCheck(r)
 	if expected := r.Header.Get("Expect-Instance"); expected != t.ID && !(health && expected == "") {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -86,6 +86,7 @@
 }
 
 func runDeployment(t *testing.T, binary string, dep *deployment, seed uint64) {
+	checkEndingFlags(t)
 	w := newEmptyWorld(t, binary, seed)
 	defer w.close()
 	d := &deploymentRun{
--- a/internal/faultsoak/deployments_test.go
+++ b/internal/faultsoak/deployments_test.go
@@ -172,7 +172,7 @@
 		profile := d.profile
 		profile.Speed, profile.IdleTimeout, profile.CloseShare, profile.LateShare = d.speeds[i%len(d.speeds)], engineIdle, 0.01, 0.004
 		profile.AbruptShare, profile.PreemptShare, profile.PreemptTime, profile.RepeatShare, profile.UnframedShare = 0.004, 0.02, ms(3000), 0.5, 0.5
-		profile.RunsOn, profile.NoticesCloseLate, profile.EndsProperly = i%5 == 4, *lateCloseFlag, i%2 == 0
+		profile.RunsOn, profile.NoticesCloseLate, profile.EndsProperly, profile.Beyond = i%5 == 4, *lateCloseFlag, i%2 == 0, *beyondFlag
 		if d.openFaults() {
 			profile.StrayShare, profile.SpoiledShare = 0.02, 0.004
 		}
--- a/internal/faultsoak/endings_test.go
+++ b/internal/faultsoak/endings_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"flag"
+	"slices"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/emulator"
@@ -11,7 +13,9 @@
 var (
 	processesFlag = flag.Int("faultsoak.processes", 3, "number of a deployment's engines, and of its plain targets, that are processes of their own; none with -faultsoak.proxies")
 	unframedFlag  = flag.Float64("faultsoak.unframed", 0.1, "share of the streams of such targets that have neither a length nor chunks")
-	endingFlag    = flag.String("faultsoak.ending", "", "play this fault of engines alone, which are then all processes of their own: kill, exit, cancel, finish, finish-cancel or pause")
+	endingFlag    = flag.String("faultsoak.ending", "", "play this fault of engines alone, which are then all processes of their own: kill, exit, cancel, finish, finish-cancel or pause; also cancel-linger and cancel-linger-empty, which no plan has since they break ORDER")
+	lingerFlag    = flag.Duration("faultsoak.linger", 300*time.Millisecond, "how long targets accept connections behind an end with linger in its name")
+	beyondFlag    = flag.String("faultsoak.beyond", emulator.BeyondNone, "answer of engines to a request that resumes a stream behind its last event: none, more, repeat, refuse or anew")
 	announcedFlag = flag.Bool("faultsoak.announced", false, "with -faultsoak.ending: targets report that they leave 1.5 s before")
 )
 
@@ -22,7 +26,18 @@
 	minPause, maxPause = 300 * time.Millisecond, 3800 * time.Millisecond
 )
 
-var endingForms = []string{endKill, emulator.EndExit, emulator.EndFinish, emulator.EndCancel, emulator.EndFinishCancel}
+var (
+	plannedEndings = []string{endKill, emulator.EndExit, emulator.EndFinish, emulator.EndCancel, emulator.EndFinishCancel}
+	endingForms    = append(slices.Clip(plannedEndings), emulator.EndCancelLinger, emulator.EndCancelLingerEmpty)
+	beyondForms    = []string{emulator.BeyondNone, emulator.BeyondMore, emulator.BeyondRepeat, emulator.BeyondRefuse, emulator.BeyondAnew}
+)
+
+// checkEndingFlags ends the test if a flag names no form, as a run of it would show nothing.
+func checkEndingFlags(t *testing.T) {
+	if *endingFlag != "" && *endingFlag != formPause && !slices.Contains(endingForms, *endingFlag) || !slices.Contains(beyondForms, *beyondFlag) {
+		t.Fatalf("unknown form in -faultsoak.ending=%s or -faultsoak.beyond=%s", *endingFlag, *beyondFlag)
+	}
+}
 
 // ending is how the process of a target ends.
 type ending struct {
@@ -42,7 +57,7 @@
 
 // randomEnding returns an ending of the run's plan.
 func (d *deploymentRun) randomEnding() ending {
-	forms := endingForms
+	forms := plannedEndings
 	if !d.openFaults() { // some forms of a proper end in the middle of a stream break ORDER (KNOWN-RED.txt)
 		forms = forms[:3]
 	}
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -146,7 +146,7 @@
 // returns "".
 func (a *attempt) wrongAnswer(ran []emulator.Run) (rule, wrong string) {
 	success := a.status >= 200 && a.status < 300
-	statuses := map[string]int{emulator.RunFailed: http.StatusInternalServerError, emulator.RunTimedOut: http.StatusGatewayTimeout}
+	statuses := map[string]int{emulator.RunFailed: http.StatusInternalServerError, emulator.RunTimedOut: http.StatusGatewayTimeout, emulator.RunRefused: http.StatusBadRequest}
 	switch {
 	case a.extra:
 		return "MIXED", "bytes after the answer"
--- a/internal/faultsoak/judgecases_test.go
+++ b/internal/faultsoak/judgecases_test.go
@@ -124,7 +124,7 @@
 		}
 		return b.String()
 	}
-	half := pieces(1, 4, 4)[:20]
+	part, secondPart, secondRest := pieces(1, 4, 4)[:20], pieces(2, 4, 4)[:20], pieces(2, 4, 4)[20:]
 	endings := []struct {
 		name string
 		end  func(a *attempt)
@@ -146,7 +146,7 @@
 		{name: "whole", body: pieces(1, 1, last), runs: []int{0}, resumable: "whole cut left", once: "whole cut left"},
 		{name: "no event", runs: []int{0}, resumable: "cut left refused", once: "cut left refused"},
 		{name: "first events", body: pieces(1, 1, 3), runs: []int{0}, resumable: "cut left", once: "cut left"},
-		{name: "inside an event", body: pieces(1, 1, 3) + half, runs: []int{0}, resumable: "cut left", once: "cut left"},
+		{name: "inside an event", body: pieces(1, 1, 3) + part, runs: []int{0}, resumable: "cut left", once: "cut left"},
 		{name: "inside the last event", body: pieces(1, 1, last)[:len(pieces(1, 1, last))-1], runs: []int{0}, resumable: "cut left", once: "cut left"},
 		{name: "event missing", body: pieces(1, 1, 3) + pieces(1, 5, last), runs: []int{0}},
 		{name: "first event missing", body: pieces(1, 2, last), runs: []int{0}},
@@ -156,10 +156,22 @@
 		{name: "empty line after the last", body: pieces(1, 1, last) + "\r\n", runs: []int{0}},
 		{name: "event of no run", body: pieces(1, 1, 3) + pieces(2, 4, last), runs: []int{0}},
 		{name: "resumed by the entry", body: pieces(1, 1, 3) + pieces(2, 4, last), runs: []int{0, 3}, resumable: "whole cut left"},
-		{name: "resumed by the entry, inside an event", body: pieces(1, 1, 2) + pieces(2, 3, 3) + half, runs: []int{0, 2}, resumable: "cut left"},
+		{name: "resumed by the entry, inside an event", body: pieces(1, 1, 2) + pieces(2, 3, 3) + secondPart, runs: []int{0, 2}, resumable: "cut left"},
+		{name: "resumed by the entry, then a part of the first run", body: pieces(1, 1, 2) + pieces(2, 3, 3) + part, runs: []int{0, 2}},
 		{name: "resumed twice", body: pieces(1, 1, 3) + pieces(2, 4, 6) + pieces(3, 7, last), runs: []int{0, 3, 6}, resumable: "whole cut left"},
 		{name: "begun again after the first run", body: pieces(2, 1, last), runs: []int{0, 0}, resumable: "whole cut left", once: "whole cut left"},
-		{name: "resumed inside an event", body: pieces(1, 1, 3) + half + pieces(2, 4, last), runs: []int{0, 3}},
+		{name: "resumed inside an event", body: pieces(1, 1, 3) + part + pieces(2, 4, last), runs: []int{0, 3}},
+		{name: "resumed inside an event, its rest of another run", body: pieces(1, 1, 3) + part + secondRest + pieces(2, 5, last), runs: []int{0, 3}},
+		{name: "resumed inside an event, goes on with the next", body: pieces(1, 1, 3) + part + pieces(2, 5, last), runs: []int{0, 4}},
+		{name: "event of the first run after the second has begun", body: pieces(1, 1, 3) + pieces(2, 4, 4) + pieces(1, 5, 5) + pieces(2, 6, last), runs: []int{0, 3}},
+		{name: "event of the first run again after the second has begun", body: pieces(1, 1, 3) + pieces(2, 4, 4) + pieces(1, 4, 4) + pieces(2, 5, last), runs: []int{0, 3}},
+		{name: "event of the first run in place of one of the second", body: pieces(1, 1, 4) + pieces(2, 5, last), runs: []int{0, 3}},
+		{name: "part of an event of the first run after the last", body: pieces(1, 1, 3) + pieces(2, 4, last) + part, runs: []int{0, 3}},
+		{name: "resumed behind the last event, empty or refused", body: pieces(1, 1, last), runs: []int{0, last}, resumable: "whole cut left", once: "whole cut left"},
+		{name: "resumed behind the last event, one more", body: pieces(1, 1, last) + pieces(2, last+1, last+1), runs: []int{0, last}},
+		{name: "resumed behind the last event, a part of one more", body: pieces(1, 1, last) + pieces(2, last+1, last+1)[:20], runs: []int{0, last}},
+		{name: "resumed behind the last event, which is repeated", body: pieces(1, 1, last) + pieces(2, last, last), runs: []int{0, last}},
+		{name: "resumed behind the last event, anew", body: pieces(1, 1, last) + pieces(2, 1, last), runs: []int{0, last}},
 		{name: "resumed too early, one event twice", body: pieces(1, 1, 3) + pieces(2, 3, last), runs: []int{0, 2}},
 		{name: "resumed too early, repeated event dropped", body: pieces(1, 1, 3) + pieces(2, 4, last), runs: []int{0, 2}},
 		{name: "resumed too late", body: pieces(1, 1, 3) + pieces(2, 5, last), runs: []int{0, 4}},
--- a/internal/faultsoak/processes_test.go
+++ b/internal/faultsoak/processes_test.go
@@ -47,6 +47,7 @@
 	profile.RunsOn, profile.EndsProperly, profile.UnframedShare = false, true, *unframedFlag
 	text, err := json.Marshal(emulator.ProcessConfig{
 		ID: e.ID, Service: e.Service, Software: e.Software, Address: address, Slots: e.Slots, EventsPerStream: e.EventsPerStream, Profile: profile, FirstRun: int(d.processes.Add(1)) * 1000,
+		Linger: *lingerFlag,
 	})
 	if err != nil {
 		w.t.Fatal(err)
--- a/internal/faultsoak/streamends_test.go
+++ b/internal/faultsoak/streamends_test.go
@@ -19,11 +19,14 @@
 	noEvent   int            // of the early ones, had no event
 	whole     int            // ended by their target after the last event, at entries in touch
 	brokenOff int            // of the whole ones, did not reach their caller as complete
+	behind    int            // had a run that was asked to go on behind the last event
+	resumed   int            // of these, had another run that had ended the whole stream
+	beyond    int            // of those asked behind the last event, brought their caller further ones
 }
 
 func (s streamEnds) String() string {
-	return fmt.Sprintf("%d, of them cut by the end of a target: %v; ended as complete before the last event: %v, %d of them without an event; whole ones: %d, of them broken off by the entry: %d",
-		s.streams, s.cut, s.early, s.noEvent, s.whole, s.brokenOff)
+	return fmt.Sprintf("%d, of them cut by the end of a target: %v; ended as complete before the last event: %v, %d of them without an event; whole ones: %d, of them broken off by the entry: %d; resumed behind the last event: %d, of them whole ones: %d, with further events: %d",
+		s.streams, s.cut, s.early, s.noEvent, s.whole, s.brokenOff, s.behind, s.resumed, s.beyond)
 }
 
 func (d *deploymentRun) streamEnds() streamEnds {
@@ -50,7 +53,17 @@
 				s.noEvent++
 			}
 		}
-		if ran[len(ran)-1].Outcome == emulator.RunCompleted && !a.left && d.inTouch(a) {
+		if slices.ContainsFunc(ran, func(r emulator.Run) bool { return r.After >= a.events }) {
+			s.behind++
+			if slices.ContainsFunc(ran, func(r emulator.Run) bool { return r.Outcome == emulator.RunCompleted && r.After < a.events }) {
+				s.resumed++
+			}
+			if a.after+a.received() > a.events {
+				s.beyond++
+			}
+		}
+		// A run behind the last event may be refused or broken off.
+		if slices.ContainsFunc(ran, func(r emulator.Run) bool { return r.Outcome == emulator.RunCompleted }) && !a.left && d.inTouch(a) {
 			s.whole++
 			if !ended {
 				s.brokenOff++
--- a/internal/faultsoak/streamendscases_test.go
+++ b/internal/faultsoak/streamendscases_test.go
@@ -70,3 +70,43 @@
 		}
 	}
 }
+
+// Guards against a judge that misses a stream which was resumed behind its last event, or one that
+// was whole before or has further events then, and against one that reports others.
+func TestResumedWholeStreams(t *testing.T) {
+	const last = 9
+	type r struct {
+		after   int
+		outcome string
+	}
+	for _, c := range []struct {
+		name      string
+		runs      []r
+		events    int // that the caller got
+		brokenOff bool
+		want      streamEnds
+	}{
+		{name: "one run", runs: []r{{0, emulator.RunCompleted}}, events: last, want: streamEnds{whole: 1}},
+		{name: "resumed before the last event", runs: []r{{0, emulator.RunBrokenOff}, {last - 1, emulator.RunCompleted}}, events: last, want: streamEnds{whole: 1}},
+		{name: "whole, resumed, empty", runs: []r{{0, emulator.RunCompleted}, {last, emulator.RunCompleted}}, events: last, want: streamEnds{whole: 1, behind: 1, resumed: 1}},
+		{name: "whole, resumed, one more event", runs: []r{{0, emulator.RunCompleted}, {last, emulator.RunCompleted}}, events: last + 1, want: streamEnds{whole: 1, behind: 1, resumed: 1, beyond: 1}},
+		{name: "whole, resumed, refused", runs: []r{{0, emulator.RunCompleted}, {last, emulator.RunRefused}}, events: last, brokenOff: true, want: streamEnds{whole: 1, brokenOff: 1, behind: 1, resumed: 1}},
+		{name: "without its end, resumed, one more event", runs: []r{{0, emulator.RunBrokenOff}, {last, emulator.RunCompleted}}, events: last + 1, want: streamEnds{whole: 1, behind: 1, beyond: 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := &attempt{id: "a", kind: deployments[0].kinds[1], entry: &entry{name: "edge-0"}, status: 200, events: last, body: strings.Repeat("id\n\n", c.events)}
+			if c.brokenOff {
+				a.err = io.ErrUnexpectedEOF
+			}
+			var runs []emulator.Run
+			for i, r := range c.runs {
+				runs = append(runs, emulator.Run{Target: "x", Number: i + 1, After: r.after, Outcome: r.outcome})
+			}
+			d := &deploymentRun{attempts: []*attempt{a}, runsOf: func(string) []emulator.Run { return runs }}
+			c.want.streams = 1
+			if got := d.streamEnds(); got.String() != c.want.String() {
+				t.Errorf("ends of streams: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
