Gateway: an end that arrived before its target was asked to abandon the stream counts

Cause: a stream whose end was read after its target had been asked to abandon it was always sent on to the target that was to take over, also if the end had arrived before the question and only the entry had not read it (a slow caller, a pause).

Change: the time of the question is kept, and an end that by the clock of the kernel had arrived before is judged as any other. The target that was to take over is released.

Result: TestEndThatArrivedBeforeItsTargetWasAskedToAbandonItIsItsOwn passes, and fails without the comparison; the tests of withdrawals pass.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -342,11 +342,11 @@
 // endsForEntry returns an error if the target may have ended a response because of this entry: it was
 // asked to abandon it, or has reached the time limit that it was told. HTTP servers write the last
 // chunk of a response when its handler returns early, so that chunks do not show that it is complete.
-// While the entry writes to a slow caller it does not read, so that an end that is read after the
-// limit may have arrived before it.
+// An end that is read after that may have arrived before it: the entry does not read while it writes to
+// a slow caller, or while it is paused.
 func (a *attempt) endsForEntry() error {
 	switch {
-	case a.handOver.wasWithdrawn():
+	case a.handOver.endedWithdrawn():
 		return errEndsWithdrawn
 	case time.Until(a.request.deadline) <= timeLimitUnit && !a.handOver.endArrivedBefore(a.request.deadline.Add(-timeLimitUnit)):
 		return errEndsAtTimeLimit
--- a/internal/coordination/gateway/handover.go
+++ b/internal/coordination/gateway/handover.go
@@ -44,6 +44,7 @@
 	next        *dispatch.Grant // the target that takes over
 	exchange    Exchange        // of the attempt; nil before the request is sent
 	withdrawn   bool            // the target was asked to abandon the request
+	withdrawnAt time.Time       // just before it was
 	permission  bool            // to send the request once more, which is left of a hand-over that did not take place
 	check       *time.Timer     // of whether it does; nil before it is asked
 	hedgeAt     time.Time       // when a hedge is considered; zero for none
@@ -128,6 +129,15 @@
 	return known && latest.Before(limit)
 }
 
+// endedWithdrawn reports whether the target may have ended the response, whose end was read, because it
+// was asked to abandon the request.
+func (h *handOver) endedWithdrawn() bool {
+	h.mu.Lock()
+	withdrawn, at := h.withdrawn, h.withdrawnAt
+	h.mu.Unlock()
+	return withdrawn && !h.endArrivedBefore(at)
+}
+
 // giveBack releases the target that was to take over. The target that was asked to abandon the
 // request may do so later, so the permission is kept. The caller must hold h.mu.
 func (h *handOver) giveBack() {
@@ -192,7 +202,7 @@
 	if h.search == s {
 		h.search = nil
 		if err == nil && h.takeOver() {
-			h.next = grant
+			h.next, h.withdrawnAt = grant, time.Now()
 			if w, ok := h.exchange.(Withdrawer); ok && r.eventForwarded && w.Withdraw() {
 				h.withdrawn = true
 				r.logWithdrawn(h.attempt, grant)
--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -290,6 +290,40 @@
 	}
 }
 
+// Guards against a whole stream that is sent to another target, which may make one more event, because its
+// end is read after the target was asked to abandon the request, although it had arrived before.
+func TestEndThatArrivedBeforeItsTargetWasAskedToAbandonItIsItsOwn(t *testing.T) {
+	for name, before := range map[string]bool{"arrived before": true, "arrived after": false} {
+		t.Run(name, func(t *testing.T) {
+			out := &recordingResponder{}
+			targets := &fakeTargetClient{}
+			synctest.Test(t, func(t *testing.T) {
+				x := &withdrawnExchange{
+					fakeExchange: fakeExchange{head: &state.Response{Status: 200, HasSignature: true}}, pieces: []string{events, ""},
+					asked: make(chan struct{}), afterwards: 50 * time.Millisecond, end: io.EOF, reached: true,
+				}
+				targets.behaviours = []behaviour{func(ctx context.Context, _ *Forward) (Exchange, error) {
+					if x.ctx = ctx; before {
+						x.receivedAt = time.Now()
+					} else {
+						x.receivedAt = time.Now().Add(time.Hour)
+					}
+					return x, nil
+				}, respondWith(200, "id: 4\ndata: x\n\n")}
+				s := newService(targets)
+				s.SetConfiguration(longRoute())
+				s.Serve(t.Context(), resumableCall(), time.Now(), out)
+				if n := s.cfg.Scheduler.Waiting("s"); n != 0 {
+					t.Errorf("%d requests wait", n)
+				}
+			})
+			if sentOn := len(targets.sends) > 1; sentOn == before || !out.ended || before && out.body.String() != events {
+				t.Errorf("sent on %t, ended %t with %q; want sent on %t", sentOn, out.ended, out.body.String(), !before)
+			}
+		})
+	}
+}
+
 // Guards against a stream that is passed on as complete although its target only stopped at the
 // time limit that it was told: HTTP servers end a response in chunks properly when its handler
 // returns early.
