Gateway: streams that ended together are compared with those at other entries

Cause: a stream counted as cut because another one of this entry had ended within 25 ms and none here went on, without a question to the entries whose streams of the target did go on. In a soak of targets that shut down and finish their streams, 14 of 18 whole streams in chunks that were broken off or resumed were judged so.

Change: other entries are asked before such a judgement too.

Result: two cases of TestOtherEntriesTellWhetherAStreamIsWhole, which fail without the change.

--- a/internal/coordination/gateway/endelsewhere_test.go
+++ b/internal/coordination/gateway/endelsewhere_test.go
@@ -58,27 +58,30 @@
 
 // Guards against a cut stream that is believed because it is the only one that this entry has from a
 // target which finishes its streams for a while and then cancels the rest, against a whole one that is
-// broken off although another entry knows that the target finishes its streams, and against questions
-// about ends that are decided here.
+// broken off although another entry knows that the target finishes its streams, or because another one
+// ended by chance at the same moment, and against questions about ends that are decided here.
 func TestOtherEntriesTellWhetherAStreamIsWhole(t *testing.T) {
 	const long, just = 2 * targetend.CancelTime, targetend.CancelTime / 2
 	for _, c := range []struct {
 		name     string
 		refusing time.Duration // before the end, as seen here
 		goesOn   bool          // another stream here
+		together bool          // another stream here has ended at the same moment
 		other    func(end time.Time) otherEntry
 		verdict  targetend.Verdict
 		asked    int
 	}{
-		{"nothing known elsewhere, refused long before", long, false, func(time.Time) otherEntry { return otherEntry{} }, targetend.Whole, 1},
-		{"no answer, refused long before", long, false, func(time.Time) otherEntry { return otherEntry{silent: true} }, targetend.Whole, 1},
-		{"nothing known elsewhere, refused just before", just, false, func(time.Time) otherEntry { return otherEntry{} }, targetend.Undecided, 1},
-		{"streams elsewhere ended together", long, false, func(end time.Time) otherEntry { return otherEntry{ended: []time.Time{end}} }, targetend.Cut, 1},
-		{"seen to refuse elsewhere", just, false, func(end time.Time) otherEntry { return otherEntry{refusesSince: end.Add(-long)} }, targetend.Whole, 1},
-		{"goes on elsewhere", just, false, func(time.Time) otherEntry { return otherEntry{goesOn: true} }, targetend.Whole, 2},
-		{"some ended together elsewhere, others go on", long, false, func(end time.Time) otherEntry { return otherEntry{ended: []time.Time{end}, goesOn: true} }, targetend.Whole, 2},
-		{"goes on here, refused long before", long, true, func(time.Time) otherEntry { return otherEntry{} }, targetend.Whole, 0},
-		{"goes on here, refused just before", just, true, func(time.Time) otherEntry { return otherEntry{} }, targetend.Whole, 0},
+		{"nothing known elsewhere, refused long before", long, false, false, func(time.Time) otherEntry { return otherEntry{} }, targetend.Whole, 1},
+		{"no answer, refused long before", long, false, false, func(time.Time) otherEntry { return otherEntry{silent: true} }, targetend.Whole, 1},
+		{"nothing known elsewhere, refused just before", just, false, false, func(time.Time) otherEntry { return otherEntry{} }, targetend.Undecided, 1},
+		{"streams elsewhere ended together", long, false, false, func(end time.Time) otherEntry { return otherEntry{ended: []time.Time{end}} }, targetend.Cut, 1},
+		{"seen to refuse elsewhere", just, false, false, func(end time.Time) otherEntry { return otherEntry{refusesSince: end.Add(-long)} }, targetend.Whole, 1},
+		{"goes on elsewhere", just, false, false, func(time.Time) otherEntry { return otherEntry{goesOn: true} }, targetend.Whole, 2},
+		{"some ended together elsewhere, others go on", long, false, false, func(end time.Time) otherEntry { return otherEntry{ended: []time.Time{end}, goesOn: true} }, targetend.Whole, 2},
+		{"ended together here, nothing known elsewhere", long, false, true, func(time.Time) otherEntry { return otherEntry{} }, targetend.Cut, 1},
+		{"ended together here, goes on elsewhere", just, false, true, func(time.Time) otherEntry { return otherEntry{goesOn: true} }, targetend.Whole, 2},
+		{"goes on here, refused long before", long, true, false, func(time.Time) otherEntry { return otherEntry{} }, targetend.Whole, 0},
+		{"goes on here, refused just before", just, true, false, func(time.Time) otherEntry { return otherEntry{} }, targetend.Whole, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -88,6 +91,9 @@
 				if c.goesOn {
 					a.request.service.targets.Begin(a.grant.Target.ID, end, func() (time.Time, bool) { return time.Now(), true })
 				}
+				if c.together {
+					a.request.service.targets.Begin(a.grant.Target.ID, end, func() (time.Time, bool) { return end, true }).End(end)
+				}
 				check := RunCheck{Liveness: Ended, Refused: true, IdleClosedAt: end.Add(-c.refusing)}
 				if j := judgeEnd(a, unannouncedClose, check, end, true); j.Verdict != c.verdict || other.asked != c.asked {
 					t.Errorf("%s because %s, asked %d times; want %s, asked %d times", j.Verdict, j.Reason, other.asked, c.verdict, c.asked)
--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -73,11 +73,12 @@
 	Refusing time.Duration
 }
 
-// NeedsOthers reports whether other entries are to be asked before the judgement counts. A stream that
-// ends long after its target began to refuse connections may have been cancelled with those of other
-// entries, unless another one here goes on.
+// NeedsOthers reports whether other entries are to be asked before the judgement counts. Streams that go
+// on there show that those which ended together here were not cancelled. A stream that ends long after
+// its target began to refuse connections may have been cancelled with those of other entries, unless
+// another one here goes on.
 func (j *Judgement) NeedsOthers() bool {
-	return j.Verdict == Undecided || j.Reason == wentOnWhileRefusing && j.GoOn == 0
+	return j.Verdict != Whole || j.Reason == wentOnWhileRefusing && j.GoOn == 0
 }
 
 // Judge judges a response whose end arrived at the given time by what entries have seen of its target.
