Gateway: a stream without length or chunks is whole if others of its target go on

Cause: the end of such a stream was proved only by an answer of its target, which a target that shuts down and finishes its streams does not give.

Change: such an end is judged like others, with one exception: that the target has refused connections before proves nothing, because the end of the connection is also that of a process that is killed.

Result: TestStreamWithoutEndIsWholeIfAnotherGoesOn and TestJudgeEndThatOnlyTheConnectionMarks, which fail without the change and without the exception.

--- a/internal/coordination/gateway/endelsewhere_test.go
+++ b/internal/coordination/gateway/endelsewhere_test.go
@@ -106,6 +106,21 @@
 	}
 }
 
+// Guards against a whole stream without length or chunks that is broken off, or sent to another target,
+// although another one of its target goes on, and against a cut one that is believed because its target
+// refused connections before: it may have been killed.
+func TestStreamWithoutEndIsWholeIfAnotherGoesOn(t *testing.T) {
+	for goesOn, want := range map[bool]targetend.Verdict{true: targetend.Whole, false: targetend.Undecided} {
+		synctest.Test(t, func(t *testing.T) {
+			a, end := endingAttempt(t, &otherEntry{goesOn: goesOn})
+			check := RunCheck{Liveness: Ended, Refused: true, IdleClosedAt: end.Add(-time.Second)}
+			if j := judgeEnd(a, connectionEnd, check, end, false); j.Verdict != want {
+				t.Errorf("another goes on %t: %s because %s, want %s", goesOn, j.Verdict, j.Reason, want)
+			}
+		})
+	}
+}
+
 // Guards against a cut stream that is not doubted because its target, which is to leave, keeps the
 // connection open and has no other stream of this entry, and against a question for each end of a target
 // that serves.
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -94,7 +94,6 @@
 	becauseTargetRuns  = "target_runs"
 	becauseNotAsked    = "target_not_asked"
 	becauseCutShort    = "check_cut_short"
-	becauseNoEnd       = "no_end_marked"
 	becauseTimeUnknown = "time_of_end_unknown"
 	becauseNotRefused  = "connections_not_refused"
 	becauseRunsBeside  = "runs_beside"
@@ -166,7 +165,7 @@
 // this one.
 func (c *endCheck) endedWithOthers() bool {
 	seen := c.seenHere()
-	j := targetend.Judge(c.arrivedAt, seen)
+	j := targetend.Judge(c.end(), seen)
 	if j.Verdict != targetend.Cut && j.GoOn == 0 && (c.targetLeaves() || seen.Refusing > 0) {
 		c.askOthers()
 		j = c.judgeByAll()
@@ -207,11 +206,9 @@
 		undecided(becauseCutShort)
 	case c.run.Liveness == Unproved && !c.doubt.needsProof():
 		whole(becauseNotAsked)
-	case c.doubt == connectionEnd:
-		undecided(becauseNoEnd)
 	case !c.run.Refused:
 		undecided(becauseNotRefused)
-	case !c.timeKnown:
+	case !c.timeKnown && c.doubt != connectionEnd:
 		undecided(becauseTimeUnknown)
 	case a.race.contested(): // the other attempt answers
 		undecided(becauseRunsBeside)
@@ -254,13 +251,18 @@
 
 // judgeHere judges by what this entry has seen, and reports whether that leaves the end undecided.
 func (c *endCheck) judgeHere() (undecided bool) {
-	c.judgement = targetend.Judge(c.arrivedAt, c.seenHere())
+	c.judgement = targetend.Judge(c.end(), c.seenHere())
 	return c.judgement.Verdict == targetend.Undecided
 }
 
 // judgeByAll judges by what this entry and those that were asked have seen.
 func (c *endCheck) judgeByAll() targetend.Judgement {
-	return targetend.Judge(c.arrivedAt, append(slices.Clip(c.seenElsewhere), c.seenHere())...)
+	return targetend.Judge(c.end(), append(slices.Clip(c.seenElsewhere), c.seenHere())...)
+}
+
+// end describes the end of the response.
+func (c *endCheck) end() targetend.End {
+	return targetend.End{At: c.arrivedAt, Unmarked: c.doubt == connectionEnd}
 }
 
 // sinceEnd returns the time since the end of the response.
--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -81,9 +81,18 @@
 	return j.Verdict != Whole || j.Reason == wentOnWhileRefusing && j.GoOn == 0
 }
 
-// Judge judges a response whose end arrived at the given time by what entries have seen of its target.
-func Judge(end time.Time, reports ...Report) Judgement {
+// End is the end of a response.
+type End struct {
+	At time.Time // when it arrived
+	// Unmarked says that only the end of the connection marks it, as it also does if the process of the
+	// target is killed. At is then when it was read at the latest.
+	Unmarked bool
+}
+
+// Judge judges the end of a response by what entries have seen of its target.
+func Judge(e End, reports ...Report) Judgement {
 	var j Judgement
+	end := e.At
 	survives := false
 	for i := range reports {
 		r := &reports[i]
@@ -99,6 +108,8 @@
 		j.Verdict, j.Reason = Cut, "ended_together"
 	case j.Together > 0:
 		j.Reason = "some_ended_together"
+	case e.Unmarked:
+		j.Reason = "end_not_marked"
 	case j.Refusing > CancelTime:
 		j.Verdict, j.Reason = Whole, wentOnWhileRefusing
 	case j.Refusing > 0:
--- a/internal/coordination/targetend/targetend_test.go
+++ b/internal/coordination/targetend/targetend_test.go
@@ -47,13 +47,38 @@
 		{"refused long before, another ended together elsewhere", []Report{now(50*ms, Seen{Refusing: time.Second}), now(50*ms, ended(50*ms))}, Cut, "ended_together"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if j := Judge(end, c.reports...); j.Verdict != c.verdict || j.Reason != c.reason {
+			if j := Judge(End{At: end}, c.reports...); j.Verdict != c.verdict || j.Reason != c.reason {
 				t.Errorf("%s because %s, want %s because %s (%+v)", j.Verdict, j.Reason, c.verdict, c.reason, j)
 			}
 		})
 	}
 }
 
+// Guards against a response without length or chunks that is taken for whole because its target had
+// refused connections before: a process that is killed while it finishes its streams closes their
+// connections too. Only a stream that goes on shows that it was not killed.
+func TestJudgeEndThatOnlyTheConnectionMarks(t *testing.T) {
+	end := time.Now()
+	for _, c := range []struct {
+		name    string
+		seen    Seen
+		verdict Verdict
+		reason  string
+	}{
+		{"refused long before", Seen{Refusing: time.Hour}, Undecided, "end_not_marked"},
+		{"refused long before, another goes on", Seen{Refusing: time.Hour, Open: []time.Duration{0}}, Whole, "other_stream_goes_on"},
+		{"another ended together", Seen{Ended: []time.Duration{SurvivalTime}}, Cut, "ended_together"},
+		{"another sent nothing more", Seen{Open: []time.Duration{SurvivalTime}}, Undecided, "end_not_marked"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			at := end.Add(SurvivalTime)
+			if j := Judge(End{At: end, Unmarked: true}, Report{Seen: c.seen, Earliest: at, Latest: at}); j.Verdict != c.verdict || j.Reason != c.reason {
+				t.Errorf("%s because %s, want %s because %s", j.Verdict, j.Reason, c.verdict, c.reason)
+			}
+		})
+	}
+}
+
 // Guards against a log that forgets what a target did as soon as its last stream has left, which another
 // entry asks for, or that remembers it for ever, and against a target that is taken for one that refuses
 // connections after it has run requests again.
