--- a/internal/coordination/dispatch/late_work_test.go
+++ b/internal/coordination/dispatch/late_work_test.go
@@ -38,9 +38,9 @@
 	sim := streamSimulation{entries: 30, engines: 30, slots: 4, slowFactor: 4.4, kinds: unevenKinds(145), duration: 12 * time.Second, tallyFrom: 3 * time.Second}
 	sim.burst = burstOfLowest(2.3, 2, sim.duration)
 	sim.admission = withoutLateWork()
-	off, _ := sim.run(t, 2)
+	off := sim.runSeeds(t)
 	sim.admission.LateWork = true
-	on, _ := sim.run(t, 2)
+	on := sim.runSeeds(t)
 	for rank := range on {
 		if on[rank].onTimeShare() < off[rank].onTimeShare()-shareSlack {
 			t.Errorf("rank %d: on time %.3f, without the policy %.3f", rank, on[rank].onTimeShare(), off[rank].onTimeShare())
