Target client: a success that names nobody is not the answer of a target that names requests

Cause: a response without a Request-Id was skipped only on a connection on which the target had named a request before. On a new connection to the same target it was taken for the answer, so that a stream that is resumed there went on with the events of another response, or ended as complete with an empty one.

Change: the client remembers, for each target, that it has named a request in a response. From then on a 2xx response without an id is skipped on new connections too. Other unnamed responses on new connections are judged as before, and so are those of targets that have not named a request yet: nothing tells whether they ever do.

--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -20,6 +20,7 @@
 	conn      *connection
 	sentAt    time.Time
 	stop      func() bool // cancels the closing of conn at the end of the context; false if it was closed
+	target    state.TargetID
 	method    string
 	requestID state.RequestID
 	written   chan struct{}   // closed when the request is written, or its writing has failed
@@ -151,15 +152,19 @@
 
 // belongs reports whether a response belongs to the request. One that names no request may
 // belong to none: targets send such on connections that are idle or new, for example because
-// they are full. It is taken only if no response on the connection named its request and it
-// does not say that a request did not run, of which it is no proof.
+// they are full. It is taken only if no response on the connection named its request, it is not a
+// success of a target that names requests, and it does not say that a request did not run, of
+// which it is no proof.
 func (e *exchange) belongs(head *state.Response) (bool, error) {
 	switch {
 	case head.RequestID == e.requestID:
 		e.conn.namesRequests = true
+		e.client.recordNaming(e.target)
 		return true, nil
 	case head.RequestID != "" || e.conn.namesRequests:
 		return false, nil
+	case isSuccess(head.Status) && e.client.namesRequests(e.target):
+		return false, nil
 	case e.conn.probed && !head.HasSignature:
 		return false, nil // may be a late copy of the answer to the probe, which is not signed
 	case head.NotRun:
@@ -168,6 +173,8 @@
 	return true, nil
 }
 
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
 // errUnnamedRejection is returned for a response that says that a request did not run, but not
 // which.
 var errUnnamedRejection = errors.New("rejection names no request")
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/traffic"
+	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 	"github.com/cassiaramp/cassiaramp/platform"
 )
@@ -47,6 +49,9 @@
 	maxHeadBytes    = 64 << 10
 	maxSkippedBytes = 1 << 20
 	readBufferSize  = 4 << 10 // bytes
+	// maxNamingTargets bounds each of the two generations of targets that are known to name requests
+	// in their responses.
+	maxNamingTargets = 1 << 12
 )
 
 // Client sends requests to targets and pools the idle connections to them. It is
@@ -56,12 +61,14 @@
 	idle        map[string][]*connection // by address, least recently used first
 	openedCount int64
 	probes      map[probeKey]*probes
-	connect     func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+	// naming holds the targets that have named a request in a response.
+	naming  traffic.RecentCache[state.TargetID, struct{}]
+	connect func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
 }
 
 // New returns a Client without connections.
 func New() *Client {
-	return &Client{idle: make(map[string][]*connection), probes: make(map[probeKey]*probes), connect: netconn.Dial}
+	return &Client{idle: make(map[string][]*connection), probes: make(map[probeKey]*probes), naming: traffic.RecentCache[state.TargetID, struct{}]{GenerationLimit: maxNamingTargets}, connect: netconn.Dial}
 }
 
 var (
@@ -70,6 +77,19 @@
 	_ gateway.ConnectionWatcher = (*exchange)(nil)
 )
 
+// recordNaming records that a target has named a request in a response.
+func (c *Client) recordNaming(target state.TargetID) {
+	if _, known := c.naming.Get(target); !known {
+		c.naming.Set(target, struct{}{})
+	}
+}
+
+// namesRequests reports whether a target is known to name requests in its responses.
+func (c *Client) namesRequests(target state.TargetID) bool {
+	_, known := c.naming.Get(target)
+	return known
+}
+
 // ConnectionsOpened returns the number of connections opened so far, to all targets.
 func (c *Client) ConnectionsOpened() int64 {
 	c.mu.Lock()
@@ -153,7 +173,7 @@
 		conn.Close()
 		return nil, fmt.Errorf("%w: send to %s", gateway.ErrGrantWithdrawn, f.Target.Address)
 	}
-	e := &exchange{client: c, conn: conn, method: f.Call.Method, requestID: f.Call.ID, written: make(chan struct{})}
+	e := &exchange{client: c, conn: conn, target: f.Target.ID, method: f.Call.Method, requestID: f.Call.ID, written: make(chan struct{})}
 	e.stop = context.AfterFunc(ctx, conn.abandon)
 	if err := e.write(b); err != nil {
 		e.stop()
