Gateway: a stream that may not be resumed is not taken up by its caller

Cause: a caller who names the event that it has was sent on to a target on any streaming route. Where the streams of the route may not be resumed, because the configuration has changed since the stream began, or because an HTTP client names its last event after any broken connection, the caller got events of a second run behind those of the first.

Change: such requests are answered as not run (reason not_resumable).

A stream goes on for the customer who holds the key now, as every request does.

--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -31,12 +31,17 @@
 }
 
 // findOrigin finds out where a stream that the caller takes up began, and restricts the
-// placement to targets of that service and software version. If the origin is unknown, or
-// the route no longer leads to its service, it returns the failure to answer with.
+// placement to targets of that service and software version. If the origin is unknown, the
+// route no longer leads to its service, or its streams may not be resumed, it returns the failure
+// to answer with. A caller may send the id of an event although that is so: the configuration
+// has changed since its stream began, or its HTTP client does so after any broken connection.
 func (r *request) findOrigin(ctx context.Context) *Failure {
 	if !r.takesStreamUp() {
 		return nil
 	}
+	if !r.route.Resumable {
+		return &Failure{Kind: NotRun, Reason: "not_resumable"}
+	}
 	source := "here"
 	o, ok := r.findOriginHere(ctx)
 	var err error
