Gateway: a first attempt without any event is not a whole stream

Cause: a success without an event was passed on as a complete stream if it had a length or chunks and its target went on running. By the protocol a run begins with its first token, so such a response shows no run: HTTP servers state a length of 0, or write the last chunk, when they cancel a handler that has written nothing.

Change: a stream that ends without an event (comments and empty lines are none) is not whole unless it resumes another one. It may have run: a stream that may be resumed goes to another target within its attempts and budget, another one gets the unknown outcome. Responses that have no body, such as those to HEAD, stay as they are, and so do resumptions.

The case 'without events, of a body with an end' of TestStreamEndingInsideEventIsIncomplete wanted the empty success to be passed on. It was wrong by the same sentence of the protocol, and TestFirstAttemptWithoutEventIsIncomplete takes its place, in which each framing wants the unknown outcome, and TestCallersResumptionWithoutEventIsWhole, which wants a caller's resumption to be passed on.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -314,8 +314,8 @@
 	if err := a.endsForEntry(); err != nil {
 		return a.outcomeOf(err), err
 	}
-	if head.EndsWithConnection && !a.race.won(a) && !a.begun {
-		return dispatch.Broken, errNoEvent
+	if err := a.checkBegun(head); err != nil {
+		return dispatch.Broken, err
 	}
 	if !a.handOver.goesOn() { // the other target continues from the last event
 		return dispatch.Silent, errStalled
@@ -336,6 +336,22 @@
 	return a.finishStream(head)
 }
 
+// checkBegun returns an error if a response that has ended shows no run: a run begins with its first
+// token, so that only the response to a resumption may have no event. HTTP servers state a length of 0
+// or write the last chunk when they cancel a handler that has written nothing.
+func (a *attempt) checkBegun(head *state.Response) error {
+	switch {
+	case head.EndsWithConnection && !a.race.won(a) && !a.begun:
+		return errNoEvent
+	case a.resumeAfter != "" || a.grant.Events > 0 || !mayHaveBody(a.request.call.Method, head.Status):
+		return nil
+	case head.EndsWithConnection:
+		return errNoEvent
+	default:
+		return errEmptyStream
+	}
+}
+
 // endsForEntry returns an error if the target may have ended a response because of this entry: it was
 // asked to abandon it, or has reached the time limit that it was told. HTTP servers write the last
 // chunk of a response when its handler returns early, so that chunks do not show that it is complete.
@@ -369,9 +385,8 @@
 	a.progressAt = time.Now()
 }
 
-// finishStream completes the response after a stream that ended between two events. A
-// stream without events is answered as a complete response without a body, unless only
-// the end of the connection says that it ended.
+// finishStream completes the response after a stream that ended between two events. A resumption
+// without events is answered as a complete response without a body.
 func (a *attempt) finishStream(head *state.Response) (dispatch.Outcome, error) {
 	r := a.request
 	if head.EndsWithConnection && !r.eventForwarded {
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -81,6 +81,7 @@
 	errEndsEarly       = errors.New("resumed stream ended before the event after which it was to go on")
 	errWriteToCaller   = errors.New("write to caller failed")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
+	errEmptyStream     = errors.New("stream with a length or in chunks ended before its first event")
 )
 
 // Config configures a Service.
--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -194,10 +194,68 @@
 		{"before the first event, runs elsewhere", "/resume/x", []behaviour{endingWithConnection(""), respondWith(200, events)}, events, true, false, 0, []string{"", ""}},
 		{"after a comment", "/stream/x", []behaviour{endingWithConnection(": waiting\n\n")}, ": waiting\n\n", false, true, 0, []string{""}},
 		{"after the last event", "/stream/x", []behaviour{endingWithConnection(events)}, events, true, false, 0, []string{""}},
-		{"without events, of a body with an end", "/stream/x", []behaviour{respondWith(200, "")}, "", true, false, 0, []string{""}},
 	})
 }
 
+// inChunks answers with a complete, signed response in chunks.
+func inChunks(body string) behaviour {
+	return func(context.Context, *Forward) (Exchange, error) {
+		return &fakeExchange{head: &state.Response{Status: 200, HasSignature: true}, Reader: strings.NewReader(body)}, nil
+	}
+}
+
+// Guards against a success without any event that is passed on as a whole stream because its target
+// still runs: a run begins with its first token, and a target that cancels its handlers before that
+// answers so while it is about to end.
+func TestFirstAttemptWithoutEventIsIncomplete(t *testing.T) {
+	for name, empty := range map[string]behaviour{
+		"with a length":                respondWith(200, ""),
+		"with a length, status 201":    respondWith(201, ""),
+		"in chunks":                    inChunks(""),
+		"in chunks, announces a close": closingBehind(Running, true, ""),
+		"without length or chunks":     endingWithConnection(""),
+	} {
+		checkStreams(t, []streamCase{
+			{name, "/stream/x", []behaviour{empty}, "", false, false, UnknownOutcome, []string{""}},
+			{name + ", runs elsewhere", "/resume/x", []behaviour{empty, respondWith(200, events)}, events, true, false, 0, []string{"", ""}},
+			{name + ", twice", "/resume/x", []behaviour{empty, empty}, "", false, false, UnknownOutcome, []string{"", ""}},
+		})
+	}
+	for _, c := range []struct {
+		name, body string
+		answer     func(body string) behaviour
+	}{
+		{"comment, with a length", ": waiting\n\n", func(body string) behaviour { return respondWith(200, body) }},
+		{"comment, in chunks", ": waiting\n\n", inChunks},
+		{"comment, without length or chunks", ": waiting\n\n", endingWithConnection},
+		{"empty lines, in chunks", "\n\n", inChunks},
+	} {
+		checkStreams(t, []streamCase{
+			{c.name, "/stream/x", []behaviour{c.answer(c.body)}, c.body, false, true, 0, []string{""}},
+			{c.name + ", runs elsewhere", "/resume/x", []behaviour{c.answer(c.body), respondWith(200, events)}, c.body + events, true, false, 0, []string{"", ""}},
+			{c.name + ", then nothing", "/resume/x", []behaviour{c.answer(c.body), respondWith(200, "")}, c.body, false, true, 0, []string{"", ""}},
+		})
+	}
+}
+
+// Guards against a resumption behind the last event that is sent on or refused because it has no
+// event: the caller may lack only the end of the stream.
+func TestCallersResumptionWithoutEventIsWhole(t *testing.T) {
+	for name, empty := range map[string]behaviour{"with a length": respondWith(200, ""), "in chunks": inChunks("")} {
+		t.Run(name, func(t *testing.T) {
+			out, targets := &recordingResponder{}, &fakeTargetClient{behaviours: []behaviour{empty}}
+			synctest.Test(t, func(t *testing.T) {
+				call := resumableCall()
+				call.ResumeAfter = "3"
+				newService(targets).Serve(t.Context(), call, time.Now(), out)
+			})
+			if !out.ended || out.status != 200 || out.body.Len() != 0 || len(targets.sends) != 1 {
+				t.Errorf("ended %t, failure %+v after %d sends; want the empty response", out.ended, out.failure, len(targets.sends))
+			}
+		})
+	}
+}
+
 // Guards against a plain response that is lost because it has neither a length nor
 // chunks: its body is complete when the connection ends without an error.
 func TestPlainResponseEndingWithConnectionIsComplete(t *testing.T) {
