Gateway: a resumption without a further event needs proof

Cause: a resumption that ended empty was passed on as the end of the stream unless its connection closed, whoever had cut it, even where the attempt before had broken off inside an event, so that at least one more exists.

Change: such an end is a doubt of its own, empty_resumption, that only an answer of the running target removes; one that refuses connections is not believed for other reasons. A request knows that an event is missing of which a target has sent a part, until that event comes: a resumption without an event is not whole then, whoever runs. Bytes behind the last event of a response without length or chunks may belong to no response and show nothing, nor do parts of comments and of events that the caller has. What is not believed goes on elsewhere where it may.

--- a/internal/coordination/eventstream/eventstream.go
+++ b/internal/coordination/eventstream/eventstream.go
@@ -22,6 +22,8 @@
 	in       *bufio.Reader
 	maxBytes int
 	reserve  func(bytes int) error
+	// unfinished is what was read of the event at which Next failed.
+	unfinished Event
 }
 
 // NewReader returns a reader of events of up to maxBytes each. reserve is called with the memory
@@ -41,24 +43,44 @@
 // A stream that ends inside an event was broken off, even if nothing else shows it: a body
 // without length or chunks also ends when its sender crashes.
 func (r *Reader) Next() (Event, error) {
+	ev, err := r.next()
+	if err != nil {
+		r.unfinished = ev
+		return nil, err
+	}
+	return ev, nil
+}
+
+// Unfinished returns what was read of the event at which Next failed, up to the end of its last
+// complete line, and whether it has a field, be it in the line that is incomplete.
+func (r *Reader) Unfinished() (lines Event, hasField bool) {
+	for range r.unfinished.Fields() {
+		hasField = true
+		break
+	}
+	return r.unfinished[:bytes.LastIndexByte(r.unfinished, '\n')+1], hasField
+}
+
+// next returns the next event. With an error, it returns what was read of it.
+func (r *Reader) next() (Event, error) {
 	var ev Event
 	lineStart := 0 // of the last line in ev
 	for {
 		part, err := r.in.ReadSlice('\n')
 		ev = append(ev, part...)
 		if len(ev) > r.maxBytes {
-			return nil, ErrTooLong
+			return ev, ErrTooLong
 		}
 		if err := r.reserve(cap(ev)); err != nil {
-			return nil, err
+			return ev, err
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue // part is not the end of its line
 		case errors.Is(err, io.EOF) && len(ev) > 0:
-			return nil, fmt.Errorf("%w, after %d bytes of it", ErrEndsInsideEvent, len(ev))
+			return ev, fmt.Errorf("%w, after %d bytes of it", ErrEndsInsideEvent, len(ev))
 		case err != nil:
-			return nil, err
+			return ev, err
 		}
 		if len(trimLineEnd(ev[lineStart:])) == 0 {
 			return ev, nil
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -283,6 +283,7 @@
 			return a.endStream(head, ex)
 		}
 		if err != nil {
+			a.breaksOffInside(events)
 			return a.outcomeOf(err), err
 		}
 		if !a.handOver.goesOn() { // the other target continues from the event before
@@ -314,7 +315,7 @@
 	if err := a.endsForEntry(); err != nil {
 		return a.outcomeOf(err), err
 	}
-	if err := a.checkBegun(head); err != nil {
+	if err := a.checkEvents(head); err != nil {
 		return dispatch.Broken, err
 	}
 	if !a.handOver.goesOn() { // the other target continues from the last event
@@ -336,14 +337,18 @@
 	return a.finishStream(head)
 }
 
-// checkBegun returns an error if a response that has ended shows no run: a run begins with its first
-// token, so that only the response to a resumption may have no event. HTTP servers state a length of 0
+// checkEvents returns an error if a response that has ended lacks events: a run begins with its first
+// token, so that only the response to a resumption may have none, if none is known to be missing. HTTP servers state a length of 0
 // or write the last chunk when they cancel a handler that has written nothing.
-func (a *attempt) checkBegun(head *state.Response) error {
+func (a *attempt) checkEvents(head *state.Response) error {
 	switch {
 	case head.EndsWithConnection && !a.race.won(a) && !a.begun:
 		return errNoEvent
-	case a.resumeAfter != "" || a.grant.Events > 0 || !mayHaveBody(a.request.call.Method, head.Status):
+	case a.grant.Events > 0 || !mayHaveBody(a.request.call.Method, head.Status):
+		return nil
+	case a.resumeAfter != "" && a.request.eventMissing:
+		return errEventMissing
+	case a.resumeAfter != "":
 		return nil
 	case head.EndsWithConnection:
 		return errNoEvent
@@ -352,6 +357,11 @@
 	}
 }
 
+// resumesWithoutEvent reports whether the response to a resumption has ended without a further event.
+func (a *attempt) resumesWithoutEvent(head *state.Response) bool {
+	return a.resumeAfter != "" && a.grant.Events == 0 && isSuccess(head.Status) && a.request.route.Kind == state.StreamingRoute
+}
+
 // endsForEntry returns an error if the target may have ended a response because of this entry: it was
 // asked to abandon it, or has reached the time limit that it was told. HTTP servers write the last
 // chunk of a response when its handler returns early, so that chunks do not show that it is complete.
@@ -420,6 +430,7 @@
 	}
 	if e.hasField {
 		r.positionUnknown = e.id == ""
+		r.eventMissing = false
 	}
 	if e.hasField && !r.eventForwarded {
 		r.eventForwarded = true
--- a/internal/coordination/gateway/events.go
+++ b/internal/coordination/gateway/events.go
@@ -23,6 +23,7 @@
 		Next() (eventstream.Event, error)
 	}
 	unframed *eventstream.UnframedReader // in, if the response has neither a length nor chunks; else nil
+	framed   *eventstream.Reader         // in, otherwise; else nil
 	held     *heldResponse               // by the event that was returned last
 }
 
@@ -32,7 +33,7 @@
 		unframed := &eventstream.UnframedReader{Reader: in}
 		return &eventReader{in: unframed, unframed: unframed, held: held}
 	}
-	return &eventReader{in: in, held: held}
+	return &eventReader{in: in, framed: in, held: held}
 }
 
 // next returns the next complete event, which takes the place of the one before. Its errors are
@@ -43,6 +44,10 @@
 	if err != nil {
 		return event{}, err
 	}
+	return newEvent(data), nil
+}
+
+func newEvent(data eventstream.Event) event {
 	ev := event{data: data}
 	for name, value := range data.Fields() {
 		ev.hasField = true
@@ -50,7 +55,17 @@
 			ev.id = string(value)
 		}
 	}
-	return ev, nil
+	return ev
+}
+
+// unfinished returns the complete lines of the event in which a response with a length or chunks broke
+// off, if there is one. Without these, what comes last may not belong to the response.
+func (e *eventReader) unfinished() (event, bool) {
+	if e.framed == nil {
+		return event{}, false
+	}
+	lines, hasField := e.framed.Unfinished()
+	return newEvent(lines), hasField
 }
 
 // skipped returns the number of other responses that were skipped.
@@ -79,6 +94,22 @@
 	return true
 }
 
+// breaksOffInside records that the response broke off inside an event which the caller does not have,
+// if it did, so that the stream was not whole before it.
+func (a *attempt) breaksOffInside(events *eventReader) {
+	e, ok := events.unfinished()
+	if !ok {
+		return
+	}
+	isNew := a.grant.Events > 0
+	if n := parseEventNumber(e.id); n.known && a.passedOn.known {
+		isNew = n.value > a.passedOn.value
+	}
+	if isNew {
+		a.request.eventMissing = true
+	}
+}
+
 // eventNumber is the ID of an event as a number.
 type eventNumber struct {
 	value uint64
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -78,6 +78,7 @@
 	errEndsWithTarget  = errors.New("response without length or chunks ended together with its target")
 	errEndUnproved     = errors.New("no proof that the target has outlived its response without length or chunks")
 	errEndsWithHandler = errors.New("response in chunks, or empty, may have ended because its target ends")
+	errEventMissing    = errors.New("resumed stream ended without the event inside which the attempt before broke off")
 	errEndsEarly       = errors.New("resumed stream ended before the event after which it was to go on")
 	errWriteToCaller   = errors.New("write to caller failed")
 	errNoEvent         = errors.New("stream without length or chunks ended before its first event")
@@ -228,8 +229,10 @@
 	// positionUnknown says that a later event had none, so that no target can be told after which
 	// event to resume the stream.
 	positionUnknown bool
-	lastErr         error
-	held            []*heldResponse // bodies of responses, one an attempt
+	// eventMissing says that the caller lacks an event of which a target has sent a part.
+	eventMissing bool
+	lastErr      error
+	held         []*heldResponse // bodies of responses, one an attempt
 	// targetFailure is the latest 5xx response of a target. The caller gets it if no
 	// other target serves the request.
 	targetFailure *failureResponse
--- a/internal/coordination/gateway/streamend_test.go
+++ b/internal/coordination/gateway/streamend_test.go
@@ -430,3 +430,86 @@
 		})
 	}
 }
+
+// Guards against a resumption that ends without an event because its target ends, and that is passed on
+// as the end of the stream.
+func TestResumptionWithoutEventNeedsProof(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	inChunksOf := func(l Liveness) behaviour {
+		return func(ctx context.Context, f *Forward) (Exchange, error) {
+			ex, err := inChunks("")(ctx, f)
+			ex.(*fakeExchange).thenNotRunning, ex.(*fakeExchange).liveness = true, l
+			return ex, err
+		}
+	}
+	for _, l := range []Liveness{Unproved, Ended} {
+		for name, empty := range map[string]behaviour{
+			"connection stays open": inChunksOf(l), "close": closingBehind(l, false, ""), "announced close": closingBehind(l, true, ""),
+		} {
+			name = name + ", " + l.String()
+			checkStreams(t, []streamCase{{name, "/resume/x", []behaviour{truncated(first), empty}, first, false, true, 0, []string{"", "1"}}})
+			t.Run(name+", resumed by the caller", func(t *testing.T) {
+				out, targets := &recordingResponder{}, &fakeTargetClient{behaviours: []behaviour{empty, respondWith(200, rest)}}
+				synctest.Test(t, func(t *testing.T) {
+					call := resumableCall()
+					call.ResumeAfter = "1"
+					newService(targets).Serve(t.Context(), call, time.Now(), out)
+				})
+				if !out.ended || out.body.String() != rest {
+					t.Errorf("ended %t, failure %+v, body %q; want the rest of another target", out.ended, out.failure, out.body.String())
+				}
+			})
+		}
+	}
+	checkStreams(t, []streamCase{
+		{"target runs", "/resume/x", []behaviour{truncated(first), inChunksOf(Running)}, first, true, false, 0, []string{"", "1"}},
+		{"target runs and has closed the connection", "/resume/x", []behaviour{truncated(first), closingBehind(Running, true, "")}, first, true, false, 0, []string{"", "1"}},
+	})
+}
+
+// Guards against a resumption without an event that is passed on as the end of the stream although the
+// attempt before has sent a part of a further event.
+func TestResumptionBehindPartOfEventHasEvent(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	second := events[len(first):strings.Index(events, "id: 3")]
+	c := longRoute()
+	c.Routes[0].MaxAttempts = 3
+	for _, tc := range []struct {
+		name  string
+		next  []behaviour
+		want  string
+		ended bool
+		sends int
+	}{
+		{"part of an event", []behaviour{truncated(first + "id: 2\nda"), respondWith(200, "")}, first, false, 3},
+		{"one byte of an event", []behaviour{truncated(first + "i"), respondWith(200, "")}, first, false, 3},
+		{"whole but for the blank line", []behaviour{respondWith(200, first+"id: 2\ndata: b\n"), respondWith(200, "")}, first, false, 3},
+		{"two empty ones", []behaviour{truncated(first + "id: 2\nda"), respondWith(200, ""), inChunks("")}, first, false, 3},
+		{"only events that the caller has", []behaviour{truncated(first + "id: 2\nda"), respondWith(200, first)}, first, false, 3},
+		{"comes from another target", []behaviour{truncated(first + "id: 2\nda"), respondWith(200, ""), respondWith(200, events[len(first):])}, events, true, 3},
+		{"part of an event of a resumption", []behaviour{truncated(first), truncated("id: 2\nda"), respondWith(200, "")}, first, false, 3},
+		{"event comes, then a part of the next", []behaviour{truncated(first + "id: 2\nda"), truncated(second + "id: 3\n"), respondWith(200, "")}, first + second, false, 3},
+		{"event comes, then nothing", []behaviour{truncated(first + "id: 2\nda"), truncated(second), respondWith(200, "")}, first + second, true, 3},
+		{"part of an event that the caller has", []behaviour{truncated(first), truncated("id: 1\nda"), respondWith(200, "")}, first, true, 3},
+		{"part of an event without its number", []behaviour{truncated(first), truncated("id: 1"), respondWith(200, "")}, first, true, 3},
+		{"part of a comment", []behaviour{truncated(first + ": wai"), respondWith(200, "")}, first, true, 2},
+		{"part of an empty line", []behaviour{truncated(first + "\r"), respondWith(200, "")}, first, true, 2},
+		{"bytes behind a stream without length or chunks", []behaviour{endingWithConnection(first + "id: 2\nda"), respondWith(200, "")}, first, true, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			out, targets := &recordingResponder{}, &fakeTargetClient{behaviours: tc.next}
+			for len(targets.behaviours) < tc.sends {
+				targets.behaviours = append(targets.behaviours, respondWith(200, ""))
+			}
+			synctest.Test(t, func(t *testing.T) {
+				s := newService(targets)
+				s.SetConfiguration(c)
+				s.Serve(t.Context(), resumableCall(), time.Now(), out)
+			})
+			if out.ended != tc.ended || out.aborted == tc.ended || out.body.String() != tc.want || len(targets.sends) != tc.sends {
+				t.Errorf("ended %t, aborted %t, body %q after %d sends; want ended %t, body %q after %d", out.ended, out.aborted, out.body.String(), len(targets.sends), tc.ended, tc.want, tc.sends)
+			}
+		})
+	}
+}
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -46,11 +46,14 @@
 	unannouncedClose
 	// connectionEnd: only the end of the connection marks that of the response.
 	connectionEnd
+	// emptyResumption: a stream that was resumed ends without a further event, as it does if its
+	// target cancels the handler.
+	emptyResumption
 )
 
 // String returns the value as it appears in logs and names of counters.
 func (d endDoubt) String() string {
-	return [...]string{"none", "announced_close", "ended_together", "unannounced_close", "connection_end"}[d]
+	return [...]string{"none", "announced_close", "ended_together", "unannounced_close", "connection_end", "empty_resumption"}[d]
 }
 
 // needsProof reports whether only proof that the target still runs removes the doubt. Otherwise, a
@@ -246,6 +249,9 @@
 	if head.EndsWithConnection {
 		return connectionEnd
 	}
+	if a.resumesWithoutEvent(head) {
+		return emptyResumption
+	}
 	if head.AnnouncesClose {
 		return announcedClose
 	}
@@ -276,7 +282,7 @@
 		return false, ""
 	case check.Liveness == Unproved && !doubt.needsProof():
 		return true, "target_not_asked"
-	case doubt == connectionEnd || !check.Refused || !known || a.mayGoOnElsewhere():
+	case doubt == connectionEnd || doubt == emptyResumption || !check.Refused || !known || a.mayGoOnElsewhere():
 		return false, ""
 	}
 	// A server that shuts down accepts no connections, but may finish its streams.
