--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/eventstream"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -44,8 +45,9 @@
 	// resumedAt is passedOn when the attempt began, and received the highest number of an event
 	// that the target has sent.
 	resumedAt, received eventNumber
-	repeated            int              // events that the target sent although the caller has them
-	failure             *failureResponse // 5xx response of the target, or nil
+	repeated            int               // events that the target sent although the caller has them
+	failure             *failureResponse  // 5xx response of the target, or nil
+	logged              *targetend.Stream // once the first event has arrived; nil before
 }
 
 // newAttempt returns an attempt at the target of a grant. ctx ends with the request, and
@@ -83,7 +85,7 @@
 	})
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			r.service.streams.refuses(a.grant.Target.ID, time.Now())
+			r.service.targets.Refuses(a.grant.Target.ID, time.Now())
 		}
 		return a.outcomeOf(err), err
 	}
@@ -275,7 +277,7 @@
 			r.logSkippedResponses(a, n)
 		}
 	}()
-	defer r.service.streams.leave(a)
+	defer func() { a.logged.Leave() }()
 	for {
 		event, err := events.next()
 		// What follows a stream leaves a doubt about its end, which a resumption removes.
@@ -324,7 +326,8 @@
 	if a.endsEarly() {
 		return a.outcomeOf(errEndsEarly), errEndsEarly
 	}
-	a.request.service.streams.ended(a)
+	arrivedAt, _ := endArrivedAt(ex)
+	a.logged.End(arrivedAt)
 	if !head.EndsWithConnection { // the slot is free while the end is checked
 		a.request.service.cfg.Scheduler.Ended(a.grant)
 	}
@@ -365,11 +368,11 @@
 // endsForEntry returns an error if the target may have ended a response because of this entry: it was
 // asked to abandon it, or has reached the time limit that it was told. HTTP servers write the last
 // chunk of a response when its handler returns early, so that chunks do not show that it is complete.
-// While the entry writes to a slow caller it does not read, so that an end that is read after the
-// limit may have arrived before it.
+// An end that is read after that may have arrived before it: the entry does not read while it writes to
+// a slow caller, or while it is paused.
 func (a *attempt) endsForEntry() error {
 	switch {
-	case a.handOver.wasWithdrawn():
+	case a.handOver.endedWithdrawn():
 		return errEndsWithdrawn
 	case time.Until(a.request.deadline) <= timeLimitUnit && !a.handOver.endArrivedBefore(a.request.deadline.Add(-timeLimitUnit)):
 		return errEndsAtTimeLimit
@@ -387,7 +390,7 @@
 // countEvent records the start of the response and the events for the cost model.
 func (a *attempt) countEvent(ex Exchange) {
 	if a.grant.Events == 0 {
-		a.request.service.streams.begin(a, ex)
+		a.logged = a.request.service.targets.Begin(a.grant.Target.ID, a.sentAt, func() (time.Time, bool) { return receivedAt(ex) })
 		a.request.responseStarted(a.grant)
 		a.observeBegun()
 	}
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -17,6 +17,7 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/retry"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/routing"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -98,6 +99,9 @@
 	// none knew.
 	Origins   *origin.Log
 	AskOrigin func(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, error)
+	// AskTargetEnd asks other entries what they have seen of a target; nil if there are none. The
+	// error says which did not answer.
+	AskTargetEnd func(ctx context.Context, id state.TargetID, address string) ([]targetend.Report, error)
 	// RetryRatio, RetryWindow, RetrySlack and RetrySlackFrom bound the repeated sends for
 	// each service as retry.WindowBudget says. RetrySlack returns this entry's part of what
 	// all entries together may send beyond the ratio.
@@ -128,7 +132,7 @@
 	// running ends with EndRequests.
 	running     context.Context
 	endRequests context.CancelFunc
-	streams     streamLog
+	targets     targetend.Log
 
 	mu           sync.Mutex
 	retryBudgets map[state.Service]*retry.WindowBudget
