--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -40,11 +40,14 @@
 	unannouncedClose
 	// connectionEnd: only the end of the connection marks that of the response.
 	connectionEnd
+	// emptyResumption: a stream that was resumed ends without a further event, as it does if its
+	// target cancels the handler.
+	emptyResumption
 )
 
 // String returns the value as it appears in logs and names of counters.
 func (d endDoubt) String() string {
-	return [...]string{"none", "announced_close", "ended_together", "unannounced_close", "connection_end"}[d]
+	return [...]string{"none", "announced_close", "ended_together", "unannounced_close", "connection_end", "empty_resumption"}[d]
 }
 
 // needsProof reports whether only proof that the target still runs removes the doubt. Otherwise, a
@@ -77,7 +80,6 @@
 	// arrivedAt is when the end arrived, if timeKnown is set.
 	arrivedAt time.Time
 	timeKnown bool
-	empty     bool // the body has nothing
 	doubt     endDoubt
 	run       RunCheck
 	took      time.Duration // of the check
@@ -110,7 +112,7 @@
 		return nil
 	}
 	// What the target does behind the end is compared with when the end arrived. It may be read later.
-	c := &endCheck{attempt: a, empty: empty}
+	c := &endCheck{attempt: a}
 	c.arrivedAt, c.timeKnown = endArrivedAt(ex)
 	if c.findDoubt(head, ex); c.doubt == noDoubt {
 		return nil
@@ -136,6 +138,8 @@
 	switch {
 	case head.EndsWithConnection:
 		c.doubt = connectionEnd
+	case c.attempt.resumesWithoutEvent(head):
+		c.doubt = emptyResumption
 	case head.AnnouncesClose:
 		c.doubt = announcedClose
 	case !ok:
@@ -206,14 +210,14 @@
 		undecided(becauseCutShort)
 	case c.run.Liveness == Unproved && !c.doubt.needsProof():
 		whole(becauseNotAsked)
+	case c.doubt == emptyResumption:
+		undecided(becauseNoEvent)
 	case !c.run.Refused:
 		undecided(becauseNotRefused)
 	case !c.timeKnown && c.doubt != connectionEnd:
 		undecided(becauseTimeUnknown)
 	case a.race.contested(): // the other attempt answers
 		undecided(becauseRunsBeside)
-	case c.empty && !a.begun && a.mayGoOnElsewhere(): // the other run gives the caller the first event
-		undecided(becauseNoEvent)
 	default:
 		c.judgeByStreams()
 	}
