Target client: a failed health check is no proof that the target runs

Cause: any answer of the same incarnation proved that a stream was whole. A process that cancels its handlers and then deregisters or flushes goes on answering for hundreds of milliseconds, also with 421 to a request for another instance, which was what the check asked with.

Change: where a service has health checks, the check asks for the target's own health. Only 200 by the same incarnation is Running. A 503 that does not say that it was rejected, or a rejection that states free slots, is Leaving. A target that is full, or does not answer the health check within 300 ms, is asked once more which incarnation it is, which takes no slot: the result is Unproved with SameIncarnation, and believed as before but for resumptions without an event. An answer that names nobody, from a target that names itself otherwise, proves nothing. Services without health checks are asked as before.

Leaving at a target whose record said before that it leaves is believed as before. At another one, a stream that may be resumed goes on elsewhere; one that may not is complete if its close was announced and no other ended with it, or if another stream of the target goes on.

The stand-ins of six tests answered 421 to a health check that expects them, which the protocol does not allow. They pass health checks now and answer 421 to others; the assertions are the same.

--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -77,20 +77,25 @@
 const (
 	// Unproved: the target did not answer in time, or with nothing that identifies it.
 	Unproved Liveness = iota
-	// Running: the same incarnation of the target answered a request that was sent after the
-	// close.
+	// Running: the same incarnation of the target passed a health check that was sent after the
+	// close or, if its service has none, answered a request.
 	Running
 	// Ended: connections are refused, or another incarnation answers at the address.
 	Ended
+	// Leaving: the same incarnation answered that it is not healthy, or leaves.
+	Leaving
 )
 
 // String returns the value as it appears in logs and names of counters.
-func (l Liveness) String() string { return [...]string{"unproved", "running", "ended"}[l] }
+func (l Liveness) String() string { return [...]string{"unproved", "running", "ended", "leaving"}[l] }
 
 // RunCheck is the result of TargetClient.CheckRunning.
 type RunCheck struct {
 	Liveness Liveness
 	Refused  bool // connections are refused: the target has ended or accepts no more
+	// SameIncarnation says that the same incarnation answered, although it is Unproved: it is full,
+	// so that its health check waits or is rejected.
+	SameIncarnation bool
 	// IdleClosedAt is when the target closed its idle connections, as a server does that begins to
 	// shut down; zero if it has not, or had none.
 	IdleClosedAt time.Time
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -228,7 +228,11 @@
 	pause(ctx, endSettleTime)
 	asked := time.Now()
 	r := a.request
+	served := r.service.cfg.Scheduler.Serves(a.grant)
 	check := r.service.cfg.TargetClient.CheckRunning(ctx, &a.grant.Target, r.table.Config.HealthPaths[a.grant.Target.Service])
+	if check.Liveness == Leaving && !served { // by its record, which says nothing about this response
+		check.Liveness, check.SameIncarnation = Unproved, true
+	}
 	complete, because := a.judgeEnd(doubt, check, arrivedAt, known)
 	r.recordRunCheck(a, doubt, check, because, time.Since(asked))
 	switch {
@@ -280,6 +284,10 @@
 		return true, ""
 	case a.ctx.Err() != nil: // the check was cut short
 		return false, ""
+	case check.Liveness == Unproved && check.SameIncarnation && doubt != emptyResumption:
+		return true, "same_incarnation"
+	case check.Liveness == Leaving:
+		return a.judgeLeaving(doubt, arrivedAt)
 	case check.Liveness == Unproved && !doubt.needsProof():
 		return true, "target_not_asked"
 	case doubt == connectionEnd || doubt == emptyResumption || !check.Refused || !known || a.mayGoOnElsewhere():
@@ -304,6 +312,20 @@
 	return false, ""
 }
 
+// judgeLeaving decides whether a response is complete whose target began to leave at about its end. A
+// target that leaves may finish its responses, or cancel all of them at once.
+func (a *attempt) judgeLeaving(doubt endDoubt, arrivedAt time.Time) (complete bool, because string) {
+	switch {
+	case doubt == emptyResumption || a.mayGoOnElsewhere() || a.request.service.streams.endedTogether(a, arrivedAt):
+		return false, ""
+	case doubt == announcedClose:
+		return true, "announced_close"
+	case a.targetSurvives(arrivedAt):
+		return true, "other_stream_goes_on"
+	}
+	return false, ""
+}
+
 // mayGoOnElsewhere reports whether the response can be completed by another target, which adds nothing
 // to one that was whole: another attempt runs beside this one, or the stream may be resumed.
 func (a *attempt) mayGoOnElsewhere() bool {
--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
@@ -150,3 +151,87 @@
 		t.Errorf("doubt %s although the other stream has ended later, want none", d)
 	}
 }
+
+// Guards against a cut stream that is believed because its target, which cancels its handlers, still
+// answers, and against whole streams that are broken off because their target begins to leave.
+func TestStreamOfTargetThatLeaves(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		resumable bool
+		doubt     endDoubt
+		together  bool // another stream has ended at the same moment
+		survives  bool // another stream goes on
+		complete  bool
+	}{
+		{"announced close", false, announcedClose, false, false, true},
+		{"announced close, ended together", false, announcedClose, true, false, false},
+		{"announced close, may be resumed", true, announcedClose, false, false, false},
+		{"unannounced close", false, unannouncedClose, false, false, false},
+		{"unannounced close, another stream goes on", false, unannouncedClose, false, true, true},
+		{"unannounced close, another stream goes on, may be resumed", true, unannouncedClose, false, true, false},
+		{"ended together", false, endedTogether, true, false, false},
+		{"without length or chunks", false, connectionEnd, false, false, false},
+		{"without length or chunks, another stream goes on", false, connectionEnd, false, true, true},
+		{"resumption without an event", false, emptyResumption, false, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				arrived := time.Now()
+				s := newService(&fakeTargetClient{})
+				r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute, Resumable: c.resumable, MaxAttempts: 3}}
+				a, b := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}, &attempt{grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
+				a.race = newRace(a)
+				s.streams.begin(a, &fakeExchange{})
+				if c.together {
+					s.streams.begin(b, &fakeExchange{receivedAt: arrived})
+					s.streams.ended(b)
+				}
+				if c.survives {
+					s.streams.begin(b, &fakeExchange{receivedAt: arrived.Add(2 * cancelTime)})
+				}
+				if complete, because := a.judgeEnd(c.doubt, RunCheck{Liveness: Leaving}, arrived, true); complete != c.complete {
+					t.Errorf("complete %t because %q, want %t", complete, because, c.complete)
+				}
+			})
+		})
+	}
+}
+
+// Guards against whole streams that are broken off at a target whose record had said that it leaves, or
+// that is full, although it answers; and against a resumption that such an answer takes for whole.
+func TestStreamOfTargetThatAnswersAsTheSameIncarnation(t *testing.T) {
+	for _, c := range []struct {
+		doubt    endDoubt
+		complete bool
+	}{{announcedClose, true}, {endedTogether, true}, {unannouncedClose, true}, {connectionEnd, true}, {emptyResumption, false}} {
+		s := newService(&fakeTargetClient{})
+		r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute}}
+		a := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
+		a.race = newRace(a)
+		if complete, because := a.judgeEnd(c.doubt, RunCheck{SameIncarnation: true}, time.Now(), true); complete != c.complete {
+			t.Errorf("%s: complete %t because %q, want %t", c.doubt, complete, because, c.complete)
+		}
+	}
+}
+
+// Guards against whole streams that are broken off because their target, which drains, fails its health
+// checks, and against cut ones that are believed because it has only begun to.
+func TestHealthCheckOfDrainingTarget(t *testing.T) {
+	for _, draining := range []bool{true, false} {
+		out := &recordingResponder{}
+		synctest.Test(t, func(t *testing.T) {
+			client := &fakeTargetClient{}
+			s := newService(client)
+			client.behaviours = []behaviour{func(ctx context.Context, f *Forward) (Exchange, error) {
+				record := f.Target
+				record.Draining = draining
+				s.cfg.Scheduler.SetTargets([]state.TargetRecord{record})
+				return closingBehind(Leaving, false, events)(ctx, f)
+			}}
+			s.Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: "/stream/x", APIKey: "key"}, time.Now(), out)
+		})
+		if out.ended != draining || out.aborted == draining {
+			t.Errorf("draining %t: ended %t, aborted %t", draining, out.ended, out.aborted)
+		}
+	}
+}
--- a/internal/transport/upstream/ended_test.go
+++ b/internal/transport/upstream/ended_test.go
@@ -32,6 +32,10 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		if r.URL.Path == "/health" {
+			w.Header().Set("Instance-Id", "t")
+			return
+		}
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		w.Header().Set("Transfer-Encoding", "identity")
 		for n := 1; r.Context().Err() == nil; n++ {
--- a/internal/transport/upstream/endingtarget_test.go
+++ b/internal/transport/upstream/endingtarget_test.go
@@ -37,6 +37,9 @@
 	// cancelsAndCleansUp closes the listener, cancels the handlers and exits endingCleanUpTime
 	// later, until when the connections stay open.
 	cancelsAndCleansUp = "cancels handlers and cleans up"
+	// cancelsAndLingers cancels the handlers and goes on serving for endingCleanUpTime, as a target
+	// that leaves: health checks fail, and requests are rejected.
+	cancelsAndLingers = "cancels handlers and lingers"
 )
 
 const (
@@ -89,6 +92,9 @@
 	case cancelsAndCleansUp:
 		ln.Close()
 		handlers.cancel(0)
+	case cancelsAndLingers:
+		handlers.leaves.Store(true)
+		handlers.cancel(0)
 	}
 	time.Sleep(endingCleanUpTime)
 	return nil
@@ -97,6 +103,7 @@
 // endingHandlers answers the requests to a target, and the checks of its health.
 type endingHandlers struct {
 	instance string
+	leaves   atomic.Bool
 
 	mu      sync.Mutex
 	cancels []context.CancelFunc // of the requests, in the order in which they began
@@ -105,6 +112,14 @@
 func (h *endingHandlers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get("Request-Id") == "" { // a check of the target's health
 		w.Header().Set("Instance-Id", h.instance)
+		if h.leaves.Load() && r.Header.Get("Expect-Instance") == h.instance {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	if h.leaves.Load() {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	ctx, cancel := context.WithCancel(r.Context())
@@ -170,6 +185,9 @@
 	return target
 }
 
+// terminate tells the target to end.
+func (t *endingTarget) terminate() { t.process.Process.Signal(syscall.SIGTERM) } // an error means that it has ended
+
 // eventCount is a responder that counts the events of a stream and records how it ends.
 type eventCount struct {
 	outcome
--- a/internal/transport/upstream/identity_test.go
+++ b/internal/transport/upstream/identity_test.go
@@ -126,12 +126,25 @@
 	return "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + instance + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 }
 
-// answerProbes answers the requests on a connection as an incarnation does that none of them
-// expects, until the connection is closed.
+// healthy is the answer of an incarnation to a health check that it passes.
+func healthy(instance string) string {
+	return "HTTP/1.1 200 OK\r\nInstance-Id: " + instance + "\r\nContent-Length: 0\r\n\r\n"
+}
+
+// answerProbes answers the requests on a connection as a healthy incarnation does, until the
+// connection is closed.
 func answerProbes(t *testing.T, conn net.Conn, requests *bufio.Reader, instance string) {
 	t.Helper()
-	for discardRequest(requests) {
-		respond(t, conn, misdirected(instance))
+	for {
+		req, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		if req.Header.Get("Expect-Instance") == instance && req.Method == http.MethodGet && req.URL.Path == "/health" {
+			respond(t, conn, healthy(instance))
+		} else {
+			respond(t, conn, misdirected(instance))
+		}
 	}
 }
 
@@ -221,7 +234,7 @@
 // earlier answer, or a rejection that it sends on a connection without a request.
 func TestBytesOfBeforeAreNoProof(t *testing.T) {
 	for name, sent := range map[string]string{
-		"copy of an answer": misdirected("i-1"),
+		"copy of an answer": healthy("i-1"),
 		"rejection":         "HTTP/1.1 503 Service Unavailable\r\nInstance-Id: i-1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -237,7 +250,7 @@
 					respond(t, conn, response("a", ""))
 				}
 				if discardRequest(requests) && name == "copy of an answer" {
-					respond(t, conn, misdirected("i-1"))
+					respond(t, conn, healthy("i-1"))
 					requests.Peek(1) // the next probe, if there is one on this connection
 				}
 				respond(t, conn, sent)
@@ -272,7 +285,7 @@
 		if asked.Add(1) == 1 {
 			close(first)
 			<-answer
-			respond(t, conn, misdirected("i-1"))
+			respond(t, conn, healthy("i-1"))
 			return
 		}
 		answerProbesOf(t, conn, requests, "i-2") // the next incarnation
@@ -384,10 +397,10 @@
 func TestUnnamedResponseBehindProbeBelongsToRequest(t *testing.T) {
 	address, _ := startTarget(t, func(conn net.Conn, requests *bufio.Reader) {
 		if discardRequest(requests) {
-			respond(t, conn, misdirected("i-1"))
+			respond(t, conn, healthy("i-1"))
 		}
 		if discardRequest(requests) {
-			respond(t, conn, misdirected("i-1")) // a late copy
+			respond(t, conn, healthy("i-1")) // a late copy
 			respond(t, conn, "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nok")
 		}
 	})
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -35,14 +35,27 @@
 	// probeShareTime is how long a probe waits for the one before it, to be shared by all
 	// responses that end meanwhile.
 	probeShareTime = 50 * time.Millisecond
+	// healthTimeout bounds a health check on a new connection, without pauses of the process. Like
+	// other requests, it waits for a slot at a target that is full.
+	healthTimeout = 300 * time.Millisecond
 	// defaultHealthPath is the path of a probe to a target whose service states none.
 	defaultHealthPath = "/"
 )
 
 // probeKey is what the result of a probe is valid for.
 type probeKey struct {
-	target           state.TargetID
-	address, healthy string
+	target  state.TargetID
+	address string
+	// healthPath is empty if the service has no health checks.
+	healthPath string
+}
+
+// path returns the path of probes.
+func (k probeKey) path() string {
+	if k.healthPath == "" {
+		return defaultHealthPath
+	}
+	return k.healthPath
 }
 
 // probes are the probes of one target.
@@ -61,10 +74,10 @@
 // target counts as proof, to a request that was sent after the call of CheckRunning began: others
 // may accept connections at the address, and what a target has sent before its end may arrive
 // later. Calls share a probe that has not been sent yet.
+//
+// A target with health checks proves that it runs by passing one, since a process that leaves may
+// answer for hundreds of milliseconds after it has cancelled its handlers.
 func (c *Client) CheckRunning(ctx context.Context, target *state.TargetRecord, healthPath string) gateway.RunCheck {
-	if healthPath == "" {
-		healthPath = defaultHealthPath
-	}
 	p := c.nextProbe(probeKey{target.ID, target.Address, healthPath})
 	select {
 	case <-p.done:
@@ -152,7 +165,11 @@
 				return check
 			}
 		}
-		if c.askAnew(ctx, key, &check) {
+		ask := c.askIncarnation
+		if key.healthPath != "" {
+			ask = c.askHealth
+		}
+		if ask(ctx, key, &check) {
 			return check
 		}
 		select {
@@ -167,7 +184,11 @@
 // and those to a machine that has gone remain open. The same holds for a rejection, which a target
 // may have sent without a request.
 func (c *Client) askIdle(ctx context.Context, key probeKey, conn *connection, check *gateway.RunCheck) (decided bool) {
-	answer, err := c.ask(ctx, key, conn, platform.NoTarget, check)
+	expected := platform.NoTarget
+	if key.healthPath != "" {
+		expected = key.target
+	}
+	answer, err := c.ask(ctx, key, conn, expected, check)
 	if err != nil || answer.NotRun && !answer.Misdirected || answer.Instance == "" {
 		return false
 	}
@@ -175,12 +196,44 @@
 		check.Liveness, check.Refused = gateway.Ended, true
 		return true
 	}
-	check.Liveness = livenessOf(answer.Instance, key.target)
+	decide(key, answer, check)
 	return true
 }
 
-// askAnew asks on a new connection.
-func (c *Client) askAnew(ctx context.Context, key probeKey, check *gateway.RunCheck) (decided bool) {
+// askHealth asks on new connections whether the target is healthy and, where the answer does not tell,
+// which incarnation answers, for which it needs no slot.
+func (c *Client) askHealth(ctx context.Context, key probeKey, check *gateway.RunCheck) (decided bool) {
+	healthCtx, cancel := runningTimeContext(healthTimeout, maxProbeTime)
+	defer cancel()
+	defer context.AfterFunc(ctx, cancel)()
+	own, decided, err := c.askOnNewConnection(healthCtx, key, key.target, check)
+	waited := healthCtx.Err() != nil
+	switch {
+	case decided || err != nil && !waited:
+		return decided
+	case own.Misdirected:
+		check.Liveness = gateway.Ended
+		return true
+	}
+	other, decided, err := c.askOnNewConnection(ctx, key, platform.NoTarget, check)
+	switch {
+	case decided && check.SameIncarnation:
+		decideUnnamed(own, check)
+		return true
+	case decided || err != nil:
+		return decided
+	case other.Misdirected && own.Status == http.StatusOK: // it names itself in no answer
+		check.Liveness = gateway.Running
+		return true
+	case other.Misdirected:
+		return !waited && !own.NotRun
+	default:
+		return !other.NotRun
+	}
+}
+
+// askIncarnation asks on new connections which incarnation of a target without health checks answers.
+func (c *Client) askIncarnation(ctx context.Context, key probeKey, check *gateway.RunCheck) (decided bool) {
 	answer, decided, err := c.askOnNewConnection(ctx, key, platform.NoTarget, check)
 	if decided || err != nil {
 		return decided
@@ -205,12 +258,40 @@
 	return true
 }
 
-// livenessOf returns what the instance that answers at the address of a target shows.
-func livenessOf(answering, target state.TargetID) gateway.Liveness {
-	if answering == target {
-		return gateway.Running
+// decide sets what an answer shows that names an instance. A process that has cancelled its handlers may
+// go on answering, so that only a health check shows more than which incarnation answers.
+func decide(key probeKey, answer platform.ProbeAnswer, check *gateway.RunCheck) {
+	switch {
+	case answer.Instance != key.target:
+		check.Liveness = gateway.Ended
+	case key.healthPath == "" || answer.Status == http.StatusOK:
+		check.Liveness = gateway.Running
+	case leaves(answer):
+		check.Liveness = gateway.Leaving
+	default:
+		check.SameIncarnation = true
+	}
+}
+
+// decideUnnamed sets what an answer to a health check shows that names no instance, from a target that
+// names itself in its other answers.
+func decideUnnamed(answer platform.ProbeAnswer, check *gateway.RunCheck) {
+	switch {
+	case leaves(answer):
+		check.Liveness, check.SameIncarnation = gateway.Leaving, false
+	case answer.Status == http.StatusOK: // a healthy target names itself
+		check.SameIncarnation = false
+	}
+}
+
+// leaves reports whether the answer to a health check says that the target is not healthy or leaves. It
+// is rejected by a full target too, which states that all slots are taken or that requests wait.
+func leaves(answer platform.ProbeAnswer) bool {
+	if answer.Status != http.StatusServiceUnavailable {
+		return false
 	}
-	return gateway.Ended
+	load := answer.Load
+	return !answer.NotRun || load.Stated && load.Running < load.Slots && load.Waiting == 0
 }
 
 // askOnNewConnection asks on a new connection. It is decided by a connection that is refused, and by
@@ -228,7 +309,7 @@
 		check.Liveness, check.Refused = gateway.Ended, true
 		return answer, true, err
 	case err == nil && answer.Instance != "":
-		check.Liveness = livenessOf(answer.Instance, key.target)
+		decide(key, answer, check)
 		return answer, true, nil
 	}
 	return answer, false, err
@@ -239,8 +320,8 @@
 func (c *Client) ask(ctx context.Context, key probeKey, conn *connection, expected state.TargetID, check *gateway.RunCheck) (platform.ProbeAnswer, error) {
 	defer context.AfterFunc(ctx, func() { conn.Close() })() // ctx may end before its deadline
 	check.Tries++
-	check.Asked = fmt.Sprintf("GET %s, expecting %s, on a reused connection: %t", key.healthy, expected, conn.reused)
-	resp, answer, err := conn.exchangeProbe(ctx, platform.AppendProbe(nil, key.address, key.healthy, expected))
+	check.Asked = fmt.Sprintf("GET %s, expecting %s, on a reused connection: %t", key.path(), expected, conn.reused)
+	resp, answer, err := conn.exchangeProbe(ctx, platform.AppendProbe(nil, key.address, key.path(), expected))
 	if err != nil {
 		conn.Close()
 		if ctx.Err() != nil {
