Target client: a health check passed in no name is a failed one

Cause: an empty 200 without an instance, from a target that names itself in its other answers, was Unproved, which is believed wherever a doubt needs no proof. A server whose handlers return at once answers so.

Change: it is Leaving, as a failed health check is.

Result: the case of TestAnswerToHealthCheck wants Leaving and fails without the change; the tests of health checks and of unnamed answers pass.

--- a/internal/transport/upstream/health_test.go
+++ b/internal/transport/upstream/health_test.go
@@ -38,7 +38,7 @@
 		{"rejects, unnamed", refusal + notRun, gateway.Unproved, true},
 		{"limits the rate", "429 Too Many Requests\r\n" + self + notRun + "Server-Load: 0,0,8\r\n", gateway.Unproved, true},
 		{"fails", "500 Internal Server Error\r\n" + self, gateway.Unproved, true},
-		{"empty answer that names nobody", "200 OK\r\n", gateway.Unproved, false},
+		{"empty answer that names nobody", "200 OK\r\n", gateway.Leaving, false},
 		{"waits for a slot", "", gateway.Unproved, true},
 		{"another incarnation leaves", refusal + "Instance-Id: i-2\r\n", gateway.Ended, false},
 		{"another incarnation is full", refusal + "Instance-Id: i-2\r\n" + notRun + "Server-Load: 8,2,8\r\n", gateway.Ended, false},
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -277,10 +277,8 @@
 // names itself in its other answers.
 func decideUnnamed(answer platform.ProbeAnswer, check *gateway.RunCheck) {
 	switch {
-	case leaves(answer):
+	case leaves(answer), answer.Status == http.StatusOK: // a healthy target names itself
 		check.Liveness, check.SameIncarnation = gateway.Leaving, false
-	case answer.Status == http.StatusOK: // a healthy target names itself
-		check.SameIncarnation = false
 	}
 }
 
