Gateway: ask for the health of a target at the end of a resumable stream

Cause: an end in chunks whose connection stays open and idle was not doubted, so that a process that cancels its handlers and lingers passed its cut streams on as complete, unless two of them ended together.

Change: where a stream may still go on elsewhere, its service has health checks and no other stream of the target goes on here, the target is asked for its health (doubt unconfirmed, which needs no proof): Running is whole, Leaving at a target that served by its record and Ended go on elsewhere, and a target that cannot be asked, or is full, is believed. It is asked on the connection of the response, which is given back before; the time of the end is kept because that connection may carry another response. A connection may be asked on again once a response on it has named its request, which a late copy of the probe's answer precedes. A new connection is opened only if there is no idle one or the answer speaks against the target.

--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -71,6 +71,13 @@
 	CheckRunning(ctx context.Context, target *state.TargetRecord, healthPath string) RunCheck
 }
 
+// HealthChecker is a TargetClient that can ask for the health of a target at little cost.
+type HealthChecker interface {
+	// CheckHealth asks a target for its health once, on an idle connection if there is one. It asks
+	// on a new connection if there is none, or where the answer leaves a doubt.
+	CheckHealth(ctx context.Context, target *state.TargetRecord, healthPath string) RunCheck
+}
+
 // Liveness is what is known of a target after it has closed a connection.
 type Liveness uint8
 
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,10 +41,11 @@
 // fakeTargetClient handles each send by the next behaviour.
 type fakeTargetClient struct {
 	runningTargets
-	mu         sync.Mutex
-	behaviours []behaviour
-	sends      []Forward
-	liveness   map[state.TargetID]Liveness // of targets that do not run
+	mu           sync.Mutex
+	behaviours   []behaviour
+	sends        []Forward
+	liveness     map[state.TargetID]Liveness // of targets that do not run
+	healthChecks atomic.Int64
 }
 
 func (f *fakeTargetClient) Send(ctx context.Context, fw *Forward) (Exchange, error) {
@@ -74,6 +76,11 @@
 	return RunCheck{Liveness: Running}
 }
 
+func (f *fakeTargetClient) CheckHealth(ctx context.Context, target *state.TargetRecord, healthPath string) RunCheck {
+	f.healthChecks.Add(1)
+	return f.CheckRunning(ctx, target, healthPath)
+}
+
 // resumePoints returns the event after which each send resumed.
 func (f *fakeTargetClient) resumePoints() []string {
 	var points []string
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -41,6 +41,9 @@
 	// endedTogether: all streams that the target writes for this entry have ended at the same
 	// moment.
 	endedTogether
+	// unconfirmed: the connection stays open and idle, as it does while a target that has cancelled
+	// its handlers lingers, and no other stream of the target goes on here.
+	unconfirmed
 	// unannouncedClose: the connection does not stay open and idle behind the response although
 	// the target had not announced that.
 	unannouncedClose
@@ -53,7 +56,7 @@
 
 // String returns the value as it appears in logs and names of counters.
 func (d endDoubt) String() string {
-	return [...]string{"none", "announced_close", "ended_together", "unannounced_close", "connection_end", "empty_resumption"}[d]
+	return [...]string{"none", "announced_close", "ended_together", "unconfirmed", "unannounced_close", "connection_end", "empty_resumption"}[d]
 }
 
 // needsProof reports whether only proof that the target still runs removes the doubt. Otherwise, a
@@ -79,7 +82,17 @@
 // loggedStream is a stream that has begun and whose attempt has not ended.
 type loggedStream struct {
 	exchange Exchange
-	ended    bool // the response has ended
+	ended    bool      // the response has ended
+	endedAt  time.Time // kept because the connection has been given back; else zero
+}
+
+// receivedAt returns the earliest time at which the last data of the response may have arrived, if that
+// is known.
+func (s *loggedStream) receivedAt() (at time.Time, known bool) {
+	if !s.endedAt.IsZero() {
+		return s.endedAt, true
+	}
+	return receivedAt(s.exchange)
 }
 
 // endsKept bounds the ends that are remembered for each target.
@@ -109,6 +122,15 @@
 	}
 }
 
+// keepEnd keeps when the response of a stream has ended, so that its connection can be used again.
+func (l *streamLog) keepEnd(a *attempt, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.targets[a.grant.Target.ID]; t != nil && t.streams[a] != nil {
+		t.streams[a].endedAt = at
+	}
+}
+
 // leave forgets a stream but for its end.
 func (l *streamLog) leave(a *attempt) {
 	l.mu.Lock()
@@ -118,7 +140,7 @@
 		return
 	}
 	if s := t.streams[a]; s.ended {
-		if at, known := receivedAt(s.exchange); known {
+		if at, known := s.receivedAt(); known {
 			if t.ends = append(t.ends, at); len(t.ends) > endsKept {
 				t.ends = t.ends[1:]
 			}
@@ -174,7 +196,7 @@
 		return true
 	}
 	return slices.ContainsFunc(l.others(a, true), func(s *loggedStream) bool {
-		at, known := receivedAt(s.exchange)
+		at, known := s.receivedAt()
 		return !known || near(at)
 	})
 }
@@ -219,17 +241,20 @@
 	if doubt == noDoubt {
 		return nil
 	}
+	if doubt == unconfirmed { // the target is asked on the connection of the response
+		a.request.service.streams.keepEnd(a, arrivedAt)
+		ex.Close(true)
+	}
 	ctx := a.ctx
 	if !doubt.needsProof() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, maxBelievedCheckTime)
 		defer cancel()
 	}
-	pause(ctx, endSettleTime)
 	asked := time.Now()
 	r := a.request
 	served := r.service.cfg.Scheduler.Serves(a.grant)
-	check := r.service.cfg.TargetClient.CheckRunning(ctx, &a.grant.Target, r.table.Config.HealthPaths[a.grant.Target.Service])
+	check := a.checkTarget(ctx, doubt)
 	if check.Liveness == Leaving && !served { // by its record, which says nothing about this response
 		check.Liveness, check.SameIncarnation = Unproved, true
 	}
@@ -273,9 +298,35 @@
 	if streams := &a.request.service.streams; !streams.othersGoOn(a) && streams.endedTogether(a, arrivedAt) {
 		return endedTogether
 	}
+	if a.mayConfirm() {
+		return unconfirmed
+	}
 	return noDoubt
 }
 
+// mayConfirm reports whether the target can be asked at little cost whether it is healthy, where a
+// response that is not believed can be completed by another target.
+func (a *attempt) mayConfirm() bool {
+	r := a.request
+	_, ok := r.service.cfg.TargetClient.(HealthChecker)
+	return ok && r.route.Kind == state.StreamingRoute && r.route.Resumable && r.healthPath(a) != "" && a.mayGoOnElsewhere() && !r.service.streams.othersGoOn(a)
+}
+
+// checkTarget asks the target of a response whose end is in doubt.
+func (a *attempt) checkTarget(ctx context.Context, doubt endDoubt) RunCheck {
+	client, path := a.request.service.cfg.TargetClient, a.request.healthPath(a)
+	if doubt == unconfirmed {
+		return client.(HealthChecker).CheckHealth(ctx, &a.grant.Target, path)
+	}
+	pause(ctx, endSettleTime)
+	return client.CheckRunning(ctx, &a.grant.Target, path)
+}
+
+// healthPath returns the path of health checks of the target of an attempt, or "" if there is none.
+func (r *request) healthPath(a *attempt) string {
+	return r.table.Config.HealthPaths[a.grant.Target.Service]
+}
+
 // judgeEnd decides whether a response is complete whose end is in doubt and arrived at arrivedAt, if
 // that is known. because says why it is, although the check does not prove it.
 func (a *attempt) judgeEnd(doubt endDoubt, check RunCheck, arrivedAt time.Time, known bool) (complete bool, because string) {
@@ -318,8 +369,8 @@
 	switch {
 	case doubt == emptyResumption || a.mayGoOnElsewhere() || a.request.service.streams.endedTogether(a, arrivedAt):
 		return false, ""
-	case doubt == announcedClose:
-		return true, "announced_close"
+	case doubt == announcedClose || doubt == unconfirmed:
+		return true, doubt.String()
 	case a.targetSurvives(arrivedAt):
 		return true, "other_stream_goes_on"
 	}
--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &request{service: s}
+	r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute}}
 	a, b, c := &attempt{request: r, grant: grant}, &attempt{request: r, grant: grant}, &attempt{request: r, grant: grant}
 	end := time.Now()
 	ex, other := &fakeExchange{receivedAt: end}, &fakeExchange{receivedAt: end.Add(endTogetherTime)}
@@ -235,3 +235,81 @@
 		}
 	}
 }
+
+// Guards against a cut stream that is believed because its connection stays open while its target, which
+// has cancelled its handlers, lingers; and against checks of streams that cannot go on elsewhere or
+// beside which another stream of the target goes on.
+func TestEndOfStreamIsConfirmed(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	staysOpen := func(l Liveness, body string) behaviour {
+		return func(ctx context.Context, f *Forward) (Exchange, error) {
+			ex, err := inChunks(body)(ctx, f)
+			ex.(*fakeExchange).thenNotRunning, ex.(*fakeExchange).liveness = true, l
+			return ex, err
+		}
+	}
+	for _, c := range []struct {
+		name, path string
+		liveness   Liveness
+		health     bool // the service has health checks
+		other      bool // another stream of the targets goes on
+		goesOn     bool // at another target
+		checks     int64
+	}{
+		{"healthy", "/resume/x", Running, true, false, false, 1},
+		{"leaves", "/resume/x", Leaving, true, false, true, 1},
+		{"has ended", "/resume/x", Ended, true, false, true, 1},
+		{"cannot be asked", "/resume/x", Unproved, true, false, false, 1},
+		{"another stream goes on", "/resume/x", Leaving, true, true, false, 0},
+		{"no health checks", "/resume/x", Leaving, false, false, false, 0},
+		{"may not be resumed", "/stream/x", Leaving, true, false, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			out, targets := &recordingResponder{}, &fakeTargetClient{behaviours: []behaviour{staysOpen(c.liveness, first), respondWith(200, rest)}}
+			synctest.Test(t, func(t *testing.T) {
+				s := newService(targets)
+				config := *testConfig
+				config.Version++
+				if c.health {
+					config.HealthPaths = map[state.Service]string{"s": "/health"}
+				}
+				s.SetConfiguration(&config)
+				if c.other {
+					for _, id := range []state.TargetID{"t1", "t2", "t3"} {
+						s.streams.begin(&attempt{grant: &dispatch.Grant{Target: state.TargetRecord{ID: id}}}, &fakeExchange{})
+					}
+				}
+				s.Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: c.path, APIKey: "key"}, time.Now(), out)
+			})
+			want := first
+			if c.goesOn {
+				want = events
+			}
+			if n := targets.healthChecks.Load(); !out.ended || out.body.String() != want || n != c.checks {
+				t.Errorf("ended %t, body %q, %d checks; want body %q, %d checks", out.ended, out.body.String(), n, want, c.checks)
+			}
+		})
+	}
+}
+
+// Guards against the time of an end that is taken from a connection which another request uses.
+func TestEndOfStreamIsKeptWhenItsConnectionIsGivenBack(t *testing.T) {
+	grant := &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}
+	a, b := &attempt{grant: grant}, &attempt{grant: grant}
+	end := time.Now()
+	ex := &fakeExchange{receivedAt: end}
+	l := &streamLog{}
+	l.begin(a, &fakeExchange{receivedAt: end})
+	l.begin(b, ex)
+	l.ended(b)
+	l.keepEnd(b, end)
+	ex.receivedAt = end.Add(time.Second)
+	if !l.endedTogether(a, end) {
+		t.Error("the end is not known while the attempt goes on")
+	}
+	l.leave(b)
+	if !l.endedTogether(a, end) {
+		t.Error("the end is not known afterwards")
+	}
+}
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -156,7 +156,7 @@
 func (e *exchange) belongs(head *state.Response) (bool, error) {
 	switch {
 	case head.RequestID == e.requestID:
-		e.conn.namesRequests = true
+		e.conn.namesRequests, e.conn.namedSinceProbe = true, true
 		return true, nil
 	case head.RequestID != "" || e.conn.namesRequests:
 		return false, nil
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -157,7 +157,7 @@
 func (c *Client) probe(ctx context.Context, key probeKey) gateway.RunCheck {
 	check := gateway.RunCheck{IdleClosedAt: c.idleClosedAt(key.address)}
 	for pause := probePause; ; pause *= 2 {
-		if conn := c.takeUnprobed(key.address); conn != nil {
+		if conn := c.takeIdle(key.address, func(conn *connection) bool { return !conn.probed }); conn != nil {
 			idleCtx, cancel := context.WithTimeout(ctx, idleProbeTimeout)
 			decided := c.askIdle(idleCtx, key, conn, &check)
 			cancel()
@@ -200,6 +200,34 @@
 	return true
 }
 
+// CheckHealth implements gateway.HealthChecker.
+func (c *Client) CheckHealth(ctx context.Context, target *state.TargetRecord, healthPath string) gateway.RunCheck {
+	key := probeKey{target.ID, target.Address, healthPath}
+	if check, sure := c.askHealthOnIdle(ctx, key); sure {
+		return check
+	}
+	var check gateway.RunCheck
+	c.askHealth(ctx, key, &check) // undecided is Unproved
+	return check
+}
+
+// askHealthOnIdle asks for the health of a target on an idle connection, if there is one. The answer is
+// sure if it does not speak against the target: others may have been sent without a request.
+func (c *Client) askHealthOnIdle(ctx context.Context, key probeKey) (check gateway.RunCheck, sure bool) {
+	conn := c.takeIdle(key.address, func(conn *connection) bool { return !conn.probed || conn.namedSinceProbe })
+	if conn == nil {
+		return check, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, idleProbeTimeout)
+	defer cancel()
+	answer, err := c.ask(ctx, key, conn, key.target, &check)
+	if err != nil || answer.Instance == "" {
+		return check, false
+	}
+	decide(key, answer, &check)
+	return check, check.Liveness == gateway.Running || check.Liveness == gateway.Unproved
+}
+
 // askHealth asks on new connections whether the target is healthy and, where the answer does not tell,
 // which incarnation answers, for which it needs no slot.
 func (c *Client) askHealth(ctx context.Context, key probeKey, check *gateway.RunCheck) (decided bool) {
@@ -335,7 +363,7 @@
 		conn.Close()
 		return answer, nil
 	}
-	conn.probed = true
+	conn.probed, conn.namedSinceProbe = true, false
 	c.keep(conn, resp)
 	return answer, nil
 }
@@ -369,12 +397,13 @@
 	return nil, platform.ProbeAnswer{}, fmt.Errorf("read answer of %s: %w", c.address, errNoMatchingResponse)
 }
 
-// takeUnprobed removes an idle connection to address that can be reused and on which no probe was
-// answered, and returns it, or nil if there is none. A late copy of an earlier answer could not be
-// told from the answer to a further probe.
-func (c *Client) takeUnprobed(address string) *connection {
+// takeIdle removes an idle connection to address that can be reused and suits, and returns it, or nil
+// if there is none. One on which a probe was answered does not suit another probe: a late copy of the
+// answer could not be told from that to the further one. It precedes the next response that names its
+// request.
+func (c *Client) takeIdle(address string, suits func(*connection) bool) *connection {
 	for {
-		conn := c.popUnprobed(address)
+		conn := c.popSuitable(address, suits)
 		if conn == nil {
 			return nil
 		}
@@ -386,12 +415,12 @@
 	}
 }
 
-func (c *Client) popUnprobed(address string) *connection {
+func (c *Client) popSuitable(address string, suits func(*connection) bool) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[address]
 	for i := len(list) - 1; i >= 0; i-- {
-		if conn := list[i]; !conn.probed {
+		if conn := list[i]; suits(conn) {
 			c.idle[address] = slices.Delete(list, i, i+1)
 			return conn
 		}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -90,6 +90,8 @@
 	// probed says that a probe was answered on it. The answer names no request, and a late copy of
 	// it must not be taken for the response to one.
 	probed bool
+	// namedSinceProbe says that a response on it has named its request since then.
+	namedSinceProbe bool
 	// answered says that a response was read on it. A server that shuts down leaves other
 	// connections open for a while.
 	answered bool
