--- a/internal/coordination/gateway/endelsewhere_test.go
+++ b/internal/coordination/gateway/endelsewhere_test.go
@@ -149,8 +149,8 @@
 				if c.refused {
 					a.request.service.targets.Refuses(a.grant.Target.ID, end)
 				}
-				check := &endCheck{attempt: a, arrivedAt: end, timeKnown: true}
-				check.findDoubt(&state.Response{}, &fakeExchange{})
+				check := &endCheck{attempt: a, exchange: &fakeExchange{}, arrivedAt: end, timeKnown: true}
+				check.findDoubt(&state.Response{})
 				if check.doubt != c.doubt || other.asked != c.asked {
 					t.Errorf("doubt %s, asked %d times; want %s, asked %d times", check.doubt, other.asked, c.doubt, c.asked)
 				}
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -35,6 +35,9 @@
 	// endedTogether: all streams that the target writes for this entry have ended at the same
 	// moment.
 	endedTogether
+	// unconfirmed: the connection stays open and idle, as it does while a target that has cancelled
+	// its handlers lingers, and no other stream of the target goes on here.
+	unconfirmed
 	// unannouncedClose: the connection does not stay open and idle behind the response although
 	// the target had not announced that.
 	unannouncedClose
@@ -47,7 +50,7 @@
 
 // String returns the value as it appears in logs and names of counters.
 func (d endDoubt) String() string {
-	return [...]string{"none", "announced_close", "ended_together", "unannounced_close", "connection_end", "empty_resumption"}[d]
+	return [...]string{"none", "announced_close", "ended_together", "unconfirmed", "unannounced_close", "connection_end", "empty_resumption"}[d]
 }
 
 // needsProof reports whether only proof that the target still runs removes the doubt. Otherwise, a
@@ -76,7 +79,8 @@
 
 // endCheck checks an end of a response that does not show that the response is complete.
 type endCheck struct {
-	attempt *attempt
+	attempt  *attempt
+	exchange Exchange
 	// arrivedAt is when the end arrived, if timeKnown is set.
 	arrivedAt time.Time
 	timeKnown bool
@@ -100,6 +104,9 @@
 	becauseNotRefused  = "connections_not_refused"
 	becauseRunsBeside  = "runs_beside"
 	becauseNoEvent     = "no_event"
+	// The target that answered is full, or had said before that it leaves.
+	becauseSameIncarnation = "same_incarnation"
+	becauseLeavesOpen      = "began_to_leave"
 )
 
 // checkEnd returns an error if the end of a response does not show that the response is complete: it
@@ -112,9 +119,9 @@
 		return nil
 	}
 	// What the target does behind the end is compared with when the end arrived. It may be read later.
-	c := &endCheck{attempt: a}
+	c := &endCheck{attempt: a, exchange: ex}
 	c.arrivedAt, c.timeKnown = endArrivedAt(ex)
-	if c.findDoubt(head, ex); c.doubt == noDoubt {
+	if c.findDoubt(head); c.doubt == noDoubt {
 		return nil
 	}
 	c.askTarget()
@@ -133,8 +140,8 @@
 }
 
 // findDoubt finds why the response may have ended together with its target.
-func (c *endCheck) findDoubt(head *state.Response, ex Exchange) {
-	w, ok := ex.(ConnectionWatcher)
+func (c *endCheck) findDoubt(head *state.Response) {
+	w, ok := c.exchange.(ConnectionWatcher)
 	switch {
 	case head.EndsWithConnection:
 		c.doubt = connectionEnd
@@ -148,9 +155,25 @@
 		c.doubt = unannouncedClose
 	case c.endedWithOthers():
 		c.doubt = endedTogether
+	case c.mayConfirm():
+		c.doubt = unconfirmed
 	}
 }
 
+// mayConfirm reports whether the target can be asked at little cost whether it is healthy, where a
+// response that is not believed can be completed by another target.
+func (c *endCheck) mayConfirm() bool {
+	r := c.attempt.request
+	_, ok := r.service.cfg.TargetClient.(HealthChecker)
+	return ok && r.route.Kind == state.StreamingRoute && c.healthPath() != "" && c.attempt.mayGoOnElsewhere() && len(c.seenHere().Open) == 0
+}
+
+// healthPath returns the path of health checks of the target, or "" if there is none.
+func (c *endCheck) healthPath() string {
+	a := c.attempt
+	return a.request.table.Config.HealthPaths[a.grant.Target.Service]
+}
+
 // watchTime returns how long the connection is watched behind the end.
 func (c *endCheck) watchTime() time.Duration {
 	if c.targetLeaves() {
@@ -186,11 +209,21 @@
 		ctx, cancel = context.WithTimeout(ctx, maxBelievedCheckTime)
 		defer cancel()
 	}
-	pause(ctx, endSettleTime)
+	client, target := a.request.service.cfg.TargetClient, &a.grant.Target
+	left := c.targetLeaves()
 	asked := time.Now()
-	r := a.request
-	c.run = r.service.cfg.TargetClient.CheckRunning(ctx, &a.grant.Target, r.table.Config.HealthPaths[a.grant.Target.Service])
+	if c.doubt == unconfirmed {
+		c.exchange.Close(true) // the target is asked on the connection of the response
+		c.run = client.(HealthChecker).CheckHealth(ctx, target, c.healthPath())
+	} else {
+		pause(ctx, endSettleTime)
+		asked = time.Now()
+		c.run = client.CheckRunning(ctx, target, c.healthPath())
+	}
 	c.took = time.Since(asked)
+	if c.run.Liveness == Leaving && left { // by its record, which says nothing about this response
+		c.run.Liveness, c.run.SameIncarnation = Unproved, true
+	}
 }
 
 // judge decides whether the response is complete.
@@ -208,10 +241,14 @@
 		whole(becauseTargetRuns)
 	case a.ctx.Err() != nil:
 		undecided(becauseCutShort)
+	case c.run.Liveness == Unproved && c.run.SameIncarnation && c.doubt != emptyResumption:
+		whole(becauseSameIncarnation)
 	case c.run.Liveness == Unproved && !c.doubt.needsProof():
 		whole(becauseNotAsked)
 	case c.doubt == emptyResumption:
 		undecided(becauseNoEvent)
+	case c.run.Liveness == Leaving:
+		c.judgeLeaving()
 	case !c.run.Refused:
 		undecided(becauseNotRefused)
 	case !c.timeKnown && c.doubt != connectionEnd:
@@ -223,6 +260,17 @@
 	}
 }
 
+// judgeLeaving judges the end of a response whose target began to leave at about that time. Such a target
+// may finish its responses, or cancel all of them at once.
+func (c *endCheck) judgeLeaving() {
+	c.judgeByStreams()
+	j := &c.judgement
+	mayLinger := c.doubt == announcedClose || c.doubt == unconfirmed
+	if j.Verdict == targetend.Undecided && j.Together == 0 && mayLinger && !c.attempt.mayGoOnElsewhere() {
+		j.Verdict, j.Reason = targetend.Whole, becauseLeavesOpen
+	}
+}
+
 // refusesSince returns since when the target that was asked refuses connections, as far as it is known.
 func (c *endCheck) refusesSince() time.Time {
 	if c.run.IdleClosedAt.IsZero() {
