Gateway: what follows a stream in its last run does not break it off

Cause: behind a stream without length or chunks, the head of another response or a copy of the last event leaves a doubt that a resumption removes. A stream that may be resumed was broken off for it also where no further attempt was allowed, which could have removed the doubt; one that may not be resumed is passed on then. Change: the doubt counts only where a further attempt is allowed.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -280,8 +280,8 @@
 	defer func() { a.logged.Leave() }()
 	for {
 		event, err := events.next()
-		// What follows a stream leaves a doubt about its end, which a resumption removes.
-		if errors.Is(err, io.EOF) || errors.Is(err, eventstream.ErrFollowed) && !r.route.Resumable {
+		// What follows a stream leaves a doubt about its end, which only a resumption removes.
+		if errors.Is(err, io.EOF) || errors.Is(err, eventstream.ErrFollowed) && !a.mayGoOnElsewhere() {
 			return a.endStream(head, ex)
 		}
 		if err != nil {
