Gateway: the event after which a stream is resumed does not come twice

Cause: an event that a target repeats when it goes on with a stream is recognized by its number. Where ids are no numbers, the caller got the event after which the stream was resumed twice. Change: the first event of a resumption is dropped if it has the id after which the stream is resumed, whatever that is. Measured: TestLastEventWithoutNumberIsNotRepeated failed in every run and passes.

--- a/internal/coordination/gateway/events.go
+++ b/internal/coordination/gateway/events.go
@@ -77,11 +77,13 @@
 }
 
 // isRepeated reports whether the caller has an event already. IDs of events increase, so that
-// another target, or the same one, must have sent it before.
+// another target, or the same one, must have sent it before. Of IDs that are no numbers, only the one
+// after which the stream is resumed is recognized.
 func (a *attempt) isRepeated(e event) bool {
 	n := parseEventNumber(e.id)
 	if !n.known {
-		return false
+		resumes := a.begun || a.request.route.Resumable
+		return resumes && a.grant.Events == 0 && e.id != "" && e.id == a.resumeAfter
 	}
 	a.received = eventNumber{max(n.value, a.received.value), true}
 	if !a.passedOn.known || n.value > a.passedOn.value {
