Gateway: entries that do not answer in time are asked about an end once more

Result: TestOtherEntriesTellWhetherAStreamIsWhole has such an entry, and fails without the second question.

--- a/internal/coordination/gateway/endelsewhere_test.go
+++ b/internal/coordination/gateway/endelsewhere_test.go
@@ -16,13 +16,18 @@
 	refusesSince time.Time   // zero: it has not seen that
 	ended        []time.Time // ends of its streams
 	goesOn       bool        // it has a stream that goes on
+	none         bool        // there is no other entry
 	silent       bool        // it does not answer
+	answersFrom  time.Time   // it answers no question before
 	asked        int
 }
 
 func (e *otherEntry) ask(context.Context, state.TargetID, string) ([]targetend.Report, error) {
 	e.asked++
-	if e.silent {
+	if e.none {
+		return nil, nil
+	}
+	if e.silent || time.Now().Before(e.answersFrom) {
 		return nil, context.DeadlineExceeded
 	}
 	now := time.Now()
@@ -73,6 +78,11 @@
 	}{
 		{"nothing known elsewhere, refused long before", long, false, false, func(time.Time) otherEntry { return otherEntry{} }, targetend.Whole, 1},
 		{"no answer, refused long before", long, false, false, func(time.Time) otherEntry { return otherEntry{silent: true} }, targetend.Whole, 1},
+		{"no other entry, refused just before", just, false, false, func(time.Time) otherEntry { return otherEntry{none: true} }, targetend.Undecided, 1},
+		{"no answer, refused just before", just, false, false, func(time.Time) otherEntry { return otherEntry{silent: true} }, targetend.Undecided, 2},
+		{"first answer too late, seen to refuse elsewhere", just, false, false, func(end time.Time) otherEntry {
+			return otherEntry{refusesSince: end.Add(-long), answersFrom: end.Add(targetend.SurvivalTime)}
+		}, targetend.Whole, 2},
 		{"nothing known elsewhere, refused just before", just, false, false, func(time.Time) otherEntry { return otherEntry{} }, targetend.Undecided, 1},
 		{"streams elsewhere ended together", long, false, false, func(end time.Time) otherEntry { return otherEntry{ended: []time.Time{end}} }, targetend.Cut, 1},
 		{"seen to refuse elsewhere", just, false, false, func(end time.Time) otherEntry { return otherEntry{refusesSince: end.Add(-long)} }, targetend.Whole, 1},
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -239,20 +239,28 @@
 
 // judgeByStreams judges by the other streams of a target that accepts no connections: a server that
 // shuts down may finish its streams. As long as others go on here, it waits to see whether they survive.
-// Other entries are asked where that does not decide, once more if streams go on there.
+// Other entries are asked where that does not decide, once more if streams go on there or none answered.
 func (c *endCheck) judgeByStreams() {
 	for c.judgeHere() && c.judgement.GoOn > 0 && c.waitUntil(min(c.sinceEnd()+survivorPollInterval, targetend.SurvivalTime)) {
 	}
-	if !c.judgement.NeedsOthers() || !c.askOthers() {
+	if !c.judgement.NeedsOthers() {
 		return
 	}
+	c.askOthers()
 	c.judgement = c.judgeByAll()
-	if c.judgement.Verdict == targetend.Undecided && c.judgement.GoOn > 0 && c.waitUntil(targetend.SurvivalTime) {
+	if c.mayLearnMore() {
+		c.waitUntil(targetend.SurvivalTime)
 		c.askOthers()
 		c.judgement = c.judgeByAll()
 	}
 }
 
+// mayLearnMore reports whether other entries, which were asked, may decide the end a little later.
+func (c *endCheck) mayLearnMore() bool {
+	unanswered := len(c.seenElsewhere) == 0 && c.askErr != nil
+	return c.questions > 0 && c.judgement.Verdict != targetend.Whole && (unanswered || c.judgement.GoOn > 0) && c.attempt.ctx.Err() == nil
+}
+
 // judgeHere judges by what this entry has seen, and reports whether that leaves the end undecided.
 func (c *endCheck) judgeHere() (undecided bool) {
 	c.judgement = targetend.Judge(c.end(), c.seenHere())
@@ -284,24 +292,21 @@
 	return ctx.Err() == nil
 }
 
-// askOthers asks other entries what they have seen of the target. It reports whether there is a new
-// answer.
-func (c *endCheck) askOthers() bool {
+// askOthers asks other entries what they have seen of the target.
+func (c *endCheck) askOthers() {
 	a := c.attempt
 	cfg := &a.request.service.cfg
 	if cfg.AskTargetEnd == nil {
-		return false
+		return
 	}
 	c.questions++
 	cfg.Counters.Add("end_peers.asked")
 	answers, err := cfg.AskTargetEnd(a.ctx, a.grant.Target.ID, a.grant.Target.Address)
 	c.askErr = err
-	if len(answers) == 0 {
-		return false
+	if len(answers) > 0 {
+		cfg.Counters.Add("end_peers.told")
+		c.seenElsewhere = answers
 	}
-	cfg.Counters.Add("end_peers.told")
-	c.seenElsewhere = answers
-	return true
 }
 
 // TargetSeen returns what this entry has seen of a target at an address, for another entry.
--- a/internal/transport/mesh/targetend.go
+++ b/internal/transport/mesh/targetend.go
@@ -24,8 +24,9 @@
 	targetParameter  = "target"
 	addressParameter = "address"
 	// targetEndTimeout bounds a question, and maxTargetEndQuestions the number of entries that are
-	// asked at the same time. A caller that has all events of its stream waits for the answers.
-	targetEndTimeout      = 150 * time.Millisecond
+	// asked at the same time. A caller that has all events of its stream waits for the answers. Busy
+	// entries often take more than 150 ms.
+	targetEndTimeout      = 250 * time.Millisecond
 	maxTargetEndQuestions = 16
 	maxTargetEndBytes     = 64 << 10 // of an answer
 )
