Target client: a target that has named itself goes on doing so

Cause: a process whose handlers return at once answers any request with an empty 200, also one for another instance, so that no answer of that time shows that it names itself otherwise. The check was Unproved and the stream believed wherever the doubt needs no proof.

Change: the client remembers which target named itself last at an address, in the answer to a probe. An unnamed 200 to its health check is Leaving then, without a further request. The memory is bounded.

Result: TestTargetThatNamesItselfNoLonger fails without the change.

--- a/internal/transport/upstream/health_test.go
+++ b/internal/transport/upstream/health_test.go
@@ -185,3 +185,38 @@
 		}
 	}
 }
+
+// Guards against cut streams that are passed on as complete because their target, which has named itself
+// before, answers any request with an empty success while it ends.
+func TestTargetThatNamesItselfNoLonger(t *testing.T) {
+	for _, named := range []bool{true, false} {
+		var ends atomic.Bool
+		address, _ := startTarget(t, func(conn net.Conn, requests *bufio.Reader) {
+			for {
+				req, err := http.ReadRequest(requests)
+				switch {
+				case err != nil:
+					return
+				case named && !ends.Load() && req.Header.Get("Expect-Instance") == "i-1":
+					respond(t, conn, healthy("i-1"))
+				default:
+					respond(t, conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}
+		})
+		target, client := state.TargetRecord{ID: "i-1", Address: address}, New()
+		client.CheckRunning(t.Context(), &target, "/health")
+		ends.Store(true)
+		want := gateway.Unproved
+		if named {
+			want = gateway.Leaving
+		}
+		if c := client.CheckRunning(t.Context(), &target, "/health"); c.Liveness != want {
+			t.Errorf("named itself %t: check %+v, want %s", named, c, want)
+		}
+		next := state.TargetRecord{ID: "i-2", Address: address}
+		if c := client.CheckRunning(t.Context(), &next, "/health"); c.Liveness != gateway.Unproved {
+			t.Errorf("check %+v of another target at the address, want unproved", c)
+		}
+	}
+}
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -38,6 +38,8 @@
 	// healthTimeout bounds a health check on a new connection, without pauses of the process. Like
 	// other requests, it waits for a slot at a target that is full.
 	healthTimeout = 300 * time.Millisecond
+	// maxNamed bounds the addresses of which it is known who has named itself there.
+	maxNamed = 4096
 	// defaultHealthPath is the path of a probe to a target whose service states none.
 	defaultHealthPath = "/"
 )
@@ -242,6 +244,8 @@
 	case own.Misdirected:
 		check.Liveness = gateway.Ended
 		return true
+	case !waited && c.hasNamedItself(key) && decideUnnamed(own, check):
+		return true
 	}
 	other, decided, err := c.askOnNewConnection(ctx, key, platform.NoTarget, check)
 	switch {
@@ -302,12 +306,34 @@
 }
 
 // decideUnnamed sets what an answer to a health check shows that names no instance, from a target that
-// names itself in its other answers.
-func decideUnnamed(answer platform.ProbeAnswer, check *gateway.RunCheck) {
-	switch {
-	case leaves(answer), answer.Status == http.StatusOK: // a healthy target names itself
-		check.Liveness, check.SameIncarnation = gateway.Leaving, false
+// names itself in other answers. It reports whether it shows anything.
+func decideUnnamed(answer platform.ProbeAnswer, check *gateway.RunCheck) bool {
+	if answer.Status != http.StatusOK && !leaves(answer) { // a healthy target names itself
+		return false
+	}
+	check.Liveness, check.SameIncarnation = gateway.Leaving, false
+	return true
+}
+
+// hasNamedItself reports whether the last probe answer with a name, from the address of a target, was
+// that of the target.
+func (c *Client) hasNamedItself(key probeKey) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.named[key.address] == key.target
+}
+
+// rememberName remembers which target has named itself at an address.
+func (c *Client) rememberName(address string, id state.TargetID) {
+	if id == "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.named) >= maxNamed {
+		clear(c.named) // the next probes name those that are still asked
 	}
+	c.named[address] = id
 }
 
 // leaves reports whether the answer to a health check says that the target is not healthy or leaves. It
@@ -356,6 +382,7 @@
 		check.Answer = err.Error()
 		return answer, err
 	}
+	c.rememberName(key.address, answer.Instance)
 	check.Answer = fmt.Sprintf("status %d of instance %q", answer.Status, answer.Instance)
 	head := platform.DecodeResponse(resp)
 	_, err = io.CopyN(io.Discard, resp.Body, maxSkippedBytes)
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 	"github.com/cassiaramp/cassiaramp/platform"
 )
@@ -56,12 +57,13 @@
 	idle        map[string][]*connection // by address, least recently used first
 	openedCount int64
 	probes      map[probeKey]*probes
+	named       map[string]state.TargetID // targets that have named themselves last, by address
 	connect     func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
 }
 
 // New returns a Client without connections.
 func New() *Client {
-	return &Client{idle: make(map[string][]*connection), probes: make(map[probeKey]*probes), connect: netconn.Dial}
+	return &Client{idle: make(map[string][]*connection), probes: make(map[probeKey]*probes), named: make(map[string]state.TargetID), connect: netconn.Dial}
 }
 
 var (
