--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -63,12 +63,16 @@
 	probes      map[probeKey]*probes
 	// naming holds the targets that have named a request in a response.
 	naming  traffic.RecentCache[state.TargetID, struct{}]
+	named   map[string]state.TargetID // targets that have named themselves last, by address
 	connect func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
 }
 
 // New returns a Client without connections.
 func New() *Client {
-	return &Client{idle: make(map[string][]*connection), probes: make(map[probeKey]*probes), naming: traffic.RecentCache[state.TargetID, struct{}]{GenerationLimit: maxNamingTargets}, connect: netconn.Dial}
+	return &Client{
+		idle: make(map[string][]*connection), probes: make(map[probeKey]*probes), named: make(map[string]state.TargetID), connect: netconn.Dial,
+		naming: traffic.RecentCache[state.TargetID, struct{}]{GenerationLimit: maxNamingTargets},
+	}
 }
 
 var (
