Target client test: an idle timeout is no shutdown

Cause: IdleClosedAt counts each idle connection that the target has closed as a sign that it shuts down. A target also closes connections at its idle timeout, which it states only in whole seconds, so that the entry keeps them for longer. endCheck.refusesSince then takes that time for the start of the refusal, and the end is "went on while refusing".

Seen: the only stream of a target that closes idle connections after 100 ms and cancels its handlers 500 ms into the stream is passed on as complete after 91 and 86 of 300 events, on both kinds of routes.

--- a/internal/transport/upstream/endingtarget_test.go
+++ b/internal/transport/upstream/endingtarget_test.go
@@ -37,6 +37,9 @@
 	// cancelsAndCleansUp closes the listener, cancels the handlers and exits endingCleanUpTime
 	// later, until when the connections stay open.
 	cancelsAndCleansUp = "cancels handlers and cleans up"
+	// closesIdleThenCancels does as cancelsHandlers, and closes connections that have been idle for
+	// endingIdleTime at any time.
+	closesIdleThenCancels = "closes idle connections, later cancels handlers"
 )
 
 const (
@@ -44,6 +47,7 @@
 	endingDrainTime   = 400 * time.Millisecond
 	endingTurn        = 60 * time.Millisecond
 	endingCleanUpTime = 300 * time.Millisecond
+	endingIdleTime    = 100 * time.Millisecond
 )
 
 // TestMain runs the tests, or a target in a process that a test has started for it.
@@ -71,12 +75,15 @@
 	handlers.instance = ln.Addr().String()
 	fmt.Println(handlers.instance)
 	server := &http.Server{Handler: handlers}
+	if ending == closesIdleThenCancels {
+		server.IdleTimeout = endingIdleTime
+	}
 	go server.Serve(ln)
 	<-terminated.Done()
 	switch ending {
 	case finishesHandlers:
 		return server.Shutdown(context.Background())
-	case cancelsHandlers:
+	case cancelsHandlers, closesIdleThenCancels:
 		handlers.cancel(0)
 		return server.Shutdown(context.Background())
 	case finishesThenCancels:
