Target client test: an idle timeout is not told as a shutdown

Cause: Service.TargetSeen reports IdleClosedAt as Refusing although nobody has asked whether the target refuses connections. A target that serves closes idle connections at its idle timeout, so that an entry which sends it no more requests tells all others that it refuses connections, for as long as these connections are in its pool.

Seen: a target that serves is told as refusing connections for 384 ms, and the only stream of the entry that asks, which is cut, is passed on as complete after 93 of 300 events.

--- /dev/null
+++ b/internal/transport/upstream/idletold_test.go
@@ -0,0 +1,35 @@
+package upstream
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// Guards against a cut stream that is believed because another entry, which sends the target no more
+// requests, tells that the target has closed its idle connections: it does so at its idle timeout too.
+func TestIdleTimeoutIsNotToldAsShutdown(t *testing.T) {
+	target := startEndingTarget(t, closesIdleThenCancels)
+	other := newGateway(New(), []string{target.address})
+	g := newAskingGateway(New(), []string{target.address}, func(_ context.Context, id state.TargetID, address string) ([]targetend.Report, error) {
+		r := targetend.Report{Earliest: time.Now()}
+		r.Seen = other.TargetSeen(id, address)
+		r.Latest = time.Now()
+		return []targetend.Report{r}, nil
+	})
+	leaveIdleConnections(t, other)
+	s := serveStreams(t, g, "stream", []int{300}, func() {
+		time.Sleep(5 * endingIdleTime)
+		if seen := other.TargetSeen(state.TargetID(target.address), target.address); seen.Refusing > 0 {
+			t.Errorf("a target that serves is told as refusing connections for %s", seen.Refusing)
+		}
+		target.process.Process.Signal(syscall.SIGTERM)
+	})[0]
+	if s.complete {
+		t.Errorf("complete after %d of 300 events", s.events.Load())
+	}
+}
