Gateway: earlier answers of other entries count when they are silent later

Cause: the answers to the last question replaced those to the one before, and an end was judged by this entry alone if that question had no answer. An entry that had told that its stream ended at the same moment counted for nothing then, and the end was "went on while refusing".

Change: all answers to the questions about an end count. An old answer proves nothing new: another stream shows that it survives only in an answer to a question that was sent long after the end.

The tests of the package that name answers, other entries, ends, withdrawals or streams pass.

--- a/internal/coordination/gateway/lostevidence_test.go
+++ b/internal/coordination/gateway/lostevidence_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,3 +30,26 @@
 		}
 	})
 }
+
+// Guards against a cut stream that is believed because an entry that has told that its stream ended at the
+// same moment is silent when others, which have told that theirs go on, are asked once more.
+func TestAnswersOfSeveralEntriesCountWhenOneIsSilentLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, end := endingAttempt(t, &otherEntry{})
+		questions := 0
+		a.request.service.cfg.AskTargetEnd = func(ctx context.Context, id state.TargetID, address string) ([]targetend.Report, error) {
+			entries := []otherEntry{{ended: []time.Time{end}, silent: questions > 0}, {goesOn: questions == 0}}
+			questions++
+			var answers []targetend.Report
+			for i := range entries {
+				told, _ := entries[i].ask(ctx, id, address) // an error means that it is silent
+				answers = slices.Concat(answers, told)
+			}
+			return answers, nil
+		}
+		j := judgeEnd(a, unannouncedClose, RunCheck{Liveness: Ended, Refused: true, IdleClosedAt: end.Add(-2 * targetend.CancelTime)}, end, true)
+		if questions != 2 || j.Verdict == targetend.Whole {
+			t.Errorf("%s because %s after %d questions; want that it is not believed after 2", j.Verdict, j.Reason, questions)
+		}
+	})
+}
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -249,9 +249,10 @@
 func (c *endCheck) judgeByStreams() {
 	for c.judgeHere() && c.judgement.GoOn > 0 && c.waitUntil(min(c.sinceEnd()+survivorPollInterval, targetend.SurvivalTime)) {
 	}
-	if !c.judgement.NeedsOthers() || !c.askOthers() {
+	if !c.judgement.NeedsOthers() {
 		return
 	}
+	c.askOthers()
 	c.judgement = c.judgeByAll()
 	if c.judgement.Verdict == targetend.Undecided && c.judgement.GoOn > 0 && c.waitUntil(targetend.SurvivalTime) {
 		c.askOthers()
@@ -285,24 +286,23 @@
 	return ctx.Err() == nil
 }
 
-// askOthers asks other entries what they have seen of the target. It reports whether there is a new
-// answer.
-func (c *endCheck) askOthers() bool {
+// askOthers asks other entries what they have seen of the target. Earlier answers still count: an entry
+// may be silent later.
+func (c *endCheck) askOthers() {
 	a := c.attempt
 	cfg := &a.request.service.cfg
 	if cfg.AskTargetEnd == nil {
-		return false
+		return
 	}
 	c.questions++
 	cfg.Counters.Add("end_peers.asked")
 	answers, err := cfg.AskTargetEnd(a.ctx, a.grant.Target.ID, a.grant.Target.Address)
 	c.askErr = err
 	if len(answers) == 0 {
-		return false
+		return
 	}
 	cfg.Counters.Add("end_peers.told")
-	c.seenElsewhere = answers
-	return true
+	c.seenElsewhere = append(c.seenElsewhere, answers...)
 }
 
 // TargetSeen returns what this entry has seen of a target at an address, for another entry.
