Gateway: a close that the entry asked for is as if it was announced

Cause: an end that arrived before its target was asked to abandon the stream counts, but the target closes the connection since the entry has closed its side. That was taken for a close that nobody expected, and a whole stream was sent on if the target could not be asked.

Change: the close is an announced one then, which is still asked about.

--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -148,6 +148,9 @@
 		c.doubt = noDoubt
 	case !w.StaysOpen(c.watchTime()):
 		c.doubt = unannouncedClose
+		if c.attempt.handOver.wasWithdrawn() { // the target closes because the entry has closed its side
+			c.doubt = announcedClose
+		}
 	case c.endedWithOthers():
 		c.doubt = endedTogether
 	}
