--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -153,6 +153,9 @@
 		c.doubt = noDoubt
 	case !w.StaysOpen(c.watchTime()):
 		c.doubt = unannouncedClose
+		if c.attempt.handOver.wasWithdrawn() { // the target closes because the entry has closed its side
+			c.doubt = announcedClose
+		}
 	case c.endedWithOthers():
 		c.doubt = endedTogether
 	case c.mayConfirm():
@@ -340,7 +343,8 @@
 	return ctx.Err() == nil
 }
 
-// askOthers asks other entries what they have seen of the target.
+// askOthers asks other entries what they have seen of the target. Earlier answers still count: an entry
+// may be silent later.
 func (c *endCheck) askOthers() {
 	a := c.attempt
 	cfg := &a.request.service.cfg
@@ -351,10 +355,11 @@
 	cfg.Counters.Add("end_peers.asked")
 	answers, err := cfg.AskTargetEnd(a.ctx, a.grant.Target.ID, a.grant.Target.Address)
 	c.askErr = err
-	if len(answers) > 0 {
-		cfg.Counters.Add("end_peers.told")
-		c.seenElsewhere = answers
+	if len(answers) == 0 {
+		return
 	}
+	cfg.Counters.Add("end_peers.told")
+	c.seenElsewhere = append(c.seenElsewhere, answers...)
 }
 
 // TargetSeen returns what this entry has seen of a target at an address, for another entry.
--- a/internal/transport/upstream/endingtarget_test.go
+++ b/internal/transport/upstream/endingtarget_test.go
@@ -40,6 +40,9 @@
 	// cancelsAndLingers cancels the handlers and goes on serving for endingCleanUpTime, as a target
 	// that leaves: health checks fail, and requests are rejected.
 	cancelsAndLingers = "cancels handlers and lingers"
+	// closesIdleThenCancels does as cancelsHandlers, and closes connections that have been idle for
+	// endingIdleTime at any time.
+	closesIdleThenCancels = "closes idle connections, later cancels handlers"
 )
 
 const (
@@ -47,6 +50,7 @@
 	endingDrainTime   = 400 * time.Millisecond
 	endingTurn        = 60 * time.Millisecond
 	endingCleanUpTime = 300 * time.Millisecond
+	endingIdleTime    = 100 * time.Millisecond
 )
 
 // TestMain runs the tests, or a target in a process that a test has started for it.
@@ -74,12 +78,15 @@
 	handlers.instance = ln.Addr().String()
 	fmt.Println(handlers.instance)
 	server := &http.Server{Handler: handlers}
+	if ending == closesIdleThenCancels {
+		server.IdleTimeout = endingIdleTime
+	}
 	go server.Serve(ln)
 	<-terminated.Done()
 	switch ending {
 	case finishesHandlers:
 		return server.Shutdown(context.Background())
-	case cancelsHandlers:
+	case cancelsHandlers, closesIdleThenCancels:
 		handlers.cancel(0)
 		return server.Shutdown(context.Background())
 	case finishesThenCancels:
