--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -34,6 +34,7 @@
 
 func (runningTargets) Refuses(context.Context, string) bool { return false }
 func (runningTargets) Closes(context.Context, string) bool  { return false }
+func (runningTargets) IdleClosedAt(string) time.Time        { return time.Time{} }
 func (runningTargets) CheckRunning(context.Context, *state.TargetRecord, string) RunCheck {
 	return RunCheck{Liveness: Running}
 }
@@ -41,10 +42,12 @@
 // fakeTargetClient handles each send by the next behaviour.
 type fakeTargetClient struct {
 	runningTargets
-	mu           sync.Mutex
-	behaviours   []behaviour
-	sends        []Forward
-	liveness     map[state.TargetID]Liveness // of targets that do not run
+	mu         sync.Mutex
+	behaviours []behaviour
+	sends      []Forward
+	liveness   map[state.TargetID]Liveness // of targets that do not run
+	// idleClosedAt is when such targets closed their idle connections; zero if they had none.
+	idleClosedAt time.Time
 	healthChecks atomic.Int64
 }
 
@@ -71,7 +74,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if l, ok := f.liveness[target.ID]; ok {
-		return RunCheck{Liveness: l, Refused: l == Ended}
+		return RunCheck{Liveness: l, Refused: l == Ended, IdleClosedAt: f.idleClosedAt}
 	}
 	return RunCheck{Liveness: Running}
 }
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -20,13 +20,7 @@
 	endSettleTime = 25 * time.Millisecond
 	// maxBelievedCheckTime bounds the check of a target that is believed if it cannot be asked.
 	maxBelievedCheckTime = 250 * time.Millisecond
-	// Responses that end within endTogetherTime may have been ended by the same event.
-	endTogetherTime = 25 * time.Millisecond
-	// cancelTime is how long a handler may take to return after it was cancelled: those that write
-	// streams notice it between two events.
-	cancelTime = 150 * time.Millisecond
-	// Another stream shows that its target still writes streams if it goes on for survivorTime.
-	survivorTime         = 300 * time.Millisecond
+	// survivorPollInterval is the time between looks at the other streams of a target.
 	survivorPollInterval = 10 * time.Millisecond
 )
 
@@ -63,339 +57,312 @@
 // target that cannot be asked, for example because it is full, is believed.
 func (d endDoubt) needsProof() bool { return d >= unannouncedClose }
 
-// streamLog knows the streams that each target writes for this entry, to tell whether a target that
-// accepts no connections any more still writes them. It is safe for concurrent use.
-type streamLog struct {
-	mu      sync.Mutex
-	targets map[state.TargetID]*targetStreams
-}
-
-// targetStreams are the streams of one target.
-type targetStreams struct {
-	streams map[*attempt]*loggedStream
-	// ends are when the last responses ended, of attempts that have left. The oldest come first.
-	ends []time.Time
-	// refusesSince is when the target was first known to refuse connections; zero if it was not.
-	refusesSince time.Time
-}
-
-// loggedStream is a stream that has begun and whose attempt has not ended.
-type loggedStream struct {
-	exchange Exchange
-	ended    bool      // the response has ended
-	endedAt  time.Time // kept because the connection has been given back; else zero
-}
-
-// receivedAt returns the earliest time at which the last data of the response may have arrived, if that
+// receivedAt returns the earliest time at which the last data of a response may have arrived, if that
 // is known.
-func (s *loggedStream) receivedAt() (at time.Time, known bool) {
-	if !s.endedAt.IsZero() {
-		return s.endedAt, true
+func receivedAt(ex Exchange) (at time.Time, known bool) {
+	w, ok := ex.(ConnectionWatcher)
+	if !ok {
+		return time.Time{}, false
 	}
-	return receivedAt(s.exchange)
+	at, _, known = w.Received()
+	return at, known
 }
 
-// endsKept bounds the ends that are remembered for each target.
-const endsKept = 32
-
-// begin records a stream.
-func (l *streamLog) begin(a *attempt, ex Exchange) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.targets == nil {
-		l.targets = make(map[state.TargetID]*targetStreams)
-	}
-	t := l.targets[a.grant.Target.ID]
-	if t == nil {
-		t = &targetStreams{streams: make(map[*attempt]*loggedStream)}
-		l.targets[a.grant.Target.ID] = t
+// endArrivedAt returns when the end of a response arrived, which has been read. known is false if that is
+// not known; at is the present time then.
+func endArrivedAt(ex Exchange) (at time.Time, known bool) {
+	if at, known = receivedAt(ex); known {
+		return at, true
 	}
-	t.streams[a] = &loggedStream{exchange: ex}
+	return time.Now(), false
 }
 
-// ended records that the response of a stream has ended. The stream stays known until leave.
-func (l *streamLog) ended(a *attempt) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if t := l.targets[a.grant.Target.ID]; t != nil && t.streams[a] != nil {
-		t.streams[a].ended = true
-	}
+// endCheck checks an end of a response that does not show that the response is complete.
+type endCheck struct {
+	attempt  *attempt
+	exchange Exchange
+	// arrivedAt is when the end arrived, if timeKnown is set.
+	arrivedAt time.Time
+	timeKnown bool
+	doubt     endDoubt
+	run       RunCheck
+	took      time.Duration // of the check
+	judgement targetend.Judgement
+	// seenElsewhere is what other entries have told, questions how often they were asked, and askErr
+	// says which did not answer.
+	seenElsewhere []targetend.Report
+	questions     int
+	askErr        error
 }
 
-// keepEnd keeps when the response of a stream has ended, so that its connection can be used again.
-func (l *streamLog) keepEnd(a *attempt, at time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if t := l.targets[a.grant.Target.ID]; t != nil && t.streams[a] != nil {
-		t.streams[a].endedAt = at
-	}
-}
+// Reasons of a judgement that does not come from package targetend.
+const (
+	becauseTargetRuns  = "target_runs"
+	becauseNotAsked    = "target_not_asked"
+	becauseCutShort    = "check_cut_short"
+	becauseTimeUnknown = "time_of_end_unknown"
+	becauseNotRefused  = "connections_not_refused"
+	becauseRunsBeside  = "runs_beside"
+	becauseNoEvent     = "no_event"
+	// The target that answered is full, or had said before that it leaves.
+	becauseSameIncarnation = "same_incarnation"
+	becauseLeavesOpen      = "began_to_leave"
+)
 
-// leave forgets a stream but for its end.
-func (l *streamLog) leave(a *attempt) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	t := l.targets[a.grant.Target.ID]
-	if t == nil || t.streams[a] == nil {
-		return
+// checkEnd returns an error if the end of a response does not show that the response is complete: it
+// may have ended because its target ends. The kernel closes the connections of a process that is
+// killed like those that the process closes itself, and an HTTP server whose handlers are cancelled
+// writes the last chunk, or states a length of 0 if nothing was written. empty says that the body has
+// nothing.
+func (a *attempt) checkEnd(head *state.Response, ex Exchange, empty bool) error {
+	if head.HasLength && !(empty && mayHaveBody(a.request.call.Method, head.Status)) || !head.EndsWithConnection && !isSuccess(head.Status) {
+		return nil
 	}
-	if s := t.streams[a]; s.ended {
-		if at, known := s.receivedAt(); known {
-			if t.ends = append(t.ends, at); len(t.ends) > endsKept {
-				t.ends = t.ends[1:]
-			}
-		}
+	// What the target does behind the end is compared with when the end arrived. It may be read later.
+	c := &endCheck{attempt: a, exchange: ex}
+	c.arrivedAt, c.timeKnown = endArrivedAt(ex)
+	if c.findDoubt(head); c.doubt == noDoubt {
+		return nil
 	}
-	if delete(t.streams, a); len(t.streams) == 0 {
-		delete(l.targets, a.grant.Target.ID)
+	c.askTarget()
+	c.judge()
+	a.request.recordEndCheck(c)
+	switch {
+	case c.judgement.Verdict == targetend.Whole:
+		return nil
+	case c.doubt != connectionEnd:
+		return errEndsWithHandler
+	case c.run.Liveness == Ended:
+		return errEndsWithTarget
+	default:
+		return errEndUnproved
 	}
 }
 
-// refuses records that a target refuses connections, and has done so since the given time. It returns
-// since when the target is known to.
-func (l *streamLog) refuses(id state.TargetID, since time.Time) time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	t := l.targets[id]
-	if t == nil {
-		return since
-	}
-	if t.refusesSince.IsZero() || since.Before(t.refusesSince) {
-		t.refusesSince = since
+// findDoubt finds why the response may have ended together with its target.
+func (c *endCheck) findDoubt(head *state.Response) {
+	w, ok := c.exchange.(ConnectionWatcher)
+	switch {
+	case head.EndsWithConnection:
+		c.doubt = connectionEnd
+	case c.attempt.resumesWithoutEvent(head):
+		c.doubt = emptyResumption
+	case head.AnnouncesClose:
+		c.doubt = announcedClose
+	case !ok:
+		c.doubt = noDoubt
+	case !w.StaysOpen(c.watchTime()):
+		c.doubt = unannouncedClose
+	case c.endedWithOthers():
+		c.doubt = endedTogether
+	case c.mayConfirm():
+		c.doubt = unconfirmed
 	}
-	return t.refusesSince
 }
 
-// others returns the other streams of the target of a whose response has ended, or has not. The caller
-// must hold l.mu.
-func (l *streamLog) others(a *attempt, ended bool) (others []*loggedStream) {
-	if t := l.targets[a.grant.Target.ID]; t != nil {
-		for o, s := range t.streams {
-			if o != a && s.ended == ended {
-				others = append(others, s)
-			}
-		}
-	}
-	return others
+// mayConfirm reports whether the target can be asked at little cost whether it is healthy, where a
+// response that is not believed can be completed by another target.
+func (c *endCheck) mayConfirm() bool {
+	r := c.attempt.request
+	_, ok := r.service.cfg.TargetClient.(HealthChecker)
+	return ok && r.route.Kind == state.StreamingRoute && c.healthPath() != "" && c.attempt.mayGoOnElsewhere() && len(c.seenHere().Open) == 0
 }
 
-// othersGoOn reports whether the target of a writes other streams.
-func (l *streamLog) othersGoOn(a *attempt) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.others(a, false)) > 0
+// healthPath returns the path of health checks of the target, or "" if there is none.
+func (c *endCheck) healthPath() string {
+	a := c.attempt
+	return a.request.table.Config.HealthPaths[a.grant.Target.Service]
 }
 
-// endedTogether reports whether another stream of the target of a, whose response has ended at the
-// given time, has ended at the same moment.
-func (l *streamLog) endedTogether(a *attempt, end time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	near := func(at time.Time) bool { return at.Sub(end).Abs() <= endTogetherTime }
-	if t := l.targets[a.grant.Target.ID]; t != nil && slices.ContainsFunc(t.ends, near) {
-		return true
+// watchTime returns how long the connection is watched behind the end.
+func (c *endCheck) watchTime() time.Duration {
+	if c.targetLeaves() {
+		return leavingEndWatchTime
 	}
-	return slices.ContainsFunc(l.others(a, true), func(s *loggedStream) bool {
-		at, known := s.receivedAt()
-		return !known || near(at)
-	})
+	return endWatchTime
 }
 
-// otherSurvives reports whether data of another stream of the target of a, whose response has ended
-// at the given time, has arrived so much later that its handler was not cancelled then.
-func (l *streamLog) otherSurvives(a *attempt, end time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.ContainsFunc(l.others(a, false), func(s *loggedStream) bool {
-		at, known := receivedAt(s.exchange)
-		return known && at.After(end.Add(cancelTime))
-	})
+// targetLeaves reports whether the end of the target is expected.
+func (c *endCheck) targetLeaves() bool {
+	return !c.attempt.request.service.cfg.Scheduler.Serves(c.attempt.grant)
 }
 
-// receivedAt returns the earliest time at which the last data of a response may have arrived, if that
-// is known.
-func receivedAt(ex Exchange) (at time.Time, known bool) {
-	w, ok := ex.(ConnectionWatcher)
-	if !ok {
-		return time.Time{}, false
-	}
-	at, _, known = w.Received()
-	return at, known
+// endedWithOthers reports whether all streams of the target have ended at the same moment as this one.
+// Other entries are asked only where the end of the target is expected and it writes no other stream for
+// this one.
+func (c *endCheck) endedWithOthers() bool {
+	seen := c.seenHere()
+	j := targetend.Judge(c.end(), seen)
+	if j.Verdict != targetend.Cut && j.GoOn == 0 && (c.targetLeaves() || seen.Refusing > 0) {
+		c.askOthers()
+		j = c.judgeByAll()
+	}
+	return j.Verdict == targetend.Cut
 }
 
-// checkEnd returns an error if the end of a response does not show that the response is complete: it
-// may have ended because its target ends. The kernel closes the connections of a process that is
-// killed like those that the process closes itself, and an HTTP server whose handlers are cancelled
-// writes the last chunk, or states a length of 0 if nothing was written. empty says that the body has
-// nothing.
-func (a *attempt) checkEnd(head *state.Response, ex Exchange, empty bool) error {
-	if head.HasLength && !(empty && mayHaveBody(a.request.call.Method, head.Status)) || !head.EndsWithConnection && !isSuccess(head.Status) {
-		return nil
-	}
-	// What the target does behind the end is compared with when the end arrived. It may be read later.
-	arrivedAt, known := receivedAt(ex)
-	if !known {
-		arrivedAt = time.Now()
-	}
-	doubt := a.doubtEnd(head, ex, arrivedAt)
-	if doubt == noDoubt {
-		return nil
-	}
-	if doubt == unconfirmed { // the target is asked on the connection of the response
-		a.request.service.streams.keepEnd(a, arrivedAt)
-		ex.Close(true)
-	}
+// askTarget asks the target whether it still runs.
+func (c *endCheck) askTarget() {
+	a := c.attempt
 	ctx := a.ctx
-	if !doubt.needsProof() {
+	if !c.doubt.needsProof() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, maxBelievedCheckTime)
 		defer cancel()
 	}
+	client, target := a.request.service.cfg.TargetClient, &a.grant.Target
+	left := c.targetLeaves()
 	asked := time.Now()
-	r := a.request
-	served := r.service.cfg.Scheduler.Serves(a.grant)
-	check := a.checkTarget(ctx, doubt)
-	if check.Liveness == Leaving && !served { // by its record, which says nothing about this response
-		check.Liveness, check.SameIncarnation = Unproved, true
+	if c.doubt == unconfirmed {
+		c.exchange.Close(true) // the target is asked on the connection of the response
+		c.run = client.(HealthChecker).CheckHealth(ctx, target, c.healthPath())
+	} else {
+		pause(ctx, endSettleTime)
+		asked = time.Now()
+		c.run = client.CheckRunning(ctx, target, c.healthPath())
+	}
+	c.took = time.Since(asked)
+	if c.run.Liveness == Leaving && left { // by its record, which says nothing about this response
+		c.run.Liveness, c.run.SameIncarnation = Unproved, true
+	}
+}
+
+// judge decides whether the response is complete.
+func (c *endCheck) judge() {
+	a := c.attempt
+	log := &a.request.service.targets
+	undecided := func(reason string) { c.judgement = targetend.Judgement{Reason: reason} }
+	whole := func(reason string) { c.judgement = targetend.Judgement{Verdict: targetend.Whole, Reason: reason} }
+	if c.run.Refused {
+		log.Refuses(a.grant.Target.ID, c.refusesSince())
 	}
-	complete, because := a.judgeEnd(doubt, check, arrivedAt, known)
-	r.recordRunCheck(a, doubt, check, because, time.Since(asked))
 	switch {
-	case complete:
-		return nil
-	case doubt != connectionEnd:
-		return errEndsWithHandler
-	case check.Liveness == Ended:
-		return errEndsWithTarget
+	case c.run.Liveness == Running:
+		log.Accepts(a.grant.Target.ID)
+		whole(becauseTargetRuns)
+	case a.ctx.Err() != nil:
+		undecided(becauseCutShort)
+	case c.run.Liveness == Unproved && c.run.SameIncarnation && c.doubt != emptyResumption:
+		whole(becauseSameIncarnation)
+	case c.run.Liveness == Unproved && !c.doubt.needsProof():
+		whole(becauseNotAsked)
+	case c.doubt == emptyResumption:
+		undecided(becauseNoEvent)
+	case c.run.Liveness == Leaving:
+		c.judgeLeaving()
+	case !c.run.Refused:
+		undecided(becauseNotRefused)
+	case !c.timeKnown && c.doubt != connectionEnd:
+		undecided(becauseTimeUnknown)
+	case a.race.contested(): // the other attempt answers
+		undecided(becauseRunsBeside)
 	default:
-		return errEndUnproved
+		c.judgeByStreams()
 	}
 }
 
-// doubtEnd returns why a response whose end arrived at arrivedAt may have ended together with its
-// target.
-func (a *attempt) doubtEnd(head *state.Response, ex Exchange, arrivedAt time.Time) endDoubt {
-	if head.EndsWithConnection {
-		return connectionEnd
-	}
-	if a.resumesWithoutEvent(head) {
-		return emptyResumption
-	}
-	if head.AnnouncesClose {
-		return announcedClose
-	}
-	w, ok := ex.(ConnectionWatcher)
-	if !ok {
-		return noDoubt
+// judgeLeaving judges the end of a response whose target began to leave at about that time. Such a target
+// may finish its responses, or cancel all of them at once.
+func (c *endCheck) judgeLeaving() {
+	c.judgeByStreams()
+	j := &c.judgement
+	mayLinger := c.doubt == announcedClose || c.doubt == unconfirmed
+	if j.Verdict == targetend.Undecided && j.Together == 0 && mayLinger && !c.attempt.mayGoOnElsewhere() {
+		j.Verdict, j.Reason = targetend.Whole, becauseLeavesOpen
 	}
-	wait := endWatchTime
-	if !a.request.service.cfg.Scheduler.Serves(a.grant) {
-		wait = leavingEndWatchTime
+}
+
+// refusesSince returns since when the target that was asked refuses connections, as far as it is known.
+func (c *endCheck) refusesSince() time.Time {
+	if c.run.IdleClosedAt.IsZero() {
+		return time.Now()
 	}
-	if !w.StaysOpen(wait) {
-		return unannouncedClose
+	return c.run.IdleClosedAt
+}
+
+// seenHere returns what this entry has seen of the target, apart from the response itself.
+func (c *endCheck) seenHere() targetend.Report {
+	a := c.attempt
+	return a.request.service.targets.Seen(a.grant.Target.ID, a.logged)
+}
+
+// judgeByStreams judges by the other streams of a target that accepts no connections: a server that
+// shuts down may finish its streams. As long as others go on here, it waits to see whether they survive.
+// Other entries are asked where that does not decide, once more if streams go on there.
+func (c *endCheck) judgeByStreams() {
+	for c.judgeHere() && c.judgement.GoOn > 0 && c.waitUntil(min(c.sinceEnd()+survivorPollInterval, targetend.SurvivalTime)) {
 	}
-	if streams := &a.request.service.streams; !streams.othersGoOn(a) && streams.endedTogether(a, arrivedAt) {
-		return endedTogether
+	if !c.judgement.NeedsOthers() || !c.askOthers() {
+		return
 	}
-	if a.mayConfirm() {
-		return unconfirmed
+	c.judgement = c.judgeByAll()
+	if c.judgement.Verdict == targetend.Undecided && c.judgement.GoOn > 0 && c.waitUntil(targetend.SurvivalTime) {
+		c.askOthers()
+		c.judgement = c.judgeByAll()
 	}
-	return noDoubt
 }
 
-// mayConfirm reports whether the target can be asked at little cost whether it is healthy, where a
-// response that is not believed can be completed by another target.
-func (a *attempt) mayConfirm() bool {
-	r := a.request
-	_, ok := r.service.cfg.TargetClient.(HealthChecker)
-	return ok && r.route.Kind == state.StreamingRoute && r.route.Resumable && r.healthPath(a) != "" && a.mayGoOnElsewhere() && !r.service.streams.othersGoOn(a)
+// judgeHere judges by what this entry has seen, and reports whether that leaves the end undecided.
+func (c *endCheck) judgeHere() (undecided bool) {
+	c.judgement = targetend.Judge(c.end(), c.seenHere())
+	return c.judgement.Verdict == targetend.Undecided
 }
 
-// checkTarget asks the target of a response whose end is in doubt.
-func (a *attempt) checkTarget(ctx context.Context, doubt endDoubt) RunCheck {
-	client, path := a.request.service.cfg.TargetClient, a.request.healthPath(a)
-	if doubt == unconfirmed {
-		return client.(HealthChecker).CheckHealth(ctx, &a.grant.Target, path)
-	}
-	pause(ctx, endSettleTime)
-	return client.CheckRunning(ctx, &a.grant.Target, path)
+// judgeByAll judges by what this entry and those that were asked have seen.
+func (c *endCheck) judgeByAll() targetend.Judgement {
+	return targetend.Judge(c.end(), append(slices.Clip(c.seenElsewhere), c.seenHere())...)
 }
 
-// healthPath returns the path of health checks of the target of an attempt, or "" if there is none.
-func (r *request) healthPath(a *attempt) string {
-	return r.table.Config.HealthPaths[a.grant.Target.Service]
+// end describes the end of the response.
+func (c *endCheck) end() targetend.End {
+	return targetend.End{At: c.arrivedAt, Unmarked: c.doubt == connectionEnd}
 }
 
-// judgeEnd decides whether a response is complete whose end is in doubt and arrived at arrivedAt, if
-// that is known. because says why it is, although the check does not prove it.
-func (a *attempt) judgeEnd(doubt endDoubt, check RunCheck, arrivedAt time.Time, known bool) (complete bool, because string) {
-	switch {
-	case check.Liveness == Running:
-		return true, ""
-	case a.ctx.Err() != nil: // the check was cut short
-		return false, ""
-	case check.Liveness == Unproved && check.SameIncarnation && doubt != emptyResumption:
-		return true, "same_incarnation"
-	case check.Liveness == Leaving:
-		return a.judgeLeaving(doubt, arrivedAt)
-	case check.Liveness == Unproved && !doubt.needsProof():
-		return true, "target_not_asked"
-	case doubt == connectionEnd || doubt == emptyResumption || !check.Refused || !known || a.mayGoOnElsewhere():
-		return false, ""
-	}
-	// A server that shuts down accepts no connections, but may finish its streams.
-	refusesSince := time.Now()
-	if !check.IdleClosedAt.IsZero() {
-		refusesSince = check.IdleClosedAt
-	}
-	streams := &a.request.service.streams
-	refusesSince = streams.refuses(a.grant.Target.ID, refusesSince)
-	if streams.endedTogether(a, arrivedAt) {
-		return false, ""
-	}
-	if arrivedAt.After(refusesSince.Add(cancelTime)) {
-		return true, "went_on_while_refusing"
-	}
-	if a.targetSurvives(arrivedAt) {
-		return true, "other_stream_goes_on"
-	}
-	return false, ""
+// sinceEnd returns the time since the end of the response.
+func (c *endCheck) sinceEnd() time.Duration { return time.Since(c.arrivedAt) }
+
+// waitUntil waits until a time after the end of the response. It returns false if that has passed, or if
+// the check is cut short.
+func (c *endCheck) waitUntil(afterEnd time.Duration) bool {
+	ctx := c.attempt.ctx
+	left := afterEnd - c.sinceEnd()
+	if left <= 0 {
+		return false
+	}
+	pause(ctx, left)
+	return ctx.Err() == nil
 }
 
-// judgeLeaving decides whether a response is complete whose target began to leave at about its end. A
-// target that leaves may finish its responses, or cancel all of them at once.
-func (a *attempt) judgeLeaving(doubt endDoubt, arrivedAt time.Time) (complete bool, because string) {
-	switch {
-	case doubt == emptyResumption || a.mayGoOnElsewhere() || a.request.service.streams.endedTogether(a, arrivedAt):
-		return false, ""
-	case doubt == announcedClose || doubt == unconfirmed:
-		return true, doubt.String()
-	case a.targetSurvives(arrivedAt):
-		return true, "other_stream_goes_on"
+// askOthers asks other entries what they have seen of the target. It reports whether there is a new
+// answer.
+func (c *endCheck) askOthers() bool {
+	a := c.attempt
+	cfg := &a.request.service.cfg
+	if cfg.AskTargetEnd == nil {
+		return false
+	}
+	c.questions++
+	cfg.Counters.Add("end_peers.asked")
+	answers, err := cfg.AskTargetEnd(a.ctx, a.grant.Target.ID, a.grant.Target.Address)
+	c.askErr = err
+	if len(answers) == 0 {
+		return false
+	}
+	cfg.Counters.Add("end_peers.told")
+	c.seenElsewhere = answers
+	return true
+}
+
+// TargetSeen returns what this entry has seen of a target at an address, for another entry.
+func (s *Service) TargetSeen(id state.TargetID, address string) targetend.Seen {
+	seen := s.targets.Seen(id, nil).Seen
+	if at := s.cfg.TargetClient.IdleClosedAt(address); !at.IsZero() {
+		seen.Refusing = max(seen.Refusing, time.Since(at))
 	}
-	return false, ""
+	return seen
 }
 
-// mayGoOnElsewhere reports whether the response can be completed by another target, which adds nothing
-// to one that was whole: another attempt runs beside this one, or the stream may be resumed.
+// mayGoOnElsewhere reports whether the stream may be resumed at another target.
 func (a *attempt) mayGoOnElsewhere() bool {
-	if a.race.contested() {
-		return true
-	}
 	r := a.request
 	return r.route.Resumable && !r.positionUnknown && r.possibleRuns+1 < r.maxRuns()
 }
-
-// targetSurvives reports whether another stream of the target goes on for survivorTime after the end of
-// this one, which arrived at arrivedAt.
-func (a *attempt) targetSurvives(arrivedAt time.Time) bool {
-	streams := &a.request.service.streams
-	for streams.othersGoOn(a) && a.ctx.Err() == nil {
-		if time.Since(arrivedAt) >= survivorTime {
-			return streams.otherSurvives(a, arrivedAt)
-		}
-		pause(a.ctx, survivorPollInterval)
-	}
-	return false
-}
--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/dispatch"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -30,7 +31,7 @@
 		{"target ends", "/stream/x", []behaviour{closingBehind(Ended, false, first)}, first, false, true, 0, []string{""}},
 		{"target ends, as announced", "/stream/x", []behaviour{closingBehind(Ended, true, first)}, first, false, true, 0, []string{""}},
 		{"target ends, may be resumed", "/resume/x", []behaviour{closingBehind(Ended, false, first), respondWith(200, rest)}, events, true, false, 0, []string{"", "1"}},
-		{"target ends, was whole", "/resume/x", []behaviour{closingBehind(Ended, false, events), respondWith(200, "")}, events, true, false, 0, []string{"", "3"}},
+		{"target ends, nothing shows that it was whole", "/resume/x", []behaviour{closingBehind(Ended, false, events), respondWith(200, "")}, events, true, false, 0, []string{"", "3"}},
 		{"target cannot be asked", "/stream/x", []behaviour{closingBehind(Unproved, false, first)}, first, false, true, 0, []string{""}},
 		{"target cannot be asked, close was announced", "/stream/x", []behaviour{closingBehind(Unproved, true, events)}, events, true, false, 0, []string{""}},
 		{"target runs", "/stream/x", []behaviour{closingBehind(Running, false, events)}, events, true, false, 0, []string{""}},
@@ -49,33 +50,45 @@
 	})
 }
 
+// judgeEnd judges the end of a response to an attempt.
+func judgeEnd(a *attempt, doubt endDoubt, check RunCheck, arrivedAt time.Time, known bool) targetend.Judgement {
+	c := &endCheck{attempt: a, arrivedAt: arrivedAt, timeKnown: known, doubt: doubt, run: check}
+	c.judge()
+	return c.judgement
+}
+
 // Guards against a stream that is taken for whole because another one seems to go on, although that
 // has ended too or its data had arrived before.
 func TestStreamsOfTargetThatAcceptsNoConnections(t *testing.T) {
-	grant := &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}
-	a, b := &attempt{grant: grant}, &attempt{grant: grant}
-	elsewhere := &attempt{grant: &dispatch.Grant{Target: state.TargetRecord{ID: "u"}}}
-	end := time.Now()
-	early, late := &fakeExchange{receivedAt: end.Add(cancelTime - time.Millisecond)}, &fakeExchange{receivedAt: end.Add(cancelTime + time.Millisecond)}
+	const early, late = targetend.CancelTime - time.Millisecond, targetend.CancelTime + time.Millisecond
+	data := func(at time.Time) func() (time.Time, bool) { return func() (time.Time, bool) { return at, true } }
+	unknown := func() (time.Time, bool) { return time.Time{}, false }
 	for _, c := range []struct {
 		name     string
-		play     func(l *streamLog)
+		play     func(l *targetend.Log, end time.Time)
 		survives bool
 	}{
-		{"data long after the end", func(l *streamLog) { l.begin(b, late) }, true},
-		{"data soon after the end", func(l *streamLog) { l.begin(b, early) }, false},
-		{"time not known", func(l *streamLog) { l.begin(b, &fakeExchange{}) }, false},
-		{"other stream has ended too", func(l *streamLog) { l.begin(b, late); l.ended(b) }, false},
-		{"other stream is forgotten", func(l *streamLog) { l.begin(b, late); l.leave(b) }, false},
-		{"stream of another target", func(l *streamLog) { l.begin(elsewhere, late) }, false},
+		{"data long after the end", func(l *targetend.Log, end time.Time) { l.Begin("t", end, data(end.Add(late))) }, true},
+		{"data soon after the end", func(l *targetend.Log, end time.Time) { l.Begin("t", end, data(end.Add(early))) }, false},
+		{"time not known", func(l *targetend.Log, end time.Time) { l.Begin("t", end, unknown) }, false},
+		{"other stream has ended too", func(l *targetend.Log, end time.Time) { l.Begin("t", end, data(end.Add(late))).End(end.Add(late)) }, false},
+		{"other stream is forgotten", func(l *targetend.Log, end time.Time) { l.Begin("t", end, data(end.Add(late))).Leave() }, false},
+		{"stream of another target", func(l *targetend.Log, end time.Time) { l.Begin("u", end, data(end.Add(late))) }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			l := &streamLog{}
-			l.begin(a, late)
-			c.play(l)
-			if survives := l.otherSurvives(a, end); survives != c.survives {
-				t.Errorf("survives %t, want %t", survives, c.survives)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				s := newService(&fakeTargetClient{})
+				r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute}}
+				a := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
+				a.race = newRace(a)
+				end := time.Now()
+				a.logged = s.targets.Begin("t", end, data(end.Add(late)))
+				c.play(&s.targets, end)
+				j := judgeEnd(a, unannouncedClose, RunCheck{Liveness: Ended, Refused: true}, end, true)
+				if whole := j.Verdict == targetend.Whole; whole != c.survives {
+					t.Errorf("%s because %s, want whole %t", j.Verdict, j.Reason, c.survives)
+				}
+			})
 		})
 	}
 }
@@ -84,7 +97,7 @@
 // target that refuses connections: it may be shutting down and finishing its streams.
 func TestStreamOfTargetThatRefusesConnections(t *testing.T) {
 	arrived := time.Now()
-	before, just := arrived.Add(-2*cancelTime), arrived.Add(-cancelTime/2)
+	before, just := arrived.Add(-2*targetend.CancelTime), arrived.Add(-targetend.CancelTime/2)
 	for _, c := range []struct {
 		name         string
 		resumable    bool
@@ -101,54 +114,108 @@
 		{"not seen to refuse before", false, unannouncedClose, time.Time{}, time.Time{}, true, false},
 		{"time of the end not known", false, unannouncedClose, before, before, false, false},
 		{"without length or chunks", false, connectionEnd, before, before, true, false},
-		{"may be resumed", true, unannouncedClose, before, before, true, false},
+		{"may be resumed, seen to refuse long before", true, unannouncedClose, time.Time{}, before, true, true},
+		{"may be resumed, seen to refuse at the same moment", true, unannouncedClose, time.Time{}, just, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newService(&fakeTargetClient{})
 			r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute, Resumable: c.resumable, MaxAttempts: 3}}
 			a := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
 			a.race = newRace(a)
-			s.streams.begin(a, &fakeExchange{})
+			a.logged = s.targets.Begin("t", arrived, func() (time.Time, bool) { return time.Time{}, false })
 			if !c.refusesSince.IsZero() {
-				s.streams.refuses("t", c.refusesSince)
+				s.targets.Refuses("t", c.refusesSince)
 			}
-			complete, because := a.judgeEnd(c.doubt, RunCheck{Liveness: Ended, Refused: true, IdleClosedAt: c.idleClosedAt}, arrived, c.known)
-			if complete != c.complete {
-				t.Errorf("complete %t because %q, want %t", complete, because, c.complete)
+			j := judgeEnd(a, c.doubt, RunCheck{Liveness: Ended, Refused: true, IdleClosedAt: c.idleClosedAt}, arrived, c.known)
+			if complete := j.Verdict == targetend.Whole; complete != c.complete {
+				t.Errorf("complete %t because %q, want %t", complete, j.Reason, c.complete)
 			}
 		})
 	}
 }
 
+// Guards against a stream that ends before its first event and is passed on as complete although it may
+// run elsewhere, because its target, which is shutting down, finishes others.
+func TestEmptyStreamOfTargetThatRefusesConnectionsRunsElsewhere(t *testing.T) {
+	out := &recordingResponder{}
+	targets := &fakeTargetClient{}
+	synctest.Test(t, func(t *testing.T) {
+		targets.idleClosedAt = time.Now()
+		targets.behaviours = []behaviour{func(context.Context, *Forward) (Exchange, error) {
+			time.Sleep(2 * targetend.CancelTime)
+			return &fakeExchange{head: &state.Response{Status: 200, HasSignature: true}, Reader: strings.NewReader(""), closes: true, thenNotRunning: true, liveness: Ended, receivedAt: time.Now()}, nil
+		}, respondWith(200, events)}
+		newService(targets).Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: "/resume/x", APIKey: "key"}, time.Now(), out)
+	})
+	if len(targets.sends) != 2 || !out.ended || out.body.String() != events {
+		t.Errorf("ended %t after %d sends with %q; want all events after 2", out.ended, len(targets.sends), out.body.String())
+	}
+}
+
 // Guards against streams of which no connection shows that their target has cancelled all handlers
 // at the same moment.
 func TestStreamsEndingTogetherAreDoubted(t *testing.T) {
-	s := newService(&fakeTargetClient{})
-	grant, err := s.cfg.Scheduler.Acquire(t.Context(), &dispatch.Request{Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Hour)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute}}
-	a, b, c := &attempt{request: r, grant: grant}, &attempt{request: r, grant: grant}, &attempt{request: r, grant: grant}
-	end := time.Now()
-	ex, other := &fakeExchange{receivedAt: end}, &fakeExchange{receivedAt: end.Add(endTogetherTime)}
-	s.streams.begin(a, ex)
-	s.streams.begin(b, other)
-	if d := a.doubtEnd(&state.Response{}, ex, end); d != noDoubt {
-		t.Errorf("doubt %s while the other stream goes on, want none", d)
-	}
-	s.streams.ended(b)
-	if d := a.doubtEnd(&state.Response{}, ex, end); d != endedTogether {
-		t.Errorf("doubt %s after the other stream has ended, want %s", d, endedTogether)
-	}
-	s.streams.begin(c, ex)
-	if d := a.doubtEnd(&state.Response{}, ex, end); d != noDoubt {
-		t.Errorf("doubt %s while a third stream goes on, want none", d)
+	const together = 25 * time.Millisecond
+	for _, c := range []struct {
+		name        string
+		otherEnd    time.Duration // after the end; negative: it goes on
+		thirdGoesOn bool
+		doubt       endDoubt
+	}{
+		{"other stream goes on", -1, false, noDoubt},
+		{"other stream has ended", together, false, endedTogether},
+		{"other stream has ended, a third one goes on", together, true, noDoubt},
+		{"other stream has ended later", together + 1, false, noDoubt},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newService(&fakeTargetClient{})
+			grant, err := s.cfg.Scheduler.Acquire(t.Context(), &dispatch.Request{Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Hour)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			end := time.Now()
+			ex := &fakeExchange{receivedAt: end}
+			begin := func() *targetend.Stream {
+				return s.targets.Begin(grant.Target.ID, end, func() (time.Time, bool) { return end, true })
+			}
+			a := &attempt{request: &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute}}, grant: grant, logged: begin()}
+			if other := begin(); c.otherEnd >= 0 {
+				other.End(end.Add(c.otherEnd))
+			}
+			if c.thirdGoesOn {
+				begin()
+			}
+			check := &endCheck{attempt: a, exchange: ex, arrivedAt: end, timeKnown: true}
+			if check.findDoubt(&state.Response{}); check.doubt != c.doubt {
+				t.Errorf("doubt %s, want %s", check.doubt, c.doubt)
+			}
+		})
 	}
-	s.streams.leave(c)
-	other.receivedAt = end.Add(endTogetherTime + 1)
-	if d := a.doubtEnd(&state.Response{}, ex, end); d != noDoubt {
-		t.Errorf("doubt %s although the other stream has ended later, want none", d)
+}
+
+// Guards against a whole stream that is sent to another target because it may be resumed: the protocol
+// does not say what a target that is asked to go on behind the last event does, and it may make one
+// more event. Its own target had begun to shut down long before the end, and finished it.
+func TestWholeStreamThatMayBeResumedIsNotSentOn(t *testing.T) {
+	const oneMore = "id: 4\ndata: x\n\n"
+	for name, refusing := range map[string]time.Duration{"target finishes its streams": 2 * targetend.CancelTime, "target has just begun to refuse": targetend.CancelTime / 2} {
+		t.Run(name, func(t *testing.T) {
+			whole := refusing > targetend.CancelTime
+			out := &recordingResponder{}
+			targets := &fakeTargetClient{}
+			synctest.Test(t, func(t *testing.T) {
+				targets.idleClosedAt = time.Now()
+				targets.behaviours = []behaviour{func(context.Context, *Forward) (Exchange, error) {
+					head := &state.Response{Status: 200, HasSignature: true}
+					time.Sleep(refusing)
+					return &fakeExchange{head: head, Reader: strings.NewReader(events), closes: true, thenNotRunning: true, liveness: Ended, receivedAt: time.Now()}, nil
+				}, respondWith(200, oneMore)}
+				newService(targets).Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: "/resume/x", APIKey: "key"}, time.Now(), out)
+			})
+			if sentOn := len(targets.sends) > 1; sentOn == whole || !out.ended || whole && out.body.String() != events {
+				t.Errorf("sent on %t, ended %t with %q; want sent on %t", sentOn, out.ended, out.body.String(), !whole)
+			}
+		})
 	}
 }
 
@@ -168,7 +235,7 @@
 		{"announced close, may be resumed", true, announcedClose, false, false, false},
 		{"unannounced close", false, unannouncedClose, false, false, false},
 		{"unannounced close, another stream goes on", false, unannouncedClose, false, true, true},
-		{"unannounced close, another stream goes on, may be resumed", true, unannouncedClose, false, true, false},
+		{"unannounced close, another stream goes on, may be resumed", true, unannouncedClose, false, true, true},
 		{"ended together", false, endedTogether, true, false, false},
 		{"without length or chunks", false, connectionEnd, false, false, false},
 		{"without length or chunks, another stream goes on", false, connectionEnd, false, true, true},
@@ -179,18 +246,18 @@
 				arrived := time.Now()
 				s := newService(&fakeTargetClient{})
 				r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute, Resumable: c.resumable, MaxAttempts: 3}}
-				a, b := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}, &attempt{grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
+				a := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
 				a.race = newRace(a)
-				s.streams.begin(a, &fakeExchange{})
+				data := func(at time.Time) func() (time.Time, bool) { return func() (time.Time, bool) { return at, true } }
+				a.logged = s.targets.Begin("t", arrived, data(arrived))
 				if c.together {
-					s.streams.begin(b, &fakeExchange{receivedAt: arrived})
-					s.streams.ended(b)
+					s.targets.Begin("t", arrived, data(arrived)).End(arrived)
 				}
 				if c.survives {
-					s.streams.begin(b, &fakeExchange{receivedAt: arrived.Add(2 * cancelTime)})
+					s.targets.Begin("t", arrived, data(arrived.Add(2*targetend.CancelTime)))
 				}
-				if complete, because := a.judgeEnd(c.doubt, RunCheck{Liveness: Leaving}, arrived, true); complete != c.complete {
-					t.Errorf("complete %t because %q, want %t", complete, because, c.complete)
+				if j := judgeEnd(a, c.doubt, RunCheck{Liveness: Leaving}, arrived, true); (j.Verdict == targetend.Whole) != c.complete {
+					t.Errorf("%s because %q, want complete %t", j.Verdict, j.Reason, c.complete)
 				}
 			})
 		})
@@ -208,8 +275,8 @@
 		r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute}}
 		a := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
 		a.race = newRace(a)
-		if complete, because := a.judgeEnd(c.doubt, RunCheck{SameIncarnation: true}, time.Now(), true); complete != c.complete {
-			t.Errorf("%s: complete %t because %q, want %t", c.doubt, complete, because, c.complete)
+		if j := judgeEnd(a, c.doubt, RunCheck{SameIncarnation: true}, time.Now(), true); (j.Verdict == targetend.Whole) != c.complete {
+			t.Errorf("%s: %s because %q, want complete %t", c.doubt, j.Verdict, j.Reason, c.complete)
 		}
 	}
 }
@@ -277,7 +344,7 @@
 				s.SetConfiguration(&config)
 				if c.other {
 					for _, id := range []state.TargetID{"t1", "t2", "t3"} {
-						s.streams.begin(&attempt{grant: &dispatch.Grant{Target: state.TargetRecord{ID: id}}}, &fakeExchange{})
+						s.targets.Begin(id, time.Now(), func() (time.Time, bool) { return time.Time{}, false })
 					}
 				}
 				s.Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: c.path, APIKey: "key"}, time.Now(), out)
@@ -295,21 +362,12 @@
 
 // Guards against the time of an end that is taken from a connection which another request uses.
 func TestEndOfStreamIsKeptWhenItsConnectionIsGivenBack(t *testing.T) {
-	grant := &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}
-	a, b := &attempt{grant: grant}, &attempt{grant: grant}
+	var l targetend.Log
 	end := time.Now()
-	ex := &fakeExchange{receivedAt: end}
-	l := &streamLog{}
-	l.begin(a, &fakeExchange{receivedAt: end})
-	l.begin(b, ex)
-	l.ended(b)
-	l.keepEnd(b, end)
-	ex.receivedAt = end.Add(time.Second)
-	if !l.endedTogether(a, end) {
-		t.Error("the end is not known while the attempt goes on")
-	}
-	l.leave(b)
-	if !l.endedTogether(a, end) {
-		t.Error("the end is not known afterwards")
+	received := end
+	l.Begin("t", end, func() (time.Time, bool) { return received, true }).End(end)
+	received = end.Add(time.Second)
+	if j := targetend.Judge(targetend.End{At: end}, l.Seen("t", nil)); j.Together != 1 {
+		t.Errorf("%d streams ended together with it, want 1", j.Together)
 	}
 }
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -157,7 +157,7 @@
 
 // probe asks the target for its incarnation until it is known, or ctx ends.
 func (c *Client) probe(ctx context.Context, key probeKey) gateway.RunCheck {
-	check := gateway.RunCheck{IdleClosedAt: c.idleClosedAt(key.address)}
+	check := gateway.RunCheck{IdleClosedAt: c.IdleClosedAt(key.address)}
 	for pause := probePause; ; pause *= 2 {
 		if conn := c.takeIdle(key.address, func(conn *connection) bool { return !conn.probed }); conn != nil {
 			idleCtx, cancel := context.WithTimeout(ctx, idleProbeTimeout)
@@ -455,9 +455,9 @@
 	return nil
 }
 
-// idleClosedAt returns when the target closed the last of the idle connections to its address, or zero
-// if one is still open or there is none.
-func (c *Client) idleClosedAt(address string) time.Time {
+// IdleClosedAt implements gateway.TargetClient: it returns when the target closed the last of the idle
+// connections to its address, or zero if one is still open or there is none.
+func (c *Client) IdleClosedAt(address string) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var last time.Time
