--- a/internal/coordination/gateway/lostevidence_test.go
+++ b/internal/coordination/gateway/lostevidence_test.go
@@ -19,8 +19,8 @@
 		a, end := endingAttempt(t, &other)
 		other.ended = []time.Time{end}
 		a.request.service.cfg.Scheduler.SetTargets([]state.TargetRecord{{ID: "t9", Service: "s", Address: "t9", Slots: 4}}) // a's leaves
-		c := &endCheck{attempt: a, arrivedAt: end, timeKnown: true}
-		if c.findDoubt(&state.Response{}, &fakeExchange{}); c.doubt != endedTogether {
+		c := &endCheck{attempt: a, exchange: &fakeExchange{}, arrivedAt: end, timeKnown: true}
+		if c.findDoubt(&state.Response{}); c.doubt != endedTogether {
 			t.Fatalf("doubt %s, want %s", c.doubt, endedTogether)
 		}
 		other.silent = true
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,6 +48,7 @@
 	liveness   map[state.TargetID]Liveness // of targets that do not run
 	// idleClosedAt is when such targets closed their idle connections; zero if they had none.
 	idleClosedAt time.Time
+	healthChecks atomic.Int64
 }
 
 func (f *fakeTargetClient) Send(ctx context.Context, fw *Forward) (Exchange, error) {
@@ -77,6 +79,11 @@
 	return RunCheck{Liveness: Running}
 }
 
+func (f *fakeTargetClient) CheckHealth(ctx context.Context, target *state.TargetRecord, healthPath string) RunCheck {
+	f.healthChecks.Add(1)
+	return f.CheckRunning(ctx, target, healthPath)
+}
+
 // resumePoints returns the event after which each send resumed.
 func (f *fakeTargetClient) resumePoints() []string {
 	var points []string
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -35,6 +35,9 @@
 	// endedTogether: all streams that the target writes for this entry have ended at the same
 	// moment.
 	endedTogether
+	// unconfirmed: the connection stays open and idle, as it does while a target that has cancelled
+	// its handlers lingers, and no other stream of the target goes on here.
+	unconfirmed
 	// unannouncedClose: the connection does not stay open and idle behind the response although
 	// the target had not announced that.
 	unannouncedClose
@@ -47,7 +50,7 @@
 
 // String returns the value as it appears in logs and names of counters.
 func (d endDoubt) String() string {
-	return [...]string{"none", "announced_close", "ended_together", "unannounced_close", "connection_end", "empty_resumption"}[d]
+	return [...]string{"none", "announced_close", "ended_together", "unconfirmed", "unannounced_close", "connection_end", "empty_resumption"}[d]
 }
 
 // needsProof reports whether only proof that the target still runs removes the doubt. Otherwise, a
@@ -76,11 +79,11 @@
 
 // endCheck checks an end of a response that does not show that the response is complete.
 type endCheck struct {
-	attempt *attempt
+	attempt  *attempt
+	exchange Exchange
 	// arrivedAt is when the end arrived, if timeKnown is set.
 	arrivedAt time.Time
 	timeKnown bool
-	empty     bool // the body has nothing
 	doubt     endDoubt
 	run       RunCheck
 	took      time.Duration // of the check
@@ -97,11 +100,13 @@
 	becauseTargetRuns  = "target_runs"
 	becauseNotAsked    = "target_not_asked"
 	becauseCutShort    = "check_cut_short"
-	becauseNoEnd       = "no_end_marked"
 	becauseTimeUnknown = "time_of_end_unknown"
 	becauseNotRefused  = "connections_not_refused"
 	becauseRunsBeside  = "runs_beside"
 	becauseNoEvent     = "no_event"
+	// The target that answered is full, or had said before that it leaves.
+	becauseSameIncarnation = "same_incarnation"
+	becauseLeavesOpen      = "began_to_leave"
 )
 
 // checkEnd returns an error if the end of a response does not show that the response is complete: it
@@ -114,9 +119,9 @@
 		return nil
 	}
 	// What the target does behind the end is compared with when the end arrived. It may be read later.
-	c := &endCheck{attempt: a, empty: empty}
+	c := &endCheck{attempt: a, exchange: ex}
 	c.arrivedAt, c.timeKnown = endArrivedAt(ex)
-	if c.findDoubt(head, ex); c.doubt == noDoubt {
+	if c.findDoubt(head); c.doubt == noDoubt {
 		return nil
 	}
 	c.askTarget()
@@ -135,8 +140,8 @@
 }
 
 // findDoubt finds why the response may have ended together with its target.
-func (c *endCheck) findDoubt(head *state.Response, ex Exchange) {
-	w, ok := ex.(ConnectionWatcher)
+func (c *endCheck) findDoubt(head *state.Response) {
+	w, ok := c.exchange.(ConnectionWatcher)
 	switch {
 	case head.EndsWithConnection:
 		c.doubt = connectionEnd
@@ -153,9 +158,25 @@
 		}
 	case c.endedWithOthers():
 		c.doubt = endedTogether
+	case c.mayConfirm():
+		c.doubt = unconfirmed
 	}
 }
 
+// mayConfirm reports whether the target can be asked at little cost whether it is healthy, where a
+// response that is not believed can be completed by another target.
+func (c *endCheck) mayConfirm() bool {
+	r := c.attempt.request
+	_, ok := r.service.cfg.TargetClient.(HealthChecker)
+	return ok && r.route.Kind == state.StreamingRoute && c.healthPath() != "" && c.attempt.mayGoOnElsewhere() && len(c.seenHere().Open) == 0
+}
+
+// healthPath returns the path of health checks of the target, or "" if there is none.
+func (c *endCheck) healthPath() string {
+	a := c.attempt
+	return a.request.table.Config.HealthPaths[a.grant.Target.Service]
+}
+
 // watchTime returns how long the connection is watched behind the end.
 func (c *endCheck) watchTime() time.Duration {
 	if c.targetLeaves() {
@@ -174,7 +195,7 @@
 // this one.
 func (c *endCheck) endedWithOthers() bool {
 	seen := c.seenHere()
-	j := targetend.Judge(c.arrivedAt, seen)
+	j := targetend.Judge(c.end(), seen)
 	if j.Verdict != targetend.Cut && j.GoOn == 0 && (c.targetLeaves() || seen.Refusing > 0) {
 		c.askOthers()
 		j = c.judgeByAll()
@@ -191,11 +212,21 @@
 		ctx, cancel = context.WithTimeout(ctx, maxBelievedCheckTime)
 		defer cancel()
 	}
-	pause(ctx, endSettleTime)
+	client, target := a.request.service.cfg.TargetClient, &a.grant.Target
+	left := c.targetLeaves()
 	asked := time.Now()
-	r := a.request
-	c.run = r.service.cfg.TargetClient.CheckRunning(ctx, &a.grant.Target, r.table.Config.HealthPaths[a.grant.Target.Service])
+	if c.doubt == unconfirmed {
+		c.exchange.Close(true) // the target is asked on the connection of the response
+		c.run = client.(HealthChecker).CheckHealth(ctx, target, c.healthPath())
+	} else {
+		pause(ctx, endSettleTime)
+		asked = time.Now()
+		c.run = client.CheckRunning(ctx, target, c.healthPath())
+	}
 	c.took = time.Since(asked)
+	if c.run.Liveness == Leaving && left { // by its record, which says nothing about this response
+		c.run.Liveness, c.run.SameIncarnation = Unproved, true
+	}
 }
 
 // judge decides whether the response is complete.
@@ -213,25 +244,36 @@
 		whole(becauseTargetRuns)
 	case a.ctx.Err() != nil:
 		undecided(becauseCutShort)
+	case c.run.Liveness == Unproved && c.run.SameIncarnation && c.doubt != emptyResumption:
+		whole(becauseSameIncarnation)
 	case c.run.Liveness == Unproved && !c.doubt.needsProof():
 		whole(becauseNotAsked)
-	case c.doubt == connectionEnd:
-		undecided(becauseNoEnd)
 	case c.doubt == emptyResumption:
 		undecided(becauseNoEvent)
+	case c.run.Liveness == Leaving:
+		c.judgeLeaving()
 	case !c.run.Refused:
 		undecided(becauseNotRefused)
-	case !c.timeKnown:
+	case !c.timeKnown && c.doubt != connectionEnd:
 		undecided(becauseTimeUnknown)
 	case a.race.contested(): // the other attempt answers
 		undecided(becauseRunsBeside)
-	case c.empty && !a.begun && a.mayGoOnElsewhere(): // the other run gives the caller the first event
-		undecided(becauseNoEvent)
 	default:
 		c.judgeByStreams()
 	}
 }
 
+// judgeLeaving judges the end of a response whose target began to leave at about that time. Such a target
+// may finish its responses, or cancel all of them at once.
+func (c *endCheck) judgeLeaving() {
+	c.judgeByStreams()
+	j := &c.judgement
+	mayLinger := c.doubt == announcedClose || c.doubt == unconfirmed
+	if j.Verdict == targetend.Undecided && j.Together == 0 && mayLinger && !c.attempt.mayGoOnElsewhere() {
+		j.Verdict, j.Reason = targetend.Whole, becauseLeavesOpen
+	}
+}
+
 // refusesSince returns since when the target that was asked refuses connections, as far as it is known.
 func (c *endCheck) refusesSince() time.Time {
 	if c.run.IdleClosedAt.IsZero() {
@@ -265,13 +307,18 @@
 
 // judgeHere judges by what this entry has seen, and reports whether that leaves the end undecided.
 func (c *endCheck) judgeHere() (undecided bool) {
-	c.judgement = targetend.Judge(c.arrivedAt, c.seenHere())
+	c.judgement = targetend.Judge(c.end(), c.seenHere())
 	return c.judgement.Verdict == targetend.Undecided
 }
 
 // judgeByAll judges by what this entry and those that were asked have seen.
 func (c *endCheck) judgeByAll() targetend.Judgement {
-	return targetend.Judge(c.arrivedAt, append(slices.Clip(c.seenElsewhere), c.seenHere())...)
+	return targetend.Judge(c.end(), append(slices.Clip(c.seenElsewhere), c.seenHere())...)
+}
+
+// end describes the end of the response.
+func (c *endCheck) end() targetend.End {
+	return targetend.End{At: c.arrivedAt, Unmarked: c.doubt == connectionEnd}
 }
 
 // sinceEnd returns the time since the end of the response.
--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -178,15 +178,15 @@
 			begin := func() *targetend.Stream {
 				return s.targets.Begin(grant.Target.ID, end, func() (time.Time, bool) { return end, true })
 			}
-			a := &attempt{request: &request{service: s}, grant: grant, logged: begin()}
+			a := &attempt{request: &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute}}, grant: grant, logged: begin()}
 			if other := begin(); c.otherEnd >= 0 {
 				other.End(end.Add(c.otherEnd))
 			}
 			if c.thirdGoesOn {
 				begin()
 			}
-			check := &endCheck{attempt: a, arrivedAt: end, timeKnown: true}
-			if check.findDoubt(&state.Response{}, ex); check.doubt != c.doubt {
+			check := &endCheck{attempt: a, exchange: ex, arrivedAt: end, timeKnown: true}
+			if check.findDoubt(&state.Response{}); check.doubt != c.doubt {
 				t.Errorf("doubt %s, want %s", check.doubt, c.doubt)
 			}
 		})
@@ -218,3 +218,156 @@
 		})
 	}
 }
+
+// Guards against a cut stream that is believed because its target, which cancels its handlers, still
+// answers, and against whole streams that are broken off because their target begins to leave.
+func TestStreamOfTargetThatLeaves(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		resumable bool
+		doubt     endDoubt
+		together  bool // another stream has ended at the same moment
+		survives  bool // another stream goes on
+		complete  bool
+	}{
+		{"announced close", false, announcedClose, false, false, true},
+		{"announced close, ended together", false, announcedClose, true, false, false},
+		{"announced close, may be resumed", true, announcedClose, false, false, false},
+		{"unannounced close", false, unannouncedClose, false, false, false},
+		{"unannounced close, another stream goes on", false, unannouncedClose, false, true, true},
+		{"unannounced close, another stream goes on, may be resumed", true, unannouncedClose, false, true, true},
+		{"ended together", false, endedTogether, true, false, false},
+		{"without length or chunks", false, connectionEnd, false, false, false},
+		{"without length or chunks, another stream goes on", false, connectionEnd, false, true, true},
+		{"resumption without an event", false, emptyResumption, false, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				arrived := time.Now()
+				s := newService(&fakeTargetClient{})
+				r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute, Resumable: c.resumable, MaxAttempts: 3}}
+				a := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
+				a.race = newRace(a)
+				data := func(at time.Time) func() (time.Time, bool) { return func() (time.Time, bool) { return at, true } }
+				a.logged = s.targets.Begin("t", arrived, data(arrived))
+				if c.together {
+					s.targets.Begin("t", arrived, data(arrived)).End(arrived)
+				}
+				if c.survives {
+					s.targets.Begin("t", arrived, data(arrived.Add(2*targetend.CancelTime)))
+				}
+				if j := judgeEnd(a, c.doubt, RunCheck{Liveness: Leaving}, arrived, true); (j.Verdict == targetend.Whole) != c.complete {
+					t.Errorf("%s because %q, want complete %t", j.Verdict, j.Reason, c.complete)
+				}
+			})
+		})
+	}
+}
+
+// Guards against whole streams that are broken off at a target whose record had said that it leaves, or
+// that is full, although it answers; and against a resumption that such an answer takes for whole.
+func TestStreamOfTargetThatAnswersAsTheSameIncarnation(t *testing.T) {
+	for _, c := range []struct {
+		doubt    endDoubt
+		complete bool
+	}{{announcedClose, true}, {endedTogether, true}, {unannouncedClose, true}, {connectionEnd, true}, {emptyResumption, false}} {
+		s := newService(&fakeTargetClient{})
+		r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute}}
+		a := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
+		a.race = newRace(a)
+		if j := judgeEnd(a, c.doubt, RunCheck{SameIncarnation: true}, time.Now(), true); (j.Verdict == targetend.Whole) != c.complete {
+			t.Errorf("%s: %s because %q, want complete %t", c.doubt, j.Verdict, j.Reason, c.complete)
+		}
+	}
+}
+
+// Guards against whole streams that are broken off because their target, which drains, fails its health
+// checks, and against cut ones that are believed because it has only begun to.
+func TestHealthCheckOfDrainingTarget(t *testing.T) {
+	for _, draining := range []bool{true, false} {
+		out := &recordingResponder{}
+		synctest.Test(t, func(t *testing.T) {
+			client := &fakeTargetClient{}
+			s := newService(client)
+			client.behaviours = []behaviour{func(ctx context.Context, f *Forward) (Exchange, error) {
+				record := f.Target
+				record.Draining = draining
+				s.cfg.Scheduler.SetTargets([]state.TargetRecord{record})
+				return closingBehind(Leaving, false, events)(ctx, f)
+			}}
+			s.Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: "/stream/x", APIKey: "key"}, time.Now(), out)
+		})
+		if out.ended != draining || out.aborted == draining {
+			t.Errorf("draining %t: ended %t, aborted %t", draining, out.ended, out.aborted)
+		}
+	}
+}
+
+// Guards against a cut stream that is believed because its connection stays open while its target, which
+// has cancelled its handlers, lingers; and against checks of streams that cannot go on elsewhere or
+// beside which another stream of the target goes on.
+func TestEndOfStreamIsConfirmed(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	staysOpen := func(l Liveness, body string) behaviour {
+		return func(ctx context.Context, f *Forward) (Exchange, error) {
+			ex, err := inChunks(body)(ctx, f)
+			ex.(*fakeExchange).thenNotRunning, ex.(*fakeExchange).liveness = true, l
+			return ex, err
+		}
+	}
+	for _, c := range []struct {
+		name, path string
+		liveness   Liveness
+		health     bool // the service has health checks
+		other      bool // another stream of the targets goes on
+		goesOn     bool // at another target
+		checks     int64
+	}{
+		{"healthy", "/resume/x", Running, true, false, false, 1},
+		{"leaves", "/resume/x", Leaving, true, false, true, 1},
+		{"has ended", "/resume/x", Ended, true, false, true, 1},
+		{"cannot be asked", "/resume/x", Unproved, true, false, false, 1},
+		{"another stream goes on", "/resume/x", Leaving, true, true, false, 0},
+		{"no health checks", "/resume/x", Leaving, false, false, false, 0},
+		{"may not be resumed", "/stream/x", Leaving, true, false, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			out, targets := &recordingResponder{}, &fakeTargetClient{behaviours: []behaviour{staysOpen(c.liveness, first), respondWith(200, rest)}}
+			synctest.Test(t, func(t *testing.T) {
+				s := newService(targets)
+				config := *testConfig
+				config.Version++
+				if c.health {
+					config.HealthPaths = map[state.Service]string{"s": "/health"}
+				}
+				s.SetConfiguration(&config)
+				if c.other {
+					for _, id := range []state.TargetID{"t1", "t2", "t3"} {
+						s.targets.Begin(id, time.Now(), func() (time.Time, bool) { return time.Time{}, false })
+					}
+				}
+				s.Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: c.path, APIKey: "key"}, time.Now(), out)
+			})
+			want := first
+			if c.goesOn {
+				want = events
+			}
+			if n := targets.healthChecks.Load(); !out.ended || out.body.String() != want || n != c.checks {
+				t.Errorf("ended %t, body %q, %d checks; want body %q, %d checks", out.ended, out.body.String(), n, want, c.checks)
+			}
+		})
+	}
+}
+
+// Guards against the time of an end that is taken from a connection which another request uses.
+func TestEndOfStreamIsKeptWhenItsConnectionIsGivenBack(t *testing.T) {
+	var l targetend.Log
+	end := time.Now()
+	received := end
+	l.Begin("t", end, func() (time.Time, bool) { return received, true }).End(end)
+	received = end.Add(time.Second)
+	if j := targetend.Judge(targetend.End{At: end}, l.Seen("t", nil)); j.Together != 1 {
+		t.Errorf("%d streams ended together with it, want 1", j.Together)
+	}
+}
--- a/internal/coordination/targetend/outdated_test.go
+++ b/internal/coordination/targetend/outdated_test.go
@@ -22,7 +22,7 @@
 		s.End(end)
 		time.Sleep(25 * ms)
 		l.Refuses("t", time.Now())
-		if j := Judge(end, l.Seen("t", s)); j.Verdict == Whole {
+		if j := Judge(End{At: end}, l.Seen("t", s)); j.Verdict == Whole {
 			t.Errorf("whole because %s, refusing for %s before the end", j.Reason, j.Refusing)
 		}
 	})
