Gateway test: the answer of a leaving target does not prove what ended together

Cause: where the record of a target says that it leaves, its answer that it leaves counts as that of the same incarnation (endCheck.askTarget), and endCheck.judge takes that for proof whatever the doubt is, before it looks at the streams. So the doubt "ended together", which rests on ends at the same moment, is removed by an answer that every target gives which has announced its end, whether it finishes its streams or has cancelled them.

Seen: complete in every run, although another entry tells that its stream ended at the same moment.

--- a/internal/coordination/gateway/lostevidence_test.go
+++ b/internal/coordination/gateway/lostevidence_test.go
@@ -53,3 +53,21 @@
 		}
 	})
 }
+
+// Guards against a stream that was cut together with others and is believed because its target, which had
+// said that it leaves, answers that it does.
+func TestAnswerOfLeavingTargetDoesNotProveWhatEndedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		other := otherEntry{}
+		a, end := endingAttempt(t, &other)
+		other.ended = []time.Time{end}
+		s := a.request.service
+		s.cfg.TargetClient = &fakeTargetClient{liveness: map[state.TargetID]Liveness{a.grant.Target.ID: Leaving}}
+		a.request.table, a.request.call, a.request.log = s.table.Load(), &state.Call{ID: "r"}, s.cfg.Log
+		s.cfg.Scheduler.SetTargets([]state.TargetRecord{{ID: "t9", Service: "s", Address: "t9", Slots: 4}}) // a's leaves
+		err := a.checkEnd(&state.Response{Status: 200, HasSignature: true}, &fakeExchange{receivedAt: end}, false)
+		if err == nil {
+			t.Error("complete, although a stream of another entry ended at the same moment")
+		}
+	})
+}
