Target ends: a refusal long ago does not count again

Cause: a target that refuses connections was taken for one that has done so since the first refusal that the entry had seen, however long ago that was, as long as the entry had an older stream of it. A cut stream was then whole because its target had gone on while it refused connections. Change: a refusal that comes after the time for which one is remembered begins anew.

--- a/internal/coordination/targetend/log.go
+++ b/internal/coordination/targetend/log.go
@@ -94,9 +94,10 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	t := l.use(id, now)
-	if t.refusedAt = now; t.refusesSince.IsZero() || since.Before(t.refusesSince) {
+	if t.refusesSince.IsZero() || now.Sub(t.refusedAt) > retention || since.Before(t.refusesSince) {
 		t.refusesSince = since
 	}
+	t.refusedAt = now
 }
 
 // Accepts records that a target accepts connections.
