Gateway: responses that a target breaks off count as ended at that moment

Cause: streams that ended together were told by those that ended between two events only. A stream that the same event cut inside an event, or before its first one, was forgotten, and a cut stream of a target that had refused connections for long was whole because nothing had ended with it. Change: the log has the end of each response that its target breaks off, unless the entry has caused it.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -285,6 +285,7 @@
 			return a.endStream(head, ex)
 		}
 		if err != nil {
+			a.recordBreak(ex)
 			a.breaksOffInside(events)
 			return a.outcomeOf(err), err
 		}
@@ -318,6 +319,7 @@
 		return a.outcomeOf(err), err
 	}
 	if err := a.checkEvents(head); err != nil {
+		a.recordBreak(ex)
 		return dispatch.Broken, err
 	}
 	if !a.handOver.goesOn() { // the other target continues from the last event
@@ -340,6 +342,20 @@
 	return a.finishStream(head)
 }
 
+// recordBreak records that the target has broken off the response, unless this entry has caused that:
+// others that end at the same moment may have been cut too.
+func (a *attempt) recordBreak(ex Exchange) {
+	if a.ctx.Err() != nil || a.handOver.wasWithdrawn() {
+		return
+	}
+	at, _ := endArrivedAt(ex)
+	if a.logged != nil {
+		a.logged.End(at)
+		return
+	}
+	a.request.service.targets.Ended(a.grant.Target.ID, at)
+}
+
 // checkEvents returns an error if a response that has ended lacks events: a run begins with its first
 // token, so that only the response to a resumption may have none, if none is known to be missing. HTTP servers state a length of 0
 // or write the last chunk when they cancel a handler that has written nothing.
--- a/internal/coordination/targetend/log.go
+++ b/internal/coordination/targetend/log.go
@@ -35,7 +35,7 @@
 
 // end is the end of one stream.
 type end struct {
-	stream *Stream
+	stream *Stream // nil if it was not recorded
 	at     time.Time
 }
 
@@ -73,7 +73,20 @@
 		return
 	}
 	delete(t.open, s)
-	if t.ends = append(t.ends, end{s, at}); len(t.ends) > maxEnds {
+	t.addEnd(end{s, at})
+}
+
+// Ended records that a target has ended a response that was not recorded as a stream, which arrived at
+// the given time.
+func (l *Log) Ended(id state.TargetID, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.use(id, time.Now()).addEnd(end{at: at})
+}
+
+// addEnd must be called with the lock of the log held.
+func (t *target) addEnd(e end) {
+	if t.ends = append(t.ends, e); len(t.ends) > maxEnds {
 		t.ends = t.ends[1:]
 	}
 }
@@ -130,7 +143,7 @@
 		r.Open = append(r.Open, age)
 	}
 	for _, e := range t.ends {
-		if e.stream != except && now.Sub(e.at) < retention {
+		if (e.stream == nil || e.stream != except) && now.Sub(e.at) < retention {
 			r.Ended = append(r.Ended, now.Sub(e.at))
 		}
 	}
