Gateway: the answer of a leaving target does not prove what ended together

Cause: at a target whose record says that it leaves, any answer of the same incarnation proved a stream whole, also one that ended at the same moment as all others of the target. A target that cancels its streams answers so too.

--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -224,7 +224,7 @@
 		c.run = client.CheckRunning(ctx, target, c.healthPath())
 	}
 	c.took = time.Since(asked)
-	if c.run.Liveness == Leaving && left { // by its record, which says nothing about this response
+	if c.run.Liveness == Leaving && left && c.doubt != endedTogether { // by its record, which says nothing about this response
 		c.run.Liveness, c.run.SameIncarnation = Unproved, true
 	}
 }
