Target client tests: longer streams of a target that finishes them

Cause: beside a load average of 50, the streams of TestResumableStreamOfTargetThatFinishesItIsNotResumed, of 250 ms and more, ended before it was known for 150 ms that their target refuses connections: 3 of 4 were to be resumed in one run.

Change: they last 500 ms and more. On the code before the fix each of them is still to be resumed.

--- a/internal/transport/upstream/endingtarget_test.go
+++ b/internal/transport/upstream/endingtarget_test.go
@@ -269,7 +269,7 @@
 // their target, which finishes them, accepts no connections any more. There is no other target, so that
 // a stream that is to be resumed is broken off.
 func TestResumableStreamOfTargetThatFinishesItIsNotResumed(t *testing.T) {
-	for _, lengths := range [][]int{{50, 60, 70, 80}, {80}} {
+	for _, lengths := range [][]int{{100, 120, 140, 160}, {160}} {
 		t.Run(fmt.Sprint(len(lengths), " at a time"), func(t *testing.T) { checkFinishedStreams(t, "resume", lengths) })
 	}
 }
