Target client: services whose targets name themselves

Cause: an unnamed 200 to a health check was Unproved until its target had answered a probe by name, which most targets had not before they ended.

Change: it is Leaving where any target of the service has named itself to a probe. That is remembered by service, so that the memory needs no bound.

--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -38,8 +38,6 @@
 	// healthTimeout bounds a health check on a new connection, without pauses of the process. Like
 	// other requests, it waits for a slot at a target that is full.
 	healthTimeout = 300 * time.Millisecond
-	// maxNamed bounds the addresses of which it is known who has named itself there.
-	maxNamed = 4096
 	// defaultHealthPath is the path of a probe to a target whose service states none.
 	defaultHealthPath = "/"
 )
@@ -47,6 +45,7 @@
 // probeKey is what the result of a probe is valid for.
 type probeKey struct {
 	target  state.TargetID
+	service state.Service
 	address string
 	// healthPath is empty if the service has no health checks.
 	healthPath string
@@ -80,7 +79,7 @@
 // A target with health checks proves that it runs by passing one, since a process that leaves may
 // answer for hundreds of milliseconds after it has cancelled its handlers.
 func (c *Client) CheckRunning(ctx context.Context, target *state.TargetRecord, healthPath string) gateway.RunCheck {
-	p := c.nextProbe(probeKey{target.ID, target.Address, healthPath})
+	p := c.nextProbe(probeKey{target.ID, target.Service, target.Address, healthPath})
 	select {
 	case <-p.done:
 		return p.check
@@ -204,7 +203,7 @@
 
 // CheckHealth implements gateway.HealthChecker.
 func (c *Client) CheckHealth(ctx context.Context, target *state.TargetRecord, healthPath string) gateway.RunCheck {
-	key := probeKey{target.ID, target.Address, healthPath}
+	key := probeKey{target.ID, target.Service, target.Address, healthPath}
 	if check, sure := c.askHealthOnIdle(ctx, key); sure {
 		return check
 	}
@@ -244,7 +243,7 @@
 	case own.Misdirected:
 		check.Liveness = gateway.Ended
 		return true
-	case !waited && c.hasNamedItself(key) && decideUnnamed(own, check):
+	case !waited && c.namesTargets(key) && decideUnnamed(own, check):
 		return true
 	}
 	other, decided, err := c.askOnNewConnection(ctx, key, platform.NoTarget, check)
@@ -306,7 +305,7 @@
 }
 
 // decideUnnamed sets what an answer to a health check shows that names no instance, from a target that
-// names itself in other answers. It reports whether it shows anything.
+// names itself in other answers, or whose service does. It reports whether it shows anything.
 func decideUnnamed(answer platform.ProbeAnswer, check *gateway.RunCheck) bool {
 	if answer.Status != http.StatusOK && !leaves(answer) { // a healthy target names itself
 		return false
@@ -315,25 +314,21 @@
 	return true
 }
 
-// hasNamedItself reports whether the last probe answer with a name, from the address of a target, was
-// that of the target.
-func (c *Client) hasNamedItself(key probeKey) bool {
+// namesTargets reports whether a target of the service of a probe has named itself.
+func (c *Client) namesTargets(key probeKey) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.named[key.address] == key.target
+	return c.named[key.service]
 }
 
-// rememberName remembers which target has named itself at an address.
-func (c *Client) rememberName(address string, id state.TargetID) {
-	if id == "" {
+// rememberName remembers that the targets of a service name themselves if an answer names its target.
+func (c *Client) rememberName(key probeKey, answer platform.ProbeAnswer) {
+	if answer.Instance != key.target {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.named) >= maxNamed {
-		clear(c.named) // the next probes name those that are still asked
-	}
-	c.named[address] = id
+	c.named[key.service] = true
 }
 
 // leaves reports whether the answer to a health check says that the target is not healthy or leaves. It
@@ -382,7 +377,7 @@
 		check.Answer = err.Error()
 		return answer, err
 	}
-	c.rememberName(key.address, answer.Instance)
+	c.rememberName(key, answer)
 	check.Answer = fmt.Sprintf("status %d of instance %q", answer.Status, answer.Instance)
 	head := platform.DecodeResponse(resp)
 	_, err = io.CopyN(io.Discard, resp.Body, maxSkippedBytes)
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -61,7 +61,7 @@
 	idle        map[string][]*connection // by address, least recently used first
 	openedCount int64
 	probes      map[probeKey]*probes
-	named       map[string]state.TargetID // targets that have named themselves last, by address
+	named       map[state.Service]bool // services of which a target has named itself to a probe
 	// naming holds the targets that have named a request in a response.
 	naming  traffic.RecentCache[state.TargetID, struct{}]
 	connect func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
@@ -69,7 +69,7 @@
 
 // New returns a Client without connections.
 func New() *Client {
-	return &Client{idle: make(map[string][]*connection), probes: make(map[probeKey]*probes), named: make(map[string]state.TargetID), naming: traffic.RecentCache[state.TargetID, struct{}]{GenerationLimit: maxNamingTargets}, connect: netconn.Dial}
+	return &Client{idle: make(map[string][]*connection), probes: make(map[probeKey]*probes), named: make(map[state.Service]bool), naming: traffic.RecentCache[state.TargetID, struct{}]{GenerationLimit: maxNamingTargets}, connect: netconn.Dial}
 }
 
 var (
