--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -290,7 +290,7 @@
 
 // judgeByStreams judges by the other streams of a target that accepts no connections: a server that
 // shuts down may finish its streams. As long as others go on here, it waits to see whether they survive.
-// Other entries are asked where that does not decide, once more if streams go on there.
+// Other entries are asked where that does not decide, once more if streams go on there or none answered.
 func (c *endCheck) judgeByStreams() {
 	for c.judgeHere() && c.judgement.GoOn > 0 && c.waitUntil(min(c.sinceEnd()+survivorPollInterval, targetend.SurvivalTime)) {
 	}
@@ -299,12 +299,19 @@
 	}
 	c.askOthers()
 	c.judgement = c.judgeByAll()
-	if c.judgement.Verdict == targetend.Undecided && c.judgement.GoOn > 0 && c.waitUntil(targetend.SurvivalTime) {
+	if c.mayLearnMore() {
+		c.waitUntil(targetend.SurvivalTime)
 		c.askOthers()
 		c.judgement = c.judgeByAll()
 	}
 }
 
+// mayLearnMore reports whether other entries, which were asked, may decide the end a little later.
+func (c *endCheck) mayLearnMore() bool {
+	unanswered := len(c.seenElsewhere) == 0 && c.askErr != nil
+	return c.questions > 0 && c.judgement.Verdict != targetend.Whole && (unanswered || c.judgement.GoOn > 0) && c.attempt.ctx.Err() == nil
+}
+
 // judgeHere judges by what this entry has seen, and reports whether that leaves the end undecided.
 func (c *endCheck) judgeHere() (undecided bool) {
 	c.judgement = targetend.Judge(c.end(), c.seenHere())
--- a/internal/transport/upstream/endingtarget_test.go
+++ b/internal/transport/upstream/endingtarget_test.go
@@ -37,12 +37,12 @@
 	// cancelsAndCleansUp closes the listener, cancels the handlers and exits endingCleanUpTime
 	// later, until when the connections stay open.
 	cancelsAndCleansUp = "cancels handlers and cleans up"
-	// closesIdleThenCancels does as cancelsHandlers, and closes connections that have been idle for
-	// endingIdleTime at any time.
-	closesIdleThenCancels = "closes idle connections, later cancels handlers"
 	// cancelsAndLingers cancels the handlers and goes on serving for endingCleanUpTime, as a target
 	// that leaves: health checks fail, and requests are rejected.
 	cancelsAndLingers = "cancels handlers and lingers"
+	// closesIdleThenCancels does as cancelsHandlers, and closes connections that have been idle for
+	// endingIdleTime at any time.
+	closesIdleThenCancels = "closes idle connections, later cancels handlers"
 )
 
 const (
