Target client: idle connections of an earlier target say nothing of the next one

Cause: which idle connections a target has closed was looked up by its address. A connection that came to the pool after the entry had closed those of a removed target counted for the next target there, as if it had begun to shut down. Change: only connections whose last request went to the target count.

--- a/internal/coordination/gateway/crashfleet_test.go
+++ b/internal/coordination/gateway/crashfleet_test.go
@@ -127,7 +127,7 @@
 }
 
 // IdleClosedAt implements TargetClient.
-func (c *crashEngines) IdleClosedAt(string) time.Time { return time.Time{} }
+func (c *crashEngines) IdleClosedAt(state.TargetID, string) time.Time { return time.Time{} }
 
 // CheckRunning implements TargetClient.
 func (c *crashEngines) CheckRunning(ctx context.Context, target *state.TargetRecord, _ string) RunCheck {
--- a/internal/coordination/gateway/endelsewhere_test.go
+++ b/internal/coordination/gateway/endelsewhere_test.go
@@ -175,7 +175,7 @@
 	at time.Time
 }
 
-func (c idleClosers) IdleClosedAt(address string) time.Time {
+func (c idleClosers) IdleClosedAt(_ state.TargetID, address string) time.Time {
 	if address == "closed" {
 		return c.at
 	}
--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -69,9 +69,9 @@
 	// healthPath is the path of health checks of its service, or empty if there is none. The
 	// check is bounded.
 	CheckRunning(ctx context.Context, target *state.TargetRecord, healthPath string) RunCheck
-	// IdleClosedAt returns when the target at an address closed its idle connections, as a server
-	// does that begins to shut down; zero if it has not, or had none.
-	IdleClosedAt(address string) time.Time
+	// IdleClosedAt returns when a target closed its idle connections, as a server does that begins to
+	// shut down; zero if it has not, or had none.
+	IdleClosedAt(target state.TargetID, address string) time.Time
 }
 
 // HealthChecker is a TargetClient that can ask for the health of a target at little cost.
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -34,7 +34,7 @@
 
 func (runningTargets) Refuses(context.Context, string) bool { return false }
 func (runningTargets) Closes(context.Context, string) bool  { return false }
-func (runningTargets) IdleClosedAt(string) time.Time        { return time.Time{} }
+func (runningTargets) IdleClosedAt(state.TargetID, string) time.Time        { return time.Time{} }
 func (runningTargets) CheckRunning(context.Context, *state.TargetRecord, string) RunCheck {
 	return RunCheck{Liveness: Running}
 }
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -365,7 +365,7 @@
 // TargetSeen returns what this entry has seen of a target at an address, for another entry.
 func (s *Service) TargetSeen(id state.TargetID, address string) targetend.Seen {
 	seen := s.targets.Seen(id, nil).Seen
-	if at := s.cfg.TargetClient.IdleClosedAt(address); !at.IsZero() {
+	if at := s.cfg.TargetClient.IdleClosedAt(id, address); !at.IsZero() {
 		seen.Refusing = max(seen.Refusing, time.Since(at))
 	}
 	return seen
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -34,7 +34,7 @@
 
 func (f targetClientFunc) Closes(context.Context, string) bool { return false }
 
-func (f targetClientFunc) IdleClosedAt(string) time.Time { return time.Time{} }
+func (f targetClientFunc) IdleClosedAt(state.TargetID, string) time.Time { return time.Time{} }
 
 func (f targetClientFunc) CheckRunning(context.Context, *state.TargetRecord, string) gateway.RunCheck {
 	return gateway.RunCheck{Liveness: gateway.Running}
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -156,7 +156,7 @@
 
 // probe asks the target for its incarnation until it is known, or ctx ends.
 func (c *Client) probe(ctx context.Context, key probeKey) gateway.RunCheck {
-	check := gateway.RunCheck{IdleClosedAt: c.IdleClosedAt(key.address)}
+	check := gateway.RunCheck{IdleClosedAt: c.IdleClosedAt(key.target, key.address)}
 	for pause := probePause; ; pause *= 2 {
 		if conn := c.takeIdle(key.address, func(conn *connection) bool { return !conn.probed }); conn != nil {
 			idleCtx, cancel := context.WithTimeout(ctx, idleProbeTimeout)
@@ -450,14 +450,14 @@
 	return nil
 }
 
-// IdleClosedAt implements gateway.TargetClient: it returns when the target closed the last of the idle
-// connections to its address, or zero if one is still open or there is none.
-func (c *Client) IdleClosedAt(address string) time.Time {
+// IdleClosedAt implements gateway.TargetClient: it returns when the target closed the last of its idle
+// connections, or zero if one is still open or there is none.
+func (c *Client) IdleClosedAt(target state.TargetID, address string) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var last time.Time
 	for _, conn := range c.idle[address] {
-		if !conn.answered {
+		if !conn.answered || conn.target != target {
 			continue
 		}
 		at, closed := netconn.ClosedBy(conn.Conn)
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -119,6 +119,8 @@
 	// answered says that a response was read on it. A server that shuts down leaves other
 	// connections open for a while.
 	answered bool
+	// target is that of the last request sent on it. Another one may have its address later.
+	target state.TargetID
 }
 
 func newConnection(conn net.Conn, address string) *connection {
@@ -180,6 +182,7 @@
 		return nil, fmt.Errorf("%w: send to %s", gateway.ErrGrantWithdrawn, f.Target.Address)
 	}
 	e := &exchange{client: c, conn: conn, target: f.Target.ID, method: f.Call.Method, requestID: f.Call.ID, written: make(chan struct{})}
+	conn.target = f.Target.ID
 	e.stop = context.AfterFunc(ctx, conn.abandon)
 	if err := e.write(b); err != nil {
 		e.stop()
