Target client: an idle connection that was closed at its timeout shows no shutdown

Cause: a target that has closed the idle connections to an entry was taken for one that has begun to shut down then. It closes them at its idle timeout too. A cut stream was whole because its target had gone on long after that, and, since entries ask each other, also at entries that had no such connection. Change: only a close before the idle timeout that the target has stated counts. One that states none, or less than a second, shows nothing by its idle connections. The stand-in of the process tests states an idle timeout, as the protocol says that targets do, but for the form that closes idle connections after less than a second.

--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -32,9 +32,9 @@
 // runningTargets are targets that accept connections.
 type runningTargets struct{}
 
-func (runningTargets) Refuses(context.Context, string) bool { return false }
-func (runningTargets) Closes(context.Context, string) bool  { return false }
-func (runningTargets) IdleClosedAt(state.TargetID, string) time.Time        { return time.Time{} }
+func (runningTargets) Refuses(context.Context, string) bool          { return false }
+func (runningTargets) Closes(context.Context, string) bool           { return false }
+func (runningTargets) IdleClosedAt(state.TargetID, string) time.Time { return time.Time{} }
 func (runningTargets) CheckRunning(context.Context, *state.TargetRecord, string) RunCheck {
 	return RunCheck{Liveness: Running}
 }
--- a/internal/transport/upstream/endingtarget_test.go
+++ b/internal/transport/upstream/endingtarget_test.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	handlers.instance = ln.Addr().String()
+	handlers.instance, handlers.keepsIdle = ln.Addr().String(), ending != closesIdleThenCancels
 	fmt.Println(handlers.instance)
 	server := &http.Server{Handler: handlers}
 	if ending == closesIdleThenCancels {
@@ -109,14 +109,18 @@
 
 // endingHandlers answers the requests to a target, and the checks of its health.
 type endingHandlers struct {
-	instance string
-	leaves   atomic.Bool
+	instance  string
+	keepsIdle bool // states an idle timeout
+	leaves    atomic.Bool
 
 	mu      sync.Mutex
 	cancels []context.CancelFunc // of the requests, in the order in which they began
 }
 
 func (h *endingHandlers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.keepsIdle {
+		w.Header().Set("Keep-Alive", "timeout=60")
+	}
 	if r.Header.Get("Request-Id") == "" { // a check of the target's health
 		w.Header().Set("Instance-Id", h.instance)
 		if h.leaves.Load() && r.Header.Get("Expect-Instance") == h.instance {
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -254,14 +254,16 @@
 
 // keep returns a connection to the pool for the idle time that the last response on it states.
 func (c *Client) keep(conn *connection, last *http.Response) {
+	now := time.Now()
 	idle := platform.KeepAlive(last) - idleMargin
+	conn.idleUntil = now.Add(idle)
 	if platform.KeepAlive(last) == 0 {
-		idle = defaultIdleTimeout
+		idle, conn.idleUntil = defaultIdleTimeout, time.Time{}
 	}
 	if idle <= 0 {
 		conn.Close()
 		return
 	}
-	conn.expiresAt, conn.answered = time.Now().Add(idle), true
+	conn.expiresAt, conn.answered = now.Add(idle), true
 	c.pushIdle(conn)
 }
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -451,7 +451,8 @@
 }
 
 // IdleClosedAt implements gateway.TargetClient: it returns when the target closed the last of its idle
-// connections, or zero if one is still open or there is none.
+// connections, or zero if one is still open or there is none. Connections that may have been closed at
+// their idle timeout do not count.
 func (c *Client) IdleClosedAt(target state.TargetID, address string) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -464,7 +465,7 @@
 		if !closed {
 			return time.Time{}
 		}
-		if at.After(last) {
+		if at.Before(conn.idleUntil) && at.After(last) {
 			last = at
 		}
 	}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -108,7 +108,10 @@
 	limit     *limitedReader // of reader
 	reader    *bufio.Reader
 	expiresAt time.Time // end of its idle time; it is not reused from then on
-	reused    bool      // an earlier request was sent on it
+	// idleUntil is until when the target certainly keeps it open, unless it ends; zero if the target has
+	// not stated its idle timeout.
+	idleUntil time.Time
+	reused    bool // an earlier request was sent on it
 	// namesRequests says that the target has named a request in a response on it.
 	namesRequests bool
 	// probed says that a probe was answered on it. The answer names no request, and a late copy of
