Gateway: a target that is silent behind its response is asked until its caller waits no longer

Cause: the check of a target ends after 1.5 s. Change: where nothing else can complete the response, a check that ran out of time is made again until the time limit, or until the caller leaves.

--- a/internal/coordination/gateway/ports.go
+++ b/internal/coordination/gateway/ports.go
@@ -106,6 +106,9 @@
 	// SameIncarnation says that the same incarnation answered, although it is Unproved: it is full,
 	// so that its health check waits or is rejected.
 	SameIncarnation bool
+	// TimedOut says that the time of the check ended before the target had shown anything, so that a
+	// further check may prove more.
+	TimedOut bool
 	// IdleClosedAt is when the target closed its idle connections, as a server does that begins to
 	// shut down; zero if it has not, or had none.
 	IdleClosedAt time.Time
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -222,6 +222,11 @@
 		pause(ctx, endSettleTime)
 		asked = time.Now()
 		c.run = client.CheckRunning(ctx, target, c.healthPath())
+		for c.run.TimedOut && !c.run.SameIncarnation && c.doubt.needsProof() && !a.mayGoOnElsewhere() && ctx.Err() == nil {
+			// The target may have been stopped for a while behind its response. Nothing else can complete
+			// the response, and its caller, who has all events, leaves when it waits no longer.
+			c.run = client.CheckRunning(ctx, target, c.healthPath())
+		}
 	}
 	c.took = time.Since(asked)
 	if c.run.Liveness == Leaving && left && c.doubt != endedTogether { // by its record, which says nothing about this response
--- a/internal/transport/upstream/identity_test.go
+++ b/internal/transport/upstream/identity_test.go
@@ -222,8 +222,8 @@
 	time.AfterFunc(late, func() { close(release) })
 	client, target, began := New(), state.TargetRecord{ID: "i-1", Address: address}, time.Now()
 	check := client.CheckRunning(t.Context(), &target, "")
-	if took := time.Since(began); check.Liveness != gateway.Unproved || took >= late {
-		t.Errorf("check %+v after %s, want unproved within %s", check, took, late)
+	if took := time.Since(began); check.Liveness != gateway.Unproved || !check.TimedOut || took >= late {
+		t.Errorf("check %+v after %s, want unproved and timed out within %s", check, took, late)
 	}
 	if check := client.CheckRunning(t.Context(), &target, ""); check.Liveness != gateway.Running {
 		t.Errorf("check %+v of a target that answers again, want running", check)
@@ -338,15 +338,16 @@
 	for _, c := range []struct {
 		name, other, own string // answers to a probe for another instance and for its own
 		want             gateway.Liveness
+		timedOut         bool
 	}{
-		{"healthy", unnamed421, named200, gateway.Running},
-		{"healthy, unnamed", unnamed421, unnamed200, gateway.Running},
-		{"full", unnamed421, unnamed503, gateway.Unproved},
-		{"another incarnation", unnamed421, unnamed421, gateway.Ended},
-		{"proxy", unnamed421, unnamed502, gateway.Unproved},
-		{"does not heed the instance", unnamed200, unnamed200, gateway.Unproved},
-		{"proxy of an address where nothing runs", unnamed502, unnamed502, gateway.Unproved},
-		{"full before it looks at the instance", unnamed503, unnamed503, gateway.Unproved},
+		{"healthy", unnamed421, named200, gateway.Running, false},
+		{"healthy, unnamed", unnamed421, unnamed200, gateway.Running, false},
+		{"full", unnamed421, unnamed503, gateway.Unproved, true},
+		{"another incarnation", unnamed421, unnamed421, gateway.Ended, false},
+		{"proxy", unnamed421, unnamed502, gateway.Unproved, false},
+		{"does not heed the instance", unnamed200, unnamed200, gateway.Unproved, false},
+		{"proxy of an address where nothing runs", unnamed502, unnamed502, gateway.Unproved, false},
+		{"full before it looks at the instance", unnamed503, unnamed503, gateway.Unproved, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -365,8 +366,8 @@
 				}
 			})
 			target := state.TargetRecord{ID: "i-1", Address: address}
-			if check := New().CheckRunning(t.Context(), &target, "/health"); check.Liveness != c.want {
-				t.Errorf("check %+v, want %s", check, c.want)
+			if check := New().CheckRunning(t.Context(), &target, "/health"); check.Liveness != c.want || check.TimedOut != c.timedOut {
+				t.Errorf("check %+v, want %s, timed out %t", check, c.want, c.timedOut)
 			}
 		})
 	}
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -176,6 +176,7 @@
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
+			check.TimedOut = true
 			return check
 		}
 	}
