Target ends: a stream that is not being read does not go on

Cause: a stream whose caller reads slowly counted as one that goes on, since the entry does not read the response while it writes to the caller, and the end may have arrived meanwhile. Of three streams that a target cancelled at once, the other two were passed on as complete, because one seemed to go on. Change: a stream counts as open only while the entry reads its response.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -304,10 +304,12 @@
 			a.handOver.expect(r.eventGapTimeout())
 			a.countEvent(ex)
 		}
+		a.logged.SetRead(false)
 		if err := r.forwardEvent(a.grant, head, event); err != nil {
 			a.cancel(err)
 			return dispatch.Cancelled, err
 		}
+		a.logged.SetRead(true)
 		a.handOver.await()
 	}
 }
--- a/internal/coordination/targetend/log.go
+++ b/internal/coordination/targetend/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/state"
@@ -45,6 +46,15 @@
 	target state.TargetID
 	// received returns the earliest time at which the last data may have arrived, if that is known.
 	received func() (time.Time, bool)
+	unread   atomic.Bool
+}
+
+// SetRead says whether the response is being read. It is not while the entry writes to the caller: the end
+// of the response may have arrived then. s may be nil.
+func (s *Stream) SetRead(read bool) {
+	if s != nil {
+		s.unread.Store(!read)
+	}
 }
 
 // Begin records a stream of a target, whose request was sent at sentAt. received returns the earliest
@@ -133,7 +143,7 @@
 		return r
 	}
 	for s := range t.open {
-		if s == except {
+		if s == except || s.unread.Load() {
 			continue
 		}
 		age := unknownAge
