Gateway: a stream that may not be resumed may be tried again soon

Cause: the refusal of a caller that takes up a stream whose route does not allow it stated no time to come back. While a configuration changes, the next try may be served; the refusal of a stream of unknown origin states 100 ms. Change: it states the same. Measured: the tests of streams that are taken up pass.

--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -40,7 +40,7 @@
 		return nil
 	}
 	if !r.route.Resumable {
-		return &Failure{Kind: NotRun, Reason: "not_resumable"}
+		return &Failure{Kind: NotRun, Reason: "not_resumable", RetryAfter: r.capRetryAfter(unknownOriginRetryAfter)}
 	}
 	source := "here"
 	o, ok := r.findOriginHere(ctx)
