Gateway: the last stream of a target whose drain time is over is whole

Cause: a target that has said that it leaves exits as soon as its last stream has ended, which looks like one that cancels it. Change: the end of the only stream that entries know of a target is judged as whole if the target had been known to leave for its drain time before. By the protocol it serves for that time, and then exits. Streams that end together with others, or that only the end of the connection marks, stay as they are.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -144,6 +144,18 @@
 	return s.targets[g.Target.ID] == g.target && !g.target.record.Draining && !g.target.stated.leaving()
 }
 
+// LeavesSince returns since when the target of a grant is known to leave: by the list of targets or by
+// its own responses. It is zero if the target still serves.
+func (s *Scheduler) LeavesSince(g *Grant) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed, stated := g.target.leavesSince, g.target.stated.leavingSince
+	if listed.IsZero() || !stated.IsZero() && stated.Before(listed) {
+		return stated
+	}
+	return listed
+}
+
 // notifyRateLimits notifies the observer of changes.
 func (s *Scheduler) notifyRateLimits(changes []*ratelimit.Change) {
 	for _, c := range changes {
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -132,6 +132,7 @@
 func (s *Scheduler) SetTargets(records []state.TargetRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.now()
 	listed := make(map[state.TargetID]*target, len(records))
 	for _, p := range s.services {
 		p.allTargets = nil
@@ -142,12 +143,14 @@
 			t = newTarget(r, s.statementOf(&r))
 		}
 		t.record = r
+		t.setLeaves(now, r.Draining)
 		listed[r.ID] = t
 		p := s.pool(r.Service)
 		p.allTargets = append(p.allTargets, t)
 	}
 	for id, t := range s.targets {
 		if listed[id] != t {
+			t.setLeaves(now, true)
 			s.limits.Forget(id)
 		}
 	}
@@ -156,7 +159,7 @@
 	for _, t := range listed {
 		s.targetsByKey[t.key()] = t
 	}
-	s.dropStatements(s.now())
+	s.dropStatements(now)
 	s.recountReports()
 	s.updateSubsets()
 }
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -36,7 +36,9 @@
 
 // target holds the record of a target, its load and its health as seen by this entry.
 type target struct {
-	record       state.TargetRecord
+	record state.TargetRecord
+	// leavesSince is since when the list of targets says that it leaves, or lacks it; zero if it does not.
+	leavesSince  time.Time
 	stated       *statement // by this run of the target
 	hash         uint64
 	openGrants   map[*Grant]struct{} // granted by this entry and not released
@@ -165,3 +167,13 @@
 	t.consecutiveFailures, t.backoff, t.ejectedUntil = 0, 0, time.Time{}
 	return false, returned
 }
+
+// setLeaves records whether the list of targets says at now that the target leaves, or lacks it.
+func (t *target) setLeaves(now time.Time, leaves bool) {
+	switch {
+	case !leaves:
+		t.leavesSince = time.Time{}
+	case t.leavesSince.IsZero():
+		t.leavesSince = now
+	}
+}
--- a/internal/coordination/gateway/endelsewhere_test.go
+++ b/internal/coordination/gateway/endelsewhere_test.go
@@ -196,3 +196,45 @@
 		}
 	})
 }
+
+// Guards against a whole stream that is broken off because its target, which had said that it leaves and
+// has served for its drain time, exits behind it; and against a cut stream that is believed for that.
+func TestLastStreamOfDrainedTarget(t *testing.T) {
+	const drain = time.Second
+	for _, c := range []struct {
+		name     string
+		leaves   time.Duration // before the end
+		removed  bool          // from the list, in place of a record that says so
+		together bool          // a stream of another entry has ended at the same moment
+		whole    bool
+	}{
+		{"drain time is over", drain + 1, false, false, true},
+		{"drain time is over, not listed", drain + 1, true, false, true},
+		{"drain time is over, ended with another", drain + 1, false, true, false},
+		{"drain time is not over", drain, false, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				other := otherEntry{}
+				a, _ := endingAttempt(t, &other)
+				cfg := &a.request.service.cfg
+				cfg.DrainTime = drain
+				left := a.grant.Target
+				left.Draining = true
+				records := []state.TargetRecord{left}
+				if c.removed {
+					records = nil
+				}
+				cfg.Scheduler.SetTargets(records)
+				time.Sleep(c.leaves)
+				end := time.Now()
+				if c.together {
+					other.ended = []time.Time{end}
+				}
+				if j := judgeEnd(a, unannouncedClose, RunCheck{Liveness: Ended, Refused: true}, end, true); (j.Verdict == targetend.Whole) != c.whole {
+					t.Errorf("%s because %s, want whole %t", j.Verdict, j.Reason, c.whole)
+				}
+			})
+		})
+	}
+}
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -109,6 +109,8 @@
 	RetryWindow    time.Duration
 	RetrySlack     func() float64
 	RetrySlackFrom time.Time
+	// DrainTime is how long a target serves on after it has said that it leaves; 0 if that is not known.
+	DrainTime time.Duration
 	// Rollouts judges software versions that are rolled out; nil: none are.
 	Rollouts VersionJudge
 	// HedgingShare returns the extra work that hedges may do, as a share of the slot time of
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -190,6 +190,17 @@
 	return !c.attempt.request.service.cfg.Scheduler.Serves(c.attempt.grant)
 }
 
+// targetDrained reports whether the target had said so long before the end that it leaves that it need not
+// serve any more.
+func (c *endCheck) targetDrained() bool {
+	cfg := &c.attempt.request.service.cfg
+	if cfg.DrainTime == 0 {
+		return false
+	}
+	since := cfg.Scheduler.LeavesSince(c.attempt.grant)
+	return !since.IsZero() && c.arrivedAt.After(since.Add(cfg.DrainTime))
+}
+
 // endedWithOthers reports whether all streams of the target have ended at the same moment as this one.
 // Other entries are asked only where the end of the target is expected and it writes no other stream for
 // this one.
@@ -330,7 +341,7 @@
 
 // end describes the end of the response.
 func (c *endCheck) end() targetend.End {
-	return targetend.End{At: c.arrivedAt, Unmarked: c.doubt == connectionEnd}
+	return targetend.End{At: c.arrivedAt, Unmarked: c.doubt == connectionEnd, Drained: c.targetDrained()}
 }
 
 // sinceEnd returns the time since the end of the response.
--- a/internal/coordination/targetend/targetend_test.go
+++ b/internal/coordination/targetend/targetend_test.go
@@ -79,6 +79,33 @@
 	}
 }
 
+// Guards against the last stream of a target that had said long before that it leaves, and exits behind
+// it, which is taken for cut; and against streams that such a target cancels and that are taken for whole.
+func TestJudgeEndAtDrainedTarget(t *testing.T) {
+	at := time.Now()
+	for _, c := range []struct {
+		name    string
+		end     End
+		seen    Seen
+		verdict Verdict
+	}{
+		{"last one", End{Drained: true}, Seen{}, Whole},
+		{"last one, others ended before", End{Drained: true}, Seen{Ended: []time.Duration{time.Second}}, Whole},
+		{"last one, without length or chunks", End{Drained: true, Unmarked: true}, Seen{}, Undecided},
+		{"drain time not over", End{}, Seen{}, Undecided},
+		{"another ended together", End{Drained: true}, Seen{Ended: []time.Duration{0}}, Cut},
+		{"another is open", End{Drained: true}, Seen{Open: []time.Duration{0}}, Undecided},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.end.At = at
+			j := Judge(c.end, Report{Seen: c.seen, Earliest: at, Latest: at})
+			if j.Verdict != c.verdict || j.Verdict == Whole && !j.NeedsOthers() {
+				t.Errorf("%s because %s, other entries asked %t; want %s", j.Verdict, j.Reason, j.NeedsOthers(), c.verdict)
+			}
+		})
+	}
+}
+
 // Guards against a log that forgets what a target did as soon as its last stream has left, which another
 // entry asks for, or that remembers it for ever, and against a target that is taken for one that refuses
 // connections after it has run requests again.
