Gateway: the two ways of asking a target have functions of their own

Cause: read-through of the change. Change: askTarget chooses, checkHealth and checkRunning ask; one reason of a judgement has the name that it logs. No change of behaviour. Measured: the tests of ends, health checks and silent targets pass.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -359,8 +359,8 @@
 }
 
 // checkEvents returns an error if a response that has ended lacks events: a run begins with its first
-// token, so that only the response to a resumption may have none, if none is known to be missing. HTTP servers state a length of 0
-// or write the last chunk when they cancel a handler that has written nothing.
+// token, so that only the response to a resumption may have none, if none is known to be missing. HTTP
+// servers state a length of 0 or write the last chunk when they cancel a handler that has written nothing.
 func (a *attempt) checkEvents(head *state.Response) error {
 	switch {
 	case head.EndsWithConnection && !a.race.won(a) && !a.begun:
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -106,7 +106,7 @@
 	becauseNoEvent     = "no_event"
 	// The target that answered is full, or had said before that it leaves.
 	becauseSameIncarnation = "same_incarnation"
-	becauseLeavesOpen      = "began_to_leave"
+	becauseBeganToLeave    = "began_to_leave"
 )
 
 // checkEnd returns an error if the end of a response does not show that the response is complete: it
@@ -223,28 +223,43 @@
 		ctx, cancel = context.WithTimeout(ctx, maxBelievedCheckTime)
 		defer cancel()
 	}
-	client, target := a.request.service.cfg.TargetClient, &a.grant.Target
 	left := c.targetLeaves()
 	asked := time.Now()
 	if c.doubt == unconfirmed {
-		c.exchange.Close(true) // the target is asked on the connection of the response
-		c.run = client.(HealthChecker).CheckHealth(ctx, target, c.healthPath())
+		c.checkHealth(ctx)
 	} else {
 		pause(ctx, endSettleTime)
 		asked = time.Now()
-		c.run = client.CheckRunning(ctx, target, c.healthPath())
-		for c.run.TimedOut && !c.run.SameIncarnation && c.doubt.needsProof() && !a.mayGoOnElsewhere() && ctx.Err() == nil {
-			// The target may have been stopped for a while behind its response. Nothing else can complete
-			// the response, and its caller, who has all events, leaves when it waits no longer.
-			c.run = client.CheckRunning(ctx, target, c.healthPath())
-		}
+		c.checkRunning(ctx)
 	}
 	c.took = time.Since(asked)
-	if c.run.Liveness == Leaving && left && c.doubt != endedTogether { // by its record, which says nothing about this response
+	if c.run.Liveness == Leaving && left && c.doubt != endedTogether {
+		// The target says what its record has said before, which shows nothing about this response.
 		c.run.Liveness, c.run.SameIncarnation = Unproved, true
 	}
 }
 
+// checkHealth asks for the health of the target, on the connection of the response if that is still idle.
+func (c *endCheck) checkHealth(ctx context.Context) {
+	c.exchange.Close(true)
+	client := c.attempt.request.service.cfg.TargetClient.(HealthChecker)
+	c.run = client.CheckHealth(ctx, &c.attempt.grant.Target, c.healthPath())
+}
+
+// checkRunning asks whether the target runs. Where nothing else can complete the response, a target that
+// is silent is asked until the caller, who has all events, waits no longer: its process may have been
+// stopped for a while.
+func (c *endCheck) checkRunning(ctx context.Context) {
+	a := c.attempt
+	again := c.doubt.needsProof() && !a.mayGoOnElsewhere()
+	for {
+		c.run = a.request.service.cfg.TargetClient.CheckRunning(ctx, &a.grant.Target, c.healthPath())
+		if !again || !c.run.TimedOut || c.run.SameIncarnation || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 // judge decides whether the response is complete.
 func (c *endCheck) judge() {
 	a := c.attempt
@@ -286,7 +301,7 @@
 	j := &c.judgement
 	mayLinger := c.doubt == announcedClose || c.doubt == unconfirmed
 	if j.Verdict == targetend.Undecided && j.Together == 0 && mayLinger && !c.attempt.mayGoOnElsewhere() {
-		j.Verdict, j.Reason = targetend.Whole, becauseLeavesOpen
+		j.Verdict, j.Reason = targetend.Whole, becauseBeganToLeave
 	}
 }
 
