Gateway: a target that announced the close when it began the response shows nothing by leaving

Change: the answer counts as that of a target whose record had said before that it leaves: the same incarnation runs, and the response is whole.

--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -223,7 +223,7 @@
 		ctx, cancel = context.WithTimeout(ctx, maxBelievedCheckTime)
 		defer cancel()
 	}
-	left := c.targetLeaves()
+	left := c.targetLeaves() || c.doubt == announcedClose // which the target said when the response began
 	asked := time.Now()
 	if c.doubt == unconfirmed {
 		c.checkHealth(ctx)
@@ -234,7 +234,7 @@
 	}
 	c.took = time.Since(asked)
 	if c.run.Liveness == Leaving && left && c.doubt != endedTogether {
-		// The target says what its record has said before, which shows nothing about this response.
+		// The target says what it has said before, which shows nothing about this response.
 		c.run.Liveness, c.run.SameIncarnation = Unproved, true
 	}
 }
--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -371,3 +371,24 @@
 		t.Errorf("%d streams ended together with it, want 1", j.Together)
 	}
 }
+
+// Guards against a whole stream that is broken off, or sent on, because another one of its target ended at
+// the same moment by chance and the target leaves, as it had announced when the stream began.
+func TestStreamOfTargetThatAnnouncedItsCloseIsWhole(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			out, targets := &recordingResponder{}, &fakeTargetClient{}
+			synctest.Test(t, func(t *testing.T) {
+				s := newService(targets)
+				targets.behaviours = []behaviour{func(ctx context.Context, f *Forward) (Exchange, error) {
+					s.targets.Ended(f.Target.ID, time.Now())
+					return closingBehind(Leaving, true, events)(ctx, f)
+				}, respondWith(200, "id: 4\ndata: x\n\n")}
+				s.Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: path, APIKey: "key"}, time.Now(), out)
+			})
+			if !out.ended || out.body.String() != events || len(targets.sends) != 1 {
+				t.Errorf("ended %t with %q after %d sends; want all events after 1", out.ended, out.body.String(), len(targets.sends))
+			}
+		})
+	}
+}
