Gateway: how long a target has left is looked up when an end is judged

Cause: read-through of the change. Each look at the other streams of a target asked the scheduler, under its lock, since when the target leaves: at every end of a stream in chunks, and every 10 ms while the entry waits for survivors. Change: it is looked up once, when an end in doubt is judged. Whether streams ended together does not depend on it. No change of behaviour.

--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -85,6 +85,7 @@
 	arrivedAt time.Time
 	timeKnown bool
 	doubt     endDoubt
+	drained   bool // the target need not serve any more; set when the end is judged
 	run       RunCheck
 	took      time.Duration // of the check
 	judgement targetend.Judgement
@@ -266,6 +267,7 @@
 	log := &a.request.service.targets
 	undecided := func(reason string) { c.judgement = targetend.Judgement{Reason: reason} }
 	whole := func(reason string) { c.judgement = targetend.Judgement{Verdict: targetend.Whole, Reason: reason} }
+	c.drained = c.targetDrained()
 	if c.run.Refused {
 		log.Refuses(a.grant.Target.ID, c.refusesSince())
 	}
@@ -356,7 +358,7 @@
 
 // end describes the end of the response.
 func (c *endCheck) end() targetend.End {
-	return targetend.End{At: c.arrivedAt, Unmarked: c.doubt == connectionEnd, Drained: c.targetDrained()}
+	return targetend.End{At: c.arrivedAt, Unmarked: c.doubt == connectionEnd, Drained: c.drained}
 }
 
 // sinceEnd returns the time since the end of the response.
