Target client: the idle timeout of a response is parsed once

Cause: read-through of the change. Change: keep parses Keep-Alive once. No change of behaviour. Measured: the tests of the target client pass but for the known failures.

--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -254,10 +254,10 @@
 
 // keep returns a connection to the pool for the idle time that the last response on it states.
 func (c *Client) keep(conn *connection, last *http.Response) {
-	now := time.Now()
-	idle := platform.KeepAlive(last) - idleMargin
+	now, stated := time.Now(), platform.KeepAlive(last)
+	idle := stated - idleMargin
 	conn.idleUntil = now.Add(idle)
-	if platform.KeepAlive(last) == 0 {
+	if stated == 0 {
 		idle, conn.idleUntil = defaultIdleTimeout, time.Time{}
 	}
 	if idle <= 0 {
