Gateway: the log states how the end of a stream followed its last event

Whether the end of a stream that was judged cut came right behind its last event, or between two events, could not be told from the logs, and neither could the rates at whole ends. The lines "request answered" and "end of response not proved" now state the timing, the time from the last event to the end, how long the read waited, and the mean time between events. The log of a target's ends keeps a weight for each timing, which other entries are told; the judgement does not use it yet.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -48,6 +48,11 @@
 	repeated            int               // events that the target sent although the caller has them
 	failure             *failureResponse  // 5xx response of the target, or nil
 	logged              *targetend.Stream // once the first event has arrived; nil before
+	times               eventTimes        // of the events of a stream
+	// end, timing and timingWeight are those of the end of a stream, once it has been read.
+	end          endTime
+	timing       targetend.Timing
+	timingWeight targetend.Weight
 }
 
 // newAttempt returns an attempt at the target of a grant. ctx ends with the request, and
@@ -136,7 +141,7 @@
 		return a.outcomeOf(errOutrun), errOutrun
 	}
 	r.responseStarted(a.grant)
-	r.respond(a.grant, head, body)
+	r.respond(a, head, body)
 	return dispatch.Served, nil
 }
 
@@ -196,7 +201,7 @@
 	if a.begun {
 		return dispatch.Failed, err
 	}
-	a.failure = &failureResponse{grant: a.grant, head: head, body: body}
+	a.failure = &failureResponse{attempt: a, head: head, body: body}
 	return dispatch.Failed, err
 }
 
@@ -279,6 +284,7 @@
 	}()
 	defer func() { a.logged.Leave() }()
 	for {
+		a.times.readyAt = time.Now()
 		event, err := events.next()
 		// What follows a stream leaves a doubt about its end, which only a resumption removes.
 		if errors.Is(err, io.EOF) || errors.Is(err, eventstream.ErrFollowed) && !a.mayGoOnElsewhere() {
@@ -289,6 +295,7 @@
 			a.breaksOffInside(events)
 			return a.outcomeOf(err), err
 		}
+		a.times.add()
 		if !a.handOver.goesOn() { // the other target continues from the event before
 			return dispatch.Silent, errStalled
 		}
@@ -317,6 +324,7 @@
 // endStream answers the caller after the end of the response between two events, if that shows that
 // the stream is complete.
 func (a *attempt) endStream(head *state.Response, ex Exchange) (dispatch.Outcome, error) {
+	a.recordEndTiming(head, ex)
 	if err := a.endsForEntry(); err != nil {
 		return a.outcomeOf(err), err
 	}
@@ -331,7 +339,7 @@
 		return a.outcomeOf(errEndsEarly), errEndsEarly
 	}
 	arrivedAt, _ := endArrivedAt(ex)
-	a.logged.End(arrivedAt)
+	a.logged.EndTimed(arrivedAt, a.timingWeight)
 	if !head.EndsWithConnection { // the slot is free while the end is checked
 		a.request.service.cfg.Scheduler.Ended(a.grant)
 	}
@@ -424,13 +432,13 @@
 		return dispatch.Broken, errNoEvent
 	}
 	if !r.streamBegun {
-		r.respond(a.grant, head, nil)
+		r.respond(a, head, nil)
 		return dispatch.Served, nil
 	}
 	if err := r.responder.EndStream(); err != nil {
 		r.logCallerError("end of stream", err)
 	}
-	r.recordAnswered(a.grant, head)
+	r.recordAnswered(a, head)
 	return dispatch.Served, nil
 }
 
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -110,12 +110,12 @@
 }
 
 // respond passes a target's complete response to the caller.
-func (r *request) respond(g *dispatch.Grant, head *state.Response, body []byte) {
+func (r *request) respond(a *attempt, head *state.Response, body []byte) {
 	r.recordResponseStart()
 	if err := r.responder.Respond(head, body); err != nil {
 		r.logCallerError("response", err)
 	}
-	r.recordAnswered(g, head)
+	r.recordAnswered(a, head)
 }
 
 // fail answers the caller with an error response of the entry itself.
@@ -152,7 +152,8 @@
 }
 
 // recordAnswered counts and logs a request that a target answered.
-func (r *request) recordAnswered(g *dispatch.Grant, head *state.Response) {
+func (r *request) recordAnswered(a *attempt, head *state.Response) {
+	g := a.grant
 	r.service.cfg.Quarantine.Answered(time.Now(), r.quarantined(r.contents))
 	took := time.Since(r.arrived)
 	r.service.cfg.Counters.Add("answered." + r.route.Name)
@@ -161,12 +162,13 @@
 	}
 	traffic.CountRequest(r.counterKey(), r.responseOutcome(head.Status))
 	r.service.cfg.Counters.observeLatency("whole."+r.route.Name, took)
-	r.log.Info("request answered", zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name),
+	fields := []zap.Field{zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name),
 		zap.String("target", string(g.Target.ID)), zap.Int("status", head.Status), zap.Bool("ends_with_connection", head.EndsWithConnection),
 		zap.Bool("has_length", head.HasLength), zap.Bool("announces_close", head.AnnouncesClose), zap.Bool("target_serves", r.service.cfg.Scheduler.Serves(g)),
 		zap.Int("events", g.Events),
 		zap.Duration("first_after", r.timeToResponse), zap.Duration("after", took), zap.Int("runs", r.possibleRuns+1),
-		zap.Bool("returned", r.returned()), zap.Duration("left", time.Until(r.deadline)))
+		zap.Bool("returned", r.returned()), zap.Duration("left", time.Until(r.deadline))}
+	r.log.Info("request answered", append(fields, a.logTiming()...)...)
 }
 
 func (r *request) logTargetChosen(g *dispatch.Grant) {
@@ -219,14 +221,15 @@
 		return
 	}
 	r.service.cfg.Counters.Add("end_judged." + j.Verdict.String() + "." + j.Reason)
-	r.log.Info("end of response not proved", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
+	fields := []zap.Field{zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
 		zap.String("address", a.grant.Target.Address), zap.String("doubt", c.doubt.String()), zap.String("result", run.Liveness.String()),
 		zap.String("verdict", j.Verdict.String()), zap.String("because", j.Reason),
 		zap.Duration("refusing_before", j.Refusing), zap.Int("others_go_on", j.GoOn), zap.Int("ended_together", j.Together),
 		zap.Int("entries_asked", c.questions), zap.Int("entries_told", len(c.seenElsewhere)), zap.NamedError("entries_silent", c.askErr),
 		zap.Bool("may_be_resumed", a.mayGoOnElsewhere()), zap.Duration("checked_after", time.Since(c.arrivedAt)),
 		zap.String("asked", run.Asked), zap.String("answer", run.Answer), zap.Bool("target_serves", r.service.cfg.Scheduler.Serves(a.grant)),
-		zap.Int("tries", run.Tries), zap.Duration("took", c.took), zap.Int("events", a.grant.Events))
+		zap.Int("tries", run.Tries), zap.Duration("took", c.took), zap.Int("events", a.grant.Events)}
+	r.log.Info("end of response not proved", append(fields, a.logTiming()...)...)
 }
 
 // logStalled records that the target of an attempt has stalled. The attempt goes on until
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -246,9 +246,9 @@
 
 // failureResponse is a complete 5xx response of a target.
 type failureResponse struct {
-	grant *dispatch.Grant
-	head  *state.Response
-	body  []byte
+	attempt *attempt
+	head    *state.Response
+	body    []byte
 }
 
 // ServeHead answers a call, of which only the head was read, if the head shows that it cannot
@@ -359,7 +359,7 @@
 	case r.streamBegun:
 		r.abort(reason)
 	case r.targetFailure != nil:
-		r.respond(r.targetFailure.grant, r.targetFailure.head, r.targetFailure.body)
+		r.respond(r.targetFailure.attempt, r.targetFailure.head, r.targetFailure.body)
 	case r.possibleRuns > 0:
 		r.fail(Failure{Kind: UnknownOutcome, Reason: reason})
 	default:
@@ -492,7 +492,7 @@
 	case r.streamBegun:
 		r.abort("stream_broken")
 	case r.targetFailure != nil:
-		r.respond(r.targetFailure.grant, r.targetFailure.head, r.targetFailure.body)
+		r.respond(r.targetFailure.attempt, r.targetFailure.head, r.targetFailure.body)
 	case !mayHaveRun && r.possibleRuns == 0:
 		r.giveUp(outcome.String(), defaultRetryAfter)
 	case cause != nil:
--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -33,6 +33,9 @@
 	// Open has the age of the last data of each stream that goes on, and Ended the ages of the ends of
 	// those that have ended lately.
 	Open, Ended []time.Duration
+	// EndedTimings are the weights of the timings of Ended, in the same order. Entries of an earlier
+	// release tell none.
+	EndedTimings []Weight
 	// Refusing is for how long the target has been known to refuse connections, or to have closed its
 	// idle ones; 0 if it is not.
 	Refusing time.Duration
--- a/internal/coordination/targetend/log.go
+++ b/internal/coordination/targetend/log.go
@@ -22,6 +22,7 @@
 	mu      sync.Mutex
 	targets map[state.TargetID]*target
 	sweptAt time.Time
+	timings map[state.Service]*timingRates // at ends that were whole
 }
 
 // target is what is known of one target.
@@ -38,6 +39,7 @@
 type end struct {
 	stream *Stream // nil if it was not recorded
 	at     time.Time
+	timing Weight
 }
 
 // Stream is a stream that has begun.
@@ -72,7 +74,10 @@
 }
 
 // End records that the response of the stream has ended, which arrived at the given time. s may be nil.
-func (s *Stream) End(at time.Time) {
+func (s *Stream) End(at time.Time) { s.EndTimed(at, 0) }
+
+// EndTimed is End where the timing of the end has a weight.
+func (s *Stream) EndTimed(at time.Time, timing Weight) {
 	if s == nil {
 		return
 	}
@@ -83,7 +88,7 @@
 		return
 	}
 	delete(t.open, s)
-	t.addEnd(end{s, at})
+	t.addEnd(end{s, at, timing})
 }
 
 // Ended records that a target has ended a response that was not recorded as a stream, which arrived at
@@ -155,6 +160,7 @@
 	for _, e := range t.ends {
 		if (e.stream == nil || e.stream != except) && now.Sub(e.at) < retention {
 			r.Ended = append(r.Ended, now.Sub(e.at))
+			r.EndedTimings = append(r.EndedTimings, e.timing)
 		}
 	}
 	if !t.refusesSince.IsZero() && now.Sub(t.refusedAt) < retention {
--- /dev/null
+++ b/internal/coordination/targetend/timing.go
@@ -0,0 +1,147 @@
+package targetend
+
+import (
+	"math"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// Timing is how the end of a response followed its last event. A server that finishes a response ends it
+// right behind the last event, and one whose handlers are cancelled at any time between two events.
+type Timing uint8
+
+const (
+	// TimingUnknown: the response has no events, or the entry may have read its end late.
+	TimingUnknown Timing = iota
+	// WithLastEvent: within withEventTime.
+	WithLastEvent
+	// SoonAfter: later, but within soonTime, as the entry may also see it when it is busy.
+	SoonAfter
+	// BetweenEvents: later than that.
+	BetweenEvents
+
+	timings
+)
+
+// String returns the value as it appears in logs and names of counters.
+func (t Timing) String() string {
+	return [...]string{"unknown", "with_last_event", "soon_after", "between_events"}[t]
+}
+
+const (
+	withEventTime = time.Millisecond
+	soonTime      = 20 * time.Millisecond
+)
+
+// TimingOf returns the timing of an end that was read at the given time after the last event.
+func TimingOf(afterEvent time.Duration) Timing {
+	switch {
+	case afterEvent <= withEventTime:
+		return WithLastEvent
+	case afterEvent <= soonTime:
+		return SoonAfter
+	default:
+		return BetweenEvents
+	}
+}
+
+// Weight is how much a sign speaks for a whole response: ten times the decimal logarithm of how much more
+// often it appears at whole ends than at cut ones. Weights of independent signs add up.
+type Weight float64
+
+// weightOf returns the weight of a sign by its rates at whole and at cut ends.
+func weightOf(whole, cut float64) Weight { return Weight(10 * math.Log10(whole/cut)) }
+
+// timingRates are how often each timing was seen at whole ends of a service.
+type timingRates [timings]float64
+
+// assumedRates count like ends that were seen.
+var assumedRates = timingRates{WithLastEvent: 18, SoonAfter: 1, BetweenEvents: 1}
+
+// maxCounted is the number of ends from which on older ones count half.
+const maxCounted = 1000
+
+func (r *timingRates) add(t Timing) {
+	r[t]++
+	total := 0.0
+	for _, n := range r {
+		total += n
+	}
+	if total > maxCounted {
+		for i := range r {
+			r[i] /= 2
+		}
+	}
+}
+
+// of returns the rate of a timing at whole ends.
+func (r *timingRates) of(t Timing) float64 {
+	n, total := r[t]+assumedRates[t], 0.0
+	for i := range r {
+		total += r[i] + assumedRates[i]
+	}
+	return n / total
+}
+
+const (
+	// usualGap is the time between two events where a stream has only one.
+	usualGap = 50 * time.Millisecond
+	// endsBehindEvents is the share of the servers that notice that a handler was cancelled right behind
+	// an event only, and endsLater the share of those that do at any later time.
+	endsBehindEvents = 0.1
+	endsLater        = 0.1
+)
+
+// atCutEnds returns the rate of a timing at the ends of streams that were cancelled, with the given time
+// between two events; 0 if that is not known.
+func atCutEnds(t Timing, gap time.Duration) float64 {
+	if gap == 0 {
+		gap = usualGap
+	}
+	within := func(d time.Duration) float64 { return min(1, float64(d)/float64(gap)) }
+	with, soon := within(withEventTime), within(soonTime)
+	between := 1 - endsBehindEvents - endsLater
+	switch t {
+	case WithLastEvent:
+		return endsBehindEvents + between*with
+	case SoonAfter:
+		return between * (soon - with)
+	default:
+		return endsLater + between*(1-soon)
+	}
+}
+
+// minRate bounds rates, so that no sign alone outweighs all others.
+const minRate = 0.005
+
+// Learn records the timing of the end of a response that was whole.
+func (l *Log) Learn(service state.Service, t Timing) {
+	if t == TimingUnknown {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.timings == nil {
+		l.timings = make(map[state.Service]*timingRates)
+	}
+	if l.timings[service] == nil {
+		l.timings[service] = new(timingRates)
+	}
+	l.timings[service].add(t)
+}
+
+// TimingWeight returns the weight of the timing of an end, of a stream with the given mean time between
+// two events; 0 if that is not known.
+func (l *Log) TimingWeight(service state.Service, t Timing, gap time.Duration) Weight {
+	if t == TimingUnknown {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rates := l.timings[service]
+	if rates == nil {
+		rates = new(timingRates)
+	}
+	return weightOf(max(minRate, rates.of(t)), max(minRate, atCutEnds(t, gap)))
+}
