Target ends: an end is judged by the sum of its signs

Callers saw: whole streams, which may not be resumed, broken off in the middle of the answer beside planned work (LOST): their target had said seconds before that it leaves, ended them well, and still answered that it leaves.

Cause: one other stream of the target that ended within 25 ms counted as proof that the target had cut both, and the target's answer that it leaves, which it had said before, as a reason to ask for such proof. Targets end several streams a second, and those that are emptied have no other stream that goes on.

Change: each sign has a weight, ten times the logarithm of how much more often it appears at whole ends than at cut ones, and the sum decides. New is how the end followed the last event of its stream: a server that finishes a response ends it right behind, one whose handlers are cancelled at any time between two events. Its rate at whole ends is learned for each service, and entries tell each other the weights. Another stream that ends at the same moment weighs by how often the target's streams do so by chance, and by its own timing. A target that leaves as it had said, and still answers, is to serve on: only a sum that speaks for a cut breaks its streams off. An end between two events is doubted where nothing else is.

--- a/internal/coordination/gateway/endtiming.go
+++ b/internal/coordination/gateway/endtiming.go
@@ -79,6 +79,11 @@
 	a.timingWeight = a.request.service.targets.TimingWeight(a.grant.Target.Service, a.timing, a.times.gap())
 }
 
+// learnTiming records the timing of the end of a stream that was whole.
+func (a *attempt) learnTiming() {
+	a.request.service.targets.Learn(a.grant.Target.Service, a.timing)
+}
+
 // logTiming describes how the end of a response followed its last event.
 func (a *attempt) logTiming() []zap.Field {
 	t, e := &a.times, &a.end
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -225,6 +225,7 @@
 		zap.String("address", a.grant.Target.Address), zap.String("doubt", c.doubt.String()), zap.String("result", run.Liveness.String()),
 		zap.String("verdict", j.Verdict.String()), zap.String("because", j.Reason),
 		zap.Duration("refusing_before", j.Refusing), zap.Int("others_go_on", j.GoOn), zap.Int("ended_together", j.Together),
+		zap.Float64("weight", float64(j.Sum)), zap.Float64("weight_of_others", float64(j.Others)),
 		zap.Int("entries_asked", c.questions), zap.Int("entries_told", len(c.seenElsewhere)), zap.NamedError("entries_silent", c.askErr),
 		zap.Bool("may_be_resumed", a.mayGoOnElsewhere()), zap.Duration("checked_after", time.Since(c.arrivedAt)),
 		zap.String("asked", run.Asked), zap.String("answer", run.Answer), zap.Bool("target_serves", r.service.cfg.Scheduler.Serves(a.grant)),
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -35,6 +35,9 @@
 	// endedTogether: all streams that the target writes for this entry have ended at the same
 	// moment.
 	endedTogether
+	// endedBetweenEvents: the end came between two events, as that of a cancelled handler does, and no
+	// other stream of the target goes on here.
+	endedBetweenEvents
 	// unconfirmed: the connection stays open and idle, as it does while a target that has cancelled
 	// its handlers lingers, and no other stream of the target goes on here.
 	unconfirmed
@@ -50,7 +53,7 @@
 
 // String returns the value as it appears in logs and names of counters.
 func (d endDoubt) String() string {
-	return [...]string{"none", "announced_close", "ended_together", "unconfirmed", "unannounced_close", "connection_end", "empty_resumption"}[d]
+	return [...]string{"none", "announced_close", "ended_together", "ended_between_events", "unconfirmed", "unannounced_close", "connection_end", "empty_resumption"}[d]
 }
 
 // needsProof reports whether only proof that the target still runs removes the doubt. Otherwise, a
@@ -86,6 +89,7 @@
 	timeKnown bool
 	doubt     endDoubt
 	drained   bool // the target need not serve any more; set when the end is judged
+	promised  bool // the target had said before that it leaves, and its process still answers
 	run       RunCheck
 	took      time.Duration // of the check
 	judgement targetend.Judgement
@@ -108,6 +112,7 @@
 	// The target that answered is full, or had said before that it leaves.
 	becauseSameIncarnation = "same_incarnation"
 	becauseBeganToLeave    = "began_to_leave"
+	becausePromised        = "may_be_whole_as_promised"
 )
 
 // checkEnd returns an error if the end of a response does not show that the response is complete: it
@@ -123,11 +128,15 @@
 	c := &endCheck{attempt: a, exchange: ex}
 	c.arrivedAt, c.timeKnown = endArrivedAt(ex)
 	if c.findDoubt(head); c.doubt == noDoubt {
+		a.learnTiming()
 		return nil
 	}
 	c.askTarget()
 	c.judge()
 	a.request.recordEndCheck(c)
+	if c.run.Liveness == Running {
+		a.learnTiming()
+	}
 	switch {
 	case c.judgement.Verdict == targetend.Whole:
 		return nil
@@ -159,6 +168,8 @@
 		}
 	case c.endedWithOthers():
 		c.doubt = endedTogether
+	case c.endedBetweenEvents():
+		c.doubt = endedBetweenEvents
 	case c.mayConfirm():
 		c.doubt = unconfirmed
 	}
@@ -167,9 +178,13 @@
 // mayConfirm reports whether the target can be asked at little cost whether it is healthy, where a
 // response that is not believed can be completed by another target.
 func (c *endCheck) mayConfirm() bool {
-	r := c.attempt.request
-	_, ok := r.service.cfg.TargetClient.(HealthChecker)
-	return ok && r.route.Kind == state.StreamingRoute && c.healthPath() != "" && c.attempt.mayGoOnElsewhere() && len(c.seenHere().Open) == 0
+	return c.attempt.request.route.Kind == state.StreamingRoute && c.hasHealthChecks() && c.attempt.mayGoOnElsewhere() && len(c.seenHere().Open) == 0
+}
+
+// hasHealthChecks reports whether the target can be asked for its health.
+func (c *endCheck) hasHealthChecks() bool {
+	_, ok := c.attempt.request.service.cfg.TargetClient.(HealthChecker)
+	return ok && c.healthPath() != ""
 }
 
 // healthPath returns the path of health checks of the target, or "" if there is none.
@@ -212,7 +227,13 @@
 		c.askOthers()
 		j = c.judgeByAll()
 	}
-	return j.Verdict == targetend.Cut
+	return j.Verdict == targetend.Cut && j.Together > 0
+}
+
+// endedBetweenEvents reports whether the timing of the end speaks for a cancelled handler, and no other
+// stream of the target goes on here.
+func (c *endCheck) endedBetweenEvents() bool {
+	return len(c.seenHere().Open) == 0 && targetend.Judge(targetend.End{At: c.arrivedAt, Timing: c.attempt.timingWeight}).Verdict == targetend.Cut
 }
 
 // askTarget asks the target whether it still runs.
@@ -226,7 +247,7 @@
 	}
 	left := c.targetLeaves() || c.doubt == announcedClose // which the target said when the response began
 	asked := time.Now()
-	if c.doubt == unconfirmed {
+	if c.doubt == unconfirmed || c.doubt == endedBetweenEvents && c.hasHealthChecks() {
 		c.checkHealth(ctx)
 	} else {
 		pause(ctx, endSettleTime)
@@ -234,10 +255,7 @@
 		c.checkRunning(ctx)
 	}
 	c.took = time.Since(asked)
-	if c.run.Liveness == Leaving && left && c.doubt != endedTogether {
-		// The target says what it has said before, which shows nothing about this response.
-		c.run.Liveness, c.run.SameIncarnation = Unproved, true
-	}
+	c.promised = c.run.Liveness == Leaving && left && c.doubt != emptyResumption
 }
 
 // checkHealth asks for the health of the target, on the connection of the response if that is still idle.
@@ -283,6 +301,8 @@
 		whole(becauseNotAsked)
 	case c.doubt == emptyResumption:
 		undecided(becauseNoEvent)
+	case c.promised:
+		c.judgePromised()
 	case c.run.Liveness == Leaving:
 		c.judgeLeaving()
 	case !c.run.Refused:
@@ -296,12 +316,24 @@
 	}
 }
 
+// judgePromised judges the end of a response whose target had said before that it leaves, and still answers.
+// Such a target is to serve on, so that only what speaks for a cut shows one. Where nothing does, neither
+// other streams nor other entries are asked for more.
+func (c *endCheck) judgePromised() {
+	if c.judgeHere(); c.judgement.SpeaksForCut() {
+		c.judgeByStreams()
+	}
+	if j := &c.judgement; j.Verdict == targetend.Undecided {
+		j.Verdict, j.Reason = targetend.Whole, becausePromised
+	}
+}
+
 // judgeLeaving judges the end of a response whose target began to leave at about that time. Such a target
 // may finish its responses, or cancel all of them at once.
 func (c *endCheck) judgeLeaving() {
 	c.judgeByStreams()
 	j := &c.judgement
-	mayLinger := c.doubt == announcedClose || c.doubt == unconfirmed
+	mayLinger := c.doubt == announcedClose || c.doubt == unconfirmed || c.doubt == endedBetweenEvents
 	if j.Verdict == targetend.Undecided && j.Together == 0 && mayLinger && !c.attempt.mayGoOnElsewhere() {
 		j.Verdict, j.Reason = targetend.Whole, becauseBeganToLeave
 	}
@@ -347,7 +379,7 @@
 
 // judgeHere judges by what this entry has seen, and reports whether that leaves the end undecided.
 func (c *endCheck) judgeHere() (undecided bool) {
-	c.judgement = targetend.Judge(c.end(), c.seenHere())
+	c.judgement = c.judgeByAll()
 	return c.judgement.Verdict == targetend.Undecided
 }
 
@@ -358,7 +390,7 @@
 
 // end describes the end of the response.
 func (c *endCheck) end() targetend.End {
-	return targetend.End{At: c.arrivedAt, Unmarked: c.doubt == connectionEnd, Drained: c.drained}
+	return targetend.End{At: c.arrivedAt, Timing: c.attempt.timingWeight, Unmarked: c.doubt == connectionEnd, Drained: c.drained, Promised: c.promised}
 }
 
 // sinceEnd returns the time since the end of the response.
--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -62,15 +62,49 @@
 // String returns the value as it appears in logs and names of counters.
 func (v Verdict) String() string { return [...]string{"undecided", "whole", "cut"}[v] }
 
+// Reasons of a judgement.
 const (
+	otherGoesOn         = "other_stream_goes_on"
+	someEndedTogether   = "some_ended_together"
+	endedTogether       = "ended_together"
+	mayHaveBeenTogether = "may_have_ended_together"
+	endedBetweenEvents  = "ended_between_events"
+	endNotMarked        = "end_not_marked"
 	wentOnWhileRefusing = "went_on_while_refusing"
 	lastOfDrained       = "last_of_drained_target"
+	promisedToServe     = "promised_to_serve"
+	beganToRefuse       = "began_to_refuse_just_before"
+	notKnownToRefuse    = "not_known_to_refuse_before"
+)
+
+// Weights of what is known of the target. docs/design/target-ends.md has the rates behind them.
+const (
+	// sufficientWeight decides an end: the signs appear ten times as often at ends of the one kind.
+	sufficientWeight Weight = 10
+	wentOnWeight     Weight = 15
+	drainedWeight    Weight = 15
+	promisedWeight   Weight = 2
+	// targetEndedWeight is that of a target that does not run any more, of which nothing shows that it
+	// was to finish its streams.
+	targetEndedWeight Weight = -5
+)
+
+const (
+	// coincidenceTime is how long before the end of a response the other ends of its target are counted,
+	// from which the rate of coincidences follows. minCoincidence is the least rate.
+	coincidenceTime = 2 * time.Second
+	minCoincidence  = 0.05
+	// endsWhenCut is the share of the other streams that end within togetherTime if all are cancelled.
+	endsWhenCut = 0.98
 )
 
 // Judgement is a verdict with what it rests on.
 type Judgement struct {
 	Verdict Verdict
 	Reason  string
+	// Sum is that of the weights of all signs. Others is the part of the streams that ended together, and
+	// Timing that of the timing of the end itself.
+	Sum, Others, Timing Weight
 	// GoOn and Together are the numbers of other streams of the target that go on and that ended at the
 	// same moment as the response.
 	GoOn, Together int
@@ -87,50 +121,98 @@
 	return j.Verdict != Whole || (j.Reason == wentOnWhileRefusing || j.Reason == lastOfDrained) && j.GoOn == 0
 }
 
+// SpeaksForCut reports whether a stream of the target, this one or another, ended as if it was cut.
+func (j *Judgement) SpeaksForCut() bool { return j.Others < 0 || j.Timing < 0 }
+
 // End is the end of a response.
 type End struct {
 	At time.Time // when it arrived
+	// Timing is the weight of the timing of the end; 0 if that is not known.
+	Timing Weight
 	// Unmarked says that only the end of the connection marks it, as it also does if the process of the
 	// target is killed. At is then when it was read at the latest.
 	Unmarked bool
 	// Drained says that the time for which a target serves after it has said that it leaves was over. It
 	// may exit as soon as its last response has ended.
 	Drained bool
+	// Promised says that the target had said before the end that it leaves, so that it is to serve on, and
+	// that its process still answers.
+	Promised bool
 }
 
 // Judge judges the end of a response by what entries have seen of its target.
 func Judge(e End, reports ...Report) Judgement {
-	var j Judgement
-	end := e.At
+	j := Judgement{Timing: e.Timing}
 	survives := false
+	coincidence := coincidenceRate(e.At, reports)
 	for i := range reports {
 		r := &reports[i]
 		j.GoOn += len(r.Open)
-		j.Together += r.countTogether(end)
-		j.Refusing = max(j.Refusing, r.refusingAt(end))
-		survives = survives || r.survives(end)
+		n, weight := r.weighTogether(e.At, coincidence)
+		j.Together += n
+		j.Others += weight
+		j.Refusing = max(j.Refusing, r.refusingAt(e.At))
+		survives = survives || r.survives(e.At)
 	}
+	known, weight := j.weighTarget(&e)
+	j.Sum = weight + j.Timing + j.Others
 	switch {
 	case survives:
-		j.Verdict, j.Reason = Whole, "other_stream_goes_on"
-	case j.Together > 0 && j.GoOn == 0:
-		j.Verdict, j.Reason = Cut, "ended_together"
-	case j.Together > 0:
-		j.Reason = "some_ended_together"
+		j.Verdict, j.Reason = Whole, otherGoesOn
+	case j.Together > 0 && j.GoOn > 0:
+		j.Reason = someEndedTogether
+	case j.Sum <= -sufficientWeight && j.GoOn == 0:
+		j.Verdict, j.Reason = Cut, endedBetweenEvents
+		if j.Others < j.Timing {
+			j.Reason = endedTogether
+		}
 	case e.Unmarked:
-		j.Reason = "end_not_marked"
-	case j.Refusing > CancelTime:
-		j.Verdict, j.Reason = Whole, wentOnWhileRefusing
-	case e.Drained && j.GoOn == 0:
-		j.Verdict, j.Reason = Whole, lastOfDrained
-	case j.Refusing > 0:
-		j.Reason = "began_to_refuse_just_before"
+		j.Reason = endNotMarked
+	case j.Sum >= sufficientWeight:
+		j.Verdict, j.Reason = Whole, known
+	case j.Others <= -sufficientWeight:
+		j.Reason = mayHaveBeenTogether
 	default:
-		j.Reason = "not_known_to_refuse_before"
+		j.Reason = known
 	}
 	return j
 }
 
+// weighTarget returns what is known of the target, and its weight. A target that finishes its streams for a
+// while and cancels the rest has refused connections for a while too, so that this shows nothing where
+// streams were cut together.
+func (j *Judgement) weighTarget(e *End) (reason string, w Weight) {
+	together := j.Others <= -sufficientWeight
+	switch {
+	case j.Refusing > CancelTime && !together:
+		return wentOnWhileRefusing, wentOnWeight
+	case e.Drained && j.GoOn == 0 && !together:
+		return lastOfDrained, drainedWeight
+	case e.Promised:
+		return promisedToServe, promisedWeight
+	case j.Refusing > 0:
+		return beganToRefuse, targetEndedWeight
+	default:
+		return notKnownToRefuse, targetEndedWeight
+	}
+}
+
+// coincidenceRate returns how often a target that goes on ends another stream within togetherTime of a time,
+// by the ends before it.
+func coincidenceRate(at time.Time, reports []Report) float64 {
+	ends := 0
+	for i := range reports {
+		r := &reports[i]
+		for _, age := range r.Ended {
+			if ended := r.Latest.Add(-age); ended.Before(at.Add(-togetherTime)) && ended.After(at.Add(-coincidenceTime)) {
+				ends++
+			}
+		}
+	}
+	window := float64(2*togetherTime) / float64(coincidenceTime)
+	return max(minCoincidence, 1-math.Exp(-float64(ends)*window))
+}
+
 // survives reports whether another stream has gone on for so long after the end that its handler was
 // not cancelled then.
 func (r *Report) survives(end time.Time) bool {
@@ -145,14 +227,22 @@
 	return false
 }
 
-// countTogether returns the number of other streams that may have ended at the same moment.
-func (r *Report) countTogether(end time.Time) (n int) {
-	for _, age := range r.Ended {
-		if !r.Earliest.Add(-age).After(end.Add(togetherTime)) && !r.Latest.Add(-age).Before(end.Add(-togetherTime)) {
-			n++
+// weighTogether returns the number of other streams that may have ended at the same moment, and what they
+// weigh, where streams that go on end at that moment at the given rate. One whose own end speaks for a whole
+// response weighs less.
+func (r *Report) weighTogether(end time.Time, coincidence float64) (n int, w Weight) {
+	for i, age := range r.Ended {
+		if r.Earliest.Add(-age).After(end.Add(togetherTime)) || r.Latest.Add(-age).Before(end.Add(-togetherTime)) {
+			continue
+		}
+		n++
+		timing := Weight(0)
+		if i < len(r.EndedTimings) {
+			timing = r.EndedTimings[i]
 		}
+		w += min(0, weightOf(coincidence, endsWhenCut)+timing)
 	}
-	return n
+	return n, w
 }
 
 // refusingAt returns for how long the target had at least refused connections at the end.
--- a/internal/coordination/targetend/timing.go
+++ b/internal/coordination/targetend/timing.go
@@ -56,8 +56,9 @@
 // timingRates are how often each timing was seen at whole ends of a service.
 type timingRates [timings]float64
 
-// assumedRates count like ends that were seen.
-var assumedRates = timingRates{WithLastEvent: 18, SoonAfter: 1, BetweenEvents: 1}
+// assumedRates count like ends that were seen: until some have been, little is known of how the targets of a
+// service end their responses. Some return from their handlers long after the last event.
+var assumedRates = timingRates{WithLastEvent: 2, SoonAfter: 1, BetweenEvents: 1}
 
 // maxCounted is the number of ends from which on older ones count half.
 const maxCounted = 1000
@@ -85,8 +86,6 @@
 }
 
 const (
-	// usualGap is the time between two events where a stream has only one.
-	usualGap = 50 * time.Millisecond
 	// endsBehindEvents is the share of the servers that notice that a handler was cancelled right behind
 	// an event only, and endsLater the share of those that do at any later time.
 	endsBehindEvents = 0.1
@@ -94,11 +93,8 @@
 )
 
 // atCutEnds returns the rate of a timing at the ends of streams that were cancelled, with the given time
-// between two events; 0 if that is not known.
+// between two events.
 func atCutEnds(t Timing, gap time.Duration) float64 {
-	if gap == 0 {
-		gap = usualGap
-	}
 	within := func(d time.Duration) float64 { return min(1, float64(d)/float64(gap)) }
 	with, soon := within(withEventTime), within(soonTime)
 	between := 1 - endsBehindEvents - endsLater
@@ -132,9 +128,9 @@
 }
 
 // TimingWeight returns the weight of the timing of an end, of a stream with the given mean time between
-// two events; 0 if that is not known.
+// two events. It is 0 if one of them is not known.
 func (l *Log) TimingWeight(service state.Service, t Timing, gap time.Duration) Weight {
-	if t == TimingUnknown {
+	if t == TimingUnknown || gap <= 0 {
 		return 0
 	}
 	l.mu.Lock()
