Gateway: an announcement that comes after the end of a stream counts

Cause: a target answers health checks with 503 as soon as it begins to leave, and the list of targets tells the entries half a second later. In between, the answer counts as that of a target that says nothing.

Change: where nothing speaks for a cut, the end of a response from such a target, also that of an empty resumption, waits up to 700 ms for the announcement, while the caller has all events. If it comes and the process still answers, the target is to serve on and the response is whole.

Evidence: TestEndIsJudgedByAnnouncementThatComesLate fails without the wait (2 of 7 cases).

--- a/internal/coordination/gateway/leavingtarget_test.go
+++ b/internal/coordination/gateway/leavingtarget_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cassiaramp/cassiaramp/internal/coordination/targetend"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -104,3 +105,65 @@
 		})
 	}
 }
+
+// leavingChecks are checks of a target that answers that it leaves, for a while.
+type leavingChecks struct {
+	*fakeTargetClient
+	endsAt time.Time // of its process; zero: it goes on
+}
+
+func (c leavingChecks) CheckRunning(context.Context, *state.TargetRecord, string) RunCheck {
+	if !c.endsAt.IsZero() && time.Now().After(c.endsAt) {
+		return RunCheck{Liveness: Ended, Refused: true}
+	}
+	return RunCheck{Liveness: Leaving}
+}
+
+// Guards against a whole stream that is resumed, or broken off, because the list of targets says half a second
+// later than the target itself that it leaves; and against a cut one that is believed for an announcement that
+// does not come, or comes from a target whose process has ended.
+func TestEndIsJudgedByAnnouncementThatComesLate(t *testing.T) {
+	const late = 450 * time.Millisecond
+	for _, c := range []struct {
+		name      string
+		doubt     endDoubt
+		announced time.Duration // after the end; 0: never
+		process   time.Duration // how long it goes on behind the end; 0: for ever
+		timing    targetend.Weight
+		whole     bool
+	}{
+		{"announced late", unconfirmed, late, 0, 0, true},
+		{"announced late, end of a resumption", emptyResumption, late, 0, 0, true},
+		{"announced too late", unconfirmed, announcementTime + late, 0, 0, false},
+		{"not announced", unconfirmed, 0, 0, 0, false},
+		{"not announced, end of a resumption", emptyResumption, 0, 0, 0, false},
+		{"announced late by one that has ended", unconfirmed, late, late / 2, 0, false},
+		{"announced late, between events", unconfirmed, late, 0, -4, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a, end := endingAttempt(t, &otherEntry{none: true})
+				checks := leavingChecks{fakeTargetClient: &fakeTargetClient{}}
+				if c.process > 0 {
+					checks.endsAt = end.Add(c.process)
+				}
+				s := a.request.service
+				s.cfg.TargetClient = checks
+				a.request.table = s.table.Load()
+				a.request.route = &state.Route{Kind: state.StreamingRoute, Resumable: true, MaxAttempts: 3}
+				a.timingWeight = c.timing
+				if c.announced > 0 {
+					time.AfterFunc(c.announced, func() {
+						left := a.grant.Target
+						left.Draining = true
+						s.cfg.Scheduler.SetTargets([]state.TargetRecord{left})
+					})
+				}
+				if j := judgeEnd(a, c.doubt, RunCheck{Liveness: Leaving}, end, true); (j.Verdict == targetend.Whole) != c.whole {
+					t.Errorf("%s because %s, want whole %t", j.Verdict, j.Reason, c.whole)
+				}
+				time.Sleep(2 * announcementTime)
+			})
+		})
+	}
+}
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -22,6 +22,9 @@
 	maxBelievedCheckTime = 250 * time.Millisecond
 	// survivorPollInterval is the time between looks at the other streams of a target.
 	survivorPollInterval = 10 * time.Millisecond
+	// announcementTime is how long after an end the list of targets may say that the target had begun to
+	// leave: entries learn of it half a second later than those that ask the target.
+	announcementTime = 700 * time.Millisecond
 )
 
 // endDoubt is why the end of a response does not show that the response is complete.
@@ -113,6 +116,7 @@
 	becauseSameIncarnation = "same_incarnation"
 	becauseBeganToLeave    = "began_to_leave"
 	becausePromised        = "may_be_whole_as_promised"
+	becauseAnnounced       = "announced_meanwhile"
 )
 
 // checkEnd returns an error if the end of a response does not show that the response is complete: it
@@ -299,6 +303,8 @@
 		whole(becauseSameIncarnation)
 	case c.run.Liveness == Unproved && !c.doubt.needsProof():
 		whole(becauseNotAsked)
+	case c.doubt == emptyResumption && c.run.Liveness == Leaving && c.isAnnouncedMeanwhile():
+		whole(becauseAnnounced)
 	case c.doubt == emptyResumption:
 		undecided(becauseNoEvent)
 	case c.promised:
@@ -328,15 +334,31 @@
 	}
 }
 
-// judgeLeaving judges the end of a response whose target began to leave at about that time. Such a target
-// may finish its responses, or cancel all of them at once.
+// judgeLeaving judges the end of a response whose target answers that it leaves, and is not known to have said
+// so before. Such a target may finish its responses, or cancel all of them at once.
 func (c *endCheck) judgeLeaving() {
 	c.judgeByStreams()
 	j := &c.judgement
 	mayLinger := c.doubt == announcedClose || c.doubt == unconfirmed || c.doubt == endedBetweenEvents
-	if j.Verdict == targetend.Undecided && j.Together == 0 && mayLinger && !c.attempt.mayGoOnElsewhere() {
+	switch {
+	case j.Verdict != targetend.Undecided || j.Others < 0:
+	case mayLinger && !c.attempt.mayGoOnElsewhere():
 		j.Verdict, j.Reason = targetend.Whole, becauseBeganToLeave
+	case !j.SpeaksForCut() && c.isAnnouncedMeanwhile():
+		j.Verdict, j.Reason = targetend.Whole, becauseAnnounced
+	}
+}
+
+// isAnnouncedMeanwhile waits for the list of targets to say that the target leaves, as it had answered, and
+// reports whether it does and the same process still answers: it is to serve on then.
+func (c *endCheck) isAnnouncedMeanwhile() bool {
+	for !c.targetLeaves() {
+		if !c.waitUntil(min(c.sinceEnd()+survivorPollInterval, announcementTime)) {
+			return false
+		}
 	}
+	run := c.attempt.request.service.cfg.TargetClient.CheckRunning(c.attempt.ctx, &c.attempt.grant.Target, c.healthPath())
+	return run.Liveness == Leaving || run.Liveness == Running || run.SameIncarnation
 }
 
 // refusesSince returns since when the target that was asked refuses connections, as far as it is known.
--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -246,15 +246,20 @@
 				arrived := time.Now()
 				s := newService(&fakeTargetClient{})
 				r := &request{service: s, table: s.table.Load(), route: &state.Route{Kind: state.StreamingRoute, Resumable: c.resumable, MaxAttempts: 3}}
-				a := &attempt{request: r, ctx: t.Context(), grant: &dispatch.Grant{Target: state.TargetRecord{ID: "t"}}}
+				grant, err := s.cfg.Scheduler.Acquire(t.Context(), &dispatch.Request{Service: "s", Arrived: arrived, Deadline: arrived.Add(time.Hour)})
+				if err != nil {
+					t.Fatal(err)
+				}
+				id := grant.Target.ID
+				a := &attempt{request: r, ctx: t.Context(), grant: grant}
 				a.race = newRace(a)
 				data := func(at time.Time) func() (time.Time, bool) { return func() (time.Time, bool) { return at, true } }
-				a.logged = s.targets.Begin("t", arrived, data(arrived))
+				a.logged = s.targets.Begin(id, arrived, data(arrived))
 				if c.together {
-					s.targets.Begin("t", arrived, data(arrived)).End(arrived)
+					s.targets.Begin(id, arrived, data(arrived)).End(arrived)
 				}
 				if c.survives {
-					s.targets.Begin("t", arrived, data(arrived.Add(2*targetend.CancelTime)))
+					s.targets.Begin(id, arrived, data(arrived.Add(2*targetend.CancelTime)))
 				}
 				if j := judgeEnd(a, c.doubt, RunCheck{Liveness: Leaving}, arrived, true); (j.Verdict == targetend.Whole) != c.complete {
 					t.Errorf("%s because %q, want complete %t", j.Verdict, j.Reason, c.complete)
