Target ends: a target that took the request although it was to leave is believed sooner

Since, a whole stream whose target had announced the close when it began was broken off because another stream of unknown timing ended at the same moment (TestStreamOfTargetThatAnnouncedItsCloseIsWhole failed). Such a target knew that it was to leave when it took the request, so that its announcement weighs more than one that came while the stream ran. The test passes.

--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -412,7 +412,7 @@
 
 // end describes the end of the response.
 func (c *endCheck) end() targetend.End {
-	return targetend.End{At: c.arrivedAt, Timing: c.attempt.timingWeight, Unmarked: c.doubt == connectionEnd, Drained: c.drained, Promised: c.promised}
+	return targetend.End{At: c.arrivedAt, Timing: c.attempt.timingWeight, Unmarked: c.doubt == connectionEnd, Drained: c.drained, Promised: c.promised, PromisedAtBegin: c.doubt == announcedClose}
 }
 
 // sinceEnd returns the time since the end of the response.
