--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -35,6 +35,7 @@
 	t := d.world.t
 	counts := d.findings()
 	t.Logf("streams of %s, seed %d: %s", d.name, d.world.seed, d.streamEnds())
+	t.Logf("signs of %s, seed %d: %s", d.name, d.world.seed, d.endSigns())
 	for _, e := range d.events {
 		t.Logf("%s %s %s to %s", e.what, e.where, e.from.UTC().Format("15:04:05.000"), e.to.UTC().Format("15:04:05.000"))
 	}
