Target ends: the timing of an end weighs less at an entry that reads late

The delay with which events are read is sampled by the arrival times of the kernel, and the rate at cut ends follows from it. Streams that end together are doubted as before, whatever their timing: only the judgement weighs it. The wait for a late announcement covers all ends that stay undecided.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -296,6 +296,7 @@
 			return a.outcomeOf(err), err
 		}
 		a.times.add()
+		a.sampleDelay(ex)
 		if !a.handOver.goesOn() { // the other target continues from the event before
 			return dispatch.Silent, errStalled
 		}
--- a/internal/coordination/gateway/endtiming.go
+++ b/internal/coordination/gateway/endtiming.go
@@ -29,6 +29,21 @@
 	t.events++
 }
 
+// lateSampleInterval is the number of events of a stream of which one is a sample of how late they are read.
+const lateSampleInterval = 4
+
+// sampleDelay records for the log of ends how late the event that was read last may have been read.
+func (a *attempt) sampleDelay(ex Exchange) {
+	w, ok := ex.(ConnectionWatcher)
+	if !ok || a.times.events%lateSampleInterval != 1 {
+		return
+	}
+	if earliest, latest, known := w.Received(); known {
+		arrived := earliest.Add(latest.Sub(earliest) / 2)
+		a.request.service.targets.ReadLate(max(0, a.times.lastAt.Sub(arrived)))
+	}
+}
+
 // gap returns the mean time between two events, or 0 if it is not known.
 func (t *eventTimes) gap() time.Duration {
 	if t.events < 2 {
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -227,11 +227,11 @@
 func (c *endCheck) endedWithOthers() bool {
 	seen := c.seenHere()
 	j := targetend.Judge(c.end(), seen)
-	if j.Verdict != targetend.Cut && j.GoOn == 0 && (c.targetLeaves() || seen.Refusing > 0) {
+	if j.Together == 0 && j.GoOn == 0 && (c.targetLeaves() || seen.Refusing > 0) {
 		c.askOthers()
 		j = c.judgeByAll()
 	}
-	return j.Verdict == targetend.Cut && j.Together > 0
+	return j.Together > 0 && j.GoOn == 0
 }
 
 // endedBetweenEvents reports whether the timing of the end speaks for a cancelled handler, and no other
@@ -341,10 +341,10 @@
 	j := &c.judgement
 	mayLinger := c.doubt == announcedClose || c.doubt == unconfirmed || c.doubt == endedBetweenEvents
 	switch {
-	case j.Verdict != targetend.Undecided || j.Others < 0:
-	case mayLinger && !c.attempt.mayGoOnElsewhere():
+	case j.Verdict != targetend.Undecided:
+	case j.Others == 0 && mayLinger && !c.attempt.mayGoOnElsewhere():
 		j.Verdict, j.Reason = targetend.Whole, becauseBeganToLeave
-	case !j.SpeaksForCut() && c.isAnnouncedMeanwhile():
+	case c.isAnnouncedMeanwhile():
 		j.Verdict, j.Reason = targetend.Whole, becauseAnnounced
 	}
 }
--- a/internal/coordination/targetend/log.go
+++ b/internal/coordination/targetend/log.go
@@ -23,6 +23,7 @@
 	targets map[state.TargetID]*target
 	sweptAt time.Time
 	timings map[state.Service]*timingRates // at ends that were whole
+	late    float64                        // mean delay of the reads of events, ns
 }
 
 // target is what is known of one target.
--- a/internal/coordination/targetend/timing.go
+++ b/internal/coordination/targetend/timing.go
@@ -93,9 +93,9 @@
 )
 
 // atCutEnds returns the rate of a timing at the ends of streams that were cancelled, with the given time
-// between two events.
-func atCutEnds(t Timing, gap time.Duration) float64 {
-	within := func(d time.Duration) float64 { return min(1, float64(d)/float64(gap)) }
+// between two events. An entry that reads events late sees the end of a stream closer to its last event.
+func atCutEnds(t Timing, gap, late time.Duration) float64 {
+	within := func(d time.Duration) float64 { return min(1, float64(d+late)/float64(gap)) }
 	with, soon := within(withEventTime), within(soonTime)
 	between := 1 - endsBehindEvents - endsLater
 	switch t {
@@ -127,6 +127,16 @@
 	l.timings[service].add(t)
 }
 
+// lateSamples is the number of events over which the delay of reads is averaged.
+const lateSamples = 64
+
+// ReadLate records how long after its arrival an event was read: a busy machine lets the entry wait.
+func (l *Log) ReadLate(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.late += (float64(d) - l.late) / lateSamples
+}
+
 // TimingWeight returns the weight of the timing of an end, of a stream with the given mean time between
 // two events. It is 0 if one of them is not known.
 func (l *Log) TimingWeight(service state.Service, t Timing, gap time.Duration) Weight {
@@ -139,5 +149,5 @@
 	if rates == nil {
 		rates = new(timingRates)
 	}
-	return weightOf(max(minRate, rates.of(t)), max(minRate, atCutEnds(t, gap)))
+	return weightOf(max(minRate, rates.of(t)), max(minRate, atCutEnds(t, gap, time.Duration(l.late))))
 }
--- a/internal/coordination/targetend/timing_test.go
+++ b/internal/coordination/targetend/timing_test.go
@@ -68,6 +68,22 @@
 	}
 }
 
+// Guards against a cut stream whose end seems to come with its last event because a busy entry read that late.
+func TestWeightOfTimingAtBusyEntry(t *testing.T) {
+	const gap = 20 * time.Millisecond
+	var idle, busy Log
+	for range 10 * lateSamples {
+		idle.ReadLate(0)
+		busy.ReadLate(gap / 2)
+		idle.Learn("s", WithLastEvent)
+		busy.Learn("s", WithLastEvent)
+	}
+	a, b := idle.TimingWeight("s", WithLastEvent, gap), busy.TimingWeight("s", WithLastEvent, gap)
+	if b < 0 || b > a-3 {
+		t.Errorf("weight %.1f at an idle entry, %.1f at a busy one", a, b)
+	}
+}
+
 // Guards against a timing that counts as proof although it is common at both kinds of ends: at services whose
 // whole responses end later than their last event, and where streams have events as often as ends are timed.
 func TestWeightOfTiming(t *testing.T) {
