Side process: a response without a body is whole with its head

Cause: the end of responses of status 204 and 304, which state no length, was taken for that of the connection. So their outcome counted as unknown if the service refused connections right behind them, and that of a 204 with the media type of event streams always. A case of the known-red test TestPlainResponseInChunksEndingWithItsTargetIsUnknown showed it, where it was hidden by the two cases that stay red. Change: the body of such responses is not looked for, as for those to HEAD.

--- a/internal/transport/engine/wholeevents.go
+++ b/internal/transport/engine/wholeevents.go
@@ -24,11 +24,11 @@
 )
 
 // newPlainBodyReader returns a reader of the body of a plain service's response.
-func newPlainBodyReader(call *httpCall, headRequest bool) io.Reader {
+func newPlainBodyReader(call *httpCall, mayHaveBody bool) io.Reader {
 	header := &call.response.Header
 	mediaType, _, err := mime.ParseMediaType(string(header.ContentType()))
 	switch {
-	case headRequest || err != nil || mediaType != "text/event-stream":
+	case !mayHaveBody || err != nil || mediaType != "text/event-stream":
 		return call.bodyReader()
 	case header.ContentLength() == noLengthOrChunks:
 		return &unframedReader{in: eventstream.UnframedReader{Reader: eventstream.NewReader(call.bodyReader(), maxUnframedEventBytes, nil)}}
