Gateway: a stated length shows the end of a response at the time limit

Cause: a stream with a stated length that ended at its time limit, or after its target was asked to abandon it, counted as ended early, although its length shows that it is complete: it was broken off, or sent on behind its last event, where another target may make one more. An empty plain response was believed there by its length of 0, which HTTP servers state if a handler returns at its limit without having written anything. Change: both kinds of responses go by the length, unless it is 0.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -115,7 +115,7 @@
 		return outcome, err
 	}
 	body, err := a.readBody(ex)
-	if err == nil && isSuccess(head.Status) && !head.HasLength {
+	if err == nil && isSuccess(head.Status) && !a.lengthShowsEnd(head, len(body) == 0) {
 		err = a.endsForEntry()
 	}
 	if err == nil {
@@ -317,8 +317,10 @@
 // endStream answers the caller after the end of the response between two events, if that shows that
 // the stream is complete.
 func (a *attempt) endStream(head *state.Response, ex Exchange) (dispatch.Outcome, error) {
-	if err := a.endsForEntry(); err != nil {
-		return a.outcomeOf(err), err
+	if !a.lengthShowsEnd(head, a.grant.Events == 0) {
+		if err := a.endsForEntry(); err != nil {
+			return a.outcomeOf(err), err
+		}
 	}
 	if err := a.checkEvents(head); err != nil {
 		a.recordBreak(ex)
@@ -383,6 +385,13 @@
 	return a.resumeAfter != "" && a.grant.Events == 0 && isSuccess(head.Status) && a.request.route.Kind == state.StreamingRoute
 }
 
+// lengthShowsEnd reports whether a response that was read to its end is complete by the length that its
+// head states. A length of 0 shows nothing: HTTP servers state it if a handler returns early, without
+// having written anything. empty says that the body has nothing, or that a stream has no event.
+func (a *attempt) lengthShowsEnd(head *state.Response, empty bool) bool {
+	return head.HasLength && !(empty && mayHaveBody(a.request.call.Method, head.Status))
+}
+
 // endsForEntry returns an error if the target may have ended a response because of this entry: it was
 // asked to abandon it, or has reached the time limit that it was told. HTTP servers write the last
 // chunk of a response when its handler returns early, so that chunks do not show that it is complete.
