Gateway: a stream that its target breaks off at the stated time limit is no evidence

A target that breaks off a stream at the time limit that it was told was recorded as one that cuts its streams. A whole stream of the same target that ended within 25 ms, and whose target is to leave, was then judged as ended together with it and broken off. Streams that end regularly at that limit, and those that the entry closes itself, were not recorded before either.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -344,10 +344,10 @@
 	return a.finishStream(head)
 }
 
-// recordBreak records that the target has broken off the response, unless this entry has caused that:
-// others that end at the same moment may have been cut too.
+// recordBreak records that the target has broken off the response, unless this entry has caused that, also
+// by the time limit that it has stated: others that end at the same moment may have been cut too.
 func (a *attempt) recordBreak(ex Exchange) {
-	if a.ctx.Err() != nil || a.handOver.wasWithdrawn() {
+	if a.ctx.Err() != nil || a.handOver.wasWithdrawn() || a.endsForEntry() != nil {
 		return
 	}
 	at, _ := endArrivedAt(ex)
