Target client: idle connections to removed targets show when they shut down

The entry closed its idle connections to a target that was removed from the list. So it did not learn when the target began to refuse connections, and a whole stream that the target finished afterwards was broken off (not_known_to_refuse_before) unless the drain time had passed. The connections carry no further request now, and are closed when they expire.

--- a/internal/daemon/targetlist.go
+++ b/internal/daemon/targetlist.go
@@ -175,7 +175,7 @@
 	c.p.scheduler.SetTargets(records)
 }
 
-// handleTargetChanges logs the targets that are new, changed or removed, and closes
+// handleTargetChanges logs the targets that are new, changed or removed, and retires
 // the idle connections to the removed ones.
 func (c *control) handleTargetChanges(old, records []state.TargetRecord) {
 	put, removed := diffTargets(old, records)
@@ -185,7 +185,7 @@
 			zap.Bool("draining", r.Draining), zap.Int64("started", r.Started), zap.String("software", string(r.Software)))
 	}
 	for _, r := range removed {
-		c.p.targetClient.CloseIdle(r.Address)
+		c.p.targetClient.RetireIdle(r.Address)
 		c.p.log.Info("target gone", zap.String("target", string(r.ID)), zap.String("service", string(r.Service)))
 	}
 }
--- a/internal/transport/upstream/otherinstance_test.go
+++ b/internal/transport/upstream/otherinstance_test.go
@@ -11,7 +11,7 @@
 	target := startEndingTarget(t, finishesHandlers)
 	client := New()
 	g := newGateway(client, []string{target.address})
-	serveStreams(t, g, "stream", []int{20}, func() { client.CloseIdle(target.address) }) // as at its removal from the list
+	serveStreams(t, g, "stream", []int{20}, func() { client.RetireIdle(target.address) }) // as at its removal from the list
 	target.process.Process.Kill()
 	target.process.Wait() // an error says that it was killed
 	time.Sleep(100 * time.Millisecond)
@@ -19,3 +19,18 @@
 		t.Errorf("the next target at the address is told as refusing connections for %s", seen.Refusing)
 	}
 }
+
+// Guards against a whole stream that is broken off because its target, which shuts down and finishes it, was
+// removed from the list before: the close of idle connections shows when the shutdown began.
+func TestStreamOfRemovedTargetThatFinishesItIsComplete(t *testing.T) {
+	target, client := startEndingTarget(t, finishesHandlers), New()
+	g := newGateway(client, []string{target.address})
+	leaveIdleConnections(t, g)
+	s := serveStreams(t, g, "stream", []int{80}, func() {
+		client.RetireIdle(target.address) // as at its removal
+		target.terminate()
+	})[0]
+	if !s.complete || s.events.Load() != 80 {
+		t.Errorf("complete %t after %d of 80 events", s.complete, s.events.Load())
+	}
+}
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -443,7 +443,7 @@
 	defer c.mu.Unlock()
 	list := c.idle[address]
 	for i := len(list) - 1; i >= 0; i-- {
-		if conn := list[i]; suits(conn) {
+		if conn := list[i]; !conn.retired && suits(conn) {
 			c.idle[address] = slices.Delete(list, i, i+1)
 			return conn
 		}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -124,6 +124,8 @@
 	answered bool
 	// target is that of the last request sent on it. Another one may have its address later.
 	target state.TargetID
+	// retired says that it carries no further request. mu of the client guards it.
+	retired bool
 }
 
 func newConnection(conn net.Conn, address string) *connection {
@@ -280,15 +282,7 @@
 // popIdle removes the most recently used idle connection to address from the pool
 // and returns it, nil when there is none.
 func (c *Client) popIdle(address string) *connection {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	conn := list[len(list)-1]
-	c.idle[address] = list[:len(list)-1]
-	return conn
+	return c.popSuitable(address, func(*connection) bool { return true })
 }
 
 // pushIdle returns conn to the pool.
@@ -319,6 +313,16 @@
 	return true
 }
 
+// RetireIdle lets the idle connections to address carry no further request. They stay open as long as
+// they would otherwise, because their close by the target shows when it begins to shut down.
+func (c *Client) RetireIdle(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.idle[address] {
+		conn.retired = true
+	}
+}
+
 // CloseIdle closes the idle connections to address.
 func (c *Client) CloseIdle(address string) {
 	c.mu.Lock()
