--- a/internal/coordination/gateway/changebeside_test.go
+++ b/internal/coordination/gateway/changebeside_test.go
@@ -136,6 +136,32 @@
 	}
 }
 
+// Guards against a whole stream that is broken off because the end of a planned stop, or the deadline, cuts
+// short the check of its end. A target that cannot be asked in the time of the check is believed.
+func TestCheckHasItsTime(t *testing.T) {
+	const cutShort = 300 * time.Millisecond // 80 ms after the end of the stream
+	for path, head := range map[string]*state.Response{"/stream/x": {AnnouncesClose: true}, "/resume/x": {}} {
+		ex, call := fakeExchange{head: head}, state.Call{Path: path}
+		checkWhole(t, path, call, ex, Unproved, func(*Service) {})
+		checkWhole(t, path+", stop", call, ex, Unproved, func(s *Service) { time.AfterFunc(cutShort-20*time.Millisecond, s.EndRequests) })
+		call.Timeout, call.HasTimeout = cutShort, true
+		checkWhole(t, path+", deadline", call, ex, Unproved, func(*Service) {})
+	}
+}
+
+// Guards against a whole stream of a target that begins to leave, and that is broken off because it may be
+// resumed and cannot be. One that may not be resumed is believed there.
+func TestStreamThatCannotBeResumedIsBelieved(t *testing.T) {
+	ex, call := fakeExchange{head: &state.Response{}}, state.Call{Path: "/resume/x"}
+	checkWhole(t, "may not be resumed", state.Call{Path: "/stream/x"}, ex, Leaving, list(false, "t1"))
+	checkWhole(t, "no other target", call, ex, Leaving, list(false, "t1"))
+	checkWhole(t, "budget used up", call, ex, Leaving, func(s *Service) {
+		list(false, "t1", "t2")(s)
+		for s.retryBudget("s").Take(time.Now(), s.cfg.RetrySlack()) {
+		}
+	})
+}
+
 // Guards against a whole stream of a target that leaves and is broken off because another one ended beside
 // it for a reason that is this entry's or its caller's: its time was up, or the caller left.
 func TestStreamEndedForTheEntryIsNoEvidence(t *testing.T) {
