Gateway: the check of a believed end may outlast the time limit and a planned stop

Callers saw whole streams broken off whose end came shortly before the time limit, or before the end of a planned stop (check_cut_short): the check of an end for which a silent target is believed after 250 ms was cut short, and the end left undecided. It has its time now, while the caller has all events.

--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -246,7 +247,7 @@
 	ctx := a.ctx
 	if !c.doubt.needsProof() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, maxBelievedCheckTime)
+		ctx, cancel = c.believedCheckContext()
 		defer cancel()
 	}
 	left := c.targetLeaves() || c.doubt == announcedClose // which the target said when the response began
@@ -262,6 +263,25 @@
 	c.promised = c.run.Liveness == Leaving && left && c.doubt != emptyResumption
 }
 
+// believedCheckContext returns the context of a check after which a target that is silent is believed. It may
+// last beyond the time limit of the request, or the end of a planned stop: a check that they cut short shows
+// nothing, and the caller has all events.
+func (c *endCheck) believedCheckContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.attempt.ctx), maxBelievedCheckTime)
+	stop := context.AfterFunc(c.attempt.ctx, func() {
+		if !c.mayOutlast() {
+			cancel()
+		}
+	})
+	return ctx, func() { stop(); cancel() }
+}
+
+// mayOutlast reports whether the check may go on although the context of the attempt has ended.
+func (c *endCheck) mayOutlast() bool {
+	cause := context.Cause(c.attempt.ctx)
+	return !c.doubt.needsProof() && (errors.Is(cause, errDeadline) || errors.Is(cause, errStopping))
+}
+
 // checkHealth asks for the health of the target, on the connection of the response if that is still idle.
 func (c *endCheck) checkHealth(ctx context.Context) {
 	c.exchange.Close(true)
@@ -297,7 +317,7 @@
 	case c.run.Liveness == Running:
 		log.Accepts(a.grant.Target.ID)
 		whole(becauseTargetRuns)
-	case a.ctx.Err() != nil:
+	case a.ctx.Err() != nil && !c.mayOutlast():
 		undecided(becauseCutShort)
 	case c.run.Liveness == Unproved && c.run.SameIncarnation && c.doubt != emptyResumption:
 		whole(becauseSameIncarnation)
