Gateway: an undecided end is believed if the stream cannot go on elsewhere

Callers saw whole streams broken off that may be resumed, where the same stream on a route without resumption is believed: the end of a stream of a target that begins to leave was undecided, and no other target was listed, the budget of repeated sends was used up, or the resumption behind the last event failed.

The end is kept as long as no further event comes, and believed where the stream would be broken off.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -448,11 +448,16 @@
 		r.respond(a, head, nil)
 		return dispatch.Served, nil
 	}
+	r.completeStream(a, head)
+	return dispatch.Served, nil
+}
+
+// completeStream ends the response to the caller after the last event.
+func (r *request) completeStream(a *attempt, head *state.Response) {
 	if err := r.responder.EndStream(); err != nil {
 		r.logCallerError("end of stream", err)
 	}
 	r.recordAnswered(a, head)
-	return dispatch.Served, nil
 }
 
 // forwardEvent sends one event to the caller, preceded by the head if it is the
@@ -473,6 +478,7 @@
 	if e.hasField {
 		r.positionUnknown = e.id == ""
 		r.eventMissing = false
+		r.believable = nil
 	}
 	if e.hasField && !r.eventForwarded {
 		r.eventForwarded = true
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -132,8 +132,16 @@
 	}
 }
 
-// abort ends a stream to the caller that cannot be completed.
+// abort ends a stream to the caller that cannot be completed. One that has ended, which nothing proves or
+// speaks against, is completed instead.
 func (r *request) abort(reason string) {
+	if b := r.believable; b != nil && !r.eventMissing {
+		r.log.Info("end of stream believed", zap.String("request", string(r.call.ID)), zap.String("target", string(b.attempt.grant.Target.ID)),
+			zap.String("cannot_go_on", reason), zap.String("last_event", r.lastEventID), zap.Int("runs", r.possibleRuns), zap.NamedError("cause", r.lastErr))
+		r.service.cfg.Counters.Add("end_believed." + reason)
+		r.completeStream(b.attempt, b.head)
+		return
+	}
 	r.service.cfg.Counters.Add("aborted." + reason)
 	traffic.CountRequest(r.counterKey(), traffic.Unknown)
 	r.log.Info("stream aborted", zap.String("request", string(r.call.ID)), zap.String("route", r.routeName()),
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -242,6 +242,14 @@
 	// targetFailure is the latest 5xx response of a target. The caller gets it if no
 	// other target serves the request.
 	targetFailure *failureResponse
+	// believable is the end of a stream that is undecided, as long as no attempt has sent a further event.
+	believable *believableEnd
+}
+
+// believableEnd is the end of a stream that is believed if the stream cannot go on at another target.
+type believableEnd struct {
+	attempt *attempt
+	head    *state.Response
 }
 
 // failureResponse is a complete 5xx response of a target.
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -142,6 +142,9 @@
 	if c.run.Liveness == Running {
 		a.learnTiming()
 	}
+	if c.judgement.Verdict == targetend.Undecided && c.mayBeBelieved() {
+		a.request.believable = &believableEnd{attempt: a, head: head}
+	}
 	switch {
 	case c.judgement.Verdict == targetend.Whole:
 		return nil
@@ -359,16 +362,22 @@
 func (c *endCheck) judgeLeaving() {
 	c.judgeByStreams()
 	j := &c.judgement
-	mayLinger := c.doubt == announcedClose || c.doubt == unconfirmed || c.doubt == endedBetweenEvents
 	switch {
 	case j.Verdict != targetend.Undecided:
-	case j.Others == 0 && mayLinger && !c.attempt.mayGoOnElsewhere():
+	case c.mayBeBelieved() && !c.attempt.mayGoOnElsewhere():
 		j.Verdict, j.Reason = targetend.Whole, becauseBeganToLeave
 	case c.isAnnouncedMeanwhile():
 		j.Verdict, j.Reason = targetend.Whole, becauseAnnounced
 	}
 }
 
+// mayBeBelieved reports whether an end that is undecided is believed if the stream cannot go on elsewhere: the
+// target answers that it leaves, and no other stream ended with it.
+func (c *endCheck) mayBeBelieved() bool {
+	keepsConnection := c.doubt == announcedClose || c.doubt == unconfirmed || c.doubt == endedBetweenEvents
+	return c.run.Liveness == Leaving && keepsConnection && c.judgement.Others == 0
+}
+
 // isAnnouncedMeanwhile waits for the list of targets to say that the target leaves, as it had answered, and
 // reports whether it does and the same process still answers: it is to serve on then.
 func (c *endCheck) isAnnouncedMeanwhile() bool {
