Target ends: a plain answer of a target that leaves is not cut by one coincidence

Callers lost whole plain answers in chunks (502) because a stream of the target ended within 25 ms: a plain answer has no timing, so that the coincidence decided although the target had said that it leaves and still answered. Its target has done the work when it writes the body, so that the announcement weighs as much as one that came before the response.

--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -441,7 +441,14 @@
 
 // end describes the end of the response.
 func (c *endCheck) end() targetend.End {
-	return targetend.End{At: c.arrivedAt, Timing: c.attempt.timingWeight, Unmarked: c.doubt == connectionEnd, Drained: c.drained, Promised: c.promised, PromisedAtBegin: c.doubt == announcedClose}
+	return targetend.End{At: c.arrivedAt, Timing: c.attempt.timingWeight, Unmarked: c.doubt == connectionEnd, Drained: c.drained, Promised: c.promised, Expected: c.isExpected()}
+}
+
+// isExpected reports whether a target that leaves is likely to finish the response: it took the request
+// although it was to leave, or it had finished its work on a plain response before it wrote the body.
+func (c *endCheck) isExpected() bool {
+	kind := c.attempt.request.route.Kind
+	return c.doubt == announcedClose || kind == state.IdempotentRoute || kind == state.NonIdempotentRoute
 }
 
 // sinceEnd returns the time since the end of the response.
--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -84,8 +84,8 @@
 	wentOnWeight     Weight = 15
 	drainedWeight    Weight = 15
 	promisedWeight   Weight = 2
-	// promisedAtBeginWeight is that of a target that took the request although it was to leave.
-	promisedAtBeginWeight Weight = 5
+	// expectedWeight is that of a target that is also likely to finish this response.
+	expectedWeight Weight = 5
 	// targetEndedWeight is that of a target that does not run any more, of which nothing shows that it
 	// was to finish its streams.
 	targetEndedWeight Weight = -5
@@ -140,8 +140,8 @@
 	// Promised says that the target had said before the end that it leaves, so that it is to serve on, and
 	// that its process still answers.
 	Promised bool
-	// PromisedAtBegin says that it had also said so when the response began.
-	PromisedAtBegin bool
+	// Expected says that such a target is likely to finish this response.
+	Expected bool
 }
 
 // Judge judges the end of a response by what entries have seen of its target.
@@ -192,8 +192,8 @@
 		return wentOnWhileRefusing, wentOnWeight
 	case e.Drained && j.GoOn == 0 && !together:
 		return lastOfDrained, drainedWeight
-	case e.Promised && e.PromisedAtBegin:
-		return promisedToServe, promisedAtBeginWeight
+	case e.Promised && e.Expected:
+		return promisedToServe, expectedWeight
 	case e.Promised:
 		return promisedToServe, promisedWeight
 	case j.Refusing > 0:
