Gateway: a whole answer outlasts the attempt beside it while its end is checked

Cause: of two attempts, one may have a whole response whose end is in doubt. While its target was asked, it was cancelled if the other one crashed its target and the request was suspected of that, although it had run already, or if another target took over from the other one, which had stalled. The answer was lost; in the second case a third send was made from the retry budget. Change: such an attempt is not cancelled for the suspicion, and no further target takes over while its check lasts. Measured: both cases of TestWholeAnswerOutlastsTheAttemptBesideIt fail before (unknown outcome after 2 sends, timed out after 3) and pass now after 2 sends. It and the nearest tests of hedges, hand-overs and lengths pass, also with the race detector. The tests of the gateway in whole pass but for TestStreamTakenUpGoesOnAtItsService and TestResumptionBehindPartOfUnframedEventHasEvent (known red).

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -31,6 +31,8 @@
 	first              bool        // no attempt before may have reached a target
 	overdue            atomic.Bool // what judges versions was told that the response is late
 	overdueTimer       *time.Timer // until then; nil if nothing judges versions
+	// arrived says that the whole response, which is no stream, has arrived. Its end may be in doubt.
+	arrived atomic.Bool
 
 	race   *race
 	parent context.Context // of ctx
@@ -119,6 +121,7 @@
 		err = a.endsForEntry()
 	}
 	if err == nil {
+		a.arrived.Store(true)
 		a.handOver.goesOn() // the answer is there, however long its check takes and slowly the caller reads it
 		err = a.checkEnd(head, ex, len(body) == 0)
 	}
--- a/internal/coordination/gateway/handover.go
+++ b/internal/coordination/gateway/handover.go
@@ -220,10 +220,11 @@
 }
 
 // takeOver takes the permission to send the request to another target, unless an attempt beside
-// this one has won.
+// this one has won, or has a whole response. Its check may last longer than the search, and cancelling
+// it would throw the response away.
 func (h *handOver) takeOver() bool {
 	r := h.attempt.request
-	if !r.takeMoveOn() {
+	if h.attempt.race.answerArrivedBeside(h.attempt) || !r.takeMoveOn() {
 		return false
 	}
 	if !h.attempt.race.close(h.attempt) {
--- a/internal/coordination/gateway/race.go
+++ b/internal/coordination/gateway/race.go
@@ -117,6 +117,13 @@
 	return rc.winner == nil && len(rc.running) > 1
 }
 
+// answerArrivedBeside reports whether an attempt beside a has a whole response, whose end may be in doubt.
+func (rc *race) answerArrivedBeside(a *attempt) bool {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return slices.ContainsFunc(rc.running, func(o *attempt) bool { return o != a && o.arrived.Load() })
+}
+
 // runs returns the number of attempts of the request that run or may have run.
 func (rc *race) runs() int {
 	rc.mu.Lock()
@@ -218,6 +225,7 @@
 	}
 	switch {
 	case heir == nil:
+	case end.suspected && heir.arrived.Load(): // its target has run the request
 	case end.suspected:
 		heir.cancel(errSuspected)
 	default:
