--- a/internal/coordination/entry/ports.go
+++ b/internal/coordination/entry/ports.go
@@ -44,7 +44,8 @@
 type AttemptStream interface {
 	// Next returns the next event. It returns io.EOF after the event that ended
 	// the attempt, ErrSessionLost when the session ended before that, and the
-	// context's error when ctx ends first, after which Next may be called again.
+	// context's error when ctx has ended and nothing more had been received, after
+	// which Next may be called again.
 	Next(ctx context.Context) (state.AttemptEvent, error)
 	// Withdraw, Cancel and Ack send the messages of that name in package state.
 	Withdraw() error
--- a/internal/transport/quicsession/attempt.go
+++ b/internal/transport/quicsession/attempt.go
@@ -22,6 +22,7 @@
 	closed    chan struct{}           // closed by Close
 	closeOnce sync.Once
 	ended     bool // Next has returned the event that ended the attempt
+	late      int  // events that Next has returned in a row after its context had ended
 }
 
 // readEvents passes the events received to Next until the stream or the session ends
@@ -50,21 +51,38 @@
 	}
 }
 
-// Next implements entry.AttemptStream.
+// Next implements entry.AttemptStream. What had been received when ctx ended still counts: it may be the
+// end of the response. The number of such events is bounded, because the target may go on sending.
 func (a *attemptStream) Next(ctx context.Context) (state.AttemptEvent, error) {
 	if a.ended {
 		return nil, io.EOF
 	}
-	select {
-	case event, ok := <-a.events:
-		if !ok {
-			return nil, entry.ErrSessionLost
+	if ctx.Err() == nil {
+		a.late = 0
+		select {
+		case event, ok := <-a.events:
+			return a.take(event, ok)
+		case <-ctx.Done():
+		}
+	}
+	if a.late < maxEventsReadAhead {
+		select {
+		case event, ok := <-a.events:
+			a.late++
+			return a.take(event, ok)
+		default:
 		}
-		a.ended = endsAttempt(event)
-		return event, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
 	}
+	return nil, ctx.Err()
+}
+
+// take returns what was received from the events. ok is false if they have ended.
+func (a *attemptStream) take(event state.AttemptEvent, ok bool) (state.AttemptEvent, error) {
+	if !ok {
+		return nil, entry.ErrSessionLost
+	}
+	a.ended = endsAttempt(event)
+	return event, nil
 }
 
 // Withdraw implements entry.AttemptStream.
