Target client: interim responses do not count as responses

Cause: the bound of four responses for each request also counted interim ones. A whole answer behind four of them was thrown away, and its outcome was unknown.

--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -120,7 +120,7 @@
 	req := &http.Request{Method: e.method}
 	e.conn.limit.left, e.conn.limit.unlimited = maxHeadBytes, false
 	for range maxResponses {
-		resp, err := http.ReadResponse(e.conn.reader, req)
+		resp, err := e.conn.readFinalResponse(req)
 		if err != nil {
 			e.closeSilent()
 			if werr := e.endWriting(); werr != nil {
@@ -128,9 +128,6 @@
 			}
 			return nil, fmt.Errorf("read response of %s: %w", e.conn.address, err)
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue // an interim response
-		}
 		head := platform.DecodeResponse(resp)
 		own, err := e.belongs(head)
 		if err != nil {
@@ -150,6 +147,17 @@
 	return nil, fmt.Errorf("read response of %s: %w", e.conn.address, errNoMatchingResponse)
 }
 
+// readFinalResponse reads a response. It skips interim ones, which only the limit of bytes bounds: a target
+// may send one whenever it has nothing else to send.
+func (c *connection) readFinalResponse(req *http.Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.reader, req)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+}
+
 // belongs reports whether a response belongs to the request. One that names no request may
 // belong to none: targets send such on connections that are idle or new, for example because
 // they are full. It is taken only if no response on the connection named its request, it is not a
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -403,13 +403,10 @@
 	}
 	c.limit.left, c.limit.unlimited = maxHeadBytes+maxSkippedBytes, false
 	for range maxResponses {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
+		resp, err := c.readFinalResponse(&http.Request{Method: http.MethodGet})
 		if err != nil {
 			return nil, platform.ProbeAnswer{}, fmt.Errorf("read answer of %s: %w", c.address, err)
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue // an interim response
-		}
 		if answer, own := platform.DecodeProbeAnswer(resp); own {
 			return resp, answer, nil
 		}
--- a/internal/transport/upstream/resumednoise_test.go
+++ b/internal/transport/upstream/resumednoise_test.go
@@ -55,6 +55,7 @@
 	"head that was cut":                                  {signedHead + "Content-Length: 4", false},
 	"head that was cut behind a line":                    {signedHead, false},
 	"interim response":                                   {"HTTP/1.1 103 Early Hints\r\n\r\n", true},
+	"many interim responses":                             {strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", maxResponses), true},
 	"response without a body":                            {"HTTP/1.1 204 No Content\r\nResponse-Signature: s\r\n\r\n", true},
 	"TLS alert":                                          {"\x16\x03\x01\x00*\x02\x00\x00\r\n\r\n", false},
 	"empty lines":                                        {"\r\n\r\n", false},
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -41,8 +41,8 @@
 	// defaultIdleTimeout is how long an idle connection is kept when the target does
 	// not state its own idle timeout.
 	defaultIdleTimeout = 10 * time.Second
-	// maxResponses bounds the response heads that are read for one request: interim
-	// responses, late responses to earlier requests, and its own response.
+	// maxResponses bounds the responses that are read for one request: late ones to earlier
+	// requests, and its own. Interim ones do not count.
 	maxResponses = 4
 	// maxHeadBytes bounds the heads that are read for one request, and maxSkippedBytes the
 	// body of a late response to an earlier one.
