--- a/internal/transport/quicsession/lateend_test.go
+++ b/internal/transport/quicsession/lateend_test.go
@@ -21,13 +21,11 @@
 		}
 	}
 	a := &attemptStream{events: make(chan state.AttemptEvent, 1)}
-	for n := 0; ; n++ {
-		a.events <- &state.Chunk{Offset: uint64(n)}
-		if _, err := a.Next(ctx); err != nil {
-			break
-		}
-		if n == maxEventsReadAhead {
+	for n, err := 0, error(nil); err == nil; n++ {
+		if n > maxEventsReadAhead {
 			t.Fatal("a target that goes on sending is listened to without a bound")
 		}
+		a.events <- &state.Chunk{Offset: uint64(n)}
+		_, err = a.Next(ctx)
 	}
 }
