Target ends: only an end with its last event speaks for a whole response; a coincidence needs a timing

A timing other than with the last event weighs 0 at most. What a target did before counts where another stream ended together only if the timing of the end outweighs that.

--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -184,9 +184,9 @@
 
 // weighTarget returns what is known of the target, and its weight. A target that finishes its streams for a
 // while and cancels the rest has refused connections for a while too, so that this shows nothing where
-// streams were cut together.
+// streams ended together and the timing of the end does not outweigh that.
 func (j *Judgement) weighTarget(e *End) (reason string, w Weight) {
-	together := j.Others <= -sufficientWeight
+	together := j.Others+max(0, j.Timing) < 0
 	switch {
 	case j.Refusing > CancelTime && !together:
 		return wentOnWhileRefusing, wentOnWeight
--- a/internal/coordination/targetend/timing.go
+++ b/internal/coordination/targetend/timing.go
@@ -149,5 +149,9 @@
 	if rates == nil {
 		rates = new(timingRates)
 	}
-	return weightOf(max(minRate, rates.of(t)), max(minRate, atCutEnds(t, gap, time.Duration(l.late))))
+	w := weightOf(max(minRate, rates.of(t)), max(minRate, atCutEnds(t, gap, time.Duration(l.late))))
+	if t != WithLastEvent { // what is rare at both kinds of ends does not speak for a whole one
+		return min(0, w)
+	}
+	return w
 }
--- a/internal/coordination/targetend/timing_test.go
+++ b/internal/coordination/targetend/timing_test.go
@@ -40,6 +40,7 @@
 		{"ended, beside a whole one", ended, with, []Report{together(with)}, Undecided},
 		{"refused long before, between events", ended, between, []Report{refusing}, Undecided},
 		{"refused long before, beside a whole one", ended, with, []Report{refusing, together(with)}, Whole},
+		{"refused long before, of unknown timing, beside one whose end was common there", ended, unknown, []Report{refusing, together(with)}, Undecided},
 		{"refused long before, beside a cut one", ended, with, []Report{refusing, together(between)}, Cut},
 		{"drained, beside a whole one", drained, with, []Report{together(with)}, Whole},
 		{"drained, beside a cut one", drained, with, []Report{together(between)}, Cut},
@@ -82,6 +83,12 @@
 	if b < 0 || b > a-3 {
 		t.Errorf("weight %.1f at an idle entry, %.1f at a busy one", a, b)
 	}
+	for range 10 * lateSamples {
+		busy.ReadLate(10 * gap)
+	}
+	if w := busy.TimingWeight("s", SoonAfter, gap); w > 0 {
+		t.Errorf("weight %.1f of an end soon after the event at a busy entry", w)
+	}
 }
 
 // Guards against a timing that counts as proof although it is common at both kinds of ends: at services whose
