Gateway: the answers of an entry that is asked again count once

Cause: other entries are asked up to three times about an end, and all answers were added up. One stream that ended there by chance within 25 ms weighed as two or three, so that a whole stream whose end came with its last event was judged cut (ended_together). A stream that was open there at the first question counted as going on after it had ended, so that a stream cancelled between two events was believed (may_be_whole_as_promised). Change: a report names its entry, and a later answer takes the place of the earlier one. An entry that is silent later still counts with what it has told. The tests of the gateway in whole were not run.

--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -459,8 +459,8 @@
 	return ctx.Err() == nil
 }
 
-// askOthers asks other entries what they have seen of the target. Earlier answers still count: an entry
-// may be silent later.
+// askOthers asks other entries what they have seen of the target. The earlier answer of an entry counts until
+// it has answered again: it may be silent later.
 func (c *endCheck) askOthers() {
 	a := c.attempt
 	cfg := &a.request.service.cfg
@@ -475,6 +475,9 @@
 		return
 	}
 	cfg.Counters.Add("end_peers.told")
+	c.seenElsewhere = slices.DeleteFunc(c.seenElsewhere, func(earlier targetend.Report) bool {
+		return earlier.Entry != "" && slices.ContainsFunc(answers, func(r targetend.Report) bool { return r.Entry == earlier.Entry })
+	})
 	c.seenElsewhere = append(c.seenElsewhere, answers...)
 }
 
--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -45,6 +45,8 @@
 type Report struct {
 	Seen
 	Earliest, Latest time.Time
+	// Entry is the one that has told it; empty if that is not known.
+	Entry string
 }
 
 // Verdict says what is known of the end of a response.
--- a/internal/transport/mesh/targetend.go
+++ b/internal/transport/mesh/targetend.go
@@ -76,7 +76,7 @@
 }
 
 func (m *Mesh) askTargetEnd(ctx context.Context, a netip.AddrPort, id state.TargetID, address string) (r targetend.Report, err error) {
-	r.Earliest = time.Now()
+	r.Entry, r.Earliest = a.String(), time.Now()
 	query := url.Values{targetParameter: {string(id)}, addressParameter: {address}}
 	if err := m.ask(ctx, a, targetEndPath, query, &r.Seen); err != nil {
 		return r, fmt.Errorf("ask %s for the end of target %s: %w", a, id, err)
--- a/internal/transport/mesh/targetend_test.go
+++ b/internal/transport/mesh/targetend_test.go
@@ -56,6 +56,9 @@
 			t.Errorf("answer between %s and %s, asked at %s", r.Earliest, r.Latest, asked)
 		}
 	}
+	if len(answers) == 2 && (answers[0].Entry == "" || answers[0].Entry == answers[1].Entry) {
+		t.Errorf("entries %q and %q, want that they are told apart", answers[0].Entry, answers[1].Entry)
+	}
 	if len(got) == 2 && got[0].Refusing > 0 {
 		got[0], got[1] = got[1], got[0]
 	}
