Dispatcher: a target that is listed again serves, also for earlier grants

Cause: a target whose entry had expired, as while the store was unavailable, and came back was a new object, and the grants from before kept the old one. Their targets counted as leaving from then on: after the drain time, a stream that its target broke off as its last one counted as whole (last_of_drained_target), and the crash of such a target was not recorded against its request. Change: Serves and LeavesSince go by the target that is listed as the same run. One that is missing once more still counts as leaving since the first time. The tests of the gateway in whole were not run.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -141,7 +142,17 @@
 func (s *Scheduler) Serves(g *Grant) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.targets[g.Target.ID] == g.target && !g.target.record.Draining && !g.target.stated.leaving()
+	t := s.listed(g)
+	return t != nil && !t.record.Draining && !t.stated.leaving()
+}
+
+// listed returns the target of a grant if it is listed and has not been started again, or nil. It may have been
+// missing for a while, as after its entry has expired while the store was unavailable.
+func (s *Scheduler) listed(g *Grant) *target {
+	if t := s.targets[g.Target.ID]; t != nil && runOf(&t.record) == runOf(&g.target.record) {
+		return t
+	}
+	return nil
 }
 
 // LeavesSince returns since when the target of a grant is known to leave: by the list of targets or by
@@ -149,7 +160,8 @@
 func (s *Scheduler) LeavesSince(g *Grant) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listed, stated := g.target.leavesSince, g.target.stated.leavingSince
+	t := cmp.Or(s.listed(g), g.target)
+	listed, stated := t.leavesSince, t.stated.leavingSince
 	if listed.IsZero() || !stated.IsZero() && stated.Before(listed) {
 		return stated
 	}
