Gateway: a close behind a withdrawal is no announcement of the target

Cause: a target that closes the connection because the entry has withdrawn the request counted as one that had announced the close when the response began. If it answered the check that it leaves, its end counted as promised, with the higher weight of a promise at the beginning, although it had said nothing before. Change: the doubt stays the same; only a close that the response announced counts as an announcement. Measured: TestCloseBehindWithdrawalIsNoAnnouncement fails before and passes now, and so do the tests of withdrawals, leaving targets, other entries and ends in gateway. The tests of the gateway in whole were not run.

--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -92,6 +92,7 @@
 	arrivedAt time.Time
 	timeKnown bool
 	doubt     endDoubt
+	withdrawn bool // the target closes the connection because the entry has closed its side
 	drained   bool // the target need not serve any more; set when the end is judged
 	promised  bool // the target had said before that it leaves, and its process still answers
 	run       RunCheck
@@ -171,7 +172,7 @@
 		c.doubt = noDoubt
 	case !w.StaysOpen(c.watchTime()):
 		c.doubt = unannouncedClose
-		if c.attempt.handOver.wasWithdrawn() { // the target closes because the entry has closed its side
+		if c.withdrawn = c.attempt.handOver.wasWithdrawn(); c.withdrawn {
 			c.doubt = announcedClose
 		}
 	case c.endedWithOthers():
@@ -253,7 +254,7 @@
 		ctx, cancel = c.believedCheckContext()
 		defer cancel()
 	}
-	left := c.targetLeaves() || c.doubt == announcedClose // which the target said when the response began
+	left := c.targetLeaves() || c.announcedAtBegin()
 	asked := time.Now()
 	if c.doubt == unconfirmed || c.doubt == endedBetweenEvents && c.hasHealthChecks() {
 		c.checkHealth(ctx)
@@ -441,9 +442,12 @@
 
 // end describes the end of the response.
 func (c *endCheck) end() targetend.End {
-	return targetend.End{At: c.arrivedAt, Timing: c.attempt.timingWeight, Unmarked: c.doubt == connectionEnd, Drained: c.drained, Promised: c.promised, PromisedAtBegin: c.doubt == announcedClose}
+	return targetend.End{At: c.arrivedAt, Timing: c.attempt.timingWeight, Unmarked: c.doubt == connectionEnd, Drained: c.drained, Promised: c.promised, PromisedAtBegin: c.announcedAtBegin()}
 }
 
+// announcedAtBegin reports whether the target had announced the close of the connection when the response began.
+func (c *endCheck) announcedAtBegin() bool { return c.doubt == announcedClose && !c.withdrawn }
+
 // sinceEnd returns the time since the end of the response.
 func (c *endCheck) sinceEnd() time.Duration { return time.Since(c.arrivedAt) }
 
