Gateway: an open stream does not outweigh the timing of a cut

Cause: the end of a stream between two events, whose timing alone is sufficient for a cut, was undecided if another entry had a stream open that had sent nothing since. An undecided end of a target that answers that it leaves was believed (may_be_whole_as_promised, began_to_leave, announced_meanwhile), so that a cancelled stream was passed on as complete. Change: such an end stays undecided and is not believed. A stream that goes on still shows that it was whole. Measured: both cases of TestOpenStreamElsewhereDoesNotProveEndBetweenEvents fail before and pass now, and so do the tests of leaving targets, other entries, withdrawals and ends in gateway. The tests of the gateway in whole were not run.

--- a/internal/coordination/gateway/askedagain_test.go
+++ b/internal/coordination/gateway/askedagain_test.go
@@ -17,8 +17,7 @@
 	for _, c := range []struct {
 		name   string
 		timing targetend.Weight
-		// goesOn is how long the stream of the other entry goes on after the end; 0 if it ends with it.
-		goesOn time.Duration
+		goesOn time.Duration // how long the other stream goes on after the end
 		whole  bool
 	}{
 		{"another ended by chance at the same moment", withLastEvent, 0, true},
@@ -53,3 +52,24 @@
 		})
 	}
 }
+
+// Guards against a stream that its target cancelled between two events, and that is passed on as complete
+// because another entry has one that is open and has sent nothing since.
+func TestOpenStreamElsewhereDoesNotProveEndBetweenEvents(t *testing.T) {
+	for name, promised := range map[string]bool{"leaves as it had said": true, "begins to leave": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a, end := endingAttempt(t, &otherEntry{})
+				a.timingWeight = -14
+				a.request.service.cfg.AskTargetEnd = func(context.Context, state.TargetID, string) ([]targetend.Report, error) {
+					now := time.Now()
+					return []targetend.Report{{Seen: targetend.Seen{Open: []time.Duration{now.Sub(end)}}, Earliest: now, Latest: now, Entry: "b"}}, nil
+				}
+				c := &endCheck{attempt: a, arrivedAt: end, timeKnown: true, doubt: endedBetweenEvents, promised: promised, run: RunCheck{Liveness: Leaving}}
+				if c.judge(); c.judgement.Verdict == targetend.Whole {
+					t.Errorf("whole because %s", c.judgement.Reason)
+				}
+			})
+		})
+	}
+}
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -348,12 +348,13 @@
 
 // judgePromised judges the end of a response whose target had said before that it leaves, and still answers.
 // Such a target is to serve on, so that only what speaks for a cut shows one. Where nothing does, neither
-// other streams nor other entries are asked for more.
+// other streams nor other entries are asked for more. A stream that is open elsewhere and may have ended since does
+// not outweigh the timing of a cut.
 func (c *endCheck) judgePromised() {
 	if c.judgeHere(); c.judgement.SpeaksForCut() {
 		c.judgeByStreams()
 	}
-	if j := &c.judgement; j.Verdict == targetend.Undecided {
+	if j := &c.judgement; j.Verdict == targetend.Undecided && !j.EndsLikeCut() {
 		j.Verdict, j.Reason = targetend.Whole, becausePromised
 	}
 }
@@ -367,16 +368,16 @@
 	case j.Verdict != targetend.Undecided:
 	case c.mayBeBelieved() && !c.attempt.mayGoOnElsewhere():
 		j.Verdict, j.Reason = targetend.Whole, becauseBeganToLeave
-	case c.isAnnouncedMeanwhile():
+	case !j.EndsLikeCut() && c.isAnnouncedMeanwhile():
 		j.Verdict, j.Reason = targetend.Whole, becauseAnnounced
 	}
 }
 
 // mayBeBelieved reports whether an end that is undecided is believed if the stream cannot go on elsewhere: the
-// target answers that it leaves, and no other stream ended with it.
+// target answers that it leaves, no other stream ended with it, and its timing is not that of a cut.
 func (c *endCheck) mayBeBelieved() bool {
 	keepsConnection := c.doubt == announcedClose || c.doubt == unconfirmed || c.doubt == endedBetweenEvents
-	return c.run.Liveness == Leaving && keepsConnection && c.judgement.Others == 0
+	return c.run.Liveness == Leaving && keepsConnection && c.judgement.Others == 0 && !c.judgement.EndsLikeCut()
 }
 
 // isAnnouncedMeanwhile waits for the list of targets to say that the target leaves, as it had answered, and
--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -128,6 +128,9 @@
 // SpeaksForCut reports whether a stream of the target, this one or another, ended as if it was cut.
 func (j *Judgement) SpeaksForCut() bool { return j.Others < 0 || j.Timing < 0 }
 
+// EndsLikeCut reports whether the timing of the end is by itself sufficient to take it for a cut.
+func (j *Judgement) EndsLikeCut() bool { return j.Timing <= -sufficientWeight }
+
 // End is the end of a response.
 type End struct {
 	At time.Time // when it arrived
