failing: Gateway: weak evidence about ends that still decides

Measured: all fail in every run (3 runs).

Proposed entries of KNOWN-RED.txt: test: TestWholeStreamsEndingTogetherWithoutTimingOrInOneStep package: ./internal/coordination/gateway command: go test ./internal/coordination/gateway -run TestWholeStreamsEndingTogetherWithoutTimingOrInOneStep seen: in every run: two whole streams of one event, and seven that end at one step of their target's batch, are broken off as ended_together at a target that leaves as it had said issue: 66

test: TestEndBetweenEventsIsCheckedBesideAnOpenStream package: ./internal/coordination/gateway command: go test ./internal/coordination/gateway -run TestEndBetweenEventsIsCheckedBesideAnOpenStream seen: in every run: an end between two events is not in doubt while another stream of its target is open here, and is learned as that of a whole stream; a check of each such end costs probes at services that end streams late at times issue: 66

test: TestAnnouncedCloseAloneIsNoPromiseToServe package: ./internal/coordination/gateway command: go test ./internal/coordination/gateway -run TestAnnouncedCloseAloneIsNoPromiseToServe seen: in every run: an announced close counts as the promise of a target that leaves issue: 66

--- a/internal/coordination/gateway/withdrawnclose_test.go
+++ b/internal/coordination/gateway/withdrawnclose_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -30,3 +31,44 @@
 	c.askTarget()
 	return c
 }
+
+// Guards against whole streams of a target that leaves as it had said, which are broken off because others
+// ended at the same moment: short ones, whose ends have no timing, and those that end at one step of its batch.
+func TestWholeStreamsEndingTogetherWithoutTimingOrInOneStep(t *testing.T) {
+	const begins = 2 * timedGap // it has said so by then
+	short := []timedStream{{begins, 1, 0}, {begins + 5*time.Millisecond, 1, 0}}
+	if got := serveAtLeavingTarget(t, "/stream/x", short...); got != len(short) {
+		t.Errorf("%d of %d streams of one event complete", got, len(short))
+	}
+	var step []timedStream
+	for i := range 7 {
+		step = append(step, timedStream{begins + time.Duration(i)*time.Millisecond, 5, 0})
+	}
+	if got := serveAtLeavingTarget(t, "/stream/x", step...); got != len(step) {
+		t.Errorf("%d of %d streams of one step complete", got, len(step))
+	}
+}
+
+// Guards against a stream that its target cancelled between two events, and that is passed on without a check, and
+// learned as a whole one, because another one that it also cancels has not ended yet.
+func TestEndBetweenEventsIsCheckedBesideAnOpenStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, end := endingAttempt(t, &otherEntry{})
+		a.timingWeight = -14
+		a.request.service.targets.Begin(a.grant.Target.ID, end, func() (time.Time, bool) { return end, true })
+		c := &endCheck{attempt: a, exchange: &fakeExchange{receivedAt: end}, arrivedAt: end, timeKnown: true}
+		if c.findDoubt(&state.Response{}); c.doubt == noDoubt {
+			t.Error("not in doubt")
+		}
+	})
+}
+
+// Guards against a cut stream that is believed as promised because its response announced the close of the
+// connection, as responses of targets that do not leave do at times, and its target began to leave meanwhile.
+func TestAnnouncedCloseAloneIsNoPromiseToServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if c := checkOfClose(t, false); c.promised {
+			t.Errorf("doubt %s, counts as promised", c.doubt)
+		}
+	})
+}
