--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -92,6 +92,7 @@
 	arrivedAt time.Time
 	timeKnown bool
 	doubt     endDoubt
+	withdrawn bool // the target closes the connection because the entry has closed its side
 	drained   bool // the target need not serve any more; set when the end is judged
 	promised  bool // the target had said before that it leaves, and its process still answers
 	run       RunCheck
@@ -171,7 +172,7 @@
 		c.doubt = noDoubt
 	case !w.StaysOpen(c.watchTime()):
 		c.doubt = unannouncedClose
-		if c.attempt.handOver.wasWithdrawn() { // the target closes because the entry has closed its side
+		if c.withdrawn = c.attempt.handOver.wasWithdrawn(); c.withdrawn {
 			c.doubt = announcedClose
 		}
 	case c.endedWithOthers():
@@ -253,7 +254,7 @@
 		ctx, cancel = c.believedCheckContext()
 		defer cancel()
 	}
-	left := c.targetLeaves() || c.doubt == announcedClose // which the target said when the response began
+	left := c.targetLeaves() || c.announcedAtBegin()
 	asked := time.Now()
 	if c.doubt == unconfirmed || c.doubt == endedBetweenEvents && c.hasHealthChecks() {
 		c.checkHealth(ctx)
@@ -347,12 +348,13 @@
 
 // judgePromised judges the end of a response whose target had said before that it leaves, and still answers.
 // Such a target is to serve on, so that only what speaks for a cut shows one. Where nothing does, neither
-// other streams nor other entries are asked for more.
+// other streams nor other entries are asked for more. A stream that is open elsewhere and may have ended since does
+// not outweigh the timing of a cut.
 func (c *endCheck) judgePromised() {
 	if c.judgeHere(); c.judgement.SpeaksForCut() {
 		c.judgeByStreams()
 	}
-	if j := &c.judgement; j.Verdict == targetend.Undecided {
+	if j := &c.judgement; j.Verdict == targetend.Undecided && !j.EndsLikeCut() {
 		j.Verdict, j.Reason = targetend.Whole, becausePromised
 	}
 }
@@ -366,16 +368,16 @@
 	case j.Verdict != targetend.Undecided:
 	case c.mayBeBelieved() && !c.attempt.mayGoOnElsewhere():
 		j.Verdict, j.Reason = targetend.Whole, becauseBeganToLeave
-	case c.isAnnouncedMeanwhile():
+	case !j.EndsLikeCut() && c.isAnnouncedMeanwhile():
 		j.Verdict, j.Reason = targetend.Whole, becauseAnnounced
 	}
 }
 
 // mayBeBelieved reports whether an end that is undecided is believed if the stream cannot go on elsewhere: the
-// target answers that it leaves, and no other stream ended with it.
+// target answers that it leaves, no other stream ended with it, and its timing is not that of a cut.
 func (c *endCheck) mayBeBelieved() bool {
 	keepsConnection := c.doubt == announcedClose || c.doubt == unconfirmed || c.doubt == endedBetweenEvents
-	return c.run.Liveness == Leaving && keepsConnection && c.judgement.Others == 0
+	return c.run.Liveness == Leaving && keepsConnection && c.judgement.Others == 0 && !c.judgement.EndsLikeCut()
 }
 
 // isAnnouncedMeanwhile waits for the list of targets to say that the target leaves, as it had answered, and
@@ -448,9 +450,12 @@
 // although it was to leave, or it had finished its work on a plain response before it wrote the body.
 func (c *endCheck) isExpected() bool {
 	kind := c.attempt.request.route.Kind
-	return c.doubt == announcedClose || kind == state.IdempotentRoute || kind == state.NonIdempotentRoute
+	return c.announcedAtBegin() || kind == state.IdempotentRoute || kind == state.NonIdempotentRoute
 }
 
+// announcedAtBegin reports whether the target had announced the close of the connection when the response began.
+func (c *endCheck) announcedAtBegin() bool { return c.doubt == announcedClose && !c.withdrawn }
+
 // sinceEnd returns the time since the end of the response.
 func (c *endCheck) sinceEnd() time.Duration { return time.Since(c.arrivedAt) }
 
@@ -466,8 +471,8 @@
 	return ctx.Err() == nil
 }
 
-// askOthers asks other entries what they have seen of the target. Earlier answers still count: an entry
-// may be silent later.
+// askOthers asks other entries what they have seen of the target. The earlier answer of an entry counts until
+// it has answered again: it may be silent later.
 func (c *endCheck) askOthers() {
 	a := c.attempt
 	cfg := &a.request.service.cfg
@@ -482,6 +487,9 @@
 		return
 	}
 	cfg.Counters.Add("end_peers.told")
+	c.seenElsewhere = slices.DeleteFunc(c.seenElsewhere, func(earlier targetend.Report) bool {
+		return earlier.Entry != "" && slices.ContainsFunc(answers, func(r targetend.Report) bool { return r.Entry == earlier.Entry })
+	})
 	c.seenElsewhere = append(c.seenElsewhere, answers...)
 }
 
