--- a/internal/coordination/gateway/endtiming.go
+++ b/internal/coordination/gateway/endtiming.go
@@ -96,7 +96,7 @@
 
 // learnTiming records the timing of the end of a stream that was whole.
 func (a *attempt) learnTiming() {
-	a.request.service.targets.Learn(a.grant.Target.Service, a.timing)
+	a.request.service.targets.Learn(a.grant.Target.Service, a.timing, a.times.gap())
 }
 
 // logTiming describes how the end of a response followed its last event.
--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -154,15 +154,18 @@
 	j := Judgement{Timing: e.Timing}
 	survives := false
 	coincidence := coincidenceRate(e.At, reports)
+	inStep := Weight(0) // of the others that ended with their last event
 	for i := range reports {
 		r := &reports[i]
 		j.GoOn += len(r.Open)
-		n, weight := r.weighTogether(e.At, coincidence)
+		n, weight, least := r.weighTogether(e.At, coincidence)
 		j.Together += n
 		j.Others += weight
+		inStep = min(inStep, least)
 		j.Refusing = max(j.Refusing, r.refusingAt(e.At))
 		survives = survives || r.survives(e.At)
 	}
+	j.Others += inStep
 	known, weight := j.weighTarget(&e)
 	j.Sum = weight + j.Timing + j.Others
 	switch {
@@ -239,9 +242,10 @@
 }
 
 // weighTogether returns the number of other streams that may have ended at the same moment, and what they
-// weigh, where streams that go on end at that moment at the given rate. One whose own end speaks for a whole
-// response weighs less.
-func (r *Report) weighTogether(end time.Time, coincidence float64) (n int, w Weight) {
+// weigh, where streams that go on end at that moment at the given rate. Those that ended with their last event
+// weigh less, and count once, with the least weight: a target whose batch moves in steps ends several whole
+// streams at one step.
+func (r *Report) weighTogether(end time.Time, coincidence float64) (n int, sum, inStep Weight) {
 	for i, age := range r.Ended {
 		if r.Earliest.Add(-age).After(end.Add(togetherTime)) || r.Latest.Add(-age).Before(end.Add(-togetherTime)) {
 			continue
@@ -251,9 +255,14 @@
 		if i < len(r.EndedTimings) {
 			timing = r.EndedTimings[i]
 		}
-		w += min(0, weightOf(coincidence, endsWhenCut)+timing)
+		weight := min(0, weightOf(coincidence, endsWhenCut)+timing)
+		if timing > 0 {
+			inStep = min(inStep, weight)
+		} else {
+			sum += weight
+		}
 	}
-	return n, w
+	return n, sum, inStep
 }
 
 // refusingAt returns for how long the target had at least refused connections at the end.
--- a/internal/coordination/targetend/log.go
+++ b/internal/coordination/targetend/log.go
@@ -22,7 +22,7 @@
 	mu      sync.Mutex
 	targets map[state.TargetID]*target
 	sweptAt time.Time
-	timings map[state.Service]*timingRates // at ends that were whole
+	timings map[state.Service]*serviceEnds // at ends that were whole
 	late    float64                        // mean delay of the reads of events, ns
 }
 
--- a/internal/coordination/targetend/timing.go
+++ b/internal/coordination/targetend/timing.go
@@ -56,6 +56,15 @@
 // timingRates are how often each timing was seen at whole ends of a service.
 type timingRates [timings]float64
 
+// serviceEnds is what is known of the whole ends of a service.
+type serviceEnds struct {
+	rates timingRates
+	gap   float64 // mean time between two events, ns; 0 if it is not known
+}
+
+// gapSamples is the number of streams over which the time between events is averaged.
+const gapSamples = 64
+
 // assumedRates count like ends that were seen: until some have been, little is known of how the targets of a
 // service end their responses. Some return from their handlers long after the last event.
 var assumedRates = timingRates{WithLastEvent: 2, SoonAfter: 1, BetweenEvents: 1}
@@ -111,20 +120,26 @@
 // minRate bounds rates, so that no sign alone outweighs all others.
 const minRate = 0.005
 
-// Learn records the timing of the end of a response that was whole.
-func (l *Log) Learn(service state.Service, t Timing) {
+// Learn records the timing of the end of a response that was whole, and the mean time between two of its
+// events; 0 if it had fewer.
+func (l *Log) Learn(service state.Service, t Timing, gap time.Duration) {
 	if t == TimingUnknown {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.timings == nil {
-		l.timings = make(map[state.Service]*timingRates)
+		l.timings = make(map[state.Service]*serviceEnds)
+	}
+	known := l.timings[service]
+	if known == nil {
+		known = &serviceEnds{gap: float64(gap)}
+		l.timings[service] = known
 	}
-	if l.timings[service] == nil {
-		l.timings[service] = new(timingRates)
+	known.rates.add(t)
+	if gap > 0 {
+		known.gap += (float64(gap) - known.gap) / gapSamples
 	}
-	l.timings[service].add(t)
 }
 
 // lateSamples is the number of events over which the delay of reads is averaged.
@@ -138,18 +153,24 @@
 }
 
 // TimingWeight returns the weight of the timing of an end, of a stream with the given mean time between
-// two events. It is 0 if one of them is not known.
+// two events, 0 if it had fewer: then that of the service is taken. The weight is 0 if nothing is known.
 func (l *Log) TimingWeight(service state.Service, t Timing, gap time.Duration) Weight {
-	if t == TimingUnknown || gap <= 0 {
+	if t == TimingUnknown {
 		return 0
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rates := l.timings[service]
-	if rates == nil {
-		rates = new(timingRates)
+	known := l.timings[service]
+	if known == nil {
+		known = new(serviceEnds)
+	}
+	if gap <= 0 {
+		gap = time.Duration(known.gap)
+	}
+	if gap <= 0 {
+		return 0
 	}
-	w := weightOf(max(minRate, rates.of(t)), max(minRate, atCutEnds(t, gap, time.Duration(l.late))))
+	w := weightOf(max(minRate, known.rates.of(t)), max(minRate, atCutEnds(t, gap, time.Duration(l.late))))
 	if t != WithLastEvent { // what is rare at both kinds of ends does not speak for a whole one
 		return min(0, w)
 	}
