--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -114,7 +114,7 @@
 	becauseNotRefused  = "connections_not_refused"
 	becauseRunsBeside  = "runs_beside"
 	becauseNoEvent     = "no_event"
-	// The target that answered is full, or had said before that it leaves.
+	// The target that answered is full.
 	becauseSameIncarnation = "same_incarnation"
 	becauseBeganToLeave    = "began_to_leave"
 	becausePromised        = "may_be_whole_as_promised"
@@ -143,7 +143,7 @@
 	if c.run.Liveness == Running {
 		a.learnTiming()
 	}
-	if c.judgement.Verdict == targetend.Undecided && c.mayBeBelieved() {
+	if a.grant.Events > 0 && c.judgement.Verdict == targetend.Undecided && c.mayBeBelieved() {
 		a.request.believable = &believableEnd{attempt: a, head: head}
 	}
 	switch {
