--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -143,7 +143,7 @@
 	if c.run.Liveness == Running {
 		a.learnTiming()
 	}
-	if a.grant.Events > 0 && c.judgement.Verdict == targetend.Undecided && c.mayBeBelieved() {
+	if a.timingWeight > 0 && c.judgement.Verdict == targetend.Undecided && c.mayBeBelieved() {
 		a.request.believable = &believableEnd{attempt: a, head: head}
 	}
 	switch {
