Gateway: one reading of when the end of a response arrived

Read once more: the arrival of an end was asked for by two functions and again by the timing, so that the kernel was asked three times at each end of a stream. Both functions and the samples of late reads use endTimeOf, and the end of a stream is logged with the time that its timing has. checkEnd spelled out what lengthShowsEnd says, and judgeHere, which judges by the answers of other entries too, is judgeSoFar and serves all three places that set the judgement.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -345,7 +345,7 @@
 	if a.endsEarly() {
 		return a.outcomeOf(errEndsEarly), errEndsEarly
 	}
-	arrivedAt, _ := endArrivedAt(ex)
+	arrivedAt, _ := a.end.arrivedAt()
 	a.logged.EndTimed(arrivedAt, a.timingWeight)
 	if !head.EndsWithConnection { // the slot is free while the end is checked
 		a.request.service.cfg.Scheduler.Ended(a.grant)
--- a/internal/coordination/gateway/endtiming.go
+++ b/internal/coordination/gateway/endtiming.go
@@ -29,30 +29,29 @@
 	t.events++
 }
 
+// gap returns the mean time between two events, or 0 if it is not known.
+func (t *eventTimes) gap() time.Duration {
+	if t.events < 2 {
+		return 0
+	}
+	return t.lastAt.Sub(t.firstAt) / time.Duration(t.events-1)
+}
+
 // lateSampleInterval is the number of events of a stream of which one is a sample of how late they are read.
 const lateSampleInterval = 4
 
 // sampleDelay records for the log of ends how late the event that was read last may have been read.
 func (a *attempt) sampleDelay(ex Exchange) {
-	w, ok := ex.(ConnectionWatcher)
-	if !ok || a.times.events%lateSampleInterval != 1 {
+	if a.times.events%lateSampleInterval != 1 {
 		return
 	}
-	if earliest, latest, known := w.Received(); known {
-		arrived := earliest.Add(latest.Sub(earliest) / 2)
+	if e := endTimeOf(ex); e.known {
+		arrived := e.earliest.Add(e.latest.Sub(e.earliest) / 2)
 		a.request.service.targets.ReadLate(max(0, a.times.lastAt.Sub(arrived)))
 	}
 }
 
-// gap returns the mean time between two events, or 0 if it is not known.
-func (t *eventTimes) gap() time.Duration {
-	if t.events < 2 {
-		return 0
-	}
-	return t.lastAt.Sub(t.firstAt) / time.Duration(t.events-1)
-}
-
-// endTime says when the end of a response was read, and when it may have arrived.
+// endTime says when the last data of a response, its end as a rule, was read, and when it may have arrived.
 type endTime struct {
 	readAt, earliest, latest time.Time
 	known                    bool // earliest and latest are known
@@ -67,10 +66,32 @@
 	return e
 }
 
+// arrivedAt returns the earliest time at which the end may have arrived. known is false if that is not known;
+// at is the time at which it was read then.
+func (e *endTime) arrivedAt() (at time.Time, known bool) {
+	if e.known {
+		return e.earliest, true
+	}
+	return e.readAt, false
+}
+
+// endArrivedAt is endTime.arrivedAt of a response that has just been read.
+func endArrivedAt(ex Exchange) (at time.Time, known bool) {
+	e := endTimeOf(ex)
+	return e.arrivedAt()
+}
+
+// receivedAt returns the earliest time at which the last data of a response may have arrived, if that
+// is known.
+func receivedAt(ex Exchange) (at time.Time, known bool) {
+	e := endTimeOf(ex)
+	return e.earliest, e.known
+}
+
 // timing returns how the end of a response followed its last event. It is unknown where the entry, which was
 // paused or wrote to the caller, may have read the event or the end late.
 func (t *eventTimes) timing(e *endTime) targetend.Timing {
-	if t.events == 0 || e.readAt.IsZero() {
+	if t.events == 0 {
 		return targetend.TimingUnknown
 	}
 	timing := targetend.TimingOf(e.readAt.Sub(t.lastAt))
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -64,26 +64,6 @@
 // target that cannot be asked, for example because it is full, is believed.
 func (d endDoubt) needsProof() bool { return d >= unannouncedClose }
 
-// receivedAt returns the earliest time at which the last data of a response may have arrived, if that
-// is known.
-func receivedAt(ex Exchange) (at time.Time, known bool) {
-	w, ok := ex.(ConnectionWatcher)
-	if !ok {
-		return time.Time{}, false
-	}
-	at, _, known = w.Received()
-	return at, known
-}
-
-// endArrivedAt returns when the end of a response arrived, which has been read. known is false if that is
-// not known; at is the present time then.
-func endArrivedAt(ex Exchange) (at time.Time, known bool) {
-	if at, known = receivedAt(ex); known {
-		return at, true
-	}
-	return time.Now(), false
-}
-
 // endCheck checks an end of a response that does not show that the response is complete.
 type endCheck struct {
 	attempt  *attempt
@@ -127,7 +107,7 @@
 // writes the last chunk, or states a length of 0 if nothing was written. empty says that the body has
 // nothing.
 func (a *attempt) checkEnd(head *state.Response, ex Exchange, empty bool) error {
-	if head.HasLength && !(empty && mayHaveBody(a.request.call.Method, head.Status)) || !head.EndsWithConnection && !isSuccess(head.Status) {
+	if a.lengthShowsEnd(head, empty) || !head.EndsWithConnection && !isSuccess(head.Status) {
 		return nil
 	}
 	// What the target does behind the end is compared with when the end arrived. It may be read later.
@@ -351,7 +331,7 @@
 // other streams nor other entries are asked for more. A stream that is open elsewhere and may have ended since does
 // not outweigh the timing of a cut.
 func (c *endCheck) judgePromised() {
-	if c.judgeHere(); c.judgement.SpeaksForCut() {
+	if c.judgeSoFar(); c.judgement.SpeaksForCut() {
 		c.judgeByStreams()
 	}
 	if j := &c.judgement; j.Verdict == targetend.Undecided && !j.EndsLikeCut() {
@@ -410,17 +390,17 @@
 // shuts down may finish its streams. As long as others go on here, it waits to see whether they survive.
 // Other entries are asked where that does not decide, once more if streams go on there or none answered.
 func (c *endCheck) judgeByStreams() {
-	for c.judgeHere() && c.judgement.GoOn > 0 && c.waitUntil(min(c.sinceEnd()+survivorPollInterval, targetend.SurvivalTime)) {
+	for c.judgeSoFar() && c.judgement.GoOn > 0 && c.waitUntil(min(c.sinceEnd()+survivorPollInterval, targetend.SurvivalTime)) {
 	}
 	if !c.judgement.NeedsOthers() {
 		return
 	}
 	c.askOthers()
-	c.judgement = c.judgeByAll()
+	c.judgeSoFar()
 	if c.mayLearnMore() {
 		c.waitUntil(targetend.SurvivalTime)
 		c.askOthers()
-		c.judgement = c.judgeByAll()
+		c.judgeSoFar()
 	}
 }
 
@@ -430,8 +410,8 @@
 	return c.questions > 0 && c.judgement.Verdict != targetend.Whole && (unanswered || c.judgement.GoOn > 0) && c.attempt.ctx.Err() == nil
 }
 
-// judgeHere judges by what this entry has seen, and reports whether that leaves the end undecided.
-func (c *endCheck) judgeHere() (undecided bool) {
+// judgeSoFar judges by what is known, and reports whether that leaves the end undecided.
+func (c *endCheck) judgeSoFar() (undecided bool) {
 	c.judgement = c.judgeByAll()
 	return c.judgement.Verdict == targetend.Undecided
 }
