State: one place says which statuses have no body

Behaviour and assertions as before; the tests of the gateway, the engine client and the HTTP server pass.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -227,7 +227,7 @@
 
 // mayHaveBody reports whether a response to a method with a status may have a body.
 func mayHaveBody(method string, status int) bool {
-	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+	return method != http.MethodHead && state.StatusMayHaveBody(status)
 }
 
 // outcomeOf classifies an attempt that got no complete response by its error and
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"net/http"
 	"slices"
 	"time"
 )
@@ -162,6 +163,11 @@
 // counterpart in the messages between entries and side processes.
 type HeaderField struct{ Name, Value string }
 
+// StatusMayHaveBody reports whether responses with a final status may have a body (RFC 9112, section 6.3).
+func StatusMayHaveBody(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // Response is the head of a target's response.
 type Response struct {
 	Status    int
--- a/internal/transport/engine/plain.go
+++ b/internal/transport/engine/plain.go
@@ -67,13 +67,13 @@
 }
 
 // forwardResponse passes the response to emit. headRequest says that the request is
-// a HEAD request. The end of a response that has no body is known from its head. Reading a body that is shorter than its Content-Length, or a stream of
-// events that was broken off, ends with an error other than io.EOF. A body without length or
-// chunks is not complete if the target has ended with it. Targets of side processes have no identity
+// a HEAD request. The end of a response that has no body is known from its head. Reading a body that is
+// shorter than its Content-Length, or a stream of events that was broken off, ends with an error other
+// than io.EOF. A body without length or chunks is not complete if the target has ended with it. Targets of side processes have no identity
 // that they could be asked for, so that one whose address still accepts connections counts as running.
 func (c *Client) forwardResponse(ctx context.Context, call *httpCall, headRequest bool, emit func(state.AttemptEvent)) error {
 	emit(responseHead(call, headRequest))
-	mayHaveBody := !headRequest && !isBodiless(call.status())
+	mayHaveBody := !headRequest && state.StatusMayHaveBody(call.status())
 	endsWithConnection := mayHaveBody && call.response.Header.ContentLength() == noLengthOrChunks
 	body := newPlainBodyReader(call, mayHaveBody)
 	var offset uint64
@@ -98,12 +98,6 @@
 	}
 }
 
-// isBodiless reports whether responses with a status have no body (RFC 9112, section 6.3). Interim
-// responses are skipped by the HTTP library.
-func isBodiless(status int) bool {
-	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
-}
-
 // responseHead returns the status and the forwarded header fields. Content-Length is
 // kept only for a HEAD request, whose response has no body.
 func responseHead(call *httpCall, headRequest bool) *state.Head {
--- a/internal/transport/engine/plainend_test.go
+++ b/internal/transport/engine/plainend_test.go
@@ -28,12 +28,7 @@
 		{"ends behind status 204", http.MethodGet, "", http.StatusNoContent, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			listener, err := net.Listen("tcp4", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer listener.Close()
-			go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			err := runAtPlainService(t, c.method, func(w http.ResponseWriter, end func()) {
 				w.Header().Set("Content-Type", "text/event-stream")
 				w.WriteHeader(c.status)
 				if c.body != "" {
@@ -41,11 +36,9 @@
 					http.NewResponseController(w).Flush() // in chunks
 				}
 				if c.ends {
-					listener.Close()
+					end()
 				}
-			}))
-			client := New(Config{Address: listener.Addr().String(), PlainService: true, Log: zap.NewNop()})
-			_, err = client.Run(t.Context(), testAttempt, &state.Request{Kind: state.PlainCall, Method: c.method, Path: "/x"}, func(state.AttemptEvent) {})
+			})
 			var unknown *side.UnknownOutcomeError
 			if errors.As(err, &unknown) != c.unknown || !c.unknown && err != nil {
 				t.Errorf("error %v, want unknown %t", err, c.unknown)
@@ -53,3 +46,21 @@
 		})
 	}
 }
+
+// runAtPlainService runs a request at a plain service of its own, and returns its error. handle answers it, and
+// may end the service, which accepts no connection then.
+func runAtPlainService(t *testing.T, method string, handle func(w http.ResponseWriter, end func())) error {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		handle(w, func() { listener.Close() })
+	}))
+	client := New(Config{Address: listener.Addr().String(), PlainService: true, Log: zap.NewNop()})
+	req := &state.Request{Kind: state.PlainCall, Method: method, Path: "/x"}
+	_, err = client.Run(t.Context(), testAttempt, req, func(state.AttemptEvent) {})
+	return err
+}
--- a/internal/transport/engine/streamend_test.go
+++ b/internal/transport/engine/streamend_test.go
@@ -5,14 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/cassiaramp/cassiaramp/internal/coordination/side"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -63,20 +60,13 @@
 func TestPlainResponseEndingWithItsTargetIsUnknown(t *testing.T) {
 	for _, mediaType := range []string{"text/event-stream", "text/plain"} {
 		for _, crashes := range []bool{false, true} {
-			listener, err := net.Listen("tcp4", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer listener.Close()
-			go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			err := runAtPlainService(t, http.MethodGet, func(w http.ResponseWriter, end func()) {
 				w.Header().Set("Content-Type", mediaType)
 				w.Header().Set("Transfer-Encoding", "identity") // neither a length nor chunks
 				if io.WriteString(w, "data: a\n\n"); crashes {
-					listener.Close()
+					end()
 				}
-			}))
-			client := New(Config{Address: listener.Addr().String(), PlainService: true, Log: zap.NewNop()})
-			_, err = client.Run(t.Context(), testAttempt, &state.Request{Kind: state.PlainCall, Method: "GET", Path: "/x"}, func(state.AttemptEvent) {})
+			})
 			var unknown *side.UnknownOutcomeError
 			if errors.As(err, &unknown) != crashes {
 				t.Errorf("%s, crashes %t: error %v", mediaType, crashes, err)
--- a/internal/transport/gatewayhttp/server.go
+++ b/internal/transport/gatewayhttp/server.go
@@ -372,7 +372,7 @@
 // Respond implements gateway.Responder.
 func (o *responder) Respond(r *state.Response, body []byte) error {
 	o.setHeader(r)
-	if r.Status != http.StatusNoContent && r.Status != http.StatusNotModified {
+	if state.StatusMayHaveBody(r.Status) {
 		o.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	if err := o.extendWriteDeadline(); err != nil {
