Fault soak: the logs of entries are read by one function

The counts of signs repeated the loop of the judge over the entries' logs. Behaviour as before; the tests of the judge and of the counts pass.

--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"iter"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -328,20 +329,38 @@
 			fmt.Fprintf(&b, ", the target was ended: %s", how)
 		}
 	}
-	paths, _ := filepath.Glob(filepath.Join(d.world.logDirectory, "*.log")) // the pattern is valid
-	for _, path := range paths {
-		f, err := os.Open(path)
-		if err != nil {
-			d.world.t.Log(err)
-			continue
+	for name, line := range d.world.logLines() {
+		if strings.Contains(line, "request="+a.id+" ") {
+			fmt.Fprintf(&b, "\n  %s: %s", name, line)
 		}
-		lines := bufio.NewScanner(f)
-		for lines.Scan() {
-			if strings.Contains(lines.Text(), "request="+a.id+" ") {
-				fmt.Fprintf(&b, "\n  %s: %s", filepath.Base(path), lines.Text())
+	}
+	return b.String()
+}
+
+// logLines returns the lines that the entries have logged, with the names of the files.
+func (w *world) logLines() iter.Seq2[string, string] {
+	return func(yield func(name, line string) bool) {
+		paths, _ := filepath.Glob(filepath.Join(w.logDirectory, "*.log")) // the pattern is valid
+		for _, path := range paths {
+			if !w.readLog(path, yield) {
+				return
 			}
 		}
-		f.Close()
 	}
-	return b.String()
+}
+
+// readLog passes on the lines of a file until yield returns false, which it returns then.
+func (w *world) readLog(path string, yield func(name, line string) bool) bool {
+	f, err := os.Open(path)
+	if err != nil {
+		w.t.Log(err)
+		return true
+	}
+	defer f.Close()
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		if !yield(filepath.Base(path), lines.Text()) {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/faultsoak/timings_test.go
+++ b/internal/faultsoak/timings_test.go
@@ -1,7 +1,6 @@
 package faultsoak
 
 import (
-	"bufio"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -32,30 +31,20 @@
 // endSigns reads the logs of the entries.
 func (d *deploymentRun) endSigns() endSigns {
 	s := endSigns{make(map[string]int), make(map[string]int)}
-	paths, _ := filepath.Glob(filepath.Join(d.world.logDirectory, "*.log")) // the pattern is valid
 	seen := make(map[[2]string]bool)
-	for _, path := range paths {
-		f, err := os.Open(path)
-		if err != nil {
-			d.world.t.Log(err)
+	for _, line := range d.world.logLines() {
+		m := endLine.FindStringSubmatch(line)
+		if m == nil || seen[[2]string{m[2], m[3]}] {
 			continue
 		}
-		lines := bufio.NewScanner(f)
-		for lines.Scan() {
-			m := endLine.FindStringSubmatch(lines.Text())
-			if m == nil || seen[[2]string{m[2], m[3]}] {
-				continue
+		seen[[2]string{m[2], m[3]}] = true
+		signs := []string{m[4]}
+		if o := othersSign.FindStringSubmatch(line); o != nil {
+			if w, err := strconv.ParseFloat(o[1], 64); err == nil && w <= othersSpeakForCut {
+				signs = append(signs, "ended_together")
 			}
-			seen[[2]string{m[2], m[3]}] = true
-			signs := []string{m[4]}
-			if o := othersSign.FindStringSubmatch(lines.Text()); o != nil {
-				if w, err := strconv.ParseFloat(o[1], 64); err == nil && w <= othersSpeakForCut {
-					signs = append(signs, "ended_together")
-				}
-			}
-			d.countSigns(s, m[2], m[3], signs)
 		}
-		f.Close()
+		d.countSigns(s, m[2], m[3], signs)
 	}
 	return s
 }
