Ends that stay undecided are believed where their timing speaks for a whole response

Callers saw: whole streams broken off, or with one event too many where they may be resumed, when their target finished them and had gone by the time of the check, above all behind a relay, which accepts for a target that has gone. Cause: weak evidence of a cut decided. An undecided end was broken off or resumed whatever its signs said, and signs were weighed only if connections were refused. Change: the signs are weighed on every path. An end that stays undecided, came with its last event and has a positive sum is whole. Streams without length or chunks have a timing too, where it speaks for them. Evidence: TestUndecidedEndIsJudgedByItsTiming, 10 of 20 cases failed before; its exchanges now state when their end arrived, as the kernel does.

--- a/internal/coordination/gateway/endlikelihood_test.go
+++ b/internal/coordination/gateway/endlikelihood_test.go
@@ -28,6 +28,11 @@
 
 func (closingExchange) StaysOpen(time.Duration) bool { return false }
 
+// Received returns the time of the read, as on a machine that is not busy.
+func (closingExchange) Received() (earliest, latest time.Time, known bool) {
+	return time.Now(), time.Now(), true
+}
+
 // Guards against whole streams that are broken off, or resumed behind their last event, because nothing proves
 // that their target finished them: it shuts down, and behind a relay, or at an address that another target has
 // taken, connections are not refused. Of a stream without length or chunks, the same holds on each path.
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -91,7 +91,6 @@
 	becauseNotAsked    = "target_not_asked"
 	becauseCutShort    = "check_cut_short"
 	becauseTimeUnknown = "time_of_end_unknown"
-	becauseNotRefused  = "connections_not_refused"
 	becauseRunsBeside  = "runs_beside"
 	becauseNoEvent     = "no_event"
 	// The target that answered is full.
@@ -99,6 +98,7 @@
 	becauseBeganToLeave    = "began_to_leave"
 	becausePromised        = "may_be_whole_as_promised"
 	becauseAnnounced       = "announced_meanwhile"
+	becauseLikelyWhole     = "likely_whole"
 )
 
 // checkEnd returns an error if the end of a response does not show that the response is complete: it
@@ -281,7 +281,7 @@
 	again := c.doubt.needsProof() && !a.mayGoOnElsewhere()
 	for {
 		c.run = a.request.service.cfg.TargetClient.CheckRunning(ctx, &a.grant.Target, c.healthPath())
-		if !again || !c.run.TimedOut || c.run.SameIncarnation || ctx.Err() != nil {
+		if !again || !c.run.TimedOut || c.run.SameIncarnation || ctx.Err() != nil || c.isLikelyWhole() {
 			return
 		}
 	}
@@ -292,7 +292,7 @@
 	a := c.attempt
 	log := &a.request.service.targets
 	undecided := func(reason string) { c.judgement = targetend.Judgement{Reason: reason} }
-	whole := func(reason string) { c.judgement = targetend.Judgement{Verdict: targetend.Whole, Reason: reason} }
+	whole := func(reason string) { c.judgement.Verdict, c.judgement.Reason = targetend.Whole, reason }
 	c.drained = c.targetDrained()
 	if c.run.Refused {
 		log.Refuses(a.grant.Target.ID, c.refusesSince())
@@ -315,8 +315,6 @@
 		c.judgePromised()
 	case c.run.Liveness == Leaving:
 		c.judgeLeaving()
-	case !c.run.Refused:
-		undecided(becauseNotRefused)
 	case !c.timeKnown && c.doubt != connectionEnd:
 		undecided(becauseTimeUnknown)
 	case a.race.contested(): // the other attempt answers
@@ -324,6 +322,15 @@
 	default:
 		c.judgeByStreams()
 	}
+	if c.judgement.IsLikelyWhole() {
+		whole(becauseLikelyWhole)
+	}
+}
+
+// isLikelyWhole reports whether the signs that are known so far speak for a whole response.
+func (c *endCheck) isLikelyWhole() bool {
+	j := c.judgeByAll()
+	return j.IsLikelyWhole()
 }
 
 // judgePromised judges the end of a response whose target had said before that it leaves, and still answers.
--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -131,6 +131,12 @@
 // EndsLikeCut reports whether the timing of the end is by itself sufficient to take it for a cut.
 func (j *Judgement) EndsLikeCut() bool { return j.Timing <= -sufficientWeight }
 
+// IsLikelyWhole reports whether an end that nothing decides came with the last event, and the signs together
+// speak more for a whole response than for a cut one. Such a response is neither broken off nor resumed.
+func (j *Judgement) IsLikelyWhole() bool {
+	return j.Verdict == Undecided && j.Timing > 0 && j.Sum > 0
+}
+
 // End is the end of a response.
 type End struct {
 	At time.Time // when it arrived
