Streams without length or chunks stay undecided where only their timing speaks for them

A process that is killed ends them like one that finishes them, and a busy entry reads the last event and the close at once.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -55,7 +55,6 @@
 	end          endTime
 	timing       targetend.Timing
 	timingWeight targetend.Weight
-	unmarked     bool // only the end of the connection marks the end
 }
 
 // newAttempt returns an attempt at the target of a grant. ctx ends with the request, and
--- a/internal/coordination/gateway/endtiming.go
+++ b/internal/coordination/gateway/endtiming.go
@@ -105,22 +105,18 @@
 }
 
 // recordEndTiming records the timing of the end of a stream, which was read. Where only the end of the
-// connection marks it, one between events tells nothing: the close may be passed on late.
+// connection marks it, there is none: a process that is killed ends its connections too.
 func (a *attempt) recordEndTiming(head *state.Response, ex Exchange) {
 	a.end = endTimeOf(ex)
-	a.timing = a.times.timing(&a.end)
-	a.timingWeight = a.request.service.targets.TimingWeight(a.grant.Target.Service, a.timing, a.times.gap())
 	if head.EndsWithConnection {
-		a.unmarked, a.timingWeight = true, max(0, a.timingWeight)
+		return
 	}
+	a.timing = a.times.timing(&a.end)
+	a.timingWeight = a.request.service.targets.TimingWeight(a.grant.Target.Service, a.timing, a.times.gap())
 }
 
-// learnTiming records the timing of the end of a stream that was whole, if more than the end of the connection
-// marks it.
+// learnTiming records the timing of the end of a stream that was whole.
 func (a *attempt) learnTiming() {
-	if a.unmarked {
-		return
-	}
 	a.request.service.targets.Learn(a.grant.Target.Service, a.timing, a.times.gap())
 }
 
