An end whose signs speak for a whole response is believed although they do not decide

Cause: the sum of signs must be 10 to decide. A stream of a target that had refused connections for 499 ms (+15), which ended 5.9 ms after its last event (-5.1), had 9.9, stayed undecided and was broken off. Change: of an undecided end the sign of the sum counts, whatever its timing. Ends that only the connection marks stay undecided.

--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -131,10 +131,11 @@
 // EndsLikeCut reports whether the timing of the end is by itself sufficient to take it for a cut.
 func (j *Judgement) EndsLikeCut() bool { return j.Timing <= -sufficientWeight }
 
-// IsLikelyWhole reports whether an end that nothing decides came with the last event, and the signs together
-// speak more for a whole response than for a cut one. Such a response is neither broken off nor resumed.
+// IsLikelyWhole reports whether the signs of an end that nothing decides speak more for a whole response than
+// for a cut one. Such a response is neither broken off nor resumed. An end that only the connection marks has
+// too few signs for that: a process that is killed ends its connections like one that closes them.
 func (j *Judgement) IsLikelyWhole() bool {
-	return j.Verdict == Undecided && j.Timing > 0 && j.Sum > 0
+	return j.Verdict == Undecided && j.Reason != endNotMarked && j.Sum > 0
 }
 
 // End is the end of a response.
--- a/internal/coordination/targetend/timing_test.go
+++ b/internal/coordination/targetend/timing_test.go
@@ -55,6 +55,36 @@
 	}
 }
 
+// Guards against whole responses that are broken off although their signs speak for them, such as the last one
+// of a target that had refused connections for half a second, because its end was read a little late; and
+// against cut ones that are believed because no sign speaks against them.
+func TestIsLikelyWhole(t *testing.T) {
+	at := time.Now()
+	refusing := Seen{Refusing: time.Second}
+	for _, c := range []struct {
+		name string
+		end  End
+		seen Seen
+		want bool
+	}{
+		{"refused long before, read a little late", End{Timing: -5.1}, refusing, true},
+		{"ended with its last event", End{Timing: 8}, Seen{}, true},
+		{"ended with its last event, as another one", End{Timing: 8}, Seen{Ended: []time.Duration{0}, EndedTimings: []Weight{12}}, true},
+		{"refused long before, between events", End{Timing: -16}, refusing, false},
+		{"nothing known", End{}, Seen{}, false},
+		{"often ends so when it is cut", End{Timing: 4}, Seen{}, false},
+		{"another one was cut with it", End{Timing: 8}, Seen{Ended: []time.Duration{0}, EndedTimings: []Weight{-14}}, false},
+		{"without length or chunks", End{Unmarked: true}, refusing, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.end.At = at
+			if j := Judge(c.end, Report{Seen: c.seen, Earliest: at, Latest: at}); j.IsLikelyWhole() != c.want {
+				t.Errorf("likely whole %t, want %t (%+v)", j.IsLikelyWhole(), c.want, j)
+			}
+		})
+	}
+}
+
 // Guards against a target that ends many streams a second and of which each coincidence counts like a rare one.
 func TestCoincidencesAtBusyTarget(t *testing.T) {
 	end := time.Now()
