Gateway: a whole answer is kept while a second attempt runs

Cause: an answer that only signs show to be whole, since its target has ended, was undecided as soon as a second attempt of its request ran (runs_beside), and dropped. If that attempt failed later, the caller got an error although an answer was there.

Change: such an answer is judged like any other. If it is whole, it is kept until the attempt beside it has ended, was silent for as long as a target may be before another one takes over, or the time of the request is over. An answer of the attempt beside goes first. The line "answer kept beside another attempt" and answer_kept.UNTIL show it.

--- /dev/null
+++ b/internal/coordination/gateway/keptanswer_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// Guards against whole answers of targets that have ended that are thrown away, or held back for too long,
+// because another attempt runs beside them; and against those that are preferred to an answer that is proved.
+func TestAnswerOfEndedTargetIsKeptWhileAnotherAttemptRuns(t *testing.T) {
+	finishes := func(body string) behaviour {
+		return func(ctx context.Context, f *Forward) (Exchange, error) {
+			ex, err := closingBehind(Ended, true, body)(ctx, f)
+			ex.(*fakeExchange).receivedAt = time.Now()
+			return ex, err
+		}
+	}
+	second := afterwards(100*time.Millisecond, finishes("kept"))
+	for _, c := range []struct {
+		name          string
+		first         behaviour
+		timeout       time.Duration
+		refuses       bool // the targets have refused connections since the begin
+		callerLeaves  bool
+		body          string
+		after, within time.Duration
+	}{
+		{"the other one answers", afterwards(time.Second, respondWith(200, "proved")), 10 * time.Second, true, false, "proved", time.Second, 1010 * time.Millisecond},
+		{"the other one fails", afterwards(time.Second, connectionReset), 10 * time.Second, true, false, "kept", time.Second, 1010 * time.Millisecond},
+		{"the other one gets a status", afterwards(time.Second, respondWith(500, "no")), 10 * time.Second, true, false, "kept", time.Second, 1010 * time.Millisecond},
+		{"the other one is silent", silentTarget, 10 * time.Second, true, false, "kept", 3 * time.Second, 4 * time.Second},
+		{"the other one keeps its answer too", afterwards(time.Second, finishes("kept")), 10 * time.Second, true, false, "kept", time.Second, 1700 * time.Millisecond},
+		{"the time is over", silentTarget, 2 * time.Second, true, false, "kept", 2 * time.Second, 2*time.Second + deadlineSlack + 10*time.Millisecond},
+		{"the caller leaves", silentTarget, 10 * time.Second, true, true, "", 0, 0},
+		{"nothing shows that it is whole", afterwards(time.Second, connectionReset), 10 * time.Second, false, false, "", 0, 0},
+		{"nothing shows that it is whole, the other one answers", afterwards(time.Second, respondWith(200, "proved")), 10 * time.Second, false, false, "proved", time.Second, 1010 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			out, targets, s := hedgedCall(t, "/plain/x", func(s *Service, leave func()) {
+				config := *s.Configuration()
+				config.Version++
+				plain := route("plain", "/plain/", state.IdempotentRoute, false, 2)
+				plain.Timeout, plain.Objective = c.timeout, time.Second
+				config.Routes = []state.Route{plain}
+				s.SetConfiguration(&config)
+				if c.refuses {
+					s.cfg.TargetClient.(*fakeTargetClient).idleClosedAt = time.Now()
+				}
+				if c.callerLeaves {
+					time.AfterFunc(1500*time.Millisecond, leave)
+				}
+			}, c.first, second)
+			if out.body.String() != c.body || len(targets.sends) != 2 || out.aborted != c.callerLeaves {
+				t.Errorf("%q after %d sends, aborted %t, failure %+v; want %q after 2", out.body.String(), len(targets.sends), out.aborted, out.failure, c.body)
+			}
+			if took := s.requestTime("/plain/x"); took < c.after || took > c.within {
+				t.Errorf("answered after %s, want %s to %s", took, c.after, c.within)
+			}
+		})
+	}
+}
--- a/internal/coordination/gateway/race.go
+++ b/internal/coordination/gateway/race.go
@@ -31,6 +31,8 @@
 	// ran is the number of attempts that may have run and have failed beside others.
 	ran  int
 	open *hedge // in progress beside another attempt, or nil
+	// besideEnded is closed when an attempt beside one that keeps its answer has ended; nil if none is kept.
+	besideEnded chan struct{}
 	// tried are the targets of attempts that have ended.
 	tried  []state.TargetID
 	result raceResult
@@ -124,6 +126,45 @@
 	return slices.ContainsFunc(rc.running, func(o *attempt) bool { return o != a && o.arrived.Load() })
 }
 
+// keep holds back a whole answer whose target has ended, so that only signs show that it is whole, while
+// another attempt may bring one that is proved. It returns nil once the answer is to be passed on: the attempt
+// beside has failed or is silent for so long that another target would take over, the time of the request is
+// over, or the attempt beside keeps its answer too. Otherwise, it returns why the attempt was cancelled.
+func (rc *race) keep(a *attempt) error {
+	rc.mu.Lock()
+	if rc.winner != nil || len(rc.running) < 2 || rc.besideEnded != nil {
+		rc.mu.Unlock()
+		return nil
+	}
+	latest := a.sentAt
+	for _, o := range rc.running {
+		if o.sentAt.After(latest) {
+			latest = o.sentAt
+		}
+	}
+	ended := make(chan struct{})
+	rc.besideEnded = ended
+	rc.mu.Unlock()
+	began := time.Now()
+	silent := time.NewTimer(time.Until(latest.Add(rc.request.stallLimit())))
+	defer silent.Stop()
+	var cause error
+	until := "attempt_beside_ended"
+	select {
+	case <-ended:
+	case <-silent.C:
+		until = "attempt_beside_silent"
+	case <-a.ctx.Done():
+		cause = context.Cause(a.ctx)
+		until = "request_ended"
+	}
+	rc.request.logKept(a, until, time.Since(began), cause)
+	if errors.Is(cause, errDeadline) || errors.Is(cause, errStopping) {
+		return nil
+	}
+	return cause
+}
+
 // runs returns the number of attempts of the request that run or may have run.
 func (rc *race) runs() int {
 	rc.mu.Lock()
@@ -251,6 +292,10 @@
 		res.failure = a.failure
 	}
 	settled, rc.open = rc.open, nil
+	if rc.besideEnded != nil {
+		close(rc.besideEnded)
+		rc.besideEnded = nil
+	}
 	if decides {
 		res.last, res.outcome, res.err = a, end.outcome, end.err
 		return true, nil, settled, rc.winner
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -241,6 +241,13 @@
 	r.log.Info("end of response not proved", append(fields, a.logTiming()...)...)
 }
 
+// logKept records for how long the whole answer of a target that has ended was kept beside another attempt.
+func (r *request) logKept(a *attempt, until string, waited time.Duration, cause error) {
+	r.service.cfg.Counters.Add("answer_kept." + until)
+	r.log.Info("answer kept beside another attempt", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
+		zap.Bool("hedge", a.isHedge), zap.String("until", until), zap.Duration("waited", waited), zap.NamedError("cause", cause))
+}
+
 // logStalled records that the target of an attempt has stalled. The attempt goes on until
 // another target has a slot for the request. The caller must hold a.handOver.mu.
 func (r *request) logStalled(a *attempt, mayMoveOn bool) {
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -92,7 +92,6 @@
 	becauseCutShort    = "check_cut_short"
 	becauseTimeUnknown = "time_of_end_unknown"
 	becauseNotRefused  = "connections_not_refused"
-	becauseRunsBeside  = "runs_beside"
 	becauseNoEvent     = "no_event"
 	// The target that answered is full.
 	becauseSameIncarnation = "same_incarnation"
@@ -127,6 +126,8 @@
 		a.request.believable = &believableEnd{attempt: a, head: head}
 	}
 	switch {
+	case c.judgement.Verdict == targetend.Whole && c.run.Liveness == Ended:
+		return a.race.keep(a)
 	case c.judgement.Verdict == targetend.Whole:
 		return nil
 	case c.doubt != connectionEnd:
@@ -319,8 +320,6 @@
 		undecided(becauseNotRefused)
 	case !c.timeKnown && c.doubt != connectionEnd:
 		undecided(becauseTimeUnknown)
-	case a.race.contested(): // the other attempt answers
-		undecided(becauseRunsBeside)
 	default:
 		c.judgeByStreams()
 	}
