--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -91,13 +91,13 @@
 	becauseNotAsked    = "target_not_asked"
 	becauseCutShort    = "check_cut_short"
 	becauseTimeUnknown = "time_of_end_unknown"
-	becauseNotRefused  = "connections_not_refused"
 	becauseNoEvent     = "no_event"
 	// The target that answered is full.
 	becauseSameIncarnation = "same_incarnation"
 	becauseBeganToLeave    = "began_to_leave"
 	becausePromised        = "may_be_whole_as_promised"
 	becauseAnnounced       = "announced_meanwhile"
+	becauseLikelyWhole     = "likely_whole"
 )
 
 // checkEnd returns an error if the end of a response does not show that the response is complete: it
@@ -282,7 +282,7 @@
 	again := c.doubt.needsProof() && !a.mayGoOnElsewhere()
 	for {
 		c.run = a.request.service.cfg.TargetClient.CheckRunning(ctx, &a.grant.Target, c.healthPath())
-		if !again || !c.run.TimedOut || c.run.SameIncarnation || ctx.Err() != nil {
+		if !again || !c.run.TimedOut || c.run.SameIncarnation || ctx.Err() != nil || c.isLikelyWhole() {
 			return
 		}
 	}
@@ -293,7 +293,7 @@
 	a := c.attempt
 	log := &a.request.service.targets
 	undecided := func(reason string) { c.judgement = targetend.Judgement{Reason: reason} }
-	whole := func(reason string) { c.judgement = targetend.Judgement{Verdict: targetend.Whole, Reason: reason} }
+	whole := func(reason string) { c.judgement.Verdict, c.judgement.Reason = targetend.Whole, reason }
 	c.drained = c.targetDrained()
 	if c.run.Refused {
 		log.Refuses(a.grant.Target.ID, c.refusesSince())
@@ -316,13 +316,20 @@
 		c.judgePromised()
 	case c.run.Liveness == Leaving:
 		c.judgeLeaving()
-	case !c.run.Refused:
-		undecided(becauseNotRefused)
 	case !c.timeKnown && c.doubt != connectionEnd:
 		undecided(becauseTimeUnknown)
 	default:
 		c.judgeByStreams()
 	}
+	if c.judgement.IsLikelyWhole() {
+		whole(becauseLikelyWhole)
+	}
+}
+
+// isLikelyWhole reports whether the signs that are known so far speak for a whole response.
+func (c *endCheck) isLikelyWhole() bool {
+	j := c.judgeByAll()
+	return j.IsLikelyWhole()
 }
 
 // judgePromised judges the end of a response whose target had said before that it leaves, and still answers.
