--- a/internal/faultsoak/processes_test.go
+++ b/internal/faultsoak/processes_test.go
@@ -38,6 +38,27 @@
 	exited   chan struct{}
 }
 
+// startProcessAgain serves a target in a process of its own at the address of one that has ended, if it
+// can be had, and behind its relay, if it had one.
+func (d *deploymentRun) startProcessAgain(e, before *engine) {
+	if e.relay = before.relay; e.relay != nil {
+		e.relayAddress = before.relayAddress
+		d.startProcess(e, "127.0.0.1:0")
+		return
+	}
+	d.startProcess(e, before.proxyAddress)
+}
+
+// relayProcess puts a relay before the process of a target.
+func (w *world) relayProcess(e *engine) {
+	if e.relay == nil {
+		e.relay = &emulator.Relay{}
+		e.relayAddress = w.serveOn("127.0.0.1:0", e.relay.Serve)
+	}
+	e.relay.SetTarget(e.proxyAddress)
+	e.proxyAddress = e.relayAddress
+}
+
 // startProcess serves a target in a process of its own, at the address if it can be had.
 func (d *deploymentRun) startProcess(e *engine, address string) {
 	w := d.world
@@ -71,6 +92,9 @@
 	if err := changes.Decode(&e.proxyAddress); err != nil {
 		w.t.Errorf("process of %s: %v", e.ID, err)
 	}
+	if *relayFlag {
+		w.relayProcess(e)
+	}
 	e.process = p
 	go func() {
 		w.ledger.Follow(changes)
--- a/internal/faultsoak/processescases_test.go
+++ b/internal/faultsoak/processescases_test.go
@@ -1,8 +1,10 @@
 package faultsoak
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -163,3 +165,88 @@
 		})
 	}
 }
+
+// Guards against a relay that ends with its target or resets connections: behind a real one, clients of
+// an ended target see connections that are accepted and closed.
+func TestRelayOutlivesItsTarget(t *testing.T) {
+	const last, step = 50, 10 * time.Millisecond
+	relay, unframed := *relayFlag, *unframedFlag
+	t.Cleanup(func() { *relayFlag, *unframedFlag = relay, unframed })
+	*relayFlag, *unframedFlag = true, 0
+	for _, form := range []string{endKill, emulator.EndFinish} {
+		t.Run(form, func(t *testing.T) {
+			d := &deploymentRun{world: &world{t: t, ledger: emulator.NewLedger()}}
+			defer func() {
+				for _, cleanUp := range d.world.cleanups {
+					cleanUp()
+				}
+			}()
+			newEngine := func(id string) *engine {
+				return &engine{Target: &emulator.Target{ID: id, Slots: 1, EventsPerStream: 1, Software: "v1", Profile: &emulator.Profile{Speed: 1, Step: step, IdleTimeout: time.Second}}}
+			}
+			e := newEngine("x")
+			d.startProcess(e, "127.0.0.1:0")
+			if e.process == nil {
+				t.FailNow()
+			}
+			stream, reader := askThroughRelay(t, e, "a", last)
+			if _, err := reader.ReadString('\n'); err != nil {
+				t.Fatal(err)
+			}
+			e.end(form)
+			answer, err := io.ReadAll(reader)
+			if whole := strings.HasSuffix(string(answer), "0\r\n\r\n"); err != nil || whole != (form == emulator.EndFinish) {
+				t.Errorf("stream after the signal: whole %t, error %v; want a proper close", whole, err)
+			}
+			if err := write(stream, "x"); err != nil {
+				t.Errorf("write behind the end: %v", err)
+			}
+			<-e.process.exited
+			for range 3 {
+				conn, reader := askThroughRelay(t, e, "b", 1)
+				b, err := io.ReadAll(reader)
+				if err != nil || len(b) > 0 {
+					t.Errorf("answer for an ended target %q, error %v; want a proper close without an answer", b, err)
+				}
+				time.Sleep(20 * time.Millisecond) // a reset for what was written would have come
+				if err := write(conn, "x"); err != nil {
+					t.Errorf("write behind the close: %v", err)
+				}
+			}
+			next := newEngine("xn")
+			if d.startProcessAgain(next, e); next.process == nil {
+				t.FailNow()
+			}
+			if next.proxyAddress != e.proxyAddress {
+				t.Errorf("address of the replacement %s, want %s", next.proxyAddress, e.proxyAddress)
+			}
+			_, reader = askThroughRelay(t, next, "c", 1)
+			if line, err := reader.ReadString('\n'); err != nil || !strings.Contains(line, "200") {
+				t.Errorf("answer of the replacement %q, error %v", line, err)
+			}
+			next.process.Process.Kill()
+			<-next.process.exited
+		})
+	}
+}
+
+// askThroughRelay sends a request for a stream on a new connection, which the test closes at its end.
+func askThroughRelay(t *testing.T, e *engine, id string, events int) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp4", e.proxyAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	err = write(conn, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nRequest-Id: %s\r\nExpect-Instance: %s\r\n%s: %d\r\n\r\n", id, e.ID, emulator.HeaderEvents, events))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn, bufio.NewReader(conn)
+}
+
+func write(conn net.Conn, text string) error {
+	_, err := io.WriteString(conn, text)
+	return err
+}
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -45,10 +45,12 @@
 	listener     net.Listener // of the proxy; closed while the engine is crashed
 	server       *http.Server // of a target with a profile
 	socket       *emulator.Socket
-	process      *targetProcess // nil for a target of this process
-	removed      bool           // draining or crashed, until it is started again
-	startedAt    time.Time      // as stated in its record
-	record       []byte         // the last one that it wrote; nil if it was removed
+	process      *targetProcess  // nil for a target of this process
+	relay        *emulator.Relay // before the process; nil for none
+	relayAddress string
+	removed      bool      // draining or crashed, until it is started again
+	startedAt    time.Time // as stated in its record
+	record       []byte    // the last one that it wrote; nil if it was removed
 }
 
 // world holds everything that one seed runs.
