--- a/internal/transport/upstream/endingtarget_test.go
+++ b/internal/transport/upstream/endingtarget_test.go
@@ -24,6 +24,9 @@
 // endingVariable tells a process that these tests have started as their target how to end at SIGTERM.
 const endingVariable = "UPSTREAM_TEST_ENDING"
 
+// instanceVariable is the name of such a target; it names itself by its address if there is none.
+const instanceVariable = "UPSTREAM_TEST_INSTANCE"
+
 // How a target ends at SIGTERM.
 const (
 	// cancelsHandlers cancels the handlers and shuts the server down, and finishesHandlers only
@@ -77,6 +80,9 @@
 	}
 	handlers.instance, handlers.keepsIdle = ln.Addr().String(), ending != closesIdleThenCancels
 	fmt.Println(handlers.instance)
+	if instance := os.Getenv(instanceVariable); instance != "" {
+		handlers.instance = instance
+	}
 	server := &http.Server{Handler: handlers}
 	if ending == closesIdleThenCancels {
 		server.IdleTimeout = endingIdleTime
@@ -174,9 +180,15 @@
 
 // startEndingTarget starts a target that ends in the given way.
 func startEndingTarget(t *testing.T, ending string) *endingTarget {
+	t.Helper()
+	return startNamedTarget(t, ending, "")
+}
+
+// startNamedTarget starts a target that ends in the given way and names itself as given.
+func startNamedTarget(t *testing.T, ending, instance string) *endingTarget {
 	t.Helper()
 	target := &endingTarget{process: exec.Command(os.Args[0])}
-	target.process.Env = append(os.Environ(), endingVariable+"="+ending)
+	target.process.Env = append(os.Environ(), endingVariable+"="+ending, instanceVariable+"="+instance)
 	out, err := target.process.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
