Upstream: connections that are accepted and closed three times in a row end a check

A relay accepts connections for a target that accepts none and closes them without an answer.

Three new connections in a row that are closed, not reset, without a byte of an answer show that nothing serves behind the address: the check ends after about 150 ms with the result ended, not refused. One or two lost answers, resets and closes inside an answer do not decide. Behind a relay a full target may close surplus connections too; it keeps idle ones open, so that one of these that is still open speaks against it.

--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -38,10 +38,20 @@
 	// healthTimeout bounds a health check on a new connection, without pauses of the process. Like
 	// other requests, it waits for a slot at a target that is full.
 	healthTimeout = 300 * time.Millisecond
+	// unservedTries is the number of new connections in a row, closed without an answer, after which
+	// nothing serves behind the address. A relay closes those for a target that accepts none, while a
+	// single answer may be lost.
+	unservedTries = 3
 	// defaultHealthPath is the path of a probe to a target whose service states none.
 	defaultHealthPath = "/"
 )
 
+// maxProbeBytes bounds the answer to a probe, with what precedes it.
+const maxProbeBytes = maxHeadBytes + maxSkippedBytes
+
+// errClosedUnanswered is returned when a connection was closed, not reset, without a byte of an answer.
+var errClosedUnanswered = errors.New("closed without an answer")
+
 // probeKey is what the result of a probe is valid for.
 type probeKey struct {
 	target  state.TargetID
@@ -157,6 +167,7 @@
 // probe asks the target for its incarnation until it is known, or ctx ends.
 func (c *Client) probe(ctx context.Context, key probeKey) gateway.RunCheck {
 	check := gateway.RunCheck{IdleClosedAt: c.IdleClosedAt(key.target, key.address)}
+	unserved := 0 // tries in a row
 	for pause := probePause; ; pause *= 2 {
 		if conn := c.takeIdle(key.address, func(conn *connection) bool { return !conn.probed }); conn != nil {
 			idleCtx, cancel := context.WithTimeout(ctx, idleProbeTimeout)
@@ -170,7 +181,16 @@
 		if key.healthPath != "" {
 			ask = c.askHealth
 		}
-		if ask(ctx, key, &check) {
+		decided, err := ask(ctx, key, &check)
+		if decided {
+			return check
+		}
+		if unserved++; !errors.Is(err, errClosedUnanswered) {
+			unserved = 0
+		}
+		// Behind a relay, a full target may close surplus connections too. It keeps idle ones open.
+		if unserved >= unservedTries && !c.keepsIdle(key) {
+			check.Liveness = gateway.Ended
 			return check
 		}
 		select {
@@ -209,7 +229,7 @@
 		return check
 	}
 	var check gateway.RunCheck
-	c.askHealth(ctx, key, &check) // undecided is Unproved
+	c.askHealth(ctx, key, &check) // undecided, or an error, is Unproved
 	return check
 }
 
@@ -231,8 +251,9 @@
 }
 
 // askHealth asks on new connections whether the target is healthy and, where the answer does not tell,
-// which incarnation answers, for which it needs no slot.
-func (c *Client) askHealth(ctx context.Context, key probeKey, check *gateway.RunCheck) (decided bool) {
+// which incarnation answers, for which it needs no slot. The error is that of the only connection: a
+// target that has answered on one serves.
+func (c *Client) askHealth(ctx context.Context, key probeKey, check *gateway.RunCheck) (decided bool, err error) {
 	healthCtx, cancel := runningTimeContext(healthTimeout, maxProbeTime)
 	defer cancel()
 	defer context.AfterFunc(ctx, cancel)()
@@ -240,54 +261,55 @@
 	waited := healthCtx.Err() != nil
 	switch {
 	case decided || err != nil && !waited:
-		return decided
+		return decided, err
 	case own.Misdirected:
 		check.Liveness = gateway.Ended
-		return true
+		return true, nil
 	case !waited && c.namesTargets(key) && decideUnnamed(own, check):
-		return true
+		return true, nil
 	}
 	other, decided, err := c.askOnNewConnection(ctx, key, platform.NoTarget, check)
 	switch {
 	case decided && check.SameIncarnation:
 		decideUnnamed(own, check)
-		return true
+		return true, nil
 	case decided || err != nil:
-		return decided
+		return decided, nil
 	case other.Misdirected && own.Status == http.StatusOK: // it names itself in no answer
 		check.Liveness = gateway.Running
-		return true
+		return true, nil
 	case other.Misdirected:
-		return !waited && !own.NotRun
+		return !waited && !own.NotRun, nil
 	default:
-		return !other.NotRun
+		return !other.NotRun, nil
 	}
 }
 
 // askIncarnation asks on new connections which incarnation of a target without health checks answers.
-func (c *Client) askIncarnation(ctx context.Context, key probeKey, check *gateway.RunCheck) (decided bool) {
+// The error is that of the only connection.
+func (c *Client) askIncarnation(ctx context.Context, key probeKey, check *gateway.RunCheck) (decided bool, err error) {
 	answer, decided, err := c.askOnNewConnection(ctx, key, platform.NoTarget, check)
 	if decided || err != nil {
-		return decided
+		return decided, err
 	}
 	if !answer.Misdirected {
 		// The target may be full. One that neither names itself nor heeds the instance
 		// that is expected cannot be identified.
-		return !answer.NotRun
+		return !answer.NotRun, nil
 	}
 	// The target heeds the instance that is expected, but does not name itself.
 	answer, decided, err = c.askOnNewConnection(ctx, key, key.target, check)
 	switch {
 	case decided || err != nil:
-		return decided
+		return decided, nil
 	case answer.Misdirected:
 		check.Liveness = gateway.Ended
 	case answer.NotRun:
-		return false // targets also send rejections without a request
+		return false, nil // targets also send rejections without a request
 	case answer.Status == http.StatusOK:
 		check.Liveness = gateway.Running
 	}
-	return true
+	return true, nil
 }
 
 // decide sets what an answer shows that names an instance. A process that has cancelled its handlers may
@@ -371,6 +393,9 @@
 	check.Asked = fmt.Sprintf("GET %s, expecting %s, on a reused connection: %t", key.path(), expected, conn.reused)
 	resp, answer, err := conn.exchangeProbe(ctx, platform.AppendProbe(nil, key.address, key.path(), expected))
 	if err != nil {
+		if ctx.Err() == nil && conn.limit.left == maxProbeBytes && errors.Is(err, io.ErrUnexpectedEOF) {
+			err = fmt.Errorf("%w: %w", errClosedUnanswered, err)
+		}
 		conn.Close()
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", ctx.Err(), err)
@@ -401,7 +426,7 @@
 	if _, err := c.Write(probe); err != nil {
 		return nil, platform.ProbeAnswer{}, fmt.Errorf("write to %s: %w", c.address, err)
 	}
-	c.limit.left, c.limit.unlimited = maxHeadBytes+maxSkippedBytes, false
+	c.limit.left, c.limit.unlimited = maxProbeBytes, false
 	for range maxResponses {
 		resp, err := c.readFinalResponse(&http.Request{Method: http.MethodGet})
 		if err != nil {
@@ -448,6 +473,16 @@
 	return nil
 }
 
+// keepsIdle reports whether a target keeps an idle connection open on which it has answered. One that
+// shuts down closes them.
+func (c *Client) keepsIdle(key probeKey) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.idle[key.address], func(conn *connection) bool {
+		return conn.answered && conn.target == key.target && conn.reusable()
+	})
+}
+
 // IdleClosedAt implements gateway.TargetClient: it returns when the target closed the last of its idle
 // connections, or zero if one is still open or there is none. Connections that may have been closed at
 // their idle timeout do not count.
