Fault soak: callers resume broken-off streams behind their last event too

Cause: a caller cannot know that the event before a broken-off connection was the last one.

Change: callers resume there as anywhere else. The counts tell whole streams that the entry resumed behind their last event from those that the caller resumed in a later attempt, and those that then got further events; they no longer take a caller's resumption behind the end for a further stream. The judge reports an event too many once for a stream, and names each whole stream that was resumed, and by whom.

Measured: the cases pass, also with -race.

--- a/internal/faultsoak/callers_test.go
+++ b/internal/faultsoak/callers_test.go
@@ -42,6 +42,9 @@
 // received returns the number of whole events in the response.
 func (a *attempt) received() int { return strings.Count(a.body, "\n\n") }
 
+// behindEnd reports whether the caller resumes a stream behind its last event.
+func (a *attempt) behindEnd() bool { return a.resumes != "" && a.after >= a.events }
+
 // answered reports whether the whole response came.
 func (a *attempt) answered() bool { return a.status != 0 && a.err == nil }
 
@@ -241,10 +244,8 @@
 			time.Sleep(wait)
 		case kind.kind == "idempotent":
 		case kind.resumable && a.received() > 0:
+			// Also behind the last event: a caller cannot know that it was the last.
 			after, resumes = after+a.received(), a.id
-			if after >= a.events {
-				return
-			}
 		case kind.once() && (a.status != 0 || a.readWhole || time.Since(a.begun) > time.Second):
 			return
 		}
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -59,10 +59,9 @@
 	}
 	var keptCuts, besideConfiguration []*attempt
 	otherCuts := 0
-	byID := make(map[string]*attempt)
-	for _, a := range d.attempts {
-		byID[a.id] = a
-	}
+	byID := d.attemptsByID()
+	// By their first attempts, as one stream counts once.
+	tooMany, resumedByCaller := make(map[string]bool), make(map[string]bool)
 	for _, a := range d.attempts {
 		runs := d.runsOf(a.id)
 		ran := ranOf(runs)
@@ -82,7 +81,7 @@
 				}
 			}
 		}
-		if d.joinsServices(a, byID[a.resumes]) {
+		if !a.behindEnd() && d.joinsServices(a, byID[a.resumes]) {
 			report("ORDER", a, append(d.runsOf(a.resumes), runs...), "resumed at another service")
 		}
 		if !a.kind.once() && len(ran) > 0 && ran[0].Outcome == emulator.RunDropped && !a.left && (!a.answered() || a.status >= 500) && a.ended.Sub(ran[0].To) > stallMargin {
@@ -94,8 +93,24 @@
 		if a.kind.once() && len(ran) > 0 && slices.Contains([]int{429, 503, 408, 421}, a.status) {
 			report("REFUSED", a, runs, "was refused and ran")
 		}
+		before := attemptsBefore(a, byID)
+		stream := a.id
+		if n := len(before); n > 0 {
+			stream = before[n-1].id
+		}
 		if rule, wrong := a.wrongAnswer(ran); wrong != "" {
-			report(rule, a, runs, wrong)
+			again := a.behindEnd() && strings.HasPrefix(wrong, afterLastEvent) && tooMany[stream]
+			if !again {
+				report(rule, a, runs, wrong)
+			}
+			tooMany[stream] = tooMany[stream] || strings.HasPrefix(wrong, afterLastEvent)
+		}
+		if a.resumedBehind(ran) && a.endedByTarget(ran) {
+			report("whole, resumed by the entry", a, runs, "")
+		}
+		if last := d.wholeOf(before); a.behindEnd() && last != nil && !resumedByCaller[stream] {
+			resumedByCaller[stream] = true
+			report("whole, resumed by the caller", last, d.runsOf(last.id), "got then: "+a.answerBehind())
 		}
 		if !a.cut(runs, d.pausedTime(a)) {
 			continue
@@ -170,6 +185,9 @@
 	return "", ""
 }
 
+// afterLastEvent says that a stream has an event too many, or part of one.
+const afterLastEvent = "bytes after the last event"
+
 // wrongEvents says what is wrong with the events of a stream, or returns "". Each event is to be
 // the next one, of the run before or, where the stream may be resumed, of a later one that was
 // asked to go on there.
@@ -198,7 +216,7 @@
 	}
 	switch {
 	case rest != "" && n > a.events:
-		return "bytes after the last event"
+		return afterLastEvent
 	case a.err == nil && n <= a.events:
 		return "ends as if complete"
 	}
--- a/internal/faultsoak/judgecases_test.go
+++ b/internal/faultsoak/judgecases_test.go
@@ -1,15 +1,20 @@
 package faultsoak
 
 import (
+	"fmt"
 	"io"
 	"maps"
+	"net"
+	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/emulator"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn/conntest"
 )
 
 // Guards against a judge that misses a broken rule, and against one that reports what the
@@ -219,3 +224,147 @@
 		}
 	}
 }
+
+// Guards against a judge that misses an event too many which a caller's resumption behind the last
+// event brings, counts it more than once for a stream, or hides another fault of the stream with it.
+func TestFindingsOfCallersBehindTheLastEvent(t *testing.T) {
+	const last = 9
+	begin := time.Now()
+	pieces := func(id string, run, from, to int) string {
+		var b strings.Builder
+		for n := from; n <= to; n++ {
+			b.WriteString(emulator.RunEvent(id, n, "v1", run))
+		}
+		return b.String()
+	}
+	type request struct {
+		id, resumes string
+		after       int
+		body        string
+		status      int  // 200 if 0
+		cut         bool // the connection was closed
+		runs        []emulator.Run
+	}
+	run := func(number, after int, outcome string) emulator.Run {
+		return emulator.Run{Target: "x", Number: number, After: after, Outcome: outcome, From: begin, To: begin.Add(ms(400))}
+	}
+	whole, more := run(1, 0, emulator.RunCompleted), run(2, last, emulator.RunCompleted)
+	first := request{id: "a", body: pieces("a", 1, 1, last), cut: true, runs: []emulator.Run{whole}}
+	behind := func(body string, runs ...emulator.Run) request {
+		return request{id: "b", resumes: "a", after: last, body: body, runs: runs}
+	}
+	cut := func(r request) request {
+		r.cut = true
+		return r
+	}
+	moved := run(2, last, emulator.RunCompleted)
+	moved.Target = deployments[0].engineService + movedSuffix
+	oneMore := behind(pieces("b", 2, last+1, last+1), more)
+	for _, c := range []struct {
+		name              string
+		attempts          []request
+		order             int
+		byEntry, byCaller int // streams that are reported as whole ones resumed by them
+	}{
+		{name: "no event", attempts: []request{first, behind("", more)}, byCaller: 1},
+		{name: "no event, cut", attempts: []request{first, cut(behind("", more))}, byCaller: 1},
+		{name: "refused by the target", attempts: []request{first, {id: "b", resumes: "a", after: last, status: 400, runs: []emulator.Run{run(2, last, emulator.RunRefused)}}}, byCaller: 1},
+		{name: "one more event", attempts: []request{first, oneMore}, order: 1, byCaller: 1},
+		{name: "one more event, cut", attempts: []request{first, cut(oneMore)}, order: 1, byCaller: 1},
+		{name: "a part of one more event", attempts: []request{first, cut(behind(oneMore.body[:20], more))}, order: 1, byCaller: 1},
+		{name: "last event again", attempts: []request{first, behind(pieces("b", 2, last, last), more)}, order: 1, byCaller: 1},
+		{name: "anew", attempts: []request{first, behind(pieces("b", 2, 1, last), more)}, order: 1, byCaller: 1},
+		{name: "one more event of another service", attempts: []request{first, behind(oneMore.body, moved)}, order: 1, byCaller: 1},
+		{name: "one more event that the entry asked for", attempts: []request{first, behind(oneMore.body, run(1, last, emulator.RunLost), more)}, order: 1, byCaller: 1},
+		{name: "one more event, then another", attempts: []request{first, cut(oneMore),
+			{id: "c", resumes: "b", after: last + 1, body: pieces("c", 3, last+2, last+2), runs: []emulator.Run{run(3, last+1, emulator.RunCompleted)}}}, order: 1, byCaller: 1},
+		{name: "one more event, then events in a failure", attempts: []request{first, cut(oneMore),
+			{id: "c", resumes: "b", after: last + 1, body: pieces("c", 3, last+2, last+2), status: 400, runs: []emulator.Run{run(3, last+1, emulator.RunRefused)}}}, order: 2, byCaller: 1},
+		{name: "one more event by the entry, then another", attempts: []request{{id: "a", body: first.body + pieces("a", 2, last+1, last+1), cut: true, runs: []emulator.Run{whole, more}},
+			{id: "b", resumes: "a", after: last + 1, body: pieces("b", 2, last+2, last+2), runs: []emulator.Run{run(2, last+1, emulator.RunCompleted)}}}, order: 1, byEntry: 1, byCaller: 1},
+		{name: "other fault before", attempts: []request{{id: "a", body: pieces("a", 1, 1, 3) + pieces("a", 5, 4, last), cut: true, runs: []emulator.Run{whole}}, oneMore}, order: 2, byCaller: 1},
+		{name: "one more event of two streams", attempts: []request{first, oneMore, {id: "d", body: pieces("d", 1, 1, last), cut: true, runs: []emulator.Run{whole}},
+			{id: "e", resumes: "d", after: last, body: pieces("e", 2, last+1, last+1), runs: []emulator.Run{more}}}, order: 2, byCaller: 2},
+		{name: "without its end, one more event", attempts: []request{{id: "a", body: first.body, cut: true, runs: []emulator.Run{run(1, 0, emulator.RunBrokenOff)}}, oneMore}, order: 1},
+		{name: "without its end, resumed by the entry, one more event", attempts: []request{{id: "a", body: first.body + pieces("a", 2, last+1, last+1), runs: []emulator.Run{run(1, 0, emulator.RunBrokenOff), more}}}, order: 1},
+		{name: "resumed before the last event", attempts: []request{{id: "a", body: pieces("a", 1, 1, last-1), cut: true, runs: []emulator.Run{whole}},
+			{id: "b", resumes: "a", after: last - 1, body: pieces("b", 2, last, last), runs: []emulator.Run{run(2, last-1, emulator.RunCompleted)}}}},
+		{name: "whole, resumed by the entry", attempts: []request{{id: "a", body: first.body, runs: []emulator.Run{whole, more}}}, byEntry: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runs := make(map[string][]emulator.Run)
+			d := &deploymentRun{deployment: deployments[0], world: &world{t: t, logDirectory: t.TempDir()}, runsOf: func(id string) []emulator.Run { return runs[id] }}
+			kind := deployments[0].kinds[1]
+			for _, q := range c.attempts {
+				a := &attempt{id: q.id, resumes: q.resumes, answerID: q.id, signature: "s", kind: kind, entry: &entry{name: "edge-0"}, status: 200, after: q.after, events: last, body: q.body, limit: kind.limit, begun: begin, sent: begin, ended: begin.Add(ms(500))}
+				if q.status != 0 {
+					a.status = q.status
+				}
+				if q.cut {
+					a.err = io.ErrUnexpectedEOF
+				}
+				runs[a.id], d.attempts = q.runs, append(d.attempts, a)
+			}
+			got := d.findings()
+			if got["ORDER"] != c.order || got["whole, resumed by the entry"] != c.byEntry || got["whole, resumed by the caller"] != c.byCaller {
+				t.Errorf("findings %v, want ORDER %d and %d and %d whole ones resumed by the entry and by the caller", got, c.order, c.byEntry, c.byCaller)
+			}
+		})
+	}
+}
+
+// Guards against callers that stop at the last event although the stream was broken off: a caller
+// cannot know that it was the last, so that no run would show what a resumption behind it brings.
+func TestCallersResumeBehindTheLastEvent(t *testing.T) {
+	const last = 9
+	type seen struct{ after, resumes string }
+	for _, c := range []struct {
+		name string
+		kind *requestKind
+		cuts []int // events after which an answer is cut; the further ones are whole
+		want []seen
+	}{
+		{name: "whole", kind: deployments[0].kinds[1], want: []seen{{}}},
+		{name: "cut before the last event", kind: deployments[0].kinds[1], cuts: []int{last - 1}, want: []seen{{}, {"8", "a-0"}}},
+		{name: "cut behind the last event", kind: deployments[0].kinds[1], cuts: []int{last}, want: []seen{{}, {"9", "a-0"}}},
+		{name: "cut behind the last event, then without an event", kind: deployments[0].kinds[1], cuts: []int{last, 0}, want: []seen{{}, {"9", "a-0"}, {"9", "a-0"}}},
+		{name: "cut behind the last event and behind a further one", kind: deployments[0].kinds[1], cuts: []int{last, last + 1}, want: []seen{{}, {"9", "a-0"}, {"10", "a-1"}}},
+		{name: "may not be resumed", kind: deployments[0].kinds[0], cuts: []int{last}, want: []seen{{}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var got []seen
+			ip := conntest.Address(t).String()
+			ln, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, callerPort))
+			if err != nil {
+				t.Fatal(err)
+			}
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				got = append(got, seen{r.Header.Get("Last-Event-Id"), r.Header.Get("Resumes")})
+				after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if absent
+				end := last
+				if n := len(got); n <= len(c.cuts) {
+					end = c.cuts[n-1]
+				}
+				w.WriteHeader(http.StatusOK)
+				for n := after + 1; n <= end; n++ {
+					fmt.Fprint(w, emulator.StreamEvent("a", n, "v1"))
+				}
+				if len(got) <= len(c.cuts) {
+					http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+			})}
+			go server.Serve(ln)
+			d := &deploymentRun{deployment: deployments[0], world: &world{t: t}, ready: make(map[*entry]int), idleSeen: callerIdle}
+			kind := *c.kind
+			kind.events, kind.body = distribution{mean: last, max: last}, distribution{mean: 1, max: 1}
+			// Two entries at one address, since a caller does not try the same entry again at once.
+			caller := &caller{run: d, prefer: []*entry{{name: "edge-0", ip: ip}, {name: "edge-1", ip: ip}}}
+			caller.request(&kind, "a", newRandom(1))
+			server.Close()
+			if !slices.Equal(got, c.want) {
+				t.Errorf("requests %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/faultsoak/streamends_test.go
+++ b/internal/faultsoak/streamends_test.go
@@ -11,7 +11,8 @@
 )
 
 // streamEnds counts the ends of the streams that ran. Both errors are counted, since an entry that
-// doubts more ends breaks off more whole streams.
+// doubts more ends breaks off more whole streams. A caller's resumption behind the last event is
+// no further stream.
 type streamEnds struct {
 	streams   int
 	cut       map[string]int // by the end of their target, which the keys describe
@@ -19,20 +20,38 @@
 	noEvent   int            // of the early ones, had no event
 	whole     int            // ended by their target after the last event, at entries in touch
 	brokenOff int            // of the whole ones, did not reach their caller as complete
-	behind    int            // had a run that was asked to go on behind the last event
-	resumed   int            // of these, had another run that had ended the whole stream
-	beyond    int            // of those asked behind the last event, brought their caller further ones
+	behind    int            // had a run that the entry asked to go on behind the last event
+	beyond    int            // of these, brought their caller further ones
+	byEntry   resumed        // whole streams that the entry resumed behind the last event
+	byCaller  resumed        // whole streams that the caller resumed there, in a later attempt
+	answers   map[string]int // to the callers' attempts behind the last event
+}
+
+// resumed counts whole streams that were resumed, and those that got further events then.
+type resumed struct{ streams, beyond int }
+
+func (r resumed) String() string {
+	return fmt.Sprintf("%d, with further events: %d", r.streams, r.beyond)
 }
 
 func (s streamEnds) String() string {
-	return fmt.Sprintf("%d, of them cut by the end of a target: %v; ended as complete before the last event: %v, %d of them without an event; whole ones: %d, of them broken off by the entry: %d; resumed behind the last event: %d, of them whole ones: %d, with further events: %d",
-		s.streams, s.cut, s.early, s.noEvent, s.whole, s.brokenOff, s.behind, s.resumed, s.beyond)
+	return fmt.Sprintf("%d, of them cut by the end of a target: %v; ended as complete before the last event: %v, %d of them without an event; whole ones: %d, of them broken off by the entry: %d; resumed behind the last event by the entry: %d, with further events: %d; whole ones resumed by the entry: %v; whole ones resumed by the caller: %v; answers to callers behind the last event: %v",
+		s.streams, s.cut, s.early, s.noEvent, s.whole, s.brokenOff, s.behind, s.beyond, s.byEntry, s.byCaller, s.answers)
 }
 
 func (d *deploymentRun) streamEnds() streamEnds {
-	s := streamEnds{cut: make(map[string]int), early: make(map[string]int)}
+	s := streamEnds{cut: make(map[string]int), early: make(map[string]int), answers: make(map[string]int)}
+	byID := d.attemptsByID()
+	byCaller := make(map[*attempt]bool) // by the last whole attempts; with further events
 	for _, a := range d.attempts {
 		ran := ranOf(d.runsOf(a.id))
+		if a.behindEnd() {
+			s.answers[a.answerBehind()]++
+			if whole := d.wholeOf(attemptsBefore(a, byID)); whole != nil {
+				byCaller[whole] = byCaller[whole] || a.status == http.StatusOK && a.body != ""
+			}
+			continue
+		}
 		if a.kind.kind != "streaming" || len(ran) == 0 {
 			continue
 		}
@@ -53,14 +72,15 @@
 				s.noEvent++
 			}
 		}
-		if slices.ContainsFunc(ran, func(r emulator.Run) bool { return r.After >= a.events }) {
+		further := a.after+a.received() > a.events
+		if a.resumedBehind(ran) {
 			s.behind++
-			if slices.ContainsFunc(ran, func(r emulator.Run) bool { return r.Outcome == emulator.RunCompleted && r.After < a.events }) {
-				s.resumed++
-			}
-			if a.after+a.received() > a.events {
+			if further {
 				s.beyond++
 			}
+			if a.endedByTarget(ran) {
+				s.byEntry.count(further)
+			}
 		}
 		// A run behind the last event may be refused or broken off.
 		if slices.ContainsFunc(ran, func(r emulator.Run) bool { return r.Outcome == emulator.RunCompleted }) && !a.left && d.inTouch(a) {
@@ -70,9 +90,83 @@
 			}
 		}
 	}
+	for _, further := range byCaller {
+		s.byCaller.count(further)
+	}
 	return s
 }
 
+func (r *resumed) count(further bool) {
+	r.streams++
+	if further {
+		r.beyond++
+	}
+}
+
+// resumedBehind reports whether an attempt had a run that was asked to go on behind the last event.
+func (a *attempt) resumedBehind(ran []emulator.Run) bool {
+	return a.kind.kind == "streaming" && slices.ContainsFunc(ran, func(r emulator.Run) bool { return r.After >= a.events })
+}
+
+// endedByTarget reports whether a run ended after the last event of the stream.
+func (a *attempt) endedByTarget(ran []emulator.Run) bool {
+	return slices.ContainsFunc(ran, func(r emulator.Run) bool { return r.Outcome == emulator.RunCompleted && r.After < a.events })
+}
+
+// answerBehind says what a caller got that resumed a stream behind its last event.
+func (a *attempt) answerBehind() string {
+	answer := fmt.Sprintf("status %d", a.status)
+	switch {
+	case a.status == 0 && a.left:
+		return "none until the caller left"
+	case a.status == 0:
+		return "connection closed"
+	case a.status != http.StatusOK:
+		return answer
+	}
+	switch first, _, _ := strings.Cut(a.body, "\n"); { // as RunEvent writes an event
+	case a.body == "":
+		answer = "no event"
+	case first == fmt.Sprintf("id: %d", a.after+1):
+		answer = "next event"
+	case first == fmt.Sprintf("id: %d", a.after):
+		answer = "last event again"
+	default:
+		answer = "other events"
+	}
+	if a.err != nil {
+		answer += ", cut"
+	}
+	return answer
+}
+
+// attemptsByID returns the attempts of all callers by their IDs.
+func (d *deploymentRun) attemptsByID() map[string]*attempt {
+	byID := make(map[string]*attempt)
+	for _, a := range d.attempts {
+		byID[a.id] = a
+	}
+	return byID
+}
+
+// attemptsBefore returns the attempts whose stream a resumes, the latest first.
+func attemptsBefore(a *attempt, byID map[string]*attempt) (before []*attempt) {
+	for a = byID[a.resumes]; a != nil; a = byID[a.resumes] {
+		before = append(before, a)
+	}
+	return before
+}
+
+// wholeOf returns the attempt of a stream whose target ended it after its last event, or nil.
+func (d *deploymentRun) wholeOf(attempts []*attempt) *attempt {
+	for _, a := range attempts {
+		if a.endedByTarget(ranOf(d.runsOf(a.id))) {
+			return a
+		}
+	}
+	return nil
+}
+
 // endingOf returns how the process of a run's target ended, or was told to, before the run did, ""
 // if it was not.
 func (d *deploymentRun) endingOf(r emulator.Run) string {
