A target that accepts connections behind a relay only counts as one that refuses them

Callers saw: whole streams of a target that shuts down and finishes them are broken off, or resumed behind their last event, if a relay stands before it. Cause: what a check found out was remembered for the later streams of the target only if its connection was refused. A relay accepts and closes it, so that each of them was judged as if nothing were known, also of idle connections that the target had closed long before. Change: a check that finds that the target has ended records that, whatever the connection showed.

--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -295,7 +295,7 @@
 	undecided := func(reason string) { c.judgement = targetend.Judgement{Reason: reason} }
 	whole := func(reason string) { c.judgement.Verdict, c.judgement.Reason = targetend.Whole, reason }
 	c.drained = c.targetDrained()
-	if c.run.Refused {
+	if c.run.Liveness == Ended { // behind a relay, connections are accepted and closed in place of refused
 		log.Refuses(a.grant.Target.ID, c.refusesSince())
 	}
 	switch {
@@ -378,7 +378,7 @@
 	return run.Liveness == Leaving || run.Liveness == Running || run.SameIncarnation
 }
 
-// refusesSince returns since when the target that was asked refuses connections, as far as it is known.
+// refusesSince returns since when the target that was asked serves no connections, as far as it is known.
 func (c *endCheck) refusesSince() time.Time {
 	if c.run.IdleClosedAt.IsZero() {
 		return time.Now()
