Upstream: tries at an address behind which nothing serves follow sooner

Three tries took 150 ms and more, and a check after which a silent target is believed takes 250 ms at most.

Tries behind a closed connection follow after 20 ms until there are three.

--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -42,6 +42,9 @@
 	// nothing serves behind the address. A relay closes those for a target that accepts none, while a
 	// single answer may be lost.
 	unservedTries = 3
+	// unservedPause is the time between these tries. A check after which a silent target is believed
+	// takes 250 ms at most, and must find the end of a target behind a relay on a busy machine too.
+	unservedPause = 20 * time.Millisecond
 	// defaultHealthPath is the path of a probe to a target whose service states none.
 	defaultHealthPath = "/"
 )
@@ -193,8 +196,12 @@
 			check.Liveness = gateway.Ended
 			return check
 		}
+		wait := pause
+		if unserved > 0 && unserved < unservedTries {
+			wait = unservedPause
+		}
 		select {
-		case <-time.After(pause):
+		case <-time.After(wait):
 		case <-ctx.Done():
 			check.TimedOut = true
 			return check
--- a/internal/transport/upstream/unserved_test.go
+++ b/internal/transport/upstream/unserved_test.go
@@ -12,9 +12,9 @@
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
-// unservedProbeTime is the time in which a probe must find that nothing serves behind an address: three
-// tries and two pauses take 150 ms.
-const unservedProbeTime = 500 * time.Millisecond
+// unservedProbeTime is the time in which a probe must find that nothing serves behind an address, as a check
+// does after which a silent target is believed.
+const unservedProbeTime = 250 * time.Millisecond
 
 // What a target does with a new connection.
 const (
