Unmarked ends are not believed beside others that ended together

Cause: IsLikelyWhole told ends that only the connection marks by the reason of the judgement. Where some streams ended together and others seem to go on, the reason is some_ended_together, so that such an end was believed if its target had refused connections, as at one that is killed while it finishes streams. Change: the judgement keeps that the end is unmarked. Measured: TestUnmarkedEndBesideOpenStreamIsNotLikelyWhole fails before (sum 15) and passes now, as do the other tests of the package, in one run.

--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -115,6 +115,8 @@
 	// Refusing is for how long before the end the target had been known to refuse connections; 0 if it
 	// was not.
 	Refusing time.Duration
+	// unmarked is End.Unmarked. Reason does not tell it where some streams ended together.
+	unmarked bool
 }
 
 // NeedsOthers reports whether other entries are to be asked before the judgement counts. Streams that go
@@ -135,7 +137,7 @@
 // for a cut one. Such a response is neither broken off nor resumed. An end that only the connection marks has
 // too few signs for that: a process that is killed ends its connections like one that closes them.
 func (j *Judgement) IsLikelyWhole() bool {
-	return j.Verdict == Undecided && j.Reason != endNotMarked && j.Sum > 0
+	return j.Verdict == Undecided && !j.unmarked && j.Sum > 0
 }
 
 // End is the end of a response.
@@ -158,7 +160,7 @@
 
 // Judge judges the end of a response by what entries have seen of its target.
 func Judge(e End, reports ...Report) Judgement {
-	j := Judgement{Timing: e.Timing}
+	j := Judgement{Timing: e.Timing, unmarked: e.Unmarked}
 	survives := false
 	coincidence := coincidenceRate(e.At, reports)
 	inStep := Weight(0) // of the others that ended with their last event
--- a/internal/coordination/targetend/timing_test.go
+++ b/internal/coordination/targetend/timing_test.go
@@ -156,3 +156,17 @@
 		})
 	}
 }
+
+// Guards against a stream without length or chunks of a killed process that is believed because other streams of
+// its target ended with it while further ones, which nobody has read yet, seem to go on.
+func TestUnmarkedEndBesideOpenStreamIsNotLikelyWhole(t *testing.T) {
+	at := time.Now()
+	seen := Seen{Refusing: time.Second, Open: []time.Duration{unknownAge}}
+	for range maxEnds { // a busy target, at which a coincidence shows little
+		seen.Ended, seen.EndedTimings = append(seen.Ended, time.Second), append(seen.EndedTimings, 0)
+	}
+	seen.Ended, seen.EndedTimings = append(seen.Ended, 0), append(seen.EndedTimings, 10)
+	if j := Judge(End{At: at, Unmarked: true}, Report{Seen: seen, Earliest: at, Latest: at}); j.IsLikelyWhole() {
+		t.Errorf("likely whole (%+v)", j)
+	}
+}
