A silent target is asked on where the time of the end is unknown

Cause: the check of an end that nothing but the target can prove ended early if the signs spoke for a whole response. They do not count where the time of the end is unknown, so that the response was broken off where asked on and got the answer. Change: the check ends early only if that time is known.

--- a/internal/coordination/gateway/silentcheck_test.go
+++ b/internal/coordination/gateway/silentcheck_test.go
@@ -81,3 +81,25 @@
 		})
 	}
 }
+
+// unwatchedArrival is an exchange whose connection the target closes behind the end, which came at an unknown time.
+type unwatchedArrival struct{ *fakeExchange }
+
+func (unwatchedArrival) StaysOpen(time.Duration) bool { return false }
+
+// Guards against a whole stream that is broken off because its check ended early for its timing, which does
+// not count: the end came at an unknown time. Its target is silent for longer than a check takes.
+func TestCheckGoesOnWhereTheTimeOfTheEndIsUnknown(t *testing.T) {
+	out, targets := &recordingResponder{}, &silentTargetClient{then: Running}
+	targets.behaviours = []behaviour{func(ctx context.Context, f *Forward) (Exchange, error) {
+		ex, err := timedStream{0, 5, 0}.send(ctx, f)
+		return unwatchedArrival{ex.(watchedExchange).fakeExchange}, err
+	}}
+	synctest.Test(t, func(t *testing.T) {
+		targets.until = time.Now().Add(1900 * time.Millisecond)
+		newService(targets).Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: "/stream/x", APIKey: "key"}, time.Now(), out)
+	})
+	if !out.ended || targets.checks != 2 {
+		t.Errorf("complete %t after %d checks, want the stream after 2", out.ended, targets.checks)
+	}
+}
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -282,7 +282,7 @@
 	again := c.doubt.needsProof() && !a.mayGoOnElsewhere()
 	for {
 		c.run = a.request.service.cfg.TargetClient.CheckRunning(ctx, &a.grant.Target, c.healthPath())
-		if !again || !c.run.TimedOut || c.run.SameIncarnation || ctx.Err() != nil || c.isLikelyWhole() {
+		if !again || !c.run.TimedOut || c.run.SameIncarnation || ctx.Err() != nil || c.timeKnown && c.isLikelyWhole() {
 			return
 		}
 	}
