A target that runs plain requests is not known to refuse connections

Cause: a check that finds three connections closed behind a relay records that the target refuses, also one that is only full. A stream that began later cleared that and a plain answer did not, so that a cut answer counts as one of a target that went on while it refused connections, and is passed on. Change: plain answers clear it like streams.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -121,6 +121,7 @@
 		bodyRead = err == nil
 		return outcome, err
 	}
+	r.service.targets.Runs(a.grant.Target.ID, a.sentAt)
 	body, err := a.readBody(ex)
 	if err == nil && isSuccess(head.Status) && !a.lengthShowsEnd(head, len(body) == 0) {
 		err = a.endsForEntry()
--- a/internal/coordination/targetend/log.go
+++ b/internal/coordination/targetend/log.go
@@ -67,11 +67,25 @@
 	defer l.mu.Unlock()
 	s := &Stream{log: l, target: id, received: received}
 	t := l.use(id, time.Now())
+	t.runs(sentAt)
+	t.open[s] = true
+	return s
+}
+
+// Runs records that a target has run a request that was sent at sentAt, whose response is no stream.
+func (l *Log) Runs(id state.TargetID, sentAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.targets[id]; t != nil {
+		t.runs(sentAt)
+	}
+}
+
+// runs must be called with the lock of the log held.
+func (t *target) runs(sentAt time.Time) {
 	if sentAt.After(t.refusedAt) {
 		t.refusesSince = time.Time{} // it runs requests again
 	}
-	t.open[s] = true
-	return s
 }
 
 // End records that the response of the stream has ended, which arrived at the given time. s may be nil.
