--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -115,6 +115,8 @@
 	// Refusing is for how long before the end the target had been known to refuse connections; 0 if it
 	// was not.
 	Refusing time.Duration
+	// unmarked is End.Unmarked. Reason does not tell it where some streams ended together.
+	unmarked bool
 }
 
 // NeedsOthers reports whether other entries are to be asked before the judgement counts. Streams that go
@@ -138,7 +140,7 @@
 // handlers that are cancelled together may all end right behind an event.
 func (j *Judgement) IsLikelyWhole() bool {
 	alone := j.Together == 0 || j.Refusing > CancelTime
-	return j.Verdict == Undecided && j.Reason != endNotMarked && alone && j.Sum > 0
+	return j.Verdict == Undecided && !j.unmarked && alone && j.Sum > 0
 }
 
 // End is the end of a response.
@@ -161,7 +163,7 @@
 
 // Judge judges the end of a response by what entries have seen of its target.
 func Judge(e End, reports ...Report) Judgement {
-	j := Judgement{Timing: e.Timing}
+	j := Judgement{Timing: e.Timing, unmarked: e.Unmarked}
 	survives := false
 	coincidence := coincidenceRate(e.At, reports)
 	inStep := Weight(0) // of the others that ended with their last event
