--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -151,7 +151,7 @@
 		c.doubt = announcedClose
 	case !ok:
 		c.doubt = noDoubt
-	case !w.StaysOpen(c.watchTime()):
+	case !w.StaysOpen(c.watchTime()) && !c.closedAtLimit():
 		c.doubt = unannouncedClose
 		if c.withdrawn = c.attempt.handOver.wasWithdrawn(); c.withdrawn {
 			c.doubt = announcedClose
@@ -165,6 +165,13 @@
 	}
 }
 
+// closedAtLimit reports whether the entry itself has closed the connection, because the time limit of the
+// request or a planned stop has ended, so that the close says nothing of the target.
+func (c *endCheck) closedAtLimit() bool {
+	cause := context.Cause(c.attempt.ctx)
+	return errors.Is(cause, errDeadline) || errors.Is(cause, errStopping)
+}
+
 // mayConfirm reports whether the target can be asked at little cost whether it is healthy, where a
 // response that is not believed can be completed by another target.
 func (c *endCheck) mayConfirm() bool {
@@ -262,10 +269,7 @@
 }
 
 // mayOutlast reports whether the check may go on although the context of the attempt has ended.
-func (c *endCheck) mayOutlast() bool {
-	cause := context.Cause(c.attempt.ctx)
-	return !c.doubt.needsProof() && (errors.Is(cause, errDeadline) || errors.Is(cause, errStopping))
-}
+func (c *endCheck) mayOutlast() bool { return !c.doubt.needsProof() && c.closedAtLimit() }
 
 // checkHealth asks for the health of the target, on the connection of the response if that is still idle.
 func (c *endCheck) checkHealth(ctx context.Context) {
--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -135,9 +135,12 @@
 
 // IsLikelyWhole reports whether the signs of an end that nothing decides speak more for a whole response than
 // for a cut one. Such a response is neither broken off nor resumed. An end that only the connection marks has
-// too few signs for that: a process that is killed ends its connections like one that closes them.
+// too few signs for that: a process that is killed ends its connections like one that closes them. Neither does
+// the timing of streams that ended together speak for them, unless their target had long refused connections:
+// handlers that are cancelled together may all end right behind an event.
 func (j *Judgement) IsLikelyWhole() bool {
-	return j.Verdict == Undecided && !j.unmarked && j.Sum > 0
+	alone := j.Together == 0 || j.Refusing > CancelTime
+	return j.Verdict == Undecided && !j.unmarked && alone && j.Sum > 0
 }
 
 // End is the end of a response.
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -42,6 +42,9 @@
 	// nothing serves behind the address. A relay closes those for a target that accepts none, while a
 	// single answer may be lost.
 	unservedTries = 3
+	// unservedPause is the time between these tries. A check after which a silent target is believed
+	// takes 250 ms at most, and must find the end of a target behind a relay on a busy machine too.
+	unservedPause = 20 * time.Millisecond
 	// defaultHealthPath is the path of a probe to a target whose service states none.
 	defaultHealthPath = "/"
 )
@@ -193,8 +196,12 @@
 			check.Liveness = gateway.Ended
 			return check
 		}
+		wait := pause
+		if unserved > 0 && unserved < unservedTries {
+			wait = unservedPause
+		}
 		select {
-		case <-time.After(pause):
+		case <-time.After(wait):
 		case <-ctx.Done():
 			check.TimedOut = true
 			return check
@@ -222,15 +229,32 @@
 	return true
 }
 
-// CheckHealth implements gateway.HealthChecker.
+// CheckHealth implements gateway.HealthChecker. A connection that is closed without an answer may be that of
+// a relay, so that it asks again, as CheckRunning does.
 func (c *Client) CheckHealth(ctx context.Context, target *state.TargetRecord, healthPath string) gateway.RunCheck {
 	key := probeKey{target.ID, target.Service, target.Address, healthPath}
 	if check, sure := c.askHealthOnIdle(ctx, key); sure {
 		return check
 	}
 	var check gateway.RunCheck
-	c.askHealth(ctx, key, &check) // undecided, or an error, is Unproved
-	return check
+	for tries := 1; ; tries++ {
+		decided, err := c.askHealth(ctx, key, &check)
+		switch {
+		case decided || !errors.Is(err, errClosedUnanswered): // undecided is Unproved
+			return check
+		case tries < unservedTries:
+		case c.keepsIdle(key):
+			return check
+		default:
+			check.Liveness = gateway.Ended
+			return check
+		}
+		select {
+		case <-time.After(unservedPause):
+		case <-ctx.Done():
+			return check
+		}
+	}
 }
 
 // askHealthOnIdle asks for the health of a target on an idle connection, if there is one. The answer is
--- a/internal/transport/upstream/unserved_test.go
+++ b/internal/transport/upstream/unserved_test.go
@@ -12,9 +12,9 @@
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
-// unservedProbeTime is the time in which a probe must find that nothing serves behind an address: three
-// tries and two pauses take 150 ms.
-const unservedProbeTime = 500 * time.Millisecond
+// unservedProbeTime is the time in which a probe must find that nothing serves behind an address, as a check
+// does after which a silent target is believed.
+const unservedProbeTime = 250 * time.Millisecond
 
 // What a target does with a new connection.
 const (
@@ -64,6 +64,31 @@
 	}
 }
 
+// Guards against a check of the health of a target that shows nothing, upon which the end of a stream is
+// believed, although each connection is accepted and closed; and against one lost answer that decides it.
+func TestHealthOfAddressBehindWhichNothingServes(t *testing.T) {
+	for _, c := range []struct {
+		steps []string
+		want  gateway.Liveness
+	}{
+		{[]string{closesUnanswered}, gateway.Ended},
+		{[]string{closesUnanswered, answers}, gateway.Running},
+		{[]string{closesUnanswered, closesUnanswered, resets}, gateway.Unproved},
+		{[]string{resets}, gateway.Unproved},
+		{[]string{closesInAnswer}, gateway.Unproved},
+	} {
+		address := serveInTurn(t, c.steps...)
+		began := time.Now()
+		check := New().CheckHealth(t.Context(), &state.TargetRecord{ID: "i-1", Address: address}, "/health")
+		if check.Liveness != c.want || check.Refused {
+			t.Errorf("%q: check %+v, want %s, not refused", c.steps, check, c.want)
+		}
+		if took := time.Since(began); took > unservedProbeTime {
+			t.Errorf("%q: took %s, want %s at most", c.steps, took, unservedProbeTime)
+		}
+	}
+}
+
 // Guards against a target that serves and is taken for one that has ended because it loses answers, or
 // resets connections while it is full.
 func TestLostAnswersAreNoEnd(t *testing.T) {
