--- a/internal/coordination/gateway/keptanswer_test.go
+++ b/internal/coordination/gateway/keptanswer_test.go
@@ -62,3 +62,29 @@
 		})
 	}
 }
+
+// Guards against an answer that only signs show to be whole and that is preferred to one that is proved, because
+// its target is silent when it is asked, in place of refusing connections.
+func TestAnswerOfSilentTargetIsKeptWhileAnotherAttemptRuns(t *testing.T) {
+	second := func(ctx context.Context, f *Forward) (Exchange, error) {
+		ex, err := closingBehind(Unproved, false, "kept")(ctx, f)
+		ex.(*fakeExchange).receivedAt = time.Now()
+		return ex, err
+	}
+	out, targets, _ := hedgedCall(t, "/plain/x", func(s *Service, _ func()) {
+		config := *s.Configuration()
+		config.Version++
+		plain := route("plain", "/plain/", state.IdempotentRoute, false, 2)
+		plain.Timeout, plain.Objective = 10*time.Second, time.Second
+		config.Routes = []state.Route{plain}
+		s.SetConfiguration(&config)
+		for _, id := range []state.TargetID{"t1", "t2", "t3"} {
+			began := time.Now() // of the refusals, which are seen last while the attempts run
+			s.targets.Refuses(id, began)
+			time.AfterFunc(275*time.Millisecond, func() { s.targets.Refuses(id, began) })
+		}
+	}, afterwards(time.Second, respondWith(200, "proved")), afterwards(100*time.Millisecond, second))
+	if out.body.String() != "proved" || len(targets.sends) != 2 {
+		t.Errorf("%q after %d sends, want the proved answer after 2", out.body.String(), len(targets.sends))
+	}
+}
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -126,7 +126,7 @@
 		a.request.believable = &believableEnd{attempt: a, head: head}
 	}
 	switch {
-	case c.judgement.Verdict == targetend.Whole && c.run.Liveness == Ended:
+	case c.judgement.Verdict == targetend.Whole && c.isBySigns():
 		return a.race.keep(a)
 	case c.judgement.Verdict == targetend.Whole:
 		return nil
@@ -139,6 +139,12 @@
 	}
 }
 
+// isBySigns reports whether only signs can show that the response is whole: its target has ended or is silent.
+func (c *endCheck) isBySigns() bool {
+	silent := c.run.Liveness == Unproved && !c.run.SameIncarnation && c.doubt.needsProof()
+	return c.run.Liveness == Ended || silent
+}
+
 // findDoubt finds why the response may have ended together with its target.
 func (c *endCheck) findDoubt(head *state.Response) {
 	w, ok := c.exchange.(ConnectionWatcher)
