Engine: test of plain responses behind a relay

Cause: nothing showed that a side process, which takes an address that accepts connections for a service that runs, tells one behind a relay that has ended. Change: a test.

--- a/internal/transport/engine/plainend_test.go
+++ b/internal/transport/engine/plainend_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/side"
+	"github.com/cassiaramp/cassiaramp/internal/emulator"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
@@ -64,3 +65,38 @@
 	_, err = client.Run(t.Context(), testAttempt, req, func(state.AttemptEvent) {})
 	return err
 }
+
+// Guards against a response without length or chunks that passes for complete although its service was killed
+// inside it: a relay before the service goes on accepting connections.
+func TestPlainResponseWithoutLengthBehindRelayIsUnknown(t *testing.T) {
+	service, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer service.Close()
+	front, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer front.Close()
+	relay := &emulator.Relay{}
+	relay.SetTarget(service.Addr().String())
+	go relay.Serve(front)
+	go http.Serve(service, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ncut")
+		service.Close()
+		conn.Close()
+	}))
+	client := New(Config{Address: front.Addr().String(), PlainService: true, Log: zap.NewNop()})
+	req := &state.Request{Kind: state.PlainCall, Method: http.MethodGet, Path: "/x"}
+	_, err = client.Run(t.Context(), testAttempt, req, func(state.AttemptEvent) {})
+	var unknown *side.UnknownOutcomeError
+	if !errors.As(err, &unknown) {
+		t.Errorf("error %v, want that the outcome is unknown", err)
+	}
+}
