Idle connections that a relay closes are no shutdown of its target

Cause: a check that finds that a target has ended takes the time at which its idle connections were closed for the beginning of its shutdown, since also where no connection was refused. Behind a relay, that may be the relay's own idle timeout, so that each later cut stream counted as one that went on while its target refused connections, and was passed on as complete. Change: without a refusal, the target serves none since the check.

--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -388,9 +388,10 @@
 	return run.Liveness == Leaving || run.Liveness == Running || run.SameIncarnation
 }
 
-// refusesSince returns since when the target that was asked serves no connections, as far as it is known.
+// refusesSince returns since when the target that was asked serves no connections, as far as it is known. Behind
+// a relay, which refuses none, idle ones may have been closed at the relay's own idle timeout.
 func (c *endCheck) refusesSince() time.Time {
-	if c.run.IdleClosedAt.IsZero() {
+	if c.run.IdleClosedAt.IsZero() || !c.run.Refused {
 		return time.Now()
 	}
 	return c.run.IdleClosedAt
--- a/internal/transport/upstream/endingtarget_test.go
+++ b/internal/transport/upstream/endingtarget_test.go
@@ -48,6 +48,9 @@
 	// closesIdleThenCancels does as cancelsHandlers, and closes connections that have been idle for
 	// endingIdleTime at any time.
 	closesIdleThenCancels = "closes idle connections, later cancels handlers"
+	// closesIdleEarlyThenCancels does so although it states a longer idle timeout, as seen behind a relay that
+	// has a shorter one.
+	closesIdleEarlyThenCancels = "closes idle connections early, later cancels handlers"
 )
 
 const (
@@ -89,7 +92,7 @@
 		handlers.instance = instance
 	}
 	server := &http.Server{Handler: handlers}
-	if ending == closesIdleThenCancels {
+	if ending == closesIdleThenCancels || ending == closesIdleEarlyThenCancels {
 		server.IdleTimeout = endingIdleTime
 	}
 	go server.Serve(ln)
@@ -97,7 +100,7 @@
 	switch ending {
 	case finishesHandlers:
 		return server.Shutdown(context.Background())
-	case cancelsHandlers, cancelsBehindEvents, closesIdleThenCancels:
+	case cancelsHandlers, cancelsBehindEvents, closesIdleThenCancels, closesIdleEarlyThenCancels:
 		handlers.cancel(0)
 		return server.Shutdown(context.Background())
 	case finishesThenCancels:
--- a/internal/transport/upstream/relay_test.go
+++ b/internal/transport/upstream/relay_test.go
@@ -100,3 +100,21 @@
 		}
 	})
 }
+
+// Guards against a cut stream that is passed on as complete because a relay, whose idle timeout is shorter than
+// the one that the target states, had closed idle connections before: that is no beginning of a shutdown.
+func TestIdleTimeoutOfRelayIsNoShutdown(t *testing.T) {
+	for _, route := range []string{"stream", "resume"} {
+		t.Run(route, func(t *testing.T) {
+			target, g := startRelayedTarget(t, closesIdleEarlyThenCancels, true)
+			terminate := func() {
+				time.Sleep(20*endingEventGap + 4*endingIdleTime) // until the short streams' connections are closed
+				target.terminate()
+			}
+			streams := serveStreams(t, g, route, []int{20, 20, 20, 20, 1000}, terminate)
+			if s := streams[4]; s.complete {
+				t.Errorf("complete after %d of 1000 events", s.events.Load())
+			}
+		})
+	}
+}
