--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -126,7 +126,7 @@
 		a.request.believable = &believableEnd{attempt: a, head: head}
 	}
 	switch {
-	case c.judgement.Verdict == targetend.Whole && c.run.Liveness == Ended:
+	case c.judgement.Verdict == targetend.Whole && c.isBySigns():
 		return a.race.keep(a)
 	case c.judgement.Verdict == targetend.Whole:
 		return nil
@@ -139,6 +139,12 @@
 	}
 }
 
+// isBySigns reports whether only signs can show that the response is whole: its target has ended or is silent.
+func (c *endCheck) isBySigns() bool {
+	silent := c.run.Liveness == Unproved && !c.run.SameIncarnation && c.doubt.needsProof()
+	return c.run.Liveness == Ended || silent
+}
+
 // findDoubt finds why the response may have ended together with its target.
 func (c *endCheck) findDoubt(head *state.Response) {
 	w, ok := c.exchange.(ConnectionWatcher)
@@ -166,11 +172,8 @@
 }
 
 // closedAtLimit reports whether the entry itself has closed the connection, because the time limit of the
-// request or a planned stop has ended, so that the close says nothing of the target.
-func (c *endCheck) closedAtLimit() bool {
-	cause := context.Cause(c.attempt.ctx)
-	return errors.Is(cause, errDeadline) || errors.Is(cause, errStopping)
-}
+// request has ended, so that the close says nothing of the target.
+func (c *endCheck) closedAtLimit() bool { return errors.Is(context.Cause(c.attempt.ctx), errDeadline) }
 
 // mayConfirm reports whether the target can be asked at little cost whether it is healthy, where a
 // response that is not believed can be completed by another target.
@@ -269,7 +272,10 @@
 }
 
 // mayOutlast reports whether the check may go on although the context of the attempt has ended.
-func (c *endCheck) mayOutlast() bool { return !c.doubt.needsProof() && c.closedAtLimit() }
+func (c *endCheck) mayOutlast() bool {
+	cause := context.Cause(c.attempt.ctx)
+	return !c.doubt.needsProof() && (errors.Is(cause, errDeadline) || errors.Is(cause, errStopping))
+}
 
 // checkHealth asks for the health of the target, on the connection of the response if that is still idle.
 func (c *endCheck) checkHealth(ctx context.Context) {
@@ -382,9 +388,10 @@
 	return run.Liveness == Leaving || run.Liveness == Running || run.SameIncarnation
 }
 
-// refusesSince returns since when the target that was asked serves no connections, as far as it is known.
+// refusesSince returns since when the target that was asked serves no connections, as far as it is known. Behind
+// a relay, which refuses none, idle ones may have been closed at the relay's own idle timeout.
 func (c *endCheck) refusesSince() time.Time {
-	if c.run.IdleClosedAt.IsZero() {
+	if c.run.IdleClosedAt.IsZero() || !c.run.Refused {
 		return time.Now()
 	}
 	return c.run.IdleClosedAt
