Idle connections that a relay closes are no shutdown, as told by other entries either

Callers would see: a cut stream passed on as complete behind a relay. Cause: entries tell when a target has closed their idle connections as a refusal. Change: where the own check found an end without a refusal, refusals that other entries tell do not count.

--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -435,7 +435,14 @@
 
 // judgeByAll judges by what this entry and those that were asked have seen.
 func (c *endCheck) judgeByAll() targetend.Judgement {
-	return targetend.Judge(c.end(), append(slices.Clip(c.seenElsewhere), c.seenHere())...)
+	reports := append(slices.Clone(c.seenElsewhere), c.seenHere())
+	if c.run.Liveness == Ended && !c.run.Refused {
+		// Other entries tell idle connections that a relay has closed like a refusal of the target.
+		for i := range c.seenElsewhere {
+			reports[i].Refusing = 0
+		}
+	}
+	return targetend.Judge(c.end(), reports...)
 }
 
 // end describes the end of the response.
