An end whose timing alone speaks for a cut is not likely whole

Cause: a target that had refused connections for 662 ms weighs +15, the timing (1.1 ms after the last event, at a service whose whole streams end with it) -13.2; the sum of 1.8 made the end likely whole. Undecided ends elsewhere are not believed against such a timing.

--- a/internal/coordination/targetend/timing_test.go
+++ b/internal/coordination/targetend/timing_test.go
@@ -72,6 +72,7 @@
 		{"ended with its last event, as another one at that moment", End{Timing: 8}, Seen{Ended: []time.Duration{0}, EndedTimings: []Weight{12}}, false},
 		{"refused long before, read a little late, another one ended with its last event", End{Timing: -6}, Seen{Refusing: time.Second, Ended: []time.Duration{0}, EndedTimings: []Weight{13}}, true},
 		{"refused long before, between events", End{Timing: -16}, refusing, false},
+		{"refused long before, timing of a cut", End{Timing: -13.2}, refusing, false},
 		{"nothing known", End{}, Seen{}, false},
 		{"often ends so when it is cut", End{Timing: 4}, Seen{}, false},
 		{"another one was cut with it", End{Timing: 8}, Seen{Ended: []time.Duration{0}, EndedTimings: []Weight{-14}}, false},
