--- a/internal/coordination/targetend/judge.go
+++ b/internal/coordination/targetend/judge.go
@@ -134,11 +134,11 @@
 func (j *Judgement) EndsLikeCut() bool { return j.Timing <= -sufficientWeight }
 
 // IsLikelyWhole reports whether the signs of an end that nothing decides speak more for a whole response than
-// for a cut one, and its timing alone does not speak for a cut. Such a response is neither broken off nor resumed.
-// An end that only the connection marks has
-// too few signs for that: a process that is killed ends its connections like one that closes them. Neither does
-// the timing of streams that ended together speak for them, unless their target had long refused connections:
-// handlers that are cancelled together may all end right behind an event.
+// for a cut one, and its timing alone does not speak for a cut. Such a response is neither broken off nor
+// resumed. An end that only the connection marks has too few signs for that: a process that is killed ends its
+// connections like one that closes them. Neither does the timing of streams that ended together speak for them,
+// unless their target had long refused connections: handlers that are cancelled together may all end right
+// behind an event.
 func (j *Judgement) IsLikelyWhole() bool {
 	alone := j.Together == 0 || j.Refusing > CancelTime
 	return j.Verdict == Undecided && !j.unmarked && alone && !j.EndsLikeCut() && j.Sum > 0
