--- a/internal/coordination/gateway/fullbehindrelay_test.go
+++ b/internal/coordination/gateway/fullbehindrelay_test.go
@@ -27,11 +27,7 @@
 func TestTargetThatRunsRequestsIsNotKnownToRefuse(t *testing.T) {
 	out, targets := &recordingResponder{}, &fakeTargetClient{}
 	synctest.Test(t, func(t *testing.T) {
-		targets.behaviours = []behaviour{closingBehind(Ended, true, "full"), respondWith(200, "served"), func(ctx context.Context, f *Forward) (Exchange, error) {
-			ex, err := closingBehind(Ended, false, "cut")(ctx, f)
-			ex.(*fakeExchange).receivedAt = time.Now()
-			return ex, err
-		}}
+		targets.behaviours = []behaviour{closingBehind(Ended, true, "full"), respondWith(200, "served"), endsNow(Ended, false, "cut")}
 		svc := newService(&checkedInTurn{targets, []RunCheck{{Liveness: Ended}, {Liveness: Ended, Refused: true}}})
 		svc.cfg.Scheduler.SetTargets([]state.TargetRecord{{ID: "t1", Service: "s", Address: "t1", Slots: 4}})
 		for _, o := range []*recordingResponder{{}, {}, out} {
--- a/internal/coordination/gateway/plainverdict_test.go
+++ b/internal/coordination/gateway/plainverdict_test.go
@@ -46,11 +46,7 @@
 	})
 	t.Run("the attempt beside it fails later", func(t *testing.T) {
 		// The second target finishes its answer after it has begun to shut down.
-		finishes := func(ctx context.Context, f *Forward) (Exchange, error) {
-			ex, err := closingBehind(Ended, true, "whole")(ctx, f)
-			ex.(*fakeExchange).receivedAt = time.Now()
-			return ex, err
-		}
+		finishes := endsNow(Ended, true, "whole")
 		out, targets, _ := hedgedCall(t, "/plain/x", func(s *Service, _ func()) {
 			s.cfg.TargetClient.(*fakeTargetClient).idleClosedAt = time.Now()
 		}, afterwards(time.Second, connectionReset), afterwards(200*time.Millisecond, finishes))
--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -21,6 +21,15 @@
 	}
 }
 
+// endsNow answers as closingBehind does, with an end that arrives when the request is answered.
+func endsNow(l Liveness, announced bool, body string) behaviour {
+	return func(ctx context.Context, f *Forward) (Exchange, error) {
+		ex, err := closingBehind(l, announced, body)(ctx, f)
+		ex.(*fakeExchange).receivedAt = time.Now()
+		return ex, err
+	}
+}
+
 // Guards against a stream in chunks that is passed on as complete although its target, which ends,
 // has cancelled its handlers, and against whole streams that are broken off because their target
 // closes connections.
