--- a/internal/coordination/gateway/race.go
+++ b/internal/coordination/gateway/race.go
@@ -126,8 +126,8 @@
 	return slices.ContainsFunc(rc.running, func(o *attempt) bool { return o != a && o.arrived.Load() })
 }
 
-// keep holds back a whole answer whose target has ended, so that only signs show that it is whole, while
-// another attempt may bring one that is proved. It returns nil once the answer is to be passed on: the attempt
+// keep holds back a whole answer whose target has ended or is silent, so that only signs show that it is whole,
+// while another attempt may bring one that is proved. It returns nil once the answer is to be passed on: the attempt
 // beside has failed or is silent for so long that another target would take over, the time of the request is
 // over, or the attempt beside keeps its answer too. Otherwise, it returns why the attempt was cancelled.
 func (rc *race) keep(a *attempt) error {
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -241,7 +241,7 @@
 	r.log.Info("end of response not proved", append(fields, a.logTiming()...)...)
 }
 
-// logKept records for how long the whole answer of a target that has ended was kept beside another attempt.
+// logKept records for how long an answer that only signs show to be whole was kept beside another attempt.
 func (r *request) logKept(a *attempt, until string, waited time.Duration, cause error) {
 	r.service.cfg.Counters.Add("answer_kept." + until)
 	r.log.Info("answer kept beside another attempt", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
