Fault soak: software versions of targets, and a judge that compares them

Targets draw a version by -faultsoak.versions (one by default), may be replaced under their identifier and address (-faultsoak.inplace), and their records may be late (-faultsoak.recordlag). Runs in the ledger bear the version, from which the judge takes it. ORDER now names events of two versions in one answer and over a caller's attempts, once for a stream, and who joined them. A line per run counts resumptions and the reasons of those that were refused; -faultsoak.noresumes leaves Resumes out. Runs of the judge's own cases bear the version v1 that their events have; nothing else about them changed.

Measured: TestFindingsOfSoftwareVersions (11 cases) and the other cases of the judge pass.

--- a/internal/faultsoak/callers_test.go
+++ b/internal/faultsoak/callers_test.go
@@ -195,7 +195,10 @@
 		fmt.Fprintf(&b, "%s: %d\r\n%s: %g\r\n", emulator.HeaderWorkMs, a.workMs, emulator.HeaderFailShare, a.kind.failShare)
 	}
 	if a.after > 0 {
-		fmt.Fprintf(&b, "Last-Event-Id: %d\r\nResumes: %s\r\n", a.after, a.resumes)
+		fmt.Fprintf(&b, "Last-Event-Id: %d\r\n", a.after)
+		if !*noResumesFlag {
+			fmt.Fprintf(&b, "Resumes: %s\r\n", a.resumes)
+		}
 	}
 	body := strings.Repeat("b", a.bodySize)
 	switch {
--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -77,6 +77,8 @@
 	extraKeys     bool
 	loadPercent   atomic.Int64
 	processes     atomic.Int64 // of targets, started so far
+	versions      *rand.Rand   // draws the software versions of targets
+	targetStarts  int
 
 	mu       sync.Mutex
 	attempts []*attempt
@@ -87,10 +89,11 @@
 
 func runDeployment(t *testing.T, binary string, dep *deployment, seed uint64) {
 	checkEndingFlags(t)
+	checkVersionsFlag(t)
 	w := newEmptyWorld(t, binary, seed)
 	defer w.close()
 	d := &deploymentRun{
-		deployment: dep, world: w, runsOf: w.ledger.Details, random: newRandom(seed), timeoutFactor: make(map[*requestKind]float64), moved: make(map[*requestKind]bool), idleTimeout: callerIdle,
+		deployment: dep, world: w, runsOf: w.ledger.Details, random: newRandom(seed), versions: newRandom(seed), timeoutFactor: make(map[*requestKind]float64), moved: make(map[*requestKind]bool), idleTimeout: callerIdle,
 		idleSeen: callerIdle, ready: make(map[*entry]int),
 	}
 	for _, k := range dep.kinds {
@@ -407,7 +410,7 @@
 		e.Closing.Store(true)
 		e.socket.Close()
 		e.server.Close()
-		w.store.Put("keyed.servers", e.ID, nil)
+		w.removeRecord(e)
 		d.restartEngine(e, targetRestart, func(n *engine) { d.listenAgain(n, e) })
 	})
 }
@@ -437,7 +440,7 @@
 	e.Closing.Store(true)
 	d.impair(what, e.ID, 0)
 	e.server.Close()
-	time.AfterFunc(recordLease, func() { d.world.store.Put("keyed.servers", e.ID, nil) })
+	time.AfterFunc(recordLease, func() { d.world.removeRecord(e) })
 }
 
 const (
@@ -460,11 +463,15 @@
 		if w.closed {
 			return
 		}
-		next := &emulator.Target{ID: e.ID + "n", Service: e.Service, Slots: e.Slots, EventsPerStream: e.EventsPerStream, Software: e.Software, Ledger: e.Ledger, Profile: e.Profile}
+		id := e.ID + "n"
+		if *inPlaceFlag {
+			id = e.ID
+		}
+		next := &emulator.Target{ID: id, Service: e.Service, Slots: e.Slots, EventsPerStream: e.EventsPerStream, Software: d.software(true), Ledger: e.Ledger, Profile: e.Profile}
 		n := &engine{Target: next, startedAt: time.Now()}
 		serve(n)
 		w.engines[slices.Index(w.engines, e)] = n
-		w.putTargetRecord(n, "ready")
+		w.listLater(n)
 	})
 }
 
--- a/internal/faultsoak/deployments_test.go
+++ b/internal/faultsoak/deployments_test.go
@@ -176,7 +176,7 @@
 		if d.openFaults() {
 			profile.StrayShare, profile.SpoiledShare = 0.02, 0.004
 		}
-		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Slots: d.slots, EventsPerStream: 1, Software: "v1", Ledger: w.ledger, Profile: &profile}, i < processes)
+		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Slots: d.slots, EventsPerStream: 1, Software: d.software(false), Ledger: w.ledger, Profile: &profile}, i < processes)
 	}
 	for i := range d.plainTargets + movedTargets {
 		service := d.plainService
@@ -184,7 +184,7 @@
 			service += movedSuffix
 		}
 		profile := emulator.Profile{Queue: plainQueue, Speed: 1, IdleTimeout: engineIdle, MaxConnections: plainConnections, CloseShare: 0.01, LateShare: 0.004, AbruptShare: 0.004, RunsOn: i == 0, NoticesCloseLate: *lateCloseFlag}
-		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Slots: plainSlots, Software: "v1", Ledger: w.ledger, Profile: &profile}, i < *processesFlag)
+		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Slots: plainSlots, Software: d.software(false), Ledger: w.ledger, Profile: &profile}, i < *processesFlag)
 	}
 	d.writeConfiguration()
 	for i := range 5 {
--- a/internal/faultsoak/endings_test.go
+++ b/internal/faultsoak/endings_test.go
@@ -79,7 +79,7 @@
 		e.process.command(emulator.CommandDraining)
 		d.world.putTargetRecord(e, "draining")
 	}
-	otherAddress := d.random.IntN(2) == 0
+	otherAddress := d.random.IntN(2) == 0 && !*inPlaceFlag
 	time.AfterFunc(after, func() {
 		d.impair(how.String(), e.ID, 0)
 		e.end(how.form)
@@ -94,7 +94,7 @@
 		if !otherAddress {
 			d.restartEngine(e, 0, func(n *engine) { d.startProcessAgain(n, e) })
 		}
-		time.AfterFunc(recordLasts, func() { d.world.store.Put("keyed.servers", e.ID, nil) })
+		time.AfterFunc(recordLasts, func() { d.world.removeRecord(e) })
 	})
 }
 
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -37,6 +37,7 @@
 	counts := d.findings()
 	t.Logf("streams of %s, seed %d: %s", d.name, d.world.seed, d.streamEnds())
 	t.Logf("signs of %s, seed %d: %s", d.name, d.world.seed, d.endSigns())
+	t.Logf("resumptions of %s, seed %d: %s", d.name, d.world.seed, d.describeResumptions())
 	for _, e := range d.events {
 		t.Logf("%s %s %s to %s", e.what, e.where, e.from.UTC().Format("15:04:05.000"), e.to.UTC().Format("15:04:05.000"))
 	}
@@ -61,7 +62,7 @@
 	otherCuts := 0
 	byID := d.attemptsByID()
 	// By their first attempts, as one stream counts once.
-	tooMany, resumedByCaller := make(map[string]bool), make(map[string]bool)
+	tooMany, resumedByCaller, mixed := make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	for _, a := range d.attempts {
 		runs := d.runsOf(a.id)
 		ran := ranOf(runs)
@@ -105,6 +106,10 @@
 			}
 			tooMany[stream] = tooMany[stream] || strings.HasPrefix(wrong, afterLastEvent)
 		}
+		if j := d.joinedVersions(a, before); j.by != "" && !mixed[stream] {
+			mixed[stream] = true
+			report("ORDER", a, runs, j.detail)
+		}
 		if a.resumedBehind(ran) && a.endedByTarget(ran) {
 			report("whole, resumed by the entry", a, runs, "")
 		}
@@ -197,7 +202,7 @@
 	}
 	rest, run, n := a.body, -1, a.after+1
 	for ; n <= a.events && rest != ""; n++ {
-		written := func(r emulator.Run) bool { return sharePrefix(rest, emulator.RunEvent(a.id, n, "v1", r.Number)) }
+		written := func(r emulator.Run) bool { return sharePrefix(rest, emulator.RunEvent(a.id, n, r.Software, r.Number)) }
 		i := run // a part of an event may not show which run wrote it
 		if run < 0 || !written(ran[run]) {
 			i = slices.IndexFunc(ran, written)
@@ -208,7 +213,7 @@
 		case i != run && (i < run || ran[i].After != n-1 || run >= 0 && !a.kind.resumable):
 			return fmt.Sprintf("event %d is of another run", n)
 		}
-		event := emulator.RunEvent(a.id, n, "v1", ran[i].Number)
+		event := emulator.RunEvent(a.id, n, ran[i].Software, ran[i].Number)
 		if len(rest) < len(event) {
 			break
 		}
@@ -342,7 +347,7 @@
 	fmt.Fprintf(&b, "\n  caller: kept=%t sent +%dms ended +%dms of %d (route %d), status %d, events %d to %d of %d, left=%t read=%t, %v", a.kept, a.sent.Sub(origin).Milliseconds(),
 		a.ended.Sub(origin).Milliseconds(), a.limit.Milliseconds(), a.kind.timeout.Milliseconds(), a.status, a.after, a.after+a.received(), a.events, a.left, a.readWhole, a.err)
 	for _, r := range runs {
-		fmt.Fprintf(&b, "\n  target %s: %+dms to %+dms, %s, last event %d, goes on when left=%t", r.Target, r.From.Sub(origin).Milliseconds(), r.To.Sub(origin).Milliseconds(), r.Outcome, r.Events, r.RunsOn)
+		fmt.Fprintf(&b, "\n  target %s of %s: %+dms to %+dms, %s, last event %d, goes on when left=%t", r.Target, r.Software, r.From.Sub(origin).Milliseconds(), r.To.Sub(origin).Milliseconds(), r.Outcome, r.Events, r.RunsOn)
 		if how := d.endingOf(r); how != "" {
 			fmt.Fprintf(&b, ", the target was ended: %s", how)
 		}
--- a/internal/faultsoak/judgecases_test.go
+++ b/internal/faultsoak/judgecases_test.go
@@ -24,7 +24,7 @@
 	begin := time.Now()
 	at := func(n int) time.Time { return begin.Add(ms(n)) }
 	run := func(target string, from, to int, outcome string) emulator.Run {
-		return emulator.Run{Target: target, From: at(from), To: at(to), Outcome: outcome}
+		return emulator.Run{Software: "v1", Target: target, From: at(from), To: at(to), Outcome: outcome}
 	}
 	stopped := event{what: "SIGTERM", where: "edge-0", from: at(-1000), to: at(-1000)}
 	events := func(n int) string {
@@ -200,7 +200,7 @@
 					e.end(a)
 					var runs []emulator.Run
 					for i, after := range c.runs {
-						runs = append(runs, emulator.Run{Target: "x", Number: i + 1, After: after, From: begin, To: begin.Add(ms(400)), Outcome: emulator.RunBrokenOff})
+						runs = append(runs, emulator.Run{Software: "v1", Target: "x", Number: i + 1, After: after, From: begin, To: begin.Add(ms(400)), Outcome: emulator.RunBrokenOff})
 					}
 					attempts, want := []*attempt{a}, 0
 					if c.after > 0 { // the caller got the events before in its first attempt
@@ -212,7 +212,7 @@
 					}
 					d := &deploymentRun{deployment: deployments[0], world: &world{t: t, logDirectory: t.TempDir()}, attempts: attempts, runsOf: func(id string) []emulator.Run {
 						if id == "b" {
-							return []emulator.Run{{Target: "x", Number: 1, From: begin, To: begin.Add(ms(400)), Outcome: emulator.RunBrokenOff}}
+							return []emulator.Run{{Software: "v1", Target: "x", Number: 1, From: begin, To: begin.Add(ms(400)), Outcome: emulator.RunBrokenOff}}
 						}
 						return runs
 					}}
@@ -246,7 +246,7 @@
 		runs        []emulator.Run
 	}
 	run := func(number, after int, outcome string) emulator.Run {
-		return emulator.Run{Target: "x", Number: number, After: after, Outcome: outcome, From: begin, To: begin.Add(ms(400))}
+		return emulator.Run{Software: "v1", Target: "x", Number: number, After: after, Outcome: outcome, From: begin, To: begin.Add(ms(400))}
 	}
 	whole, more := run(1, 0, emulator.RunCompleted), run(2, last, emulator.RunCompleted)
 	first := request{id: "a", body: pieces("a", 1, 1, last), cut: true, runs: []emulator.Run{whole}}
@@ -368,3 +368,75 @@
 		})
 	}
 }
+
+// Guards against a judge that misses events of two software versions in one stream, or reports
+// streams of one version.
+func TestFindingsOfSoftwareVersions(t *testing.T) {
+	const last = 9
+	begin := time.Now()
+	run := func(target, software string, number, after int, outcome string) emulator.Run {
+		return emulator.Run{Target: target, Software: software, Number: number, After: after, Outcome: outcome, From: begin, To: begin.Add(ms(400))}
+	}
+	type answer struct {
+		runs []emulator.Run
+		ends []int // the last event of each of the runs
+	}
+	broken := run("T", "v1", 1, 0, emulator.RunBrokenOff)
+	whole := func(target, software string, number, after int) emulator.Run {
+		return run(target, software, number, after, emulator.RunCompleted)
+	}
+	for _, c := range []struct {
+		name    string
+		answers []answer // of the caller's attempts
+		order   int
+		want    joined // of the last attempt
+	}{
+		{name: "one target", answers: []answer{{[]emulator.Run{whole("T", "v1", 1, 0)}, []int{last}}}},
+		{name: "resumed by the entry at the same version", answers: []answer{{[]emulator.Run{broken, whole("U", "v1", 2, 6)}, []int{6, last}}}},
+		{name: "resumed by the entry at another version", answers: []answer{{[]emulator.Run{broken, whole("U", "v2", 2, 6)}, []int{6, last}}},
+			order: 1, want: joined{joinedByEntry, "the entry joined two software versions: event 7 came from U of v2, the first from T of v1"}},
+		{name: "resumed by the entry in place at another version", answers: []answer{{[]emulator.Run{broken, whole("T", "v2", 2, 6)}, []int{6, last}}},
+			order: 1, want: joined{joinedByEntry, "the entry joined two software versions: event 7 came from T of v2, the first from T of v1"}},
+		{name: "begun again at another version before the first event", answers: []answer{{[]emulator.Run{broken, whole("U", "v2", 2, 0)}, []int{0, last}}}},
+		{name: "run at another version that brought nothing", answers: []answer{{[]emulator.Run{broken, run("U", "v2", 2, 6, emulator.RunBrokenOff), whole("V", "v1", 3, 6)}, []int{6, 6, last}}}},
+		{name: "resumed by the caller at the same version", answers: []answer{{[]emulator.Run{broken}, []int{6}}, {[]emulator.Run{whole("U", "v1", 2, 6)}, []int{last}}}},
+		{name: "resumed by the caller at another version", answers: []answer{{[]emulator.Run{broken}, []int{6}}, {[]emulator.Run{whole("U", "v2", 2, 6)}, []int{last}}},
+			order: 1, want: joined{joinedByCaller, "the caller joined two software versions: event 7 came from U of v2, the first from T of v1"}},
+		{name: "resumed by the caller, then by the entry at another version", answers: []answer{{[]emulator.Run{broken}, []int{4}}, {[]emulator.Run{run("U", "v1", 2, 4, emulator.RunBrokenOff), whole("V", "v2", 3, 6)}, []int{6, last}}},
+			order: 1, want: joined{joinedByEntry, "the entry joined two software versions: event 7 came from V of v2, the first from T of v1"}},
+		{name: "resumed by the caller without an event, then at another version", answers: []answer{{[]emulator.Run{broken}, []int{6}}, {nil, nil}, {[]emulator.Run{whole("U", "v2", 2, 6)}, []int{last}}},
+			order: 1, want: joined{joinedByCaller, "the caller joined two software versions: event 7 came from U of v2, the first from T of v1"}},
+		{name: "joined by the caller, which resumes again", answers: []answer{{[]emulator.Run{broken}, []int{4}}, {[]emulator.Run{run("U", "v2", 2, 4, emulator.RunBrokenOff)}, []int{6}}, {[]emulator.Run{whole("U", "v2", 3, 6)}, []int{last}}},
+			order: 1, want: joined{joinedByCaller, "the caller joined two software versions: event 7 came from U of v2, the first from T of v1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runs := make(map[string][]emulator.Run)
+			d := &deploymentRun{deployment: deployments[0], world: &world{t: t, logDirectory: t.TempDir()}, runsOf: func(id string) []emulator.Run { return runs[id] }}
+			kind := deployments[0].kinds[1]
+			after, resumes := 0, ""
+			for i, answer := range c.answers {
+				id := fmt.Sprintf("a-%d", i)
+				a := &attempt{id: id, resumes: resumes, answerID: id, signature: "s", kind: kind, entry: &entry{name: "edge-0"}, status: 200, after: after, events: last, limit: kind.limit, begun: begin, sent: begin, ended: begin.Add(ms(500))}
+				for j, r := range answer.runs {
+					for ; after < answer.ends[j]; after++ {
+						a.body += emulator.RunEvent(id, after+1, r.Software, r.Number)
+					}
+				}
+				if after < last {
+					a.err = io.ErrUnexpectedEOF
+				}
+				if a.body != "" {
+					resumes = id
+				}
+				runs[id], d.attempts = answer.runs, append(d.attempts, a)
+			}
+			a := d.attempts[len(d.attempts)-1]
+			if got := d.joinedVersions(a, attemptsBefore(a, d.attemptsByID())); got != c.want {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+			if got := d.findings(); got["ORDER"] != c.order {
+				t.Errorf("findings %v, want ORDER %d", got, c.order)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/faultsoak/softwareversions_test.go
@@ -0,0 +1,220 @@
+package faultsoak
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/emulator"
+)
+
+var (
+	versionsFlag  = flag.String("faultsoak.versions", versionsOne, "software versions of a deployment's targets: one; two, drawn at each start; roll, v1 at first and v2 for targets that replace others; new, another one every five starts")
+	inPlaceFlag   = flag.Bool("faultsoak.inplace", false, "a target that replaces another keeps its identifier and address; no conforming deployment does so")
+	recordLagFlag = flag.Duration("faultsoak.recordlag", 0, "longest time after which the record of a target that replaces another reaches the store")
+	noResumesFlag = flag.Bool("faultsoak.noresumes", false, "callers that resume a stream do not name the request that began it")
+)
+
+const (
+	versionsOne  = "one"
+	versionsTwo  = "two"
+	versionsRoll = "roll"
+	versionsNew  = "new"
+
+	// startsPerVersion is the number of starts of targets with the same version of versionsNew.
+	startsPerVersion = 5
+)
+
+// checkVersionsFlag ends the test if the flag names no form, as a run of it would show nothing.
+func checkVersionsFlag(t *testing.T) {
+	if !slices.Contains([]string{versionsOne, versionsTwo, versionsRoll, versionsNew}, *versionsFlag) {
+		t.Fatalf("unknown form in -faultsoak.versions=%s", *versionsFlag)
+	}
+}
+
+// software returns the software version of a target that starts. It is called by one goroutine at
+// a time.
+func (d *deploymentRun) software(replaces bool) string {
+	n := 0
+	switch d.targetStarts++; *versionsFlag {
+	case versionsTwo:
+		n = d.versions.IntN(2)
+	case versionsRoll:
+		if replaces {
+			n = 1
+		}
+	case versionsNew:
+		n = (d.targetStarts - 1) / startsPerVersion
+	}
+	return fmt.Sprintf("v%d", n+1)
+}
+
+// listLater writes the record of a target that replaces another, after a while with
+// -faultsoak.recordlag. The caller holds the lock of the world.
+func (w *world) listLater(e *engine) {
+	if *recordLagFlag == 0 {
+		w.putTargetRecord(e, "ready")
+		return
+	}
+	lag := time.Duration(rand.Int64N(int64(*recordLagFlag)))
+	e.listedFrom = time.Now().Add(lag)
+	time.AfterFunc(lag, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !e.removed {
+			w.putTargetRecord(e, "ready")
+		}
+	})
+}
+
+// removeRecord removes the record of a target that has ended, unless another one has its identifier.
+func (w *world) removeRecord(e *engine) {
+	if !*inPlaceFlag {
+		w.store.Put("keyed.servers", e.ID, nil)
+	}
+}
+
+// written is a whole event that a caller got.
+type written struct {
+	number int
+	by     emulator.Run
+}
+
+func (d *deploymentRun) eventsOf(a *attempt) (events []written) {
+	runs := d.runsOf(a.id)
+	n := a.after
+	for event := range strings.SplitAfterSeq(a.body, "\n\n") {
+		n++
+		i := slices.IndexFunc(runs, func(r emulator.Run) bool {
+			return strings.HasSuffix(event, fmt.Sprintf(" %s run %d\n\n", r.Software, r.Number))
+		})
+		if i >= 0 {
+			events = append(events, written{n, runs[i]})
+		}
+	}
+	return events
+}
+
+// joined says who joined events of two software versions in a stream and which, "" for none.
+type joined struct{ by, detail string }
+
+const joinedByEntry, joinedByCaller = "the entry", "the caller"
+
+// joinedVersions compares the events of an attempt with the first one of its stream, which may have
+// come in one of the attempts before.
+func (d *deploymentRun) joinedVersions(a *attempt, before []*attempt) joined {
+	if a.kind.kind != "streaming" {
+		return joined{}
+	}
+	events := d.eventsOf(a)
+	var first []written
+	for _, b := range slices.Backward(before) {
+		if first = d.eventsOf(b); len(first) > 0 {
+			break
+		}
+	}
+	first = append(first, events...)
+	i := slices.IndexFunc(events, func(e written) bool { return e.by.Software != first[0].by.Software })
+	if i < 0 {
+		return joined{}
+	}
+	by := joinedByEntry
+	if i == 0 {
+		by = joinedByCaller
+	}
+	e, f := events[i], first[0].by
+	return joined{by, fmt.Sprintf("%s joined two software versions: event %d came from %s of %s, the first from %s of %s", by, e.number, e.by.Target, e.by.Software, f.Target, f.Software)}
+}
+
+// resumptions counts resumptions of streams before their last event, by what came of them.
+type resumptions struct {
+	total, wentOn int
+	refused       map[string]int // by reason
+}
+
+func (r *resumptions) count(refusal string) {
+	if r.total++; refusal == "" {
+		r.wentOn++
+		return
+	}
+	if r.refused == nil {
+		r.refused = make(map[string]int)
+	}
+	r.refused[refusal]++
+}
+
+func (r resumptions) String() string {
+	return fmt.Sprintf("%d of %d went on, refused: %v", r.wentOn, r.total, r.refused)
+}
+
+// refusalPattern finds the reason for which an entry broke a stream off or refused a request.
+var refusalPattern = regexp.MustCompile(`msg="(stream aborted|request failed|placement refused)".* request=(\S+) .*reason=(\S+)`)
+
+// countResumptions counts those of streams whose route allows it. An entry resumes a stream that its
+// target breaks off after the first event; it is refused if it aborts the stream.
+func (d *deploymentRun) countResumptions() (byEntry, byCaller resumptions) {
+	reasons := make(map[string]map[string]string) // by request and message
+	for _, line := range d.world.logLines() {
+		if m := refusalPattern.FindStringSubmatch(line); m != nil {
+			if reasons[m[2]] == nil {
+				reasons[m[2]] = make(map[string]string)
+			}
+			reasons[m[2]][m[1]] = m[3]
+		}
+	}
+	for _, a := range d.attempts {
+		if !a.kind.resumable {
+			continue
+		}
+		aborted := reasons[a.id]["stream aborted"]
+		if aborted != "" && reasons[a.id]["placement refused"] != "" {
+			aborted += "/" + reasons[a.id]["placement refused"]
+		}
+		goesOn := slices.ContainsFunc(ranOf(d.runsOf(a.id)), func(r emulator.Run) bool { return r.After > a.after && r.After < a.events })
+		if aborted != "" || goesOn {
+			byEntry.count(aborted)
+		}
+		if a.resumes == "" || a.behindEnd() {
+			continue
+		}
+		switch reason := reasons[a.id]["request failed"]; {
+		case a.status == http.StatusOK:
+			byCaller.count("")
+		case reason != "":
+			if placement := reasons[a.id]["placement refused"]; placement != "" {
+				reason += "/" + placement
+			}
+			byCaller.count(fmt.Sprintf("%s (%d)", reason, a.status))
+		default:
+			byCaller.count(fmt.Sprintf("status %d", a.status))
+		}
+	}
+	return byEntry, byCaller
+}
+
+// describeResumptions also says how many streams were joined from two software versions.
+func (d *deploymentRun) describeResumptions() string {
+	byEntry, byCaller := d.countResumptions()
+	joins := make(map[string]int)
+	byID := d.attemptsByID()
+	for _, a := range d.attempts {
+		if j := d.joinedVersions(a, attemptsBefore(a, byID)); j.by != "" {
+			joins[j.by]++
+		}
+	}
+	versions := make(map[string]bool)
+	for _, a := range d.attempts {
+		for _, r := range d.runsOf(a.id) {
+			versions[r.Software] = true
+		}
+	}
+	return fmt.Sprintf("by the entry: %v; by the caller: %v; attempts with a second software version, by who joined them: %v; software versions: %v",
+		byEntry, byCaller, joins, slices.Sorted(maps.Keys(versions)))
+}
--- a/internal/faultsoak/streamendscases_test.go
+++ b/internal/faultsoak/streamendscases_test.go
@@ -50,7 +50,7 @@
 						body.WriteString(emulator.RunEvent("a", n+1, "v1", 1001))
 					}
 					a := &attempt{id: "a", answerID: "a", signature: "s", kind: kind, entry: &entry{name: "edge-0"}, status: 200, events: last, body: body.String(), err: c.err, limit: kind.limit, begun: begin, sent: begin, ended: at(500)}
-					run := emulator.Run{Target: "x", Number: 1001, From: begin, To: at(400), Outcome: c.outcome, Events: last}
+					run := emulator.Run{Software: "v1", Target: "x", Number: 1001, From: begin, To: at(400), Outcome: c.outcome, Events: last}
 					d := &deploymentRun{
 						deployment: deployments[0], world: &world{t: t, logDirectory: t.TempDir()}, attempts: []*attempt{a},
 						events: []event{{what: how, where: "x", from: at(c.endedAt), to: at(c.endedAt), impairment: true}},
@@ -165,7 +165,7 @@
 					a.err = io.ErrUnexpectedEOF
 				}
 				for n, r := range q.runs {
-					runs[a.id] = append(runs[a.id], emulator.Run{Target: "x", Number: n + 1, After: r.after, Outcome: r.outcome})
+					runs[a.id] = append(runs[a.id], emulator.Run{Software: "v1", Target: "x", Number: n + 1, After: r.after, Outcome: r.outcome})
 				}
 				d.attempts = append(d.attempts, a)
 			}
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -51,6 +51,7 @@
 	removed      bool      // draining or crashed, until it is started again
 	startedAt    time.Time // as stated in its record
 	record       []byte    // the last one that it wrote; nil if it was removed
+	listedFrom   time.Time // no record is written before
 }
 
 // world holds everything that one seed runs.
@@ -171,6 +172,9 @@
 
 // putTargetRecord writes a target's record with the given state to the store.
 func (w *world) putTargetRecord(e *engine, state string) {
+	if time.Now().Before(e.listedFrom) {
+		return
+	}
 	b, err := e.Record(e.proxyAddress, state, e.startedAt)
 	if err != nil {
 		w.t.Error(err)
