Fault soak: refused resumptions are counted before the last event only

The former count in the line of streams; the latter have a reason of their own. Placement's reason is named beside the entry's.

TestCountResumptions has a case for each and passes.

--- a/internal/faultsoak/judgecases_test.go
+++ b/internal/faultsoak/judgecases_test.go
@@ -440,3 +440,49 @@
 		})
 	}
 }
+
+// Guards against a count of refused resumptions that misses some, or gives them another reason than
+// the entry logged.
+func TestCountResumptions(t *testing.T) {
+	const last = 9
+	begin := time.Now()
+	kind := deployments[0].kinds[1]
+	lines := []string{
+		`level=info msg="placement refused" request=cut-0 route=r rank=0 reason=version_left ahead=0`,
+		`level=info msg="stream aborted" request=cut-0 route=r reason=no_placement_left last_event=4 runs=1`,
+		`level=info msg="stream aborted" request=late-0 route=r reason=stream_broken last_event=4 runs=1`,
+		`level=info msg="stream aborted" request=whole-0 route=r reason=stream_broken last_event=9 runs=2`,
+		`level=info msg="request failed" request=refused-0 route=r customer=c configuration=1 outcome=not_run reason=unknown_origin retry_after=100ms`,
+	}
+	d := &deploymentRun{deployment: deployments[0], world: &world{t: t, logDirectory: t.TempDir()}, runsOf: func(id string) []emulator.Run {
+		switch id {
+		case "on-0":
+			return []emulator.Run{{Number: 1}, {Number: 2, After: 4}}
+		case "whole-0":
+			return []emulator.Run{{Number: 1}, {Number: 2, After: last}}
+		}
+		return []emulator.Run{{Number: 1}}
+	}}
+	if err := os.WriteFile(d.world.logDirectory+"/edge-0.log", []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	add := func(id string, status, received, after int, resumes string, took time.Duration) {
+		d.attempts = append(d.attempts, &attempt{id: id, kind: kind, status: status, body: strings.Repeat("x\n\n", received), after: after, events: last, resumes: resumes, limit: kind.limit, begun: begin, ended: begin.Add(took)})
+	}
+	add("on-0", 200, last, 0, "", ms(500))
+	add("cut-0", 200, 4, 0, "", ms(500))
+	add("late-0", 200, 4, 0, "", kind.limit)
+	add("whole-0", 200, last, 0, "", ms(500))
+	add("untouched-0", 200, last, 0, "", ms(500))
+	add("resumed-0", 200, 5, 4, "cut-0", ms(500))
+	add("refused-0", 503, 0, 4, "cut-0", ms(500))
+	add("lost-0", 0, 0, 4, "cut-0", ms(500))
+	add("behind-0", 503, 0, last, "whole-0", ms(500))
+	byEntry, byCaller := d.countResumptions()
+	if got, want := byEntry.String(), "1 of 3 went on, refused: map[no_placement_left/version_left:1 time limit:1]"; got != want {
+		t.Errorf("by the entry: %s, want %s", got, want)
+	}
+	if got, want := byCaller.String(), "1 of 3 went on, refused: map[status 0:1 unknown_origin (503):1]"; got != want {
+		t.Errorf("by the caller: %s, want %s", got, want)
+	}
+}
--- a/internal/faultsoak/softwareversions_test.go
+++ b/internal/faultsoak/softwareversions_test.go
@@ -158,7 +158,8 @@
 var refusalPattern = regexp.MustCompile(`msg="(stream aborted|request failed|placement refused)".* request=(\S+) .*reason=(\S+)`)
 
 // countResumptions counts those of streams whose route allows it. An entry resumes a stream that its
-// target breaks off after the first event; it is refused if it aborts the stream.
+// target breaks off after the first event; it is refused if the entry aborts the stream before its
+// last event. One that is aborted behind it counts in the line of streams.
 func (d *deploymentRun) countResumptions() (byEntry, byCaller resumptions) {
 	reasons := make(map[string]map[string]string) // by request and message
 	for _, line := range d.world.logLines() {
@@ -178,7 +179,10 @@
 			aborted += "/" + reasons[a.id]["placement refused"]
 		}
 		goesOn := slices.ContainsFunc(ranOf(d.runsOf(a.id)), func(r emulator.Run) bool { return r.After > a.after && r.After < a.events })
-		if aborted != "" || goesOn {
+		if took := a.ended.Sub(a.begun); aborted != "" && took > min(a.limit, a.kind.timeout)*9/10 {
+			aborted = "time limit"
+		}
+		if goesOn && aborted == "" || aborted != "" && a.after+a.received() < a.events {
 			byEntry.count(aborted)
 		}
 		if a.resumes == "" || a.behindEnd() {
