Origins of streams are told to other entries before the first event

Cause: an entry reported the origin of a stream with its next report, up to 40 ms (80 ms in larger fleets) after the first event. If it was killed or frozen before that, no entry knew the origin, and every try of the caller was refused. Change: while a service has several versions, the entry sends each new origin to three entries, chosen by a hash of the request, before it passes on the first event. It does not wait for an answer, nor for a full link. The next reports have the origin as before. With one version nothing is sent. Entries of earlier releases ignore the message, whose sequence is 0. The fake service of the gateway's tests has the new function.

--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -99,6 +99,9 @@
 	// none knew.
 	Origins   *origin.Log
 	AskOrigin func(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, error)
+	// TellOrigin tells other entries at once where the streams of requests began, without waiting
+	// for them.
+	TellOrigin func(o origin.Origin, ids ...state.RequestID)
 	// AskTargetEnd asks other entries what they have seen of a target; nil if there are none. The
 	// error says which did not answer.
 	AskTargetEnd func(ctx context.Context, id state.TargetID, address string) ([]targetend.Report, error)
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -241,7 +241,7 @@
 	}
 	return New(Config{
 		Scheduler: scheduler, TargetClient: targets, Quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}),
-		Refusals: refusal.NewLog(), Quarantine: newQuarantine("self"), Origins: origins, AskOrigin: askOrigin, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: func() float64 { return 5 }, Memory: memory.New(memory.Limits{Responses: 8 << 20}), Log: zap.NewNop(), Counters: NewCounters(false),
+		Refusals: refusal.NewLog(), Quarantine: newQuarantine("self"), Origins: origins, AskOrigin: askOrigin, TellOrigin: func(origin.Origin, ...state.RequestID) {}, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: func() float64 { return 5 }, Memory: memory.New(memory.Limits{Responses: 8 << 20}), Log: zap.NewNop(), Counters: NewCounters(false),
 	})
 }
 
--- a/internal/coordination/gateway/software_test.go
+++ b/internal/coordination/gateway/software_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -191,3 +192,41 @@
 		})
 	}
 }
+
+// Guards against a caller who has an event of a stream whose origin no other entry has been
+// told yet, and against telling others where there is one version or nothing to resume.
+func TestOriginIsToldBeforeTheFirstEvent(t *testing.T) {
+	rest := events[strings.Index(events, "id: 2"):]
+	for name, c := range map[string]struct {
+		versions []state.SoftwareVersion
+		call     state.Call
+		body     string
+		want     []state.RequestID
+	}{
+		"one version":  {[]state.SoftwareVersion{"v1", "v1"}, state.Call{ID: "first"}, events, nil},
+		"two versions": {[]state.SoftwareVersion{"v1", "v2"}, state.Call{ID: "first"}, events, []state.RequestID{"first"}},
+		"taken up":     {[]state.SoftwareVersion{"v1", "v2"}, state.Call{ID: "second", ResumeAfter: "1", ResumedRequest: "first"}, rest, []state.RequestID{"second", "first"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				targets := &fakeTargetClient{behaviours: []behaviour{respondWith(200, c.body)}}
+				s := newSoftwareService(targets, 1, c.versions...)
+				s.cfg.Origins.Begin(time.Now(), "first", origin.Origin{Service: "s", Software: "v1"})
+				out := &recordingResponder{}
+				var told []state.RequestID
+				s.cfg.TellOrigin = func(o origin.Origin, ids ...state.RequestID) {
+					if o.Software != targets.sends[0].Target.Software || o.Service != "s" || out.body.Len() > 0 {
+						t.Errorf("%v is told after %d bytes of a stream of version %s", o, out.body.Len(), targets.sends[0].Target.Software)
+					}
+					told = append(told, ids...)
+				}
+				call := c.call
+				call.Host, call.Path, call.APIKey = "h", "/resume/x", "key"
+				s.Serve(t.Context(), &call, time.Now(), out)
+				if !out.ended || !slices.Equal(told, c.want) {
+					t.Errorf("ended %t, told of %v, want %v", out.ended, told, c.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -95,9 +96,12 @@
 	if r.takesStreamUp() {
 		ids = append(ids, r.call.ResumedRequest)
 	}
+	ids = slices.DeleteFunc(ids, func(id state.RequestID) bool { return id == "" })
+	urgent := false
 	for _, id := range ids {
-		if id != "" {
-			r.service.cfg.Origins.Begin(time.Now(), id, began)
-		}
+		urgent = r.service.cfg.Origins.Begin(time.Now(), id, began) || urgent
+	}
+	if urgent {
+		r.service.cfg.TellOrigin(began, ids...)
 	}
 }
--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -212,14 +212,35 @@
 	l.coveredSince = now.Add(-MaxTakeUpTime)
 }
 
-// Begin remembers that the stream of a request began here at origin.
-func (l *Log) Begin(now time.Time, id state.RequestID, origin Origin) {
+// NewNotes returns notes of the streams of requests that began at origin.
+func NewNotes(origin Origin, ids ...state.RequestID) Notes {
+	n := Notes{Origin: origin}
+	for _, id := range ids {
+		n.Streams = append(n.Streams, hashRequest(id))
+	}
+	return n
+}
+
+// Begin remembers that the stream of a request began here at origin. It reports whether the
+// service has several versions, so that other entries are to be told before the caller
+// gets an event: a next report would come too late if this entry is killed before it.
+func (l *Log) Begin(now time.Time, id state.RequestID, origin Origin) (urgent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	hash, added := hashRequest(id), stream{origin, now.Add(MaxTakeUpTime)}
 	if l.remember(now, hash, added) {
 		l.own = append(l.own, ownStream{stream: added, hash: hash, nearReports: reportsEach, farReports: reportsEach})
 	}
+	return l.hasSeveralVersions(now, origin.Service)
+}
+
+// hasSeveralVersions reports whether Mixed has the service.
+func (l *Log) hasSeveralVersions(now time.Time, name state.Service) bool {
+	s := l.services[name]
+	if s == nil || len(s.listed) <= 1 && len(s.leftAt) == 0 {
+		return false
+	}
+	return len(l.versions(now, name)) > 1
 }
 
 // Learn remembers the origins in a report of another entry.
--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -273,3 +274,44 @@
 		}
 	})
 }
+
+// Guards against an entry that is killed before its next report, so that nobody knows
+// where its youngest streams began, and against telling others where there is one version.
+func TestOriginIsUrgentWhileSeveralVersionsServe(t *testing.T) {
+	now := time.Now()
+	one := []state.TargetRecord{{ID: "a", Service: "s", Software: "v1"}}
+	two := append(slices.Clone(one), state.TargetRecord{ID: "b", Service: "s", Software: "v2"})
+	l := New(now, true)
+	for _, c := range []struct {
+		name    string
+		after   time.Duration
+		targets []state.TargetRecord
+		want    bool
+	}{
+		{"one version", 0, one, false},
+		{"two versions", time.Second, two, true},
+		{"the second has left", 2 * time.Second, one, true},
+		{"the second left long ago", 3*time.Second + MaxTakeUpTime, one, false},
+	} {
+		at := now.Add(c.after)
+		l.SetTargets(at, c.targets)
+		if got := l.Begin(at, state.RequestID(c.name), Origin{"s", "v1"}); got != c.want {
+			t.Errorf("%s: urgent %t, want %t", c.name, got, c.want)
+		}
+		if got := l.Begin(at, state.RequestID(c.name), Origin{"unlisted", "v1"}); got {
+			t.Errorf("%s: the origin at a service without targets is urgent", c.name)
+		}
+	}
+}
+
+// Guards against notes under which the receiver does not find the streams.
+func TestNotesOfRequests(t *testing.T) {
+	now := time.Now()
+	l := New(now, false)
+	l.Learn(now, []Notes{NewNotes(Origin{"s", "v1"}, "a", "b")})
+	for _, id := range []state.RequestID{"a", "b"} {
+		if o, ok := l.Find(now, id, "s"); !ok || o != (Origin{"s", "v1"}) {
+			t.Errorf("%s: origin %v, known %t", id, o, ok)
+		}
+	}
+}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -121,7 +121,7 @@
 		return err
 	}
 	p.gateway = gateway.New(gateway.Config{
-		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Quarantine: p.quarantine, Origins: p.origins, AskOrigin: p.mesh.AskOrigin, AskTargetEnd: p.mesh.AskTargetEnd, RetryRatio: s.Bounds.RetryRatio, DrainTime: s.Bounds.Drain,
+		Scheduler: p.scheduler, TargetClient: p.targetClient, Quota: p.quota, Refusals: p.refusals, Quarantine: p.quarantine, Origins: p.origins, AskOrigin: p.mesh.AskOrigin, TellOrigin: p.tellOrigin, AskTargetEnd: p.mesh.AskTargetEnd, RetryRatio: s.Bounds.RetryRatio, DrainTime: s.Bounds.Drain,
 		RetryWindow: s.Bounds.RetryWindow, RetrySlack: p.retrySlack, RetrySlackFrom: p.retrySlackFrom(), HedgingShare: p.hedgingShare, InRollout: p.inRollout, Memory: p.memory,
 		Log: log.Requests, Counters: p.counters, Rollouts: p.versionJudge(),
 	})
--- a/internal/daemon/origins.go
+++ b/internal/daemon/origins.go
@@ -20,6 +20,14 @@
 	return p.origins.Find(time.Now(), id, service)
 }
 
+// tellOrigin implements the gateway's TellOrigin.
+func (p *gatewayProcess) tellOrigin(o origin.Origin, ids ...state.RequestID) {
+	if err := p.mesh.TellOrigins(time.Now(), p.settings.Instance, p.incarnation, origin.NewNotes(o, ids...)); err != nil {
+		p.counters.Add("origin_not_told") // the next reports contain it
+		p.log.Debug("origin of a stream not told", zap.Error(err))
+	}
+}
+
 // isConnected reports whether a software version that begins to serve becomes known here:
 // the list of targets is current, or most other entries are heard.
 func (p *gatewayProcess) isConnected(now time.Time) bool {
--- a/internal/daemon/origins_test.go
+++ b/internal/daemon/origins_test.go
@@ -124,3 +124,15 @@
 		})
 	}
 }
+
+// Guards against a message with origins only that counts as a report and clears the load
+// of its sender, and against origins in it that are not learned. The process has nothing
+// else that a report changes.
+func TestToldOriginsAreNoReport(t *testing.T) {
+	p := &gatewayProcess{origins: origin.New(time.Now(), false)}
+	want := origin.Origin{Service: "s", Software: "v1"}
+	p.handleReport(&mesh.Message{Instance: "b", Incarnation: 1, OriginsOnly: true, Origins: []origin.Notes{origin.NewNotes(want, "stream")}}, false)
+	if got, ok := p.findOrigin("stream", "s"); !ok || got != want {
+		t.Errorf("origin %v, known %t; want %v", got, ok, want)
+	}
+}
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -46,6 +46,10 @@
 // handleReport applies a report of another entry. started says that it is the first one
 // since that entry started.
 func (p *gatewayProcess) handleReport(m *mesh.Message, started bool) {
+	if m.OriginsOnly {
+		p.origins.Learn(time.Now(), m.Origins)
+		return
+	}
 	if m.Leaving {
 		p.quota.RemovePeer(m.Instance)
 		if p.rollouts != nil {
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -111,6 +111,9 @@
 	// entries have it, and those with Change: an entry that learns of targets of a new version
 	// learns of the order with them.
 	Rollouts *rollout.Report `cbor:"27,keyasint,omitempty"`
+	// OriginsOnly says that the message has Origins and is no report. Its Sequence is 0, so that
+	// entries without this field ignore it.
+	OriginsOnly bool `cbor:"28,keyasint,omitempty"`
 	// Leaving reports that the sender stops.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 }
@@ -191,6 +194,7 @@
 	configurationVersion int64
 	readsStore           bool // it reads the list of targets from the store
 	lastHeard            time.Time
+	rank                 uint64 // hash of its address; see rankedFor
 }
 
 // New returns a mesh that sends and receives datagrams at address. localSnapshot
@@ -429,8 +433,8 @@
 }
 
 // Receive receives reports until ctx ends, and closes the socket then. It calls handle
-// with each report that is newer than the earlier ones of the same entry, and with each
-// announcement that an entry leaves. isNew reports that the sender was not a peer
+// with each report that is newer than the earlier ones of the same entry, with each
+// announcement that an entry leaves, and with each message that has origins only. isNew reports that the sender was not a peer
 // before, or has restarted. Receive calls failed when a datagram cannot be decoded and
 // when reading from the socket fails; from is invalid if the sender is not known.
 func (m *Mesh) Receive(ctx context.Context, handle func(msg *Message, isNew bool), failed func(from netip.AddrPort, err error)) error {
@@ -462,6 +466,9 @@
 // handled; it is false for a report that is not newer than an earlier one. isNew is
 // as in Receive.
 func (m *Mesh) accept(from netip.AddrPort, msg *Message) (ok, isNew bool) {
+	if msg.OriginsOnly {
+		return true, false
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.unheard, from)
@@ -471,7 +478,7 @@
 	}
 	p := m.peers[from]
 	if p == nil || p.incarnation != msg.Incarnation {
-		p = &peer{instance: msg.Instance, incarnation: msg.Incarnation, firstHeard: time.Now()}
+		p = &peer{instance: msg.Instance, incarnation: msg.Incarnation, firstHeard: time.Now(), rank: xxhash.Sum64String(from.String())}
 		m.peers[from] = p
 		m.positionValid = false
 		isNew = true
--- a/internal/transport/mesh/origin.go
+++ b/internal/transport/mesh/origin.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/state"
 )
@@ -58,6 +61,49 @@
 	return origin.Origin{}, err
 }
 
+// originReceivers is the number of entries that are told of a stream at once: one is left if
+// two of them end with the sender. The bytes grow with it.
+const originReceivers = 3
+
+// TellOrigins tells a few other entries of streams that have begun, without waiting for
+// the link: a caller waits. The message of a full link is lost, and the next reports
+// contain the origins too.
+func (m *Mesh) TellOrigins(now time.Time, self state.InstanceID, incarnation state.Incarnation, notes origin.Notes) error {
+	b, err := encMode.Marshal(&Message{Instance: self, Incarnation: incarnation, OriginsOnly: true, Origins: []origin.Notes{notes}})
+	if err != nil {
+		return fmt.Errorf("encode origins: %w", err)
+	}
+	raw, err := m.conn.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("send origins: %w", err)
+	}
+	var receivers []netip.AddrPort
+	for _, hash := range notes.Streams {
+		receivers = append(receivers, m.rankedFor(now, hash, originReceivers)...)
+	}
+	slices.SortFunc(receivers, netip.AddrPort.Compare)
+	var errs []error
+	for _, a := range slices.Compact(receivers) {
+		// Control, unlike Write, does not wait for another goroutine that waits for the link.
+		err := raw.Control(func(fd uintptr) {
+			to := &unix.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()}
+			if err := unix.Sendto(int(fd), b, unix.MSG_DONTWAIT, to); err != nil {
+				errs = append(errs, fmt.Errorf("send origins to %s: %w", a, err))
+			}
+		})
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+// rankedFor returns up to n of the peers that have reported lately, the first ones in an
+// order that depends on the hash of a stream. All entries use the same order.
+func (m *Mesh) rankedFor(now time.Time, stream uint64, n int) []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.firstHeardBy(now, n, func(a, b *peer) int { return cmp.Compare(a.rank^stream, b.rank^stream) })
+}
+
 // longestHeard returns up to n of the peers that have reported lately, those that were
 // first heard earliest.
 func (m *Mesh) longestHeard(now time.Time, n int) []netip.AddrPort {
--- a/internal/transport/mesh/origin_test.go
+++ b/internal/transport/mesh/origin_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -58,3 +59,62 @@
 		t.Errorf("origins (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against origins that are told to no entry or to all of a large fleet, against a
+// message that counts as a report of its sender, and against one that entries which do
+// not know its kind take for a report.
+func TestOriginsAreToldAtOnce(t *testing.T) {
+	const entries = 6
+	now := time.Now()
+	sender, _ := openMesh(t, Snapshot{})
+	peers := make(map[*Mesh]<-chan Message)
+	for i := range entries {
+		p, received := openMesh(t, Snapshot{})
+		peers[p] = received
+		p.AddAddress(sender.self)
+		if err := p.Send(now, sameReport(Message{Instance: state.InstanceID(rune('a' + i)), Incarnation: 1, Sequence: 1})); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for sender.PeerCount(time.Now()) < entries {
+		time.Sleep(time.Millisecond)
+	}
+	notes := origin.NewNotes(origin.Origin{Service: "s", Software: "v1"}, "stream")
+	if err := sender.TellOrigins(time.Now(), "sender", 7, notes); err != nil {
+		t.Fatal(err)
+	}
+	receivers := sender.rankedFor(time.Now(), notes.Streams[0], originReceivers)
+	if len(receivers) != originReceivers {
+		t.Fatalf("%d receivers, want %d", len(receivers), originReceivers)
+	}
+	for p, received := range peers {
+		if !slices.Contains(receivers, p.self) {
+			if len(received) > 0 {
+				t.Errorf("%s has a message, but is none of %v", p.self, receivers)
+			}
+			continue
+		}
+		m := <-received
+		if diff := cmp.Diff([]origin.Notes{notes}, m.Origins, cmp.AllowUnexported(origin.Notes{})); diff != "" || !m.OriginsOnly || m.Sequence != 0 {
+			t.Errorf("sequence %d, origins only %t, origins (-want +got):\n%s", m.Sequence, m.OriginsOnly, diff)
+		}
+		if n := p.PeerCount(time.Now()); n != 0 {
+			t.Errorf("the sender counts as a peer of %s without a report", p.self)
+		}
+	}
+}
+
+// Guards against a message that makes up most of the traffic of a fleet with several
+// versions: it is sent for each stream.
+func TestToldOriginIsSmall(t *testing.T) {
+	const most = 100 // bytes
+	m := &Message{Instance: "edge-portl-hall-1", Incarnation: 1 << 62, OriginsOnly: true, Origins: []origin.Notes{origin.NewNotes(origin.Origin{Service: "gauge-llm", Software: "v1.1"}, "stream")}}
+	b, err := encMode.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes", len(b))
+	if len(b) > most {
+		t.Errorf("%d bytes, want at most %d", len(b), most)
+	}
+}
