--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -108,8 +108,8 @@
 	l.connectedAt, l.connectedAtTimeOfDay = now, timeOfDay
 }
 
-// hashRequest returns the hash under which a stream is remembered.
-func hashRequest(id state.RequestID) uint64 { return xxhash.Sum64String(string(id)) }
+// HashRequest returns the hash under which a stream is remembered.
+func HashRequest(id state.RequestID) uint64 { return xxhash.Sum64String(string(id)) }
 
 // SetTargets takes a new list of targets.
 func (l *Log) SetTargets(now time.Time, records []state.TargetRecord) {
@@ -212,14 +212,35 @@
 	l.coveredSince = now.Add(-MaxTakeUpTime)
 }
 
-// Begin remembers that the stream of a request began here at origin.
-func (l *Log) Begin(now time.Time, id state.RequestID, origin Origin) {
+// NewNotes returns notes of the streams of requests that began at origin.
+func NewNotes(origin Origin, ids ...state.RequestID) Notes {
+	n := Notes{Origin: origin}
+	for _, id := range ids {
+		n.Streams = append(n.Streams, HashRequest(id))
+	}
+	return n
+}
+
+// Begin remembers that the stream of a request began here at origin. It reports whether the
+// service has several versions, so that other entries are to be told before the caller
+// gets an event: a next report would come too late if this entry is killed before it.
+func (l *Log) Begin(now time.Time, id state.RequestID, origin Origin) (urgent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	hash, added := hashRequest(id), stream{origin, now.Add(MaxTakeUpTime)}
+	hash, added := HashRequest(id), stream{origin, now.Add(MaxTakeUpTime)}
 	if l.remember(now, hash, added) {
 		l.own = append(l.own, ownStream{stream: added, hash: hash, nearReports: reportsEach, farReports: reportsEach})
 	}
+	return l.hasSeveralVersions(now, origin.Service)
+}
+
+// hasSeveralVersions reports whether Mixed has the service.
+func (l *Log) hasSeveralVersions(now time.Time, name state.Service) bool {
+	s := l.services[name]
+	if s == nil || len(s.listed) <= 1 && len(s.leftAt) == 0 {
+		return false
+	}
+	return len(l.versions(now, name)) > 1
 }
 
 // Learn remembers the origins in a report of another entry.
@@ -254,7 +275,7 @@
 func (l *Log) Find(now time.Time, id state.RequestID, service state.Service) (origin Origin, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s, ok := l.streams[hashRequest(id)]; ok && id != "" && !now.After(s.expires) {
+	if s, ok := l.streams[HashRequest(id)]; ok && id != "" && !now.After(s.expires) {
 		return s.origin, true
 	}
 	if versions := l.versions(now, service); l.covered(now) && len(versions) == 1 {
--- a/internal/transport/mesh/origin_test.go
+++ b/internal/transport/mesh/origin_test.go
@@ -1,6 +1,9 @@
 package mesh
 
 import (
+	"net/netip"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -58,3 +61,122 @@
 		t.Errorf("origins (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against origins that are told to no entry or to all of a large fleet, against a
+// message that counts as a report of its sender, and against one that entries which do
+// not know its kind take for a report.
+func TestOriginsAreToldAtOnce(t *testing.T) {
+	const entries = 6
+	now := time.Now()
+	sender, _ := openMesh(t, Snapshot{})
+	peers := make(map[*Mesh]<-chan Message)
+	for i := range entries {
+		p, received := openMesh(t, Snapshot{})
+		peers[p] = received
+		p.AddAddress(sender.self)
+		if err := p.Send(now, sameReport(Message{Instance: state.InstanceID(rune('a' + i)), Incarnation: 1, Sequence: 1})); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for sender.PeerCount(time.Now()) < entries {
+		time.Sleep(time.Millisecond)
+	}
+	notes := origin.NewNotes(origin.Origin{Service: "s", Software: "v1"}, "stream")
+	if err := sender.TellOrigins(time.Now(), "sender", 7, notes); err != nil {
+		t.Fatal(err)
+	}
+	receivers := sender.rankedFor(time.Now(), notes.Streams[0], originReceivers)
+	if len(receivers) != originReceivers {
+		t.Fatalf("%d receivers, want %d", len(receivers), originReceivers)
+	}
+	for p, received := range peers {
+		if !slices.Contains(receivers, p.self) {
+			if len(received) > 0 {
+				t.Errorf("%s has a message, but is none of %v", p.self, receivers)
+			}
+			continue
+		}
+		m := <-received
+		if diff := cmp.Diff([]origin.Notes{notes}, m.Origins, cmp.AllowUnexported(origin.Notes{})); diff != "" || !m.OriginsOnly || m.Sequence != 0 {
+			t.Errorf("sequence %d, origins only %t, origins (-want +got):\n%s", m.Sequence, m.OriginsOnly, diff)
+		}
+		if n := p.PeerCount(time.Now()); n != 0 {
+			t.Errorf("the sender counts as a peer of %s without a report", p.self)
+		}
+	}
+}
+
+// Guards against a message that makes up most of the traffic of a fleet with several
+// versions: it is sent for each stream.
+func TestToldOriginIsSmall(t *testing.T) {
+	const most = 100 // bytes
+	m := &Message{Instance: "edge-portl-hall-1", Incarnation: 1 << 62, OriginsOnly: true, Origins: []origin.Notes{origin.NewNotes(origin.Origin{Service: "gauge-llm", Software: "v1.1"}, "stream")}}
+	b, err := encMode.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes", len(b))
+	if len(b) > most {
+		t.Errorf("%d bytes, want at most %d", len(b), most)
+	}
+}
+
+// Guards against a large fleet in which those that were told of a stream at once are not
+// asked, because others have been heard for longer, and against entries that do not answer
+// and use up the questions.
+func TestOriginIsAskedWhereItWasTold(t *testing.T) {
+	const entries = 9
+	want := origin.Origin{Service: "s", Software: "v1"}
+	silent := make(chan struct{})
+	t.Cleanup(func() { close(silent) })
+	var mu sync.Mutex
+	known := make(map[netip.AddrPort]bool) // the entries that were told
+	asker, _ := openMesh(t, Snapshot{})
+	for i := range entries {
+		var self netip.AddrPort
+		p, _ := openMeshWithOrigins(t, Snapshot{}, func(state.RequestID, state.Service) (origin.Origin, bool) {
+			mu.Lock()
+			ok := known[self]
+			mu.Unlock()
+			if !ok {
+				<-silent
+			}
+			return want, ok
+		})
+		mu.Lock()
+		self = p.self
+		mu.Unlock()
+		p.AddAddress(asker.self)
+		if err := p.Send(time.Now(), sameReport(Message{Instance: state.InstanceID(rune('a' + i)), Incarnation: 1, Sequence: 1})); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for asker.PeerCount(time.Now()) < entries {
+		time.Sleep(time.Millisecond)
+	}
+	keepHeard := func() {
+		asker.mu.Lock()
+		defer asker.mu.Unlock()
+		for _, p := range asker.peers {
+			p.lastHeard = time.Now()
+		}
+	}
+	for _, id := range []state.RequestID{"a", "b", "c", "d"} {
+		keepHeard()
+		// The sender is the first in the order and has ended, which the asker does not know yet.
+		ranked := asker.rankedFor(time.Now(), origin.HashRequest(id), originReceivers+1)
+		for _, told := range ranked[1:] {
+			mu.Lock()
+			clear(known)
+			known[told] = true
+			mu.Unlock()
+			keepHeard()
+			asker.mu.Lock()
+			asker.peers[told].firstHeard = time.Now().Add(time.Minute) // all others have been heard for longer
+			asker.mu.Unlock()
+			if o, err := asker.AskOrigin(t.Context(), id, "s"); err != nil || o != want {
+				t.Errorf("%s was told of stream %s: origin %v, error %v", told, id, o, err)
+			}
+		}
+	}
+}
