Log: what a resumption knows of its target's process

A resumption whose target is replaced in place goes on at the software version of the record, and the log did not show that the record was older than the end of the process.

No change of placement. Tests of package dispatch pass.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -91,6 +91,10 @@
 	g.duration = p.cost.Duration(&t.cost, r.Work, g.load)
 	g.predictedEnd = p.cost.End(&t.cost, r.Work, g.load)
 	g.calibrationKey = p.calibrationKey(t, r, g.load)
+	g.RecordAge, g.MayHaveEnded = now.Sub(t.listedAt), !t.endSignAt.IsZero()
+	if g.MayHaveEnded {
+		g.SinceEnd = now.Sub(t.endSignAt)
+	}
 	s.limits.Take(now, t.record.ID)
 	t.openGrants[g], p.openGrants[g] = struct{}{}, struct{}{}
 	t.takeReleased()
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -122,6 +122,12 @@
 	ExpiresAt time.Time
 	// RateLimit is the limit of the target that was known when the slot was granted.
 	RateLimit state.RateLimit
+	// RecordAge is the time since the record of the target was new or changed here. MayHaveEnded says
+	// that the process of the target may have ended since, and SinceEnd how long ago the last sign of
+	// that was. The target may then be another process, of another software version than the record.
+	RecordAge    time.Duration
+	MayHaveEnded bool
+	SinceEnd     time.Duration
 	// Counted says that the request counts as sent to the software version of its target, so
 	// that its end is to be told to what judges versions.
 	Counted bool
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -142,6 +142,9 @@
 		if t == nil || t.record.Started != r.Started || t.record.Address != r.Address {
 			t = newTarget(r, s.statementOf(&r))
 		}
+		if t.listedAt.IsZero() || t.record != r {
+			t.listedAt = now
+		}
 		t.record = r
 		t.setLeaves(now, r.Draining)
 		listed[r.ID] = t
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -37,6 +37,10 @@
 // target holds the record of a target, its load and its health as seen by this entry.
 type target struct {
 	record state.TargetRecord
+	// listedAt is when the record was new or changed here, and endSignAt when a request last showed that
+	// the process of the target may have ended: no connection could be opened, or a response was broken
+	// off. It is zero if none has since the target was listed.
+	listedAt, endSignAt time.Time
 	// leavesSince is since when the list of targets says that it leaves, or lacks it; zero if it does not.
 	leavesSince  time.Time
 	stated       *statement // by this run of the target
@@ -138,6 +142,9 @@
 // recordOutcome updates the health of the target with how a request ended. It
 // reports whether this ejected the target or ended its ejection.
 func (t *target) recordOutcome(now time.Time, g *Grant, o Outcome) (ejected, returned bool) {
+	if o == Unreachable || o == Broken {
+		t.endSignAt = now
+	}
 	switch o {
 	case Served:
 		t.failingShare -= failingAverageWeight * t.failingShare
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -191,7 +191,11 @@
 		fields = append(fields, zap.Float64("rate_limit", g.RateLimit.PerSecond))
 	}
 	if r.lastEventID != "" {
-		fields = append(fields, zap.String("resume_after", r.lastEventID), zap.String("resumes", string(r.call.ResumedRequest)))
+		fields = append(fields, zap.String("resume_after", r.lastEventID), zap.String("resumes", string(r.call.ResumedRequest)),
+			zap.String("began_at", string(r.beganAt)), zap.Duration("record_age", g.RecordAge), zap.Bool("may_have_ended", g.MayHaveEnded), zap.Duration("since_end", g.SinceEnd))
+		if r.software != nil {
+			fields = append(fields, zap.String("began_software", string(*r.software)))
+		}
 	}
 	r.log.Info("target chosen", fields...)
 }
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -230,7 +230,9 @@
 	eventForwarded bool
 	// software is the version of the target that wrote the first event; nil before there
 	// is one. It is known from the start for a stream that is taken up.
-	software    *state.SoftwareVersion
+	software *state.SoftwareVersion
+	// beganAt is the target that wrote the first event; empty if that was in another request.
+	beganAt     state.TargetID
 	lastEventID string // ID of the last event that the caller has
 	// positionUnknown says that a later event had none, so that no target can be told after which
 	// event to resume the stream.
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -87,6 +87,9 @@
 // that it has taken up.
 func (r *request) recordOrigin(g *dispatch.Grant) {
 	r.software = &g.Target.Software
+	if !r.takesStreamUp() {
+		r.beganAt = g.Target.ID
+	}
 	if !r.route.Resumable {
 		return
 	}
