--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -38,7 +38,7 @@
 // without a free slot suits r better than all with one, r waits for it, unless these
 // suit it at least as well as enough: a slot of a slow target is better left to a
 // request that can be on time there. An ejected target that is due for a probe is
-// preferred to what the policy picks. The caller must hold s.mu.
+// preferred to what the policy picks, unless r requires a software version. The caller must hold s.mu.
 func (s *Scheduler) tryGrant(p *pool, r *Request, now time.Time, enough fit) *Grant {
 	overcommit, allowed := s.fairShare(p, r, now)
 	if !allowed {
@@ -50,6 +50,7 @@
 	refusesCut := s.refusesCut(p, r)
 	s.candidates = s.candidates[:0]
 	bestFit, bestFree := fitsNeither, fitsNeither
+	var probe *target
 	for _, t := range s.targetsFor(p, r, now) {
 		if !t.eligible(now, r) || !s.mayTake(t, now, first) || !s.endsBeforeStop(p, t, r, now) || !p.endsBeforeCompletion(t, r, now) || r.HandOver && !p.takesOver(t, r, now) {
 			continue
@@ -58,7 +59,13 @@
 			if !r.Repeatable && now.Before(t.ejectedUntil.Add(repeatableProbeWait)) {
 				continue // a probe may fail, and only a repeatable request can be sent again
 			}
-			return s.grant(p, r, t, now, 1)
+			if r.RequiredSoftware == nil {
+				return s.grant(p, r, t, now, 1)
+			}
+			if probe == nil {
+				probe = t
+			}
+			continue
 		}
 		f := p.fitOf(t, r, now)
 		bestFit = min(bestFit, f)
@@ -68,10 +75,14 @@
 			bestFree = min(bestFree, f)
 		}
 	}
-	if len(s.candidates) == 0 || bestFree > max(bestFit, enough) {
+	if wait := bestFree > max(bestFit, enough); len(s.candidates) == 0 || wait || probe != nil && bestFree == fitsNeither {
+		if probe != nil {
+			return s.grant(p, r, probe, now, 1)
+		}
 		return nil
 	}
 	s.candidates = slices.DeleteFunc(s.candidates, func(c candidate) bool { return c.fit != bestFree })
+	s.preferProvedSoftware(r, now)
 	policy := s.policies.forRequest(r.ID)
 	c := scoringInput{request: r, now: now, domain: s.domain, cost: p.cost, medianFailing: p.medianFailingShare()}
 	for i := range s.candidates {
@@ -81,6 +92,16 @@
 	return s.grant(p, r, s.candidates[picked].target, now, len(s.candidates))
 }
 
+// preferProvedSoftware drops the candidates whose software version is not proved, unless none remains, if
+// r requires one: their processes may have ended since their records were read. A target that breaks off a
+// response may also live on, without a newer record, so that none is excluded or waited for.
+func (s *Scheduler) preferProvedSoftware(r *Request, now time.Time) {
+	mayHaveEnded := func(c candidate) bool { return c.target.mayHaveEnded(now) }
+	if r.RequiredSoftware != nil && slices.ContainsFunc(s.candidates, func(c candidate) bool { return !mayHaveEnded(c) }) {
+		s.candidates = slices.DeleteFunc(s.candidates, mayHaveEnded)
+	}
+}
+
 // grant grants a slot of t, picked among the given number of candidates.
 func (s *Scheduler) grant(p *pool, r *Request, t *target, now time.Time, candidates int) *Grant {
 	g := &Grant{
@@ -91,7 +112,7 @@
 	g.duration = p.cost.Duration(&t.cost, r.Work, g.load)
 	g.predictedEnd = p.cost.End(&t.cost, r.Work, g.load)
 	g.calibrationKey = p.calibrationKey(t, r, g.load)
-	g.RecordAge, g.MayHaveEnded = now.Sub(t.listedAt), !t.endSignAt.IsZero()
+	g.RecordAge, g.MayHaveEnded = now.Sub(t.listedAt), t.mayHaveEnded(now)
 	if g.MayHaveEnded {
 		g.SinceEnd = now.Sub(t.endSignAt)
 	}
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/costmodel"
@@ -132,6 +133,10 @@
 	// that its end is to be told to what judges versions.
 	Counted bool
 
+	// relisted is the software version under which the target was listed anew while the grant was
+	// open; nil if it was not.
+	relisted atomic.Pointer[Relisting]
+
 	target   *target
 	request  *Request
 	load     costmodel.Load // of the target before this request
@@ -145,6 +150,16 @@
 	versions       rollout.Choice // with the permit that the request uses, if any
 }
 
+// Relisting is a change of the software version of a target that keeps its identifier.
+type Relisting struct {
+	Software state.SoftwareVersion
+	At       time.Time // when the list of targets said so here
+}
+
+// Relisted returns the last change of the software version of the target while the grant was open, or nil.
+// A response of which something arrives later comes from the process with that version.
+func (g *Grant) Relisted() *Relisting { return g.relisted.Load() }
+
 // Outcome says how a request ended at its target.
 type Outcome uint8
 
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -139,6 +139,9 @@
 	}
 	for _, r := range records {
 		t := s.targets[r.ID]
+		if t != nil && t.record.Software != r.Software {
+			t.relist(now, r.Software)
+		}
 		if t == nil || t.record.Started != r.Started || t.record.Address != r.Address {
 			t = newTarget(r, s.statementOf(&r))
 		}
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -32,6 +32,10 @@
 	// rejectionPause is how long a target gets no requests after it has rejected one as
 	// full.
 	rejectionPause = 50 * time.Millisecond
+	// endSignTime is how long a sign that the process of a target may have ended counts. The record of
+	// the next one comes within about a second, or some seconds if it is late. A target that lives on
+	// gets fewer resumptions for that time.
+	endSignTime = 5 * time.Second
 )
 
 // target holds the record of a target, its load and its health as seen by this entry.
@@ -175,6 +179,21 @@
 	return false, returned
 }
 
+// relist records in the open grants that the target is listed with another software version, and that its
+// version is proved again.
+func (t *target) relist(now time.Time, software state.SoftwareVersion) {
+	t.endSignAt = time.Time{}
+	for g := range t.openGrants {
+		g.relisted.Store(&Relisting{Software: software, At: now})
+	}
+}
+
+// mayHaveEnded reports whether the process of the target may have ended since its record was read, so that
+// another one may have its identifier.
+func (t *target) mayHaveEnded(now time.Time) bool {
+	return !t.endSignAt.IsZero() && now.Sub(t.endSignAt) < endSignTime
+}
+
 // setLeaves records whether the list of targets says at now that the target leaves, or lacks it.
 func (t *target) setLeaves(now time.Time, leaves bool) {
 	switch {
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -86,10 +86,17 @@
 // sent to the caller, who can then take the stream up elsewhere, and name this request or the one
 // that it has taken up.
 func (r *request) recordOrigin(g *dispatch.Grant) {
-	r.software = &g.Target.Software
+	if r.software == nil {
+		r.software = &g.Target.Software
+	}
 	if !r.takesStreamUp() {
 		r.beganAt = g.Target.ID
 	}
+	r.shareOrigin()
+}
+
+// shareOrigin remembers the software version of the stream under the requests that its caller may name.
+func (r *request) shareOrigin() {
 	if !r.route.Resumable {
 		return
 	}
@@ -104,3 +111,28 @@
 		}
 	}
 }
+
+// correctOrigin looks whether the target is listed with another software version since the attempt began,
+// because it was replaced in place before: an event that arrives after that was written by the process with
+// that version. A stream that began there goes on at that version. If it began elsewhere, it has events of
+// two versions already. No conforming target changes its version.
+func (a *attempt) correctOrigin(ex Exchange) {
+	relisted := a.grant.Relisted()
+	if relisted == nil || a.relisted == relisted {
+		return
+	}
+	if earliest, known := receivedAt(ex); known && !earliest.After(relisted.At) {
+		return
+	}
+	a.relisted = relisted
+	r := a.request
+	beganHere := !a.begun && !r.takesStreamUp()
+	r.logRelisted(a, relisted, beganHere)
+	if !beganHere {
+		return
+	}
+	r.software = &relisted.Software
+	if r.eventForwarded {
+		r.shareOrigin()
+	}
+}
