--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -273,3 +273,74 @@
 		}
 	})
 }
+
+// Guards against an origin that stays as it was because the log is full: a stream that is told anew, or
+// corrected, takes no more memory.
+func TestOriginIsCorrectedInFullLog(t *testing.T) {
+	now := start
+	l := newLog("v1", "v2")
+	l.Begin(now, "first", Origin{"s", "v1"})
+	for i := range maxRemembered {
+		l.Begin(now, state.RequestID(fmt.Sprint(i)), Origin{"s", "v2"})
+	}
+	l.Begin(now, "first", Origin{"s", "v2"})
+	if o, ok := l.Find(now, "first", "s"); !ok || o.Software != "v2" {
+		t.Errorf("found %v, %t after a correction; want v2", o, ok)
+	}
+}
+
+// Guards against a stream that a full log has not remembered and that is taken up at a version that it need
+// not have begun at.
+func TestStreamBeyondFullLog(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions []state.SoftwareVersion
+		known    bool
+	}{
+		"one version":                {[]state.SoftwareVersion{"v1"}, true},
+		"two versions":               {[]state.SoftwareVersion{"v1", "v2"}, false},
+		"one version, two until now": {[]state.SoftwareVersion{"v2"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := start
+			l := newLog("v1")
+			for i := range maxRemembered {
+				l.Begin(now, state.RequestID(fmt.Sprint(i)), Origin{"s", "v1"})
+			}
+			l.Begin(now, "beyond", Origin{"s", "v1"})
+			l.SetTargets(now, targets(c.versions...))
+			if o, ok := l.Find(now, "beyond", "s"); ok != c.known || ok && o.Software != "v1" {
+				t.Errorf("found %v, %t; want that it is known: %t", o, ok, c.known)
+			}
+		})
+	}
+}
+
+// Guards against a stream whose origin is forgotten while its caller may take it up, and that goes on at the
+// only version that still serves.
+func TestOriginOfVersionThatHasLeftIsKeptForTakeUpTime(t *testing.T) {
+	l := newLog("v1")
+	l.Begin(start, "first", Origin{"s", "v1"})
+	for after := time.Duration(0); after <= MaxTakeUpTime; after += 500 * time.Millisecond {
+		now := start.Add(after)
+		if after == 3*time.Second {
+			l.SetTargets(now, targets("v2"))
+		}
+		l.Connected(now, now)
+		l.Begin(now, state.RequestID(after.String()), Origin{"s", "v2"}) // removes expired origins
+		if o, ok := l.Find(now, "first", "s"); !ok || o.Software != "v1" {
+			t.Errorf("after %s: found %v, %t for a stream that began at v1", after, o, ok)
+		}
+	}
+}
+
+// Guards against an entry that is cut off for less than maxIsolation, in which another version begins to
+// serve, and that takes the version it knows for the only one.
+func TestVersionThatBeginsDuringShortIsolation(t *testing.T) {
+	now := start
+	l := newLog("v1")
+	l.Connected(now, now)
+	// v2 begins to serve, and the stream begins there at another entry.
+	if o, ok := l.Find(now.Add(maxIsolation-time.Millisecond), "elsewhere", "s"); ok {
+		t.Errorf("found %v for a stream that may have begun at a version that is not known here", o)
+	}
+}
