--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -233,7 +233,7 @@
 	}
 }
 
-// remember adds a stream unless the log is full.
+// remember adds a stream unless the log is full. It replaces one that is known, also in a full log.
 func (l *Log) remember(now time.Time, hash uint64, s stream) bool {
 	if !now.Before(l.nextExpiry) {
 		l.nextExpiry = now.Add(expiryInterval)
@@ -242,7 +242,7 @@
 			return now.After(s.expires) || s.nearReports == 0 && s.farReports == 0
 		})
 	}
-	if len(l.streams) >= maxRemembered {
+	if _, known := l.streams[hash]; !known && len(l.streams) >= maxRemembered {
 		return false
 	}
 	l.streams[hash] = s
