--- /dev/null
+++ b/internal/transport/engine/mixedanswers_test.go
@@ -0,0 +1,94 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/side"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+)
+
+// Guards against a part of a response that passes for complete at a side process: its service answers a
+// long upload at once, sends a part of the body and resets the connection.
+func TestPartOfResponseToLongUploadIsUnknown(t *testing.T) {
+	framings := map[string]string{
+		"without length":           "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s",
+		"without length, HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\n%s",
+		"event stream":             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s",
+		"without the last chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n%s\r\n",
+		"shorter than its length":  "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n%s",
+	}
+	const upload = 32 << 20 // of runLongCall
+	resets := map[string]func(*net.TCPConn){
+		"at once":                     func(*net.TCPConn) {},
+		"while the upload is blocked": func(*net.TCPConn) { time.Sleep(100 * time.Millisecond) },
+		"inside the upload":           func(c *net.TCPConn) { io.CopyN(io.Discard, c, upload/2) },
+		"behind the upload":           func(c *net.TCPConn) { io.CopyN(io.Discard, c, upload-64<<10); time.Sleep(100 * time.Millisecond) },
+	}
+	for reset, before := range resets {
+		for framing, format := range framings {
+			for where, part := range map[string]string{"at an event": "data: a\n\n", "inside an event": "data: abc"} {
+				t.Run(reset+"/"+framing+"/"+where, func(t *testing.T) {
+					c := startEarlyTarget(t, fmt.Sprintf(format, part), func(conn *net.TCPConn) {
+						before(conn)
+						conn.SetLinger(0)
+					})
+					status, body, err := runLongCall(t, c)
+					if unknown := (*side.UnknownOutcomeError)(nil); !errors.As(err, &unknown) {
+						t.Errorf("status %d, body %q, error %v; want an unknown outcome", status, body, err)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a part of a stream of an engine that passes for complete because its connection ends
+// behind an event: only the event that ends the stream shows that it is whole.
+func TestPartOfStreamIsResumed(t *testing.T) {
+	var resumptions atomic.Int64
+	c := startScriptedEngine(t, func(r *http.Request) string {
+		if r.Method == http.MethodGet {
+			resumptions.Add(1)
+			return "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nid: 1\ndata: b\n\nid: 2\ndata: [DONE]\n\n"
+		}
+		return "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nid: 0\ndata: a\n\n"
+	})
+	var got []string
+	_, err := c.Run(t.Context(), testAttempt, &state.Request{Kind: state.Completion, Body: []byte(`{"model":"m"}`)}, func(e state.AttemptEvent) {
+		got = append(got, string(e.(*state.Chunk).Data))
+	})
+	if err != nil || len(got) != 2 || resumptions.Load() != 1 {
+		t.Errorf("chunks %q after %d resumptions, error %v; want two after one", got, resumptions.Load(), err)
+	}
+}
+
+// startScriptedEngine runs an engine that sends what answer returns, byte by byte as it is, and closes the
+// connection. It returns a client for it.
+func startScriptedEngine(t *testing.T, answer func(*http.Request) string) *Client {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		text := answer(r)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		io.WriteString(conn, text)
+		conn.Close()
+	})}
+	go server.Serve(ln)
+	t.Cleanup(func() { server.Close() })
+	return newTestClient(ln.Addr(), false)
+}
--- a/internal/transport/gatewayhttp/server_test.go
+++ b/internal/transport/gatewayhttp/server_test.go
@@ -73,11 +73,14 @@
 func (noObserver) TargetPaused(state.TargetID, state.Service, time.Duration)                    {}
 
 // newGateway returns a gateway with one target, which send stands for.
-func newGateway(send targetClientFunc) *gateway.Service {
+func newGateway(send targetClientFunc) *gateway.Service { return newGatewayTo(send, "t") }
+
+// newGatewayTo returns a gateway with one target at an address, to which client sends requests.
+func newGatewayTo(client gateway.TargetClient, address string) *gateway.Service {
 	scheduler := dispatch.New("a", 1, time.Now, noObserver{}, ratelimit.New(ratelimit.Config{Self: "self"}))
-	scheduler.SetTargets([]state.TargetRecord{{ID: "t", Service: "s", Address: "t", Slots: 4}})
+	scheduler.SetTargets([]state.TargetRecord{{ID: "t", Service: "s", Address: address, Slots: 4}})
 	g := gateway.New(gateway.Config{
-		Scheduler: scheduler, TargetClient: send, Quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}),
+		Scheduler: scheduler, TargetClient: client, Quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}),
 		Quarantine: quarantine.New(quarantine.Config{}), Origins: origin.New(time.Now(), true), Refusals: refusal.NewLog(), RetryWindow: time.Second, RetrySlack: func() float64 { return 0 }, Memory: memory.New(memory.Limits{Responses: 1 << 20}), Log: zap.NewNop(), Counters: gateway.NewCounters(false),
 	})
 	route := func(prefix string, kind state.RouteKind) state.Route {
@@ -97,7 +100,12 @@
 // send stands for. It returns the server and its address.
 func startServer(t *testing.T, send targetClientFunc) (*Server, string) {
 	t.Helper()
-	g := newGateway(send)
+	return serveGateway(t, newGateway(send))
+}
+
+// serveGateway starts a server on loopback, in front of g.
+func serveGateway(t *testing.T, g *gateway.Service) (*Server, string) {
+	t.Helper()
 	address := netip.AddrPortFrom(conntest.Address(t), 8221).String()
 	s := &Server{Gateway: g, Log: zap.NewNop()}
 	ctx, cancel := context.WithCancel(context.Background())
