--- a/internal/transport/gatewayhttp/mixedanswers_test.go
+++ b/internal/transport/gatewayhttp/mixedanswers_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	answer    string
 	readsBody bool                    // before it answers
 	end       func(conn *net.TCPConn) // called behind the answer, before the connection is closed
+	received  *atomic.Int64           // requests, without probes; nil if they are not counted
 }
 
 // start runs the target and returns its address.
@@ -59,6 +61,9 @@
 			io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: t\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
+		if r.received != nil {
+			r.received.Add(1)
+		}
 		if r.readsBody {
 			io.Copy(io.Discard, req.Body)
 		}
@@ -184,3 +189,6 @@
 		})
 	}
 }
+
+// keepOpen keeps a connection open for longer than requests wait.
+func keepOpen(*net.TCPConn) { time.Sleep(10 * time.Second) }
