Answers with the statuses 600 to 999 are no answers

Cause: the client to targets took any status from 200 on; http.ReadResponse parses any three digits. Change: netconn.CheckStatus knows the statuses of final responses, 200 to 599; the client to targets asks it where it reads a response, so that probes are covered too. The attempt is broken, as by garbled bytes.

--- /dev/null
+++ b/internal/transport/netconn/status.go
@@ -0,0 +1,23 @@
+package netconn
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrUnknownStatus is returned for a response whose status is not one of HTTP. Such a response is no
+// answer, and nothing on its connection can be trusted.
+var ErrUnknownStatus = errors.New("response with an unknown status")
+
+// maxStatus is the highest status that HTTP knows (RFC 9110, section 15).
+const maxStatus = 599
+
+// CheckStatus returns an error if a status is none that a final response may have. HTTP libraries parse
+// any number.
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return fmt.Errorf("%w: %d", ErrUnknownStatus, status)
+	}
+	return nil
+}
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -152,9 +152,16 @@
 func (c *connection) readFinalResponse(req *http.Request) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(c.reader, req)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if err := netconn.CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
 		}
+		return resp, nil
 	}
 }
 
