Only the interim statuses of HTTP are skipped

Cause: the client to targets skipped each response with a status below 200, also 000, 099, signed numbers of three characters and 101, behind which there is no HTTP. Change: netconn.IsInterim; any other status below 200 breaks the attempt or the probe.

--- a/internal/transport/netconn/status.go
+++ b/internal/transport/netconn/status.go
@@ -21,3 +21,9 @@
 	}
 	return nil
 }
+
+// IsInterim reports whether a status is that of an interim response, which a final one follows. Behind 101
+// the connection has another protocol.
+func IsInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -155,7 +155,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
+		if netconn.IsInterim(resp.StatusCode) {
 			continue
 		}
 		if err := netconn.CheckStatus(resp.StatusCode); err != nil {
