--- a/internal/transport/engine/mixedanswers_test.go
+++ b/internal/transport/engine/mixedanswers_test.go
@@ -92,3 +92,56 @@
 	t.Cleanup(func() { server.Close() })
 	return newTestClient(ln.Addr(), false)
 }
+
+// Guards against a response whose status HTTP does not know, or an unasked-for change of the protocol, that
+// a side process passes on as one of its service. fasthttp returns 200 for the status 000.
+func TestUnknownStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999", "2000", "-12", "+12", "-00", "20", "abc", ""} {
+		for _, before := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", "\r\n"} {
+			t.Run(status+" behind "+before[:min(len(before), 12)], func(t *testing.T) {
+				c := startEarlyTarget(t, before+"HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\nno", func(*net.TCPConn) {})
+				var got []state.AttemptEvent
+				_, err := c.Run(t.Context(), testAttempt, &state.Request{Kind: state.PlainCall, Method: "GET", Path: "/x"}, func(e state.AttemptEvent) { got = append(got, e) })
+				if unknown := (*side.UnknownOutcomeError)(nil); !errors.As(err, &unknown) || len(got) > 0 {
+					t.Errorf("error %v, passed on %+v; want an unknown outcome and nothing passed on", err, got)
+				}
+			})
+		}
+	}
+}
+
+// Guards against interim responses that hide the final one.
+func TestFinalStatusBehindInterimOnesIsPassedOn(t *testing.T) {
+	c := startEarlyTarget(t, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 207 X\r\nContent-Length: 2\r\n\r\nok", func(*net.TCPConn) {})
+	if status, body, err := runLongCall(t, c); err != nil || status != http.StatusMultiStatus || body != "ok" {
+		t.Errorf("status %d, body %q, error %v; want 207 and \"ok\"", status, body, err)
+	}
+}
+
+// Guards against a load report, a list of requests or a stream that is believed although its status is none
+// of HTTP.
+func TestUnknownStatusOfEngineIsNotBelieved(t *testing.T) {
+	for _, status := range []string{"000", "600"} {
+		t.Run(status, func(t *testing.T) {
+			c := startScriptedEngine(t, func(r *http.Request) string {
+				body := `{"requests":[]}`
+				if r.Method == http.MethodPost || r.URL.Query().Has("from") {
+					body = "id: 0\ndata: a\n\nid: 1\ndata: [DONE]\n\n"
+				}
+				return "HTTP/1.1 " + status + " X\r\nConnection: close\r\n\r\n" + body
+			})
+			if _, err := c.ListAttempts(t.Context()); err == nil {
+				t.Error("a list of requests is believed")
+			}
+			if err := c.Cancel(t.Context(), testAttempt); err == nil {
+				t.Error("a cancellation counts as confirmed")
+			}
+			_, err := c.Run(t.Context(), testAttempt, &state.Request{Kind: state.Completion, Body: []byte(`{"model":"m"}`)}, func(e state.AttemptEvent) {
+				t.Errorf("passed on %+v", e)
+			})
+			if unknown := (*side.UnknownOutcomeError)(nil); !errors.As(err, &unknown) {
+				t.Errorf("error %v, want an unknown outcome", err)
+			}
+		})
+	}
+}
