Side processes believe no status that HTTP does not know

Cause: the client of side processes left statuses to fasthttp, which takes any three digits, stops at 101 and returns 200 for 000, so that its result does not tell. Change: netconn.StatusReader reads the status lines as they arrive, behind interim responses too, and checks them with CheckStatus; a read fails from an unknown one on, as after garbled bytes.

--- a/internal/transport/engine/call.go
+++ b/internal/transport/engine/call.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/side"
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 )
 
 // A read that its deadline ends later than by longestDelay was held up by this process, which
@@ -31,10 +32,11 @@
 	stallsAt atomic.Pointer[time.Time]
 	sent     atomic.Bool           // at least one byte of the request was written
 	writeErr atomic.Pointer[error] // of a write after the first byte; nil for none
+	status   netconn.StatusReader  // of the only response
 }
 
 // Read implements net.Conn. It fails when no byte arrives within the idle timeout, and after
-// stallsAt. After a write that failed, an end does not show that a response is complete: the
+// stallsAt, and from a status on that HTTP does not know. After a write that failed, an end does not show that a response is complete: the
 // kernel reports a reset once, to the write.
 func (c *conn) Read(p []byte) (int, error) {
 	deadline := time.Now().Add(time.Duration(c.idleTimeout.Load()))
@@ -47,6 +49,9 @@
 		c.Conn.SetReadDeadline(time.Now().Add(catchUpTime))
 		n, err = c.Conn.Read(p)
 	}
+	if serr := c.status.Read(p[:n]); serr != nil {
+		return 0, serr
+	}
 	if werr := c.writeErr.Load(); werr != nil && err != nil {
 		return n, fmt.Errorf("request not written: %w; read: %v", *werr, err)
 	}
--- a/internal/transport/netconn/status.go
+++ b/internal/transport/netconn/status.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 )
 
 // ErrUnknownStatus is returned for a response whose status is not one of HTTP. Such a response is no
@@ -27,3 +29,53 @@
 func IsInterim(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
+
+// StatusReader checks the statuses of a response as it is read from a connection, for HTTP libraries that
+// do not tell an unknown status from another. Its zero value awaits the start of a response.
+type StatusReader struct {
+	line    []byte // of the head, as far as it has arrived; only its beginning is kept
+	interim bool   // the lines are those of an interim response, behind its status
+	done    bool   // the final status was read
+	err     error
+}
+
+// maxStatusLine is how much of a line StatusReader keeps: the version, the status and the spaces before it.
+const maxStatusLine = 64
+
+// Read takes the next bytes of the response. It returns an error from an unknown status on. Lines that are
+// no status lines are left to the HTTP library.
+func (r *StatusReader) Read(p []byte) error {
+	for _, b := range p {
+		if r.done || r.err != nil {
+			break
+		}
+		if b != '\n' {
+			if len(r.line) < maxStatusLine {
+				r.line = append(r.line, b)
+			}
+			continue
+		}
+		r.endLine(strings.TrimSuffix(string(r.line), "\r"))
+		r.line = r.line[:0]
+	}
+	return r.err
+}
+
+// endLine takes a line of the head. Empty lines before a status line are skipped.
+func (r *StatusReader) endLine(line string) {
+	switch {
+	case r.interim:
+		r.interim = line != ""
+	case line != "":
+		_, rest, _ := strings.Cut(line, " ")
+		code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+		status, err := strconv.Atoi(code)
+		if r.interim = err == nil && IsInterim(status); r.interim {
+			return
+		}
+		r.done = true
+		if err == nil {
+			r.err = CheckStatus(status)
+		}
+	}
+}
