The platform's client believes no status that HTTP does not know

Cause: as in side processes: fasthttp returns 200 for the status 000. Change: the connections of the client check statuses with netconn.StatusReader, anew for each request.

--- a/internal/transport/platformclient/status_test.go
+++ b/internal/transport/platformclient/status_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/logstream"
@@ -47,9 +48,9 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	answered := 0
+	var answered atomic.Int64
 	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if answered++; answered == 1 {
+		if answered.Add(1) == 1 {
 			io.WriteString(w, "first")
 			return
 		}
--- a/internal/transport/platformclient/traffic.go
+++ b/internal/transport/platformclient/traffic.go
@@ -4,6 +4,8 @@
 	"expvar"
 	"net"
 	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/transport/netconn"
 )
 
 // callBytes counts the bytes of calls with their HTTP headers, by endpoint:
@@ -35,21 +37,26 @@
 	return &countingConn{Conn: conn, byteCounters: c}, nil
 }
 
-// countingConn is a connection whose bytes are counted.
+// countingConn is a connection whose bytes are counted, and the statuses of its responses checked.
 type countingConn struct {
 	net.Conn
 	byteCounters
+	status netconn.StatusReader // of the response that is read
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It fails from a status on that HTTP does not know.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
+	if serr := c.status.Read(p[:n]); serr != nil {
+		return 0, serr
+	}
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. The HTTP library writes a request to its end before it reads the response.
 func (c *countingConn) Write(p []byte) (int, error) {
+	c.status = netconn.StatusReader{}
 	n, err := c.Conn.Write(p)
 	c.sent.Add(int64(n))
 	return n, err
