--- a/internal/transport/engine/mixedanswers_test.go
+++ b/internal/transport/engine/mixedanswers_test.go
@@ -145,3 +145,18 @@
 		})
 	}
 }
+
+// Guards against a response in another version of HTTP than the client speaks that is passed on.
+func TestOtherVersionIsNoAnswer(t *testing.T) {
+	for _, version := range []string{"0.9", "2.0", "9.9"} {
+		t.Run(version, func(t *testing.T) {
+			c := startEarlyTarget(t, "HTTP/"+version+" 200 OK\r\nContent-Length: 2\r\n\r\nok", func(*net.TCPConn) {})
+			_, err := c.Run(t.Context(), testAttempt, &state.Request{Kind: state.PlainCall, Method: "GET", Path: "/x"}, func(e state.AttemptEvent) {
+				t.Errorf("passed on %+v", e)
+			})
+			if unknown := (*side.UnknownOutcomeError)(nil); !errors.As(err, &unknown) {
+				t.Errorf("error %v, want an unknown outcome", err)
+			}
+		})
+	}
+}
