--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -155,6 +155,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := netconn.CheckVersion(resp.ProtoMajor); err != nil {
+			return nil, err
+		}
 		if netconn.IsInterim(resp.StatusCode) {
 			continue
 		}
