--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -152,9 +152,19 @@
 func (c *connection) readFinalResponse(req *http.Request) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(c.reader, req)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		if err := netconn.CheckVersion(resp.ProtoMajor); err != nil {
+			return nil, err
+		}
+		if netconn.IsInterim(resp.StatusCode) {
+			continue
+		}
+		if err := netconn.CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
 		}
+		return resp, nil
 	}
 }
 
