Mesh: a test of entries that were told of a stream and are not asked

Cause: an entry asks the three that it has heard for longest, one after the other. Since origins are told to three others at once, those may be other ones, and in a fleet of more than four entries the origin is not found until the next report.

--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -108,8 +108,8 @@
 	l.connectedAt, l.connectedAtTimeOfDay = now, timeOfDay
 }
 
-// hashRequest returns the hash under which a stream is remembered.
-func hashRequest(id state.RequestID) uint64 { return xxhash.Sum64String(string(id)) }
+// HashRequest returns the hash under which a stream is remembered.
+func HashRequest(id state.RequestID) uint64 { return xxhash.Sum64String(string(id)) }
 
 // SetTargets takes a new list of targets.
 func (l *Log) SetTargets(now time.Time, records []state.TargetRecord) {
@@ -216,7 +216,7 @@
 func NewNotes(origin Origin, ids ...state.RequestID) Notes {
 	n := Notes{Origin: origin}
 	for _, id := range ids {
-		n.Streams = append(n.Streams, hashRequest(id))
+		n.Streams = append(n.Streams, HashRequest(id))
 	}
 	return n
 }
@@ -227,7 +227,7 @@
 func (l *Log) Begin(now time.Time, id state.RequestID, origin Origin) (urgent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	hash, added := hashRequest(id), stream{origin, now.Add(MaxTakeUpTime)}
+	hash, added := HashRequest(id), stream{origin, now.Add(MaxTakeUpTime)}
 	if l.remember(now, hash, added) {
 		l.own = append(l.own, ownStream{stream: added, hash: hash, nearReports: reportsEach, farReports: reportsEach})
 	}
@@ -275,7 +275,7 @@
 func (l *Log) Find(now time.Time, id state.RequestID, service state.Service) (origin Origin, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s, ok := l.streams[hashRequest(id)]; ok && id != "" && !now.After(s.expires) {
+	if s, ok := l.streams[HashRequest(id)]; ok && id != "" && !now.After(s.expires) {
 		return s.origin, true
 	}
 	if versions := l.versions(now, service); l.covered(now) && len(versions) == 1 {
--- a/internal/transport/mesh/origin_test.go
+++ b/internal/transport/mesh/origin_test.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"net/netip"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -118,3 +120,65 @@
 		t.Errorf("%d bytes, want at most %d", len(b), most)
 	}
 }
+
+// Guards against a large fleet in which those that were told of a stream at once are not
+// asked, because others have been heard for longer.
+func TestOriginIsAskedWhereItWasTold(t *testing.T) {
+	const (
+		entries = 9
+		tries   = 20 // an answer may take longer than originTimeout on a busy machine
+	)
+	want := origin.Origin{Service: "s", Software: "v1"}
+	var mu sync.Mutex
+	known := make(map[netip.AddrPort]bool) // the entries that were told
+	asker, _ := openMesh(t, Snapshot{})
+	for i := range entries {
+		var self netip.AddrPort
+		p, _ := openMeshWithOrigins(t, Snapshot{}, func(state.RequestID, state.Service) (origin.Origin, bool) {
+			mu.Lock()
+			ok := known[self]
+			mu.Unlock()
+			return want, ok
+		})
+		mu.Lock()
+		self = p.self
+		mu.Unlock()
+		p.AddAddress(asker.self)
+		if err := p.Send(time.Now(), sameReport(Message{Instance: state.InstanceID(rune('a' + i)), Incarnation: 1, Sequence: 1})); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for asker.PeerCount(time.Now()) < entries {
+		time.Sleep(time.Millisecond)
+	}
+	keepHeard := func() {
+		asker.mu.Lock()
+		defer asker.mu.Unlock()
+		for _, p := range asker.peers {
+			p.lastHeard = time.Now()
+		}
+	}
+	for _, id := range []state.RequestID{"a", "b", "c", "d"} {
+		keepHeard()
+		// The sender is the first in the order and has ended, which the asker does not know yet.
+		ranked := asker.rankedFor(time.Now(), origin.HashRequest(id), originReceivers+1)
+		for _, told := range ranked[1:] {
+			mu.Lock()
+			clear(known)
+			known[told] = true
+			mu.Unlock()
+			keepHeard()
+			asker.mu.Lock()
+			asker.peers[told].firstHeard = time.Now().Add(time.Minute) // all others have been heard for longer
+			asker.mu.Unlock()
+			o, err := asker.AskOrigin(t.Context(), id, "s")
+			for try := 0; err != nil && try < tries; try++ {
+				keepHeard()
+				o, err = asker.AskOrigin(t.Context(), id, "s")
+			}
+			if err != nil || o != want {
+				t.Errorf("%s was told of stream %s: origin %v, error %v", told, id, o, err)
+			}
+		}
+	}
+}
