Mesh: entries that were told of a stream are asked where it began

Cause: the three entries that had been heard for longest were asked one after the other, 150 ms each. In a fleet of more than four entries they need not be those that were told of the stream at once, and entries that have ended or are frozen took the time of those that know. The error names the reasons of all.

--- a/internal/transport/mesh/origin.go
+++ b/internal/transport/mesh/origin.go
@@ -24,11 +24,13 @@
 	// The query parameters of a question for the origin of a stream.
 	requestParameter = "request"
 	serviceParameter = "service"
-	// originTimeout bounds one question, and maxOriginQuestions the number of entries
-	// that are asked one after the other. A caller waits for the answer.
-	originTimeout      = 150 * time.Millisecond
-	maxOriginQuestions = 3
-	maxAnswerBytes     = 64 << 10 // of an answer to any question
+	// originTimeout bounds the questions for an origin, which are asked at the same time. A caller
+	// waits for the answer.
+	originTimeout = 150 * time.Millisecond
+	// maxLongestHeardAsked is the number of entries that are asked because they have been heard for
+	// longest, besides those that were told of the stream at once.
+	maxLongestHeardAsked = 3
+	maxAnswerBytes       = 64 << 10 // of an answer to any question
 )
 
 // FindOrigin returns where the stream of a request began, as far as it is known. service
@@ -47,18 +49,40 @@
 	}
 }
 
-// AskOrigin asks other entries where the stream of a request began, until one knows. It
-// begins with those that have been heard for longest, because an entry that has started
-// lately knows little. The error is nil if one knew.
+// AskOrigin asks other entries where the stream of a request began, all at the same time:
+// those that are told of it at once, and those that have been heard for longest, because an
+// entry that has started lately knows little. The error is nil if one knew.
 func (m *Mesh) AskOrigin(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, error) {
-	err := fmt.Errorf("origin of stream %s: no other entry to ask", id)
-	for _, a := range m.longestHeard(time.Now(), maxOriginQuestions) {
-		var o origin.Origin
-		if o, err = m.askOrigin(ctx, a, id, service); err == nil {
-			return o, nil
+	now := time.Now()
+	// One more than were told, because the sender itself may be among the first.
+	asked := append(m.rankedFor(now, origin.HashRequest(id), originReceivers+1), m.longestHeard(now, maxLongestHeardAsked)...)
+	slices.SortFunc(asked, netip.AddrPort.Compare)
+	asked = slices.Compact(asked)
+	if len(asked) == 0 {
+		return origin.Origin{}, fmt.Errorf("origin of stream %s: no other entry to ask", id)
+	}
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel() // of the questions that are not needed any more
+	type answer struct {
+		origin origin.Origin
+		err    error
+	}
+	answers := make(chan answer, len(asked))
+	for _, a := range asked {
+		go func() {
+			o, err := m.askOrigin(ctx, a, id, service)
+			answers <- answer{o, err}
+		}()
+	}
+	var errs []error
+	for range asked {
+		a := <-answers
+		if a.err == nil {
+			return a.origin, nil
 		}
+		errs = append(errs, a.err)
 	}
-	return origin.Origin{}, err
+	return origin.Origin{}, errors.Join(errs...)
 }
 
 // originReceivers is the number of entries that are told of a stream at once: one is left if
@@ -128,8 +152,6 @@
 }
 
 func (m *Mesh) askOrigin(ctx context.Context, a netip.AddrPort, id state.RequestID, service state.Service) (o origin.Origin, err error) {
-	ctx, cancel := context.WithTimeout(ctx, originTimeout)
-	defer cancel()
 	query := url.Values{requestParameter: {string(id)}, serviceParameter: {string(service)}}
 	if err := m.ask(ctx, a, originPath, query, &o); err != nil {
 		return origin.Origin{}, fmt.Errorf("ask %s for the origin of stream %s: %w", a, id, err)
