Mesh: a test of an entry that answers late where a stream began

Cause: a question for an origin ends after 150 ms. Entries whose share of the processor is used up answer later.

--- a/internal/transport/mesh/origin_test.go
+++ b/internal/transport/mesh/origin_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"errors"
 	"net/netip"
 	"slices"
 	"sync"
@@ -182,3 +183,33 @@
 		}
 	}
 }
+
+// Guards against a caller who is refused because the only entry that knows where its stream
+// began has used up its share of the processor and answers late.
+func TestLateAnswerToQuestionForOriginIsAwaited(t *testing.T) {
+	const (
+		late  = 250 * time.Millisecond
+		tries = 20 // an answer may take longer on a busy machine
+	)
+	want := origin.Origin{Service: "s", Software: "v1"}
+	asker, _ := openMesh(t, Snapshot{})
+	p, _ := openMeshWithOrigins(t, Snapshot{}, func(state.RequestID, state.Service) (origin.Origin, bool) {
+		time.Sleep(late)
+		return want, true
+	})
+	p.AddAddress(asker.self)
+	var o origin.Origin
+	err := errors.New("not asked")
+	for try := 0; err != nil && try < tries; try++ {
+		if err := p.Send(time.Now(), sameReport(Message{Instance: "b", Incarnation: 1, Sequence: uint64(try + 1)})); err != nil {
+			t.Fatal(err)
+		}
+		for len(asker.Heard(time.Now())) < 1 {
+			time.Sleep(time.Millisecond)
+		}
+		o, err = asker.AskOrigin(t.Context(), "stream", "s")
+	}
+	if err != nil || o != want {
+		t.Errorf("origin %v, error %v; want %v", o, err, want)
+	}
+}
