Mesh: questions for an origin are awaited for 450 ms

Cause: entries whose share of the processor was used up did not answer within 150 ms, and the caller was refused. Change: the questions, which are asked at the same time, may take 450 ms in all. That is what three questions one after the other took at most before; a caller's time limit ends them sooner.

--- a/internal/transport/mesh/origin.go
+++ b/internal/transport/mesh/origin.go
@@ -25,8 +25,9 @@
 	requestParameter = "request"
 	serviceParameter = "service"
 	// originTimeout bounds the questions for an origin, which are asked at the same time. A caller
-	// waits for the answer.
-	originTimeout = 150 * time.Millisecond
+	// waits for the answer. With 150 ms, entries whose share of the processor was used up had
+	// not answered.
+	originTimeout = 450 * time.Millisecond
 	// maxLongestHeardAsked is the number of entries that are asked because they have been heard for
 	// longest, besides those that were told of the stream at once.
 	maxLongestHeardAsked = 3
