--- a/internal/coordination/gateway/replacedtarget_test.go
+++ b/internal/coordination/gateway/replacedtarget_test.go
@@ -184,3 +184,43 @@
 	s.cfg.Origins.SetTargets(time.Now(), records)
 	s.cfg.Scheduler.SetTargets(records)
 }
+
+// Guards against a stream that goes on at one of two software versions although it may have begun at the
+// other one: its target is listed with another version and sends nothing afterwards.
+func TestStreamOfUnsureOriginIsNotResumed(t *testing.T) {
+	first := events[:strings.Index(events, "id: 2")]
+	rest := events[len(first):]
+	for name, end := range map[string]func() io.Reader{
+		"broken off": func() io.Reader { return truncatedReader{} },
+		"silent": func() io.Reader {
+			return &pausedReader{strings.NewReader(""), 1500 * time.Millisecond, func() io.Reader { return truncatedReader{} }}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range seeds {
+				synctest.Test(t, func(t *testing.T) {
+					targets := &targetBehaviours{}
+					s := newSoftwareService(targets, seed, "v1", "v1", "v1")
+					targets.of = func(f *Forward) behaviour {
+						if f.ResumeAfter != "" {
+							return respondWith(200, rest)
+						}
+						return pausedThen(first, 100*time.Millisecond, func() io.Reader {
+							replace(s, f.Target.ID, true)
+							return end()
+						})
+					}
+					out := serve(t, s, state.Call{ID: "first"})
+					if len(targets.sends) > 1 || !out.aborted {
+						t.Errorf("seed %d: sent to %q, aborted %t; want that the stream is broken off", seed, targets.sends, out.aborted)
+					}
+					targets.sends = nil
+					out = serve(t, s, state.Call{ID: "second", ResumeAfter: "1", ResumedRequest: "first"})
+					if len(targets.sends) > 0 || out.failure.Kind != NotRun {
+						t.Errorf("seed %d: taken up at %q, failure %v; want that it did not run", seed, targets.sends, out.failure)
+					}
+				})
+			}
+		})
+	}
+}
