--- a/internal/coordination/gateway/handover.go
+++ b/internal/coordination/gateway/handover.go
@@ -253,7 +253,7 @@
 // mayMoveOn reports whether the request may be sent to another target now, apart from
 // whether one has a slot for it.
 func (r *request) mayMoveOn() bool {
-	return !r.positionUnknown && r.placements < maxPlacements && r.race.runs() < r.maxRuns() && r.checkQuarantine(false) == nil &&
+	return !r.cannotResume() && r.placements < maxPlacements && r.race.runs() < r.maxRuns() && r.checkQuarantine(false) == nil &&
 		r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack())
 }
 
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -90,7 +90,7 @@
 		r.software = &g.Target.Software
 	}
 	if !r.takesStreamUp() {
-		r.beganAt = g.Target.ID
+		r.beganAt, r.beganGrant = g.Target.ID, g
 	}
 	r.shareOrigin()
 }
@@ -100,7 +100,11 @@
 	if !r.route.Resumable {
 		return
 	}
-	began := origin.Origin{Service: r.targetService, Software: *r.software}
+	r.tellOrigin(origin.Origin{Service: r.targetService, Software: *r.software})
+}
+
+// tellOrigin remembers an origin under the requests that the caller may name.
+func (r *request) tellOrigin(began origin.Origin) {
 	ids := []state.RequestID{r.call.ID}
 	if r.takesStreamUp() {
 		ids = append(ids, r.call.ResumedRequest)
@@ -136,3 +140,25 @@
 		r.shareOrigin()
 	}
 }
+
+// originUnsure reports whether the stream may have begun at either of two software versions: its target was
+// listed with another one while it wrote the stream, and nothing has arrived since.
+func (r *request) originUnsure() bool {
+	if r.beganGrant == nil {
+		return false
+	}
+	relisted := r.beganGrant.Relisted()
+	return relisted != nil && r.software != &relisted.Software
+}
+
+// cannotResume reports whether no target can go on with the stream.
+func (r *request) cannotResume() bool { return r.positionUnknown || r.originUnsure() }
+
+// withdrawOrigin says that the stream may not be taken up, because its origin is unsure.
+func (r *request) withdrawOrigin() {
+	r.service.cfg.Counters.Add("stream_of_unsure_origin")
+	r.log.Warn("origin of stream unsure", zap.String("request", string(r.call.ID)), zap.String("target", string(r.beganAt)))
+	if r.route.Resumable {
+		r.tellOrigin(origin.Origin{Service: r.targetService, Software: origin.Unsure})
+	}
+}
--- a/internal/coordination/gateway/targetends.go
+++ b/internal/coordination/gateway/targetends.go
@@ -509,5 +509,5 @@
 // mayGoOnElsewhere reports whether the stream may be resumed at another target.
 func (a *attempt) mayGoOnElsewhere() bool {
 	r := a.request
-	return r.route.Resumable && !r.positionUnknown && r.possibleRuns+1 < r.maxRuns()
+	return r.route.Resumable && !r.cannotResume() && r.possibleRuns+1 < r.maxRuns()
 }
--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -39,6 +39,9 @@
 	maxIsolation = 2 * time.Second
 )
 
+// Unsure is the software version of streams that may have begun at either of two. No target has it.
+const Unsure state.SoftwareVersion = "\x00unsure"
+
 // Origin is where a stream began.
 type Origin struct {
 	Service  state.Service
