Fault soak: count wrongly judged ends by their reason

Cause: the soak counts cut streams that are passed on and whole ones that are broken off or resumed, but not which reason of the judgement led there, so that each case had to be traced by hand.

Change: each run of the deployments prints "wrong ends of", by whether the stream may be resumed and by the doubt, verdict, reason and timing in the log of the entry.

--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -37,6 +37,7 @@
 	counts := d.findings()
 	t.Logf("streams of %s, seed %d: %s", d.name, d.world.seed, d.streamEnds())
 	t.Logf("signs of %s, seed %d: %s", d.name, d.world.seed, d.endSigns())
+	t.Logf("wrong ends of %s, seed %d: %s", d.name, d.world.seed, d.wrongEnds())
 	for _, e := range d.events {
 		t.Logf("%s %s %s to %s", e.what, e.where, e.from.UTC().Format("15:04:05.000"), e.to.UTC().Format("15:04:05.000"))
 	}
