Origins: an unsure origin is not replaced, and reports have one origin for a stream

Callers would have seen: events of two versions, where a target is replaced in place. A second origin of a stream was reported beside the first one, in no fixed order, and a report that arrives late replaced the later one. Change: a stream has one entry among the origins to report, and an unsure origin stays.

--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -231,7 +231,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	hash, added := HashRequest(id), stream{origin, now.Add(MaxTakeUpTime)}
+	_, known := l.streams[hash]
 	if l.remember(now, hash, added) {
+		if known { // a report must not have an earlier origin beside this one
+			l.own = slices.DeleteFunc(l.own, func(s ownStream) bool { return s.hash == hash })
+		}
 		l.own = append(l.own, ownStream{stream: added, hash: hash, nearReports: reportsEach, farReports: reportsEach})
 	}
 	return l.hasSeveralVersions(now, origin.Service)
@@ -257,7 +261,8 @@
 	}
 }
 
-// remember adds a stream unless the log is full. It replaces one that is known, also in a full log.
+// remember adds a stream unless the log is full. It replaces one that is known, also in a full log, unless
+// its origin is unsure: what was told before may arrive later.
 func (l *Log) remember(now time.Time, hash uint64, s stream) bool {
 	if !now.Before(l.nextExpiry) {
 		l.nextExpiry = now.Add(expiryInterval)
@@ -266,7 +271,8 @@
 			return now.After(s.expires) || s.nearReports == 0 && s.farReports == 0
 		})
 	}
-	if _, known := l.streams[hash]; !known && len(l.streams) >= maxRemembered {
+	known, ok := l.streams[hash]
+	if ok && known.origin.Software == Unsure || !ok && len(l.streams) >= maxRemembered {
 		return false
 	}
 	l.streams[hash] = s
