Streams of targets that are listed with another version are not resumed

Callers would have seen: events of two versions, where a target is replaced in place. An event that arrives after the list has changed was taken for one of the new process. A process that finishes its streams beside its successor writes such events too; a grant did not hear of the change if the record was missing for a moment or had changed before; and comments alone fixed the version of a stream that had not begun. Change: the origin is no longer corrected. A stream whose target is listed with another version while it writes the stream has an unsure origin: it is neither resumed nor moved, and other entries hear that at once. Grants are compared by the target's identifier, and versions that are not stated do not count. No conforming target changes its version.

--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -38,7 +38,8 @@
 // without a free slot suits r better than all with one, r waits for it, unless these
 // suit it at least as well as enough: a slot of a slow target is better left to a
 // request that can be on time there. An ejected target that is due for a probe is
-// preferred to what the policy picks, unless r requires a software version. The caller must hold s.mu.
+// preferred to what the policy picks, unless r requires a software version. The caller
+// must hold s.mu.
 func (s *Scheduler) tryGrant(p *pool, r *Request, now time.Time, enough fit) *Grant {
 	overcommit, allowed := s.fairShare(p, r, now)
 	if !allowed {
@@ -82,7 +83,7 @@
 		return nil
 	}
 	s.candidates = slices.DeleteFunc(s.candidates, func(c candidate) bool { return c.fit != bestFree })
-	s.preferProvedSoftware(r, now)
+	s.preferUnbroken(r, now)
 	policy := s.policies.forRequest(r.ID)
 	c := scoringInput{request: r, now: now, domain: s.domain, cost: p.cost, medianFailing: p.medianFailingShare()}
 	for i := range s.candidates {
@@ -92,10 +93,10 @@
 	return s.grant(p, r, s.candidates[picked].target, now, len(s.candidates))
 }
 
-// preferProvedSoftware drops the candidates whose software version is not proved, unless none remains, if
-// r requires one: their processes may have ended since their records were read. A target that breaks off a
+// preferUnbroken drops the candidates whose processes may have ended since their records were read, unless none
+// remains, if r requires a software version: the next process may have another one. A target that breaks off a
 // response may also live on, without a newer record, so that none is excluded or waited for.
-func (s *Scheduler) preferProvedSoftware(r *Request, now time.Time) {
+func (s *Scheduler) preferUnbroken(r *Request, now time.Time) {
 	mayHaveEnded := func(c candidate) bool { return c.target.mayHaveEnded(now) }
 	if r.RequiredSoftware != nil && slices.ContainsFunc(s.candidates, func(c candidate) bool { return !mayHaveEnded(c) }) {
 		s.candidates = slices.DeleteFunc(s.candidates, mayHaveEnded)
@@ -114,7 +115,7 @@
 	g.calibrationKey = p.calibrationKey(t, r, g.load)
 	g.RecordAge, g.MayHaveEnded = now.Sub(t.listedAt), t.mayHaveEnded(now)
 	if g.MayHaveEnded {
-		g.SinceEnd = now.Sub(t.endSignAt)
+		g.SinceEnd = now.Sub(t.lastBreakAt)
 	}
 	s.limits.Take(now, t.record.ID)
 	t.openGrants[g], p.openGrants[g] = struct{}{}, struct{}{}
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -133,9 +133,7 @@
 	// that its end is to be told to what judges versions.
 	Counted bool
 
-	// relisted is the software version under which the target was listed anew while the grant was
-	// open; nil if it was not.
-	relisted atomic.Pointer[Relisting]
+	relisted atomic.Bool // see Relisted
 
 	target   *target
 	request  *Request
@@ -150,15 +148,10 @@
 	versions       rollout.Choice // with the permit that the request uses, if any
 }
 
-// Relisting is a change of the software version of a target that keeps its identifier.
-type Relisting struct {
-	Software state.SoftwareVersion
-	At       time.Time // when the list of targets said so here
-}
-
-// Relisted returns the last change of the software version of the target while the grant was open, or nil.
-// A response of which something arrives later comes from the process with that version.
-func (g *Grant) Relisted() *Relisting { return g.relisted.Load() }
+// Relisted reports whether the target was listed with another software version while the grant was open.
+// Either version may have answered then: the record by which the target was chosen may have been outdated,
+// or the process before finishes its requests beside the next one.
+func (g *Grant) Relisted() bool { return g.relisted.Load() }
 
 // Outcome says how a request ended at its target.
 type Outcome uint8
--- a/internal/coordination/dispatch/scheduler.go
+++ b/internal/coordination/dispatch/scheduler.go
@@ -139,15 +139,15 @@
 	}
 	for _, r := range records {
 		t := s.targets[r.ID]
-		if t != nil && t.record.Software != r.Software {
-			t.relist(now, r.Software)
-		}
 		if t == nil || t.record.Started != r.Started || t.record.Address != r.Address {
 			t = newTarget(r, s.statementOf(&r))
 		}
 		if t.listedAt.IsZero() || t.record != r {
 			t.listedAt = now
 		}
+		if t.record.Software != r.Software {
+			t.lastBreakAt = time.Time{}
+		}
 		t.record = r
 		t.setLeaves(now, r.Draining)
 		listed[r.ID] = t
@@ -161,6 +161,7 @@
 		}
 	}
 	s.targets = listed
+	s.markRelisted()
 	s.targetsByKey = make(map[TargetKey]*target, len(listed))
 	for _, t := range listed {
 		s.targetsByKey[t.key()] = t
@@ -170,6 +171,19 @@
 	s.updateSubsets()
 }
 
+// markRelisted marks the open grants whose targets are listed with another software version than that by
+// which they were chosen.
+func (s *Scheduler) markRelisted() {
+	for _, p := range s.services {
+		for g := range p.openGrants {
+			before := g.Target.Software
+			if t := s.targets[g.Target.ID]; t != nil && before != "" && t.record.Software != "" && t.record.Software != before {
+				g.relisted.Store(true)
+			}
+		}
+	}
+}
+
 // SetPosition sets the position of this entry among all entries.
 func (s *Scheduler) SetPosition(p Position) {
 	s.mu.Lock()
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -32,19 +32,19 @@
 	// rejectionPause is how long a target gets no requests after it has rejected one as
 	// full.
 	rejectionPause = 50 * time.Millisecond
-	// endSignTime is how long a sign that the process of a target may have ended counts. The record of
+	// breakMemory is how long a sign that the process of a target may have ended counts. The record of
 	// the next one comes within about a second, or some seconds if it is late. A target that lives on
 	// gets fewer resumptions for that time.
-	endSignTime = 5 * time.Second
+	breakMemory = 5 * time.Second
 )
 
 // target holds the record of a target, its load and its health as seen by this entry.
 type target struct {
 	record state.TargetRecord
-	// listedAt is when the record was new or changed here, and endSignAt when a request last showed that
+	// listedAt is when the record was new or changed here, and lastBreakAt when a request last showed that
 	// the process of the target may have ended: no connection could be opened, or a response was broken
 	// off. It is zero if none has since the target was listed.
-	listedAt, endSignAt time.Time
+	listedAt, lastBreakAt time.Time
 	// leavesSince is since when the list of targets says that it leaves, or lacks it; zero if it does not.
 	leavesSince  time.Time
 	stated       *statement // by this run of the target
@@ -147,7 +147,7 @@
 // reports whether this ejected the target or ended its ejection.
 func (t *target) recordOutcome(now time.Time, g *Grant, o Outcome) (ejected, returned bool) {
 	if o == Unreachable || o == Broken {
-		t.endSignAt = now
+		t.lastBreakAt = now
 	}
 	switch o {
 	case Served:
@@ -179,19 +179,10 @@
 	return false, returned
 }
 
-// relist records in the open grants that the target is listed with another software version, and that its
-// version is proved again.
-func (t *target) relist(now time.Time, software state.SoftwareVersion) {
-	t.endSignAt = time.Time{}
-	for g := range t.openGrants {
-		g.relisted.Store(&Relisting{Software: software, At: now})
-	}
-}
-
 // mayHaveEnded reports whether the process of the target may have ended since its record was read, so that
 // another one may have its identifier.
 func (t *target) mayHaveEnded(now time.Time) bool {
-	return !t.endSignAt.IsZero() && now.Sub(t.endSignAt) < endSignTime
+	return !t.lastBreakAt.IsZero() && now.Sub(t.lastBreakAt) < breakMemory
 }
 
 // setLeaves records whether the list of targets says at now that the target leaves, or lacks it.
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -47,11 +47,10 @@
 	// resumedAt is passedOn when the attempt began, and received the highest number of an event
 	// that the target has sent.
 	resumedAt, received eventNumber
-	repeated            int                 // events that the target sent although the caller has them
-	failure             *failureResponse    // 5xx response of the target, or nil
-	relisted            *dispatch.Relisting // the last one that was looked at
-	logged              *targetend.Stream   // once the first event has arrived; nil before
-	times               eventTimes          // of the events of a stream
+	repeated            int               // events that the target sent although the caller has them
+	failure             *failureResponse  // 5xx response of the target, or nil
+	logged              *targetend.Stream // once the first event has arrived; nil before
+	times               eventTimes        // of the events of a stream
 	// end, timing and timingWeight are those of the end of a stream, once it has been read.
 	end          endTime
 	timing       targetend.Timing
@@ -318,7 +317,7 @@
 			a.handOver.expect(r.eventGapTimeout())
 			a.countEvent(ex)
 		}
-		a.correctOrigin(ex)
+		r.checkOrigin()
 		a.logged.SetRead(false)
 		if err := r.forwardEvent(a.grant, head, event); err != nil {
 			a.cancel(err)
--- a/internal/coordination/gateway/record.go
+++ b/internal/coordination/gateway/record.go
@@ -192,7 +192,10 @@
 	}
 	if r.lastEventID != "" {
 		fields = append(fields, zap.String("resume_after", r.lastEventID), zap.String("resumes", string(r.call.ResumedRequest)),
-			zap.String("began_at", string(r.beganAt)), zap.Duration("record_age", g.RecordAge), zap.Bool("may_have_ended", g.MayHaveEnded), zap.Duration("since_end", g.SinceEnd))
+			zap.Duration("record_age", g.RecordAge), zap.Bool("may_have_ended", g.MayHaveEnded), zap.Duration("since_end", g.SinceEnd))
+		if r.firstGrant != nil {
+			fields = append(fields, zap.String("began_at", string(r.firstGrant.Target.ID)))
+		}
 		if r.software != nil {
 			fields = append(fields, zap.String("began_software", string(*r.software)))
 		}
@@ -200,15 +203,6 @@
 	r.log.Info("target chosen", fields...)
 }
 
-// logRelisted records that the target of an attempt turns out to have another software version than the
-// record by which it was chosen.
-func (r *request) logRelisted(a *attempt, l *dispatch.Relisting, beganHere bool) {
-	r.service.cfg.Counters.Add("stream_of_replaced_target")
-	r.log.Warn("target of stream has another software version", zap.String("request", string(r.call.ID)), zap.String("target", string(a.grant.Target.ID)),
-		zap.String("chosen_as", string(a.grant.Target.Software)), zap.String("software", string(l.Software)), zap.Bool("began_here", beganHere),
-		zap.Int("events", a.grant.Events), zap.Duration("listed_after", l.At.Sub(a.sentAt)))
-}
-
 func (r *request) logPlacementRefused(refusal *dispatch.Refusal) {
 	r.log.Info("placement refused", zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name),
 		zap.Int("rank", r.placement.Rank), zap.String("reason", refusal.Reason), zap.Int("ahead", refusal.Ahead),
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -234,11 +234,11 @@
 	// software is the version of the target that wrote the first event; nil before there
 	// is one. It is known from the start for a stream that is taken up.
 	software *state.SoftwareVersion
-	// beganAt is the target that wrote the first event, and beganGrant its grant; empty if that was in
-	// another request.
-	beganGrant  *dispatch.Grant
-	beganAt     state.TargetID
-	lastEventID string // ID of the last event that the caller has
+	// firstGrant is that of the target that wrote the first event; nil if that was in another request.
+	// originWithdrawn says that others know that the origin of the stream is unsure.
+	firstGrant      *dispatch.Grant
+	originWithdrawn bool
+	lastEventID     string // ID of the last event that the caller has
 	// positionUnknown says that a later event had none, so that no target can be told after which
 	// event to resume the stream.
 	positionUnknown bool
@@ -492,9 +492,7 @@
 	if mayHaveRun {
 		r.possibleRuns++
 	}
-	if r.originUnsure() {
-		r.withdrawOrigin()
-	}
+	r.checkOrigin()
 	willRetry := cause == nil && !suspected && !r.cannotResume() && r.possibleRuns < r.maxRuns()
 	if willRetry && !r.retryTaken && r.reachedTarget && !r.service.retryBudget(r.targetService).Available(time.Now(), r.service.cfg.RetrySlack()) {
 		willRetry = false
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -87,25 +87,20 @@
 // sent to the caller, who can then take the stream up elsewhere, and name this request or the one
 // that it has taken up.
 func (r *request) recordOrigin(g *dispatch.Grant) {
-	if r.software == nil {
-		r.software = &g.Target.Software
-	}
+	r.software = &g.Target.Software
 	if !r.takesStreamUp() {
-		r.beganAt, r.beganGrant = g.Target.ID, g
+		r.firstGrant = g
 	}
-	r.shareOrigin()
+	r.shareOrigin(*r.software)
 }
 
-// shareOrigin remembers the software version of the stream under the requests that its caller may name.
-func (r *request) shareOrigin() {
+// shareOrigin remembers the software version at which the stream began, under the requests that its caller
+// may name, and tells other entries of it.
+func (r *request) shareOrigin(software state.SoftwareVersion) {
 	if !r.route.Resumable {
 		return
 	}
-	r.tellOrigin(origin.Origin{Service: r.targetService, Software: *r.software})
-}
-
-// tellOrigin remembers an origin under the requests that the caller may name.
-func (r *request) tellOrigin(began origin.Origin) {
+	began := origin.Origin{Service: r.targetService, Software: software}
 	ids := []state.RequestID{r.call.ID}
 	if r.takesStreamUp() {
 		ids = append(ids, r.call.ResumedRequest)
@@ -120,49 +115,20 @@
 	}
 }
 
-// correctOrigin looks whether the target is listed with another software version since the attempt began,
-// because it was replaced in place before: an event that arrives after that was written by the process with
-// that version. A stream that began there goes on at that version. If it began elsewhere, it has events of
-// two versions already. No conforming target changes its version.
-func (a *attempt) correctOrigin(ex Exchange) {
-	relisted := a.grant.Relisted()
-	if relisted == nil || a.relisted == relisted {
-		return
-	}
-	if earliest, known := receivedAt(ex); known && !earliest.After(relisted.At) {
-		return
-	}
-	a.relisted = relisted
-	r := a.request
-	beganHere := !a.begun && !r.takesStreamUp()
-	r.logRelisted(a, relisted, beganHere)
-	if !beganHere {
-		return
-	}
-	r.software = &relisted.Software
-	if r.eventForwarded {
-		r.shareOrigin()
-	}
-}
-
 // originUnsure reports whether the stream may have begun at either of two software versions: its target was
-// listed with another one while it wrote the stream, and nothing has arrived since.
-func (r *request) originUnsure() bool {
-	if r.beganGrant == nil {
-		return false
-	}
-	relisted := r.beganGrant.Relisted()
-	return relisted != nil && r.software != &relisted.Software
-}
+// listed with another one while it wrote the stream. No conforming target changes its version.
+func (r *request) originUnsure() bool { return r.firstGrant != nil && r.firstGrant.Relisted() }
 
 // cannotResume reports whether no target can go on with the stream.
 func (r *request) cannotResume() bool { return r.positionUnknown || r.originUnsure() }
 
-// withdrawOrigin says that the stream may not be taken up, because its origin is unsure.
-func (r *request) withdrawOrigin() {
-	r.service.cfg.Counters.Add("stream_of_unsure_origin")
-	r.log.Warn("origin of stream unsure", zap.String("request", string(r.call.ID)), zap.String("target", string(r.beganAt)))
-	if r.route.Resumable {
-		r.tellOrigin(origin.Origin{Service: r.targetService, Software: origin.Unsure})
+// checkOrigin tells that the stream may not be taken up if its origin has become unsure.
+func (r *request) checkOrigin() {
+	if r.originWithdrawn || !r.originUnsure() {
+		return
 	}
+	r.originWithdrawn = true
+	r.service.cfg.Counters.Add("stream_of_unsure_origin")
+	r.log.Warn("origin of stream unsure", zap.String("request", string(r.call.ID)), zap.String("target", string(r.firstGrant.Target.ID)), zap.String("chosen_as", string(r.firstGrant.Target.Software)))
+	r.shareOrigin(origin.Unsure)
 }
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -112,7 +112,8 @@
 	// learns of the order with them.
 	Rollouts *rollout.Report `cbor:"27,keyasint,omitempty"`
 	// OriginsOnly says that the message has Origins and is no report. Its Sequence is 0, so that
-	// entries without this field ignore it.
+	// an entry without this field ignores it if it has heard the sender before, and otherwise
+	// takes it for an empty report until the next one.
 	OriginsOnly bool `cbor:"28,keyasint,omitempty"`
 	// Leaving reports that the sender stops.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
@@ -434,8 +435,9 @@
 
 // Receive receives reports until ctx ends, and closes the socket then. It calls handle
 // with each report that is newer than the earlier ones of the same entry, with each
-// announcement that an entry leaves, and with each message that has origins only. isNew reports that the sender was not a peer
-// before, or has restarted. Receive calls failed when a datagram cannot be decoded and
+// announcement that an entry leaves, and with each message that has origins only.
+// isNew reports that the sender was not a peer before, or has restarted. Receive calls
+// failed when a datagram cannot be decoded and
 // when reading from the socket fails; from is invalid if the sender is not known.
 func (m *Mesh) Receive(ctx context.Context, handle func(msg *Message, isNew bool), failed func(from netip.AddrPort, err error)) error {
 	stop := context.AfterFunc(ctx, func() { m.conn.Close() })
