--- a/internal/coordination/dispatch/grant.go
+++ b/internal/coordination/dispatch/grant.go
@@ -76,10 +76,11 @@
 			bestFree = min(bestFree, f)
 		}
 	}
-	if wait := bestFree > max(bestFit, enough); len(s.candidates) == 0 || wait || probe != nil && bestFree == fitsNeither {
-		if probe != nil {
-			return s.grant(p, r, probe, now, 1)
-		}
+	waits := len(s.candidates) == 0 || bestFree > max(bestFit, enough)
+	if probe != nil && (waits || bestFree == fitsNeither) {
+		return s.grant(p, r, probe, now, 1)
+	}
+	if waits {
 		return nil
 	}
 	s.candidates = slices.DeleteFunc(s.candidates, func(c candidate) bool { return c.fit != bestFree })
@@ -93,9 +94,10 @@
 	return s.grant(p, r, s.candidates[picked].target, now, len(s.candidates))
 }
 
-// preferUnbroken drops the candidates whose processes may have ended since their records were read, unless none
-// remains, if r requires a software version: the next process may have another one. A target that breaks off a
-// response may also live on, without a newer record, so that none is excluded or waited for.
+// preferUnbroken drops the candidates whose processes may have ended since their records were
+// read, unless none remains, if r requires a software version: the next process may have
+// another one. A target that breaks off a response may also live on, without a newer record,
+// so that none is excluded or waited for.
 func (s *Scheduler) preferUnbroken(r *Request, now time.Time) {
 	mayHaveEnded := func(c candidate) bool { return c.target.mayHaveEnded(now) }
 	if r.RequiredSoftware != nil && slices.ContainsFunc(s.candidates, func(c candidate) bool { return !mayHaveEnded(c) }) {
--- a/internal/coordination/gateway/relisted_test.go
+++ b/internal/coordination/gateway/relisted_test.go
@@ -25,7 +25,7 @@
 					return respondWith(200, rest)
 				}
 				return pausedThen(first, 300*time.Millisecond, func() io.Reader {
-					replaceStarted(s, f.Target.ID, time.Now())
+					replaceStarted(s, f.Target.ID, true, time.Now())
 					time.Sleep(100 * time.Millisecond)
 					return io.MultiReader(strings.NewReader(second), truncatedReader{})
 				})
@@ -63,17 +63,3 @@
 		})
 	}
 }
-
-// replaceStarted is replace with the start time of the process, which serves beside a target of its version.
-func replaceStarted(s *Service, id state.TargetID, started time.Time) {
-	records := []state.TargetRecord{{ID: "other-v2", Service: "s", Address: "other", Slots: 4, Software: "v2"}}
-	for _, other := range []state.TargetID{"t0-v1", "t1-v1", "t2-v1"} {
-		r := state.TargetRecord{ID: other, Service: "s", Address: string(other), Slots: 4, Software: "v1"}
-		if other == id {
-			r.Software, r.Started = "v2", started.UnixMilli()
-		}
-		records = append(records, r)
-	}
-	s.cfg.Origins.SetTargets(time.Now(), records)
-	s.cfg.Scheduler.SetTargets(records)
-}
--- a/internal/coordination/gateway/replacedtarget_test.go
+++ b/internal/coordination/gateway/replacedtarget_test.go
@@ -121,11 +121,16 @@
 // replace lists the target with the given identifier as v2, two others of v1 and, if served is set, a
 // further one of v2.
 func replace(s *Service, id state.TargetID, served bool) {
+	replaceStarted(s, id, served, time.UnixMilli(1))
+}
+
+// replaceStarted is replace with the start time of the process.
+func replaceStarted(s *Service, id state.TargetID, served bool, started time.Time) {
 	var records []state.TargetRecord
 	for _, other := range []state.TargetID{"t0-v1", "t1-v1", "t2-v1"} {
 		r := state.TargetRecord{ID: other, Service: "s", Address: string(other), Slots: 4, Software: "v1"}
 		if other == id {
-			r.Software, r.Started = "v2", 1
+			r.Software, r.Started = "v2", started.UnixMilli()
 		}
 		records = append(records, r)
 	}
--- a/internal/transport/engine/call.go
+++ b/internal/transport/engine/call.go
@@ -35,9 +35,9 @@
 	status   netconn.StatusReader  // of the only response
 }
 
-// Read implements net.Conn. It fails when no byte arrives within the idle timeout, and after
-// stallsAt, and from a status on that HTTP does not know. After a write that failed, an end does not show that a response is complete: the
-// kernel reports a reset once, to the write.
+// Read implements net.Conn. It fails when no byte arrives within the idle timeout, after
+// stallsAt, and from a status on that HTTP does not know. After a write that failed, an end
+// does not show that a response is complete: the kernel reports a reset once, to the write.
 func (c *conn) Read(p []byte) (int, error) {
 	deadline := time.Now().Add(time.Duration(c.idleTimeout.Load()))
 	if stall := c.stallsAt.Load(); stall != nil && stall.Before(deadline) {
--- a/internal/transport/netconn/status.go
+++ b/internal/transport/netconn/status.go
@@ -53,8 +53,8 @@
 // maxStatusLine is how much of a line StatusReader keeps: the version, the status and the spaces before it.
 const maxStatusLine = 64
 
-// Read takes the next bytes of the response. It returns an error from an unknown status or version on. Lines that are
-// no status lines are left to the HTTP library.
+// Read takes the next bytes of the response. It returns an error from an unknown status or version
+// on. Lines that are no status lines are left to the HTTP library.
 func (r *StatusReader) Read(p []byte) error {
 	for _, b := range p {
 		if r.done || r.err != nil {
