Control: nothing waits for the goroutine of events after it has ended

Change: the end of the goroutine closes a channel, on which post and needsFetch stop waiting. Result: TestEventsAfterTheEndOfTheLoop fails without the change (10 s) and passes 20 of 20 times with it; package daemon passes.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -41,6 +41,8 @@
 type control struct {
 	p      *gatewayProcess
 	events chan func(now time.Time)
+	// loopEnded is closed when no further event is run.
+	loopEnded chan struct{}
 
 	// list is used by the goroutine of loop only.
 	list *targetlist.List
@@ -82,7 +84,7 @@
 
 func newControl(p *gatewayProcess) *control {
 	return &control{
-		p: p, events: make(chan func(time.Time), 64), fetchRequests: make(chan state.InstanceID, 1), list: targetlist.New(),
+		p: p, events: make(chan func(time.Time), 64), loopEnded: make(chan struct{}), fetchRequests: make(chan state.InstanceID, 1), list: targetlist.New(),
 		topics: make(map[string]*topicState), drained: make(map[state.InstanceID]map[state.Service]uint64), storeRestored: make(chan struct{}),
 	}
 }
@@ -137,6 +139,7 @@
 func (c *control) loop(ctx context.Context) error {
 	removalCheck := time.NewTicker(removalCheckInterval)
 	defer removalCheck.Stop()
+	defer close(c.loopEnded)
 	for {
 		select {
 		case <-ctx.Done():
@@ -149,8 +152,14 @@
 	}
 }
 
-// post hands an event to the goroutine of loop. It blocks while the queue is full.
-func (c *control) post(event func(time.Time)) { c.events <- event }
+// post hands an event to the goroutine of loop. It blocks while the queue is full, and drops
+// the event once that goroutine has ended.
+func (c *control) post(event func(time.Time)) {
+	select {
+	case c.events <- event:
+	case <-c.loopEnded:
+	}
+}
 
 // topicHandler implements keyedtopic.Handler for one topic. It posts the topic's records
 // and failures to the goroutine of control.loop.
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
@@ -201,3 +202,27 @@
 		t.Errorf("%d targets at an entry without any, want 2", n)
 	}
 }
+
+// Guards against a stop that never ends: what asks or tells the goroutine of events waited for it
+// although it had ended.
+func TestEventsAfterTheEndOfTheLoop(t *testing.T) {
+	c := newControl(&gatewayProcess{rollout: bundle.NewRollout(state.Signers{})})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := c.loop(ctx); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.needsFetch()
+		for range 2 * cap(c.events) {
+			c.post(func(time.Time) {})
+		}
+	}()
+	select {
+	case <-ended:
+	case <-time.After(waitLimit):
+		t.Error("still waits for the goroutine of events after it has ended")
+	}
+}
--- a/internal/daemon/snapshots.go
+++ b/internal/daemon/snapshots.go
@@ -86,7 +86,8 @@
 }
 
 // needsFetch reports whether the configuration or the list of targets is missing, or
-// reads of a topic have failed for outageFetchDelay. It asks the goroutine of loop.
+// reads of a topic have failed for outageFetchDelay. It asks the goroutine of loop, and
+// returns false once that has ended.
 func (c *control) needsFetch() bool {
 	reply := make(chan bool, 1)
 	c.post(func(now time.Time) {
@@ -96,7 +97,12 @@
 		}
 		reply <- needs
 	})
-	return <-reply
+	select {
+	case needs := <-reply:
+		return needs
+	case <-c.loopEnded:
+		return false
+	}
 }
 
 // adoptSnapshot puts into effect what is newer in another entry's snapshot.
