--- a/internal/faultsoak/resumptions_test.go
+++ b/internal/faultsoak/resumptions_test.go
@@ -7,8 +7,6 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -134,18 +132,12 @@
 // refusalReasons returns why requests were refused, from the logs of the entries.
 func (w *world) refusalReasons() map[string]string {
 	reasons, causes := make(map[string]string), make(map[string]string)
-	for _, e := range w.entries {
-		b, err := os.ReadFile(filepath.Join(w.logDirectory, e.name+".log"))
-		if err != nil {
-			w.t.Fatal(err)
+	for _, line := range w.logLines() {
+		if m := takenUpLine.FindStringSubmatch(line); m != nil {
+			causes[m[1]] = m[2] + " " + addressText.ReplaceAllString(m[3], "#")
 		}
-		for line := range strings.Lines(string(b)) {
-			if m := takenUpLine.FindStringSubmatch(line); m != nil {
-				causes[m[1]] = m[2] + " " + addressText.ReplaceAllString(m[3], "#")
-			}
-			if m := failedLine.FindStringSubmatch(line); m != nil {
-				reasons[m[1]] = m[2]
-			}
+		if m := failedLine.FindStringSubmatch(line); m != nil {
+			reasons[m[1]] = m[2]
 		}
 	}
 	for id, reason := range reasons {
