Streams that are taken up go on at the service that began them

Callers saw streams of two services joined: an entry without a record of the stream took the service to which the route leads now for its origin if all targets of that service have one version. After a move of the route, and on routes that are split, the stream may have begun at another service.

Package origin keeps where the configurations of the last 20 s led streams. The candidates for the origin of a stream are all versions of all services to which its path was led in that time; only a sole candidate is taken for the origin. Origins are told before the first event where there are several candidates. An entry that has just started adopts the mark of shared services from keyed.mixed, and asks others with its candidates and the version of its configuration. Fleets whose routes of streams lead to one service of one version send and ask nothing.

--- a/internal/coordination/gateway/movedroute_test.go
+++ b/internal/coordination/gateway/movedroute_test.go
@@ -58,12 +58,12 @@
 					}
 					s.cfg.Origins.SetTargets(time.Now(), records)
 					s.cfg.Scheduler.SetTargets(records)
-					s.cfg.AskOrigin = func(_ context.Context, id state.RequestID, service state.Service) (origin.Origin, error) {
-						if at, ok := began[string(id)]; ok {
+					s.cfg.AskOrigin = func(_ context.Context, q origin.Question) (origin.Origin, error) {
+						if at, ok := began[string(q.Request)]; ok {
 							return origin.Origin{Service: at, Software: "v1"}, nil
 						}
-						if service != "" { // as of an entry that does not know of the move yet
-							return origin.Origin{Service: service, Software: "v1"}, nil
+						if len(q.Candidates) == 1 { // as of an entry that does not know of the move yet
+							return q.Candidates[0], nil
 						}
 						return origin.Origin{}, errors.New("unknown")
 					}
--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -98,7 +98,7 @@
 	// of a request began, which is at service if nothing else is known. The error says why
 	// none knew.
 	Origins   *origin.Log
-	AskOrigin func(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, error)
+	AskOrigin func(ctx context.Context, q origin.Question) (origin.Origin, error)
 	// TellOrigin tells other entries at once where the streams of requests began, without waiting
 	// for them.
 	TellOrigin func(o origin.Origin, ids ...state.RequestID)
@@ -134,6 +134,8 @@
 	started    time.Time
 	table      atomic.Pointer[routing.Table]
 	configured chan struct{} // closed with the first configuration
+	// configuring is held while a configuration is put into effect.
+	configuring sync.Mutex
 	// running ends with EndRequests.
 	running     context.Context
 	endRequests context.CancelFunc
@@ -159,18 +161,20 @@
 // SetConfiguration puts a configuration into effect unless the one in effect has the
 // same or a newer version. It reports whether it did.
 func (s *Service) SetConfiguration(c *state.Configuration) bool {
-	for {
-		old := s.table.Load()
-		if old != nil && old.Config.Version >= c.Version {
-			return false
-		}
-		if s.table.CompareAndSwap(old, routing.New(c)) {
-			if old == nil {
-				close(s.configured)
-			}
-			return true
-		}
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
+	old := s.table.Load()
+	if old != nil && old.Config.Version >= c.Version {
+		return false
+	}
+	// Before the configuration takes effect, so that no stream is taken up at a service to which its route
+	// has just been moved.
+	s.cfg.Origins.SetRoutes(time.Now(), c)
+	s.table.Store(routing.New(c))
+	if old == nil {
+		close(s.configured)
 	}
+	return true
 }
 
 // Configuration returns the configuration in effect, or nil.
--- a/internal/coordination/gateway/service_test.go
+++ b/internal/coordination/gateway/service_test.go
@@ -236,7 +236,7 @@
 	scheduler.SetTargets(records)
 	origins := origin.New(time.Now(), true)
 	origins.SetTargets(time.Now(), records)
-	askOrigin := func(context.Context, state.RequestID, state.Service) (origin.Origin, error) {
+	askOrigin := func(context.Context, origin.Question) (origin.Origin, error) {
 		return origin.Origin{}, errors.New("no other entry to ask")
 	}
 	return New(Config{
--- a/internal/coordination/gateway/software_test.go
+++ b/internal/coordination/gateway/software_test.go
@@ -22,11 +22,20 @@
 func newSoftwareService(targets TargetClient, seed int, versions ...state.SoftwareVersion) *Service {
 	s := newSeededService(targets, uint64(seed))
 	s.SetConfiguration(testConfig)
-	s.cfg.Origins = origin.New(time.Now(), true)
+	newOrigins(s, true)
 	setSoftware(s, "t", versions...)
 	return s
 }
 
+// resumePath is that of the calls of serve.
+var resumePath = origin.Path{Host: "h", Path: "/resume/x"}
+
+// newOrigins gives the service a log of origins that has the routes of testConfig.
+func newOrigins(s *Service, allKnown bool) {
+	s.cfg.Origins = origin.New(time.Now(), allKnown)
+	s.cfg.Origins.SetRoutes(time.Now(), testConfig)
+}
+
 // setSoftware lists one target for each version, with the given prefix of their names.
 func setSoftware(s *Service, prefix string, versions ...state.SoftwareVersion) {
 	var records []state.TargetRecord
@@ -140,8 +149,8 @@
 				synctest.Test(t, func(t *testing.T) {
 					targets := &fakeTargetClient{behaviours: []behaviour{respondWith(200, events)}}
 					s := newSoftwareService(targets, seed, "v1", "v2")
-					s.cfg.AskOrigin = func(_ context.Context, id state.RequestID, service state.Service) (origin.Origin, error) {
-						if id != "first" || service != "s" {
+					s.cfg.AskOrigin = func(_ context.Context, q origin.Question) (origin.Origin, error) {
+						if want := []origin.Origin{{Service: "s", Software: "v1"}, {Service: "s", Software: "v2"}}; q.Request != "first" || !slices.Equal(q.Candidates, want) {
 							return origin.Origin{}, errors.New("unknown")
 						}
 						return c.origin, nil
@@ -174,7 +183,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				targets := &fakeTargetClient{behaviours: []behaviour{respondWith(200, events[len(first):])}}
 				s := newSoftwareService(targets, 1, "v1", "v1")
-				s.cfg.Origins = origin.New(time.Now(), false)
+				newOrigins(s, false)
 				time.AfterFunc(c.knownAfter, func() {
 					setSoftware(s, "t", "v1", "v1")
 					s.cfg.Origins.AdoptMixed(time.Now(), nil)
@@ -211,7 +220,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				targets := &fakeTargetClient{behaviours: []behaviour{respondWith(200, c.body)}}
 				s := newSoftwareService(targets, 1, c.versions...)
-				s.cfg.Origins.Begin(time.Now(), "first", origin.Origin{Service: "s", Software: "v1"})
+				s.cfg.Origins.Begin(time.Now(), "first", resumePath, origin.Origin{Service: "s", Software: "v1"})
 				out := &recordingResponder{}
 				var told []state.RequestID
 				s.cfg.TellOrigin = func(o origin.Origin, ids ...state.RequestID) {
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -44,18 +44,19 @@
 		return &Failure{Kind: NotRun, Reason: "not_resumable", RetryAfter: r.capRetryAfter(unknownOriginRetryAfter)}
 	}
 	source := "here"
-	o, ok := r.findOriginHere(ctx)
+	o, question, ok := r.findOriginHere(ctx)
 	var err error
 	if !ok {
 		source = "other_entry"
-		if o, err = r.service.cfg.AskOrigin(ctx, r.call.ResumedRequest, r.targetService); err != nil {
+		if o, err = r.service.cfg.AskOrigin(ctx, question); err != nil {
 			source = "unknown"
 		}
 	}
 	r.service.cfg.Counters.Add("stream_taken_up." + source)
 	r.log.Info("stream taken up", zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name),
 		zap.String("resumes", string(r.call.ResumedRequest)), zap.String("resume_after", r.call.ResumeAfter),
-		zap.String("service", string(o.Service)), zap.String("software", string(o.Software)), zap.String("origin_from", source), zap.NamedError("cause", err))
+		zap.String("service", string(o.Service)), zap.String("software", string(o.Software)), zap.String("origin_from", source),
+		zap.Strings("candidates", describeOrigins(question.Candidates)), zap.NamedError("cause", err))
 	if err != nil {
 		return &Failure{Kind: NotRun, Reason: "unknown_origin", RetryAfter: r.capRetryAfter(unknownOriginRetryAfter)}
 	}
@@ -67,17 +68,29 @@
 	return nil
 }
 
+// describeOrigins returns origins as the log shows them.
+func describeOrigins(origins []origin.Origin) []string {
+	var described []string
+	for _, o := range origins {
+		described = append(described, string(o.Service)+"/"+string(o.Software))
+	}
+	return described
+}
+
+// path returns what the configuration leads the request by.
+func (r *request) path() origin.Path { return origin.Path{Host: r.call.Host, Path: r.call.Path} }
+
 // findOriginHere finds out where the stream began from what is known here.
-func (r *request) findOriginHere(ctx context.Context) (o origin.Origin, ok bool) {
+func (r *request) findOriginHere(ctx context.Context) (o origin.Origin, question origin.Question, ok bool) {
 	for began := time.Now(); ; {
 		now := time.Now()
-		o, ok = r.service.cfg.Origins.Find(now, r.call.ResumedRequest, r.targetService)
+		o, question, ok = r.service.cfg.Origins.Find(now, r.call.ResumedRequest, r.path())
 		if ok || now.Sub(r.service.started) > originStartTime || now.Sub(began) >= maxOriginWait {
-			return o, ok
+			return o, question, ok
 		}
 		select {
 		case <-ctx.Done():
-			return o, false
+			return o, question, false
 		case <-time.After(originCheckInterval):
 		}
 	}
@@ -108,7 +121,7 @@
 	ids = slices.DeleteFunc(ids, func(id state.RequestID) bool { return id == "" })
 	urgent := false
 	for _, id := range ids {
-		urgent = r.service.cfg.Origins.Begin(time.Now(), id, began) || urgent
+		urgent = r.service.cfg.Origins.Begin(time.Now(), id, r.path(), began) || urgent
 	}
 	if urgent {
 		r.service.cfg.TellOrigin(began, ids...)
--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -1,11 +1,11 @@
 // Package origin remembers at which service and software version streams began, so that
-// a caller can take a stream up through any entry and it goes on at that version. Entries
-// tell each other the origins of their streams while several versions of a service
-// serve, or have served lately. While there is only one, every stream of the service
-// began there, and nothing needs to be told.
+// a caller can take a stream up through any entry and it goes on there. Entries tell each
+// other the origins of their streams while there are several at which streams of a route
+// may have begun: several versions of a service serve, the route leads to several services,
+// or either was so lately. While there is only one, nothing needs to be told.
 //
 // Invariant: an origin is reported as known only if the stream cannot have begun at
-// another version.
+// another one.
 package origin
 
 import (
@@ -22,7 +22,7 @@
 
 // MaxTakeUpTime is the longest time from the first event of a stream until a caller takes
 // it up. It exceeds the longest time limits of callers. After this time without
-// isolation, a log knows all versions by itself.
+// isolation, a log knows all origins by itself.
 const MaxTakeUpTime = 20 * time.Second
 
 const (
@@ -59,7 +59,9 @@
 type Log struct {
 	mu       sync.Mutex
 	services map[state.Service]*service
-	// coveredSince is the time since when all versions that served are known.
+	routes   routeHistory
+	// coveredSince is the time since when all versions that served, and all services to which
+	// routes led, are known.
 	coveredSince time.Time
 	// connectedAt is when Connected was called last.
 	connectedAt, connectedAtTimeOfDay time.Time
@@ -72,8 +74,15 @@
 type service struct {
 	listed map[state.SoftwareVersion]bool
 	leftAt map[state.SoftwareVersion]time.Time // of versions that are no longer listed
+	// shared says that a route of streams leads to this and to other services. sharedAt is when one did so
+	// last, or was moved to or from the service, and adoptedSharedAt the same from AdoptMixed.
+	shared                    bool
+	sharedAt, adoptedSharedAt time.Time
 }
 
+// otherServices stands in the versions of a service for the other services of its routes.
+const otherServices state.SoftwareVersion = "\x00other services"
+
 type stream struct {
 	origin  Origin
 	expires time.Time
@@ -148,7 +157,7 @@
 }
 
 // versions returns the versions of a service at which a stream that is taken up now may
-// have begun.
+// have begun there.
 func (l *Log) versions(now time.Time, name state.Service) []state.SoftwareVersion {
 	s := l.services[name]
 	if s == nil {
@@ -169,22 +178,22 @@
 	return versions
 }
 
-// covered reports whether all versions are known at which a stream that is taken up now
+// covered reports whether all origins are known at which a stream that is taken up now
 // may have begun.
 func (l *Log) covered(now time.Time) bool {
 	return now.Sub(l.coveredSince) >= MaxTakeUpTime && now.Sub(l.connectedAt) <= maxIsolation
 }
 
-// Covered reports whether all versions are known at which a stream that is taken up now
-// may have begun, provided that the list of targets is.
+// Covered reports whether all origins are known at which a stream that is taken up now
+// may have begun, provided that the list of targets and the configuration are.
 func (l *Log) Covered(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.covered(now)
 }
 
-// Mixed returns the versions of the services of which several are known that serve or
-// have served lately.
+// Mixed returns the services whose streams other entries are told of, with their versions: several serve
+// or have served lately, or routes of streams lead or led to other services too.
 func (l *Log) Mixed(now time.Time) map[state.Service][]state.SoftwareVersion {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -195,20 +204,44 @@
 func (l *Log) mixed(now time.Time) map[state.Service][]state.SoftwareVersion {
 	mixed := make(map[state.Service][]state.SoftwareVersion)
 	for name := range l.services {
-		if versions := l.versions(now, name); len(versions) > 1 {
+		if versions := l.alternatives(now, name); len(versions) > 1 || slices.Contains(versions, otherServices) {
 			mixed[name] = versions
 		}
 	}
 	return mixed
 }
 
-// AdoptMixed takes the result of Mixed of an entry that knew all versions lately. After
+// alternatives returns the versions of a service and, if it shares routes or did lately, otherServices.
+func (l *Log) alternatives(now time.Time, name state.Service) []state.SoftwareVersion {
+	versions := l.versions(now, name)
+	if s := l.services[name]; s != nil && (s.sharesLately(now) || s.adoptedShared(now)) {
+		versions = append(versions, otherServices)
+	}
+	return versions
+}
+
+// sharesLately reports whether a route of streams leads to this and to other services, or did in the time
+// in which a stream may be taken up.
+func (s *service) sharesLately(now time.Time) bool {
+	return s.shared || !s.sharedAt.IsZero() && now.Sub(s.sharedAt) <= MaxTakeUpTime
+}
+
+// adoptedShared is sharesLately as far as AdoptMixed says so.
+func (s *service) adoptedShared(now time.Time) bool {
+	return !s.adoptedSharedAt.IsZero() && now.Sub(s.adoptedSharedAt) <= MaxTakeUpTime
+}
+
+// AdoptMixed takes the result of Mixed of an entry that knew all origins lately. After
 // that, all are known here too.
 func (l *Log) AdoptMixed(now time.Time, mixed map[state.Service][]state.SoftwareVersion) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, versions := range mixed {
 		for _, version := range versions {
+			if version == otherServices {
+				l.service(name).adoptedSharedAt = now
+				continue
+			}
 			l.service(name).leftAt[version] = now
 		}
 	}
@@ -224,10 +257,10 @@
 	return n
 }
 
-// Begin remembers that the stream of a request began here at origin. It reports whether the
-// service has several versions, so that other entries are to be told before the caller
+// Begin remembers that the stream of a request began here at origin. It reports whether streams of
+// this path may begin at several origins, so that other entries are to be told before the caller
 // gets an event: a next report would come too late if this entry is killed before it.
-func (l *Log) Begin(now time.Time, id state.RequestID, origin Origin) (urgent bool) {
+func (l *Log) Begin(now time.Time, id state.RequestID, path Path, origin Origin) (urgent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	hash, added := HashRequest(id), stream{origin, now.Add(MaxTakeUpTime)}
@@ -238,16 +271,8 @@
 		}
 		l.own = append(l.own, ownStream{stream: added, hash: hash, nearReports: reportsEach, farReports: reportsEach})
 	}
-	return l.hasSeveralVersions(now, origin.Service)
-}
-
-// hasSeveralVersions reports whether Mixed has the service.
-func (l *Log) hasSeveralVersions(now time.Time, name state.Service) bool {
-	s := l.services[name]
-	if s == nil || len(s.listed) <= 1 && len(s.leftAt) == 0 {
-		return false
-	}
-	return len(l.versions(now, name)) > 1
+	s := l.services[origin.Service]
+	return len(l.candidates(now, path)) > 1 || s != nil && s.adoptedShared(now)
 }
 
 // Learn remembers the origins in a report of another entry.
@@ -279,18 +304,65 @@
 	return true
 }
 
-// Find returns where the stream of a request began, as far as it is known here. service
-// is where it began if nothing else is known.
-func (l *Log) Find(now time.Time, id state.RequestID, service state.Service) (origin Origin, ok bool) {
+// Question asks where the stream of a request began.
+type Question struct {
+	Request    state.RequestID // that brought the first event; empty if it is not known
+	Candidates []Origin        // as Candidates of the asking entry
+	// ConfigVersion is that of the routes from which Candidates are.
+	ConfigVersion int64
+}
+
+// Find returns where the stream of a request of a path began, as far as it is known here. If it is not,
+// the question is what other entries can be asked.
+func (l *Log) Find(now time.Time, id state.RequestID, path Path) (origin Origin, question Question, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if origin, ok := l.remembered(now, id); ok {
+		return origin, question, true
+	}
+	question = Question{Request: id, Candidates: l.candidates(now, path), ConfigVersion: l.routes.version}
+	if l.covered(now) && len(question.Candidates) == 1 && !l.services[question.Candidates[0].Service].adoptedShared(now) {
+		return question.Candidates[0], question, true
+	}
+	return Origin{}, question, false
+}
+
+// Answer answers the question of another entry. An entry that has just started knows the origins at which
+// streams may begin now, but not whether there were others lately.
+func (l *Log) Answer(now time.Time, q Question) (origin Origin, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s, ok := l.streams[HashRequest(id)]; ok && id != "" && !now.After(s.expires) {
-		return s.origin, true
+	if origin, ok := l.remembered(now, q.Request); ok {
+		return origin, true
+	}
+	if len(q.Candidates) != 1 || !l.covered(now) || l.routes.version < q.ConfigVersion {
+		return Origin{}, false
 	}
-	if versions := l.versions(now, service); l.covered(now) && len(versions) == 1 {
-		return Origin{service, versions[0]}, true
+	sole := q.Candidates[0]
+	if !slices.Equal(l.alternatives(now, sole.Service), []state.SoftwareVersion{sole.Software}) {
+		return Origin{}, false
+	}
+	return sole, true
+}
+
+// remembered returns the origin of a stream that began here or that another entry has told of.
+func (l *Log) remembered(now time.Time, id state.RequestID) (origin Origin, ok bool) {
+	s, ok := l.streams[HashRequest(id)]
+	if !ok || id == "" || now.After(s.expires) {
+		return Origin{}, false
+	}
+	return s.origin, true
+}
+
+// candidates returns the origins at which a stream of the path that is taken up now may have begun, as far
+// as the configurations and lists of targets are known here.
+func (l *Log) candidates(now time.Time, path Path) (origins []Origin) {
+	for _, service := range l.routes.services(now, path) {
+		for _, version := range l.versions(now, service) {
+			origins = append(origins, Origin{service, version})
+		}
 	}
-	return Origin{}, false
+	return origins
 }
 
 // Unreported returns the origins that the next report to the near entries is to contain
@@ -332,8 +404,7 @@
 	return &s.nearReports
 }
 
-// unreported returns the streams that are to be reported: those of services with several
-// versions.
+// unreported returns the streams that are to be reported: those of the services of Mixed.
 func (l *Log) unreported(now time.Time, far bool) iter.Seq[*ownStream] {
 	mixed := l.mixed(now)
 	return func(yield func(*ownStream) bool) {
--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -24,6 +24,25 @@
 
 var start = time.Unix(1000, 0)
 
+// onlyPath is that of the streams of service s.
+var onlyPath = Path{"h", "/s/x"}
+
+// leadTo returns a configuration that leads onlyPath to the services.
+func leadTo(version int64, services ...state.Service) *state.Configuration {
+	r := state.Route{Host: "h", Prefix: "/s/", Kind: state.StreamingRoute, Resumable: true}
+	for _, name := range services {
+		r.Split = append(r.Split, state.ServiceWeight{Service: name, Weight: 1})
+	}
+	return &state.Configuration{Version: version, Routes: []state.Route{r}}
+}
+
+// newRoutedLog returns a log that has the routes of service s.
+func newRoutedLog(now time.Time, allKnown bool) *Log {
+	l := New(now, allKnown)
+	l.SetRoutes(now, leadTo(1, "s"))
+	return l
+}
+
 // targets lists one target of service s for each version.
 func targets(versions ...state.SoftwareVersion) []state.TargetRecord {
 	var records []state.TargetRecord
@@ -35,7 +54,7 @@
 
 // newLog returns a log that knows all versions, with a list of them.
 func newLog(versions ...state.SoftwareVersion) *Log {
-	l := New(start, true)
+	l := newRoutedLog(start, true)
 	l.SetTargets(start, targets(versions...))
 	return l
 }
@@ -52,9 +71,9 @@
 	}{
 		{"one version", func() *Log { return newLog("v1", "v1") }, time.Second, v1},
 		{"two versions", func() *Log { return newLog("v1", "v2") }, time.Second, Origin{}},
-		{"no target", func() *Log { return New(start, true) }, time.Second, Origin{}},
+		{"no target", func() *Log { return newRoutedLog(start, true) }, time.Second, Origin{}},
 		{"of another service", func() *Log {
-			l := New(start, true)
+			l := newRoutedLog(start, true)
 			l.SetTargets(start, append(targets("v1"), state.TargetRecord{ID: "o", Service: "other", Software: "v9"}))
 			return l
 		}, time.Second, v1},
@@ -69,23 +88,23 @@
 			return l
 		}, MaxTakeUpTime + time.Second, v1},
 		{"just started", func() *Log {
-			l := New(start, false)
+			l := newRoutedLog(start, false)
 			l.SetTargets(start, targets("v1"))
 			return l
 		}, time.Second, Origin{}},
 		{"started long ago", func() *Log {
-			l := New(start, false)
+			l := newRoutedLog(start, false)
 			l.SetTargets(start, targets("v1"))
 			return l
 		}, MaxTakeUpTime + time.Second, v1},
 		{"just started, but told that none was mixed", func() *Log {
-			l := New(start, false)
+			l := newRoutedLog(start, false)
 			l.SetTargets(start, targets("v1"))
 			l.AdoptMixed(start, nil)
 			return l
 		}, time.Second, v1},
 		{"just started and told of another version", func() *Log {
-			l := New(start, false)
+			l := newRoutedLog(start, false)
 			l.SetTargets(start, targets("v1"))
 			l.AdoptMixed(start, map[state.Service][]state.SoftwareVersion{"s": {"v1", "v2"}})
 			return l
@@ -96,7 +115,7 @@
 			for d := time.Duration(0); d <= c.at; d += time.Second {
 				l.Connected(start.Add(d), start.Add(d))
 			}
-			got, ok := l.Find(start.Add(c.at), "stream", "s")
+			got, _, ok := l.Find(start.Add(c.at), "stream", onlyPath)
 			if diff := cmp.Diff(c.want, got); diff != "" || ok != (c.want != Origin{}) {
 				t.Errorf("known %t (-want +got):\n%s", ok, diff)
 			}
@@ -109,18 +128,18 @@
 func TestIsolationEndsKnowledge(t *testing.T) {
 	l := newLog("v1")
 	at := start.Add(maxIsolation + time.Second)
-	if o, ok := l.Find(at, "stream", "s"); ok {
+	if o, _, ok := l.Find(at, "stream", onlyPath); ok {
 		t.Errorf("origin %v is known while nothing is heard", o)
 	}
 	l.Connected(at, at)
-	if o, ok := l.Find(at, "stream", "s"); ok {
+	if o, _, ok := l.Find(at, "stream", onlyPath); ok {
 		t.Errorf("origin %v is known as soon as something is heard", o)
 	}
 	for range MaxTakeUpTime / time.Second {
 		at = at.Add(time.Second)
 		l.Connected(at, at)
 	}
-	if _, ok := l.Find(at, "stream", "s"); !ok {
+	if _, _, ok := l.Find(at, "stream", onlyPath); !ok {
 		t.Error("the origin is not known again after the longest time for taking a stream up")
 	}
 }
@@ -144,7 +163,7 @@
 // to the others afterwards.
 func TestReportsBeginWithSecondVersion(t *testing.T) {
 	l := newLog("v1")
-	l.Begin(start, "stream", Origin{"s", "v1"})
+	l.Begin(start, "stream", onlyPath, Origin{"s", "v1"})
 	if notes := l.Unreported(start, false); notes != nil || l.HasUnreported(start) {
 		t.Errorf("%v are reported although there is one version", notes)
 	}
@@ -165,18 +184,19 @@
 			t.Errorf("far %t: %v are reported once more", far, notes)
 		}
 	}
-	if o, ok := other.Find(start, "stream", "s"); !ok || o != (Origin{"s", "v1"}) {
+	if o, _, ok := other.Find(start, "stream", onlyPath); !ok || o != (Origin{"s", "v1"}) {
 		t.Errorf("origin %v, known %t at the other entry; want v1", o, ok)
 	}
-	if _, ok := other.Find(start.Add(MaxTakeUpTime+time.Second), "stream", "s"); ok {
+	if _, _, ok := other.Find(start.Add(MaxTakeUpTime+time.Second), "stream", onlyPath); ok {
 		t.Error("the origin is still known after the longest time for taking a stream up")
 	}
 }
 
-// fleet is a set of entries that hear of lists and of each other, unless they are cut off.
+// fleet is a set of entries that hear of lists, of configurations and of each other, unless they are cut off.
 type fleet struct {
 	now    time.Time
-	listed []state.SoftwareVersion
+	listed []state.SoftwareVersion // of each service
+	config *state.Configuration
 	logs   []*Log
 	cutOff []bool
 }
@@ -198,7 +218,27 @@
 	f.listed = versions
 	for i, l := range f.logs {
 		if !f.cutOff[i] {
-			l.SetTargets(f.now, targets(versions...))
+			l.SetTargets(f.now, f.targets())
+		}
+	}
+}
+
+// targets lists one target of each service for each version.
+func (f *fleet) targets() []state.TargetRecord {
+	records := targets(f.listed...)
+	for _, r := range records {
+		r.ID, r.Service = "other-"+r.ID, "other"
+		records = append(records, r)
+	}
+	return records
+}
+
+// route leads the streams to other services, before one begins there.
+func (f *fleet) route(services []state.Service) {
+	f.config = leadTo(f.config.Version+1, services...)
+	for i, l := range f.logs {
+		if !f.cutOff[i] {
+			l.SetRoutes(f.now, f.config)
 		}
 	}
 }
@@ -208,40 +248,47 @@
 func (f *fleet) restart(i int, readsStore bool) {
 	other := f.logs[(i+1)%len(f.logs)]
 	f.logs[i], f.cutOff[i] = New(f.now, false), false
-	f.logs[i].SetTargets(f.now, targets(f.listed...))
+	f.logs[i].SetTargets(f.now, f.targets())
+	f.logs[i].SetRoutes(f.now, f.config)
 	if readsStore && other.Covered(f.now) {
 		f.logs[i].AdoptMixed(f.now, other.Mixed(f.now))
 	}
 }
 
-// Guards against any order of starts, lists, cuts and lost reports after which an entry
-// holds an origin for known that is not the stream's.
+// Guards against any order of starts, lists, configurations, cuts and lost reports after which an entry
+// holds an origin for known that is not the stream's, by itself or by the answer of another one.
 func TestKnownOriginIsTrue(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const entries = 3
-		f := fleet{now: start, listed: []state.SoftwareVersion{"v1"}, cutOff: make([]bool, entries)}
+		f := fleet{now: start, listed: []state.SoftwareVersion{"v1"}, config: leadTo(1, "s"), cutOff: make([]bool, entries)}
 		for range entries {
-			f.logs = append(f.logs, newLog(f.listed...))
+			l := New(start, true)
+			l.SetTargets(start, f.targets())
+			l.SetRoutes(start, f.config)
+			f.logs = append(f.logs, l)
 		}
 		type begun struct {
-			version state.SoftwareVersion
-			at      time.Time
+			Origin
+			at time.Time
 		}
 		streams := make(map[state.RequestID]begun)
 		entry := rapid.IntRange(0, entries-1)
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			f.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			i := entry.Draw(t, "entry")
-			switch rapid.SampledFrom([]string{"list", "begin", "report", "restart", "cut off", "rejoin"}).Draw(t, "action") {
+			switch rapid.SampledFrom([]string{"list", "route", "begin", "report", "restart", "cut off", "rejoin"}).Draw(t, "action") {
 			case "list":
 				f.list(rapid.SliceOfNDistinct(rapid.SampledFrom([]state.SoftwareVersion{"v1", "v2", "v3"}), 1, 3, rapid.ID).Draw(t, "listed"))
+			case "route":
+				f.route(rapid.SliceOfNDistinct(rapid.SampledFrom([]state.Service{"s", "other"}), 1, 2, rapid.ID).Draw(t, "services"))
 			case "begin":
 				if f.cutOff[i] {
 					continue
 				}
-				id, s := state.RequestID(fmt.Sprint(step)), begun{rapid.SampledFrom(f.listed).Draw(t, "version"), f.now}
+				service := rapid.SampledFrom(f.config.Routes[0].Split).Draw(t, "service").Service
+				id, s := state.RequestID(fmt.Sprint(step)), begun{Origin{service, rapid.SampledFrom(f.listed).Draw(t, "version")}, f.now}
 				streams[id] = s
-				f.logs[i].Begin(f.now, id, Origin{"s", s.version})
+				f.logs[i].Begin(f.now, id, onlyPath, s.Origin)
 			case "report":
 				to := entry.Draw(t, "to")
 				notes := f.logs[i].Unreported(f.now, rapid.Bool().Draw(t, "far"))
@@ -257,7 +304,8 @@
 				if f.cutOff[i] {
 					f.cutOff[i] = false
 					f.logs[i].Connected(f.now, f.now)
-					f.logs[i].SetTargets(f.now, targets(f.listed...))
+					f.logs[i].SetTargets(f.now, f.targets())
+					f.logs[i].SetRoutes(f.now, f.config)
 				}
 			}
 			for id, s := range streams {
@@ -266,8 +314,14 @@
 					continue
 				}
 				for i, l := range f.logs {
-					if o, ok := l.Find(f.now, id, "s"); ok && o.Software != s.version {
-						t.Fatalf("entry %d holds %s for the origin of a stream that began at %s", i, o.Software, s.version)
+					o, question, ok := l.Find(f.now, id, onlyPath)
+					if ok && o != s.Origin {
+						t.Fatalf("entry %d holds %v for the origin of a stream that began at %v", i, o, s.Origin)
+					}
+					for j, other := range f.logs {
+						if o, answered := other.Answer(f.now, question); !ok && !f.cutOff[i] && !f.cutOff[j] && answered && o != s.Origin {
+							t.Fatalf("entry %d tells entry %d %v for the origin of a stream that began at %v", j, i, o, s.Origin)
+						}
 					}
 				}
 			}
@@ -281,7 +335,7 @@
 	now := time.Now()
 	one := []state.TargetRecord{{ID: "a", Service: "s", Software: "v1"}}
 	two := append(slices.Clone(one), state.TargetRecord{ID: "b", Service: "s", Software: "v2"})
-	l := New(now, true)
+	l := newRoutedLog(now, true)
 	for _, c := range []struct {
 		name    string
 		after   time.Duration
@@ -295,10 +349,10 @@
 	} {
 		at := now.Add(c.after)
 		l.SetTargets(at, c.targets)
-		if got := l.Begin(at, state.RequestID(c.name), Origin{"s", "v1"}); got != c.want {
+		if got := l.Begin(at, state.RequestID(c.name), onlyPath, Origin{"s", "v1"}); got != c.want {
 			t.Errorf("%s: urgent %t, want %t", c.name, got, c.want)
 		}
-		if got := l.Begin(at, state.RequestID(c.name), Origin{"unlisted", "v1"}); got {
+		if got := l.Begin(at, state.RequestID(c.name), Path{"h", "/unlisted/"}, Origin{"unlisted", "v1"}); got {
 			t.Errorf("%s: the origin at a service without targets is urgent", c.name)
 		}
 	}
@@ -307,10 +361,10 @@
 // Guards against notes under which the receiver does not find the streams.
 func TestNotesOfRequests(t *testing.T) {
 	now := time.Now()
-	l := New(now, false)
+	l := newRoutedLog(now, false)
 	l.Learn(now, []Notes{NewNotes(Origin{"s", "v1"}, "a", "b")})
 	for _, id := range []state.RequestID{"a", "b"} {
-		if o, ok := l.Find(now, id, "s"); !ok || o != (Origin{"s", "v1"}) {
+		if o, _, ok := l.Find(now, id, onlyPath); !ok || o != (Origin{"s", "v1"}) {
 			t.Errorf("%s: origin %v, known %t", id, o, ok)
 		}
 	}
@@ -321,12 +375,12 @@
 func TestOriginIsCorrectedInFullLog(t *testing.T) {
 	now := start
 	l := newLog("v1", "v2")
-	l.Begin(now, "first", Origin{"s", "v1"})
+	l.Begin(now, "first", onlyPath, Origin{"s", "v1"})
 	for i := range maxRemembered {
-		l.Begin(now, state.RequestID(fmt.Sprint(i)), Origin{"s", "v2"})
+		l.Begin(now, state.RequestID(fmt.Sprint(i)), onlyPath, Origin{"s", "v2"})
 	}
-	l.Begin(now, "first", Origin{"s", "v2"})
-	if o, ok := l.Find(now, "first", "s"); !ok || o.Software != "v2" {
+	l.Begin(now, "first", onlyPath, Origin{"s", "v2"})
+	if o, _, ok := l.Find(now, "first", onlyPath); !ok || o.Software != "v2" {
 		t.Errorf("found %v, %t after a correction; want v2", o, ok)
 	}
 }
@@ -346,11 +400,11 @@
 			now := start
 			l := newLog("v1")
 			for i := range maxRemembered {
-				l.Begin(now, state.RequestID(fmt.Sprint(i)), Origin{"s", "v1"})
+				l.Begin(now, state.RequestID(fmt.Sprint(i)), onlyPath, Origin{"s", "v1"})
 			}
-			l.Begin(now, "beyond", Origin{"s", "v1"})
+			l.Begin(now, "beyond", onlyPath, Origin{"s", "v1"})
 			l.SetTargets(now, targets(c.versions...))
-			if o, ok := l.Find(now, "beyond", "s"); ok != c.known || ok && o.Software != "v1" {
+			if o, _, ok := l.Find(now, "beyond", onlyPath); ok != c.known || ok && o.Software != "v1" {
 				t.Errorf("found %v, %t; want that it is known: %t", o, ok, c.known)
 			}
 		})
@@ -361,15 +415,15 @@
 // only version that still serves.
 func TestOriginOfVersionThatHasLeftIsKeptForTakeUpTime(t *testing.T) {
 	l := newLog("v1")
-	l.Begin(start, "first", Origin{"s", "v1"})
+	l.Begin(start, "first", onlyPath, Origin{"s", "v1"})
 	for after := time.Duration(0); after <= MaxTakeUpTime; after += 500 * time.Millisecond {
 		now := start.Add(after)
 		if after == 3*time.Second {
 			l.SetTargets(now, targets("v2"))
 		}
 		l.Connected(now, now)
-		l.Begin(now, state.RequestID(after.String()), Origin{"s", "v2"}) // removes expired origins
-		if o, ok := l.Find(now, "first", "s"); !ok || o.Software != "v1" {
+		l.Begin(now, state.RequestID(after.String()), onlyPath, Origin{"s", "v2"}) // removes expired origins
+		if o, _, ok := l.Find(now, "first", onlyPath); !ok || o.Software != "v1" {
 			t.Errorf("after %s: found %v, %t for a stream that began at v1", after, o, ok)
 		}
 	}
@@ -382,7 +436,7 @@
 	l := newLog("v1")
 	l.Connected(now, now)
 	// v2 begins to serve, and the stream begins there at another entry.
-	if o, ok := l.Find(now.Add(maxIsolation-time.Millisecond), "elsewhere", "s"); ok {
+	if o, _, ok := l.Find(now.Add(maxIsolation-time.Millisecond), "elsewhere", onlyPath); ok {
 		t.Errorf("found %v for a stream that may have begun at a version that is not known here", o)
 	}
 }
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -80,7 +80,7 @@
 // controlWithList returns a control that has published a list of the records.
 func controlWithList(now time.Time, records ...state.TargetRecord) *control {
 	p := &gatewayProcess{
-		log: zap.NewNop(), targetClient: upstream.New(), gateway: gateway.New(gateway.Config{}), quota: quota.New(quota.Config{}), rollout: bundle.NewRollout(state.Signers{}),
+		log: zap.NewNop(), targetClient: upstream.New(), gateway: gateway.New(gateway.Config{Origins: origin.New(time.Now(), true)}), quota: quota.New(quota.Config{}), rollout: bundle.NewRollout(state.Signers{}),
 	}
 	p.scheduler, p.origins = dispatch.New("a", 1, time.Now, p, ratelimit.New(ratelimit.Config{Self: "self"})), origin.New(now, true)
 	c := newControl(p)
@@ -143,7 +143,7 @@
 // because the store does not answer its read, and against fetches by all entries while
 // the store is delivering a new configuration.
 func TestNewerConfigurationElsewhereIsFetched(t *testing.T) {
-	p := &gatewayProcess{log: zap.NewNop(), gateway: gateway.New(gateway.Config{}), quota: quota.New(quota.Config{})}
+	p := &gatewayProcess{log: zap.NewNop(), gateway: gateway.New(gateway.Config{Origins: origin.New(time.Now(), true)}), quota: quota.New(quota.Config{})}
 	p.gateway.SetConfiguration(&state.Configuration{Version: 7})
 	c := newControl(p)
 	now := time.Now()
--- a/internal/daemon/origins.go
+++ b/internal/daemon/origins.go
@@ -16,8 +16,8 @@
 const mixedCheckInterval = time.Second
 
 // findOrigin implements mesh.FindOrigin.
-func (p *gatewayProcess) findOrigin(id state.RequestID, service state.Service) (origin.Origin, bool) {
-	return p.origins.Find(time.Now(), id, service)
+func (p *gatewayProcess) findOrigin(q origin.Question) (origin.Origin, bool) {
+	return p.origins.Answer(time.Now(), q)
 }
 
 // tellOrigin implements the gateway's TellOrigin.
--- a/internal/daemon/origins_test.go
+++ b/internal/daemon/origins_test.go
@@ -75,7 +75,10 @@
 	if !starting.Covered(now.Add(3 * time.Second)) {
 		t.Error("the entry that has started does not know all versions from the store")
 	}
-	if o, ok := starting.Find(now.Add(3*time.Second), "stream", "s"); ok {
+	starting.SetRoutes(now.Add(3*time.Second), &state.Configuration{Version: 1, Routes: []state.Route{
+		{Host: "h", Prefix: "/", Kind: state.StreamingRoute, Resumable: true, Split: []state.ServiceWeight{{Service: "s", Weight: 1}}},
+	}})
+	if o, _, ok := starting.Find(now.Add(3*time.Second), "stream", origin.Path{Host: "h", Path: "/x"}); ok {
 		t.Errorf("origin %v is known to an entry that has started after a version left", o)
 	}
 
@@ -132,7 +135,7 @@
 	p := &gatewayProcess{origins: origin.New(time.Now(), false)}
 	want := origin.Origin{Service: "s", Software: "v1"}
 	p.handleReport(&mesh.Message{Instance: "b", Incarnation: 1, OriginsOnly: true, Origins: []origin.Notes{origin.NewNotes(want, "stream")}}, false)
-	if got, ok := p.findOrigin("stream", "s"); !ok || got != want {
+	if got, ok := p.findOrigin(origin.Question{Request: "stream"}); !ok || got != want {
 		t.Errorf("origin %v, known %t; want %v", got, ok, want)
 	}
 }
--- a/internal/daemon/reports_test.go
+++ b/internal/daemon/reports_test.go
@@ -65,7 +65,7 @@
 	far.AddAddress(ownAddress)
 	p := &gatewayProcess{
 		log: zap.NewNop(), mesh: own, targetClient: upstream.New(), settings: &platform.Settings{Instance: "a"}, incarnation: 1,
-		gateway: gateway.New(gateway.Config{}), quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}), refusals: refusal.NewLog(), origins: origin.New(time.Now(), true),
+		gateway: gateway.New(gateway.Config{Origins: origin.New(time.Now(), true)}), quota: quota.New(quota.Config{Tolerance: quota.Tolerance{Window: time.Second}}), refusals: refusal.NewLog(), origins: origin.New(time.Now(), true),
 		rollout: bundle.NewRollout(state.Signers{}), counters: gateway.NewCounters(false), quarantine: quarantine.New(quarantine.Config{Self: "a"}),
 	}
 	p.scheduler = dispatch.New("a", 1, time.Now, p, ratelimit.New(ratelimit.Config{Self: "self"}))
--- a/internal/daemon/restoredstore_test.go
+++ b/internal/daemon/restoredstore_test.go
@@ -47,7 +47,7 @@
 	t.Cleanup(func() { ln.Close() })
 	go store.Serve(ln)
 	p := &gatewayProcess{
-		log: zap.NewNop(), targetClient: upstream.New(), gateway: gateway.New(gateway.Config{}), quota: quota.New(quota.Config{}), rollout: bundle.NewRollout(state.Signers{}),
+		log: zap.NewNop(), targetClient: upstream.New(), gateway: gateway.New(gateway.Config{Origins: origin.New(time.Now(), true)}), quota: quota.New(quota.Config{}), rollout: bundle.NewRollout(state.Signers{}),
 		store: platform.NewStore(ln.Addr().String()), counters: gateway.NewCounters(false), startedAt: time.Now(),
 		settings: &platform.Settings{Instance: name, IP: netip.MustParseAddr("127.0.0.1"), FirstPort: 7600},
 	}
--- a/internal/transport/mesh/bodies_test.go
+++ b/internal/transport/mesh/bodies_test.go
@@ -10,13 +10,12 @@
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
-	"github.com/cassiaramp/cassiaramp/internal/state"
 )
 
 // Guards against reading the body of a request at the listener for other entries, which may be
 // a form of any size.
 func TestBodiesAreNotRead(t *testing.T) {
-	m, _ := openMeshWithOrigins(t, Snapshot{}, func(state.RequestID, state.Service) (origin.Origin, bool) { return origin.Origin{}, false })
+	m, _ := openMeshWithOrigins(t, Snapshot{}, func(origin.Question) (origin.Origin, bool) { return origin.Origin{}, false })
 	for _, path := range []string{snapshotPath, originPath} {
 		conn, err := net.Dial("tcp4", m.conn.LocalAddr().String())
 		if err != nil {
--- a/internal/transport/mesh/origin.go
+++ b/internal/transport/mesh/origin.go
@@ -21,9 +21,10 @@
 
 const (
 	originPath = "/origin"
-	// The query parameters of a question for the origin of a stream.
-	requestParameter = "request"
-	serviceParameter = "service"
+	// questionParameter and requestParameter are the query parameters of a question for the origin of a
+	// stream. Entries of earlier releases read only the latter, and answer from what they remember.
+	questionParameter = "question"
+	requestParameter  = "request"
 	// originTimeout bounds the questions for an origin, which are asked at the same time. A caller
 	// waits for the answer. With 150 ms, entries whose share of the processor was used up had
 	// not answered.
@@ -34,13 +35,19 @@
 	maxAnswerBytes       = 64 << 10 // of an answer to any question
 )
 
-// FindOrigin returns where the stream of a request began, as far as it is known. service
-// is where it began if nothing else is known.
-type FindOrigin func(id state.RequestID, service state.Service) (origin.Origin, bool)
+// FindOrigin answers the question of another entry where the stream of a request began, as far as it is known.
+type FindOrigin func(q origin.Question) (origin.Origin, bool)
 
 func (m *Mesh) handleOrigin(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query() // FormValue would parse a body
-	o, ok := m.findOrigin(state.RequestID(query.Get(requestParameter)), state.Service(query.Get(serviceParameter)))
+	q := origin.Question{Request: state.RequestID(query.Get(requestParameter))}
+	if encoded := query.Get(questionParameter); encoded != "" { // none of an entry of an earlier release
+		if err := json.Unmarshal([]byte(encoded), &q); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
+	o, ok := m.findOrigin(q)
 	if !ok {
 		http.Error(w, "unknown origin", http.StatusNotFound)
 		return
@@ -53,14 +60,19 @@
 // AskOrigin asks other entries where the stream of a request began, all at the same time:
 // those that are told of it at once, and those that have been heard for longest, because an
 // entry that has started lately knows little. The error is nil if one knew.
-func (m *Mesh) AskOrigin(ctx context.Context, id state.RequestID, service state.Service) (origin.Origin, error) {
+func (m *Mesh) AskOrigin(ctx context.Context, q origin.Question) (origin.Origin, error) {
 	now := time.Now()
+	encoded, err := json.Marshal(q)
+	if err != nil {
+		return origin.Origin{}, fmt.Errorf("encode question for the origin of stream %s: %w", q.Request, err)
+	}
+	query := url.Values{requestParameter: {string(q.Request)}, questionParameter: {string(encoded)}}
 	// One more than were told, because the sender itself may be among the first.
-	asked := append(m.rankedFor(now, origin.HashRequest(id), originReceivers+1), m.longestHeard(now, maxLongestHeardAsked)...)
+	asked := append(m.rankedFor(now, origin.HashRequest(q.Request), originReceivers+1), m.longestHeard(now, maxLongestHeardAsked)...)
 	slices.SortFunc(asked, netip.AddrPort.Compare)
 	asked = slices.Compact(asked)
 	if len(asked) == 0 {
-		return origin.Origin{}, fmt.Errorf("origin of stream %s: no other entry to ask", id)
+		return origin.Origin{}, fmt.Errorf("origin of stream %s: no other entry to ask", q.Request)
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel() // of the questions that are not needed any more
@@ -71,7 +83,11 @@
 	answers := make(chan answer, len(asked))
 	for _, a := range asked {
 		go func() {
-			o, err := m.askOrigin(ctx, a, id, service)
+			var o origin.Origin
+			err := m.ask(ctx, a, originPath, query, &o)
+			if err != nil {
+				err = fmt.Errorf("ask %s for the origin of stream %s: %w", a, q.Request, err)
+			}
 			answers <- answer{o, err}
 		}()
 	}
@@ -152,14 +168,6 @@
 	return addresses[:min(n, len(addresses))]
 }
 
-func (m *Mesh) askOrigin(ctx context.Context, a netip.AddrPort, id state.RequestID, service state.Service) (o origin.Origin, err error) {
-	query := url.Values{requestParameter: {string(id)}, serviceParameter: {string(service)}}
-	if err := m.ask(ctx, a, originPath, query, &o); err != nil {
-		return origin.Origin{}, fmt.Errorf("ask %s for the origin of stream %s: %w", a, id, err)
-	}
-	return o, nil
-}
-
 // ask asks another entry a question and decodes the answer.
 func (m *Mesh) ask(ctx context.Context, a netip.AddrPort, path string, query url.Values, answer any) error {
 	resp, err := m.get(ctx, a, path, query)
--- a/internal/transport/mesh/origin_test.go
+++ b/internal/transport/mesh/origin_test.go
@@ -18,14 +18,13 @@
 // knows nothing, and against a wrong answer.
 func TestOriginIsAskedUntilOneKnows(t *testing.T) {
 	v1 := origin.Origin{Service: "s", Software: "v1"}
-	unknown := func(state.RequestID, state.Service) (origin.Origin, bool) { return origin.Origin{}, false }
-	known := func(id state.RequestID, service state.Service) (origin.Origin, bool) {
-		return v1, id == "stream 1&2" && service == "s"
-	}
+	unknown := func(origin.Question) (origin.Origin, bool) { return origin.Origin{}, false }
+	question := origin.Question{Request: "stream 1&2", Candidates: []origin.Origin{v1, {Service: "o&", Software: "v1+2"}}, ConfigVersion: 7}
+	known := func(q origin.Question) (origin.Origin, bool) { return v1, cmp.Equal(q, question) }
 	a, _ := openMeshWithOrigins(t, Snapshot{}, nil)
 	b, _ := openMeshWithOrigins(t, Snapshot{}, unknown)
 	c, _ := openMeshWithOrigins(t, Snapshot{}, known)
-	if _, err := a.AskOrigin(t.Context(), "stream 1&2", "s"); err == nil {
+	if _, err := a.AskOrigin(t.Context(), question); err == nil {
 		t.Error("an origin is known although there is no other entry")
 	}
 	for name, peer := range map[state.InstanceID]*Mesh{"b": b, "c": c} {
@@ -40,11 +39,11 @@
 	a.mu.Lock()
 	a.peers[b.self].firstHeard = time.Now().Add(-time.Minute) // asked first
 	a.mu.Unlock()
-	o, err := a.AskOrigin(t.Context(), "stream 1&2", "s")
+	o, err := a.AskOrigin(t.Context(), question)
 	if diff := cmp.Diff(v1, o); err != nil || diff != "" {
 		t.Errorf("error %v, origin (-want +got):\n%s", err, diff)
 	}
-	if o, err := a.AskOrigin(t.Context(), "other", "s"); err == nil {
+	if o, err := a.AskOrigin(t.Context(), origin.Question{Request: "other"}); err == nil {
 		t.Errorf("origin %v of a stream that no entry knows", o)
 	}
 }
@@ -135,7 +134,7 @@
 	asker, _ := openMesh(t, Snapshot{})
 	for i := range entries {
 		var self netip.AddrPort
-		p, _ := openMeshWithOrigins(t, Snapshot{}, func(state.RequestID, state.Service) (origin.Origin, bool) {
+		p, _ := openMeshWithOrigins(t, Snapshot{}, func(origin.Question) (origin.Origin, bool) {
 			mu.Lock()
 			ok := known[self]
 			mu.Unlock()
@@ -172,10 +171,10 @@
 			asker.mu.Lock()
 			asker.peers[told].firstHeard = time.Now().Add(time.Minute) // all others have been heard for longer
 			asker.mu.Unlock()
-			o, err := asker.AskOrigin(t.Context(), id, "s")
+			o, err := asker.AskOrigin(t.Context(), origin.Question{Request: id})
 			for try := 0; err != nil && try < tries; try++ {
 				keepHeard()
-				o, err = asker.AskOrigin(t.Context(), id, "s")
+				o, err = asker.AskOrigin(t.Context(), origin.Question{Request: id})
 			}
 			if err != nil || o != want {
 				t.Errorf("%s was told of stream %s: origin %v, error %v", told, id, o, err)
@@ -193,7 +192,7 @@
 	)
 	want := origin.Origin{Service: "s", Software: "v1"}
 	asker, _ := openMesh(t, Snapshot{})
-	p, _ := openMeshWithOrigins(t, Snapshot{}, func(state.RequestID, state.Service) (origin.Origin, bool) {
+	p, _ := openMeshWithOrigins(t, Snapshot{}, func(origin.Question) (origin.Origin, bool) {
 		time.Sleep(late)
 		return want, true
 	})
@@ -207,7 +206,7 @@
 		for len(asker.Heard(time.Now())) < 1 {
 			time.Sleep(time.Millisecond)
 		}
-		o, err = asker.AskOrigin(t.Context(), "stream", "s")
+		o, err = asker.AskOrigin(t.Context(), origin.Question{Request: "stream"})
 	}
 	if err != nil || o != want {
 		t.Errorf("origin %v, error %v; want %v", o, err, want)
