--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -55,8 +55,8 @@
 	r.service.cfg.Counters.Add("stream_taken_up." + source)
 	r.log.Info("stream taken up", zap.String("request", string(r.call.ID)), zap.String("route", r.route.Name),
 		zap.String("resumes", string(r.call.ResumedRequest)), zap.String("resume_after", r.call.ResumeAfter),
-		zap.String("service", string(o.Service)), zap.String("software", string(o.Software)), zap.String("origin_from", source),
-		zap.Strings("candidates", describeOrigins(question.Candidates)), zap.NamedError("cause", err))
+		zap.String("service", string(o.Service)), zap.String("software", string(o.Software)), zap.Strings("candidates", describeOrigins(question.Candidates)),
+		zap.String("origin_from", source), zap.NamedError("cause", err))
 	if err != nil {
 		return &Failure{Kind: NotRun, Reason: "unknown_origin", RetryAfter: r.capRetryAfter(unknownOriginRetryAfter)}
 	}
