An entry infers an origin only from what it knows to be recent

Cause: an entry took the only origin that it knew for that of a stream while it had been cut off for less than 2 s, and as soon as it ran again after it had been suspended. A stream that had begun meanwhile at a new version, at another entry, went on at the old one. Shown with real entries: one of three is stopped for 1.6 s while a second version begins to serve, the entry of the streams is killed, and the callers' requests wait at the stopped one.

Change: the origin is inferred only if what the entry knows was confirmed in the last 600 ms: by a report, which come every 400 ms, or by a list that was read 600 ms after the last report of any other entry, or later. After 600 ms without a report or without running, reports count again after 500 ms, because old ones are received then. An entry that has heard of a newer configuration or list infers nothing until it has it. In all these cases it asks other entries, as it does with several origins; they answer by the same rule. Nothing new is sent while reports come. The 2 s after which the history counts as incomplete stay.

--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -37,6 +37,9 @@
 	// maxIsolation is the time without Connected after which versions may have served
 	// that are not known here.
 	maxIsolation = 2 * time.Second
+	// maxUnconfirmed is the time for which what is known here is taken for all that there is. It
+	// exceeds the 400 ms between reports of other entries, which tell of a new version or service.
+	maxUnconfirmed = 600 * time.Millisecond
 )
 
 // Unsure is the software version of streams that may have begun at either of two. No target has it.
@@ -65,9 +68,17 @@
 	coveredSince time.Time
 	// connectedAt is when Connected was called last.
 	connectedAt, connectedAtTimeOfDay time.Time
-	streams                           map[uint64]stream
-	own                               []ownStream // in the order in which they began
-	nextExpiry                        time.Time
+	// completeAt is the latest time at which all versions and routes by which streams began were known here.
+	completeAt time.Time
+	// newerRoutes is the highest version of a configuration that another entry has reported.
+	newerRoutes   int64
+	newerRoutesAt time.Time // of the report
+	// listAt is when the list of targets was current, newerListAt the same of a newer one that another
+	// entry has.
+	listAt, newerListAt time.Time
+	streams             map[uint64]stream
+	own                 []ownStream // in the order in which they began
+	nextExpiry          time.Time
 }
 
 // service holds the versions of a service that serve or have served lately.
@@ -99,7 +110,7 @@
 // New returns an empty log. allKnown says that no stream can have begun before now, as at
 // the first start of the whole system.
 func New(now time.Time, allKnown bool) *Log {
-	l := &Log{services: make(map[state.Service]*service), streams: make(map[uint64]stream), coveredSince: now, connectedAt: now, connectedAtTimeOfDay: now.Round(0)}
+	l := &Log{services: make(map[state.Service]*service), streams: make(map[uint64]stream), coveredSince: now, connectedAt: now, connectedAtTimeOfDay: now.Round(0), completeAt: now}
 	if allKnown {
 		l.coveredSince = now.Add(-MaxTakeUpTime)
 	}
@@ -109,8 +120,9 @@
 // Connected records that the list of targets is current or that other entries are heard,
 // so that a version that serves now is known here or soon will be. It must be called at
 // intervals well below maxIsolation. timeOfDay tells of times in which the instance was
-// suspended, which the steady clock of now does not count.
-func (l *Log) Connected(now, timeOfDay time.Time) {
+// suspended, which the steady clock of now does not count. completeAt is the latest time for
+// which it is known that other entries could not know of more.
+func (l *Log) Connected(now, timeOfDay, completeAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	timeOfDay = timeOfDay.Round(0) // without the steady clock's reading
@@ -118,6 +130,45 @@
 		l.coveredSince = now
 	}
 	l.connectedAt, l.connectedAtTimeOfDay = now, timeOfDay
+	if completeAt.After(l.completeAt) {
+		l.completeAt = completeAt
+	}
+}
+
+// ConfigurationReported records that another entry has a configuration of this version.
+func (l *Log) ConfigurationReported(now time.Time, version int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if version >= l.newerRoutes || now.Sub(l.newerRoutesAt) > MaxTakeUpTime {
+		l.newerRoutes, l.newerRoutesAt = version, now
+	}
+}
+
+// NewerListReported records that another entry has a list of targets that differs from the one here and
+// was current at a time, which is later than that of the one here.
+func (l *Log) NewerListReported(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at.After(l.newerListAt) {
+		l.newerListAt = at
+	}
+}
+
+// ListCurrent records that the list of SetTargets was current at a time.
+func (l *Log) ListCurrent(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at.After(l.listAt) {
+		l.listAt = at
+	}
+}
+
+// infers reports whether the only origin that is known here is that of any stream that is taken up now. An
+// entry that lags behind others does not know of streams that began there at a new version or service.
+func (l *Log) infers(now time.Time) bool {
+	behind := l.routes.version < l.newerRoutes && now.Sub(l.newerRoutesAt) <= MaxTakeUpTime ||
+		l.listAt.Before(l.newerListAt) && now.Sub(l.newerListAt) <= MaxTakeUpTime
+	return l.covered(now) && now.Sub(l.completeAt) <= maxUnconfirmed && !behind
 }
 
 // HashRequest returns the hash under which a stream is remembered.
@@ -321,7 +372,7 @@
 		return origin, question, true
 	}
 	question = Question{Request: id, Candidates: l.candidates(now, path), ConfigVersion: l.routes.version}
-	if l.covered(now) && len(question.Candidates) == 1 && !l.services[question.Candidates[0].Service].adoptedShared(now) {
+	if l.infers(now) && len(question.Candidates) == 1 && !l.services[question.Candidates[0].Service].adoptedShared(now) {
 		return question.Candidates[0], question, true
 	}
 	return Origin{}, question, false
@@ -335,7 +386,7 @@
 	if origin, ok := l.remembered(now, q.Request); ok {
 		return origin, true
 	}
-	if len(q.Candidates) != 1 || !l.covered(now) || l.routes.version < q.ConfigVersion {
+	if len(q.Candidates) != 1 || !l.infers(now) || l.routes.version < q.ConfigVersion {
 		return Origin{}, false
 	}
 	sole := q.Candidates[0]
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -63,6 +63,7 @@
 // onConfigurationReport requests a fetch of the configuration when other entries have
 // reported a newer one for configurationFetchDelay, or at once if there is none here.
 func (c *control) onConfigurationReport(now time.Time, from state.InstanceID, version int64) {
+	c.p.origins.ConfigurationReported(now, version)
 	own := c.p.gateway.Configuration()
 	if own == nil {
 		if version > 0 {
--- a/internal/daemon/origins.go
+++ b/internal/daemon/origins.go
@@ -38,6 +38,41 @@
 	return heard > 0 && heard >= p.mesh.PeerCount(now)/2
 }
 
+const (
+	// silenceTime is the time without a report after which an entry is cut off, or suspended, or all
+	// others have ended: entries report to near ones at least every idleReportInterval.
+	silenceTime = idleReportInterval + 200*time.Millisecond
+	// catchUpTime is the time after a silence in which a report may be an old one that was received late,
+	// or one of an entry that does not read the list of targets. Each entry reports within it.
+	catchUpTime = idleReportInterval + 100*time.Millisecond
+)
+
+// originRecency decides how recent the versions and routes are that an entry knows.
+type originRecency struct {
+	checkedAt time.Time // when completeAt was called last
+	silentAt  time.Time // when there had been a silence last
+}
+
+// completeAt returns the latest time at which other entries could not know of more versions and routes than
+// this one. heardAt is when one of them has reported last, zero for none; listAt is when the list of targets
+// was current.
+func (r *originRecency) completeAt(now, heardAt, listAt time.Time) time.Time {
+	// The time of day tells of times in which the instance was suspended.
+	paused := max(now.Sub(r.checkedAt), now.Round(0).Sub(r.checkedAt.Round(0))) > silenceTime
+	if paused && !r.checkedAt.IsZero() || !heardAt.IsZero() && now.Sub(heardAt) > silenceTime {
+		r.silentAt = now
+	}
+	r.checkedAt = now
+	switch {
+	case now.Sub(listAt) < maxListAge && (heardAt.IsZero() || listAt.Sub(heardAt) >= silenceTime):
+		return now // there is no other entry, or all had ended when the list was read
+	case heardAt.IsZero() || now.Sub(r.silentAt) < catchUpTime:
+		return time.Time{}
+	default:
+		return heardAt
+	}
+}
+
 // listTimes returns the latest time for which the list of targets is known to be current,
 // and when it was last read from the store here.
 func (c *control) listTimes() (currentAt, readAt time.Time) {
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -106,6 +106,7 @@
 	nearSentAt time.Time // when the last report to the near entries was sent
 	allSentAt  time.Time // when the last report to all entries was sent
 	lastReport *mesh.Message
+	recency    originRecency
 }
 
 // tick sends a report to the near entries or to all entries if one is due at now.
@@ -118,8 +119,10 @@
 		expected = 0
 	}
 	r.p.scheduler.SetStartingPeers(expected)
+	listCurrentAt, _ := r.p.control.listTimes()
+	completeAt := r.recency.completeAt(now, r.p.mesh.LastHeard(now), listCurrentAt)
 	if r.p.isConnected(now) {
-		r.p.origins.Connected(now, now)
+		r.p.origins.Connected(now, now, completeAt)
 	}
 	// A change of the list of targets is reported at once, so that entries learn in
 	// time that a target leaves.
--- a/internal/daemon/targetlist.go
+++ b/internal/daemon/targetlist.go
@@ -152,13 +152,16 @@
 	records := c.list.Targets(now)
 	c.mu.Lock()
 	c.hasPendingRemovals = c.list.HasPendingRemovals()
+	currentAt := c.listCurrentAt
 	c.mu.Unlock()
+	defer c.p.origins.ListCurrent(currentAt)
 	sortTargets(records)
 	old := c.targets()
 	if slices.Equal(old, records) {
 		return
 	}
 	c.handleTargetChanges(old, records)
+	c.p.origins.SetTargets(now, records) // before a report with the same hash makes the list count as current
 	c.mu.Lock()
 	c.published = records
 	c.lastChange, c.lastChangeAt = newListChange(c.listHash, old, records), now
@@ -168,7 +171,6 @@
 	if willReport {
 		c.p.listChanged.Store(true)
 	}
-	c.p.origins.SetTargets(now, records)
 	if c.p.rollouts != nil {
 		c.p.rollouts.SetTargets(now, records)
 	}
@@ -247,6 +249,11 @@
 	}
 	applicable := m.Change != nil && m.Change.FromHash == c.listHash
 	c.mu.Unlock()
+	if newer && sameList {
+		c.p.origins.ListCurrent(currentAt)
+	} else if newer {
+		c.p.origins.NewerListReported(currentAt)
+	}
 	switch {
 	case !newer || sameList:
 	case applicable:
--- a/internal/faultsoak/versions_test.go
+++ b/internal/faultsoak/versions_test.go
@@ -165,3 +165,32 @@
 // mixedServicesTime is long enough for an entry to write to the store which services have
 // several software versions.
 const mixedServicesTime = 2 * time.Second
+
+// Guards against an entry that was suspended for less than 2 s, while another version began to serve, and
+// that takes the only version it knew for the origin of the streams that began meanwhile. It finds requests to
+// take them up when it goes on, before the reports of the others or together with old ones.
+func TestStreamsTakenUpAtEntryThatWasSuspended(t *testing.T) {
+	var tally streamTally
+	const suspended, untilListed = 1600 * time.Millisecond, 1100 * time.Millisecond // entries read the list every 0.9 s
+	for round := range 3 {
+		w := newStreamWorld(t, softwareVersions[0])
+		time.Sleep(mixedServicesTime)
+		w.entries[1].pause(suspended)
+		for i := range 3 {
+			w.mu.Lock()
+			w.addEngine(fmt.Sprintf("engine-new-%d", i), softwareVersions[1], true)
+			w.engines[len(w.engines)-1].WorkTime = 40 * time.Millisecond
+			w.mu.Unlock()
+		}
+		time.Sleep(untilListed)
+		tally.add(w.killDuringStreams(round, 2*streamsPerRound, w.entries[0], w.entries[1], w.entries[0]))
+		w.close()
+	}
+	t.Logf("of the streams %+v", tally)
+	if tally.cut < streamsPerRound {
+		t.Errorf("only %d streams were cut off, too few to judge", tally.cut)
+	}
+	if tally.goneOn < tally.cut/2 {
+		t.Errorf("%d of %d streams that were taken up went on, want at least half", tally.goneOn, tally.cut)
+	}
+}
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -257,6 +257,20 @@
 	return heard
 }
 
+// LastHeard returns when another entry has reported last, of those that have reported within peerTimeout;
+// zero if there is none.
+func (m *Mesh) LastHeard(now time.Time) (last time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.removeExpiredPeers(now)
+	for _, p := range m.peers {
+		if p.lastHeard.After(last) {
+			last = p.lastHeard
+		}
+	}
+	return last
+}
+
 // ExpectedPeerCount returns the number of other entries that have reported within
 // peerTimeout or that may exist although they have not.
 func (m *Mesh) ExpectedPeerCount(now time.Time) int {
