Fault soak: resumptions while configurations move and split their route

Change: TestResumptionsOfMovedRoutes has two services of one version each. A configuration every 0.4 to 1.4 s moves the resumable route, moves it back, splits it and takes either side away, beside the faults of TestResumptionsInMixedFleet, one a round. Every third caller names no request. Events carry the service that made them. The rounds and their tally are shared with TestResumptionsInMixedFleet.

--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -53,6 +54,7 @@
 	EventsPerStream int
 	WorkTime        time.Duration // for a plain response, or for one event
 	Software        string        // version of the software, part of each event
+	Label           string        // part of each event in place of Software; empty for Software
 	Ledger          *Ledger
 	// LoseResponse makes the target run requests and close the connection without
 	// a response. TruncateResponse makes it close the connection in the middle of
@@ -325,7 +327,7 @@
 			return
 		case <-time.After(t.WorkTime):
 		}
-		event := StreamEvent(id, n, t.Software)
+		event := StreamEvent(id, n, cmp.Or(t.Label, t.Software))
 		if t.TruncateResponse.Load() && n == t.EventsPerStream/2+1 {
 			fmt.Fprint(w, event[:len(event)/2])
 			control.Flush()
--- a/internal/faultsoak/resumptions_test.go
+++ b/internal/faultsoak/resumptions_test.go
@@ -18,13 +18,14 @@
 )
 
 // resumingCaller is a caller of one stream. It goes on at other entries, and names the
-// request that brought the first event.
+// request that brought the first event unless unnamed is set.
 type resumingCaller struct {
-	id    string
-	body  string // whole events of all tries
-	began string // the request that brought the first event
-	cut   bool   // its stream ended early after an event
-	done  bool
+	id      string
+	unnamed bool
+	body    string // whole events of all tries
+	began   string // the request that brought the first event
+	cut     bool   // its stream ended early after an event
+	done    bool
 	// refused are the resumptions that got no 200, by request; the value is the status.
 	refused map[string]int
 	tries   int // resumptions
@@ -79,7 +80,9 @@
 	req.Header.Set("Deadline-Ms", fmt.Sprint(time.Until(end).Milliseconds()))
 	if c.body != "" {
 		req.Header.Set("Last-Event-Id", fmt.Sprint(strings.Count(c.body, "\n\n")))
-		req.Header.Set("Resumes", c.began)
+		if !c.unnamed {
+			req.Header.Set("Resumes", c.began)
+		}
 		c.tries++
 	}
 	patience := time.AfterFunc(2*callerPatience, cancel) // leaves
@@ -116,6 +119,7 @@
 	tries, refused          int // resumptions
 	streamsRefused          int // streams with a refused resumption
 	reasons                 map[string]int
+	joinedBody              string // of one of the streams that are joined
 }
 
 func (t resumptionTally) String() string {
@@ -188,9 +192,9 @@
 	resumptionAge     = 480 * time.Millisecond
 )
 
-// resumeRound begins streams at random times, injects the fault and counts what their
-// callers get.
-func (w *world) resumeRound(f resumptionFault, round int, random *rand.Rand) (tally resumptionTally) {
+// resumeRound begins streams at random times, injects the fault and returns the callers when they
+// have ended. Every unnamedEach-th of them names no request; 0 for none.
+func (w *world) resumeRound(f resumptionFault, round int, random *rand.Rand, unnamedEach int) []*resumingCaller {
 	at := w.entries[round%len(w.entries)]
 	others := []*entry{w.entries[(round+1)%len(w.entries)], w.entries[(round+2)%len(w.entries)]}
 	next := others
@@ -201,7 +205,7 @@
 	var group sync.WaitGroup
 	began := time.Now()
 	for i := range callers {
-		c := &resumingCaller{id: fmt.Sprintf("%s-%d-%d", strings.Map(letterOrDash, f.name), round, i)}
+		c := &resumingCaller{id: fmt.Sprintf("%s-%d-%d", strings.Map(letterOrDash, f.name), round, i), unnamed: unnamedEach > 0 && i%unnamedEach == 0}
 		callers[i] = c
 		age := time.Duration(random.Int64N(int64(resumptionAge)))
 		if i%3 == 0 {
@@ -219,6 +223,13 @@
 	time.Sleep(time.Until(began.Add(resumptionAge)))
 	f.inject(w, random, at, others)
 	group.Wait()
+	w.waitReady(10 * time.Second)
+	time.Sleep(2 * time.Second) // until restarted entries count as peers of the others
+	return callers
+}
+
+// tallyResumptions counts what callers got.
+func (w *world) tallyResumptions(callers []*resumingCaller) (tally resumptionTally) {
 	reasons := w.refusalReasons()
 	tally.reasons = make(map[string]int)
 	for _, c := range callers {
@@ -236,13 +247,12 @@
 		}
 		if versions := (&takenUpStream{first: result{body: c.body}}).software(); len(versions) > 1 {
 			tally.joined++
+			tally.joinedBody = c.body
 		}
 		for id, status := range c.refused {
 			tally.reasons[fmt.Sprintf("%d %s", status, reasons[id])]++
 		}
 	}
-	w.waitReady(10 * time.Second)
-	time.Sleep(2 * time.Second) // until restarted entries count as peers of the others
 	return tally
 }
 
@@ -253,14 +263,12 @@
 	return r
 }
 
-func (t *resumptionTally) add(o resumptionTally) {
-	t.cut, t.unfinished, t.joined = t.cut+o.cut, t.unfinished+o.unfinished, t.joined+o.joined
-	t.tries, t.refused, t.streamsRefused = t.tries+o.tries, t.refused+o.refused, t.streamsRefused+o.streamsRefused
-	if t.reasons == nil {
-		t.reasons = make(map[string]int)
-	}
-	for reason, n := range o.reasons {
-		t.reasons[reason] += n
+// log writes the counts and the reasons of the refusals to the log of the test.
+func (t resumptionTally) log(to *testing.T, of string) {
+	to.Helper()
+	to.Logf("%s: %v", of, t)
+	for _, reason := range slices.Sorted(maps.Keys(t.reasons)) {
+		to.Logf("%4d %s", t.reasons[reason], reason)
 	}
 }
 
@@ -285,14 +293,12 @@
 			go w.repeatTargetRecords()
 			w.waitReady(10 * time.Second)
 			time.Sleep(mixedServicesTime)
-			var tally resumptionTally
+			var callers []*resumingCaller
 			for round := range rounds {
-				tally.add(w.resumeRound(f, round, w.random))
-			}
-			t.Log(tally)
-			for _, reason := range slices.Sorted(maps.Keys(tally.reasons)) {
-				t.Logf("%4d %s", tally.reasons[reason], reason)
+				callers = append(callers, w.resumeRound(f, round, w.random, 0)...)
 			}
+			tally := w.tallyResumptions(callers)
+			tally.log(t, "streams")
 			if tally.joined > 0 {
 				t.Errorf("%d streams have events of two software versions", tally.joined)
 			}
--- a/internal/faultsoak/world_test.go
+++ b/internal/faultsoak/world_test.go
@@ -69,6 +69,7 @@
 	// storeAddress is the address of the store itself, not of a proxy.
 	storeAddress  string
 	configVersion int
+	resumeAt      []string         // services of the route whose streams may be resumed; empty for model
 	configuration []byte           // the last one that was written
 	copies        []*emulator.Copy // of the store, the newest last
 	faultCounts   map[string]int
@@ -143,13 +144,17 @@
 	return ln.Addr().String()
 }
 
-// addEngine starts an emulated target and its proxy and puts its record into the
-// store. A target that streams belongs to the service model, others to plain.
+// addEngine adds a target. One that streams belongs to the service model, others to plain.
 func (w *world) addEngine(id, software string, streams bool) {
 	target := &emulator.Target{ID: id, Service: "plain", Software: software, Slots: 8, WorkTime: 5 * time.Millisecond, Ledger: w.ledger}
 	if streams {
 		target.Service, target.EventsPerStream = "model", eventsPerStream
 	}
+	w.addTarget(target)
+}
+
+// addTarget starts an emulated target and its proxy and puts its record into the store.
+func (w *world) addTarget(target *emulator.Target) {
 	proxy := emulator.NewProxy(w.serveOn("127.0.0.1:0", func(ln net.Listener) { target.Serve(ln) }))
 	e := &engine{Target: target, proxy: proxy, startedAt: time.Now()}
 	target.CrashUnder = w.crashUnder(e)
@@ -200,8 +205,8 @@
 }
 
 // writeConfiguration writes a new version of the configuration to the store. It
-// has the routes that requests use, which never change, and one route named after
-// the version.
+// has the routes that requests use, of which only the services of resumeAt change, and one
+// route named after the version.
 func (w *world) writeConfiguration() {
 	w.configVersion += 1 + w.random.IntN(3)
 	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
@@ -210,14 +215,22 @@
 			"TimeoutMs": routeTimeout.Milliseconds(), "TargetLatencyMs": 200, "TargetGapMs": 100, "Resumable": resumable, "Priority": len(name) % 3,
 		}
 	}
+	resume := route("resume", "streaming", "model", 2, true)
+	if len(w.resumeAt) > 0 {
+		var split []any
+		for _, service := range w.resumeAt {
+			split = append(split, map[string]any{"Service": service, "Weight": 1})
+		}
+		resume["Service"], resume["TrafficSplit"] = "", split
+	}
 	b, err := json.Marshal(map[string]any{
 		"Version": w.configVersion,
 		"Routes": []any{
 			route("plain", "idempotent", "plain", 2, false), route("once", "non_idempotent", "plain", 1, false),
-			route("stream", "streaming", "model", 1, false), route("resume", "streaming", "model", 2, true),
+			route("stream", "streaming", "model", 1, false), resume,
 			route(fmt.Sprintf("v%d", w.configVersion), "idempotent", "plain", 1, false),
 		},
-		"Services": []any{map[string]any{"Name": "plain"}, map[string]any{"Name": "model", "Engine": map[string]any{"Slots": 8}}},
+		"Services": []any{map[string]any{"Name": "plain"}, map[string]any{"Name": "model", "Engine": map[string]any{"Slots": 8}}, map[string]any{"Name": otherModel, "Engine": map[string]any{"Slots": 8}}},
 		"Limits":   map[string]any{"MaxBodyBytes": 1 << 20, "IdleTimeoutMs": 15000},
 		"Tenants":  []any{map[string]any{"Name": "c", "ApiKeys": []string{"key"}}},
 	})
