Fault soak: the judge reports streams joined from two services

The judge compared the software versions of a stream's events only. Events of two services counted by an approximation, over a caller's attempts and for the service of -faultsoak.movestreams alone: it went by the runs of both attempts, also those that had brought no event, and missed joins by an entry.

The ledger records the service of a run. A place is service and software version; events of two places in one answer (joined by the entry) or over a caller's attempts (joined by the caller) are ORDER, reported with service, version, target and run of the event and of the first one. The line "resumptions of" counts joins by what differs, and callers that name their request apart from those that do not.

One more event of another service behind the last event counts as two findings, as it did for versions: it is one too many, and it is joined.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -87,6 +87,7 @@
 // Run is a request at a target.
 type Run struct {
 	Target   string
+	Service  string    // of the target
 	Software string    // of the target
 	Number   int       // tells the runs of the request apart
 	After    int       // Last-Event-Id of the request
@@ -101,7 +102,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[id]++
-	run := &Run{Target: t.ID, Software: t.Software, Number: l.firstRun + l.runs[id], After: after, From: time.Now(), RunsOn: t.Profile.RunsOn}
+	run := &Run{Target: t.ID, Service: t.Service, Software: t.Software, Number: l.firstRun + l.runs[id], After: after, From: time.Now(), RunsOn: t.Profile.RunsOn}
 	l.details[id] = append(l.details[id], run)
 	l.write(id, run)
 	return run
@@ -128,7 +129,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	run := &Run{Target: t.ID, Software: t.Software, From: now, To: now, Outcome: Rejected + ": " + reason}
+	run := &Run{Target: t.ID, Service: t.Service, Software: t.Software, From: now, To: now, Outcome: Rejected + ": " + reason}
 	l.details[id] = append(l.details[id], run)
 	l.write(id, run)
 }
--- a/internal/faultsoak/callers_test.go
+++ b/internal/faultsoak/callers_test.go
@@ -37,6 +37,7 @@
 	prompt, bodySize, workMs int
 	tenant                   int
 	resumes                  string
+	unnamed                  bool // without resumes in the request
 }
 
 // received returns the number of whole events in the response.
@@ -196,7 +197,7 @@
 	}
 	if a.after > 0 {
 		fmt.Fprintf(&b, "Last-Event-Id: %d\r\n", a.after)
-		if !*noResumesFlag {
+		if !a.unnamed {
 			fmt.Fprintf(&b, "Resumes: %s\r\n", a.resumes)
 		}
 	}
@@ -227,7 +228,7 @@
 	after, resumes := 0, ""
 	for try := range maxAttempts {
 		a := first
-		a.id, a.after, a.resumes, a.limit = fmt.Sprintf("%s-%d", id, try), after, resumes, time.Until(until)
+		a.id, a.after, a.resumes, a.unnamed, a.limit = fmt.Sprintf("%s-%d", id, try), after, resumes, *noResumesFlag, time.Until(until)
 		if a.limit < ms(20) {
 			return
 		}
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -83,9 +83,6 @@
 				}
 			}
 		}
-		if !a.behindEnd() && d.joinsServices(a, byID[a.resumes]) {
-			report("ORDER", a, append(d.runsOf(a.resumes), runs...), "resumed at another service")
-		}
 		if !a.kind.once() && len(ran) > 0 && ran[0].Outcome == emulator.RunDropped && !a.left && (!a.answered() || a.status >= 500) && a.ended.Sub(ran[0].To) > stallMargin {
 			report("given up", a, runs, "the entry closed the connection to a target that worked, and did not answer")
 		}
@@ -107,9 +104,12 @@
 			}
 			tooMany[stream] = tooMany[stream] || strings.HasPrefix(wrong, afterLastEvent)
 		}
-		if j := d.joinedVersions(a, before); j.by != "" && !mixed[stream] {
+		if j := d.joinedPlaces(a, before); j.by != "" && !mixed[stream] {
 			mixed[stream] = true
-			report("ORDER", a, runs, j.detail)
+			if a.resumes != "" {
+				runs = append(d.runsOf(a.resumes), runs...)
+			}
+			report("ORDER", a, runs, j.String())
 		}
 		if a.resumedBehind(ran) && a.endedByTarget(ran) {
 			report("whole, resumed by the entry", a, runs, "")
@@ -154,17 +154,6 @@
 	return slices.DeleteFunc(slices.Clone(runs), func(r emulator.Run) bool { return strings.HasPrefix(r.Outcome, emulator.Rejected) })
 }
 
-// joinsServices reports whether an attempt brought events of another service than the one before,
-// which it resumes. before may be nil.
-func (d *deploymentRun) joinsServices(a, before *attempt) bool {
-	if before == nil || a.received() == 0 {
-		return false
-	}
-	moved := func(r emulator.Run) bool { return strings.Contains(r.Target, d.engineService+movedSuffix) }
-	runs := ranOf(append(d.runsOf(before.id), d.runsOf(a.id)...))
-	return slices.ContainsFunc(runs, moved) && slices.ContainsFunc(runs, func(r emulator.Run) bool { return !moved(r) })
-}
-
 // wrongAnswer says which rule the answer of an attempt that ran as given breaks and how, or
 // returns "".
 func (a *attempt) wrongAnswer(ran []emulator.Run) (rule, wrong string) {
@@ -348,7 +337,7 @@
 	fmt.Fprintf(&b, "\n  caller: kept=%t sent +%dms ended +%dms of %d (route %d), status %d, events %d to %d of %d, left=%t read=%t, %v", a.kept, a.sent.Sub(origin).Milliseconds(),
 		a.ended.Sub(origin).Milliseconds(), a.limit.Milliseconds(), a.kind.timeout.Milliseconds(), a.status, a.after, a.after+a.received(), a.events, a.left, a.readWhole, a.err)
 	for _, r := range runs {
-		fmt.Fprintf(&b, "\n  target %s of %s: %+dms to %+dms, %s, last event %d, goes on when left=%t", r.Target, r.Software, r.From.Sub(origin).Milliseconds(), r.To.Sub(origin).Milliseconds(), r.Outcome, r.Events, r.RunsOn)
+		fmt.Fprintf(&b, "\n  target %s of %s, %s: %+dms to %+dms, %s, last event %d, goes on when left=%t", r.Target, r.Service, r.Software, r.From.Sub(origin).Milliseconds(), r.To.Sub(origin).Milliseconds(), r.Outcome, r.Events, r.RunsOn)
 		if how := d.endingOf(r); how != "" {
 			fmt.Fprintf(&b, ", the target was ended: %s", how)
 		}
--- a/internal/faultsoak/judgecases_test.go
+++ b/internal/faultsoak/judgecases_test.go
@@ -258,7 +258,7 @@
 		return r
 	}
 	moved := run(2, last, emulator.RunCompleted)
-	moved.Target = deployments[0].engineService + movedSuffix
+	moved.Service = "other"
 	oneMore := behind(pieces("b", 2, last+1, last+1), more)
 	for _, c := range []struct {
 		name              string
@@ -274,7 +274,7 @@
 		{name: "a part of one more event", attempts: []request{first, cut(behind(oneMore.body[:20], more))}, order: 1, byCaller: 1},
 		{name: "last event again", attempts: []request{first, behind(pieces("b", 2, last, last), more)}, order: 1, byCaller: 1},
 		{name: "anew", attempts: []request{first, behind(pieces("b", 2, 1, last), more)}, order: 1, byCaller: 1},
-		{name: "one more event of another service", attempts: []request{first, behind(oneMore.body, moved)}, order: 1, byCaller: 1},
+		{name: "one more event of another service", attempts: []request{first, behind(oneMore.body, moved)}, order: 2, byCaller: 1},
 		{name: "one more event that the entry asked for", attempts: []request{first, behind(oneMore.body, run(1, last, emulator.RunLost), more)}, order: 1, byCaller: 1},
 		{name: "one more event, then another", attempts: []request{first, cut(oneMore),
 			{id: "c", resumes: "b", after: last + 1, body: pieces("c", 3, last+2, last+2), runs: []emulator.Run{run(3, last+1, emulator.RunCompleted)}}}, order: 1, byCaller: 1},
@@ -369,45 +369,56 @@
 	}
 }
 
-// Guards against a judge that misses events of two software versions in one stream, or reports
-// streams of one version.
-func TestFindingsOfSoftwareVersions(t *testing.T) {
+// Guards against a judge that misses events of two services or software versions in one stream, or
+// reports streams of one service and version.
+func TestFindingsOfJoinedPlaces(t *testing.T) {
 	const last = 9
 	begin := time.Now()
-	run := func(target, software string, number, after int, outcome string) emulator.Run {
-		return emulator.Run{Target: target, Software: software, Number: number, After: after, Outcome: outcome, From: begin, To: begin.Add(ms(400))}
+	run := func(target, service, software string, number, after int, outcome string) emulator.Run {
+		return emulator.Run{Target: target, Service: service, Software: software, Number: number, After: after, Outcome: outcome, From: begin, To: begin.Add(ms(400))}
 	}
 	type answer struct {
 		runs []emulator.Run
 		ends []int // the last event of each of the runs
 	}
-	broken := run("T", "v1", 1, 0, emulator.RunBrokenOff)
-	whole := func(target, software string, number, after int) emulator.Run {
-		return run(target, software, number, after, emulator.RunCompleted)
+	broken := run("T", "s", "v1", 1, 0, emulator.RunBrokenOff)
+	whole := func(target, service, software string, number, after int) emulator.Run {
+		return run(target, service, software, number, after, emulator.RunCompleted)
 	}
 	for _, c := range []struct {
 		name    string
 		answers []answer // of the caller's attempts
 		order   int
-		want    joined // of the last attempt
+		want    string // of the last attempt
 	}{
-		{name: "one target", answers: []answer{{[]emulator.Run{whole("T", "v1", 1, 0)}, []int{last}}}},
-		{name: "resumed by the entry at the same version", answers: []answer{{[]emulator.Run{broken, whole("U", "v1", 2, 6)}, []int{6, last}}}},
-		{name: "resumed by the entry at another version", answers: []answer{{[]emulator.Run{broken, whole("U", "v2", 2, 6)}, []int{6, last}}},
-			order: 1, want: joined{joinedByEntry, "the entry joined two software versions: event 7 came from U of v2, the first from T of v1"}},
-		{name: "resumed by the entry in place at another version", answers: []answer{{[]emulator.Run{broken, whole("T", "v2", 2, 6)}, []int{6, last}}},
-			order: 1, want: joined{joinedByEntry, "the entry joined two software versions: event 7 came from T of v2, the first from T of v1"}},
-		{name: "begun again at another version before the first event", answers: []answer{{[]emulator.Run{broken, whole("U", "v2", 2, 0)}, []int{0, last}}}},
-		{name: "run at another version that brought nothing", answers: []answer{{[]emulator.Run{broken, run("U", "v2", 2, 6, emulator.RunBrokenOff), whole("V", "v1", 3, 6)}, []int{6, 6, last}}}},
-		{name: "resumed by the caller at the same version", answers: []answer{{[]emulator.Run{broken}, []int{6}}, {[]emulator.Run{whole("U", "v1", 2, 6)}, []int{last}}}},
-		{name: "resumed by the caller at another version", answers: []answer{{[]emulator.Run{broken}, []int{6}}, {[]emulator.Run{whole("U", "v2", 2, 6)}, []int{last}}},
-			order: 1, want: joined{joinedByCaller, "the caller joined two software versions: event 7 came from U of v2, the first from T of v1"}},
-		{name: "resumed by the caller, then by the entry at another version", answers: []answer{{[]emulator.Run{broken}, []int{4}}, {[]emulator.Run{run("U", "v1", 2, 4, emulator.RunBrokenOff), whole("V", "v2", 3, 6)}, []int{6, last}}},
-			order: 1, want: joined{joinedByEntry, "the entry joined two software versions: event 7 came from V of v2, the first from T of v1"}},
-		{name: "resumed by the caller without an event, then at another version", answers: []answer{{[]emulator.Run{broken}, []int{6}}, {nil, nil}, {[]emulator.Run{whole("U", "v2", 2, 6)}, []int{last}}},
-			order: 1, want: joined{joinedByCaller, "the caller joined two software versions: event 7 came from U of v2, the first from T of v1"}},
-		{name: "joined by the caller, which resumes again", answers: []answer{{[]emulator.Run{broken}, []int{4}}, {[]emulator.Run{run("U", "v2", 2, 4, emulator.RunBrokenOff)}, []int{6}}, {[]emulator.Run{whole("U", "v2", 3, 6)}, []int{last}}},
-			order: 1, want: joined{joinedByCaller, "the caller joined two software versions: event 7 came from U of v2, the first from T of v1"}},
+		{name: "one target", answers: []answer{{[]emulator.Run{whole("T", "s", "v1", 1, 0)}, []int{last}}}},
+		{name: "resumed by the entry at the same version", answers: []answer{{[]emulator.Run{broken, whole("U", "s", "v1", 2, 6)}, []int{6, last}}}},
+		{name: "resumed by the entry at another version", answers: []answer{{[]emulator.Run{broken, whole("U", "s", "v2", 2, 6)}, []int{6, last}}},
+			order: 1, want: "the entry joined two software versions: event 7 came from run 2 at U of s, v2, the first from run 1 at T of s, v1"},
+		{name: "resumed by the entry in place at another version", answers: []answer{{[]emulator.Run{broken, whole("T", "s", "v2", 2, 6)}, []int{6, last}}},
+			order: 1, want: "the entry joined two software versions: event 7 came from run 2 at T of s, v2, the first from run 1 at T of s, v1"},
+		{name: "resumed by the entry at another service", answers: []answer{{[]emulator.Run{broken, whole("U", "other", "v1", 2, 6)}, []int{6, last}}},
+			order: 1, want: "the entry joined two services: event 7 came from run 2 at U of other, v1, the first from run 1 at T of s, v1"},
+		{name: "resumed by the entry at another service and version", answers: []answer{{[]emulator.Run{broken, whole("U", "other", "v2", 2, 6)}, []int{6, last}}},
+			order: 1, want: "the entry joined two services and software versions: event 7 came from run 2 at U of other, v2, the first from run 1 at T of s, v1"},
+		{name: "begun again at another version before the first event", answers: []answer{{[]emulator.Run{broken, whole("U", "s", "v2", 2, 0)}, []int{0, last}}}},
+		{name: "begun again at another service before the first event", answers: []answer{{[]emulator.Run{broken, whole("U", "other", "v1", 2, 0)}, []int{0, last}}}},
+		{name: "run at another version that brought nothing", answers: []answer{{[]emulator.Run{broken, run("U", "s", "v2", 2, 6, emulator.RunBrokenOff), whole("V", "s", "v1", 3, 6)}, []int{6, 6, last}}}},
+		{name: "run at another service that brought nothing", answers: []answer{{[]emulator.Run{broken, run("U", "other", "v1", 2, 6, emulator.RunBrokenOff), whole("V", "s", "v1", 3, 6)}, []int{6, 6, last}}}},
+		{name: "resumed by the caller at the same version", answers: []answer{{[]emulator.Run{broken}, []int{6}}, {[]emulator.Run{whole("U", "s", "v1", 2, 6)}, []int{last}}}},
+		{name: "resumed by the caller at another version", answers: []answer{{[]emulator.Run{broken}, []int{6}}, {[]emulator.Run{whole("U", "s", "v2", 2, 6)}, []int{last}}},
+			order: 1, want: "the caller joined two software versions: event 7 came from run 2 at U of s, v2, the first from run 1 at T of s, v1"},
+		{name: "resumed by the caller at another service", answers: []answer{{[]emulator.Run{broken}, []int{6}}, {[]emulator.Run{whole("U", "other", "v1", 2, 6)}, []int{last}}},
+			order: 1, want: "the caller joined two services: event 7 came from run 2 at U of other, v1, the first from run 1 at T of s, v1"},
+		{name: "begun again at another service by the caller, without an event before", answers: []answer{{[]emulator.Run{broken}, []int{0}}, {[]emulator.Run{whole("U", "other", "v1", 2, 0)}, []int{last}}}},
+		{name: "resumed by the caller, then by the entry at another version", answers: []answer{{[]emulator.Run{broken}, []int{4}}, {[]emulator.Run{run("U", "s", "v1", 2, 4, emulator.RunBrokenOff), whole("V", "s", "v2", 3, 6)}, []int{6, last}}},
+			order: 1, want: "the entry joined two software versions: event 7 came from run 3 at V of s, v2, the first from run 1 at T of s, v1"},
+		{name: "resumed by the caller, then by the entry at another service", answers: []answer{{[]emulator.Run{broken}, []int{4}}, {[]emulator.Run{run("U", "s", "v1", 2, 4, emulator.RunBrokenOff), whole("V", "other", "v1", 3, 6)}, []int{6, last}}},
+			order: 1, want: "the entry joined two services: event 7 came from run 3 at V of other, v1, the first from run 1 at T of s, v1"},
+		{name: "resumed by the caller without an event, then at another version", answers: []answer{{[]emulator.Run{broken}, []int{6}}, {nil, nil}, {[]emulator.Run{whole("U", "s", "v2", 2, 6)}, []int{last}}},
+			order: 1, want: "the caller joined two software versions: event 7 came from run 2 at U of s, v2, the first from run 1 at T of s, v1"},
+		{name: "joined by the caller, which resumes again", answers: []answer{{[]emulator.Run{broken}, []int{4}}, {[]emulator.Run{run("U", "other", "v1", 2, 4, emulator.RunBrokenOff)}, []int{6}}, {[]emulator.Run{whole("U", "other", "v1", 3, 6)}, []int{last}}},
+			order: 1, want: "the caller joined two services: event 7 came from run 3 at U of other, v1, the first from run 1 at T of s, v1"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runs := make(map[string][]emulator.Run)
@@ -431,8 +442,12 @@
 				runs[id], d.attempts = answer.runs, append(d.attempts, a)
 			}
 			a := d.attempts[len(d.attempts)-1]
-			if got := d.joinedVersions(a, attemptsBefore(a, d.attemptsByID())); got != c.want {
-				t.Errorf("got %+v, want %+v", got, c.want)
+			got := ""
+			if j := d.joinedPlaces(a, attemptsBefore(a, d.attemptsByID())); j.by != "" {
+				got = j.String()
+			}
+			if got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
 			}
 			if got := d.findings(); got["ORDER"] != c.order {
 				t.Errorf("findings %v, want ORDER %d", got, c.order)
@@ -453,6 +468,7 @@
 		`level=info msg="stream aborted" request=late-0 route=r reason=stream_broken last_event=4 runs=1`,
 		`level=info msg="stream aborted" request=whole-0 route=r reason=stream_broken last_event=9 runs=2`,
 		`level=info msg="request failed" request=refused-0 route=r customer=c configuration=1 outcome=not_run reason=unknown_origin retry_after=100ms`,
+		`level=info msg="request failed" request=unnamed-0 route=r customer=c configuration=1 outcome=not_run reason=origin_not_on_route`,
 	}
 	d := &deploymentRun{deployment: deployments[0], world: &world{t: t, logDirectory: t.TempDir()}, runsOf: func(id string) []emulator.Run {
 		switch id {
@@ -478,11 +494,16 @@
 	add("refused-0", 503, 0, 4, "cut-0", ms(500))
 	add("lost-0", 0, 0, 4, "cut-0", ms(500))
 	add("behind-0", 503, 0, last, "whole-0", ms(500))
-	byEntry, byCaller := d.countResumptions()
+	add("unnamed-0", 503, 0, 4, "cut-0", ms(500))
+	d.attempts[len(d.attempts)-1].unnamed = true
+	byEntry, byCaller, unnamed := d.countResumptions()
 	if got, want := byEntry.String(), "1 of 3 went on, refused: map[no_placement_left/version_left:1 time limit:1]"; got != want {
 		t.Errorf("by the entry: %s, want %s", got, want)
 	}
 	if got, want := byCaller.String(), "1 of 3 went on, refused: map[status 0:1 unknown_origin (503):1]"; got != want {
 		t.Errorf("by the caller: %s, want %s", got, want)
 	}
+	if got, want := unnamed.String(), "0 of 1 went on, refused: map[origin_not_on_route (503):1]"; got != want {
+		t.Errorf("by the caller without the name of the request: %s, want %s", got, want)
+	}
 }
--- a/internal/faultsoak/softwareversions_test.go
+++ b/internal/faultsoak/softwareversions_test.go
@@ -106,14 +106,41 @@
 	return events
 }
 
-// joined says who joined events of two software versions in a stream and which, "" for none.
-type joined struct{ by, detail string }
+// place is where runs of one stream may follow each other.
+type place struct{ service, software string }
+
+func placeOf(r emulator.Run) place { return place{r.Service, r.Software} }
+
+// joined says who joined events of two places in a stream and which. by is "" for none.
+type joined struct {
+	by          string
+	event       int
+	piece, from emulator.Run // that wrote the event, and the first one of the stream
+}
 
 const joinedByEntry, joinedByCaller = "the entry", "the caller"
 
-// joinedVersions compares the events of an attempt with the first one of its stream, which may have
+// what names that in which the places differ.
+func (j joined) what() string {
+	switch sameService := j.piece.Service == j.from.Service; {
+	case sameService:
+		return "two software versions"
+	case j.piece.Software == j.from.Software:
+		return "two services"
+	}
+	return "two services and software versions"
+}
+
+func (j joined) String() string {
+	describe := func(r emulator.Run) string {
+		return fmt.Sprintf("run %d at %s of %s, %s", r.Number, r.Target, r.Service, r.Software)
+	}
+	return fmt.Sprintf("%s joined %s: event %d came from %s, the first from %s", j.by, j.what(), j.event, describe(j.piece), describe(j.from))
+}
+
+// joinedPlaces compares the events of an attempt with the first one of its stream, which may have
 // come in one of the attempts before.
-func (d *deploymentRun) joinedVersions(a *attempt, before []*attempt) joined {
+func (d *deploymentRun) joinedPlaces(a *attempt, before []*attempt) joined {
 	if a.kind.kind != "streaming" {
 		return joined{}
 	}
@@ -125,7 +152,7 @@
 		}
 	}
 	first = append(first, events...)
-	i := slices.IndexFunc(events, func(e written) bool { return e.by.Software != first[0].by.Software })
+	i := slices.IndexFunc(events, func(e written) bool { return placeOf(e.by) != placeOf(first[0].by) })
 	if i < 0 {
 		return joined{}
 	}
@@ -133,8 +160,7 @@
 	if i == 0 {
 		by = joinedByCaller
 	}
-	e, f := events[i], first[0].by
-	return joined{by, fmt.Sprintf("%s joined two software versions: event %d came from %s of %s, the first from %s of %s", by, e.number, e.by.Target, e.by.Software, f.Target, f.Software)}
+	return joined{by: by, event: events[i].number, piece: events[i].by, from: first[0].by}
 }
 
 // resumptions counts resumptions of streams before their last event, by what came of them.
@@ -164,7 +190,9 @@
 // countResumptions counts those of streams whose route allows it. An entry resumes a stream that its
 // target breaks off after the first event; it is refused if the entry aborts the stream before its
 // last event. One that is aborted behind it counts in the line of streams.
-func (d *deploymentRun) countResumptions() (byEntry, byCaller resumptions) {
+//
+// A caller that does not name the request that began its stream counts in unnamed.
+func (d *deploymentRun) countResumptions() (byEntry, named, unnamed resumptions) {
 	reasons := make(map[string]map[string]string) // by request and message
 	for _, line := range d.world.logLines() {
 		if m := refusalPattern.FindStringSubmatch(line); m != nil {
@@ -192,6 +220,10 @@
 		if a.resumes == "" || a.behindEnd() {
 			continue
 		}
+		byCaller := &named
+		if a.unnamed {
+			byCaller = &unnamed
+		}
 		switch reason := reasons[a.id]["request failed"]; {
 		case a.status == http.StatusOK:
 			byCaller.count("")
@@ -204,25 +236,27 @@
 			byCaller.count(fmt.Sprintf("status %d", a.status))
 		}
 	}
-	return byEntry, byCaller
+	return byEntry, named, unnamed
 }
 
-// describeResumptions also says how many streams were joined from two software versions.
+// describeResumptions also says how many streams were joined from two places, and of which there are
+// several.
 func (d *deploymentRun) describeResumptions() string {
-	byEntry, byCaller := d.countResumptions()
+	byEntry, named, unnamed := d.countResumptions()
 	joins := make(map[string]int)
 	byID := d.attemptsByID()
+	places := make(map[string]bool)
 	for _, a := range d.attempts {
-		if j := d.joinedVersions(a, attemptsBefore(a, byID)); j.by != "" {
-			joins[j.by]++
+		if j := d.joinedPlaces(a, attemptsBefore(a, byID)); j.by != "" {
+			joins[j.by+", "+j.what()]++
+		}
+		if a.kind.kind != "streaming" {
+			continue
 		}
-	}
-	versions := make(map[string]bool)
-	for _, a := range d.attempts {
 		for _, r := range d.runsOf(a.id) {
-			versions[r.Software] = true
+			places[r.Service+" "+r.Software] = true
 		}
 	}
-	return fmt.Sprintf("by the entry: %v; by the caller: %v; attempts with a second software version, by who joined them: %v; software versions: %v",
-		byEntry, byCaller, joins, slices.Sorted(maps.Keys(versions)))
+	return fmt.Sprintf("by the entry: %v; by callers that name the request: %v; by those that do not: %v; attempts joined from two places: %v; services and software versions of streams: %v",
+		byEntry, named, unnamed, joins, slices.Sorted(maps.Keys(places)))
 }
