Fault soak: the fleet of a deployment's run is drawn by its seed

fleetOf draws them by the seed, apart from the plan, which stays the same. Routes of streams lead to two services, which configurations move, split and take away every 0.5 to 4 s; one more form of versions gives each service one. Flags that are given override their part. -faultsoak.routes replaces -faultsoak.movestreams. TestTargetsThatNoticeACloseLate keeps its fleet.

--- a/internal/faultsoak/callers_test.go
+++ b/internal/faultsoak/callers_test.go
@@ -63,6 +63,8 @@
 type caller struct {
 	run    *deploymentRun
 	prefer []*entry // in that order, those in rotation
+	// unnamed says that it does not name the request whose stream it resumes.
+	unnamed bool
 
 	mu   sync.Mutex
 	idle []*callerConnection
@@ -228,7 +230,7 @@
 	after, resumes := 0, ""
 	for try := range maxAttempts {
 		a := first
-		a.id, a.after, a.resumes, a.unnamed, a.limit = fmt.Sprintf("%s-%d", id, try), after, resumes, *noResumesFlag, time.Until(until)
+		a.id, a.after, a.resumes, a.unnamed, a.limit = fmt.Sprintf("%s-%d", id, try), after, resumes, c.unnamed, time.Until(until)
 		if a.limit < ms(20) {
 			return
 		}
@@ -280,7 +282,7 @@
 	}
 	callers := make([]*caller, d.callers)
 	for i := range callers {
-		callers[i] = &caller{run: d}
+		callers[i] = &caller{run: d, unnamed: float64(i) < d.fleet.unnamed*float64(len(callers))}
 		for _, j := range random.Perm(len(d.world.entries)) {
 			callers[i].prefer = append(callers[i].prefer, d.world.entries[j])
 		}
--- a/internal/faultsoak/deploymentrun_test.go
+++ b/internal/faultsoak/deploymentrun_test.go
@@ -22,7 +22,6 @@
 	periodFlag     = flag.Duration("faultsoak.period", 100*time.Millisecond, "period of -faultsoak.share; longer ones are pauses of an entry as on a busy machine")
 	pausesFlag     = flag.Bool("faultsoak.pauses", false, "entries do not run for about a second, several times, beside planned stops, as on a busy machine; the judge excuses nothing for it")
 	longestFlag    = flag.Duration("faultsoak.longestpause", 1500*time.Millisecond, "longest pause of an entry by -faultsoak.pauses; targets are silent as long if that is over 2.5 s")
-	movesFlag      = flag.Bool("faultsoak.movestreams", false, "configurations move routes whose streams may be resumed to another service and back")
 	hangupsFlag    = flag.Bool("faultsoak.hangups", true, "send SIGHUP; some earlier landings end on it during a planned stop")
 	lateCloseFlag  = flag.Bool("faultsoak.lateclose", false, "silent targets do not notice that a connection was closed")
 	proxiesFlag    = flag.Bool("faultsoak.proxies", false, "targets are behind proxies that accept connections for ended processes and close late")
@@ -42,7 +41,7 @@
 				d = other
 			}
 		}
-		t.Run(fmt.Sprintf("%s/seed=%d", d.name, seed), func(t *testing.T) { runDeployment(t, binary, d, seed) })
+		t.Run(fmt.Sprintf("%s/seed=%d", d.name, seed), func(t *testing.T) { runDeployment(t, binary, d, seed, fleetOf(seed).withFlags()) })
 	}
 }
 
@@ -53,7 +52,7 @@
 	late, share, processes := *lateCloseFlag, *shareFlag, *processesFlag
 	t.Cleanup(func() { *lateCloseFlag, *shareFlag, *processesFlag = late, share, processes })
 	*lateCloseFlag, *shareFlag, *processesFlag = true, 0.1, 0
-	runDeployment(t, buildDaemon(t), deployments[701%len(deployments)], 701)
+	runDeployment(t, buildDaemon(t), deployments[701%len(deployments)], 701, plainFleet.withFlags())
 }
 
 // event is planned work or a fault.
@@ -66,13 +65,16 @@
 // deploymentRun is one run of a deployment.
 type deploymentRun struct {
 	*deployment
+	fleet         fleet
 	world         *world
 	runsOf        func(id string) []emulator.Run
 	random        *rand.Rand // of the plan
 	configVersion int
 	timeoutFactor map[*requestKind]float64
-	moved         map[*requestKind]bool // to another service
-	idleTimeout   time.Duration         // of callers' connections, in the last configuration
+	moved         map[*requestKind]bool // routes of plain requests, to another service
+	streamRoutes  map[*requestKind]servicesOfRoute
+	routing       *rand.Rand    // draws the changes of streamRoutes
+	idleTimeout   time.Duration // of callers' connections, in the last configuration
 	idleRoutes    int
 	extraKeys     bool
 	loadPercent   atomic.Int64
@@ -87,17 +89,21 @@
 	idleSeen time.Duration  // shortest idleTimeout so far
 }
 
-func runDeployment(t *testing.T, binary string, dep *deployment, seed uint64) {
+func runDeployment(t *testing.T, binary string, dep *deployment, seed uint64, f fleet) {
 	checkEndingFlags(t)
-	checkVersionsFlag(t)
+	f.check(t)
 	w := newEmptyWorld(t, binary, seed)
 	defer w.close()
 	d := &deploymentRun{
 		deployment: dep, world: w, runsOf: w.ledger.Details, random: newRandom(seed), versions: newRandom(seed), timeoutFactor: make(map[*requestKind]float64), moved: make(map[*requestKind]bool), idleTimeout: callerIdle,
-		idleSeen: callerIdle, ready: make(map[*entry]int),
+		fleet: f, routing: rand.New(rand.NewPCG(seed, routingStream)), streamRoutes: make(map[*requestKind]servicesOfRoute), idleSeen: callerIdle, ready: make(map[*entry]int),
 	}
 	for _, k := range dep.kinds {
 		d.timeoutFactor[k] = 1
+		d.streamRoutes[k] = onlyFirst
+		if d.fleet.routes == routesSplit {
+			d.routeStreams(k)
+		}
 	}
 	d.loadPercent.Store(100)
 	d.start()
@@ -295,6 +301,7 @@
 			add(at, func() { d.removeEngine(d.replaceInPlace) })
 		}
 	}
+	d.planRoutes(add)
 	slices.SortStableFunc(plan, func(a, b step) int { return int(a.at - b.at) })
 	begin := time.Now()
 	for _, s := range plan {
@@ -355,11 +362,6 @@
 // changeConfiguration writes a configuration with a change: of the service or the time-out of
 // a route, the other routes, the keys or the idle time-out.
 func (d *deploymentRun) changeConfiguration() {
-	for _, k := range d.kinds {
-		if d.movesStreams(k) {
-			d.moved[k] = !d.moved[k]
-		}
-	}
 	switch k := d.kinds[d.random.IntN(len(d.kinds))]; d.random.IntN(5) {
 	case 0:
 		d.moved[k] = !d.moved[k]
@@ -378,9 +380,6 @@
 	d.writeConfiguration()
 }
 
-// movesStreams reports whether configurations move the route of a kind of streams.
-func (d *deploymentRun) movesStreams(k *requestKind) bool { return *movesFlag && k.resumable }
-
 // removeEngine marks a random target as removed and calls end with it, unless it is removed
 // already. end is called with the lock of the world.
 func (d *deploymentRun) removeEngine(end func(w *world, e *engine)) {
@@ -467,11 +466,11 @@
 		if *inPlaceFlag {
 			id = e.ID
 		}
-		next := &emulator.Target{ID: id, Service: e.Service, Slots: e.Slots, EventsPerStream: e.EventsPerStream, Software: d.software(true), Ledger: e.Ledger, Profile: e.Profile}
+		next := &emulator.Target{ID: id, Service: e.Service, Slots: e.Slots, EventsPerStream: e.EventsPerStream, Software: d.software(e.Service, true), Ledger: e.Ledger, Profile: e.Profile}
 		n := &engine{Target: next, startedAt: time.Now()}
 		serve(n)
 		w.engines[slices.Index(w.engines, e)] = n
-		w.listLater(n)
+		d.listLater(n)
 	})
 }
 
--- a/internal/faultsoak/deployments_test.go
+++ b/internal/faultsoak/deployments_test.go
@@ -80,7 +80,7 @@
 	entryCPUShare    = 0.304
 	// Configurations move routes of plain requests to a service with movedTargets targets.
 	movedTargets = 2
-	// With -faultsoak.movestreams, they move routes of streams to a service with movedEngines targets.
+	// They move or split routes of streams to a service with movedEngines targets, if the fleet has it.
 	movedEngines = 6
 	movedSuffix  = "-moved"
 )
@@ -157,12 +157,16 @@
 		w.t.Setenv("GOMAXPROCS", "1")
 	}
 	engines := engineCount
-	if *movesFlag {
+	if d.fleet.services() > 1 {
 		engines += movedEngines
 	}
-	processes := *processesFlag
+	processes, movedProcesses := *processesFlag, 0
+	if d.fleet.services() > 1 { // some of each service
+		movedProcesses = processes / 2
+		processes -= movedProcesses
+	}
 	if *endingFlag != "" {
-		processes = engines
+		processes, movedProcesses = engineCount, movedEngines
 	}
 	for i := range engines {
 		service := d.engineService
@@ -176,7 +180,7 @@
 		if d.openFaults() {
 			profile.StrayShare, profile.SpoiledShare = 0.02, 0.004
 		}
-		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Slots: d.slots, EventsPerStream: 1, Software: d.software(false), Ledger: w.ledger, Profile: &profile}, i < processes)
+		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Slots: d.slots, EventsPerStream: 1, Software: d.software(service, false), Ledger: w.ledger, Profile: &profile}, i < processes || i >= engineCount && i < engineCount+movedProcesses)
 	}
 	for i := range d.plainTargets + movedTargets {
 		service := d.plainService
@@ -184,7 +188,7 @@
 			service += movedSuffix
 		}
 		profile := emulator.Profile{Queue: plainQueue, Speed: 1, IdleTimeout: engineIdle, MaxConnections: plainConnections, CloseShare: 0.01, LateShare: 0.004, AbruptShare: 0.004, RunsOn: i == 0, NoticesCloseLate: *lateCloseFlag}
-		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Slots: plainSlots, Software: d.software(false), Ledger: w.ledger, Profile: &profile}, i < *processesFlag)
+		d.addTarget(&emulator.Target{ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Slots: plainSlots, Software: d.software(service, false), Ledger: w.ledger, Profile: &profile}, i < *processesFlag)
 	}
 	d.writeConfiguration()
 	for i := range 5 {
@@ -248,15 +252,8 @@
 	d.configVersion += 1 + d.random.IntN(5)
 	var routes []any
 	for _, k := range d.kinds {
-		service := d.plainService
-		if k.kind == "streaming" {
-			service = d.engineService
-		}
-		if d.moved[k] && (k.kind != "streaming" || d.movesStreams(k)) {
-			service += movedSuffix
-		}
 		routes = append(routes, map[string]any{
-			"Name": k.name, "Host": "h", "PathPrefix": "/" + k.name + "/", "Kind": k.kind, "Service": service, "MaxAttempts": k.attempts,
+			"Name": k.name, "Host": "h", "PathPrefix": "/" + k.name + "/", "Kind": k.kind, "TrafficSplit": d.traffic(k), "MaxAttempts": k.attempts,
 			"TimeoutMs": float64(k.timeout.Milliseconds()) * d.timeoutFactor[k], "TargetLatencyMs": k.objective.Milliseconds(), "TargetGapMs": eventGap.Milliseconds(),
 			"Resumable": k.resumable, "Priority": k.priority, "SessionAffinity": k.kind == "streaming",
 		})
--- a/internal/faultsoak/endings_test.go
+++ b/internal/faultsoak/endings_test.go
@@ -16,7 +16,6 @@
 	endingFlag    = flag.String("faultsoak.ending", "", "play this fault of engines alone, which are then all processes of their own: kill, exit, cancel, finish, finish-cancel or pause; also cancel-linger and cancel-linger-empty, which no plan has since they break ORDER")
 	lingerFlag    = flag.Duration("faultsoak.linger", 300*time.Millisecond, "how long targets accept connections behind an end with linger in its name")
 	beyondFlag    = flag.String("faultsoak.beyond", emulator.BeyondNone, "answer of engines to a request that resumes a stream behind its last event: none, more, repeat, refuse or anew")
-	relayFlag     = flag.Bool("faultsoak.relay", false, "targets that are processes of their own are behind relays that outlive them, accept connections for ended targets and never reset one")
 	announcedFlag = flag.Bool("faultsoak.announced", false, "with -faultsoak.ending: targets report that they leave 1.5 s before")
 )
 
--- a/internal/faultsoak/judge_test.go
+++ b/internal/faultsoak/judge_test.go
@@ -35,6 +35,7 @@
 	defer d.mu.Unlock()
 	t := d.world.t
 	counts := d.findings()
+	t.Logf("fleet of %s, seed %d: %v", d.name, d.world.seed, d.fleet)
 	t.Logf("streams of %s, seed %d: %s", d.name, d.world.seed, d.streamEnds())
 	t.Logf("signs of %s, seed %d: %s", d.name, d.world.seed, d.endSigns())
 	t.Logf("resumptions of %s, seed %d: %s", d.name, d.world.seed, d.describeResumptions())
--- a/internal/faultsoak/processes_test.go
+++ b/internal/faultsoak/processes_test.go
@@ -92,7 +92,7 @@
 	if err := changes.Decode(&e.proxyAddress); err != nil {
 		w.t.Errorf("process of %s: %v", e.ID, err)
 	}
-	if *relayFlag {
+	if d.fleet.relays {
 		w.relayProcess(e)
 	}
 	e.process = p
--- a/internal/faultsoak/processescases_test.go
+++ b/internal/faultsoak/processescases_test.go
@@ -170,12 +170,12 @@
 // an ended target see connections that are accepted and closed.
 func TestRelayOutlivesItsTarget(t *testing.T) {
 	const last, step = 50, 10 * time.Millisecond
-	relay, unframed := *relayFlag, *unframedFlag
-	t.Cleanup(func() { *relayFlag, *unframedFlag = relay, unframed })
-	*relayFlag, *unframedFlag = true, 0
+	unframed := *unframedFlag
+	t.Cleanup(func() { *unframedFlag = unframed })
+	*unframedFlag = 0
 	for _, form := range []string{endKill, emulator.EndFinish} {
 		t.Run(form, func(t *testing.T) {
-			d := &deploymentRun{world: &world{t: t, ledger: emulator.NewLedger()}}
+			d := &deploymentRun{fleet: fleet{relays: true}, world: &world{t: t, ledger: emulator.NewLedger()}}
 			defer func() {
 				for _, cleanUp := range d.world.cleanups {
 					cleanUp()
--- a/internal/faultsoak/softwareversions_test.go
+++ b/internal/faultsoak/softwareversions_test.go
@@ -9,45 +9,34 @@
 	"regexp"
 	"slices"
 	"strings"
-	"testing"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/emulator"
 )
 
 var (
-	versionsFlag  = flag.String("faultsoak.versions", "", "software versions of a deployment's targets; empty for two with odd seeds other than 1, else one: one; two, drawn at each start; roll, v1 at first and v2 for targets that replace others; new, another one every five starts")
-	inPlaceFlag   = flag.Bool("faultsoak.inplace", false, "a target that replaces another keeps its identifier and address; no conforming deployment does so")
-	recordLagFlag = flag.Duration("faultsoak.recordlag", 0, "longest time after which the record of a target that replaces another reaches the store")
-	noResumesFlag = flag.Bool("faultsoak.noresumes", false, "callers that resume a stream do not name the request that began it")
+	versionsFlag = flag.String("faultsoak.versions", "", "software versions of a deployment's targets, drawn by the seed if not given: one; two, drawn at each start; roll, v1 at first and v2 for targets that replace others; new, another one every five starts; services, one for each of the two services of streams")
+	inPlaceFlag  = flag.Bool("faultsoak.inplace", false, "a target that replaces another keeps its identifier and address; no conforming deployment does so")
 )
 
 const (
-	versionsOne  = "one"
-	versionsTwo  = "two"
-	versionsRoll = "roll"
-	versionsNew  = "new"
+	versionsOne      = "one"
+	versionsTwo      = "two"
+	versionsRoll     = "roll"
+	versionsNew      = "new"
+	versionsServices = "services"
 
 	// startsPerVersion is the number of starts of targets with the same version of versionsNew.
 	startsPerVersion = 5
 )
 
-// checkVersionsFlag ends the test if the flag names no form, as a run of it would show nothing.
-func checkVersionsFlag(t *testing.T) {
-	if !slices.Contains([]string{"", versionsOne, versionsTwo, versionsRoll, versionsNew}, *versionsFlag) {
-		t.Fatalf("unknown form in -faultsoak.versions=%s", *versionsFlag)
-	}
-}
+var versionsForms = []string{versionsOne, versionsTwo, versionsRoll, versionsNew, versionsServices}
 
-// software returns the software version of a target that starts. It is called by one goroutine at
-// a time.
-func (d *deploymentRun) software(replaces bool) string {
-	form := *versionsFlag
-	if form == "" && d.openFaults() { // CI, which runs seed 1, keeps its fleet of one version
-		form = versionsTwo
-	}
+// software returns the software version of a target of a service that starts. It is called by one
+// goroutine at a time.
+func (d *deploymentRun) software(service string, replaces bool) string {
 	n := 0
-	switch d.targetStarts++; form {
+	switch d.targetStarts++; d.fleet.versions {
 	case versionsTwo:
 		n = d.versions.IntN(2)
 	case versionsRoll:
@@ -56,18 +45,23 @@
 		}
 	case versionsNew:
 		n = (d.targetStarts - 1) / startsPerVersion
+	case versionsServices:
+		if strings.HasSuffix(service, movedSuffix) {
+			n = 1
+		}
 	}
 	return fmt.Sprintf("v%d", n+1)
 }
 
-// listLater writes the record of a target that replaces another, after a while with
-// -faultsoak.recordlag. The caller holds the lock of the world.
-func (w *world) listLater(e *engine) {
-	if *recordLagFlag == 0 {
+// listLater writes the record of a target that replaces another, after a while if records of the fleet
+// are late. The caller holds the lock of the world.
+func (d *deploymentRun) listLater(e *engine) {
+	w := d.world
+	if d.fleet.recordLag == 0 {
 		w.putTargetRecord(e, "ready")
 		return
 	}
-	lag := time.Duration(rand.Int64N(int64(*recordLagFlag)))
+	lag := time.Duration(rand.Int64N(int64(d.fleet.recordLag)))
 	e.listedFrom = time.Now().Add(lag)
 	time.AfterFunc(lag, func() {
 		w.mu.Lock()
