Full target behind a relay without an idle connection: stated limit

Cause: TestResponseOfFullTargetBehindRelayIsComplete wanted a whole answer to be passed on although a relay closes three connections in a row for its target, which is full, and the entry has no idle connection to it. The case "keeps idle connections false" of TestFullTargetBehindRelayHasNotEnded wants the same target to count as ended, and "target ends, as announced" of TestStreamInChunksEndingWithItsTargetIsIncomplete wants an announced close of such a target not to be believed: a target that has gone looks the same.

TestAnnouncedCloseBehindRelay asserts it without a clock, for a plain answer and a stream, and what can be told apart: a target that keeps an idle connection open, one that is full and answers, and one that is silent are believed. target-ends.md has the limit and its figures.

--- a/internal/coordination/gateway/targetends_test.go
+++ b/internal/coordination/gateway/targetends_test.go
@@ -48,6 +48,40 @@
 	})
 }
 
+// Guards against responses whose target had announced the close, and has ended behind a relay, that are passed on as
+// complete, and against whole ones that are broken off although their target answers, keeps an idle connection open
+// or is silent. A full target, to which the entry has no idle connection and whose relay closes new ones, looks like
+// one that has ended (docs/design/target-ends.md, Limits).
+func TestAnnouncedCloseBehindRelay(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		check    RunCheck
+		complete bool
+	}{
+		{"closes new connections", RunCheck{Liveness: Ended}, false},
+		{"closes new connections, keeps an idle one", RunCheck{Liveness: Running}, true},
+		{"is full and answers", RunCheck{SameIncarnation: true}, true},
+		{"is silent", RunCheck{TimedOut: true}, true},
+	} {
+		for route, answer := range map[string]behaviour{"/once/x": endsNow(Unproved, true, events), "/stream/x": closingBehind(Unproved, true, events)} {
+			t.Run(c.name+", "+route, func(t *testing.T) {
+				out, targets := &recordingResponder{}, &fakeTargetClient{behaviours: []behaviour{answer}}
+				synctest.Test(t, func(t *testing.T) {
+					svc := newService(goneTarget{targets, c.check})
+					svc.Serve(t.Context(), &state.Call{ID: "r", Host: "h", Path: route, APIKey: "key"}, time.Now(), out)
+				})
+				failure := FailureKind(0)
+				if !c.complete && route == "/once/x" {
+					failure = UnknownOutcome
+				}
+				if out.ended != c.complete || out.failure.Kind != failure || out.aborted != (!c.complete && route == "/stream/x") {
+					t.Errorf("complete %t, broken off %t, failure %v; want complete %t, failure %v", out.ended, out.aborted, out.failure.Kind, c.complete, failure)
+				}
+			})
+		}
+	}
+}
+
 // Guards against an empty response that is passed on as complete although the target, which ends,
 // has cancelled the handler before it wrote anything: HTTP servers then state a length of 0.
 func TestEmptyResponseEndingWithItsTargetIsIncomplete(t *testing.T) {
