Questions for origins keep identifiers that are not UTF-8

The question was encoded as JSON with the identifier of the request in it, and this copy replaced the one of the query parameter. JSON replaces bytes that are not UTF-8, so that the entry that knew the stream did not find it, and its caller was refused. The identifier is now only in the query parameter, as in earlier releases.

--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -357,8 +357,10 @@
 
 // Question asks where the stream of a request began.
 type Question struct {
-	Request    state.RequestID // that brought the first event; empty if it is not known
-	Candidates []Origin        // as Candidates of the asking entry
+	// Request brought the first event; empty if it is not known. It is not part of the JSON encoding, which
+	// would replace bytes that are not UTF-8.
+	Request    state.RequestID `json:"-"`
+	Candidates []Origin        // origins at which the asking entry knows that the stream may have begun
 	// ConfigVersion is that of the routes from which Candidates are.
 	ConfigVersion int64
 }
--- a/internal/transport/mesh/origin_test.go
+++ b/internal/transport/mesh/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/netip"
+	"net/url"
 	"slices"
 	"sync"
 	"testing"
@@ -212,3 +213,42 @@
 		t.Errorf("origin %v, error %v; want %v", o, err, want)
 	}
 }
+
+// Guards against a request identifier that is changed on its way to another entry, which then does not find the
+// stream: header values may have bytes that are not UTF-8.
+func TestQuestionKeepsIdentifier(t *testing.T) {
+	const id = "stream \xff\"&\x80"
+	asked := make(chan state.RequestID, 1)
+	a, _ := openMeshWithOrigins(t, Snapshot{}, nil)
+	b, _ := openMeshWithOrigins(t, Snapshot{}, func(q origin.Question) (origin.Origin, bool) {
+		asked <- q.Request
+		return origin.Origin{Service: "s", Software: "v1"}, true
+	})
+	b.AddAddress(a.self)
+	if err := b.Send(time.Now(), sameReport(Message{Instance: "b", Incarnation: 1, Sequence: 1})); err != nil {
+		t.Fatal(err)
+	}
+	for a.PeerCount(time.Now()) < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := a.AskOrigin(t.Context(), origin.Question{Request: id}); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-asked; got != id {
+		t.Errorf("another entry was asked for %q, want %q", got, id)
+	}
+}
+
+// Guards against a question of an entry of an earlier release, which states the service to which its route leads
+// instead of candidates, that is refused or answered by a conclusion from what serves now.
+func TestQuestionOfEarlierReleaseIsAnswered(t *testing.T) {
+	v1 := origin.Origin{Service: "s", Software: "v1"}
+	a, _ := openMeshWithOrigins(t, Snapshot{}, nil)
+	b, _ := openMeshWithOrigins(t, Snapshot{}, func(q origin.Question) (origin.Origin, bool) {
+		return v1, cmp.Equal(q, origin.Question{Request: "stream \xff"})
+	})
+	var o origin.Origin
+	if err := a.ask(t.Context(), b.self, originPath, url.Values{requestParameter: {"stream \xff"}, "service": {"s"}}, &o); err != nil || o != v1 {
+		t.Errorf("origin %v, error %v; want %v", o, err, v1)
+	}
+}
