--- /dev/null
+++ b/internal/daemon/lateconfiguration_test.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
+	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
+	"github.com/cassiaramp/cassiaramp/internal/state"
+	"github.com/cassiaramp/cassiaramp/platform"
+)
+
+// streamsLeadTo returns a configuration whose only route leads streams to a service.
+func streamsLeadTo(version int64, service state.Service) *state.Configuration {
+	return &state.Configuration{Version: version, Routes: []state.Route{
+		{Host: "h", Prefix: "/", Kind: state.StreamingRoute, Resumable: true, Split: []state.ServiceWeight{{Service: service, Weight: 1}}},
+	}}
+}
+
+// controlOfTwoServices returns a control that knows all origins at the services s and other, with a configuration
+// that leads streams to s.
+func controlOfTwoServices(t *testing.T, now time.Time) *control {
+	t.Helper()
+	c := controlWithList(now, state.TargetRecord{ID: "a", Service: "s", Software: "v1"}, state.TargetRecord{ID: "b", Service: "other", Software: "v1"})
+	c.p.gateway = gateway.New(gateway.Config{Origins: c.p.origins})
+	c.p.origins.Connected(now, now)
+	c.setConfiguration(streamsLeadTo(1, "s"), "store")
+	if o, _, ok := c.p.origins.Find(now, "stream", origin.Path{Host: "h", Path: "/x"}); !ok || o.Service != "s" {
+		t.Fatalf("before the move: origin %v, known %t", o, ok)
+	}
+	return c
+}
+
+// Guards against an entry that gets the newest configuration from another entry and the ones before it from the
+// store later, and takes the service of the newest for the origin of a stream that began by one of those.
+func TestConfigurationThatArrivesBehindNewerOne(t *testing.T) {
+	now := time.Now()
+	c := controlOfTwoServices(t, now)
+	c.setConfiguration(streamsLeadTo(3, "s"), "another entry")
+	c.setConfiguration(streamsLeadTo(2, "other"), "store")
+	if o, _, ok := c.p.origins.Find(now, "stream", origin.Path{Host: "h", Path: "/x"}); ok {
+		t.Errorf("origin %v is known of a stream that may have begun by version 2", o)
+	}
+}
+
+// Guards against an entry that hears of a newer configuration, does not have it yet, and takes the service of its
+// own one for the origin of a stream that began elsewhere by the newer one.
+func TestOriginWhileNewerConfigurationIsElsewhere(t *testing.T) {
+	now := time.Now()
+	c := controlOfTwoServices(t, now)
+	c.onConfigurationReport(now, "b", 2)
+	if o, _, ok := c.p.origins.Find(now, "stream", origin.Path{Host: "h", Path: "/x"}); ok {
+		t.Errorf("origin %v is known of a stream that may have begun by version 2", o)
+	}
+}
+
+// Guards against an entry that starts between a move and the next write of the services that share routes: it
+// reads them once, takes the service of the new configuration for the only one, and does not read them again.
+func TestEntryThatStartsBetweenMoveAndWrite(t *testing.T) {
+	now := time.Now()
+	_, store := startStore(t)
+	writer := controlOfTwoServices(t, now)
+	writer.p.store, writer.p.settings = store, &platform.Settings{Instance: "a"}
+	writer.p.mesh, _, _ = openMesh(t)
+	writer.listReadAt = now
+	m := mixedServices{control: writer}
+	m.update(t.Context(), now)
+	writer.setConfiguration(streamsLeadTo(2, "other"), "store")
+
+	starting := controlOfTwoServices(t, now)
+	starting.p.store, starting.p.settings = store, &platform.Settings{Instance: "c"}
+	starting.p.origins = origin.New(now, false)
+	starting.p.gateway = gateway.New(gateway.Config{Origins: starting.p.origins})
+	starting.p.origins.SetTargets(now, []state.TargetRecord{{ID: "a", Service: "s", Software: "v1"}, {ID: "b", Service: "other", Software: "v1"}})
+	starting.setConfiguration(streamsLeadTo(2, "other"), "store")
+	(&mixedServices{control: starting}).adopt(t.Context())
+
+	m.update(t.Context(), now.Add(mixedCheckInterval))
+	if stored, err := store.MixedServices(t.Context()); err != nil || len(stored) != 2 {
+		t.Fatalf("written %v, error %v", stored, err)
+	}
+	now = time.Now()
+	if !starting.p.origins.Covered(now) { // the services are read again
+		return
+	}
+	if o, _, ok := starting.p.origins.Find(now, "stream", origin.Path{Host: "h", Path: "/x"}); ok {
+		t.Errorf("origin %v is known of a stream that may have begun before the move, and the services are not read again", o)
+	}
+}
