--- a/internal/faultsoak/fleet_test.go
+++ b/internal/faultsoak/fleet_test.go
@@ -135,25 +135,31 @@
 	}
 }
 
-// Between two configurations that change the services of a route of streams. Callers may resume a
-// stream for up to 15 s, so that most of them see several.
-const minRouteGap, maxRouteGap = 500 * time.Millisecond, 4 * time.Second
+const (
+	// Up to maxRouteChanges configurations that change the services of routes of streams come in a series.
+	minRouteGap, maxRouteGap = 300 * time.Millisecond, 1500 * time.Millisecond
+	maxRouteChanges          = 4
+	// Between two series is a time in which no cut is beside a configuration: the judge compares both.
+	minRoutePause, maxRoutePause = configTime + 2*time.Second, configTime + 5*time.Second
+)
 
 // planRoutes adds the changes of routes of streams to a plan.
 func (d *deploymentRun) planRoutes(add func(at time.Duration, do func())) {
 	if d.fleet.services() == 1 {
 		return
 	}
-	for at := time.Duration(0); at < *dayFlag; at += minRouteGap + time.Duration(d.routing.Int64N(int64(maxRouteGap-minRouteGap))) {
-		add(at, func() {
-			for {
-				if k := d.kinds[d.routing.IntN(len(d.kinds))]; k.kind == "streaming" {
-					d.routeStreams(k)
-					break
-				}
-			}
-			d.writeConfiguration()
-		})
+	between := func(low, high time.Duration) time.Duration {
+		return low + time.Duration(d.routing.Int64N(int64(high-low)))
+	}
+	streams := slices.DeleteFunc(slices.Clone(d.kinds), func(k *requestKind) bool { return k.kind != "streaming" })
+	for at := time.Duration(0); at < *dayFlag; at += between(minRoutePause, maxRoutePause) {
+		for range 1 + d.routing.IntN(maxRouteChanges) {
+			add(at, func() {
+				d.routeStreams(streams[d.routing.IntN(len(streams))])
+				d.writeConfiguration()
+			})
+			at += between(minRouteGap, maxRouteGap)
+		}
 	}
 }
 
