Test of a lack of descriptors: the target accepts only when some are free

Cause, traced to the test: accept4 reserves a descriptor before it looks for a connection and gives it back if there is none. The target of the test runs in the same process, so that its first call may hold the last descriptor when the test finds none free, and frees it then. The request gets a connection, and nobody can accept it.

Change: nothing accepts until the descriptors are free again. The checks stay the same.

--- a/internal/transport/upstream/shortage_test.go
+++ b/internal/transport/upstream/shortage_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -54,16 +55,14 @@
 }
 
 // Guards against holding it against a sound target that this entry has no descriptor for a
-// connection to it, which ejects the target.
+// connection to it, which ejects the target. The target accepts connections only when descriptors are free again: a
+// call that accepts holds a descriptor until it finds no connection, so that one would become free behind the files.
 func TestLackOfDescriptorsIsNotHeldAgainstTheTarget(t *testing.T) {
 	if !runWithLowLimit(t) {
 		return
 	}
-	address, _ := startTarget(t, func(c net.Conn, r *bufio.Reader) {
-		for discardRequest(r) {
-			respond(t, c, response("a", "ok"))
-		}
-	})
+	ln := listen(t)
+	address := ln.Addr().String()
 	c := New()
 	files := useAllDescriptors(t)
 	if _, _, err := send(t, c, address, "a"); !errors.Is(err, gateway.ErrNotSent) || !errors.Is(err, gateway.ErrShortage) {
@@ -75,6 +74,11 @@
 	for _, f := range files[:4] {
 		f.Close()
 	}
+	go acceptAll(ln, &atomic.Int64{}, func(c net.Conn, r *bufio.Reader) {
+		for discardRequest(r) {
+			respond(t, c, response("a", "ok"))
+		}
+	})
 	if _, body, err := send(t, c, address, "a"); err != nil || body != "ok" {
 		t.Errorf("with free descriptors: body %q, error %v", body, err)
 	}
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -23,31 +23,41 @@
 // startTarget runs a target that serves each connection with handle. It returns its
 // address and the number of connections it accepted.
 func startTarget(t *testing.T, handle func(c net.Conn, requests *bufio.Reader)) (address string, opened *atomic.Int64) {
+	t.Helper()
+	ln := listen(t)
+	opened = &atomic.Int64{}
+	go acceptAll(ln, opened, handle)
+	return ln.Addr().String(), opened
+}
+
+// listen returns a listener that is closed at the end of the test.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	opened = &atomic.Int64{}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			if err != nil { // the process is short of descriptors for now
-				time.Sleep(time.Millisecond)
-				continue
-			}
-			opened.Add(1)
-			go func() {
-				defer c.Close()
-				handle(c, bufio.NewReader(c))
-			}()
+	return ln
+}
+
+// acceptAll calls handle for each connection until the listener is closed, and counts them in opened.
+func acceptAll(ln net.Listener, opened *atomic.Int64, handle func(c net.Conn, requests *bufio.Reader)) {
+	for {
+		c, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
 		}
-	}()
-	return ln.Addr().String(), opened
+		if err != nil { // the process is short of descriptors for now
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		opened.Add(1)
+		go func() {
+			defer c.Close()
+			handle(c, bufio.NewReader(c))
+		}()
+	}
 }
 
 // discardRequest reads one request and discards it. It returns false when the
