Tests of late answers and of a paused entry need no clock

Cause, traced to the tests: TestLateAnswerIsNoProof bounds a check by time that passes on the machine, while the check leaves out pauses of its process, so that it lasts longer beside a load. TestPausedEntryGoesOnAskingItsTarget starts the process that pauses it at the beginning of a check of 200 ms; on a busy machine that process came later ("took 211 ms and was not interrupted").

Change: the first runs in synctest on connections in memory, wants the exact time of the check, and that an answer did come late. In the second, the target lets the pause begin when the first request has arrived, and answers behind it.

--- a/internal/transport/upstream/identity_test.go
+++ b/internal/transport/upstream/identity_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cassiaramp/cassiaramp/internal/coordination/gateway"
@@ -211,23 +212,38 @@
 // Guards against a check that waits for a target for longer than its bound, and against an answer
 // that came too late and is taken for that to the next check.
 func TestLateAnswerIsNoProof(t *testing.T) {
-	const late = probeTimeout + 100*time.Millisecond
-	release := make(chan struct{})
-	address, _ := startTarget(t, func(conn net.Conn, requests *bufio.Reader) {
-		if discardRequest(requests) {
-			<-release
-			fmt.Fprint(conn, misdirected("i-1")) // the client has closed the connection
+	synctest.Test(t, func(t *testing.T) {
+		const late = probeTimeout + 100*time.Millisecond
+		release, lateWrites := make(chan struct{}), atomic.Int64{}
+		client, target := New(), state.TargetRecord{ID: "i-1", Address: "i-1"}
+		client.connect = func(context.Context, string, time.Duration) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				defer far.Close()
+				if !discardRequest(bufio.NewReader(far)) {
+					return
+				}
+				<-release
+				if _, err := fmt.Fprint(far, misdirected("i-1")); err != nil {
+					lateWrites.Add(1) // the client has closed the connection
+				}
+			}()
+			return near, nil
+		}
+		began := time.Now()
+		time.AfterFunc(late, func() { close(release) })
+		check := client.CheckRunning(t.Context(), &target, "")
+		if took := time.Since(began); check.Liveness != gateway.Unproved || !check.TimedOut || took != probeTimeout {
+			t.Errorf("check %+v after %s, want unproved and timed out after %s", check, took, probeTimeout)
+		}
+		if check := client.CheckRunning(t.Context(), &target, ""); check.Liveness != gateway.Running {
+			t.Errorf("check %+v of a target that answers again, want running", check)
+		}
+		synctest.Wait()
+		if lateWrites.Load() == 0 {
+			t.Error("no answer came late")
 		}
 	})
-	time.AfterFunc(late, func() { close(release) })
-	client, target, began := New(), state.TargetRecord{ID: "i-1", Address: address}, time.Now()
-	check := client.CheckRunning(t.Context(), &target, "")
-	if took := time.Since(began); check.Liveness != gateway.Unproved || !check.TimedOut || took >= late {
-		t.Errorf("check %+v after %s, want unproved and timed out within %s", check, took, late)
-	}
-	if check := client.CheckRunning(t.Context(), &target, ""); check.Liveness != gateway.Running {
-		t.Errorf("check %+v of a target that answers again, want running", check)
-	}
 }
 
 // Guards against what a target sent before its end and is read as its answer: a second copy of an
--- a/internal/transport/upstream/pausedprobe_test.go
+++ b/internal/transport/upstream/pausedprobe_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,23 +18,24 @@
 // Guards against a whole response that is broken off because the entry did not run for most of the
 // time in which it asked the target whether it runs: on a machine that is too busy, the time was over
 // after one try, and an answer that had come was not read.
+// The target lets another process pause this one when the first request has arrived, so that the pause lies inside
+// the check, and answers behind it.
 func TestPausedEntryGoesOnAskingItsTarget(t *testing.T) {
+	const pause = "kill -STOP $0; sleep 1.8; kill -CONT $0"
+	var paused sync.Once
 	address, _ := startTarget(t, func(c net.Conn, r *bufio.Reader) {
 		for discardRequest(r) {
-			time.Sleep(200 * time.Millisecond)
+			paused.Do(func() {
+				if err := exec.Command("sh", "-c", pause, strconv.Itoa(os.Getpid())).Run(); err != nil {
+					t.Errorf("pause: %v", err)
+				}
+			})
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nInstance-Id: t\r\nContent-Length: 0\r\n\r\n") // an error shows at the next read
 		}
 	})
-	pause := exec.Command("sh", "-c", "sleep 0.1; kill -STOP $0; sleep 1.8; kill -CONT $0", strconv.Itoa(os.Getpid()))
-	if err := pause.Start(); err != nil {
-		t.Fatal(err)
-	}
 	began := time.Now()
 	check := New().CheckRunning(t.Context(), &state.TargetRecord{ID: "t", Address: address}, "/healthz")
 	took := time.Since(began)
-	if err := pause.Wait(); err != nil {
-		t.Fatal(err)
-	}
 	if took < probeTimeout {
 		t.Fatalf("the check took %s and was not interrupted", took)
 	}
