An entry that was suspended asks those that it had heard before

Change: it asks those that it had heard up to 1.5 s before the last report. While reports come, these are the same.

Without the change, TestOriginIsAskedAfterSuspension fails.

--- a/internal/transport/mesh/origin.go
+++ b/internal/transport/mesh/origin.go
@@ -61,14 +61,15 @@
 // those that are told of it at once, and those that have been heard for longest, because an
 // entry that has started lately knows little. The error is nil if one knew.
 func (m *Mesh) AskOrigin(ctx context.Context, q origin.Question) (origin.Origin, error) {
-	now := time.Now()
 	encoded, err := json.Marshal(q)
 	if err != nil {
 		return origin.Origin{}, fmt.Errorf("encode question for the origin of stream %s: %w", q.Request, err)
 	}
 	query := url.Values{requestParameter: {string(q.Request)}, questionParameter: {string(encoded)}}
+	// An entry that was suspended has heard nobody lately, and asks those that it had heard before.
+	lastHeard := m.LastHeard(time.Now())
 	// One more than were told, because the sender itself may be among the first.
-	asked := append(m.rankedFor(now, origin.HashRequest(q.Request), originReceivers+1), m.longestHeard(now, maxLongestHeardAsked)...)
+	asked := append(m.rankedFor(lastHeard, origin.HashRequest(q.Request), originReceivers+1), m.longestHeard(lastHeard, maxLongestHeardAsked)...)
 	slices.SortFunc(asked, netip.AddrPort.Compare)
 	asked = slices.Compact(asked)
 	if len(asked) == 0 {
--- a/internal/transport/mesh/origin_test.go
+++ b/internal/transport/mesh/origin_test.go
@@ -212,3 +212,29 @@
 		t.Errorf("origin %v, error %v; want %v", o, err, want)
 	}
 }
+
+// Guards against an entry that was suspended, has heard nobody lately when it goes on, and refuses callers
+// although others know where their streams began.
+func TestOriginIsAskedAfterSuspension(t *testing.T) {
+	want := origin.Origin{Service: "s", Software: "v1"}
+	asker, _ := openMesh(t, Snapshot{})
+	p, _ := openMeshWithOrigins(t, Snapshot{}, func(origin.Question) (origin.Origin, bool) { return want, true })
+	p.AddAddress(asker.self)
+	if err := p.Send(time.Now(), sameReport(Message{Instance: "b", Incarnation: 1, Sequence: 1})); err != nil {
+		t.Fatal(err)
+	}
+	for asker.PeerCount(time.Now()) < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	asker.mu.Lock()
+	asker.peers[p.self].lastHeard = time.Now().Add(-2 * heardLately)
+	asker.mu.Unlock()
+	var o origin.Origin
+	err := errors.New("not asked")
+	for try := 0; err != nil && try < 20; try++ { // an answer may take longer than originTimeout on a busy machine
+		o, err = asker.AskOrigin(t.Context(), origin.Question{Request: "stream"})
+	}
+	if err != nil || o != want {
+		t.Errorf("origin %v, error %v; want %v", o, err, want)
+	}
+}
