The origin of a stream that is taken up is kept at once

Cause: an entry that found out where a stream began, because there was one origin only or by an answer of another entry, remembered it only with the first event of the resumption. Where that attempt got none (overload, a target that ended), the caller's next one was refused: the entries that knew had ended, or another version had come.

Change: the origin is remembered, and reported as the streams of this entry, as soon as it is found out. Streams that nobody takes up and fleets of one origin send nothing new.

--- a/internal/coordination/gateway/software_test.go
+++ b/internal/coordination/gateway/software_test.go
@@ -168,6 +168,30 @@
 	}
 }
 
+// Guards against a caller that is refused at its second attempt to take a stream up, because the entry that knew
+// where the stream began has ended since the first one, which got no event.
+func TestOriginIsKeptBetweenAttemptsToTakeStreamUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := &fakeTargetClient{behaviours: []behaviour{respondWith(200, events)}}
+		s := newSoftwareService(targets, 1, "v1", "v2")
+		known := true
+		s.cfg.AskOrigin = func(context.Context, origin.Question) (origin.Origin, error) {
+			if !known {
+				return origin.Origin{}, errors.New("unknown")
+			}
+			return origin.Origin{Service: "s", Software: "v3"}, nil
+		}
+		if out := serve(t, s, state.Call{ID: "second", ResumeAfter: "1", ResumedRequest: "first"}); out.ended || out.failure.Kind != NotRun {
+			t.Fatalf("ended %t, failure %v of a stream whose version has no target", out.ended, out.failure)
+		}
+		known = false
+		setSoftware(s, "t", "v1", "v3")
+		if out := serve(t, s, state.Call{ID: "third", ResumeAfter: "1", ResumedRequest: "first"}); !out.ended {
+			t.Errorf("failure %v, want that it goes on", out.failure)
+		}
+	})
+}
+
 // Guards against refusing a stream that is taken up in the first moments of a process, which
 // learns a little later that all targets have had one version.
 func TestStreamTakenUpAtTheStartOfAProcess(t *testing.T) {
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -60,6 +60,7 @@
 	if err != nil {
 		return &Failure{Kind: NotRun, Reason: "unknown_origin", RetryAfter: r.capRetryAfter(unknownOriginRetryAfter)}
 	}
+	r.service.cfg.Origins.Found(time.Now(), r.call.ResumedRequest, o)
 	if !r.route.LeadsTo(o.Service) {
 		return &Failure{Kind: NotRun, Reason: "origin_not_on_route"}
 	}
--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -314,6 +314,24 @@
 func (l *Log) Begin(now time.Time, id state.RequestID, path Path, origin Origin) (urgent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.beginHere(now, id, origin)
+	s := l.services[origin.Service]
+	return len(l.candidates(now, path)) > 1 || s != nil && s.adoptedShared(now)
+}
+
+// Found remembers an origin that was found out for a stream that a caller takes up here, and reports it as
+// if the stream had begun here. The caller may take it up again before it gets an event, when those that knew
+// the origin have ended, or when it is no longer the only one.
+func (l *Log) Found(now time.Time, id state.RequestID, origin Origin) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, known := l.remembered(now, id); !known && id != "" {
+		l.beginHere(now, id, origin)
+	}
+}
+
+// beginHere remembers an origin that reports are to contain.
+func (l *Log) beginHere(now time.Time, id state.RequestID, origin Origin) {
 	hash, added := HashRequest(id), stream{origin, now.Add(MaxTakeUpTime)}
 	_, known := l.streams[hash]
 	if l.remember(now, hash, added) {
@@ -322,8 +340,6 @@
 		}
 		l.own = append(l.own, ownStream{stream: added, hash: hash, nearReports: reportsEach, farReports: reportsEach})
 	}
-	s := l.services[origin.Service]
-	return len(l.candidates(now, path)) > 1 || s != nil && s.adoptedShared(now)
 }
 
 // Learn remembers the origins in a report of another entry.
--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -349,6 +349,9 @@
 						continue
 					}
 					o, question, ok := l.Find(f.now, id, onlyPath)
+					if ok && rapid.Bool().Draw(t, "taken up") {
+						l.Found(f.now, id, o)
+					}
 					if ok && o != s.Origin {
 						t.Fatalf("entry %d holds %v for the origin of a stream that began at %v", i, o, s.Origin)
 					}
@@ -521,3 +524,41 @@
 		})
 	}
 }
+
+// Guards against a caller who is refused because its first attempt to take a stream up got no event, and by the
+// next one the entry of the stream has ended or another version serves; and against reports of such streams in
+// a fleet of one version.
+func TestFoundOriginIsKept(t *testing.T) {
+	want := Origin{"s", "v1"}
+	l, other := newLog("v1"), newLog("v1", "v2")
+	o, _, ok := l.Find(start, "stream", onlyPath)
+	if !ok || o != want {
+		t.Fatalf("found %v, %t with one version", o, ok)
+	}
+	l.Found(start, "stream", o)
+	l.Found(start, "", o)
+	if notes := l.Unreported(start, false); notes != nil {
+		t.Errorf("%v are reported although there is one version", notes)
+	}
+	l.SetTargets(start, targets("v1", "v2"))
+	if o, _, ok := l.Find(start, "stream", onlyPath); !ok || o != want {
+		t.Errorf("found %v, %t after another version was listed", o, ok)
+	}
+	if o, _, ok := l.Find(start, "", onlyPath); ok {
+		t.Errorf("found %v for a stream that is not named", o)
+	}
+	other.Learn(start, l.Unreported(start, false))
+	if o, _, ok := other.Find(start, "stream", onlyPath); !ok || o != want {
+		t.Errorf("found %v, %t at another entry after a report", o, ok)
+	}
+	l.Unreported(start, false)
+	l.Found(start, "stream", o)
+	if notes := l.Unreported(start, false); notes != nil {
+		t.Errorf("%v are reported again for an origin that was known", notes)
+	}
+	l.Begin(start, "unsure", onlyPath, Origin{"s", Unsure})
+	l.Found(start, "unsure", want)
+	if o, _, ok := l.Find(start, "unsure", onlyPath); !ok || o.Software != Unsure {
+		t.Errorf("found %v, %t for a stream of an unsure origin", o, ok)
+	}
+}
