Services with several origins are written when they change

Cause: the entry that writes keyed.mixed checked every second. An entry that starts within that second after a version has left or a route was moved reads that there was one origin, and takes the new one for that of a stream that began before.

Change: a change of the list of targets or of the configuration starts the check at once. The records and their number stay the same. What is left is the time from the change to the write.

Result: TestChangesOfOriginsAreWrittenAtOnce fails without it.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -34,6 +34,7 @@
 	if !c.p.gateway.SetConfiguration(config) {
 		return
 	}
+	c.checkMixedServices()
 	c.p.quota.SetCustomers(time.Now(), config.Customers)
 	c.logChangedAllowances(old, config)
 	c.p.log.Info("configuration in effect", zap.Int64("version", config.Version), zap.String("source", source),
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -48,6 +48,7 @@
 	list *targetlist.List
 
 	fetchRequests chan state.InstanceID // the entry to ask first
+	mixedDue      chan struct{}         // has an element when the services with several origins may have changed
 
 	mu sync.Mutex // guards the fields below, except the throttles
 	// topics has the state of each topic by name. Only the goroutine of loop changes it.
@@ -84,7 +85,7 @@
 
 func newControl(p *gatewayProcess) *control {
 	return &control{
-		p: p, events: make(chan func(time.Time), 64), loopEnded: make(chan struct{}), fetchRequests: make(chan state.InstanceID, 1), list: targetlist.New(),
+		p: p, events: make(chan func(time.Time), 64), loopEnded: make(chan struct{}), fetchRequests: make(chan state.InstanceID, 1), mixedDue: make(chan struct{}, 1), list: targetlist.New(),
 		topics: make(map[string]*topicState), drained: make(map[state.InstanceID]map[state.Service]uint64), storeRestored: make(chan struct{}),
 	}
 }
--- a/internal/daemon/origins.go
+++ b/internal/daemon/origins.go
@@ -101,10 +101,20 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+		case <-c.mixedDue:
 		}
 	}
 }
 
+// checkMixedServices lets shareMixedServices write what has changed at once: an entry that starts before it is
+// written takes the only origin of the new list or configuration for that of a stream that began before.
+func (c *control) checkMixedServices() {
+	select {
+	case c.mixedDue <- struct{}{}:
+	default: // a check is due already
+	}
+}
+
 // mixedServices reads and writes the services with several software versions.
 type mixedServices struct {
 	control *control
--- a/internal/daemon/origins_test.go
+++ b/internal/daemon/origins_test.go
@@ -89,6 +89,36 @@
 	check(end, one, none)
 }
 
+// Guards against an entry that starts just after a version has left or a route was moved, reads from the store
+// that there was one origin, and takes the new one for that of a stream that began before.
+func TestChangesOfOriginsAreWrittenAtOnce(t *testing.T) {
+	now := time.Now()
+	c := controlWithList(now, state.TargetRecord{ID: "a", Service: "s", Software: "v1"})
+	due := func(what string, want bool) {
+		t.Helper()
+		select {
+		case <-c.mixedDue:
+			if !want {
+				t.Errorf("%s: services with several origins are checked", what)
+			}
+		default:
+			if want {
+				t.Errorf("%s: services with several origins are not checked", what)
+			}
+		}
+	}
+	due("first list", true)
+	c.publish(now)
+	due("the same list", false)
+	c.list.Put(state.TargetRecord{ID: "a", Service: "s", Software: "v2"})
+	c.publish(now)
+	due("another version", true)
+	c.setConfiguration(&state.Configuration{Version: 1}, "store")
+	due("a configuration", true)
+	c.setConfiguration(&state.Configuration{Version: 1}, "store")
+	due("the same configuration", false)
+}
+
 // Guards against several entries that write the same records, and against an entry that
 // overwrites them although it does not know all versions.
 func TestOneEntryWritesMixedServices(t *testing.T) {
--- a/internal/daemon/targetlist.go
+++ b/internal/daemon/targetlist.go
@@ -162,6 +162,7 @@
 	}
 	c.handleTargetChanges(old, records)
 	c.p.origins.SetTargets(now, records) // before a report with the same hash makes the list count as current
+	c.checkMixedServices()
 	c.mu.Lock()
 	c.published = records
 	c.lastChange, c.lastChangeAt = newListChange(c.listHash, old, records), now
