--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -350,6 +350,23 @@
 func (l *Log) Begin(now time.Time, id state.RequestID, origin Origin) (urgent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.beginHere(now, id, origin)
+	return l.isMixed(now, origin.Service)
+}
+
+// Found remembers an origin that was found out for a stream that a caller takes up here, and reports it as
+// if the stream had begun here. The caller may take it up again before it gets an event, when those that knew
+// the origin have ended, or when it is no longer the only one.
+func (l *Log) Found(now time.Time, id state.RequestID, origin Origin) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, known := l.remembered(now, id); !known && id != "" {
+		l.beginHere(now, id, origin)
+	}
+}
+
+// beginHere remembers an origin that reports are to contain.
+func (l *Log) beginHere(now time.Time, id state.RequestID, origin Origin) {
 	hash, added := HashRequest(id), stream{origin, now.Add(MaxTakeUpTime)}
 	_, known := l.streams[hash]
 	if l.remember(now, hash, added) {
@@ -358,7 +375,6 @@
 		}
 		l.own = append(l.own, ownStream{stream: added, hash: hash, nearReports: reportsEach, farReports: reportsEach})
 	}
-	return l.isMixed(now, origin.Service)
 }
 
 // isMixed reports whether Mixed has the service.
