--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -95,8 +95,7 @@
 	// Quarantine knows the parts of prompts, and the contents of requests, that crash targets.
 	Quarantine *quarantine.Ledger
 	// Origins remembers where streams began. AskOrigin asks other entries where the stream
-	// of a request began, which is at service if nothing else is known. The error says why
-	// none knew.
+	// of a request began. The error says why none knew.
 	Origins   *origin.Log
 	AskOrigin func(ctx context.Context, q origin.Question) (origin.Origin, error)
 	// TellOrigin tells other entries at once where the streams of requests began, without waiting
--- a/internal/coordination/gateway/takeup.go
+++ b/internal/coordination/gateway/takeup.go
@@ -108,8 +108,8 @@
 	r.shareOrigin(*r.software)
 }
 
-// shareOrigin remembers the software version at which the stream began, under the requests that its caller
-// may name, and tells other entries of it.
+// shareOrigin remembers where the stream began, under the requests that its caller may name, and tells other
+// entries of it.
 func (r *request) shareOrigin(software state.SoftwareVersion) {
 	if !r.route.Resumable {
 		return
--- a/internal/daemon/origins.go
+++ b/internal/daemon/origins.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// isConnected reports whether a software version that begins to serve becomes known here:
+// isConnected reports whether a software version that begins to serve, or a configuration, becomes known here:
 // the list of targets is current, or most other entries are heard.
 func (p *gatewayProcess) isConnected(now time.Time) bool {
 	if listCurrentAt, _ := p.control.listTimes(); now.Sub(listCurrentAt) < maxListAge {
@@ -81,7 +81,7 @@
 	return c.listCurrentAt, c.listReadAt
 }
 
-// shareMixedServices keeps the services with several software versions in the store. One
+// shareMixedServices keeps the services of origin.Log.Mixed in the store. One
 // entry writes them; entries that have just started or were cut off read them, because
 // the list of targets does not say which versions served before.
 func (c *control) shareMixedServices(ctx context.Context) error {
@@ -115,7 +115,7 @@
 	}
 }
 
-// mixedServices reads and writes the services with several software versions.
+// mixedServices reads and writes the services of origin.Log.Mixed.
 type mixedServices struct {
 	control *control
 	// stored is what the store holds; nil if that is unknown.
@@ -127,7 +127,7 @@
 func (m *mixedServices) read(ctx context.Context) bool {
 	var err error
 	if m.stored, err = m.control.p.store.MixedServices(ctx); err != nil {
-		m.control.p.log.Warn("services with several software versions not read", zap.Error(err))
+		m.control.p.log.Warn("services with several origins not read", zap.Error(err))
 	}
 	return err == nil
 }
@@ -138,7 +138,7 @@
 		return
 	}
 	m.control.p.origins.AdoptMixed(time.Now(), m.stored)
-	m.control.p.log.Info("services with several software versions known", zap.Any("services", m.stored))
+	m.control.p.log.Info("services with several origins known", zap.Any("services", m.stored))
 }
 
 // update writes what has changed, if this entry is to write: it reads the list of targets,
@@ -175,9 +175,9 @@
 func (m *mixedServices) put(ctx context.Context, service state.Service, versions []state.SoftwareVersion) bool {
 	p := m.control.p
 	if err := p.store.PutMixedService(ctx, service, versions); err != nil {
-		p.log.Warn("software versions of a service not written", zap.String("service", string(service)), zap.Error(err))
+		p.log.Warn("origins of a service not written", zap.String("service", string(service)), zap.Error(err))
 		return false
 	}
-	p.log.Info("software versions of a service written", zap.String("service", string(service)), zap.Any("versions", versions))
+	p.log.Info("origins of a service written", zap.String("service", string(service)), zap.Any("versions", versions))
 	return true
 }
