Entries started again with the settings of a first start read the services that share routes

Cause: Bootstrap in the settings counted as proof that no stream could have begun earlier. An entry whose process is started again with the same settings states it too. It then took the service to which a route leads now for the origin of any stream, and, being the first writer, removed the marks of shared services from the store, so that others that started afterwards did the same.

Change: every entry reads the services from the store at its start. A first start costs one read.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -104,7 +104,9 @@
 	})
 	p.store.OnInvalidEra = func(err error) { p.log.Warn("era of the store ignored", zap.Error(err)) }
 	p.refusals = refusal.NewLog()
-	p.origins = origin.New(p.startedAt, s.FirstStart)
+	// FirstStart is not taken as a sign that there are no streams: an entry that is started again with the same
+	// settings states it too. What the store has of a first start is read within milliseconds.
+	p.origins = origin.New(p.startedAt, false)
 	p.quarantine = quarantine.New(quarantine.Config{
 		Self: s.Instance, Others: func(now time.Time) []state.InstanceID { return p.mesh.Heard(now) }, OnChange: p.logQuarantine,
 	})
--- a/internal/faultsoak/movedroutes_test.go
+++ b/internal/faultsoak/movedroutes_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -41,12 +43,9 @@
 	return n
 }
 
-// Guards against streams that callers take up, after their entry was killed or stopped, and that go on at
-// another service than the one that began them, because a configuration has moved or split their route; and
-// against refusing callers that name their request because no entry knows where it began. Refusals because
-// the route no longer leads to the service of the stream are right.
-func TestResumptionsOfMovedRoutes(t *testing.T) {
-	rounds := len(resumptionFaults) * *seedsFlag
+// newWorldOfTwoServices returns a world whose targets belong to two services of one version by turns, and
+// write the name of theirs in each event.
+func newWorldOfTwoServices(t *testing.T) *world {
 	w := newEmptyWorld(t, buildDaemon(t), *seedFlag)
 	t.Cleanup(w.close)
 	for i := range 12 {
@@ -62,6 +61,16 @@
 	}
 	go w.repeatTargetRecords()
 	w.waitReady(10 * time.Second)
+	return w
+}
+
+// Guards against streams that callers take up, after their entry was killed or stopped, and that go on at
+// another service than the one that began them, because a configuration has moved or split their route; and
+// against refusing callers that name their request because no entry knows where it began. Refusals because
+// the route no longer leads to the service of the stream are right.
+func TestResumptionsOfMovedRoutes(t *testing.T) {
+	rounds := len(resumptionFaults) * *seedsFlag
+	w := newWorldOfTwoServices(t)
 	moving, stop := context.WithCancel(t.Context())
 	moved := make(chan struct{})
 	go func() {
@@ -97,3 +106,29 @@
 
 // unnamedEach: every so many callers of TestResumptionsOfMovedRoutes name no request.
 const unnamedEach = 3
+
+// Guards against entries that have just started again and take the service to which a route has been moved
+// a moment before for the origin of any stream. One of them has settings that state the first start of the
+// system, as it had when that was true.
+func TestRestartAfterMoveOfRoute(t *testing.T) {
+	w := newWorldOfTwoServices(t)
+	time.Sleep(mixedServicesTime)
+	w.resumeAt = []string{otherModel}
+	w.writeConfiguration()
+	time.Sleep(mixedServicesTime)
+	for i, e := range w.entries {
+		e.signal(syscall.SIGKILL)
+		for end, n := time.Now().Add(restartedTime), 0; time.Now().Before(end); n++ {
+			r := w.send(e, fmt.Sprintf("restart-%d-%d", i, n), "resume", map[string]string{"Last-Event-Id": "1", "Resumes": "unknown"})
+			if r.status == http.StatusOK {
+				t.Errorf("%s, which has started again after a move, took a stream up at %q", e.name, r.body)
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// restartedTime covers the start of a process, about 0.5 s, and the check a second later at which it reads
+// from the store what it lacks.
+const restartedTime = 1500 * time.Millisecond
