--- a/internal/daemon/origins_test.go
+++ b/internal/daemon/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -119,6 +120,90 @@
 	due("the same configuration", false)
 }
 
+// routeTo returns a configuration that leads the resumable route to services.
+func routeTo(version int64, services ...state.Service) *state.Configuration {
+	r := state.Route{Host: "h", Prefix: "/", Kind: state.StreamingRoute, Resumable: true}
+	for _, name := range services {
+		r.Split = append(r.Split, state.ServiceWeight{Service: name, Weight: 1})
+	}
+	return &state.Configuration{Version: version, Routes: []state.Route{r}}
+}
+
+// twoServices are targets of one version for the services s and other.
+var twoServices = []state.TargetRecord{{ID: "a", Service: "s", Software: "v1"}, {ID: "b", Service: "other", Software: "v1"}}
+
+// Guards against an entry that starts after a configuration has moved or split a route, and takes the service
+// to which it leads now for the origin of a stream that it does not know, although the store has the mark of
+// the services that share it; against refusing such streams long after the move; and against writes
+// where routes lead to one service of one version each.
+func TestSharedServicesAreKeptInStore(t *testing.T) {
+	stream := origin.Path{Host: "h", Path: "/x"}
+	none := map[state.Service][]state.SoftwareVersion{}
+	both := map[state.Service][]state.SoftwareVersion{"s": {"v1", "\x00other services"}, "other": {"v1", "\x00other services"}}
+	withNew := map[state.Service][]state.SoftwareVersion{"s": {"v1", "\x00other services"}, "new": {"\x00other services"}}
+	for name, c := range map[string]struct {
+		configs []*state.Configuration
+		want    map[state.Service][]state.SoftwareVersion
+		origin  state.Service // of an unknown stream, to the entry that has started; empty for none
+	}{
+		"not moved":                        {[]*state.Configuration{routeTo(1, "s"), routeTo(2, "s")}, none, "s"},
+		"moved":                            {[]*state.Configuration{routeTo(1, "s"), routeTo(2, "other")}, both, ""},
+		"moved and back":                   {[]*state.Configuration{routeTo(1, "s"), routeTo(2, "other"), routeTo(3, "s")}, both, ""},
+		"split":                            {[]*state.Configuration{routeTo(1, "s"), routeTo(2, "s", "other")}, both, ""},
+		"one side of the split taken away": {[]*state.Configuration{routeTo(1, "s", "other"), routeTo(2, "other")}, both, ""},
+		"a new service, and back":          {[]*state.Configuration{routeTo(1, "s"), routeTo(2, "new"), routeTo(3, "s")}, withNew, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			emulated, store := startStore(t)
+			c0 := controlWithList(now, twoServices...)
+			c0.p.store, c0.p.settings, c0.listReadAt = store, &platform.Settings{Instance: "a"}, now
+			c0.p.mesh, _, _ = openMesh(t)
+			c0.p.origins.SetTargets(now, twoServices)
+			m := mixedServices{control: c0}
+			check := func(at time.Time, want map[state.Service][]state.SoftwareVersion) {
+				t.Helper()
+				c0.listReadAt = at
+				c0.p.origins.Connected(at, at, at)
+				m.update(t.Context(), at)
+				got, err := store.MixedServices(t.Context())
+				if diff := cmp.Diff(want, got); err != nil || diff != "" {
+					t.Errorf("error %v, in the store (-want +got):\n%s", err, diff)
+				}
+			}
+			check(now, none)
+			for _, config := range c.configs {
+				c0.p.origins.SetRoutes(now, config)
+			}
+			before := emulated.Calls(platform.MixedServiceTopic)
+			check(now, c.want)
+			if n := emulated.Calls(platform.MixedServiceTopic) - before - 1; n != len(c.want) { // check reads once
+				t.Errorf("%d calls to the store for %d services", n, len(c.want))
+			}
+
+			starting := controlWithList(now)
+			starting.p.store, starting.p.origins = store, origin.New(now, false)
+			starting.p.origins.SetTargets(now, twoServices)
+			starting.p.origins.SetRoutes(now, c.configs[len(c.configs)-1])
+			adopting := mixedServices{control: starting}
+			adopting.adopt(t.Context())
+			o, _, ok := starting.p.origins.Find(time.Now(), "stream", stream)
+			if ok != (c.origin != "") || o.Service != c.origin {
+				t.Errorf("origin %v, known %t to the entry that has started; want %q", o, ok, c.origin)
+			}
+
+			if strings.Contains(name, "split") && c.configs[len(c.configs)-1].Routes[0].LeadsTo("s") {
+				return // its services go on sharing the route
+			}
+			end := now.Add(2*origin.MaxTakeUpTime + time.Second)
+			for at := now; at.Before(end); at = at.Add(time.Second) {
+				c0.p.origins.Connected(at, at, at)
+			}
+			check(end, none)
+		})
+	}
+}
+
 // Guards against several entries that write the same records, and against an entry that
 // overwrites them although it does not know all versions.
 func TestOneEntryWritesMixedServices(t *testing.T) {
