--- a/internal/transport/upstream/endingforms_test.go
+++ b/internal/transport/upstream/endingforms_test.go
@@ -66,7 +66,10 @@
 			t.Run(c.ending+", "+route, func(t *testing.T) {
 				target := startEndingTarget(t, c.ending)
 				g := newGateway(New(), []string{target.address})
-				s := serveStreams(t, g, route, []int{c.length}, target.terminate)[0]
+				s := serveStreams(t, g, route, []int{c.length}, func() {
+					time.Sleep(20 * endingEventGap) // so that the time between two events is known well
+					target.terminate()
+				})[0]
 				if n := int(s.events.Load()); s.complete || (n == c.length) != c.whole {
 					t.Errorf("complete %t after %d of %d events", s.complete, n, c.length)
 				}
