--- a/internal/faultsoak/movedroutes_test.go
+++ b/internal/faultsoak/movedroutes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -13,6 +14,8 @@
 	"github.com/cassiaramp/cassiaramp/internal/emulator"
 )
 
+var lateConfigFlag = flag.Bool("faultsoak.lateconfigurations", false, "the store leaves waiting reads unanswered, so that entries hear of moved routes up to 1.2 s after each other")
+
 // otherModel is a second service of targets that stream.
 const otherModel = "other-model"
 
@@ -71,6 +74,7 @@
 func TestResumptionsOfMovedRoutes(t *testing.T) {
 	rounds := len(resumptionFaults) * *seedsFlag
 	w := newWorldOfTwoServices(t)
+	w.store.HoldWaitingReads.Store(*lateConfigFlag)
 	moving, stop := context.WithCancel(t.Context())
 	moved := make(chan struct{})
 	go func() {
