A configuration that was in effect elsewhere only makes origins unknown here

Callers that name no request got events of two services, with configurations that reach entries late: an entry fetched a configuration that moved a route back and never had the one between, so that its own two lead alike. Class: what an entry does not know.

If another entry has reported a version between the two, the history counts as incomplete: the entry reads the services with several origins from the store, once, and asks others until it has.

The test fails without the change.

--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -73,6 +73,8 @@
 	// newerRoutes is the highest version of a configuration that another entry has reported.
 	newerRoutes   int64
 	newerRoutesAt time.Time // of the report
+	// unseenRoutes is the lowest version that was newer than the one here when it was reported; 0 for none.
+	unseenRoutes int64
 	// listAt is when the list of targets was current, newerListAt the same of a newer one that another
 	// entry has.
 	listAt, newerListAt time.Time
@@ -144,6 +146,9 @@
 	if version >= l.newerRoutes || now.Sub(l.newerRoutesAt) > MaxTakeUpTime {
 		l.newerRoutes, l.newerRoutesAt = version, now
 	}
+	if l.routes.byKey != nil && version > l.routes.version && (l.unseenRoutes == 0 || version < l.unseenRoutes) {
+		l.unseenRoutes = version
+	}
 }
 
 // NewerListReported records that another entry has a list of targets that differs from the one here and
--- a/internal/coordination/origin/routes.go
+++ b/internal/coordination/origin/routes.go
@@ -65,6 +65,10 @@
 	if h.byKey != nil && c.Version < h.version {
 		past = h.missedRoutes(now, c)
 	} else {
+		if l.unseenRoutes != 0 && l.unseenRoutes < c.Version {
+			l.coveredSince = now // streams may have begun by a configuration that has never been in effect here
+		}
+		l.unseenRoutes = 0
 		changed, past = h.replace(now, c)
 	}
 	l.markShared(now, changed, past)
--- a/internal/coordination/origin/routes_test.go
+++ b/internal/coordination/origin/routes_test.go
@@ -302,3 +302,25 @@
 		t.Errorf("services whose streams others are told of: %q", mixed)
 	}
 }
+
+// Guards against an entry that has never had a configuration which moved a route, because it got the next one,
+// which moves it back, from another entry.
+func TestUnknownStreamOfConfigurationThatWasNeverInEffectHere(t *testing.T) {
+	for _, missed := range []bool{true, false} {
+		l := newLogOfTwo()
+		l.SetRoutes(start, leadTo(2, "s"))
+		if missed {
+			l.ConfigurationReported(start, 4)
+		}
+		l.ConfigurationReported(start, 6)
+		l.SetRoutes(start, leadTo(6, "s"))
+		l.Connected(start, start, start)
+		if o, _, ok := l.Find(start, "stream", onlyPath); ok == missed {
+			t.Errorf("another configuration was in effect elsewhere: %t; origin %v, known %t", missed, o, ok)
+		}
+		l.AdoptMixed(start, nil)
+		if o, _, ok := l.Find(start, "stream", onlyPath); !ok || o.Service != "s" {
+			t.Errorf("origin %v, known %t after the services with several origins were read", o, ok)
+		}
+	}
+}
