--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -34,12 +34,6 @@
 	// maxNotes bounds the origins in a report, of about 9 bytes each.
 	maxNotes       = 400
 	expiryInterval = time.Second // between removals of expired origins
-	// maxIsolation is the time without Connected after which versions may have served
-	// that are not known here.
-	maxIsolation = 2 * time.Second
-	// maxUnconfirmed is the time for which what is known here is taken for all that there is. It
-	// exceeds the 400 ms between reports of other entries, which tell of a new version or service.
-	maxUnconfirmed = 600 * time.Millisecond
 )
 
 // Unsure is the software version of streams that may have begun at either of two. No target has it.
@@ -63,24 +57,10 @@
 	mu       sync.Mutex
 	services map[state.Service]*service
 	routes   routeHistory
-	// coveredSince is the time since when all versions that served, and all services to which
-	// routes led, are known.
-	coveredSince time.Time
-	// connectedAt is when Connected was called last.
-	connectedAt, connectedAtTimeOfDay time.Time
-	// completeAt is the latest time at which all versions and routes by which streams began were known here.
-	completeAt time.Time
-	// newerRoutes is the highest version of a configuration that another entry has reported.
-	newerRoutes   int64
-	newerRoutesAt time.Time // of the report
-	// unseenRoutes is the lowest version that was newer than the one here when it was reported; 0 for none.
-	unseenRoutes int64
-	// listAt is when the list of targets was current, newerListAt the same of a newer one that another
-	// entry has.
-	listAt, newerListAt time.Time
-	streams             map[uint64]stream
-	own                 []ownStream // in the order in which they began
-	nextExpiry          time.Time
+	knowledge
+	streams    map[uint64]stream
+	own        []ownStream // in the order in which they began
+	nextExpiry time.Time
 }
 
 // service holds the versions of a service that serve or have served lately.
@@ -114,70 +94,16 @@
 // New returns an empty log. allKnown says that no stream can have begun before now, as at
 // the first start of the whole system.
 func New(now time.Time, allKnown bool) *Log {
-	l := &Log{services: make(map[state.Service]*service), streams: make(map[uint64]stream), coveredSince: now, connectedAt: now, connectedAtTimeOfDay: now.Round(0), completeAt: now}
+	l := &Log{
+		services: make(map[state.Service]*service), streams: make(map[uint64]stream),
+		knowledge: knowledge{coveredSince: now, connectedAt: now, connectedAtTimeOfDay: now.Round(0), completeAt: now},
+	}
 	if allKnown {
 		l.coveredSince = now.Add(-MaxTakeUpTime)
 	}
 	return l
 }
 
-// Connected records that the list of targets is current or that other entries are heard,
-// so that a version that serves now is known here or soon will be. It must be called at
-// intervals well below maxIsolation. timeOfDay tells of times in which the instance was
-// suspended, which the steady clock of now does not count. completeAt is the latest time for
-// which it is known that other entries could not know of more.
-func (l *Log) Connected(now, timeOfDay, completeAt time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	timeOfDay = timeOfDay.Round(0) // without the steady clock's reading
-	if now.Sub(l.connectedAt) > maxIsolation || timeOfDay.Sub(l.connectedAtTimeOfDay).Abs() > maxIsolation {
-		l.coveredSince = now
-	}
-	l.connectedAt, l.connectedAtTimeOfDay = now, timeOfDay
-	if completeAt.After(l.completeAt) {
-		l.completeAt = completeAt
-	}
-}
-
-// ConfigurationReported records that another entry has a configuration of this version.
-func (l *Log) ConfigurationReported(now time.Time, version int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if version >= l.newerRoutes || now.Sub(l.newerRoutesAt) > MaxTakeUpTime {
-		l.newerRoutes, l.newerRoutesAt = version, now
-	}
-	if l.routes.byKey != nil && version > l.routes.version && (l.unseenRoutes == 0 || version < l.unseenRoutes) {
-		l.unseenRoutes = version
-	}
-}
-
-// NewerListReported records that another entry has a list of targets that differs from the one here and
-// was current at a time, which is later than that of the one here.
-func (l *Log) NewerListReported(at time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if at.After(l.newerListAt) {
-		l.newerListAt = at
-	}
-}
-
-// ListCurrent records that the list of SetTargets was current at a time.
-func (l *Log) ListCurrent(at time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if at.After(l.listAt) {
-		l.listAt = at
-	}
-}
-
-// infers reports whether the only origin that is known here is that of any stream that is taken up now. An
-// entry that lags behind others does not know of streams that began there at a new version or service.
-func (l *Log) infers(now time.Time) bool {
-	behind := l.routes.version < l.newerRoutes && now.Sub(l.newerRoutesAt) <= MaxTakeUpTime ||
-		l.listAt.Before(l.newerListAt) && now.Sub(l.newerListAt) <= MaxTakeUpTime
-	return l.covered(now) && now.Sub(l.completeAt) <= maxUnconfirmed && !behind
-}
-
 // HashRequest returns the hash under which a stream is remembered.
 func HashRequest(id state.RequestID) uint64 { return xxhash.Sum64String(string(id)) }
 
@@ -244,20 +170,6 @@
 	return s.adoptedAt
 }
 
-// covered reports whether all origins are known at which a stream that is taken up now
-// may have begun.
-func (l *Log) covered(now time.Time) bool {
-	return now.Sub(l.coveredSince) >= MaxTakeUpTime && now.Sub(l.connectedAt) <= maxIsolation
-}
-
-// Covered reports whether all origins are known at which a stream that is taken up now
-// may have begun, provided that the list of targets and the configuration are.
-func (l *Log) Covered(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.covered(now)
-}
-
 // Mixed returns the services whose streams other entries are told of, with their versions: several serve
 // or have served lately, or routes of streams lead or led to other services too.
 func (l *Log) Mixed(now time.Time) map[state.Service][]state.SoftwareVersion {
