--- a/internal/coordination/origin/knowledge.go
+++ b/internal/coordination/origin/knowledge.go
@@ -21,11 +21,11 @@
 	connectedAt, connectedAtTimeOfDay time.Time
 	// completeAt is the latest time at which all versions and routes by which streams began were known here.
 	completeAt time.Time
-	// newerRoutes is the highest version of a configuration that another entry has reported.
-	newerRoutes   int64
-	newerRoutesAt time.Time // of the report
-	// unseenRoutes is the lowest version that was newer than the one here when it was reported; 0 for none.
-	unseenRoutes int64
+	// newestReported is the highest version of a configuration that another entry has reported.
+	newestReported   int64
+	newestReportedAt time.Time
+	// reported are the versions that were newer than the one here when they were reported.
+	reported map[int64]bool
 	// listAt is when the list of targets was current, newerListAt the same of a newer one that another
 	// entry has.
 	listAt, newerListAt time.Time
@@ -53,14 +53,29 @@
 func (l *Log) ConfigurationReported(now time.Time, version int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if version >= l.newerRoutes || now.Sub(l.newerRoutesAt) > MaxTakeUpTime {
-		l.newerRoutes, l.newerRoutesAt = version, now
+	if version >= l.newestReported || now.Sub(l.newestReportedAt) > MaxTakeUpTime {
+		l.newestReported, l.newestReportedAt = version, now
 	}
-	if l.routes.byKey != nil && version > l.routes.version && (l.unseenRoutes == 0 || version < l.unseenRoutes) {
-		l.unseenRoutes = version
+	if l.routes.byKey != nil && version > l.routes.version && len(l.reported) < maxConfigurations {
+		if l.reported == nil {
+			l.reported = make(map[int64]bool)
+		}
+		l.reported[version] = true
 	}
 }
 
+// skipsReported reports whether another entry has reported a configuration between the one here and the given
+// one, which is to take effect.
+func (l *Log) skipsReported(version int64) (skips bool) {
+	for v := range l.reported {
+		if v <= version {
+			skips = skips || v < version
+			delete(l.reported, v)
+		}
+	}
+	return skips
+}
+
 // NewerListReported records that another entry has a list of targets that differs from the one here and
 // was current at a time, which is later than that of the one here.
 func (l *Log) NewerListReported(at time.Time) {
@@ -83,7 +98,7 @@
 // infers reports whether the only origin that is known here is that of any stream that is taken up now. An
 // entry that lags behind others does not know of streams that began there at a new version or service.
 func (l *Log) infers(now time.Time) bool {
-	behind := l.routes.version < l.newerRoutes && now.Sub(l.newerRoutesAt) <= MaxTakeUpTime ||
+	behind := l.routes.version < l.newestReported && now.Sub(l.newestReportedAt) <= MaxTakeUpTime ||
 		l.listAt.Before(l.newerListAt) && now.Sub(l.newerListAt) <= MaxTakeUpTime
 	return l.covered(now) && now.Sub(l.completeAt) <= maxUnconfirmed && !behind
 }
@@ -91,7 +106,7 @@
 // covered reports whether all origins are known at which a stream that is taken up now
 // may have begun.
 func (l *Log) covered(now time.Time) bool {
-	return now.Sub(l.coveredSince) >= MaxTakeUpTime && now.Sub(l.connectedAt) <= maxIsolation
+	return now.Sub(l.coveredSince) >= routeTime && now.Sub(l.connectedAt) <= maxIsolation
 }
 
 // Covered reports whether all origins are known at which a stream that is taken up now
--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -21,8 +21,7 @@
 )
 
 // MaxTakeUpTime is the longest time from the first event of a stream until a caller takes
-// it up. It exceeds the longest time limits of callers. After this time without
-// isolation, a log knows all origins by itself.
+// it up. It exceeds the longest time limits of callers.
 const MaxTakeUpTime = 20 * time.Second
 
 const (
@@ -99,7 +98,7 @@
 		knowledge: knowledge{coveredSince: now, connectedAt: now, connectedAtTimeOfDay: now.Round(0), completeAt: now},
 	}
 	if allKnown {
-		l.coveredSince = now.Add(-MaxTakeUpTime)
+		l.coveredSince = now.Add(-routeTime)
 	}
 	return l
 }
@@ -232,12 +231,14 @@
 }
 
 // AdoptMixed takes the result of Mixed of an entry that knew all origins lately. After
-// that, all are known here too.
-func (l *Log) AdoptMixed(now time.Time, mixed map[state.Service][]state.SoftwareVersion) {
-	l.LearnMixed(now, mixed)
+// that, all are known here too, unless that has ended since began, when the result was read.
+func (l *Log) AdoptMixed(began time.Time, mixed map[state.Service][]state.SoftwareVersion) {
+	l.LearnMixed(began, mixed)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.coveredSince = now.Add(-MaxTakeUpTime)
+	if !l.coveredSince.After(began) {
+		l.coveredSince = began.Add(-routeTime)
+	}
 }
 
 // LearnMixed takes the result of ObservedMixed of another entry, which may have seen what was not written
--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -97,7 +97,7 @@
 			l := newRoutedLog(start, false)
 			l.SetTargets(start, targets("v1"))
 			return l
-		}, MaxTakeUpTime + time.Second, v1},
+		}, routeTime + time.Second, v1},
 		{"just started, but told that none was mixed", func() *Log {
 			l := newRoutedLog(start, false)
 			l.SetTargets(start, targets("v1"))
@@ -136,12 +136,12 @@
 	if o, _, ok := l.Find(at, "stream", onlyPath); ok {
 		t.Errorf("origin %v is known as soon as something is heard", o)
 	}
-	for range MaxTakeUpTime / time.Second {
+	for range routeTime / time.Second {
 		at = at.Add(time.Second)
 		l.Connected(at, at, at)
 	}
 	if _, _, ok := l.Find(at, "stream", onlyPath); !ok {
-		t.Error("the origin is not known again after the longest time for taking a stream up")
+		t.Error("the origin is not known again after the time for which routes are remembered")
 	}
 }
 
--- a/internal/coordination/origin/routes.go
+++ b/internal/coordination/origin/routes.go
@@ -15,6 +15,8 @@
 	routeTime = 2 * MaxTakeUpTime
 	// maxPastRoutes bounds the routes that are remembered to a few megabytes.
 	maxPastRoutes = 1 << 14
+	// maxConfigurations bounds the versions of configurations that are remembered.
+	maxConfigurations = 1 << 12
 )
 
 // Path is what the configuration leads a request by.
@@ -27,6 +29,10 @@
 	current map[string][]*leadingRoute
 	byKey   map[routeKey]*leadingRoute // the same; nil before the first configuration
 	past    []pastRoute                // in the order in which they were changed or removed
+	// first is the version of the first configuration, and had are the versions since then that have been
+	// taken into account. Those before the first are a part of what is known from other entries.
+	first int64
+	had   map[int64]bool
 }
 
 // routeKey identifies a route.
@@ -41,7 +47,7 @@
 	since, takesPathsSince time.Time
 }
 
-// pastRoute is a route of streams that no longer leads to its services.
+// pastRoute is a route of streams that no longer leads to its services, or never did here.
 type pastRoute struct {
 	routeKey
 	services     []state.Service
@@ -62,15 +68,21 @@
 	h.past = slices.DeleteFunc(h.past, func(p pastRoute) bool { return now.Sub(p.until) > routeTime })
 	var changed []*leadingRoute
 	var past []pastRoute
-	if h.byKey != nil && c.Version < h.version {
-		past = h.missedRoutes(now, c)
-	} else {
-		if l.unseenRoutes != 0 && l.unseenRoutes < c.Version {
+	switch {
+	case h.byKey == nil:
+		h.first, h.had = c.Version, make(map[int64]bool)
+		h.replace(now, c)
+	case c.Version > h.version:
+		if l.skipsReported(c.Version) {
 			l.coveredSince = now // streams may have begun by a configuration that has never been in effect here
 		}
-		l.unseenRoutes = 0
 		changed, past = h.replace(now, c)
+	case c.Version < h.first || h.had[c.Version]:
+		return
+	default:
+		past = h.missedRoutes(now, c)
 	}
+	h.remember(c.Version)
 	l.markShared(now, changed, past)
 	h.past = append(h.past, past...)
 	if excess := len(h.past) - maxPastRoutes; excess > 0 {
@@ -79,6 +91,15 @@
 	}
 }
 
+// remember records that a configuration has been taken into account.
+func (h *routeHistory) remember(version int64) {
+	if len(h.had) >= maxConfigurations {
+		clear(h.had)
+		h.first = version // those before cannot be told from ones that were missed
+	}
+	h.had[version] = true
+}
+
 // replace replaces the current routes. It returns the routes that are new or lead to other services than
 // before, and those of before.
 func (h *routeHistory) replace(now time.Time, c *state.Configuration) (changed []*leadingRoute, past []pastRoute) {
@@ -116,13 +137,23 @@
 	return changed, past
 }
 
-// missedRoutes returns the routes of an older configuration as far as they lead to other services than the
-// current ones. Other entries may have led streams by them until now.
+// missedRoutes returns the routes of a configuration that has never been in effect here, as far as they lead
+// paths to other services than the current ones. Other entries may have led streams by them until now. Where
+// the current configuration has a more specific route, the result has one of the same paths.
 func (h *routeHistory) missedRoutes(now time.Time, c *state.Configuration) (past []pastRoute) {
-	for i := range c.Routes {
-		missed := newLeadingRoute(&c.Routes[i])
-		if r := h.byKey[missed.routeKey]; len(missed.services) > 0 && (r == nil || !slices.Equal(missed.services, r.services)) {
-			past = append(past, pastRoute{missed.routeKey, missed.services, now.Add(-routeTime), now})
+	missed := routeHistory{}
+	missed.replace(now, c)
+	add := func(key routeKey, led, leads *leadingRoute) {
+		if led != nil && len(led.services) > 0 && (leads == nil || !slices.Equal(led.services, leads.services)) {
+			past = append(past, pastRoute{key, led.services, now.Add(-routeTime), now})
+		}
+	}
+	for key, led := range missed.byKey {
+		add(key, led, h.match(key))
+	}
+	for key, leads := range h.byKey {
+		if missed.byKey[key] == nil {
+			add(key, missed.match(key), leads)
 		}
 	}
 	return past
@@ -167,13 +198,17 @@
 		}
 	}
 	for _, p := range past {
-		if r := h.match(p.routeKey, 0); r != nil {
-			mark(p.services, r.services)
+		for _, r := range h.current[p.host] {
+			if r.takes(p.routeKey) || p.takes(r.routeKey) && r.takesPathsSince.After(p.since) {
+				mark(p.services, r.services)
+			}
 		}
 	}
 	for _, r := range changed {
-		if less := h.match(r.routeKey, len(r.prefix)); less != nil && r.takesPathsSince.Equal(now) {
-			mark(less.services, r.services)
+		for _, less := range h.current[r.host] {
+			if len(less.prefix) < len(r.prefix) && less.takes(r.routeKey) && r.takesPathsSince.Equal(now) {
+				mark(less.services, r.services)
+			}
 		}
 		for _, p := range h.past { // of earlier changes: a route may have been away in between
 			if p.takes(r.routeKey) || r.takes(p.routeKey) {
@@ -183,11 +218,13 @@
 	}
 }
 
-// match returns the current route that takes requests of a prefix, or nil. If below is not 0, it is the most
-// specific one with a prefix that is shorter than below.
-func (h *routeHistory) match(k routeKey, below int) *leadingRoute {
+// match returns the current route that takes requests of a prefix, or nil.
+func (h *routeHistory) match(k routeKey) *leadingRoute {
+	if r := h.byKey[k]; r != nil {
+		return r
+	}
 	for _, r := range h.current[k.host] {
-		if (below == 0 || len(r.prefix) < below) && r.takes(k) {
+		if r.takes(k) {
 			return r
 		}
 	}
--- a/internal/daemon/origins.go
+++ b/internal/daemon/origins.go
@@ -134,10 +134,11 @@
 
 // adopt reads the services and passes them to the log of origins.
 func (m *mixedServices) adopt(ctx context.Context) {
+	began := time.Now()
 	if !m.read(ctx) {
 		return
 	}
-	m.control.p.origins.AdoptMixed(time.Now(), m.stored)
+	m.control.p.origins.AdoptMixed(began, m.stored)
 	m.control.p.log.Info("services with several origins known", zap.Any("services", m.stored))
 }
 
--- a/internal/daemon/origins_test.go
+++ b/internal/daemon/origins_test.go
@@ -68,7 +68,10 @@
 	check(now.Add(time.Second), two, both)
 	check(now.Add(2*time.Second), one, both)
 
-	starting := origin.New(now.Add(3*time.Second), false)
+	starting := origin.New(now, false)
+	for at := now; !at.After(now.Add(3 * time.Second)); at = at.Add(time.Second) {
+		starting.Connected(at, at, at)
+	}
 	starting.SetTargets(now.Add(3*time.Second), one)
 	c.p.origins, starting = starting, c.p.origins
 	m.adopt(t.Context())
