--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -70,7 +70,8 @@
 	// last, or was moved to or from the service.
 	shared   bool
 	sharedAt time.Time
-	// adoptedAt is when another entry last stated a version, or otherServices, that it knew.
+	// adoptedAt is when another entry last stated, in a report or in the store, that it knew a version, or
+	// otherServices.
 	adoptedAt map[state.SoftwareVersion]time.Time
 }
 
--- a/internal/coordination/origin/routes.go
+++ b/internal/coordination/origin/routes.go
@@ -54,7 +54,8 @@
 	since, until time.Time
 }
 
-// takes reports whether the route takes requests of the path unless there is a more specific route.
+// takes reports whether the route takes requests of a path, or of all paths of another prefix, unless there
+// is a more specific route.
 func (k routeKey) takes(other routeKey) bool {
 	return k.host == other.host && strings.HasPrefix(other.prefix, k.prefix)
 }
@@ -145,6 +146,7 @@
 	missed.replace(now, c)
 	add := func(key routeKey, led, leads *leadingRoute) {
 		if led != nil && len(led.services) > 0 && (leads == nil || !slices.Equal(led.services, leads.services)) {
+			// When it took effect elsewhere is not known.
 			past = append(past, pastRoute{key, led.services, now.Add(-routeTime), now})
 		}
 	}
