Log of origins: one way to the versions and other services of a service

Mixed and ObservedMixed, and the answer to other entries, each put together what a service has seen, what it has adopted and the mark of shared routes; Mixed did so twice for each service. SetConfiguration checked for the same version, which SetRoutes does. Three tests of package daemon had configurations and targets of their own that were the same.

--- a/internal/coordination/gateway/service.go
+++ b/internal/coordination/gateway/service.go
@@ -162,12 +162,10 @@
 func (s *Service) SetConfiguration(c *state.Configuration) bool {
 	s.configuring.Lock()
 	defer s.configuring.Unlock()
+	// Before the configuration takes effect, so that no stream is taken up at a service to which its
+	// route has just been moved. An older one may have been in effect at other entries.
+	s.cfg.Origins.SetRoutes(time.Now(), c)
 	old := s.table.Load()
-	if old == nil || old.Config.Version != c.Version {
-		// Before the configuration takes effect, so that no stream is taken up at a service to which its
-		// route has just been moved. An older one may have been in effect at other entries.
-		s.cfg.Origins.SetRoutes(time.Now(), c)
-	}
 	if old != nil && old.Config.Version >= c.Version {
 		return false
 	}
--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -140,28 +140,27 @@
 	return s
 }
 
-// versions returns the versions of a service at which a stream that is taken up now may
-// have begun there.
-func (l *Log) versions(now time.Time, name state.Service) []state.SoftwareVersion {
-	s := l.services[name]
-	if s == nil {
-		return nil
-	}
-	versions := s.observed(now)
-	for version := range s.adopted(now) {
-		if version != otherServices {
-			versions = append(versions, version)
-		}
+// versions returns the versions of a service at which a stream that is taken up now may have begun there:
+// those that this entry has seen and, if adopted is set, those that other entries have stated.
+func (s *service) versions(now time.Time, adopted bool) []state.SoftwareVersion {
+	maps.DeleteFunc(s.leftAt, func(_ state.SoftwareVersion, at time.Time) bool { return now.Sub(at) > MaxTakeUpTime })
+	versions := slices.Collect(maps.Keys(s.listed))
+	versions = slices.AppendSeq(versions, maps.Keys(s.leftAt))
+	if adopted {
+		versions = slices.AppendSeq(versions, maps.Keys(s.adopted(now)))
+		versions = slices.DeleteFunc(versions, func(v state.SoftwareVersion) bool { return v == otherServices })
 	}
 	slices.Sort(versions)
 	return slices.Compact(versions)
 }
 
-// observed returns the versions that serve, or have served lately, as far as this entry has seen them.
-func (s *service) observed(now time.Time) []state.SoftwareVersion {
-	maps.DeleteFunc(s.leftAt, func(_ state.SoftwareVersion, at time.Time) bool { return now.Sub(at) > MaxTakeUpTime })
-	versions := slices.Collect(maps.Keys(s.listed))
-	return slices.AppendSeq(versions, maps.Keys(s.leftAt))
+// alternatives returns the versions and, if the service shares routes or did lately, otherServices.
+func (s *service) alternatives(now time.Time, adopted bool) []state.SoftwareVersion {
+	versions := s.versions(now, adopted)
+	if s.sharesLately(now) || adopted && s.adoptedShared(now) {
+		versions = append(versions, otherServices)
+	}
+	return versions
 }
 
 // adopted returns what other entries stated lately.
@@ -170,34 +169,6 @@
 	return s.adoptedAt
 }
 
-// Mixed returns the services whose streams other entries are told of, with their versions: several serve
-// or have served lately, or routes of streams lead or led to other services too.
-func (l *Log) Mixed(now time.Time) map[state.Service][]state.SoftwareVersion {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.mixed(now)
-}
-
-// mixed implements Mixed.
-func (l *Log) mixed(now time.Time) map[state.Service][]state.SoftwareVersion {
-	mixed := make(map[state.Service][]state.SoftwareVersion)
-	for name := range l.services {
-		if l.isMixed(now, name) {
-			mixed[name] = l.alternatives(now, name)
-		}
-	}
-	return mixed
-}
-
-// alternatives returns the versions of a service and, if it shares routes or did lately, otherServices.
-func (l *Log) alternatives(now time.Time, name state.Service) []state.SoftwareVersion {
-	versions := l.versions(now, name)
-	if s := l.services[name]; s != nil && (s.sharesLately(now) || s.adoptedShared(now)) {
-		versions = append(versions, otherServices)
-	}
-	return versions
-}
-
 // sharesLately reports whether a route of streams leads to this and to other services, or did in the time
 // in which a stream may be taken up.
 func (s *service) sharesLately(now time.Time) bool {
@@ -210,22 +181,37 @@
 	return ok
 }
 
+// areSeveral reports whether a stream may have begun elsewhere than at a version of these alternatives.
+func areSeveral(alternatives []state.SoftwareVersion) bool {
+	return len(alternatives) > 1 || slices.Contains(alternatives, otherServices)
+}
+
+// isMixed reports whether Mixed has the service.
+func (s *service) isMixed(now time.Time) bool {
+	if len(s.listed) <= 1 && len(s.leftAt) == 0 && len(s.adoptedAt) == 0 && !s.shared && s.sharedAt.IsZero() {
+		return false
+	}
+	return areSeveral(s.alternatives(now, true))
+}
+
+// Mixed returns the services whose streams other entries are told of, with their versions: several serve
+// or have served lately, or routes of streams lead or led to other services too.
+func (l *Log) Mixed(now time.Time) map[state.Service][]state.SoftwareVersion {
+	return l.mixed(now, true)
+}
+
 // ObservedMixed is Mixed without what other entries have stated, which would be passed on for ever.
 func (l *Log) ObservedMixed(now time.Time) map[state.Service][]state.SoftwareVersion {
+	return l.mixed(now, false)
+}
+
+func (l *Log) mixed(now time.Time, adopted bool) map[state.Service][]state.SoftwareVersion {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var mixed map[state.Service][]state.SoftwareVersion
+	mixed := make(map[state.Service][]state.SoftwareVersion)
 	for name, s := range l.services {
-		versions := s.observed(now)
-		if s.sharesLately(now) {
-			versions = append(versions, otherServices)
-		}
-		slices.Sort(versions)
-		if versions = slices.Compact(versions); len(versions) > 1 || slices.Contains(versions, otherServices) {
-			if mixed == nil {
-				mixed = make(map[state.Service][]state.SoftwareVersion)
-			}
-			mixed[name] = versions
+		if alternatives := s.alternatives(now, adopted); areSeveral(alternatives) {
+			mixed[name] = alternatives
 		}
 	}
 	return mixed
@@ -270,7 +256,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.beginHere(now, id, origin)
-	return l.isMixed(now, origin.Service)
+	s := l.services[origin.Service]
+	return s != nil && s.isMixed(now)
 }
 
 // Found remembers an origin that was found out for a stream that a caller takes up here, and reports it as
@@ -296,16 +283,6 @@
 	}
 }
 
-// isMixed reports whether Mixed has the service.
-func (l *Log) isMixed(now time.Time, name state.Service) bool {
-	s := l.services[name]
-	if s == nil || len(s.listed) <= 1 && len(s.leftAt) == 0 && len(s.adoptedAt) == 0 && !s.shared && s.sharedAt.IsZero() {
-		return false
-	}
-	versions := l.alternatives(now, name)
-	return len(versions) > 1 || slices.Contains(versions, otherServices)
-}
-
 // Learn remembers the origins in a report of another entry.
 func (l *Log) Learn(now time.Time, notes []Notes) {
 	l.mu.Lock()
@@ -373,7 +350,8 @@
 		return Origin{}, false
 	}
 	sole := q.Candidates[0]
-	if !slices.Equal(l.alternatives(now, sole.Service), []state.SoftwareVersion{sole.Software}) {
+	s := l.services[sole.Service]
+	if s == nil || !slices.Equal(s.alternatives(now, true), []state.SoftwareVersion{sole.Software}) {
 		return Origin{}, false
 	}
 	return sole, true
@@ -391,9 +369,11 @@
 // candidates returns the origins at which a stream of the path that is taken up now may have begun, as far
 // as the configurations and lists of targets are known here.
 func (l *Log) candidates(now time.Time, path Path) (origins []Origin) {
-	for _, service := range l.routes.services(now, path) {
-		for _, version := range l.versions(now, service) {
-			origins = append(origins, Origin{service, version})
+	for _, name := range l.routes.services(now, path) {
+		if s := l.services[name]; s != nil {
+			for _, version := range s.versions(now, true) {
+				origins = append(origins, Origin{name, version})
+			}
 		}
 	}
 	return origins
@@ -440,14 +420,19 @@
 
 // unreported returns the streams that are to be reported: those of the services of Mixed.
 func (l *Log) unreported(now time.Time, far bool) iter.Seq[*ownStream] {
-	mixed := l.mixed(now)
+	mixed := make(map[state.Service]bool)
+	for name, s := range l.services {
+		if s.isMixed(now) {
+			mixed[name] = true
+		}
+	}
 	return func(yield func(*ownStream) bool) {
 		if len(mixed) == 0 {
 			return
 		}
 		for i := range l.own {
 			s := &l.own[i]
-			if mixed[s.origin.Service] != nil && *s.reportsLeft(far) > 0 && !now.After(s.expires) && !yield(s) {
+			if mixed[s.origin.Service] && *s.reportsLeft(far) > 0 && !now.After(s.expires) && !yield(s) {
 				return
 			}
 		}
--- a/internal/daemon/configurationcheck_test.go
+++ b/internal/daemon/configurationcheck_test.go
@@ -51,10 +51,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		now := time.Now()
 		origins := origin.New(now, true)
-		origins.SetTargets(now, []state.TargetRecord{{ID: "a", Service: "s", Software: "v1"}, {ID: "b", Service: "other", Software: "v1"}})
+		origins.SetTargets(now, twoServices)
 		g := gateway.New(gateway.Config{Origins: origins})
 		set := func(version int64) {
-			g.SetConfiguration(streamsLeadTo(version, map[bool]state.Service{true: "s", false: "other"}[version <= 2]))
+			g.SetConfiguration(routeTo(version, map[bool]state.Service{true: "s", false: "other"}[version <= 2]))
 		}
 		var source configurationLog
 		var othersRead atomic.Bool
@@ -77,13 +77,12 @@
 			source.length.Add(1)
 		}
 		wait(time.Hour)
-		path := origin.Path{Host: "h", Path: "/x"}
-		if o, _, ok := origins.Find(time.Now(), "stream", path); !ok || o.Service != "other" {
+		if o, _, ok := origins.Find(time.Now(), "stream", streamPath); !ok || o.Service != "other" {
 			t.Fatalf("an hour after the move: origin %v, known %t", o, ok)
 		}
 		othersRead.Store(false)
 		wait(2 * time.Second)
-		if o, _, ok := origins.Find(time.Now(), "stream", path); !ok || o.Service != "other" {
+		if o, _, ok := origins.Find(time.Now(), "stream", streamPath); !ok || o.Service != "other" {
 			t.Errorf("after the first check: origin %v, known %t", o, ok)
 		}
 		if mixed := origins.ObservedMixed(time.Now()); len(mixed) > 0 {
--- a/internal/daemon/lateconfiguration_test.go
+++ b/internal/daemon/lateconfiguration_test.go
@@ -8,26 +8,18 @@
 	"github.com/cassiaramp/cassiaramp/internal/coordination/origin"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/quarantine"
 	"github.com/cassiaramp/cassiaramp/internal/coordination/refusal"
-	"github.com/cassiaramp/cassiaramp/internal/state"
 	"github.com/cassiaramp/cassiaramp/platform"
 )
 
-// streamsLeadTo returns a configuration whose only route leads streams to a service.
-func streamsLeadTo(version int64, service state.Service) *state.Configuration {
-	return &state.Configuration{Version: version, Routes: []state.Route{
-		{Host: "h", Prefix: "/", Kind: state.StreamingRoute, Resumable: true, Split: []state.ServiceWeight{{Service: service, Weight: 1}}},
-	}}
-}
-
 // controlOfTwoServices returns a control that knows all origins at the services s and other, with a configuration
 // that leads streams to s.
 func controlOfTwoServices(t *testing.T, now time.Time) *control {
 	t.Helper()
-	c := controlWithList(now, state.TargetRecord{ID: "a", Service: "s", Software: "v1"}, state.TargetRecord{ID: "b", Service: "other", Software: "v1"})
+	c := controlWithList(now, twoServices...)
 	c.p.gateway = gateway.New(gateway.Config{Origins: c.p.origins})
 	c.p.origins.Connected(now, now, now)
-	c.setConfiguration(streamsLeadTo(1, "s"), "store")
-	if o, _, ok := c.p.origins.Find(now, "stream", origin.Path{Host: "h", Path: "/x"}); !ok || o.Service != "s" {
+	c.setConfiguration(routeTo(1, "s"), "store")
+	if o, _, ok := c.p.origins.Find(now, "stream", streamPath); !ok || o.Service != "s" {
 		t.Fatalf("before the move: origin %v, known %t", o, ok)
 	}
 	return c
@@ -38,9 +30,9 @@
 func TestConfigurationThatArrivesBehindNewerOne(t *testing.T) {
 	now := time.Now()
 	c := controlOfTwoServices(t, now)
-	c.setConfiguration(streamsLeadTo(3, "s"), "another entry")
-	c.setConfiguration(streamsLeadTo(2, "other"), "store")
-	if o, _, ok := c.p.origins.Find(now, "stream", origin.Path{Host: "h", Path: "/x"}); ok {
+	c.setConfiguration(routeTo(3, "s"), "another entry")
+	c.setConfiguration(routeTo(2, "other"), "store")
+	if o, _, ok := c.p.origins.Find(now, "stream", streamPath); ok {
 		t.Errorf("origin %v is known of a stream that may have begun by version 2", o)
 	}
 }
@@ -50,13 +42,13 @@
 func TestOlderConfigurationDoesNotLeadStreams(t *testing.T) {
 	now := time.Now()
 	c := controlOfTwoServices(t, now)
-	c.setConfiguration(streamsLeadTo(3, "s"), "another entry")
-	c.setConfiguration(streamsLeadTo(2, "other"), "store")
+	c.setConfiguration(routeTo(3, "s"), "another entry")
+	c.setConfiguration(routeTo(2, "other"), "store")
 	for end := now.Add(3 * origin.MaxTakeUpTime); now.Before(end); {
 		now = now.Add(time.Second)
 		c.p.origins.Connected(now, now, now)
 	}
-	if o, _, ok := c.p.origins.Find(now, "stream", origin.Path{Host: "h", Path: "/x"}); !ok || o.Service != "s" {
+	if o, _, ok := c.p.origins.Find(now, "stream", streamPath); !ok || o.Service != "s" {
 		t.Errorf("origin %v, known %t; want s", o, ok)
 	}
 }
@@ -67,7 +59,7 @@
 	now := time.Now()
 	c := controlOfTwoServices(t, now)
 	c.onConfigurationReport(now, "b", 2)
-	if o, _, ok := c.p.origins.Find(now, "stream", origin.Path{Host: "h", Path: "/x"}); ok {
+	if o, _, ok := c.p.origins.Find(now, "stream", streamPath); ok {
 		t.Errorf("origin %v is known of a stream that may have begun by version 2", o)
 	}
 }
@@ -84,14 +76,14 @@
 	writer.listReadAt = now
 	m := mixedServices{control: writer}
 	m.update(t.Context(), now)
-	writer.setConfiguration(streamsLeadTo(2, "other"), "store")
+	writer.setConfiguration(routeTo(2, "other"), "store")
 
 	starting := controlOfTwoServices(t, now)
 	starting.p.store, starting.p.settings = store, &platform.Settings{Instance: "c"}
 	starting.p.origins = origin.New(now, false)
 	starting.p.gateway = gateway.New(gateway.Config{Origins: starting.p.origins})
-	starting.p.origins.SetTargets(now, []state.TargetRecord{{ID: "a", Service: "s", Software: "v1"}, {ID: "b", Service: "other", Software: "v1"}})
-	starting.setConfiguration(streamsLeadTo(2, "other"), "store")
+	starting.p.origins.SetTargets(now, twoServices)
+	starting.setConfiguration(routeTo(2, "other"), "store")
 	(&mixedServices{control: starting}).adopt(t.Context())
 
 	writer.p.startedAt, writer.p.control, starting.p.control = now, writer, starting
@@ -107,7 +99,7 @@
 	if !starting.p.origins.Covered(now) { // the services are read again
 		return
 	}
-	if o, _, ok := starting.p.origins.Find(now, "stream", origin.Path{Host: "h", Path: "/x"}); ok {
+	if o, _, ok := starting.p.origins.Find(now, "stream", streamPath); ok {
 		t.Errorf("origin %v is known of a stream that may have begun before the move, and the services are not read again", o)
 	}
 }
--- a/internal/daemon/origins_test.go
+++ b/internal/daemon/origins_test.go
@@ -79,10 +79,8 @@
 	if !starting.Covered(now.Add(3 * time.Second)) {
 		t.Error("the entry that has started does not know all versions from the store")
 	}
-	starting.SetRoutes(now.Add(3*time.Second), &state.Configuration{Version: 1, Routes: []state.Route{
-		{Host: "h", Prefix: "/", Kind: state.StreamingRoute, Resumable: true, Split: []state.ServiceWeight{{Service: "s", Weight: 1}}},
-	}})
-	if o, _, ok := starting.Find(now.Add(3*time.Second), "stream", origin.Path{Host: "h", Path: "/x"}); ok {
+	starting.SetRoutes(now.Add(3*time.Second), routeTo(1, "s"))
+	if o, _, ok := starting.Find(now.Add(3*time.Second), "stream", streamPath); ok {
 		t.Errorf("origin %v is known to an entry that has started after a version left", o)
 	}
 
@@ -123,6 +121,9 @@
 	due("the same configuration", false)
 }
 
+// streamPath is a path of the route of routeTo.
+var streamPath = origin.Path{Host: "h", Path: "/x"}
+
 // routeTo returns a configuration that leads the resumable route to services.
 func routeTo(version int64, services ...state.Service) *state.Configuration {
 	r := state.Route{Host: "h", Prefix: "/", Kind: state.StreamingRoute, Resumable: true}
@@ -140,7 +141,6 @@
 // the services that share it; against refusing such streams long after the move; and against writes
 // where routes lead to one service of one version each.
 func TestSharedServicesAreKeptInStore(t *testing.T) {
-	stream := origin.Path{Host: "h", Path: "/x"}
 	none := map[state.Service][]state.SoftwareVersion{}
 	both := map[state.Service][]state.SoftwareVersion{"s": {"v1", "\x00other services"}, "other": {"v1", "\x00other services"}}
 	withNew := map[state.Service][]state.SoftwareVersion{"s": {"v1", "\x00other services"}, "new": {"\x00other services"}}
@@ -190,7 +190,7 @@
 			starting.p.origins.SetRoutes(now, c.configs[len(c.configs)-1])
 			adopting := mixedServices{control: starting}
 			adopting.adopt(t.Context())
-			o, _, ok := starting.p.origins.Find(time.Now(), "stream", stream)
+			o, _, ok := starting.p.origins.Find(time.Now(), "stream", streamPath)
 			if ok != (c.origin != "") || o.Service != c.origin {
 				t.Errorf("origin %v, known %t to the entry that has started; want %q", o, ok, c.origin)
 			}
@@ -307,12 +307,12 @@
 			}})
 			c0.onListReport(&c.report)
 			c0.onConfigurationReport(now, "b", c.report.ConfigurationVersion)
-			if o, _, ok := c0.p.origins.Find(now, "stream", origin.Path{Host: "h", Path: "/x"}); ok != c.want {
+			if o, _, ok := c0.p.origins.Find(now, "stream", streamPath); ok != c.want {
 				t.Errorf("origin %v, known %t; want %t", o, ok, c.want)
 			}
 			currentAt := now.Add(-time.Millisecond)
 			c0.adoptList(now, currentAt, both, listPosition(&c.report))
-			if _, question, ok := c0.p.origins.Find(now, "stream", origin.Path{Host: "h", Path: "/x"}); ok || len(question.Candidates) != 2 {
+			if _, question, ok := c0.p.origins.Find(now, "stream", streamPath); ok || len(question.Candidates) != 2 {
 				t.Errorf("candidates %v, known %t with the new list; want two", question.Candidates, ok)
 			}
 		})
