--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +45,8 @@
 	mu       sync.Mutex
 	children []*exec.Cmd
 	ids      atomic.Int64
+	port     int      // the first of InternalPorts; 0: one that is free
+	seeds    []string // that the settings name before those of this world
 	engines  []*engineProcess
 	entries  []*entry
 }
@@ -65,16 +68,25 @@
 }
 
 func newWorld(caseDir string) (*world, error) {
-	dir, err := os.MkdirTemp("", "review-")
+	record, err := os.Create(filepath.Join(caseDir, "record.txt"))
 	if err != nil {
 		return nil, err
 	}
-	record, err := os.Create(filepath.Join(caseDir, "record.txt"))
+	return newWorldAt(fmt.Sprintf("127.%d.%d", 80+os.Getpid()%100, os.Getpid()/100%100), caseDir, record)
+}
+
+// beside returns another installation, which shares the record.
+func (w *world) beside() (*world, error) {
+	return newWorldAt(fmt.Sprintf("127.%d.%d", 80+os.Getpid()%100, 100+os.Getpid()/100%100), w.caseDir, w.record)
+}
+
+// newWorldAt returns a world whose addresses begin with ip.
+func newWorldAt(ip, caseDir string, record *os.File) (*world, error) {
+	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, caseDir: caseDir, record: record, trouble: os.Getenv("TROUBLE") != "0", store: newStore()}
-	w.ip = fmt.Sprintf("127.%d.%d", 80+os.Getpid()%100, os.Getpid()/100%200)
+	w := &world{dir: dir, caseDir: caseDir, record: record, trouble: os.Getenv("TROUBLE") != "0", store: newStore(), ip: ip}
 	ln, err := net.Listen("tcp4", w.ip+".1:0")
 	if err != nil {
 		return nil, err
@@ -132,6 +144,12 @@
 
 // close ends all processes and completes the record.
 func (w *world) close() {
+	w.end()
+	w.record.Close()
+}
+
+// end ends all processes and writes what ran to the record.
+func (w *world) end() {
 	w.mu.Lock()
 	for _, cmd := range w.children {
 		_ = cmd.Process.Kill() // fails for one that has ended
@@ -141,9 +159,8 @@
 		_ = cmd.Wait() // they were killed
 	}
 	if runs, err := os.ReadFile(filepath.Join(w.dir, "runs")); err == nil {
-		fmt.Fprintf(w.record, "\nruns at engines, in order:\n%s", runs)
+		fmt.Fprintf(w.record, "\nruns at the engines of %s, in order:\n%s", w.ip, runs)
 	}
-	w.record.Close()
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(w.dir)
 	} else {
@@ -286,10 +303,12 @@
 
 // startEntries starts n entries and waits until they are ready.
 func (w *world) startEntries(n int) error {
-	port := freePort(w.ip + ".11")
+	if w.port == 0 {
+		w.port = freePort(w.ip + ".11")
+	}
 	for i := range n {
 		ip := fmt.Sprintf("%s.%d", w.ip, 11+i)
-		e := &entry{name: fmt.Sprintf("edge-norte-ovi-%d", i+1), ip: ip, internal: port, settings: filepath.Join(w.dir, fmt.Sprintf("boot-%d.conf", i+1))}
+		e := &entry{name: fmt.Sprintf("edge-norte-ovi-%d", i+1), ip: ip, internal: w.port, settings: filepath.Join(w.dir, fmt.Sprintf("boot-%d.conf", i+1))}
 		e.front, e.ready, e.control = fmt.Sprintf("%s:%d", ip, freePort(ip)), fmt.Sprintf("%s:%d", ip, freePort(ip)), fmt.Sprintf("%s:%d", ip, freePort(ip))
 		w.entries = append(w.entries, e)
 	}
@@ -311,8 +330,8 @@
 
 // writeSettings places the settings file of an entry, whole at any time.
 func (w *world) writeSettings(e *entry) error {
-	var seeds []string
-	for _, other := range w.entries[:min(3, len(w.entries))] {
+	seeds := slices.Clone(w.seeds)
+	for _, other := range w.entries[:min(3-len(seeds), len(w.entries))] {
 		seeds = append(seeds, other.control)
 	}
 	text := fmt.Sprintf(settingsText, e.name, e.ip, e.front, e.ready, e.control, e.internal, e.internal+3, strings.Join(seeds, ","), w.storeAddress)
