--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -25,18 +25,17 @@
 // whether it got one. Answers have no length and end with their channel.
 //
 // The engine takes its channels from a listener that it was given by the process that started it,
-// as a service of a supervisor that keeps the address open does.
+// as a service of a supervisor that keeps the address open does, or a worker of a server that has
+// several.
 type engine struct {
 	id, service string
 	pieces      int
 	gap         time.Duration
 	runs        *os.File
 
-	mu       sync.Mutex
-	running  int
-	state    string                // in the engine's entry
-	channels map[net.Conn]struct{} // of requests that run
-	teardown time.Duration         // from the end of the channels to the end of the process
+	mu      sync.Mutex
+	running int
+	state   string // in the engine's entry
 }
 
 // listenerFD is the descriptor of the listener of an engine.
@@ -44,12 +43,11 @@
 
 func runEngine(args []string) error {
 	flags := flag.NewFlagSet("engine", flag.ExitOnError)
-	e := &engine{state: "ready", channels: make(map[net.Conn]struct{})}
+	e := &engine{state: "ready"}
 	flags.StringVar(&e.id, "id", "", "Id of the engine")
 	flags.StringVar(&e.service, "service", "", "service")
 	flags.IntVar(&e.pieces, "pieces", 24, "pieces of an answer")
 	flags.DurationVar(&e.gap, "gap", 50*time.Millisecond, "time between two pieces")
-	flags.DurationVar(&e.teardown, "teardown", 150*time.Millisecond, "time from the close of the channels to the end of the process when the engine leaves")
 	runs := flags.String("runs", "", "file to which each run is appended")
 	register := flags.String("register", "", "address at which the store takes the engine's entry")
 	address := flags.String("address", "", "address of the engine")
@@ -103,24 +101,14 @@
 	}
 }
 
-// leave lets the engine drain when it gets the one signal, and exit when it gets the other: it
-// closes the channels of the requests that still run, and its process ends a little later.
+// leave lets the engine drain from a signal on: it says so, and serves on.
 func (e *engine) leave(write chan<- struct{}) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2)
-	for s := range signals {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	for range signals {
 		e.mu.Lock()
 		e.state = "draining"
-		if s == syscall.SIGUSR2 {
-			for conn := range e.channels {
-				conn.Close()
-			}
-		}
 		e.mu.Unlock()
-		if s == syscall.SIGUSR2 {
-			time.Sleep(e.teardown)
-			os.Exit(0)
-		}
 		write <- struct{}{}
 	}
 }
@@ -176,13 +164,11 @@
 func (e *engine) run(conn net.Conn, r *http.Request, id, load string) {
 	e.mu.Lock()
 	e.running++
-	e.channels[conn] = struct{}{}
 	fmt.Fprintf(e.runs, "%s engine %s of %s (process %d) runs %s %s for %q\n", id, e.id, e.service, os.Getpid(), r.Method, r.URL.RequestURI(), r.Header.Get("Tenant"))
 	e.mu.Unlock()
 	defer func() {
 		e.mu.Lock()
 		e.running--
-		delete(e.channels, conn)
 		e.mu.Unlock()
 	}()
 	stream := strings.HasPrefix(r.URL.Path, streamPath)
--- a/review/standin2/leaving.go
+++ b/review/standin2/leaving.go
@@ -10,13 +10,17 @@
 
 func init() { plays["leaving"] = playLeaving }
 
-// playLeaving lets an engine drain, and exit while one long stream still runs there.
+// playLeaving lets an engine drain, and exit while one long stream still runs there. Each engine has
+// two worker processes at one listener, as servers do that fork. They end one after the other.
 func playLeaving(w *world) (violations []string, err error) {
 	const key = "i9n73hh2b9wu3fexd9dn"
 	for range 8 {
 		if err := w.addEngine("redactor", 80, 100*time.Millisecond); err != nil {
 			return nil, err
 		}
+		if err := w.startEngine(w.engines[len(w.engines)-1]); err != nil {
+			return nil, err
+		}
 	}
 	w.configure(3, []string{key}, []map[string]any{route("shelf-query", streamPath, "streaming", "redactor")})
 	if err := w.startEntries(2); err != nil {
@@ -27,21 +31,28 @@
 	var group sync.WaitGroup
 	group.Go(func() { results = w.sendAll(1, http.MethodPost, streamPath, key) })
 	time.Sleep(time.Second)
-	e := w.engineThatRuns()
+	e, running := w.engineThatRuns()
 	if e == nil {
 		group.Wait()
 		return nil, fmt.Errorf("the request runs at no engine")
 	}
 	if w.trouble {
-		if err := e.cmd.Process.Signal(syscall.SIGUSR1); err != nil {
-			return nil, err
+		for _, worker := range e.workers {
+			if err := worker.Process.Signal(syscall.SIGUSR1); err != nil {
+				return nil, err
+			}
 		}
 		w.note("engine %s drains", e.id)
 		time.Sleep(4500 * time.Millisecond)
-		if err := e.cmd.Process.Signal(syscall.SIGUSR2); err != nil {
+		w.note("engine %s exits: first process %d, which writes the stream", e.id, running.Process.Pid)
+		if err := running.Process.Kill(); err != nil {
 			return nil, err
 		}
-		w.note("engine %s exits", e.id)
+		time.Sleep(150 * time.Millisecond)
+		for _, worker := range e.workers {
+			_ = worker.Process.Kill() // the first one has ended
+		}
+		w.note("engine %s has exited", e.id)
 	}
 	group.Wait()
 	for _, r := range results {
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -58,6 +58,7 @@
 	gap                  time.Duration
 	listener             *os.File
 	cmd                  *exec.Cmd
+	workers              []*exec.Cmd // all processes, if there are several
 }
 
 // entry is a process of the project.
@@ -194,22 +195,25 @@
 		"-runs", filepath.Join(w.dir, "runs"), "-register", w.register, "-address", e.address, "-zone", "norte-ovi")
 	e.cmd.ExtraFiles = []*os.File{e.listener}
 	e.cmd.Stderr = os.Stderr
+	e.workers = append(e.workers, e.cmd)
 	return w.start(e.cmd)
 }
 
-// engineThatRuns returns the engine that began the latest run, or nil.
-func (w *world) engineThatRuns() *engineProcess {
+// engineThatRuns returns the engine that began the latest run, and its process, or nil.
+func (w *world) engineThatRuns() (*engineProcess, *exec.Cmd) {
 	runs, err := os.ReadFile(filepath.Join(w.dir, "runs"))
 	if err != nil {
-		return nil
+		return nil, nil
 	}
 	lines := strings.Split(strings.TrimSpace(string(runs)), "\n")
 	for _, e := range w.engines {
-		if strings.Contains(lines[len(lines)-1], e.id) {
-			return e
+		for _, worker := range e.workers {
+			if strings.Contains(lines[len(lines)-1], fmt.Sprintf("(process %d)", worker.Process.Pid)) {
+				return e, worker
+			}
 		}
 	}
-	return nil
+	return nil, nil
 }
 
 // configure lets the operator write a configuration.
